--- /dev/null
+++ b/packages/charts/src/utils/chart.ts
@@ -0,0 +1,40 @@
+import { createMachine, initialTransition, transition } from 'xstate';
+import type { AnyMachineSnapshot, AnyStateMachine } from 'xstate';
+import { TransitionRefused } from '../errors/transition-refused.ts';
+import type { ChartDefinition } from '../types/chart-definition.ts';
+
+/** One running instance of a state chart. */
+export class Chart {
+  readonly #machine: AnyStateMachine;
+  #snapshot: AnyMachineSnapshot;
+
+  constructor(definition: ChartDefinition) {
+    this.#machine = createMachine(definition as Parameters<typeof createMachine>[0]);
+    [this.#snapshot] = initialTransition(this.#machine);
+  }
+
+  /** Name of the current state. */
+  get state(): string {
+    return String(this.#snapshot.value);
+  }
+
+  /** True when no event can change the state any more. */
+  get final(): boolean {
+    return this.#snapshot.status === 'done';
+  }
+
+  /** Tells whether the current state has a transition for `event`. */
+  can(event: string): boolean {
+    return this.#snapshot.can({ type: event });
+  }
+
+  /**
+   * Takes the transition for `event` and returns the new state.
+   * @throws {@link TransitionRefused} when the chart has none.
+   */
+  send(event: string): string {
+    if (!this.can(event)) throw new TransitionRefused(this.#machine.id, this.state, event);
+    [this.#snapshot] = transition(this.#machine, this.#snapshot, { type: event });
+    return this.state;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export { versionCommand } from './commands/version.ts';
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,12 @@
+export { Failure } from './errors/failure.ts';
+export { InvalidInput } from './errors/invalid-input.ts';
+export type { Clock } from './types/clock.ts';
+export type { Closeable } from './types/closeable.ts';
+export type { FailureOptions } from './types/failure-options.ts';
+export type { Incarnation } from './types/incarnation.ts';
+export type { Random } from './types/random.ts';
+export { canonicalJson } from './utils/canonical-json.ts';
+export { digest } from './utils/digest.ts';
+export { ManualClock } from './utils/manual-clock.ts';
+export { SeededRandom } from './utils/seeded-random.ts';
+export { SystemClock } from './utils/system-clock.ts';
--- /dev/null
+++ b/packages/core/src/utils/manual-clock.ts
@@ -0,0 +1,23 @@
+import type { Clock } from '../types/clock.ts';
+
+/** {@link Clock} that moves only when told to; for tests and replays. */
+export class ManualClock implements Clock {
+  #now: number;
+
+  constructor(startMs = 0) {
+    this.#now = startMs;
+  }
+
+  wall(): number {
+    return this.#now;
+  }
+
+  monotonic(): number {
+    return this.#now;
+  }
+
+  /** Moves the clock forward by `ms` milliseconds. */
+  advance(ms: number): void {
+    this.#now += ms;
+  }
+}
--- /dev/null
+++ b/packages/core/src/utils/seeded-random.ts
@@ -0,0 +1,18 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import type { Random } from '../types/random.ts';
+
+const UINT32_RANGE = 0x1_0000_0000;
+
+/** Deterministic {@link Random}: the same seed gives the same sequence. */
+export class SeededRandom implements Random {
+  readonly #generator: RandomGenerator;
+
+  constructor(seed: number) {
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  next(): number {
+    return (this.#generator.next() >>> 0) / UINT32_RANGE;
+  }
+}
--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,40 @@
+/** Bundles the daemon and its command line, and makes `dist/ragwortrudder`, a single executable. */
+import { spawnSync } from 'node:child_process';
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs';
+import { build } from 'esbuild';
+
+const BUNDLE = 'dist/ragwortrudder.cjs';
+const BLOB = 'dist/ragwortrudder.blob';
+const SEA_CONFIG = 'dist/sea.json';
+const BINARY = 'dist/ragwortrudder';
+const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+function run(command: string, args: readonly string[]): void {
+  const result = spawnSync(command, args, { stdio: 'inherit' });
+  if (result.status !== 0) throw new Error(`${command} ${args.join(' ')} failed`);
+}
+
+mkdirSync('dist', { recursive: true });
+await build({
+  entryPoints: ['packages/cli/src/cli/main.ts'],
+  outfile: BUNDLE,
+  bundle: true,
+  platform: 'node',
+  format: 'cjs',
+  target: 'node20',
+  external: ['dtrace-provider'],
+  define: { 'import.meta.url': 'importMetaUrl' },
+  banner: {
+    js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href;",
+  },
+  tsconfig: 'tsconfig.json',
+  logLevel: 'warning',
+});
+writeFileSync(
+  SEA_CONFIG,
+  JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }),
+);
+run(process.execPath, ['--experimental-sea-config', SEA_CONFIG]);
+copyFileSync(process.execPath, BINARY);
+chmodSync(BINARY, 0o755);
+run('npx', ['postject', BINARY, 'NODE_SEA_BLOB', BLOB, '--sentinel-fuse', SEA_FUSE]);
--- /dev/null
+++ b/test/core/utils.test.ts
@@ -0,0 +1,18 @@
+import test from 'ava';
+import { SeededRandom, canonicalJson, digest } from '@ragwortrudder/core';
+
+test('canonical JSON does not depend on key order', (t) => {
+  t.is(canonicalJson({ b: 1, a: [{ d: 1, c: 2 }] }), canonicalJson({ a: [{ c: 2, d: 1 }], b: 1 }));
+  t.not(digest({ a: 1 }), digest({ a: 2 }));
+});
+
+test('seeded random repeats its sequence', (t) => {
+  const a = new SeededRandom(7);
+  const b = new SeededRandom(7);
+  const first = Array.from({ length: 5 }, () => a.next());
+  t.deepEqual(
+    first,
+    Array.from({ length: 5 }, () => b.next()),
+  );
+  t.true(first.every((value) => value >= 0 && value < 1));
+});
