--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,14 @@
-export {};
+export type { AdmissionQueueOptions } from './types/admission-queue-options.ts';
+export type { AdmissionRequest } from './types/admission-request.ts';
+export type { Admission } from './types/admission.ts';
+export type { Completion } from './types/completion.ts';
+export type { ConcurrencyLimitOptions } from './types/concurrency-limit-options.ts';
+export type { ExpiredRequest } from './types/expired-request.ts';
+export type { Queued } from './types/queued.ts';
+export type { RefusalReason } from './types/refusal-reason.ts';
+export type { Refused } from './types/refused.ts';
+export type { RequestClass } from './types/request-class.ts';
+export type { RetryBudgetOptions } from './types/retry-budget-options.ts';
+export type { RetryDecision } from './types/retry-decision.ts';
+export type { RetryKey } from './types/retry-key.ts';
+export type { RetryRequest } from './types/retry-request.ts';
--- a/packages/supply/src/index.ts
+++ b/packages/supply/src/index.ts
@@ -1,1 +1,14 @@
-export {};
+export type { LedgerEntry } from './types/ledger-entry.ts';
+export type { ReclaimRate } from './types/reclaim-rate.ts';
+export type { StartReply } from './types/start-reply.ts';
+export type { StartVm } from './types/start-vm.ts';
+export type { StopVm } from './types/stop-vm.ts';
+export type { SupplyAction } from './types/supply-action.ts';
+export type { SupplyDemand } from './types/supply-demand.ts';
+export type { SupplyInput } from './types/supply-input.ts';
+export type { SupplyPlanOptions } from './types/supply-plan-options.ts';
+export type { SupplyPolicy } from './types/supply-policy.ts';
+export type { SupplyVm } from './types/supply-vm.ts';
+export type { VmKind } from './types/vm-kind.ts';
+export type { VmPrice } from './types/vm-price.ts';
+export type { VmRefusal } from './types/vm-refusal.ts';
--- /dev/null
+++ b/packages/supply/src/types/start-reply.ts
@@ -0,0 +1,6 @@
+/** Reply of the cloud API to a start, or the lack of one. */
+export type StartReply =
+  | { readonly kind: 'started'; readonly vmId: string }
+  | { readonly kind: 'refused' }
+  | { readonly kind: 'throttled'; readonly retryAfterMs: number }
+  | { readonly kind: 'lost' };
--- /dev/null
+++ b/packages/supply/src/types/stop-vm.ts
@@ -0,0 +1,5 @@
+/** Return of a VM; it is drained first. */
+export interface StopVm {
+  readonly action: 'stop';
+  readonly vmId: string;
+}
--- /dev/null
+++ b/packages/supply/src/types/vm-kind.ts
@@ -0,0 +1,6 @@
+/** What makes VMs interchangeable for pricing and refusals. */
+export interface VmKind {
+  readonly failureDomain: string;
+  readonly machineClass: string;
+  readonly reclaimable: boolean;
+}
