--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -1,1 +1,15 @@
-export {};
+export { ClaimEntry } from './types/claim-entry.ts';
+export { KeyTransfer } from './types/key-transfer.ts';
+export { OutcomeWord } from './types/outcome-word.ts';
+export { Owner } from './types/owner.ts';
+export type { ClaimDecision } from './types/claim-decision.ts';
+export type { ClaimOptions } from './types/claim-options.ts';
+export type { ClaimQuery } from './types/claim-query.ts';
+export type { ClaimRecord } from './types/claim-record.ts';
+export type { ClaimState } from './types/claim-state.ts';
+export type { Execution } from './types/execution.ts';
+export type { ExecutionState } from './types/execution-state.ts';
+export type { ExecutorTableOptions } from './types/executor-table-options.ts';
+export type { IssuedKey } from './types/issued-key.ts';
+export type { KeyDecision } from './types/key-decision.ts';
+export type { KeyRequest } from './types/key-request.ts';
--- /dev/null
+++ b/packages/claims/src/types/claim-entry.ts
@@ -0,0 +1,33 @@
+import { z } from 'zod';
+import { OutcomeWord } from './outcome-word.ts';
+import { Owner } from './owner.ts';
+
+const subject = { tenant: z.string().min(1), key: z.string().min(1) };
+const author = { node: z.string().min(1), incarnation: z.number().int().nonnegative() };
+/** An attempt is named by the position of the claim that opened it. */
+const attempt = z.number().int().nonnegative();
+
+/** Body of an entry in the stream `claims`. */
+export const ClaimEntry = z.discriminatedUnion('type', [
+  z.strictObject({
+    type: z.literal('claim'),
+    ...subject,
+    ...author,
+    requestDigest: z.string().min(1),
+    service: z.string().min(1),
+    /** The claim is void when the log takes it after this time, in milliseconds since the epoch. */
+    validUntil: z.number().optional(),
+  }),
+  z.strictObject({ type: z.literal('sending'), ...subject, ...author, attempt }),
+  z.strictObject({
+    type: z.literal('outcome'),
+    ...subject,
+    ...author,
+    attempt,
+    word: OutcomeWord,
+    result: z.unknown().optional(),
+  }),
+  z.strictObject({ type: z.literal('takeover'), ...subject, attempt, from: Owner, to: Owner }),
+  z.strictObject({ type: z.literal('abandon'), ...subject, ...author, attempt }),
+]);
+export type ClaimEntry = Readonly<z.infer<typeof ClaimEntry>>;
--- /dev/null
+++ b/packages/claims/src/types/key-decision.ts
@@ -0,0 +1,18 @@
+import type { Owner } from './owner.ts';
+
+/** What a node does with a request under an issued key. */
+export type KeyDecision =
+  | { readonly kind: 'run' }
+  | { readonly kind: 'wait' }
+  | { readonly kind: 'forward'; readonly to: Owner }
+  | {
+      readonly kind: 'answer';
+      readonly word: 'completed' | 'failed' | 'not-run';
+      readonly result?: unknown;
+    }
+  | {
+      readonly kind: 'refuse';
+      readonly reason: 'key-reused' | 'key-expired' | 'wrong-tenant' | 'stopping';
+      readonly notRun: boolean;
+    }
+  | { readonly kind: 'unknown' };
--- /dev/null
+++ b/packages/claims/src/types/key-request.ts
@@ -0,0 +1,6 @@
+/** Request under an issued key. */
+export interface KeyRequest {
+  readonly tenant: string;
+  readonly key: string;
+  readonly requestDigest: string;
+}
