Declare the types of membership and moves

The two packages exported nothing, so the daemon could not be written against them. Only types, schemas and the soft state; the protocol follows.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,17 @@
-export {};
+export type { DomainView } from './types/domain-view.ts';
+export { Gossip } from './types/gossip.ts';
+export { IndirectProbe } from './types/indirect-probe.ts';
+export { Member } from './types/member.ts';
+export type { MembershipEvent } from './types/membership-event.ts';
+export type { MembershipOptions } from './types/membership-options.ts';
+export type { MembershipSettings } from './types/membership-settings.ts';
+export { OriginVersion } from './types/origin-version.ts';
+export type { PeerTransport } from './types/peer-transport.ts';
+export { ProbeMessage } from './types/probe-message.ts';
+export { ProbeReply } from './types/probe-reply.ts';
+export type { Published } from './types/published.ts';
+export { SoftStateEntry } from './types/soft-state-entry.ts';
+export type { SoftStateOptions } from './types/soft-state-options.ts';
+export { SyncRequest } from './types/sync-request.ts';
+export { Membership } from './utils/membership.ts';
+export { SoftState } from './utils/soft-state.ts';
--- /dev/null
+++ b/packages/membership/src/types/probe-message.ts
@@ -0,0 +1,14 @@
+import { z } from 'zod';
+import { Gossip } from './gossip.ts';
+import { SyncRequest } from './sync-request.ts';
+
+/** Message of one node to another: a liveness probe that carries changes along. */
+export const ProbeMessage = z
+  .strictObject({
+    fromNode: z.string().min(1).max(128),
+    fromIncarnation: z.number().int().nonnegative(),
+    gossip: Gossip,
+    sync: SyncRequest.optional(),
+  })
+  .readonly();
+export type ProbeMessage = z.infer<typeof ProbeMessage>;
--- /dev/null
+++ b/packages/membership/src/types/soft-state-entry.ts
@@ -0,0 +1,12 @@
+import { z } from 'zod';
+
+/** Value published by one incarnation of a node; a larger incarnation, then a larger version, wins. */
+export const SoftStateEntry = z
+  .strictObject({
+    nodeId: z.string().min(1).max(128),
+    incarnation: z.number().int().nonnegative(),
+    version: z.number().int().nonnegative(),
+    value: z.unknown(),
+  })
+  .readonly();
+export type SoftStateEntry = z.infer<typeof SoftStateEntry>;
