--- /dev/null
+++ b/packages/log/src/errors/log-expired.ts
@@ -0,0 +1,19 @@
+import { Failure } from '@ragwortrudder/core';
+
+/** The records asked for are past the log's retention. */
+export class LogExpired extends Failure {
+  readonly code = 'log-expired';
+  /** Oldest offset still retained. */
+  readonly first: number;
+  /** Offset after the newest record. */
+  readonly next: number;
+
+  constructor(first: number, next: number) {
+    super(`records before offset ${first} have expired`, {
+      status: 410,
+      hint: 'restore from a snapshot or from a peer',
+    });
+    this.first = first;
+    this.next = next;
+  }
+}
--- /dev/null
+++ b/packages/log/src/errors/log-gap.ts
@@ -0,0 +1,14 @@
+import { Failure } from '@ragwortrudder/core';
+
+/** A read skipped records; nothing past the gap is folded. */
+export class LogGap extends Failure {
+  readonly code = 'log-gap';
+
+  constructor(expected: number, found: number) {
+    super(`expected the record at offset ${expected}, found ${found}`, {
+      status: 502,
+      retryable: true,
+      hint: 'the log lost records or renumbered them; see docs/operate/log-outage.md',
+    });
+  }
+}
--- /dev/null
+++ b/packages/log/src/errors/prefix-gap.ts
@@ -0,0 +1,13 @@
+import { Failure } from '@ragwortrudder/core';
+
+/** A peer offered records that start after the follower's next offset, or that skip an offset. */
+export class PrefixGap extends Failure {
+  readonly code = 'prefix-gap';
+
+  constructor(expected: number, found: number) {
+    super(`expected the record at offset ${expected}, the peer offered ${found}`, {
+      status: 409,
+      hint: 'ask the peer for records from the expected offset',
+    });
+  }
+}
--- /dev/null
+++ b/packages/log/src/errors/write-queue-full.ts
@@ -0,0 +1,15 @@
+import { Failure } from '@ragwortrudder/core';
+
+/** Too many writes wait for the log; the entry was not appended. */
+export class WriteQueueFull extends Failure {
+  readonly code = 'write-queue-full';
+
+  constructor(limit: number) {
+    super(`the write queue holds its limit of ${limit} entries`, {
+      status: 503,
+      retryable: true,
+      notRun: true,
+      hint: 'the log is slow or out; retry later',
+    });
+  }
+}
--- /dev/null
+++ b/packages/log/src/types/group-commit-counters.ts
@@ -0,0 +1,11 @@
+/** Counters of a group commit since its start. */
+export interface GroupCommitCounters {
+  /** Appends sent to the log, retries included. */
+  readonly appends: number;
+  /** Entries carried by successful or retried appends, each entry counted once. */
+  readonly entries: number;
+  /** Appends sent again after a failure. */
+  readonly retries: number;
+  /** Reads to the end of the log after a failed append. */
+  readonly readBacks: number;
+}
--- /dev/null
+++ b/packages/log/src/types/log-append.ts
@@ -0,0 +1,5 @@
+/** Record to append. */
+export interface LogAppend {
+  readonly id: string;
+  readonly body: unknown;
+}
--- /dev/null
+++ b/packages/log/src/types/prefix.ts
@@ -0,0 +1,16 @@
+import { z } from 'zod';
+import { HashedRecord } from './hashed-record.ts';
+
+/** Part of a stream as one follower hands it to another. */
+export const Prefix = z
+  .strictObject({
+    /** Point at which `records` starts: the offset of its first record and the hash before it. */
+    base: z.strictObject({ next: z.int().nonnegative(), hash: z.string() }).readonly(),
+    /** Serialized state at `base`, present when the records asked for are no longer kept. */
+    snapshot: z.strictObject({ data: z.unknown(), digest: z.string() }).readonly().optional(),
+    records: z.array(HashedRecord).readonly(),
+    /** The sender's own next offset; larger than the end of `records` when there is more to fetch. */
+    next: z.int().nonnegative(),
+  })
+  .readonly();
+export type Prefix = z.infer<typeof Prefix>;
--- /dev/null
+++ b/packages/log/src/types/write-options.ts
@@ -0,0 +1,13 @@
+/** Options of one write. */
+export interface WriteOptions {
+  /**
+   * Identifier of the entry; a caller that retries passes the same one.
+   * @default a random UUID
+   */
+  readonly id?: string;
+  /**
+   * Time in milliseconds after which the write is abandoned.
+   * @default 10000
+   */
+  readonly timeoutMs?: number;
+}
--- /dev/null
+++ b/packages/platform/src/errors/platform-unavailable.ts
@@ -0,0 +1,11 @@
+import { Failure } from '@ragwortrudder/core';
+import type { FailureOptions } from '@ragwortrudder/core';
+
+/** The platform did not answer as expected; the action may have taken effect. */
+export class PlatformUnavailable extends Failure {
+  readonly code = 'platform-unavailable';
+
+  constructor(message: string, options: FailureOptions = {}) {
+    super(message, { status: 503, retryable: true, hint: 'retry later', ...options });
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export { NotFound } from './errors/not-found.ts';
+export { PlatformRateExceeded } from './errors/platform-rate-exceeded.ts';
+export { PlatformUnavailable } from './errors/platform-unavailable.ts';
+export { UnexpectedAnswer } from './errors/unexpected-answer.ts';
+export { VmRefused } from './errors/vm-refused.ts';
+export type { ClientOptions } from './types/client-options.ts';
+export type { HttpLogOptions } from './types/http-log-options.ts';
+export { NoticePage } from './types/notice-page.ts';
+export { Notice } from './types/notice.ts';
+export { Price } from './types/price.ts';
+export type { VmRequest } from './types/vm-request.ts';
+export { Vm } from './types/vm.ts';
--- /dev/null
+++ b/packages/platform/src/types/notice.ts
@@ -0,0 +1,12 @@
+import { z } from 'zod';
+
+/** Announcement that a VM will be reclaimed. */
+export const Notice = z
+  .object({
+    seq: z.int().nonnegative(),
+    vmId: z.string(),
+    /** Time of the reclaim in milliseconds since the Unix epoch. */
+    deadline: z.number(),
+  })
+  .readonly();
+export type Notice = z.infer<typeof Notice>;
--- a/packages/tickets/src/index.ts
+++ b/packages/tickets/src/index.ts
@@ -1,1 +1,17 @@
-export {};
+export type { DomainsState } from './types/domains-state.ts';
+export { MoveWordEntry } from './types/move-word-entry.ts';
+export type { MoveWord } from './types/move-word.ts';
+export type { Move } from './types/move.ts';
+export { ObjectName } from './types/object-name.ts';
+export type { Refusal } from './types/refusal.ts';
+export type { RefusedEntry } from './types/refused-entry.ts';
+export type { ServiceState } from './types/service-state.ts';
+export { Service } from './types/service.ts';
+export { TenantShare } from './types/tenant-share.ts';
+export type { TenantState } from './types/tenant-state.ts';
+export { TicketEntry } from './types/ticket-entry.ts';
+export type { TicketRecord } from './types/ticket-record.ts';
+export type { TicketState } from './types/ticket-state.ts';
+export type { TicketStatus } from './types/ticket-status.ts';
+export { Ticket } from './types/ticket.ts';
+export { Trial } from './types/trial.ts';
--- /dev/null
+++ b/packages/tickets/src/types/move-word-entry.ts
@@ -0,0 +1,16 @@
+import { z } from 'zod';
+import { ObjectName } from './object-name.ts';
+
+/** Body of a log entry that ends a move. */
+export const MoveWordEntry = z
+  .strictObject({
+    kind: z.literal('move-word'),
+    ticket: z.int().positive(),
+    service: ObjectName,
+    word: z.enum(['done', 'undone']),
+    reason: z.string().max(1024),
+    /** Node that wrote the entry. */
+    by: z.string().max(128),
+  })
+  .readonly();
+export type MoveWordEntry = z.infer<typeof MoveWordEntry>;
--- /dev/null
+++ b/packages/tickets/src/types/service.ts
@@ -0,0 +1,28 @@
+import { z } from 'zod';
+import { Trial } from './trial.ts';
+
+const Version = z.string().min(1).max(128);
+const Deadline = z.union([
+  z.int().nonnegative(),
+  z.iso.datetime({ offset: true }).transform((text) => Date.parse(text)),
+]);
+
+/** Whole wanted state of a service. */
+export const Service = z
+  .strictObject({
+    kind: z.enum(['model', 'application']),
+    version: Version,
+    /** Version to which a move is taken back; the effective version when left out. */
+    previous: Version.optional(),
+    /** Time by which `version` has to carry all traffic; ISO 8601 or milliseconds since the Unix epoch. */
+    takeoverBy: Deadline.optional(),
+    /** True when the endpoints refuse orders with an old fencing number. */
+    fencing: z.boolean(),
+    /** False when a request must run at most once. */
+    idempotent: z.boolean(),
+    /** Request classes that the service takes. */
+    classes: z.array(z.string().min(1).max(63)).min(1).readonly(),
+    trial: Trial.optional(),
+  })
+  .readonly();
+export type Service = z.infer<typeof Service>;
--- /dev/null
+++ b/packages/tickets/src/types/tenant-share.ts
@@ -0,0 +1,12 @@
+import { z } from 'zod';
+
+/** Share and limits of a tenant. */
+export const TenantShare = z
+  .strictObject({
+    /** Weight in the fair division of capacity. */
+    weight: z.number().positive(),
+    maxConcurrent: z.int().positive(),
+    maxQueued: z.int().nonnegative(),
+  })
+  .readonly();
+export type TenantShare = z.infer<typeof TenantShare>;
--- /dev/null
+++ b/packages/tickets/src/types/ticket.ts
@@ -0,0 +1,28 @@
+import { z } from 'zod';
+import { ObjectName } from './object-name.ts';
+import { Service } from './service.ts';
+import { TenantShare } from './tenant-share.ts';
+
+/** Numbered change of configuration with the whole new state of everything it touches; null removes. */
+export const Ticket = z
+  .strictObject({
+    number: z.int().positive(),
+    /** Number of the newest accepted ticket that the author knew; 0 when there was none. */
+    against: z.int().nonnegative(),
+    author: z.string().min(1).max(128),
+    services: z.record(ObjectName, Service.nullable()).readonly().default({}),
+    tenants: z.record(ObjectName, TenantShare.nullable()).readonly().default({}),
+    /** Failure domains in use. */
+    domains: z.array(ObjectName).min(1).readonly().optional(),
+  })
+  .refine((ticket) => ticket.against < ticket.number, {
+    path: ['against'],
+    message: 'must be lower than number',
+  })
+  .refine(
+    ({ services, tenants, domains }) =>
+      domains !== undefined || Object.keys(services).length + Object.keys(tenants).length > 0,
+    { message: 'changes nothing: name a service, a tenant or domains' },
+  )
+  .readonly();
+export type Ticket = z.infer<typeof Ticket>;
