Judge claims and issued keys so that a request runs at most once

The packages had types only. An attempt is named by the position of its claim, so a repeated entry of an earlier attempt is void; a counter per key was ruled out because it starts again after retention.

--- /dev/null
+++ b/packages/claims/src/errors/key-malformed.ts
@@ -0,0 +1,14 @@
+import { Failure } from '@ragwortrudder/core';
+
+/** A key claims to name its executor but has not the form of an issued key. */
+export class KeyMalformed extends Failure {
+  readonly code = 'key-malformed';
+
+  constructor() {
+    super('the idempotency key is not a valid issued key', {
+      status: 400,
+      notRun: true,
+      hint: 'send a key exactly as it was issued, or a key of your own without the prefix "k1."',
+    });
+  }
+}
--- /dev/null
+++ b/packages/claims/src/errors/transfer-refused.ts
@@ -0,0 +1,13 @@
+import { Failure } from '@ragwortrudder/core';
+
+/** A key could not be transferred or received. */
+export class TransferRefused extends Failure {
+  readonly code = 'transfer-refused';
+
+  constructor(key: string, reason: string) {
+    super(`transfer of key ${key} refused: ${reason}`, {
+      status: 409,
+      hint: 'the key keeps its state; its outcome can be looked up',
+    });
+  }
+}
--- a/packages/claims/src/types/key-decision.ts
+++ b/packages/claims/src/types/key-decision.ts
@@ -12,7 +12,7 @@
     }
   | {
       readonly kind: 'refuse';
-      readonly reason: 'key-reused' | 'key-expired' | 'wrong-tenant' | 'stopping';
-      readonly notRun: boolean;
+      readonly reason: 'key-reused' | 'key-expired' | 'wrong-tenant';
+      readonly notRun: true;
     }
   | { readonly kind: 'unknown' };
--- /dev/null
+++ b/packages/claims/src/utils/claim-fold.ts
@@ -0,0 +1,40 @@
+import type { Entry, Fold } from '@ragwortrudder/log';
+import { ClaimEntry } from '../types/claim-entry.ts';
+import type { ClaimOptions } from '../types/claim-options.ts';
+import type { ClaimRecord } from '../types/claim-record.ts';
+import type { ClaimState } from '../types/claim-state.ts';
+import { bucketOf } from './bucket-of.ts';
+import { claimName } from './claim-name.ts';
+import { findClaim } from './find-claim.ts';
+import { nextClaimRecord } from './next-claim-record.ts';
+
+const DEFAULT_RETENTION_MS = 86_400_000;
+const BUCKETS = 256;
+
+function withRecord(state: ClaimState, record: ClaimRecord): ClaimState {
+  const name = claimName(record.tenant, record.key);
+  const bucket = bucketOf(name, state.buckets.length);
+  const oldest = state.logTimeMs - state.retentionMs;
+  const kept = Object.entries(state.buckets[bucket] ?? {}).filter(
+    ([other, { changedAtMs }]) => other !== name && changedAtMs >= oldest,
+  );
+  const records = Object.fromEntries([...kept, [name, record]]);
+  return { ...state, buckets: state.buckets.with(bucket, records) };
+}
+
+function apply(state: ClaimState, entry: Entry): ClaimState {
+  const timeMs = Math.max(state.logTimeMs, entry.time);
+  const now = timeMs === state.logTimeMs ? state : { ...state, logTimeMs: timeMs };
+  const parsed = ClaimEntry.safeParse(entry.body);
+  if (!parsed.success) return now;
+  const record = findClaim(now, parsed.data.tenant, parsed.data.key);
+  const next = nextClaimRecord(parsed.data, { record, position: entry.position, timeMs });
+  return next ? withRecord(now, next) : now;
+}
+
+/** Fold of the stream `claims`: the same prefix of the log gives the same state on every node. */
+export function claimFold(options: ClaimOptions = {}): Fold<ClaimState> {
+  const retentionMs = options.retentionMs ?? DEFAULT_RETENTION_MS;
+  const buckets = Array.from({ length: BUCKETS }, () => ({}));
+  return { initial: { logTimeMs: 0, retentionMs, buckets }, apply };
+}
