--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -15,3 +15,7 @@
 export { SyncRequest } from './types/sync-request.ts';
 export { Membership } from './utils/membership.ts';
 export { SoftState } from './utils/soft-state.ts';
+export { MemoryNetwork } from './utils/memory-network.ts';
+export { NoContact } from './errors/no-contact.ts';
+export { UnknownPeer } from './errors/unknown-peer.ts';
+export { DEFAULT_SETTINGS } from './utils/default-settings.ts';
--- a/packages/membership/src/types/membership-event.ts
+++ b/packages/membership/src/types/membership-event.ts
@@ -4,8 +4,9 @@
 export interface MembershipEvent {
   /**
    * `renewed`: this node learned that its own incarnation was declared dead and continues under a new one;
-   * whatever the old incarnation owned must be given up.
+   * whatever the old incarnation owned must be given up. `replaced`: a newer process runs under the same node
+   * identifier and this one must stop.
    */
-  readonly kind: 'joined' | 'suspected' | 'refuted' | 'died' | 'left' | 'renewed';
+  readonly kind: 'joined' | 'suspected' | 'refuted' | 'died' | 'left' | 'renewed' | 'replaced';
   readonly member: Member;
 }
