--- /dev/null
+++ b/packages/routing/src/types/probe-result.ts
@@ -0,0 +1,7 @@
+/** Result of a probe of an endpoint on a fresh connection. */
+export interface ProbeResult {
+  /** True when the endpoint answered. */
+  readonly reachable: boolean;
+  /** Step time from the load report in the answer in milliseconds. */
+  readonly stepMs?: number;
+}
--- /dev/null
+++ b/packages/routing/src/utils/choose-runner.ts
@@ -0,0 +1,79 @@
+import type { PolicyOptions } from '../types/policy-options.ts';
+import type { RoutingChoice } from '../types/routing-choice.ts';
+import type { RoutingOptions } from '../types/routing-options.ts';
+import type { RunnerView } from '../types/runner-view.ts';
+import { agedRequests } from './aged-requests.ts';
+import { BLOCK_TOKENS } from './block-tokens.ts';
+import { draw } from './draw.ts';
+import { eligibleRunners } from './eligible-runners.ts';
+import { estimateFirstToken } from './estimate-first-token.ts';
+import { prefixOwner } from './prefix-owner.ts';
+import { smallest } from './smallest.ts';
+
+/** Prefix lengths in blocks for which an owner is looked up. */
+const OWNER_DEPTHS: readonly number[] = [2, 8, 32];
+const MAX_HOLDERS = 3;
+const RANDOM_CANDIDATES = 2;
+/** Costs closer than this in milliseconds are equal. */
+const TIE_MS = 0.5;
+const DEFAULT_OWNER_PRIOR = 0.3;
+const DEFAULT_LOAD_BOUND = 1.25;
+const DEFAULT_STREAM_COST_MS = 2;
+
+/** Owners of the prompt's prefixes, with the tokens that each is assumed to hold. */
+function owners(
+  runners: readonly RunnerView[],
+  blocks: readonly string[],
+  policy: PolicyOptions,
+): ReadonlyMap<string, number> {
+  const assumed = new Map<string, number>();
+  const prior = policy.ownerPrior ?? DEFAULT_OWNER_PRIOR;
+  for (const depth of OWNER_DEPTHS) {
+    const key = blocks[depth - 1];
+    if (key === undefined) break;
+    const owner = prefixOwner(key, runners, policy.loadBound ?? DEFAULT_LOAD_BOUND);
+    if (owner) assumed.set(owner.id, depth * BLOCK_TOKENS * prior);
+  }
+  return assumed;
+}
+
+/** The few runners whose costs are compared. */
+function shortlist(
+  runners: readonly RunnerView[],
+  ownerIds: Iterable<string>,
+  options: RoutingOptions,
+): readonly RunnerView[] {
+  const byId = new Map(runners.map((runner) => [runner.id, runner]));
+  const holders = options.cache?.holders(options.request.blocks, runners.length) ?? [];
+  const holderIds = holders.map(({ runnerId }) => runnerId).filter((id) => byId.has(id));
+  const ids = new Set([...holderIds.slice(0, MAX_HOLDERS), ...ownerIds]);
+  for (let i = 0; i < RANDOM_CANDIDATES; i += 1) {
+    const drawn = draw(runners, options.random);
+    if (drawn) ids.add(drawn.id);
+  }
+  return [...ids].flatMap((id) => byId.get(id) ?? []);
+}
+
+/**
+ * Chooses the runner of smallest estimated cost among a few: those with the longest known prefix,
+ * the hash owners of the prompt's prefixes, and two drawn at random. The cost is the estimated
+ * time to the first token, plus what the computed tokens and the stream cost other requests.
+ */
+export function chooseRunner(
+  options: RoutingOptions,
+  policy: PolicyOptions = {},
+): RoutingChoice | undefined {
+  const { request, random, cache } = options;
+  const { recomputeWeight = 1, streamCostMs = DEFAULT_STREAM_COST_MS } = policy;
+  const runners = eligibleRunners(options);
+  const assumed = owners(runners, request.blocks, policy);
+  const choices = shortlist(runners, assumed.keys(), options).map((runner): RoutingChoice => {
+    const known = cache?.cachedTokens(runner.id, request.blocks) ?? 0;
+    const cached = Math.max(known, assumed.get(runner.id) ?? 0);
+    return { runner, estimate: estimateFirstToken(runner, request, cached), compared: 0 };
+  });
+  const costOf = ({ runner, estimate }: RoutingChoice): number =>
+    estimate.totalMs + recomputeWeight * estimate.prefillMs + streamCostMs * agedRequests(runner);
+  const best = smallest(choices, costOf, random, TIE_MS);
+  return best && { ...best, compared: choices.length };
+}
--- /dev/null
+++ b/packages/routing/src/utils/estimate-first-token.ts
@@ -0,0 +1,34 @@
+import type { FirstTokenEstimate } from '../types/first-token-estimate.ts';
+import type { RoutingRequest } from '../types/routing-request.ts';
+import type { RunnerView } from '../types/runner-view.ts';
+import { reportWeight } from './report-weight.ts';
+
+/** Prompt tokens assumed for a request that another node sent and that waits at the runner. */
+const WAITING_TOKENS = 256;
+const MS_PER_S = 1000;
+
+/** Prompt tokens ahead of a new request: reported and aged, plus this node's own. */
+function tokensAhead(runner: RunnerView): number {
+  const { load, loadAgeMs, unreported, inFlight } = runner;
+  if (!load) return inFlight.prefillTokens;
+  const weight = reportWeight(loadAgeMs);
+  const reported = load.waiting * WAITING_TOKENS + unreported.prefillTokens;
+  return weight * reported + (1 - weight) * inFlight.prefillTokens;
+}
+
+/** Estimates the time to the first token of `request` on `runner`. */
+export function estimateFirstToken(
+  runner: RunnerView,
+  request: RoutingRequest,
+  expectedCachedTokens = 0,
+): FirstTokenEstimate {
+  const cachedTokens = Math.min(expectedCachedTokens, request.promptTokens);
+  const computedTokens = request.promptTokens - cachedTokens;
+  const msPerToken = MS_PER_S / Math.max(1, runner.prefillRate);
+  const isBusy = (runner.load?.running ?? 0) > 0 || runner.inFlight.requests > 0;
+  const queueMs = tokensAhead(runner) * msPerToken + (isBusy ? runner.decodeStepMs : 0);
+  const prefillMs = computedTokens * msPerToken;
+  const { networkMs } = runner;
+  const totalMs = queueMs + prefillMs + networkMs;
+  return { queueMs, prefillMs, networkMs, totalMs, cachedTokens, computedTokens };
+}
