--- /dev/null
+++ b/packages/log/src/node/log-follower.ts
@@ -0,0 +1,324 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { digest, Failure, InvalidInput } from '@ragwortrudder/core';
+import type { Clock, Closeable } from '@ragwortrudder/core';
+import { FollowerTimeout } from '../errors/follower-timeout.ts';
+import { LogExpired } from '../errors/log-expired.ts';
+import { LogGap } from '../errors/log-gap.ts';
+import { LogUnavailable } from '../errors/log-unavailable.ts';
+import { PrefixOlder } from '../errors/prefix-older.ts';
+import { PrefixUnavailable } from '../errors/prefix-unavailable.ts';
+import { SnapshotInvalid } from '../errors/snapshot-invalid.ts';
+import { SnapshotMissing } from '../errors/snapshot-missing.ts';
+import type { Entry } from '../types/entry.ts';
+import type { Fold } from '../types/fold.ts';
+import type { FollowerChange } from '../types/follower-change.ts';
+import type { Log } from '../types/log.ts';
+import type { LogFollowerOptions } from '../types/log-follower-options.ts';
+import type { LogRecord } from '../types/log-record.ts';
+import { Prefix } from '../types/prefix.ts';
+import type { PrefixRange } from '../types/prefix-range.ts';
+import type { ReadBack } from '../types/read-back.ts';
+import type { Snapshot } from '../types/snapshot.ts';
+import type { SnapshotMark } from '../types/snapshot-mark.ts';
+import { Backoff } from '../utils/backoff.ts';
+import { chainHash } from '../utils/chain-hash.ts';
+import { entriesOf } from '../utils/entries-of.ts';
+import { GENESIS_HASH } from '../utils/genesis-hash.ts';
+import { newRecords } from '../utils/new-records.ts';
+import { RecordTail } from '../utils/record-tail.ts';
+import { SnapshotAssembler } from '../utils/snapshot-assembler.ts';
+import { newestSnapshot } from './newest-snapshot.ts';
+
+const POLL_WAIT_MS = 5_000;
+const PAGE_RECORDS = 500;
+const TAIL_RECORDS = 1_024;
+
+/**
+ * Follows one stream of the log and folds it to a state that never goes back.
+ * Exchanges records with peers when the log cannot be reached.
+ */
+export class LogFollower<S> implements ReadBack, Closeable {
+  readonly #log: Log;
+  readonly #fold: Fold<S>;
+  readonly #clock: Clock;
+  readonly #pollWaitMs: number;
+  readonly #pageRecords: number;
+  readonly #backoff: Backoff;
+  readonly #tail: RecordTail;
+  readonly #listeners = new Set<(change: FollowerChange<S>) => void>();
+  readonly #assembler = new SnapshotAssembler();
+  readonly #closing = new AbortController();
+  #running: Promise<void> | undefined;
+  #state: S;
+  #next = 0;
+  #hash = GENESIS_HASH;
+  #newestSnapshot: SnapshotMark | undefined;
+  #caughtUp = false;
+  #lastContact: number | undefined;
+  #currentAt: number | undefined;
+  #failure: Failure | undefined;
+
+  constructor(options: LogFollowerOptions<S>) {
+    this.#log = options.log;
+    this.#fold = options.fold;
+    this.#clock = options.clock;
+    this.#pollWaitMs = options.pollWaitMs ?? POLL_WAIT_MS;
+    this.#pageRecords = options.pageRecords ?? PAGE_RECORDS;
+    this.#backoff = new Backoff(options.random, options.backoff);
+    this.#state = options.fold.initial;
+    this.#tail = new RecordTail(options.tailRecords ?? TAIL_RECORDS, {
+      next: 0,
+      hash: GENESIS_HASH,
+    });
+  }
+
+  get state(): S {
+    return this.#state;
+  }
+
+  /** Offset of the next record to be folded. */
+  get next(): number {
+    return this.#next;
+  }
+
+  /** Chained hash of all records before {@link next}. */
+  get hash(): string {
+    return this.#hash;
+  }
+
+  /** True once the state has reached the end of the log, or of a peer's prefix, since the start. */
+  get caughtUp(): boolean {
+    return this.#caughtUp;
+  }
+
+  /** Time in milliseconds since the state was known to be at the end of the log; `Infinity` before that. */
+  get lagMs(): number {
+    if (this.#currentAt === undefined) return Infinity;
+    return Math.max(0, this.#clock.monotonic() - this.#currentAt);
+  }
+
+  /** Wall-clock time in milliseconds of the last successful read of the log. */
+  get lastContact(): number | undefined {
+    return this.#lastContact;
+  }
+
+  /** Why the last read failed; undefined while reads succeed. */
+  get failure(): Failure | undefined {
+    return this.#failure;
+  }
+
+  /** Newest complete snapshot seen in the stream. */
+  get newestSnapshot(): SnapshotMark | undefined {
+    return this.#newestSnapshot;
+  }
+
+  /** Starts to follow the stream; does nothing when already started. */
+  start(): void {
+    this.#running ??= this.#run();
+  }
+
+  async close(): Promise<void> {
+    this.#closing.abort();
+    await this.#running;
+    this.#listeners.clear();
+  }
+
+  subscribe(listener: (change: FollowerChange<S>) => void): () => void {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+
+  /** Resolves once the record at `offset` is folded; rejects with `FollowerTimeout`. */
+  waitForOffset(offset: number, timeoutMs: number): Promise<void> {
+    if (this.#next > offset) return Promise.resolve();
+    return new Promise((resolve, reject) => {
+      const settle = (failure?: Failure): void => {
+        clearTimeout(timer);
+        unsubscribe();
+        this.#closing.signal.removeEventListener('abort', onClose);
+        if (failure) reject(failure);
+        else resolve();
+      };
+      const onClose = (): void => {
+        settle(new FollowerTimeout('the follower was closed'));
+      };
+      const unsubscribe = this.subscribe(({ next }) => {
+        if (next > offset) settle();
+      });
+      const timer = setTimeout(() => {
+        settle(new FollowerTimeout(`offset ${offset} was not reached in ${timeoutMs} ms`));
+      }, timeoutMs);
+      this.#closing.signal.addEventListener('abort', onClose);
+      if (this.#closing.signal.aborted) onClose();
+    });
+  }
+
+  async readToEnd(): Promise<void> {
+    while (!(await this.#readPage(0))) this.#closing.signal.throwIfAborted();
+  }
+
+  /** Serialized state at the current offset. */
+  snapshot(): Snapshot {
+    const { snapshotter } = this.#fold;
+    if (!snapshotter) throw new PrefixUnavailable('this stream keeps no snapshots');
+    return { next: this.#next, hash: this.#hash, data: snapshotter.serialize(this.#state) };
+  }
+
+  /** Records for a peer, or the state when those asked for are no longer kept. */
+  exportPrefix({ from, limit }: PrefixRange): Prefix {
+    if (!this.#caughtUp) throw new PrefixUnavailable('this node has not caught up');
+    const common = { next: this.#next, lagMs: this.lagMs };
+    const hash = this.#tail.hashBefore(from);
+    if (hash !== undefined) {
+      return { ...common, base: { next: from, hash }, records: this.#tail.slice(from, limit) };
+    }
+    if (from > this.#next) {
+      return { ...common, base: { next: this.#next, hash: this.#hash }, records: [] };
+    }
+    const { data } = this.snapshot();
+    const base = { next: this.#next, hash: this.#hash };
+    return { ...common, base, snapshot: { data, digest: digest([base, data]) }, records: [] };
+  }
+
+  /**
+   * Takes what a peer's prefix adds to the state; returns the number of offsets gained.
+   * Throws `PrefixGap`, `PrefixFork`, `PrefixOlder`, `SnapshotInvalid` or `InvalidInput` and takes nothing
+   * when it does not continue the state exactly.
+   */
+  offer(input: unknown): number {
+    const prefix = parsePrefix(input);
+    const before = this.#next;
+    if (prefix.snapshot && prefix.base.next > this.#next) this.#takeSnapshot(prefix);
+    else this.#foldAll(newRecords({ next: this.#next, hash: this.#hash }, prefix).map(recordOf));
+    if (this.#next >= prefix.next) this.#markCurrent(this.#clock.monotonic() - prefix.lagMs);
+    return this.#next - before;
+  }
+
+  #takeSnapshot(prefix: Prefix): void {
+    const { base, snapshot } = prefix;
+    if (snapshot?.digest !== digest([base, snapshot?.data])) {
+      throw new SnapshotInvalid('the digest of a peer’s snapshot differs from its content');
+    }
+    const records = newRecords(base, prefix);
+    this.#install({ ...base, data: snapshot.data });
+    this.#foldAll(records.map(recordOf));
+  }
+
+  async #run(): Promise<void> {
+    const { signal } = this.#closing;
+    while (!signal.aborted) {
+      try {
+        await this.#readPage(this.#caughtUp ? this.#pollWaitMs : 0);
+        this.#backoff.reset();
+        this.#failure = undefined;
+      } catch (error) {
+        this.#failure = error instanceof Failure ? error : unexpected(error);
+        await sleep(this.#backoff.next(), undefined, { signal }).catch(() => undefined);
+      }
+    }
+  }
+
+  /** Reads and folds one page; returns true at the end of the log. */
+  async #readPage(waitMs: number): Promise<boolean> {
+    const { signal } = this.#closing;
+    const startedAt = this.#clock.monotonic();
+    const range = { from: this.#next, limit: this.#pageRecords, waitMs, signal };
+    try {
+      const page = await this.#log.read(range);
+      if (signal.aborted) return true;
+      this.#lastContact = this.#clock.wall();
+      this.#foldAll(page.records);
+      const atEnd = page.records.length < range.limit && this.#next >= page.next;
+      if (atEnd) this.#markCurrent(page.records.length > 0 ? this.#clock.monotonic() : startedAt);
+      else if (page.records.length === 0) throw new LogUnavailable('announced records are missing');
+      return atEnd;
+    } catch (error) {
+      if (!(error instanceof LogExpired)) throw error;
+      await this.#restore(error.first);
+      return false;
+    }
+  }
+
+  async #restore(first: number): Promise<void> {
+    const found = await newestSnapshot(this.#log, {
+      from: first,
+      pageRecords: this.#pageRecords,
+      signal: this.#closing.signal,
+    });
+    if (!found || found.snapshot.next < this.#next) throw new SnapshotMissing(first);
+    this.#install(found.snapshot);
+    this.#newestSnapshot = found.mark;
+  }
+
+  #install({ next, hash, data }: Snapshot): void {
+    const { snapshotter } = this.#fold;
+    if (!snapshotter) throw new SnapshotInvalid('this stream keeps no snapshots');
+    if (next < this.#next) throw new PrefixOlder(this.#next, next);
+    this.#state = snapshotter.restore(data);
+    this.#next = next;
+    this.#hash = hash;
+    this.#tail.reset({ next, hash });
+    this.#notify([]);
+  }
+
+  #foldAll(records: readonly LogRecord[]): void {
+    const entries: Entry[] = [];
+    try {
+      for (const record of records) {
+        if (record.offset < this.#next) continue;
+        if (record.offset > this.#next) throw new LogGap(this.#next, record.offset);
+        entries.push(...this.#foldRecord(record));
+      }
+    } finally {
+      if (entries.length > 0 || records.length > 0) this.#notify(entries);
+    }
+  }
+
+  #foldRecord(record: LogRecord): readonly Entry[] {
+    const entries = entriesOf(record);
+    let state = this.#state;
+    for (const entry of entries) {
+      if (SnapshotAssembler.isPart(entry)) this.#notePart(entry);
+      else state = this.#fold.apply(state, entry);
+    }
+    this.#hash = chainHash(this.#hash, record);
+    this.#tail.push({ record: { ...record, body: record.body }, hash: this.#hash });
+    this.#state = state;
+    this.#next = record.offset + 1;
+    return entries;
+  }
+
+  #notePart(entry: Entry): void {
+    const complete = this.#assembler.add(entry);
+    if (!complete) return;
+    if (complete.mark.next < (this.#newestSnapshot?.next ?? 0)) return;
+    this.#newestSnapshot = complete.mark;
+  }
+
+  #markCurrent(at: number): void {
+    this.#caughtUp = true;
+    this.#currentAt = Math.max(at, this.#currentAt ?? -Infinity);
+  }
+
+  #notify(entries: readonly Entry[]): void {
+    const change = { state: this.#state, next: this.#next, entries };
+    for (const listener of [...this.#listeners]) listener(change);
+  }
+}
+
+function recordOf({ record }: Prefix['records'][number]): LogRecord {
+  return { ...record, body: record.body };
+}
+
+function parsePrefix(input: unknown): Prefix {
+  const parsed = Prefix.safeParse(input);
+  if (parsed.success) return parsed.data;
+  const problems = parsed.error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`);
+  throw new InvalidInput('not a prefix of a stream', problems);
+}
+
+function unexpected(error: unknown): LogUnavailable {
+  return new LogUnavailable('reading the log failed', { cause: error });
+}
--- /dev/null
+++ b/packages/log/src/types/memory-log-options.ts
@@ -0,0 +1,15 @@
+import type { Clock } from '@ragwortrudder/core';
+import type { MemoryLogFaults } from './memory-log-faults.ts';
+
+/** Options of a `MemoryLog`. */
+export interface MemoryLogOptions {
+  /** @default the system clock */
+  readonly clock?: Clock;
+  /**
+   * Largest size of a record in bytes of JSON.
+   * @default 262144
+   */
+  readonly recordLimitBytes?: number;
+  /** @default no faults */
+  readonly faults?: MemoryLogFaults;
+}
--- a/packages/log/src/types/prefix.ts
+++ b/packages/log/src/types/prefix.ts
@@ -11,6 +11,8 @@
     records: z.array(HashedRecord).readonly(),
     /** The sender's own next offset; larger than the end of `records` when there is more to fetch. */
     next: z.int().nonnegative(),
+    /** Time in milliseconds since the sender knew that `next` was the end of the log. */
+    lagMs: z.number().nonnegative(),
   })
   .readonly();
 export type Prefix = z.infer<typeof Prefix>;
--- /dev/null
+++ b/packages/log/src/utils/join-snapshot.ts
@@ -0,0 +1,20 @@
+import { gunzipSync } from 'node:zlib';
+import { digest } from '@ragwortrudder/core';
+import { SnapshotInvalid } from '../errors/snapshot-invalid.ts';
+import type { Snapshot } from '../types/snapshot.ts';
+import type { SnapshotPart } from '../types/snapshot-part.ts';
+
+const MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024;
+
+/** Rebuilds a snapshot from all its parts in order; throws `SnapshotInvalid` when the digest differs. */
+export function joinSnapshot(parts: readonly SnapshotPart[]): Snapshot {
+  const last = parts.at(-1);
+  if (!last) throw new SnapshotInvalid('a snapshot has no parts');
+  const { next, hash } = last;
+  const text = parts.map(({ data }) => data).join('');
+  if (digest([next, hash, text]) !== last.digest) {
+    throw new SnapshotInvalid('the digest of a snapshot differs from its content');
+  }
+  const json = gunzipSync(Buffer.from(text, 'base64'), { maxOutputLength: MAX_SNAPSHOT_BYTES });
+  return { next, hash, data: JSON.parse(json.toString('utf8')) as unknown };
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -10,3 +10,8 @@
 export { Price } from './types/price.ts';
 export type { VmRequest } from './types/vm-request.ts';
 export { Vm } from './types/vm.ts';
+export { CloudApi } from './node/cloud-api.ts';
+export { HttpLog } from './node/http-log.ts';
+export { VmDirectory } from './node/vm-directory.ts';
+export { WeightStore } from './node/weight-store.ts';
+export type { CloudApiOptions } from './types/cloud-api-options.ts';
--- /dev/null
+++ b/packages/platform/src/node/platform-http.ts
@@ -0,0 +1,97 @@
+import { Agent as HttpAgent } from 'node:http';
+import { Agent as HttpsAgent } from 'node:https';
+import type { Closeable } from '@ragwortrudder/core';
+import { got, RequestError, TimeoutError } from 'got';
+import type { Got } from 'got';
+import { PlatformUnavailable } from '../errors/platform-unavailable.ts';
+import type { Answer } from '../types/answer.ts';
+import type { Call } from '../types/call.ts';
+import type { ClientOptions } from '../types/client-options.ts';
+
+const TIMEOUT_MS = 5_000;
+const CONNECT_TIMEOUT_MS = 2_000;
+const MAX_SOCKETS = 8;
+/** Errors raised before anything was written to a connection. */
+const CONNECT_ERRORS: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+]);
+const CONNECT_PHASES: ReadonlySet<string> = new Set(['lookup', 'connect', 'secureConnect']);
+
+/** JSON over HTTP with bounded connections, bounded times and no retries. */
+export class PlatformHttp implements Closeable {
+  readonly #client: Got;
+  readonly #timeoutMs: number;
+  readonly #agents: { readonly http: HttpAgent; readonly https: HttpsAgent };
+
+  constructor({ baseUrl, timeoutMs = TIMEOUT_MS, maxSockets = MAX_SOCKETS }: ClientOptions) {
+    const options = { keepAlive: true, maxSockets };
+    this.#timeoutMs = timeoutMs;
+    this.#agents = { http: new HttpAgent(options), https: new HttpsAgent(options) };
+    this.#client = got.extend({
+      prefixUrl: baseUrl,
+      agent: this.#agents,
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+      followRedirect: false,
+    });
+  }
+
+  /** Sends a request and returns its answer, whatever its status; throws `PlatformUnavailable`. */
+  async call({ method, path, query, body, waitMs = 0, signal }: Call): Promise<Answer> {
+    try {
+      const response = await this.#client(path, {
+        method,
+        timeout: this.#timeouts(waitMs),
+        ...(query ? { searchParams: query } : {}),
+        ...(method === 'POST' ? { json: body ?? {} } : {}),
+        ...(signal ? { signal } : {}),
+      });
+      const { statusCode: status, headers } = response;
+      return { status, retryAfter: headers['retry-after'], body: parseJson(response.body) };
+    } catch (error) {
+      throw unavailable(error);
+    }
+  }
+
+  close(): Promise<void> {
+    this.#agents.http.destroy();
+    this.#agents.https.destroy();
+    return Promise.resolve();
+  }
+
+  #timeouts(waitMs: number): Readonly<Record<string, number>> {
+    const connect = Math.min(CONNECT_TIMEOUT_MS, this.#timeoutMs);
+    const exchange = this.#timeoutMs + waitMs;
+    return {
+      lookup: connect,
+      connect,
+      secureConnect: connect,
+      socket: exchange,
+      send: this.#timeoutMs,
+      response: exchange,
+      read: this.#timeoutMs,
+      request: exchange + connect,
+    };
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function unavailable(error: unknown): PlatformUnavailable {
+  if (!(error instanceof RequestError)) {
+    return new PlatformUnavailable('the call failed', { cause: error });
+  }
+  const notRun =
+    CONNECT_ERRORS.has(error.code) ||
+    (error instanceof TimeoutError && CONNECT_PHASES.has(error.event));
+  return new PlatformUnavailable(error.message, { cause: error, notRun });
+}
--- /dev/null
+++ b/packages/platform/src/node/weight-store.ts
@@ -0,0 +1,25 @@
+import type { Closeable } from '@ragwortrudder/core';
+import type { ClientOptions } from '../types/client-options.ts';
+import { checkStatus } from '../utils/check-status.ts';
+import { PlatformHttp } from './platform-http.ts';
+
+/** Reads the platform's rate-limited weight store. */
+export class WeightStore implements Closeable {
+  readonly #http: PlatformHttp;
+
+  constructor(options: ClientOptions) {
+    this.#http = new PlatformHttp(options);
+  }
+
+  /** Description of the weights of that name; throws `PlatformRateExceeded` above the store's rate. */
+  async describe(name: string): Promise<unknown> {
+    const path = `weights/${encodeURIComponent(name)}`;
+    const answer = await this.#http.call({ method: 'GET', path });
+    checkStatus(answer, `weights ${name}`);
+    return answer.body;
+  }
+
+  close(): Promise<void> {
+    return this.#http.close();
+  }
+}
--- /dev/null
+++ b/packages/platform/src/types/append-answer.ts
@@ -0,0 +1,5 @@
+import { z } from 'zod';
+
+/** Answer to an append. */
+export const AppendAnswer = z.object({ offset: z.int().nonnegative() }).readonly();
+export type AppendAnswer = z.infer<typeof AppendAnswer>;
--- /dev/null
+++ b/packages/platform/src/types/cloud-api-options.ts
@@ -0,0 +1,15 @@
+import type { ClientOptions } from './client-options.ts';
+
+/** Options of the cloud API client. */
+export interface CloudApiOptions extends ClientOptions {
+  /**
+   * How often a lost reply to a start is looked up before the start fails.
+   * @default 3
+   */
+  readonly lookups?: number;
+  /**
+   * Delay between these lookups in milliseconds.
+   * @default 200
+   */
+  readonly lookupDelayMs?: number;
+}
--- /dev/null
+++ b/packages/platform/src/types/expired-answer.ts
@@ -0,0 +1,7 @@
+import { z } from 'zod';
+
+/** Answer to a read of records past retention. */
+export const ExpiredAnswer = z
+  .object({ first: z.int().nonnegative(), next: z.int().nonnegative() })
+  .readonly();
+export type ExpiredAnswer = z.infer<typeof ExpiredAnswer>;
--- /dev/null
+++ b/packages/platform/src/types/page-answer.ts
@@ -0,0 +1,15 @@
+import { z } from 'zod';
+
+const Record = z
+  .object({ offset: z.int().nonnegative(), id: z.string(), time: z.number(), body: z.unknown() })
+  .readonly();
+
+/** Answer to a read. */
+export const PageAnswer = z
+  .object({
+    records: z.array(Record).readonly(),
+    next: z.int().nonnegative(),
+    first: z.int().nonnegative(),
+  })
+  .readonly();
+export type PageAnswer = z.infer<typeof PageAnswer>;
--- /dev/null
+++ b/packages/platform/src/utils/retry-after-ms.ts
@@ -0,0 +1,11 @@
+const DEFAULT_DELAY_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+
+/** Returns the delay of a `Retry-After` header in seconds or as a date, as milliseconds. */
+export function retryAfterMs(header: string | undefined, nowMs: number): number {
+  if (header === undefined || header.trim() === '') return DEFAULT_DELAY_MS;
+  const seconds = Number(header);
+  if (Number.isFinite(seconds)) return Math.max(0, seconds * MS_PER_SECOND);
+  const date = Date.parse(header);
+  return Number.isNaN(date) ? DEFAULT_DELAY_MS : Math.max(0, date - nowMs);
+}
--- a/packages/tickets/src/types/service.ts
+++ b/packages/tickets/src/types/service.ts
@@ -12,7 +12,7 @@
   .strictObject({
     kind: z.enum(['model', 'application']),
     version: Version,
-    /** Version to which a move is taken back; the effective version when left out. */
+    /** Version that serves until the move ends, for a service that has no effective version yet. */
     previous: Version.optional(),
     /** Time by which `version` has to carry all traffic; ISO 8601 or milliseconds since the Unix epoch. */
     takeoverBy: Deadline.optional(),
--- a/packages/tickets/src/types/ticket.ts
+++ b/packages/tickets/src/types/ticket.ts
@@ -17,12 +17,12 @@
   })
   .refine((ticket) => ticket.against < ticket.number, {
     path: ['against'],
-    message: 'must be lower than number',
+    error: 'must be lower than number',
   })
   .refine(
     ({ services, tenants, domains }) =>
       domains !== undefined || Object.keys(services).length + Object.keys(tenants).length > 0,
-    { message: 'changes nothing: name a service, a tenant or domains' },
+    { error: 'changes nothing: name a service, a tenant or domains' },
   )
   .readonly();
 export type Ticket = z.infer<typeof Ticket>;
--- /dev/null
+++ b/packages/tickets/src/utils/refusal-of.ts
@@ -0,0 +1,32 @@
+import type { Refusal } from '../types/refusal.ts';
+import type { Ticket } from '../types/ticket.ts';
+import type { TicketState } from '../types/ticket-state.ts';
+import { lastChange } from './last-change.ts';
+import { objectsOf } from './objects-of.ts';
+import { own } from './own.ts';
+
+const BEFORE_ALL = -1;
+
+/** Position of the ticket that `ticket` was written against; undefined when it was not accepted. */
+function positionOfBase(state: TicketState, { against }: Ticket): number | undefined {
+  if (against === 0) return BEFORE_ALL;
+  const base = own(state.tickets, against);
+  return base && !base.refusal ? base.position : undefined;
+}
+
+/** Returns why `ticket` conflicts with the tickets accepted before it; null when it does not. */
+export function refusalOf(state: TicketState, ticket: Ticket): Refusal | null {
+  const base = positionOfBase(state, ticket);
+  if (base === undefined) return { reason: 'against-unknown', lostTo: null, objects: [] };
+  const lost = objectsOf(ticket).flatMap((object) => {
+    const change = lastChange(state, object);
+    return change && change.position > base ? [{ object, change }] : [];
+  });
+  const [first] = lost.sort((a, b) => a.change.position - b.change.position);
+  if (!first) return null;
+  return {
+    reason: 'changed-since',
+    lostTo: first.change.ticket,
+    objects: lost.map(({ object }) => object),
+  };
+}
--- /dev/null
+++ b/packages/tickets/src/utils/ticket-fold.ts
@@ -0,0 +1,48 @@
+import { InvalidInput } from '@ragwortrudder/core';
+import type { Entry, Fold } from '@ragwortrudder/log';
+import { MoveWordEntry } from '../types/move-word-entry.ts';
+import { TicketEntry } from '../types/ticket-entry.ts';
+import type { TicketState } from '../types/ticket-state.ts';
+import { applyMoveWord } from './apply-move-word.ts';
+import { applyTicket } from './apply-ticket.ts';
+
+const INITIAL: TicketState = {
+  position: -1,
+  newest: 0,
+  tickets: {},
+  refusedEntries: [],
+  services: {},
+  tenants: {},
+  domains: null,
+  moves: {},
+  ignored: 0,
+};
+
+function applyBody(state: TicketState, entry: Entry): TicketState {
+  const ticket = TicketEntry.safeParse(entry.body);
+  if (ticket.success) return applyTicket(state, ticket.data.ticket, entry);
+  const word = MoveWordEntry.safeParse(entry.body);
+  if (word.success) return applyMoveWord(state, word.data, entry);
+  return { ...state, ignored: state.ignored + 1 };
+}
+
+function isState(data: unknown): data is TicketState {
+  if (typeof data !== 'object' || data === null) return false;
+  return Object.keys(INITIAL).every((key) => key in data);
+}
+
+/** Fold of the stream `tickets`; entries at or before the state's position are ignored. */
+export const ticketFold: Fold<TicketState> = {
+  initial: INITIAL,
+  apply(state, entry) {
+    if (entry.position <= state.position) return state;
+    return { ...applyBody(state, entry), position: entry.position };
+  },
+  snapshotter: {
+    serialize: (state) => state,
+    restore(data) {
+      if (!isState(data)) throw new InvalidInput('not a state of tickets', []);
+      return data;
+    },
+  },
+};
