Add the stand-ins for platform, engines, applications and relays, and the fleet

Nothing outside the system could be run: no log, cloud API, model engine, application runner or cut between processes. The stand-ins speak the interfaces of docs/design/architecture.md and bring about the faults over /control. Fleet starts a deployment as separate processes. Ruled out: a relay that tells the sender of a connection from its address; entry nodes are started with a preloaded module that sends their connections to a relay link of their own, so the program that is tested stays the same.

No tests yet.

--- /dev/null
+++ b/packages/standins/src/errors/process-failure.ts
@@ -0,0 +1,12 @@
+import { Failure } from '@ragwortrudder/core';
+
+/** A process of a fleet ended or did not become ready; carries what it wrote to stderr. */
+export class ProcessFailure extends Failure {
+  readonly code = 'process-failure';
+  readonly output: string;
+
+  constructor(message: string, output: string) {
+    super(`${message}\n${output}`, { hint: 'read the output of the process' });
+    this.output = output;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/node/child-process.ts
@@ -0,0 +1,117 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess as NodeChild } from 'node:child_process';
+import { createInterface } from 'node:readline';
+import type { Closeable } from '@ragwortrudder/core';
+import { ProcessFailure } from '../errors/process-failure.ts';
+
+interface ChildProcessOptions {
+  readonly name: string;
+  readonly command: string;
+  readonly args: readonly string[];
+  readonly env?: Readonly<Record<string, string>>;
+}
+
+const MAX_OUTPUT_CHARS = 256 * 1024;
+const STOP_TIMEOUT_MS = 15_000;
+
+/** Process started by a fleet; keeps the end of what it wrote to stderr. */
+export class ChildProcess implements Closeable {
+  readonly name: string;
+  readonly #child: NodeChild;
+  readonly #exit: Promise<void>;
+  readonly #firstLine: Promise<string>;
+  #output = '';
+
+  constructor({ name, command, args, env }: ChildProcessOptions) {
+    this.name = name;
+    this.#child = spawn(command, [...args], {
+      env: { ...process.env, NODE_NO_WARNINGS: '1', ...env },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.#exit = new Promise((resolve) => {
+      this.#child.once('close', () => {
+        resolve();
+      });
+      this.#child.once('error', (error) => {
+        this.#capture(String(error));
+        resolve();
+      });
+    });
+    this.#firstLine = this.#readLines();
+    this.#child.stderr?.on('data', (chunk: Buffer) => {
+      this.#capture(chunk.toString('utf8'));
+    });
+  }
+
+  get pid(): number | undefined {
+    return this.#child.pid;
+  }
+
+  get running(): boolean {
+    return this.#child.exitCode === null && this.#child.signalCode === null;
+  }
+
+  /** Exit code, or `null` while it runs and after a signal. */
+  get exitCode(): number | null {
+    return this.#child.exitCode;
+  }
+
+  get output(): string {
+    return this.#output;
+  }
+
+  /** First line on stdout; fails when the process ends before it. */
+  async firstLine(timeoutMs: number): Promise<string> {
+    return this.within(this.#firstLine, timeoutMs, 'wrote nothing');
+  }
+
+  /** Awaits `work`, but fails when this process ends or the time is over before. */
+  async within<T>(work: Promise<T>, timeoutMs: number, what: string): Promise<T> {
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<never>((_resolve, reject) => {
+      timer = setTimeout(() => {
+        reject(new ProcessFailure(`${this.name} ${what} in time`, this.#output));
+      }, timeoutMs);
+    });
+    const ended = this.#exit.then(() => {
+      throw new ProcessFailure(`${this.name} ended`, this.#output);
+    });
+    try {
+      return await Promise.race([work, late, ended]);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  /** Sends a signal to this process only. */
+  signal(signal: NodeJS.Signals): void {
+    if (this.running) this.#child.kill(signal);
+  }
+
+  /** Resolves when the process has ended. */
+  async ended(): Promise<void> {
+    await this.#exit;
+  }
+
+  /** Stops the process gracefully, at last by SIGKILL. */
+  async close(): Promise<void> {
+    this.signal('SIGCONT');
+    this.signal('SIGTERM');
+    const timer = setTimeout(() => {
+      this.signal('SIGKILL');
+    }, STOP_TIMEOUT_MS);
+    await this.#exit;
+    clearTimeout(timer);
+  }
+
+  async #readLines(): Promise<string> {
+    const { stdout } = this.#child;
+    return new Promise((resolve) => {
+      if (stdout) createInterface({ input: stdout }).on('line', resolve);
+    });
+  }
+
+  #capture(text: string): void {
+    this.#output = (this.#output + text).slice(-MAX_OUTPUT_CHARS);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/node/engine-runner.ts
@@ -0,0 +1,333 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { SeededRandom, SystemClock } from '@ragwortrudder/core';
+import type { Clock, Closeable, Random } from '@ragwortrudder/core';
+import { z } from 'zod';
+import type { EngineFault } from '../types/engine-fault.ts';
+import type { EngineOptions } from '../types/engine-options.ts';
+import type { EngineStats } from '../types/engine-stats.ts';
+import type { HttpCall } from '../types/http-call.ts';
+import type { HttpReply } from '../types/http-reply.ts';
+import { BatchScheduler } from '../utils/batch-scheduler.ts';
+import { CacheEvents } from '../utils/cache-events.ts';
+import { conditionHolds } from '../utils/condition-holds.ts';
+import { LaggingValue } from '../utils/lagging-value.ts';
+import { PrefixCache } from '../utils/prefix-cache.ts';
+import { Sequence } from '../utils/sequence.ts';
+import { HttpServer } from './http-server.ts';
+import { OrderBook } from './order-book.ts';
+import { parseBody } from './parse-body.ts';
+import { TokenStream } from './token-stream.ts';
+
+interface Load {
+  readonly at: number;
+  readonly running: number;
+  readonly waiting: number;
+  readonly kvUsed: number;
+}
+
+type Counts = Omit<EngineStats, 'runner' | 'runs'>;
+
+const MAX_KV_CACHES = 64;
+const DEFAULT_CACHE_BLOCKS = 1024;
+const generation = z.object({
+  requestId: z.string().min(1),
+  prompt: z.string(),
+  generated: z.array(z.string()).default([]),
+  maxTokens: z.number().int().positive(),
+  priority: z.number().default(0),
+});
+const kvCache = z.object({ requestId: z.string().min(1), tokens: z.array(z.string()) });
+const engineFault = z.object({
+  failRate: z.number().min(0).max(1).optional(),
+  failAs: z.enum(['event', 'status']).optional(),
+  slowFactor: z.number().min(1).optional(),
+  condition: z
+    .object({
+      aboveRunning: z.number().optional(),
+      afterRequests: z.number().optional(),
+      marker: z.string().optional(),
+    })
+    .optional(),
+  stall: z.boolean().optional(),
+  refuse: z.boolean().optional(),
+  reject: z.boolean().optional(),
+  leaving: z.boolean().optional(),
+});
+
+function commonLength(a: readonly string[], b: readonly string[]): number {
+  const different = a.findIndex((word, index) => word !== b[index]);
+  return different === -1 ? a.length : different;
+}
+
+/** Model runner: continuous batching over a prefix cache, served over HTTP, with faults. */
+export class EngineRunner implements Closeable {
+  readonly id: string;
+  readonly #options: EngineOptions;
+  readonly #server: HttpServer;
+  readonly #clock: Clock = new SystemClock();
+  readonly #random: Random;
+  readonly #scheduler: BatchScheduler;
+  readonly #cache: PrefixCache;
+  readonly #events: CacheEvents;
+  readonly #load: LaggingValue<Load>;
+  readonly #orders: OrderBook;
+  readonly #streams = new Map<Sequence, TokenStream>();
+  readonly #kvCaches = new Map<string, readonly string[]>();
+  readonly #runs = new Map<string, number>();
+  #counts: Counts = {
+    requests: 0,
+    prefillTokens: 0,
+    reusedTokens: 0,
+    recomputedTokens: 0,
+    generatedTokens: 0,
+    cancelled: 0,
+    failed: 0,
+  };
+  #fault: EngineFault = {};
+  #timer: NodeJS.Timeout | undefined;
+  #steps = 0;
+
+  constructor(options: EngineOptions) {
+    this.id = options.id;
+    this.#options = options;
+    this.#server = new HttpServer(options.id);
+    this.#random = new SeededRandom(options.seed ?? 1);
+    this.#scheduler = new BatchScheduler(options);
+    this.#events = new CacheEvents({
+      delayMs: options.cacheEventDelayMs ?? 200,
+      lossRate: options.cacheEventLossRate ?? 0.02,
+      clock: this.#clock,
+      random: new SeededRandom((options.seed ?? 1) + 1),
+    });
+    this.#cache = new PrefixCache(options.cacheBlocks ?? DEFAULT_CACHE_BLOCKS, (kind, prefix) => {
+      this.#events.record(kind, prefix);
+    });
+    this.#load = new LaggingValue(this.#currentLoad(), options.loadLagMs ?? 200, this.#clock);
+    this.#orders = new OrderBook(options.fencing ?? true);
+    this.#addRoutes();
+  }
+
+  get address(): string {
+    return this.#server.address;
+  }
+
+  async listen(): Promise<void> {
+    await this.#server.listen(this.#options.host, this.#options.port);
+  }
+
+  async drain(graceMs: number): Promise<void> {
+    await this.#server.drain(graceMs);
+    clearTimeout(this.#timer);
+  }
+
+  async close(): Promise<void> {
+    clearTimeout(this.#timer);
+    await this.#server.close();
+  }
+
+  stats(): EngineStats {
+    return { runner: this.id, ...this.#counts, runs: Object.fromEntries(this.#runs) };
+  }
+
+  /** Changes the faults in force. */
+  async setFault(body: unknown): Promise<void> {
+    const change = parseBody(engineFault, body);
+    this.#fault = { ...this.#fault, ...change };
+    if (change.stall) for (const stream of this.#streams.values()) stream.freeze();
+    if (change.refuse !== undefined) await this.#server.refuseConnections(change.refuse);
+  }
+
+  #addRoutes(): void {
+    const server = this.#server;
+    const applyFault = (call: HttpCall): HttpReply => {
+      const change = parseBody(engineFault, call.body);
+      setImmediate(() => void this.setFault(change));
+      return { status: 200, body: {} };
+    };
+    server.post('/generate', (call) => this.#generate(call));
+    server.delete('/generate/:requestId', (call) => this.#cancel(call.params.requestId ?? ''));
+    server.get('/load', () => this.#reply(this.#loadReport()));
+    server.get('/cache/events', (call) =>
+      this.#reply(this.#events.read(Number(call.query.get('after') ?? 0))),
+    );
+    server.get('/cache/snapshot', () =>
+      this.#reply({ seq: this.#events.seq, prefixes: this.#cache.prefixes }),
+    );
+    server.get('/kv/:requestId', (call) => this.#exportKv(call.params.requestId ?? ''));
+    server.post('/kv', (call) => this.#importKv(call));
+    server.post('/orders', (call) => this.#orders.place(call));
+    server.get('/orders', () => this.#orders.state());
+    server.get('/health', () => this.#reply({ ok: true }));
+    server.post('/faults', applyFault);
+    server.post('/control/faults', applyFault);
+    server.get('/control/stats', () => this.#reply(this.stats()));
+    server.get('/control/orders', () => this.#orders.dump());
+  }
+
+  #reply(body: unknown, status = 200): HttpReply {
+    return { status, body, headers: this.#headers() };
+  }
+
+  #headers(): Readonly<Record<string, string>> {
+    return this.#fault.leaving ? { 'x-runner-leaving': 'true' } : {};
+  }
+
+  #count(name: keyof Counts, amount = 1): void {
+    this.#counts = { ...this.#counts, [name]: this.#counts[name] + amount };
+  }
+
+  #generate(call: HttpCall): HttpReply | undefined {
+    const body = parseBody(generation, call.body);
+    if (this.#fault.reject) return this.#reply({ code: 'overloaded' }, 503);
+    this.#count('requests');
+    this.#runs.set(body.requestId, (this.#runs.get(body.requestId) ?? 0) + 1);
+    const fails = this.#faultHits(body.prompt) && this.#random.next() < (this.#fault.failRate ?? 0);
+    if (fails) this.#count('failed');
+    if (fails && this.#fault.failAs === 'status') return this.#reply({ code: 'engine-error' }, 500);
+    const stream = new TokenStream(call.response, this.#headers());
+    if (fails) {
+      stream.send({ type: 'error', message: 'engine error' });
+      stream.end();
+      return undefined;
+    }
+    const sequence = new Sequence({ runner: this.id, ...body });
+    this.#streams.set(sequence, stream);
+    call.response.once('close', () => {
+      this.#drop(sequence);
+    });
+    this.#scheduler.add(sequence);
+    this.#schedule();
+    return undefined;
+  }
+
+  #faultHits(text: string): boolean {
+    const running = this.#scheduler.running.length + this.#scheduler.waiting.length;
+    const { requests } = this.#counts;
+    return conditionHolds(this.#fault.condition, { running, requests, text });
+  }
+
+  #cancel(requestId: string): HttpReply {
+    const found = [...this.#streams].filter(([sequence]) => sequence.requestId === requestId);
+    for (const [sequence, stream] of found) {
+      stream.send({ type: 'done', finish: 'cancelled' });
+      this.#drop(sequence);
+      stream.end();
+    }
+    return this.#reply({ cancelled: found.length }, found.length > 0 ? 200 : 404);
+  }
+
+  /** Stops a sequence that has not finished. */
+  #drop(sequence: Sequence): void {
+    if (!this.#streams.delete(sequence)) return;
+    this.#count('cancelled');
+    this.#release(sequence);
+  }
+
+  #release(sequence: Sequence): void {
+    this.#scheduler.remove(sequence);
+    this.#keepKv(sequence.requestId, sequence.words.slice(0, sequence.computed));
+    this.#cache.store(sequence.words.slice(0, sequence.computed));
+  }
+
+  #keepKv(requestId: string, tokens: readonly string[]): void {
+    this.#kvCaches.delete(requestId);
+    this.#kvCaches.set(requestId, tokens);
+    const [oldest] = this.#kvCaches.keys();
+    if (this.#kvCaches.size > MAX_KV_CACHES && oldest !== undefined) this.#kvCaches.delete(oldest);
+  }
+
+  async #exportKv(requestId: string): Promise<HttpReply> {
+    const sequence = this.#scheduler.running.find((other) => other.requestId === requestId);
+    const computed = sequence?.words.slice(0, sequence.computed);
+    const tokens = computed ?? this.#kvCaches.get(requestId);
+    if (!tokens) return this.#reply({ code: 'unknown-request' }, 404);
+    await this.#transfer(tokens.length);
+    return this.#reply({ requestId, tokens });
+  }
+
+  async #importKv(call: HttpCall): Promise<HttpReply> {
+    const { requestId, tokens } = parseBody(kvCache, call.body);
+    await this.#transfer(tokens.length);
+    this.#keepKv(requestId, tokens);
+    this.#cache.store(tokens);
+    return this.#reply({ tokens: tokens.length }, 201);
+  }
+
+  async #transfer(tokens: number): Promise<void> {
+    await delay(tokens * (this.#options.kvTokenMs ?? 0.01), undefined, { ref: false });
+  }
+
+  #currentLoad(): Load {
+    const { running, waiting, kvUsed } = this.#scheduler;
+    return { at: this.#clock.wall(), running: running.length, waiting: waiting.length, kvUsed };
+  }
+
+  #loadReport(): unknown {
+    const { kvCapacity, prefillRate } = this.#scheduler;
+    const leaving = this.#fault.leaving ?? false;
+    return { ...this.#load.get(), kvCapacity, prefillRate, leaving };
+  }
+
+  #schedule(): void {
+    this.#load.set(this.#currentLoad());
+    if (this.#timer) return;
+    for (const sequence of this.#scheduler.admit()) this.#start(sequence);
+    if (this.#scheduler.running.length === 0) return;
+    this.#steps += 1;
+    const { condition, slowFactor = 1 } = this.#fault;
+    const everyStep = condition?.marker === undefined;
+    const skips = (sequence: Sequence) =>
+      !everyStep && this.#steps % Math.ceil(slowFactor) !== 0 && this.#faultHits(sequence.prompt);
+    const step = this.#scheduler.plan((sequence) => !skips(sequence));
+    const factor = everyStep && this.#faultHits('') ? slowFactor : 1;
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      for (const { sequence, tokens } of step.prefills) this.#prefill(sequence, tokens);
+      for (const sequence of step.decodes) this.#advance(sequence, 1);
+      this.#schedule();
+    }, step.durationMs * factor);
+  }
+
+  #start(sequence: Sequence): void {
+    const { words, promptTokens, resumedTokens } = sequence;
+    const imported = commonLength(this.#kvCaches.get(sequence.requestId) ?? [], words);
+    const cached = Math.min(Math.max(imported, this.#cache.match(words)), words.length - 1);
+    sequence.cached = Math.max(cached, 0);
+    sequence.computed = sequence.cached;
+    const cachedAnswer = Math.max(0, sequence.cached - promptTokens);
+    this.#count('reusedTokens', sequence.cached);
+    this.#count('recomputedTokens', resumedTokens - cachedAnswer);
+    this.#count('prefillTokens', words.length - sequence.cached);
+    this.#streams.get(sequence)?.send({
+      type: 'start',
+      cachedTokens: sequence.cached,
+      computedTokens: words.length - sequence.cached,
+    });
+    if (sequence.finished) this.#finish(sequence);
+  }
+
+  #prefill(sequence: Sequence, tokens: number): void {
+    const prefilled = sequence.words.slice(0, sequence.computed + tokens);
+    const complete = prefilled.length === sequence.words.length;
+    this.#advance(sequence, tokens);
+    if (complete) this.#cache.store(prefilled);
+  }
+
+  #advance(sequence: Sequence, tokens: number): void {
+    const stream = this.#streams.get(sequence);
+    if (!stream) return;
+    sequence.computed += tokens;
+    if (sequence.toPrefill > 0) return;
+    stream.send({ type: 'token', ...sequence.generate() });
+    this.#count('generatedTokens');
+    if (sequence.finished) this.#finish(sequence);
+  }
+
+  #finish(sequence: Sequence): void {
+    const stream = this.#streams.get(sequence);
+    this.#streams.delete(sequence);
+    this.#release(sequence);
+    stream?.send({ type: 'done', finish: 'length' });
+    stream?.end();
+  }
+}
--- /dev/null
+++ b/packages/standins/src/node/parse-body.ts
@@ -0,0 +1,10 @@
+import { InvalidInput } from '@ragwortrudder/core';
+import type { ZodType } from 'zod';
+
+/** Checks a body against its schema. */
+export function parseBody<T>(schema: ZodType<T>, body: unknown): T {
+  const result = schema.safeParse(body);
+  if (result.success) return result.data;
+  const problems = result.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`);
+  throw new InvalidInput('body does not match its schema', problems);
+}
--- /dev/null
+++ b/packages/standins/src/node/platform-vms.ts
@@ -0,0 +1,176 @@
+import type { Clock } from '@ragwortrudder/core';
+import got from 'got';
+import { z } from 'zod';
+import type { HttpCall } from '../types/http-call.ts';
+import type { HttpReply } from '../types/http-reply.ts';
+import type { Notice } from '../types/notice.ts';
+import type { VmRecord } from '../types/vm-record.ts';
+import { LaggingValue } from '../utils/lagging-value.ts';
+import { RateLimit } from '../utils/rate-limit.ts';
+import { parseBody } from './parse-body.ts';
+
+interface PlatformVmsOptions {
+  readonly clock: Clock;
+  readonly lagMs: number;
+  readonly cloudCallsPerSecond: number;
+  readonly capacity: number;
+}
+
+const FAULT_TIMEOUT_MS = 1000;
+const labels = z.object({
+  service: z.string().optional(),
+  version: z.string().optional(),
+  kind: z.string().optional(),
+});
+const vmOrder = z.object({
+  requestId: z.string().min(1),
+  failureDomain: z.string(),
+  machineClass: z.string(),
+  reclaimable: z.boolean(),
+  labels: labels.default({}),
+});
+const vmRegistration = z.object({
+  id: z.string().min(1),
+  role: z.enum(['entry', 'endpoint']).default('endpoint'),
+  failureDomain: z.string(),
+  machineClass: z.string().default('standard'),
+  reclaimable: z.boolean().default(true),
+  state: z.enum(['live', 'leaving']).default('live'),
+  address: z.string().default(''),
+  labels: labels.default({}),
+  atOnce: z.boolean().default(false),
+});
+const reclaim = z.object({
+  vmId: z.string(),
+  noticeMs: z.number().nonnegative(),
+  kill: z.boolean().default(true),
+});
+const capacity = z.object({ failureDomain: z.string(), capacity: z.number().nonnegative() });
+
+/** Cloud API, lagging list of VMs and reclaim notices. */
+export class PlatformVms {
+  readonly #options: PlatformVmsOptions;
+  readonly #list: LaggingValue<ReadonlyMap<string, VmRecord>>;
+  readonly #started = new Map<string, string>();
+  readonly #capacities = new Map<string, number>();
+  readonly #rate: RateLimit;
+  readonly #timers = new Set<NodeJS.Timeout>();
+  #notices: readonly Notice[] = [];
+
+  constructor(options: PlatformVmsOptions) {
+    this.#options = options;
+    this.#list = new LaggingValue(new Map(), options.lagMs, options.clock);
+    this.#rate = new RateLimit(options.cloudCallsPerSecond, options.clock);
+  }
+
+  close(): void {
+    for (const timer of this.#timers) clearTimeout(timer);
+  }
+
+  list(): HttpReply {
+    return { status: 200, body: { vms: [...this.#list.get().values()] } };
+  }
+
+  /** The list without lag. */
+  dump(): HttpReply {
+    return { status: 200, body: { vms: [...this.#list.latest().values()] } };
+  }
+
+  start(call: HttpCall): HttpReply {
+    const { requestId, ...order } = parseBody(vmOrder, call.body);
+    const known = this.#started.get(requestId);
+    if (!this.#rate.take()) return this.#limited();
+    if (known) return { status: 201, body: { id: known } };
+    if (!this.#hasCapacity(order.failureDomain)) {
+      return { status: 409, body: { code: 'no-capacity' } };
+    }
+    const id = `vm-${this.#started.size + 1}`;
+    this.#started.set(requestId, id);
+    this.#put({ id, role: 'endpoint', state: 'live', address: '', ...order });
+    return { status: 201, body: { id } };
+  }
+
+  find(call: HttpCall): HttpReply {
+    if (!this.#rate.take()) return this.#limited();
+    const id = this.#started.get(call.params.requestId ?? '');
+    if (!id) return { status: 404, body: { code: 'unknown-request' } };
+    return { status: 200, body: { id } };
+  }
+
+  stop(call: HttpCall): HttpReply {
+    if (!this.#rate.take()) return this.#limited();
+    this.#remove(call.params.id ?? '');
+    return { status: 200, body: {} };
+  }
+
+  notices(call: HttpCall): HttpReply {
+    const after = Number(call.query.get('after') ?? 0);
+    const notices = this.#notices.filter((notice) => notice.seq > after);
+    return { status: 200, body: { notices, next: this.#notices.length } };
+  }
+
+  /** Registers a VM or changes it, seen at once or after the lag. */
+  register(call: HttpCall): HttpReply {
+    const { atOnce, ...vm } = parseBody(vmRegistration, call.body);
+    this.#put(vm);
+    if (atOnce) this.#list.setAtOnce((vms) => new Map(vms).set(vm.id, vm));
+    return { status: 200, body: { id: vm.id } };
+  }
+
+  setCapacity(call: HttpCall): HttpReply {
+    const change = parseBody(capacity, call.body);
+    this.#capacities.set(change.failureDomain, change.capacity);
+    return { status: 200, body: {} };
+  }
+
+  /** Gives notice, tells the runner on the VM, and stops it at the deadline. */
+  async reclaim(call: HttpCall): Promise<HttpReply> {
+    const { vmId, noticeMs, kill } = parseBody(reclaim, call.body);
+    const vm = this.#list.latest().get(vmId);
+    if (!vm) return { status: 404, body: { code: 'unknown-vm' } };
+    const deadline = this.#options.clock.wall() + noticeMs;
+    const notice = { seq: this.#notices.length + 1, vmId, deadline };
+    this.#notices = [...this.#notices, notice];
+    this.#put({ ...vm, state: 'leaving' });
+    this.#later(noticeMs, () => {
+      this.#remove(vmId);
+      if (kill) void this.#tell(vm, { refuse: true });
+    });
+    await this.#tell(vm, { leaving: true });
+    return { status: 200, body: notice };
+  }
+
+  async #tell(vm: VmRecord, fault: unknown): Promise<void> {
+    if (vm.role !== 'endpoint' || vm.address === '') return;
+    const options = { json: fault, retry: { limit: 0 }, timeout: { request: FAULT_TIMEOUT_MS } };
+    await got.post(`http://${vm.address}/faults`, options).catch(() => undefined);
+  }
+
+  #later(ms: number, action: () => void): void {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer);
+      action();
+    }, ms);
+    this.#timers.add(timer);
+  }
+
+  #put(vm: VmRecord): void {
+    this.#list.set(new Map(this.#list.latest()).set(vm.id, vm));
+  }
+
+  #remove(id: string): void {
+    const vms = new Map(this.#list.latest());
+    if (vms.delete(id)) this.#list.set(vms);
+  }
+
+  #hasCapacity(failureDomain: string): boolean {
+    const used = [...this.#started.values()].filter(
+      (id) => this.#list.latest().get(id)?.failureDomain === failureDomain,
+    ).length;
+    return used < (this.#capacities.get(failureDomain) ?? this.#options.capacity);
+  }
+
+  #limited(): HttpReply {
+    return { status: 429, body: { code: 'cloud-rate' }, headers: { 'retry-after': '1' } };
+  }
+}
--- /dev/null
+++ b/packages/standins/src/node/relay-connection.ts
@@ -0,0 +1,86 @@
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import type { RelayMode } from '../types/relay-mode.ts';
+
+interface LinkState {
+  readonly mode: RelayMode;
+  readonly delayMs: number;
+}
+type Direction = 'request' | 'reply';
+
+/** Mode in which the bytes of a direction are lost. */
+const LOSING_MODE: Readonly<Record<Direction, RelayMode>> = {
+  request: 'one-way-reply-only',
+  reply: 'one-way-request-only',
+};
+
+/** Connection that a relay passes on; a direction that lost bytes stays lost. */
+export class RelayConnection {
+  readonly #client: Socket;
+  readonly #target: Socket;
+  readonly #state: () => LinkState;
+  readonly #lost: Record<Direction, boolean> = { request: false, reply: false };
+  readonly #due: Record<Direction, number> = { request: 0, reply: 0 };
+  readonly #timers = new Set<NodeJS.Timeout>();
+
+  constructor(client: Socket, address: string, state: () => LinkState) {
+    const [host = '127.0.0.1', port = '0'] = address.split(':');
+    this.#client = client;
+    this.#state = state;
+    this.#target = connect({ host, port: Number(port), allowHalfOpen: true });
+    this.#pass('request', this.#client, this.#target);
+    this.#pass('reply', this.#target, this.#client);
+  }
+
+  /** Loses everything from now on, in both directions, without closing. */
+  freeze(): void {
+    this.#lost.request = true;
+    this.#lost.reply = true;
+  }
+
+  destroy(): void {
+    for (const timer of this.#timers) clearTimeout(timer);
+    this.#client.destroy();
+    this.#target.destroy();
+  }
+
+  #pass(direction: Direction, from: Socket, to: Socket): void {
+    from.setNoDelay(true);
+    from.on('data', (chunk: Buffer) => {
+      this.#deliver(direction, () => {
+        if (to.write(chunk)) return;
+        from.pause();
+        to.once('drain', () => from.resume());
+      });
+    });
+    from.on('end', () => {
+      this.#deliver(direction, () => to.end());
+    });
+    from.on('error', () => {
+      this.#deliver(direction, () => to.destroy());
+    });
+    from.on('close', () => {
+      this.#deliver(direction, () => {
+        to.destroySoon();
+      });
+    });
+  }
+
+  #deliver(direction: Direction, action: () => void): void {
+    const { mode, delayMs } = this.#state();
+    if (mode === LOSING_MODE[direction]) this.#lost[direction] = true;
+    if (this.#lost[direction]) return;
+    const now = performance.now();
+    const due = Math.max(this.#due[direction], now + delayMs);
+    this.#due[direction] = due;
+    if (due <= now) {
+      action();
+      return;
+    }
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer);
+      if (!this.#lost[direction]) action();
+    }, due - now);
+    this.#timers.add(timer);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/node/relay-listener.ts
@@ -0,0 +1,69 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import type { Closeable } from '@ragwortrudder/core';
+import type { RelayLink } from '../types/relay-link.ts';
+import type { RelayMode } from '../types/relay-mode.ts';
+import { RelayConnection } from './relay-connection.ts';
+
+/** Listening end of a link of a relay. */
+export class RelayListener implements Closeable {
+  readonly name: string;
+  readonly target: string;
+  readonly #server: Server;
+  readonly #connections = new Map<Socket, RelayConnection>();
+  #mode: RelayMode = 'open';
+  #delayMs = 0;
+  #port: number;
+
+  constructor(link: RelayLink) {
+    this.name = link.name;
+    this.target = link.target;
+    this.#port = link.listen ?? 0;
+    this.#server = createServer({ allowHalfOpen: true }, (socket) => {
+      this.#accept(socket);
+    });
+  }
+
+  get port(): number {
+    return this.#port;
+  }
+
+  get mode(): RelayMode {
+    return this.#mode;
+  }
+
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(this.#port, '127.0.0.1', () => {
+        this.#server.off('error', reject);
+        resolve();
+      });
+    });
+    this.#port = (this.#server.address() as AddressInfo).port;
+  }
+
+  async setMode(mode: RelayMode, delayMs: number): Promise<void> {
+    this.#mode = mode;
+    this.#delayMs = delayMs;
+    if (mode === 'silent') for (const connection of this.#connections.values()) connection.freeze();
+    if (mode === 'cut') await this.close();
+    else if (!this.#server.listening) await this.listen();
+  }
+
+  async close(): Promise<void> {
+    for (const connection of this.#connections.values()) connection.destroy();
+    if (!this.#server.listening) return;
+    await new Promise<void>((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+    });
+  }
+
+  #accept(socket: Socket): void {
+    const state = () => ({ mode: this.#mode, delayMs: this.#delayMs });
+    this.#connections.set(socket, new RelayConnection(socket, this.target, state));
+    socket.once('close', () => this.#connections.delete(socket));
+  }
+}
--- /dev/null
+++ b/packages/standins/src/node/route-preload.ts
@@ -0,0 +1,40 @@
+/** Preloaded into an entry node of a fleet: sends its connections to the relays named in the environment. */
+import { Socket } from 'node:net';
+
+interface Destination {
+  readonly host?: string | undefined;
+  readonly port?: number | string | undefined;
+}
+
+const routes = new Map(
+  Object.entries(JSON.parse(process.env.STANDINS_ROUTES ?? '{}') as Record<string, string>),
+);
+
+function reroute(destination: Destination): Destination {
+  const { host = 'localhost', port = 0 } = destination;
+  const route = routes.get(`${host}:${port}`);
+  if (route === undefined) return destination;
+  return { ...destination, host: '127.0.0.1', port: Number(route.split(':')[1]) };
+}
+
+function rerouteArguments(args: readonly unknown[]): readonly unknown[] {
+  const [first, ...rest] = args;
+  if (Array.isArray(first)) {
+    const normalized = first as unknown[];
+    normalized[0] = reroute(normalized[0] as Destination);
+    return [normalized, ...rest];
+  }
+  if (typeof first !== 'object' || first === null) return args;
+  return [reroute(first), ...rest];
+}
+
+const original = Reflect.get(Socket.prototype, 'connect') as (
+  this: Socket,
+  ...args: readonly unknown[]
+) => Socket;
+
+function connectByRoute(this: Socket, ...args: readonly unknown[]): Socket {
+  return Reflect.apply(original, this, rerouteArguments(args));
+}
+
+Reflect.set(Socket.prototype, 'connect', connectByRoute);
--- /dev/null
+++ b/packages/standins/src/types/fleet-layout.ts
@@ -0,0 +1,13 @@
+import type { FleetTenant } from './fleet-tenant.ts';
+import type { PlatformOptions } from './platform-options.ts';
+import type { RunnerPlace } from './runner-place.ts';
+
+/** What a fleet consists of, worked out from its options. */
+export interface FleetLayout {
+  readonly seed: number;
+  readonly failureDomains: readonly string[];
+  readonly entries: readonly { readonly name: string; readonly failureDomain: string }[];
+  readonly runners: readonly RunnerPlace[];
+  readonly tenants: readonly FleetTenant[];
+  readonly platform: PlatformOptions;
+}
--- /dev/null
+++ b/packages/standins/src/types/http-call.ts
@@ -0,0 +1,10 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+/** Call of a route, with its body parsed from JSON. */
+export interface HttpCall {
+  readonly params: Readonly<Record<string, string>>;
+  readonly query: URLSearchParams;
+  readonly body: unknown;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
--- /dev/null
+++ b/packages/standins/src/types/log-record.ts
@@ -0,0 +1,8 @@
+/** Record of a stream of the log. */
+export interface LogRecord {
+  readonly offset: number;
+  readonly id: string;
+  /** Wall-clock time of the append in milliseconds. */
+  readonly time: number;
+  readonly body: unknown;
+}
--- /dev/null
+++ b/packages/standins/src/types/relay-mode.ts
@@ -0,0 +1,5 @@
+/**
+ * What a link does: `cut` refuses new connections and destroys open ones; `silent` freezes the open ones for good while
+ * new ones work; the one-way modes lose the bytes of the other direction.
+ */
+export type RelayMode = 'open' | 'cut' | 'silent' | 'one-way-request-only' | 'one-way-reply-only';
--- /dev/null
+++ b/packages/standins/src/types/runner-place.ts
@@ -0,0 +1,10 @@
+/** Runner of a fleet before it has an address. */
+export interface RunnerPlace {
+  readonly id: string;
+  readonly process: string;
+  readonly service: string;
+  readonly version: string;
+  readonly kind: 'model' | 'application';
+  readonly failureDomain: string;
+  readonly options: Readonly<Record<string, unknown>>;
+}
--- /dev/null
+++ b/packages/standins/src/utils/batch-scheduler.ts
@@ -0,0 +1,103 @@
+import type { BatchOptions } from '../types/batch-options.ts';
+import type { Sequence } from './sequence.ts';
+
+interface Prefill {
+  readonly sequence: Sequence;
+  readonly tokens: number;
+}
+interface Step {
+  readonly prefills: readonly Prefill[];
+  readonly decodes: readonly Sequence[];
+  readonly durationMs: number;
+}
+
+const MS_PER_SECOND = 1000;
+
+/** Continuous batching: plans steps in which prefill and decode share a token budget. */
+export class BatchScheduler {
+  readonly tokenBudget: number;
+  readonly kvCapacity: number;
+  readonly #maxRunning: number;
+  readonly #stepMs: number;
+  readonly #prefillTokenMs: number;
+  readonly #decodeTokenMs: number;
+  #running: readonly Sequence[] = [];
+  #waiting: readonly Sequence[] = [];
+
+  constructor(options: BatchOptions) {
+    this.tokenBudget = options.tokenBudget ?? 512;
+    this.kvCapacity = options.kvCapacity ?? 65_536;
+    this.#maxRunning = options.maxRunning ?? 32;
+    this.#stepMs = options.stepMs ?? 8;
+    this.#prefillTokenMs = options.prefillTokenMs ?? 0.05;
+    this.#decodeTokenMs = options.decodeTokenMs ?? 0.3;
+  }
+
+  get running(): readonly Sequence[] {
+    return this.#running;
+  }
+
+  get waiting(): readonly Sequence[] {
+    return this.#waiting;
+  }
+
+  /** Tokens of KV memory in use by running sequences. */
+  get kvUsed(): number {
+    return this.#running.reduce((sum, sequence) => sum + sequence.words.length, 0);
+  }
+
+  /** Tokens of prefill a second when a step has nothing else to do. */
+  get prefillRate(): number {
+    const stepMs = this.#stepMs + this.tokenBudget * this.#prefillTokenMs;
+    return (this.tokenBudget * MS_PER_SECOND) / stepMs;
+  }
+
+  /** Queues a sequence: the larger the priority the sooner, then in order of arrival. */
+  add(sequence: Sequence): void {
+    const before = this.#waiting.filter((other) => other.priority >= sequence.priority);
+    const after = this.#waiting.filter((other) => other.priority < sequence.priority);
+    this.#waiting = [...before, sequence, ...after];
+  }
+
+  remove(sequence: Sequence): void {
+    this.#running = this.#running.filter((other) => other !== sequence);
+    this.#waiting = this.#waiting.filter((other) => other !== sequence);
+  }
+
+  /** Moves waiting sequences that fit into the batch and returns them. */
+  admit(): readonly Sequence[] {
+    const admitted: Sequence[] = [];
+    let reserved = this.#running.reduce((sum, sequence) => sum + sequence.kvNeed, 0);
+    for (const sequence of this.#waiting) {
+      const fits = this.#running.length + admitted.length < this.#maxRunning;
+      const alone = this.#running.length + admitted.length === 0;
+      if (!fits || (!alone && reserved + sequence.kvNeed > this.kvCapacity)) break;
+      reserved += sequence.kvNeed;
+      admitted.push(sequence);
+    }
+    this.#waiting = this.#waiting.slice(admitted.length);
+    this.#running = [...this.#running, ...admitted];
+    return admitted;
+  }
+
+  /** Plans the next step of the sequences that `takesPart` selects. */
+  plan(takesPart: (sequence: Sequence) => boolean = () => true): Step {
+    const active = this.#running.filter(takesPart);
+    const decodes = active.filter((sequence) => sequence.toPrefill <= 1);
+    let budget = Math.max(0, this.tokenBudget - decodes.length);
+    const prefills: Prefill[] = [];
+    const byPriority = active
+      .filter((sequence) => sequence.toPrefill > 1)
+      .sort((a, b) => b.priority - a.priority);
+    for (const sequence of byPriority) {
+      const tokens = Math.min(budget, sequence.toPrefill);
+      if (tokens === 0) break;
+      prefills.push({ sequence, tokens });
+      budget -= tokens;
+    }
+    const prefillTokens = prefills.reduce((sum, prefill) => sum + prefill.tokens, 0);
+    const durationMs =
+      this.#stepMs + prefillTokens * this.#prefillTokenMs + decodes.length * this.#decodeTokenMs;
+    return { prefills, decodes, durationMs };
+  }
+}
--- /dev/null
+++ b/packages/standins/src/utils/cache-events.ts
@@ -0,0 +1,57 @@
+import type { Clock, Random } from '@ragwortrudder/core';
+
+interface CacheEvent {
+  readonly seq: number;
+  readonly kind: 'stored' | 'evicted';
+  readonly prefix: string;
+}
+interface Entry extends CacheEvent {
+  readonly at: number;
+  readonly lost: boolean;
+}
+interface CacheEventsOptions {
+  readonly delayMs: number;
+  readonly lossRate: number;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+interface Page {
+  readonly events: readonly CacheEvent[];
+  readonly next: number;
+}
+
+const MAX_EVENTS = 10_000;
+
+/** Events of a prefix cache, published late and with gaps. */
+export class CacheEvents {
+  readonly #options: CacheEventsOptions;
+  #entries: readonly Entry[] = [];
+  #seq = 0;
+
+  constructor(options: CacheEventsOptions) {
+    this.#options = options;
+  }
+
+  /** Number of the newest event, published or not. */
+  get seq(): number {
+    return this.#seq;
+  }
+
+  record(kind: 'stored' | 'evicted', prefix: string): void {
+    const { clock, random, lossRate } = this.#options;
+    this.#seq += 1;
+    const lost = random.next() < lossRate;
+    const entry = { seq: this.#seq, kind, prefix, at: clock.monotonic(), lost };
+    this.#entries = [...this.#entries.slice(1 - MAX_EVENTS), entry];
+  }
+
+  /** Events after number `after` that are published by now; `next` counts lost ones also. */
+  read(after: number): Page {
+    const visibleUntil = this.#options.clock.monotonic() - this.#options.delayMs;
+    const due = this.#entries.filter((entry) => entry.seq > after && entry.at <= visibleUntil);
+    const events = due
+      .filter((entry) => !entry.lost)
+      .map(({ seq, kind, prefix }) => ({ seq, kind, prefix }));
+    return { events, next: due.at(-1)?.seq ?? after };
+  }
+}
--- /dev/null
+++ b/packages/standins/src/utils/fault-table.ts
@@ -0,0 +1,21 @@
+import type { FaultTarget } from '../types/fault-target.ts';
+import type { PlatformFault } from '../types/platform-fault.ts';
+
+/** Faults in force at the interfaces of the platform. */
+export class FaultTable {
+  readonly #faults = new Map<FaultTarget, PlatformFault>();
+
+  set(fault: PlatformFault): void {
+    this.#faults.set(fault.target, fault);
+  }
+
+  /** Returns the fault that a call meets and counts it down. */
+  take(target: FaultTarget): PlatformFault {
+    const fault = this.#faults.get(target);
+    if (!fault) return { target, mode: 'ok' };
+    if (fault.count === undefined) return fault;
+    if (fault.count <= 0) return { target, mode: 'ok' };
+    this.#faults.set(target, { ...fault, count: fault.count - 1 });
+    return fault;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/utils/plan-layout.ts
@@ -0,0 +1,39 @@
+import type { FleetLayout } from '../types/fleet-layout.ts';
+import type { FleetOptions } from '../types/fleet-options.ts';
+import type { FleetRunners } from '../types/fleet-runners.ts';
+import type { RunnerPlace } from '../types/runner-place.ts';
+
+const DEFAULT_FAILURE_DOMAINS = ['a', 'b', 'c'];
+const DEFAULT_TENANTS = [{ tenant: 'acme', key: 'acme-tenant-key-0123456789' }];
+
+function placeRunners(
+  group: FleetRunners,
+  failureDomains: readonly string[],
+  seed: number,
+): readonly RunnerPlace[] {
+  const { service, version, kind, count, options } = group;
+  const role = kind === 'model' ? 'engine' : 'application';
+  return Array.from({ length: count }, (_, index) => {
+    const failureDomain = failureDomains[index % failureDomains.length] ?? '';
+    const id = `${service}-${version}-${index + 1}`;
+    const process = `${role}-${failureDomain}`;
+    const all = { seed: seed + index, ...options, id };
+    return { id, process, service, version, kind, failureDomain, options: all };
+  });
+}
+
+/** Works out the processes and runners of a fleet. */
+export function planLayout(options: FleetOptions): FleetLayout {
+  const seed = options.seed ?? 1;
+  const failureDomains = options.failureDomains ?? DEFAULT_FAILURE_DOMAINS;
+  const entryCount = failureDomains.length * (options.entriesPerFailureDomain ?? 1);
+  const entries = Array.from({ length: entryCount }, (_, index) => ({
+    name: `entry-${index + 1}`,
+    failureDomain: failureDomains[index % failureDomains.length] ?? '',
+  }));
+  const runners = (options.runners ?? []).flatMap((group, index) =>
+    placeRunners(group, failureDomains, seed + index * 1000),
+  );
+  const tenants = options.tenants ?? DEFAULT_TENANTS;
+  return { seed, failureDomains, entries, runners, tenants, platform: options.platform ?? {} };
+}
