Hang calls of stand-ins as told, and test the platform

A hung call was answered with 500, because restify answers when an async handler ends without a response; handlers now end with their connection.

--- a/packages/standins/src/node/http-server.ts
+++ b/packages/standins/src/node/http-server.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { Server as NodeServer, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -123,6 +124,7 @@
       } catch (error) {
         send(raw, replyTo(error));
       }
+      if (!raw.destroyed) await once(raw, 'close');
     };
   }
 }
--- a/packages/standins/src/utils/rate-limit.ts
+++ b/packages/standins/src/utils/rate-limit.ts
@@ -2,17 +2,19 @@
 
 const MS_PER_SECOND = 1000;
 
-/** Token bucket with a burst of one second's worth. */
+/** Token bucket with a burst of one second's worth, at least one. */
 export class RateLimit {
   readonly #perSecond: number;
   readonly #clock: Clock;
+  readonly #burst: number;
   #tokens: number;
   #updatedMs: number;
 
   constructor(perSecond: number, clock: Clock) {
     this.#perSecond = perSecond;
+    this.#burst = Math.max(1, perSecond);
     this.#clock = clock;
-    this.#tokens = perSecond;
+    this.#tokens = this.#burst;
     this.#updatedMs = clock.monotonic();
   }
 
@@ -20,7 +22,7 @@
   take(): boolean {
     const now = this.#clock.monotonic();
     const gained = ((now - this.#updatedMs) * this.#perSecond) / MS_PER_SECOND;
-    this.#tokens = Math.min(this.#perSecond, this.#tokens + gained);
+    this.#tokens = Math.min(this.#burst, this.#tokens + gained);
     this.#updatedMs = now;
     if (this.#tokens < 1) return false;
     this.#tokens -= 1;
--- /dev/null
+++ b/test/standins/call.ts
@@ -0,0 +1,26 @@
+import got from 'got';
+
+interface Answer {
+  readonly status: number;
+  readonly body: Readonly<Record<string, unknown>>;
+  readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+}
+
+interface CallOptions {
+  readonly json?: unknown;
+  readonly method?: 'GET' | 'POST' | 'DELETE';
+  readonly signal?: AbortSignal;
+}
+
+/** Calls a stand-in; POST when a body is given. */
+export async function call(url: string, options: CallOptions = {}): Promise<Answer> {
+  const { json, method = json === undefined ? 'GET' : 'POST', signal } = options;
+  const { statusCode, body, headers } = await got(`http://${url}`, {
+    method,
+    ...(json === undefined ? {} : { json }),
+    ...(signal ? { signal } : {}),
+    retry: { limit: 0 },
+    throwHttpErrors: false,
+  });
+  return { status: statusCode, body: JSON.parse(body || '{}') as Answer['body'], headers };
+}
--- /dev/null
+++ b/test/standins/platform.test.ts
@@ -0,0 +1,257 @@
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { ManualClock } from '@ragwortrudder/core';
+import { EngineRunner, LaggingValue, Platform, RateLimit } from '@ragwortrudder/standins';
+import type { PlatformOptions } from '@ragwortrudder/standins';
+import { call } from './call.ts';
+
+const LONG_MS = 3_600_000;
+const PER_SECOND_ONE_ONLY = 0.000_001;
+const vm = { failureDomain: 'a', machineClass: 'standard', reclaimable: true, labels: {} };
+
+async function start(t: ExecutionContext, options: PlatformOptions = {}): Promise<string> {
+  const platform = new Platform({ cloudCallsPerSecond: 1000, ...options });
+  await platform.listen();
+  t.teardown(() => platform.close());
+  return platform.address;
+}
+
+test('log: records have offsets in order and equal ids are kept', async (t) => {
+  const address = await start(t);
+  for (const [offset, id] of ['x', 'y', 'x'].entries()) {
+    const reply = await call(`${address}/log/s/records`, { json: { id, body: { offset } } });
+    t.deepEqual([reply.status, reply.body], [201, { offset }]);
+  }
+  const page = await call(`${address}/log/s/records?from=1&limit=1`);
+  t.like(page.body, { records: [{ offset: 1, id: 'y', body: { offset: 1 } }], next: 2, first: 0 });
+  const end = await call(`${address}/log/s/records?from=3`);
+  t.deepEqual(end.body, { records: [], next: 3, first: 0 });
+});
+
+test('log: streams are separate', async (t) => {
+  const address = await start(t);
+  await call(`${address}/log/s/records`, { json: { id: 'x', body: 1 } });
+  t.deepEqual((await call(`${address}/log/other/records?from=0`)).body.records, []);
+});
+
+test('log: a record above the limit is refused and not kept', async (t) => {
+  const address = await start(t, { recordLimitBytes: 100 });
+  const big = await call(`${address}/log/s/records`, { json: { id: 'x', body: 'b'.repeat(99) } });
+  t.is(big.status, 413);
+  const fits = await call(`${address}/log/s/records`, { json: { id: 'x', body: 'b'.repeat(98) } });
+  t.deepEqual([fits.status, fits.body], [201, { offset: 0 }]);
+});
+
+test('log: appends above the rate are refused with Retry-After and not kept', async (t) => {
+  const address = await start(t, { appendsPerSecond: PER_SECOND_ONE_ONLY });
+  t.is((await call(`${address}/log/s/records`, { json: { id: 'x', body: 1 } })).status, 201);
+  const refused = await call(`${address}/log/s/records`, { json: { id: 'y', body: 1 } });
+  t.is(refused.status, 429);
+  t.truthy(refused.headers['retry-after']);
+  t.is((await call(`${address}/log/s/records?from=0`)).body.next, 1);
+});
+
+test('log: reads past retention tell the first offset; the dump has all', async (t) => {
+  const address = await start(t);
+  for (const id of ['x', 'y', 'z']) {
+    await call(`${address}/log/s/records`, { json: { id, body: id } });
+  }
+  await call(`${address}/control/retention`, { json: { count: 1 } });
+  const gone = await call(`${address}/log/s/records?from=0`);
+  t.is(gone.status, 410);
+  t.like(gone.body, { first: 2, next: 3 });
+  t.like((await call(`${address}/log/s/records?from=2`)).body, { records: [{ id: 'z' }] });
+  t.is(((await call(`${address}/control/log/s`)).body.records as unknown[]).length, 3);
+});
+
+test('log: a waiting read is answered by the next append', async (t) => {
+  const address = await start(t);
+  const read = call(`${address}/log/s/records?from=0&waitMs=30000`);
+  await call(`${address}/log/s/records`, { json: { id: 'x', body: 1 } });
+  t.like((await read).body, { records: [{ id: 'x' }], next: 1 });
+});
+
+test('log: malformed records are refused', async (t) => {
+  const address = await start(t);
+  t.is((await call(`${address}/log/s/records`, { json: { body: 1 } })).status, 400);
+  t.is((await call(`${address}/log/s/records?from=0`)).body.next, 0);
+});
+
+test('fault down: calls are answered 503 without effect, for the given count', async (t) => {
+  const address = await start(t);
+  const fault = { target: 'log.append', mode: 'down', count: 1 };
+  await call(`${address}/control/faults`, { json: fault });
+  t.is((await call(`${address}/log/s/records`, { json: { id: 'x', body: 1 } })).status, 503);
+  const after = await call(`${address}/log/s/records`, { json: { id: 'y', body: 1 } });
+  t.deepEqual([after.status, after.body], [201, { offset: 0 }]);
+});
+
+test('fault reply-lost: the effect happens and the connection is destroyed', async (t) => {
+  const address = await start(t);
+  await call(`${address}/control/faults`, {
+    json: { target: 'log.append', mode: 'reply-lost', count: 1 },
+  });
+  await t.throwsAsync(call(`${address}/log/s/records`, { json: { id: 'x', body: 1 } }));
+  t.like((await call(`${address}/log/s/records?from=0`)).body, { records: [{ id: 'x' }] });
+});
+
+test('fault hang: no answer and no effect', async (t) => {
+  const address = await start(t);
+  await call(`${address}/control/faults`, {
+    json: { target: 'log.append', mode: 'hang', count: 1 },
+  });
+  const abort = new AbortController();
+  const hung = call(`${address}/log/s/records`, {
+    json: { id: 'x', body: 1 },
+    signal: abort.signal,
+  });
+  let after = await call(`${address}/log/s/records?from=0`);
+  await call(`${address}/log/s/records`, { json: { id: 'y', body: 1 } });
+  after = await call(`${address}/log/s/records?from=0`);
+  abort.abort();
+  await t.throwsAsync(hung);
+  t.like(after.body, { next: 1 });
+});
+
+test('fault slow: a slow call is overtaken by one of another interface', async (t) => {
+  const address = await start(t);
+  await call(`${address}/control/faults`, { json: { target: 'vms', mode: 'slow', delayMs: 1000 } });
+  const order: string[] = [];
+  const slow = call(`${address}/vms`).then((reply) => {
+    order.push('slow');
+    return reply;
+  });
+  await call(`${address}/prices`);
+  order.push('other');
+  t.is((await slow).status, 200);
+  t.deepEqual(order, ['other', 'slow']);
+});
+
+test('faults of each interface leave the others alone', async (t) => {
+  const address = await start(t);
+  const paths = {
+    'log.read': '/log/s/records',
+    vms: '/vms',
+    notices: '/notices',
+    weights: '/weights/w',
+  };
+  for (const [target, path] of Object.entries(paths)) {
+    await call(`${address}/control/faults`, { json: { target, mode: 'down' } });
+    for (const [other, otherPath] of Object.entries(paths)) {
+      const { status } = await call(`${address}${otherPath}`);
+      t.is(status, other === target ? 503 : 200, `${target} at ${path}: ${other}`);
+    }
+    await call(`${address}/control/faults`, { json: { target, mode: 'ok' } });
+  }
+});
+
+test('cloud: a start is idempotent by its request id', async (t) => {
+  const address = await start(t);
+  const first = await call(`${address}/vms`, { json: { requestId: 'r1', ...vm } });
+  const again = await call(`${address}/vms`, { json: { requestId: 'r1', ...vm } });
+  const other = await call(`${address}/vms`, { json: { requestId: 'r2', ...vm } });
+  t.deepEqual([first.status, again.status], [201, 201]);
+  t.deepEqual(first.body, again.body);
+  t.notDeepEqual(first.body, other.body);
+  t.deepEqual((await call(`${address}/vms/requests/r1`)).body, first.body);
+  t.is((await call(`${address}/vms/requests/r3`)).status, 404);
+});
+
+test('cloud: a start whose reply is lost is found by its request id', async (t) => {
+  const address = await start(t);
+  await call(`${address}/control/faults`, {
+    json: { target: 'cloud', mode: 'reply-lost', count: 1 },
+  });
+  await t.throwsAsync(call(`${address}/vms`, { json: { requestId: 'r1', ...vm } }));
+  t.is((await call(`${address}/vms/requests/r1`)).status, 200);
+});
+
+test('cloud: refuses above capacity until a VM is stopped', async (t) => {
+  const address = await start(t);
+  await call(`${address}/control/capacity`, { json: { failureDomain: 'a', capacity: 1 } });
+  const first = await call(`${address}/vms`, { json: { requestId: 'r1', ...vm } });
+  t.is((await call(`${address}/vms`, { json: { requestId: 'r2', ...vm } })).status, 409);
+  t.is((await call(`${address}/vms/requests/r2`)).status, 404);
+  const inOther = { requestId: 'r3', ...vm, failureDomain: 'b' };
+  t.is((await call(`${address}/vms`, { json: inOther })).status, 201);
+  await call(`${address}/vms/${String(first.body.id)}`, { method: 'DELETE' });
+  t.is((await call(`${address}/vms`, { json: { requestId: 'r2', ...vm } })).status, 201);
+});
+
+test('cloud and weight store: calls above the rate are refused', async (t) => {
+  const address = await start(t, {
+    cloudCallsPerSecond: PER_SECOND_ONE_ONLY,
+    weightReadsPerSecond: PER_SECOND_ONE_ONLY,
+  });
+  t.is((await call(`${address}/vms`, { json: { requestId: 'r1', ...vm } })).status, 201);
+  t.is((await call(`${address}/vms`, { json: { requestId: 'r2', ...vm } })).status, 429);
+  t.is((await call(`${address}/weights/w`)).status, 200);
+  t.is((await call(`${address}/weights/w`)).status, 429);
+});
+
+test('list of VMs: lags, unless registered at once', async (t) => {
+  const address = await start(t, { vmLagMs: LONG_MS });
+  await call(`${address}/control/vms`, { json: { id: 'late', failureDomain: 'a' } });
+  await call(`${address}/control/vms`, { json: { id: 'now', failureDomain: 'a', atOnce: true } });
+  t.like((await call(`${address}/vms`)).body, { vms: [{ id: 'now', state: 'live' }] });
+  t.is(((await call(`${address}/control/vms`)).body.vms as unknown[]).length, 2);
+});
+
+test('reclaim: gives notice, tells the runner, and the list follows with its lag', async (t) => {
+  const address = await start(t, { vmLagMs: LONG_MS });
+  const runner = new EngineRunner({ id: 'm1' });
+  await runner.listen();
+  t.teardown(() => runner.close());
+  const record = { id: 'vm1', failureDomain: 'a', address: runner.address, atOnce: true };
+  await call(`${address}/control/vms`, { json: record });
+  const reclaim = { vmId: 'vm1', noticeMs: LONG_MS };
+  t.is((await call(`${address}/control/reclaim`, { json: reclaim })).status, 200);
+  t.like((await call(`${address}/notices?after=0`)).body, {
+    notices: [{ seq: 1, vmId: 'vm1' }],
+    next: 1,
+  });
+  t.deepEqual((await call(`${address}/notices?after=1`)).body, { notices: [], next: 1 });
+  t.like((await call(`${address}/vms`)).body, { vms: [{ state: 'live' }] });
+  t.like((await call(`${address}/control/vms`)).body, { vms: [{ state: 'leaving' }] });
+  t.is((await call(`${runner.address}/load`)).body.leaving, true);
+});
+
+test('reclaim: stops the runner at the deadline and forgets the VM', async (t) => {
+  const address = await start(t, { vmLagMs: 0 });
+  const runner = new EngineRunner({ id: 'm1' });
+  await runner.listen();
+  t.teardown(() => runner.close());
+  const record = { id: 'vm1', failureDomain: 'a', address: runner.address };
+  await call(`${address}/control/vms`, { json: record });
+  await call(`${address}/control/reclaim`, { json: { vmId: 'vm1', noticeMs: 0 } });
+  await t.throwsAsync(async () => {
+    for (;;) await call(`${runner.address}/health`);
+  });
+  t.deepEqual((await call(`${address}/vms`)).body, { vms: [] });
+});
+
+test('rate limit: refills with time up to a burst', (t) => {
+  const clock = new ManualClock();
+  const limit = new RateLimit(2, clock);
+  const takes = () => [limit.take(), limit.take(), limit.take()];
+  t.deepEqual(takes(), [true, true, false]);
+  clock.advance(500);
+  t.deepEqual(takes(), [true, false, false]);
+  clock.advance(60_000);
+  t.deepEqual(takes(), [true, true, false]);
+});
+
+test('lagging value: readers see each state after the lag', (t) => {
+  const clock = new ManualClock();
+  const value = new LaggingValue('a', 100, clock);
+  value.set('b');
+  clock.advance(60);
+  value.set('c');
+  clock.advance(39);
+  t.is(value.get(), 'a');
+  clock.advance(1);
+  t.is(value.get(), 'b');
+  t.is(value.latest(), 'c');
+  clock.advance(60);
+  t.is(value.get(), 'c');
+});
