--- a/packages/tickets/src/types/ticket.ts
+++ b/packages/tickets/src/types/ticket.ts
@@ -1,4 +1,6 @@
 import { z } from 'zod';
+import { BASE_PROBLEM } from '../utils/base-problem.ts';
+import { isNumberAboveBase } from '../utils/is-number-above-base.ts';
 import { ObjectName } from './object-name.ts';
 import { Service } from './service.ts';
 import { TenantShare } from './tenant-share.ts';
@@ -15,10 +17,7 @@
     /** Failure domains in use. */
     domains: z.array(ObjectName).min(1).readonly().optional(),
   })
-  .refine((ticket) => ticket.against < ticket.number, {
-    path: ['against'],
-    error: 'must be lower than number',
-  })
+  .refine(isNumberAboveBase, { path: ['against'], error: BASE_PROBLEM })
   .refine(
     ({ services, tenants, domains }) =>
       domains !== undefined || Object.keys(services).length + Object.keys(tenants).length > 0,
--- /dev/null
+++ b/test/log/parts.ts
@@ -0,0 +1,42 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { SeededRandom, SystemClock } from '@ragwortrudder/core';
+import { LogFollower } from '@ragwortrudder/log';
+import type { Fold, Log, LogFollowerOptions } from '@ragwortrudder/log';
+
+/** Fold that lists the bodies of all entries, each identifier once. */
+export const listFold: Fold<readonly string[]> = {
+  initial: [],
+  apply: (state, { id, body }) => {
+    const line = `${id}=${JSON.stringify(body)}`;
+    return state.includes(line) ? state : [...state, line];
+  },
+  snapshotter: {
+    serialize: (state) => state,
+    restore: (data) => data as readonly string[],
+  },
+};
+
+export function follower(
+  log: Log,
+  options: Partial<LogFollowerOptions<readonly string[]>> = {},
+): LogFollower<readonly string[]> {
+  return new LogFollower({
+    log,
+    fold: listFold,
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    pollWaitMs: 200,
+    backoff: { firstMs: 2, maxMs: 10 },
+    ...options,
+  });
+}
+
+export async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await sleep(2);
+}
+
+export async function appendAll(log: Log, ids: readonly string[]): Promise<void> {
+  for (const id of ids) {
+    await log.append({ id: `record-${id}`, body: { entries: [{ id, body: id }] } });
+  }
+}
--- /dev/null
+++ b/test/platform/server.ts
@@ -0,0 +1,83 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** One request as the test server saw it. */
+export interface Seen {
+  readonly method: string;
+  readonly url: string;
+  readonly body: unknown;
+}
+
+/** Answers a request; returning `drop` closes the connection without an answer, `hang` never answers. */
+export type Handler = (seen: Seen) => Reply | 'drop' | 'hang';
+
+interface Reply {
+  readonly status: number;
+  readonly body?: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** Small HTTP server on a free port of the loopback interface. */
+export class TestServer {
+  readonly seen: Seen[] = [];
+  readonly #server: Server;
+
+  private constructor(handler: Handler) {
+    this.#server = createServer((request, response) => {
+      void this.#answer(handler, request, response);
+    });
+  }
+
+  static async start(handler: Handler): Promise<TestServer> {
+    const server = new TestServer(handler);
+    await new Promise<void>((resolve) => {
+      server.#server.listen(0, '127.0.0.1', resolve);
+    });
+    return server;
+  }
+
+  get url(): string {
+    return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  /** Number of open connections. */
+  connections(): Promise<number> {
+    return new Promise((resolve) => {
+      this.#server.getConnections((_error, count) => {
+        resolve(count);
+      });
+    });
+  }
+
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+      this.#server.closeAllConnections();
+    });
+  }
+
+  async #answer(
+    handler: Handler,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const text = Buffer.concat(chunks).toString('utf8');
+    const body = text === '' ? undefined : (JSON.parse(text) as unknown);
+    const seen = { method: request.method ?? '', url: request.url ?? '', body };
+    this.seen.push(seen);
+    const reply = handler(seen);
+    if (reply === 'hang') return;
+    if (reply === 'drop') {
+      request.socket.destroy();
+      return;
+    }
+    response.writeHead(reply.status, { 'content-type': 'application/json', ...reply.headers });
+    const content = reply.body ?? {};
+    response.end(typeof content === 'string' ? content : JSON.stringify(content));
+  }
+}
