Admit by deadline and fair share, limit concurrency, budget retries

Nothing bounded waiting, concurrency or retries. Adds the admission queue, the adaptive limit, retry budgets carried between layers, and hedges.

Found while testing: displacement counted the shares without the tenant that asked for room, so it never happened.

--- a/packages/admission/src/types/admission-queue-options.ts
+++ b/packages/admission/src/types/admission-queue-options.ts
@@ -27,7 +27,7 @@
   readonly tenantWeights?: ReadonlyMap<string, number>;
   /**
    * Cost drained per second that is assumed before any was measured.
-   * @default 1000
+   * @default unlimited
    */
   readonly initialDrainRate?: number;
   /**
--- a/packages/admission/src/types/refusal-reason.ts
+++ b/packages/admission/src/types/refusal-reason.ts
@@ -1,3 +1,3 @@
 /** Why a request was not admitted. */
 export type RefusalReason =
-  'wait-exceeds-deadline' | 'queue-full' | 'tenant-queue-full' | 'deadline-passed';
+  'wait-exceeds-deadline' | 'queue-full' | 'tenant-queue-full' | 'deadline-passed' | 'displaced';
--- /dev/null
+++ b/packages/admission/src/utils/parse-retries-left.ts
@@ -0,0 +1,11 @@
+const DEFAULT_MAX_RETRIES = 2;
+
+/**
+ * Reads the value of {@link RETRIES_LEFT_HEADER}: absent means `max`, a larger value is cut to
+ * `max`, and anything malformed allows no retry.
+ */
+export function parseRetriesLeft(value: string | undefined, max = DEFAULT_MAX_RETRIES): number {
+  if (value === undefined) return max;
+  if (!/^\d{1,6}$/.test(value)) return 0;
+  return Math.min(max, Number(value));
+}
