Test routing; compare distinct random candidates

Routing had no tests.

Found while testing: both random candidates could be the same runner, or one already on the list, so that with two runners the cheaper one was missed in about a quarter of the decisions. They are now drawn from the others.

--- a/packages/routing/src/utils/choose-runner.ts
+++ b/packages/routing/src/utils/choose-runner.ts
@@ -48,7 +48,8 @@
   const holderIds = holders.map(({ runnerId }) => runnerId).filter((id) => byId.has(id));
   const ids = new Set([...holderIds.slice(0, MAX_HOLDERS), ...ownerIds]);
   for (let i = 0; i < RANDOM_CANDIDATES; i += 1) {
-    const drawn = draw(runners, options.random);
+    const others = runners.filter(({ id }) => !ids.has(id));
+    const drawn = draw(others, options.random);
     if (drawn) ids.add(drawn.id);
   }
   return [...ids].flatMap((id) => byId.get(id) ?? []);
--- /dev/null
+++ b/test/routing/cache-index.test.ts
@@ -0,0 +1,119 @@
+import { createHash } from 'node:crypto';
+import test from 'ava';
+import fc from 'fast-check';
+import { CacheDirectory, CacheIndex, prefixBlocks } from '@ragwortrudder/routing';
+import type { CacheEvent } from '@ragwortrudder/routing';
+
+const TEXT = Array.from({ length: 50 }, (_, i) => `w${i}`);
+
+test('a block is named by the hash of the text up to its end', (t) => {
+  const blocks = prefixBlocks(`  ${TEXT.join(' \n ')} `);
+  t.is(blocks.length, 3);
+  for (const [index, name] of blocks.entries()) {
+    const text = TEXT.slice(0, 16 * (index + 1)).join(' ');
+    t.is(name, createHash('sha256').update(text).digest('hex').slice(0, 16));
+  }
+  t.deepEqual(prefixBlocks(''), []);
+});
+
+test('hints are dropped at a gap until a snapshot comes', (t) => {
+  const [a = '', b = '', c = ''] = prefixBlocks(TEXT.join(' '));
+  const index = new CacheIndex();
+  t.true(index.apply([stored(1, a), stored(2, b)], 0));
+  t.is(index.knownTokens([a, b, c]), 32);
+  t.false(index.apply([stored(4, c)], 0));
+  t.true(index.needsSnapshot);
+  t.is(index.knownTokens([a, b, c]), 0);
+  t.false(index.apply([stored(5, a)], 0));
+  index.restore({ seq: 6, prefixes: [a] });
+  t.false(index.needsSnapshot);
+  t.true(index.apply([stored(6, c), stored(7, b)], 0));
+  t.is(index.knownTokens([a, b, c]), 32);
+  index.restore({ seq: 3, prefixes: [] });
+  t.is(index.knownTokens([a, b, c]), 32, 'a snapshot older than the events is ignored');
+});
+
+test('own knowledge survives an eviction event that is older than the last request', (t) => {
+  const blocks = prefixBlocks(TEXT.join(' '));
+  const [a = ''] = blocks;
+  const index = new CacheIndex();
+  index.remember(blocks, 10_000);
+  index.apply([{ seq: 1, kind: 'evicted', prefix: a }], 11_000);
+  t.is(index.knownTokens([a]), 16);
+  index.apply([{ seq: 2, kind: 'evicted', prefix: a }], 20_000);
+  t.is(index.knownTokens([a]), 0);
+});
+
+test('trust follows what the engine reports as reused', (t) => {
+  const blocks = prefixBlocks(TEXT.join(' '));
+  const index = new CacheIndex();
+  index.remember(blocks, 0);
+  for (let i = 0; i < 30; i += 1) index.confirm(48, 0);
+  t.true(index.cachedTokens(blocks) < 5);
+  for (let i = 0; i < 30; i += 1) index.confirm(48, 48);
+  t.true(index.cachedTokens(blocks) > 45);
+  index.confirm(0, 0);
+  t.true(index.trust <= 1);
+});
+
+test('memory is bounded and the start of a chain is kept longest', (t) => {
+  const long = prefixBlocks(Array.from({ length: 16 * 20 }, (_, i) => `x${i}`).join(' '));
+  const index = new CacheIndex({ maxSent: 8 });
+  index.remember(long, 0);
+  t.is(index.knownTokens(long), 8 * 16);
+});
+
+test('with events lost anywhere the hints never name a prefix that a complete log lacks', (t) => {
+  const events = fc.array(
+    fc.record({
+      kind: fc.constantFrom<CacheEvent['kind']>('stored', 'evicted'),
+      prefix: fc.constantFrom('p', 'q', 'r'),
+      isLost: fc.boolean(),
+    }),
+    { maxLength: 30 },
+  );
+  fc.assert(
+    fc.property(events, (list) => {
+      const truth = new Set<string>();
+      const index = new CacheIndex();
+      return list.every(({ kind, prefix, isLost }, i) => {
+        if (kind === 'stored') truth.add(prefix);
+        else truth.delete(prefix);
+        const seq = i + 1;
+        if (isLost) return true;
+        const isSynced = index.apply([{ seq, kind, prefix }], 0);
+        if (!isSynced) index.restore({ seq, prefixes: [...truth] });
+        return ['p', 'q', 'r'].every((name) => truth.has(name) === index.knownTokens([name]) > 0);
+      });
+    }),
+    { seed: 8, numRuns: 300 },
+  );
+  t.pass();
+});
+
+test('the directory lists the longest holders first', (t) => {
+  const blocks = prefixBlocks(TEXT.join(' '));
+  const directory = new CacheDirectory();
+  for (const [id, depth] of [
+    ['1', 1],
+    ['2', 3],
+    ['3', 0],
+  ] as const) {
+    const index = new CacheIndex();
+    index.remember(blocks.slice(0, depth), 0);
+    directory.set(id, index);
+  }
+  t.deepEqual(
+    directory.holders(blocks, 5).map((holder) => [holder.runnerId, holder.cachedTokens]),
+    [
+      ['2', 48],
+      ['1', 16],
+    ],
+  );
+  directory.delete('2');
+  t.is(directory.cachedTokens('2', blocks), 0);
+});
+
+function stored(seq: number, prefix: string): CacheEvent {
+  return { seq, kind: 'stored', prefix };
+}
--- /dev/null
+++ b/test/routing/policies.test.ts
@@ -0,0 +1,138 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { SeededRandom } from '@ragwortrudder/core';
+import { CacheDirectory, CacheIndex, chooseRunner, prefixBlocks } from '@ragwortrudder/routing';
+import { estimateFirstToken, routingPolicyOf } from '@ragwortrudder/routing';
+import type { PolicyName, RoutingRequest, RunnerView } from '@ragwortrudder/routing';
+import { runnerView } from './runner-view.ts';
+
+const POLICIES: readonly PolicyName[] = [
+  'estimate',
+  'round-robin',
+  'least-loaded',
+  'prefix-hash',
+  'two-choices',
+];
+
+function words(count: number, seed: string): string {
+  return Array.from({ length: count }, (_, i) => `${seed}${i}`).join(' ');
+}
+
+function requestOf(prompt: string): RoutingRequest {
+  const promptTokens = prompt.split(' ').length;
+  return { id: 'r', service: 'quotes', blocks: prefixBlocks(prompt), promptTokens };
+}
+
+function anyRunner(id: number): fc.Arbitrary<RunnerView> {
+  return fc
+    .record({
+      state: fc.constantFrom('starting', 'ready', 'ready', 'leaving', 'gone'),
+      service: fc.constantFrom('quotes', 'quotes', 'orders'),
+      version: fc.constantFrom('v1', 'v2'),
+      setAside: fc.boolean(),
+      leaving: fc.boolean(),
+      running: fc.nat(30),
+      waiting: fc.nat(30),
+      loadAgeMs: fc.constantFrom(0, 100, 5000, Infinity),
+    })
+    .map(({ running, waiting, ...fields }) =>
+      runnerView(String(id), { ...fields, load: { running, waiting, leaving: false } }),
+    );
+}
+
+const FLEET = fc
+  .integer({ min: 0, max: 8 })
+  .chain((size) => fc.tuple(...Array.from({ length: size }, (_, i) => anyRunner(i))));
+
+for (const name of POLICIES) {
+  test(`${name} uses an eligible runner whenever there is one, and no other`, (t) => {
+    fc.assert(
+      fc.property(FLEET, fc.boolean(), fc.integer(), (candidates, isVersioned, seed) => {
+        const base = requestOf(words(40, 'w'));
+        const request = isVersioned ? { ...base, version: 'v2' } : base;
+        const avoid = new Set(['0']);
+        const random = new SeededRandom(seed);
+        const choice = routingPolicyOf(name).choose({ candidates, request, random, avoid });
+        const eligible = candidates.filter(
+          (r) =>
+            r.state === 'ready' &&
+            !r.leaving &&
+            !r.setAside &&
+            r.service === 'quotes' &&
+            (!isVersioned || r.version === 'v2') &&
+            r.id !== '0',
+        );
+        if (eligible.length === 0) return choice === undefined;
+        return choice !== undefined && eligible.includes(choice.runner);
+      }),
+      { seed: 3, numRuns: 200 },
+    );
+    t.pass();
+  });
+}
+
+test('the estimate adds the work ahead, the uncached prompt and the network', (t) => {
+  const runner = runnerView('1', {
+    load: { running: 2, waiting: 0, leaving: false },
+    unreported: { requests: 1, prefillTokens: 1000 },
+    inFlight: { requests: 1, prefillTokens: 1000 },
+  });
+  const estimate = estimateFirstToken(runner, requestOf(words(200, 'w')), 100);
+  t.is(estimate.queueMs, 120);
+  t.is(estimate.prefillMs, 10);
+  t.is(estimate.totalMs, 131);
+  t.is(estimate.computedTokens, 100);
+});
+
+test('a known prefix is used until its runner is so busy that computing elsewhere is cheaper', (t) => {
+  const request = requestOf(words(1600, 'w'));
+  const cache = new CacheDirectory();
+  const index = new CacheIndex();
+  index.remember(request.blocks, 0);
+  cache.set('1', index);
+  const choose = (prefillTokens: number) => {
+    const work = { requests: 1, prefillTokens };
+    const busy = runnerView('1', { unreported: work, inFlight: work });
+    const candidates = [busy, ...['2', '3', '4'].map((id) => runnerView(id))];
+    const random = new SeededRandom(4);
+    return chooseRunner({ candidates, request, random, cache }, { ownerPrior: 0 })?.runner.id;
+  };
+  t.is(choose(500), '1');
+  t.not(choose(20_000), '1');
+});
+
+test('the own failure domain is preferred by its network cost only', (t) => {
+  const request = requestOf(words(4, 'w'));
+  const near = runnerView('1', { networkMs: 1 });
+  const far = runnerView('2', { networkMs: 4, failureDomain: 'b' });
+  const random = new SeededRandom(6);
+  const work = { requests: 4, prefillTokens: 1000 };
+  const busy = { ...near, unreported: work, inFlight: work };
+  for (let i = 0; i < 50; i += 1) {
+    t.is(chooseRunner({ candidates: [far, near], request, random })?.runner.id, '1');
+    t.is(chooseRunner({ candidates: [far, busy], request, random })?.runner.id, '2');
+  }
+});
+
+test('few runners are compared whatever the size of the fleet', (t) => {
+  const request = requestOf(words(1000, 'w'));
+  for (const size of [10, 100, 1000]) {
+    const candidates = Array.from({ length: size }, (_, i) => runnerView(String(i)));
+    const choice = chooseRunner({ candidates, request, random: new SeededRandom(size) });
+    t.true((choice?.compared ?? 99) <= 8);
+  }
+});
+
+test('prompts with a common prefix go to one runner before anything is known of the caches', (t) => {
+  const candidates = Array.from({ length: 8 }, (_, i) => runnerView(String(i)));
+  const prompts = Array.from(
+    { length: 20 },
+    (_, i) => `${words(640, 'shared')} ${words(32, `own${i}x`)}`,
+  );
+  const chosen = prompts.map(
+    (prompt, seed) =>
+      chooseRunner({ candidates, request: requestOf(prompt), random: new SeededRandom(seed) })
+        ?.runner.id,
+  );
+  t.is(new Set(chosen).size, 1);
+});
--- /dev/null
+++ b/test/routing/streams.test.ts
@@ -0,0 +1,102 @@
+import test from 'ava';
+import { SeededRandom } from '@ragwortrudder/core';
+import { RecomputeCounts, StreamWatch, reclaimChoice } from '@ragwortrudder/routing';
+import type { ReclaimOptions } from '@ragwortrudder/routing';
+import { runnerView } from './runner-view.ts';
+
+function watchWithGaps(gapMs: number, tokens = 200): StreamWatch {
+  const watch = new StreamWatch();
+  watch.open('s', 0);
+  for (let i = 1; i <= tokens; i += 1) watch.token('s', i * gapMs);
+  return watch;
+}
+
+test('silence far beyond the learned gap asks for a probe', (t) => {
+  const watch = watchWithGaps(100);
+  const last = 200 * 100;
+  t.is(watch.verdict('s', last + 500), 'wait');
+  t.is(watch.verdict('s', last + 1200), 'probe');
+  t.is(watch.verdict('unknown', last), 'wait');
+  t.true(watch.nextWakeAt('s') > last + 700 && watch.nextWakeAt('s') < last + 1100);
+  watch.token('s', last + 1200);
+  t.is(watch.verdict('s', last + 1300), 'wait');
+});
+
+test('rare long gaps do not hide a silent stream', (t) => {
+  const watch = new StreamWatch();
+  watch.open('s', 0);
+  let now = 0;
+  for (let i = 1; i <= 1000; i += 1) {
+    now += i % 200 === 0 ? 20_000 : 40;
+    watch.token('s', now);
+  }
+  t.true(watch.boundMs('s') < 2000);
+});
+
+test('a probe tells a silent connection from a dead endpoint and from a slow engine', (t) => {
+  const watch = watchWithGaps(40);
+  const now = 200 * 40 + 2000;
+  t.is(watch.probed('s', { reachable: false }, now), 'PROBE_FAIL');
+  t.is(watch.probed('s', { reachable: true, stepMs: 40 }, now), 'PROBE_OK');
+  t.is(watch.probed('s', { reachable: true, stepMs: 600 }, now), 'PROGRESS');
+  t.is(watch.verdict('s', now, { stepMs: 600 }), 'wait');
+});
+
+test('a slow engine that reports its step time is not suspected', (t) => {
+  const watch = watchWithGaps(40);
+  const last = 200 * 40;
+  t.is(watch.verdict('s', last + 3000), 'probe');
+  t.is(watch.verdict('s', last + 3000, { stepMs: 500 }), 'wait');
+});
+
+test('the wait for the first token follows its estimate and the queue', (t) => {
+  const watch = new StreamWatch();
+  watch.open('s', 0);
+  t.is(watch.verdict('s', 3000), 'probe');
+  t.is(watch.verdict('s', 3000, { firstTokenMs: 900 }), 'wait');
+  watch.alive('s', 2900);
+  t.is(watch.verdict('s', 3000), 'wait');
+  watch.closeStream('s');
+  t.is(watch.nextWakeAt('s'), Infinity);
+});
+
+const RECLAIM: ReclaimOptions = {
+  remainingMs: 30_000,
+  request: { id: 'r', service: 'quotes', blocks: [], promptTokens: 8000 },
+  source: runnerView('1', { leaving: true, state: 'leaving' }),
+  remainingTokens: 2000,
+  candidates: [runnerView('1', { state: 'leaving' }), runnerView('2'), runnerView('3')],
+  random: new SeededRandom(1),
+};
+const EXPORT = { tokens: 8000, tokensPerSecond: 100_000, overheadMs: 20 };
+
+test('a request that ends in time stays where it is', (t) => {
+  t.is(reclaimChoice({ ...RECLAIM, remainingTokens: 100 }).action, 'finish');
+});
+
+test('the cheaper of moving the cache and computing again is taken', (t) => {
+  const moved = reclaimChoice({ ...RECLAIM, kvExport: EXPORT });
+  t.like(moved, { action: 'move-kv', recomputedTokens: 0 });
+  t.not(moved.target?.id, '1');
+  const computed = reclaimChoice({ ...RECLAIM, kvExport: { ...EXPORT, tokensPerSecond: 1000 } });
+  t.like(computed, { action: 'recompute', recomputedTokens: 8000 });
+  t.is(reclaimChoice(RECLAIM).action, 'recompute');
+});
+
+test('a cache that cannot be copied in time is not moved', (t) => {
+  const slow = { ...EXPORT, tokensPerSecond: 20_000 };
+  t.is(reclaimChoice({ ...RECLAIM, remainingMs: 500, kvExport: slow }).action, 'recompute');
+});
+
+test('with nowhere to go the request stays', (t) => {
+  t.is(reclaimChoice({ ...RECLAIM, candidates: [RECLAIM.source] }).action, 'finish');
+});
+
+test('recomputed tokens are counted by cause', (t) => {
+  const counts = new RecomputeCounts();
+  counts.add('reclaim', 10);
+  counts.add('reclaim', 5);
+  counts.add('move', 1);
+  t.deepEqual(Object.fromEntries(counts.snapshot()), { reclaim: 15, move: 1 });
+  t.is(counts.tokens('failure'), 0);
+});
