Keep the cost of a ticket flat as tickets accumulate

Folding one ticket cost 25 us with 4,000 kept and 1,299 to 1,628 us once old ones had been dropped: the whole record of tickets was copied for each.

--- a/packages/tickets/src/index.ts
+++ b/packages/tickets/src/index.ts
@@ -15,6 +15,8 @@
 export type { TicketStatus } from './types/ticket-status.ts';
 export { Ticket } from './types/ticket.ts';
 export { Trial } from './types/trial.ts';
+export { listTickets } from './utils/list-tickets.ts';
 export { parseTicket } from './utils/parse-ticket.ts';
+export { ticketAt } from './utils/ticket-at.ts';
 export { ticketFold } from './utils/ticket-fold.ts';
 export { ticketStatus } from './utils/ticket-status.ts';
--- a/packages/tickets/src/types/ticket-state.ts
+++ b/packages/tickets/src/types/ticket-state.ts
@@ -11,8 +11,13 @@
   readonly position: number;
   /** Highest number of an accepted ticket; 0 when there was none. */
   readonly newest: number;
-  /** Tickets by number. Those not in force are kept up to a limit, newest first. */
-  readonly tickets: Readonly<Record<string, TicketRecord>>;
+  /**
+   * Tickets by page and number; read them by `ticketAt` and `listTickets`.
+   * Those not in force are kept up to a limit, newest first.
+   */
+  readonly pages: Readonly<Record<string, Readonly<Record<string, TicketRecord>>>>;
+  /** Number of tickets in `pages`. */
+  readonly ticketCount: number;
   /** Entries that lost their number to another entry, newest last, up to a limit. */
   readonly refusedEntries: readonly RefusedEntry[];
   readonly services: Readonly<Record<string, ServiceState>>;
--- a/packages/tickets/src/utils/apply-service.ts
+++ b/packages/tickets/src/utils/apply-service.ts
@@ -4,6 +4,8 @@
 import type { TicketState } from '../types/ticket-state.ts';
 import { endMove } from './end-move.ts';
 import { own } from './own.ts';
+import { ticketAt } from './ticket-at.ts';
+import { withTicket } from './with-ticket.ts';
 
 /** One service of an accepted ticket. */
 interface ServiceChange {
@@ -43,14 +45,11 @@
 }
 
 function withMove(state: TicketState, move: Move): TicketState {
-  const record = own(state.tickets, move.ticket);
+  const record = ticketAt(state, move.ticket);
   if (!record) return state;
   const started = { ...record, moves: { ...record.moves, [move.service]: move } };
-  return {
-    ...state,
-    moves: { ...state.moves, [move.service]: move },
-    tickets: { ...state.tickets, [move.ticket]: started },
-  };
+  const moves = { ...state.moves, [move.service]: move };
+  return { ...withTicket(state, started), moves };
 }
 
 /** Replaces a service; ends its open move and starts one when its version changes. */
--- a/packages/tickets/src/utils/apply-ticket.ts
+++ b/packages/tickets/src/utils/apply-ticket.ts
@@ -4,9 +4,10 @@
 import type { TicketState } from '../types/ticket-state.ts';
 import { applyService } from './apply-service.ts';
 import { objectsOf } from './objects-of.ts';
-import { own } from './own.ts';
 import { prune } from './prune.ts';
 import { refusalOf } from './refusal-of.ts';
+import { ticketAt } from './ticket-at.ts';
+import { withTicket } from './with-ticket.ts';
 
 function refuseEntry(state: TicketState, number: number, entry: Entry): TicketState {
   if (state.refusedEntries.some(({ entryId }) => entryId === entry.id)) return state;
@@ -49,10 +50,10 @@
 
 /** Accepts or refuses a ticket; a repeated entry changes nothing. */
 export function applyTicket(before: TicketState, ticket: Ticket, entry: Entry): TicketState {
-  const known = own(before.tickets, ticket.number);
+  const known = ticketAt(before, ticket.number);
   if (known?.entryId === entry.id) return before;
   if (known) return prune(refuseEntry(before, ticket.number, entry));
   const record = recordOf(before, ticket, entry);
-  const state = { ...before, tickets: { ...before.tickets, [ticket.number]: record } };
+  const state = withTicket(before, record);
   return prune(record.refusal ? state : applyContent(state, ticket, entry));
 }
--- a/packages/tickets/src/utils/end-move.ts
+++ b/packages/tickets/src/utils/end-move.ts
@@ -2,20 +2,21 @@
 import type { MoveWord } from '../types/move-word.ts';
 import type { TicketState } from '../types/ticket-state.ts';
 import { own } from './own.ts';
+import { ticketAt } from './ticket-at.ts';
+import { withTicket } from './with-ticket.ts';
 
 /** Returns `state` with the open move ended by `word`. */
 export function endMove(state: TicketState, move: Move, word: MoveWord): TicketState {
   const open = Object.entries(state.moves).filter(([name]) => name !== move.service);
   const moves = Object.fromEntries(open);
   const service = own(state.services, move.service);
-  const record = own(state.tickets, move.ticket);
+  const record = ticketAt(state, move.ticket);
   if (!service || !record) return { ...state, moves };
   const effectiveVersion = word.word === 'done' ? move.to : move.from;
   const ended = { ...record, moves: { ...record.moves, [move.service]: { ...move, word } } };
   return {
-    ...state,
+    ...withTicket(state, ended),
     moves,
     services: { ...state.services, [move.service]: { ...service, effectiveVersion } },
-    tickets: { ...state.tickets, [move.ticket]: ended },
   };
 }
--- a/packages/tickets/src/utils/prune.ts
+++ b/packages/tickets/src/utils/prune.ts
@@ -1,5 +1,7 @@
 import type { TicketState } from '../types/ticket-state.ts';
 import { isInForce } from './is-in-force.ts';
+import { listTickets } from './list-tickets.ts';
+import { withTicket } from './with-ticket.ts';
 
 const MAX_TICKETS = 4_096;
 /** Tickets dropped at once, so that most entries do not look for any. */
@@ -7,16 +9,12 @@
 const MAX_REFUSED_ENTRIES = 1_024;
 
 function pruneTickets(state: TicketState): TicketState {
-  const all = Object.values(state.tickets);
-  if (all.length < MAX_TICKETS + PRUNE_STEP) return state;
-  const kept = all
-    .sort((a, b) => b.position - a.position)
-    .filter(
-      (ticket, index) =>
-        index < MAX_TICKETS || ticket.number === state.newest || isInForce(state, ticket),
-    );
-  const tickets = Object.fromEntries(kept.map((ticket) => [ticket.number, ticket]));
-  return { ...state, tickets };
+  if (state.ticketCount < MAX_TICKETS + PRUNE_STEP) return state;
+  const kept = listTickets(state).filter(
+    (ticket, index) =>
+      index < MAX_TICKETS || ticket.number === state.newest || isInForce(state, ticket),
+  );
+  return kept.reduce(withTicket, { ...state, pages: {}, ticketCount: 0 });
 }
 
 /** Drops the oldest tickets that are not in force, and the oldest refused entries, past their limits. */
--- a/packages/tickets/src/utils/refusal-of.ts
+++ b/packages/tickets/src/utils/refusal-of.ts
@@ -3,14 +3,14 @@
 import type { TicketState } from '../types/ticket-state.ts';
 import { lastChange } from './last-change.ts';
 import { objectsOf } from './objects-of.ts';
-import { own } from './own.ts';
+import { ticketAt } from './ticket-at.ts';
 
 const BEFORE_ALL = -1;
 
 /** Position of the ticket that `ticket` was written against; undefined when it was not accepted. */
 function positionOfBase(state: TicketState, { against }: Ticket): number | undefined {
   if (against === 0) return BEFORE_ALL;
-  const base = own(state.tickets, against);
+  const base = ticketAt(state, against);
   return base && !base.refusal ? base.position : undefined;
 }
 
--- a/packages/tickets/src/utils/ticket-fold.ts
+++ b/packages/tickets/src/utils/ticket-fold.ts
@@ -9,7 +9,8 @@
 const INITIAL: TicketState = {
   position: -1,
   newest: 0,
-  tickets: {},
+  pages: {},
+  ticketCount: 0,
   refusedEntries: [],
   services: {},
   tenants: {},
--- a/test/tickets/fold.test.ts
+++ b/test/tickets/fold.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { ticketStatus } from '@ragwortrudder/tickets';
+import { listTickets, ticketStatus } from '@ragwortrudder/tickets';
 import { fold, quotes, service, ticket, word } from './parts.ts';
 
 const ALL_APPLIED = { brno: 1_000 };
@@ -149,7 +149,10 @@
     { body: { kind: 'move-word', ticket: 'x' } },
   ]);
   t.is(state.ignored, 3);
-  t.deepEqual(Object.keys(state.tickets), ['1']);
+  t.deepEqual(
+    listTickets(state).map(({ number }) => number),
+    [1],
+  );
 });
 
 test('old tickets that are not in force are dropped, those in force are kept', (t) => {
@@ -158,7 +161,8 @@
     quotes(index + 2, index + 1, 'v1', { fencing: index % 2 === 0 }),
   );
   const state = fold([other, ...many]);
-  t.true(Object.keys(state.tickets).length < 4_700);
+  t.true(listTickets(state).length < 4_700);
+  t.is(listTickets(state).length, state.ticketCount);
   t.is(ticketStatus(state, 1, {}).status, 'accepted');
   t.is(ticketStatus(state, 2, {}).status, 'unknown');
   t.is(ticketStatus(state, 5_001, {}).status, 'accepted');
--- a/test/tickets/model.test.ts
+++ b/test/tickets/model.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { ticketFold, ticketStatus } from '@ragwortrudder/tickets';
+import { ticketAt, ticketFold, ticketStatus } from '@ragwortrudder/tickets';
 import type { TicketState } from '@ragwortrudder/tickets';
 import { service } from './parts.ts';
 
@@ -139,10 +139,10 @@
     });
     const state = statesOf(list).at(-1) ?? ticketFold.initial;
     for (const [number, { id, isAccepted }] of model.verdicts) {
-      t.is(state.tickets[number]?.entryId, id);
+      t.is(ticketAt(state, number)?.entryId, id);
       t.is(ticketStatus(state, number, {}).status !== 'refused', isAccepted);
     }
-    t.is(Object.keys(state.tickets).length, model.verdicts.size);
+    t.is(state.ticketCount, model.verdicts.size);
     for (const [name, version] of model.effective) {
       t.is(state.services[name]?.effectiveVersion, version);
     }
