--- a/packages/log/src/node/group-commit.ts
+++ b/packages/log/src/node/group-commit.ts
@@ -105,6 +105,7 @@
       const write = this.#pending.get(id);
       if (!write) continue;
       this.#pending.delete(id);
+      this.#counters.entries += 1;
       write.resolve(position);
     }
   }
@@ -150,7 +151,6 @@
     for (const write of writes) write.mayBeSent = true;
     try {
       await this.#options.log.append({ id, body: { entries: writes.map(({ entry }) => entry) } });
-      this.#counters.entries += writes.length;
       this.#backoff.reset();
       return undefined;
     } catch (error) {
--- a/packages/log/src/node/log-follower.ts
+++ b/packages/log/src/node/log-follower.ts
@@ -32,6 +32,9 @@
 const POLL_WAIT_MS = 5_000;
 const PAGE_RECORDS = 500;
 const TAIL_RECORDS = 1_024;
+/** Shortest wait that counts as held by the log; a quicker empty answer is followed by a pause. */
+const MIN_POLL_MS = 20;
+const EMPTY_ANSWER_PAUSE_MS = 250;
 
 /**
  * Follows one stream of the log and folds it to a state that never goes back.
@@ -210,16 +213,30 @@
     const { signal } = this.#closing;
     while (!signal.aborted) {
       try {
-        await this.#readPage(this.#caughtUp ? this.#pollWaitMs : 0);
+        await this.#poll();
         this.#backoff.reset();
         this.#failure = undefined;
       } catch (error) {
         this.#failure = error instanceof Failure ? error : unexpected(error);
-        await sleep(this.#backoff.next(), undefined, { signal }).catch(() => undefined);
+        await this.#pause(this.#backoff.next());
       }
     }
   }
 
+  async #poll(): Promise<void> {
+    const waitMs = this.#caughtUp ? this.#pollWaitMs : 0;
+    const startedAt = performance.now();
+    const before = this.#next;
+    await this.#readPage(waitMs);
+    const isHeld = performance.now() - startedAt >= Math.min(waitMs, MIN_POLL_MS);
+    if (this.#next === before && !isHeld) await this.#pause(EMPTY_ANSWER_PAUSE_MS);
+  }
+
+  async #pause(ms: number): Promise<void> {
+    const { signal } = this.#closing;
+    await sleep(ms, undefined, { signal }).catch(() => undefined);
+  }
+
   /** Reads and folds one page; returns true at the end of the log. */
   async #readPage(waitMs: number): Promise<boolean> {
     const { signal } = this.#closing;
--- a/packages/log/src/types/group-commit-counters.ts
+++ b/packages/log/src/types/group-commit-counters.ts
@@ -2,7 +2,7 @@
 export interface GroupCommitCounters {
   /** Appends sent to the log, retries included. */
   readonly appends: number;
-  /** Entries carried by successful or retried appends, each entry counted once. */
+  /** Entries read back from the log. */
   readonly entries: number;
   /** Appends sent again after a failure. */
   readonly retries: number;
--- a/packages/tickets/src/index.ts
+++ b/packages/tickets/src/index.ts
@@ -20,3 +20,5 @@
 export { ticketAt } from './utils/ticket-at.ts';
 export { ticketFold } from './utils/ticket-fold.ts';
 export { ticketStatus } from './utils/ticket-status.ts';
+export type { Submission } from './types/submission.ts';
+export { submissionStatus } from './utils/submission-status.ts';
--- /dev/null
+++ b/packages/tickets/src/utils/submission-status.ts
@@ -0,0 +1,20 @@
+import type { Submission } from '../types/submission.ts';
+import type { TicketState } from '../types/ticket-state.ts';
+import type { TicketStatus } from '../types/ticket-status.ts';
+import { ticketAt } from './ticket-at.ts';
+import { ticketStatus } from './ticket-status.ts';
+
+/**
+ * Tells what has become of one submission of a ticket.
+ * It differs from the status of its number when another entry had used the number.
+ */
+export function submissionStatus(
+  state: TicketState,
+  { number, entryId }: Submission,
+  appliedByDomain: Readonly<Record<string, number>>,
+): TicketStatus {
+  const holder = ticketAt(state, number);
+  if (!holder || holder.entryId === entryId) return ticketStatus(state, number, appliedByDomain);
+  const refusal = { reason: 'number-used', lostTo: number, objects: [] } as const;
+  return { number, status: 'refused', refusal, inForce: {}, moves: [] };
+}
--- a/test/log/group-commit.test.ts
+++ b/test/log/group-commit.test.ts
@@ -82,6 +82,21 @@
   await closeAll(all);
 });
 
+test('a read-back that lags leads to a second copy; the write gets the first position', async (t) => {
+  const state = { appends: 0, isLagging: true };
+  const all = site({
+    loseReply: () => (state.appends += 1) === 1,
+    lagRecords: () => (state.isLagging ? 1 : 0),
+  });
+  const write = all.commit.write('a', { id: 'a' });
+  await until(() => state.appends === 2);
+  state.isLagging = false;
+  t.is(await write, 0);
+  t.is(all.log.next, 2);
+  t.is(all.commit.counters.entries, 1);
+  await closeAll(all);
+});
+
 test('a throttled append is sent again after the stated delay without a read-back', async (t) => {
   let calls = 0;
   const all = site({ throttleMs: () => ((calls += 1) === 1 ? 3 : undefined) });
--- a/test/tickets/fold.test.ts
+++ b/test/tickets/fold.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { listTickets, ticketStatus } from '@ragwortrudder/tickets';
+import { listTickets, submissionStatus, ticketStatus } from '@ragwortrudder/tickets';
 import { fold, quotes, service, ticket, word } from './parts.ts';
 
 const ALL_APPLIED = { brno: 1_000 };
@@ -46,6 +46,10 @@
     entryId: 'other',
     refusal: { reason: 'number-used', lostTo: 1 },
   });
+  t.is(submissionStatus(state, { number: 1, entryId: 'ticket-1' }, {}).status, 'accepted');
+  const lost = submissionStatus(state, { number: 1, entryId: 'other' }, {});
+  t.like(lost, { status: 'refused', refusal: { reason: 'number-used', lostTo: 1 } });
+  t.is(submissionStatus(state, { number: 5, entryId: 'other' }, {}).status, 'unknown');
 });
 
 test('a ticket against an unknown, a later or a refused one is refused', (t) => {
