--- /dev/null
+++ b/packages/node/src/errors/forwarded-refusal.ts
@@ -0,0 +1,19 @@
+import { Failure } from '@ragwortrudder/core';
+import type { RefusalData } from '../types/refusal-data.ts';
+
+/** A refusal of another node, passed on unchanged. */
+export class ForwardedRefusal extends Failure {
+  readonly code: string;
+
+  constructor(data: RefusalData) {
+    const { status, hint, retryable, notRun, retryAfterMs } = data;
+    super(data.message, {
+      status,
+      hint,
+      retryable,
+      notRun,
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    });
+    this.code = data.code;
+  }
+}
--- /dev/null
+++ b/packages/node/src/errors/runner-unavailable.ts
@@ -0,0 +1,15 @@
+import { Failure } from '@ragwortrudder/core';
+
+/** No runner of the service can take the request. */
+export class RunnerUnavailable extends Failure {
+  readonly code = 'runner-unavailable';
+
+  constructor(service: string, retryAfterMs: number) {
+    super(`no runner of ${service} can be reached`, {
+      status: 503,
+      retryable: true,
+      retryAfterMs,
+      hint: 'see: ragwortrudder status',
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/peers/peer-client.ts
@@ -0,0 +1,84 @@
+import { Agent } from 'node:http';
+import got from 'got';
+import { inject, injectable } from 'inversify';
+import { JSONRPCClient, JSONRPCErrorException } from 'json-rpc-2.0';
+import type { JSONRPCResponse } from 'json-rpc-2.0';
+import type { Closeable } from '@ragwortrudder/core';
+import type { Settings } from '@ragwortrudder/settings';
+import { PeerRefused } from '../../errors/peer-refused.ts';
+import { PeerUnreachable } from '../../errors/peer-unreachable.ts';
+import type { RpcMethod } from '../../types/rpc-method.ts';
+import { tokens } from '../../types/tokens.ts';
+import { Metrics } from '../metrics/metrics.ts';
+
+const MAX_SOCKETS_PER_PEER = 32;
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+interface PeerCall<P, R> {
+  /** Peer address, `host:port`. */
+  readonly address: string;
+  readonly method: RpcMethod<P, R>;
+  readonly params: P;
+  readonly timeoutMs: number;
+}
+
+/** Calls methods of other nodes. */
+@injectable()
+export class PeerClient implements Closeable {
+  readonly #key: string;
+  readonly #metrics: Metrics;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_PEER });
+
+  constructor(@inject(tokens.settings) settings: Settings, @inject(Metrics) metrics: Metrics) {
+    this.#key = settings.keys.peer;
+    this.#metrics = metrics;
+  }
+
+  /**
+   * Calls a method of a peer once.
+   * @throws {@link PeerUnreachable} when no answer came; the call may have taken effect.
+   * @throws {@link PeerRefused} when the peer answered with an error.
+   */
+  async call<P, R>(call: PeerCall<P, R>): Promise<R> {
+    const client = new JSONRPCClient(async (payload) => {
+      client.receive(await this.#post(call.address, JSON.stringify(payload), call.timeoutMs));
+    });
+    try {
+      const result: unknown = await client.request(call.method.name, call.params);
+      return call.method.result.parse(result);
+    } catch (error) {
+      if (error instanceof JSONRPCErrorException)
+        throw new PeerRefused(call.method.name, error.message);
+      this.#metrics.count('peer_call_failures', { method: call.method.name });
+      throw new PeerUnreachable(call.address, error);
+    }
+  }
+
+  close(): Promise<void> {
+    this.#agent.destroy();
+    return Promise.resolve();
+  }
+
+  async #post(address: string, body: string, timeoutMs: number): Promise<JSONRPCResponse> {
+    const answer = await got.post(`http://${address}/rpc`, {
+      body,
+      headers: {
+        'content-type': 'application/json',
+        authorization: `Bearer ${this.#key}`,
+        'user-agent': undefined,
+        'accept-encoding': undefined,
+      },
+      agent: { http: this.#agent },
+      timeout: { request: timeoutMs },
+      retry: { limit: 0 },
+      decompress: false,
+    });
+    this.#metrics.count('peer_bytes', { direction: 'out' }, body.length);
+    this.#metrics.count(
+      'peer_bytes',
+      { direction: 'in' },
+      Math.min(answer.body.length, MAX_ANSWER_BYTES),
+    );
+    return JSON.parse(answer.body) as JSONRPCResponse;
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/peers/peer-directory.ts
@@ -0,0 +1,145 @@
+import { inject, injectable } from 'inversify';
+import type { Closeable, Clock, Incarnation, Random } from '@ragwortrudder/core';
+import { Membership, SoftState } from '@ragwortrudder/membership';
+import type { Member, MembershipEvent } from '@ragwortrudder/membership';
+import type { Settings } from '@ragwortrudder/settings';
+import { membershipProbe } from '../../types/methods/membership-probe.ts';
+import { membershipProbeThrough } from '../../types/methods/membership-probe-through.ts';
+import { Report } from '../../types/report.ts';
+import { tokens } from '../../types/tokens.ts';
+import { StateLog } from '../metrics/state-log.ts';
+import { PeerClient } from './peer-client.ts';
+import { PeerMethods } from './peer-methods.ts';
+
+/** The other nodes and what they report about themselves. */
+@injectable()
+export class PeerDirectory implements Closeable {
+  readonly #membership: Membership<Report>;
+  readonly #reports: SoftState<Report>;
+  readonly #self: Incarnation;
+  readonly #seeds = new Set<string>();
+
+  constructor(
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.clock) clock: Clock,
+    @inject(tokens.random) random: Random,
+    @inject(tokens.incarnation) incarnation: Incarnation,
+    @inject(PeerClient) client: PeerClient,
+    @inject(PeerMethods) methods: PeerMethods,
+    @inject(StateLog) log: StateLog,
+  ) {
+    this.#self = incarnation;
+    this.#reports = new SoftState({
+      origin: incarnation,
+      accepts: (value): value is Report => Report.safeParse(value).success,
+    });
+    for (const seed of settings.seeds) this.#seeds.add(seed);
+    this.#membership = new Membership({
+      self: {
+        nodeId: settings.node.id,
+        incarnation: incarnation.number,
+        failureDomain: settings.node.failureDomain,
+        region: settings.node.region,
+        peerAddress: settings.advertise.peers,
+        callerAddress: settings.advertise.callers,
+      },
+      clock,
+      random,
+      reports: this.#reports,
+      seeds: () => [...this.#seeds],
+      settings: settings.membership,
+      transport: {
+        probe: (address, message, timeoutMs) =>
+          client.call({ address, method: membershipProbe, params: message, timeoutMs }),
+        probeThrough: (via, target, message, timeoutMs) =>
+          client.call({
+            address: via,
+            method: membershipProbeThrough,
+            params: { target, message },
+            timeoutMs,
+          }),
+      },
+    });
+    methods.serve(membershipProbe, (message) => this.#membership.handleProbe(message));
+    methods.serve(membershipProbeThrough, (probe) => this.#membership.handleIndirectProbe(probe));
+    this.#membership.subscribe(({ kind, member }) => {
+      log.record({ kind: 'member', subject: member.nodeId, state: kind });
+    });
+  }
+
+  /** This node as the others see it. */
+  get self(): Member {
+    return this.#membership.self;
+  }
+
+  /** Every member known, this node included. */
+  get members(): readonly Member[] {
+    return this.#membership.members;
+  }
+
+  /** Other nodes that are alive and take requests. */
+  get available(): readonly Member[] {
+    return this.members.filter(
+      (member) =>
+        member.nodeId !== this.#self.nodeId &&
+        member.state === 'alive' &&
+        this.#reports.get(member.nodeId)?.value.draining !== true,
+    );
+  }
+
+  /** Other nodes that may still answer. */
+  get reachable(): readonly Member[] {
+    return this.members.filter(
+      (member) =>
+        member.nodeId !== this.#self.nodeId &&
+        (member.state === 'alive' || member.state === 'suspect'),
+    );
+  }
+
+  /** Reports of all nodes, this one included. */
+  get reports(): readonly { readonly nodeId: string; readonly value: Report }[] {
+    return this.#reports.entries;
+  }
+
+  /** Member `nodeId`, alive or not. */
+  find(nodeId: string): Member | undefined {
+    return this.members.find((member) => member.nodeId === nodeId);
+  }
+
+  /** True when the incarnation has ended or was declared dead. */
+  isGone(incarnation: Incarnation): boolean {
+    return this.#membership.isGone(incarnation);
+  }
+
+  /** Adds a peer address to join through. */
+  addSeed(address: string): void {
+    this.#seeds.add(address);
+  }
+
+  /** Tells the others `report`. */
+  publish(report: Report): void {
+    this.#reports.publish(report);
+  }
+
+  /** Calls `listener` for each change of a member. */
+  subscribe(listener: (event: MembershipEvent) => void): () => void {
+    return this.#membership.subscribe(listener);
+  }
+
+  /** Failure domains and whether this node has contact with them. */
+  domains(): ReturnType<Membership<Report>['domainView']> {
+    return this.#membership.domainView();
+  }
+
+  start(): void {
+    this.#membership.start();
+  }
+
+  async leave(): Promise<void> {
+    await this.#membership.leave();
+  }
+
+  async close(): Promise<void> {
+    await this.#membership.close();
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/peers/peer-server.ts
@@ -0,0 +1,64 @@
+import { inject, injectable } from 'inversify';
+import type { Request, Response } from 'restify';
+import type { Closeable } from '@ragwortrudder/core';
+import type { Settings } from '@ragwortrudder/settings';
+import { Unauthorized } from '../../errors/unauthorized.ts';
+import { tokens } from '../../types/tokens.ts';
+import { bearerKey } from '../http/bearer-key.ts';
+import { HttpServer } from '../http/http-server.ts';
+import { KeyRing } from '../http/key-ring.ts';
+import { sendJson } from '../http/send-json.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { PeerMethods } from './peer-methods.ts';
+
+const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
+const NO_CONTENT = 204;
+
+/** HTTP server for calls of other nodes. */
+@injectable()
+export class PeerServer implements Closeable {
+  readonly #server: HttpServer;
+  readonly #keys: KeyRing<'peer'>;
+  readonly #methods: PeerMethods;
+
+  constructor(
+    @inject(tokens.settings) settings: Settings,
+    @inject(PeerMethods) methods: PeerMethods,
+    @inject(Metrics) metrics: Metrics,
+  ) {
+    this.#methods = methods;
+    this.#keys = new KeyRing([[settings.keys.peer, 'peer']]);
+    this.#server = new HttpServer({
+      name: 'ragwortrudder-peers',
+      ...settings.listen.peers,
+      ...settings.limits,
+      bodyBytes: MAX_MESSAGE_BYTES,
+      onFailure: (failure) => {
+        metrics.count('peer_refusals', { code: failure.code });
+      },
+    });
+    this.#server.route('post', '/rpc', (request, response) => this.#answer(request, response));
+  }
+
+  get port(): number {
+    return this.#server.port;
+  }
+
+  async listen(): Promise<void> {
+    await this.#server.listen();
+  }
+
+  async close(): Promise<void> {
+    await this.#server.close();
+  }
+
+  async #answer(request: Request, response: Response): Promise<void> {
+    if (!this.#keys.find(bearerKey(request))) throw new Unauthorized();
+    const body = request.body as unknown;
+    const answer = await this.#methods.receive(
+      Buffer.isBuffer(body) ? body.toString('utf8') : String(body),
+    );
+    if (answer) sendJson(response, 200, answer);
+    else response.writeHead(NO_CONTENT).end();
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/requests/key-forwarder.ts
@@ -0,0 +1,71 @@
+import { inject, injectable } from 'inversify';
+import type { Incarnation } from '@ragwortrudder/core';
+import { ExecutorUnreachable } from '../../errors/executor-unreachable.ts';
+import { ForwardedRefusal } from '../../errors/forwarded-refusal.ts';
+import { InProgressElsewhere } from '../../errors/in-progress-elsewhere.ts';
+import { OutcomeUnknown } from '../../errors/outcome-unknown.ts';
+import { requestsSubmit } from '../../types/methods/requests-submit.ts';
+import type { KeyedRequest } from '../../types/keyed-request.ts';
+import type { Submission } from '../../types/submission.ts';
+import { answeredEvents } from '../../utils/answered-events.ts';
+import { PeerClient } from '../peers/peer-client.ts';
+import { PeerDirectory } from '../peers/peer-directory.ts';
+import { KeyDirectory } from './key-directory.ts';
+
+const SUBMIT_TIMEOUT_MS = 5000;
+
+/** Passes a request under a key to the node that may run it, or finds what became of it. */
+@injectable()
+export class KeyForwarder {
+  readonly #client: PeerClient;
+  readonly #peers: PeerDirectory;
+  readonly #keys: KeyDirectory;
+
+  constructor(
+    @inject(PeerClient) client: PeerClient,
+    @inject(PeerDirectory) peers: PeerDirectory,
+    @inject(KeyDirectory) keys: KeyDirectory,
+  ) {
+    this.#client = client;
+    this.#peers = peers;
+    this.#keys = keys;
+  }
+
+  /**
+   * Submits `request` at `executor`; recalls its outcome when that incarnation has ended.
+   * @throws {@link ExecutorUnreachable} when the executor may live but does not answer.
+   */
+  async forward(request: KeyedRequest, executor: Incarnation): Promise<Submission> {
+    if (request.forwarded) throw new InProgressElsewhere(executor.nodeId);
+    if (this.#peers.isGone(executor)) return this.recall(request);
+    const member = this.#peers.find(executor.nodeId);
+    if (member?.incarnation !== executor.number) throw new ExecutorUnreachable(executor.nodeId);
+    const answer = await this.#client
+      .call({
+        address: member.peerAddress,
+        method: requestsSubmit,
+        params: { ...request, forwarded: true },
+        timeoutMs: SUBMIT_TIMEOUT_MS,
+      })
+      .catch(() => {
+        throw new ExecutorUnreachable(executor.nodeId);
+      });
+    if (answer.state === 'refused') throw new ForwardedRefusal(answer.refusal);
+    if (answer.state === 'answered') return { kind: 'answer', events: answer.events };
+    return { kind: 'request', id: answer.id };
+  }
+
+  /**
+   * Finds the request under the key, or its outcome, at any node that can be reached.
+   * @throws {@link OutcomeUnknown} when none knows it.
+   */
+  async recall(request: KeyedRequest): Promise<Submission> {
+    const found = await this.#keys.find(request.tenant, request.key);
+    if (found.requestId !== undefined) return { kind: 'request', id: found.requestId };
+    const { word, result } = found;
+    if (word === 'completed' || word === 'failed' || word === 'not-run') {
+      return { kind: 'answer', events: answeredEvents(request.key, word, result) };
+    }
+    throw new OutcomeUnknown(request.key);
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/requests/keyed-requests.ts
@@ -0,0 +1,192 @@
+import { inject, injectable } from 'inversify';
+import { AttemptLedger, ExecutorTable, decideClaim, parseKey } from '@ragwortrudder/claims';
+import type {
+  ClaimDecision,
+  ClaimQuery,
+  KeyTransfer,
+  OutcomeWord,
+  Owner,
+} from '@ragwortrudder/claims';
+import { digest } from '@ragwortrudder/core';
+import type { Clock, Incarnation, Random } from '@ragwortrudder/core';
+import type { AcceptedRequest } from '@ragwortrudder/requests';
+import { ClaimUnavailable } from '../../errors/claim-unavailable.ts';
+import type { RunPermit } from '../../types/run-permit.ts';
+import { tokens } from '../../types/tokens.ts';
+import { toClaimOwner } from '../../utils/to-claim-owner.ts';
+import { toIncarnation } from '../../utils/to-incarnation.ts';
+import { ClaimBoard } from '../configuration/claim-board.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { PeerDirectory } from '../peers/peer-directory.ts';
+import { ClaimedPermit } from './claimed-permit.ts';
+import { IssuedPermit } from './issued-permit.ts';
+import type { OwnedRequest } from './owned-request.ts';
+
+const RETRY_AFTER_MS = 1000;
+const CLAIM_VALID_MS = 10_000;
+const MAX_STEPS = 4;
+
+interface KeyUse {
+  readonly tenant: string;
+  readonly key: string;
+  readonly requestDigest: string;
+}
+
+/** Keeps non-idempotent requests to one run: by the log for callers' own keys, by this node for keys it issued. */
+@injectable()
+export class KeyedRequests {
+  /** Keys that this incarnation issued or was given. */
+  readonly executor: ExecutorTable;
+  readonly #self: Owner;
+  readonly #clock: Clock;
+  readonly #claims: ClaimBoard;
+  readonly #peers: PeerDirectory;
+  readonly #metrics: Metrics;
+  readonly #ledger = new AttemptLedger();
+  /** Former owners that gave a request to this node. */
+  readonly #handedOver = new Map<string, Owner>();
+  /** Outcomes that could not be written to the log yet. */
+  #unwritten: (() => Promise<void>)[] = [];
+
+  constructor(
+    @inject(tokens.incarnation) self: Incarnation,
+    @inject(tokens.clock) clock: Clock,
+    @inject(tokens.random) random: Random,
+    @inject(ClaimBoard) claims: ClaimBoard,
+    @inject(PeerDirectory) peers: PeerDirectory,
+    @inject(Metrics) metrics: Metrics,
+  ) {
+    this.#self = toClaimOwner(self);
+    this.#clock = clock;
+    this.#claims = claims;
+    this.#peers = peers;
+    this.#metrics = metrics;
+    this.executor = new ExecutorTable({ self: this.#self, clock, random });
+  }
+
+  /** Digest that tells two requests under one key apart. */
+  digestOf(request: Pick<AcceptedRequest, 'service' | 'input'>): string {
+    return digest([request.service, request.input]);
+  }
+
+  /** Incarnation that an issued key names; undefined for a caller's own key. */
+  executorOf(key: string): Owner | undefined {
+    return parseKey(key)?.executor;
+  }
+
+  /**
+   * Claims a caller's own key for this node, appending to the log as needed. The result is `run`
+   * with step `sending` once the claim is won.
+   * @throws {@link ClaimUnavailable} when the claim cannot be recorded; it will not be run here.
+   */
+  async claim(use: KeyUse, service: string): Promise<ClaimDecision> {
+    for (let step = 0; step < MAX_STEPS; step += 1) {
+      const decision = decideClaim(this.#claims.state, this.#queryOf(use));
+      if (decision.kind !== 'run' || decision.step === 'sending' || decision.step === 'send')
+        return decision;
+      if (decision.step === 'takeover') return decision;
+      await this.#appendClaim(use, service);
+    }
+    throw new ClaimUnavailable(RETRY_AFTER_MS);
+  }
+
+  /** What the log says about a caller's own key, without appending anything. */
+  look(use: KeyUse): ClaimDecision {
+    return decideClaim(this.#claims.state, { ...this.#queryOf(use), logAvailable: false });
+  }
+
+  /** Permission to send `owned` to a runner. */
+  permitOf({ request }: OwnedRequest): RunPermit {
+    const { tenant, key = '', keyKind } = request;
+    if (keyKind === 'issued') return new IssuedPermit(this.executor, key);
+    const use = { tenant, key, requestDigest: this.digestOf(request) };
+    return new ClaimedPermit({
+      claims: this.#claims,
+      ledger: this.#ledger,
+      query: this.#queryOf(use),
+    });
+  }
+
+  /** Records the outcome of `owned`; does nothing for an idempotent request. */
+  async finish(owned: OwnedRequest, word: OutcomeWord, result?: unknown): Promise<void> {
+    if (owned.request.idempotent) return;
+    const permit = this.permitOf(owned);
+    try {
+      await permit.finish(word, result);
+    } catch {
+      this.#metrics.count('outcomes_postponed', { word });
+      this.#unwritten.push(() => permit.finish(word, result));
+    }
+  }
+
+  /** Number of outcomes that could not be written yet. */
+  get unwritten(): number {
+    return this.#unwritten.length;
+  }
+
+  /** Writes the outcomes that could not be written before. */
+  async writePostponed(): Promise<void> {
+    if (!this.#claims.available) return;
+    const batch = this.#unwritten;
+    this.#unwritten = [];
+    const results = await Promise.allSettled(batch.map((write) => write()));
+    const failed = batch.filter((_, index) => results[index]?.status === 'rejected');
+    this.#unwritten.push(...failed);
+  }
+
+  /** Gives the right to run `request` to `to`, for good; undefined when it may already be running. */
+  giveAway(request: AcceptedRequest, to: Incarnation): KeyTransfer | 'claimed' | undefined {
+    const { tenant, key = '', keyKind } = request;
+    if (keyKind === 'issued') {
+      if (!this.executor.transferable().includes(key)) return undefined;
+      return this.executor.transfer(key, toClaimOwner(to));
+    }
+    const attempt = this.#claims.find(tenant, key)?.attempt;
+    return attempt !== undefined && this.#ledger.forfeit(attempt) ? 'claimed' : undefined;
+  }
+
+  /** Takes the right to run a request that `from` gave away. */
+  receive(request: AcceptedRequest, from: Incarnation, transfer: KeyTransfer | undefined): void {
+    if (request.idempotent || request.key === undefined) return;
+    this.#handedOver.set(`${request.tenant}/${request.key}`, toClaimOwner(from));
+    if (!transfer) return;
+    this.executor.receive(transfer);
+    this.executor.accept({
+      tenant: request.tenant,
+      key: request.key,
+      requestDigest: this.digestOf(request),
+    });
+  }
+
+  #queryOf(use: KeyUse): ClaimQuery {
+    const giver = this.#handedOver.get(`${use.tenant}/${use.key}`);
+    return {
+      ...use,
+      self: this.#self,
+      isGone: (owner) =>
+        (owner.node === giver?.node && owner.incarnation === giver.incarnation) ||
+        this.#peers.isGone(toIncarnation(owner)),
+      isStarted: (attempt) => this.#ledger.isStarted(attempt),
+      logAvailable: this.#claims.available,
+      retryAfterMs: RETRY_AFTER_MS,
+    };
+  }
+
+  async #appendClaim(use: KeyUse, service: string): Promise<void> {
+    try {
+      const position = await this.#claims.write({
+        type: 'claim',
+        ...use,
+        ...this.#self,
+        service,
+        validUntil: this.#clock.wall() + CLAIM_VALID_MS,
+      });
+      this.#metrics.count('claims', {
+        result: this.#claims.find(use.tenant, use.key)?.attempt === position ? 'won' : 'lost',
+      });
+    } catch {
+      this.#metrics.count('claims', { result: 'unavailable' });
+      throw new ClaimUnavailable(RETRY_AFTER_MS);
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/requests/local-events.ts
@@ -0,0 +1,91 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { inject, injectable } from 'inversify';
+import type { z } from 'zod';
+import { EventLog, ResumeDiverged, isFinal } from '@ragwortrudder/requests';
+import type { EventPosition, RequestEvent } from '@ragwortrudder/requests';
+import { requestsEvents } from '../../types/methods/requests-events.ts';
+import { PeerMethods } from '../peers/peer-methods.ts';
+import type { OwnedRequest } from './owned-request.ts';
+import { ReplicaStore } from './replica-store.ts';
+import { RequestTable } from './request-table.ts';
+
+type Answer = z.infer<typeof requestsEvents.result>;
+
+interface Read {
+  readonly id: string;
+  readonly tenant: string;
+  readonly after: EventPosition;
+  /** Time to wait for the first event in milliseconds. */
+  readonly waitMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Reads the events of requests that this node owns, or whose finished replica it holds. */
+@injectable()
+export class LocalEvents {
+  readonly #table: RequestTable;
+  readonly #replicas: ReplicaStore;
+
+  constructor(
+    @inject(RequestTable) table: RequestTable,
+    @inject(ReplicaStore) replicas: ReplicaStore,
+    @inject(PeerMethods) methods: PeerMethods,
+  ) {
+    this.#table = table;
+    this.#replicas = replicas;
+    methods.serve(requestsEvents, (params) => this.read(params));
+  }
+
+  /** Committed events after a position; waits for the first one while the request goes on here. */
+  async read(read: Read): Promise<Answer> {
+    const owned = this.#table.find(read.id);
+    if (!owned) return this.#readReplica(read);
+    if (owned.request.tenant !== read.tenant) return { state: 'forbidden' };
+    const events = eventsAfter(owned.events, read.after);
+    if (!events) return { state: 'diverged' };
+    if (events.length > 0) return { state: 'here', events };
+    if (owned.movedTo !== undefined) return { state: 'moved', nodeId: owned.movedTo };
+    await waitForChange(owned, read);
+    const later = eventsAfter(owned.events, read.after) ?? [];
+    if (later.length === 0 && owned.movedTo !== undefined)
+      return { state: 'moved', nodeId: owned.movedTo };
+    return { state: 'here', events: later };
+  }
+
+  /** Waits for `ms` milliseconds, or until `signal` aborts. */
+  async pause(ms: number, signal: AbortSignal): Promise<void> {
+    await sleep(ms, undefined, { signal }).catch(() => undefined);
+  }
+
+  #readReplica({ id, tenant, after }: Read): Answer {
+    const copy = this.#replicas.get(id);
+    if (!copy) return { state: 'absent' };
+    if (copy.request.tenant !== tenant) return { state: 'forbidden' };
+    if (!isFinal(copy.events.at(-1))) return { state: 'absent' };
+    const events = eventsAfter(new EventLog(id, copy.epoch, copy.events), after);
+    return events ? { state: 'here', events } : { state: 'diverged' };
+  }
+}
+
+function eventsAfter(log: EventLog, after: EventPosition): readonly RequestEvent[] | undefined {
+  try {
+    return log.after(after);
+  } catch (error) {
+    if (error instanceof ResumeDiverged) return undefined;
+    throw error;
+  }
+}
+
+async function waitForChange(owned: OwnedRequest, { waitMs, signal }: Read): Promise<void> {
+  await new Promise<void>((resolve) => {
+    const finish = (): void => {
+      clearTimeout(timer);
+      unsubscribe();
+      signal?.removeEventListener('abort', finish);
+      resolve();
+    };
+    const timer = setTimeout(finish, waitMs);
+    const unsubscribe = owned.events.subscribe(finish);
+    signal?.addEventListener('abort', finish);
+  });
+}
--- /dev/null
+++ b/packages/node/src/node/requests/owned-request.ts
@@ -0,0 +1,125 @@
+import { Chart, request as requestChart } from '@ragwortrudder/charts';
+import type { Clock } from '@ragwortrudder/core';
+import { isFinal } from '@ragwortrudder/requests';
+import type { AcceptedRequest, EventBody, EventLog, Outcome } from '@ragwortrudder/requests';
+import type { Metrics } from '../metrics/metrics.ts';
+import { AttemptHistory } from './attempt-history.ts';
+import type { Replication } from './replication.ts';
+
+interface OwnedRequestOptions {
+  readonly request: AcceptedRequest;
+  readonly events: EventLog;
+  readonly replication: Replication;
+  readonly metrics: Metrics;
+  readonly clock: Clock;
+}
+
+/** A request that this node must finish, or give to another node. */
+export class OwnedRequest {
+  readonly request: AcceptedRequest;
+  readonly events: EventLog;
+  readonly replication: Replication;
+  /** Attempts at running the request on this node. */
+  readonly attempts = new AttemptHistory();
+  readonly #metrics: Metrics;
+  readonly #clock: Clock;
+  readonly #chart = new Chart(requestChart);
+  readonly #ending = new AbortController();
+  readonly #startedAt: number;
+  #lastTokenAt: number | undefined;
+  #movedTo: string | undefined;
+  #endedAt: number | undefined;
+
+  constructor(options: OwnedRequestOptions) {
+    this.request = options.request;
+    this.events = options.events;
+    this.replication = options.replication;
+    this.#metrics = options.metrics;
+    this.#clock = options.clock;
+    this.#startedAt = options.clock.monotonic();
+    this.#chart.send('ACCEPT');
+  }
+
+  /** State of the chart `request`. */
+  get state(): string {
+    return this.#chart.state;
+  }
+
+  /** Aborts when the request ends, is cancelled or is given to another node. */
+  get signal(): AbortSignal {
+    return this.#ending.signal;
+  }
+
+  /** True once nothing more happens to the request on this node. */
+  get ended(): boolean {
+    return this.#chart.final;
+  }
+
+  /** Monotonic time in milliseconds at which the request ended here. */
+  get endedAt(): number | undefined {
+    return this.#endedAt;
+  }
+
+  /** Node that owns the request now, when it is another one. */
+  get movedTo(): string | undefined {
+    return this.#movedTo;
+  }
+
+  /** Time left until the deadline in milliseconds. */
+  get remainingMs(): number {
+    return this.request.deadline - this.#clock.wall();
+  }
+
+  /** Takes the chart's transition for `event` if there is one. */
+  advance(event: 'QUEUE' | 'DISPATCH' | 'RETRY'): void {
+    if (this.#chart.can(event)) this.#chart.send(event);
+  }
+
+  /** Adds an event to the answer; callers see it once a replica holds it. */
+  emit(body: EventBody): void {
+    if (this.ended || isFinal(this.events.events.at(-1))) return;
+    this.events.add(body);
+    if (body.type === 'token') this.#measureToken();
+    this.replication.flush().catch(() => undefined);
+  }
+
+  /** Ends the request with a whole answer. */
+  complete(tokens: number): void {
+    if (this.ended) return;
+    this.emit({ type: 'done', tokens });
+    this.#end('COMPLETE');
+    this.#metrics.observe('total', this.request, this.#clock.monotonic() - this.#startedAt);
+  }
+
+  /** Ends the request without a whole answer. */
+  fail(outcome: Outcome, event: 'FAIL' | 'CANCEL' | 'LOSE' = 'FAIL'): void {
+    if (this.ended) return;
+    this.emit({ type: 'failed', outcome });
+    this.#metrics.count('requests_failed', { code: outcome.code });
+    this.#end(event);
+  }
+
+  /** Notes that node `nodeId` owns the request from now on. */
+  transfer(nodeId: string): void {
+    if (this.events.finished) return;
+    this.#movedTo = nodeId;
+    if (!this.ended) this.#end('TRANSFER');
+    this.events.wake();
+  }
+
+  #end(event: string): void {
+    if (this.#chart.can(event)) this.#chart.send(event);
+    else this.#chart.send('FAIL');
+    this.#endedAt = this.#clock.monotonic();
+    this.#ending.abort();
+  }
+
+  #measureToken(): void {
+    const now = this.#clock.monotonic();
+    const last = this.#lastTokenAt;
+    if (last === undefined)
+      this.#metrics.observe('first_token', this.request, now - this.#startedAt);
+    else this.#metrics.observe('between_tokens', this.request, now - last);
+    this.#lastTokenAt = now;
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/requests/replica-link.ts
@@ -0,0 +1,47 @@
+import type { ReplicaUpdate, ReplicaVerdict } from '@ragwortrudder/requests';
+
+const MAX_UPDATES_PER_MESSAGE = 2048;
+
+type Send = (updates: readonly ReplicaUpdate[]) => Promise<readonly ReplicaVerdict[]>;
+
+interface Waiting {
+  readonly update: ReplicaUpdate;
+  readonly resolve: (verdict: ReplicaVerdict) => void;
+  readonly reject: (error: unknown) => void;
+}
+
+/** Sends replica updates to one node in order, one message at a time; what waits meanwhile shares the next. */
+export class ReplicaLink {
+  readonly #send: Send;
+  #queue: Waiting[] = [];
+  #isSending = false;
+
+  constructor(send: Send) {
+    this.#send = send;
+  }
+
+  /** Queues `update` and resolves with the holder's verdict. */
+  async send(update: ReplicaUpdate): Promise<ReplicaVerdict> {
+    return new Promise((resolve, reject) => {
+      this.#queue.push({ update, resolve, reject });
+      void this.#drain();
+    });
+  }
+
+  async #drain(): Promise<void> {
+    if (this.#isSending) return;
+    this.#isSending = true;
+    while (this.#queue.length > 0)
+      await this.#sendBatch(this.#queue.splice(0, MAX_UPDATES_PER_MESSAGE));
+    this.#isSending = false;
+  }
+
+  async #sendBatch(batch: readonly Waiting[]): Promise<void> {
+    try {
+      const verdicts = await this.#send(batch.map((item) => item.update));
+      for (const [index, item] of batch.entries()) item.resolve(verdicts[index] ?? 'missing');
+    } catch (error) {
+      for (const item of batch) item.reject(error);
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/requests/replica-links.ts
@@ -0,0 +1,57 @@
+import { inject, injectable } from 'inversify';
+import type { Incarnation } from '@ragwortrudder/core';
+import type { ReplicaUpdate, ReplicaVerdict } from '@ragwortrudder/requests';
+import type { Settings } from '@ragwortrudder/settings';
+import { replicasUpdate } from '../../types/methods/replicas-update.ts';
+import { tokens } from '../../types/tokens.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { PeerClient } from '../peers/peer-client.ts';
+import { ReplicaLink } from './replica-link.ts';
+
+/** One link to each node that holds replicas for this one. */
+@injectable()
+export class ReplicaLinks {
+  readonly #links = new Map<string, ReplicaLink>();
+  readonly #settings: Settings;
+  readonly #self: Incarnation;
+  readonly #client: PeerClient;
+  readonly #metrics: Metrics;
+
+  constructor(
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.incarnation) self: Incarnation,
+    @inject(PeerClient) client: PeerClient,
+    @inject(Metrics) metrics: Metrics,
+  ) {
+    this.#settings = settings;
+    this.#self = self;
+    this.#client = client;
+    this.#metrics = metrics;
+  }
+
+  /**
+   * Sends `update` to the node at `address`, together with others that wait.
+   * @throws `PeerUnreachable` when no answer came; the update may have taken effect.
+   */
+  async send(address: string, update: ReplicaUpdate): Promise<ReplicaVerdict> {
+    return this.#linkTo(address).send(update);
+  }
+
+  #linkTo(address: string): ReplicaLink {
+    const known = this.#links.get(address);
+    if (known) return known;
+    const link = new ReplicaLink(async (updates) => {
+      this.#metrics.count('replica_messages');
+      this.#metrics.count('replica_updates', {}, updates.length);
+      const { verdicts } = await this.#client.call({
+        address,
+        method: replicasUpdate,
+        params: { owner: this.#self, updates },
+        timeoutMs: this.#settings.requests.replicaTimeoutMs,
+      });
+      return verdicts;
+    });
+    this.#links.set(address, link);
+    return link;
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/requests/replication.ts
@@ -0,0 +1,159 @@
+import type { Clock, Incarnation } from '@ragwortrudder/core';
+import type { Member } from '@ragwortrudder/membership';
+import { nextEpoch } from '@ragwortrudder/requests';
+import type {
+  AcceptedRequest,
+  EventLog,
+  ReplicaUpdate,
+  ReplicaVerdict,
+  RequestCopy,
+} from '@ragwortrudder/requests';
+import { Superseded } from '../../errors/superseded.ts';
+import type { Metrics } from '../metrics/metrics.ts';
+import type { ReplicaLinks } from './replica-links.ts';
+
+const MAX_HOLDERS_TRIED = 3;
+
+interface ReplicationOptions {
+  readonly request: AcceptedRequest;
+  readonly events: EventLog;
+  readonly self: Incarnation;
+  readonly links: ReplicaLinks;
+  readonly metrics: Metrics;
+  readonly clock: Clock;
+  /** Chooses the next node to hold the replica; undefined when there is none. */
+  readonly chooseHolder: (excluded: ReadonlySet<string>) => Member | undefined;
+  /** Called once when another owner has taken the request over. */
+  readonly onSuperseded: () => void;
+}
+
+/**
+ * Keeps the replica of one request up to date and commits events once they are held there. When
+ * no peer can be reached events are committed without a replica, and counted.
+ */
+export class Replication {
+  readonly #options: ReplicationOptions;
+  readonly #failed = new Set<string>();
+  #holder: Member | undefined;
+  #confirmed: number;
+  #flushing: Promise<void> | undefined;
+  #stopped = false;
+
+  constructor(options: ReplicationOptions) {
+    this.#options = options;
+    this.#confirmed = 0;
+  }
+
+  /** Node that holds the replica now. */
+  get holder(): Member | undefined {
+    return this.#holder;
+  }
+
+  /** Replicates and commits all events added so far; at least puts the request on a holder. */
+  async flush(): Promise<void> {
+    do {
+      this.#flushing ??= this.#flushOnce().finally(() => {
+        this.#flushing = undefined;
+      });
+      await this.#flushing;
+    } while (!this.#stopped && this.#options.events.committed < this.#options.events.events.length);
+  }
+
+  /** Everything that another node needs to go on with the request. */
+  copy(): RequestCopy {
+    const { request, events, self } = this.#options;
+    return {
+      request,
+      owner: self,
+      epoch: events.epoch,
+      events: events.events,
+    };
+  }
+
+  /** Ends replication; the holder is told to drop its replica when `release` is true. */
+  stop(options: { readonly release: boolean }): void {
+    this.#stopped = true;
+    if (options.release && this.#holder) this.#release(this.#holder);
+  }
+
+  async #flushOnce(): Promise<void> {
+    const { events, metrics } = this.#options;
+    if (this.#stopped) return;
+    const upTo = events.events.length;
+    await this.#update(() => ({
+      kind: 'append',
+      id: this.#options.request.id,
+      epoch: events.epoch,
+      events: events.events.slice(this.#confirmed, upTo),
+    }));
+    if (!this.#holder) metrics.count('events_without_replica', {}, upTo - events.committed);
+    this.#confirmed = upTo;
+    events.commit(upTo);
+  }
+
+  /** Brings the holder to the state after `make()`, taking another holder when it does not answer. */
+  async #update(make: () => ReplicaUpdate): Promise<void> {
+    for (let tried = 0; tried < MAX_HOLDERS_TRIED; tried += 1) {
+      if (!this.#holder) {
+        await this.#adopt();
+        return;
+      }
+      const verdict = await this.#sendTo(this.#holder, make());
+      if (verdict === 'ok') return;
+      if (verdict === 'missing' && (await this.#put(this.#holder))) return;
+      this.#abandon(this.#holder);
+    }
+    await this.#adopt();
+  }
+
+  async #adopt(preferred?: Member): Promise<void> {
+    for (let tried = 0; tried < MAX_HOLDERS_TRIED; tried += 1) {
+      const member =
+        (tried === 0 ? preferred : undefined) ?? this.#options.chooseHolder(this.#failed);
+      if (!member) return;
+      if (await this.#put(member)) {
+        this.#holder = member;
+        return;
+      }
+      this.#failed.add(member.nodeId);
+    }
+  }
+
+  async #put(member: Member): Promise<boolean> {
+    const verdict = await this.#sendTo(member, { kind: 'put', copy: this.copy() });
+    return verdict === 'ok';
+  }
+
+  async #sendTo(member: Member, update: ReplicaUpdate): Promise<ReplicaVerdict | undefined> {
+    try {
+      const verdict = await this.#options.links.send(member.peerAddress, update);
+      if (verdict === 'superseded') this.#lose();
+      return verdict;
+    } catch (error) {
+      if (error instanceof Superseded) throw error;
+      this.#options.metrics.count('replica_failures');
+      return undefined;
+    }
+  }
+
+  #lose(): void {
+    this.#stopped = true;
+    this.#options.onSuperseded();
+    throw new Superseded(this.#options.request.id);
+  }
+
+  #abandon(member: Member): void {
+    const { events, self } = this.#options;
+    this.#holder = undefined;
+    this.#failed.add(member.nodeId);
+    this.#release(member);
+    events.raiseEpoch(nextEpoch(events.epoch, self.nodeId));
+  }
+
+  #release(member: Member): void {
+    const { links, request, events } = this.#options;
+    links
+      .send(member.peerAddress, { kind: 'release', id: request.id, epoch: events.epoch })
+      .catch(() => undefined);
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/requests/request-desk.ts
@@ -0,0 +1,256 @@
+import { inject, injectable } from 'inversify';
+import type { ClaimDecision, KeyDecision, Owner } from '@ragwortrudder/claims';
+import type { Incarnation } from '@ragwortrudder/core';
+import type { RequestEvent } from '@ragwortrudder/requests';
+import type { Service } from '@ragwortrudder/tickets';
+import { ClaimUnavailable } from '../../errors/claim-unavailable.ts';
+import { ClassUnknown } from '../../errors/class-unknown.ts';
+import { ForwardedRefusal } from '../../errors/forwarded-refusal.ts';
+import { InputMismatch } from '../../errors/input-mismatch.ts';
+import { KeyRequired } from '../../errors/key-required.ts';
+import { KeyReused } from '../../errors/key-reused.ts';
+import { KeyUnusable } from '../../errors/key-unusable.ts';
+import { NodeNotReady } from '../../errors/node-not-ready.ts';
+import { OutcomeUnknown } from '../../errors/outcome-unknown.ts';
+import { TenantUnknown } from '../../errors/tenant-unknown.ts';
+import { requestsSubmit } from '../../types/methods/requests-submit.ts';
+import type { KeyedRequest } from '../../types/keyed-request.ts';
+import type { NewRequest } from '../../types/new-request.ts';
+import type { Submission } from '../../types/submission.ts';
+import { tokens } from '../../types/tokens.ts';
+import { answeredEvents } from '../../utils/answered-events.ts';
+import { toFailure } from '../../utils/to-failure.ts';
+import { toIncarnation } from '../../utils/to-incarnation.ts';
+import { toRefusalData } from '../../utils/to-refusal-data.ts';
+import { TicketBoard } from '../configuration/ticket-board.ts';
+import { NodeLife } from '../life/node-life.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { PeerMethods } from '../peers/peer-methods.ts';
+import { KeyForwarder } from './key-forwarder.ts';
+import { KeyedRequests } from './keyed-requests.ts';
+import type { OwnedRequest } from './owned-request.ts';
+import { RequestFactory } from './request-factory.ts';
+import { RequestTable } from './request-table.ts';
+import { ServiceGates } from './service-gates.ts';
+
+/** Accepts or refuses requests; a refusal is given at once and says whether anything was run. */
+@injectable()
+export class RequestDesk {
+  readonly #self: Incarnation;
+  readonly #life: NodeLife;
+  readonly #tickets: TicketBoard;
+  readonly #factory: RequestFactory;
+  readonly #table: RequestTable;
+  readonly #gates: ServiceGates;
+  readonly #keyed: KeyedRequests;
+  readonly #forwarder: KeyForwarder;
+  readonly #metrics: Metrics;
+  /** Requests under a key that are being claimed at the moment. */
+  readonly #claiming = new Map<string, Promise<Submission>>();
+
+  constructor(
+    @inject(tokens.incarnation) self: Incarnation,
+    @inject(NodeLife) life: NodeLife,
+    @inject(TicketBoard) tickets: TicketBoard,
+    @inject(RequestFactory) factory: RequestFactory,
+    @inject(RequestTable) table: RequestTable,
+    @inject(ServiceGates) gates: ServiceGates,
+    @inject(KeyedRequests) keyed: KeyedRequests,
+    @inject(KeyForwarder) forwarder: KeyForwarder,
+    @inject(PeerMethods) methods: PeerMethods,
+    @inject(Metrics) metrics: Metrics,
+  ) {
+    this.#self = self;
+    this.#life = life;
+    this.#tickets = tickets;
+    this.#factory = factory;
+    this.#table = table;
+    this.#gates = gates;
+    this.#keyed = keyed;
+    this.#forwarder = forwarder;
+    this.#metrics = metrics;
+    methods.serve(requestsSubmit, (request) => this.#submitForPeer(request));
+  }
+
+  /**
+   * Accepts a request of a caller, or finds the one that was accepted under the same key.
+   * @throws a `Failure` that says why the request is refused.
+   */
+  async submit(request: NewRequest): Promise<Submission> {
+    const service = this.#check(request);
+    if (service.idempotent) {
+      this.#checkReady();
+      return this.#accept(request, { idempotent: true });
+    }
+    if (request.key === undefined) throw new KeyRequired(request.service);
+    return this.#once({ ...request, key: request.key });
+  }
+
+  /**
+   * Issues a key that only this node may run.
+   * @throws {@link NodeNotReady} while the node takes no requests.
+   */
+  issueKey(tenant: string): string {
+    this.#checkReady();
+    return this.#keyed.executor.issue(tenant);
+  }
+
+  #checkReady(): void {
+    if (!this.#life.ready) throw new NodeNotReady(this.#life.state);
+  }
+
+  #check(request: NewRequest): Service {
+    const service = this.#tickets.service(request.service);
+    if (service.kind !== request.input.kind) throw new InputMismatch(request.service, service.kind);
+    if (!service.classes.includes(request.class))
+      throw new ClassUnknown(request.service, request.class);
+    if (!this.#tickets.state.tenants[request.tenant]?.share)
+      throw new TenantUnknown(request.tenant);
+    return service;
+  }
+
+  /** Queues a request, which becomes visible to the caller once a replica holds it. */
+  #accept(request: NewRequest, acceptance: Parameters<RequestFactory['create']>[1]): Submission {
+    const owned = this.#factory.create(request, acceptance);
+    this.#gates.of(request.service).offer(owned);
+    this.#enter(owned);
+    return { kind: 'request', id: owned.request.id };
+  }
+
+  #enter(owned: OwnedRequest): void {
+    this.#table.add(owned);
+    this.#metrics.count('requests_accepted', {
+      service: owned.request.service,
+      tenant: owned.request.tenant,
+    });
+    owned.replication.flush().catch(() => undefined);
+    queueMicrotask(() => {
+      this.#gates.of(owned.request.service).pump();
+    });
+  }
+
+  /** Handles requests under one key one after the other, so that the later ones find the first. */
+  async #once(request: KeyedRequest): Promise<Submission> {
+    const name = `${request.tenant}/${request.key}`;
+    const earlier = this.#claiming.get(name);
+    const current = (earlier ?? Promise.resolve())
+      .catch(() => undefined)
+      .then(() => this.#submitKeyed(request));
+    this.#claiming.set(name, current);
+    try {
+      return await current;
+    } finally {
+      if (this.#claiming.get(name) === current) this.#claiming.delete(name);
+    }
+  }
+
+  async #submitKeyed(request: KeyedRequest): Promise<Submission> {
+    const known = this.#table.findByKey(request.tenant, request.key);
+    if (known) return this.#attach(known, request);
+    const executor = this.#keyed.executorOf(request.key);
+    if (executor) return this.#submitIssued(request);
+    return this.#submitClaimed(request);
+  }
+
+  #attach(known: OwnedRequest, request: KeyedRequest): Submission {
+    if (this.#keyed.digestOf(known.request) !== this.#keyed.digestOf(request))
+      throw new KeyReused();
+    return { kind: 'request', id: known.request.id };
+  }
+
+  async #submitIssued(request: KeyedRequest): Promise<Submission> {
+    const use = this.#useOf(request);
+    if (!this.#keyed.executor.find(request.key))
+      return this.#followIssued(request, this.#keyed.executor.accept(use));
+    const owned = this.#factory.create(request, { idempotent: false, keyKind: 'issued' });
+    const isNew = this.#keyed.executor.find(request.key)?.state === 'reserved';
+    if (isNew) {
+      this.#checkReady();
+      this.#gates.of(request.service).offer(owned);
+    }
+    const decision = this.#keyed.executor.accept(use);
+    if (decision.kind === 'run') {
+      this.#enter(owned);
+      return { kind: 'request', id: owned.request.id };
+    }
+    this.#gates.of(request.service).withdraw(owned.request.id);
+    return this.#followIssued(request, decision);
+  }
+
+  async #followIssued(request: KeyedRequest, decision: KeyDecision): Promise<Submission> {
+    if (decision.kind === 'forward')
+      return this.#forwarder.forward(request, toIncarnation(decision.to));
+    if (decision.kind === 'answer')
+      return this.#answer(request.key, decision.word, decision.result);
+    if (decision.kind === 'refuse')
+      throw decision.reason === 'key-reused' ? new KeyReused() : new KeyUnusable(decision.reason);
+    return this.#forwarder.recall(request);
+  }
+
+  async #submitClaimed(request: KeyedRequest): Promise<Submission> {
+    this.#checkReady();
+    const use = this.#useOf(request);
+    const decision = await this.#keyed.claim(use, request.service);
+    if (decision.kind !== 'run') return this.#followClaimed(request, decision);
+    const acceptance = { idempotent: false, keyKind: 'claimed' } as const;
+    const owned = this.#factory.create(request, acceptance);
+    try {
+      this.#gates.of(request.service).offer(owned);
+    } catch (error) {
+      await this.#keyed.finish(owned, 'not-run');
+      throw error;
+    }
+    this.#enter(owned);
+    return { kind: 'request', id: owned.request.id };
+  }
+
+  async #followClaimed(
+    request: KeyedRequest,
+    decision: Exclude<ClaimDecision, { readonly kind: 'run' }>,
+  ): Promise<Submission> {
+    if (decision.kind === 'wait') return this.#followOwner(request, decision.owner);
+    if (decision.kind === 'answer')
+      return this.#answer(request.key, decision.word, decision.result);
+    if (decision.kind === 'unknown') throw new OutcomeUnknown(request.key);
+    if (decision.reason === 'key-reused') throw new KeyReused();
+    throw new ClaimUnavailable(decision.retryAfterMs ?? 0);
+  }
+
+  async #followOwner(request: KeyedRequest, owner: Owner): Promise<Submission> {
+    const isSelf = owner.node === this.#self.nodeId && owner.incarnation === this.#self.number;
+    if (isSelf) return this.#forwarder.recall(request);
+    return this.#forwarder.forward(request, toIncarnation(owner));
+  }
+
+  #answer(key: string, word: 'completed' | 'failed' | 'not-run', result: unknown): Submission {
+    return { kind: 'answer', events: answeredEvents(key, word, result) };
+  }
+
+  #useOf(request: KeyedRequest): {
+    readonly tenant: string;
+    readonly key: string;
+    readonly requestDigest: string;
+  } {
+    return {
+      tenant: request.tenant,
+      key: request.key,
+      requestDigest: this.#keyed.digestOf(request),
+    };
+  }
+
+  async #submitForPeer(request: KeyedRequest): Promise<PeerAnswer> {
+    try {
+      const submission = await this.submit(request);
+      if (submission.kind === 'request') return { state: 'accepted', id: submission.id };
+      return { state: 'answered', events: submission.events };
+    } catch (error) {
+      const failure = error instanceof ForwardedRefusal ? error : toFailure(error);
+      return { state: 'refused', refusal: toRefusalData(failure) };
+    }
+  }
+}
+
+type PeerAnswer =
+  | { readonly state: 'accepted'; readonly id: string }
+  | { readonly state: 'answered'; readonly events: readonly RequestEvent[] }
+  | { readonly state: 'refused'; readonly refusal: ReturnType<typeof toRefusalData> };
--- /dev/null
+++ b/packages/node/src/node/requests/request-factory.ts
@@ -0,0 +1,119 @@
+import { randomBytes } from 'node:crypto';
+import { inject, injectable } from 'inversify';
+import type { Clock, Incarnation, Random } from '@ragwortrudder/core';
+import type { Member } from '@ragwortrudder/membership';
+import { EventLog, formatRequestId, nextEpoch } from '@ragwortrudder/requests';
+import type { AcceptedRequest, RequestCopy } from '@ragwortrudder/requests';
+import type { NewRequest } from '../../types/new-request.ts';
+import { tokens } from '../../types/tokens.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { PeerDirectory } from '../peers/peer-directory.ts';
+import { OwnedRequest } from './owned-request.ts';
+import { ReplicaLinks } from './replica-links.ts';
+import { Replication } from './replication.ts';
+
+const SERIAL_BYTES = 9;
+
+interface Acceptance {
+  readonly idempotent: boolean;
+  readonly keyKind?: 'claimed' | 'issued';
+}
+
+/** Makes the requests that this node owns. */
+@injectable()
+export class RequestFactory {
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #self: Incarnation;
+  readonly #peers: PeerDirectory;
+  readonly #links: ReplicaLinks;
+  readonly #metrics: Metrics;
+
+  constructor(
+    @inject(tokens.clock) clock: Clock,
+    @inject(tokens.random) random: Random,
+    @inject(tokens.incarnation) self: Incarnation,
+    @inject(PeerDirectory) peers: PeerDirectory,
+    @inject(ReplicaLinks) links: ReplicaLinks,
+    @inject(Metrics) metrics: Metrics,
+  ) {
+    this.#clock = clock;
+    this.#random = random;
+    this.#self = self;
+    this.#peers = peers;
+    this.#links = links;
+    this.#metrics = metrics;
+  }
+
+  /** Makes a request from what a caller sent. */
+  create(from: NewRequest, { idempotent, keyKind }: Acceptance): OwnedRequest {
+    const holder = this.#chooseHolder(new Set());
+    const id = formatRequestId({
+      owner: this.#self.nodeId,
+      incarnation: this.#self.number,
+      holder: holder?.nodeId,
+      serial: randomBytes(SERIAL_BYTES).toString('base64url'),
+    });
+    const { tenant, service, class: requestClass, deadline, input, key } = from;
+    const request: AcceptedRequest = {
+      id,
+      tenant,
+      service,
+      class: requestClass,
+      deadline,
+      input,
+      idempotent,
+      acceptedAt: this.#clock.wall(),
+      ...(key === undefined || idempotent ? {} : { key }),
+      ...(keyKind ? { keyKind } : {}),
+    };
+    const events = new EventLog(id, nextEpoch(0, this.#self.nodeId));
+    events.add({ type: 'accepted', id });
+    return this.#own(request, events, holder);
+  }
+
+  /** Makes this node the owner of a request that another node owned. */
+  adopt(copy: RequestCopy): OwnedRequest {
+    const epoch = nextEpoch(copy.epoch, this.#self.nodeId);
+    return this.#own(copy.request, new EventLog(copy.request.id, epoch, copy.events), undefined);
+  }
+
+  #own(request: AcceptedRequest, events: EventLog, firstHolder: Member | undefined): OwnedRequest {
+    let preferred = firstHolder;
+    const replication = new Replication({
+      request,
+      events,
+      self: this.#self,
+      links: this.#links,
+      metrics: this.#metrics,
+      clock: this.#clock,
+      chooseHolder: (excluded) => {
+        const chosen = preferred ?? this.#chooseHolder(excluded);
+        preferred = undefined;
+        return chosen;
+      },
+      onSuperseded: () => {
+        this.#metrics.count('requests_superseded');
+        owned.transfer(replication.holder?.nodeId ?? '');
+      },
+    });
+    const owned = new OwnedRequest({
+      request,
+      events,
+      replication,
+      metrics: this.#metrics,
+      clock: this.#clock,
+    });
+    return owned;
+  }
+
+  /** A random node of another failure domain of the region, else of another region, else of the same domain. */
+  #chooseHolder(excluded: ReadonlySet<string>): Member | undefined {
+    const { self } = this.#peers;
+    const candidates = this.#peers.available.filter(({ nodeId }) => !excluded.has(nodeId));
+    const others = candidates.filter(({ failureDomain }) => failureDomain !== self.failureDomain);
+    const near = others.filter(({ region }) => region === self.region);
+    const pool = [near, others, candidates].find((members) => members.length > 0) ?? [];
+    return pool[Math.floor(this.#random.next() * pool.length)];
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/requests/request-locator.ts
@@ -0,0 +1,144 @@
+import { inject, injectable } from 'inversify';
+import type { Clock, Incarnation } from '@ragwortrudder/core';
+import { RequestUnknown, ResumeDiverged, isFinal, parseRequestId } from '@ragwortrudder/requests';
+import type { EventPosition, RequestEvent } from '@ragwortrudder/requests';
+import { Forbidden } from '../../errors/forbidden.ts';
+import { requestsEvents } from '../../types/methods/requests-events.ts';
+import { tokens } from '../../types/tokens.ts';
+import { PeerClient } from '../peers/peer-client.ts';
+import { PeerDirectory } from '../peers/peer-directory.ts';
+import { LocalEvents } from './local-events.ts';
+
+const POLL_WAIT_MS = 5000;
+const POLL_MARGIN_MS = 1500;
+const SEARCH_PAUSE_MS = 300;
+/** Time for which an owner or replica is searched before the caller is told to come back. */
+const SEARCH_MS = 12_000;
+
+interface Subscription {
+  readonly id: string;
+  readonly tenant: string;
+  readonly after: EventPosition;
+  readonly signal: AbortSignal;
+}
+
+type Batch =
+  | { readonly kind: 'events'; readonly events: readonly RequestEvent[] }
+  | { readonly kind: 'hint'; readonly nodeId: string }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'diverged' };
+
+/** Reads the events of a request wherever its owner or replica is. */
+@injectable()
+export class RequestLocator {
+  readonly #self: Incarnation;
+  readonly #clock: Clock;
+  readonly #client: PeerClient;
+  readonly #peers: PeerDirectory;
+  readonly #local: LocalEvents;
+
+  constructor(
+    @inject(tokens.incarnation) self: Incarnation,
+    @inject(tokens.clock) clock: Clock,
+    @inject(PeerClient) client: PeerClient,
+    @inject(PeerDirectory) peers: PeerDirectory,
+    @inject(LocalEvents) local: LocalEvents,
+  ) {
+    this.#self = self;
+    this.#clock = clock;
+    this.#client = client;
+    this.#peers = peers;
+    this.#local = local;
+  }
+
+  /**
+   * Yields the events after a position, to the last one, following the request from node to node.
+   * @throws `RequestUnknown` or `ResumeDiverged` when the answer cannot be continued.
+   */
+  async *events(subscription: Subscription): AsyncGenerator<RequestEvent> {
+    const name = parseRequestId(subscription.id);
+    if (!name) throw new RequestUnknown(subscription.id, { mayReturn: false });
+    let position = subscription.after;
+    let hint: string | undefined = name.owner;
+    let searchedSince: number | undefined;
+    while (!subscription.signal.aborted) {
+      const batch = await this.#read({ ...subscription, after: position }, [
+        hint,
+        name.owner,
+        name.holder,
+      ]);
+      hint = undefined;
+      if (batch.kind === 'events') {
+        searchedSince = undefined;
+        for (const event of batch.events) {
+          yield event;
+          position = { epoch: event.epoch, number: event.number };
+          if (isFinal(event)) return;
+        }
+        continue;
+      }
+      const now = this.#clock.monotonic();
+      searchedSince ??= now;
+      if (batch.kind === 'hint') hint = batch.nodeId;
+      if (now - searchedSince > SEARCH_MS) throw this.#notFound(subscription.id, batch);
+      if (batch.kind !== 'hint' && !this.#mayReturn(name.owner, name.incarnation, name.holder)) {
+        throw this.#notFound(subscription.id, batch);
+      }
+      await this.#local.pause(SEARCH_PAUSE_MS, subscription.signal);
+    }
+  }
+
+  /** Reads from this node, then from the nodes that may hold the request, the likeliest first. */
+  async #read(subscription: Subscription, likely: readonly (string | undefined)[]): Promise<Batch> {
+    const here = await this.#local.read({ ...subscription, waitMs: POLL_WAIT_MS });
+    if (here.state === 'here') return { kind: 'events', events: here.events };
+    const hints = here.state === 'moved' ? [here.nodeId] : [];
+    const others = this.#peers.reachable.map(({ nodeId }) => nodeId);
+    let found: Batch = here.state === 'diverged' ? { kind: 'diverged' } : { kind: 'absent' };
+    for (const nodeId of new Set([...hints, ...likely, ...others])) {
+      if (nodeId === undefined || nodeId === this.#self.nodeId) continue;
+      const answer = await this.#ask(nodeId, subscription);
+      if (answer.kind === 'events' || answer.kind === 'hint') return answer;
+      if (answer.kind === 'diverged') found = answer;
+    }
+    return found;
+  }
+
+  async #ask(nodeId: string, { id, tenant, after }: Subscription): Promise<Batch> {
+    const member = this.#peers.find(nodeId);
+    if (!member || member.state === 'dead' || member.state === 'left') return { kind: 'absent' };
+    try {
+      const answer = await this.#client.call({
+        address: member.peerAddress,
+        method: requestsEvents,
+        params: { id, tenant, after, waitMs: POLL_WAIT_MS },
+        timeoutMs: POLL_WAIT_MS + POLL_MARGIN_MS,
+      });
+      if (answer.state === 'here') return { kind: 'events', events: answer.events };
+      if (answer.state === 'moved') return { kind: 'hint', nodeId: answer.nodeId };
+      if (answer.state === 'forbidden') throw new Forbidden('reading this request');
+      return { kind: answer.state };
+    } catch (error) {
+      if (error instanceof Forbidden) throw error;
+      return { kind: 'absent' };
+    }
+  }
+
+  /** True while a node that may hold the request has not ended for certain. */
+  #mayReturn(owner: string, incarnation: number, holder: string | undefined): boolean {
+    const isOwnerGone = this.#peers.isGone({ nodeId: owner, number: incarnation });
+    const isOwnerHere = owner === this.#self.nodeId && incarnation === this.#self.number;
+    const holderState = holder === undefined ? 'dead' : this.#peers.find(holder)?.state;
+    const isHolderGone =
+      holderState === 'dead' || holderState === 'left' || holder === this.#self.nodeId;
+    return !(isOwnerGone || isOwnerHere) || !isHolderGone;
+  }
+
+  #notFound(id: string, batch: Batch): RequestUnknown | ResumeDiverged {
+    if (batch.kind === 'diverged') return new ResumeDiverged(id);
+    const name = parseRequestId(id);
+    const mayReturn =
+      name !== undefined && this.#mayReturn(name.owner, name.incarnation, name.holder);
+    return new RequestUnknown(id, { mayReturn });
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/requests/service-gates.ts
@@ -0,0 +1,145 @@
+import { inject, injectable } from 'inversify';
+import type { Clock, Random } from '@ragwortrudder/core';
+import type { Settings } from '@ragwortrudder/settings';
+import type { DeadlinePassed } from '../../errors/deadline-passed.ts';
+import type { Assignment } from '../../types/assignment.ts';
+import { tokens } from '../../types/tokens.ts';
+import { toOutcome } from '../../utils/to-outcome.ts';
+import { ServiceGate } from '../admission/service-gate.ts';
+import { TicketBoard } from '../configuration/ticket-board.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { ApplicationRuns } from '../runners/application-runs.ts';
+import { Dispatcher } from '../runners/dispatcher.ts';
+import { ModelRuns } from '../runners/model-runs.ts';
+import { RunnerPool } from '../runners/runner-pool.ts';
+import { KeyedRequests } from './keyed-requests.ts';
+import type { OwnedRequest } from './owned-request.ts';
+
+/** The gate of each service, and what happens when a request passes it. */
+@injectable()
+export class ServiceGates {
+  readonly #settings: Settings;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #tickets: TicketBoard;
+  readonly #dispatcher: Dispatcher;
+  readonly #models: ModelRuns;
+  readonly #applications: ApplicationRuns;
+  readonly #keyed: KeyedRequests;
+  readonly #metrics: Metrics;
+  readonly #gates = new Map<string, ServiceGate>();
+
+  constructor(
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.clock) clock: Clock,
+    @inject(tokens.random) random: Random,
+    @inject(TicketBoard) tickets: TicketBoard,
+    @inject(RunnerPool) pool: RunnerPool,
+    @inject(Dispatcher) dispatcher: Dispatcher,
+    @inject(ModelRuns) models: ModelRuns,
+    @inject(ApplicationRuns) applications: ApplicationRuns,
+    @inject(KeyedRequests) keyed: KeyedRequests,
+    @inject(Metrics) metrics: Metrics,
+  ) {
+    this.#settings = settings;
+    this.#clock = clock;
+    this.#random = random;
+    this.#tickets = tickets;
+    this.#dispatcher = dispatcher;
+    this.#models = models;
+    this.#applications = applications;
+    this.#keyed = keyed;
+    this.#metrics = metrics;
+    pool.subscribe(() => {
+      this.#pumpAll();
+    });
+    tickets.subscribe(() => {
+      this.#dropIdleGates();
+    });
+  }
+
+  /** Requests that wait for a runner. */
+  get queued(): number {
+    return [...this.#gates.values()].reduce((sum, gate) => sum + gate.size, 0);
+  }
+
+  /** Gate of `service`. */
+  of(service: string): ServiceGate {
+    const known = this.#gates.get(service);
+    if (known) return known;
+    const gate = this.#create(service);
+    this.#gates.set(service, gate);
+    return gate;
+  }
+
+  /** Ends what can no longer be answered in time, and starts what has room. */
+  check(): void {
+    for (const gate of this.#gates.values()) {
+      gate.expire();
+      gate.pump();
+    }
+    this.#models.check();
+  }
+
+  #pumpAll(): void {
+    for (const gate of this.#gates.values()) gate.pump();
+  }
+
+  #create(service: string): ServiceGate {
+    const { maxQueued, tenantQueued, interactiveWeight } = this.#settings.admission;
+    return new ServiceGate({
+      clock: this.#clock,
+      random: this.#random,
+      metrics: this.#metrics,
+      maxQueued,
+      maxTenantShare: Math.min(1, tenantQueued / maxQueued),
+      interactiveWeight,
+      tenantWeights: this.#tenantWeights(),
+      start: (owned) => this.#start(owned),
+      giveUp: (owned, failure) => {
+        this.#giveUp(owned, failure);
+      },
+    });
+  }
+
+  /** Gates take the tenants' weights when they are made; an idle gate is made anew after a change. */
+  #dropIdleGates(): void {
+    for (const [service, gate] of this.#gates) if (gate.size === 0) this.#gates.delete(service);
+  }
+
+  #tenantWeights(): ReadonlyMap<string, number> {
+    const { tenants } = this.#tickets.state;
+    return new Map(Object.entries(tenants).map(([name, { share }]) => [name, share?.weight ?? 1]));
+  }
+
+  #start(owned: OwnedRequest): boolean {
+    const assignment = this.#dispatcher.assign(owned);
+    if (!assignment) return false;
+    void this.#run(owned, assignment);
+    return true;
+  }
+
+  async #run(owned: OwnedRequest, assignment: Assignment): Promise<void> {
+    const isModel = owned.request.input.kind === 'model';
+    const runs = isModel ? this.#models : this.#applications;
+    try {
+      const again = await runs.run(owned, assignment);
+      if (again) this.of(owned.request.service).resume(owned);
+      else this.of(owned.request.service).pump();
+    } catch (error) {
+      this.#metrics.count('run_faults');
+      owned.fail({
+        code: 'internal-fault',
+        title: String(error),
+        retryable: owned.request.idempotent,
+        notRun: false,
+      });
+    }
+  }
+
+  #giveUp(owned: OwnedRequest, failure: DeadlinePassed): void {
+    const notRun = owned.attempts.started === 0;
+    if (notRun) void this.#keyed.finish(owned, 'not-run');
+    owned.fail({ ...toOutcome(failure), notRun });
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/runners/application-runs.ts
@@ -0,0 +1,210 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { RetryBudget, decideRetry } from '@ragwortrudder/admission';
+import { inject, injectable } from 'inversify';
+import type { Clock, Failure, Random } from '@ragwortrudder/core';
+import type { Settings } from '@ragwortrudder/settings';
+import { OutcomeUnknown } from '../../errors/outcome-unknown.ts';
+import { RunnerFailed } from '../../errors/runner-failed.ts';
+import { RunnerUnavailable } from '../../errors/runner-unavailable.ts';
+import type { Assignment } from '../../types/assignment.ts';
+import type { OperationAnswer } from '../../types/operation-answer.ts';
+import { tokens } from '../../types/tokens.ts';
+import { runnerLoadOf } from '../../utils/runner-load-of.ts';
+import { toOutcome } from '../../utils/to-outcome.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { VersionMoves } from '../moves/version-moves.ts';
+import { KeyedRequests } from '../requests/keyed-requests.ts';
+import type { OwnedRequest } from '../requests/owned-request.ts';
+import { ApplicationClient } from './application-client.ts';
+import { RunnerPool } from './runner-pool.ts';
+
+const RETRY_AFTER_MS = 1000;
+const MS_BEFORE_DEADLINE = 50;
+
+/** Runs requests on application runners, attempt by attempt. */
+@injectable()
+export class ApplicationRuns {
+  readonly #settings: Settings;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #pool: RunnerPool;
+  readonly #moves: VersionMoves;
+  readonly #client: ApplicationClient;
+  readonly #keyed: KeyedRequests;
+  readonly #metrics: Metrics;
+  readonly #budget: RetryBudget;
+
+  constructor(
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.clock) clock: Clock,
+    @inject(tokens.random) random: Random,
+    @inject(RunnerPool) pool: RunnerPool,
+    @inject(VersionMoves) moves: VersionMoves,
+    @inject(ApplicationClient) client: ApplicationClient,
+    @inject(KeyedRequests) keyed: KeyedRequests,
+    @inject(Metrics) metrics: Metrics,
+  ) {
+    this.#settings = settings;
+    this.#clock = clock;
+    this.#random = random;
+    this.#pool = pool;
+    this.#moves = moves;
+    this.#client = client;
+    this.#keyed = keyed;
+    this.#metrics = metrics;
+    this.#budget = new RetryBudget({ ratio: settings.requests.retryShare });
+  }
+
+  /** Makes one attempt; returns true when another one must follow. */
+  async run(owned: OwnedRequest, assignment: Assignment): Promise<boolean> {
+    owned.advance('DISPATCH');
+    if (owned.attempts.started === 0) this.#budget.firstTry(keyOf(owned), this.#clock.monotonic());
+    if (
+      !owned.request.idempotent &&
+      owned.attempts.started === 0 &&
+      !(await this.#begin(owned, assignment))
+    )
+      return false;
+    owned.attempts.start();
+    const answer = await this.#call(owned, assignment);
+    return this.#settle(owned, assignment, answer);
+  }
+
+  /** Takes the right to send a non-idempotent request; ends the request when there is none. */
+  async #begin(owned: OwnedRequest, { runner }: Assignment): Promise<boolean> {
+    const outcome = await this.#keyed.permitOf(owned).begin();
+    if (!outcome) return true;
+    if (outcome.notRun) void this.#keyed.finish(owned, 'not-run');
+    runner.limit.release({ outcome: 'ignored', latencyMs: 0 }, this.#clock.monotonic());
+    owned.fail(outcome);
+    return false;
+  }
+
+  async #call(owned: OwnedRequest, assignment: Assignment): Promise<OperationAnswer> {
+    const { runner, version } = assignment;
+    const { request } = owned;
+    const { input } = request;
+    if (input.kind !== 'application') return { kind: 'not-run', reason: 'not an operation' };
+    const startedAt = this.#clock.monotonic();
+    this.#pool.sent(runner);
+    runner.tracker.sent({ id: request.id, promptTokens: 0, blocks: [] }, startedAt);
+    this.#metrics.count('attempts', { service: request.service });
+    const answer = await this.#client.call({
+      endpoint: runner.identity.endpoint,
+      key: request.key,
+      operation: input.operation,
+      payload: input.payload,
+      idempotent: request.idempotent,
+      timeoutMs: Math.max(
+        MS_BEFORE_DEADLINE,
+        Math.min(
+          this.#settings.requests.operationTimeoutMs,
+          owned.remainingMs - MS_BEFORE_DEADLINE,
+        ),
+      ),
+      // A non-idempotent call is never broken off: its outcome would be unknown.
+      signal: request.idempotent ? owned.signal : new AbortController().signal,
+    });
+    const now = this.#clock.monotonic();
+    const latencyMs = now - startedAt;
+    const ok = answer.kind === 'completed' || answer.kind === 'refused';
+    runner.tracker.ended(request.id, ok, now);
+    runner.limit.release({ outcome: ok ? 'ok' : 'overloaded', latencyMs }, now);
+    this.#pool.record(runner, { ok, ...(ok ? { latencyMs } : {}) });
+    this.#moves.record({
+      service: request.service,
+      version,
+      route: request.class,
+      load: runnerLoadOf(this.#pool.view(runner)),
+      kind: ok ? 'success' : answer.kind === 'failed' ? 'failure' : 'excused',
+      ...(ok ? { latencyRatio: latencyMs / Math.max(1, assignment.expectedMs) } : {}),
+    });
+    return answer;
+  }
+
+  async #settle(
+    owned: OwnedRequest,
+    assignment: Assignment,
+    answer: OperationAnswer,
+  ): Promise<boolean> {
+    if (owned.ended) return false;
+    const { id } = assignment.runner.identity;
+    if (answer.kind === 'completed') {
+      await this.#keyed.finish(owned, 'completed', answer.result);
+      owned.emit({ type: 'result', result: answer.result });
+      owned.complete(0);
+      return false;
+    }
+    if (answer.kind === 'refused') {
+      await this.#keyed.finish(owned, 'failed', { status: answer.status });
+      owned.fail({
+        code: 'operation-refused',
+        title: answer.reason,
+        retryable: false,
+        notRun: false,
+      });
+      return false;
+    }
+    owned.attempts.interrupt(id, 'failure');
+    this.#metrics.count('attempts_failed', { service: owned.request.service });
+    if (await this.#mayRetry(owned, answer)) return true;
+    await this.#giveUp(owned, id, answer);
+    return false;
+  }
+
+  async #mayRetry(owned: OwnedRequest, answer: OperationAnswer): Promise<boolean> {
+    const now = this.#clock.monotonic();
+    const decision = decideRetry({
+      request: {
+        key: keyOf(owned),
+        retriesLeft: this.#settings.requests.maxAttempts - owned.attempts.failed,
+        idempotent: owned.request.idempotent,
+        notRun: answer.kind === 'not-run',
+        deadlineAt: now + owned.remainingMs,
+        attempts: owned.attempts.failed,
+      },
+      budget: this.#budget,
+      random: this.#random,
+      now,
+    });
+    if (!decision.retry) return false;
+    await sleep(decision.delayMs, undefined, { signal: owned.signal }).catch(() => undefined);
+    owned.advance('RETRY');
+    this.#metrics.count('retries', { service: owned.request.service });
+    return true;
+  }
+
+  async #giveUp(owned: OwnedRequest, runnerId: string, answer: OperationAnswer): Promise<void> {
+    if (owned.request.idempotent) {
+      owned.fail(toOutcome(this.#failureOf(owned, runnerId, answer)));
+      return;
+    }
+    if (answer.kind === 'not-run') {
+      await this.#keyed.finish(owned, 'not-run');
+      owned.fail({
+        ...toOutcome(new RunnerUnavailable(owned.request.service, RETRY_AFTER_MS)),
+        notRun: true,
+      });
+      return;
+    }
+    const isFailed = answer.kind === 'failed';
+    await this.#keyed.finish(owned, isFailed ? 'failed' : 'unknown');
+    const failure = isFailed
+      ? this.#failureOf(owned, runnerId, answer)
+      : new OutcomeUnknown(owned.request.key ?? '');
+    owned.fail({ ...toOutcome(failure), retryable: false }, isFailed ? 'FAIL' : 'LOSE');
+  }
+
+  #failureOf(owned: OwnedRequest, runnerId: string, answer: OperationAnswer): Failure {
+    if (answer.kind === 'not-run')
+      return new RunnerUnavailable(owned.request.service, RETRY_AFTER_MS);
+    return new RunnerFailed(runnerId, 'reason' in answer ? answer.reason : answer.kind);
+  }
+}
+
+function keyOf({ request }: OwnedRequest): {
+  readonly endpoint: string;
+  readonly class: 'interactive' | 'batch';
+} {
+  return { endpoint: request.service, class: request.class === 'batch' ? 'batch' : 'interactive' };
+}
--- /dev/null
+++ b/packages/node/src/node/runners/dispatcher.ts
@@ -0,0 +1,100 @@
+import { inject, injectable } from 'inversify';
+import type { Random } from '@ragwortrudder/core';
+import type { RequestInput } from '@ragwortrudder/requests';
+import { prefixBlocks, routingPolicyOf } from '@ragwortrudder/routing';
+import type { RoutingPolicy, RoutingRequest, RunnerView } from '@ragwortrudder/routing';
+import type { Settings } from '@ragwortrudder/settings';
+import type { Assignment } from '../../types/assignment.ts';
+import { tokens } from '../../types/tokens.ts';
+import { countTokens } from '../../utils/count-tokens.ts';
+import { VersionMoves } from '../moves/version-moves.ts';
+import type { OwnedRequest } from '../requests/owned-request.ts';
+import { RunnerPool } from './runner-pool.ts';
+
+/** Chooses the runner of each attempt. */
+@injectable()
+export class Dispatcher {
+  readonly #pool: RunnerPool;
+  readonly #moves: VersionMoves;
+  readonly #random: Random;
+  readonly #failureDomain: string;
+  readonly #modelPolicy: RoutingPolicy;
+  readonly #applicationPolicy = routingPolicyOf('two-choices');
+
+  constructor(
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.random) random: Random,
+    @inject(RunnerPool) pool: RunnerPool,
+    @inject(VersionMoves) moves: VersionMoves,
+  ) {
+    this.#pool = pool;
+    this.#moves = moves;
+    this.#random = random;
+    this.#failureDomain = settings.node.failureDomain;
+    this.#modelPolicy = routingPolicyOf(settings.runners.policy);
+  }
+
+  /** Reserves room on a runner for the next attempt at `owned`; undefined when none has room. */
+  assign(owned: OwnedRequest): Assignment | undefined {
+    const { service } = owned.request;
+    if (!this.#hasRoom(this.#pool.views(service))) return undefined;
+    const versions = this.#moves.versionsFor(service);
+    for (const version of versions) {
+      const assignment = this.#assignVersion(owned, version);
+      if (assignment) return assignment;
+      if (versions.length > 1) this.#release(owned, version);
+    }
+    return undefined;
+  }
+
+  /** Describes `owned` for routing, its generated tokens included. */
+  describe(owned: OwnedRequest, version: string): RoutingRequest {
+    const { id, service, input } = owned.request;
+    return {
+      id,
+      service,
+      version,
+      failureDomain: this.#failureDomain,
+      ...describeInput(input, owned.events.tokens),
+    };
+  }
+
+  #assignVersion(owned: OwnedRequest, version: string): Assignment | undefined {
+    const candidates = this.#pool
+      .views(owned.request.service, version)
+      .filter((view) => this.#isOpen(view));
+    const request = this.describe(owned, version);
+    const policy =
+      owned.request.input.kind === 'model' ? this.#modelPolicy : this.#applicationPolicy;
+    const options = { candidates, request, random: this.#random, cache: this.#pool.cache };
+    const choice =
+      policy.choose({ ...options, avoid: owned.attempts.avoid }) ?? policy.choose(options);
+    const runner = choice && this.#pool.find(choice.runner.id);
+    if (!runner?.limit.tryAcquire()) return undefined;
+    return { runner, version, request, expectedMs: choice?.estimate.totalMs ?? 0 };
+  }
+
+  /** Gives back what the choice of a version reserved that no runner of it has room for. */
+  #release(owned: OwnedRequest, version: string): void {
+    const { service, class: route } = owned.request;
+    this.#moves.record({ service, version, route, load: 0, kind: 'excused' });
+  }
+
+  #hasRoom(views: readonly RunnerView[]): boolean {
+    return views.some((view) => this.#isOpen(view));
+  }
+
+  #isOpen(view: RunnerView): boolean {
+    const limit = this.#pool.find(view.id)?.limit;
+    return view.state === 'ready' && limit !== undefined && limit.inFlight < limit.limit;
+  }
+}
+
+function describeInput(
+  input: RequestInput,
+  generated: readonly string[],
+): Pick<RoutingRequest, 'blocks' | 'promptTokens'> {
+  if (input.kind === 'application') return { blocks: [], promptTokens: 0 };
+  const text = [input.prompt, ...generated].join(' ');
+  return { blocks: prefixBlocks(text), promptTokens: countTokens(input.prompt) + generated.length };
+}
--- /dev/null
+++ b/packages/node/src/node/runners/runner-client.ts
@@ -0,0 +1,93 @@
+import { Agent } from 'node:http';
+import got from 'got';
+import { inject, injectable } from 'inversify';
+import type { z } from 'zod';
+import type { Closeable } from '@ragwortrudder/core';
+import type { Settings } from '@ragwortrudder/settings';
+import { CacheListing } from '../../types/cache-listing.ts';
+import { CachePage } from '../../types/cache-page.ts';
+import { RunnerLoad } from '../../types/runner-load.ts';
+import { tokens } from '../../types/tokens.ts';
+
+const MAX_SOCKETS_PER_RUNNER = 4;
+const KV_TIMEOUT_MS = 30_000;
+
+/** Reads and orders of a runner besides the requests themselves. */
+@injectable()
+export class RunnerClient implements Closeable {
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_RUNNER });
+  readonly #timeoutMs: number;
+
+  constructor(@inject(tokens.settings) settings: Settings) {
+    this.#timeoutMs = settings.requests.runnerConnectMs;
+  }
+
+  /** Reads the load report. */
+  async load(endpoint: string): Promise<RunnerLoad> {
+    return this.#get(`http://${endpoint}/load`, RunnerLoad);
+  }
+
+  /** Reads the load report on a connection of its own. */
+  async probe(endpoint: string): Promise<RunnerLoad> {
+    const answer = await got(`http://${endpoint}/load`, {
+      timeout: { request: this.#timeoutMs },
+      retry: { limit: 0 },
+      headers: { connection: 'close' },
+    }).json();
+    return RunnerLoad.parse(answer);
+  }
+
+  /** Reads cache events after `seq`. */
+  async cacheEvents(endpoint: string, seq: number): Promise<CachePage> {
+    return this.#get(`http://${endpoint}/cache/events?after=${seq}`, CachePage);
+  }
+
+  /** Reads all prefixes in the engine's cache. */
+  async cacheSnapshot(endpoint: string): Promise<CacheListing> {
+    return this.#get(`http://${endpoint}/cache/snapshot`, CacheListing);
+  }
+
+  /** Cancels a generation, on a connection of its own. */
+  async cancel(endpoint: string, requestId: string): Promise<void> {
+    await got.delete(`http://${endpoint}/generate/${encodeURIComponent(requestId)}`, {
+      timeout: { request: this.#timeoutMs },
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+    });
+  }
+
+  /** Copies the KV cache of a generation from one engine to another. */
+  async moveKv(options: {
+    readonly from: string;
+    readonly to: string;
+    readonly requestId: string;
+  }): Promise<void> {
+    const exported = await got(
+      `http://${options.from}/kv/${encodeURIComponent(options.requestId)}`,
+      {
+        timeout: { request: KV_TIMEOUT_MS },
+        retry: { limit: 0 },
+      },
+    ).text();
+    await got.post(`http://${options.to}/kv`, {
+      body: exported,
+      headers: { 'content-type': 'application/json' },
+      timeout: { request: KV_TIMEOUT_MS },
+      retry: { limit: 0 },
+    });
+  }
+
+  close(): Promise<void> {
+    this.#agent.destroy();
+    return Promise.resolve();
+  }
+
+  async #get<T>(url: string, schema: z.ZodType<T>): Promise<T> {
+    const answer = await got(url, {
+      agent: { http: this.#agent },
+      timeout: { request: this.#timeoutMs },
+      retry: { limit: 0 },
+    }).json();
+    return schema.parse(answer);
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/runners/runner-pool.ts
@@ -0,0 +1,234 @@
+import { inject, injectable } from 'inversify';
+import type { Clock, Closeable } from '@ragwortrudder/core';
+import { VmDirectory } from '@ragwortrudder/platform';
+import type { Vm } from '@ragwortrudder/platform';
+import { CacheDirectory, OutlierDetector, subset } from '@ragwortrudder/routing';
+import type { RequestOutcome, RunnerIdentity, RunnerView } from '@ragwortrudder/routing';
+import type { Settings } from '@ragwortrudder/settings';
+import { tokens } from '../../types/tokens.ts';
+import { PeriodicTask } from '../../utils/periodic-task.ts';
+import { runnerIdentityOf } from '../../utils/runner-identity-of.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { StateLog } from '../metrics/state-log.ts';
+import { Runner } from './runner.ts';
+import { RunnerClient } from './runner-client.ts';
+
+/** The runners that this node sends to: who they are, their load, and what their caches hold. */
+@injectable()
+export class RunnerPool implements Closeable {
+  readonly cache = new CacheDirectory();
+  readonly #settings: Settings;
+  readonly #clock: Clock;
+  readonly #client: RunnerClient;
+  readonly #metrics: Metrics;
+  readonly #log: StateLog;
+  readonly #directory: VmDirectory;
+  readonly #runners = new Map<string, Runner>();
+  readonly #outliers = new Map<string, OutlierDetector>();
+  readonly #leaving = new Map<string, number>();
+  readonly #listeners = new Set<() => void>();
+  readonly #tasks: readonly PeriodicTask[];
+
+  constructor(
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.clock) clock: Clock,
+    @inject(RunnerClient) client: RunnerClient,
+    @inject(Metrics) metrics: Metrics,
+    @inject(StateLog) log: StateLog,
+  ) {
+    this.#settings = settings;
+    this.#clock = clock;
+    this.#client = client;
+    this.#metrics = metrics;
+    this.#log = log;
+    this.#directory = new VmDirectory({ baseUrl: settings.platform.url });
+    const { directoryPeriodMs, loadPeriodMs, cachePeriodMs } = settings.runners;
+    const task = (name: string, periodMs: number, run: () => Promise<void>): PeriodicTask =>
+      new PeriodicTask({
+        periodMs,
+        run,
+        onFailure: () => {
+          metrics.count('runner_task_failures', { task: name });
+        },
+      });
+    this.#tasks = [
+      task('directory', directoryPeriodMs, () => this.#readDirectory()),
+      task('load', loadPeriodMs, () => this.#readLoads()),
+      task('cache', cachePeriodMs, () => this.#readCaches()),
+    ];
+  }
+
+  /** All runners known. */
+  get runners(): readonly Runner[] {
+    return [...this.#runners.values()];
+  }
+
+  /** Runner `id`, if it is known. */
+  find(id: string): Runner | undefined {
+    return this.#runners.get(id);
+  }
+
+  /** What a routing decision may know about the runners of `service` and, if given, `version`. */
+  views(service: string, version?: string): readonly RunnerView[] {
+    const now = this.#clock.monotonic();
+    return this.runners
+      .filter(({ identity }) => identity.service === service)
+      .filter(({ identity }) => version === undefined || identity.version === version)
+      .map((runner) => this.view(runner, now));
+  }
+
+  /** What a routing decision may know about `runner`. */
+  view(runner: Runner, now = this.#clock.monotonic()): RunnerView {
+    const { id, service } = runner.identity;
+    return runner.tracker.view(now, this.#outliers.get(service)?.isSetAside(id, now) ?? false);
+  }
+
+  /** Notes that a request was sent. */
+  sent(runner: Runner): void {
+    this.#outliers.get(runner.identity.service)?.sent(runner.identity.id, this.#clock.monotonic());
+  }
+
+  /** Takes in how a request on `runner` ended. */
+  record(runner: Runner, outcome: RequestOutcome): void {
+    const { id, service } = runner.identity;
+    const wasSetAside = this.#outliers.get(service)?.record(id, outcome, this.#clock.monotonic());
+    if (wasSetAside) this.#log.record({ kind: 'runner', subject: id, state: 'set-aside' });
+  }
+
+  /** Takes in a reclaim notice of a VM, whether or not its runner is known yet. */
+  markLeaving(vmId: string, reclaimAt: number): void {
+    const isNew = !this.#leaving.has(vmId);
+    this.#leaving.set(vmId, reclaimAt);
+    const runner = this.#runners.get(vmId);
+    if (!runner) return;
+    runner.reclaimAt = reclaimAt;
+    runner.tracker.setState('leaving');
+    if (isNew) this.#log.record({ kind: 'runner', subject: vmId, state: 'leaving' });
+  }
+
+  /** VMs with a reclaim notice. */
+  get leavingVms(): readonly string[] {
+    return [...this.#leaving.keys()];
+  }
+
+  /** Calls `listener` when runners were added or their load was read. */
+  subscribe(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  start(): void {
+    for (const task of this.#tasks) task.start();
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.#tasks.map((task) => task.close()));
+    await this.#directory.close();
+  }
+
+  async #readDirectory(): Promise<void> {
+    const vms = await this.#directory.list();
+    const listed = new Map(vms.map((vm) => [vm.id, vm]));
+    const identities = vms.map(runnerIdentityOf).filter((identity) => identity !== undefined);
+    const kept = new Set(this.#subsets(identities));
+    for (const identity of identities)
+      if (kept.has(identity.id)) this.#add(identity, listed.get(identity.id));
+    for (const id of this.#runners.keys()) if (!kept.has(id)) this.#remove(id);
+    for (const [service, outliers] of this.#outliers) outliers.setRunners(this.#idsOf(service));
+    this.#notify();
+  }
+
+  #subsets(identities: readonly RunnerIdentity[]): readonly string[] {
+    const groups = new Map<string, readonly RunnerIdentity[]>();
+    for (const identity of identities) {
+      const name = `${identity.service}/${identity.version}`;
+      groups.set(name, [...(groups.get(name) ?? []), identity]);
+    }
+    return [...groups.values()].flatMap((group) =>
+      subset({
+        nodeId: this.#settings.node.id,
+        runners: group.map(({ id }) => id),
+        size: this.#settings.runners.subsetSize,
+      }),
+    );
+  }
+
+  #add(identity: RunnerIdentity, vm: Vm | undefined): void {
+    const runner = this.#runners.get(identity.id) ?? this.#create(identity);
+    const reclaimAt = this.#leaving.get(identity.id);
+    if (reclaimAt !== undefined) runner.reclaimAt = reclaimAt;
+    runner.tracker.setState(
+      vm?.state === 'leaving' || reclaimAt !== undefined ? 'leaving' : 'ready',
+    );
+  }
+
+  #create(identity: RunnerIdentity): Runner {
+    const runner = new Runner(identity, this.#settings.admission.runnerLimit);
+    this.#runners.set(identity.id, runner);
+    if (identity.kind === 'model') this.cache.set(identity.id, runner.tracker.cache);
+    if (!this.#outliers.has(identity.service))
+      this.#outliers.set(identity.service, new OutlierDetector());
+    this.#log.record({ kind: 'runner', subject: identity.id, state: 'added' });
+    return runner;
+  }
+
+  #remove(id: string): void {
+    this.#runners.get(id)?.tracker.setState('gone');
+    this.#runners.delete(id);
+    this.cache.delete(id);
+    this.#log.record({ kind: 'runner', subject: id, state: 'removed' });
+  }
+
+  #idsOf(service: string): readonly string[] {
+    return this.runners
+      .filter(({ identity }) => identity.service === service)
+      .map(({ identity }) => identity.id);
+  }
+
+  async #readLoads(): Promise<void> {
+    await Promise.all(this.runners.map((runner) => this.#readLoad(runner)));
+    this.#notify();
+  }
+
+  async #readLoad(runner: Runner): Promise<void> {
+    const sentAt = this.#clock.monotonic();
+    try {
+      const { at, running, waiting, leaving, ...optional } = await this.#client.load(
+        runner.identity.endpoint,
+      );
+      const now = this.#clock.monotonic();
+      runner.tracker.roundTrip(now - sentAt);
+      const ageMs = Math.max(0, this.#clock.wall() - at);
+      runner.tracker.reported({ running, waiting, leaving, ...definedOf(optional) }, now - ageMs);
+    } catch {
+      this.#metrics.count('load_reads_failed');
+    }
+  }
+
+  async #readCaches(): Promise<void> {
+    const engines = this.runners.filter(({ identity }) => identity.kind === 'model');
+    await Promise.all(engines.map((runner) => this.#readCache(runner)));
+  }
+
+  async #readCache({ identity, tracker }: Runner): Promise<void> {
+    const { cache } = tracker;
+    try {
+      const { events } = await this.#client.cacheEvents(identity.endpoint, cache.seq);
+      cache.apply(events, this.#clock.monotonic());
+      if (cache.needsSnapshot) cache.restore(await this.#client.cacheSnapshot(identity.endpoint));
+    } catch {
+      this.#metrics.count('cache_reads_failed');
+    }
+  }
+
+  #notify(): void {
+    for (const listener of [...this.#listeners]) listener();
+  }
+}
+
+/** Drops members that are undefined, as exact optional members require. */
+function definedOf<T extends object>(value: T): { [K in keyof T]: Exclude<T[K], undefined> } {
+  return Object.fromEntries(
+    Object.entries(value).filter(([, item]) => item !== undefined),
+  ) as never;
+}
--- /dev/null
+++ b/packages/node/src/types/operation-answer.ts
@@ -0,0 +1,7 @@
+/** What an application runner's answer proves about an operation. */
+export type OperationAnswer =
+  | { readonly kind: 'completed'; readonly result: unknown }
+  | { readonly kind: 'refused'; readonly status: number; readonly reason: string }
+  | { readonly kind: 'not-run'; readonly reason: string }
+  | { readonly kind: 'failed'; readonly reason: string }
+  | { readonly kind: 'unknown'; readonly reason: string };
--- /dev/null
+++ b/packages/node/src/types/run-permit.ts
@@ -0,0 +1,13 @@
+import type { OutcomeWord } from '@ragwortrudder/claims';
+import type { Outcome } from '@ragwortrudder/requests';
+
+/** Permission to send one non-idempotent request, and the place where its outcome is recorded. */
+export interface RunPermit {
+  /**
+   * Takes the right to send; to be called once, right before the first byte.
+   * Returns the final outcome when the request must not be sent.
+   */
+  begin(): Promise<Outcome | undefined>;
+  /** Records the outcome after `begin`, or `not-run` in its place. */
+  finish(word: OutcomeWord, result?: unknown): Promise<void>;
+}
--- /dev/null
+++ b/packages/node/src/types/tokens.ts
@@ -0,0 +1,18 @@
+import type { Clock, Incarnation, Random } from '@ragwortrudder/core';
+import type { Settings } from '@ragwortrudder/settings';
+import type { ServiceIdentifier } from 'inversify';
+
+interface Tokens {
+  readonly settings: ServiceIdentifier<Settings>;
+  readonly clock: ServiceIdentifier<Clock>;
+  readonly random: ServiceIdentifier<Random>;
+  readonly incarnation: ServiceIdentifier<Incarnation>;
+}
+
+/** Identifiers of the dependencies that are not classes. */
+export const tokens: Tokens = {
+  settings: Symbol.for('settings'),
+  clock: Symbol.for('clock'),
+  random: Symbol.for('random'),
+  incarnation: Symbol.for('incarnation'),
+};
--- /dev/null
+++ b/packages/node/src/utils/count-tokens.ts
@@ -0,0 +1,5 @@
+/** Number of tokens of a text: its whitespace-separated words. */
+export function countTokens(text: string): number {
+  const trimmed = text.trim();
+  return trimmed === '' ? 0 : trimmed.split(/\s+/).length;
+}
--- /dev/null
+++ b/packages/node/src/utils/periodic-task.ts
@@ -0,0 +1,43 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Closeable } from '@ragwortrudder/core';
+
+interface PeriodicTaskOptions {
+  /** Pause between the end of one run and the start of the next, in milliseconds. */
+  readonly periodMs: number;
+  readonly run: () => Promise<void> | void;
+  /** Called when a run fails; the next run follows as usual. */
+  readonly onFailure: (error: unknown) => void;
+}
+
+/** Runs a task again and again, never twice at a time. */
+export class PeriodicTask implements Closeable {
+  readonly #options: PeriodicTaskOptions;
+  readonly #closing = new AbortController();
+  #running: Promise<void> | undefined;
+
+  constructor(options: PeriodicTaskOptions) {
+    this.#options = options;
+  }
+
+  /** Starts the task; does nothing when it was started before. */
+  start(): void {
+    this.#running ??= this.#loop();
+  }
+
+  async close(): Promise<void> {
+    this.#closing.abort();
+    await this.#running;
+  }
+
+  async #loop(): Promise<void> {
+    const { signal } = this.#closing;
+    while (!signal.aborted) {
+      try {
+        await this.#options.run();
+      } catch (error) {
+        this.#options.onFailure(error);
+      }
+      await sleep(this.#options.periodMs, undefined, { signal }).catch(() => undefined);
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/utils/to-refusal-data.ts
@@ -0,0 +1,16 @@
+import type { Failure } from '@ragwortrudder/core';
+import type { RefusalData } from '../types/refusal-data.ts';
+
+/** Data of `failure` for another node. */
+export function toRefusalData(failure: Failure): RefusalData {
+  const { code, message, hint, status, retryable, notRun, retryAfterMs } = failure;
+  return {
+    code,
+    message,
+    hint,
+    status,
+    retryable,
+    notRun,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  };
+}
--- a/packages/requests/src/types/replica-update.ts
+++ b/packages/requests/src/types/replica-update.ts
@@ -16,8 +16,6 @@
       events: z.array(RequestEvent).readonly(),
     })
     .readonly(),
-  z.strictObject({ kind: z.literal('sending'), id, epoch }).readonly(),
   z.strictObject({ kind: z.literal('release'), id, epoch }).readonly(),
-  z.strictObject({ kind: z.literal('promote'), id, epoch }).readonly(),
 ]);
 export type ReplicaUpdate = z.infer<typeof ReplicaUpdate>;
--- a/packages/requests/src/types/request-copy.ts
+++ b/packages/requests/src/types/request-copy.ts
@@ -10,8 +10,6 @@
     owner: Owner,
     epoch: z.number().int().min(1),
     events: z.array(RequestEvent).readonly(),
-    /** True once the owner may have sent a non-idempotent request to a runner. */
-    sending: z.boolean(),
   })
   .readonly();
 export type RequestCopy = z.infer<typeof RequestCopy>;
--- a/packages/requests/src/types/request-event.ts
+++ b/packages/requests/src/types/request-event.ts
@@ -2,9 +2,7 @@
 import { Outcome } from './outcome.ts';
 
 const EventBody = z.discriminatedUnion('type', [
-  z
-    .strictObject({ type: z.literal('accepted'), id: z.string(), replicas: z.number().int() })
-    .readonly(),
+  z.strictObject({ type: z.literal('accepted'), id: z.string() }).readonly(),
   z
     .strictObject({ type: z.literal('token'), index: z.number().int(), text: z.string() })
     .readonly(),
--- a/packages/requests/src/utils/event-log.ts
+++ b/packages/requests/src/utils/event-log.ts
@@ -58,10 +58,20 @@
     return event;
   }
 
+  /** Numbers later events under `epoch`, which must be larger than the present one. */
+  raiseEpoch(epoch: number): void {
+    this.#epoch = Math.max(this.#epoch, epoch);
+  }
+
   /** Makes all events up to `number` visible. */
   commit(number: number): void {
     if (number <= this.#committed) return;
     this.#committed = number;
+    this.wake();
+  }
+
+  /** Calls all listeners, as after a change of the request's owner. */
+  wake(): void {
     for (const listener of [...this.#listeners]) listener();
   }
 
--- a/packages/requests/src/utils/held-replica.ts
+++ b/packages/requests/src/utils/held-replica.ts
@@ -7,13 +7,11 @@
 export class HeldReplica {
   readonly #copy: RequestCopy;
   readonly #events: RequestEvent[];
-  #sending: boolean;
   #touchedAt: number;
 
   constructor(copy: RequestCopy, now: number) {
     this.#copy = copy;
     this.#events = [...copy.events];
-    this.#sending = copy.sending;
     this.#touchedAt = now;
   }
 
@@ -21,9 +19,13 @@
     return this.#copy.epoch;
   }
 
+  get request(): RequestCopy['request'] {
+    return this.#copy.request;
+  }
+
   /** Read-only copy as it stands now. */
   get copy(): RequestCopy {
-    return { ...this.#copy, events: [...this.#events], sending: this.#sending };
+    return { ...this.#copy, events: [...this.#events] };
   }
 
   /** Owner that sent the last update. */
@@ -41,13 +43,6 @@
     return isFinal(this.#events.at(-1));
   }
 
-  /** Records that the owner may have sent the request to a runner. */
-  markSending(now: number): ReplicaVerdict {
-    this.#sending = true;
-    this.#touchedAt = now;
-    return 'ok';
-  }
-
   /** Appends the events not yet held; `missing` when there is a gap before them. */
   append(events: readonly RequestEvent[], now: number): ReplicaVerdict {
     const fresh = events.filter((event) => event.number > this.#events.length);
--- a/packages/requests/src/utils/replica-table.ts
+++ b/packages/requests/src/utils/replica-table.ts
@@ -4,12 +4,10 @@
 import { nextEpoch } from './next-epoch.ts';
 import { HeldReplica } from './held-replica.ts';
 
-type OwnerUpdate = Exclude<ReplicaUpdate, { readonly kind: 'promote' }>;
-
 /**
  * Replicas that this node holds for other owners. The holder decides between an owner and its
  * successor: once it has promoted a request, every update of an earlier epoch is `superseded`, so
- * an owner that was paused can neither show an event nor send a non-idempotent request any more.
+ * an owner that was paused can show no further event.
  */
 export class ReplicaTable {
   readonly #replicas = new Map<string, HeldReplica>();
@@ -25,6 +23,14 @@
     return this.#replicas.get(id)?.copy;
   }
 
+  /** Replica of the request under an idempotency key, if held. */
+  findByKey(tenant: string, key: string): RequestCopy | undefined {
+    for (const replica of this.#replicas.values()) {
+      if (replica.request.key === key && replica.request.tenant === tenant) return replica.copy;
+    }
+    return undefined;
+  }
+
   /** Ids of the unfinished requests whose owner satisfies `test`. */
   ownedBy(test: (owner: RequestCopy['owner']) => boolean): readonly string[] {
     return [...this.#replicas]
@@ -32,8 +38,8 @@
       .map(([id]) => id);
   }
 
-  /** Applies an update of an owner, other than a promotion. */
-  apply(update: OwnerUpdate, now: number): ReplicaVerdict {
+  /** Applies an update of an owner. */
+  apply(update: ReplicaUpdate, now: number): ReplicaVerdict {
     const id = update.kind === 'put' ? update.copy.request.id : update.id;
     const epoch = update.kind === 'put' ? update.copy.epoch : update.epoch;
     if (epoch < this.#epochOf(id)) return 'superseded';
@@ -41,7 +47,6 @@
     if (update.kind === 'release') return this.#release(id);
     const held = this.#replicas.get(id);
     if (held?.epoch !== epoch) return 'missing';
-    if (update.kind === 'sending') return held.markSending(now);
     return held.append(update.events, now);
   }
 
