--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -29,3 +29,4 @@
 export { findClaim } from './utils/find-claim.ts';
 export { issueKey } from './utils/issue-key.ts';
 export { parseKey } from './utils/parse-key.ts';
+export { unattendedClaims } from './utils/unattended-claims.ts';
