--- a/packages/standins/src/utils/cache-events.ts
+++ b/packages/standins/src/utils/cache-events.ts
@@ -25,7 +25,7 @@
 /** Events of a prefix cache, published late and with gaps. */
 export class CacheEvents {
   readonly #options: CacheEventsOptions;
-  #entries: readonly Entry[] = [];
+  readonly #entries: Entry[] = [];
   #seq = 0;
 
   constructor(options: CacheEventsOptions) {
@@ -41,14 +41,17 @@
     const { clock, random, lossRate } = this.#options;
     this.#seq += 1;
     const lost = random.next() < lossRate;
-    const entry = { seq: this.#seq, kind, prefix, at: clock.monotonic(), lost };
-    this.#entries = [...this.#entries.slice(1 - MAX_EVENTS), entry];
+    this.#entries.push({ seq: this.#seq, kind, prefix, at: clock.monotonic(), lost });
+    if (this.#entries.length >= 2 * MAX_EVENTS) this.#entries.splice(0, MAX_EVENTS);
   }
 
   /** Events after number `after` that are published by now; `next` counts lost ones also. */
   read(after: number): Page {
     const visibleUntil = this.#options.clock.monotonic() - this.#options.delayMs;
-    const due = this.#entries.filter((entry) => entry.seq > after && entry.at <= visibleUntil);
+    const firstSeq = this.#entries[0]?.seq ?? 0;
+    const due = this.#entries
+      .slice(Math.max(0, after + 1 - firstSeq))
+      .filter((entry) => entry.at <= visibleUntil);
     const events = due
       .filter((entry) => !entry.lost)
       .map(({ seq, kind, prefix }) => ({ seq, kind, prefix }));
