--- a/packages/claims/src/types/claim-record.ts
+++ b/packages/claims/src/types/claim-record.ts
@@ -1,19 +1,21 @@
-import type { OutcomeWord } from './outcome-word.ts';
-import type { Owner } from './owner.ts';
+import { z } from 'zod';
+import { OutcomeWord } from './outcome-word.ts';
+import { Owner } from './owner.ts';
 
 /** What the log proves about one key of one tenant. */
-export interface ClaimRecord {
-  readonly tenant: string;
-  readonly key: string;
-  readonly service: string;
-  readonly requestDigest: string;
+export const ClaimRecord = z.strictObject({
+  tenant: z.string(),
+  key: z.string(),
+  service: z.string(),
+  requestDigest: z.string(),
   /** Position of the claim that opened the current attempt. */
-  readonly attempt: number;
+  attempt: z.number(),
   /** The only incarnation that may send this attempt. */
-  readonly owner: Owner;
+  owner: Owner.readonly(),
   /** `claimed` before the effective `sending`, then `sending`, then the outcome. */
-  readonly phase: 'claimed' | 'sending' | OutcomeWord;
-  readonly result?: unknown;
+  phase: z.union([z.enum(['claimed', 'sending']), OutcomeWord]),
+  result: z.unknown().optional(),
   /** Log time of the last effective entry, in milliseconds since the epoch. */
-  readonly changedAtMs: number;
-}
+  changedAtMs: z.number(),
+});
+export type ClaimRecord = Readonly<z.infer<typeof ClaimRecord>>;
--- a/packages/claims/src/types/claim-state.ts
+++ b/packages/claims/src/types/claim-state.ts
@@ -1,10 +1,12 @@
-import type { ClaimRecord } from './claim-record.ts';
+import { z } from 'zod';
+import { ClaimRecord } from './claim-record.ts';
 
 /** Fold of the stream `claims`; plain JSON, so that it can be kept in snapshots. */
-export interface ClaimState {
+export const ClaimState = z.strictObject({
   /** Latest entry time seen, in milliseconds since the epoch. */
-  readonly logTimeMs: number;
-  readonly retentionMs: number;
+  logTimeMs: z.number(),
+  retentionMs: z.number().positive(),
   /** Records by hash bucket, then by record name; an update copies one bucket only. */
-  readonly buckets: readonly Readonly<Record<string, ClaimRecord>>[];
-}
+  buckets: z.array(z.record(z.string(), ClaimRecord.readonly()).readonly()).min(1).readonly(),
+});
+export type ClaimState = Readonly<z.infer<typeof ClaimState>>;
--- a/packages/claims/src/utils/claim-fold.ts
+++ b/packages/claims/src/utils/claim-fold.ts
@@ -1,10 +1,11 @@
-import type { Entry, Fold } from '@ragwortrudder/log';
+import type { Entry, Fold, Snapshotter } from '@ragwortrudder/log';
 import { ClaimEntry } from '../types/claim-entry.ts';
 import type { ClaimOptions } from '../types/claim-options.ts';
 import type { ClaimRecord } from '../types/claim-record.ts';
 import type { ClaimState } from '../types/claim-state.ts';
 import { bucketOf } from './bucket-of.ts';
 import { claimName } from './claim-name.ts';
+import { claimSnapshotter } from './claim-snapshotter.ts';
 import { findClaim } from './find-claim.ts';
 import { nextClaimRecord } from './next-claim-record.ts';
 
@@ -32,9 +33,13 @@
   return next ? withRecord(now, next) : now;
 }
 
+interface ClaimFold extends Fold<ClaimState> {
+  readonly snapshotter: Snapshotter<ClaimState>;
+}
+
 /** Fold of the stream `claims`: the same prefix of the log gives the same state on every node. */
-export function claimFold(options: ClaimOptions = {}): Fold<ClaimState> {
+export function claimFold(options: ClaimOptions = {}): ClaimFold {
   const retentionMs = options.retentionMs ?? DEFAULT_RETENTION_MS;
   const buckets = Array.from({ length: BUCKETS }, () => ({}));
-  return { initial: { logTimeMs: 0, retentionMs, buckets }, apply };
+  return { initial: { logTimeMs: 0, retentionMs, buckets }, snapshotter: claimSnapshotter, apply };
 }
