--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
+export { serveCommand } from './commands/serve.ts';
 export { versionCommand } from './commands/version.ts';
--- /dev/null
+++ b/packages/node/src/errors/ticket-refused.ts
@@ -0,0 +1,19 @@
+import { Failure } from '@ragwortrudder/core';
+import type { Refusal } from '@ragwortrudder/tickets';
+
+/** The log holds a ticket that this one lost to. */
+export class TicketRefused extends Failure {
+  readonly code = 'ticket-refused';
+
+  constructor(number: number, refusal: Refusal) {
+    const winner = refusal.lostTo === null ? 'no accepted ticket' : `ticket ${refusal.lostTo}`;
+    super(
+      `ticket ${number} is refused (${refusal.reason}); it lost to ${winner} on ${refusal.objects.join(', ')}`,
+      {
+        status: 409,
+        notRun: true,
+        hint: 'read the state again, write the ticket against the newest one and give it a new number',
+      },
+    );
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/callers/event-stream.ts
@@ -0,0 +1,52 @@
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import { formatEventId } from '@ragwortrudder/requests';
+import type { RequestEvent } from '@ragwortrudder/requests';
+import { toFailure } from '../../utils/to-failure.ts';
+import { toProblem } from '../../utils/to-problem.ts';
+
+const HTTP_OK = 200;
+
+interface EventStreamOptions {
+  readonly response: ServerResponse;
+  readonly events: AsyncIterable<RequestEvent>;
+  /** Period of comment lines while there are no events, in milliseconds. */
+  readonly heartbeatMs: number;
+}
+
+/** Writes events to a caller as server-sent events, at the pace at which the caller reads. */
+export async function writeEventStream({
+  response,
+  events,
+  heartbeatMs,
+}: EventStreamOptions): Promise<void> {
+  response.writeHead(HTTP_OK, {
+    'content-type': 'text/event-stream',
+    'cache-control': 'no-store',
+    'x-accel-buffering': 'no',
+  });
+  response.flushHeaders();
+  const heartbeat = setInterval(() => response.write(': heartbeat\n\n'), heartbeatMs);
+  try {
+    for await (const event of events) {
+      if (response.destroyed) return;
+      const isBuffered = !response.write(formatEvent(event));
+      if (isBuffered) await Promise.race([once(response, 'drain'), once(response, 'close')]);
+    }
+  } catch (error) {
+    if (!response.destroyed) response.write(formatFault(error));
+  } finally {
+    clearInterval(heartbeat);
+    response.end();
+  }
+}
+
+function formatEvent(event: RequestEvent): string {
+  const { type, ...data } = event.body;
+  return `id: ${formatEventId(event)}\nevent: ${type}\ndata: ${JSON.stringify(data)}\n\n`;
+}
+
+/** The stream cannot go on here; the caller may resume it elsewhere. */
+function formatFault(error: unknown): string {
+  return `event: interrupted\ndata: ${JSON.stringify(toProblem(toFailure(error)))}\n\n`;
+}
--- /dev/null
+++ b/packages/node/src/node/daemon.ts
@@ -0,0 +1,157 @@
+import { inject, injectable } from 'inversify';
+import type { Clock, Closeable } from '@ragwortrudder/core';
+import type { Settings } from '@ragwortrudder/settings';
+import { tokens } from '../types/tokens.ts';
+import { PeriodicTask } from '../utils/periodic-task.ts';
+import { CallerServer } from './callers/caller-server.ts';
+import { RequestRoutes } from './callers/request-routes.ts';
+import { ClaimBoard } from './configuration/claim-board.ts';
+import { TicketBoard } from './configuration/ticket-board.ts';
+import { Metrics } from './metrics/metrics.ts';
+import { VersionMoves } from './moves/version-moves.ts';
+import { PeerClient } from './peers/peer-client.ts';
+import { PeerDirectory } from './peers/peer-directory.ts';
+import { PeerServer } from './peers/peer-server.ts';
+import { ReportPublisher } from './reports/report-publisher.ts';
+import { Departure } from './requests/departure.ts';
+import { KeyedRequests } from './requests/keyed-requests.ts';
+import { ReplicaStore } from './requests/replica-store.ts';
+import { RequestTable } from './requests/request-table.ts';
+import { ServiceGates } from './requests/service-gates.ts';
+import { Takeover } from './requests/takeover.ts';
+import { ApplicationClient } from './runners/application-client.ts';
+import { ModelClient } from './runners/model-client.ts';
+import { NoticeWatch } from './runners/notice-watch.ts';
+import { RunnerClient } from './runners/runner-client.ts';
+import { RunnerPool } from './runners/runner-pool.ts';
+
+const CHECK_PERIOD_MS = 50;
+const TAKEOVER_PERIOD_MS = 250;
+const SWEEP_PERIOD_MS = 5000;
+/** Part of the time until a reclaim that a planned stop may use. */
+const RECLAIM_MARGIN_MS = 500;
+
+/** One node: starts its parts in order and stops them in the reverse order. */
+@injectable()
+export class Daemon implements Closeable {
+  readonly #settings: Settings;
+  readonly #clock: Clock;
+  readonly #started: readonly (Closeable & { start(): void })[];
+  readonly #clients: readonly Closeable[];
+  readonly #callers: CallerServer;
+  readonly #peerServer: PeerServer;
+  readonly #peers: PeerDirectory;
+  readonly #departure: Departure;
+  readonly #routes: RequestRoutes;
+  readonly #reports: ReportPublisher;
+  readonly #tasks: readonly PeriodicTask[];
+  #leaving: Promise<void> | undefined;
+
+  constructor(
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.clock) clock: Clock,
+    @inject(CallerServer) callers: CallerServer,
+    @inject(RequestRoutes) routes: RequestRoutes,
+    @inject(PeerServer) peerServer: PeerServer,
+    @inject(PeerClient) peerClient: PeerClient,
+    @inject(PeerDirectory) peers: PeerDirectory,
+    @inject(TicketBoard) tickets: TicketBoard,
+    @inject(ClaimBoard) claims: ClaimBoard,
+    @inject(RunnerPool) pool: RunnerPool,
+    @inject(NoticeWatch) notices: NoticeWatch,
+    @inject(VersionMoves) moves: VersionMoves,
+    @inject(ReportPublisher) reports: ReportPublisher,
+    @inject(Departure) departure: Departure,
+    @inject(Takeover) takeover: Takeover,
+    @inject(ServiceGates) gates: ServiceGates,
+    @inject(KeyedRequests) keyed: KeyedRequests,
+    @inject(RequestTable) table: RequestTable,
+    @inject(ReplicaStore) replicas: ReplicaStore,
+    @inject(ModelClient) models: ModelClient,
+    @inject(ApplicationClient) applications: ApplicationClient,
+    @inject(RunnerClient) runners: RunnerClient,
+    @inject(Metrics) metrics: Metrics,
+  ) {
+    this.#settings = settings;
+    this.#clock = clock;
+    this.#callers = callers;
+    this.#routes = routes;
+    this.#peerServer = peerServer;
+    this.#peers = peers;
+    this.#departure = departure;
+    this.#reports = reports;
+    this.#started = [peers, tickets, claims, pool, notices, moves, reports];
+    this.#clients = [peerClient, models, applications, runners];
+    const task = (periodMs: number, run: () => Promise<void> | void): PeriodicTask =>
+      new PeriodicTask({
+        periodMs,
+        run,
+        onFailure: () => {
+          metrics.count('daemon_task_failures');
+        },
+      });
+    this.#tasks = [
+      task(CHECK_PERIOD_MS, () => {
+        gates.check();
+      }),
+      task(TAKEOVER_PERIOD_MS, () => {
+        takeover.check();
+      }),
+      task(SWEEP_PERIOD_MS, async () => {
+        replicas.forget(table.sweep());
+        replicas.sweep();
+        keyed.executor.prune();
+        await keyed.writePostponed();
+      }),
+    ];
+    notices.onOwnNotice((reclaimAt) => {
+      void this.stop(reclaimAt - this.#clock.wall() - RECLAIM_MARGIN_MS);
+    });
+    metrics.gauge('requests_open', 'Requests that this node must finish.', () => table.open);
+    metrics.gauge('requests_queued', 'Requests that wait for a runner.', () => gates.queued);
+  }
+
+  /** Ports that the node listens on. */
+  get ports(): { readonly callers: number; readonly peers: number } {
+    return { callers: this.#callers.port, peers: this.#peerServer.port };
+  }
+
+  async start(): Promise<void> {
+    await this.#peerServer.listen();
+    await this.#callers.listen();
+    for (const part of [...this.#started, ...this.#tasks]) part.start();
+  }
+
+  /**
+   * Stops gracefully within `graceMs`; later calls wait for the first.
+   * @default the grace period of the settings
+   */
+  async stop(graceMs = this.#settings.shutdown.graceMs): Promise<void> {
+    this.#leaving ??= this.#leave(Math.max(0, graceMs));
+    await this.#leaving;
+  }
+
+  /** Resolves once the node has stopped, for whatever reason. */
+  async stopped(): Promise<void> {
+    while (!this.#leaving) await new Promise((resolve) => setTimeout(resolve, CHECK_PERIOD_MS));
+    await this.#leaving;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.#tasks.map((task) => task.close()));
+    await this.#callers.close();
+    await Promise.all([...this.#started].reverse().map((part) => part.close()));
+    await this.#peerServer.close();
+    await Promise.all(this.#clients.map((client) => client.close()));
+  }
+
+  async #leave(totalMs: number): Promise<void> {
+    const openStreams = (): number => this.#routes.openStreams;
+    const departure = this.#departure.run({ totalMs, openStreams });
+    this.#reports.publish();
+    await departure;
+    this.#callers.stopAccepting();
+    await this.#peers.leave();
+    await this.close();
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/life/node-status.ts
@@ -0,0 +1,116 @@
+import { inject, injectable } from 'inversify';
+import type { Clock, Incarnation } from '@ragwortrudder/core';
+import type { Settings } from '@ragwortrudder/settings';
+import { tokens } from '../../types/tokens.ts';
+import { TicketBoard } from '../configuration/ticket-board.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { VersionMoves } from '../moves/version-moves.ts';
+import { PeerDirectory } from '../peers/peer-directory.ts';
+import { KeyedRequests } from '../requests/keyed-requests.ts';
+import { ReplicaStore } from '../requests/replica-store.ts';
+import { RequestTable } from '../requests/request-table.ts';
+import { ServiceGates } from '../requests/service-gates.ts';
+import { RunnerPool } from '../runners/runner-pool.ts';
+import { NodeLife } from './node-life.ts';
+
+/** What an operator sees of this node. */
+@injectable()
+export class NodeStatus {
+  readonly #settings: Settings;
+  readonly #self: Incarnation;
+  readonly #clock: Clock;
+  readonly #life: NodeLife;
+  readonly #tickets: TicketBoard;
+  readonly #peers: PeerDirectory;
+  readonly #pool: RunnerPool;
+  readonly #moves: VersionMoves;
+  readonly #table: RequestTable;
+  readonly #replicas: ReplicaStore;
+  readonly #gates: ServiceGates;
+  readonly #keyed: KeyedRequests;
+  readonly #metrics: Metrics;
+
+  constructor(
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.incarnation) self: Incarnation,
+    @inject(tokens.clock) clock: Clock,
+    @inject(NodeLife) life: NodeLife,
+    @inject(TicketBoard) tickets: TicketBoard,
+    @inject(PeerDirectory) peers: PeerDirectory,
+    @inject(RunnerPool) pool: RunnerPool,
+    @inject(VersionMoves) moves: VersionMoves,
+    @inject(RequestTable) table: RequestTable,
+    @inject(ReplicaStore) replicas: ReplicaStore,
+    @inject(ServiceGates) gates: ServiceGates,
+    @inject(KeyedRequests) keyed: KeyedRequests,
+    @inject(Metrics) metrics: Metrics,
+  ) {
+    this.#settings = settings;
+    this.#self = self;
+    this.#clock = clock;
+    this.#life = life;
+    this.#tickets = tickets;
+    this.#peers = peers;
+    this.#pool = pool;
+    this.#moves = moves;
+    this.#table = table;
+    this.#replicas = replicas;
+    this.#gates = gates;
+    this.#keyed = keyed;
+    this.#metrics = metrics;
+  }
+
+  /** Reads the status; holds no keys. */
+  async read(): Promise<unknown> {
+    const { id, failureDomain, region } = this.#settings.node;
+    const { lagMs, logReachable, applied, state } = this.#tickets;
+    return {
+      node: { id, failureDomain, region, incarnation: this.#self.number, state: this.#life.state },
+      log: {
+        reachable: logReachable,
+        lagMs: Number.isFinite(lagMs) ? Math.round(lagMs) : null,
+        next: applied.next,
+        newestTicket: state.newest,
+      },
+      services: state.services,
+      domains: this.#peers.domains(),
+      members: this.#peers.members.map(
+        ({ nodeId, incarnation, failureDomain: domain, state: memberState, callerAddress }) => ({
+          nodeId,
+          incarnation,
+          failureDomain: domain,
+          state: memberState,
+          callerAddress,
+        }),
+      ),
+      runners: this.#runners(),
+      moves: this.#moves.statuses,
+      requests: {
+        open: this.#table.open,
+        queued: this.#gates.queued,
+        replicas: this.#replicas.size,
+        unwrittenOutcomes: this.#keyed.unwritten,
+      },
+      refusals: await this.#metrics.by('refusals', 'code'),
+    };
+  }
+
+  #runners(): readonly unknown[] {
+    const now = this.#clock.monotonic();
+    return this.#pool.runners.map((runner) => {
+      const { id, service, version, state, setAside, loadAgeMs, inFlight, failureDomain } =
+        this.#pool.view(runner, now);
+      return {
+        id,
+        service,
+        version,
+        failureDomain,
+        state,
+        setAside,
+        loadAgeMs: Number.isFinite(loadAgeMs) ? Math.round(loadAgeMs) : null,
+        inFlight: inFlight.requests,
+        limit: runner.limit.limit,
+      };
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/reports/report-publisher.ts
@@ -0,0 +1,74 @@
+import { inject, injectable } from 'inversify';
+import { canonicalJson } from '@ragwortrudder/core';
+import type { Closeable } from '@ragwortrudder/core';
+import { PeriodicTask } from '../../utils/periodic-task.ts';
+import { TicketBoard } from '../configuration/ticket-board.ts';
+import { NodeLife } from '../life/node-life.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { VersionMoves } from '../moves/version-moves.ts';
+import { PeerDirectory } from '../peers/peer-directory.ts';
+import { RunnerPool } from '../runners/runner-pool.ts';
+
+const PERIOD_MS = 500;
+
+/** Publishes this node's report when it changed, at once when a version was found bad. */
+@injectable()
+export class ReportPublisher implements Closeable {
+  readonly #tickets: TicketBoard;
+  readonly #life: NodeLife;
+  readonly #moves: VersionMoves;
+  readonly #peers: PeerDirectory;
+  readonly #pool: RunnerPool;
+  readonly #task: PeriodicTask;
+  #published = '';
+
+  constructor(
+    @inject(TicketBoard) tickets: TicketBoard,
+    @inject(NodeLife) life: NodeLife,
+    @inject(VersionMoves) moves: VersionMoves,
+    @inject(PeerDirectory) peers: PeerDirectory,
+    @inject(RunnerPool) pool: RunnerPool,
+    @inject(Metrics) metrics: Metrics,
+  ) {
+    this.#tickets = tickets;
+    this.#life = life;
+    this.#moves = moves;
+    this.#peers = peers;
+    this.#pool = pool;
+    this.#task = new PeriodicTask({
+      periodMs: PERIOD_MS,
+      run: () => {
+        this.publish();
+      },
+      onFailure: () => {
+        metrics.count('report_task_failures');
+      },
+    });
+    moves.onBad(() => {
+      this.publish();
+    });
+  }
+
+  /** Publishes the report if it changed. */
+  publish(): void {
+    const report = {
+      tickets: this.#tickets.applied,
+      draining: !this.#life.ready,
+      evidence: this.#moves.evidence,
+      badMarks: this.#moves.marks,
+      leavingVms: this.#pool.leavingVms,
+    };
+    const text = canonicalJson(report);
+    if (text === this.#published) return;
+    this.#published = text;
+    this.#peers.publish(report);
+  }
+
+  start(): void {
+    this.#task.start();
+  }
+
+  async close(): Promise<void> {
+    await this.#task.close();
+  }
+}
--- a/packages/node/src/node/requests/local-events.ts
+++ b/packages/node/src/node/requests/local-events.ts
@@ -41,15 +41,10 @@
     const owned = this.#table.find(read.id);
     if (!owned) return this.#readReplica(read);
     if (owned.request.tenant !== read.tenant) return { state: 'forbidden' };
-    const events = eventsAfter(owned.events, read.after);
-    if (!events) return { state: 'diverged' };
-    if (events.length > 0) return { state: 'here', events };
-    if (owned.movedTo !== undefined) return { state: 'moved', nodeId: owned.movedTo };
+    const first = answerNow(owned, read.after);
+    if (first) return first;
     await waitForChange(owned, read);
-    const later = eventsAfter(owned.events, read.after) ?? [];
-    if (later.length === 0 && owned.movedTo !== undefined)
-      return { state: 'moved', nodeId: owned.movedTo };
-    return { state: 'here', events: later };
+    return answerNow(owned, read.after) ?? { state: 'here', events: [], finished: false };
   }
 
   /** Waits for `ms` milliseconds, or until `signal` aborts. */
@@ -63,10 +58,19 @@
     if (copy.request.tenant !== tenant) return { state: 'forbidden' };
     if (!isFinal(copy.events.at(-1))) return { state: 'absent' };
     const events = eventsAfter(new EventLog(id, copy.epoch, copy.events), after);
-    return events ? { state: 'here', events } : { state: 'diverged' };
+    return events ? { state: 'here', events, finished: true } : { state: 'diverged' };
   }
 }
 
+/** Answer that needs no waiting; undefined when the request goes on here without a new event. */
+function answerNow(owned: OwnedRequest, after: EventPosition): Answer | undefined {
+  const events = eventsAfter(owned.events, after);
+  const { finished } = owned.events;
+  if (!events) return { state: 'diverged' };
+  if (events.length > 0 || finished) return { state: 'here', events, finished };
+  return owned.movedTo === undefined ? undefined : { state: 'moved', nodeId: owned.movedTo };
+}
+
 function eventsAfter(log: EventLog, after: EventPosition): readonly RequestEvent[] | undefined {
   try {
     return log.after(after);
--- a/packages/node/src/node/requests/request-desk.ts
+++ b/packages/node/src/node/requests/request-desk.ts
@@ -3,6 +3,7 @@
 import type { Incarnation } from '@ragwortrudder/core';
 import type { RequestEvent } from '@ragwortrudder/requests';
 import type { Service } from '@ragwortrudder/tickets';
+import { Cancelled } from '../../errors/cancelled.ts';
 import { ClaimUnavailable } from '../../errors/claim-unavailable.ts';
 import { ClassUnknown } from '../../errors/class-unknown.ts';
 import { ForwardedRefusal } from '../../errors/forwarded-refusal.ts';
@@ -21,11 +22,13 @@
 import { answeredEvents } from '../../utils/answered-events.ts';
 import { toFailure } from '../../utils/to-failure.ts';
 import { toIncarnation } from '../../utils/to-incarnation.ts';
+import { toOutcome } from '../../utils/to-outcome.ts';
 import { toRefusalData } from '../../utils/to-refusal-data.ts';
 import { TicketBoard } from '../configuration/ticket-board.ts';
 import { NodeLife } from '../life/node-life.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { PeerMethods } from '../peers/peer-methods.ts';
+import { KeyDirectory } from './key-directory.ts';
 import { KeyForwarder } from './key-forwarder.ts';
 import { KeyedRequests } from './keyed-requests.ts';
 import type { OwnedRequest } from './owned-request.ts';
@@ -44,6 +47,7 @@
   readonly #gates: ServiceGates;
   readonly #keyed: KeyedRequests;
   readonly #forwarder: KeyForwarder;
+  readonly #keys: KeyDirectory;
   readonly #metrics: Metrics;
   /** Requests under a key that are being claimed at the moment. */
   readonly #claiming = new Map<string, Promise<Submission>>();
@@ -57,6 +61,7 @@
     @inject(ServiceGates) gates: ServiceGates,
     @inject(KeyedRequests) keyed: KeyedRequests,
     @inject(KeyForwarder) forwarder: KeyForwarder,
+    @inject(KeyDirectory) keys: KeyDirectory,
     @inject(PeerMethods) methods: PeerMethods,
     @inject(Metrics) metrics: Metrics,
   ) {
@@ -68,6 +73,7 @@
     this.#gates = gates;
     this.#keyed = keyed;
     this.#forwarder = forwarder;
+    this.#keys = keys;
     this.#metrics = metrics;
     methods.serve(requestsSubmit, (request) => this.#submitForPeer(request));
   }
@@ -95,6 +101,20 @@
     return this.#keyed.executor.issue(tenant);
   }
 
+  /** What became of the request under a key. */
+  async findKey(tenant: string, key: string): ReturnType<KeyDirectory['find']> {
+    return this.#keys.find(tenant, key);
+  }
+
+  /** Cancels an idempotent request that this node owns; false when there is nothing to cancel here. */
+  cancel(tenant: string, id: string): boolean {
+    const owned = this.#table.find(id);
+    if (owned?.request.tenant !== tenant || owned.ended || !owned.request.idempotent) return false;
+    this.#gates.of(owned.request.service).withdraw(id);
+    owned.fail(toOutcome(new Cancelled()), 'CANCEL');
+    return true;
+  }
+
   #checkReady(): void {
     if (!this.#life.ready) throw new NodeNotReady(this.#life.state);
   }
--- a/packages/node/src/node/requests/request-locator.ts
+++ b/packages/node/src/node/requests/request-locator.ts
@@ -23,7 +23,11 @@
 }
 
 type Batch =
-  | { readonly kind: 'events'; readonly events: readonly RequestEvent[] }
+  | {
+      readonly kind: 'events';
+      readonly events: readonly RequestEvent[];
+      readonly finished: boolean;
+    }
   | { readonly kind: 'hint'; readonly nodeId: string }
   | { readonly kind: 'absent' }
   | { readonly kind: 'diverged' };
@@ -75,6 +79,7 @@
           position = { epoch: event.epoch, number: event.number };
           if (isFinal(event)) return;
         }
+        if (batch.finished) return;
         continue;
       }
       const now = this.#clock.monotonic();
@@ -91,7 +96,7 @@
   /** Reads from this node, then from the nodes that may hold the request, the likeliest first. */
   async #read(subscription: Subscription, likely: readonly (string | undefined)[]): Promise<Batch> {
     const here = await this.#local.read({ ...subscription, waitMs: POLL_WAIT_MS });
-    if (here.state === 'here') return { kind: 'events', events: here.events };
+    if (here.state === 'here') return { kind: 'events', ...here };
     const hints = here.state === 'moved' ? [here.nodeId] : [];
     const others = this.#peers.reachable.map(({ nodeId }) => nodeId);
     let found: Batch = here.state === 'diverged' ? { kind: 'diverged' } : { kind: 'absent' };
@@ -114,7 +119,7 @@
         params: { id, tenant, after, waitMs: POLL_WAIT_MS },
         timeoutMs: POLL_WAIT_MS + POLL_MARGIN_MS,
       });
-      if (answer.state === 'here') return { kind: 'events', events: answer.events };
+      if (answer.state === 'here') return { kind: 'events', ...answer };
       if (answer.state === 'moved') return { kind: 'hint', nodeId: answer.nodeId };
       if (answer.state === 'forbidden') throw new Forbidden('reading this request');
       return { kind: answer.state };
--- a/packages/node/src/node/requests/service-gates.ts
+++ b/packages/node/src/node/requests/service-gates.ts
@@ -67,7 +67,7 @@
   of(service: string): ServiceGate {
     const known = this.#gates.get(service);
     if (known) return known;
-    const gate = this.#create(service);
+    const gate = this.#create();
     this.#gates.set(service, gate);
     return gate;
   }
@@ -85,7 +85,7 @@
     for (const gate of this.#gates.values()) gate.pump();
   }
 
-  #create(service: string): ServiceGate {
+  #create(): ServiceGate {
     const { maxQueued, tenantQueued, interactiveWeight } = this.#settings.admission;
     return new ServiceGate({
       clock: this.#clock,
--- /dev/null
+++ b/packages/node/src/node/runners/notice-watch.ts
@@ -0,0 +1,78 @@
+import { inject, injectable } from 'inversify';
+import type { Clock, Closeable } from '@ragwortrudder/core';
+import { CloudApi } from '@ragwortrudder/platform';
+import type { Settings } from '@ragwortrudder/settings';
+import { tokens } from '../../types/tokens.ts';
+import { PeriodicTask } from '../../utils/periodic-task.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { PeerDirectory } from '../peers/peer-directory.ts';
+import { RunnerPool } from './runner-pool.ts';
+
+/** Time left that is assumed for a notice that only a peer told of. */
+const ASSUMED_NOTICE_MS = 20_000;
+
+/** Reads reclaim notices from the platform and from the reports of peers. */
+@injectable()
+export class NoticeWatch implements Closeable {
+  readonly #clock: Clock;
+  readonly #vmId: string;
+  readonly #cloud: CloudApi;
+  readonly #pool: RunnerPool;
+  readonly #peers: PeerDirectory;
+  readonly #task: PeriodicTask;
+  #after = 0;
+  #onOwnNotice: ((reclaimAt: number) => void) | undefined;
+
+  constructor(
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.clock) clock: Clock,
+    @inject(RunnerPool) pool: RunnerPool,
+    @inject(PeerDirectory) peers: PeerDirectory,
+    @inject(Metrics) metrics: Metrics,
+  ) {
+    this.#clock = clock;
+    this.#vmId = settings.node.vmId ?? settings.node.id;
+    this.#pool = pool;
+    this.#peers = peers;
+    this.#cloud = new CloudApi({ baseUrl: settings.platform.url });
+    this.#task = new PeriodicTask({
+      periodMs: settings.runners.noticePeriodMs,
+      run: () => this.#read(),
+      onFailure: () => {
+        metrics.count('notice_reads_failed');
+      },
+    });
+  }
+
+  /** Calls `listener` with the time of the reclaim when this node's own VM has a notice. */
+  onOwnNotice(listener: (reclaimAt: number) => void): void {
+    this.#onOwnNotice = listener;
+  }
+
+  start(): void {
+    this.#task.start();
+  }
+
+  async close(): Promise<void> {
+    await this.#task.close();
+    await this.#cloud.close();
+  }
+
+  async #read(): Promise<void> {
+    this.#readReports();
+    const { notices, next } = await this.#cloud.notices(this.#after);
+    this.#after = next;
+    for (const { vmId, deadline } of notices) {
+      this.#pool.markLeaving(vmId, deadline);
+      if (vmId === this.#vmId) this.#onOwnNotice?.(deadline);
+    }
+  }
+
+  #readReports(): void {
+    const known = new Set(this.#pool.leavingVms);
+    const told = this.#peers.reports.flatMap(({ value }) => value.leavingVms);
+    for (const vmId of told) {
+      if (!known.has(vmId)) this.#pool.markLeaving(vmId, this.#clock.wall() + ASSUMED_NOTICE_MS);
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/types/caller.ts
@@ -0,0 +1,4 @@
+/** Who a key identifies. */
+export type Caller =
+  | { readonly kind: 'tenant'; readonly tenant: string }
+  | { readonly kind: 'operator'; readonly name: string };
--- a/packages/node/src/types/methods/requests-events.ts
+++ b/packages/node/src/types/methods/requests-events.ts
@@ -14,7 +14,13 @@
   .readonly();
 
 const Result = z.discriminatedUnion('state', [
-  z.strictObject({ state: z.literal('here'), events: z.array(RequestEvent).readonly() }).readonly(),
+  z
+    .strictObject({
+      state: z.literal('here'),
+      events: z.array(RequestEvent).readonly(),
+      finished: z.boolean(),
+    })
+    .readonly(),
   z.strictObject({ state: z.literal('moved'), nodeId: z.string() }).readonly(),
   z.strictObject({ state: z.literal('absent') }).readonly(),
   z.strictObject({ state: z.literal('diverged') }).readonly(),
--- a/packages/settings/src/types/settings.ts
+++ b/packages/settings/src/types/settings.ts
@@ -54,6 +54,11 @@
 const NodeIdentity = z
   .strictObject({
     id: name.describe('Unique name of this node.'),
+    vmId: z
+      .string()
+      .min(1)
+      .optional()
+      .describe('Name of the VM at the platform; the name of the node when left out.'),
     failureDomain: name.describe('Failure domain of the VM.'),
     region: name.default('default').describe('Region of the failure domain.'),
   })
