--- a/packages/leases/src/types/lease-holder-options.ts
+++ b/packages/leases/src/types/lease-holder-options.ts
@@ -23,4 +23,10 @@
    * @default 4_000
    */
   readonly renewBeforeMs?: number;
+  /**
+   * Time after winning during which orders of the previous holder may still arrive at an engine
+   * that ignores fencing numbers, in milliseconds.
+   * @default 3_000
+   */
+  readonly settleMs?: number;
 }
--- a/packages/leases/src/types/lease-record.ts
+++ b/packages/leases/src/types/lease-record.ts
@@ -1,11 +1,14 @@
+import { z } from 'zod';
+
 /** The last effective lease of one job. */
-export interface LeaseRecord {
-  readonly holder: string;
+export const LeaseRecord = z.strictObject({
+  holder: z.string(),
   /** Fencing number: the position of the acquiring entry. */
-  readonly fence: number;
+  fence: z.number(),
   /** Position of the last entry that set the end. */
-  readonly grantedBy: number;
+  grantedBy: z.number(),
   /** End by log time, in milliseconds since the epoch. */
-  readonly endsAtMs: number;
-  readonly released: boolean;
-}
+  endsAtMs: z.number(),
+  released: z.boolean(),
+});
+export type LeaseRecord = Readonly<z.infer<typeof LeaseRecord>>;
--- a/packages/leases/src/types/lease-state.ts
+++ b/packages/leases/src/types/lease-state.ts
@@ -1,8 +1,12 @@
-import type { LeaseRecord } from './lease-record.ts';
+import { z } from 'zod';
+import { LeaseRecord } from './lease-record.ts';
 
 /** Fold of the stream `leases`; plain JSON, so that it can be kept in snapshots. */
-export interface LeaseState {
+export const LeaseState = z.strictObject({
   /** Latest entry time seen, in milliseconds since the epoch. */
-  readonly logTimeMs: number;
-  readonly jobs: Readonly<Record<string, LeaseRecord>>;
-}
+  logTimeMs: z.number(),
+  /** Position of the last entry seen; -1 before the first. */
+  position: z.number(),
+  jobs: z.record(z.string(), LeaseRecord.readonly()).readonly(),
+});
+export type LeaseState = Readonly<z.infer<typeof LeaseState>>;
--- /dev/null
+++ b/packages/leases/src/utils/next-lease-record.ts
@@ -0,0 +1,38 @@
+import type { LeaseEntry } from '../types/lease-entry.ts';
+import type { LeaseRecord } from '../types/lease-record.ts';
+
+interface Context {
+  readonly record: LeaseRecord | undefined;
+  /** Position of the entry. */
+  readonly position: number;
+  /** Log time of the entry, in milliseconds since the epoch. */
+  readonly timeMs: number;
+}
+
+function isFree(record: LeaseRecord | undefined, timeMs: number): boolean {
+  return !record || record.released || record.endsAtMs <= timeMs;
+}
+
+/**
+ * Returns the lease after an entry, or undefined when the entry is void. An `acquire` counts when
+ * the job is free; `renew` and `release` count from the holder under its fencing number before the
+ * end of the lease by log time.
+ */
+export function nextLeaseRecord(entry: LeaseEntry, context: Context): LeaseRecord | undefined {
+  const { record, position, timeMs } = context;
+  if (entry.type === 'acquire') {
+    if (!isFree(record, timeMs)) return undefined;
+    const endsAtMs = timeMs + entry.durationMs;
+    return {
+      holder: entry.holder,
+      fence: position,
+      grantedBy: position,
+      endsAtMs,
+      released: false,
+    };
+  }
+  if (!record || isFree(record, timeMs)) return undefined;
+  if (record.holder !== entry.holder || record.fence !== entry.fence) return undefined;
+  if (entry.type === 'release') return { ...record, released: true };
+  return { ...record, grantedBy: position, endsAtMs: timeMs + entry.durationMs };
+}
