--- a/packages/log/src/node/log-follower.ts
+++ b/packages/log/src/node/log-follower.ts
@@ -264,7 +264,7 @@
       pageRecords: this.#pageRecords,
       signal: this.#closing.signal,
     });
-    if (!found || found.snapshot.next < this.#next) throw new SnapshotMissing(first);
+    if (!found) throw new SnapshotMissing(first);
     this.#install(found.snapshot);
     this.#newestSnapshot = found.mark;
   }
--- a/test/log/follower.test.ts
+++ b/test/log/follower.test.ts
@@ -30,6 +30,16 @@
   t.deepEqual(one.state, two.state);
 });
 
+test('reads that overlap fold each record once', async (t) => {
+  const log = new MemoryLog();
+  await appendAll(log, ['a', 'b', 'c']);
+  const one = follower(log);
+  const two = follower(log);
+  await Promise.all([one.readToEnd(), one.readToEnd(), one.readToEnd()]);
+  await two.readToEnd();
+  t.is(one.hash, two.hash);
+});
+
 test('keeps its state in an outage, tells the failure and goes on afterwards', async (t) => {
   const faults = { isDown: false };
   const log = new MemoryLog({ faults: { down: () => faults.isDown } });
--- a/test/log/snapshots.test.ts
+++ b/test/log/snapshots.test.ts
@@ -67,10 +67,12 @@
   };
   await t.throwsAsync(all.writer({ writer: torn, maxRecords: 1 }).writeIfDue());
   t.true(all.log.next > whole);
-  const forged: Writer = {
-    write: (body, options) => all.commit.write({ ...(body as object), data: 'AAAA' }, options),
-  };
-  await all.writer({ writer: forged, maxRecords: 1 }).writeIfDue();
+  for (const change of [{ data: 'AAAA' }, { hash: 'f'.repeat(64) }]) {
+    const forged: Writer = {
+      write: (body, options) => all.commit.write({ ...(body as object), ...change }, options),
+    };
+    await all.writer({ writer: forged, maxRecords: 1 }).writeIfDue();
+  }
   all.log.expire(IDS.length);
   const one = follower(all.log);
   await one.readToEnd();
@@ -90,6 +92,27 @@
   await closeAll(all);
 });
 
+test('a whole snapshot that ends before the retained records is not used', async (t) => {
+  const all = await site();
+  const earlier = all.source.snapshot();
+  await appendAll(all.log, ['between']);
+  const source = {
+    caughtUp: true,
+    next: all.source.next,
+    newestSnapshot: undefined,
+    snapshot: () => earlier,
+  };
+  t.true(await all.writer({ source }).writeIfDue());
+  all.log.expire(IDS.length + 1);
+  const one = follower(all.log);
+  await t.throwsAsync(one.readToEnd(), { instanceOf: SnapshotMissing });
+  await all.source.waitForOffset(all.log.next - 1, 10_000);
+  t.true(await all.writer({ maxRecords: 1 }).writeIfDue());
+  await one.readToEnd();
+  t.deepEqual(one.state, all.source.state);
+  await closeAll(all);
+});
+
 test('a follower that fell behind retention does not go back', async (t) => {
   const all = await site();
   const one = follower(all.log);
--- a/test/platform/http-log.test.ts
+++ b/test/platform/http-log.test.ts
@@ -60,6 +60,20 @@
   });
 });
 
+test('a failed read is not retried by the client', async (t) => {
+  const replies = [{ status: 503 }, 'drop'] as const;
+  let calls = 0;
+  const handler: Handler = () => replies[calls++] ?? { status: 500 };
+  await withLog(handler, async (log, server) => {
+    for (const count of [1, 2]) {
+      await t.throwsAsync(log.read({ from: 0, limit: 1, waitMs: 0 }), {
+        instanceOf: LogUnavailable,
+      });
+      t.is(server.seen.length, count);
+    }
+  });
+});
+
 test('a read past retention tells what is retained', async (t) => {
   const handler: Handler = () => ({ status: 410, body: { first: 12, next: 20 } });
   await withLog(handler, async (log) => {
--- a/test/platform/server.ts
+++ b/test/platform/server.ts
@@ -10,9 +10,12 @@
 }
 
 /** Answers a request; returning `drop` closes the connection without an answer, `hang` never answers. */
-export type Handler = (seen: Seen) => Reply | 'drop' | 'hang';
+export type Handler = (seen: Seen) => Outcome | Promise<Outcome>;
 
-interface Reply {
+type Outcome = Reply | 'drop' | 'hang';
+
+/** Answer of the test server. */
+export interface Reply {
   readonly status: number;
   readonly body?: unknown;
   readonly headers?: Readonly<Record<string, string>>;
@@ -70,7 +73,7 @@
     const body = text === '' ? undefined : (JSON.parse(text) as unknown);
     const seen = { method: request.method ?? '', url: request.url ?? '', body };
     this.seen.push(seen);
-    const reply = handler(seen);
+    const reply = await handler(seen);
     if (reply === 'hang') return;
     if (reply === 'drop') {
       request.socket.destroy();
