Add the callers' client and the demo

Cause: nothing showed the whole path with committed input. Ruled out: an order refused with status 400 was the runner's demand for a key, which idempotent requests did not carry; a 2.7 s answer under an issued key was the pause after 'executor unreachable' while nodes had not met yet (now 0.5 s).

--- /dev/null
+++ b/packages/bench/src/utils/deployment.ts
@@ -0,0 +1,33 @@
+import type { Scenario } from '../types/scenario.ts';
+
+const MODEL_SERVICES: readonly string[] = ['quotes', 'reconciliation'];
+const ONCE_ONLY_SERVICES: readonly string[] = ['orders', 'filing'];
+const MAX_CONCURRENT = 1000;
+
+/** First ticket of a deployment: its services and the shares of its tenants. */
+export function firstTicket(
+  scenario: Pick<Scenario, 'tenants'>,
+  services: readonly string[],
+): unknown {
+  return {
+    number: 1,
+    against: 0,
+    services: Object.fromEntries(services.map((name) => [name, serviceOf(name)])),
+    tenants: Object.fromEntries(
+      scenario.tenants.map(({ tenant, weight }) => [
+        tenant,
+        { weight, maxConcurrent: MAX_CONCURRENT, maxQueued: MAX_CONCURRENT },
+      ]),
+    ),
+  };
+}
+
+function serviceOf(name: string): unknown {
+  return {
+    kind: MODEL_SERVICES.includes(name) ? 'model' : 'application',
+    version: 'v1',
+    fencing: true,
+    idempotent: !ONCE_ONLY_SERVICES.includes(name),
+    classes: ['interactive', 'batch'],
+  };
+}
--- /dev/null
+++ b/packages/client/src/node/event-source.ts
@@ -0,0 +1,87 @@
+import { createParser } from 'eventsource-parser';
+import got from 'got';
+import type { Request } from 'got';
+import { ConnectionLost } from '../errors/connection-lost.ts';
+import { RequestRefused } from '../errors/request-refused.ts';
+import type { AnswerEvent } from '../types/answer-event.ts';
+import { Problem } from '../types/problem.ts';
+
+const TYPES: ReadonlySet<string> = new Set(['accepted', 'token', 'result', 'done', 'failed']);
+
+interface EventSourceOptions {
+  readonly node: string;
+  readonly path: string;
+  readonly method: 'GET' | 'POST';
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body?: string;
+  readonly connectMs: number;
+  readonly silenceMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/**
+ * Reads one stream of server-sent events to its end.
+ * @throws {@link RequestRefused} for a problem body, {@link ConnectionLost} when the connection fails.
+ */
+export async function* readEventSource(options: EventSourceOptions): AsyncGenerator<AnswerEvent> {
+  const stream = open(options);
+  const events: AnswerEvent[] = [];
+  const parser = createParser({
+    onEvent: (event) => {
+      if (event.event === 'interrupted')
+        throw new RequestRefused(Problem.parse(JSON.parse(event.data)));
+      if (!TYPES.has(event.event ?? '')) return;
+      const data = JSON.parse(event.data) as AnswerEvent['data'];
+      events.push({
+        id: event.id ?? '',
+        type: event.event as AnswerEvent['type'],
+        data,
+        node: options.node,
+      });
+    },
+  });
+  try {
+    stream.setEncoding('utf8');
+    for await (const chunk of stream) {
+      parser.feed(String(chunk));
+      yield* events.splice(0);
+    }
+  } catch (error) {
+    throw failureOf(error, options.node);
+  }
+}
+
+function open(options: EventSourceOptions): Request {
+  const { node, path, method, headers, body, connectMs, silenceMs, signal } = options;
+  return got.stream(`http://${node}${path}`, {
+    method,
+    headers: { accept: 'text/event-stream', 'content-type': 'application/json', ...headers },
+    ...(body === undefined ? {} : { body }),
+    timeout: { connect: connectMs, socket: silenceMs },
+    retry: { limit: 0 },
+    decompress: false,
+    ...(signal ? { signal } : {}),
+  });
+}
+
+function failureOf(error: unknown, node: string): Error {
+  if (error instanceof RequestRefused) return error;
+  const body = bodyOf(error);
+  const problem = body === undefined ? undefined : Problem.safeParse(body);
+  return problem?.success ? new RequestRefused(problem.data) : new ConnectionLost(node, error);
+}
+
+/** Parsed body of the error answer that `error` carries, if it has one. */
+function bodyOf(error: unknown): unknown {
+  if (!(error instanceof Error) || !('response' in error)) return undefined;
+  const { response } = error as {
+    readonly response?: { readonly body?: unknown; readonly rawBody?: Buffer };
+  };
+  const text =
+    typeof response?.body === 'string' ? response.body : response?.rawBody?.toString('utf8');
+  try {
+    return text === undefined ? undefined : JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/node/src/errors/executor-unreachable.ts
+++ b/packages/node/src/errors/executor-unreachable.ts
@@ -8,7 +8,7 @@
     super(`node ${node}, the executor of this key, cannot be reached`, {
       status: 503,
       retryable: true,
-      retryAfterMs: 2000,
+      retryAfterMs: 500,
       hint: 'send it again under the same key; it runs at most once',
     });
   }
--- a/packages/node/src/node/runners/application-client.ts
+++ b/packages/node/src/node/runners/application-client.ts
@@ -24,7 +24,8 @@
 
 interface Operation {
   readonly endpoint: string;
-  readonly key: string | undefined;
+  /** Tells the runner one request from another; a retry of an idempotent request carries the same one. */
+  readonly key: string;
   readonly operation: string;
   readonly payload: unknown;
   readonly idempotent: boolean;
--- a/packages/node/src/node/runners/application-runs.ts
+++ b/packages/node/src/node/runners/application-runs.ts
@@ -91,7 +91,7 @@
     this.#metrics.count('attempts', { service: request.service });
     const answer = await this.#client.call({
       endpoint: runner.identity.endpoint,
-      key: request.key,
+      key: request.key ?? request.id,
       operation: input.operation,
       payload: input.payload,
       idempotent: request.idempotent,
