--- a/packages/history/src/types/checker-options.ts
+++ b/packages/history/src/types/checker-options.ts
@@ -25,4 +25,14 @@
    * @default 20
    */
   readonly badVersionRuns?: number;
+  /**
+   * Faults after whose `start` or `once` a non-idempotent request may end as `unknown`.
+   * @default ['kill']
+   */
+  readonly unannouncedFaults?: readonly string[];
+  /**
+   * Whether a caller may have to reconnect during a planned stop to get the rest of its answer.
+   * @default true
+   */
+  readonly reconnectAllowed?: boolean;
 }
--- a/packages/history/src/types/history-event.ts
+++ b/packages/history/src/types/history-event.ts
@@ -30,6 +30,8 @@
     ...base,
     invocation: z.string().min(1),
     requestId: requestId.optional(),
+    /** Node that the caller was connected to. */
+    node: z.string().optional(),
     event: z.enum(['accepted', 'token', 'result', 'done', 'failed', 'refused', 'cut']),
     epoch: index.optional(),
     number: index.optional(),
@@ -83,7 +85,7 @@
     /** Start and end of a fault that lasts. */
     phase: z.enum(['once', 'start', 'end']),
   }),
-  /** A version's badness is shown or a move gets its final word. */
+  /** The badness of a version is shown, or a move gets its final word. */
   z.strictObject({
     type: z.literal('version'),
     ...base,
@@ -91,6 +93,14 @@
     version: z.string(),
     state: z.enum(['bad-shown', 'done', 'undone']),
   }),
+  /** A process starts. */
+  z.strictObject({
+    type: z.literal('start'),
+    ...base,
+    target: z.string(),
+    role: z.enum(['node', 'runner', 'other']),
+    failureDomain: z.string().optional(),
+  }),
   /** A process ends. */
   z.strictObject({
     type: z.literal('stop'),
