Test application runners and relays, and count the bytes that a relay loses

An operation without payload was refused with 400; payload is optional now. A test could not tell when a relay had lost a chunk, so links report the bytes they lost. A fleet waits 45 s for a graceful stop before SIGKILL, as a node may take 20 s.

--- a/packages/standins/src/node/application-runner.ts
+++ b/packages/standins/src/node/application-runner.ts
@@ -27,7 +27,7 @@
 const operationBody = z.object({
   key: z.string().min(1),
   operation: z.string().min(1),
-  payload: z.unknown(),
+  payload: z.unknown().optional(),
 });
 const applicationFault = z.object({
   mode: z
@@ -99,6 +99,11 @@
     await this.#server.close();
   }
 
+  /** Operations received, whether run or not. */
+  get requests(): number {
+    return this.#requests;
+  }
+
   /** Every run, in order. */
   runs(): readonly OperationRun[] {
     return this.#runs;
--- a/packages/standins/src/node/child-process.ts
+++ b/packages/standins/src/node/child-process.ts
@@ -12,7 +12,7 @@
 }
 
 const MAX_OUTPUT_CHARS = 256 * 1024;
-const STOP_TIMEOUT_MS = 15_000;
+const STOP_TIMEOUT_MS = 45_000;
 
 /** Process started by a fleet; keeps the end of what it wrote to stderr. */
 export class ChildProcess implements Closeable {
--- a/packages/standins/src/node/fleet.ts
+++ b/packages/standins/src/node/fleet.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
+import { InvalidInput } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import got from 'got';
 import { UnknownName } from '../errors/unknown-name.ts';
@@ -18,7 +19,7 @@
 import type { PlatformFault } from '../types/platform-fault.ts';
 import type { RelayLink } from '../types/relay-link.ts';
 import type { RelayMode } from '../types/relay-mode.ts';
-import { mergeDeep } from '../utils/merge-deep.ts';
+import { entrySettings } from '../utils/entry-settings.ts';
 import { planLayout } from '../utils/plan-layout.ts';
 import { ChildProcess } from './child-process.ts';
 import { freePorts } from './free-ports.ts';
@@ -50,7 +51,6 @@
 }
 
 const HOST = '127.0.0.1';
-const REGION = 'region-1';
 const READY_POLL_MS = 50;
 const CALL_TIMEOUT_MS = 10_000;
 const DEFAULT_READY_TIMEOUT_MS = 30_000;
@@ -74,6 +74,9 @@
   #folder = '';
 
   constructor(options: FleetOptions = {}) {
+    if (options.binary !== undefined && options.relays) {
+      throw new InvalidInput('relays need the sources', ['binary: cannot be used with relays']);
+    }
     this.#options = options;
     this.layout = planLayout(options);
   }
@@ -344,13 +347,12 @@
   async #startEntry(entry: FleetMember): Promise<void> {
     const file = join(this.#folder, `${entry.name}.json`);
     await writeFile(file, JSON.stringify(this.#settingsOf(entry), undefined, 2));
-    const { binary, debug } = this.#options;
-    const program =
-      binary === undefined ? [`--import=${TSX}`, `--import=${ROUTE_PRELOAD}`, NODE] : [];
+    const { binary, program = NODE, debug } = this.#options;
+    const sources = [`--import=${TSX}`, `--import=${ROUTE_PRELOAD}`, program];
     const child = new ChildProcess({
       name: entry.name,
       command: binary ?? process.execPath,
-      args: [...program, 'serve', '--settings', file],
+      args: [...(binary === undefined ? sources : []), 'serve', '--settings', file],
       env: { STANDINS_ROUTES: JSON.stringify(this.#routesOf(entry)), DEBUG: debug ?? '' },
     });
     this.#processes.set(entry.name, child);
@@ -358,24 +360,14 @@
   }
 
   #settingsOf(entry: FleetMember): unknown {
-    const port = (address: string) => Number(address.split(':')[1]);
-    const peers = entry.peerAddress ?? '';
-    const settings = {
-      node: { id: entry.name, failureDomain: entry.failureDomain, region: REGION },
-      listen: {
-        callers: { host: HOST, port: port(entry.address) },
-        peers: { host: HOST, port: port(peers) },
-      },
-      advertise: { callers: entry.address, peers },
-      platform: { url: `http://${this.platformAddress}` },
-      seeds: this.entries.map((other) => other.peerAddress),
-      keys: {
-        peer: 'peer-key-0123456789abcdef',
-        operators: [this.operator],
-        tenants: this.layout.tenants,
-      },
-    };
-    return mergeDeep(settings, this.#options.settings ?? {});
+    return entrySettings({
+      entry,
+      seeds: this.entries.map((other) => other.peerAddress ?? ''),
+      platformAddress: this.platformAddress,
+      operator: this.operator,
+      tenants: this.layout.tenants,
+      overrides: this.#options.settings ?? {},
+    });
   }
 
   #routesOf(entry: FleetMember): Readonly<Record<string, string>> {
--- a/packages/standins/src/node/relay-connection.ts
+++ b/packages/standins/src/node/relay-connection.ts
@@ -2,9 +2,11 @@
 import type { Socket } from 'node:net';
 import type { RelayMode } from '../types/relay-mode.ts';
 
-interface LinkState {
+interface Link {
   readonly mode: RelayMode;
   readonly delayMs: number;
+  /** Counts bytes that were not passed on. */
+  countLost(bytes: number): void;
 }
 type Direction = 'request' | 'reply';
 
@@ -18,15 +20,15 @@
 export class RelayConnection {
   readonly #client: Socket;
   readonly #target: Socket;
-  readonly #state: () => LinkState;
+  readonly #link: Link;
   readonly #lost: Record<Direction, boolean> = { request: false, reply: false };
   readonly #due: Record<Direction, number> = { request: 0, reply: 0 };
   readonly #timers = new Set<NodeJS.Timeout>();
 
-  constructor(client: Socket, address: string, state: () => LinkState) {
+  constructor(client: Socket, address: string, link: Link) {
     const [host = '127.0.0.1', port = '0'] = address.split(':');
     this.#client = client;
-    this.#state = state;
+    this.#link = link;
     this.#target = connect({ host, port: Number(port), allowHalfOpen: true });
     this.#pass('request', this.#client, this.#target);
     this.#pass('reply', this.#target, this.#client);
@@ -47,29 +49,32 @@
   #pass(direction: Direction, from: Socket, to: Socket): void {
     from.setNoDelay(true);
     from.on('data', (chunk: Buffer) => {
-      this.#deliver(direction, () => {
+      this.#deliver(direction, chunk.length, () => {
         if (to.write(chunk)) return;
         from.pause();
         to.once('drain', () => from.resume());
       });
     });
     from.on('end', () => {
-      this.#deliver(direction, () => to.end());
+      this.#deliver(direction, 0, () => to.end());
     });
     from.on('error', () => {
-      this.#deliver(direction, () => to.destroy());
+      this.#deliver(direction, 0, () => to.destroy());
     });
     from.on('close', () => {
-      this.#deliver(direction, () => {
+      this.#deliver(direction, 0, () => {
         to.destroySoon();
       });
     });
   }
 
-  #deliver(direction: Direction, action: () => void): void {
-    const { mode, delayMs } = this.#state();
+  #deliver(direction: Direction, bytes: number, action: () => void): void {
+    const { mode, delayMs } = this.#link;
     if (mode === LOSING_MODE[direction]) this.#lost[direction] = true;
-    if (this.#lost[direction]) return;
+    if (this.#lost[direction]) {
+      this.#link.countLost(bytes);
+      return;
+    }
     const now = performance.now();
     const due = Math.max(this.#due[direction], now + delayMs);
     this.#due[direction] = due;
--- a/packages/standins/src/node/relay-listener.ts
+++ b/packages/standins/src/node/relay-listener.ts
@@ -13,6 +13,7 @@
   readonly #connections = new Map<Socket, RelayConnection>();
   #mode: RelayMode = 'open';
   #delayMs = 0;
+  #lostBytes = 0;
   #port: number;
 
   constructor(link: RelayLink) {
@@ -32,6 +33,19 @@
     return this.#mode;
   }
 
+  get delayMs(): number {
+    return this.#delayMs;
+  }
+
+  /** Bytes that were not passed on because of a mode. */
+  get lostBytes(): number {
+    return this.#lostBytes;
+  }
+
+  countLost(bytes: number): void {
+    this.#lostBytes += bytes;
+  }
+
   async listen(): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
@@ -62,8 +76,7 @@
   }
 
   #accept(socket: Socket): void {
-    const state = () => ({ mode: this.#mode, delayMs: this.#delayMs });
-    this.#connections.set(socket, new RelayConnection(socket, this.target, state));
+    this.#connections.set(socket, new RelayConnection(socket, this.target, this));
     socket.once('close', () => this.#connections.delete(socket));
   }
 }
--- a/packages/standins/src/node/relay.ts
+++ b/packages/standins/src/node/relay.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import { UnknownName } from '../errors/unknown-name.ts';
 import type { LinkFault } from '../types/link-fault.ts';
+import type { LinkReport } from '../types/link-report.ts';
 import type { RelayLink } from '../types/relay-link.ts';
 import { HttpServer } from './http-server.ts';
 import { parseBody } from './parse-body.ts';
@@ -33,9 +34,11 @@
     return this.#server.port;
   }
 
-  /** Names, ports and modes of the links. */
-  links(): readonly { readonly name: string; readonly port: number; readonly mode: string }[] {
-    return [...this.#links.values()].map(({ name, port, mode }) => ({ name, port, mode }));
+  /** State of every link. */
+  links(): readonly LinkReport[] {
+    return [...this.#links.values()].map(({ name, port, mode, lostBytes }) => {
+      return { name, port, mode, lostBytes };
+    });
   }
 
   async setFault(fault: LinkFault): Promise<void> {
--- a/packages/standins/src/types/fleet-options.ts
+++ b/packages/standins/src/types/fleet-options.ts
@@ -32,10 +32,15 @@
    */
   readonly runnerRelays?: boolean | undefined;
   /**
-   * Path of the binary that runs the nodes.
+   * Path of the binary that runs the nodes; it can't be used with `relays`.
    * @default the sources through tsx
    */
   readonly binary?: string | undefined;
+  /**
+   * Path of the source file that runs the nodes when no binary is given.
+   * @default the command line of this repository
+   */
+  readonly program?: string | undefined;
   /**
    * Time in milliseconds within which each process must be ready.
    * @default 30000
--- /dev/null
+++ b/packages/standins/src/utils/entry-settings.ts
@@ -0,0 +1,35 @@
+import type { FleetMember } from '../types/fleet-member.ts';
+import type { FleetTenant } from '../types/fleet-tenant.ts';
+import { mergeDeep } from './merge-deep.ts';
+
+interface EntrySettingsOptions {
+  readonly entry: FleetMember;
+  readonly seeds: readonly string[];
+  readonly platformAddress: string;
+  readonly operator: { readonly name: string; readonly key: string };
+  readonly tenants: readonly FleetTenant[];
+  readonly overrides: Readonly<Record<string, unknown>>;
+}
+
+const REGION = 'region-1';
+const PEER_KEY = 'peer-key-0123456789abcdef';
+
+function listenAt(address: string): { readonly host: string; readonly port: number } {
+  const [host = '', port = '0'] = address.split(':');
+  return { host, port: Number(port) };
+}
+
+/** Settings of an entry node of a fleet. */
+export function entrySettings(options: EntrySettingsOptions): Readonly<Record<string, unknown>> {
+  const { entry, seeds, platformAddress, operator, tenants, overrides } = options;
+  const peers = entry.peerAddress ?? '';
+  const settings = {
+    node: { id: entry.name, failureDomain: entry.failureDomain, region: REGION },
+    listen: { callers: listenAt(entry.address), peers: listenAt(peers) },
+    advertise: { callers: entry.address, peers },
+    platform: { url: `http://${platformAddress}` },
+    seeds,
+    keys: { peer: PEER_KEY, operators: [operator], tenants },
+  };
+  return mergeDeep(settings, overrides);
+}
--- a/test/standins/call.ts
+++ b/test/standins/call.ts
@@ -1,3 +1,4 @@
+import { Agent } from 'node:http';
 import got from 'got';
 
 interface Answer {
@@ -12,11 +13,15 @@
   readonly signal?: AbortSignal;
 }
 
+/** Opens a connection a call, so that no call meets one that the server has closed meanwhile. */
+const agent = { http: new Agent({ keepAlive: false }) };
+
 /** Calls a stand-in; POST when a body is given. */
 export async function call(url: string, options: CallOptions = {}): Promise<Answer> {
   const { json, method = json === undefined ? 'GET' : 'POST', signal } = options;
   const { statusCode, body, headers } = await got(`http://${url}`, {
     method,
+    agent,
     ...(json === undefined ? {} : { json }),
     ...(signal ? { signal } : {}),
     retry: { limit: 0 },
--- /dev/null
+++ b/test/standins/relay.test.ts
@@ -0,0 +1,145 @@
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { Relay } from '@ragwortrudder/standins';
+import { call } from './call.ts';
+
+/** Echo server that also keeps what it received. */
+async function startEcho(t: ExecutionContext) {
+  const received: string[] = [];
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) => {
+      received.push(chunk.toString());
+      socket.write(chunk);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  return { received, address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
+}
+
+async function startRelay(t: ExecutionContext) {
+  const echo = await startEcho(t);
+  const relay = new Relay([{ name: 'link', target: echo.address }]);
+  await relay.listen();
+  t.teardown(() => relay.close());
+  return { relay, echo, port: relay.links()[0]?.port ?? 0 };
+}
+
+async function open(t: ExecutionContext, port: number) {
+  const socket = connect(port, '127.0.0.1');
+  const replies: string[] = [];
+  socket.on('error', () => undefined);
+  socket.on('data', (chunk) => replies.push(chunk.toString()));
+  t.teardown(() => socket.destroy());
+  await new Promise((resolve) => socket.once('connect', resolve));
+  return { socket, replies };
+}
+
+async function closed(socket: Socket): Promise<void> {
+  if (!socket.closed) await new Promise((resolve) => socket.once('close', resolve));
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 5));
+}
+
+function lostBytes(relay: Relay): number {
+  return relay.links()[0]?.lostBytes ?? 0;
+}
+
+/** Sends a text over a fresh connection and awaits its echo. */
+async function roundTrip(t: ExecutionContext, port: number, text: string): Promise<string> {
+  const { socket, replies } = await open(t, port);
+  socket.write(text);
+  await until(() => replies.length > 0);
+  return replies.join('');
+}
+
+test('open: passes both directions and the end of a connection', async (t) => {
+  const { port } = await startRelay(t);
+  const { socket, replies } = await open(t, port);
+  socket.write('hello');
+  await until(() => replies.length > 0);
+  t.deepEqual(replies, ['hello']);
+  socket.end();
+  await closed(socket);
+});
+
+test('cut: destroys open connections and refuses new ones, until opened again', async (t) => {
+  const { relay, port } = await startRelay(t);
+  const { socket } = await open(t, port);
+  await relay.setFault({ name: 'link', mode: 'cut' });
+  await closed(socket);
+  const refused = connect(port, '127.0.0.1');
+  const error = await new Promise<NodeJS.ErrnoException>((resolve) =>
+    refused.once('error', resolve),
+  );
+  t.is(error.code, 'ECONNREFUSED');
+  await relay.setFault({ name: 'link', mode: 'open' });
+  t.is(await roundTrip(t, port, 'again'), 'again');
+});
+
+test('silent: open connections freeze for good, new ones work', async (t) => {
+  const { relay, echo, port } = await startRelay(t);
+  const old = await open(t, port);
+  old.socket.write('before');
+  await until(() => old.replies.length > 0);
+  await relay.setFault({ name: 'link', mode: 'silent' });
+  old.socket.write('lost');
+  t.is(await roundTrip(t, port, 'fresh'), 'fresh');
+  await relay.setFault({ name: 'link', mode: 'open' });
+  old.socket.write('lost too');
+  t.is(await roundTrip(t, port, 'fresh again'), 'fresh again');
+  t.deepEqual(old.replies, ['before']);
+  t.deepEqual(echo.received, ['before', 'fresh', 'fresh again']);
+  t.false(old.socket.closed);
+});
+
+test('one-way-request-only: requests arrive, replies are lost', async (t) => {
+  const { relay, echo, port } = await startRelay(t);
+  await relay.setFault({ name: 'link', mode: 'one-way-request-only' });
+  const { socket, replies } = await open(t, port);
+  socket.write('hello');
+  await until(() => lostBytes(relay) === 'hello'.length);
+  t.deepEqual(echo.received, ['hello']);
+  await relay.setFault({ name: 'link', mode: 'open' });
+  t.is(await roundTrip(t, port, 'fresh'), 'fresh');
+  t.deepEqual(echo.received, ['hello', 'fresh']);
+  t.deepEqual(replies, []);
+});
+
+test('one-way-reply-only: requests are lost', async (t) => {
+  const { relay, echo, port } = await startRelay(t);
+  await relay.setFault({ name: 'link', mode: 'one-way-reply-only' });
+  const { socket } = await open(t, port);
+  socket.write('lost');
+  await until(() => lostBytes(relay) === 'lost'.length);
+  await relay.setFault({ name: 'link', mode: 'open' });
+  t.is(await roundTrip(t, port, 'fresh'), 'fresh');
+  t.false(echo.received.includes('lost'));
+});
+
+test('delay: chunks arrive after those of a link without delay, in order, the end last', async (t) => {
+  const slowLink = await startRelay(t);
+  const fastLink = await startRelay(t);
+  await slowLink.relay.setFault({ name: 'link', mode: 'open', delayMs: 500 });
+  const slow = await open(t, slowLink.port);
+  slow.socket.write('one ');
+  slow.socket.end('two');
+  t.is(await roundTrip(t, fastLink.port, 'fast'), 'fast');
+  t.deepEqual(slowLink.echo.received, []);
+  await closed(slow.socket);
+  t.is(slow.replies.join(''), 'one two');
+});
+
+test('control: changes links by name, all by *, and refuses unknown names', async (t) => {
+  const { relay } = await startRelay(t);
+  const url = `127.0.0.1:${relay.port}/control/links`;
+  const cut = await call(url, { json: { faults: [{ name: '*', mode: 'cut' }] } });
+  t.like(cut.body, { links: [{ name: 'link', mode: 'cut' }] });
+  t.is((await call(url, { json: { faults: [{ name: 'other', mode: 'cut' }] } })).status, 404);
+  t.is((await call(url, { json: { faults: [{ name: 'link', mode: 'no' }] } })).status, 400);
+});
