--- a/packages/routing/src/types/policy-options.ts
+++ b/packages/routing/src/types/policy-options.ts
@@ -12,7 +12,7 @@
   readonly streamCostMs?: number;
   /**
    * Part of a prefix that its hash owner is assumed to hold when no hint says so.
-   * @default 0.3
+   * @default 0.6
    */
   readonly ownerPrior?: number;
   /**
--- a/packages/routing/src/utils/application-routing.ts
+++ b/packages/routing/src/utils/application-routing.ts
@@ -6,25 +6,34 @@
 import { choiceOf } from './choice-of.ts';
 import { draw } from './draw.ts';
 import { eligibleRunners } from './eligible-runners.ts';
-import { smallest } from './smallest.ts';
+import { requestsElsewhere } from './requests-elsewhere.ts';
 
-function expectedMs(runner: RunnerView): number {
-  return (1 + agedRequests(runner)) * runner.serviceTimeMs + runner.networkMs;
-}
+/** The second runner is taken only when it is better by this many service times. */
+const MARGIN = 2;
 
 /**
- * Power of two choices: the better of two runners drawn at random, by aged load report and own
- * requests in flight. A runner that looks empty to all nodes is drawn by few of them.
+ * Power of two choices: the next runner in turn, or one drawn at random when that is clearly
+ * better by aged load report and own requests in flight. Turns spread the requests evenly when
+ * reports say nothing, and a runner that looks empty to all nodes is drawn by few of them.
  */
 export class ApplicationRouting implements RoutingPolicy {
   readonly name = 'two-choices';
+  #turn: number | undefined;
 
   choose(options: RoutingOptions): RoutingChoice | undefined {
     const runners = eligibleRunners(options);
-    const first = draw(runners, options.random);
-    const others = runners.filter((runner) => runner !== first);
-    const second = draw(others, options.random);
-    const pair = [first, second].filter((runner) => runner !== undefined);
-    return choiceOf(smallest(pair, expectedMs, options.random), options, pair.length);
+    this.#turn ??= Math.floor(options.random.next() * runners.length);
+    const first = runners[this.#turn % Math.max(1, runners.length)];
+    this.#turn += 1;
+    const second = draw(
+      runners.filter((runner) => runner !== first),
+      options.random,
+    );
+    if (!first || !second) return choiceOf(first, options, runners.length);
+    const elsewhere = requestsElsewhere(runners);
+    const costOf = (runner: RunnerView): number =>
+      (1 + agedRequests(runner, elsewhere)) * runner.serviceTimeMs + runner.networkMs;
+    const isBetter = costOf(second) + MARGIN * first.serviceTimeMs < costOf(first);
+    return choiceOf(isBetter ? second : first, options, 2);
   }
 }
--- a/packages/routing/src/utils/choose-runner.ts
+++ b/packages/routing/src/utils/choose-runner.ts
@@ -16,7 +16,7 @@
 const RANDOM_CANDIDATES = 2;
 /** Costs closer than this in milliseconds are equal. */
 const TIE_MS = 0.5;
-const DEFAULT_OWNER_PRIOR = 0.3;
+const DEFAULT_OWNER_PRIOR = 0.6;
 const DEFAULT_LOAD_BOUND = 1.25;
 const DEFAULT_STREAM_COST_MS = 2;
 
--- a/packages/routing/src/utils/estimate-first-token.ts
+++ b/packages/routing/src/utils/estimate-first-token.ts
@@ -5,13 +5,15 @@
 
 /** Prompt tokens assumed for a request that another node sent and that waits at the runner. */
 const WAITING_TOKENS = 256;
+/** Time constant with which a report of waiting prompts loses its value. */
+const REPORT_DECAY_MS = 2000;
 const MS_PER_S = 1000;
 
 /** Prompt tokens ahead of a new request: reported and aged, plus this node's own. */
 function tokensAhead(runner: RunnerView): number {
   const { load, loadAgeMs, unreported, inFlight } = runner;
   if (!load) return inFlight.prefillTokens;
-  const weight = reportWeight(loadAgeMs);
+  const weight = reportWeight(loadAgeMs, REPORT_DECAY_MS);
   const reported = load.waiting * WAITING_TOKENS + unreported.prefillTokens;
   return weight * reported + (1 - weight) * inFlight.prefillTokens;
 }
--- /dev/null
+++ b/test/routing/simulate-applications.ts
@@ -0,0 +1,93 @@
+import { SeededRandom } from '@ragwortrudder/core';
+import { RunnerTracker, routingPolicyOf } from '@ragwortrudder/routing';
+import type { PolicyName } from '@ragwortrudder/routing';
+
+const NODES = 9;
+const RUNNERS = 6;
+const SLOTS = 4;
+const SERVICE_MS = 20;
+const LOAD = 0.8;
+const DURATION_MS = 20_000;
+const RESTART_PERIOD_MS = 2000;
+
+interface Job {
+  readonly id: string;
+  readonly node: number;
+  readonly sentAt: number;
+  readonly endsAt: number;
+}
+
+/** Outcome of a simulated run. */
+export interface ApplicationResult {
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  /** Largest number of requests at one runner. */
+  readonly peak: number;
+}
+
+/**
+ * Simulates nodes that route to application runners with reports `reportMs` apart. Every two
+ * seconds one runner is emptied, so that it looks free to all nodes at once. Another one is slower
+ * than the rest by the factor `slowness`.
+ */
+export function simulateApplications(
+  name: PolicyName,
+  reportMs: number,
+  seed: number,
+  slowness = 1,
+): ApplicationResult {
+  const random = new SeededRandom(seed);
+  const identity = { failureDomain: 'a', service: 's', version: 'v', kind: 'application' } as const;
+  const ids = Array.from({ length: RUNNERS }, (_, i) => String(i));
+  const nodes = Array.from({ length: NODES }, () => ({
+    policy: routingPolicyOf(name),
+    trackers: ids.map((id) => new RunnerTracker({ ...identity, id, endpoint: id })),
+  }));
+  for (const { trackers } of nodes) for (const tracker of trackers) tracker.setState('ready');
+  let queues: readonly (readonly Job[])[] = ids.map(() => []);
+  const latencies: number[] = [];
+  let peak = 0;
+  let sent = 0;
+  for (let now = 0; now < DURATION_MS; now += 1) {
+    queues = queues.map((queue, runner) => {
+      for (const job of queue.filter(({ endsAt }) => endsAt <= now)) {
+        nodes[job.node]?.trackers[runner]?.ended(job.id, true, now);
+        latencies.push(now - job.sentAt);
+      }
+      const left = queue.filter(({ endsAt }) => endsAt > now);
+      const isEmptied = now % RESTART_PERIOD_MS === 0 && runner === 0;
+      if (!isEmptied) return left;
+      for (const job of left) nodes[job.node]?.trackers.at(runner)?.ended(job.id, false, now);
+      return [];
+    });
+    for (const [at, node] of nodes.entries()) {
+      if ((now + at * 37) % reportMs !== 0) continue;
+      for (const [runner, tracker] of node.trackers.entries()) {
+        const size = queues[runner]?.length ?? 0;
+        const running = Math.min(SLOTS, size);
+        tracker.reported({ running, waiting: size - running, leaving: false }, now);
+      }
+    }
+    const arrivals = random.next() < (LOAD * RUNNERS * SLOTS) / SERVICE_MS / 2 ? 2 : 0;
+    for (let n = 0; n < arrivals; n += 1) {
+      const at = Math.floor(random.next() * NODES);
+      const node = nodes[at];
+      const candidates = node ? node.trackers.map((tracker) => tracker.view(now)) : [];
+      const request = { id: String(sent), service: 's', blocks: [], promptTokens: 0 };
+      const choice = node?.policy.choose({ candidates, request, random });
+      const runner = Number(choice?.runner.id ?? 0);
+      sent += 1;
+      node?.trackers[runner]?.sent(request, now);
+      const queue = queues[runner] ?? [];
+      const free = queue.length < SLOTS ? now : (queue[queue.length - SLOTS]?.endsAt ?? now);
+      const factor = runner === 1 ? slowness : 1;
+      const serviceMs = factor * SERVICE_MS * (0.5 + random.next());
+      const job = { id: request.id, node: at, sentAt: now, endsAt: free + serviceMs };
+      queues = queues.map((other, i) => (i === runner ? [...other, job] : other));
+      peak = Math.max(peak, queue.length + 1);
+    }
+  }
+  latencies.sort((a, b) => a - b);
+  const part = (q: number): number => latencies[Math.floor(q * latencies.length)] ?? NaN;
+  return { p50Ms: part(0.5), p99Ms: part(0.99), peak };
+}
