--- a/packages/standins/src/node/fleet.ts
+++ b/packages/standins/src/node/fleet.ts
@@ -14,6 +14,7 @@
 import type { FleetMember } from '../types/fleet-member.ts';
 import type { FleetOptions } from '../types/fleet-options.ts';
 import type { FleetRunner } from '../types/fleet-runner.ts';
+import type { LinkReport } from '../types/link-report.ts';
 import type { LogRecord } from '../types/log-record.ts';
 import type { OperationRun } from '../types/operation-run.ts';
 import type { PlatformFault } from '../types/platform-fault.ts';
@@ -39,6 +40,9 @@
   readonly from: string;
   readonly to: string;
 }
+interface LinkPage {
+  readonly links: readonly LinkReport[];
+}
 interface LogPage {
   readonly records: readonly LogRecord[];
 }
@@ -203,6 +207,12 @@
     await got.post(url, { json: { faults }, ...this.#callOptions() });
   }
 
+  /** State of the links; their names are `<entry node>><entry node, runner or platform>`. */
+  async links(): Promise<readonly LinkReport[]> {
+    const url = `http://${this.member('relay').address}/control/links`;
+    return (await got(url, this.#callOptions()).json<LinkPage>()).links;
+  }
+
   /** Cuts all links between the failure domain and everything outside it, or restores them. */
   async cutFailureDomain(failureDomain: string, mode: RelayMode = 'cut'): Promise<void> {
     const { failureDomains } = this.layout;
--- a/packages/standins/src/node/relay-listener.ts
+++ b/packages/standins/src/node/relay-listener.ts
@@ -13,6 +13,7 @@
   readonly #connections = new Map<Socket, RelayConnection>();
   #mode: RelayMode = 'open';
   #delayMs = 0;
+  #accepted = 0;
   #lostBytes = 0;
   #port: number;
 
@@ -37,6 +38,11 @@
     return this.#delayMs;
   }
 
+  /** Connections accepted since the start. */
+  get accepted(): number {
+    return this.#accepted;
+  }
+
   /** Bytes that were not passed on because of a mode. */
   get lostBytes(): number {
     return this.#lostBytes;
@@ -76,6 +82,7 @@
   }
 
   #accept(socket: Socket): void {
+    this.#accepted += 1;
     this.#connections.set(socket, new RelayConnection(socket, this.target, this));
     socket.once('close', () => this.#connections.delete(socket));
   }
--- a/packages/standins/src/node/relay.ts
+++ b/packages/standins/src/node/relay.ts
@@ -36,8 +36,8 @@
 
   /** State of every link. */
   links(): readonly LinkReport[] {
-    return [...this.#links.values()].map(({ name, port, mode, lostBytes }) => {
-      return { name, port, mode, lostBytes };
+    return [...this.#links.values()].map(({ name, port, mode, accepted, lostBytes }) => {
+      return { name, port, mode, accepted, lostBytes };
     });
   }
 
--- /dev/null
+++ b/test/standins/fleet.test.ts
@@ -0,0 +1,197 @@
+import { fileURLToPath } from 'node:url';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { checkSettings } from '@ragwortrudder/settings';
+import { ChildProcess, Fleet, ProcessFailure, entrySettings } from '@ragwortrudder/standins';
+import type { FleetOptions } from '@ragwortrudder/standins';
+import { call } from './call.ts';
+
+const PROGRAM = fileURLToPath(new URL('fake-node.ts', import.meta.url));
+const LONG_MS = 3_600_000;
+
+async function start(t: ExecutionContext, options: FleetOptions = {}): Promise<Fleet> {
+  const fleet = new Fleet({ program: PROGRAM, failureDomains: ['a', 'b'], ...options });
+  t.teardown(() => fleet.close());
+  await fleet.start();
+  return fleet;
+}
+
+/** True when the entry node reaches the address. */
+async function reaches(fleet: Fleet, name: string, address: string): Promise<boolean> {
+  const url = encodeURIComponent(`http://${address}/health`);
+  const reply = await call(`${fleet.callersAddress(name)}/fetch?url=${url}`);
+  return reply.body.reached === true;
+}
+
+test('the generated settings are valid and take overrides', (t) => {
+  const settings = entrySettings({
+    entry: {
+      name: 'entry-1',
+      role: 'entry',
+      failureDomain: 'a',
+      address: '127.0.0.1:1000',
+      peerAddress: '127.0.0.1:1001',
+    },
+    seeds: ['127.0.0.1:1001'],
+    platformAddress: '127.0.0.1:1002',
+    operator: new Fleet().operator,
+    tenants: new Fleet().layout.tenants,
+    overrides: { node: { region: 'north' } },
+  });
+  const checked = checkSettings(JSON.stringify(settings));
+  t.like(checked, {
+    node: { id: 'entry-1', failureDomain: 'a', region: 'north' },
+    listen: { callers: { port: 1000 }, peers: { port: 1001 } },
+    platform: { url: 'http://127.0.0.1:1002' },
+  });
+});
+
+test('the layout spreads entry nodes and runners over the failure domains', (t) => {
+  const { layout } = new Fleet({
+    entriesPerFailureDomain: 2,
+    runners: [{ service: 'quotes', version: 'v1', kind: 'model', count: 4 }],
+  });
+  const domains = (items: readonly { readonly failureDomain: string }[]) =>
+    items.map((item) => item.failureDomain).join('');
+  t.is(domains(layout.entries), 'abcabc');
+  t.is(domains(layout.runners), 'abca');
+});
+
+test.serial('starts and stops a deployment, and signals its processes by name', async (t) => {
+  const fleet = await start(t, {
+    runners: [
+      { service: 'quotes', version: 'v1', kind: 'model', count: 2 },
+      { service: 'orders', version: 'v1', kind: 'application', count: 1 },
+    ],
+  });
+  const { body } = await call(`${fleet.platformAddress}/vms`);
+  const vms = body.vms as { readonly id: string; readonly labels: { readonly kind?: string } }[];
+  t.deepEqual(vms.map((vm) => vm.id).sort(), [
+    'entry-1',
+    'entry-2',
+    'vm-orders-v1-1',
+    'vm-quotes-v1-1',
+    'vm-quotes-v1-2',
+  ]);
+  const reply = await fleet.submitTicket({ number: 1 }, 'entry-2');
+  t.like(reply, {
+    status: 200,
+    body: { id: 'entry-2', authorization: `Bearer ${fleet.operator.key}` },
+  });
+
+  await call(`${fleet.runner('orders-v1-1').address}/operations`, {
+    json: { key: 'k', operation: 'reorder' },
+  });
+  t.like(await fleet.operationRuns(), [{ key: 'k', runner: 'orders-v1-1' }]);
+  t.is((await fleet.engineStats()).length, 2);
+
+  const pid = fleet.pid('entry-1');
+  await fleet.kill('entry-1');
+  t.is(fleet.pid('entry-1'), undefined);
+  await fleet.restart('entry-1');
+  t.not(fleet.pid('entry-1'), pid);
+  t.is((await call(`${fleet.callersAddress('entry-1')}/ready`)).body.pid, fleet.pid('entry-1'));
+  t.is(fleet.output('entry-1').match(/entry-1 starts/g)?.length, 2);
+
+  fleet.pause('entry-2');
+  const abort = new AbortController();
+  const paused = call(`${fleet.callersAddress('entry-2')}/ready`, { signal: abort.signal });
+  let answered = false;
+  void paused.then(
+    () => (answered = true),
+    () => undefined,
+  );
+  await call(`${fleet.callersAddress('entry-1')}/ready`);
+  t.false(answered);
+  fleet.resume('entry-2');
+  t.is((await paused).status, 200);
+});
+
+test.serial('faults and reclaims reach runners, platform and entry nodes', async (t) => {
+  const fleet = await start(t, {
+    failureDomains: ['a'],
+    runners: [
+      { service: 'quotes', version: 'v1', kind: 'model', count: 1 },
+      { service: 'orders', version: 'v1', kind: 'application', count: 1 },
+    ],
+  });
+  const model = fleet.runner('quotes-v1-1');
+  await fleet.engineFault(model.id, { refuse: true });
+  await t.throwsAsync(call(`${model.address}/health`));
+  await fleet.engineFault(model.id, { refuse: false });
+  t.is((await call(`${model.address}/health`)).status, 200);
+  await fleet.applicationFault('orders-v1-1', { mode: 'not-run' });
+  const { address } = fleet.runner('orders-v1-1');
+  const operation = { json: { key: 'k', operation: 'reorder' } };
+  t.is((await call(`${address}/operations`, operation)).status, 503);
+  await fleet.reclaim(model.vmId, { noticeMs: LONG_MS });
+  t.is((await call(`${model.address}/load`)).body.leaving, true);
+  await fleet.reclaim('entry-1', { noticeMs: 0 });
+  while (fleet.pid('entry-1') !== undefined) await new Promise((resolve) => setTimeout(resolve, 5));
+  t.is(((await call(`${fleet.platformAddress}/notices`)).body.notices as unknown[]).length, 2);
+  await fleet.platformFault({ target: 'notices', mode: 'down' });
+  t.is((await call(`${fleet.platformAddress}/notices`)).status, 503);
+  await call(`${fleet.platformAddress}/log/s/records`, { json: { id: 'x', body: 1 } });
+  t.like(await fleet.log('s'), [{ id: 'x' }]);
+});
+
+test.serial('relays cut a failure domain from the others and from the platform, runners apart', async (t) => {
+  const fleet = await start(t, {
+    relays: true,
+    runnerRelays: true,
+    runners: [{ service: 'quotes', version: 'v1', kind: 'model', count: 2 }],
+  });
+  const [first, second] = fleet.entries.map((entry) => entry.peerAddress ?? '');
+  const [own, other] = fleet.runners.map((runner) => runner.address);
+  const platform = fleet.platformAddress;
+  const view = async () =>
+    Promise.all([
+      reaches(fleet, 'entry-1', second ?? ''),
+      reaches(fleet, 'entry-2', first ?? ''),
+      reaches(fleet, 'entry-1', platform),
+      reaches(fleet, 'entry-2', platform),
+      reaches(fleet, 'entry-1', own ?? ''),
+      reaches(fleet, 'entry-1', other ?? ''),
+      reaches(fleet, 'entry-2', own ?? ''),
+    ]);
+  t.deepEqual(await view(), [true, true, true, true, true, true, true]);
+  t.true(
+    (await fleet.links()).every((link) => link.accepted > 0 || link.name.endsWith('quotes-v1-2')),
+  );
+  await fleet.cutFailureDomain('a');
+  t.deepEqual(await view(), [false, false, false, true, true, false, false]);
+  await fleet.cutFailureDomain('a', 'open');
+  t.deepEqual(await view(), [true, true, true, true, true, true, true]);
+  await fleet.linkFault({ from: ['entry-1'], to: ['platform'] }, 'cut');
+  t.deepEqual(await view(), [true, true, false, true, true, true, true]);
+});
+
+test('a process that ends before it is ready fails the start, with its output', async (t) => {
+  const child = new ChildProcess({
+    name: 'bad',
+    command: process.execPath,
+    args: ['-e', 'console.error("no settings"); process.exit(3)'],
+  });
+  t.teardown(() => child.close());
+  const error = await t.throwsAsync(child.firstLine(LONG_MS), { instanceOf: ProcessFailure });
+  t.regex(error.output, /no settings/);
+  t.is(child.exitCode, 3);
+});
+
+test.serial('the programs stop gracefully on SIGTERM', async (t) => {
+  const fleet = await start(t, {
+    relays: true,
+    runners: [
+      { service: 'orders', version: 'v1', kind: 'application', count: 1, options: { workMs: 300 } },
+    ],
+  });
+  const { address, process: name } = fleet.runner('orders-v1-1');
+  const operation = { json: { key: 'k', operation: 'reorder' } };
+  const reply = call(`${address}/operations`, operation);
+  while ((await call(`${address}/load`)).body.running === 0);
+  await fleet.kill(name, 'SIGTERM');
+  t.is((await reply).status, 200);
+  await fleet.kill('relay', 'SIGTERM');
+  await fleet.kill('platform', 'SIGTERM');
+  t.is(fleet.pid('platform'), undefined);
+});
