--- a/packages/client/src/node/caller-client.ts
+++ b/packages/client/src/node/caller-client.ts
@@ -34,12 +34,15 @@
     const endsAt = performance.now() + (request.patienceMs ?? DEFAULT_PATIENCE_MS);
     const progress = new Progress();
     while (!progress.isFinished()) {
+      const node = this.#nextNode();
+      request.observer?.connecting(node, progress.requestId !== undefined);
       try {
-        for await (const event of this.#connect(request, progress)) {
+        for await (const event of this.#connect(node, request, progress)) {
           if (progress.take(event)) yield event;
         }
-        if (!progress.isFinished()) throw new ConnectionLost('the node');
+        if (!progress.isFinished()) throw new ConnectionLost(node);
       } catch (error) {
+        if (error instanceof Failure) request.observer?.failed(node, error);
         await this.#waitToRetry(error, endsAt);
       }
     }
@@ -57,11 +60,12 @@
   }
 
   #connect(
+    node: string,
     request: ClientRequest,
     { requestId, lastEventId }: Progress,
   ): AsyncGenerator<AnswerEvent> {
     const common = {
-      node: this.#nextNode(),
+      node,
       connectMs: this.#options.connectMs ?? DEFAULT_CONNECT_MS,
       silenceMs: this.#options.silenceMs ?? DEFAULT_SILENCE_MS,
     };
--- a/packages/client/src/types/client-request.ts
+++ b/packages/client/src/types/client-request.ts
@@ -1,3 +1,5 @@
+import type { ClientObserver } from './client-observer.ts';
+
 /** A request to submit. */
 export interface ClientRequest {
   readonly service: string;
@@ -10,4 +12,6 @@
    * @default 60000
    */
   readonly patienceMs?: number;
+  /** Told of each connection made and lost. */
+  readonly observer?: ClientObserver;
 }
--- /dev/null
+++ b/packages/prove/src/node/run-watch.ts
@@ -0,0 +1,84 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Closeable } from '@ragwortrudder/core';
+import type { HistoryRecord } from '@ragwortrudder/history';
+import type { Fleet } from '@ragwortrudder/standins';
+
+const PERIOD_MS = 200;
+
+interface RunWatchOptions {
+  readonly fleet: Fleet;
+  readonly record: (event: HistoryRecord, at: number) => void;
+  readonly tenantOf: (key: string) => string;
+}
+
+/** Records what the runners say they ran. */
+export class RunWatch implements Closeable {
+  readonly #options: RunWatchOptions;
+  readonly #seen = new Set<string>();
+  readonly #closing = new AbortController();
+  #running: Promise<void> | undefined;
+
+  constructor(options: RunWatchOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#running ??= this.#loop();
+  }
+
+  async close(): Promise<void> {
+    this.#closing.abort();
+    await this.#running;
+  }
+
+  /** Reads all runs and records those that are new. */
+  async read(): Promise<void> {
+    await Promise.all([this.#readOperations(), this.#readGenerations()]);
+  }
+
+  async #loop(): Promise<void> {
+    const { signal } = this.#closing;
+    while (!signal.aborted) {
+      await this.read().catch(() => undefined);
+      await sleep(PERIOD_MS, undefined, { signal }).catch(() => undefined);
+    }
+  }
+
+  async #readOperations(): Promise<void> {
+    const { fleet, record, tenantOf } = this.#options;
+    for (const run of await fleet.operationRuns()) {
+      if (!this.#isNew(`${run.runner}#${run.number}`)) continue;
+      const { service, version, vmId } = fleet.runner(run.runner);
+      const isKeyed = !run.key.startsWith('r1.');
+      record(
+        {
+          type: 'run',
+          runner: run.runner,
+          endpoint: vmId,
+          service,
+          version,
+          requestId: run.key,
+          ...(isKeyed ? { key: run.key, tenant: tenantOf(run.key) } : {}),
+        },
+        run.time,
+      );
+    }
+  }
+
+  async #readGenerations(): Promise<void> {
+    const { fleet, record } = this.#options;
+    for (const { runner, runs } of await fleet.engineStats()) {
+      const { service, version, vmId } = fleet.runner(runner);
+      for (const requestId of Object.keys(runs)) {
+        if (!this.#isNew(`${runner}#${requestId}`)) continue;
+        record({ type: 'run', runner, endpoint: vmId, service, version, requestId }, Date.now());
+      }
+    }
+  }
+
+  #isNew(name: string): boolean {
+    if (this.#seen.has(name)) return false;
+    this.#seen.add(name);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/prove/src/utils/tenants.ts
@@ -0,0 +1,2 @@
+/** Tenants of the proofs. */
+export const TENANTS = ['novak', 'sfax'] as const;
