End the processes of a fleet with the process that started them

A fleet whose parent was killed left its processes running. They now end when the pipe to their stdin closes.

--- a/packages/standins/src/cli/main.ts
+++ b/packages/standins/src/cli/main.ts
@@ -4,6 +4,9 @@
 import { engineCommand } from '../commands/engine-command.ts';
 import { platformCommand } from '../commands/platform-command.ts';
 import { relayCommand } from '../commands/relay-command.ts';
+import { endWithParent } from '../node/end-with-parent.ts';
+
+endWithParent();
 
 void yargs(hideBin(process.argv))
   .scriptName('standins')
--- a/packages/standins/src/node/child-process.ts
+++ b/packages/standins/src/node/child-process.ts
@@ -14,7 +14,7 @@
 const MAX_OUTPUT_CHARS = 256 * 1024;
 const STOP_TIMEOUT_MS = 45_000;
 
-/** Process started by a fleet; keeps the end of what it wrote to stderr. */
+/** Process started by a fleet, which ends with it; keeps the end of what it wrote to stderr. */
 export class ChildProcess implements Closeable {
   readonly name: string;
   readonly #child: NodeChild;
@@ -25,8 +25,8 @@
   constructor({ name, command, args, env }: ChildProcessOptions) {
     this.name = name;
     this.#child = spawn(command, [...args], {
-      env: { ...process.env, NODE_NO_WARNINGS: '1', ...env },
-      stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, NODE_NO_WARNINGS: '1', STANDINS_END_WITH_PARENT: 'true', ...env },
+      stdio: ['pipe', 'pipe', 'pipe'],
     });
     this.#exit = new Promise((resolve) => {
       this.#child.once('close', () => {
--- /dev/null
+++ b/packages/standins/src/node/end-with-parent.ts
@@ -0,0 +1,11 @@
+interface Unreferable {
+  unref?(): void;
+}
+
+/** Ends this process when the one that started it has gone, which closes the pipe to stdin. */
+export function endWithParent(): void {
+  if (process.env.STANDINS_END_WITH_PARENT !== 'true') return;
+  process.stdin.once('end', () => process.exit(1));
+  process.stdin.resume();
+  (process.stdin as Unreferable).unref?.();
+}
--- a/packages/standins/src/node/fleet.ts
+++ b/packages/standins/src/node/fleet.ts
@@ -56,6 +56,7 @@
 
 const HOST = '127.0.0.1';
 const READY_POLL_MS = 50;
+const STARTS_AT_ONCE = 8;
 const CALL_TIMEOUT_MS = 10_000;
 const DEFAULT_READY_TIMEOUT_MS = 30_000;
 const STANDINS = fileURLToPath(new URL('../cli/main.ts', import.meta.url));
@@ -155,7 +156,10 @@
   /** Starts the entry nodes and waits until they are ready. */
   async startEntries(): Promise<void> {
     this.#folder ||= await mkdtemp(join(tmpdir(), 'fleet-'));
-    await Promise.all(this.entries.map((entry) => this.#startEntry(entry)));
+    for (let first = 0; first < this.entries.length; first += STARTS_AT_ONCE) {
+      const group = this.entries.slice(first, first + STARTS_AT_ONCE);
+      await Promise.all(group.map((entry) => this.#startEntry(entry)));
+    }
   }
 
   /** Stops everything: the entry nodes first. */
--- a/packages/standins/src/node/http-server.ts
+++ b/packages/standins/src/node/http-server.ts
@@ -12,6 +12,7 @@
 
 const DEFAULT_BODY_LIMIT_BYTES = 16 * 1024 * 1024;
 const DRAIN_CHECK_MS = 20;
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
 function replyTo(error: unknown): HttpReply {
   if (!(error instanceof Failure)) return { status: 500, body: { message: String(error) } };
@@ -44,6 +45,7 @@
     this.#bodyLimitBytes = bodyLimitBytes;
     this.#restify = restify.createServer({ name });
     this.#http = this.#restify.server;
+    this.#http.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
     this.#http.on('connection', (socket) => {
       this.#sockets.add(socket);
       socket.once('close', () => this.#sockets.delete(socket));
--- a/packages/standins/src/node/platform.ts
+++ b/packages/standins/src/node/platform.ts
@@ -16,10 +16,6 @@
 
 const DEFAULT_DELAY_MS = 1000;
 const DEFAULT_RECORD_LIMIT_BYTES = 256 * 1024;
-const DEFAULT_PRICES: readonly Price[] = ['a', 'b', 'c'].flatMap((failureDomain, index) => [
-  { failureDomain, machineClass: 'standard', reclaimable: true, pricePerHour: 1 + index / 4 },
-  { failureDomain, machineClass: 'standard', reclaimable: false, pricePerHour: 3 },
-]);
 const fault = z.object({
   target: z.enum(['log.append', 'log.read', 'vms', 'cloud', 'notices', 'weights']),
   mode: z.enum(['ok', 'down', 'slow', 'reply-lost', 'hang']),
@@ -54,7 +50,7 @@
 
   constructor(options: PlatformOptions = {}) {
     this.#options = options;
-    this.#prices = options.prices ?? DEFAULT_PRICES;
+    this.#prices = options.prices ?? [];
     this.#weightRate = new RateLimit(options.weightReadsPerSecond ?? 5, this.#clock);
     this.#log = new PlatformLog({
       clock: this.#clock,
--- a/packages/standins/src/node/route-preload.ts
+++ b/packages/standins/src/node/route-preload.ts
@@ -1,5 +1,6 @@
 /** Preloaded into an entry node of a fleet: sends its connections to the relays named in the environment. */
 import { Socket } from 'node:net';
+import { endWithParent } from './end-with-parent.ts';
 
 interface Destination {
   readonly host?: string | undefined;
@@ -38,3 +39,4 @@
 }
 
 Reflect.set(Socket.prototype, 'connect', connectByRoute);
+endWithParent();
--- a/packages/standins/src/types/platform-options.ts
+++ b/packages/standins/src/types/platform-options.ts
@@ -36,6 +36,6 @@
    * @default 5
    */
   readonly weightReadsPerSecond?: number | undefined;
-  /** @default a small table of three failure domains */
+  /** @default no prices */
   readonly prices?: readonly Price[] | undefined;
 }
--- a/packages/standins/src/utils/plan-layout.ts
+++ b/packages/standins/src/utils/plan-layout.ts
@@ -1,6 +1,7 @@
 import type { FleetLayout } from '../types/fleet-layout.ts';
 import type { FleetOptions } from '../types/fleet-options.ts';
 import type { FleetRunners } from '../types/fleet-runners.ts';
+import type { Price } from '../types/price.ts';
 import type { RunnerPlace } from '../types/runner-place.ts';
 
 const DEFAULT_FAILURE_DOMAINS = ['a', 'b', 'c'];
@@ -22,6 +23,13 @@
   });
 }
 
+function pricesOf(failureDomains: readonly string[]): readonly Price[] {
+  return failureDomains.flatMap((failureDomain, index) => [
+    { failureDomain, machineClass: 'standard', reclaimable: true, pricePerHour: 1 + index / 4 },
+    { failureDomain, machineClass: 'standard', reclaimable: false, pricePerHour: 3 },
+  ]);
+}
+
 /** Works out the processes and runners of a fleet. */
 export function planLayout(options: FleetOptions): FleetLayout {
   const seed = options.seed ?? 1;
@@ -35,5 +43,6 @@
     placeRunners(group, failureDomains, seed + index * 1000),
   );
   const tenants = options.tenants ?? DEFAULT_TENANTS;
-  return { seed, failureDomains, entries, runners, tenants, platform: options.platform ?? {} };
+  const platform = { prices: pricesOf(failureDomains), ...options.platform };
+  return { seed, failureDomains, entries, runners, tenants, platform };
 }
--- a/test/standins/fleet.test.ts
+++ b/test/standins/fleet.test.ts
@@ -135,36 +135,39 @@
   t.like(await fleet.log('s'), [{ id: 'x' }]);
 });
 
-test.serial('relays cut a failure domain from the others and from the platform, runners apart', async (t) => {
-  const fleet = await start(t, {
-    relays: true,
-    runnerRelays: true,
-    runners: [{ service: 'quotes', version: 'v1', kind: 'model', count: 2 }],
-  });
-  const [first, second] = fleet.entries.map((entry) => entry.peerAddress ?? '');
-  const [own, other] = fleet.runners.map((runner) => runner.address);
-  const platform = fleet.platformAddress;
-  const view = async () =>
-    Promise.all([
-      reaches(fleet, 'entry-1', second ?? ''),
-      reaches(fleet, 'entry-2', first ?? ''),
-      reaches(fleet, 'entry-1', platform),
-      reaches(fleet, 'entry-2', platform),
-      reaches(fleet, 'entry-1', own ?? ''),
-      reaches(fleet, 'entry-1', other ?? ''),
-      reaches(fleet, 'entry-2', own ?? ''),
-    ]);
-  t.deepEqual(await view(), [true, true, true, true, true, true, true]);
-  t.true(
-    (await fleet.links()).every((link) => link.accepted > 0 || link.name.endsWith('quotes-v1-2')),
-  );
-  await fleet.cutFailureDomain('a');
-  t.deepEqual(await view(), [false, false, false, true, true, false, false]);
-  await fleet.cutFailureDomain('a', 'open');
-  t.deepEqual(await view(), [true, true, true, true, true, true, true]);
-  await fleet.linkFault({ from: ['entry-1'], to: ['platform'] }, 'cut');
-  t.deepEqual(await view(), [true, true, false, true, true, true, true]);
-});
+test.serial(
+  'relays cut a failure domain from the others and from the platform, runners apart',
+  async (t) => {
+    const fleet = await start(t, {
+      relays: true,
+      runnerRelays: true,
+      runners: [{ service: 'quotes', version: 'v1', kind: 'model', count: 2 }],
+    });
+    const [first, second] = fleet.entries.map((entry) => entry.peerAddress ?? '');
+    const [own, other] = fleet.runners.map((runner) => runner.address);
+    const platform = fleet.platformAddress;
+    const view = async () =>
+      Promise.all([
+        reaches(fleet, 'entry-1', second ?? ''),
+        reaches(fleet, 'entry-2', first ?? ''),
+        reaches(fleet, 'entry-1', platform),
+        reaches(fleet, 'entry-2', platform),
+        reaches(fleet, 'entry-1', own ?? ''),
+        reaches(fleet, 'entry-1', other ?? ''),
+        reaches(fleet, 'entry-2', own ?? ''),
+      ]);
+    t.deepEqual(await view(), [true, true, true, true, true, true, true]);
+    t.true(
+      (await fleet.links()).every((link) => link.accepted > 0 || link.name.endsWith('quotes-v1-2')),
+    );
+    await fleet.cutFailureDomain('a');
+    t.deepEqual(await view(), [false, false, false, true, true, false, false]);
+    await fleet.cutFailureDomain('a', 'open');
+    t.deepEqual(await view(), [true, true, true, true, true, true, true]);
+    await fleet.linkFault({ from: ['entry-1'], to: ['platform'] }, 'cut');
+    t.deepEqual(await view(), [true, true, false, true, true, true, true]);
+  },
+);
 
 test('a process that ends before it is ready fails the start, with its output', async (t) => {
   const child = new ChildProcess({
