--- a/packages/supply/src/types/supply-plan-options.ts
+++ b/packages/supply/src/types/supply-plan-options.ts
@@ -2,23 +2,26 @@
 export interface SupplyPlanOptions {
   /** Wall-clock time in milliseconds. */
   readonly now: number;
-  /** Names the plan's log position or epoch, so that request ids of different plans differ. */
+  /** Prefix of the request ids, unique to the holder of the supply job's lease. */
   readonly epoch: string;
+  /** Number of the next request id, from the ledger. */
+  readonly nextSequence: number;
   /**
    * Part of the needed capacity that is held on demand at least.
    * @default 0.2
    */
   readonly onDemandFloor?: number;
   /**
-   * Capacity held above the need before VMs are returned, as a part of the need.
-   * @default 0.1
+   * Capacity above the need that is kept when VMs are returned, as a part of the need.
+   * @default 0.05
    */
   readonly returnMargin?: number;
   /**
-   * Time for which a VM must have been surplus before it is returned, in milliseconds.
-   * @default 60000
+   * VMs held that meet the need are replaced only by ones cheaper by this part, so that small
+   * price changes move nothing.
+   * @default 0.1
    */
-  readonly returnAfterMs?: number;
+  readonly holdDiscount?: number;
   /**
    * First delay after a refusal in milliseconds; doubles with each further one.
    * @default 30000
--- a/packages/supply/src/types/supply-vm.ts
+++ b/packages/supply/src/types/supply-vm.ts
@@ -6,6 +6,4 @@
   readonly id: string;
   readonly state: 'live' | 'leaving' | 'pending';
   readonly labels: Readonly<Record<string, string>>;
-  /** Wall-clock time since which the VM was not needed in milliseconds. */
-  readonly surplusSince?: number;
 }
--- /dev/null
+++ b/packages/supply/src/utils/cheapest-first-supply.ts
@@ -0,0 +1,14 @@
+import type { SupplyAction } from '../types/supply-action.ts';
+import type { SupplyInput } from '../types/supply-input.ts';
+import type { SupplyPolicy } from '../types/supply-policy.ts';
+import { cheapestKind } from './cheapest-kind.ts';
+import { planActions } from './plan-actions.ts';
+
+/** Baseline: VMs of the cheapest kind only, whatever is reclaimed or refused. */
+export class CheapestFirstSupply implements SupplyPolicy {
+  readonly name = 'cheapest-first';
+
+  plan(input: SupplyInput): readonly SupplyAction[] {
+    return planActions(input, (demand) => cheapestKind(demand, input.prices));
+  }
+}
--- /dev/null
+++ b/packages/supply/src/utils/kind-key.ts
@@ -0,0 +1,7 @@
+import type { VmKind } from '../types/vm-kind.ts';
+
+/** Key that is equal for VMs of the same kind. */
+export function kindKey(kind: VmKind): string {
+  const market = kind.reclaimable ? 'reclaimable' : 'on-demand';
+  return `${kind.failureDomain} ${kind.machineClass} ${market}`;
+}
--- /dev/null
+++ b/packages/supply/src/utils/plan-actions.ts
@@ -0,0 +1,80 @@
+import type { StartVm } from '../types/start-vm.ts';
+import type { StopVm } from '../types/stop-vm.ts';
+import type { SupplyAction } from '../types/supply-action.ts';
+import type { SupplyDemand } from '../types/supply-demand.ts';
+import type { SupplyInput } from '../types/supply-input.ts';
+import type { SupplyVm } from '../types/supply-vm.ts';
+import type { VmKind } from '../types/vm-kind.ts';
+import { hasLabels } from './has-labels.ts';
+import { kindKey } from './kind-key.ts';
+import { protectedUnits } from './protected-units.ts';
+import { requestIdOf } from './request-id-of.ts';
+
+const DEFAULT_MAX_STARTS = 16;
+const DEFAULT_RETURN_MARGIN = 0.05;
+
+/** Wanted number of VMs of one kind for a demand. */
+interface Target {
+  readonly kind: VmKind;
+  readonly count: number;
+}
+
+type Targets = (demand: SupplyDemand, held: ReadonlyMap<string, number>) => readonly Target[];
+
+function countByKind(vms: readonly SupplyVm[]): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const vm of vms) counts.set(kindKey(vm), (counts.get(kindKey(vm)) ?? 0) + 1);
+  return counts;
+}
+
+/** VMs beyond the targets that live capacity can do without, dearest first. */
+function stopsFor(
+  demand: SupplyDemand,
+  held: readonly SupplyVm[],
+  targets: readonly Target[],
+  input: SupplyInput,
+): readonly StopVm[] {
+  const margin = input.options.returnMargin ?? DEFAULT_RETURN_MARGIN;
+  const wanted = new Map(targets.map(({ kind, count }) => [kindKey(kind), count]));
+  const prices = new Map(input.prices.map((price) => [kindKey(price), price.pricePerHour]));
+  const priceOf = (vm: SupplyVm): number => prices.get(kindKey(vm)) ?? Infinity;
+  const excess = new Map(countByKind(held));
+  let live = held.filter(({ state }) => state === 'live');
+  const stops: StopVm[] = [];
+  const candidates = [...live].sort((a, b) => priceOf(b) - priceOf(a) || (a.id < b.id ? 1 : -1));
+  for (const vm of candidates) {
+    const key = kindKey(vm);
+    const count = excess.get(key) ?? 0;
+    if (count <= (wanted.get(key) ?? 0)) continue;
+    const rest = live.filter(({ id }) => id !== vm.id);
+    if (protectedUnits(rest, demand.unitsByClass) < demand.units * (1 + margin)) continue;
+    excess.set(key, count - 1);
+    live = rest;
+    stops.push({ action: 'stop', vmId: vm.id });
+  }
+  return stops;
+}
+
+/** Turns the wanted numbers of VMs into starts and returns against what is held. */
+export function planActions(input: SupplyInput, targetsOf: Targets): readonly SupplyAction[] {
+  const { epoch, nextSequence, maxStarts = DEFAULT_MAX_STARTS } = input.options;
+  const starts: StartVm[] = [];
+  const stops: StopVm[] = [];
+  for (const demand of input.demand) {
+    const { labels } = demand;
+    const held = input.current.filter(
+      (vm) => vm.state !== 'leaving' && hasLabels(vm.labels, labels),
+    );
+    const counts = countByKind(held);
+    const targets = targetsOf(demand, counts);
+    for (const { kind, count } of targets) {
+      const missing = count - (counts.get(kindKey(kind)) ?? 0);
+      for (let i = 0; i < missing && starts.length < maxStarts; i += 1) {
+        const requestId = requestIdOf(epoch, nextSequence + starts.length);
+        starts.push({ action: 'start', requestId, ...kind, labels });
+      }
+    }
+    stops.push(...stopsFor(demand, held, targets, input));
+  }
+  return [...starts, ...stops];
+}
