Let the cloud API start spare runners

A VM that the cloud API started never served, so the supply of VMs could not be closed in a loop. Spare runners refuse connections until a started VM that fits takes them, and again once it is stopped.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -38,6 +38,7 @@
 export type { Retention } from './types/retention.ts';
 export type { Runner } from './types/runner.ts';
 export type { RunnerPlace } from './types/runner-place.ts';
+export type { SpareRunner } from './types/spare-runner.ts';
 export type { VmLabels } from './types/vm-labels.ts';
 export type { VmRecord } from './types/vm-record.ts';
 export { BatchScheduler } from './utils/batch-scheduler.ts';
--- a/packages/standins/src/node/fleet.ts
+++ b/packages/standins/src/node/fleet.ts
@@ -290,8 +290,12 @@
     const started = await Promise.all(names.map((name) => this.#startRunnerProcess(name)));
     this.#runners = started.flat();
     for (const runner of this.#runners) {
-      const { vmId, failureDomain, address, service, version, kind } = runner;
+      const { vmId, failureDomain, address, service, version, kind, control } = runner;
       const labels = { service, version, kind };
+      if (vmId === '') {
+        await this.#control('spares', { spares: [{ failureDomain, address, control, labels }] });
+        continue;
+      }
       await this.#control('vms', { id: vmId, failureDomain, address, labels, atOnce: true });
     }
   }
@@ -303,9 +307,9 @@
     const ready = await this.#startStandin(name, [role, '--runners', options]);
     const failureDomain = places[0]?.failureDomain ?? '';
     this.#addMember({ name, role, failureDomain, port: ready.port });
-    return places.map(({ id, process, service, version, kind, failureDomain }) => ({
+    return places.map(({ id, process, service, version, kind, failureDomain, spare }) => ({
       ...{ id, process, service, version, kind, failureDomain },
-      vmId: `vm-${id}`,
+      vmId: spare ? '' : `vm-${id}`,
       address: ready.runners?.find((runner) => runner.id === id)?.address ?? '',
       control: `http://${HOST}:${ready.port}/control/runners/${id}`,
     }));
--- a/packages/standins/src/node/platform-vms.ts
+++ b/packages/standins/src/node/platform-vms.ts
@@ -7,6 +7,7 @@
 import type { VmRecord } from '../types/vm-record.ts';
 import { LaggingValue } from '../utils/lagging-value.ts';
 import { RateLimit } from '../utils/rate-limit.ts';
+import { SparePool } from '../utils/spare-pool.ts';
 import { parseBody } from './parse-body.ts';
 
 interface PlatformVmsOptions {
@@ -14,6 +15,7 @@
   readonly lagMs: number;
   readonly cloudCallsPerSecond: number;
   readonly capacity: number;
+  readonly vmStartMs: number;
 }
 
 const FAULT_TIMEOUT_MS = 1000;
@@ -45,6 +47,11 @@
   noticeMs: z.number().nonnegative(),
   kill: z.boolean().default(true),
 });
+const spareList = z.object({
+  spares: z.array(
+    z.object({ failureDomain: z.string(), address: z.string(), control: z.url(), labels }),
+  ),
+});
 const capacity = z.object({ failureDomain: z.string(), capacity: z.number().nonnegative() });
 
 /** Cloud API, lagging list of VMs and reclaim notices. */
@@ -55,6 +62,7 @@
   readonly #capacities = new Map<string, number>();
   readonly #rate: RateLimit;
   readonly #timers = new Set<NodeJS.Timeout>();
+  readonly #spares = new SparePool();
   #notices: readonly Notice[] = [];
 
   constructor(options: PlatformVmsOptions) {
@@ -86,7 +94,7 @@
     }
     const id = `vm-${this.#started.size + 1}`;
     this.#started.set(requestId, id);
-    this.#put({ id, role: 'endpoint', state: 'live', address: '', ...order });
+    this.#boot({ id, role: 'endpoint', state: 'live', address: '', ...order });
     return { status: 201, body: { id } };
   }
 
@@ -117,6 +125,16 @@
     return { status: 200, body: { id: vm.id } };
   }
 
+  /** Adds runners that serve on VMs which the cloud API starts. */
+  async addSpares(call: HttpCall): Promise<HttpReply> {
+    const added = parseBody(spareList, call.body).spares;
+    await Promise.all(
+      added.map((spare) => this.#post(`${spare.control}/faults`, { refuse: true })),
+    );
+    this.#spares.add(added);
+    return { status: 200, body: {} };
+  }
+
   setCapacity(call: HttpCall): HttpReply {
     const change = parseBody(capacity, call.body);
     this.#capacities.set(change.failureDomain, change.capacity);
@@ -142,8 +160,25 @@
 
   async #tell(vm: VmRecord, fault: unknown): Promise<void> {
     if (vm.role !== 'endpoint' || vm.address === '') return;
-    const options = { json: fault, retry: { limit: 0 }, timeout: { request: FAULT_TIMEOUT_MS } };
-    await got.post(`http://${vm.address}/faults`, options).catch(() => undefined);
+    await this.#post(`http://${vm.address}/faults`, fault);
+  }
+
+  async #post(url: string, json: unknown): Promise<void> {
+    const options = { json, retry: { limit: 0 }, timeout: { request: FAULT_TIMEOUT_MS } };
+    await got.post(url, options).catch(() => undefined);
+  }
+
+  /** Starts a VM; its runner serves and its address is known some time later. */
+  #boot(vm: VmRecord): void {
+    this.#put(vm);
+    const spare = this.#spares.take(vm);
+    if (!spare) return;
+    this.#later(this.#options.vmStartMs, () => {
+      const started = this.#list.latest().get(vm.id);
+      if (!started) return;
+      this.#put({ ...started, address: spare.address });
+      void this.#post(`${spare.control}/faults`, { refuse: false, leaving: false });
+    });
   }
 
   #later(ms: number, action: () => void): void {
@@ -160,7 +195,10 @@
 
   #remove(id: string): void {
     const vms = new Map(this.#list.latest());
-    if (vms.delete(id)) this.#list.set(vms);
+    if (!vms.delete(id)) return;
+    this.#list.set(vms);
+    const spare = this.#spares.release(id);
+    if (spare) void this.#post(`${spare.control}/faults`, { refuse: true });
   }
 
   #hasCapacity(failureDomain: string): boolean {
--- a/packages/standins/src/node/platform.ts
+++ b/packages/standins/src/node/platform.ts
@@ -63,6 +63,7 @@
       lagMs: options.vmLagMs ?? 2000,
       cloudCallsPerSecond: options.cloudCallsPerSecond ?? 10,
       capacity: options.capacity ?? 1000,
+      vmStartMs: options.vmStartMs ?? 0,
     });
     this.#addRoutes();
     this.#addControl();
@@ -143,6 +144,7 @@
     });
     server.post('/control/vms', (call) => this.#vms.register(call));
     server.get('/control/vms', () => this.#vms.dump());
+    server.post('/control/spares', (call) => this.#vms.addSpares(call));
     server.post('/control/capacity', (call) => this.#vms.setCapacity(call));
     server.post('/control/reclaim', (call) => this.#vms.reclaim(call));
     server.get('/control/log/:stream', (call) => ({
--- a/packages/standins/src/types/fleet-runner.ts
+++ b/packages/standins/src/types/fleet-runner.ts
@@ -1,6 +1,7 @@
 /** Runner of a fleet. */
 export interface FleetRunner {
   readonly id: string;
+  /** Empty for a spare runner, whose VM the cloud API names. */
   readonly vmId: string;
   /** Name of the process that hosts it. */
   readonly process: string;
--- a/packages/standins/src/types/platform-options.ts
+++ b/packages/standins/src/types/platform-options.ts
@@ -31,6 +31,11 @@
    * @default 1000
    */
   readonly capacity?: number | undefined;
+  /**
+   * Time in milliseconds from the start of a VM until its runner serves.
+   * @default 0
+   */
+  readonly vmStartMs?: number | undefined;
   /**
    * Reads of the weight store a second.
    * @default 5
--- a/packages/standins/src/types/runner-place.ts
+++ b/packages/standins/src/types/runner-place.ts
@@ -6,5 +6,7 @@
   readonly version: string;
   readonly kind: 'model' | 'application';
   readonly failureDomain: string;
+  /** True when the runner waits for the cloud API to start a VM for it. */
+  readonly spare: boolean;
   readonly options: Readonly<Record<string, unknown>>;
 }
--- a/packages/standins/src/utils/plan-layout.ts
+++ b/packages/standins/src/utils/plan-layout.ts
@@ -12,14 +12,14 @@
   failureDomains: readonly string[],
   seed: number,
 ): readonly RunnerPlace[] {
-  const { service, version, kind, count, options } = group;
+  const { service, version, kind, count, spare = false, options } = group;
   const role = kind === 'model' ? 'engine' : 'application';
   return Array.from({ length: count }, (_, index) => {
     const failureDomain = failureDomains[index % failureDomains.length] ?? '';
-    const id = `${service}-${version}-${index + 1}`;
+    const id = `${service}-${version}-${spare ? 'spare-' : ''}${index + 1}`;
     const process = `${role}-${failureDomain}`;
     const all = { seed: seed + index, ...options, id };
-    return { id, process, service, version, kind, failureDomain, options: all };
+    return { id, process, service, version, kind, failureDomain, spare, options: all };
   });
 }
 
--- a/test/standins/platform.test.ts
+++ b/test/standins/platform.test.ts
@@ -1,7 +1,13 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { ManualClock } from '@ragwortrudder/core';
-import { EngineRunner, LaggingValue, Platform, RateLimit } from '@ragwortrudder/standins';
+import {
+  EngineRunner,
+  LaggingValue,
+  Platform,
+  RateLimit,
+  RunnerHost,
+} from '@ragwortrudder/standins';
 import type { PlatformOptions } from '@ragwortrudder/standins';
 import { call } from './call.ts';
 
@@ -230,6 +236,42 @@
   t.deepEqual((await call(`${address}/vms`)).body, { vms: [] });
 });
 
+test('cloud: a started VM takes a spare runner that fits, and stops it at its end', async (t) => {
+  const address = await start(t, { vmLagMs: 0 });
+  const runner = new EngineRunner({ id: 'm1' });
+  const host = new RunnerHost([runner], () => ({}));
+  await host.listen();
+  t.teardown(() => host.close());
+  const labels = { service: 'quotes', version: 'v1' };
+  const control = `http://127.0.0.1:${host.port}/control/runners/m1`;
+  const spares = [{ failureDomain: 'a', address: runner.address, control, labels }];
+  t.is((await call(`${address}/control/spares`, { json: { spares } })).status, 200);
+  await t.throwsAsync(call(`${runner.address}/health`), { message: /ECONNREFUSED/ });
+
+  const reached = async () => {
+    const reply = await call(`${runner.address}/health`).catch(() => undefined);
+    return reply?.status === 200;
+  };
+  const until = async (wanted: boolean) => {
+    while ((await reached()) !== wanted) await new Promise((resolve) => setTimeout(resolve, 5));
+  };
+  const listed = async () => {
+    const { body } = await call(`${address}/vms`);
+    return (body.vms as { readonly address: string }[]).map((record) => record.address);
+  };
+  const other = { ...vm, labels: { ...labels, version: 'v2' } };
+  await call(`${address}/vms`, { json: { requestId: 'r1', ...other } });
+  t.deepEqual(await listed(), ['']);
+  const { body } = await call(`${address}/vms`, { json: { requestId: 'r2', ...vm, labels } });
+  await until(true);
+  t.deepEqual(await listed(), ['', runner.address]);
+  await call(`${address}/vms/${String(body.id)}`, { method: 'DELETE' });
+  await until(false);
+  await call(`${address}/vms`, { json: { requestId: 'r3', ...vm, labels } });
+  await until(true);
+  t.deepEqual(await listed(), ['', runner.address]);
+});
+
 test('rate limit: refills with time up to a burst', (t) => {
   const clock = new ManualClock();
   const limit = new RateLimit(2, clock);
