--- a/packages/routing/src/types/runner-view.ts
+++ b/packages/routing/src/types/runner-view.ts
@@ -14,7 +14,7 @@
   readonly kind: RunnerKind;
   readonly state: RunnerState;
   /** Last load report; absent until the first one arrives. */
-  readonly load?: LoadReport;
+  readonly load?: LoadReport | undefined;
   /** Age of the last load report in milliseconds; `Infinity` without one. */
   readonly loadAgeMs: number;
   /** Work that this node sent since the last load report and that is still in flight. */
--- a/packages/routing/src/utils/choose-runner.ts
+++ b/packages/routing/src/utils/choose-runner.ts
@@ -7,7 +7,8 @@
 import { draw } from './draw.ts';
 import { eligibleRunners } from './eligible-runners.ts';
 import { estimateFirstToken } from './estimate-first-token.ts';
-import { prefixOwner } from './prefix-owner.ts';
+import { rendezvousFirst } from './rendezvous-first.ts';
+import { runnersWithRoom } from './runners-with-room.ts';
 import { smallest } from './smallest.ts';
 
 /** Prefix lengths in blocks for which an owner is looked up. */
@@ -28,10 +29,11 @@
 ): ReadonlyMap<string, number> {
   const assumed = new Map<string, number>();
   const prior = policy.ownerPrior ?? DEFAULT_OWNER_PRIOR;
+  const roomy = runnersWithRoom(runners, policy.loadBound ?? DEFAULT_LOAD_BOUND);
   for (const depth of OWNER_DEPTHS) {
     const key = blocks[depth - 1];
     if (key === undefined) break;
-    const owner = prefixOwner(key, runners, policy.loadBound ?? DEFAULT_LOAD_BOUND);
+    const owner = rendezvousFirst(key, roomy);
     if (owner) assumed.set(owner.id, depth * BLOCK_TOKENS * prior);
   }
   return assumed;
--- a/packages/routing/src/utils/prefix-hash-routing.ts
+++ b/packages/routing/src/utils/prefix-hash-routing.ts
@@ -4,7 +4,7 @@
 import { choiceOf } from './choice-of.ts';
 import { draw } from './draw.ts';
 import { eligibleRunners } from './eligible-runners.ts';
-import { rendezvousOrder } from './rendezvous-order.ts';
+import { rendezvousFirst } from './rendezvous-first.ts';
 
 /** Blocks of the prompt that the hash covers. */
 const HASHED_BLOCKS = 8;
@@ -17,10 +17,7 @@
     const runners = eligibleRunners(options);
     const { blocks } = options.request;
     const key = blocks[Math.min(HASHED_BLOCKS, blocks.length) - 1];
-    const owner =
-      key === undefined
-        ? draw(runners, options.random)
-        : rendezvousOrder(key, runners, ({ id }) => id)[0];
+    const owner = key === undefined ? draw(runners, options.random) : rendezvousFirst(key, runners);
     return choiceOf(owner, options, runners.length);
   }
 }
--- /dev/null
+++ b/packages/routing/src/utils/rendezvous-first.ts
@@ -0,0 +1,18 @@
+import { rendezvousScore } from './rendezvous-score.ts';
+
+/** Returns the member with the highest rendezvous score for `key`; equal scores by id. */
+export function rendezvousFirst<T extends { readonly id: string }>(
+  key: string,
+  members: readonly T[],
+): T | undefined {
+  let best: T | undefined;
+  let bestScore = -1;
+  for (const member of members) {
+    const score = rendezvousScore(key, member.id);
+    const isBetter = score > bestScore || (score === bestScore && member.id < (best?.id ?? ''));
+    if (!isBetter) continue;
+    best = member;
+    bestScore = score;
+  }
+  return best;
+}
--- a/packages/routing/src/utils/runner-tracker.ts
+++ b/packages/routing/src/utils/runner-tracker.ts
@@ -25,10 +25,7 @@
   readonly prefillTokens: number;
 }
 
-function workOf(flights: readonly Flight[]): InFlightWork {
-  const prefillTokens = flights.reduce((sum, flight) => sum + flight.prefillTokens, 0);
-  return { requests: flights.length, prefillTokens };
-}
+const NO_WORK: InFlightWork = { requests: 0, prefillTokens: 0 };
 
 /** Follows one runner: its reports, this node's requests on it, and the speeds learned from them. */
 export class RunnerTracker {
@@ -123,14 +120,20 @@
 
   /** Returns what a routing decision may know, at `now`. */
   view(now: number, setAside = false): RunnerView {
-    const flights = [...this.#flights.values()];
+    const { id, endpoint, failureDomain, service, version, kind } = this.identity;
     const load = this.#load;
-    const view: RunnerView = {
-      ...this.identity,
+    return {
+      id,
+      endpoint,
+      failureDomain,
+      service,
+      version,
+      kind,
       state: this.#state,
+      load,
       loadAgeMs: now - this.#loadAt,
-      unreported: workOf(flights.filter(({ sentAt }) => sentAt > this.#loadAt)),
-      inFlight: workOf(flights),
+      unreported: this.#workSince(this.#loadAt),
+      inFlight: this.#workSince(-Infinity),
       prefillRate: this.#prefillRateNow(),
       decodeStepMs: load?.stepMs ?? this.#decodeStepMs.value,
       serviceTimeMs: this.#serviceTimeMs.value,
@@ -138,7 +141,19 @@
       leaving: this.#state === 'leaving',
       setAside,
     };
-    return load ? { ...view, load } : view;
+  }
+
+  /** This node's work in flight that was sent after `time`. */
+  #workSince(time: number): InFlightWork {
+    if (this.#flights.size === 0) return NO_WORK;
+    let requests = 0;
+    let prefillTokens = 0;
+    for (const flight of this.#flights.values()) {
+      if (flight.sentAt <= time) continue;
+      requests += 1;
+      prefillTokens += flight.prefillTokens;
+    }
+    return { requests, prefillTokens };
   }
 
   #prefillRateNow(): number {
