Space appends under the log's rate limit and bound what is kept in memory

Cause: after a refusal for rate each writer waited as told and was refused again; the write queue and the records kept for peers were bounded in number only, which at the record limit allows hundreds of megabytes.

--- a/packages/log/src/errors/write-queue-full.ts
+++ b/packages/log/src/errors/write-queue-full.ts
@@ -4,8 +4,8 @@
 export class WriteQueueFull extends Failure {
   readonly code = 'write-queue-full';
 
-  constructor(limit: number) {
-    super(`the write queue holds its limit of ${limit} entries`, {
+  constructor(limit: string) {
+    super(`the write queue holds its limit of ${limit}`, {
       status: 503,
       retryable: true,
       notRun: true,
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -40,6 +40,7 @@
 export type { Snapshotter } from './types/snapshotter.ts';
 export type { WriteOptions } from './types/write-options.ts';
 export type { Writer } from './types/writer.ts';
+export { AppendPacer } from './utils/append-pacer.ts';
 export { Backoff } from './utils/backoff.ts';
 export { chainHash } from './utils/chain-hash.ts';
 export { entriesOf } from './utils/entries-of.ts';
--- a/packages/log/src/node/group-commit.ts
+++ b/packages/log/src/node/group-commit.ts
@@ -12,11 +12,13 @@
 import type { Position } from '../types/position.ts';
 import type { WriteOptions } from '../types/write-options.ts';
 import type { Writer } from '../types/writer.ts';
+import { AppendPacer } from '../utils/append-pacer.ts';
 import { Backoff } from '../utils/backoff.ts';
 import { PendingWrite } from '../utils/pending-write.ts';
 import { POSITIONS_PER_RECORD } from '../utils/positions-per-record.ts';
 
 const MAX_QUEUED = 8_192;
+const MAX_QUEUED_BYTES = 8 * 1024 * 1024;
 const RECORD_LIMIT_BYTES = 256 * 1024;
 const RECORD_OVERHEAD_BYTES = 256;
 const WRITE_TIMEOUT_MS = 10_000;
@@ -37,13 +39,17 @@
   readonly #pending = new Map<string, PendingWrite>();
   readonly #closing = new AbortController();
   readonly #unsubscribe: () => void;
-  readonly #counters = { appends: 0, entries: 0, retries: 0, readBacks: 0 };
-  #queue: PendingWrite[] = [];
+  readonly #counters = { appends: 0, entries: 0, retries: 0, readBacks: 0, throttled: 0 };
+  readonly #pacer: AppendPacer;
+  readonly #queue = new Set<PendingWrite>();
+  #queuedBytes = 0;
   #isDraining = false;
+  #lastAppendAt = -Infinity;
 
   constructor(options: GroupCommitOptions) {
     this.#options = options;
     this.#backoff = new Backoff(options.random, options.backoff);
+    this.#pacer = new AppendPacer(options.random);
     this.#unsubscribe = options.follower.subscribe(({ entries }) => {
       this.#resolve(entries);
     });
@@ -55,7 +61,7 @@
 
   /** Number of writes that wait to be appended. */
   get queued(): number {
-    return this.#queue.length;
+    return this.#queue.size;
   }
 
   async write(body: unknown, options: WriteOptions = {}): Promise<Position> {
@@ -64,7 +70,7 @@
     const known = this.#pending.get(id);
     if (known) return known.promise;
     const write = this.#create(id, body, options.timeoutMs);
-    this.#queue.push(write);
+    this.#enqueue(write);
     void this.#drain();
     return write.promise;
   }
@@ -78,10 +84,13 @@
   }
 
   #create(id: string, body: unknown, timeoutMs: number | undefined): PendingWrite {
-    const { maxQueued = MAX_QUEUED } = this.#options;
+    const { maxQueued = MAX_QUEUED, maxQueuedBytes = MAX_QUEUED_BYTES } = this.#options;
     const write = new PendingWrite({ id, body });
     if (write.bytes > this.#limitBytes()) throw new LogRecordTooLarge();
-    if (this.#queue.length >= maxQueued) throw new WriteQueueFull(maxQueued);
+    if (this.#queue.size >= maxQueued) throw new WriteQueueFull(`${maxQueued} entries`);
+    if (this.#queue.size > 0 && this.#queuedBytes + write.bytes > maxQueuedBytes) {
+      throw new WriteQueueFull(`${maxQueuedBytes} bytes`);
+    }
     this.#pending.set(id, write);
     const delay = timeoutMs ?? this.#options.timeoutMs ?? WRITE_TIMEOUT_MS;
     write.startTimer(delay, () => {
@@ -90,13 +99,22 @@
     return write;
   }
 
+  #enqueue(write: PendingWrite): void {
+    this.#queue.add(write);
+    this.#queuedBytes += write.bytes;
+  }
+
+  #dequeue(write: PendingWrite): void {
+    if (this.#queue.delete(write)) this.#queuedBytes -= write.bytes;
+  }
+
   #limitBytes(): number {
     return (this.#options.recordLimitBytes ?? RECORD_LIMIT_BYTES) - RECORD_OVERHEAD_BYTES;
   }
 
   #abandon(write: PendingWrite, reason: string): void {
     this.#pending.delete(write.entry.id);
-    this.#queue = this.#queue.filter((item) => item !== write);
+    this.#dequeue(write);
     write.reject(new WriteAbandoned(write.mayBeSent, reason));
   }
 
@@ -114,10 +132,19 @@
     if (this.#isDraining) return;
     this.#isDraining = true;
     await Promise.resolve();
-    while (this.#queue.length > 0) await this.#commit(this.#takeBatch());
+    while (this.#queue.size > 0) {
+      await this.#pace();
+      await this.#commit(this.#takeBatch());
+    }
     this.#isDraining = false;
   }
 
+  /** Leaves the interval that the log's append rate allows; what is queued meanwhile joins the batch. */
+  async #pace(): Promise<void> {
+    const delay = this.#pacer.delayMs(performance.now() - this.#lastAppendAt);
+    if (delay > 0) await this.#sleep(delay);
+  }
+
   #takeBatch(): Batch {
     const maxBatch = Math.min(this.#options.maxBatch ?? POSITIONS_PER_RECORD, POSITIONS_PER_RECORD);
     let bytes = 0;
@@ -127,7 +154,9 @@
       if (count === maxBatch || (count > 0 && bytes > this.#limitBytes())) break;
       count += 1;
     }
-    return { id: randomUUID(), writes: this.#queue.splice(0, count) };
+    const writes = [...this.#queue].slice(0, count);
+    for (const write of writes) this.#dequeue(write);
+    return { id: randomUUID(), writes };
   }
 
   /** Appends a batch until it succeeds, is seen in the log, or all its writes are abandoned. */
@@ -147,11 +176,13 @@
   /** Sends one append; returns its failure. */
   async #append({ id, writes }: Batch): Promise<unknown> {
     this.#counters.appends += 1;
+    this.#lastAppendAt = performance.now();
     const unsent = writes.filter(({ mayBeSent }) => !mayBeSent);
     for (const write of writes) write.mayBeSent = true;
     try {
       await this.#options.log.append({ id, body: { entries: writes.map(({ entry }) => entry) } });
       this.#backoff.reset();
+      this.#pacer.taken();
       return undefined;
     } catch (error) {
       if (isProvedNotRun(error)) for (const write of unsent) write.mayBeSent = false;
@@ -176,8 +207,12 @@
 
   /** Waits after a failed append and, unless it is proved to have had no effect, reads it back. */
   async #recover(batch: Batch, failure: unknown): Promise<void> {
-    const delay = failure instanceof LogRateExceeded ? failure.retryAfterMs : this.#backoff.next();
-    await this.#sleep(delay);
+    if (failure instanceof LogRateExceeded) {
+      this.#counters.throttled += 1;
+      await this.#sleep(this.#pacer.refused(failure.retryAfterMs));
+      return;
+    }
+    await this.#sleep(this.#backoff.next());
     if (isProvedNotRun(failure)) return;
     while (withoutSettled(batch).writes.length > 0) {
       this.#counters.readBacks += 1;
--- a/packages/log/src/node/log-follower.ts
+++ b/packages/log/src/node/log-follower.ts
@@ -29,8 +29,9 @@
 import { newestSnapshot } from './newest-snapshot.ts';
 
 const POLL_WAIT_MS = 5_000;
-const PAGE_RECORDS = 500;
+const PAGE_RECORDS = 200;
 const TAIL_RECORDS = 1_024;
+const TAIL_BYTES = 2 * 1024 * 1024;
 /** Shortest wait that counts as held by the log; a quicker empty answer is followed by a pause. */
 const MIN_POLL_MS = 20;
 const EMPTY_ANSWER_PAUSE_MS = 250;
@@ -68,10 +69,10 @@
     this.#pageRecords = options.pageRecords ?? PAGE_RECORDS;
     this.#backoff = new Backoff(options.random, options.backoff);
     this.#state = options.fold.initial;
-    this.#tail = new RecordTail(options.tailRecords ?? TAIL_RECORDS, {
-      next: 0,
-      hash: GENESIS_HASH,
-    });
+    this.#tail = new RecordTail(
+      { records: options.tailRecords ?? TAIL_RECORDS, bytes: options.tailBytes ?? TAIL_BYTES },
+      { next: 0, hash: GENESIS_HASH },
+    );
   }
 
   get state(): S {
--- a/packages/log/src/types/group-commit-counters.ts
+++ b/packages/log/src/types/group-commit-counters.ts
@@ -8,4 +8,6 @@
   readonly retries: number;
   /** Reads to the end of the log after a failed append. */
   readonly readBacks: number;
+  /** Appends that the log refused for its rate. */
+  readonly throttled: number;
 }
--- a/packages/log/src/types/group-commit-options.ts
+++ b/packages/log/src/types/group-commit-options.ts
@@ -14,6 +14,11 @@
    * @default 8192
    */
   readonly maxQueued?: number;
+  /**
+   * Largest size of the entries that wait for an append, in bytes of JSON.
+   * @default 8388608
+   */
+  readonly maxQueuedBytes?: number;
   /**
    * Largest number of entries of one append; at most 1024.
    * @default 1024
--- a/packages/log/src/types/log-follower-options.ts
+++ b/packages/log/src/types/log-follower-options.ts
@@ -11,12 +11,12 @@
   readonly random: Random;
   /**
    * How long one read waits for new records, in milliseconds.
-   * @default 5000
+   * @default 2000
    */
   readonly pollWaitMs?: number;
   /**
    * Largest number of records of one read.
-   * @default 500
+   * @default 200
    */
   readonly pageRecords?: number;
   /**
@@ -24,6 +24,11 @@
    * @default 1024
    */
   readonly tailRecords?: number;
+  /**
+   * Size of the records kept for peers, in characters of JSON.
+   * @default 2097152
+   */
+  readonly tailBytes?: number;
   /** Delays between reads while the log is out. */
   readonly backoff?: BackoffOptions;
 }
--- a/packages/log/src/utils/record-tail.ts
+++ b/packages/log/src/utils/record-tail.ts
@@ -1,13 +1,22 @@
 import type { HashedRecord } from '../types/hashed-record.ts';
 
-/** Newest records of a stream with their hashes, up to a limit. */
+/** Limits of a {@link RecordTail}. */
+interface TailLimits {
+  readonly records: number;
+  /** Size of the records' bodies in characters of JSON. */
+  readonly bytes: number;
+}
+
+/** Newest records of a stream with their hashes, within limits. */
 export class RecordTail {
-  readonly #limit: number;
+  readonly #limits: TailLimits;
+  #sizes: number[] = [];
+  #bytes = 0;
   #records: HashedRecord[] = [];
   #base: { readonly next: number; readonly hash: string };
 
-  constructor(limit: number, base: { readonly next: number; readonly hash: string }) {
-    this.#limit = limit;
+  constructor(limits: TailLimits, base: { readonly next: number; readonly hash: string }) {
+    this.#limits = limits;
     this.#base = base;
   }
 
@@ -17,14 +26,20 @@
   }
 
   push(item: HashedRecord): void {
+    const bytes = JSON.stringify(item.record.body ?? null).length;
     this.#records.push(item);
-    if (this.#records.length < this.#limit * 2) return;
-    this.#drop(this.#records.length - this.#limit);
+    this.#sizes.push(bytes);
+    this.#bytes += bytes;
+    const { length } = this.#records;
+    if (length < this.#limits.records * 2 && this.#bytes < this.#limits.bytes * 2) return;
+    this.#drop(this.#excess());
   }
 
   /** Forgets everything and continues from `base`. */
   reset(base: { readonly next: number; readonly hash: string }): void {
     this.#records = [];
+    this.#sizes = [];
+    this.#bytes = 0;
     this.#base = base;
   }
 
@@ -40,10 +55,23 @@
     return this.#records.slice(start, start + limit);
   }
 
+  /** Number of oldest records to drop to come within the limits. */
+  #excess(): number {
+    let count = Math.max(0, this.#records.length - this.#limits.records);
+    let kept = this.#sizes.slice(count).reduce((sum, size) => sum + size, 0);
+    while (kept > this.#limits.bytes) {
+      kept -= this.#sizes[count] ?? 0;
+      count += 1;
+    }
+    return count;
+  }
+
   #drop(count: number): void {
     const last = this.#records[count - 1];
     if (!last) return;
     this.#base = { next: last.record.offset + 1, hash: last.hash };
     this.#records = this.#records.slice(count);
+    this.#sizes = this.#sizes.slice(count);
+    this.#bytes = this.#sizes.reduce((sum, size) => sum + size, 0);
   }
 }
--- a/test/log/group-commit.test.ts
+++ b/test/log/group-commit.test.ts
@@ -164,6 +164,25 @@
   await rejected;
 });
 
+test('the queue is bounded in bytes, and what is abandoned leaves it', async (t) => {
+  const all = site({ down: () => true }, { maxQueuedBytes: 1_000 });
+  const first = t.throwsAsync(all.commit.write('a'));
+  await until(() => all.commit.counters.appends > 0);
+  const large = 'x'.repeat(600);
+  await t.throwsAsync(
+    Promise.all([
+      all.commit.write(large, { timeoutMs: 5 }),
+      t.throwsAsync(all.commit.write(large), { instanceOf: WriteQueueFull }),
+    ]),
+    { instanceOf: WriteAbandoned },
+  );
+  t.is(all.commit.queued, 0);
+  const again = t.throwsAsync(all.commit.write(large), { instanceOf: WriteAbandoned });
+  t.is(all.commit.queued, 1);
+  await closeAll(all);
+  await Promise.all([first, again]);
+});
+
 test('a batch that the log finds too large is split, one entry is refused', async (t) => {
   const log = new MemoryLog({ recordLimitBytes: 400 });
   const source = follower(log);
--- a/test/log/peer-feed.test.ts
+++ b/test/log/peer-feed.test.ts
@@ -48,6 +48,23 @@
   t.is(one.hash, peer.hash);
 });
 
+test('the records kept for peers are bounded in size too', async (t) => {
+  const log = new MemoryLog();
+  await appendAll(
+    log,
+    Array.from({ length: 20 }, (_, index) => `${index}${'x'.repeat(100)}`),
+  );
+  const peer = follower(log, { tailBytes: 1_000 });
+  await peer.readToEnd();
+  t.truthy(peer.exportPrefix({ from: 0, limit: 100 }).snapshot);
+  const kept = Array.from({ length: 20 }, (_, from) => peer.exportPrefix({ from, limit: 100 }));
+  t.true(kept.some(({ snapshot }) => snapshot === undefined));
+  t.true(Math.max(...kept.map(({ records }) => JSON.stringify(records).length)) < 10_000);
+  const one = follower(outage());
+  one.offer(sent(peer.exportPrefix({ from: 0, limit: 100 })));
+  t.is(one.hash, peer.hash);
+});
+
 test('the same prefix twice, and one that overlaps, add only what is new', async (t) => {
   const peer = await filled(['a', 'b', 'c']);
   const one = follower(outage());
