Keep the cost of a claim entry flat as keys are remembered

Each entry copied a bucket object that grew with the number of keys. Objects with one property a key were slow to copy, and sweeping every record of a shard took most of the rest.

--- a/packages/claims/src/utils/claim-fold.ts
+++ b/packages/claims/src/utils/claim-fold.ts
@@ -1,27 +1,13 @@
 import type { Entry, Fold, Snapshotter } from '@ragwortrudder/log';
 import { ClaimEntry } from '../types/claim-entry.ts';
 import type { ClaimOptions } from '../types/claim-options.ts';
-import type { ClaimRecord } from '../types/claim-record.ts';
 import type { ClaimState } from '../types/claim-state.ts';
-import { bucketOf } from './bucket-of.ts';
-import { claimName } from './claim-name.ts';
 import { claimSnapshotter } from './claim-snapshotter.ts';
 import { findClaim } from './find-claim.ts';
 import { nextClaimRecord } from './next-claim-record.ts';
+import { putClaim } from './put-claim.ts';
 
 const DEFAULT_RETENTION_MS = 86_400_000;
-const BUCKETS = 256;
-
-function withRecord(state: ClaimState, record: ClaimRecord): ClaimState {
-  const name = claimName(record.tenant, record.key);
-  const bucket = bucketOf(name, state.buckets.length);
-  const oldest = state.logTimeMs - state.retentionMs;
-  const kept = Object.entries(state.buckets[bucket] ?? {}).filter(
-    ([other, { changedAtMs }]) => other !== name && changedAtMs >= oldest,
-  );
-  const records = Object.fromEntries([...kept, [name, record]]);
-  return { ...state, buckets: state.buckets.with(bucket, records) };
-}
 
 function apply(state: ClaimState, entry: Entry): ClaimState {
   const timeMs = Math.max(state.logTimeMs, entry.time);
@@ -30,7 +16,7 @@
   if (!parsed.success) return now;
   const record = findClaim(now, parsed.data.tenant, parsed.data.key);
   const next = nextClaimRecord(parsed.data, { record, position: entry.position, timeMs });
-  return next ? withRecord(now, next) : now;
+  return next ? putClaim(now, next) : now;
 }
 
 interface ClaimFold extends Fold<ClaimState> {
@@ -40,6 +26,6 @@
 /** Fold of the stream `claims`: the same prefix of the log gives the same state on every node. */
 export function claimFold(options: ClaimOptions = {}): ClaimFold {
   const retentionMs = options.retentionMs ?? DEFAULT_RETENTION_MS;
-  const buckets = Array.from({ length: BUCKETS }, () => ({}));
-  return { initial: { logTimeMs: 0, retentionMs, buckets }, snapshotter: claimSnapshotter, apply };
+  const initial = { logTimeMs: 0, retentionMs, writes: 0, shards: {} };
+  return { initial, snapshotter: claimSnapshotter, apply };
 }
--- a/packages/claims/src/utils/unattended-claims.ts
+++ b/packages/claims/src/utils/unattended-claims.ts
@@ -16,7 +16,8 @@
  * nodes do not wait for it.
  */
 export function unattendedClaims(state: ClaimState, query: Query): readonly ClaimRecord[] {
-  return state.buckets
+  return Object.values(state.shards)
+    .flatMap((shard) => Object.values(shard))
     .flatMap((bucket) => Object.values(bucket))
     .filter(({ phase }) => phase === 'claimed' || phase === 'sending')
     .filter(({ owner }) => sameOwner(owner, query.self))
