Give entry nodes addresses that nothing else takes

Addresses now lie on a loopback address of the process and below that range. Ruled out: holding the ports until the nodes start, which does not cover restarts. The links of a fleet moved into a class of their own, entry nodes can be started by name, and ending a suspended process resumes it.

--- a/packages/standins/src/node/fleet.ts
+++ b/packages/standins/src/node/fleet.ts
@@ -15,41 +15,28 @@
 import type { FleetOptions } from '../types/fleet-options.ts';
 import type { FleetRunner } from '../types/fleet-runner.ts';
 import type { LinkReport } from '../types/link-report.ts';
+import type { LinkSelection } from '../types/link-selection.ts';
 import type { LogRecord } from '../types/log-record.ts';
 import type { OperationRun } from '../types/operation-run.ts';
 import type { PlatformFault } from '../types/platform-fault.ts';
-import type { RelayLink } from '../types/relay-link.ts';
 import type { RelayMode } from '../types/relay-mode.ts';
+import type { TicketReply } from '../types/ticket-reply.ts';
 import { entrySettings } from '../utils/entry-settings.ts';
+import { planLinks } from '../utils/plan-links.ts';
 import { planLayout } from '../utils/plan-layout.ts';
 import { ChildProcess } from './child-process.ts';
-import { freePorts } from './free-ports.ts';
+import { ControlClient } from './control-client.ts';
+import { FleetLinks } from './fleet-links.ts';
+import { freeAddresses } from './free-addresses.ts';
 
 interface ReadyLine {
   readonly port: number;
   readonly runners?: readonly { readonly id: string; readonly address: string }[];
   readonly links?: readonly { readonly name: string; readonly port: number }[];
 }
-interface LinkSelection {
-  /** Entry nodes or failure domains whose outgoing links are meant; all without it. */
-  readonly from?: readonly string[];
-  /** Entry nodes, runners, failure domains or `platform` to which the links lead; all without it. */
-  readonly to?: readonly string[];
-}
-interface Link extends RelayLink {
-  readonly from: string;
-  readonly to: string;
-}
-interface LinkPage {
-  readonly links: readonly LinkReport[];
-}
 interface LogPage {
   readonly records: readonly LogRecord[];
 }
-interface Response {
-  readonly status: number;
-  readonly body: unknown;
-}
 interface ReclaimOptions {
   readonly noticeMs: number;
 }
@@ -57,7 +44,7 @@
 const HOST = '127.0.0.1';
 const READY_POLL_MS = 50;
 const STARTS_AT_ONCE = 8;
-const CALL_TIMEOUT_MS = 10_000;
+const TICKET_TIMEOUT_MS = 30_000;
 const DEFAULT_READY_TIMEOUT_MS = 30_000;
 const STANDINS = fileURLToPath(new URL('../cli/main.ts', import.meta.url));
 const ROUTE_PRELOAD = new URL('route-preload.ts', import.meta.url).href;
@@ -72,10 +59,10 @@
   readonly #processes = new Map<string, ChildProcess>();
   readonly #members = new Map<string, FleetMember>();
   readonly #outputs = new Map<string, string>();
+  readonly #client = new ControlClient();
   readonly #timers = new Set<NodeJS.Timeout>();
   #runners: readonly FleetRunner[] = [];
-  #links: readonly Link[] = [];
-  #linkPorts: ReadonlyMap<string, number> = new Map();
+  #links: FleetLinks | undefined;
   #folder = '';
 
   constructor(options: FleetOptions = {}) {
@@ -153,11 +140,12 @@
     if (this.#options.relays) await this.#startRelay();
   }
 
-  /** Starts the entry nodes and waits until they are ready. */
-  async startEntries(): Promise<void> {
+  /** Starts the entry nodes, all of them without `names`, and waits until they are ready. */
+  async startEntries(names?: readonly string[]): Promise<void> {
     this.#folder ||= await mkdtemp(join(tmpdir(), 'fleet-'));
-    for (let first = 0; first < this.entries.length; first += STARTS_AT_ONCE) {
-      const group = this.entries.slice(first, first + STARTS_AT_ONCE);
+    const entries = this.entries.filter(({ name }) => names?.includes(name) ?? true);
+    for (let first = 0; first < entries.length; first += STARTS_AT_ONCE) {
+      const group = entries.slice(first, first + STARTS_AT_ONCE);
       await Promise.all(group.map((entry) => this.#startEntry(entry)));
     }
   }
@@ -176,11 +164,13 @@
     await this.stop();
   }
 
-  /** Sends a signal to a process; resolves when it has ended, for signals that end it. */
+  /** Sends a signal to a process; SIGKILL and SIGTERM also resume it, and await its end. */
   async kill(name: string, signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
     const child = this.#process(name);
     child.signal(signal);
-    if (signal === 'SIGKILL' || signal === 'SIGTERM') await child.ended();
+    if (signal !== 'SIGKILL' && signal !== 'SIGTERM') return;
+    child.signal('SIGCONT');
+    await child.ended();
   }
 
   /** Suspends a process. */
@@ -193,28 +183,24 @@
     this.#process(name).signal('SIGCONT');
   }
 
-  /** Starts an entry node anew at the same addresses, ending its last life if need be. */
+  /** Starts an entry node, anew at the same addresses when it ran before. */
   async restart(name: string, signal: NodeJS.Signals = 'SIGTERM'): Promise<void> {
     const member = this.member(name);
     if (member.role !== 'entry') throw new UnknownName(name);
-    if (this.#process(name).running) await this.kill(name, signal);
+    if (this.pid(name) !== undefined) await this.kill(name, signal);
     this.#outputs.set(name, this.output(name));
     await this.#startEntry(member);
   }
 
-  /** Sets the mode of all links that match. */
+  /** Sets the mode of the selected links; a fleet without relays has none. */
   async linkFault(selection: LinkSelection, mode: RelayMode, delayMs = 0): Promise<void> {
-    const faults = this.#links
-      .filter((link) => this.#matches(link, selection))
-      .map(({ name }) => ({ name, mode, delayMs }));
-    const url = `http://${this.member('relay').address}/control/links`;
-    await got.post(url, { json: { faults }, ...this.#callOptions() });
+    if (!this.#links) throw new UnknownName('relay');
+    await this.#links.setMode(selection, mode, delayMs);
   }
 
   /** State of the links; their names are `<entry node>><entry node, runner or platform>`. */
   async links(): Promise<readonly LinkReport[]> {
-    const url = `http://${this.member('relay').address}/control/links`;
-    return (await got(url, this.#callOptions()).json<LinkPage>()).links;
+    return this.#links ? this.#links.report() : [];
   }
 
   /** Cuts all links between the failure domain and everything outside it, or restores them. */
@@ -251,8 +237,7 @@
   /** Every record ever appended to a stream of the log. */
   async log(stream: string): Promise<readonly LogRecord[]> {
     const url = `http://${this.platformAddress}/control/log/${stream}`;
-    const { records } = await got(url, this.#callOptions()).json<LogPage>();
-    return records;
+    return (await this.#client.get<LogPage>(url)).records;
   }
 
   /** Counters of all model runners. */
@@ -269,11 +254,12 @@
   }
 
   /** Submits a ticket to an entry node as the operator. */
-  async submitTicket(ticket: unknown, name = this.entries[0]?.name ?? ''): Promise<Response> {
+  async submitTicket(ticket: unknown, name = this.entries[0]?.name ?? ''): Promise<TicketReply> {
     const { statusCode, body } = await got.post(`http://${this.callersAddress(name)}/v1/tickets`, {
       json: ticket,
       headers: { authorization: `Bearer ${this.operator.key}` },
-      ...this.#callOptions(),
+      retry: { limit: 0 },
+      timeout: { request: TICKET_TIMEOUT_MS },
       throwHttpErrors: false,
     });
     return { status: statusCode, body: body === '' ? undefined : (JSON.parse(body) as unknown) };
@@ -316,12 +302,10 @@
   }
 
   async #planEntries(): Promise<void> {
-    const ports = await freePorts(this.layout.entries.length * 2);
+    const addresses = await freeAddresses(this.layout.entries.length * 2);
     for (const [index, { name, failureDomain }] of this.layout.entries.entries()) {
-      const peerAddress = `${HOST}:${ports[index * 2 + 1] ?? 0}`;
-      const port = ports[index * 2] ?? 0;
-      this.#addMember({ name, role: 'entry', failureDomain, port, peerAddress });
-      const address = `${HOST}:${port}`;
+      const [address = '', peerAddress = ''] = addresses.slice(index * 2);
+      this.#members.set(name, { name, role: 'entry', failureDomain, address, peerAddress });
       const machineClass = 'small';
       const vm = { id: name, role: 'entry', failureDomain, address, machineClass, atOnce: true };
       await this.#control('vms', vm);
@@ -329,49 +313,34 @@
   }
 
   async #startRelay(): Promise<void> {
-    this.#links = this.entries.flatMap((entry) => this.#linksFrom(entry));
-    const links = this.#links.map(({ name, target }) => ({ name, target, listen: 0 }));
-    const args = ['relay', '--links', JSON.stringify(links)];
-    const ready = await this.#startStandin('relay', args);
+    const links = planLinks({
+      entries: this.entries,
+      platformAddress: this.platformAddress,
+      runners: this.#options.runnerRelays ? this.#runners : [],
+    });
+    const named = links.map(({ name, target }) => ({ name, target }));
+    const ready = await this.#startStandin('relay', ['relay', '--links', JSON.stringify(named)]);
     this.#addMember({ name: 'relay', role: 'relay', failureDomain: '', port: ready.port });
-    this.#linkPorts = new Map((ready.links ?? []).map(({ name, port }) => [name, port]));
-  }
-
-  #linksFrom(entry: FleetMember): readonly Link[] {
-    const link = (to: string, target: string) => ({
-      name: `${entry.name}>${to}`,
-      from: entry.name,
-      to,
-      target,
+    this.#links = new FleetLinks({
+      links,
+      ports: new Map((ready.links ?? []).map(({ name, port }) => [name, port])),
+      url: `http://${this.member('relay').address}/control/links`,
+      failureDomainOf: (end) =>
+        (this.#runners.find((runner) => runner.id === end) ?? this.member(end)).failureDomain,
     });
-    const peers = this.entries
-      .filter((other) => other.name !== entry.name)
-      .map((other) => link(other.name, other.peerAddress ?? ''));
-    const runners = this.#options.runnerRelays ? this.#runners : [];
-    const toRunners = runners.map((runner) => link(runner.id, runner.address));
-    return [...peers, link('platform', this.platformAddress), ...toRunners];
-  }
-
-  #matches(link: Link, { from, to }: LinkSelection): boolean {
-    const names = (name: string) => {
-      const runner = this.#runners.find((other) => other.id === name);
-      return [name, runner?.failureDomain ?? this.member(name).failureDomain];
-    };
-    const meets = (name: string, wanted: readonly string[] | undefined) =>
-      wanted === undefined || names(name).some((known) => wanted.includes(known));
-    return meets(link.from, from) && meets(link.to, to);
   }
 
   async #startEntry(entry: FleetMember): Promise<void> {
     const file = join(this.#folder, `${entry.name}.json`);
     await writeFile(file, JSON.stringify(this.#settingsOf(entry), undefined, 2));
     const { binary, program = NODE, debug } = this.#options;
+    const routes = this.#links?.routesFrom(entry.name) ?? {};
     const sources = [`--import=${TSX}`, `--import=${ROUTE_PRELOAD}`, program];
     const child = new ChildProcess({
       name: entry.name,
       command: binary ?? process.execPath,
       args: [...(binary === undefined ? sources : []), 'serve', '--settings', file],
-      env: { STANDINS_ROUTES: JSON.stringify(this.#routesOf(entry)), DEBUG: debug ?? '' },
+      env: { STANDINS_ROUTES: JSON.stringify(routes), DEBUG: debug ?? '' },
     });
     this.#processes.set(entry.name, child);
     await child.within(this.#ready(entry), this.#readyTimeoutMs(), 'was not ready');
@@ -388,21 +357,9 @@
     });
   }
 
-  #routesOf(entry: FleetMember): Readonly<Record<string, string>> {
-    const routes = this.#links
-      .filter((link) => link.from === entry.name)
-      .map(({ name, target }) => [target, `${HOST}:${this.#linkPorts.get(name) ?? 0}`]);
-    return Object.fromEntries(routes) as Readonly<Record<string, string>>;
-  }
-
   async #ready(entry: FleetMember): Promise<void> {
-    const url = `http://${entry.address}/ready`;
-    const options = { ...this.#callOptions(), throwHttpErrors: false };
     for (;;) {
-      const status = await got(url, options).then(
-        (response) => response.statusCode,
-        () => 0,
-      );
+      const status = await this.#client.status(`http://${entry.address}/ready`);
       if (status === 200 || !this.#process(entry.name).running) return;
       await delay(READY_POLL_MS);
     }
@@ -430,25 +387,16 @@
   }
 
   async #runnerFault(runnerId: string, fault: unknown): Promise<void> {
-    const url = `${this.runner(runnerId).control}/faults`;
-    await got.post(url, { json: fault, ...this.#callOptions() });
+    await this.#client.post(`${this.runner(runnerId).control}/faults`, fault);
   }
 
   async #reports<T>(kind: FleetRunner['kind']): Promise<readonly T[]> {
     const runners = this.#runners.filter((runner) => runner.kind === kind);
-    return Promise.all(runners.map((runner) => got(runner.control, this.#callOptions()).json<T>()));
+    return Promise.all(runners.map((runner) => this.#client.get<T>(runner.control)));
   }
 
   async #control(path: string, body: unknown): Promise<void> {
-    const url = `http://${this.platformAddress}/control/${path}`;
-    await got.post(url, { json: body, ...this.#callOptions() });
-  }
-
-  #callOptions(): {
-    readonly retry: { readonly limit: 0 };
-    readonly timeout: { readonly request: number };
-  } {
-    return { retry: { limit: 0 }, timeout: { request: CALL_TIMEOUT_MS } };
+    await this.#client.post(`http://${this.platformAddress}/control/${path}`, body);
   }
 
   #readyTimeoutMs(): number {
--- a/test/standins/fake-node.ts
+++ b/test/standins/fake-node.ts
@@ -5,8 +5,8 @@
 interface Settings {
   readonly node: { readonly id: string };
   readonly listen: {
-    readonly callers: { readonly port: number };
-    readonly peers: { readonly port: number };
+    readonly callers: { readonly host: string; readonly port: number };
+    readonly peers: { readonly host: string; readonly port: number };
   };
 }
 
@@ -28,7 +28,7 @@
   const { authorization } = request.headers;
   response.end(JSON.stringify({ id: settings.node.id, pid: process.pid, authorization }));
 });
-callers.listen(settings.listen.callers.port, '127.0.0.1');
+callers.listen(settings.listen.callers);
 const peers = createServer((_request, response) => response.end(`"${settings.node.id}"`));
-peers.listen(settings.listen.peers.port, '127.0.0.1');
+peers.listen(settings.listen.peers);
 process.once('SIGTERM', () => process.exit(0));
--- a/test/standins/fleet.test.ts
+++ b/test/standins/fleet.test.ts
@@ -2,7 +2,13 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { checkSettings } from '@ragwortrudder/settings';
-import { ChildProcess, Fleet, ProcessFailure, entrySettings } from '@ragwortrudder/standins';
+import {
+  ChildProcess,
+  Fleet,
+  ProcessFailure,
+  entrySettings,
+  freeAddresses,
+} from '@ragwortrudder/standins';
 import type { FleetOptions } from '@ragwortrudder/standins';
 import { call } from './call.ts';
 
@@ -46,6 +52,14 @@
   });
 });
 
+test('addresses are given once and lie outside the ports of outgoing connections', async (t) => {
+  const lists = await Promise.all([freeAddresses(3), freeAddresses(3)]);
+  const addresses = lists.flat();
+  t.is(new Set(addresses).size, 6);
+  t.true(addresses.every((address) => /^127\..*:[123]\d{4}$/.test(address)));
+  t.true(addresses.every((address) => Number(address.split(':')[1]) < 32_768));
+});
+
 test('the layout spreads entry nodes and runners over the failure domains', (t) => {
   const { layout } = new Fleet({
     entriesPerFailureDomain: 2,
@@ -166,6 +180,13 @@
     t.deepEqual(await view(), [true, true, true, true, true, true, true]);
     await fleet.linkFault({ from: ['entry-1'], to: ['platform'] }, 'cut');
     t.deepEqual(await view(), [true, true, false, true, true, true, true]);
+
+    const [late] = fleet.entries;
+    fleet.pause('entry-1');
+    await fleet.kill('entry-1', 'SIGTERM');
+    await fleet.startEntries(['entry-1']);
+    t.is((await call(`${late?.address ?? ''}/ready`)).body.pid, fleet.pid('entry-1'));
+    t.deepEqual(await view(), [true, true, false, true, true, true, true]);
   },
 );
 
