--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -28,5 +28,7 @@
 export { ExecutorTable } from './utils/executor-table.ts';
 export { findClaim } from './utils/find-claim.ts';
 export { issueKey } from './utils/issue-key.ts';
+export { oldestOpenAttempt } from './utils/oldest-open-attempt.ts';
+export { openClaims } from './utils/open-claims.ts';
 export { parseKey } from './utils/parse-key.ts';
 export { unattendedClaims } from './utils/unattended-claims.ts';
--- a/packages/claims/src/utils/attempt-ledger.ts
+++ b/packages/claims/src/utils/attempt-ledger.ts
@@ -5,6 +5,7 @@
 export class AttemptLedger {
   readonly #begun = new Set<number>();
   readonly #forfeited = new Set<number>();
+  #floor = 0;
 
   /** Takes the attempt for sending; true for the first call only, and never after a forfeit. */
   begin(attempt: number): boolean {
@@ -15,19 +16,25 @@
 
   /** Gives the attempt up; true when it was not and will never be sent by this incarnation. */
   forfeit(attempt: number): boolean {
-    if (this.#begun.has(attempt)) return false;
+    if (this.#begun.has(attempt) || attempt < this.#floor) return false;
     this.#forfeited.add(attempt);
     return true;
   }
 
-  /** True when the attempt was begun or given up. */
+  /** True when the attempt was begun, given up or forgotten. */
   isStarted(attempt: number): boolean {
-    return this.#begun.has(attempt) || this.#forfeited.has(attempt);
+    return attempt < this.#floor || this.#begun.has(attempt) || this.#forfeited.has(attempt);
   }
 
-  /** Drops an attempt once its outcome was read back from the log. */
-  forget(attempt: number): void {
-    this.#begun.delete(attempt);
-    this.#forfeited.delete(attempt);
+  /**
+   * Releases the memory of all attempts below a position; none of them begins any more. The
+   * position comes from `oldestOpenAttempt`, as a takeover can hand this node any open attempt.
+   */
+  forgetBefore(position: number): void {
+    if (position <= this.#floor) return;
+    this.#floor = position;
+    for (const attempts of [this.#begun, this.#forfeited]) {
+      for (const attempt of attempts) if (attempt < position) attempts.delete(attempt);
+    }
   }
 }
--- a/packages/claims/src/utils/unattended-claims.ts
+++ b/packages/claims/src/utils/unattended-claims.ts
@@ -1,7 +1,7 @@
 import type { ClaimRecord } from '../types/claim-record.ts';
 import type { ClaimState } from '../types/claim-state.ts';
 import type { Owner } from '../types/owner.ts';
-import { findClaim } from './find-claim.ts';
+import { openClaims } from './open-claims.ts';
 import { sameOwner } from './same-owner.ts';
 
 interface Query {
@@ -16,11 +16,7 @@
  * nodes do not wait for it.
  */
 export function unattendedClaims(state: ClaimState, query: Query): readonly ClaimRecord[] {
-  return Object.values(state.shards)
-    .flatMap((shard) => Object.values(shard))
-    .flatMap((bucket) => Object.values(bucket))
-    .filter(({ phase }) => phase === 'claimed' || phase === 'sending')
+  return openClaims(state)
     .filter(({ owner }) => sameOwner(owner, query.self))
-    .filter(({ tenant, key }) => findClaim(state, tenant, key) !== undefined)
     .filter(({ tenant, key }) => !query.isAttended(tenant, key));
 }
--- a/test/claims/cluster.ts
+++ b/test/claims/cluster.ts
@@ -1,5 +1,11 @@
 import type { Scheduler } from 'fast-check';
-import { AttemptLedger, decideClaim, findClaim, unattendedClaims } from '@ragwortrudder/claims';
+import {
+  AttemptLedger,
+  decideClaim,
+  findClaim,
+  oldestOpenAttempt,
+  unattendedClaims,
+} from '@ragwortrudder/claims';
 import type { ClaimDecision, ClaimEntry, ClaimState, Owner } from '@ragwortrudder/claims';
 import type { Fold } from '@ragwortrudder/log';
 import { SeededRandom } from '@ragwortrudder/core';
@@ -16,6 +22,7 @@
   alive = true;
   suspected = false;
   cursor = 0;
+  position = 0;
 
   constructor(
     readonly owner: Owner,
@@ -151,7 +158,9 @@
     for (const entry of unread.slice(0, count)) {
       node.view = this.#fold.apply(node.view, entry);
       node.cursor += 1;
+      node.position = entry.position;
     }
+    node.ledger.forgetBefore(oldestOpenAttempt(node.view, node.position));
   }
 
   /** Returns false when the reply says that nothing was appended or when there is no reply. */
