--- a/packages/log/src/node/log-follower.ts
+++ b/packages/log/src/node/log-follower.ts
@@ -1,31 +1,21 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { digest, Failure, InvalidInput } from '@ragwortrudder/core';
+import { Failure, InvalidInput } from '@ragwortrudder/core';
 import type { Clock, Closeable } from '@ragwortrudder/core';
 import { FollowerTimeout } from '../errors/follower-timeout.ts';
 import { LogExpired } from '../errors/log-expired.ts';
-import { LogGap } from '../errors/log-gap.ts';
 import { LogUnavailable } from '../errors/log-unavailable.ts';
 import { PrefixUnavailable } from '../errors/prefix-unavailable.ts';
-import { SnapshotInvalid } from '../errors/snapshot-invalid.ts';
 import { SnapshotMissing } from '../errors/snapshot-missing.ts';
-import type { Entry } from '../types/entry.ts';
-import type { Fold } from '../types/fold.ts';
 import type { FollowerChange } from '../types/follower-change.ts';
 import type { Log } from '../types/log.ts';
 import type { LogFollowerOptions } from '../types/log-follower-options.ts';
-import type { LogRecord } from '../types/log-record.ts';
 import { Prefix } from '../types/prefix.ts';
 import type { PrefixRange } from '../types/prefix-range.ts';
 import type { ReadBack } from '../types/read-back.ts';
 import type { Snapshot } from '../types/snapshot.ts';
 import type { SnapshotMark } from '../types/snapshot-mark.ts';
 import { Backoff } from '../utils/backoff.ts';
-import { chainHash } from '../utils/chain-hash.ts';
-import { entriesOf } from '../utils/entries-of.ts';
-import { GENESIS_HASH } from '../utils/genesis-hash.ts';
-import { newRecords } from '../utils/new-records.ts';
-import { RecordTail } from '../utils/record-tail.ts';
-import { SnapshotAssembler } from '../utils/snapshot-assembler.ts';
+import { FoldedStream } from '../utils/folded-stream.ts';
 import { newestSnapshot } from './newest-snapshot.ts';
 
 const POLL_WAIT_MS = 5_000;
@@ -42,20 +32,13 @@
  */
 export class LogFollower<S> implements ReadBack, Closeable {
   readonly #log: Log;
-  readonly #fold: Fold<S>;
+  readonly #stream: FoldedStream<S>;
   readonly #clock: Clock;
   readonly #pollWaitMs: number;
   readonly #pageRecords: number;
   readonly #backoff: Backoff;
-  readonly #tail: RecordTail;
-  readonly #listeners = new Set<(change: FollowerChange<S>) => void>();
-  readonly #assembler = new SnapshotAssembler();
   readonly #closing = new AbortController();
   #running: Promise<void> | undefined;
-  #state: S;
-  #next = 0;
-  #hash = GENESIS_HASH;
-  #newestSnapshot: SnapshotMark | undefined;
   #caughtUp = false;
   #lastContact: number | undefined;
   #currentAt: number | undefined;
@@ -63,30 +46,27 @@
 
   constructor(options: LogFollowerOptions<S>) {
     this.#log = options.log;
-    this.#fold = options.fold;
     this.#clock = options.clock;
     this.#pollWaitMs = options.pollWaitMs ?? POLL_WAIT_MS;
     this.#pageRecords = options.pageRecords ?? PAGE_RECORDS;
     this.#backoff = new Backoff(options.random, options.backoff);
-    this.#state = options.fold.initial;
-    this.#tail = new RecordTail(
-      { records: options.tailRecords ?? TAIL_RECORDS, bytes: options.tailBytes ?? TAIL_BYTES },
-      { next: 0, hash: GENESIS_HASH },
-    );
+    const { tailRecords = TAIL_RECORDS, tailBytes = TAIL_BYTES } = options;
+    const tail = { records: tailRecords, bytes: tailBytes };
+    this.#stream = new FoldedStream({ fold: options.fold, tail });
   }
 
   get state(): S {
-    return this.#state;
+    return this.#stream.state;
   }
 
   /** Offset of the next record to be folded. */
   get next(): number {
-    return this.#next;
+    return this.#stream.next;
   }
 
   /** Chained hash of all records before {@link next}. */
   get hash(): string {
-    return this.#hash;
+    return this.#stream.hash;
   }
 
   /** True once the state has reached the end of the log, or of a peer's prefix, since the start. */
@@ -112,7 +92,7 @@
 
   /** Newest complete snapshot seen in the stream. */
   get newestSnapshot(): SnapshotMark | undefined {
-    return this.#newestSnapshot;
+    return this.#stream.newestSnapshot;
   }
 
   /** Starts to follow the stream; does nothing when already started. */
@@ -123,19 +103,16 @@
   async close(): Promise<void> {
     this.#closing.abort();
     await this.#running;
-    this.#listeners.clear();
+    this.#stream.unsubscribeAll();
   }
 
   subscribe(listener: (change: FollowerChange<S>) => void): () => void {
-    this.#listeners.add(listener);
-    return () => {
-      this.#listeners.delete(listener);
-    };
+    return this.#stream.subscribe(listener);
   }
 
   /** Resolves once the record at `offset` is folded; rejects with `FollowerTimeout`. */
   waitForOffset(offset: number, timeoutMs: number): Promise<void> {
-    if (this.#next > offset) return Promise.resolve();
+    if (this.next > offset) return Promise.resolve();
     return new Promise((resolve, reject) => {
       const settle = (failure?: Failure): void => {
         clearTimeout(timer);
@@ -164,25 +141,13 @@
 
   /** Serialized state at the current offset. */
   snapshot(): Snapshot {
-    const { snapshotter } = this.#fold;
-    if (!snapshotter) throw new PrefixUnavailable('this stream keeps no snapshots');
-    return { next: this.#next, hash: this.#hash, data: snapshotter.serialize(this.#state) };
+    return this.#stream.snapshot();
   }
 
   /** Records for a peer, or the state when those asked for are no longer kept. */
-  exportPrefix({ from, limit }: PrefixRange): Prefix {
+  exportPrefix(range: PrefixRange): Prefix {
     if (!this.#caughtUp) throw new PrefixUnavailable('this node has not caught up');
-    const common = { next: this.#next, lagMs: this.lagMs };
-    const hash = this.#tail.hashBefore(from);
-    if (hash !== undefined) {
-      return { ...common, base: { next: from, hash }, records: this.#tail.slice(from, limit) };
-    }
-    if (from > this.#next) {
-      return { ...common, base: { next: this.#next, hash: this.#hash }, records: [] };
-    }
-    const { data } = this.snapshot();
-    const base = { next: this.#next, hash: this.#hash };
-    return { ...common, base, snapshot: { data, digest: digest([base, data]) }, records: [] };
+    return { ...this.#stream.export(range), next: this.next, lagMs: this.lagMs };
   }
 
   /**
@@ -192,21 +157,10 @@
    */
   offer(input: unknown): number {
     const prefix = parsePrefix(input);
-    const before = this.#next;
-    if (prefix.snapshot && prefix.base.next > this.#next) this.#takeSnapshot(prefix);
-    else this.#foldAll(newRecords({ next: this.#next, hash: this.#hash }, prefix).map(recordOf));
-    if (this.#next >= prefix.next) this.#markCurrent(this.#clock.monotonic() - prefix.lagMs);
-    return this.#next - before;
-  }
-
-  #takeSnapshot(prefix: Prefix): void {
-    const { base, snapshot } = prefix;
-    if (snapshot?.digest !== digest([base, snapshot?.data])) {
-      throw new SnapshotInvalid('the digest of a peer’s snapshot differs from its content');
-    }
-    const records = newRecords(base, prefix);
-    this.#install({ ...base, data: snapshot.data });
-    this.#foldAll(records.map(recordOf));
+    const before = this.next;
+    this.#stream.take(prefix);
+    if (this.next >= prefix.next) this.#markCurrent(this.#clock.monotonic() - prefix.lagMs);
+    return this.next - before;
   }
 
   async #run(): Promise<void> {
@@ -226,10 +180,10 @@
   async #poll(): Promise<void> {
     const waitMs = this.#caughtUp ? this.#pollWaitMs : 0;
     const startedAt = performance.now();
-    const before = this.#next;
+    const before = this.next;
     await this.#readPage(waitMs);
     const isHeld = performance.now() - startedAt >= Math.min(waitMs, MIN_POLL_MS);
-    if (this.#next === before && !isHeld) await this.#pause(EMPTY_ANSWER_PAUSE_MS);
+    if (this.next === before && !isHeld) await this.#pause(EMPTY_ANSWER_PAUSE_MS);
   }
 
   async #pause(ms: number): Promise<void> {
@@ -241,13 +195,13 @@
   async #readPage(waitMs: number): Promise<boolean> {
     const { signal } = this.#closing;
     const startedAt = this.#clock.monotonic();
-    const range = { from: this.#next, limit: this.#pageRecords, waitMs, signal };
+    const range = { from: this.next, limit: this.#pageRecords, waitMs, signal };
     try {
       const page = await this.#log.read(range);
       if (signal.aborted) return true;
       this.#lastContact = this.#clock.wall();
-      this.#foldAll(page.records);
-      const atEnd = page.records.length < range.limit && this.#next >= page.next;
+      this.#stream.fold(page.records);
+      const atEnd = page.records.length < range.limit && this.next >= page.next;
       if (atEnd) this.#markCurrent(page.records.length > 0 ? this.#clock.monotonic() : startedAt);
       else if (page.records.length === 0) throw new LogUnavailable('announced records are missing');
       return atEnd;
@@ -265,68 +219,13 @@
       signal: this.#closing.signal,
     });
     if (!found) throw new SnapshotMissing(first);
-    this.#install(found.snapshot);
-    this.#newestSnapshot = found.mark;
-  }
-
-  #install({ next, hash, data }: Snapshot): void {
-    const { snapshotter } = this.#fold;
-    if (!snapshotter) throw new SnapshotInvalid('this stream keeps no snapshots');
-    if (next <= this.#next) return;
-    this.#state = snapshotter.restore(data);
-    this.#next = next;
-    this.#hash = hash;
-    this.#tail.reset({ next, hash });
-    this.#notify([]);
-  }
-
-  #foldAll(records: readonly LogRecord[]): void {
-    const entries: Entry[] = [];
-    try {
-      for (const record of records) {
-        if (record.offset < this.#next) continue;
-        if (record.offset > this.#next) throw new LogGap(this.#next, record.offset);
-        entries.push(...this.#foldRecord(record));
-      }
-    } finally {
-      if (entries.length > 0 || records.length > 0) this.#notify(entries);
-    }
-  }
-
-  #foldRecord(record: LogRecord): readonly Entry[] {
-    const entries = entriesOf(record);
-    let state = this.#state;
-    for (const entry of entries) {
-      if (SnapshotAssembler.isPart(entry)) this.#notePart(entry);
-      else state = this.#fold.apply(state, entry);
-    }
-    this.#hash = chainHash(this.#hash, record);
-    this.#tail.push({ record: { ...record, body: record.body }, hash: this.#hash });
-    this.#state = state;
-    this.#next = record.offset + 1;
-    return entries;
-  }
-
-  #notePart(entry: Entry): void {
-    const complete = this.#assembler.add(entry);
-    if (!complete) return;
-    if (complete.mark.next < (this.#newestSnapshot?.next ?? 0)) return;
-    this.#newestSnapshot = complete.mark;
+    this.#stream.restore(found.snapshot, found.mark);
   }
 
   #markCurrent(at: number): void {
     this.#caughtUp = true;
     this.#currentAt = Math.max(at, this.#currentAt ?? -Infinity);
   }
-
-  #notify(entries: readonly Entry[]): void {
-    const change = { state: this.#state, next: this.#next, entries };
-    for (const listener of [...this.#listeners]) listener(change);
-  }
-}
-
-function recordOf({ record }: Prefix['records'][number]): LogRecord {
-  return { ...record, body: record.body };
 }
 
 function parsePrefix(input: unknown): Prefix {
--- a/packages/log/src/utils/record-tail.ts
+++ b/packages/log/src/utils/record-tail.ts
@@ -1,12 +1,6 @@
+import type { TailLimits } from '../types/tail-limits.ts';
 import type { HashedRecord } from '../types/hashed-record.ts';
 
-/** Limits of a {@link RecordTail}. */
-interface TailLimits {
-  readonly records: number;
-  /** Size of the records' bodies in characters of JSON. */
-  readonly bytes: number;
-}
-
 /** Newest records of a stream with their hashes, within limits. */
 export class RecordTail {
   readonly #limits: TailLimits;
