--- a/test/supply/supply-ledger.test.ts
+++ b/test/supply/supply-ledger.test.ts
@@ -116,6 +116,20 @@
   t.deepEqual(ledger.dueStops(1900), [stop]);
 });
 
+test('a VM that is being returned no longer counts, though the list still shows it', (t) => {
+  const ledger = new SupplyLedger({ returnAfterMs: 0, resendMs: 1000 });
+  const kind = { failureDomain: 'a', machineClass: 'small', reclaimable: true };
+  const listed = [{ id: 'v', ...kind, labels: LABELS, state: 'live' }] as const;
+  ledger.accept([{ action: 'stop', vmId: 'v' }], 0);
+  t.deepEqual(ledger.current(listed, 0), []);
+  ledger.stopSent('v', 0);
+  t.deepEqual(ledger.dueStops(999), []);
+  t.is(ledger.dueStops(1000).length, 1, 'a return without an answer is sent again');
+  ledger.stopConfirmed('v');
+  t.deepEqual(ledger.dueStops(1e9), []);
+  t.deepEqual(ledger.current(listed, 2000), []);
+});
+
 test('a VM of a predecessor is taken over', (t) => {
   const ledger = new SupplyLedger();
   const kind = { failureDomain: 'a', machineClass: 'small', reclaimable: true };
