Restore AttemptLedger.forget, which the node uses

It was removed together with the memory of closed attempts, and the node no longer compiled. It is safe where a request decides and begins in one turn, as the node does; the comment now says so.

--- a/packages/claims/src/utils/attempt-ledger.ts
+++ b/packages/claims/src/utils/attempt-ledger.ts
@@ -26,6 +26,16 @@
     return attempt < this.#floor || this.#begun.has(attempt) || this.#forfeited.has(attempt);
   }
 
+  /**
+   * Releases the memory of one attempt. Its outcome must have been read back into the state that
+   * decisions use, and each `begin` must follow its decision in the same turn; a request that
+   * decided earlier could otherwise begin it again.
+   */
+  forget(attempt: number): void {
+    this.#begun.delete(attempt);
+    this.#forfeited.delete(attempt);
+  }
+
   /**
    * Releases the memory of all attempts below a position; none of them begins any more. The
    * position comes from `oldestOpenAttempt`, as a takeover can hand this node any open attempt.
