Keep answers whole when an owner wakes after it was replaced

Cause: (1) both owners of a request used the same attempt id at the engine, so the old owner's cancel ended the new owner's generation, and a stream that ended as cancelled counted as a whole answer; (2) a node that woke after it was declared dead kept its old incarnation, so its new requests were taken over at once; (3) a caller that resumed at the holder in the 250 ms before the holder took over was told that nobody has the request. Ruled out: the numbering of events, which had no gap in the same histories. Conclusion: attempt ids carry the epoch, only length and stop end an answer, an incarnation is renewed, and a replica is a reason to wait.

--- a/packages/node/src/node/create-daemon.ts
+++ b/packages/node/src/node/create-daemon.ts
@@ -5,6 +5,7 @@
 import type { Settings } from '@ragwortrudder/settings';
 import { tokens } from '../types/tokens.ts';
 import { Daemon } from './daemon.ts';
+import { LiveIncarnation } from './life/live-incarnation.ts';
 
 interface DaemonOptions {
   readonly settings: Settings;
@@ -25,6 +26,8 @@
   container.bind(tokens.settings).toConstantValue(settings);
   container.bind(tokens.clock).toConstantValue(clock);
   container.bind(tokens.random).toConstantValue(random ?? new SeededRandom(number ^ process.pid));
-  container.bind(tokens.incarnation).toConstantValue({ nodeId: settings.node.id, number });
+  container
+    .bind(tokens.incarnation)
+    .toConstantValue(new LiveIncarnation({ nodeId: settings.node.id, number }));
   return container.get(Daemon);
 }
--- a/packages/node/src/node/life/node-status.ts
+++ b/packages/node/src/node/life/node-status.ts
@@ -1,7 +1,8 @@
 import { inject, injectable } from 'inversify';
-import type { Clock, Incarnation } from '@ragwortrudder/core';
+import type { Clock } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import { tokens } from '../../types/tokens.ts';
+import type { LiveIncarnation } from './live-incarnation.ts';
 import { TicketBoard } from '../configuration/ticket-board.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { VersionMoves } from '../moves/version-moves.ts';
@@ -17,7 +18,7 @@
 @injectable()
 export class NodeStatus {
   readonly #settings: Settings;
-  readonly #self: Incarnation;
+  readonly #self: LiveIncarnation;
   readonly #clock: Clock;
   readonly #life: NodeLife;
   readonly #tickets: TicketBoard;
@@ -32,7 +33,7 @@
 
   constructor(
     @inject(tokens.settings) settings: Settings,
-    @inject(tokens.incarnation) self: Incarnation,
+    @inject(tokens.incarnation) self: LiveIncarnation,
     @inject(tokens.clock) clock: Clock,
     @inject(NodeLife) life: NodeLife,
     @inject(TicketBoard) tickets: TicketBoard,
@@ -65,7 +66,13 @@
     const { id, failureDomain, region } = this.#settings.node;
     const { lagMs, logReachable, applied, state } = this.#tickets;
     return {
-      node: { id, failureDomain, region, incarnation: this.#self.number, state: this.#life.state },
+      node: {
+        id,
+        failureDomain,
+        region,
+        incarnation: this.#self.current.number,
+        state: this.#life.state,
+      },
       log: {
         reachable: logReachable,
         lagMs: Number.isFinite(lagMs) ? Math.round(lagMs) : null,
--- a/packages/node/src/node/peers/peer-directory.ts
+++ b/packages/node/src/node/peers/peer-directory.ts
@@ -7,6 +7,7 @@
 import { membershipProbeThrough } from '../../types/methods/membership-probe-through.ts';
 import { Report } from '../../types/report.ts';
 import { tokens } from '../../types/tokens.ts';
+import type { LiveIncarnation } from '../life/live-incarnation.ts';
 import { StateLog } from '../metrics/state-log.ts';
 import { PeerClient } from './peer-client.ts';
 import { PeerMethods } from './peer-methods.ts';
@@ -16,28 +17,28 @@
 export class PeerDirectory implements Closeable {
   readonly #membership: Membership<Report>;
   readonly #reports: SoftState<Report>;
-  readonly #self: Incarnation;
+  readonly #self: LiveIncarnation;
   readonly #seeds = new Set<string>();
 
   constructor(
     @inject(tokens.settings) settings: Settings,
     @inject(tokens.clock) clock: Clock,
     @inject(tokens.random) random: Random,
-    @inject(tokens.incarnation) incarnation: Incarnation,
+    @inject(tokens.incarnation) incarnation: LiveIncarnation,
     @inject(PeerClient) client: PeerClient,
     @inject(PeerMethods) methods: PeerMethods,
     @inject(StateLog) log: StateLog,
   ) {
     this.#self = incarnation;
     this.#reports = new SoftState({
-      origin: incarnation,
+      origin: incarnation.current,
       accepts: (value): value is Report => Report.safeParse(value).success,
     });
     for (const seed of settings.seeds) this.#seeds.add(seed);
     this.#membership = new Membership({
       self: {
         nodeId: settings.node.id,
-        incarnation: incarnation.number,
+        incarnation: incarnation.current.number,
         failureDomain: settings.node.failureDomain,
         region: settings.node.region,
         peerAddress: settings.advertise.peers,
@@ -63,6 +64,7 @@
     methods.serve(membershipProbe, (message) => this.#membership.handleProbe(message));
     methods.serve(membershipProbeThrough, (probe) => this.#membership.handleIndirectProbe(probe));
     this.#membership.subscribe(({ kind, member }) => {
+      if (kind === 'renewed') incarnation.renew(member.incarnation);
       log.record({ kind: 'member', subject: member.nodeId, state: kind });
     });
   }
@@ -81,7 +83,7 @@
   get available(): readonly Member[] {
     return this.members.filter(
       (member) =>
-        member.nodeId !== this.#self.nodeId &&
+        member.nodeId !== this.#self.current.nodeId &&
         member.state === 'alive' &&
         this.#reports.get(member.nodeId)?.value.draining !== true,
     );
@@ -91,7 +93,7 @@
   get reachable(): readonly Member[] {
     return this.members.filter(
       (member) =>
-        member.nodeId !== this.#self.nodeId &&
+        member.nodeId !== this.#self.current.nodeId &&
         (member.state === 'alive' || member.state === 'suspect'),
     );
   }
--- a/packages/node/src/node/requests/departure.ts
+++ b/packages/node/src/node/requests/departure.ts
@@ -90,7 +90,7 @@
     const { request } = owned;
     const right = request.idempotent
       ? undefined
-      : this.#keyed.giveAway(request, { nodeId: target.nodeId, number: target.incarnation });
+      : this.#keyed.giveAway(owned, { nodeId: target.nodeId, number: target.incarnation });
     if (!request.idempotent && right === undefined) return;
     this.#gates.of(request.service).withdraw(request.id);
     owned.transfer(target.nodeId);
--- a/packages/node/src/node/requests/keyed-requests.ts
+++ b/packages/node/src/node/requests/keyed-requests.ts
@@ -13,6 +13,7 @@
 import { ClaimUnavailable } from '../../errors/claim-unavailable.ts';
 import type { RunPermit } from '../../types/run-permit.ts';
 import { tokens } from '../../types/tokens.ts';
+import type { LiveIncarnation } from '../life/live-incarnation.ts';
 import { toClaimOwner } from '../../utils/to-claim-owner.ts';
 import { toIncarnation } from '../../utils/to-incarnation.ts';
 import { ClaimBoard } from '../configuration/claim-board.ts';
@@ -35,10 +36,10 @@
 /** Keeps non-idempotent requests to one run: by the log for callers' own keys, by this node for keys it issued. */
 @injectable()
 export class KeyedRequests {
-  /** Keys that this incarnation issued or was given. */
-  readonly executor: ExecutorTable;
-  readonly #self: Owner;
+  readonly #self: LiveIncarnation;
   readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #executors = new Map<number, ExecutorTable>();
   readonly #claims: ClaimBoard;
   readonly #peers: PeerDirectory;
   readonly #metrics: Metrics;
@@ -49,19 +50,24 @@
   #unwritten: (() => Promise<void>)[] = [];
 
   constructor(
-    @inject(tokens.incarnation) self: Incarnation,
+    @inject(tokens.incarnation) self: LiveIncarnation,
     @inject(tokens.clock) clock: Clock,
     @inject(tokens.random) random: Random,
     @inject(ClaimBoard) claims: ClaimBoard,
     @inject(PeerDirectory) peers: PeerDirectory,
     @inject(Metrics) metrics: Metrics,
   ) {
-    this.#self = toClaimOwner(self);
+    this.#self = self;
     this.#clock = clock;
     this.#claims = claims;
     this.#peers = peers;
     this.#metrics = metrics;
-    this.executor = new ExecutorTable({ self: this.#self, clock, random });
+    this.#random = random;
+  }
+
+  /** Keys that the present incarnation issued or was given. */
+  get executor(): ExecutorTable {
+    return this.#executorOf(this.#self.current);
   }
 
   /** Digest that tells two requests under one key apart. */
@@ -96,14 +102,14 @@
   }
 
   /** Permission to send `owned` to a runner. */
-  permitOf({ request }: OwnedRequest): RunPermit {
+  permitOf({ request, incarnation }: OwnedRequest): RunPermit {
     const { tenant, key = '', keyKind } = request;
-    if (keyKind === 'issued') return new IssuedPermit(this.executor, key);
+    if (keyKind === 'issued') return new IssuedPermit(this.#executorOf(incarnation), key);
     const use = { tenant, key, requestDigest: this.digestOf(request) };
     return new ClaimedPermit({
       claims: this.#claims,
       ledger: this.#ledger,
-      query: this.#queryOf(use),
+      query: this.#queryOf(use, incarnation),
     });
   }
 
@@ -135,11 +141,15 @@
   }
 
   /** Gives the right to run `request` to `to`, for good; undefined when it may already be running. */
-  giveAway(request: AcceptedRequest, to: Incarnation): KeyTransfer | 'claimed' | undefined {
+  giveAway(
+    { request, incarnation }: OwnedRequest,
+    to: Incarnation,
+  ): KeyTransfer | 'claimed' | undefined {
     const { tenant, key = '', keyKind } = request;
     if (keyKind === 'issued') {
-      if (!this.executor.transferable().includes(key)) return undefined;
-      return this.executor.transfer(key, toClaimOwner(to));
+      const executor = this.#executorOf(incarnation);
+      if (!executor.transferable().includes(key)) return undefined;
+      return executor.transfer(key, toClaimOwner(to));
     }
     const attempt = this.#claims.find(tenant, key)?.attempt;
     return attempt !== undefined && this.#ledger.forfeit(attempt) ? 'claimed' : undefined;
@@ -158,11 +168,20 @@
     });
   }
 
-  #queryOf(use: KeyUse): ClaimQuery {
+  #executorOf(incarnation: Incarnation): ExecutorTable {
+    const known = this.#executors.get(incarnation.number);
+    if (known) return known;
+    const self = toClaimOwner(incarnation);
+    const table = new ExecutorTable({ self, clock: this.#clock, random: this.#random });
+    this.#executors.set(incarnation.number, table);
+    return table;
+  }
+
+  #queryOf(use: KeyUse, self: Incarnation = this.#self.current): ClaimQuery {
     const giver = this.#handedOver.get(`${use.tenant}/${use.key}`);
     return {
       ...use,
-      self: this.#self,
+      self: toClaimOwner(self),
       isGone: (owner) =>
         (owner.node === giver?.node && owner.incarnation === giver.incarnation) ||
         this.#peers.isGone(toIncarnation(owner)),
@@ -177,7 +196,7 @@
       const position = await this.#claims.write({
         type: 'claim',
         ...use,
-        ...this.#self,
+        ...toClaimOwner(this.#self.current),
         service,
         validUntil: this.#clock.wall() + CLAIM_VALID_MS,
       });
--- a/packages/node/src/node/requests/local-events.ts
+++ b/packages/node/src/node/requests/local-events.ts
@@ -56,7 +56,7 @@
     const copy = this.#replicas.get(id);
     if (!copy) return { state: 'absent' };
     if (copy.request.tenant !== tenant) return { state: 'forbidden' };
-    if (!isFinal(copy.events.at(-1))) return { state: 'absent' };
+    if (!isFinal(copy.events.at(-1))) return { state: 'replica' };
     const events = eventsAfter(new EventLog(id, copy.epoch, copy.events), after);
     return events ? { state: 'here', events, finished: true } : { state: 'diverged' };
   }
--- a/packages/node/src/node/requests/owned-request.ts
+++ b/packages/node/src/node/requests/owned-request.ts
@@ -1,5 +1,5 @@
 import { Chart, request as requestChart } from '@ragwortrudder/charts';
-import type { Clock } from '@ragwortrudder/core';
+import type { Clock, Incarnation } from '@ragwortrudder/core';
 import { isFinal } from '@ragwortrudder/requests';
 import type { AcceptedRequest, EventBody, EventLog, Outcome } from '@ragwortrudder/requests';
 import type { Metrics } from '../metrics/metrics.ts';
@@ -8,6 +8,7 @@
 
 interface OwnedRequestOptions {
   readonly request: AcceptedRequest;
+  readonly incarnation: Incarnation;
   readonly events: EventLog;
   readonly replication: Replication;
   readonly metrics: Metrics;
@@ -17,6 +18,8 @@
 /** A request that this node must finish, or give to another node. */
 export class OwnedRequest {
   readonly request: AcceptedRequest;
+  /** Incarnation of this node that owns the request. */
+  readonly incarnation: Incarnation;
   readonly events: EventLog;
   readonly replication: Replication;
   /** Attempts at running the request on this node. */
@@ -32,6 +35,7 @@
 
   constructor(options: OwnedRequestOptions) {
     this.request = options.request;
+    this.incarnation = options.incarnation;
     this.events = options.events;
     this.replication = options.replication;
     this.#metrics = options.metrics;
--- a/packages/node/src/node/requests/replica-links.ts
+++ b/packages/node/src/node/requests/replica-links.ts
@@ -1,5 +1,4 @@
 import { inject, injectable } from 'inversify';
-import type { Incarnation } from '@ragwortrudder/core';
 import type { ReplicaUpdate, ReplicaVerdict } from '@ragwortrudder/requests';
 import type { Settings } from '@ragwortrudder/settings';
 import { replicasUpdate } from '../../types/methods/replicas-update.ts';
@@ -13,18 +12,15 @@
 export class ReplicaLinks {
   readonly #links = new Map<string, ReplicaLink>();
   readonly #settings: Settings;
-  readonly #self: Incarnation;
   readonly #client: PeerClient;
   readonly #metrics: Metrics;
 
   constructor(
     @inject(tokens.settings) settings: Settings,
-    @inject(tokens.incarnation) self: Incarnation,
     @inject(PeerClient) client: PeerClient,
     @inject(Metrics) metrics: Metrics,
   ) {
     this.#settings = settings;
-    this.#self = self;
     this.#client = client;
     this.#metrics = metrics;
   }
@@ -46,7 +42,7 @@
       const { verdicts } = await this.#client.call({
         address,
         method: replicasUpdate,
-        params: { owner: this.#self, updates },
+        params: { updates },
         timeoutMs: this.#settings.requests.replicaTimeoutMs,
       });
       return verdicts;
--- a/packages/node/src/node/requests/request-desk.ts
+++ b/packages/node/src/node/requests/request-desk.ts
@@ -1,6 +1,5 @@
 import { inject, injectable } from 'inversify';
 import type { ClaimDecision, KeyDecision, Owner } from '@ragwortrudder/claims';
-import type { Incarnation } from '@ragwortrudder/core';
 import type { RequestEvent } from '@ragwortrudder/requests';
 import type { Service } from '@ragwortrudder/tickets';
 import { Cancelled } from '../../errors/cancelled.ts';
@@ -19,6 +18,7 @@
 import type { NewRequest } from '../../types/new-request.ts';
 import type { Submission } from '../../types/submission.ts';
 import { tokens } from '../../types/tokens.ts';
+import type { LiveIncarnation } from '../life/live-incarnation.ts';
 import { answeredEvents } from '../../utils/answered-events.ts';
 import { toFailure } from '../../utils/to-failure.ts';
 import { toIncarnation } from '../../utils/to-incarnation.ts';
@@ -39,7 +39,7 @@
 /** Accepts or refuses requests; a refusal is given at once and says whether anything was run. */
 @injectable()
 export class RequestDesk {
-  readonly #self: Incarnation;
+  readonly #self: LiveIncarnation;
   readonly #life: NodeLife;
   readonly #tickets: TicketBoard;
   readonly #factory: RequestFactory;
@@ -53,7 +53,7 @@
   readonly #claiming = new Map<string, Promise<Submission>>();
 
   constructor(
-    @inject(tokens.incarnation) self: Incarnation,
+    @inject(tokens.incarnation) self: LiveIncarnation,
     @inject(NodeLife) life: NodeLife,
     @inject(TicketBoard) tickets: TicketBoard,
     @inject(RequestFactory) factory: RequestFactory,
@@ -237,8 +237,7 @@
   }
 
   async #followOwner(request: KeyedRequest, owner: Owner): Promise<Submission> {
-    const isSelf = owner.node === this.#self.nodeId && owner.incarnation === this.#self.number;
-    if (isSelf) return this.#forwarder.recall(request);
+    if (this.#self.is(toIncarnation(owner))) return this.#forwarder.recall(request);
     return this.#forwarder.forward(request, toIncarnation(owner));
   }
 
--- a/packages/node/src/node/requests/request-factory.ts
+++ b/packages/node/src/node/requests/request-factory.ts
@@ -1,11 +1,12 @@
 import { randomBytes } from 'node:crypto';
 import { inject, injectable } from 'inversify';
-import type { Clock, Incarnation, Random } from '@ragwortrudder/core';
+import type { Clock, Random } from '@ragwortrudder/core';
 import type { Member } from '@ragwortrudder/membership';
 import { EventLog, formatRequestId, nextEpoch } from '@ragwortrudder/requests';
 import type { AcceptedRequest, RequestCopy } from '@ragwortrudder/requests';
 import type { NewRequest } from '../../types/new-request.ts';
 import { tokens } from '../../types/tokens.ts';
+import type { LiveIncarnation } from '../life/live-incarnation.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { PeerDirectory } from '../peers/peer-directory.ts';
 import { OwnedRequest } from './owned-request.ts';
@@ -24,7 +25,7 @@
 export class RequestFactory {
   readonly #clock: Clock;
   readonly #random: Random;
-  readonly #self: Incarnation;
+  readonly #self: LiveIncarnation;
   readonly #peers: PeerDirectory;
   readonly #links: ReplicaLinks;
   readonly #metrics: Metrics;
@@ -32,7 +33,7 @@
   constructor(
     @inject(tokens.clock) clock: Clock,
     @inject(tokens.random) random: Random,
-    @inject(tokens.incarnation) self: Incarnation,
+    @inject(tokens.incarnation) self: LiveIncarnation,
     @inject(PeerDirectory) peers: PeerDirectory,
     @inject(ReplicaLinks) links: ReplicaLinks,
     @inject(Metrics) metrics: Metrics,
@@ -48,9 +49,10 @@
   /** Makes a request from what a caller sent. */
   create(from: NewRequest, { idempotent, keyKind }: Acceptance): OwnedRequest {
     const holder = this.#chooseHolder(new Set());
+    const self = this.#self.current;
     const id = formatRequestId({
-      owner: this.#self.nodeId,
-      incarnation: this.#self.number,
+      owner: self.nodeId,
+      incarnation: self.number,
       holder: holder?.nodeId,
       serial: randomBytes(SERIAL_BYTES).toString('base64url'),
     });
@@ -67,14 +69,14 @@
       ...(key === undefined || idempotent ? {} : { key }),
       ...(keyKind ? { keyKind } : {}),
     };
-    const events = new EventLog(id, nextEpoch(0, this.#self.nodeId));
+    const events = new EventLog(id, nextEpoch(0, self.nodeId));
     events.add({ type: 'accepted', id });
     return this.#own(request, events, holder);
   }
 
   /** Makes this node the owner of a request that another node owned. */
   adopt(copy: RequestCopy): OwnedRequest {
-    const epoch = nextEpoch(copy.epoch, this.#self.nodeId);
+    const epoch = nextEpoch(copy.epoch, this.#self.current.nodeId);
     return this.#own(copy.request, new EventLog(copy.request.id, epoch, copy.events), undefined);
   }
 
@@ -83,7 +85,7 @@
     const replication = new Replication({
       request,
       events,
-      self: this.#self,
+      self: this.#self.current,
       links: this.#links,
       metrics: this.#metrics,
       clock: this.#clock,
@@ -98,6 +100,7 @@
       },
     });
     const owned = new OwnedRequest({
+      incarnation: this.#self.current,
       request,
       events,
       replication,
--- a/packages/node/src/node/requests/request-locator.ts
+++ b/packages/node/src/node/requests/request-locator.ts
@@ -1,10 +1,11 @@
 import { inject, injectable } from 'inversify';
-import type { Clock, Incarnation } from '@ragwortrudder/core';
+import type { Clock } from '@ragwortrudder/core';
 import { RequestUnknown, ResumeDiverged, isFinal, parseRequestId } from '@ragwortrudder/requests';
 import type { EventPosition, RequestEvent } from '@ragwortrudder/requests';
 import { Forbidden } from '../../errors/forbidden.ts';
 import { requestsEvents } from '../../types/methods/requests-events.ts';
 import { tokens } from '../../types/tokens.ts';
+import type { LiveIncarnation } from '../life/live-incarnation.ts';
 import { PeerClient } from '../peers/peer-client.ts';
 import { PeerDirectory } from '../peers/peer-directory.ts';
 import { LocalEvents } from './local-events.ts';
@@ -30,19 +31,21 @@
     }
   | { readonly kind: 'hint'; readonly nodeId: string }
   | { readonly kind: 'absent' }
+  /** A node holds a replica and may take the request over. */
+  | { readonly kind: 'replica' }
   | { readonly kind: 'diverged' };
 
 /** Reads the events of a request wherever its owner or replica is. */
 @injectable()
 export class RequestLocator {
-  readonly #self: Incarnation;
+  readonly #self: LiveIncarnation;
   readonly #clock: Clock;
   readonly #client: PeerClient;
   readonly #peers: PeerDirectory;
   readonly #local: LocalEvents;
 
   constructor(
-    @inject(tokens.incarnation) self: Incarnation,
+    @inject(tokens.incarnation) self: LiveIncarnation,
     @inject(tokens.clock) clock: Clock,
     @inject(PeerClient) client: PeerClient,
     @inject(PeerDirectory) peers: PeerDirectory,
@@ -86,7 +89,8 @@
       searchedSince ??= now;
       if (batch.kind === 'hint') hint = batch.nodeId;
       if (now - searchedSince > SEARCH_MS) throw this.#notFound(subscription.id, batch);
-      if (batch.kind !== 'hint' && !this.#mayReturn(name.owner, name.incarnation, name.holder)) {
+      const isLost = batch.kind === 'absent' || batch.kind === 'diverged';
+      if (isLost && !this.#mayReturn(name.owner, name.incarnation, name.holder)) {
         throw this.#notFound(subscription.id, batch);
       }
       await this.#local.pause(SEARCH_PAUSE_MS, subscription.signal);
@@ -99,12 +103,15 @@
     if (here.state === 'here') return { kind: 'events', ...here };
     const hints = here.state === 'moved' ? [here.nodeId] : [];
     const others = this.#peers.reachable.map(({ nodeId }) => nodeId);
-    let found: Batch = here.state === 'diverged' ? { kind: 'diverged' } : { kind: 'absent' };
+    let found: Batch =
+      here.state === 'diverged' || here.state === 'replica'
+        ? { kind: here.state }
+        : { kind: 'absent' };
     for (const nodeId of new Set([...hints, ...likely, ...others])) {
-      if (nodeId === undefined || nodeId === this.#self.nodeId) continue;
+      if (nodeId === undefined || nodeId === this.#self.current.nodeId) continue;
       const answer = await this.#ask(nodeId, subscription);
       if (answer.kind === 'events' || answer.kind === 'hint') return answer;
-      if (answer.kind === 'diverged') found = answer;
+      if (answer.kind !== 'absent') found = answer;
     }
     return found;
   }
@@ -129,14 +136,12 @@
     }
   }
 
-  /** True while a node that may hold the request has not ended for certain. */
+  /** True while a node that does not answer may hold the request. */
   #mayReturn(owner: string, incarnation: number, holder: string | undefined): boolean {
-    const isOwnerGone = this.#peers.isGone({ nodeId: owner, number: incarnation });
-    const isOwnerHere = owner === this.#self.nodeId && incarnation === this.#self.number;
-    const holderState = holder === undefined ? 'dead' : this.#peers.find(holder)?.state;
-    const isHolderGone =
-      holderState === 'dead' || holderState === 'left' || holder === this.#self.nodeId;
-    return !(isOwnerGone || isOwnerHere) || !isHolderGone;
+    const owned = { nodeId: owner, number: incarnation };
+    const isOwnerSilent = !this.#self.is(owned) && !this.#peers.isGone(owned);
+    const isHolderSilent = holder !== undefined && this.#peers.find(holder)?.state === 'suspect';
+    return isOwnerSilent || isHolderSilent;
   }
 
   #notFound(id: string, batch: Batch): RequestUnknown | ResumeDiverged {
--- a/packages/node/src/node/requests/takeover.ts
+++ b/packages/node/src/node/requests/takeover.ts
@@ -1,10 +1,10 @@
 import { inject, injectable } from 'inversify';
-import type { Incarnation } from '@ragwortrudder/core';
 import { isFinal } from '@ragwortrudder/requests';
 import type { RequestCopy } from '@ragwortrudder/requests';
 import { OutcomeUnknown } from '../../errors/outcome-unknown.ts';
 import { requestsHandOver } from '../../types/methods/requests-hand-over.ts';
 import { tokens } from '../../types/tokens.ts';
+import type { LiveIncarnation } from '../life/live-incarnation.ts';
 import { toOutcome } from '../../utils/to-outcome.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { StateLog } from '../metrics/state-log.ts';
@@ -19,7 +19,7 @@
 /** Makes this node the owner of requests whose owner has ended or gives them away. */
 @injectable()
 export class Takeover {
-  readonly #self: Incarnation;
+  readonly #self: LiveIncarnation;
   readonly #peers: PeerDirectory;
   readonly #replicas: ReplicaStore;
   readonly #factory: RequestFactory;
@@ -30,7 +30,7 @@
   readonly #log: StateLog;
 
   constructor(
-    @inject(tokens.incarnation) self: Incarnation,
+    @inject(tokens.incarnation) self: LiveIncarnation,
     @inject(PeerDirectory) peers: PeerDirectory,
     @inject(ReplicaStore) replicas: ReplicaStore,
     @inject(RequestFactory) factory: RequestFactory,
@@ -53,7 +53,7 @@
     methods.serve(requestsHandOver, ({ copy, transfer }) => {
       if (this.#table.find(copy.request.id)) return { taken: true };
       this.#keyed.receive(copy.request, copy.owner, transfer);
-      this.#replicas.supersede(copy, this.#self);
+      this.#replicas.supersede(copy, this.#self.current);
       this.#own(copy, 'handed-over');
       return { taken: true };
     });
@@ -62,7 +62,7 @@
   /** Takes over the requests whose replicas are held here and whose owners are gone. */
   check(): void {
     for (const id of this.#replicas.ownedBy((owner) => this.#peers.isGone(owner))) {
-      const copy = this.#replicas.promote(id, this.#self);
+      const copy = this.#replicas.promote(id, this.#self.current);
       if (copy) this.#own(copy, 'owner-gone');
     }
   }
--- a/packages/node/src/node/runners/model-attempt.ts
+++ b/packages/node/src/node/runners/model-attempt.ts
@@ -11,6 +11,8 @@
 
 const PRIORITY_INTERACTIVE = 1;
 const PRIORITY_BATCH = 0;
+/** Reasons of the engine to end a stream that make the answer whole. */
+const FINISHED: ReadonlySet<string> = new Set(['length', 'stop']);
 
 interface ModelAttemptOptions {
   readonly owned: OwnedRequest;
@@ -43,7 +45,8 @@
     this.assignment = options.assignment;
     this.#options = options;
     this.#startedAt = options.clock.monotonic();
-    this.id = `${options.owned.request.id}/${options.owned.attempts.started}`;
+    const { request, events, attempts } = options.owned;
+    this.id = `${request.id}/${events.epoch}/${attempts.started}`;
   }
 
   /** Time from the start to the first token in milliseconds; undefined before it. */
@@ -135,7 +138,7 @@
     const now = this.#options.clock.monotonic();
     const { tracker, watch } = this.assignment.runner;
     if (event.type === 'error') return { kind: 'failed', reason: event.message, isVersion: true };
-    if (event.type === 'done') return { kind: 'done', tokens: this.owned.events.tokens.length };
+    if (event.type === 'done') return this.#endOfStream(event.finish);
     if (event.type === 'start') {
       watch.alive(this.id, now);
       tracker.started(this.id, event.cachedTokens, event.computedTokens, now);
@@ -151,6 +154,11 @@
     return undefined;
   }
 
+  #endOfStream(finish: string): AttemptEnd {
+    if (FINISHED.has(finish)) return { kind: 'done', tokens: this.owned.events.tokens.length };
+    return { kind: 'failed', reason: `the runner ended the stream: ${finish}`, isVersion: false };
+  }
+
   #noteToken(now: number): void {
     const { tracker, watch } = this.assignment.runner;
     watch.token(this.id, now);
--- a/packages/node/src/types/methods/replicas-update.ts
+++ b/packages/node/src/types/methods/replicas-update.ts
@@ -1,10 +1,8 @@
 import { z } from 'zod';
-import { Owner, ReplicaUpdate, ReplicaVerdict } from '@ragwortrudder/requests';
+import { ReplicaUpdate, ReplicaVerdict } from '@ragwortrudder/requests';
 import type { RpcMethod } from '../rpc-method.ts';
 
-const Params = z
-  .strictObject({ owner: Owner, updates: z.array(ReplicaUpdate).readonly() })
-  .readonly();
+const Params = z.strictObject({ updates: z.array(ReplicaUpdate).readonly() }).readonly();
 const Result = z.strictObject({ verdicts: z.array(ReplicaVerdict).readonly() }).readonly();
 
 /** Applies an owner's updates to the replicas that the called node holds, in order. */
--- a/packages/node/src/types/methods/requests-events.ts
+++ b/packages/node/src/types/methods/requests-events.ts
@@ -25,6 +25,8 @@
   z.strictObject({ state: z.literal('absent') }).readonly(),
   z.strictObject({ state: z.literal('diverged') }).readonly(),
   z.strictObject({ state: z.literal('forbidden') }).readonly(),
+  /** The node holds a replica and takes the request over once its owner is gone. */
+  z.strictObject({ state: z.literal('replica') }).readonly(),
 ]);
 
 /** Reads committed events of a request after a position, waiting for the first one. */
--- a/packages/node/src/types/tokens.ts
+++ b/packages/node/src/types/tokens.ts
@@ -1,12 +1,13 @@
-import type { Clock, Incarnation, Random } from '@ragwortrudder/core';
+import type { Clock, Random } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import type { ServiceIdentifier } from 'inversify';
+import type { LiveIncarnation } from '../node/life/live-incarnation.ts';
 
 interface Tokens {
   readonly settings: ServiceIdentifier<Settings>;
   readonly clock: ServiceIdentifier<Clock>;
   readonly random: ServiceIdentifier<Random>;
-  readonly incarnation: ServiceIdentifier<Incarnation>;
+  readonly incarnation: ServiceIdentifier<LiveIncarnation>;
 }
 
 /** Identifiers of the dependencies that are not classes. */
