Let a failing model stream break off after some tokens

A failing engine failed before its first token only, by an event or a status. It can now fail after a number of tokens and by its connection.

--- a/packages/standins/src/node/engine-runner.ts
+++ b/packages/standins/src/node/engine-runner.ts
@@ -39,7 +39,8 @@
 const kvCache = z.object({ requestId: z.string().min(1), tokens: z.array(z.string()) });
 const engineFault = z.object({
   failRate: z.number().min(0).max(1).optional(),
-  failAs: z.enum(['event', 'status']).optional(),
+  failAs: z.enum(['event', 'status', 'disconnect']).optional(),
+  failAfterTokens: z.number().int().nonnegative().optional(),
   slowFactor: z.number().min(1).optional(),
   condition: z
     .object({
@@ -72,6 +73,8 @@
   readonly #load: LaggingValue<Load>;
   readonly #orders: OrderBook;
   readonly #streams = new Map<Sequence, TokenStream>();
+  /** Tokens of the answer at which a sequence is to fail. */
+  readonly #failAt = new WeakMap<Sequence, number>();
   readonly #kvCaches = new Map<string, readonly string[]>();
   readonly #runs = new Map<string, number>();
   #counts: Counts = {
@@ -182,16 +185,16 @@
     this.#count('requests');
     this.#runs.set(body.requestId, (this.#runs.get(body.requestId) ?? 0) + 1);
     const fails = this.#faultHits(body.prompt) && this.#random.next() < (this.#fault.failRate ?? 0);
-    if (fails) this.#count('failed');
-    if (fails && this.#fault.failAs === 'status') return this.#reply({ code: 'engine-error' }, 500);
-    const stream = new TokenStream(call.response, this.#headers());
-    if (fails) {
-      stream.send({ type: 'error', message: 'engine error' });
-      stream.end();
-      return undefined;
+    const { failAs, failAfterTokens = 0 } = this.#fault;
+    if (fails && failAs === 'status') {
+      this.#count('failed');
+      return this.#reply({ code: 'engine-error' }, 500);
     }
+    const stream = new TokenStream(call.response, this.#headers());
     const sequence = new Sequence({ runner: this.id, ...body });
     this.#streams.set(sequence, stream);
+    if (fails) this.#failAt.set(sequence, sequence.answered + failAfterTokens);
+    if (this.#failsNow(sequence)) return undefined;
     call.response.once('close', () => {
       this.#drop(sequence);
     });
@@ -216,6 +219,19 @@
     return this.#reply({ cancelled: found.length }, found.length > 0 ? 200 : 404);
   }
 
+  /** Fails a sequence that has reached the token at which it is to fail. */
+  #failsNow(sequence: Sequence): boolean {
+    const stream = this.#streams.get(sequence);
+    if (!stream || sequence.answered !== this.#failAt.get(sequence)) return false;
+    this.#count('failed');
+    this.#streams.delete(sequence);
+    this.#release(sequence);
+    if (this.#fault.failAs === 'disconnect') stream.destroy();
+    stream.send({ type: 'error', message: 'engine error' });
+    stream.end();
+    return true;
+  }
+
   /** Stops a sequence that has not finished. */
   #drop(sequence: Sequence): void {
     if (!this.#streams.delete(sequence)) return;
@@ -320,6 +336,7 @@
     if (sequence.toPrefill > 0) return;
     stream.send({ type: 'token', ...sequence.generate() });
     this.#count('generatedTokens');
+    if (this.#failsNow(sequence)) return;
     if (sequence.finished) this.#finish(sequence);
   }
 
--- a/packages/standins/src/node/token-stream.ts
+++ b/packages/standins/src/node/token-stream.ts
@@ -27,4 +27,9 @@
   end(): void {
     if (!this.#frozen) this.#response.end();
   }
+
+  /** Destroys the connection. */
+  destroy(): void {
+    this.#response.destroy();
+  }
 }
--- a/packages/standins/src/types/engine-fault.ts
+++ b/packages/standins/src/types/engine-fault.ts
@@ -8,10 +8,15 @@
    */
   readonly failRate?: number | undefined;
   /**
-   * How a request fails: an error event on the stream, or status 500.
+   * How a request fails: by an error event on the stream, by status 500, or by a connection that is destroyed.
    * @default 'event'
    */
-  readonly failAs?: 'event' | 'status' | undefined;
+  readonly failAs?: 'event' | 'status' | 'disconnect' | undefined;
+  /**
+   * Tokens that a failing stream sends before it fails.
+   * @default 0
+   */
+  readonly failAfterTokens?: number | undefined;
   /**
    * Factor on the time of each step; with a marker, matching streams advance only every n-th step.
    * @default 1
--- a/test/standins/engine.test.ts
+++ b/test/standins/engine.test.ts
@@ -360,6 +360,19 @@
   t.is(runner.stats().failed, 2);
 });
 
+test('fault failAfterTokens: a stream breaks off, by an event or by its connection', async (t) => {
+  const runner = await start(t);
+  await fault(runner.address, { failRate: 1, failAfterTokens: 2 });
+  const events = await generate(runner.address);
+  t.deepEqual(
+    events.map((event) => event.type),
+    ['start', 'token', 'token', 'error'],
+  );
+  await fault(runner.address, { failAs: 'disconnect' });
+  await t.throwsAsync(generate(runner.address));
+  t.like(runner.stats(), { failed: 2, generatedTokens: 4, cancelled: 0 });
+});
+
 test('fault conditions: only later, only above a count, only with a marker', async (t) => {
   const { address } = await start(t);
   const last = async (over: Generation = {}) => (await generate(address, over)).at(-1)?.type;
--- a/test/standins/fleet.test.ts
+++ b/test/standins/fleet.test.ts
@@ -13,6 +13,7 @@
 import { call } from './call.ts';
 
 const PROGRAM = fileURLToPath(new URL('fake-node.ts', import.meta.url));
+const STANDINS = fileURLToPath(new URL('../../packages/standins/src/cli/main.ts', import.meta.url));
 const LONG_MS = 3_600_000;
 
 async function start(t: ExecutionContext, options: FleetOptions = {}): Promise<Fleet> {
@@ -202,6 +203,25 @@
   t.is(child.exitCode, 3);
 });
 
+test('the command line names its links by position and refuses options that are not valid', async (t) => {
+  const run = (...args: readonly string[]) => {
+    const child = new ChildProcess({
+      name: 'standin',
+      command: process.execPath,
+      args: ['--import=tsx', STANDINS, ...args],
+    });
+    t.teardown(() => child.close());
+    return child;
+  };
+  const relay = run('relay', '--listen', '0', '--target', '127.0.0.1:9', '--target', '127.0.0.1:8');
+  const ready = JSON.parse(await relay.firstLine(LONG_MS)) as { readonly links: unknown };
+  t.like(ready, { ready: true, links: [{ name: 'link-1' }, { name: 'link-2' }] });
+  const bad = run('engine', '--runners', '[{"name":"m1"}]');
+  const error = await t.throwsAsync(bad.firstLine(LONG_MS), { instanceOf: ProcessFailure });
+  t.regex(error.output, /body does not match|Invalid input/);
+  t.not(bad.exitCode, 0);
+});
+
 test.serial('the programs stop gracefully on SIGTERM', async (t) => {
   const fleet = await start(t, {
     relays: true,
