--- a/packages/standins/src/node/application-runner.ts
+++ b/packages/standins/src/node/application-runner.ts
@@ -2,7 +2,7 @@
 import { SeededRandom, SystemClock, digest } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import { z } from 'zod';
-import type { ApplicationFault } from '../types/application-fault.ts';
+import { ApplicationFault } from '../types/application-fault.ts';
 import type { ApplicationOptions } from '../types/application-options.ts';
 import type { HttpCall } from '../types/http-call.ts';
 import type { HttpReply } from '../types/http-reply.ts';
@@ -29,35 +29,6 @@
   operation: z.string().min(1),
   payload: z.unknown().optional(),
 });
-const applicationFault = z.object({
-  mode: z
-    .enum([
-      'ok',
-      'fail',
-      'fail-after',
-      'refuse',
-      'slow',
-      'reply-lost',
-      'reply-late',
-      'not-run',
-      'hang',
-      'hang-after',
-    ])
-    .optional(),
-  delayMs: z.number().nonnegative().optional(),
-  rate: z.number().min(0).max(1).optional(),
-  count: z.number().int().nonnegative().optional(),
-  condition: z
-    .object({
-      aboveRunning: z.number().optional(),
-      afterRequests: z.number().optional(),
-      marker: z.string().optional(),
-    })
-    .optional(),
-  leaving: z.boolean().optional(),
-  refuse: z.boolean().optional(),
-});
-
 /** Application runner: records each run of an operation, served over HTTP, with faults. */
 export class ApplicationRunner implements Closeable {
   readonly id: string;
@@ -111,7 +82,7 @@
 
   /** Replaces the fault; `leaving` and `refuse` stay until named again. */
   async setFault(body: unknown): Promise<void> {
-    const fault = parseBody(applicationFault, body);
+    const fault = parseBody(ApplicationFault, body);
     const { leaving, refuse, ...rest } = fault;
     this.#leaving = leaving ?? this.#leaving;
     if (refuse !== undefined) await this.#server.refuseConnections(refuse);
@@ -121,7 +92,7 @@
   #addRoutes(): void {
     const server = this.#server;
     const applyFault = (call: HttpCall): HttpReply => {
-      const fault = parseBody(applicationFault, call.body);
+      const fault = parseBody(ApplicationFault, call.body);
       setImmediate(() => void this.setFault(fault));
       return { status: 200, body: {} };
     };
--- a/packages/standins/src/node/engine-runner.ts
+++ b/packages/standins/src/node/engine-runner.ts
@@ -2,7 +2,7 @@
 import { SeededRandom, SystemClock } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import { z } from 'zod';
-import type { EngineFault } from '../types/engine-fault.ts';
+import { EngineFault } from '../types/engine-fault.ts';
 import type { EngineOptions } from '../types/engine-options.ts';
 import type { EngineStats } from '../types/engine-stats.ts';
 import type { HttpCall } from '../types/http-call.ts';
@@ -37,24 +37,6 @@
   priority: z.number().default(0),
 });
 const kvCache = z.object({ requestId: z.string().min(1), tokens: z.array(z.string()) });
-const engineFault = z.object({
-  failRate: z.number().min(0).max(1).optional(),
-  failAs: z.enum(['event', 'status', 'disconnect']).optional(),
-  failAfterTokens: z.number().int().nonnegative().optional(),
-  slowFactor: z.number().min(1).optional(),
-  condition: z
-    .object({
-      aboveRunning: z.number().optional(),
-      afterRequests: z.number().optional(),
-      marker: z.string().optional(),
-    })
-    .optional(),
-  stall: z.boolean().optional(),
-  refuse: z.boolean().optional(),
-  reject: z.boolean().optional(),
-  leaving: z.boolean().optional(),
-});
-
 function commonLength(a: readonly string[], b: readonly string[]): number {
   const different = a.findIndex((word, index) => word !== b[index]);
   return different === -1 ? a.length : different;
@@ -134,7 +116,7 @@
 
   /** Changes the faults in force. */
   async setFault(body: unknown): Promise<void> {
-    const change = parseBody(engineFault, body);
+    const change = parseBody(EngineFault, body);
     this.#fault = { ...this.#fault, ...change };
     if (change.stall) for (const stream of this.#streams.values()) stream.freeze();
     if (change.refuse !== undefined) await this.#server.refuseConnections(change.refuse);
@@ -143,7 +125,7 @@
   #addRoutes(): void {
     const server = this.#server;
     const applyFault = (call: HttpCall): HttpReply => {
-      const change = parseBody(engineFault, call.body);
+      const change = parseBody(EngineFault, call.body);
       setImmediate(() => void this.setFault(change));
       return { status: 200, body: {} };
     };
--- a/packages/standins/src/node/platform-vms.ts
+++ b/packages/standins/src/node/platform-vms.ts
@@ -4,6 +4,8 @@
 import type { HttpCall } from '../types/http-call.ts';
 import type { HttpReply } from '../types/http-reply.ts';
 import type { Notice } from '../types/notice.ts';
+import { SpareRunner } from '../types/spare-runner.ts';
+import { VmLabels } from '../types/vm-labels.ts';
 import type { VmRecord } from '../types/vm-record.ts';
 import { LaggingValue } from '../utils/lagging-value.ts';
 import { RateLimit } from '../utils/rate-limit.ts';
@@ -19,17 +21,12 @@
 }
 
 const FAULT_TIMEOUT_MS = 1000;
-const labels = z.object({
-  service: z.string().optional(),
-  version: z.string().optional(),
-  kind: z.string().optional(),
-});
 const vmOrder = z.object({
   requestId: z.string().min(1),
   failureDomain: z.string(),
   machineClass: z.string(),
   reclaimable: z.boolean(),
-  labels: labels.default({}),
+  labels: VmLabels.default({}),
 });
 const vmRegistration = z.object({
   id: z.string().min(1),
@@ -39,7 +36,7 @@
   reclaimable: z.boolean().default(true),
   state: z.enum(['live', 'leaving']).default('live'),
   address: z.string().default(''),
-  labels: labels.default({}),
+  labels: VmLabels.default({}),
   atOnce: z.boolean().default(false),
 });
 const reclaim = z.object({
@@ -47,11 +44,7 @@
   noticeMs: z.number().nonnegative(),
   kill: z.boolean().default(true),
 });
-const spareList = z.object({
-  spares: z.array(
-    z.object({ failureDomain: z.string(), address: z.string(), control: z.url(), labels }),
-  ),
-});
+const spareList = z.object({ spares: z.array(SpareRunner) });
 const capacity = z.object({ failureDomain: z.string(), capacity: z.number().nonnegative() });
 
 /** Cloud API, lagging list of VMs and reclaim notices. */
--- a/packages/standins/src/node/platform.ts
+++ b/packages/standins/src/node/platform.ts
@@ -6,7 +6,9 @@
 import type { HttpHandler } from '../types/http-handler.ts';
 import type { HttpReply } from '../types/http-reply.ts';
 import type { PlatformOptions } from '../types/platform-options.ts';
-import type { Price } from '../types/price.ts';
+import { PlatformFault } from '../types/platform-fault.ts';
+import { Price } from '../types/price.ts';
+import { Retention } from '../types/retention.ts';
 import { FaultTable } from '../utils/fault-table.ts';
 import { RateLimit } from '../utils/rate-limit.ts';
 import { HttpServer } from './http-server.ts';
@@ -16,26 +18,7 @@
 
 const DEFAULT_DELAY_MS = 1000;
 const DEFAULT_RECORD_LIMIT_BYTES = 256 * 1024;
-const fault = z.object({
-  target: z.enum(['log.append', 'log.read', 'vms', 'cloud', 'notices', 'weights']),
-  mode: z.enum(['ok', 'down', 'slow', 'reply-lost', 'hang']),
-  delayMs: z.number().nonnegative().optional(),
-  count: z.number().int().nonnegative().optional(),
-});
-const retention = z.object({
-  ageMs: z.number().nonnegative().optional(),
-  count: z.number().int().nonnegative().optional(),
-});
-const prices = z.object({
-  prices: z.array(
-    z.object({
-      failureDomain: z.string(),
-      machineClass: z.string(),
-      reclaimable: z.boolean(),
-      pricePerHour: z.number().nonnegative(),
-    }),
-  ),
-});
+const prices = z.object({ prices: z.array(Price) });
 
 /** Platform: log, list of VMs, cloud API, notices, prices and weight store, with faults. */
 export class Platform implements Closeable {
@@ -131,11 +114,11 @@
   #addControl(): void {
     const server = this.#server;
     server.post('/control/faults', (call) => {
-      this.#faults.set(parseBody(fault, call.body));
+      this.#faults.set(parseBody(PlatformFault, call.body));
       return { status: 200, body: {} };
     });
     server.post('/control/retention', (call) => {
-      this.#log.setRetention(parseBody(retention, call.body));
+      this.#log.setRetention(parseBody(Retention, call.body));
       return { status: 200, body: {} };
     });
     server.post('/control/prices', (call) => {
--- a/packages/standins/src/node/relay.ts
+++ b/packages/standins/src/node/relay.ts
@@ -1,7 +1,7 @@
 import type { Closeable } from '@ragwortrudder/core';
 import { z } from 'zod';
 import { UnknownName } from '../errors/unknown-name.ts';
-import type { LinkFault } from '../types/link-fault.ts';
+import { LinkFault } from '../types/link-fault.ts';
 import type { LinkReport } from '../types/link-report.ts';
 import type { RelayLink } from '../types/relay-link.ts';
 import { HttpServer } from './http-server.ts';
@@ -9,12 +9,7 @@
 import { RelayListener } from './relay-listener.ts';
 
 const ALL_LINKS = '*';
-const linkFault = z.object({
-  name: z.string(),
-  mode: z.enum(['open', 'cut', 'silent', 'one-way-request-only', 'one-way-reply-only']),
-  delayMs: z.number().nonnegative().optional(),
-});
-const linkFaults = z.object({ faults: z.array(linkFault) });
+const linkFaults = z.object({ faults: z.array(LinkFault) });
 
 /** TCP relay whose links can be cut, frozen or delayed. */
 export class Relay implements Closeable {
--- a/packages/standins/src/types/fault-mode.ts
+++ b/packages/standins/src/types/fault-mode.ts
@@ -1,2 +1,5 @@
+import { z } from 'zod';
+
 /** What a faulty interface of the platform does with a call. */
-export type FaultMode = 'ok' | 'down' | 'slow' | 'reply-lost' | 'hang';
+export const FaultMode = z.enum(['ok', 'down', 'slow', 'reply-lost', 'hang']);
+export type FaultMode = z.infer<typeof FaultMode>;
--- a/packages/standins/src/types/price.ts
+++ b/packages/standins/src/types/price.ts
@@ -1,7 +1,12 @@
+import { z } from 'zod';
+
 /** Price of a machine class in a failure domain. */
-export interface Price {
-  readonly failureDomain: string;
-  readonly machineClass: string;
-  readonly reclaimable: boolean;
-  readonly pricePerHour: number;
-}
+export const Price = z
+  .strictObject({
+    failureDomain: z.string(),
+    machineClass: z.string(),
+    reclaimable: z.boolean(),
+    pricePerHour: z.number().nonnegative(),
+  })
+  .readonly();
+export type Price = z.infer<typeof Price>;
--- a/packages/standins/src/types/vm-labels.ts
+++ b/packages/standins/src/types/vm-labels.ts
@@ -1,6 +1,11 @@
+import { z } from 'zod';
+
 /** What runs on an endpoint VM. */
-export interface VmLabels {
-  readonly service?: string | undefined;
-  readonly version?: string | undefined;
-  readonly kind?: string | undefined;
-}
+export const VmLabels = z
+  .object({
+    service: z.string().optional(),
+    version: z.string().optional(),
+    kind: z.string().optional(),
+  })
+  .readonly();
+export type VmLabels = z.infer<typeof VmLabels>;
