Keep room for reports beside changes of members

Changes now get 60% of the budget, are repeated 4 times for each factor of ten, and are not repeated when they came with a synchronization; reports go newest first.

--- a/packages/membership/src/utils/exchange.ts
+++ b/packages/membership/src/utils/exchange.ts
@@ -12,7 +12,10 @@
 import { shuffle } from './shuffle.ts';
 import type { SoftState } from './soft-state.ts';
 
-const MEMBER_REPEATS = 3;
+/** Times that a change of members is sent, for each factor of ten in the number of members. */
+const MEMBER_REPEATS = 4;
+/** Part of a message's budget that changes of members may use. */
+const MEMBER_PART = 0.6;
 const REPORT_REPEATS = 2;
 /** Part of the budget of messages within the failure domain that the reports of this domain may use. */
 const NEAR_REPORT_PART = 0.7;
@@ -65,23 +68,23 @@
     this.#random = options.random;
     this.#settings = options.settings;
     this.#reports = options.reports;
-    this.#memberQueue = new GossipQueue(options.random);
+    this.#memberQueue = new GossipQueue(options.random, 'least-sent');
     this.#self = options.self;
     this.#clock = options.clock;
-    this.#urgentQueue = new GossipQueue(options.random);
-    this.#nearQueue = new GossipQueue(options.random);
-    this.#linkQueue = new GossipQueue(options.random);
-    this.#farQueue = new GossipQueue(options.random);
+    this.#urgentQueue = new GossipQueue(options.random, 'least-sent');
+    this.#nearQueue = new GossipQueue(options.random, 'newest');
+    this.#linkQueue = new GossipQueue(options.random, 'newest');
+    this.#farQueue = new GossipQueue(options.random, 'newest');
     for (const entry of this.#reports.entries) this.#queueReport(entry);
     this.#reports.subscribe((entry) => {
       this.#queueReport(entry);
     });
   }
 
-  /** Takes a claim in and queues it for the others when it is news. */
-  apply(member: Member): MembershipEvent | undefined {
+  /** Takes a claim in and queues it for the others when it is news, unless it came with a synchronization. */
+  apply(member: Member, isSynced = false): MembershipEvent | undefined {
     const event = this.table.apply(member);
-    if (event) this.#memberQueue.add(member.nodeId);
+    if (event && !isSynced) this.#memberQueue.add(member.nodeId);
     return event;
   }
 
@@ -92,9 +95,9 @@
 
   /** Changes that go with one message, to the own failure domain or to another; `must` is always among them. */
   gossip(must: readonly Member[], failureDomain: string | undefined): Gossip {
-    const repeats = MEMBER_REPEATS * Math.ceil(Math.log2(this.table.all.length + 1));
+    const repeats = MEMBER_REPEATS * Math.ceil(Math.log10(this.table.all.length + 1));
     const budget = this.#settings.gossipBytes;
-    const members = this.#memberQueue.take(budget, repeats, (nodeId) =>
+    const members = this.#memberQueue.take(budget * MEMBER_PART, repeats, (nodeId) =>
       sizeOf(this.table.get(nodeId) ?? ''),
     );
     const carried = this.#members(members);
--- a/packages/membership/src/utils/gossip-queue.ts
+++ b/packages/membership/src/utils/gossip-queue.ts
@@ -3,14 +3,21 @@
 /** Largest multiple of a message's budget that unused budget grows to. */
 const SAVED_MESSAGES = 8;
 
-/** Chooses which changes go with the next message: those sent least often first, each a limited number of times. */
+type GossipOrder = 'least-sent' | 'newest';
+
+/**
+ * Chooses which changes go with the next message, each a limited number of times: those sent least often first,
+ * or the newest first when fresh changes matter more than complete ones.
+ */
 export class GossipQueue {
   readonly #sent = new Map<string, number>();
   readonly #random: Random;
+  readonly #order: GossipOrder;
   #credit = 0;
 
-  constructor(random: Random) {
+  constructor(random: Random, order: GossipOrder) {
     this.#random = random;
+    this.#order = order;
   }
 
   /** Number of changes still to be sent. */
@@ -20,6 +27,7 @@
 
   /** Adds a change, or starts over with one that was replaced. */
   add(key: string): void {
+    this.#sent.delete(key);
     this.#sent.set(key, 0);
   }
 
@@ -45,6 +53,7 @@
   }
 
   #ordered(): readonly string[] {
+    if (this.#order === 'newest') return [...this.#sent.keys()].reverse();
     const keyed = [...this.#sent].map(([key, sent]) => ({
       key,
       order: sent + this.#random.next(),
--- a/packages/membership/src/utils/membership.ts
+++ b/packages/membership/src/utils/membership.ts
@@ -329,7 +329,7 @@
   async #send(address: string, message: ProbeMessage): Promise<ProbeReply | undefined> {
     try {
       const reply = await this.#transport.probe(address, message, this.#settings.probeTimeoutMs);
-      this.#receive(reply.gossip);
+      this.#receive(reply.gossip, reply.buckets !== undefined);
       this.#noteSender(reply.fromNode, reply.fromIncarnation);
       this.#joined = true;
       return reply;
@@ -359,16 +359,16 @@
     return { members: [...must, ...rest], reports: gossip.reports };
   }
 
-  #receive(gossip: Gossip): void {
+  #receive(gossip: Gossip, isSynced = false): void {
     for (const member of gossip.members) {
       if (member.nodeId === this.#self.nodeId) this.#answerClaim(member);
-      else this.#learn(member);
+      else this.#learn(member, isSynced);
     }
     this.#exchange.mergeReports(gossip.reports);
   }
 
-  #learn(member: Member): void {
-    const event = this.#exchange.apply(member);
+  #learn(member: Member, isSynced = false): void {
+    const event = this.#exchange.apply(member, isSynced);
     if (!event) return;
     if (event.kind !== 'suspected') this.#contacts.forget(member.nodeId);
     this.#emit(event);
