--- a/test/claims/cluster.ts
+++ b/test/claims/cluster.ts
@@ -1,12 +1,13 @@
 import type { Scheduler } from 'fast-check';
 import {
   AttemptLedger,
+  ClaimEntry,
   decideClaim,
   findClaim,
   oldestOpenAttempt,
   unattendedClaims,
 } from '@ragwortrudder/claims';
-import type { ClaimDecision, ClaimEntry, ClaimState, Owner } from '@ragwortrudder/claims';
+import type { ClaimDecision, ClaimState, Owner } from '@ragwortrudder/claims';
 import type { Fold } from '@ragwortrudder/log';
 import { SeededRandom } from '@ragwortrudder/core';
 import { FakeLog } from './fake-log.ts';
@@ -63,12 +64,15 @@
   readonly #fold: Fold<ClaimState>;
   readonly #random: SeededRandom;
   readonly #nodes: Node[] = [];
+  /** Nodes forget each attempt with its outcome, and begin in the turn of the decision. */
+  readonly #forgetsAtOnce: boolean;
   #invocations = 0;
 
   constructor({ scheduler, fold, seed, nodes }: ClusterOptions) {
     this.#scheduler = scheduler;
     this.#fold = fold;
     this.#random = new SeededRandom(seed);
+    this.#forgetsAtOnce = seed % 2 === 1;
     for (let index = 0; index < nodes; index += 1) this.#start(index, 1);
   }
 
@@ -159,8 +163,12 @@
       node.view = this.#fold.apply(node.view, entry);
       node.cursor += 1;
       node.position = entry.position;
+      const body = ClaimEntry.parse(entry.body);
+      if (this.#forgetsAtOnce && body.type === 'outcome') node.ledger.forget(body.attempt);
+    }
+    if (!this.#forgetsAtOnce) {
+      node.ledger.forgetBefore(oldestOpenAttempt(node.view, node.position));
     }
-    node.ledger.forgetBefore(oldestOpenAttempt(node.view, node.position));
   }
 
   /** Returns false when the reply says that nothing was appended or when there is no reply. */
@@ -253,7 +261,7 @@
   }
 
   async #send(node: Node, invocation: Invocation, attempt: number): Promise<Word | undefined> {
-    await this.#pause(node, 'before send');
+    if (!this.#forgetsAtOnce) await this.#pause(node, 'before send');
     if (!node.ledger.begin(attempt)) return undefined;
     await this.#pause(node, 'send');
     const word = this.#runner(invocation);
