--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,3 +1,4 @@
+export { RequestRefused } from './errors/request-refused.ts';
 export type { AdmissionQueueOptions } from './types/admission-queue-options.ts';
 export type { AdmissionRequest } from './types/admission-request.ts';
 export type { Admission } from './types/admission.ts';
--- /dev/null
+++ b/packages/routing/src/errors/no-runner.ts
@@ -0,0 +1,20 @@
+import { Failure } from '@ragwortrudder/core';
+
+const RETRY_AFTER_MS = 1000;
+
+/** No runner of the service may receive the request now; it has not been run. */
+export class NoRunner extends Failure {
+  readonly code = 'no-runner';
+  readonly service: string;
+
+  constructor(service: string) {
+    super(`no runner of service ${service} is available`, {
+      status: 503,
+      retryable: true,
+      notRun: true,
+      retryAfterMs: RETRY_AFTER_MS,
+      hint: 'all runners are starting, leaving, set aside or already tried; see `status`',
+    });
+    this.service = service;
+  }
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,3 +1,4 @@
+export { NoRunner } from './errors/no-runner.ts';
 export type { CacheEvent } from './types/cache-event.ts';
 export type { CacheIndexOptions } from './types/cache-index-options.ts';
 export type { CacheLookup } from './types/cache-lookup.ts';
--- a/test/admission/admission-queue.test.ts
+++ b/test/admission/admission-queue.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { AdmissionQueue } from '@ragwortrudder/admission';
+import { AdmissionQueue, RequestRefused } from '@ragwortrudder/admission';
 import type { AdmissionRequest, RequestClass } from '@ragwortrudder/admission';
 import { SeededRandom } from '@ragwortrudder/core';
 
@@ -143,3 +143,14 @@
   const next = Array.from({ length: 5 }, () => queue.take(0)?.tenant);
   t.true(next.every((tenant) => tenant !== first?.tenant));
 });
+
+test('a refusal says that the request was not run and when to come back', (t) => {
+  t.like(new RequestRefused('queue-full', 700), {
+    code: 'request-refused',
+    reason: 'queue-full',
+    status: 429,
+    notRun: true,
+    retryable: true,
+    retryAfterMs: 700,
+  });
+});
--- a/test/admission/limits.test.ts
+++ b/test/admission/limits.test.ts
@@ -109,6 +109,33 @@
   for (const bad of ['-1', '1.5', 'x', '', '1 ']) t.is(parseRetriesLeft(bad), 0, bad);
 });
 
+test('layers that retry do not multiply the attempts', (t) => {
+  /** Attempts at the innermost service, which always fails, through layers that may retry. */
+  function attemptsThrough(layers: readonly boolean[], header: string | undefined): number {
+    const [retries, ...inner] = layers;
+    if (retries === undefined) return 1;
+    if (!retries) return attemptsThrough(inner, header);
+    const budget = new RetryBudget({ floorPerSecond: 1e6, burst: 1000 });
+    let retriesLeft = parseRetriesLeft(header);
+    let total = 0;
+    for (let attempts = 1; ; attempts += 1) {
+      total += attemptsThrough(inner, '0');
+      const state = { idempotent: true, notRun: false, deadlineAt: 1e9, attempts };
+      const request = { key: KEY, retriesLeft, ...state };
+      const decision = decideRetry({ request, budget, random: new SeededRandom(3), now: attempts });
+      if (!decision.retry) return total;
+      retriesLeft = decision.retriesLeft;
+    }
+  }
+  fc.assert(
+    fc.property(fc.array(fc.boolean(), { maxLength: 8 }), (layers) => {
+      return attemptsThrough(layers, undefined) === (layers.includes(true) ? 3 : 1);
+    }),
+    { seed: 7, numRuns: 100 },
+  );
+  t.pass();
+});
+
 test('hedges go out past the 95th percentile, for idempotent work, inside the budget', (t) => {
   const delay = new HedgeDelay();
   const budget = new RetryBudget({ floorPerSecond: 0 });
--- a/test/admission/overload.test.ts
+++ b/test/admission/overload.test.ts
@@ -174,8 +174,8 @@
   t.true((result?.inTime ?? 0) >= 0.95 * (result?.offered ?? 1));
 });
 
-/** Outcome of a run in which all runners fail for a while and callers retry. */
-function storm(hasBudget: boolean) {
+/** Outcome of a run in which a part of the attempts fails for a while and callers retry. */
+function storm(hasBudget: boolean, failing: number) {
   const random = new SeededRandom(SEED);
   const budget = new RetryBudget();
   const key = { endpoint: 'e', class: 'interactive' } as const;
@@ -201,7 +201,7 @@
       const ended = ends.shift();
       busy -= 1;
       if (!ended) break;
-      const isFault = now >= faultStart && now < faultEnd;
+      const isFault = now >= faultStart && now < faultEnd && random.next() < failing;
       const isLate = now > ended.deadlineAt;
       if (isLate && now >= faultEnd) lastLateAt = now;
       if (!isFault && !isLate) continue;
@@ -231,11 +231,13 @@
   return { tries, attempts, extra: attempts / tries - 1, recoveryMs };
 }
 
-test('retries stay under the budget in a fault and there is no storm after it', (t) => {
-  const budgeted = storm(true);
-  const free = storm(false);
-  t.log({ budgeted, free });
-  t.true(budgeted.extra <= 0.11);
-  t.true(budgeted.recoveryMs <= 1000);
-  t.true(free.recoveryMs > 10 * Math.max(1000, budgeted.recoveryMs));
-});
+for (const failing of [1, 1 / 3]) {
+  test(`retries stay under the budget and no storm follows when ${failing.toFixed(2)} fail`, (t) => {
+    const budgeted = storm(true, failing);
+    const free = storm(false, failing);
+    t.log({ budgeted, free });
+    t.true(budgeted.extra <= 0.11);
+    t.true(budgeted.recoveryMs <= 1000);
+    t.true(free.recoveryMs > 10 * Math.max(1000, budgeted.recoveryMs));
+  });
+}
