Test the order of eviction and of arrival at the engine stand-in

Two of thirteen changes made to the stand-ins in a scratch copy went unnoticed: evicting a chain from its front, and a later sequence of equal priority before an earlier one. The tests now fail on both.

--- a/test/standins/engine.test.ts
+++ b/test/standins/engine.test.ts
@@ -169,11 +169,13 @@
     sequenceOf(10, { priority: 1 }),
     sequenceOf(995, { priority: 3 }),
   ];
+  const later = sequenceOf(10, { priority: 0 });
   scheduler.add(late);
+  scheduler.add(later);
   scheduler.add(second);
   scheduler.add(first);
   t.deepEqual(scheduler.admit(), [first, second]);
-  t.deepEqual(scheduler.waiting, [late]);
+  t.deepEqual(scheduler.waiting, [late, later]);
   scheduler.remove(first);
   scheduler.add(big);
   t.deepEqual(scheduler.admit(), []);
@@ -189,6 +191,7 @@
   t.is(cache.match(a), 32);
   t.is(cache.match([...a.slice(0, 20), 'other']), 16);
   t.is(cache.match(b), 0);
+  t.is(cache.match(a), 32);
   cache.store(b);
   t.is(cache.match(b), 32);
   t.is(cache.match(a), 16);
