--- a/packages/log/src/types/tail-limits.ts
+++ b/packages/log/src/types/tail-limits.ts
@@ -1,4 +1,4 @@
-/** Limits of a the records kept for peers. */
+/** Limits of the records kept for peers. */
 export interface TailLimits {
   readonly records: number;
   /** Size of the records' bodies in characters of JSON. */
