Add a client for operators and declare the client's dependencies

Cause: the command line needs calls of operators; the client imported got and eventsource-parser without declaring them. Answers of nodes are now checked against schemas, and an answer that is no JSON counts as a lost connection.

--- a/packages/client/src/index.ts
+++ b/packages/client/src/index.ts
@@ -1,8 +1,13 @@
 export { ConnectionLost } from './errors/connection-lost.ts';
 export { RequestRefused } from './errors/request-refused.ts';
 export { CallerClient } from './node/caller-client.ts';
+export { OperatorClient } from './node/operator-client.ts';
 export type { AnswerEvent } from './types/answer-event.ts';
 export type { ClientObserver } from './types/client-observer.ts';
 export type { ClientOptions } from './types/client-options.ts';
 export type { ClientRequest } from './types/client-request.ts';
 export { Problem } from './types/problem.ts';
+export { KeyReport } from './types/key-report.ts';
+export { NodeStatus } from './types/node-status.ts';
+export { TicketList } from './types/ticket-list.ts';
+export { TicketReport } from './types/ticket-report.ts';
--- a/packages/client/src/node/caller-client.ts
+++ b/packages/client/src/node/caller-client.ts
@@ -1,28 +1,28 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import got from 'got';
 import { Failure } from '@ragwortrudder/core';
 import { ConnectionLost } from '../errors/connection-lost.ts';
-import { RequestRefused } from '../errors/request-refused.ts';
 import type { AnswerEvent } from '../types/answer-event.ts';
 import type { ClientOptions } from '../types/client-options.ts';
 import type { ClientRequest } from '../types/client-request.ts';
-import { Problem } from '../types/problem.ts';
+import { IssuedKey } from '../types/issued-key.ts';
+import { KeyReport } from '../types/key-report.ts';
 import { readEventSource } from './event-source.ts';
+import { NodeCalls } from './node-calls.ts';
 
 const DEFAULT_CONNECT_MS = 1000;
 const DEFAULT_SILENCE_MS = 15_000;
 const DEFAULT_PATIENCE_MS = 60_000;
 const DEFAULT_RETRY_MS = 500;
-const CALL_TIMEOUT_MS = 5000;
 
 /** A caller that reconnects to any node and goes on where its answer broke off. */
 export class CallerClient {
   readonly #options: ClientOptions;
-  #next: number;
+  readonly #calls: NodeCalls;
 
   constructor(options: ClientOptions) {
     this.#options = options;
-    this.#next = Math.floor(options.random.next() * options.nodes.length);
+    const { nodes, key, random } = options;
+    this.#calls = new NodeCalls({ nodes, key, first: Math.floor(random.next() * nodes.length) });
   }
 
   /**
@@ -34,7 +34,7 @@
     const endsAt = performance.now() + (request.patienceMs ?? DEFAULT_PATIENCE_MS);
     const progress = new Progress();
     while (!progress.isFinished()) {
-      const node = this.#nextNode();
+      const node = this.#calls.nextNode();
       request.observer?.connecting(node, progress.requestId !== undefined);
       try {
         for await (const event of this.#connect(node, request, progress)) {
@@ -50,13 +50,13 @@
 
   /** Asks for a key that names its executor. */
   async issueKey(): Promise<string> {
-    const { key } = await this.#call<{ readonly key: string }>('POST', '/v1/keys');
-    return key;
+    return IssuedKey.parse(await this.#calls.call({ method: 'POST', path: '/v1/keys' })).key;
   }
 
   /** What became of the request under a key. */
-  async showKey(key: string): Promise<Readonly<Record<string, unknown>>> {
-    return this.#call('GET', `/v1/keys/${encodeURIComponent(key)}`);
+  async showKey(key: string): Promise<KeyReport> {
+    const path = `/v1/keys/${encodeURIComponent(key)}`;
+    return KeyReport.parse(await this.#calls.call({ method: 'GET', path }));
   }
 
   #connect(
@@ -81,7 +81,7 @@
     return readEventSource({
       ...common,
       method: 'POST',
-      path: `/v1/services/${request.service}/requests`,
+      path: `/v1/services/${encodeURIComponent(request.service)}/requests`,
       headers: {
         authorization,
         ...(request.idempotencyKey === undefined
@@ -92,38 +92,6 @@
     });
   }
 
-  async #call<T>(method: 'GET' | 'POST', path: string): Promise<T> {
-    let last: unknown;
-    let left = this.#options.nodes.length;
-    while (left > 0) {
-      left -= 1;
-      try {
-        return await this.#callOnce<T>(this.#nextNode(), method, path);
-      } catch (error) {
-        last = error;
-        if (error instanceof RequestRefused && !error.retryable) throw error;
-      }
-    }
-    throw last;
-  }
-
-  async #callOnce<T>(node: string, method: 'GET' | 'POST', path: string): Promise<T> {
-    const answer = await got(`http://${node}${path}`, {
-      method,
-      headers: { authorization: `Bearer ${this.#options.key}` },
-      ...(method === 'POST' ? { json: {} } : {}),
-      timeout: { request: CALL_TIMEOUT_MS },
-      retry: { limit: 0 },
-      throwHttpErrors: false,
-    }).catch((error: unknown) => {
-      throw new ConnectionLost(node, error);
-    });
-    const body: unknown = JSON.parse(answer.body);
-    const problem = Problem.safeParse(body);
-    if (problem.success && !answer.ok) throw new RequestRefused(problem.data);
-    return body as T;
-  }
-
   async #waitToRetry(error: unknown, endsAt: number): Promise<void> {
     const isRetryable = error instanceof Failure && error.retryable;
     const delayMs = (error instanceof Failure ? error.retryAfterMs : undefined) ?? DEFAULT_RETRY_MS;
@@ -131,13 +99,6 @@
     if (!isRetryable || performance.now() + jittered > endsAt) throw error;
     await sleep(jittered);
   }
-
-  #nextNode(): string {
-    const { nodes } = this.#options;
-    const node = nodes[this.#next % nodes.length] ?? '';
-    this.#next += 1;
-    return node;
-  }
 }
 
 /** How far an answer has been received. */
--- /dev/null
+++ b/packages/client/src/types/issued-key.ts
@@ -0,0 +1,5 @@
+import { z } from 'zod';
+
+/** Answer to a request for a key. */
+export const IssuedKey = z.object({ key: z.string() }).readonly();
+export type IssuedKey = z.infer<typeof IssuedKey>;
