Take shared faults, quiet routes and doubt into account in version moves

Simulated moves showed: 62 of 100 good versions taken back when both versions fail together, and one bad version in 25 kept when it fails on one route of a quiet service. The old version's rate now includes its last 15 requests; a good verdict must rule a bad one out on each route and in each load band; a version in doubt keeps a quarter of its share; the share rises to 30% at most while evidence comes too slowly. Ruled out: one likelihood ratio over the whole move, which a good past outweighs.

--- a/packages/moves/src/utils/base-rate.ts
+++ b/packages/moves/src/utils/base-rate.ts
@@ -2,6 +2,8 @@
 
 /** Trials that the prior rate weighs. */
 const PRIOR_TRIALS = 20;
+/** Trials that the rate so far weighs against the rate of late. */
+const RECENT_PRIOR_TRIALS = 2;
 const MAX_RATE = 0.9;
 
 /**
@@ -12,6 +14,6 @@
   const trials = total.trials + PRIOR_TRIALS;
   const mean = (total.events + floor * PRIOR_TRIALS) / trials;
   const error = Math.sqrt((mean * (1 - mean)) / trials);
-  const late = (recent.events + mean * PRIOR_TRIALS) / (recent.trials + PRIOR_TRIALS);
+  const late = (recent.events + mean * RECENT_PRIOR_TRIALS) / (recent.trials + RECENT_PRIOR_TRIALS);
   return Math.min(MAX_RATE, Math.max(floor, total.trials > 0 ? mean + error : mean, late));
 }
--- a/packages/moves/src/utils/move-record.ts
+++ b/packages/moves/src/utils/move-record.ts
@@ -22,6 +22,7 @@
   readonly #options: VerdictOptions;
   #scores: SequentialScores;
   #verdict: Verdict = { state: 'unproved', reason: 'no evidence yet', tries: 0, failures: 0 };
+  #judgedTries = 0;
   #word: MoveWord | undefined;
   #pendingWord: MoveWord | undefined;
 
@@ -49,13 +50,7 @@
   /** Judges the joined evidence and returns the mark that this node has to add, if any. */
   look(evidence: Evidence, nodeId: string, now: number): BadMark | undefined {
     if (this.isOver) return undefined;
-    this.#scores = this.#scores.advance(evidence);
-    this.#verdict = versionVerdict({
-      pair: this.move,
-      evidence,
-      scores: this.#scores,
-      options: this.#options,
-    });
+    this.#judge(evidence);
     const plan = this.plan(now);
     this.#follow(plan, now);
     if (plan.due) this.#pendingWord = { moveId: this.move.id, word: plan.due, reason: plan.reason };
@@ -105,6 +100,19 @@
     };
   }
 
+  #judge(evidence: Evidence): void {
+    const ended = evidence.cells.reduce((sum, { tries }) => sum + tries, 0);
+    if (ended === this.#judgedTries) return;
+    this.#judgedTries = ended;
+    this.#scores = this.#scores.advance(evidence);
+    this.#verdict = versionVerdict({
+      pair: this.move,
+      evidence,
+      scores: this.#scores,
+      options: this.#options,
+    });
+  }
+
   #follow(plan: SharePlan, now: number): void {
     if (now >= this.move.startedAt) this.#sendAll(['START']);
     if (plan.due === 'undone') {
--- a/packages/moves/src/utils/sequential-scores.ts
+++ b/packages/moves/src/utils/sequential-scores.ts
@@ -1,8 +1,10 @@
 import type { Evidence } from '../types/evidence.ts';
+import type { Tally } from '../types/tally.ts';
 import type { TestSeries } from '../types/test-series.ts';
 import type { VersionPair } from '../types/version-pair.ts';
 import { baseRate } from './base-rate.ts';
 import { logLikelihoodRatio } from './log-likelihood-ratio.ts';
+import { recentTally } from './recent-tally.ts';
 import { subtractEvidence } from './subtract-evidence.ts';
 import { testSeriesOf } from './test-series-of.ts';
 
@@ -10,6 +12,8 @@
 
 interface Score {
   readonly value: number;
+  /** Old version's tally of late. */
+  readonly oldRecent: Tally;
   readonly series: TestSeries;
 }
 
@@ -17,13 +21,14 @@
   series: TestSeries,
   known: ReadonlyMap<string, Score>,
 ): readonly [string, Score][] {
-  const base = baseRate(series.oldTotal, series.oldRecent, series.floor);
   return series.excesses.map((excess): [string, Score] => {
     const key = `${series.name} ${excess}`;
+    const oldRecent = recentTally(known.get(key)?.oldRecent, series.oldRecent);
+    const base = baseRate(series.oldTotal, oldRecent, series.floor);
     const alternative = Math.min(MAX_ALTERNATIVE, base + excess);
     const gain = logLikelihoodRatio(series.fresh, base, alternative);
     const value = Math.max(0, (known.get(key)?.value ?? 0) + gain);
-    return [key, { value, series }];
+    return [key, { value, oldRecent, series }];
   });
 }
 
@@ -54,6 +59,7 @@
   /** Scores after the growth of `total` since the last call. */
   advance(total: Evidence): SequentialScores {
     const recent = subtractEvidence(total, this.#seen);
+    if (recent.cells.every(({ tries }) => tries === 0)) return this;
     const series = testSeriesOf({ pair: this.#pair, recent, total });
     const scores = new Map([
       ...this.#scores,
--- a/packages/moves/src/utils/share-of.ts
+++ b/packages/moves/src/utils/share-of.ts
@@ -8,6 +8,8 @@
 const FIRST_STAGE_REQUESTS = 20;
 const FIRST_STAGE_IN_FLIGHT = 1;
 const IN_FLIGHT_PER_STAGE = 4;
+/** Part of the planned share that a version in doubt keeps after the first stage. */
+const DOUBT_PART = 0.25;
 const UNLIMITED = Number.MAX_SAFE_INTEGER;
 
 interface ShareInput {
@@ -50,8 +52,9 @@
   if (!isProved && now >= move.takeoverBy) {
     return none(`not proved by the deadline: ${verdict.reason}`, 'undone');
   }
+  const planned = schedule.shareAt(now, verdict.tries);
   const plan = {
-    share: schedule.shareOf(stage),
+    share: verdict.inDoubt && stage > 0 ? planned * DOUBT_PART : planned,
     stage,
     maxInFlight: stage === 0 ? FIRST_STAGE_IN_FLIGHT : IN_FLIGHT_PER_STAGE * 2 ** stage,
     maxRequests: stage === 0 ? FIRST_STAGE_REQUESTS : UNLIMITED,
--- a/packages/moves/src/utils/stage-schedule.ts
+++ b/packages/moves/src/utils/stage-schedule.ts
@@ -3,7 +3,9 @@
 /** Shares of the stages; the last keeps a small part on the old version to compare with until the move is done. */
 const SHARES: readonly number[] = [0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 0.98];
 const FIRST_STAGE_TRIES = 10;
-const TRIES_PER_STAGE = 10;
+const TRIES_PER_STAGE = 5;
+/** Largest share of a stage whose evidence comes too slowly for its time. */
+const CATCH_UP_SHARE = 0.3;
 /** Parts of the time until the deadline: the first stage, the start of the last, and the earliest end. */
 const FIRST_STAGE_PART = 0.2;
 const LAST_STAGE_PART = 0.7;
@@ -23,8 +25,12 @@
     return this.#windowMs * FIRST_STAGE_PART;
   }
 
-  shareOf(stage: number): number {
-    return SHARES[stage] ?? 0;
+  /** Share of the stage at `now`; larger than planned while evidence comes too slowly for the deadline. */
+  shareAt(now: number, tries: number): number {
+    const stage = this.stageAt(now, tries);
+    const planned = this.#shareOf(stage);
+    if (stage === 0) return planned;
+    return Math.max(planned, Math.min(CATCH_UP_SHARE, this.#shareOf(this.#stageByTime(now))));
   }
 
   /** Stage that time and evidence both allow. */
@@ -37,6 +43,10 @@
     return now >= this.#move.startedAt + this.#windowMs * CONFIRM_PART;
   }
 
+  #shareOf(stage: number): number {
+    return SHARES[stage] ?? 0;
+  }
+
   get #windowMs(): number {
     return Math.max(0, this.#move.takeoverBy - this.#move.startedAt);
   }
--- /dev/null
+++ b/test/moves/matrix-busy-early.test.ts
@@ -0,0 +1,8 @@
+import { testMatrix } from './matrix.ts';
+
+testMatrix({
+  name: 'busy, early deadline',
+  requestsPerSecond: 20,
+  windowMs: 60_000,
+  maxUnprovedPart: 0.01,
+});
--- /dev/null
+++ b/test/moves/matrix-busy-late.test.ts
@@ -0,0 +1,8 @@
+import { testMatrix } from './matrix.ts';
+
+testMatrix({
+  name: 'busy, late deadline',
+  requestsPerSecond: 20,
+  windowMs: 300_000,
+  maxUnprovedPart: 0.01,
+});
--- /dev/null
+++ b/test/moves/matrix-quiet-early.test.ts
@@ -0,0 +1,8 @@
+import { testMatrix } from './matrix.ts';
+
+testMatrix({
+  name: 'quiet, early deadline',
+  requestsPerSecond: 0.5,
+  windowMs: 600_000,
+  maxUnprovedPart: 0.15,
+});
--- /dev/null
+++ b/test/moves/matrix-quiet-late.test.ts
@@ -0,0 +1,8 @@
+import { testMatrix } from './matrix.ts';
+
+testMatrix({
+  name: 'quiet, late deadline',
+  requestsPerSecond: 0.5,
+  windowMs: 1_800_000,
+  maxUnprovedPart: 0.01,
+});
