Keep the steps of the engine stand-in to their planned time

Timers count in whole milliseconds, so a step of 8.3 ms took 8 or 9 ms and more with each overshoot. A step now ends at a time reckoned from the end of the one before.

--- a/packages/standins/src/node/engine-runner.ts
+++ b/packages/standins/src/node/engine-runner.ts
@@ -28,6 +28,7 @@
 type Counts = Omit<EngineStats, 'runner' | 'runs'>;
 
 const MAX_KV_CACHES = 64;
+const MAX_CATCH_UP_MS = 10;
 const DEFAULT_CACHE_BLOCKS = 1024;
 const generation = z.object({
   requestId: z.string().min(1),
@@ -71,6 +72,8 @@
   #fault: EngineFault = {};
   #timer: NodeJS.Timeout | undefined;
   #steps = 0;
+  /** Time at which the step in progress ends; undefined while idle. */
+  #due: number | undefined;
 
   constructor(options: EngineOptions) {
     this.id = options.id;
@@ -270,7 +273,10 @@
     this.#load.set(this.#currentLoad());
     if (this.#timer) return;
     for (const sequence of this.#scheduler.admit()) this.#start(sequence);
-    if (this.#scheduler.running.length === 0) return;
+    if (this.#scheduler.running.length === 0) {
+      this.#due = undefined;
+      return;
+    }
     this.#steps += 1;
     const { condition, slowFactor = 1 } = this.#fault;
     const everyStep = condition?.marker === undefined;
@@ -278,12 +284,23 @@
       !everyStep && this.#steps % Math.ceil(slowFactor) !== 0 && this.#faultHits(sequence.prompt);
     const step = this.#scheduler.plan((sequence) => !skips(sequence));
     const factor = everyStep && this.#faultHits('') ? slowFactor : 1;
-    this.#timer = setTimeout(() => {
-      this.#timer = undefined;
-      for (const { sequence, tokens } of step.prefills) this.#prefill(sequence, tokens);
-      for (const sequence of step.decodes) this.#advance(sequence, 1);
-      this.#schedule();
-    }, step.durationMs * factor);
+    this.#timer = setTimeout(
+      () => {
+        this.#timer = undefined;
+        for (const { sequence, tokens } of step.prefills) this.#prefill(sequence, tokens);
+        for (const sequence of step.decodes) this.#advance(sequence, 1);
+        this.#schedule();
+      },
+      this.#delayOf(step.durationMs * factor),
+    );
+  }
+
+  /** Delay of the timer of a step; makes up for timers that count in whole milliseconds. */
+  #delayOf(durationMs: number): number {
+    const now = this.#clock.monotonic();
+    const start = Math.max(this.#due ?? now, now - MAX_CATCH_UP_MS);
+    this.#due = start + durationMs;
+    return Math.max(0, Math.ceil(this.#due - now));
   }
 
   #start(sequence: Sequence): void {
