--- a/packages/node/src/node/configuration/claim-board.ts
+++ b/packages/node/src/node/configuration/claim-board.ts
@@ -2,57 +2,65 @@
 import { claimFold, findClaim } from '@ragwortrudder/claims';
 import type { ClaimEntry, ClaimRecord, ClaimState } from '@ragwortrudder/claims';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
-import { GroupCommit, LogFollower } from '@ragwortrudder/log';
+import { POSITIONS_PER_RECORD } from '@ragwortrudder/log';
 import type { Position } from '@ragwortrudder/log';
-import { HttpLog } from '@ragwortrudder/platform';
 import type { Settings } from '@ragwortrudder/settings';
 import { tokens } from '../../types/tokens.ts';
 import { Metrics } from '../metrics/metrics.ts';
+import { PeerDirectory } from '../peers/peer-directory.ts';
+import { FollowedStream } from './followed-stream.ts';
 
 const STREAM = 'claims';
 
 /** The claims of caller-made keys, as the log holds them. */
 @injectable()
 export class ClaimBoard implements Closeable {
-  readonly #log: HttpLog;
-  readonly #follower: LogFollower<ClaimState>;
-  readonly #writer: GroupCommit;
+  readonly #stream: FollowedStream<ClaimState>;
 
   constructor(
     @inject(tokens.settings) settings: Settings,
     @inject(tokens.clock) clock: Clock,
     @inject(tokens.random) random: Random,
+    @inject(PeerDirectory) peers: PeerDirectory,
     @inject(Metrics) metrics: Metrics,
   ) {
-    const { pollWaitMs, appendTimeoutMs } = settings.log;
-    const log = new HttpLog({ baseUrl: settings.platform.url, stream: STREAM });
-    this.#log = log;
-    this.#follower = new LogFollower({ log, fold: claimFold(), clock, random, pollWaitMs });
-    this.#writer = new GroupCommit({
-      log,
-      follower: this.#follower,
+    const stream = new FollowedStream({
+      stream: STREAM,
+      fold: claimFold(),
+      settings,
+      clock,
       random,
-      timeoutMs: appendTimeoutMs,
+      writesSnapshots: () => peers.isFirst,
+      onFailure: () => {
+        metrics.count('configuration_task_failures');
+      },
     });
+    this.#stream = stream;
+    const { writer } = stream;
     metrics.gauge(
       'claim_appends',
       'Appends to the stream of claims.',
-      () => this.#writer.counters.appends,
+      () => writer.counters.appends,
     );
     metrics.gauge(
       'claim_entries',
       'Entries appended to the stream of claims.',
-      () => this.#writer.counters.entries,
+      () => writer.counters.entries,
     );
   }
 
   get state(): ClaimState {
-    return this.#follower.state;
+    return this.#stream.follower.state;
   }
 
   /** True while the log answers and its end has been read. */
   get available(): boolean {
-    return this.#follower.caughtUp && this.#follower.failure === undefined;
+    return this.#stream.follower.caughtUp && this.#stream.reachable;
+  }
+
+  /** Position after the last entry that the state covers. */
+  get position(): Position {
+    return this.#stream.follower.next * POSITIONS_PER_RECORD;
   }
 
   /** What the log proves about a key. */
@@ -62,21 +70,14 @@
 
   /** Appends `entry` and resolves once it is read back. */
   async write(entry: ClaimEntry): Promise<Position> {
-    return this.#writer.write(entry);
-  }
-
-  /** Calls `listener` after each change. */
-  subscribe(listener: () => void): () => void {
-    return this.#follower.subscribe(listener);
+    return this.#stream.writer.write(entry);
   }
 
   start(): void {
-    this.#follower.start();
+    this.#stream.start();
   }
 
   async close(): Promise<void> {
-    await this.#writer.close();
-    await this.#follower.close();
-    await this.#log.close();
+    await this.#stream.close();
   }
 }
--- /dev/null
+++ b/packages/node/src/node/configuration/followed-stream.ts
@@ -0,0 +1,72 @@
+import type { Clock, Closeable, Random } from '@ragwortrudder/core';
+import { GroupCommit, LogFollower, SnapshotWriter } from '@ragwortrudder/log';
+import type { Fold } from '@ragwortrudder/log';
+import { HttpLog } from '@ragwortrudder/platform';
+import type { Settings } from '@ragwortrudder/settings';
+import { PeriodicTask } from '../../utils/periodic-task.ts';
+
+const SNAPSHOT_PERIOD_MS = 5000;
+
+interface FollowedStreamOptions<S> {
+  readonly stream: string;
+  readonly fold: Fold<S>;
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** True on the node that writes snapshots; two writers do no harm. */
+  readonly writesSnapshots: () => boolean;
+  readonly onFailure: (error: unknown) => void;
+}
+
+/** One stream of the platform's log: its fold, a writer, and snapshots before records expire. */
+export class FollowedStream<S> implements Closeable {
+  readonly follower: LogFollower<S>;
+  readonly writer: GroupCommit;
+  readonly #log: HttpLog;
+  readonly #snapshots: PeriodicTask;
+
+  constructor(options: FollowedStreamOptions<S>) {
+    const { stream, fold, settings, clock, random, onFailure } = options;
+    const { pollWaitMs, appendTimeoutMs, snapshotAgeMs, snapshotEvery } = settings.log;
+    const log = new HttpLog({ baseUrl: settings.platform.url, stream });
+    this.#log = log;
+    this.follower = new LogFollower({ log, fold, clock, random, pollWaitMs });
+    this.writer = new GroupCommit({
+      log,
+      follower: this.follower,
+      random,
+      timeoutMs: appendTimeoutMs,
+    });
+    const snapshots = new SnapshotWriter({
+      source: this.follower,
+      writer: this.writer,
+      clock,
+      maxAgeMs: snapshotAgeMs,
+      maxRecords: snapshotEvery,
+    });
+    this.#snapshots = new PeriodicTask({
+      periodMs: SNAPSHOT_PERIOD_MS,
+      run: async () => {
+        if (options.writesSnapshots()) await snapshots.writeIfDue();
+      },
+      onFailure,
+    });
+  }
+
+  /** True while the log answers reads. */
+  get reachable(): boolean {
+    return this.follower.failure === undefined && this.follower.lastContact !== undefined;
+  }
+
+  start(): void {
+    this.follower.start();
+    this.#snapshots.start();
+  }
+
+  async close(): Promise<void> {
+    await this.#snapshots.close();
+    await this.writer.close();
+    await this.follower.close();
+    await this.#log.close();
+  }
+}
--- a/packages/node/src/node/configuration/ticket-board.ts
+++ b/packages/node/src/node/configuration/ticket-board.ts
@@ -2,11 +2,9 @@
 import { inject, injectable } from 'inversify';
 import { digest } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
-import { GroupCommit, LogFollower, SnapshotWriter } from '@ragwortrudder/log';
-import type { Position } from '@ragwortrudder/log';
-import { HttpLog } from '@ragwortrudder/platform';
+import type { LogFollower, Position } from '@ragwortrudder/log';
 import type { Settings } from '@ragwortrudder/settings';
-import { ticketFold, ticketStatus } from '@ragwortrudder/tickets';
+import { submissionStatus, ticketFold, ticketStatus } from '@ragwortrudder/tickets';
 import type { Service, Ticket, TicketState, TicketStatus } from '@ragwortrudder/tickets';
 import { ServiceUnknown } from '../../errors/service-unknown.ts';
 import { logPrefix } from '../../types/methods/log-prefix.ts';
@@ -16,12 +14,12 @@
 import { PeerClient } from '../peers/peer-client.ts';
 import { PeerDirectory } from '../peers/peer-directory.ts';
 import { PeerMethods } from '../peers/peer-methods.ts';
+import { FollowedStream } from './followed-stream.ts';
 
 const STREAM = 'tickets';
 const PEER_READ_PERIOD_MS = 1000;
 const PEER_READ_TIMEOUT_MS = 2000;
 const PEER_READ_RECORDS = 500;
-const SNAPSHOT_PERIOD_MS = 5000;
 
 /** The configuration in force: follows the stream of tickets, and a peer's prefix while the log is out. */
 @injectable()
@@ -31,10 +29,9 @@
   readonly #peers: PeerDirectory;
   readonly #client: PeerClient;
   readonly #metrics: Metrics;
-  readonly #log: HttpLog;
+  readonly #stream: FollowedStream<TicketState>;
   readonly #follower: LogFollower<TicketState>;
-  readonly #writer: GroupCommit;
-  readonly #tasks: readonly PeriodicTask[];
+  readonly #peerReads: PeriodicTask;
 
   constructor(
     @inject(tokens.settings) settings: Settings,
@@ -50,40 +47,24 @@
     this.#peers = peers;
     this.#client = client;
     this.#metrics = metrics;
-    const { pollWaitMs, appendTimeoutMs, snapshotAgeMs, snapshotEvery } = settings.log;
-    const log = new HttpLog({ baseUrl: settings.platform.url, stream: STREAM });
-    this.#log = log;
-    this.#follower = new LogFollower({ log, fold: ticketFold, clock, random, pollWaitMs });
-    this.#writer = new GroupCommit({
-      log,
-      follower: this.#follower,
-      random,
-      timeoutMs: appendTimeoutMs,
-    });
-    const snapshots = new SnapshotWriter({
-      source: this.#follower,
-      writer: this.#writer,
-      clock,
-      maxAgeMs: snapshotAgeMs,
-      maxRecords: snapshotEvery,
-    });
     const onFailure = (): void => {
       metrics.count('configuration_task_failures');
     };
-    this.#tasks = [
-      new PeriodicTask({
-        periodMs: PEER_READ_PERIOD_MS,
-        run: () => this.#readFromPeer(),
-        onFailure,
-      }),
-      new PeriodicTask({
-        periodMs: SNAPSHOT_PERIOD_MS,
-        run: async () => {
-          if (this.#isSnapshotNode()) await snapshots.writeIfDue();
-        },
-        onFailure,
-      }),
-    ];
+    this.#stream = new FollowedStream({
+      stream: STREAM,
+      fold: ticketFold,
+      settings,
+      clock,
+      random,
+      writesSnapshots: () => peers.isFirst,
+      onFailure,
+    });
+    this.#follower = this.#stream.follower;
+    this.#peerReads = new PeriodicTask({
+      periodMs: PEER_READ_PERIOD_MS,
+      run: () => this.#readFromPeer(),
+      onFailure,
+    });
     methods.serve(logPrefix, (range) => this.#follower.exportPrefix(range));
     metrics.gauge('log_lag_ms', 'Age of the configuration in milliseconds.', () => this.lagMs);
   }
@@ -109,7 +90,7 @@
 
   /** True while the log answers reads. */
   get logReachable(): boolean {
-    return this.#follower.failure === undefined && this.#follower.lastContact !== undefined;
+    return this.#stream.reachable;
   }
 
   /**
@@ -127,8 +108,12 @@
   /** Publishes `ticket` and returns its status once it is read back. */
   async submit(ticket: Ticket): Promise<TicketStatus> {
     const id = `ticket-${ticket.number}-${digest(ticket)}`;
-    await this.#writer.write({ kind: 'ticket', ticket }, { id });
-    return this.status(ticket.number);
+    await this.#stream.writer.write({ kind: 'ticket', ticket }, { id });
+    return submissionStatus(
+      this.state,
+      { number: ticket.number, entryId: id },
+      this.#appliedByDomain(),
+    );
   }
 
   /** Writes the final word of a move and resolves once it is read back. */
@@ -139,7 +124,7 @@
     readonly reason: string;
   }): Promise<Position> {
     const by = this.#settings.node.id;
-    return this.#writer.write({ kind: 'move-word', ...word, by }, { id: randomUUID() });
+    return this.#stream.writer.write({ kind: 'move-word', ...word, by }, { id: randomUUID() });
   }
 
   /** What has become of ticket `number`, and where it is in force. */
@@ -153,15 +138,13 @@
   }
 
   start(): void {
-    this.#follower.start();
-    for (const task of this.#tasks) task.start();
+    this.#stream.start();
+    this.#peerReads.start();
   }
 
   async close(): Promise<void> {
-    await Promise.all(this.#tasks.map((task) => task.close()));
-    await this.#writer.close();
-    await this.#follower.close();
-    await this.#log.close();
+    await this.#peerReads.close();
+    await this.#stream.close();
   }
 
   #appliedByDomain(): Readonly<Record<string, number>> {
@@ -191,9 +174,4 @@
     const gained = this.#follower.offer(prefix);
     this.#metrics.count('records_from_peers', {}, gained);
   }
-
-  /** Two writers of snapshots do no harm, so the lowest node id decides without agreement. */
-  #isSnapshotNode(): boolean {
-    return this.#peers.available.every((member) => member.nodeId > this.#settings.node.id);
-  }
 }
--- a/packages/node/src/node/daemon.ts
+++ b/packages/node/src/node/daemon.ts
@@ -102,6 +102,7 @@
         replicas.sweep();
         keyed.executor.prune();
         await keyed.writePostponed();
+        await keyed.giveUpUnattended();
       }),
     ];
     notices.onOwnNotice((reclaimAt) => {
--- a/packages/node/src/node/moves/version-moves.ts
+++ b/packages/node/src/node/moves/version-moves.ts
@@ -160,8 +160,7 @@
     if (!move || !this.#tickets.logReachable) return;
     const dueSince = this.#dueSince.get(moveId) ?? this.#clock.monotonic();
     this.#dueSince.set(moveId, dueSince);
-    const isFirst = this.#nodeIds().every((nodeId) => nodeId >= this.#nodeId);
-    if (!isFirst && this.#clock.monotonic() - dueSince < WORD_PATIENCE_MS) return;
+    if (!this.#peers.isFirst && this.#clock.monotonic() - dueSince < WORD_PATIENCE_MS) return;
     await this.#tickets.writeWord({ ticket: move.ticket, service: move.service, word, reason });
     this.#dueSince.delete(moveId);
     this.#metrics.count('move_words', { word });
--- a/packages/node/src/node/peers/peer-directory.ts
+++ b/packages/node/src/node/peers/peer-directory.ts
@@ -89,6 +89,11 @@
     );
   }
 
+  /** True on the node with the lowest id among those available, which does jobs that need no agreement. */
+  get isFirst(): boolean {
+    return this.available.every(({ nodeId }) => nodeId > this.#self.current.nodeId);
+  }
+
   /** Other nodes that may still answer. */
   get reachable(): readonly Member[] {
     return this.members.filter(
--- a/packages/node/src/node/requests/claimed-permit.ts
+++ b/packages/node/src/node/requests/claimed-permit.ts
@@ -1,8 +1,15 @@
 import { decideClaim } from '@ragwortrudder/claims';
-import type { AttemptLedger, ClaimQuery, OutcomeWord, Owner } from '@ragwortrudder/claims';
+import type {
+  AttemptLedger,
+  ClaimDecision,
+  ClaimQuery,
+  OutcomeWord,
+  Owner,
+} from '@ragwortrudder/claims';
 import type { Failure } from '@ragwortrudder/core';
 import type { Outcome } from '@ragwortrudder/requests';
 import { ClaimUnavailable } from '../../errors/claim-unavailable.ts';
+import { InProgressElsewhere } from '../../errors/in-progress-elsewhere.ts';
 import { OutcomeUnknown } from '../../errors/outcome-unknown.ts';
 import type { RunPermit } from '../../types/run-permit.ts';
 import { toOutcome } from '../../utils/to-outcome.ts';
@@ -14,77 +21,104 @@
 interface ClaimedPermitOptions {
   readonly claims: ClaimBoard;
   readonly ledger: AttemptLedger;
-  readonly query: ClaimQuery;
+  /** Reads the state of the world for a decision; `self` stays the same. */
+  readonly query: () => ClaimQuery;
 }
 
 /** {@link RunPermit} of a key that the caller made: the log decides which node may send. */
 export class ClaimedPermit implements RunPermit {
   readonly #claims: ClaimBoard;
   readonly #ledger: AttemptLedger;
-  readonly #query: ClaimQuery;
-  readonly #owner: Owner;
-  #attempt: number | undefined;
+  readonly #query: () => ClaimQuery;
+  /** Attempt that this request began to send, and no other request of this node. */
+  #begun: number | undefined;
+  #isBeginning = false;
 
   constructor({ claims, ledger, query }: ClaimedPermitOptions) {
     this.#claims = claims;
     this.#ledger = ledger;
     this.#query = query;
-    this.#owner = query.self;
   }
 
   async begin(): Promise<Outcome | undefined> {
-    for (let step = 0; step < MAX_STEPS; step += 1) {
-      const decision = decideClaim(this.#claims.state, {
-        ...this.#query,
-        logAvailable: this.#claims.available,
-      });
-      if (decision.kind === 'unknown') return toOutcome(new OutcomeUnknown(this.#query.key));
-      if (decision.kind !== 'run') return this.#refusal();
-      if (decision.step === 'claim') return this.#refusal();
-      this.#attempt = decision.attempt;
-      if (decision.step === 'send')
-        return this.#ledger.begin(decision.attempt) ? undefined : this.#refusal();
-      const failure = await this.#append(
-        decision.step === 'takeover' ? decision.from : undefined,
-        decision.attempt,
-      );
-      if (failure) return toOutcome(failure);
+    this.#isBeginning = true;
+    try {
+      return await this.#begin();
+    } finally {
+      this.#isBeginning = false;
     }
-    return this.#refusal();
   }
 
+  /** Records the outcome of the attempt that was begun; else only gives up what nobody began. */
   async finish(word: OutcomeWord, result?: unknown): Promise<void> {
-    const { tenant, key } = this.#query;
-    const attempt = this.#attempt ?? this.#claims.find(tenant, key)?.attempt;
+    const attempt = this.#begun ?? this.#forfeit();
     if (attempt === undefined) return;
-    if (word === 'not-run') this.#ledger.forfeit(attempt);
+    const { tenant, key, self } = this.#query();
     await this.#claims.write({
       type: 'outcome',
       tenant,
       key,
-      ...this.#owner,
+      ...self,
       attempt,
-      word,
+      word: this.#begun === undefined ? 'not-run' : word,
       ...(result === undefined ? {} : { result }),
     });
-    this.#ledger.forget(attempt);
+  }
+
+  /** Gives up the right to send, for another node to take it over; false when it may be in use. */
+  giveUp(): boolean {
+    return this.#begun === undefined && !this.#isBeginning && this.#forfeit() !== undefined;
+  }
+
+  async #begin(): Promise<Outcome | undefined> {
+    for (let step = 0; step < MAX_STEPS; step += 1) {
+      const decision = decideClaim(this.#claims.state, this.#query());
+      if (decision.kind !== 'run' || decision.step === 'claim') return this.#refusal(decision);
+      const { attempt } = decision;
+      if (decision.step === 'send') {
+        if (!this.#ledger.begin(attempt)) return this.#refusal(decision);
+        this.#begun = attempt;
+        return undefined;
+      }
+      const failure = await this.#append(
+        decision.step === 'takeover' ? decision.from : undefined,
+        attempt,
+      );
+      if (failure) return toOutcome(failure);
+    }
+    return toOutcome(new ClaimUnavailable(RETRY_AFTER_MS));
   }
 
   /** Appends `takeover` when `from` is given, else `sending`; returns why that failed. */
   async #append(from: Owner | undefined, attempt: number): Promise<Failure | undefined> {
-    const { tenant, key, self } = this.#query;
+    const { tenant, key, self } = this.#query();
     try {
       if (from)
         await this.#claims.write({ type: 'takeover', tenant, key, attempt, from, to: self });
-      else await this.#claims.write({ type: 'sending', tenant, key, ...this.#owner, attempt });
+      else await this.#claims.write({ type: 'sending', tenant, key, ...self, attempt });
       return undefined;
     } catch {
-      this.#ledger.forfeit(attempt);
-      return new ClaimUnavailable(RETRY_AFTER_MS);
+      const isGivenUp = this.#ledger.forfeit(attempt);
+      return isGivenUp ? new ClaimUnavailable(RETRY_AFTER_MS) : new InProgressElsewhere(self.node);
     }
   }
 
-  #refusal(): Outcome {
-    return toOutcome(new ClaimUnavailable(RETRY_AFTER_MS));
+  /** Gives up the attempt that this incarnation owns and nobody began; undefined when there is none. */
+  #forfeit(): number | undefined {
+    const { tenant, key, self } = this.#query();
+    const record = this.#claims.find(tenant, key);
+    const isOwn = record?.owner.node === self.node && record.owner.incarnation === self.incarnation;
+    if (!record || !isOwn || !this.#ledger.forfeit(record.attempt)) return undefined;
+    return record.attempt;
+  }
+
+  #refusal(decision: ClaimDecision): Outcome {
+    const { key, self } = this.#query();
+    if (decision.kind === 'unknown') return toOutcome(new OutcomeUnknown(key));
+    const isUnproved =
+      decision.kind === 'wait' || decision.kind === 'answer' || decision.kind === 'run';
+    return toOutcome(
+      isUnproved ? new InProgressElsewhere(self.node) : new ClaimUnavailable(RETRY_AFTER_MS),
+    );
   }
 }
--- a/packages/node/src/node/requests/issued-permit.ts
+++ b/packages/node/src/node/requests/issued-permit.ts
@@ -21,4 +21,8 @@
     this.#table.finish(this.#key, word, result);
     return Promise.resolve();
   }
+
+  giveUp(): boolean {
+    return this.#table.transferable().includes(this.#key);
+  }
 }
--- a/packages/node/src/node/requests/keyed-requests.ts
+++ b/packages/node/src/node/requests/keyed-requests.ts
@@ -1,5 +1,12 @@
 import { inject, injectable } from 'inversify';
-import { AttemptLedger, ExecutorTable, decideClaim, parseKey } from '@ragwortrudder/claims';
+import {
+  AttemptLedger,
+  ExecutorTable,
+  decideClaim,
+  oldestOpenAttempt,
+  parseKey,
+  unattendedClaims,
+} from '@ragwortrudder/claims';
 import type {
   ClaimDecision,
   ClaimQuery,
@@ -46,6 +53,9 @@
   readonly #ledger = new AttemptLedger();
   /** Former owners that gave a request to this node. */
   readonly #handedOver = new Map<string, Owner>();
+  /** Keys whose claim a request of this node pursues. */
+  readonly #attended = new Set<string>();
+  readonly #permits = new WeakMap<OwnedRequest, RunPermit>();
   /** Outcomes that could not be written to the log yet. */
   #unwritten: (() => Promise<void>)[] = [];
 
@@ -86,6 +96,34 @@
    * @throws {@link ClaimUnavailable} when the claim cannot be recorded; it will not be run here.
    */
   async claim(use: KeyUse, service: string): Promise<ClaimDecision> {
+    this.#attended.add(nameOf(use));
+    try {
+      const decision = await this.#claim(use, service);
+      if (decision.kind !== 'run') this.#attended.delete(nameOf(use));
+      return decision;
+    } catch (error) {
+      this.#attended.delete(nameOf(use));
+      throw error;
+    }
+  }
+
+  /** Gives up the claims of this incarnation that no request pursues, so that no other node waits for them. */
+  async giveUpUnattended(): Promise<void> {
+    if (!this.#claims.available) return;
+    const self = toClaimOwner(this.#self.current);
+    const isAttended = (tenant: string, key: string): boolean =>
+      this.#attended.has(nameOf({ tenant, key }));
+    for (const { tenant, key, attempt } of unattendedClaims(this.#claims.state, {
+      self,
+      isAttended,
+    })) {
+      if (!this.#ledger.forfeit(attempt)) continue;
+      await this.#claims.write({ type: 'outcome', tenant, key, ...self, attempt, word: 'not-run' });
+    }
+    this.#ledger.forgetBefore(oldestOpenAttempt(this.#claims.state, this.#claims.position));
+  }
+
+  async #claim(use: KeyUse, service: string): Promise<ClaimDecision> {
     for (let step = 0; step < MAX_STEPS; step += 1) {
       const decision = decideClaim(this.#claims.state, this.#queryOf(use));
       if (decision.kind !== 'run' || decision.step === 'sending' || decision.step === 'send')
@@ -101,22 +139,29 @@
     return decideClaim(this.#claims.state, { ...this.#queryOf(use), logAvailable: false });
   }
 
-  /** Permission to send `owned` to a runner. */
-  permitOf({ request, incarnation }: OwnedRequest): RunPermit {
-    const { tenant, key = '', keyKind } = request;
-    if (keyKind === 'issued') return new IssuedPermit(this.#executorOf(incarnation), key);
-    const use = { tenant, key, requestDigest: this.digestOf(request) };
-    return new ClaimedPermit({
-      claims: this.#claims,
-      ledger: this.#ledger,
-      query: this.#queryOf(use, incarnation),
-    });
+  /** Permission to send `owned` to a runner; the same one at every call. */
+  permitOf(owned: OwnedRequest): RunPermit {
+    const known = this.#permits.get(owned);
+    if (known) return known;
+    const { tenant, key = '', keyKind } = owned.request;
+    const use = { tenant, key, requestDigest: this.digestOf(owned.request) };
+    const permit =
+      keyKind === 'issued'
+        ? new IssuedPermit(this.#executorOf(owned.incarnation), key)
+        : new ClaimedPermit({
+            claims: this.#claims,
+            ledger: this.#ledger,
+            query: () => this.#queryOf(use, owned.incarnation),
+          });
+    this.#permits.set(owned, permit);
+    return permit;
   }
 
   /** Records the outcome of `owned`; does nothing for an idempotent request. */
   async finish(owned: OwnedRequest, word: OutcomeWord, result?: unknown): Promise<void> {
     if (owned.request.idempotent) return;
     const permit = this.permitOf(owned);
+    this.#attended.delete(nameOf(owned.request));
     try {
       await permit.finish(word, result);
     } catch {
@@ -140,25 +185,21 @@
     this.#unwritten.push(...failed);
   }
 
-  /** Gives the right to run `request` to `to`, for good; undefined when it may already be running. */
-  giveAway(
-    { request, incarnation }: OwnedRequest,
-    to: Incarnation,
-  ): KeyTransfer | 'claimed' | undefined {
-    const { tenant, key = '', keyKind } = request;
-    if (keyKind === 'issued') {
-      const executor = this.#executorOf(incarnation);
-      if (!executor.transferable().includes(key)) return undefined;
-      return executor.transfer(key, toClaimOwner(to));
-    }
-    const attempt = this.#claims.find(tenant, key)?.attempt;
-    return attempt !== undefined && this.#ledger.forfeit(attempt) ? 'claimed' : undefined;
+  /** Gives the right to run `owned` to `to`, for good; undefined when it may already be running. */
+  giveAway(owned: OwnedRequest, to: Incarnation): KeyTransfer | 'claimed' | undefined {
+    const { key = '', keyKind } = owned.request;
+    if (!this.permitOf(owned).giveUp()) return undefined;
+    if (keyKind === 'issued')
+      return this.#executorOf(owned.incarnation).transfer(key, toClaimOwner(to));
+    this.#attended.delete(nameOf(owned.request));
+    return 'claimed';
   }
 
   /** Takes the right to run a request that `from` gave away. */
   receive(request: AcceptedRequest, from: Incarnation, transfer: KeyTransfer | undefined): void {
     if (request.idempotent || request.key === undefined) return;
-    this.#handedOver.set(`${request.tenant}/${request.key}`, toClaimOwner(from));
+    this.#handedOver.set(nameOf(request), toClaimOwner(from));
+    this.#attended.add(nameOf(request));
     if (!transfer) return;
     this.executor.receive(transfer);
     this.executor.accept({
@@ -178,7 +219,7 @@
   }
 
   #queryOf(use: KeyUse, self: Incarnation = this.#self.current): ClaimQuery {
-    const giver = this.#handedOver.get(`${use.tenant}/${use.key}`);
+    const giver = this.#handedOver.get(nameOf(use));
     return {
       ...use,
       self: toClaimOwner(self),
@@ -209,3 +250,13 @@
     }
   }
 }
+
+function nameOf({
+  tenant,
+  key = '',
+}: {
+  readonly tenant: string;
+  readonly key?: string | undefined;
+}): string {
+  return `${tenant}/${key}`;
+}
--- a/packages/node/src/types/run-permit.ts
+++ b/packages/node/src/types/run-permit.ts
@@ -10,4 +10,6 @@
   begin(): Promise<Outcome | undefined>;
   /** Records the outcome after `begin`, or `not-run` in its place. */
   finish(word: OutcomeWord, result?: unknown): Promise<void>;
+  /** Gives up the right to send, for good; false when it may be in use. */
+  giveUp(): boolean;
 }
--- a/packages/prove/src/node/proofs/ticket-in-force.ts
+++ b/packages/prove/src/node/proofs/ticket-in-force.ts
@@ -105,7 +105,7 @@
 }
 
 interface Status {
-  readonly node: { readonly incarnation: number };
+  readonly node: { readonly incarnation: number; readonly state: string };
   readonly log: { readonly newestTicket: number };
 }
 
@@ -120,6 +120,7 @@
       timeout: { request: READ_TIMEOUT_MS },
       retry: { limit: 0 },
     }).json<Status>();
+    if (node.state === 'starting') return;
     const life = `${name}/${node.incarnation}`;
     if (newest.get(life) === log.newestTicket) return;
     newest.set(life, log.newestTicket);
