Complete the command line

Cause: only serve and version existed, and failures printed a stack with exit code 1. Two warnings of Node.js that no user can act on are hidden, all others are passed on.

--- a/packages/cli/src/cli/main.ts
+++ b/packages/cli/src/cli/main.ts
@@ -1,12 +1,7 @@
-import yargs from 'yargs';
+import '../node/expected-warnings.ts';
 import { hideBin } from 'yargs/helpers';
-import { serveCommand } from '../commands/serve.ts';
-import { versionCommand } from '../commands/version.ts';
+import { run } from '../node/run.ts';
 
-void yargs(hideBin(process.argv))
-  .scriptName('ragwortrudder')
-  .command(serveCommand)
-  .command(versionCommand)
-  .demandCommand(1)
-  .strict()
-  .parseAsync();
+void run(hideBin(process.argv)).then((code) => {
+  process.exitCode = code;
+});
--- /dev/null
+++ b/packages/cli/src/commands/key.ts
@@ -0,0 +1,14 @@
+import type { CommandModule } from 'yargs';
+import { keyShowCommand } from './key-show.ts';
+
+/** `key`: commands on idempotency keys, for tenants. */
+export const keyCommand: CommandModule = {
+  command: 'key',
+  describe: 'look up idempotency keys',
+  builder: (args) =>
+    args
+      .command(keyShowCommand)
+      .demandCommand(1, 'name a command: show')
+      .example('$0 key show reorder-417 --node 10.0.0.1:7000', 'what became of a request'),
+  handler: () => undefined,
+};
--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -1,16 +1,29 @@
-import { readFile } from 'node:fs/promises';
 import type { CommandModule } from 'yargs';
 import { createDaemon } from '@ragwortrudder/node';
+import type { Daemon } from '@ragwortrudder/node';
 import { checkSettings } from '@ragwortrudder/settings';
+import { ListenFailed } from '../errors/listen-failed.ts';
+import { print } from '../node/print.ts';
+import { readText } from '../node/read-text.ts';
 
 interface ServeOptions {
   readonly settings: string;
+  readonly json: boolean;
+}
+
+async function start(daemon: Daemon): Promise<void> {
+  try {
+    await daemon.start();
+  } catch (error) {
+    await daemon.close();
+    throw new ListenFailed(error);
+  }
 }
 
 /** `serve`: runs a node until it is told to stop. */
 export const serveCommand: CommandModule<object, ServeOptions> = {
   command: 'serve',
-  describe: 'run a node until SIGTERM or SIGINT',
+  describe: 'run a node until SIGTERM, SIGINT or a reclaim notice',
   builder: (args) =>
     args
       .option('settings', {
@@ -18,12 +31,24 @@
         demandOption: true,
         describe: 'file of settings (JSON)',
       })
-      .example('$0 serve --settings node.json', 'run a node'),
-  handler: async ({ settings }) => {
-    const daemon = createDaemon({ settings: checkSettings(await readFile(settings, 'utf8')) });
+      .option('json', { type: 'boolean', default: false, describe: 'print JSON for programs' })
+      .example('$0 serve --settings node.json', 'run a node')
+      .example(
+        "DEBUG='ragwortrudder*' $0 serve --settings node.json",
+        'with a line for each change of state',
+      ),
+  handler: async ({ settings: path, json }) => {
+    const settings = checkSettings(await readText(path));
+    const daemon = createDaemon({ settings });
     for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => void daemon.stop());
-    await daemon.start();
-    process.stdout.write(`${JSON.stringify({ listening: true, ports: daemon.ports })}\n`);
+    await start(daemon);
+    const { ports } = daemon;
+    print({
+      json,
+      value: { listening: true, ports },
+      text: `node ${settings.node.id} listens at port ${ports.callers} (callers) and ${ports.peers} (peers)\n`,
+    });
     await daemon.stopped();
+    print({ json, value: { stopped: true }, text: `node ${settings.node.id} has stopped\n` });
   },
 };
--- /dev/null
+++ b/packages/cli/src/commands/settings.ts
@@ -0,0 +1,17 @@
+import type { CommandModule } from 'yargs';
+import { settingsCheckCommand } from './settings-check.ts';
+import { settingsSchemaCommand } from './settings-schema.ts';
+
+/** `settings`: commands on files of settings. */
+export const settingsCommand: CommandModule = {
+  command: 'settings',
+  describe: 'check settings, or print their schema',
+  builder: (args) =>
+    args
+      .command(settingsCheckCommand)
+      .command(settingsSchemaCommand)
+      .demandCommand(1, 'name a command: check or schema')
+      .example('$0 settings check node.json', 'tell every problem of a file')
+      .example('$0 settings schema', 'print the JSON Schema of the settings'),
+  handler: () => undefined,
+};
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,2 @@
-export { serveCommand } from './commands/serve.ts';
-export { versionCommand } from './commands/version.ts';
+export { run } from './node/run.ts';
+export { ExitCode } from './types/exit-code.ts';
--- /dev/null
+++ b/packages/cli/src/utils/parse-json.ts
@@ -0,0 +1,13 @@
+import { ContentNotJson } from '../errors/content-not-json.ts';
+
+/**
+ * Parses JSON; `source` names the text in the failure.
+ * @throws {@link ContentNotJson}
+ */
+export function parseJson(text: string, source: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch (error) {
+    throw new ContentNotJson(source, error);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/utils/table.ts
@@ -0,0 +1,14 @@
+const GAP = '  ';
+
+/** Rows under their headings, in columns of equal width. */
+export function table(headings: readonly string[], rows: readonly (readonly string[])[]): string {
+  const widths = headings.map((heading, column) =>
+    Math.max(heading.length, ...rows.map((row) => row[column]?.length ?? 0)),
+  );
+  const line = (cells: readonly string[]): string =>
+    cells
+      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+      .join(GAP)
+      .trimEnd();
+  return [headings, ...rows].map((row) => `${line(row)}\n`).join('');
+}
--- /dev/null
+++ b/packages/cli/src/utils/ticket-text.ts
@@ -0,0 +1,24 @@
+import type { TicketReport } from '@ragwortrudder/client';
+import { refusalText } from './refusal-text.ts';
+
+function inForceText(inForce: TicketReport['inForce']): string {
+  const domains = Object.entries(inForce).map(
+    ([domain, isInForce]) => `${domain} ${isInForce ? 'yes' : 'not yet'}`,
+  );
+  return domains.length > 0 ? domains.join(', ') : 'no failure domain known yet';
+}
+
+function moveText({ service, from, to, takeoverBy, word }: TicketReport['moves'][number]): string {
+  const by = takeoverBy === null ? '' : ` by ${new Date(takeoverBy).toISOString()}`;
+  const state = word === null ? 'open' : `${word.word} (${word.reason})`;
+  return `  move      ${service}: ${from} to ${to}${by}: ${state}\n`;
+}
+
+/** Status of a ticket for people. */
+export function ticketText(report: TicketReport): string {
+  const head = `ticket ${report.number}: ${report.status}\n`;
+  if (report.status === 'unknown') return `${head}  the node knows no ticket of this number\n`;
+  if (report.refusal) return `${head}  refused   ${refusalText(report.refusal)}\n`;
+  const moves = report.moves.map(moveText).join('');
+  return `${head}  in force  ${inForceText(report.inForce)}\n${moves}`;
+}
--- a/packages/client/src/errors/connection-lost.ts
+++ b/packages/client/src/errors/connection-lost.ts
@@ -5,6 +5,11 @@
   readonly code = 'connection-lost';
 
   constructor(node: string, cause?: unknown) {
-    super(`the connection to ${node} was lost`, { retryable: true, retryAfterMs: 100, cause });
+    super(`the connection to ${node} was lost`, {
+      retryable: true,
+      retryAfterMs: 100,
+      cause,
+      hint: 'check the address and that the node runs',
+    });
   }
 }
