Keep the first proof of a busy service at 2% of its requests

Overdue requests of the first stage were sent with 20% probability on busy services too, so chance gaps raised their part above the planned 2%. They are now sent only where 2% of the requests seen would not make up the node's part.

--- a/packages/moves/src/utils/choose-version.ts
+++ b/packages/moves/src/utils/choose-version.ts
@@ -12,6 +12,8 @@
   readonly random: Random;
   /** Requests to the new version that this node has in flight. */
   readonly inFlight: number;
+  /** Requests of the service that this node chose a version for since the move started. */
+  readonly seen: number;
   /** Requests to the new version that this node ever started. */
   readonly started: number;
   /** Requests that this node may start in the first stage. */
@@ -20,6 +22,13 @@
   readonly now: number;
 }
 
+/** Tells whether the planned share of this node's requests is too few for its part of the first stage. */
+function isQuiet({ move, plan, allowance, seen, now }: Choice): boolean {
+  const elapsedMs = now - move.startedAt;
+  const expected = (seen * new StageSchedule(move).firstStageMs) / Math.max(1, elapsedMs);
+  return expected * plan.share < allowance;
+}
+
 /** The part of the first stage in which this node had time for one more request has passed without it. */
 function isOverdue({ move, allowance, started, now }: Choice): boolean {
   const slotMs = new StageSchedule(move).firstStageMs / (allowance + 1);
@@ -32,7 +41,7 @@
   if (plan.share >= 1) return move.toVersion;
   if (plan.share <= 0 || inFlight >= plan.maxInFlight) return move.fromVersion;
   if (plan.stage === 0 && started >= allowance) return move.fromVersion;
-  const isTrickle = plan.stage === 0 && isOverdue(choice);
+  const isTrickle = plan.stage === 0 && isQuiet(choice) && isOverdue(choice);
   const share = isTrickle ? Math.max(TRICKLE_SHARE, plan.share) : plan.share;
   return random.next() < share ? move.toVersion : move.fromVersion;
 }
--- a/packages/moves/src/utils/move-board.ts
+++ b/packages/moves/src/utils/move-board.ts
@@ -14,13 +14,14 @@
 import { sumEvidence } from './sum-evidence.ts';
 
 interface Usage {
+  readonly seen: number;
   readonly started: number;
   readonly inFlight: number;
 }
 
 /** Moves unknown to this node whose statements are kept until their tickets arrive. */
 const MAX_EARLY_MOVES = 64;
-const NO_USAGE: Usage = { started: 0, inFlight: 0 };
+const NO_USAGE: Usage = { seen: 0, started: 0, inFlight: 0 };
 
 /** Version moves of one node: chooses versions, counts outcomes, judges, and says which words are due. */
 export class MoveBoard {
@@ -77,9 +78,12 @@
     const nodeIds = this.#nodeIds();
     const allowance = allowanceOf({ moveId: move.id, nodeId: this.#nodeId, nodeIds, maxRequests });
     const version = chooseVersion({ move, plan, random: this.#random, allowance, now, ...usage });
-    if (version === move.toVersion) {
-      this.#usage.set(move.id, { started: usage.started + 1, inFlight: usage.inFlight + 1 });
-    }
+    const isNew = version === move.toVersion ? 1 : 0;
+    this.#usage.set(move.id, {
+      seen: usage.seen + 1,
+      started: usage.started + isNew,
+      inFlight: usage.inFlight + isNew,
+    });
     return version;
   }
 
@@ -88,8 +92,9 @@
     this.#recorder.record(outcome);
     const record = this.#openRecord(outcome.service);
     if (record?.move.toVersion !== outcome.version) return;
-    const { started, inFlight } = this.#usage.get(record.move.id) ?? NO_USAGE;
-    this.#usage.set(record.move.id, { started, inFlight: Math.max(0, inFlight - 1) });
+    const usage = this.#usage.get(record.move.id) ?? NO_USAGE;
+    const inFlight = Math.max(0, usage.inFlight - 1);
+    this.#usage.set(record.move.id, { ...usage, inFlight });
   }
 
   /** Evidence of this node for the moves under way; goes into its report. */
--- a/test/moves/moves.test.ts
+++ b/test/moves/moves.test.ts
@@ -68,6 +68,22 @@
   t.is(shareOf({ move: MOVE, verdict: GOOD, marks: [], now: 90_000 }).due, 'done');
 });
 
+test('the first proof takes 2% of a busy service, and 20 requests at most', (t) => {
+  const clock = new ManualClock();
+  const boards = [board(clock, 'a'), board(clock, 'b')];
+  let sent = 0;
+  for (let request = 1; request <= 20_000; request += 1) {
+    clock.advance(0.9);
+    const target = boards[request % 2];
+    if (target?.choose('s') === 'v2') {
+      sent += 1;
+      target.record(outcome('v2', 'success'));
+    }
+    if (request === 500) t.true(sent <= 0.04 * request, `${sent}`);
+  }
+  t.is(sent, 20);
+});
+
 test('a deadline that passes without evidence ends the move', (t) => {
   const verdict: Verdict = { state: 'unproved', reason: 'too few requests', tries: 3, failures: 0 };
   const plan = shareOf({ move: MOVE, verdict, marks: [], now: 100_000 });
