--- /dev/null
+++ b/packages/bench/src/experiments/index.ts
@@ -0,0 +1,5 @@
+import type { Experiment } from '../types/experiment.ts';
+import { routing } from './routing.ts';
+
+/** Experiments of the bench. */
+export const experiments: readonly Experiment[] = [routing];
--- /dev/null
+++ b/packages/bench/src/node/replay.ts
@@ -0,0 +1,72 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { CallerClient } from '@ragwortrudder/client';
+import { Failure, SeededRandom } from '@ragwortrudder/core';
+import type { AnswerTiming } from '../types/answer-timing.ts';
+import type { PlannedRequest } from '../types/planned-request.ts';
+
+interface ReplayOptions {
+  readonly planned: readonly PlannedRequest[];
+  /** Addresses of the nodes, `host:port`. */
+  readonly nodes: readonly string[];
+  /** Keys of the tenants by name. */
+  readonly keys: ReadonlyMap<string, string>;
+  readonly seed: number;
+  /**
+   * Time for which a caller tries again after a refusal.
+   * @default 0
+   */
+  readonly patienceMs?: number;
+}
+
+/** Sends each request at its planned time, whatever became of those before, and times the answers. */
+export async function replay(options: ReplayOptions): Promise<readonly AnswerTiming[]> {
+  const random = new SeededRandom(options.seed);
+  const startedAt = performance.now();
+  const answers: Promise<AnswerTiming>[] = [];
+  for (const request of options.planned) {
+    const waitMs = startedAt + request.atMs - performance.now();
+    if (waitMs > 0) await sleep(waitMs);
+    const { nodes, keys } = options;
+    const client = new CallerClient({ nodes, key: keys.get(request.tenant) ?? '', random });
+    const plannedAt = startedAt + request.atMs;
+    answers.push(timeAnswer({ client, request, plannedAt, patienceMs: options.patienceMs ?? 0 }));
+  }
+  return Promise.all(answers);
+}
+
+interface TimedCall {
+  readonly client: CallerClient;
+  readonly request: PlannedRequest;
+  readonly plannedAt: number;
+  readonly patienceMs: number;
+}
+
+async function timeAnswer(call: TimedCall): Promise<AnswerTiming> {
+  const { client, request, plannedAt, patienceMs } = call;
+  const { service, body, idempotencyKey } = request;
+  const times: number[] = [];
+  let failedCode: string | undefined;
+  const timing = (
+    outcome: AnswerTiming['outcome'],
+    code = '',
+    hasRetryAfter = false,
+  ): AnswerTiming => ({
+    ...{ request, outcome, code, hasRetryAfter },
+    firstMs: (times[0] ?? Number.NaN) - plannedAt,
+    gapsMs: times.slice(1).map((time, index) => time - (times[index] ?? time)),
+    elapsedMs: performance.now() - plannedAt,
+    tokens: times.length,
+  });
+  try {
+    const key = idempotencyKey === undefined ? {} : { idempotencyKey };
+    for await (const event of client.submit({ service, body, patienceMs, ...key })) {
+      if (event.type === 'token' || event.type === 'result') times.push(performance.now());
+      if (event.type === 'failed') failedCode = String(event.data.code ?? 'failed');
+    }
+    return failedCode === undefined ? timing('done') : timing('failed', failedCode);
+  } catch (error) {
+    if (!(error instanceof Failure)) return timing('failed', String(error));
+    const outcome = error.notRun ? 'refused' : 'failed';
+    return timing(outcome, error.code, error.retryAfterMs !== undefined);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/utils/tenant-keys.ts
@@ -0,0 +1,4 @@
+/** Key of each tenant of the bench. */
+export function tenantKeys(tenants: readonly string[]): ReadonlyMap<string, string> {
+  return new Map(tenants.map((tenant) => [tenant, `${tenant}-bench-key-0123456789`]));
+}
