Give each session a home runner where prompts part

The estimate now learns from the prompts where sessions part and takes the hash owner of the next block as the session's home.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -44,6 +44,7 @@
 export { LeastLoadedRouting } from './utils/least-loaded-routing.ts';
 export { OutlierDetector } from './utils/outlier-detector.ts';
 export { prefixBlocks } from './utils/prefix-blocks.ts';
+export { PrefixBranches } from './utils/prefix-branches.ts';
 export { PrefixHashRouting } from './utils/prefix-hash-routing.ts';
 export { reclaimChoice } from './utils/reclaim-choice.ts';
 export { RecomputeCounts } from './utils/recompute-counts.ts';
--- a/packages/routing/src/utils/choose-runner.ts
+++ b/packages/routing/src/utils/choose-runner.ts
@@ -1,5 +1,6 @@
 import type { PolicyOptions } from '../types/policy-options.ts';
 import type { RoutingChoice } from '../types/routing-choice.ts';
+import type { RoutingRequest } from '../types/routing-request.ts';
 import type { RoutingOptions } from '../types/routing-options.ts';
 import type { RunnerView } from '../types/runner-view.ts';
 import { agedRequests } from './aged-requests.ts';
@@ -7,6 +8,7 @@
 import { draw } from './draw.ts';
 import { eligibleRunners } from './eligible-runners.ts';
 import { estimateFirstToken } from './estimate-first-token.ts';
+import type { PrefixBranches } from './prefix-branches.ts';
 import { rendezvousFirst } from './rendezvous-first.ts';
 import { runnersWithRoom } from './runners-with-room.ts';
 import { smallest } from './smallest.ts';
@@ -18,14 +20,17 @@
 /** Costs closer than this in milliseconds are equal. */
 const TIE_MS = 0.5;
 const DEFAULT_OWNER_PRIOR = 0.6;
+/** Part of a prompt that the hash owner of its session is assumed to hold. */
+const SESSION_PRIOR = 0.9;
 const DEFAULT_LOAD_BOUND = 1.25;
 const DEFAULT_STREAM_COST_MS = 2;
 
 /** Owners of the prompt's prefixes, with the tokens that each is assumed to hold. */
 function owners(
   runners: readonly RunnerView[],
-  blocks: readonly string[],
+  { blocks, promptTokens }: RoutingRequest,
   policy: PolicyOptions,
+  branches: PrefixBranches | undefined,
 ): ReadonlyMap<string, number> {
   const assumed = new Map<string, number>();
   const prior = policy.ownerPrior ?? DEFAULT_OWNER_PRIOR;
@@ -36,6 +41,9 @@
     const owner = rendezvousFirst(key, roomy);
     if (owner) assumed.set(owner.id, depth * BLOCK_TOKENS * prior);
   }
+  const session = branches?.sessionBlock(blocks);
+  const home = session === undefined ? undefined : rendezvousFirst(session, runners);
+  if (home) assumed.set(home.id, promptTokens * SESSION_PRIOR);
   return assumed;
 }
 
@@ -65,11 +73,12 @@
 export function chooseRunner(
   options: RoutingOptions,
   policy: PolicyOptions = {},
+  branches?: PrefixBranches,
 ): RoutingChoice | undefined {
   const { request, random, cache } = options;
   const { recomputeWeight = 1, streamCostMs = DEFAULT_STREAM_COST_MS } = policy;
   const runners = eligibleRunners(options);
-  const assumed = owners(runners, request.blocks, policy);
+  const assumed = owners(runners, request, policy, branches);
   const choices = shortlist(runners, assumed.keys(), options).map((runner): RoutingChoice => {
     const known = cache?.cachedTokens(runner.id, request.blocks) ?? 0;
     const cached = Math.max(known, assumed.get(runner.id) ?? 0);
--- a/packages/routing/src/utils/estimate-routing.ts
+++ b/packages/routing/src/utils/estimate-routing.ts
@@ -3,17 +3,19 @@
 import type { RoutingOptions } from '../types/routing-options.ts';
 import type { RoutingPolicy } from '../types/routing-policy.ts';
 import { chooseRunner } from './choose-runner.ts';
+import { PrefixBranches } from './prefix-branches.ts';
 
 /** Routing by estimated time to the first token with prefix reuse. */
 export class EstimateRouting implements RoutingPolicy {
   readonly name = 'estimate';
   readonly #options: PolicyOptions;
+  readonly #branches = new PrefixBranches();
 
   constructor(options: PolicyOptions = {}) {
     this.#options = options;
   }
 
   choose(options: RoutingOptions): RoutingChoice | undefined {
-    return chooseRunner(options, this.#options);
+    return chooseRunner(options, this.#options, this.#branches);
   }
 }
--- a/test/routing/policies.test.ts
+++ b/test/routing/policies.test.ts
@@ -136,3 +136,23 @@
   );
   t.is(new Set(chosen).size, 1);
 });
+
+test('after a shared start, each session keeps to one runner at every node, and sessions spread', (t) => {
+  const candidates = Array.from({ length: 6 }, (_, i) => runnerView(String(i)));
+  const nodes = ['estimate', 'estimate'].map(() => routingPolicyOf('estimate'));
+  const random = new SeededRandom(12);
+  const homes = new Map<number, Set<string>>();
+  for (let turn = 1; turn <= 6; turn += 1) {
+    for (let session = 0; session < 12; session += 1) {
+      const prompt = `${words(512, 'shared')} ${words(96 * turn, `s${session}x`)}`;
+      for (const node of nodes) {
+        const choice = node.choose({ candidates, request: requestOf(prompt), random });
+        const seen = homes.get(session) ?? new Set<string>();
+        if (turn > 1) seen.add(choice?.runner.id ?? '');
+        homes.set(session, seen);
+      }
+    }
+  }
+  t.true([...homes.values()].every((seen) => seen.size === 1));
+  t.true(new Set([...homes.values()].flatMap((seen) => [...seen])).size >= 4);
+});
