Report each problem of settings with path, finding and allowed values

Cause: messages of the schema library were passed on, addresses such as 10.0.0.300:99999 were taken, and settings that contradict each other were not found. Repeated names and keys, orders of times and a port used twice are now found beside all other problems.

--- a/packages/settings/src/errors/settings-invalid.ts
+++ b/packages/settings/src/errors/settings-invalid.ts
@@ -1,8 +1,15 @@
 import { InvalidInput } from '@ragwortrudder/core';
+import type { SettingsProblem } from '../types/settings-problem.ts';
 
 /** Settings that cannot be used; lists every problem. */
 export class SettingsInvalid extends InvalidInput {
-  constructor(problems: readonly string[]) {
-    super('the settings are not valid', problems);
+  readonly details: readonly SettingsProblem[];
+
+  constructor(details: readonly SettingsProblem[]) {
+    super(
+      'the settings are not valid',
+      details.map(({ path, found, allowed }) => `${path}: found ${found}; allowed: ${allowed}`),
+    );
+    this.details = details;
   }
 }
--- /dev/null
+++ b/packages/settings/src/types/keys.ts
@@ -0,0 +1,35 @@
+import { z } from 'zod';
+import { Name } from './name.ts';
+import { Key } from './key.ts';
+
+/** Keys by which peers, operators and tenants are told. */
+export const Keys = z
+  .strictObject({
+    peer: Key.describe('Key that nodes show to each other; the same on all nodes.'),
+    operators: z
+      .array(
+        z
+          .strictObject({
+            name: Name.describe(
+              'Name of an operator, the author of the tickets sent with this key.',
+            ),
+            key: Key.describe('Key of this operator.'),
+          })
+          .readonly(),
+      )
+      .readonly()
+      .describe('Operators and their keys.'),
+    tenants: z
+      .array(
+        z
+          .strictObject({
+            tenant: Name.describe('Name of a tenant, as in tickets.'),
+            key: Key.describe('Key of this tenant.'),
+          })
+          .readonly(),
+      )
+      .readonly()
+      .describe('Tenants and their keys.'),
+  })
+  .readonly();
+export type Keys = z.infer<typeof Keys>;
--- /dev/null
+++ b/packages/settings/src/types/listen.ts
@@ -0,0 +1,10 @@
+import { z } from 'zod';
+
+/** Where one of the servers of a node listens. */
+export const Listen = z
+  .strictObject({
+    host: z.ipv4().default('127.0.0.1').describe('IP number to listen on.'),
+    port: z.number().int().min(0).max(65_535).describe('Port to listen on; 0 takes a free one.'),
+  })
+  .readonly();
+export type Listen = z.infer<typeof Listen>;
--- /dev/null
+++ b/packages/settings/src/types/requests.ts
@@ -0,0 +1,67 @@
+import { z } from 'zod';
+import { ms } from '../utils/ms.ts';
+import { count } from '../utils/count.ts';
+import { share } from '../utils/share.ts';
+
+const MINUTE_MS = 60_000;
+
+/** Life of a request. */
+export const Requests = z
+  .strictObject({
+    deadlineMs: ms({
+      min: 100,
+      max: 60 * MINUTE_MS,
+      fallback: 60_000,
+      doc: 'Deadline of a request that names none.',
+    }),
+    maxDeadlineMs: ms({
+      min: 100,
+      max: 24 * 60 * MINUTE_MS,
+      fallback: 60 * MINUTE_MS,
+      doc: 'Longest deadline a request may name.',
+    }),
+    retentionMs: ms({
+      min: 1000,
+      max: 60 * MINUTE_MS,
+      fallback: 2 * MINUTE_MS,
+      doc: 'Time for which a finished answer can be read again.',
+    }),
+    replicaTimeoutMs: ms({
+      min: 50,
+      max: 10_000,
+      fallback: 500,
+      doc: 'Time for a replica to confirm an update before another peer is taken.',
+    }),
+    heartbeatMs: ms({
+      min: 500,
+      max: MINUTE_MS,
+      fallback: 5000,
+      doc: 'Period of comment lines on a quiet stream of events.',
+    }),
+    runnerConnectMs: ms({
+      min: 50,
+      max: 10_000,
+      fallback: 1000,
+      doc: 'Time to connect to a runner.',
+    }),
+    operationTimeoutMs: ms({
+      min: 100,
+      max: 10 * MINUTE_MS,
+      fallback: 10_000,
+      doc: 'Longest call of an application runner.',
+    }),
+    maxAttempts: count({
+      min: 1,
+      max: 100,
+      fallback: 8,
+      doc: 'Attempts at one idempotent request, the first included.',
+    }),
+    retryShare: share({
+      min: 0,
+      max: 1,
+      fallback: 0.1,
+      doc: 'Retries as a share of first attempts, for each service and class.',
+    }),
+  })
+  .readonly();
+export type Requests = z.infer<typeof Requests>;
--- /dev/null
+++ b/packages/settings/src/types/runners.ts
@@ -0,0 +1,46 @@
+import { z } from 'zod';
+import { ms } from '../utils/ms.ts';
+import { count } from '../utils/count.ts';
+
+const MINUTE_MS = 60_000;
+
+/** Discovery and choice of runners. */
+export const Runners = z
+  .strictObject({
+    directoryPeriodMs: ms({
+      min: 50,
+      max: MINUTE_MS,
+      fallback: 1000,
+      doc: 'Period of reading the list of VMs.',
+    }),
+    noticePeriodMs: ms({
+      min: 50,
+      max: MINUTE_MS,
+      fallback: 500,
+      doc: 'Period of reading reclaim notices.',
+    }),
+    loadPeriodMs: ms({
+      min: 20,
+      max: MINUTE_MS,
+      fallback: 250,
+      doc: 'Period of reading the load of a runner.',
+    }),
+    cachePeriodMs: ms({
+      min: 50,
+      max: MINUTE_MS,
+      fallback: 1000,
+      doc: 'Period of reading the cache events of a runner.',
+    }),
+    subsetSize: count({
+      min: 2,
+      max: 1000,
+      fallback: 24,
+      doc: 'Runners of one service that this node sends to.',
+    }),
+    policy: z
+      .enum(['estimate', 'round-robin', 'least-loaded', 'prefix-hash'])
+      .default('estimate')
+      .describe('How a model engine is chosen.'),
+  })
+  .readonly();
+export type Runners = z.infer<typeof Runners>;
--- /dev/null
+++ b/packages/settings/src/types/shutdown.ts
@@ -0,0 +1,23 @@
+import { z } from 'zod';
+import { ms } from '../utils/ms.ts';
+
+const MINUTE_MS = 60_000;
+
+/** Planned stop of a node. */
+export const Shutdown = z
+  .strictObject({
+    graceMs: ms({
+      min: 0,
+      max: 60 * MINUTE_MS,
+      fallback: 20_000,
+      doc: 'Time from SIGTERM until the node closes.',
+    }),
+    handOverMs: ms({
+      min: 0,
+      max: 60 * MINUTE_MS,
+      fallback: 8000,
+      doc: 'Time before the end of the grace period at which unfinished requests are given to peers.',
+    }),
+  })
+  .readonly();
+export type Shutdown = z.infer<typeof Shutdown>;
--- /dev/null
+++ b/packages/settings/src/utils/allowed-text.ts
@@ -0,0 +1,34 @@
+import type { SchemaNode } from '../types/schema-node.ts';
+
+const PATTERN_TEXTS: readonly (readonly [sample: string, other: string, text: string])[] = [
+  ['10.0.0.1:7000', 'name', 'an IP number and a port, as in 10.0.0.1:7000'],
+  ['a-name', 'not/a-name', '1 to 64 letters, digits, "-" and "_"'],
+  ['sixteen-letters/', 'short', '16 to 256 characters without white space'],
+];
+const FORMAT_TEXTS: Readonly<Record<string, string>> = {
+  uri: 'an address that starts with http:// or https://',
+  ipv4: 'an IP number, as in 10.0.0.1',
+};
+
+function stringText({ pattern, format, enum: values, minLength }: SchemaNode): string {
+  if (values) return values.map((value) => `"${value}"`).join(', ');
+  if (format !== undefined) return FORMAT_TEXTS[format] ?? format;
+  if (pattern !== undefined) {
+    const expression = new RegExp(pattern);
+    const known = PATTERN_TEXTS.find(
+      ([sample, other]) => expression.test(sample) && !expression.test(other),
+    );
+    return known?.[2] ?? pattern;
+  }
+  return minLength === undefined ? 'a text' : 'a text that is not empty';
+}
+
+/** Values that a setting takes, for people. */
+export function allowedText(node: SchemaNode): string {
+  const { type, minimum, maximum, properties, items } = node;
+  if (type === 'integer') return `a whole number from ${minimum ?? ''} to ${maximum ?? ''}`;
+  if (type === 'number') return `a number from ${minimum ?? ''} to ${maximum ?? ''}`;
+  if (type === 'array') return `a list, each item ${items ? allowedText(items) : ''}`;
+  if (type === 'object') return `an object of ${Object.keys(properties ?? {}).join(', ')}`;
+  return stringText(node);
+}
--- a/packages/settings/src/utils/check-settings.ts
+++ b/packages/settings/src/utils/check-settings.ts
@@ -1,7 +1,14 @@
-import { Settings } from '../types/settings.ts';
+import type { z } from 'zod';
 import { SettingsInvalid } from '../errors/settings-invalid.ts';
+import { Settings } from '../types/settings.ts';
+import type { SettingsProblem } from '../types/settings-problem.ts';
+import { allowedText } from './allowed-text.ts';
+import { crossProblems } from './cross-problems.ts';
+import { schemaAt } from './schema-at.ts';
+import { settingsSchema } from './settings-schema.ts';
 
 const MAX_SHOWN = 80;
+const HIDDEN = 'a value that is not shown';
 
 function valueAt(root: unknown, path: readonly PropertyKey[]): unknown {
   let value = root;
@@ -13,18 +20,49 @@
 }
 
 function shown(root: unknown, path: readonly PropertyKey[]): string {
-  if (path[0] === 'keys') return 'a value that is not shown';
   const value = valueAt(root, path);
-  return value === undefined ? 'nothing' : JSON.stringify(value).slice(0, MAX_SHOWN);
+  if (value === undefined) return 'nothing';
+  if (path[0] === 'keys') return HIDDEN;
+  if (typeof value === 'object' && value !== null) {
+    return Array.isArray(value) ? 'a list' : 'an object';
+  }
+  return JSON.stringify(value).slice(0, MAX_SHOWN);
+}
+
+function pathText(path: readonly PropertyKey[]): string {
+  return path.map(String).join('.') || 'settings';
+}
+
+function problemsOf(raw: unknown, issue: z.core.$ZodIssue): readonly SettingsProblem[] {
+  const node = schemaAt(settingsSchema(), issue.path);
+  if (issue.code === 'unrecognized_keys') {
+    const names = Object.keys(node?.properties ?? {}).join(', ');
+    return issue.keys.map((name) => ({
+      path: pathText([...issue.path, name]),
+      found: 'a name that is not known',
+      allowed: names,
+    }));
+  }
+  const allowed = node ? allowedText(node) : issue.message;
+  return [{ path: pathText(issue.path), found: shown(raw, issue.path), allowed }];
+}
+
+/** The message of the parser is not shown, as it may quote a key. */
+function notJson(text: string, error: unknown): SettingsProblem {
+  const position = error instanceof Error ? /position (\d+)/.exec(error.message)?.[1] : undefined;
+  const line = text.slice(0, Number(position ?? text.length)).split('\n').length;
+  return {
+    path: 'settings',
+    found: `text that is not JSON, at line ${line}`,
+    allowed: 'a JSON object',
+  };
 }
 
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
-  } catch (cause) {
-    throw new SettingsInvalid([
-      `the file is not JSON: ${cause instanceof Error ? cause.message : ''}`,
-    ]);
+  } catch (error) {
+    throw new SettingsInvalid([notJson(text, error)]);
   }
 }
 
@@ -35,11 +73,10 @@
 export function checkSettings(text: string): Settings {
   const raw = parseJson(text);
   const result = Settings.safeParse(raw);
-  if (result.success) return result.data;
-  throw new SettingsInvalid(
-    result.error.issues.map((issue) => {
-      const path = issue.path.map(String).join('.') || 'settings';
-      return `${path}: found ${shown(raw, issue.path)}; ${issue.message}`;
-    }),
-  );
+  const defects = result.success
+    ? []
+    : result.error.issues.flatMap((issue) => problemsOf(raw, issue));
+  const problems = [...defects, ...crossProblems(result.success ? result.data : raw)];
+  if (!result.success || problems.length > 0) throw new SettingsInvalid(problems);
+  return result.data;
 }
--- a/packages/settings/src/utils/settings-schema.ts
+++ b/packages/settings/src/utils/settings-schema.ts
@@ -1,7 +1,8 @@
 import { z } from 'zod';
+import type { SchemaNode } from '../types/schema-node.ts';
 import { Settings } from '../types/settings.ts';
 
 /** JSON Schema of the settings. */
-export function settingsSchema(): unknown {
-  return z.toJSONSchema(Settings, { io: 'input' });
+export function settingsSchema(): SchemaNode {
+  return z.toJSONSchema(Settings, { io: 'input' }) as SchemaNode;
 }
--- /dev/null
+++ b/test/settings/check-settings.test.ts
@@ -0,0 +1,291 @@
+import test from 'ava';
+import {
+  SettingsInvalid,
+  allowedText,
+  checkSettings,
+  settingsSchema,
+} from '@ragwortrudder/settings';
+import type { SchemaNode, SettingsProblem } from '@ragwortrudder/settings';
+import { changed } from './good.ts';
+
+const SECRET = 'a-secret-that-must-not-show';
+
+function problemsIn(text: string): readonly SettingsProblem[] {
+  try {
+    checkSettings(text);
+  } catch (error) {
+    if (error instanceof SettingsInvalid) return error.details;
+    throw error;
+  }
+  return [];
+}
+
+interface BadFile {
+  readonly name: string;
+  readonly text: string;
+  readonly path: string;
+  readonly found: string;
+  readonly allowed: RegExp;
+}
+
+const HIDDEN = 'a value that is not shown';
+const BAD_FILES: readonly BadFile[] = [
+  {
+    name: 'not JSON',
+    text: `{\n "node": oops`,
+    path: 'settings',
+    found: 'text that is not JSON, at line 2',
+    allowed: /JSON object/,
+  },
+  {
+    name: 'a list',
+    text: '[]',
+    path: 'settings',
+    found: 'a list',
+    allowed: /object of node, listen/,
+  },
+  {
+    name: 'an unknown name',
+    text: changed({ 'limits.bodyByts': 5000 }),
+    path: 'limits.bodyByts',
+    found: 'a name that is not known',
+    allowed: /bodyBytes, headerBytes/,
+  },
+  {
+    name: 'a wrong type',
+    text: changed({ 'listen.callers.port': '7000' }),
+    path: 'listen.callers.port',
+    found: '"7000"',
+    allowed: /whole number from 0 to 65535/,
+  },
+  {
+    name: 'a number out of range',
+    text: changed({ 'requests.heartbeatMs': 5 }),
+    path: 'requests.heartbeatMs',
+    found: '5',
+    allowed: /from 500 to 60000/,
+  },
+  {
+    name: 'a fraction of a whole number',
+    text: changed({ 'admission.maxQueued': 1.5 }),
+    path: 'admission.maxQueued',
+    found: '1.5',
+    allowed: /whole number/,
+  },
+  {
+    name: 'a missing setting',
+    text: changed({ 'node.id': undefined }),
+    path: 'node.id',
+    found: 'nothing',
+    allowed: /1 to 64 letters/,
+  },
+  {
+    name: 'a missing section',
+    text: changed({ advertise: undefined }),
+    path: 'advertise',
+    found: 'nothing',
+    allowed: /object of callers, peers/,
+  },
+  {
+    name: 'an address without a port',
+    text: changed({ 'advertise.peers': '10.0.0.1' }),
+    path: 'advertise.peers',
+    found: '"10.0.0.1"',
+    allowed: /IP number and a port/,
+  },
+  {
+    name: 'an address out of range',
+    text: changed({ seeds: ['10.0.0.300:7000'] }),
+    path: 'seeds.0',
+    found: '"10.0.0.300:7000"',
+    allowed: /IP number and a port/,
+  },
+  {
+    name: 'a platform that is not reached by HTTP',
+    text: changed({ 'platform.url': 'ftp://10.0.0.1' }),
+    path: 'platform.url',
+    found: '"ftp://10.0.0.1"',
+    allowed: /http:\/\//,
+  },
+  {
+    name: 'a host name to listen on',
+    text: changed({ 'listen.peers.host': 'localhost' }),
+    path: 'listen.peers.host',
+    found: '"localhost"',
+    allowed: /an IP number/,
+  },
+  {
+    name: 'a value outside an enumeration',
+    text: changed({ 'runners.policy': 'random' }),
+    path: 'runners.policy',
+    found: '"random"',
+    allowed: /"estimate", "round-robin"/,
+  },
+  {
+    name: 'a short key',
+    text: changed({ 'keys.peer': 'short' }),
+    path: 'keys.peer',
+    found: HIDDEN,
+    allowed: /16 to 256 characters/,
+  },
+  {
+    name: 'a name with a slash',
+    text: changed({ 'node.failureDomain': 'a/b' }),
+    path: 'node.failureDomain',
+    found: '"a/b"',
+    allowed: /1 to 64 letters/,
+  },
+  {
+    name: 'two entries for one tenant',
+    text: changed({
+      'keys.tenants': [
+        { tenant: 'same', key: 'first-key-of-a-tenant' },
+        { tenant: 'same', key: 'other-key-of-a-tenant' },
+      ],
+    }),
+    path: 'keys.tenants.1.tenant',
+    found: '"same"',
+    allowed: /no earlier entry/,
+  },
+  {
+    name: 'two operators of one name',
+    text: changed({
+      'keys.operators': [
+        { name: 'same', key: 'first-key-of-an-operator' },
+        { name: 'same', key: 'other-key-of-an-operator' },
+      ],
+    }),
+    path: 'keys.operators.1.name',
+    found: '"same"',
+    allowed: /no earlier entry/,
+  },
+  {
+    name: 'one key for a peer and a tenant',
+    text: changed({ 'keys.tenants': [{ tenant: 'one', key: SECRET }], 'keys.peer': SECRET }),
+    path: 'keys.tenants.0.key',
+    found: HIDDEN,
+    allowed: /nothing before it/,
+  },
+  {
+    name: 'a hand-over longer than the grace period',
+    text: changed({ 'shutdown.graceMs': 1000, 'shutdown.handOverMs': 2000 }),
+    path: 'shutdown.handOverMs',
+    found: '2000',
+    allowed: /at most shutdown.graceMs, which is 1000/,
+  },
+  {
+    name: 'a default that another setting rules out',
+    text: changed({ shutdown: { graceMs: 1000 } }),
+    path: 'shutdown.handOverMs',
+    found: '8000',
+    allowed: /at most shutdown.graceMs/,
+  },
+  {
+    name: 'a probe that waits longer than its period',
+    text: changed({ membership: { probePeriodMs: 100, probeTimeoutMs: 500 } }),
+    path: 'membership.probeTimeoutMs',
+    found: '500',
+    allowed: /at most membership.probePeriodMs/,
+  },
+  {
+    name: 'a default deadline above the longest',
+    text: changed({ 'requests.maxDeadlineMs': 1000 }),
+    path: 'requests.deadlineMs',
+    found: '120000',
+    allowed: /at most requests.maxDeadlineMs/,
+  },
+  {
+    name: 'one port for callers and peers',
+    text: changed({ 'listen.peers.port': 7100 }),
+    path: 'listen.peers.port',
+    found: '7100',
+    allowed: /other than that of listen.callers/,
+  },
+];
+
+for (const { name, text, path, found, allowed } of BAD_FILES) {
+  test(`refuses settings with ${name}`, (t) => {
+    const problems = problemsIn(text);
+    t.deepEqual(
+      problems.map((problem) => problem.path),
+      [path],
+    );
+    t.is(problems[0]?.found, found);
+    t.regex(problems[0]?.allowed ?? '', allowed);
+  });
+}
+
+test('takes the settings of the examples', (t) => {
+  t.deepEqual(problemsIn(changed({})), []);
+});
+
+test('tells all problems of a file at once, also those of settings that depend on each other', (t) => {
+  const problems = problemsIn(
+    changed({
+      'node.id': 7,
+      extra: true,
+      'requests.heartbeatMs': 5,
+      'shutdown.graceMs': 1000,
+      'keys.tenants': [
+        { tenant: 'same', key: SECRET },
+        { tenant: 'same', key: SECRET },
+      ],
+    }),
+  );
+  t.deepEqual(problems.map(({ path }) => path).sort(), [
+    'extra',
+    'keys.tenants.1.key',
+    'keys.tenants.1.tenant',
+    'node.id',
+    'requests.heartbeatMs',
+    'shutdown.handOverMs',
+  ]);
+});
+
+test('never shows a key', (t) => {
+  const texts = [
+    changed({ 'keys.peer': `${SECRET} ${SECRET}` }),
+    changed({ 'keys.peer': [SECRET] }),
+    changed({ 'keys.tenants': [{ tenant: 'one', key: SECRET, more: SECRET }] }),
+    changed({ 'keys.operators': SECRET }),
+    changed({ keys: SECRET }),
+    changed({ 'node.key': SECRET }),
+    `{ "keys": { "peer": "${SECRET}" oops`,
+  ];
+  for (const text of texts) {
+    const problems = problemsIn(text);
+    t.true(problems.length > 0);
+    t.notRegex(JSON.stringify(problems), new RegExp(SECRET));
+  }
+});
+
+/** Settings without members of their own, with their paths. */
+function leavesOf(node: SchemaNode, path: string): readonly (readonly [string, SchemaNode])[] {
+  if (node.type === 'array' && node.items) return leavesOf(node.items, `${path}[]`);
+  if (!node.properties) return [[path, node]];
+  return Object.entries(node.properties).flatMap(([name, child]) =>
+    leavesOf(child, path === '' ? name : `${path}.${name}`),
+  );
+}
+
+function isRequired(root: SchemaNode, path: string): boolean {
+  const parts = path.replaceAll('[]', '').split('.');
+  const last = parts.pop() ?? '';
+  let node: SchemaNode | undefined = root;
+  for (const part of parts) {
+    const child: SchemaNode | undefined = node?.properties?.[part];
+    node = child?.items ?? child;
+  }
+  return node?.required?.includes(last) ?? false;
+}
+
+test('each setting has a meaning, a range, and a default or the duty to be set', (t) => {
+  const schema = settingsSchema();
+  for (const [path, node] of leavesOf(schema, '')) {
+    t.truthy(node.description, path);
+    t.notRegex(allowedText(node), /from {2}to|to $/, path);
+    const isOptional = path === 'node.vmId' || path.endsWith('[]');
+    t.true(isOptional || node.default !== undefined || isRequired(schema, path), path);
+    if (node.type === 'integer' && !path.endsWith('port')) t.truthy(node.unit, path);
+  }
+});
