--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -142,6 +142,32 @@
   });
 }
 
+for (const seed of SEEDS) {
+  test(`suspicions start over after a pause of the node itself, between or within its rounds, seed ${seed}`, async (t) => {
+    const cluster = new Cluster(seed, [3, 3]);
+    await cluster.run(JOIN_SECONDS);
+    const unreachable = cluster.node('n0-1');
+    cluster.network.remove('n0-1');
+    cluster.paused.add('n0-1');
+    await cluster.run(3);
+    t.true(cluster.count('suspected') > 0);
+    t.is(cluster.count('died'), 0);
+    cluster.clock.advance(20_000);
+    await cluster.run(2);
+    t.is(cluster.count('died'), 0);
+    const rounds = [...cluster.nodes].filter(([nodeId]) => nodeId !== 'n0-1');
+    const ticks = rounds.map(([, node]) => node.tick());
+    cluster.clock.advance(20_000);
+    await Promise.all(ticks);
+    t.is(cluster.count('died'), 0);
+    cluster.network.add('n0-1', unreachable as never);
+    cluster.paused.delete('n0-1');
+    await cluster.run(20);
+    t.deepEqual(cluster.statesOf('n0-1'), ['alive']);
+    t.is(cluster.count('died'), 0);
+  });
+}
+
 test('a node forgets those gone for long, and their reports, and still knows that they are gone', async (t) => {
   const cluster = new Cluster(9, [3, 3]);
   await cluster.run(JOIN_SECONDS);
