--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -197,3 +197,40 @@
     code: 'unknown-peer',
   });
 });
+
+test('an urgent report reaches 60 nodes within 10 s while others publish all the time', async (t) => {
+  const cluster = new Cluster(12, [20, 20, 20]);
+  await cluster.run(JOIN_SECONDS);
+  const busy = async (seconds: number): Promise<void> => {
+    for (let second = 0; second < seconds; second += 1) {
+      for (const [nodeId, reports] of cluster.reports) {
+        if (nodeId !== 'n1-7') reports.publish(second);
+      }
+      await cluster.run(1);
+    }
+  };
+  await busy(30);
+  cluster.reports.get('n1-7')?.publish(-1, { urgent: true });
+  await busy(10);
+  const informed = [...cluster.reports.values()].filter(
+    (reports) => reports.get('n1-7')?.value === -1,
+  );
+  t.is(informed.length, 60);
+});
+
+test('a node stops when a newer process runs under its identifier', async (t) => {
+  const cluster = new Cluster(13, [3, 3]);
+  await cluster.run(JOIN_SECONDS);
+  const old = cluster.node('n0-1');
+  const newer = { ...old.self, incarnation: old.self.incarnation + 1 };
+  const gossip = { members: [newer], reports: [] };
+  old.handleProbe({
+    fromNode: 'n0-0',
+    fromIncarnation: cluster.node('n0-0').self.incarnation,
+    gossip,
+  });
+  t.is(cluster.count('replaced'), 1);
+  const sent = cluster.network.messages;
+  await old.tick();
+  t.is(cluster.network.messages, sent);
+});
