--- a/packages/bench/src/cli/bench.ts
+++ b/packages/bench/src/cli/bench.ts
@@ -4,6 +4,7 @@
 import { experiments } from '../experiments/index.ts';
 import { saveTables } from '../node/save-tables.ts';
 import type { ResultTable } from '../types/result-table.ts';
+import { compareWithBest } from '../utils/compare-with-best.ts';
 import { medianRows } from '../utils/median-rows.ts';
 import { toMarkdown } from '../utils/to-markdown.ts';
 
@@ -30,10 +31,12 @@
   tables.push(table);
   process.stdout.write(`seed ${seed}\n${toMarkdown(table.rows)}\n`);
 }
+const ratios = (experiment.comparisons ?? []).flatMap((one) => compareWithBest(tables, one));
+if (ratios.length > 0) process.stdout.write(`ratios\n${toMarkdown(ratios)}\n`);
 if (tables.length > 1) process.stdout.write(`median\n${toMarkdown(medianRows(tables))}\n`);
 process.stdout.write(`${JSON.stringify(tables)}\n`);
 if (args.save) {
-  const { summary } = experiment;
+  const { summary, comparisons = [] } = experiment;
   const command = `npm run bench -- ${name} --seed ${args.seed} --seeds ${args.seeds}`;
-  await saveTables({ name, summary, command, tables });
+  await saveTables({ name, summary, command, tables, comparisons });
 }
--- /dev/null
+++ b/packages/bench/src/types/comparison.ts
@@ -0,0 +1,7 @@
+/** Comparison of a policy with the best of its baselines. */
+export interface Comparison {
+  readonly policy: string;
+  readonly baselines: readonly string[];
+  /** Values to compare, and which is better. */
+  readonly values: Readonly<Record<string, 'lower' | 'higher'>>;
+}
--- a/packages/bench/src/types/experiment.ts
+++ b/packages/bench/src/types/experiment.ts
@@ -1,3 +1,4 @@
+import type { Comparison } from './comparison.ts';
 import type { ExperimentOptions } from './experiment-options.ts';
 import type { ResultTable } from './result-table.ts';
 
@@ -6,6 +7,8 @@
   readonly name: string;
   /** What is compared, in one line. */
   readonly summary: string;
+  /** @default none */
+  readonly comparisons?: readonly Comparison[];
   /** Runs every policy once with one seed. */
   run(options: ExperimentOptions): Promise<ResultTable>;
 }
