Spread neighbouring seeds, keep one routing policy a service, report badness urgently

Cause: xoroshiro128plus gives alike first numbers for close seeds, so proofs with seeds 2, 3 and 4 drew the same bad version; one policy object served all services although it learns from its choices; a node did not stop when a newer process ran under its id. Ruled out: the fixed-seed tests of other packages, which pass with the new seeds but one: the check that leases without a margin overlap found none in 500 runs and finds one within 4000 now (same property, more runs). Conclusion: seeds are hashed first.

--- a/packages/core/src/utils/seeded-random.ts
+++ b/packages/core/src/utils/seeded-random.ts
@@ -1,15 +1,21 @@
+import { createHash } from 'node:crypto';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import type { Random } from '../types/random.ts';
 
 const UINT32_RANGE = 0x1_0000_0000;
 
+/** Spreads neighbouring seeds over all seeds, as the generator's first numbers are alike for close ones. */
+function mixed(seed: number): number {
+  return createHash('sha256').update(String(seed)).digest().readInt32LE();
+}
+
 /** Deterministic {@link Random}: the same seed gives the same sequence. */
 export class SeededRandom implements Random {
   readonly #generator: RandomGenerator;
 
   constructor(seed: number) {
-    this.#generator = xoroshiro128plus(seed);
+    this.#generator = xoroshiro128plus(mixed(seed));
   }
 
   next(): number {
--- a/packages/node/src/node/daemon.ts
+++ b/packages/node/src/node/daemon.ts
@@ -105,6 +105,9 @@
         await keyed.giveUpUnattended();
       }),
     ];
+    peers.subscribe(({ kind }) => {
+      if (kind === 'replaced') void this.stop();
+    });
     notices.onOwnNotice((reclaimAt) => {
       void this.stop(reclaimAt - this.#clock.wall() - RECLAIM_MARGIN_MS);
     });
@@ -149,7 +152,7 @@
   async #leave(totalMs: number): Promise<void> {
     const openStreams = (): number => this.#routes.openStreams;
     const departure = this.#departure.run({ totalMs, openStreams });
-    this.#reports.publish();
+    this.#reports.publish({ urgent: true });
     await departure;
     this.#callers.stopAccepting();
     await this.#peers.leave();
--- a/packages/node/src/node/peers/peer-directory.ts
+++ b/packages/node/src/node/peers/peer-directory.ts
@@ -123,9 +123,9 @@
     this.#seeds.add(address);
   }
 
-  /** Tells the others `report`. */
-  publish(report: Report): void {
-    this.#reports.publish(report);
+  /** Tells the others `report`; an urgent one travels as fast as changes of members. */
+  publish(report: Report, options: { readonly urgent: boolean }): void {
+    this.#reports.publish(report, options);
   }
 
   /** Calls `listener` for each change of a member. */
--- a/packages/node/src/node/reports/report-publisher.ts
+++ b/packages/node/src/node/reports/report-publisher.ts
@@ -45,12 +45,12 @@
       },
     });
     moves.onBad(() => {
-      this.publish();
+      this.publish({ urgent: true });
     });
   }
 
   /** Publishes the report if it changed. */
-  publish(): void {
+  publish({ urgent } = { urgent: false }): void {
     const report = {
       tickets: this.#tickets.applied,
       draining: !this.#life.ready,
@@ -61,7 +61,7 @@
     const text = canonicalJson(report);
     if (text === this.#published) return;
     this.#published = text;
-    this.#peers.publish(report);
+    this.#peers.publish(report, { urgent });
   }
 
   start(): void {
--- a/packages/node/src/node/runners/dispatcher.ts
+++ b/packages/node/src/node/runners/dispatcher.ts
@@ -2,7 +2,7 @@
 import type { Random } from '@ragwortrudder/core';
 import type { RequestInput } from '@ragwortrudder/requests';
 import { prefixBlocks, routingPolicyOf } from '@ragwortrudder/routing';
-import type { RoutingPolicy, RoutingRequest, RunnerView } from '@ragwortrudder/routing';
+import type { PolicyName, RoutingPolicy, RoutingRequest, RunnerView } from '@ragwortrudder/routing';
 import type { Settings } from '@ragwortrudder/settings';
 import type { Assignment } from '../../types/assignment.ts';
 import { tokens } from '../../types/tokens.ts';
@@ -18,8 +18,9 @@
   readonly #moves: VersionMoves;
   readonly #random: Random;
   readonly #failureDomain: string;
-  readonly #modelPolicy: RoutingPolicy;
-  readonly #applicationPolicy = routingPolicyOf('two-choices');
+  readonly #modelPolicy: PolicyName;
+  /** One policy a service, as policies learn from what they chose. */
+  readonly #policies = new Map<string, RoutingPolicy>();
 
   constructor(
     @inject(tokens.settings) settings: Settings,
@@ -31,7 +32,7 @@
     this.#moves = moves;
     this.#random = random;
     this.#failureDomain = settings.node.failureDomain;
-    this.#modelPolicy = routingPolicyOf(settings.runners.policy);
+    this.#modelPolicy = settings.runners.policy;
   }
 
   /** Reserves room on a runner for the next attempt at `owned`; undefined when none has room. */
@@ -64,8 +65,7 @@
       .views(owned.request.service, version)
       .filter((view) => this.#isOpen(view));
     const request = this.describe(owned, version);
-    const policy =
-      owned.request.input.kind === 'model' ? this.#modelPolicy : this.#applicationPolicy;
+    const policy = this.#policyOf(owned);
     const options = { candidates, request, random: this.#random, cache: this.#pool.cache };
     const choice =
       policy.choose({ ...options, avoid: owned.attempts.avoid }) ?? policy.choose(options);
@@ -74,6 +74,16 @@
     return { runner, version, request, expectedMs: choice?.estimate.totalMs ?? 0 };
   }
 
+  #policyOf({ request }: OwnedRequest): RoutingPolicy {
+    const known = this.#policies.get(request.service);
+    if (known) return known;
+    const policy = routingPolicyOf(
+      request.input.kind === 'model' ? this.#modelPolicy : 'two-choices',
+    );
+    this.#policies.set(request.service, policy);
+    return policy;
+  }
+
   /** Gives back what the choice of a version reserved that no runner of it has room for. */
   #release(owned: OwnedRequest, version: string): void {
     const { service, class: route } = owned.request;
--- a/packages/node/src/node/runners/runner-pool.ts
+++ b/packages/node/src/node/runners/runner-pool.ts
@@ -10,6 +10,7 @@
 import { runnerIdentityOf } from '../../utils/runner-identity-of.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { StateLog } from '../metrics/state-log.ts';
+import { PeerDirectory } from '../peers/peer-directory.ts';
 import { Runner } from './runner.ts';
 import { RunnerClient } from './runner-client.ts';
 
@@ -20,6 +21,7 @@
   readonly #settings: Settings;
   readonly #clock: Clock;
   readonly #client: RunnerClient;
+  readonly #peers: PeerDirectory;
   readonly #metrics: Metrics;
   readonly #log: StateLog;
   readonly #directory: VmDirectory;
@@ -33,12 +35,14 @@
     @inject(tokens.settings) settings: Settings,
     @inject(tokens.clock) clock: Clock,
     @inject(RunnerClient) client: RunnerClient,
+    @inject(PeerDirectory) peers: PeerDirectory,
     @inject(Metrics) metrics: Metrics,
     @inject(StateLog) log: StateLog,
   ) {
     this.#settings = settings;
     this.#clock = clock;
     this.#client = client;
+    this.#peers = peers;
     this.#metrics = metrics;
     this.#log = log;
     this.#directory = new VmDirectory({ baseUrl: settings.platform.url });
@@ -149,6 +153,7 @@
         nodeId: this.#settings.node.id,
         runners: group.map(({ id }) => id),
         size: this.#settings.runners.subsetSize,
+        nodes: [this.#settings.node.id, ...this.#peers.reachable.map(({ nodeId }) => nodeId)],
       }),
     );
   }
--- a/test/core/utils.test.ts
+++ b/test/core/utils.test.ts
@@ -16,3 +16,10 @@
   );
   t.true(first.every((value) => value >= 0 && value < 1));
 });
+
+test('neighbouring seeds give unrelated first numbers', (t) => {
+  const buckets = new Set(
+    Array.from({ length: 8 }, (_, seed) => Math.floor(new SeededRandom(seed).next() * 4)),
+  );
+  t.true(buckets.size >= 3);
+});
--- a/test/leases/lease-holder.test.ts
+++ b/test/leases/lease-holder.test.ts
@@ -221,6 +221,8 @@
 }
 
 const seeds = { seed: 3, numRuns: 500, endOnFailure: true };
+/** A lease without a margin overlaps the next one rarely. */
+const MUTATION_RUNS = 4000;
 
 test('two holders never act at once and fences grow, with clock rates wrong by 5 %', async (t) => {
   let count = 0;
@@ -243,7 +245,7 @@
     fc.asyncProperty(fc.nat(), async (seed) =>
       isSafe(await run({ marginMs: 0, rateError: 0.05, seed })),
     ),
-    seeds,
+    { ...seeds, numRuns: MUTATION_RUNS },
   );
   t.true(outcome.failed);
 });
