--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -1,5 +1,6 @@
 import type { Experiment } from '../types/experiment.ts';
+import { admission } from './admission.ts';
 import { routing } from './routing.ts';
 
 /** Experiments of the bench. */
-export const experiments: readonly Experiment[] = [routing];
+export const experiments: readonly Experiment[] = [routing, admission];
--- /dev/null
+++ b/test/bench/summaries.test.ts
@@ -0,0 +1,102 @@
+import test from 'ava';
+import type { AnswerTiming } from '@ragwortrudder/bench';
+import { SeededRandom } from '@ragwortrudder/core';
+import { burstArrivals } from '../../packages/bench/src/utils/burst-arrivals.ts';
+import { compareWithBest } from '../../packages/bench/src/utils/compare-with-best.ts';
+import { floodValues } from '../../packages/bench/src/utils/flood-values.ts';
+import { medianRows } from '../../packages/bench/src/utils/median-rows.ts';
+import { percentile } from '../../packages/bench/src/utils/percentile.ts';
+import { runValues } from '../../packages/bench/src/utils/run-values.ts';
+import { toMarkdown } from '../../packages/bench/src/utils/to-markdown.ts';
+
+function answer(changes: Partial<AnswerTiming> = {}, tenant = 'flood'): AnswerTiming {
+  return {
+    request: { atMs: 0, tenant, service: 'quotes', body: {} },
+    ...{ outcome: 'done', code: '', hasRetryAfter: false, firstMs: 100, gapsMs: [20, 20] },
+    ...{ elapsedMs: 140, tokens: 3 },
+    ...changes,
+  };
+}
+
+test('percentiles', (t) => {
+  t.is(percentile([3, 1, 2], 0.5), 2);
+  t.is(percentile([1, 2, 3], 1), 3);
+  t.true(Number.isNaN(percentile([], 0.5)));
+});
+
+test('bursts keep the mean rate', (t) => {
+  const arrivals = burstArrivals({
+    ...{ random: new SeededRandom(1), rate: 10, fromMs: 0, toMs: 600_000 },
+  });
+  t.true(arrivals.length > 5700 && arrivals.length < 6300);
+  const inBursts = arrivals.filter((atMs) => atMs % 6000 < 1000).length;
+  t.true(inBursts / arrivals.length > 0.38 && inBursts / arrivals.length < 0.46);
+});
+
+test('an unanswered request counts as outside the target', (t) => {
+  const answers = [answer(), answer({ firstMs: 531 }), answer({ outcome: 'failed' })];
+  const values = runValues({
+    ...{ answers, stats: [], durationMs: 3_600_000, pricePerHour: 6, prefillRate: 1000 },
+  });
+  t.is(values.done, 2);
+  t.is(values.answersWithin, 1 / 3);
+  t.is(values.firstP99, Infinity);
+  t.is(values.costPer1000, 2000);
+});
+
+test('slow tokens are outside the target', (t) => {
+  const values = runValues({
+    ...{ answers: [answer({ gapsMs: [60, 30] })], stats: [], durationMs: 1000 },
+    ...{ pricePerHour: 1, prefillRate: 1000 },
+  });
+  t.is(values.answersWithin, 0);
+  t.is(values.gapWithin, 0.5);
+});
+
+test('goodput counts answers within the deadline, refusals apart', (t) => {
+  const answers = [
+    answer(),
+    answer({ elapsedMs: 3001 }),
+    answer({ outcome: 'refused', hasRetryAfter: true, elapsedMs: 5 }),
+    answer({}, 'quiet'),
+    answer({ elapsedMs: 9000 }, 'batch'),
+  ];
+  const values = floodValues({ answers, deadlineMs: 3000, durationMs: 1000 });
+  t.is(values.goodput, 3);
+  t.is(values.late, 1);
+  t.is(values.refused, 1);
+  t.is(values.retryAfter, 1);
+  t.is(values.quietP95, 100);
+  t.is(values.batchDone, 1);
+});
+
+const tables = [1, 2, 3].map((seed) => ({
+  seed,
+  rows: [
+    { policy: 'new', values: { cost: seed } },
+    { policy: 'old', values: { cost: 4 } },
+    { policy: 'older', values: { cost: 2 } },
+  ],
+}));
+
+test('ratios are taken to the best baseline of each seed', (t) => {
+  const comparison = { policy: 'new', baselines: ['old', 'older'] };
+  t.deepEqual(compareWithBest(tables, { ...comparison, values: { cost: 'lower' } })[0]?.values, {
+    median: 1,
+    least: 0.5,
+    greatest: 1.5,
+  });
+  t.is(
+    compareWithBest(tables, { ...comparison, values: { cost: 'higher' } })[0]?.values.median,
+    0.5,
+  );
+});
+
+test('the table has the medians', (t) => {
+  const rows = medianRows(tables);
+  t.is(rows[0]?.values.cost, 2);
+  t.is(
+    toMarkdown(rows),
+    '| policy | cost |\n| --- | --- |\n| new | 2 |\n| old | 4 |\n| older | 2 |',
+  );
+});
