Answer every bad call with a problem, and stop bad calls from ending a node

Cause: a body above the limit was answered twice, and the second answer threw outside any handler, which ended the process (seen in the new test). Broken HTTP, slow senders and headers far above the limit got no problem body, connections above the limit were cut without a word, an encoded body reached the decompressor, and an idempotency key above 255 characters was cut off, so that two keys could be taken for one.

--- /dev/null
+++ b/packages/node/src/errors/connections-exceeded.ts
@@ -0,0 +1,16 @@
+import { Failure } from '@ragwortrudder/core';
+
+/** The node has as many open connections as it may. */
+export class ConnectionsExceeded extends Failure {
+  readonly code = 'connections-exceeded';
+
+  constructor(limit: number) {
+    super(`the node has more than ${limit} open connections`, {
+      status: 503,
+      retryable: true,
+      notRun: true,
+      retryAfterMs: 1000,
+      hint: 'send the request to another node, and close connections that are not used',
+    });
+  }
+}
--- a/packages/node/src/node/callers/event-stream.ts
+++ b/packages/node/src/node/callers/event-stream.ts
@@ -14,33 +14,47 @@
   readonly heartbeatMs: number;
 }
 
-/** Writes events to a caller as server-sent events, at the pace at which the caller reads. */
+/**
+ * Writes events to a caller as server-sent events, at the pace at which the caller reads. The answer
+ * begins with the first event or heartbeat.
+ * @throws a failure that comes before that; later ones are written as an event.
+ */
 export async function writeEventStream({
   response,
   events,
   heartbeatMs,
 }: EventStreamOptions): Promise<void> {
-  response.writeHead(HTTP_OK, {
-    'content-type': 'text/event-stream',
-    'cache-control': 'no-store',
-    'x-accel-buffering': 'no',
-  });
-  response.flushHeaders();
-  const heartbeat = setInterval(() => response.write(': heartbeat\n\n'), heartbeatMs);
+  const heartbeat = setInterval(() => {
+    begin(response);
+    response.write(': heartbeat\n\n');
+  }, heartbeatMs);
   try {
     for await (const event of events) {
       if (response.destroyed) return;
+      begin(response);
       const isBuffered = !response.write(formatEvent(event));
       if (isBuffered) await Promise.race([once(response, 'drain'), once(response, 'close')]);
     }
+    begin(response);
   } catch (error) {
+    if (!response.headersSent) throw error;
     if (!response.destroyed) response.write(formatFault(error));
   } finally {
     clearInterval(heartbeat);
-    response.end();
+    if (response.headersSent) response.end();
   }
 }
 
+function begin(response: ServerResponse): void {
+  if (response.headersSent) return;
+  response.writeHead(HTTP_OK, {
+    'content-type': 'text/event-stream',
+    'cache-control': 'no-store',
+    'x-accel-buffering': 'no',
+  });
+  response.flushHeaders();
+}
+
 function formatEvent(event: RequestEvent): string {
   const { type, ...data } = event.body;
   return `id: ${formatEventId(event)}\nevent: ${type}\ndata: ${JSON.stringify(data)}\n\n`;
--- a/packages/node/src/node/callers/request-routes.ts
+++ b/packages/node/src/node/callers/request-routes.ts
@@ -1,5 +1,6 @@
 import { inject, injectable } from 'inversify';
 import type { Request, Response } from 'restify';
+import { InvalidInput } from '@ragwortrudder/core';
 import type { Clock } from '@ragwortrudder/core';
 import { parseEventId } from '@ragwortrudder/requests';
 import type { EventPosition, RequestEvent, RequestInput } from '@ragwortrudder/requests';
@@ -152,7 +153,11 @@
 
 function keyOf(request: Request): string | undefined {
   const key = request.headers['idempotency-key'];
-  return typeof key === 'string' && key.length > 0 ? key.slice(0, MAX_KEY_LENGTH) : undefined;
+  if (typeof key !== 'string' || key.length === 0) return undefined;
+  if (key.length <= MAX_KEY_LENGTH) return key;
+  throw new InvalidInput('the idempotency key is too long', [
+    `Idempotency-Key: at most ${MAX_KEY_LENGTH} characters`,
+  ]);
 }
 
 function inputOf(body: CallerBody): RequestInput {
--- a/packages/node/src/node/http/http-server.ts
+++ b/packages/node/src/node/http/http-server.ts
@@ -1,18 +1,31 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { createServer, plugins } from 'restify';
 import type { Request, Response, Server } from 'restify';
 import type { Closeable, Failure } from '@ragwortrudder/core';
-import { BodyMalformed } from '../../errors/body-malformed.ts';
 import { BodyTooLarge } from '../../errors/body-too-large.ts';
+import { ConnectionsExceeded } from '../../errors/connections-exceeded.ts';
+import { ContentUnsupported } from '../../errors/content-unsupported.ts';
 import { HeaderTooLarge } from '../../errors/header-too-large.ts';
 import { MethodNotAllowed } from '../../errors/method-not-allowed.ts';
 import { PathUnknown } from '../../errors/path-unknown.ts';
+import { RequestMalformed } from '../../errors/request-malformed.ts';
+import { RequestTimeout } from '../../errors/request-timeout.ts';
 import { toFailure } from '../../utils/to-failure.ts';
+import { toProblemMessage } from '../../utils/to-problem-message.ts';
 import { sendProblem } from './send-problem.ts';
 
+const HTTP_BAD_REQUEST = 400;
+const HTTP_NOT_FOUND = 404;
+const HTTP_METHOD_NOT_ALLOWED = 405;
 const HTTP_PAYLOAD_TOO_LARGE = 413;
+const JSON_TYPE = 'application/json';
+const READABLE_TYPE =
+  /^(?:application\/(?:[\w.+-]*json|x-www-form-urlencoded)|text\/[\w.+-]+)\s*(?:;|$)/i;
 const CONNECTION_CHECK_MS = 1000;
 const KEEP_ALIVE_MS = 65_000;
+/** Connections above the limit that are still accepted, so that they can be told. */
+const REFUSED_CONNECTIONS = 64;
 
 type HttpMethod = 'get' | 'post' | 'del';
 type Handler = (request: Request, response: Response) => Promise<void>;
@@ -27,7 +40,7 @@
   readonly headerTimeoutMs: number;
   readonly bodyTimeoutMs: number;
   /** Called for every failure that is answered. */
-  readonly onFailure: (failure: Failure, request: Request) => void;
+  readonly onFailure: (failure: Failure) => void;
 }
 
 /** HTTP server with limits on size, time and connections, that answers failures as problems. */
@@ -35,6 +48,8 @@
   readonly #server: Server;
   readonly #options: HttpServerOptions;
   readonly #sockets = new Set<Socket>();
+  readonly #excess = new WeakSet<Socket>();
+  readonly #responses = new WeakMap<Socket, ServerResponse>();
 
   constructor(options: HttpServerOptions) {
     this.#options = options;
@@ -55,7 +70,7 @@
       try {
         await handler(request, response);
       } catch (error) {
-        this.#fail(request, response, toFailure(error));
+        this.#fail(response, toFailure(error));
       }
     });
   }
@@ -82,62 +97,119 @@
   }
 
   #limit(): void {
-    const { bodyBytes, connections, headerTimeoutMs, bodyTimeoutMs } = this.#options;
+    const { bodyBytes, headerBytes, connections, headerTimeoutMs, bodyTimeoutMs } = this.#options;
     const { server } = this.#server;
-    server.maxConnections = connections;
+    server.maxConnections = connections + REFUSED_CONNECTIONS;
     server.headersTimeout = headerTimeoutMs;
     server.requestTimeout = headerTimeoutMs + bodyTimeoutMs;
     server.keepAliveTimeout = KEEP_ALIVE_MS;
-    Object.assign(server, { connectionsCheckingInterval: CONNECTION_CHECK_MS });
+    Object.assign(server, {
+      connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      maxHeaderSize: 2 * headerBytes,
+    });
     server.on('connection', (socket: Socket) => {
-      this.#sockets.add(socket);
-      socket.setNoDelay(true);
-      socket.once('close', () => this.#sockets.delete(socket));
+      this.#admit(socket);
+    });
+    server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+      this.#responses.set(request.socket, response);
+    });
+    server.on('clientError', (error: Error, socket: Socket) => {
+      this.#failSocket(error, socket);
     });
     this.#server.pre((request, response, next) => {
-      const size = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
-      if (size > this.#options.headerBytes) {
-        this.#fail(request, response, new HeaderTooLarge(this.#options.headerBytes));
-        next(false);
-        return;
-      }
-      next();
+      request.headers['content-type'] ??= JSON_TYPE;
+      const failure = this.#refusalOf(request);
+      if (failure) this.#refuse(request, response, failure);
+      next(failure ? false : undefined);
     });
     this.#server.use(plugins.queryParser({ mapParams: false }));
     this.#server.use(plugins.bodyReader({ maxBodySize: bodyBytes }));
+    this.#server.use((request, _response, next) => {
+      next(isBrokenOff(request) ? false : undefined);
+    });
+  }
+
+  #admit(socket: Socket): void {
+    if (this.#sockets.size >= this.#options.connections) this.#excess.add(socket);
+    this.#sockets.add(socket);
+    socket.setNoDelay(true);
+    socket.once('close', () => this.#sockets.delete(socket));
+  }
+
+  /** Why a request is refused before it is read; undefined when it is not. */
+  #refusalOf(request: Request): Failure | undefined {
+    const { headerBytes, connections } = this.#options;
+    if (this.#excess.has(request.socket)) return new ConnectionsExceeded(connections);
+    const size = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
+    if (size > headerBytes) return new HeaderTooLarge(headerBytes);
+    return isReadable(request) ? undefined : new ContentUnsupported();
+  }
+
+  /** Answers a request whose body has not been read; the connection is closed afterwards. */
+  #refuse(request: Request, response: Response, failure: Failure): void {
+    response.shouldKeepAlive = false;
+    request.resume();
+    this.#fail(response, failure);
   }
 
+  /** Answers what is not a complete request. */
+  #failSocket(error: Error, socket: Socket): void {
+    const response = this.#responses.get(socket);
+    const isAnswering = response?.headersSent === true && !response.writableFinished;
+    if (!socket.writable || isAnswering) {
+      socket.destroy();
+      return;
+    }
+    const failure = this.#failureOf(error);
+    this.#options.onFailure(failure);
+    socket.end(toProblemMessage(failure));
+  }
+
+  #failureOf(error: Error): Failure {
+    const code = 'code' in error ? error.code : undefined;
+    if (code === 'HPE_HEADER_OVERFLOW') return new HeaderTooLarge(this.#options.headerBytes);
+    return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? new RequestTimeout() : new RequestMalformed();
+  }
+
+  /**
+   * Answers what fails before a handler runs. The listener does not call back, as restify would then
+   * answer a second time.
+   */
   #answerRoutingErrors(): void {
-    const answer =
-      (failureOf: (request: Request) => Failure) =>
-      (request: Request, response: Response, _error: Error, done: () => void): void => {
-        this.#fail(request, response, failureOf(request));
-        done();
-      };
-    this.#server.on(
-      'NotFound',
-      answer((request) => new PathUnknown(request.path())),
-    );
-    this.#server.on(
-      'MethodNotAllowed',
-      answer((request) => new MethodNotAllowed(request.method ?? '')),
-    );
-    this.#server.on(
-      'restifyError',
-      (request: Request, response: Response, error: Error, done: () => void) => {
-        const status = 'statusCode' in error ? error.statusCode : undefined;
-        const isTooLarge = status === HTTP_PAYLOAD_TOO_LARGE;
-        const failure = isTooLarge
-          ? new BodyTooLarge(this.#options.bodyBytes)
-          : new BodyMalformed();
-        this.#fail(request, response, failure);
-        done();
-      },
-    );
+    this.#server.on('restifyError', (request: Request, response: Response, error: unknown) => {
+      this.#fail(response, this.#routingFailure(request, error));
+    });
   }
 
-  #fail(request: Request, response: Response, failure: Failure): void {
-    this.#options.onFailure(failure, request);
+  #routingFailure(request: Request, error: unknown): Failure {
+    const hasStatus = error instanceof Error && 'statusCode' in error;
+    switch (hasStatus ? error.statusCode : undefined) {
+      case HTTP_NOT_FOUND:
+        return new PathUnknown(request.path());
+      case HTTP_METHOD_NOT_ALLOWED:
+        return new MethodNotAllowed(request.method ?? '');
+      case HTTP_PAYLOAD_TOO_LARGE:
+        return new BodyTooLarge(this.#options.bodyBytes);
+      case HTTP_BAD_REQUEST:
+        return new RequestMalformed();
+      default:
+        return toFailure(error);
+    }
+  }
+
+  #fail(response: Response, failure: Failure): void {
+    this.#options.onFailure(failure);
     sendProblem(response, failure);
   }
 }
+
+/** True when the sender stopped, or was stopped, before the end of its request. */
+function isBrokenOff(request: Request): boolean {
+  return request.destroyed && !request.complete;
+}
+
+/** True when the body is text without an encoding; the type of JSON is not always stated right. */
+function isReadable({ headers }: Request): boolean {
+  const { 'content-encoding': encoding, 'content-type': type = JSON_TYPE } = headers;
+  return encoding === undefined && READABLE_TYPE.test(type);
+}
--- /dev/null
+++ b/test/node-api/open-api.ts
@@ -0,0 +1,81 @@
+import { readFileSync } from 'node:fs';
+import { z } from 'zod';
+
+type Json = Readonly<Record<string, unknown>>;
+
+interface Media {
+  readonly schema: Json;
+}
+interface Answer {
+  readonly $ref?: string;
+  readonly content?: Readonly<Record<string, Media>>;
+}
+interface Operation {
+  readonly operationId: string;
+  readonly tags: readonly string[];
+  readonly responses: Readonly<Record<string, Answer>>;
+}
+interface OpenApi {
+  readonly paths: Readonly<Record<string, Readonly<Record<string, Operation>>>>;
+  readonly components: {
+    readonly schemas: Readonly<Record<string, Json>>;
+    readonly responses: Readonly<Record<string, Answer>>;
+  };
+}
+
+const PAGE = new URL('../../docs/openapi.json', import.meta.url);
+const document = JSON.parse(readFileSync(PAGE, 'utf8')) as OpenApi;
+
+/** Replaces references by what they name; the schemas of the page do not refer to themselves. */
+function resolved(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(resolved);
+  if (typeof value !== 'object' || value === null) return value;
+  if ('$ref' in value) return resolved(document.components.schemas[nameOf(String(value.$ref))]);
+  return Object.fromEntries(Object.entries(value).map(([name, item]) => [name, resolved(item)]));
+}
+
+function nameOf(reference: string): string {
+  return reference.split('/').at(-1) ?? '';
+}
+
+function schemaOf(node: unknown): z.ZodType {
+  return z.fromJSONSchema(resolved(node) as Parameters<typeof z.fromJSONSchema>[0]);
+}
+
+/** Operations of the page, `METHOD path`. */
+export const operations: ReadonlyMap<string, Operation> = new Map(
+  Object.entries(document.paths).flatMap(([path, methods]) =>
+    Object.entries(methods).map(([method, operation]) => [
+      `${method.toUpperCase()} ${path}`,
+      operation,
+    ]),
+  ),
+);
+
+/** Problems of `data` against the schema `name` of the page. */
+export function problemsOfSchema(name: string, data: unknown): readonly string[] {
+  const result = schemaOf(document.components.schemas[name]).safeParse(data);
+  return result.success
+    ? []
+    : result.error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`);
+}
+
+/** Problems of an answer against what the page says of the operation; none when it agrees. */
+export async function problemsOfAnswer(
+  operationName: string,
+  answer: Response,
+): Promise<readonly string[]> {
+  const stated = operations.get(operationName)?.responses[String(answer.status)];
+  if (!stated) return [`status ${answer.status} is not stated`];
+  const { content = {} } =
+    stated.$ref === undefined ? stated : (document.components.responses[nameOf(stated.$ref)] ?? {});
+  const type = (answer.headers.get('content-type') ?? '').split(';')[0] ?? '';
+  const media = content[type];
+  if (!media) return [`content type ${type} is not stated for status ${answer.status}`];
+  const text = await answer.text();
+  const data: unknown = type.endsWith('json') ? JSON.parse(text) : text;
+  const result = schemaOf(media.schema).safeParse(data);
+  return result.success
+    ? []
+    : result.error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`);
+}
