--- a/packages/bench/src/utils/run-values.ts
+++ b/packages/bench/src/utils/run-values.ts
@@ -31,11 +31,19 @@
   return stats.reduce((sum, one) => sum + one[name], 0);
 }
 
+function firstOf({ outcome, firstMs }: AnswerTiming): number {
+  return outcome === 'done' ? firstMs : Infinity;
+}
+
 /** Summary of a run on model engines. */
 export function runValues(options: RunOptions): Readonly<Record<string, number>> {
   const { answers, stats, durationMs, pricePerHour, prefillRate } = options;
   const done = answers.filter(({ outcome }) => outcome === 'done');
-  const firsts = answers.map(({ outcome, firstMs }) => (outcome === 'done' ? firstMs : Infinity));
+  const firsts = answers.map(firstOf);
+  const firstsOf = (service: string, route = 'interactive'): readonly number[] =>
+    answers
+      .filter(({ request }) => request.service === service && request.body.class === route)
+      .map(firstOf);
   const gaps = done.flatMap(({ gapsMs }) => gapsMs);
   const within = answers.filter(isWithinTarget);
   const tokens = within.reduce((sum, answer) => sum + answer.tokens, 0);
@@ -48,6 +56,9 @@
     firstP95: percentile(firsts, 0.95),
     firstP99: percentile(firsts, 0.99),
     firstWithin: shareWithin(firsts, FIRST_TARGET_MS),
+    quotesP95: percentile(firstsOf('quotes'), 0.95),
+    questionsP95: percentile(firstsOf('reconciliation', 'interactive'), 0.95),
+    reconciliationsP95: percentile(firstsOf('reconciliation', 'batch'), 0.95),
     gapP50: percentile(gaps, 0.5),
     gapP95: percentile(gaps, 0.95),
     gapP99: percentile(gaps, 0.99),
