--- /dev/null
+++ b/packages/node/src/errors/expectation-unsupported.ts
@@ -0,0 +1,14 @@
+import { Failure } from '@ragwortrudder/core';
+
+/** The header `Expect` asks for something other than `100-continue`. */
+export class ExpectationUnsupported extends Failure {
+  readonly code = 'expectation-unsupported';
+
+  constructor() {
+    super('the expectation of the request cannot be met', {
+      status: 417,
+      notRun: true,
+      hint: 'send the request without the header Expect',
+    });
+  }
+}
--- a/packages/node/src/node/http/http-server.ts
+++ b/packages/node/src/node/http/http-server.ts
@@ -6,6 +6,7 @@
 import { BodyTooLarge } from '../../errors/body-too-large.ts';
 import { ConnectionsExceeded } from '../../errors/connections-exceeded.ts';
 import { ContentUnsupported } from '../../errors/content-unsupported.ts';
+import { ExpectationUnsupported } from '../../errors/expectation-unsupported.ts';
 import { HeaderTooLarge } from '../../errors/header-too-large.ts';
 import { MethodNotAllowed } from '../../errors/method-not-allowed.ts';
 import { PathUnknown } from '../../errors/path-unknown.ts';
@@ -113,6 +114,9 @@
     server.on('request', (request: IncomingMessage, response: ServerResponse) => {
       this.#responses.set(request.socket, response);
     });
+    server.on('checkExpectation', (_request: IncomingMessage, response: ServerResponse) => {
+      this.#fail(response, new ExpectationUnsupported());
+    });
     server.on('clientError', (error: Error, socket: Socket) => {
       this.#failSocket(error, socket);
     });
@@ -197,7 +201,7 @@
     }
   }
 
-  #fail(response: Response, failure: Failure): void {
+  #fail(response: ServerResponse, failure: Failure): void {
     this.#options.onFailure(failure);
     sendProblem(response, failure);
   }
--- a/packages/node/src/node/peers/peer-methods.ts
+++ b/packages/node/src/node/peers/peer-methods.ts
@@ -1,9 +1,18 @@
 import { inject, injectable } from 'inversify';
 import { JSONRPCServer } from 'json-rpc-2.0';
+import { z } from 'zod';
 import { InvalidInput } from '@ragwortrudder/core';
+import { BodyMalformed } from '../../errors/body-malformed.ts';
 import type { RpcMethod } from '../../types/rpc-method.ts';
 import { Metrics } from '../metrics/metrics.ts';
 
+const Message = z.strictObject({
+  jsonrpc: z.literal('2.0'),
+  id: z.union([z.string(), z.number()]).nullish(),
+  method: z.string(),
+  params: z.unknown().optional(),
+});
+
 /** Table of the methods that peers may call here. */
 @injectable()
 export class PeerMethods {
@@ -29,8 +38,22 @@
     });
   }
 
-  /** Answers one JSON-RPC message. */
+  /**
+   * Answers one JSON-RPC message.
+   * @throws {@link BodyMalformed} for anything else.
+   */
   async receive(body: string): Promise<unknown> {
-    return this.#server.receiveJSON(body);
+    const message = Message.safeParse(parse(body));
+    if (!message.success) throw new BodyMalformed();
+    const { id = null, ...call } = message.data;
+    return this.#server.receive({ ...call, id });
+  }
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    throw new BodyMalformed();
   }
 }
