--- a/packages/node/src/node/requests/claimed-permit.ts
+++ b/packages/node/src/node/requests/claimed-permit.ts
@@ -19,7 +19,7 @@
 const MAX_STEPS = 8;
 
 interface ClaimedPermitOptions {
-  readonly claims: ClaimBoard;
+  readonly claims: Pick<ClaimBoard, 'state' | 'find' | 'write'>;
   readonly ledger: AttemptLedger;
   /** Reads the state of the world for a decision; `self` stays the same. */
   readonly query: () => ClaimQuery;
@@ -27,7 +27,7 @@
 
 /** {@link RunPermit} of a key that the caller made: the log decides which node may send. */
 export class ClaimedPermit implements RunPermit {
-  readonly #claims: ClaimBoard;
+  readonly #claims: ClaimedPermitOptions['claims'];
   readonly #ledger: AttemptLedger;
   readonly #query: () => ClaimQuery;
   /** Attempt that this request began to send, and no other request of this node. */
--- a/packages/node/src/node/requests/replication.ts
+++ b/packages/node/src/node/requests/replication.ts
@@ -18,7 +18,7 @@
   readonly request: AcceptedRequest;
   readonly events: EventLog;
   readonly self: Incarnation;
-  readonly links: ReplicaLinks;
+  readonly links: Pick<ReplicaLinks, 'send'>;
   readonly metrics: Metrics;
   readonly clock: Clock;
   /** Chooses the next node to hold the replica; undefined when there is none. */
--- a/packages/node/src/node/runners/model-attempt.ts
+++ b/packages/node/src/node/runners/model-attempt.ts
@@ -17,8 +17,8 @@
 interface ModelAttemptOptions {
   readonly owned: OwnedRequest;
   readonly assignment: Assignment;
-  readonly model: ModelClient;
-  readonly client: RunnerClient;
+  readonly model: Pick<ModelClient, 'generate'>;
+  readonly client: Pick<RunnerClient, 'probe' | 'cancel'>;
   readonly clock: Clock;
   readonly metrics: Metrics;
 }
--- /dev/null
+++ b/test/node/replication.test.ts
@@ -0,0 +1,122 @@
+import test from 'ava';
+import { ManualClock } from '@ragwortrudder/core';
+import type { Member } from '@ragwortrudder/membership';
+import { EventLog, ReplicaTable, nextEpoch } from '@ragwortrudder/requests';
+import type { AcceptedRequest, ReplicaUpdate, ReplicaVerdict } from '@ragwortrudder/requests';
+import { Metrics } from '../../packages/node/src/node/metrics/metrics.ts';
+import { Replication } from '../../packages/node/src/node/requests/replication.ts';
+
+const SELF = { nodeId: 'a', number: 1 };
+
+const REQUEST: AcceptedRequest = {
+  id: 'r1.a.1.b.x',
+  tenant: 'novak',
+  service: 'quotes',
+  class: 'batch',
+  deadline: 1000,
+  acceptedAt: 0,
+  idempotent: true,
+  input: { kind: 'model', prompt: 'p', maxTokens: 3 },
+};
+
+function memberOf(nodeId: string): Member {
+  return {
+    nodeId,
+    incarnation: 1,
+    failureDomain: nodeId,
+    region: 'r',
+    peerAddress: nodeId,
+    callerAddress: nodeId,
+    state: 'alive',
+    refutation: 0,
+  };
+}
+
+/** Two holders that can be made silent, or promote what they hold. */
+class Holders {
+  readonly tables = new Map(['b', 'c'].map((nodeId) => [nodeId, new ReplicaTable()]));
+  readonly silent = new Set<string>();
+  superseded = 0;
+  readonly events = new EventLog(REQUEST.id, nextEpoch(0, 'a'));
+  readonly replication = new Replication({
+    request: REQUEST,
+    events: this.events,
+    self: SELF,
+    links: { send: (address, update) => this.#send(address, update) },
+    metrics: new Metrics(),
+    clock: new ManualClock(),
+    chooseHolder: (excluded) =>
+      ['b', 'c'].filter((nodeId) => !excluded.has(nodeId)).map(memberOf)[0],
+    onSuperseded: () => {
+      this.superseded += 1;
+    },
+  });
+
+  table(nodeId: string): ReplicaTable {
+    return this.tables.get(nodeId) ?? new ReplicaTable();
+  }
+
+  async #send(address: string, update: ReplicaUpdate): Promise<ReplicaVerdict> {
+    await Promise.resolve();
+    if (this.silent.has(address)) throw new RangeError('silent');
+    return this.table(address).apply(update, 0);
+  }
+}
+
+test('an event is committed only once a holder has it', async (t) => {
+  const holders = new Holders();
+  const { events, replication } = holders;
+  events.add({ type: 'accepted', id: REQUEST.id });
+  const flushed = replication.flush();
+  t.is(events.committed, 0);
+  await flushed;
+  t.is(events.committed, 1);
+  t.is(holders.table('b').get(REQUEST.id)?.events.length, 1);
+});
+
+test('another holder is taken when the first falls silent, under a later epoch', async (t) => {
+  const holders = new Holders();
+  const { events, replication } = holders;
+  events.add({ type: 'accepted', id: REQUEST.id });
+  await replication.flush();
+  const { epoch } = events;
+  holders.silent.add('b');
+  events.add({ type: 'token', index: 0, text: 'x' });
+  await replication.flush();
+  t.is(replication.holder?.nodeId, 'c');
+  t.true(events.epoch > epoch);
+  t.is(holders.table('c').get(REQUEST.id)?.events.length, 2);
+  t.is(events.committed, 2);
+});
+
+test('without any holder events go on, uncounted as replicated', async (t) => {
+  const holders = new Holders();
+  holders.silent.add('b').add('c');
+  holders.events.add({ type: 'accepted', id: REQUEST.id });
+  await holders.replication.flush();
+  t.is(holders.events.committed, 1);
+  t.is(holders.replication.holder, undefined);
+});
+
+test('an owner that was replaced shows no further event', async (t) => {
+  const holders = new Holders();
+  const { events, replication } = holders;
+  events.add({ type: 'accepted', id: REQUEST.id });
+  await replication.flush();
+  holders.table('b').promote(REQUEST.id, { nodeId: 'b', number: 1 });
+  events.add({ type: 'token', index: 0, text: 'x' });
+  await t.throwsAsync(replication.flush(), { name: 'Superseded' });
+  t.is(events.committed, 1);
+  t.is(holders.superseded, 1);
+});
+
+test('a holder that lost the replica gets it whole', async (t) => {
+  const holders = new Holders();
+  const { events, replication } = holders;
+  events.add({ type: 'accepted', id: REQUEST.id });
+  await replication.flush();
+  holders.tables.set('b', new ReplicaTable());
+  events.add({ type: 'token', index: 0, text: 'x' });
+  await replication.flush();
+  t.is(holders.table('b').get(REQUEST.id)?.events.length, 2);
+});
