Let settings choose the way of reclaimed streams and the silence that is probed

Cause: the ways to finish a stream on a leaving endpoint, and silence detection, could not be compared on real processes. runners.reclaimPolicy (default cost, as before) and runners.minSilenceMs (default 500, as before) allow it.

--- a/packages/node/src/node/runners/model-runs.ts
+++ b/packages/node/src/node/runners/model-runs.ts
@@ -168,21 +168,26 @@
     const { owned, assignment } = attempt;
     const { runner, version } = assignment;
     const { input } = owned.request;
-    if (input.kind !== 'model' || attempt.isLeaving) return;
+    const { reclaimPolicy } = this.#settings.runners;
+    if (input.kind !== 'model' || attempt.isLeaving || reclaimPolicy === 'finish') return;
+    const mayFinish = reclaimPolicy === 'cost';
+    const mayMove = reclaimPolicy !== 'recompute';
     const request = this.#dispatcher.describe(owned, version);
     const choice = reclaimChoice({
       remainingMs: reclaimAt - this.#clock.wall(),
       request,
       source: this.#pool.view(runner),
-      remainingTokens: input.maxTokens - owned.events.tokens.length,
+      remainingTokens: mayFinish ? input.maxTokens - owned.events.tokens.length : Infinity,
       candidates: this.#pool.views(owned.request.service, version),
       random: this.#random,
       cache: this.#pool.cache,
-      kvExport: {
-        tokens: request.promptTokens,
-        tokensPerSecond: KV_TOKENS_PER_SECOND,
-        overheadMs: KV_OVERHEAD_MS,
-      },
+      ...(mayMove && {
+        kvExport: {
+          tokens: request.promptTokens,
+          tokensPerSecond: KV_TOKENS_PER_SECOND,
+          overheadMs: KV_OVERHEAD_MS,
+        },
+      }),
     });
     if (choice.action === 'finish') return;
     attempt.isLeaving = true;
--- a/packages/settings/src/types/runners.ts
+++ b/packages/settings/src/types/runners.ts
@@ -41,6 +41,16 @@
       .enum(['estimate', 'round-robin', 'least-loaded', 'prefix-hash'])
       .default('estimate')
       .describe('How a model engine is chosen.'),
+    reclaimPolicy: z
+      .enum(['cost', 'finish', 'recompute', 'move-kv'])
+      .default('cost')
+      .describe('How a stream on a leaving endpoint is finished; `cost` takes the cheapest way.'),
+    minSilenceMs: ms({
+      min: 50,
+      max: 10 * MINUTE_MS,
+      fallback: 500,
+      doc: 'Silence of a stream below which its connection is not probed.',
+    }),
   })
   .readonly();
 export type Runners = z.infer<typeof Runners>;
