Let tickets name a capacity, and leases name their predecessors

A service may name capacity; a lease keeps the fencing numbers of the last four leases of its job; the settings have a group for the supply of VMs.

--- a/packages/leases/src/types/lease-record.ts
+++ b/packages/leases/src/types/lease-record.ts
@@ -10,5 +10,7 @@
   /** End by log time, in milliseconds since the epoch. */
   endsAtMs: z.number(),
   released: z.boolean(),
+  /** Fencing numbers of earlier leases of the job, the newest first. */
+  earlierFences: z.array(z.number()).readonly().default([]),
 });
 export type LeaseRecord = Readonly<z.infer<typeof LeaseRecord>>;
--- a/packages/leases/src/utils/next-lease-record.ts
+++ b/packages/leases/src/utils/next-lease-record.ts
@@ -1,6 +1,9 @@
 import type { LeaseEntry } from '../types/lease-entry.ts';
 import type { LeaseRecord } from '../types/lease-record.ts';
 
+/** Fencing numbers of earlier leases that are kept. */
+const MAX_EARLIER_FENCES = 4;
+
 interface Context {
   readonly record: LeaseRecord | undefined;
   /** Position of the entry. */
@@ -13,6 +16,10 @@
   return !record || record.released || record.endsAtMs <= timeMs;
 }
 
+function earlierFences(record: LeaseRecord | undefined): readonly number[] {
+  return record ? [record.fence, ...record.earlierFences].slice(0, MAX_EARLIER_FENCES) : [];
+}
+
 /**
  * Returns the lease after an entry, or undefined when the entry is void. An `acquire` counts when
  * the job is free; `renew` and `release` count from the holder under its fencing number before the
@@ -29,6 +36,7 @@
       grantedBy: position,
       endsAtMs,
       released: false,
+      earlierFences: earlierFences(record),
     };
   }
   if (!record || isFree(record, timeMs)) return undefined;
--- a/packages/settings/src/types/settings.ts
+++ b/packages/settings/src/types/settings.ts
@@ -10,6 +10,7 @@
 import { Requests } from './requests.ts';
 import { Runners } from './runners.ts';
 import { Shutdown } from './shutdown.ts';
+import { Supply } from './supply.ts';
 
 /** Settings of one node. */
 export const Settings = z
@@ -39,6 +40,7 @@
     membership: Membership.prefault({}),
     log: Log.prefault({}),
     runners: Runners.prefault({}),
+    supply: Supply.prefault({}),
     shutdown: Shutdown.prefault({}),
   })
   .readonly();
--- a/packages/tickets/src/index.ts
+++ b/packages/tickets/src/index.ts
@@ -1,3 +1,4 @@
+export { Capacity } from './types/capacity.ts';
 export type { DomainsState } from './types/domains-state.ts';
 export { MoveWordEntry } from './types/move-word-entry.ts';
 export type { MoveWord } from './types/move-word.ts';
--- a/packages/tickets/src/types/service.ts
+++ b/packages/tickets/src/types/service.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { Capacity } from './capacity.ts';
 import { Trial } from './trial.ts';
 
 const Version = z.string().min(1).max(128);
@@ -23,6 +24,8 @@
     /** Request classes that the service takes. */
     classes: z.array(z.string().min(1).max(63)).min(1).readonly(),
     trial: Trial.optional(),
+    /** Capacity that the system keeps up by starting and returning VMs; absent, it does neither. */
+    capacity: Capacity.optional(),
   })
   .readonly();
 export type Service = z.infer<typeof Service>;
--- a/test/leases/lease-fold.test.ts
+++ b/test/leases/lease-fold.test.ts
@@ -53,3 +53,12 @@
   const entry = { position: 1024, offset: 1, id: 'x', time: 3, body: { type: 'acquire' } };
   t.deepEqual(leaseFold.apply(state, entry).jobs, state.jobs);
 });
+
+test('a lease names the last earlier ones of its job, the newest first', (t) => {
+  const acquires = [0, 1, 2, 3, 4, 5].map((index): Timed => [
+    index * DURATION_MS,
+    index % 2 === 0 ? ACQUIRE_A : ACQUIRE_B,
+  ]);
+  t.deepEqual(fold(...acquires.slice(0, 1)).jobs[JOB]?.earlierFences, []);
+  t.deepEqual(fold(...acquires).jobs[JOB]?.earlierFences, [4096, 3072, 2048, 1024]);
+});
--- a/test/tickets/schema.test.ts
+++ b/test/tickets/schema.test.ts
@@ -66,3 +66,16 @@
     1,
   );
 });
+
+test('takes a capacity of whole runners, and keeps services without one unmanaged', (t) => {
+  const withCapacity = (capacity: unknown): unknown => ({
+    ...GOOD,
+    services: { quotes: { ...service('v2'), capacity } },
+  });
+  const taken = parseTicket(withCapacity({ runners: 0, machineClass: 'gpu-8' }));
+  t.deepEqual(taken.services.quotes?.capacity, { runners: 0, machineClass: 'gpu-8' });
+  t.is(parseTicket(GOOD).services.quotes?.capacity, undefined);
+  for (const capacity of [{}, { runners: -1 }, { runners: 1.5 }, { runners: 1, vms: 2 }, 3]) {
+    t.is(problemsOf(withCapacity(capacity)).length, 1, JSON.stringify(capacity));
+  }
+});
