--- a/packages/node/src/node/runners/runner-pool.ts
+++ b/packages/node/src/node/runners/runner-pool.ts
@@ -168,7 +168,9 @@
   }
 
   #create(identity: RunnerIdentity): Runner {
-    const runner = new Runner(identity, this.#settings.admission.runnerLimit, {
+    const runner = new Runner({
+      identity,
+      initialLimit: this.#settings.admission.runnerLimit,
       minSilenceMs: this.#settings.runners.minSilenceMs,
     });
     this.#runners.set(identity.id, runner);
--- a/packages/node/src/node/runners/runner.ts
+++ b/packages/node/src/node/runners/runner.ts
@@ -1,6 +1,14 @@
 import { ConcurrencyLimit } from '@ragwortrudder/admission';
 import { RunnerTracker, StreamWatch } from '@ragwortrudder/routing';
-import type { RunnerIdentity, StreamWatchOptions } from '@ragwortrudder/routing';
+import type { RunnerIdentity } from '@ragwortrudder/routing';
+
+interface RunnerOptions {
+  readonly identity: RunnerIdentity;
+  /** Requests that may be in flight on the runner before its limit has adapted. */
+  readonly initialLimit: number;
+  /** Silence of a stream in milliseconds below which it is not probed. */
+  readonly minSilenceMs: number;
+}
 
 /** Everything that this node keeps about one runner. */
 export class Runner {
@@ -11,10 +19,10 @@
   /** Wall-clock time in milliseconds at which the VM is reclaimed; undefined without a notice. */
   reclaimAt: number | undefined;
 
-  constructor(identity: RunnerIdentity, initialLimit: number, watch: StreamWatchOptions = {}) {
+  constructor({ identity, initialLimit, minSilenceMs }: RunnerOptions) {
     this.identity = identity;
     this.tracker = new RunnerTracker(identity);
-    this.watch = new StreamWatch(watch);
+    this.watch = new StreamWatch({ minSilenceMs });
     this.limit = new ConcurrencyLimit({ initial: initialLimit });
   }
 }
