--- a/packages/prove/src/node/proofs/ticket-in-force.ts
+++ b/packages/prove/src/node/proofs/ticket-in-force.ts
@@ -31,26 +31,22 @@
   },
 };
 
+/** Two operators race with conflicting tickets, both written against the newest accepted one. */
 async function submitTickets(stage: Stage): Promise<void> {
   const endsAt = performance.now() + DURATION_MS;
-  let number = 1;
+  let next = 2;
   while (performance.now() < endsAt) {
-    const against = number;
-    number += 1;
-    const tickets = [number, number].map((own, index) => ({
-      number: own,
-      against,
-      tenants: { novak: { weight: number + index, maxConcurrent: 1000, maxQueued: 1000 } },
-    }));
+    const against = stage.newestTicket;
+    const numbers = [next, next + 1];
+    next += 2;
     const nodes = stage.fleet.entries.map(({ name }) => name);
-    const states = await Promise.all(
-      tickets.map((ticket, index) =>
-        stage
-          .submitNumbered(ticket, nodes[(number + index) % nodes.length])
-          .catch(() => 'unanswered'),
-      ),
+    await Promise.all(
+      numbers.map((number) => {
+        const tenants = { novak: { weight: number, maxConcurrent: 1000, maxQueued: 1000 } };
+        const ticket = { number, against, tenants };
+        return stage.submitNumbered(ticket, nodes[number % nodes.length]).catch(() => 'unanswered');
+      }),
     );
-    if (!states.includes('accepted')) number -= states.includes('refused') ? 0 : 1;
     await stage.pause(TICKET_PAUSE_MS);
   }
 }
--- a/packages/prove/src/node/stage.ts
+++ b/packages/prove/src/node/stage.ts
@@ -53,6 +53,11 @@
     return this.#words;
   }
 
+  /** Number of the newest ticket that was accepted. */
+  get newestTicket(): number {
+    return this.#ticket;
+  }
+
   /** Number of faults brought about. */
   get faults(): number {
     return this.#events.filter((event) => event.type === 'fault' && event.phase !== 'end').length;
