--- a/packages/cli/src/commands/request.ts
+++ b/packages/cli/src/commands/request.ts
@@ -1,6 +1,7 @@
 import type { CommandModule } from 'yargs';
 import { CallerClient } from '@ragwortrudder/client';
 import { SeededRandom } from '@ragwortrudder/core';
+import { UsageInvalid } from '../errors/usage-invalid.ts';
 import { AnswerPrinter } from '../node/answer-printer.ts';
 import { readKey } from '../node/read-key.ts';
 import { ProgressObserver } from '../node/progress-observer.ts';
@@ -11,6 +12,10 @@
 const MS_PER_SECOND = 1000;
 const DEFAULT_PATIENCE_SECONDS = 60;
 
+function checkKeyOptions({ key, 'issue-key': issueKey }: RequestOptions): void {
+  if (key !== undefined && issueKey) throw new UsageInvalid('give --key or --issue-key, not both');
+}
+
 /** `request`: sends one request and prints its answer, over as many connections as that takes. */
 export const requestCommand: CommandModule<object, RequestOptions> = {
   command: 'request <service>',
@@ -57,7 +62,6 @@
         describe: 'time in seconds for which refused or broken calls are tried again',
       })
       .conflicts('prompt', 'operation')
-      .conflicts('key', 'issue-key')
       .example(
         '$0 request quotes --prompt "Draft a quote for 40 mops" --max-tokens 64 --node 10.0.0.1:7000 --key-file tenant.key',
         'ask a model',
@@ -67,6 +71,7 @@
         'run an operation at most once',
       ),
   handler: async (options) => {
+    checkKeyOptions(options);
     const body = requestBody(options);
     const nodes = options.node;
     const key = await readKey(options['key-file']);
--- a/packages/cli/src/commands/ticket-list.ts
+++ b/packages/cli/src/commands/ticket-list.ts
@@ -32,7 +32,7 @@
   builder: (args) =>
     addConnectionOptions(args).example(
       '$0 ticket list --node 10.0.0.1:7000 --key-file operator.key',
-      'the newest tickets, oldest first',
+      'the newest tickets, newest first',
     ),
   handler: async ({ node, 'key-file': keyFile, json }) => {
     const client = new OperatorClient({ nodes: node, key: await readKey(keyFile) });
--- a/packages/cli/src/commands/ticket-watch.ts
+++ b/packages/cli/src/commands/ticket-watch.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { CommandModule } from 'yargs';
 import { ConnectionLost, OperatorClient, RequestRefused } from '@ragwortrudder/client';
-import type { TicketReport } from '@ragwortrudder/client';
+import type { NodeStatus, TicketReport } from '@ragwortrudder/client';
 import { MoveUndone } from '../errors/move-undone.ts';
 import { TicketLost } from '../errors/ticket-lost.ts';
 import { WatchTimeout } from '../errors/watch-timeout.ts';
@@ -15,6 +15,7 @@
 
 const LOOK_PERIOD_MS = 500;
 const MS_PER_SECOND = 1000;
+const PERCENT = 100;
 const DEFAULT_TIMEOUT_SECONDS = 900;
 
 interface WatchOptions extends ConnectionOptions {
@@ -22,10 +23,35 @@
   readonly timeout: number;
 }
 
+interface Sight {
+  readonly report: TicketReport;
+  /** Stages of the moves that are open, as the node sees them. */
+  readonly stages: readonly string[];
+}
+
+async function stagesOf(
+  client: OperatorClient,
+  { moves }: TicketReport,
+): Promise<readonly string[]> {
+  const open = moves.filter(({ word }) => word === null).map(({ service }) => service);
+  if (open.length === 0) return [];
+  const status = await client.status();
+  return status.moves
+    .filter(({ moveId }) => open.some((service) => moveId.startsWith(`${service}@`)))
+    .map(stageText);
+}
+
+function stageText({ moveId, state, plan }: NodeStatus['moves'][number]): string {
+  const service = moveId.slice(0, moveId.lastIndexOf('@'));
+  const share = Math.round((plan.share ?? 0) * PERCENT);
+  return `  stage     ${service}: ${state}, ${share}% of the requests\n`;
+}
+
 /** Status of the ticket; undefined while no node can tell it. */
-async function look(client: OperatorClient, number: number): Promise<TicketReport | undefined> {
+async function look(client: OperatorClient, number: number): Promise<Sight | undefined> {
   try {
-    return await client.showTicket(number);
+    const report = await client.showTicket(number);
+    return { report, stages: await stagesOf(client, report) };
   } catch (error) {
     if (error instanceof ConnectionLost) return undefined;
     if (error instanceof RequestRefused && error.retryable) return undefined;
@@ -33,6 +59,10 @@
   }
 }
 
+function textOf({ report, stages }: Sight): string {
+  return ticketText(report) + stages.join('');
+}
+
 function checkEnd(report: TicketReport): boolean {
   const end = ticketEnd(report);
   if (end === 'refused') throw new TicketLost(report);
@@ -70,11 +100,11 @@
     const endsAt = performance.now() + timeout * MS_PER_SECOND;
     let shown = '';
     for (;;) {
-      const report = await look(client, number);
-      const text = report ? ticketText(report) : 'no node answers; trying again\n';
-      if (text !== shown) print({ json, value: report ?? { reachable: false }, text });
+      const sight = await look(client, number);
+      const text = sight ? textOf(sight) : 'no node answers; trying again\n';
+      if (text !== shown) print({ json, value: sight ?? { reachable: false }, text });
       shown = text;
-      if (report && checkEnd(report)) return;
+      if (sight && checkEnd(sight.report)) return;
       if (performance.now() + LOOK_PERIOD_MS > endsAt) throw new WatchTimeout(number, timeout);
       await sleep(LOOK_PERIOD_MS);
     }
--- a/packages/cli/src/utils/ticket-text.ts
+++ b/packages/cli/src/utils/ticket-text.ts
@@ -2,9 +2,9 @@
 import { refusalText } from './refusal-text.ts';
 
 function inForceText(inForce: TicketReport['inForce']): string {
-  const domains = Object.entries(inForce).map(
-    ([domain, isInForce]) => `${domain} ${isInForce ? 'yes' : 'not yet'}`,
-  );
+  const domains = Object.entries(inForce)
+    .sort(([one], [other]) => one.localeCompare(other))
+    .map(([domain, isInForce]) => `${domain} ${isInForce ? 'yes' : 'not yet'}`);
   return domains.length > 0 ? domains.join(', ') : 'no failure domain known yet';
 }
 
--- a/packages/client/src/node/node-calls.ts
+++ b/packages/client/src/node/node-calls.ts
@@ -41,29 +41,34 @@
 
   /** Node whose turn it is. */
   nextNode(): string {
-    const { nodes } = this.#options;
-    const node = nodes[this.#next % nodes.length] ?? '';
+    const node = this.#node;
     this.#next += 1;
     return node;
   }
 
   /**
-   * Body of the first answer.
+   * Body of the first answer. The node that gave it is asked first the next time.
    * @throws a refusal that is final, else the failure of the last node.
    */
   async call(call: NodeCall): Promise<unknown> {
     let last: unknown;
     for (let left = this.#options.nodes.length; left > 0; left -= 1) {
       try {
-        return await this.#callOnce(this.nextNode(), call);
+        return await this.#callOnce(this.#node, call);
       } catch (error) {
         last = error;
+        this.#next += 1;
         if (error instanceof RequestRefused && !error.retryable) throw error;
       }
     }
     throw last;
   }
 
+  get #node(): string {
+    const { nodes } = this.#options;
+    return nodes[this.#next % nodes.length] ?? '';
+  }
+
   async #callOnce(node: string, { method, path, body, timeoutMs }: NodeCall): Promise<unknown> {
     const answer = await got(`http://${node}${path}`, {
       method,
--- a/packages/client/src/types/ticket-list.ts
+++ b/packages/client/src/types/ticket-list.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { TicketReport } from './ticket-report.ts';
 
-/** The newest tickets, oldest first. */
+/** The newest tickets, newest first. */
 export const TicketList = z.object({ tickets: z.array(TicketReport).readonly() }).readonly();
 export type TicketList = z.infer<typeof TicketList>;
--- a/packages/node/src/node/callers/operator-routes.ts
+++ b/packages/node/src/node/callers/operator-routes.ts
@@ -69,7 +69,7 @@
 
   #list(request: Request, response: Response): Promise<void> {
     this.#authentication.operator(request);
-    const records = listTickets(this.#tickets.state).slice(-MAX_LISTED);
+    const records = listTickets(this.#tickets.state).slice(0, MAX_LISTED);
     const tickets = records.map(({ number, author, at }) => ({
       author,
       at,
