Count a node's own prompts until their first token when routing to engines

Cause: a report counts a prompt that is being computed as running, not as waiting, so this node's own prompts dropped out of the estimate as soon as a report showed them, and an engine with a backlog looked idle.

--- a/packages/routing/src/utils/estimate-first-token.ts
+++ b/packages/routing/src/utils/estimate-first-token.ts
@@ -9,13 +9,18 @@
 const REPORT_DECAY_MS = 2000;
 const MS_PER_S = 1000;
 
-/** Prompt tokens ahead of a new request: reported and aged, plus this node's own. */
+/**
+ * Prompt tokens ahead of a new request: this node's own until their first token, since a report
+ * counts a prompt that is being computed as running, and those of others that wait, by the report.
+ */
 function tokensAhead(runner: RunnerView): number {
   const { load, loadAgeMs, unreported, inFlight } = runner;
   if (!load) return inFlight.prefillTokens;
+  const ownReported = inFlight.requests - unreported.requests;
+  const others = Math.max(0, load.running + load.waiting - ownReported);
+  const waitingOthers = Math.min(others, load.waiting);
   const weight = reportWeight(loadAgeMs, REPORT_DECAY_MS);
-  const reported = load.waiting * WAITING_TOKENS + unreported.prefillTokens;
-  return weight * reported + (1 - weight) * inFlight.prefillTokens;
+  return inFlight.prefillTokens + weight * waitingOthers * WAITING_TOKENS;
 }
 
 /** Estimates the time to the first token of `request` on `runner`. */
--- a/test/routing/policies.test.ts
+++ b/test/routing/policies.test.ts
@@ -84,6 +84,24 @@
   t.is(estimate.computedTokens, 100);
 });
 
+test('prompts of this node count until their first token, also once a report shows them', (t) => {
+  const runner = runnerView('1', {
+    load: { running: 2, waiting: 0, leaving: false },
+    unreported: { requests: 0, prefillTokens: 0 },
+    inFlight: { requests: 2, prefillTokens: 1000 },
+  });
+  t.is(estimateFirstToken(runner, requestOf(words(200, 'w')), 200).queueMs, 120);
+});
+
+test('a waiting request of another node counts besides the own ones', (t) => {
+  const runner = runnerView('1', {
+    load: { running: 2, waiting: 1, leaving: false },
+    prefillRate: 8000,
+    inFlight: { requests: 2, prefillTokens: 1000 },
+  });
+  t.is(estimateFirstToken(runner, requestOf(words(200, 'w')), 200).queueMs, 177);
+});
+
 test('a known prefix is used until its runner is so busy that computing elsewhere is cheaper', (t) => {
   const request = requestOf(words(1600, 'w'));
   const cache = new CacheDirectory();
