--- /dev/null
+++ b/test/cli/fake-node.ts
@@ -0,0 +1,70 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** HTTP server whose answers a test sets, in the place of a node. */
+export class FakeNode {
+  readonly #server: Server;
+  readonly #handlers = new Map<string, Handler>();
+  /** Calls received, `METHOD path`. */
+  readonly calls: string[] = [];
+
+  private constructor() {
+    this.#server = createServer((request, response) => {
+      const name = `${request.method ?? ''} ${request.url ?? ''}`;
+      this.calls.push(name);
+      const handler = this.#handlers.get(name);
+      if (handler) handler(request, response);
+      else response.writeHead(404).end();
+    });
+  }
+
+  static async start(): Promise<FakeNode> {
+    const node = new FakeNode();
+    await new Promise<void>((resolve) => {
+      node.#server.listen(0, '127.0.0.1', resolve);
+    });
+    return node;
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  on(call: string, handler: Handler): void {
+    this.#handlers.set(call, handler);
+  }
+
+  /** Answers calls with these JSON bodies in turn, the last one again and again. */
+  answers(call: string, bodies: readonly unknown[], status = 200): void {
+    let next = 0;
+    this.on(call, (_request, response) => {
+      const body = bodies[Math.min(next, bodies.length - 1)];
+      next += 1;
+      response.writeHead(status, { 'content-type': 'application/json' });
+      response.end(JSON.stringify(body));
+    });
+  }
+
+  /** Answers calls with a stream of these events in turn; each stream breaks off unless it ends. */
+  streams(call: string, streams: readonly (readonly string[])[]): void {
+    let next = 0;
+    this.on(call, (_request, response) => {
+      const events = streams[next] ?? [];
+      next += 1;
+      response.writeHead(200, { 'content-type': 'text/event-stream' });
+      response.write(events.join(''));
+      setTimeout(() => {
+        if (/event: (?:done|failed)/.test(events.at(-1) ?? '')) response.end();
+        else response.destroy();
+      }, 20);
+    });
+  }
+
+  close(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+}
