Name sessions by the eighth block or a later one

Cause: until a node had seen three sessions of a tenant, it named each session by the first block of the tenant's shared start, so all went to one engine, and learning moved them.

--- a/packages/routing/src/utils/prefix-branches.ts
+++ b/packages/routing/src/utils/prefix-branches.ts
@@ -3,6 +3,8 @@
 const DEFAULT_MAX_PREFIXES = 8192;
 /** A prefix with this many different continuations is shared between sessions. */
 const MIN_CONTINUATIONS = 3;
+/** A session is named by this block or a later one, so that learning a short shared start moves no session. */
+const FIRST_SESSION_BLOCK = 7;
 
 /**
  * Learns from the prompts seen where sessions part: the last prefix with several continuations is
@@ -21,7 +23,8 @@
     for (let i = 0; i + 1 < blocks.length; i += 1) {
       if (this.#note(blocks[i] ?? '', blocks[i + 1] ?? '') >= MIN_CONTINUATIONS) shared = i;
     }
-    return blocks[shared + 1];
+    const named = Math.max(shared + 1, FIRST_SESSION_BLOCK);
+    return blocks[Math.min(named, blocks.length - 1)];
   }
 
   /** Notes a continuation and returns how many are known. */
--- a/test/routing/policies.test.ts
+++ b/test/routing/policies.test.ts
@@ -1,7 +1,13 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { SeededRandom } from '@ragwortrudder/core';
-import { CacheDirectory, CacheIndex, chooseRunner, prefixBlocks } from '@ragwortrudder/routing';
+import {
+  CacheDirectory,
+  CacheIndex,
+  PrefixBranches,
+  chooseRunner,
+  prefixBlocks,
+} from '@ragwortrudder/routing';
 import { estimateFirstToken, routingPolicyOf } from '@ragwortrudder/routing';
 import type { PolicyName, RoutingRequest, RunnerView } from '@ragwortrudder/routing';
 import { runnerView } from './runner-view.ts';
@@ -174,3 +180,17 @@
   t.true([...homes.values()].every((seen) => seen.size === 1));
   t.true(new Set([...homes.values()].flatMap((seen) => [...seen])).size >= 4);
 });
+
+test('learning a short shared start moves no session, and sessions are told apart from the first', (t) => {
+  const branches = new PrefixBranches();
+  const prompts = Array.from({ length: 6 }, (_, i) =>
+    prefixBlocks(`${words(64, 'shared')} ${words(160, `s${i}x`)}`),
+  );
+  const first = prompts.map((blocks) => branches.sessionBlock(blocks));
+  t.deepEqual(
+    prompts.map((blocks) => branches.sessionBlock(blocks)),
+    first,
+  );
+  t.is(new Set(first).size, prompts.length);
+  t.is(branches.sessionBlock([]), undefined);
+});
