--- a/test/bench/summaries.test.ts
+++ b/test/bench/summaries.test.ts
@@ -6,6 +6,7 @@
 import { floodValues } from '../../packages/bench/src/utils/flood-values.ts';
 import { medianRows } from '../../packages/bench/src/utils/median-rows.ts';
 import { percentile } from '../../packages/bench/src/utils/percentile.ts';
+import { recoveryValues } from '../../packages/bench/src/utils/recovery-values.ts';
 import { runValues } from '../../packages/bench/src/utils/run-values.ts';
 import { toMarkdown } from '../../packages/bench/src/utils/to-markdown.ts';
 
@@ -100,3 +101,37 @@
     '| policy | cost |\n| --- | --- |\n| new | 2 |\n| old | 4 |\n| older | 2 |',
   );
 });
+
+test('the time to return to normal counts from the end of the fault', (t) => {
+  const at = (atMs: number, changes: Partial<AnswerTiming> = {}): AnswerTiming => {
+    const one = answer(changes);
+    return { ...one, request: { ...one.request, atMs } };
+  };
+  const answers = [
+    ...[0, 1000, 2000].map((atMs) => at(atMs)),
+    ...[4000, 5000].map((atMs) => at(atMs, { outcome: 'failed' })),
+    ...[8000, 9000].map((atMs) => at(atMs, { firstMs: 500 })),
+    ...[10_000, 11_000, 12_500].map((atMs) => at(atMs)),
+  ];
+  const values = recoveryValues({
+    ...{ answers, faultFromMs: 4000, faultToMs: 8000, attempts: [3, 7, 12], runs: [] },
+  });
+  t.is(values.recoveryMs, 2000);
+  t.is(values.doneDuring, 0);
+  t.is(values.attemptsPerRequestDuring, 2);
+  t.is(values.repeatedRuns, 0);
+});
+
+test('a second run of an operation that must not repeat is counted', (t) => {
+  const run = { runner: 'a', payload: {}, number: 1, times: 1, time: 0 };
+  const runs = [
+    { ...run, operation: 'orders', key: 'k' },
+    { ...run, operation: 'orders', key: 'k', runner: 'b' },
+    { ...run, operation: 'stock', key: 's' },
+    { ...run, operation: 'stock', key: 's' },
+  ];
+  const values = recoveryValues({
+    ...{ answers: [answer()], faultFromMs: 1, faultToMs: 2, attempts: [1, 1, 1], runs },
+  });
+  t.is(values.repeatedRuns, 1);
+});
