Hold the supply of each managed service by lease in the daemon

Missing: the daemon used neither leases nor the supply plan. One job for each service whose ticket names a capacity is held by lease on any node; it asks for the request ids of earlier holders, plans, starts, drains and returns VMs, and orders engines to load their version. Ruled out: one job for each failure domain. The need is met over all domains together, so two such jobs could each return what the other counts on.

--- a/packages/node/src/node/daemon.ts
+++ b/packages/node/src/node/daemon.ts
@@ -7,6 +7,7 @@
 import { RequestRoutes } from './callers/request-routes.ts';
 import { ClaimBoard } from './configuration/claim-board.ts';
 import { TicketBoard } from './configuration/ticket-board.ts';
+import { LeaseBoard } from './leases/lease-board.ts';
 import { Metrics } from './metrics/metrics.ts';
 import { VersionMoves } from './moves/version-moves.ts';
 import { PeerClient } from './peers/peer-client.ts';
@@ -24,6 +25,8 @@
 import { NoticeWatch } from './runners/notice-watch.ts';
 import { RunnerClient } from './runners/runner-client.ts';
 import { RunnerPool } from './runners/runner-pool.ts';
+import { EngineClient } from './supply/engine-client.ts';
+import { SupplyJobs } from './supply/supply-jobs.ts';
 
 const CHECK_PERIOD_MS = 50;
 const TAKEOVER_PERIOD_MS = 250;
@@ -61,6 +64,9 @@
     @inject(NoticeWatch) notices: NoticeWatch,
     @inject(VersionMoves) moves: VersionMoves,
     @inject(ReportPublisher) reports: ReportPublisher,
+    @inject(LeaseBoard) leases: LeaseBoard,
+    @inject(SupplyJobs) supply: SupplyJobs,
+    @inject(EngineClient) engines: EngineClient,
     @inject(Departure) departure: Departure,
     @inject(Takeover) takeover: Takeover,
     @inject(ServiceGates) gates: ServiceGates,
@@ -80,8 +86,8 @@
     this.#peers = peers;
     this.#departure = departure;
     this.#reports = reports;
-    this.#started = [peers, tickets, claims, pool, notices, moves, reports];
-    this.#clients = [peerClient, models, applications, runners];
+    this.#started = [peers, tickets, claims, pool, notices, moves, reports, supply];
+    this.#clients = [leases, peerClient, models, applications, runners, engines];
     const task = (periodMs: number, run: () => Promise<void> | void): PeriodicTask =>
       new PeriodicTask({
         periodMs,
--- a/packages/node/src/node/life/node-status.ts
+++ b/packages/node/src/node/life/node-status.ts
@@ -4,6 +4,7 @@
 import { tokens } from '../../types/tokens.ts';
 import type { LiveIncarnation } from './live-incarnation.ts';
 import { TicketBoard } from '../configuration/ticket-board.ts';
+import { LeaseBoard } from '../leases/lease-board.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { VersionMoves } from '../moves/version-moves.ts';
 import { PeerDirectory } from '../peers/peer-directory.ts';
@@ -12,6 +13,7 @@
 import { RequestTable } from '../requests/request-table.ts';
 import { ServiceGates } from '../requests/service-gates.ts';
 import { RunnerPool } from '../runners/runner-pool.ts';
+import { SupplyJobs } from '../supply/supply-jobs.ts';
 import { NodeLife } from './node-life.ts';
 
 /** What an operator sees of this node. */
@@ -29,6 +31,8 @@
   readonly #replicas: ReplicaStore;
   readonly #gates: ServiceGates;
   readonly #keyed: KeyedRequests;
+  readonly #leases: LeaseBoard;
+  readonly #supply: SupplyJobs;
   readonly #metrics: Metrics;
 
   constructor(
@@ -44,6 +48,8 @@
     @inject(ReplicaStore) replicas: ReplicaStore,
     @inject(ServiceGates) gates: ServiceGates,
     @inject(KeyedRequests) keyed: KeyedRequests,
+    @inject(LeaseBoard) leases: LeaseBoard,
+    @inject(SupplyJobs) supply: SupplyJobs,
     @inject(Metrics) metrics: Metrics,
   ) {
     this.#settings = settings;
@@ -58,6 +64,8 @@
     this.#replicas = replicas;
     this.#gates = gates;
     this.#keyed = keyed;
+    this.#leases = leases;
+    this.#supply = supply;
     this.#metrics = metrics;
   }
 
@@ -98,6 +106,8 @@
         replicas: this.#replicas.size,
         unwrittenOutcomes: this.#keyed.unwritten,
       },
+      leases: this.#leases.statuses,
+      supply: this.#supply.statuses,
       refusals: await this.#metrics.by('refusals', 'code'),
     };
   }
--- a/packages/node/src/node/reports/report-publisher.ts
+++ b/packages/node/src/node/reports/report-publisher.ts
@@ -8,6 +8,7 @@
 import { VersionMoves } from '../moves/version-moves.ts';
 import { PeerDirectory } from '../peers/peer-directory.ts';
 import { RunnerPool } from '../runners/runner-pool.ts';
+import { ReturningVms } from '../supply/returning-vms.ts';
 
 const PERIOD_MS = 500;
 
@@ -19,6 +20,7 @@
   readonly #moves: VersionMoves;
   readonly #peers: PeerDirectory;
   readonly #pool: RunnerPool;
+  readonly #returning: ReturningVms;
   readonly #task: PeriodicTask;
   #published = '';
 
@@ -28,6 +30,7 @@
     @inject(VersionMoves) moves: VersionMoves,
     @inject(PeerDirectory) peers: PeerDirectory,
     @inject(RunnerPool) pool: RunnerPool,
+    @inject(ReturningVms) returning: ReturningVms,
     @inject(Metrics) metrics: Metrics,
   ) {
     this.#tickets = tickets;
@@ -35,6 +38,7 @@
     this.#moves = moves;
     this.#peers = peers;
     this.#pool = pool;
+    this.#returning = returning;
     this.#task = new PeriodicTask({
       periodMs: PERIOD_MS,
       run: () => {
@@ -51,12 +55,14 @@
 
   /** Publishes the report if it changed. */
   publish({ urgent } = { urgent: false }): void {
+    const returningVms = this.#returning.own;
     const report = {
       tickets: this.#tickets.applied,
       draining: !this.#life.ready,
       evidence: this.#moves.evidence,
       badMarks: this.#moves.marks,
-      leavingVms: this.#pool.leavingVms,
+      leavingVms: this.#pool.leavingVms.filter((vmId) => !this.#returning.has(vmId)),
+      ...(returningVms.length > 0 ? { returningVms } : {}),
     };
     const text = canonicalJson(report);
     if (text === this.#published) return;
--- a/packages/node/src/node/runners/notice-watch.ts
+++ b/packages/node/src/node/runners/notice-watch.ts
@@ -6,6 +6,7 @@
 import { PeriodicTask } from '../../utils/periodic-task.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { PeerDirectory } from '../peers/peer-directory.ts';
+import { ReturningVms } from '../supply/returning-vms.ts';
 import { RunnerPool } from './runner-pool.ts';
 
 /** Time left that is assumed for a notice that only a peer told of. */
@@ -18,6 +19,7 @@
   readonly #vmId: string;
   readonly #cloud: CloudApi;
   readonly #pool: RunnerPool;
+  readonly #returning: ReturningVms;
   readonly #peers: PeerDirectory;
   readonly #task: PeriodicTask;
   #after = 0;
@@ -27,12 +29,14 @@
     @inject(tokens.settings) settings: Settings,
     @inject(tokens.clock) clock: Clock,
     @inject(RunnerPool) pool: RunnerPool,
+    @inject(ReturningVms) returning: ReturningVms,
     @inject(PeerDirectory) peers: PeerDirectory,
     @inject(Metrics) metrics: Metrics,
   ) {
     this.#clock = clock;
     this.#vmId = settings.node.vmId ?? settings.node.id;
     this.#pool = pool;
+    this.#returning = returning;
     this.#peers = peers;
     this.#cloud = new CloudApi({ baseUrl: settings.platform.url });
     this.#task = new PeriodicTask({
@@ -69,6 +73,7 @@
   }
 
   #readReports(): void {
+    for (const { value } of this.#peers.reports) this.#returning.learn(value.returningVms ?? []);
     const known = new Set(this.#pool.leavingVms);
     const told = this.#peers.reports.flatMap(({ value }) => value.leavingVms);
     for (const vmId of told) {
--- /dev/null
+++ b/packages/node/src/node/supply/predecessor-starts.ts
@@ -0,0 +1,76 @@
+import type { Clock } from '@ragwortrudder/core';
+import { PlatformRateExceeded } from '@ragwortrudder/platform';
+import type { CloudApi, Vm } from '@ragwortrudder/platform';
+import { requestIdOf } from '@ragwortrudder/supply';
+import type { Pace } from '../../utils/pace.ts';
+import type { Metrics } from '../metrics/metrics.ts';
+
+interface PredecessorStartsOptions {
+  /** Prefixes of the request ids of earlier holders. */
+  readonly epochs: readonly string[];
+  readonly cloud: Pick<CloudApi, 'findStarted'>;
+  readonly pace: Pace;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  /** Numbers in a row without a VM after which no later one is asked for. */
+  readonly maxMisses: number;
+  /** Longest time for which VMs found are waited for to be listed, in milliseconds. */
+  readonly listLagMs: number;
+}
+
+/**
+ * Finds the VMs that earlier holders of a job started, by their request ids, and waits until the
+ * list shows them, so that the first plan counts them.
+ */
+export class PredecessorStarts {
+  readonly #options: PredecessorStartsOptions;
+  readonly #startedAt: number;
+  readonly #found = new Set<string>();
+  #epoch = 0;
+  #sequence = 0;
+  #misses = 0;
+
+  constructor(options: PredecessorStartsOptions) {
+    this.#options = options;
+    this.#startedAt = options.clock.monotonic();
+  }
+
+  /** Goes on with the search; true once every VM found is listed, or must have gone. */
+  async settle(vms: readonly Vm[], until: number): Promise<boolean> {
+    const { clock, listLagMs } = this.#options;
+    while (this.#epoch < this.#options.epochs.length) {
+      if (!(await this.#askNext(until))) return false;
+    }
+    const listed = new Set(vms.map(({ id }) => id));
+    const areListed = [...this.#found].every((id) => listed.has(id));
+    return areListed || clock.monotonic() - this.#startedAt >= listLagMs;
+  }
+
+  /** Asks for one request id; false when the search is to go on later. */
+  async #askNext(until: number): Promise<boolean> {
+    const { epochs, cloud, pace, metrics, maxMisses } = this.#options;
+    const epoch = epochs[this.#epoch];
+    if (epoch === undefined || !(await pace.take(until))) return false;
+    try {
+      const id = await cloud.findStarted(requestIdOf(epoch, this.#sequence));
+      if (id !== undefined) {
+        this.#found.add(id);
+        metrics.count('supply_actions', { action: 'adopt', result: 'found' });
+      }
+      this.#sequence += 1;
+      this.#misses = id === undefined ? this.#misses + 1 : 0;
+    } catch (error) {
+      if (error instanceof PlatformRateExceeded) pace.throttled(error.retryAfterMs);
+      metrics.count('supply_actions', { action: 'adopt', result: 'failed' });
+      return false;
+    }
+    if (this.#misses >= maxMisses) this.#nextEpoch();
+    return true;
+  }
+
+  #nextEpoch(): void {
+    this.#epoch += 1;
+    this.#sequence = 0;
+    this.#misses = 0;
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/supply/supply-job.ts
@@ -0,0 +1,57 @@
+import { ReclaimHistory } from '@ragwortrudder/supply';
+import type { VmKind } from '@ragwortrudder/supply';
+import type { Vm } from '@ragwortrudder/platform';
+import type { SupplyStatus } from '../../types/supply-status.ts';
+import type { SupplyView } from '../../types/supply-view.ts';
+import { SupplyTerm } from './supply-term.ts';
+import type { SupplyTermOptions } from './supply-term-options.ts';
+
+type SupplyJobOptions = Omit<SupplyTermOptions, 'fence' | 'earlierFences' | 'history' | 'jobs'>;
+
+interface TermContext {
+  readonly earlierFences: readonly number[];
+  /** Number of supply jobs that share the limits of the platform. */
+  readonly jobs: number;
+}
+
+/** Supply of VMs for one service, for as long as this node holds the job's lease. */
+export class SupplyJob {
+  readonly #options: SupplyJobOptions;
+  readonly #history = new ReclaimHistory();
+  #seen = new Map<string, Vm>();
+  #term: SupplyTerm | undefined;
+
+  constructor(options: SupplyJobOptions) {
+    this.#options = options;
+  }
+
+  /** Acts under the lease, if it is held; a new fencing number begins a new term. */
+  async step(view: SupplyView, { earlierFences, jobs }: TermContext): Promise<void> {
+    const { lease, clock } = this.#options;
+    const { fence } = lease;
+    if (fence === undefined || !lease.mayAct()) return;
+    if (this.#term?.fence !== fence) {
+      this.#seen.clear();
+      this.#history.observe([], [], clock.wall());
+      const history = this.#history;
+      this.#term = new SupplyTerm({ ...this.#options, fence, earlierFences, history, jobs });
+    }
+    this.#observe(view.vms);
+    await this.#term.step(view);
+  }
+
+  /** Status of the present term; undefined without a lease. */
+  get status(): SupplyStatus | undefined {
+    return this.#options.lease.mayAct() ? this.#term?.status : undefined;
+  }
+
+  /** Learns from the list which kinds of VM are reclaimed. */
+  #observe(vms: readonly Vm[]): void {
+    const { returning, clock } = this.#options;
+    const live = vms.filter(({ state }) => state === 'live');
+    const now = new Map(live.map((vm) => [vm.id, vm]));
+    const lost = [...this.#seen.values()].filter(({ id }) => !now.has(id) && !returning.has(id));
+    this.#history.observe(live, lost satisfies readonly VmKind[], clock.wall());
+    this.#seen = now;
+  }
+}
--- /dev/null
+++ b/packages/node/src/node/supply/supply-jobs.ts
@@ -0,0 +1,151 @@
+import { inject, injectable } from 'inversify';
+import type { Clock, Closeable } from '@ragwortrudder/core';
+import { CloudApi, VmDirectory } from '@ragwortrudder/platform';
+import type { Settings } from '@ragwortrudder/settings';
+import { MixedSupply } from '@ragwortrudder/supply';
+import type { VmPrice } from '@ragwortrudder/supply';
+import type { Service } from '@ragwortrudder/tickets';
+import type { Vm } from '@ragwortrudder/platform';
+import type { SupplyStatus } from '../../types/supply-status.ts';
+import { tokens } from '../../types/tokens.ts';
+import { PeriodicTask } from '../../utils/periodic-task.ts';
+import { supplyVersions } from '../../utils/supply-versions.ts';
+import { TicketBoard } from '../configuration/ticket-board.ts';
+import { LeaseBoard } from '../leases/lease-board.ts';
+import { NodeLife } from '../life/node-life.ts';
+import { Metrics } from '../metrics/metrics.ts';
+import { StateLog } from '../metrics/state-log.ts';
+import { RunnerClient } from '../runners/runner-client.ts';
+import { EngineClient } from './engine-client.ts';
+import { ReturningVms } from './returning-vms.ts';
+import { SupplyJob } from './supply-job.ts';
+
+interface Managed {
+  readonly name: string;
+  readonly service: Service;
+}
+
+interface Market {
+  readonly vms: readonly Vm[];
+  readonly prices: readonly VmPrice[];
+}
+
+/** Supply jobs of this node: one for each service whose ticket names a capacity. */
+@injectable()
+export class SupplyJobs implements Closeable {
+  readonly #settings: Settings;
+  readonly #tickets: Pick<TicketBoard, 'state'>;
+  readonly #leases: Pick<LeaseBoard, 'hold' | 'holder' | 'record'>;
+  readonly #life: Pick<NodeLife, 'ready'>;
+  readonly #cloud: CloudApi;
+  readonly #directory: VmDirectory;
+  readonly #parts: {
+    readonly clock: Clock;
+    readonly runners: Pick<RunnerClient, 'load'>;
+    readonly engines: EngineClient;
+    readonly returning: ReturningVms;
+    readonly metrics: Metrics;
+    readonly log: StateLog;
+  };
+  readonly #jobs = new Map<string, SupplyJob>();
+  readonly #closing = new AbortController();
+  readonly #task: PeriodicTask;
+
+  constructor(
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.clock) clock: Clock,
+    @inject(TicketBoard) tickets: Pick<TicketBoard, 'state'>,
+    @inject(LeaseBoard) leases: Pick<LeaseBoard, 'hold' | 'holder' | 'record'>,
+    @inject(NodeLife) life: Pick<NodeLife, 'ready'>,
+    @inject(RunnerClient) runners: Pick<RunnerClient, 'load'>,
+    @inject(EngineClient) engines: EngineClient,
+    @inject(ReturningVms) returning: ReturningVms,
+    @inject(Metrics) metrics: Metrics,
+    @inject(StateLog) log: StateLog,
+  ) {
+    this.#settings = settings;
+    this.#tickets = tickets;
+    this.#leases = leases;
+    this.#life = life;
+    this.#parts = { clock, runners, engines, returning, metrics, log };
+    this.#cloud = new CloudApi({ baseUrl: settings.platform.url });
+    this.#directory = new VmDirectory({ baseUrl: settings.platform.url });
+    this.#task = new PeriodicTask({
+      periodMs: settings.supply.periodMs,
+      run: () => this.step(),
+      onFailure: () => {
+        metrics.count('supply_task_failures');
+      },
+    });
+  }
+
+  /** Supply as this node sees it, for the jobs that it holds. */
+  get statuses(): readonly SupplyStatus[] {
+    return [...this.#jobs.values()].map((job) => job.status).filter((one) => one !== undefined);
+  }
+
+  /** Asks for the leases of the jobs and advances those that this node holds. */
+  async step(): Promise<void> {
+    const managed = this.#life.ready && this.#settings.supply.enabled ? this.#managed() : [];
+    await this.#leases.hold(managed.map(({ name }) => jobOf(name)));
+    const names = new Set(managed.map(({ name }) => name));
+    for (const name of this.#jobs.keys()) if (!names.has(name)) this.#jobs.delete(name);
+    const held = managed.filter(({ name }) => this.#leases.holder(jobOf(name))?.mayAct());
+    if (held.length === 0) return;
+    const [vms, prices] = await Promise.all([this.#directory.list(), this.#cloud.prices()]);
+    await Promise.all(held.map((one) => this.#advance(one, { vms, prices }, managed.length)));
+  }
+
+  start(): void {
+    if (this.#settings.supply.enabled) this.#task.start();
+  }
+
+  async close(): Promise<void> {
+    this.#closing.abort();
+    await this.#task.close();
+    await this.#leases.hold([]);
+    await this.#cloud.close();
+    await this.#directory.close();
+  }
+
+  #managed(): readonly Managed[] {
+    return Object.entries(this.#tickets.state.services).flatMap(([name, { service }]) =>
+      service?.capacity ? [{ name, service }] : [],
+    );
+  }
+
+  async #advance({ name, service }: Managed, market: Market, jobs: number): Promise<void> {
+    const job = this.#jobFor(name);
+    if (!job) return;
+    const { earlierFences = [] } = this.#leases.record(jobOf(name)) ?? {};
+    const vms = market.vms.filter(
+      ({ role, labels }) => role === 'endpoint' && labels.service === name,
+    );
+    const versions = supplyVersions(this.#tickets.state, name);
+    await job.step(
+      { name, service, versions, vms, prices: market.prices },
+      { earlierFences, jobs },
+    );
+  }
+
+  #jobFor(name: string): SupplyJob | undefined {
+    const lease = this.#leases.holder(jobOf(name));
+    const known = this.#jobs.get(name);
+    if (known || !lease) return known;
+    const job = new SupplyJob({
+      ...this.#parts,
+      service: name,
+      lease,
+      settings: this.#settings.supply,
+      policy: new MixedSupply(),
+      cloud: this.#cloud,
+      signal: this.#closing.signal,
+    });
+    this.#jobs.set(name, job);
+    return job;
+  }
+}
+
+function jobOf(service: string): string {
+  return `supply/${service}`;
+}
--- /dev/null
+++ b/packages/node/src/types/engine-state.ts
@@ -0,0 +1,7 @@
+import { z } from 'zod';
+
+/** What a model engine was last ordered to serve. */
+export const EngineState = z.object({
+  state: z.object({ service: z.string().optional(), version: z.string().optional() }).readonly(),
+});
+export type EngineState = Readonly<z.infer<typeof EngineState>>;
--- a/packages/node/src/types/report.ts
+++ b/packages/node/src/types/report.ts
@@ -13,6 +13,8 @@
     badMarks: z.array(BadMark).readonly(),
     /** VMs with a reclaim notice. */
     leavingVms: z.array(z.string()).readonly(),
+    /** VMs that this node drains to return them. */
+    returningVms: z.array(z.string()).readonly().optional(),
   })
   .readonly();
 export type Report = z.infer<typeof Report>;
--- /dev/null
+++ b/test/node/supply-parts.ts
@@ -0,0 +1,157 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { SystemClock } from '@ragwortrudder/core';
+import { CloudApi, VmDirectory } from '@ragwortrudder/platform';
+import { checkSettings } from '@ragwortrudder/settings';
+import type { Settings } from '@ragwortrudder/settings';
+import { Platform } from '@ragwortrudder/standins';
+import type { PlatformOptions, VmRecord } from '@ragwortrudder/standins';
+import { MixedSupply, ReclaimHistory } from '@ragwortrudder/supply';
+import { ticketFold } from '@ragwortrudder/tickets';
+import type { TicketState } from '@ragwortrudder/tickets';
+import got from 'got';
+import { Metrics } from '../../packages/node/src/node/metrics/metrics.ts';
+import { StateLog } from '../../packages/node/src/node/metrics/state-log.ts';
+import { ReturningVms } from '../../packages/node/src/node/supply/returning-vms.ts';
+import { SupplyTerm } from '../../packages/node/src/node/supply/supply-term.ts';
+import type { SupplyTermOptions } from '../../packages/node/src/node/supply/supply-term-options.ts';
+import type { JobLease } from '../../packages/node/src/types/job-lease.ts';
+import { supplyVersions } from '../../packages/node/src/utils/supply-versions.ts';
+import { changed } from '../settings/good.ts';
+
+const CHECK_MS = 20;
+
+/** Prices of two machine classes in three failure domains, reclaimable at a third of on-demand. */
+export const PRICES = ['a', 'b', 'c'].flatMap((failureDomain, index) =>
+  [true, false].map((reclaimable) => ({
+    failureDomain,
+    machineClass: 'standard',
+    reclaimable,
+    pricePerHour: (reclaimable ? 0.3 : 1) + index / 100,
+  })),
+);
+
+/** Settings with short times against the platform at `address`. */
+export function supplySettings(nodeId: string, address: string, supply = {}): Settings {
+  return checkSettings(
+    changed({
+      'node.id': nodeId,
+      'platform.url': `http://${address}`,
+      'log.pollWaitMs': 100,
+      supply: {
+        periodMs: 50,
+        leaseMs: 2000,
+        leaseMarginMs: 400,
+        settleMs: 100,
+        listLagMs: 2000,
+        returnAfterMs: 100,
+        cloudCallsPerSecond: 500,
+        weightLoadsPerSecond: 500,
+        engineCheckMs: 100,
+        maxStarts: 4,
+        ...supply,
+      },
+    }),
+  );
+}
+
+/** Platform in this process whose list lags a little. */
+export async function startPlatform(options: PlatformOptions = {}): Promise<Platform> {
+  const platform = new Platform({
+    vmLagMs: 60,
+    cloudCallsPerSecond: 1000,
+    prices: PRICES,
+    ...options,
+  });
+  await platform.listen();
+  return platform;
+}
+
+/** Sends a call to the control interface of a stand-in. */
+export async function control(address: string, path: string, json: object): Promise<void> {
+  await got.post(`http://${address}/control/${path}`, { json });
+}
+
+/** All VMs of the platform without lag. */
+export async function vmsOf(platform: Platform): Promise<readonly VmRecord[]> {
+  const answer = await got(`http://${platform.address}/control/vms`).json();
+  return (answer as { readonly vms: readonly VmRecord[] }).vms;
+}
+
+/** Tickets of one model service that needs `runners`, or whose supply is not managed. */
+export function ticketsOf(runners: number | undefined, more: object = {}): TicketState {
+  const quotes = {
+    ...{ kind: 'model', version: 'v1', fencing: true, idempotent: true, classes: ['chat'] },
+    ...(runners === undefined ? {} : { capacity: { runners } }),
+    ...more,
+  };
+  const ticket = { number: 1, against: 0, author: 'ops', services: { quotes } };
+  const body = { kind: 'ticket', ticket };
+  return ticketFold.apply(ticketFold.initial, {
+    ...{ id: 'ticket-1', position: 0, offset: 0, time: 0, body },
+  });
+}
+
+/** Waits until `test` holds; the time limit is that of the test runner. */
+export async function until(test: () => boolean | Promise<boolean>): Promise<void> {
+  while (!(await test())) await sleep(CHECK_MS);
+}
+
+/** One term of the supply job of `quotes` before a platform, under a lease that the test governs. */
+export class TermRun {
+  readonly cloud: CloudApi;
+  readonly metrics = new Metrics();
+  readonly leaving = new Map<string, number>();
+  readonly returning = new ReturningVms({
+    leavingVms: [],
+    markLeaving: (vmId, reclaimAt) => this.leaving.set(vmId, reclaimAt),
+  });
+  readonly lease: JobLease;
+  isHeld = true;
+  readonly term: SupplyTerm;
+  readonly #directory: VmDirectory;
+
+  constructor(address: string, fence: number, more: Partial<SupplyTermOptions> = {}) {
+    const baseUrl = `http://${address}`;
+    const settings = supplySettings('a', address);
+    this.cloud = new CloudApi({ baseUrl, lookups: 1, timeoutMs: 500 });
+    this.#directory = new VmDirectory({ baseUrl });
+    this.lease = { fence, mayAct: () => this.isHeld, mayActUnfenced: () => this.isHeld };
+    this.term = new SupplyTerm({
+      ...{ service: 'quotes', lease: this.lease, fence, earlierFences: [], jobs: 1, spreadMs: 0 },
+      settings: settings.supply,
+      policy: new MixedSupply(),
+      history: new ReclaimHistory(),
+      cloud: this.cloud,
+      engines: { state: () => Promise.resolve({}), order: () => Promise.resolve({ kind: 'done' }) },
+      runners: { load: () => Promise.resolve({ at: 0, running: 0, waiting: 0, leaving: false }) },
+      returning: this.returning,
+      clock: new SystemClock(),
+      metrics: this.metrics,
+      log: new StateLog(settings, this.metrics),
+      signal: new AbortController().signal,
+      ...more,
+    });
+  }
+
+  /** One step with what the platform lists now. */
+  async step(tickets: TicketState): Promise<void> {
+    const service = tickets.services.quotes?.service;
+    if (!service) return;
+    const vms = (await this.#directory.list()).filter(({ labels }) => labels.service === 'quotes');
+    const versions = supplyVersions(tickets, 'quotes');
+    await this.term.step({ name: 'quotes', service, versions, vms, prices: PRICES });
+  }
+
+  /** Steps until `test` holds. */
+  async steps(tickets: TicketState, test: () => boolean | Promise<boolean>): Promise<void> {
+    await until(async () => {
+      await this.step(tickets);
+      return test();
+    });
+  }
+
+  async close(): Promise<void> {
+    await this.cloud.close();
+    await this.#directory.close();
+  }
+}
