Compare versions at the speeds of the serving version

Cause: on real processes slow versions were kept. The time to the first token was divided by an estimate learned from the slow version's own runners, so after some ten requests the slow version was as expected; for operations the estimate held no service time at all. The speeds of the serving version when the move begins are now used for both versions.

--- a/packages/node/src/node/runners/application-runs.ts
+++ b/packages/node/src/node/runners/application-runs.ts
@@ -117,7 +117,7 @@
       route: request.class,
       load: runnerLoadOf(this.#pool.view(runner)),
       kind: ok ? 'success' : answer.kind === 'failed' ? 'failure' : 'excused',
-      ...(ok ? { latencyRatio: latencyMs / Math.max(1, assignment.expectedMs) } : {}),
+      ...(ok ? { latencyRatio: latencyMs / Math.max(1, assignment.referenceMs) } : {}),
     });
     return answer;
   }
--- a/packages/node/src/node/runners/dispatcher.ts
+++ b/packages/node/src/node/runners/dispatcher.ts
@@ -2,15 +2,26 @@
 import type { Random } from '@ragwortrudder/core';
 import type { RequestInput } from '@ragwortrudder/requests';
 import { prefixBlocks, routingPolicyOf } from '@ragwortrudder/routing';
-import type { PolicyName, RoutingPolicy, RoutingRequest, RunnerView } from '@ragwortrudder/routing';
+import type {
+  FirstTokenEstimate,
+  PolicyName,
+  RoutingPolicy,
+  RoutingRequest,
+  RunnerView,
+} from '@ragwortrudder/routing';
 import type { Settings } from '@ragwortrudder/settings';
 import type { Assignment } from '../../types/assignment.ts';
 import { tokens } from '../../types/tokens.ts';
 import { countTokens } from '../../utils/count-tokens.ts';
+import { ReferenceSpeeds } from '../../utils/reference-speeds.ts';
 import { VersionMoves } from '../moves/version-moves.ts';
 import type { OwnedRequest } from '../requests/owned-request.ts';
 import { RunnerPool } from './runner-pool.ts';
 
+interface EstimatedAssignment extends Omit<Assignment, 'expectedMs' | 'referenceMs'> {
+  readonly estimate: FirstTokenEstimate;
+}
+
 /** Chooses the runner of each attempt. */
 @injectable()
 export class Dispatcher {
@@ -21,6 +32,7 @@
   readonly #modelPolicy: PolicyName;
   /** One policy a service, as policies learn from what they chose. */
   readonly #policies = new Map<string, RoutingPolicy>();
+  readonly #reference = new ReferenceSpeeds();
 
   constructor(
     @inject(tokens.settings) settings: Settings,
@@ -40,9 +52,10 @@
     const { service } = owned.request;
     if (!this.#hasRoom(this.#pool.views(service))) return undefined;
     const versions = this.#moves.versionsFor(service);
+    if (versions.length === 1) this.#reference.forget(service);
     for (const version of versions) {
       const assignment = this.#assignVersion(owned, version);
-      if (assignment) return assignment;
+      if (assignment) return this.#withReference(assignment, versions);
       if (versions.length > 1) this.#release(owned, version);
     }
     return undefined;
@@ -60,7 +73,24 @@
     };
   }
 
-  #assignVersion(owned: OwnedRequest, version: string): Assignment | undefined {
+  /** During a move, the last of `versions` is the one that serves until its end. */
+  #withReference(
+    { estimate, ...assignment }: EstimatedAssignment,
+    versions: readonly string[],
+  ): Assignment {
+    const expectedMs = estimate.totalMs;
+    if (versions.length === 1) return { ...assignment, expectedMs, referenceMs: expectedMs };
+    const { request, runner } = assignment;
+    const referenceMs = this.#reference.expectedMs({
+      runner: this.#pool.view(runner),
+      request,
+      estimate,
+      serving: this.#pool.views(request.service, versions.at(-1)),
+    });
+    return { ...assignment, expectedMs, referenceMs };
+  }
+
+  #assignVersion(owned: OwnedRequest, version: string): EstimatedAssignment | undefined {
     const candidates = this.#pool
       .views(owned.request.service, version)
       .filter((view) => this.#isOpen(view));
@@ -70,8 +100,8 @@
     const choice =
       policy.choose({ ...options, avoid: owned.attempts.avoid }) ?? policy.choose(options);
     const runner = choice && this.#pool.find(choice.runner.id);
-    if (!runner?.limit.tryAcquire()) return undefined;
-    return { runner, version, request, expectedMs: choice?.estimate.totalMs ?? 0 };
+    if (!choice || !runner?.limit.tryAcquire()) return undefined;
+    return { runner, version, request, estimate: choice.estimate };
   }
 
   #policyOf({ request }: OwnedRequest): RoutingPolicy {
--- a/packages/node/src/node/runners/model-runs.ts
+++ b/packages/node/src/node/runners/model-runs.ts
@@ -111,7 +111,7 @@
   }
 
   #finish(attempt: ModelAttempt, end: AttemptEnd): void {
-    const { runner, version, expectedMs } = attempt.assignment;
+    const { runner, version, referenceMs } = attempt.assignment;
     const { request } = attempt.owned;
     const now = this.#clock.monotonic();
     const ok = end.kind === 'done';
@@ -135,7 +135,7 @@
       load: runnerLoadOf(this.#pool.view(runner)),
       kind: ok ? 'success' : isFailure ? 'failure' : 'excused',
       ...(ok && firstTokenMs !== undefined
-        ? { latencyRatio: firstTokenMs / Math.max(1, expectedMs) }
+        ? { latencyRatio: firstTokenMs / Math.max(1, referenceMs) }
         : {}),
     });
     if (end.kind === 'failed') this.#metrics.count('attempts_failed', { service: request.service });
--- a/packages/node/src/types/assignment.ts
+++ b/packages/node/src/types/assignment.ts
@@ -8,4 +8,6 @@
   readonly request: RoutingRequest;
   /** Expected time to the first token or answer in milliseconds. */
   readonly expectedMs: number;
+  /** The same at the speeds by which the versions of a move are compared; `expectedMs` without a move. */
+  readonly referenceMs: number;
 }
--- a/test/node/model-attempt.test.ts
+++ b/test/node/model-attempt.test.ts
@@ -53,7 +53,7 @@
   const request = { id: owned.request.id, service: 'quotes', blocks: [], promptTokens: 1 };
   return new ModelAttempt({
     owned,
-    assignment: { runner, version: 'v1', request, expectedMs: 10 },
+    assignment: { runner, version: 'v1', request, expectedMs: 10, referenceMs: 10 },
     model: {
       async *generate() {
         await Promise.resolve();
