Count a VM as live only once something serves on it

A VM was counted as live before it had an address, so a replacement could push out what it replaces before it served; and one that never got an address was held for good. It now counts as pending, and is returned after supply.bootMs.

--- a/packages/node/src/node/supply/supply-term.ts
+++ b/packages/node/src/node/supply/supply-term.ts
@@ -6,6 +6,7 @@
 import { Pace } from '../../utils/pace.ts';
 import { supplyDemands } from '../../utils/supply-demands.ts';
 import type { SupplyTermOptions } from './supply-term-options.ts';
+import { BootWatch } from './boot-watch.ts';
 import { EngineOrders } from './engine-orders.ts';
 import { PredecessorStarts } from './predecessor-starts.ts';
 import { VmReturns } from './vm-returns.ts';
@@ -21,6 +22,7 @@
   readonly #starts: VmStarts;
   readonly #returns: VmReturns;
   readonly #orders: EngineOrders;
+  readonly #boots: BootWatch;
   #isRecovered = false;
   #current: readonly SupplyVm[] = [];
   #view: SupplyView | undefined;
@@ -41,6 +43,7 @@
       maxMisses: settings.maxStarts,
       listLagMs: settings.listLagMs,
     });
+    this.#boots = new BootWatch(settings.bootMs);
     this.#starts = new VmStarts(parts);
     this.#returns = new VmReturns(parts);
     this.#orders = new EngineOrders({
@@ -86,10 +89,11 @@
   }
 
   #plan(view: SupplyView): void {
-    const { clock, history, policy, settings } = this.#options;
+    const { clock, history, policy, settings, returning } = this.#options;
     const now = clock.monotonic();
+    for (const vmId of this.#boots.observe(view.vms, now)) returning.drain(vmId);
     const listed = view.vms.map((vm) => this.#toListed(vm));
-    this.#current = this.#ledger.current(listed, now);
+    this.#current = this.#ledger.current(listed, now).map((vm) => this.#withBoot(vm));
     const actions = policy.plan({
       demand: supplyDemands(view),
       prices: view.prices,
@@ -107,6 +111,11 @@
     this.#ledger.accept(actions, now);
   }
 
+  /** A VM on which nothing serves yet counts as pending. */
+  #withBoot(vm: SupplyVm): SupplyVm {
+    return vm.state === 'live' && this.#boots.isBooting(vm.id) ? { ...vm, state: 'pending' } : vm;
+  }
+
   /** A VM that an earlier holder drains counts as leaving. */
   #toListed({ id, failureDomain, machineClass, reclaimable, state, labels }: Vm): ListedVm {
     const known = Object.entries(labels).flatMap(([name, value]) =>
--- a/packages/settings/src/types/schema-node.ts
+++ b/packages/settings/src/types/schema-node.ts
@@ -1,6 +1,6 @@
 /** Part of the JSON Schema of the settings. */
 export interface SchemaNode {
-  readonly type?: 'object' | 'array' | 'string' | 'integer' | 'number';
+  readonly type?: 'object' | 'array' | 'string' | 'integer' | 'number' | 'boolean';
   readonly description?: string;
   readonly unit?: string;
   readonly default?: unknown;
--- a/packages/settings/src/types/supply.ts
+++ b/packages/settings/src/types/supply.ts
@@ -48,6 +48,12 @@
       fallback: 60_000,
       doc: 'Time for which a VM must be surplus without interruption before it is returned.',
     }),
+    bootMs: ms({
+      min: 1000,
+      max: 24 * 60 * MINUTE_MS,
+      fallback: 10 * MINUTE_MS,
+      doc: 'Time after which a VM that has no address yet is returned.',
+    }),
     maxStarts: count({
       min: 1,
       max: 1000,
--- a/packages/settings/src/utils/allowed-text.ts
+++ b/packages/settings/src/utils/allowed-text.ts
@@ -28,6 +28,7 @@
   const { type, minimum, maximum, properties, items } = node;
   if (type === 'integer') return `a whole number from ${minimum ?? ''} to ${maximum ?? ''}`;
   if (type === 'number') return `a number from ${minimum ?? ''} to ${maximum ?? ''}`;
+  if (type === 'boolean') return 'true or false';
   if (type === 'array') return `a list, each item ${items ? allowedText(items) : ''}`;
   if (type === 'object') return `an object of ${Object.keys(properties ?? {}).join(', ')}`;
   return stringText(node);
--- a/test/node/supply-parts.ts
+++ b/test/node/supply-parts.ts
@@ -19,6 +19,7 @@
 import { changed } from '../settings/good.ts';
 
 const CHECK_MS = 20;
+const NOWHERE = '127.0.0.1:9';
 
 /** Prices of two machine classes in three failure domains, reclaimable at a third of on-demand. */
 export const PRICES = ['a', 'b', 'c'].flatMap((failureDomain, index) =>
@@ -107,6 +108,8 @@
   });
   readonly lease: JobLease;
   isHeld = true;
+  /** False when nothing comes to serve on the VMs that are started. */
+  boots = true;
   readonly term: SupplyTerm;
   readonly #directory: VmDirectory;
 
@@ -137,7 +140,10 @@
   async step(tickets: TicketState): Promise<void> {
     const service = tickets.services.quotes?.service;
     if (!service) return;
-    const vms = (await this.#directory.list()).filter(({ labels }) => labels.service === 'quotes');
+    const listed = await this.#directory.list();
+    const vms = listed
+      .filter(({ labels }) => labels.service === 'quotes')
+      .map((vm) => (this.boots ? { ...vm, address: vm.address || NOWHERE } : vm));
     const versions = supplyVersions(tickets, 'quotes');
     await this.term.step({ name: 'quotes', service, versions, vms, prices: PRICES });
   }
--- a/test/node/supply-term.test.ts
+++ b/test/node/supply-term.test.ts
@@ -3,7 +3,14 @@
 import type { Platform, PlatformOptions } from '@ragwortrudder/standins';
 import { protectedUnits } from '@ragwortrudder/supply';
 import type { ExecutionContext } from 'ava';
-import { TermRun, control, startPlatform, ticketsOf, vmsOf } from './supply-parts.ts';
+import {
+  TermRun,
+  control,
+  startPlatform,
+  supplySettings,
+  ticketsOf,
+  vmsOf,
+} from './supply-parts.ts';
 
 const FOUR = ticketsOf(4);
 
@@ -144,6 +151,21 @@
   });
 });
 
+test('VMs on which nothing serves replace no others, and are returned in the end', async (t) => {
+  await withPlatform(async (platform) => {
+    const { supply } = supplySettings('a', platform.address, { bootMs: 1000 });
+    const run = new TermRun(platform.address, 7, { settings: supply });
+    run.boots = false;
+    await run.steps(FOUR, () => run.term.status.pendingStarts >= 6);
+    t.is(run.term.status.heldVms, 0);
+    t.is(run.leaving.size, 0);
+    await run.steps(FOUR, () => run.leaving.size >= 6);
+    const first = new Set(run.leaving.keys());
+    await run.steps(FOUR, async () => (await vmsOf(platform)).every(({ id }) => !first.has(id)));
+    await run.close();
+  });
+});
+
 test('a VM that is not needed is returned once its runner has finished its requests', async (t) => {
   await withPlatform(async (platform) => {
     let running = 1;
