Read runners that serve nothing less often, and bound the reads of all

Cause: a node read the load of each runner four times a second and its cache events once a second, whether or not it sent there, so control cost grew with the runners. Services without a request for 5 s are now read every 2 s and 8 s, and all loads together at most 40 times, cache events 10 times a second, the longest waiting first.

--- a/packages/node/src/node/runners/runner-pool.ts
+++ b/packages/node/src/node/runners/runner-pool.ts
@@ -6,6 +6,7 @@
 import type { RequestOutcome, RunnerIdentity, RunnerView } from '@ragwortrudder/routing';
 import type { Settings } from '@ragwortrudder/settings';
 import { tokens } from '../../types/tokens.ts';
+import { dueReads } from '../../utils/due-reads.ts';
 import { PeriodicTask } from '../../utils/periodic-task.ts';
 import { runnerIdentityOf } from '../../utils/runner-identity-of.ts';
 import { Metrics } from '../metrics/metrics.ts';
@@ -14,6 +15,17 @@
 import { Runner } from './runner.ts';
 import { RunnerClient } from './runner-client.ts';
 
+/** Time without a request after which the runners of a service are read less often. */
+const IDLE_AFTER_MS = 5000;
+/** How many times longer the period of reads is for a service without requests. */
+const IDLE_FACTOR = 8;
+/** Reads of loads a second; with more runners each is read less often. */
+const MAX_LOAD_READS_PER_SECOND = 40;
+const MAX_CACHE_READS_PER_SECOND = 10;
+/** A read that the timer starts early still counts as due. */
+const TIMER_SLACK_MS = 5;
+const MS_PER_SECOND = 1000;
+
 /** The runners that this node sends to: who they are, their load, and what their caches hold. */
 @injectable()
 export class RunnerPool implements Closeable {
@@ -28,6 +40,8 @@
   readonly #runners = new Map<string, Runner>();
   readonly #outliers = new Map<string, OutlierDetector>();
   readonly #leaving = new Map<string, number>();
+  /** Monotonic time of the last request to each service. */
+  readonly #usedAt = new Map<string, number>();
   readonly #listeners = new Set<() => void>();
   readonly #tasks: readonly PeriodicTask[];
 
@@ -89,7 +103,10 @@
 
   /** Notes that a request was sent. */
   sent(runner: Runner): void {
-    this.#outliers.get(runner.identity.service)?.sent(runner.identity.id, this.#clock.monotonic());
+    const { id, service } = runner.identity;
+    const now = this.#clock.monotonic();
+    this.#usedAt.set(service, now);
+    this.#outliers.get(service)?.sent(id, now);
   }
 
   /** Takes in how a request on `runner` ended. */
@@ -195,12 +212,23 @@
   }
 
   async #readLoads(): Promise<void> {
-    await Promise.all(this.runners.map((runner) => this.#readLoad(runner)));
+    const { loadPeriodMs } = this.#settings.runners;
+    const due = dueReads({
+      items: this.runners,
+      readingOf: ({ identity, loadReadAt }) => ({
+        readAt: loadReadAt,
+        periodMs: this.#readPeriod(identity.service, loadPeriodMs),
+      }),
+      now: this.#clock.monotonic(),
+      limit: Math.ceil((MAX_LOAD_READS_PER_SECOND * loadPeriodMs) / MS_PER_SECOND),
+    });
+    await Promise.all(due.map((runner) => this.#readLoad(runner)));
     this.#notify();
   }
 
   async #readLoad(runner: Runner): Promise<void> {
     const sentAt = this.#clock.monotonic();
+    runner.loadReadAt = sentAt;
     try {
       const { at, running, waiting, leaving, ...optional } = await this.#client.load(
         runner.identity.endpoint,
@@ -215,12 +243,30 @@
   }
 
   async #readCaches(): Promise<void> {
-    const engines = this.runners.filter(({ identity }) => identity.kind === 'model');
-    await Promise.all(engines.map((runner) => this.#readCache(runner)));
+    const { cachePeriodMs } = this.#settings.runners;
+    const due = dueReads({
+      items: this.runners.filter(({ identity }) => identity.kind === 'model'),
+      readingOf: ({ identity, cacheReadAt }) => ({
+        readAt: cacheReadAt,
+        periodMs: this.#readPeriod(identity.service, cachePeriodMs),
+      }),
+      now: this.#clock.monotonic(),
+      limit: Math.ceil((MAX_CACHE_READS_PER_SECOND * cachePeriodMs) / MS_PER_SECOND),
+    });
+    await Promise.all(due.map((runner) => this.#readCache(runner)));
+  }
+
+  /** Time between reads of a runner of `service`: longer while this node sends it nothing. */
+  #readPeriod(service: string, periodMs: number): number {
+    const usedAt = this.#usedAt.get(service) ?? -Infinity;
+    const isIdle = this.#clock.monotonic() - usedAt > IDLE_AFTER_MS;
+    return (isIdle ? IDLE_FACTOR : 1) * periodMs - TIMER_SLACK_MS;
   }
 
-  async #readCache({ identity, tracker }: Runner): Promise<void> {
+  async #readCache(runner: Runner): Promise<void> {
+    const { identity, tracker } = runner;
     const { cache } = tracker;
+    runner.cacheReadAt = this.#clock.monotonic();
     try {
       const { events } = await this.#client.cacheEvents(identity.endpoint, cache.seq);
       cache.apply(events, this.#clock.monotonic());
--- a/packages/node/src/node/runners/runner.ts
+++ b/packages/node/src/node/runners/runner.ts
@@ -16,6 +16,10 @@
   readonly tracker: RunnerTracker;
   readonly watch: StreamWatch;
   readonly limit: ConcurrencyLimit;
+  /** Monotonic time in milliseconds at which the last read of the load began. */
+  loadReadAt = -Infinity;
+  /** Monotonic time in milliseconds at which the last read of cache events began. */
+  cacheReadAt = -Infinity;
   /** Wall-clock time in milliseconds at which the VM is reclaimed; undefined without a notice. */
   reclaimAt: number | undefined;
 
