Keep the events that arrive together with the end of a stream

Cause: when a node said in the same chunk that it cannot go on, the events before it were lost; without the acceptance the client submitted the request anew in place of reading on. Six tests of the client.

--- a/packages/client/src/node/event-source.ts
+++ b/packages/client/src/node/event-source.ts
@@ -26,10 +26,12 @@
 export async function* readEventSource(options: EventSourceOptions): AsyncGenerator<AnswerEvent> {
   const stream = open(options);
   const events: AnswerEvent[] = [];
+  let interruption: RequestRefused | undefined;
   const parser = createParser({
     onEvent: (event) => {
-      if (event.event === 'interrupted')
-        throw new RequestRefused(Problem.parse(JSON.parse(event.data)));
+      if (event.event === 'interrupted') {
+        interruption = new RequestRefused(Problem.parse(JSON.parse(event.data)));
+      }
       if (!TYPES.has(event.event ?? '')) return;
       const data = JSON.parse(event.data) as AnswerEvent['data'];
       events.push({
@@ -45,12 +47,17 @@
     for await (const chunk of stream) {
       parser.feed(String(chunk));
       yield* events.splice(0);
+      throwIfSet(interruption);
     }
   } catch (error) {
     throw failureOf(error, options.node);
   }
 }
 
+function throwIfSet(failure: Error | undefined): void {
+  if (failure) throw failure;
+}
+
 function open(options: EventSourceOptions): Request {
   const { node, path, method, headers, body, connectMs, silenceMs, signal } = options;
   return got.stream(`http://${node}${path}`, {
--- /dev/null
+++ b/test/client/caller-client.test.ts
@@ -0,0 +1,131 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { CallerClient, ConnectionLost, RequestRefused } from '@ragwortrudder/client';
+import type { AnswerEvent } from '@ragwortrudder/client';
+import { SeededRandom } from '@ragwortrudder/core';
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+const ID = 'r1.a.b.c';
+const SILENCE_MS = 200;
+
+/** Serves the calls in turn by `handlers`; the last one serves all further calls. */
+async function serve(
+  t: ExecutionContext,
+  handlers: readonly Handler[],
+): Promise<{ readonly client: CallerClient; readonly calls: readonly IncomingMessage[] }> {
+  const calls: IncomingMessage[] = [];
+  const server: Server = createServer((request, response) => {
+    const handler = handlers[Math.min(calls.length, handlers.length - 1)];
+    calls.push(request);
+    handler?.(request, response);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const node = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const random = new SeededRandom(1);
+  const client = new CallerClient({ nodes: [node], key: 'k', random, silenceMs: SILENCE_MS });
+  return { client, calls };
+}
+
+function event(number: number, type: string, data: unknown, epoch = 1): string {
+  return `id: ${epoch}-${number}\nevent: ${type}\ndata: ${JSON.stringify(data)}\n\n`;
+}
+
+const ACCEPTED = event(1, 'accepted', { id: ID });
+const TOKEN = event(2, 'token', { index: 0, text: 'one' });
+const DONE = event(3, 'done', { tokens: 1 });
+
+/** Sends events; `end` tells how the stream goes on. */
+function stream(text: string, end: 'end' | 'break' | 'silent'): Handler {
+  return (_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.write(text);
+    if (end === 'end') response.end();
+    if (end === 'break') setTimeout(() => response.destroy(), 20);
+  };
+}
+
+function refuse(status: number, problem: Readonly<Record<string, unknown>>): Handler {
+  return (_request, response) => {
+    response.writeHead(status, { 'content-type': 'application/problem+json' });
+    const common = { title: 'refused', status, detail: '', notRun: true };
+    response.end(JSON.stringify({ ...common, ...problem }));
+  };
+}
+
+async function answer(client: CallerClient, patienceMs = 5000): Promise<readonly AnswerEvent[]> {
+  const events: AnswerEvent[] = [];
+  const request = { service: 'a/b', body: { prompt: 'a' }, patienceMs };
+  for await (const item of client.submit(request)) events.push(item);
+  return events;
+}
+
+const types = (events: readonly AnswerEvent[]): readonly string[] => events.map(({ type }) => type);
+const paths = (calls: readonly IncomingMessage[]): readonly string[] =>
+  calls.map(({ method, url }) => `${method ?? ''} ${url ?? ''}`);
+
+const WHOLE = ['accepted', 'token', 'done'];
+const SUBMIT = 'POST /v1/services/a%2Fb/requests';
+const READ_ON = `GET /v1/requests/${ID}/events`;
+
+test('reads on after the last event when the connection breaks, and drops repeated events', async (t) => {
+  const { client, calls } = await serve(t, [
+    stream(ACCEPTED + TOKEN, 'break'),
+    stream(TOKEN + DONE, 'end'),
+  ]);
+  t.deepEqual(types(await answer(client)), WHOLE);
+  t.deepEqual(paths(calls), [SUBMIT, READ_ON]);
+  t.is(calls[1]?.headers['last-event-id'], '1-2');
+});
+
+test('reads on when a stream goes silent without an end', async (t) => {
+  const { client, calls } = await serve(t, [
+    stream(ACCEPTED + TOKEN, 'silent'),
+    stream(DONE, 'end'),
+  ]);
+  t.deepEqual(types(await answer(client)), WHOLE);
+  t.deepEqual(paths(calls), [SUBMIT, READ_ON]);
+});
+
+test('reads on when the node says that it cannot go on', async (t) => {
+  const problem = { title: 'moved', status: 409, detail: '', code: 'superseded' };
+  const data = JSON.stringify({ ...problem, retryable: true, notRun: false, retryAfterMs: 0 });
+  const { client, calls } = await serve(t, [
+    stream(`${ACCEPTED}event: interrupted\ndata: ${data}\n\n`, 'end'),
+    stream(event(2, 'token', { index: 0, text: 'one' }, 2) + event(3, 'done', {}, 2), 'end'),
+  ]);
+  t.deepEqual(types(await answer(client)), WHOLE);
+  t.deepEqual(paths(calls), [SUBMIT, READ_ON]);
+});
+
+test('submits again after a refusal that can pass, not after a final one', async (t) => {
+  const busy = { code: 'overloaded', retryable: true, retryAfterMs: 10 };
+  const passing = await serve(t, [refuse(429, busy), stream(ACCEPTED + TOKEN + DONE, 'end')]);
+  t.deepEqual(types(await answer(passing.client)), WHOLE);
+  t.is(passing.calls.length, 2);
+  const final = await serve(t, [refuse(400, { code: 'invalid-input', retryable: false })]);
+  const refusal = await t.throwsAsync(answer(final.client), { instanceOf: RequestRefused });
+  t.is(refusal.code, 'invalid-input');
+  t.is(final.calls.length, 1);
+});
+
+test('gives up when patience has run out', async (t) => {
+  const { client } = await serve(t, [stream('', 'break')]);
+  await t.throwsAsync(answer(client, 300), { instanceOf: ConnectionLost });
+});
+
+test('an answer that is no JSON counts as a lost connection', async (t) => {
+  const { client } = await serve(t, [
+    (_request, response) => response.writeHead(502).end('<html>bad gateway</html>'),
+  ]);
+  await t.throwsAsync(client.showKey('k'), { instanceOf: ConnectionLost });
+});
