Make the proofs of refusals and planned stops able to fail

With every unknown outcome of an application runner told as not run, promise 4 showed 0 violations, as its runners lost no replies; with a planned stop that ends at once, promise 7 showed 0, as callers reconnected. After: runners lose replies in promise 4, and promise 7 allows no reconnection.

--- a/packages/prove/src/node/proofs/graceful-stop.ts
+++ b/packages/prove/src/node/proofs/graceful-stop.ts
@@ -6,12 +6,12 @@
 
 const DURATION_MS = 14_000;
 
-/** Upgrades every node in turn with SIGTERM while long requests run. */
+/** Upgrades every node in turn with SIGTERM while long requests run; no caller has to reconnect. */
 export const gracefulStop: Proof = {
   promise: 7,
   name: 'graceful-stop',
   checkers: ['graceful-stop', 'accepted-survives', 'whole-answer-once', 'at-most-once'],
-  bounds: { unannouncedFaults: [] },
+  bounds: { unannouncedFaults: [], reconnectAllowed: false },
   fleet: proofFleet({ settings: { shutdown: { graceMs: 4000, handOverMs: 2500 } } }),
   async run(stage) {
     await Promise.all([
--- a/packages/prove/src/node/proofs/not-run-means-not-run.ts
+++ b/packages/prove/src/node/proofs/not-run-means-not-run.ts
@@ -4,10 +4,10 @@
 import type { Stage } from '../stage.ts';
 import { runWorkload } from '../workload.ts';
 
-const DURATION_MS = 12_000;
+const DURATION_MS = 14_000;
 const FAULT_MS = 1200;
 
-/** Refusals of every kind: runners that refuse, log outages and lost replies, overload, short deadlines. */
+/** Refusals of every kind: runners that refuse or lose replies, log outages and lost replies, overload, short deadlines. */
 export const notRunMeansNotRun: Proof = {
   promise: 4,
   name: 'not-run-means-not-run',
@@ -51,6 +51,9 @@
     async () => {
       for (const id of orders) await fleet.applicationFault(id, { refuse: true });
     },
+    async () => {
+      for (const id of orders) await fleet.applicationFault(id, { mode: 'reply-lost', rate: 0.5 });
+    },
     async () => {
       for (const id of orders) await fleet.applicationFault(id, { mode: 'slow', delayMs: 1500 });
     },
