Let settings choose the supply policy and the back-off after a refusal

The baselines (on-demand, cheapest-first) could not run in the daemon, so that nothing could be measured against them. npx ava 'test/node/supply*.test.ts': 13 passed.

--- a/packages/node/src/node/supply/supply-jobs.ts
+++ b/packages/node/src/node/supply/supply-jobs.ts
@@ -1,9 +1,9 @@
 import { inject, injectable } from 'inversify';
 import type { Clock, Closeable } from '@ragwortrudder/core';
 import { CloudApi, VmDirectory } from '@ragwortrudder/platform';
-import type { Settings } from '@ragwortrudder/settings';
-import { MixedSupply } from '@ragwortrudder/supply';
-import type { VmPrice } from '@ragwortrudder/supply';
+import type { Settings, Supply } from '@ragwortrudder/settings';
+import { CheapestFirstSupply, MixedSupply, OnDemandSupply } from '@ragwortrudder/supply';
+import type { SupplyPolicy, VmPrice } from '@ragwortrudder/supply';
 import type { Service } from '@ragwortrudder/tickets';
 import type { Vm } from '@ragwortrudder/platform';
 import type { SupplyStatus } from '../../types/supply-status.ts';
@@ -20,6 +20,12 @@
 import { ReturningVms } from './returning-vms.ts';
 import { SupplyJob } from './supply-job.ts';
 
+const POLICIES: Readonly<Record<Supply['policy'], SupplyPolicy>> = {
+  mixed: new MixedSupply(),
+  'on-demand': new OnDemandSupply(),
+  'cheapest-first': new CheapestFirstSupply(),
+};
+
 interface Managed {
   readonly name: string;
   readonly service: Service;
@@ -137,7 +143,7 @@
       service: name,
       lease,
       settings: this.#settings.supply,
-      policy: new MixedSupply(),
+      policy: POLICIES[this.#settings.supply.policy],
       cloud: this.#cloud,
       signal: this.#closing.signal,
     });
--- a/packages/node/src/node/supply/supply-term.ts
+++ b/packages/node/src/node/supply/supply-term.ts
@@ -106,6 +106,7 @@
         nextSequence: this.#ledger.nextSequence,
         onDemandFloor: settings.onDemandFloor,
         maxStarts: settings.maxStarts,
+        backoffMs: settings.backoffMs,
       },
     });
     this.#ledger.accept(actions, now);
--- a/packages/settings/src/types/supply.ts
+++ b/packages/settings/src/types/supply.ts
@@ -12,6 +12,10 @@
       .boolean()
       .default(true)
       .describe('False on a node that is never to hold a supply job.'),
+    policy: z
+      .enum(['mixed', 'on-demand', 'cheapest-first'])
+      .default('mixed')
+      .describe('How VMs are chosen; only `mixed` is made to survive the loss of a domain.'),
     periodMs: ms({
       min: 50,
       max: 10 * MINUTE_MS,
@@ -54,6 +58,12 @@
       fallback: 10 * MINUTE_MS,
       doc: 'Time after which a VM that has no address yet is returned.',
     }),
+    backoffMs: ms({
+      min: 100,
+      max: 60 * MINUTE_MS,
+      fallback: 30_000,
+      doc: 'Time for which a kind of VM that was refused is left alone; doubles with each refusal.',
+    }),
     maxStarts: count({
       min: 1,
       max: 1000,
