Tell a reader to come back while a node that may hold the request is silent

Ruled out: lost replicas; the holder took the requests over in the same history. Conclusion: no answer is not an absence, a starting node says that it is starting.

--- a/packages/node/src/node/life/node-life.ts
+++ b/packages/node/src/node/life/node-life.ts
@@ -29,6 +29,11 @@
     return this.state === 'ready';
   }
 
+  /** True until the node knows the configuration; nothing can be looked up before. */
+  get starting(): boolean {
+    return this.state === 'starting';
+  }
+
   /** True once the node is to stop. */
   get leaving(): boolean {
     return this.#chart.state === 'leaving' || this.#chart.state === 'closed';
--- a/packages/node/src/node/requests/request-desk.ts
+++ b/packages/node/src/node/requests/request-desk.ts
@@ -120,6 +120,7 @@
   }
 
   #check(request: NewRequest): Service {
+    if (this.#life.starting) throw new NodeNotReady(this.#life.state);
     const service = this.#tickets.service(request.service);
     if (service.kind !== request.input.kind) throw new InputMismatch(request.service, service.kind);
     if (!service.classes.includes(request.class))
--- a/packages/node/src/node/requests/request-locator.ts
+++ b/packages/node/src/node/requests/request-locator.ts
@@ -1,7 +1,7 @@
 import { inject, injectable } from 'inversify';
 import type { Clock } from '@ragwortrudder/core';
 import { RequestUnknown, ResumeDiverged, isFinal, parseRequestId } from '@ragwortrudder/requests';
-import type { EventPosition, RequestEvent } from '@ragwortrudder/requests';
+import type { EventPosition, RequestEvent, RequestName } from '@ragwortrudder/requests';
 import { Forbidden } from '../../errors/forbidden.ts';
 import { requestsEvents } from '../../types/methods/requests-events.ts';
 import { tokens } from '../../types/tokens.ts';
@@ -15,6 +15,10 @@
 const SEARCH_PAUSE_MS = 300;
 /** Time for which an owner or replica is searched before the caller is told to come back. */
 const SEARCH_MS = 12_000;
+/** Nodes that are asked besides those that the id names. */
+const MAX_OTHERS = 16;
+/** What an answer says about the request; the larger counts. */
+const RANK = { absent: 0, silent: 1, diverged: 2, replica: 3, hint: 4, events: 5 } as const;
 
 interface Subscription {
   readonly id: string;
@@ -33,7 +37,9 @@
   | { readonly kind: 'absent' }
   /** A node holds a replica and may take the request over. */
   | { readonly kind: 'replica' }
-  | { readonly kind: 'diverged' };
+  | { readonly kind: 'diverged' }
+  /** A node that may hold the request did not answer. */
+  | { readonly kind: 'silent' };
 
 /** Reads the events of a request wherever its owner or replica is. */
 @injectable()
@@ -90,7 +96,7 @@
       if (batch.kind === 'hint') hint = batch.nodeId;
       if (now - searchedSince > SEARCH_MS) throw this.#notFound(subscription.id, batch);
       const isLost = batch.kind === 'absent' || batch.kind === 'diverged';
-      if (isLost && !this.#mayReturn(name.owner, name.incarnation, name.holder)) {
+      if (isLost && !this.#mayAnswer(name)) {
         throw this.#notFound(subscription.id, batch);
       }
       await this.#local.pause(SEARCH_PAUSE_MS, subscription.signal);
@@ -102,7 +108,7 @@
     const here = await this.#local.read({ ...subscription, waitMs: POLL_WAIT_MS });
     if (here.state === 'here') return { kind: 'events', ...here };
     const hints = here.state === 'moved' ? [here.nodeId] : [];
-    const others = this.#peers.reachable.map(({ nodeId }) => nodeId);
+    const others = this.#peers.reachable.slice(0, MAX_OTHERS).map(({ nodeId }) => nodeId);
     let found: Batch =
       here.state === 'diverged' || here.state === 'replica'
         ? { kind: here.state }
@@ -111,7 +117,7 @@
       if (nodeId === undefined || nodeId === this.#self.current.nodeId) continue;
       const answer = await this.#ask(nodeId, subscription);
       if (answer.kind === 'events' || answer.kind === 'hint') return answer;
-      if (answer.kind !== 'absent') found = answer;
+      if (RANK[answer.kind] > RANK[found.kind]) found = answer;
     }
     return found;
   }
@@ -132,23 +138,31 @@
       return { kind: answer.state };
     } catch (error) {
       if (error instanceof Forbidden) throw error;
-      return { kind: 'absent' };
+      return { kind: 'silent' };
     }
   }
 
-  /** True while a node that does not answer may hold the request. */
-  #mayReturn(owner: string, incarnation: number, holder: string | undefined): boolean {
+  /** True while the incarnation that accepted the request may be alive and within reach. */
+  #mayAnswer({ owner, incarnation }: RequestName): boolean {
     const owned = { nodeId: owner, number: incarnation };
-    const isOwnerSilent = !this.#self.is(owned) && !this.#peers.isGone(owned);
-    const isHolderSilent = holder !== undefined && this.#peers.find(holder)?.state === 'suspect';
-    return isOwnerSilent || isHolderSilent;
+    return !this.#self.is(owned) && !this.#peers.isGone(owned);
+  }
+
+  /** A node that was declared dead may be on the other side of a cut; one that left or started anew is not. */
+  #mayReturn({ owner, incarnation, holder }: RequestName): boolean {
+    const member = this.#peers.find(owner);
+    const isOwnerEnded = member?.state === 'left' || (member?.incarnation ?? 0) > incarnation;
+    const isHolderEnded = holder === undefined || this.#peers.find(holder)?.state !== 'dead';
+    return (
+      !(isOwnerEnded && isHolderEnded) && !this.#self.is({ nodeId: owner, number: incarnation })
+    );
   }
 
   #notFound(id: string, batch: Batch): RequestUnknown | ResumeDiverged {
     if (batch.kind === 'diverged') return new ResumeDiverged(id);
     const name = parseRequestId(id);
-    const mayReturn =
-      name !== undefined && this.#mayReturn(name.owner, name.incarnation, name.holder);
+    const isOutOfReach = batch.kind === 'silent' || batch.kind === 'replica';
+    const mayReturn = name !== undefined && (isOutOfReach || this.#mayReturn(name));
     return new RequestUnknown(id, { mayReturn });
   }
 }
