--- a/packages/cli/src/utils/status-text.ts
+++ b/packages/cli/src/utils/status-text.ts
@@ -43,6 +43,27 @@
   return section('moves', rows.length, table(['MOVE', 'STATE', 'SHARE', 'REASON'], rows));
 }
 
+function leases({ leases: items }: NodeStatus): string {
+  const rows = items.map(({ job, holder, fence, endsInMs }) => [
+    job,
+    holder ?? 'nobody',
+    String(fence ?? ''),
+    endsInMs === null ? '' : `${Math.round(endsInMs)} ms`,
+  ]);
+  return section('leases', rows.length, table(['JOB', 'HOLDER', 'FENCE', 'ENDS IN'], rows));
+}
+
+function supply({ supply: items }: NodeStatus): string {
+  const rows = items.map((item) => [
+    item.service,
+    item.state,
+    ...[item.wantedRunners, item.heldVms, item.pendingStarts, item.returningVms].map(String),
+    ...[item.refusedKinds, item.protectedRunners].map(String),
+  ]);
+  const counted = ['WANTED', 'HELD', 'STARTING', 'RETURNING', 'REFUSED', 'PROTECTED'];
+  return section('supply', rows.length, table(['SERVICE', 'STATE', ...counted], rows));
+}
+
 function counts(title: string, values: Readonly<Record<string, number>>): string {
   const rows = Object.entries(values).map(([name, value]) => [name, String(value)]);
   return section(title, rows.length, table(['NAME', 'COUNT'], rows));
@@ -60,6 +81,8 @@
     members(status),
     runners(status),
     moves(status),
+    leases(status),
+    supply(status),
     counts('requests', status.requests),
     counts('refusals by cause', status.refusals),
   ].join('');
--- a/packages/client/src/types/node-status.ts
+++ b/packages/client/src/types/node-status.ts
@@ -31,6 +31,28 @@
   })
   .readonly();
 
+const Lease = z
+  .looseObject({
+    job: z.string(),
+    holder: z.string().nullable(),
+    fence: z.number().nullable(),
+    endsInMs: z.number().nullable(),
+  })
+  .readonly();
+
+const Supply = z
+  .looseObject({
+    service: z.string(),
+    state: z.string(),
+    wantedRunners: z.number(),
+    heldVms: z.number(),
+    pendingStarts: z.number(),
+    returningVms: z.number(),
+    refusedKinds: z.number(),
+    protectedRunners: z.number(),
+  })
+  .readonly();
+
 /** Status of a node; members unknown here are kept. */
 export const NodeStatus = z
   .looseObject({
@@ -52,6 +74,9 @@
     members: z.array(Member).readonly(),
     runners: z.array(Runner).readonly(),
     moves: z.array(Move).readonly(),
+    leases: z.array(Lease).readonly().default([]),
+    /** Supply of the services whose lease this node holds. */
+    supply: z.array(Supply).readonly().default([]),
     requests: z.record(z.string(), z.number()).readonly(),
     /** Refused calls of callers by cause. */
     refusals: z.record(z.string(), z.number()).readonly(),
--- a/test/cli/commands.test.ts
+++ b/test/cli/commands.test.ts
@@ -53,6 +53,13 @@
     },
   ],
   moves: [{ moveId: 'quotes@1024', state: 'trial', plan: { share: 0.02, reason: '' } }],
+  leases: [{ job: 'supply.quotes', holder: 'entry-2', fence: 4, endsInMs: 1500.4 }],
+  supply: [
+    {
+      ...{ service: 'quotes', state: 'planning', wantedRunners: 6, heldVms: 5, pendingStarts: 1 },
+      ...{ returningVms: 0, refusedKinds: 2, protectedRunners: 3 },
+    },
+  ],
   requests: { open: 1 },
   refusals: { overloaded: 7 },
 };
@@ -115,6 +122,8 @@
     t.regex(out, /node {5}entry-1, ready, failure domain a/);
     t.regex(out, /vm-1 +quotes +v2 +a +ready, set aside +3\/8 +unknown/);
     t.regex(out, /quotes@1024 +trial/);
+    t.regex(out, /supply.quotes +entry-2 +4 +1500 ms/);
+    t.regex(out, /quotes +planning +6 +5 +1 +0 +2 +3/);
     t.regex(out, /overloaded +7/);
     const json = await runCaptured(['status', '--json', ...options(node)]);
     t.deepEqual(JSON.parse(json.out), STATUS);
