Let plain routing baselines apply to applications too, and compare them

Cause: applications were always routed by two choices, so that nothing could be compared. The setting runners.policy now also gives round robin and least loaded for applications; any other value leaves them at two choices.

--- a/packages/bench/src/node/replay.ts
+++ b/packages/bench/src/node/replay.ts
@@ -46,6 +46,7 @@
   const { service, body, idempotencyKey } = request;
   const times: number[] = [];
   let failedCode: string | undefined;
+  let runner: string | undefined;
   const timing = (
     outcome: AnswerTiming['outcome'],
     code = '',
@@ -56,11 +57,13 @@
     gapsMs: times.slice(1).map((time, index) => time - (times[index] ?? time)),
     elapsedMs: performance.now() - plannedAt,
     tokens: times.length,
+    ...(runner === undefined ? {} : { runner }),
   });
   try {
     const key = idempotencyKey === undefined ? {} : { idempotencyKey };
     for await (const event of client.submit({ service, body, patienceMs, ...key })) {
       if (event.type === 'token' || event.type === 'result') times.push(performance.now());
+      if (event.type === 'result') runner = runnerOf(event.data.result);
       if (event.type === 'failed') failedCode = codeOf(event.data.code);
     }
     return failedCode === undefined ? timing('done') : timing('failed', failedCode);
@@ -74,3 +77,8 @@
 function codeOf(code: unknown): string {
   return typeof code === 'string' ? code : 'failed';
 }
+
+function runnerOf(result: unknown): string | undefined {
+  const { runner } = result as { readonly runner?: string };
+  return runner;
+}
--- a/packages/bench/src/types/answer-timing.ts
+++ b/packages/bench/src/types/answer-timing.ts
@@ -14,4 +14,6 @@
   readonly gapsMs: readonly number[];
   readonly elapsedMs: number;
   readonly tokens: number;
+  /** Application runner that answered. */
+  readonly runner?: string;
 }
--- a/packages/node/src/node/runners/dispatcher.ts
+++ b/packages/node/src/node/runners/dispatcher.ts
@@ -12,6 +12,7 @@
 import type { Settings } from '@ragwortrudder/settings';
 import type { Assignment } from '../../types/assignment.ts';
 import { tokens } from '../../types/tokens.ts';
+import { applicationPolicyOf } from '../../utils/application-policy-of.ts';
 import { countTokens } from '../../utils/count-tokens.ts';
 import { ReferenceSpeeds } from '../../utils/reference-speeds.ts';
 import { VersionMoves } from '../moves/version-moves.ts';
@@ -29,7 +30,7 @@
   readonly #moves: VersionMoves;
   readonly #random: Random;
   readonly #failureDomain: string;
-  readonly #modelPolicy: PolicyName;
+  readonly #policy: PolicyName;
   /** One policy a service, as policies learn from what they chose. */
   readonly #policies = new Map<string, RoutingPolicy>();
   readonly #reference = new ReferenceSpeeds();
@@ -44,7 +45,7 @@
     this.#moves = moves;
     this.#random = random;
     this.#failureDomain = settings.node.failureDomain;
-    this.#modelPolicy = settings.runners.policy;
+    this.#policy = settings.runners.policy;
   }
 
   /** Reserves room on a runner for the next attempt at `owned`; undefined when none has room. */
@@ -108,7 +109,7 @@
     const known = this.#policies.get(request.service);
     if (known) return known;
     const policy = routingPolicyOf(
-      request.input.kind === 'model' ? this.#modelPolicy : 'two-choices',
+      request.input.kind === 'model' ? this.#policy : applicationPolicyOf(this.#policy),
     );
     this.#policies.set(request.service, policy);
     return policy;
--- a/test/bench/summaries.test.ts
+++ b/test/bench/summaries.test.ts
@@ -4,6 +4,7 @@
 import { burstArrivals } from '../../packages/bench/src/utils/burst-arrivals.ts';
 import { compareWithBest } from '../../packages/bench/src/utils/compare-with-best.ts';
 import { floodValues } from '../../packages/bench/src/utils/flood-values.ts';
+import { herdValues } from '../../packages/bench/src/utils/herd-values.ts';
 import { medianRows } from '../../packages/bench/src/utils/median-rows.ts';
 import { percentile } from '../../packages/bench/src/utils/percentile.ts';
 import { recoveryValues } from '../../packages/bench/src/utils/recovery-values.ts';
@@ -135,3 +136,19 @@
   });
   t.is(values.repeatedRuns, 1);
 });
+
+test('the herd is the largest share of one runner within 100 ms', (t) => {
+  const to = (runner: string, atMs: number): AnswerTiming => {
+    const one = answer();
+    return { ...one, runner, request: { ...one.request, atMs } };
+  };
+  const answers = [
+    ...Array.from({ length: 6 }, (_, i) => to('a', i)),
+    ...Array.from({ length: 2 }, (_, i) => to('b', 90 + i)),
+    to('b', 150),
+  ];
+  const values = herdValues({ answers, slowRunner: 'b' });
+  t.is(values.herdLargest, 0.75);
+  t.is(values.windows, 1);
+  t.is(values.slowShare, 1 / 3);
+});
--- /dev/null
+++ b/test/node/application-policy-of.test.ts
@@ -0,0 +1,9 @@
+import test from 'ava';
+import { applicationPolicyOf } from '../../packages/node/src/utils/application-policy-of.ts';
+
+test('applications are chosen by two choices unless a plain baseline is set', (t) => {
+  t.is(applicationPolicyOf('estimate'), 'two-choices');
+  t.is(applicationPolicyOf('prefix-hash'), 'two-choices');
+  t.is(applicationPolicyOf('round-robin'), 'round-robin');
+  t.is(applicationPolicyOf('least-loaded'), 'least-loaded');
+});
