Refuse what could start but not end by its deadline

Cause: admission compared the expected wait with the whole time left, so that under overload requests started just before their deadline, used the runners and came late. Change: the node learns how long runners take for a unit of cost, for each service and class, and a request must start that much before its deadline (at most half of the time left). Ruled out by reading, not run: lower first limits of concurrency; those adapt by themselves.

--- a/packages/node/src/node/admission/service-gate.ts
+++ b/packages/node/src/node/admission/service-gate.ts
@@ -4,6 +4,7 @@
 import { DeadlinePassed } from '../../errors/deadline-passed.ts';
 import { Overloaded } from '../../errors/overloaded.ts';
 import { estimateCost } from '../../utils/estimate-cost.ts';
+import { ServiceTime } from '../../utils/service-time.ts';
 import type { Metrics } from '../metrics/metrics.ts';
 import type { OwnedRequest } from '../requests/owned-request.ts';
 
@@ -25,6 +26,7 @@
 export class ServiceGate {
   readonly #options: ServiceGateOptions;
   readonly #queue: AdmissionQueue;
+  readonly #serviceTime = new ServiceTime();
   readonly #waiting = new Map<string, OwnedRequest>();
   readonly #offeredAt = new Map<string, number>();
   #resumed: OwnedRequest[] = [];
@@ -77,6 +79,12 @@
     return this.#queue.cancel(id);
   }
 
+  /** Takes in how long runners took for a request, from its start to its whole answer. */
+  served({ request }: OwnedRequest, elapsedMs: number): void {
+    const { input } = request;
+    this.#serviceTime.add({ class: request.class, cost: estimateCost(input) }, elapsedMs);
+  }
+
   /** Starts as many requests as the runners have room for. */
   pump(): void {
     this.#startResumed();
@@ -132,14 +140,20 @@
     return owned;
   }
 
+  /** The queue's deadline is the time by which the request must start to end in time. */
   #describe({ request, remainingMs }: OwnedRequest): AdmissionRequest {
     const requestClass: RequestClass = request.class === 'batch' ? 'batch' : 'interactive';
+    const cost = estimateCost(request.input);
+    const startWithinMs = this.#serviceTime.startWithinMs(
+      { class: request.class, cost },
+      remainingMs,
+    );
     return {
       id: request.id,
       tenant: request.tenant,
       class: requestClass,
-      cost: estimateCost(request.input),
-      deadlineAt: this.#options.clock.monotonic() + remainingMs,
+      cost,
+      deadlineAt: this.#options.clock.monotonic() + startWithinMs,
     };
   }
 }
--- a/packages/node/src/node/requests/service-gates.ts
+++ b/packages/node/src/node/requests/service-gates.ts
@@ -122,8 +122,10 @@
   async #run(owned: OwnedRequest, assignment: Assignment): Promise<void> {
     const isModel = owned.request.input.kind === 'model';
     const runs = isModel ? this.#models : this.#applications;
+    const startedAt = this.#clock.monotonic();
     try {
       const again = await runs.run(owned, assignment);
+      this.#learnServiceTime(owned, startedAt);
       if (again) this.of(owned.request.service).resume(owned);
       else this.of(owned.request.service).pump();
     } catch (error) {
@@ -137,6 +139,12 @@
     }
   }
 
+  #learnServiceTime(owned: OwnedRequest, startedAt: number): void {
+    const isWhole = owned.events.events.at(-1)?.body.type === 'done';
+    if (!isWhole || owned.attempts.started > 1) return;
+    this.of(owned.request.service).served(owned, this.#clock.monotonic() - startedAt);
+  }
+
   #giveUp(owned: OwnedRequest, failure: DeadlinePassed): void {
     const notRun = owned.attempts.started === 0;
     if (notRun) void this.#keyed.finish(owned, 'not-run');
