Read a long list of VMs less often

The pause now grows by 10 ms for each VM on the list, so a list of 3,000 is read every 30 s. A list of up to 100 VMs is read as before. One reader for each failure domain would cost less still and is left.

--- a/packages/bench/src/experiments/control-cost-cases.ts
+++ b/packages/bench/src/experiments/control-cost-cases.ts
@@ -11,6 +11,8 @@
   readonly nodes: number;
   readonly runners: number;
   readonly tenants: number;
+  /** VMs in the platform's list besides those of nodes and runners. */
+  readonly listed: number;
   /** Tickets in force before the measurement. */
   readonly tickets: number;
   /** Tickets a second during the measurement. */
@@ -32,6 +34,7 @@
   const isModel = kind === 'idempotent';
   return {
     ...{ name, nodes, runners, tenants, kind },
+    listed: sizes.listed ?? 0,
     tickets: sizes.tickets ?? 0,
     ticketRate: sizes.ticketRate ?? 0,
     requestRate: sizes.requestRate ?? 0,
@@ -64,6 +67,7 @@
   return {
     nodes: [3, 6, 12, 24, 60].map((nodes) => make(`${nodes} nodes`, { nodes })),
     runners: [6, 24, 96].map((runners) => make(`${runners} runners`, { runners })),
+    listed: [0, 300, 3000].map((listed) => make(`${listed} more VMs`, { listed })),
     tenants: [1, 200, 2000].map((tenants) => make(`${tenants} tenants`, { tenants })),
     tickets: [0, 100, 400].map((tickets) => make(`${tickets} tickets`, { tickets })),
     'ticket-rate': [0, 2, 10].map((ticketRate) => make(`${ticketRate} tickets/s`, { ticketRate })),
--- a/packages/bench/src/experiments/control-cost.ts
+++ b/packages/bench/src/experiments/control-cost.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { ChildProcess, Fleet } from '@ragwortrudder/standins';
+import got from 'got';
 import type { ExperimentOptions } from '../types/experiment-options.ts';
 import type { ResultRow } from '../types/result-row.ts';
 import type { ResultTable } from '../types/result-table.ts';
@@ -107,11 +108,23 @@
   }
 }
 
+/** Adds VMs to the platform's list that run neither a node nor a runner. */
+async function listVms(fleet: Fleet, count: number): Promise<void> {
+  for (let index = 0; index < count; index += 1) {
+    const vm = { id: `vm-listed-${index}`, failureDomain: 'a', address: `10.0.0.1:${index}` };
+    const labels = { service: 'other', version: 'v1' };
+    await got.post(`http://${fleet.platformAddress}/control/vms`, {
+      json: { ...vm, labels },
+    });
+  }
+}
+
 async function measure(one: Case, seed: number, reader: ControlCostReader): Promise<ResultRow> {
   const idle = await idleCost(reader);
   const fleet = new Fleet({ ...one.options, program: PROGRAM });
   try {
     await fleet.start();
+    await listVms(fleet, one.listed);
     await submitTickets(fleet, one.tickets);
     await sleep(SETTLE_MS);
     const pids = fleet.entries.map(({ name }) => fleet.pid(name) ?? 0);
--- a/packages/node/src/node/runners/runner-pool.ts
+++ b/packages/node/src/node/runners/runner-pool.ts
@@ -25,6 +25,8 @@
 /** A read that the timer starts early still counts as due. */
 const TIMER_SLACK_MS = 5;
 const MS_PER_SECOND = 1000;
+/** Time between reads of the list of VMs, for each VM on it. */
+const DIRECTORY_MS_PER_VM = 10;
 
 /** The runners that this node sends to: who they are, their load, and what their caches hold. */
 @injectable()
@@ -44,6 +46,8 @@
   readonly #usedAt = new Map<string, number>();
   readonly #listeners = new Set<() => void>();
   readonly #tasks: readonly PeriodicTask[];
+  /** Monotonic time in milliseconds before which the list of VMs is not read again. */
+  #directoryDueAt = -Infinity;
 
   constructor(
     @inject(tokens.settings) settings: Settings,
@@ -148,7 +152,10 @@
   }
 
   async #readDirectory(): Promise<void> {
+    const now = this.#clock.monotonic();
+    if (now < this.#directoryDueAt) return;
     const vms = await this.#directory.list();
+    this.#directoryDueAt = now + vms.length * DIRECTORY_MS_PER_VM;
     const listed = new Map(vms.map((vm) => [vm.id, vm]));
     const identities = vms.map(runnerIdentityOf).filter((identity) => identity !== undefined);
     const kept = new Set(this.#subsets(identities));
