--- a/packages/node/src/errors/ticket-refused.ts
+++ b/packages/node/src/errors/ticket-refused.ts
@@ -7,13 +7,11 @@
 
   constructor(number: number, refusal: Refusal) {
     const winner = refusal.lostTo === null ? 'no accepted ticket' : `ticket ${refusal.lostTo}`;
-    super(
-      `ticket ${number} is refused (${refusal.reason}); it lost to ${winner} on ${refusal.objects.join(', ')}`,
-      {
-        status: 409,
-        notRun: true,
-        hint: 'read the state again, write the ticket against the newest one and give it a new number',
-      },
-    );
+    const objects = refusal.objects.length > 0 ? ` on ${refusal.objects.join(', ')}` : '';
+    super(`ticket ${number} is refused (${refusal.reason}); it lost to ${winner}${objects}`, {
+      status: 409,
+      notRun: true,
+      hint: 'read the state again, write the ticket against the newest one and give it a new number',
+    });
   }
 }
--- a/test/node-api/routes.test.ts
+++ b/test/node-api/routes.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { operations, problemsOfAnswer, problemsOfSchema } from './open-api.ts';
-import { OPERATOR_KEY, ServedNode, TENANT_KEY } from './served-node.ts';
+import { OPERATOR_KEY, OTHER_TENANT_KEY, ServedNode, TENANT_KEY } from './served-node.ts';
 
 const node = await ServedNode.start();
 const seen = new Set<string>();
@@ -27,6 +27,8 @@
   return [...wrongStatus, ...(await problemsOfAnswer(operation, answer))];
 }
 
+const HTTP_FORBIDDEN = 403;
+const HTTP_NOT_FOUND = 404;
 const SUBMIT = 'POST /v1/services/{service}/requests';
 const JSON_ANSWER = { accept: 'application/json' };
 const REORDER = { operation: 'reorder', payload: { soap: 24 } };
@@ -170,6 +172,13 @@
   };
   const checks: readonly Check[] = [
     { operation: 'POST /v1/tickets', path: '/v1/tickets', body: ticket, status: 201 },
+    { operation: 'POST /v1/tickets', path: '/v1/tickets', body: ticket, status: 201 },
+    {
+      operation: 'POST /v1/tickets',
+      path: '/v1/tickets',
+      body: { ...ticket, tenants: { third: null } },
+      status: 409,
+    },
     { operation: 'POST /v1/tickets', path: '/v1/tickets', body: { number: 3 }, status: 400 },
     {
       operation: 'POST /v1/tickets',
@@ -192,6 +201,25 @@
   }
 });
 
+test.serial("a tenant reads, cancels and looks up nothing of another tenant's", async (t) => {
+  const path = '/v1/services/orders/requests';
+  const body = JSON.stringify(REORDER);
+  const headers = { 'idempotency-key': 'reorder-3' };
+  const answer = await node.call(path, { method: 'POST', body, headers }, TENANT_KEY);
+  const { id } = eventsOf(await answer.text())[0]?.data as { readonly id: string };
+  const readOn = await node.call(`/v1/requests/${id}/events`, {}, OTHER_TENANT_KEY);
+  t.true([HTTP_FORBIDDEN, HTTP_NOT_FOUND].includes(readOn.status));
+  t.deepEqual(await problemsOfAnswer('GET /v1/requests/{id}/events', readOn), []);
+  const cancel = await node.call(`/v1/requests/${id}`, { method: 'DELETE' }, OTHER_TENANT_KEY);
+  t.notRegex(await cancel.text(), /"cancelled":true/);
+  const key = await node.call('/v1/keys/reorder-3', {}, OTHER_TENANT_KEY);
+  t.regex(await key.text(), /"word":"absent"/);
+  const runs = node.orders.runs().length;
+  const own = await node.call(path, { method: 'POST', body, headers }, OTHER_TENANT_KEY);
+  t.regex(await own.text(), /event: done/);
+  t.is(node.orders.runs().length, runs + 1, 'the key of another tenant is another key');
+});
+
 test.serial('status and metrics hold no key', async (t) => {
   for (const path of ['/v1/status', '/metrics', '/v1/tickets']) {
     const text = await (await node.call(path, {}, OPERATOR_KEY)).text();
