Find versions that are slower throughout

Cause: a version three times slower was kept. A request counted as slow only one step of the histogram above what nine in ten requests of the old version stay within; where the old version's times spread widely, most requests of a slow version stay below that. A further test looks at the part above what three quarters of the old version's requests stay within.

Ruled out: half instead of three quarters (3 groups of the simulation then took more good versions back than the tests allow), three quarters with 20 requests of the old version instead of 50 (1 such group; one good version called bad).

--- a/packages/moves/src/utils/test-series-of.ts
+++ b/packages/moves/src/utils/test-series-of.ts
@@ -9,9 +9,13 @@
 const FAILURE_EXCESSES = [0.05, 0.25, 0.6];
 const SLOW_FLOOR = 0.05;
 const SLOW_EXCESSES = [0.2, 0.5];
+const SLOWER_EXCESSES = [0.5];
 /** Part of the old version's requests that may lie above the bound for slow ones. */
 const SLOW_PART = 0.1;
+/** The same for the bound that tells the slower quarter. */
+const SLOWER_PART = 0.25;
 const MIN_LATENCIES = 20;
+const MIN_SLOWER_LATENCIES = 50;
 const DEFAULT_SLOW_INDEX = LATENCY_RATIO_BOUNDS.indexOf(2);
 
 interface SeriesInput {
@@ -45,14 +49,24 @@
   };
 }
 
-/** Index of the bound above which a request counts as slow, one step above what the old version shows. */
-function slowIndex(cells: readonly EvidenceCell[]): number | undefined {
-  if (latenciesAbove(cells, 0).trials < MIN_LATENCIES) return undefined;
+/** Index of the lowest bound above which at most `part` of the requests lie. */
+function boundIndex(
+  cells: readonly EvidenceCell[],
+  part: number,
+  minLatencies: number,
+): number | undefined {
+  if (latenciesAbove(cells, 0).trials < minLatencies) return undefined;
   const index = LATENCY_RATIO_BOUNDS.findIndex((_, bound) => {
     const { trials, events } = latenciesAbove(cells, bound);
-    return events <= SLOW_PART * trials;
+    return events <= part * trials;
   });
-  return index === -1 ? LATENCY_RATIO_BOUNDS.length : index + 1;
+  return index === -1 ? LATENCY_RATIO_BOUNDS.length : index;
+}
+
+/** Index of the bound above which a request counts as slow, one step above what the old version shows. */
+function slowIndex(cells: readonly EvidenceCell[]): number | undefined {
+  const index = boundIndex(cells, SLOW_PART, MIN_LATENCIES);
+  return index === undefined ? undefined : Math.min(index + 1, LATENCY_RATIO_BOUNDS.length);
 }
 
 /** Tests of the evidence: failures over all, by route and by load band; slow requests by route and load band. */
@@ -82,6 +96,23 @@
       oldTotal: latenciesAbove(oldTotal.filter(filter), index),
     };
   };
+  /** Finds a version that is slower throughout, even where the old version's times spread widely. */
+  const slower = (route: string, band: number): readonly TestSeries[] => {
+    const filter: Filter = (cell) => cell.route === route && cell.loadBand === band;
+    const index = boundIndex(oldTotal.filter(filter), SLOWER_PART, MIN_SLOWER_LATENCIES);
+    if (index === undefined) return [];
+    return [
+      {
+        name: `requests slower than three quarters of the old version's on route ${route} in load band ${band}`,
+        route,
+        floor: SLOW_FLOOR,
+        excesses: SLOWER_EXCESSES,
+        fresh: latenciesAbove(fresh.filter(filter), index),
+        oldRecent: latenciesAbove(oldRecent.filter(filter), index),
+        oldTotal: latenciesAbove(oldTotal.filter(filter), index),
+      },
+    ];
+  };
   const routes = [...new Set(fresh.map(({ route }) => route))].sort();
   const bands = [...new Set(fresh.map((cell) => cell.loadBand))].sort();
   return [
@@ -92,5 +123,6 @@
     })),
     ...bands.map((band) => failures(` in load band ${band}`, (cell) => cell.loadBand === band)),
     ...routes.flatMap((route) => bands.map((band) => slow(route, band))),
+    ...routes.flatMap((route) => bands.flatMap((band) => slower(route, band))),
   ];
 }
