Count the tokens of an answer once

Cause: each token of a stream copied the list of all tokens before it to learn their number, so an answer of n tokens took n squared steps; a profile of the owner under load showed 5.4% of its time there.

--- a/packages/node/src/node/requests/owned-request.ts
+++ b/packages/node/src/node/requests/owned-request.ts
@@ -29,6 +29,9 @@
   readonly #chart = new Chart(requestChart);
   readonly #ending = new AbortController();
   readonly #startedAt: number;
+  #tokenCount = 0;
+  /** Events of the answer that `#tokenCount` covers. */
+  #countedEvents = 0;
   #lastTokenAt: number | undefined;
   #movedTo: string | undefined;
   #endedAt: number | undefined;
@@ -69,6 +72,15 @@
     return this.#movedTo;
   }
 
+  /** Number of generated tokens so far. */
+  get tokenCount(): number {
+    const { events } = this.events;
+    for (const { body } of events.slice(this.#countedEvents))
+      if (body.type === 'token') this.#tokenCount += 1;
+    this.#countedEvents = events.length;
+    return this.#tokenCount;
+  }
+
   /** Time left until the deadline in milliseconds. */
   get remainingMs(): number {
     return this.request.deadline - this.#clock.wall();
--- a/packages/node/src/node/runners/model-attempt.ts
+++ b/packages/node/src/node/runners/model-attempt.ts
@@ -145,7 +145,7 @@
       this.#countTokens(event.cachedTokens, event.computedTokens);
       return undefined;
     }
-    const expected = this.owned.events.tokens.length;
+    const expected = this.owned.tokenCount;
     if (event.index < expected) return undefined;
     if (event.index > expected)
       return { kind: 'failed', reason: 'the runner left out a token', isVersion: true };
@@ -155,7 +155,7 @@
   }
 
   #endOfStream(finish: string): AttemptEnd {
-    if (FINISHED.has(finish)) return { kind: 'done', tokens: this.owned.events.tokens.length };
+    if (FINISHED.has(finish)) return { kind: 'done', tokens: this.owned.tokenCount };
     return { kind: 'failed', reason: `the runner ended the stream: ${finish}`, isVersion: false };
   }
 
