Read streams of engines without a general client

Cause: the profile of the owner under load showed 7% in the general client, which passes each piece through a second stream.

--- a/packages/node/src/node/runners/model-client.ts
+++ b/packages/node/src/node/runners/model-client.ts
@@ -1,14 +1,18 @@
-import { Agent } from 'node:http';
+import { once } from 'node:events';
+import { Agent, request } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import { urlToHttpOptions } from 'node:url';
 import { createParser } from 'eventsource-parser';
-import got from 'got';
 import { inject, injectable } from 'inversify';
 import type { Closeable } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
+import { CallFailed } from '../../errors/call-failed.ts';
 import { EngineEvent } from '../../types/engine-event.ts';
 import type { Generation } from '../../types/generation.ts';
 import { tokens } from '../../types/tokens.ts';
 
 const MAX_SOCKETS_PER_ENGINE = 1024;
+const HTTP_REDIRECT = 300;
 
 /** Streams generations from model engines. */
 @injectable()
@@ -26,23 +30,15 @@
     generation: Generation,
     signal: AbortSignal,
   ): AsyncGenerator<EngineEvent> {
-    const stream = got.stream.post(`http://${endpoint}/generate`, {
-      body: JSON.stringify(generation),
-      headers: { 'content-type': 'application/json', accept: 'text/event-stream' },
-      agent: { http: this.#agent },
-      timeout: { lookup: this.#connectMs, connect: this.#connectMs },
-      retry: { limit: 0 },
-      decompress: false,
-      signal,
-    });
+    const response = await this.#open(endpoint, generation, signal);
     const events: EngineEvent[] = [];
     const parser = createParser({
       onEvent: (event) => {
         events.push(EngineEvent.parse(JSON.parse(event.data)));
       },
     });
-    stream.setEncoding('utf8');
-    for await (const chunk of stream) {
+    response.setEncoding('utf8');
+    for await (const chunk of response) {
       parser.feed(String(chunk));
       yield* events.splice(0);
     }
@@ -52,4 +48,47 @@
     this.#agent.destroy();
     return Promise.resolve();
   }
+
+  async #open(
+    address: string,
+    generation: Generation,
+    signal: AbortSignal,
+  ): Promise<IncomingMessage> {
+    const body = JSON.stringify(generation);
+    const call = request({
+      agent: this.#agent,
+      ...urlToHttpOptions(new URL(`http://${address}/generate`)),
+      ...{ method: 'POST', signal },
+      headers: {
+        'content-type': 'application/json',
+        'content-length': Buffer.byteLength(body),
+        accept: 'text/event-stream',
+      },
+    });
+    limitConnectTime(call, this.#connectMs);
+    // After the answer has begun, failures are seen by its reader.
+    call.on('error', () => undefined);
+    const answered = once(call, 'response');
+    call.end(body);
+    const [response] = (await answered) as [IncomingMessage];
+    const status = response.statusCode ?? 0;
+    if (status < HTTP_REDIRECT) return response;
+    response.destroy();
+    throw new CallFailed(address, `status code ${status}`);
+  }
+}
+
+/** Destroys `call` when its connection is not established in time. */
+function limitConnectTime(call: ClientRequest, connectMs: number): void {
+  call.once('socket', (socket) => {
+    if (!socket.connecting) return;
+    const timer = setTimeout(() => {
+      call.destroy(new CallFailed(call.host, `no connection within ${connectMs} ms`));
+    }, connectMs);
+    const stop = (): void => {
+      clearTimeout(timer);
+    };
+    socket.once('connect', stop);
+    socket.once('close', stop);
+  });
 }
