--- a/packages/bench/src/experiments/routing.ts
+++ b/packages/bench/src/experiments/routing.ts
@@ -57,6 +57,7 @@
       engine: { cacheEventLossRate: 1 / 3 },
     },
     { name: 'prefix-hash, again', policy: 'prefix-hash' },
+    { name: 'round-robin, again', policy: 'round-robin' },
   ],
   ['estimate', 'round-robin', 'least-loaded', 'prefix-hash'].map((policy) => ({
     name: `${policy}, load 5 s old`,
@@ -126,7 +127,7 @@
     { policy: 'estimate', baselines: BASELINES },
     ...['no cache events', 'cache events 5 s late', 'a third of cache events lost'].map((what) => ({
       policy: `estimate, ${what}`,
-      baselines: ['prefix-hash, again'],
+      baselines: ['prefix-hash, again', 'round-robin, again'],
     })),
     {
       policy: 'estimate, load 5 s old',
