--- a/packages/bench/src/cli/throughput.ts
+++ b/packages/bench/src/cli/throughput.ts
@@ -2,6 +2,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { throughput } from '../experiments/throughput.ts';
+import { throughputSteady } from '../experiments/throughput-steady.ts';
 import { toMarkdown } from '../utils/to-markdown.ts';
 
 const args = await yargs(hideBin(process.argv))
@@ -11,18 +12,22 @@
   .option('concurrency', { type: 'array', number: true, default: [1, 16, 64] })
   .option('rate', { type: 'array', number: true, default: [20] })
   .option('against', { type: 'string', describe: 'program of another version of the node' })
+  .option('steady', { type: 'boolean', default: false, describe: 'memory over a minute instead' })
   .strict()
   .parseAsync();
 
-const table = await throughput({
-  ...{ seed: args.seed, seconds: args.seconds },
-  log: (line) => process.stderr.write(`${line}\n`),
-  programs: { ...(args.against === undefined ? {} : { before: args.against }), now: undefined },
-  loops: [
-    ...args.concurrency.map((concurrency) => ({
-      ...{ name: `${concurrency} at a time`, concurrency, rate: 0 },
-    })),
-    ...args.rate.map((rate) => ({ name: `${rate} a second`, concurrency: 0, rate })),
-  ],
-});
+const log = (line: string) => process.stderr.write(`${line}\n`);
+const before = args.against === undefined ? {} : { before: args.against };
+const loops = [
+  ...args.concurrency.map((concurrency) => ({
+    ...{ name: `${concurrency} at a time`, concurrency, rate: 0 },
+  })),
+  ...args.rate.map((rate) => ({ name: `${rate} a second`, concurrency: 0, rate })),
+];
+const table = args.steady
+  ? await throughputSteady({ seed: args.seed, log })
+  : await throughput({
+      ...{ seed: args.seed, seconds: args.seconds, log, loops },
+      programs: { ...before, now: undefined },
+    });
 process.stdout.write(`${toMarkdown(table.rows)}\n`);
--- a/packages/bench/src/experiments/throughput.ts
+++ b/packages/bench/src/experiments/throughput.ts
@@ -1,4 +1,5 @@
 import { execFile } from 'node:child_process';
+import { readFile } from 'node:fs/promises';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
@@ -33,6 +34,11 @@
   ...{ stepMs: 4, decodeTokenMs: 0, prefillTokenMs: 0 },
   ...{ tokenBudget: 8192, maxRunning: 256, kvCapacity: 1_000_000 },
 };
+/** Places in `/proc/PID/stat` after the name of the process. */
+const USER_FIELD = 11;
+const SYSTEM_FIELD = 12;
+const MS_PER_TICK = 10;
+const MICROSECONDS_PER_MS = 1000;
 const run = promisify(execFile);
 
 function fleetOf(seed: number, program: string | undefined): Fleet {
@@ -52,7 +58,14 @@
   return JSON.parse(stdout) as Readonly<Record<string, number>>;
 }
 
-/** Processor time and memory of a process from the node's own metrics. */
+/** Processor time used by a process so far, in milliseconds; NaN when it does not run. */
+async function cpuMsOf(pid: number | undefined): Promise<number> {
+  if (pid === undefined) return Number.NaN;
+  const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  return (Number(fields[USER_FIELD]) + Number(fields[SYSTEM_FIELD])) * MS_PER_TICK;
+}
+
 async function measureLoop(
   fleet: Fleet,
   loop: Loop,
@@ -62,11 +75,23 @@
   const engine = fleet.runners[0]?.address ?? '';
   const node = fleet.callersAddress('entry-1');
   const { concurrency, rate } = loop;
-  return callClient({
+  const cpuMs = (): Promise<readonly number[]> =>
+    Promise.all(fleet.entries.map(({ name }) => cpuMsOf(fleet.pid(name))));
+  const before = await cpuMs();
+  const values = await callClient({
     ...{ direct, concurrency, rate, maxTokens: TOKENS, seconds: options.seconds },
     address: direct ? engine : node,
     key: fleet.layout.tenants[0]?.key,
   });
+  const after = await cpuMs();
+  const tokens = (values['tokens/s'] ?? 0) * options.seconds;
+  const usedMs = after.map((ms, index) => ms - (before[index] ?? 0));
+  const [owner = Number.NaN, holder = Number.NaN] = usedMs;
+  return {
+    ...values,
+    'node cpu µs/token': (owner * MICROSECONDS_PER_MS) / tokens,
+    'holder cpu µs/token': (holder * MICROSECONDS_PER_MS) / tokens,
+  };
 }
 
 async function measureVersion(
