--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -1,6 +1,7 @@
 import type { Experiment } from '../types/experiment.ts';
 import { admission } from './admission.ts';
 import { applicationRouting } from './application-routing.ts';
+import { onceOnly } from './once-only.ts';
 import { retries } from './retries.ts';
 import { routing } from './routing.ts';
 import { supply } from './supply.ts';
@@ -11,5 +12,6 @@
   admission,
   retries,
   applicationRouting,
+  onceOnly,
   supply,
 ];
--- a/packages/prove/src/node/proofs/accepted-survives.ts
+++ b/packages/prove/src/node/proofs/accepted-survives.ts
@@ -6,8 +6,10 @@
 import { runWorkload } from '../workload.ts';
 
 const DURATION_MS = 9000;
-const NOTICE_MS = 3000;
-const ENTRY_NOTICE_MS = 6000;
+const NOTICE_MS = 1500;
+const ENTRY_NOTICE_MS = 2500;
+/** A quote takes longer than either notice. */
+const QUOTE_TOKENS = 350;
 
 /** Reclaims an endpoint of each kind and the VM of a node while requests run. */
 export const acceptedSurvives: Proof = {
@@ -23,10 +25,10 @@
       runWorkload({
         stage,
         tenants: TENANTS,
-        pauseMs: 60,
+        pauseMs: 80,
         durationMs: DURATION_MS,
         mix: { quotes: 4, stock: 2, orders: 2 },
-        maxTokens: 120,
+        maxTokens: QUOTE_TOKENS,
         issued: 0.5,
       }),
       reclaimAll(stage),
