--- a/packages/node/src/node/peers/peer-server.ts
+++ b/packages/node/src/node/peers/peer-server.ts
@@ -54,6 +54,7 @@
 
   async #answer(request: Request, response: Response): Promise<void> {
     if (!this.#keys.find(bearerKey(request))) throw new Unauthorized();
+    dropOptionalHeaders(response);
     const body = request.body as unknown;
     const answer = await this.#methods.receive(
       Buffer.isBuffer(body) ? body.toString('utf8') : String(body),
@@ -62,3 +63,9 @@
     else response.writeHead(NO_CONTENT).end();
   }
 }
+
+/** Peers read neither header, and they are a good part of a short answer. */
+function dropOptionalHeaders(response: Response): void {
+  response.removeHeader('server');
+  response.sendDate = false;
+}
