Spread the replicas of a node over eight others

Cause: a holder was drawn from all nodes of other domains, so with many nodes each link carried too few updates to share messages. By count, a node of 330 with 19,700 tokens a second had 275 links with 72 updates a second each; with eight links it is 2,460 each. Ruled out: a choice by highest score, which is less even. Up to eight candidates nothing changes. Not measured on processes.

--- a/packages/node/src/node/requests/request-factory.ts
+++ b/packages/node/src/node/requests/request-factory.ts
@@ -6,6 +6,7 @@
 import type { AcceptedRequest, RequestCopy } from '@ragwortrudder/requests';
 import type { NewRequest } from '../../types/new-request.ts';
 import { tokens } from '../../types/tokens.ts';
+import { HashRing } from '../../utils/hash-ring.ts';
 import type { LiveIncarnation } from '../life/live-incarnation.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { PeerDirectory } from '../peers/peer-directory.ts';
@@ -14,6 +15,8 @@
 import { Replication } from './replication.ts';
 
 const SERIAL_BYTES = 9;
+/** Nodes among which one node spreads its replicas, so that updates to each can share messages. */
+const HOLDERS = 8;
 
 interface Acceptance {
   readonly idempotent: boolean;
@@ -29,6 +32,7 @@
   readonly #peers: PeerDirectory;
   readonly #links: ReplicaLinks;
   readonly #metrics: Metrics;
+  readonly #ring = new HashRing();
 
   constructor(
     @inject(tokens.clock) clock: Clock,
@@ -110,13 +114,17 @@
     return owned;
   }
 
-  /** A random node of another failure domain of the region, else of another region, else of the same domain. */
+  /** A random one of a few nodes of another failure domain of the region, else of another region, else of the same domain. */
   #chooseHolder(excluded: ReadonlySet<string>): Member | undefined {
     const { self } = this.#peers;
     const candidates = this.#peers.available.filter(({ nodeId }) => !excluded.has(nodeId));
     const others = candidates.filter(({ failureDomain }) => failureDomain !== self.failureDomain);
     const near = others.filter(({ region }) => region === self.region);
     const pool = [near, others, candidates].find((members) => members.length > 0) ?? [];
-    return pool[Math.floor(this.#random.next() * pool.length)];
+    const holders = this.#ring.successors(self.nodeId, pool, {
+      nameOf: ({ nodeId }) => nodeId,
+      count: HOLDERS,
+    });
+    return holders[Math.floor(this.#random.next() * holders.length)];
   }
 }
