Take estimated waits longer, so that few accepted requests expire

Cause: of what was accepted under overload, up to a tenth was ended at its deadline: the drain rate is learned from few requests and falls when runners slow down. Change: the margin on estimated waits is 1.6 instead of 1.25. Ruled out: a measured drain rate of short windows was not tried.

--- a/packages/admission/src/utils/admission-queue.ts
+++ b/packages/admission/src/utils/admission-queue.ts
@@ -18,7 +18,7 @@
 /** Retry delays are lengthened by a random part up to this one, to spread the retries. */
 const RETRY_JITTER = 0.5;
 /** Estimated waits are taken longer by this factor, so that few accepted requests expire. */
-const WAIT_MARGIN = 1.25;
+const WAIT_MARGIN = 1.6;
 /** A queued request is given up only when even this multiple of the drain rate comes too late. */
 const OPTIMISM = 2;
 const CLASSES: readonly RequestClass[] = ['interactive', 'batch'];
