--- /dev/null
+++ b/packages/bench/src/types/supply-event.ts
@@ -0,0 +1,11 @@
+import type { Price } from '@ragwortrudder/standins';
+
+/** Something that the platform does at a time of a supply experiment. */
+export type SupplyEvent = { readonly atMs: number } & (
+  | { readonly kind: 'prices'; readonly prices: readonly Price[] }
+  | { readonly kind: 'wave'; readonly failureDomain: string }
+  | { readonly kind: 'refuse'; readonly failureDomain: string; readonly forMs: number }
+  | { readonly kind: 'reply-lost'; readonly count: number }
+  | { readonly kind: 'outage'; readonly forMs: number }
+  | { readonly kind: 'kill-holder' }
+);
--- a/packages/supply/src/utils/cheapest-first-supply.ts
+++ b/packages/supply/src/utils/cheapest-first-supply.ts
@@ -3,12 +3,16 @@
 import type { SupplyPolicy } from '../types/supply-policy.ts';
 import { cheapestKind } from './cheapest-kind.ts';
 import { planActions } from './plan-actions.ts';
+import { totalUnits } from './total-units.ts';
 
 /** Baseline: VMs of the cheapest kind only, whatever is reclaimed or refused. */
 export class CheapestFirstSupply implements SupplyPolicy {
   readonly name = 'cheapest-first';
 
   plan(input: SupplyInput): readonly SupplyAction[] {
-    return planActions(input, (demand) => cheapestKind(demand, input.prices));
+    return planActions(input, {
+      targetsOf: (demand) => cheapestKind(demand, input.prices),
+      capacityOf: totalUnits,
+    });
   }
 }
--- a/packages/supply/src/utils/on-demand-supply.ts
+++ b/packages/supply/src/utils/on-demand-supply.ts
@@ -3,6 +3,7 @@
 import type { SupplyPolicy } from '../types/supply-policy.ts';
 import { cheapestKind } from './cheapest-kind.ts';
 import { planActions } from './plan-actions.ts';
+import { totalUnits } from './total-units.ts';
 
 /** Baseline: on-demand VMs only, of the cheapest kind. */
 export class OnDemandSupply implements SupplyPolicy {
@@ -10,6 +11,9 @@
 
   plan(input: SupplyInput): readonly SupplyAction[] {
     const prices = input.prices.filter(({ reclaimable }) => !reclaimable);
-    return planActions(input, (demand) => cheapestKind(demand, prices));
+    return planActions(input, {
+      targetsOf: (demand) => cheapestKind(demand, prices),
+      capacityOf: totalUnits,
+    });
   }
 }
--- a/packages/supply/src/utils/plan-actions.ts
+++ b/packages/supply/src/utils/plan-actions.ts
@@ -7,7 +7,6 @@
 import type { VmKind } from '../types/vm-kind.ts';
 import { hasLabels } from './has-labels.ts';
 import { kindKey } from './kind-key.ts';
-import { protectedUnits } from './protected-units.ts';
 import { requestIdOf } from './request-id-of.ts';
 
 const DEFAULT_MAX_STARTS = 16;
@@ -19,6 +18,14 @@
   readonly count: number;
 }
 
+/** Capacity that VMs are worth when the plan decides what it can do without. */
+type Capacity = (vms: readonly VmKind[], unitsByClass: SupplyDemand['unitsByClass']) => number;
+
+interface Policy {
+  readonly targetsOf: Targets;
+  readonly capacityOf: Capacity;
+}
+
 type Targets = (demand: SupplyDemand, held: ReadonlyMap<string, number>) => readonly Target[];
 
 function countByKind(vms: readonly SupplyVm[]): ReadonlyMap<string, number> {
@@ -33,6 +40,7 @@
   held: readonly SupplyVm[],
   targets: readonly Target[],
   input: SupplyInput,
+  capacityOf: Capacity,
 ): readonly StopVm[] {
   const margin = input.options.returnMargin ?? DEFAULT_RETURN_MARGIN;
   const wanted = new Map(targets.map(({ kind, count }) => [kindKey(kind), count]));
@@ -47,7 +55,7 @@
     const count = excess.get(key) ?? 0;
     if (count <= (wanted.get(key) ?? 0)) continue;
     const rest = live.filter(({ id }) => id !== vm.id);
-    if (protectedUnits(rest, demand.unitsByClass) < demand.units * (1 + margin)) continue;
+    if (capacityOf(rest, demand.unitsByClass) < demand.units * (1 + margin)) continue;
     excess.set(key, count - 1);
     live = rest;
     stops.push({ action: 'stop', vmId: vm.id });
@@ -56,7 +64,10 @@
 }
 
 /** Turns the wanted numbers of VMs into starts and returns against what is held. */
-export function planActions(input: SupplyInput, targetsOf: Targets): readonly SupplyAction[] {
+export function planActions(
+  input: SupplyInput,
+  { targetsOf, capacityOf }: Policy,
+): readonly SupplyAction[] {
   const { epoch, nextSequence, maxStarts = DEFAULT_MAX_STARTS } = input.options;
   const starts: StartVm[] = [];
   const stops: StopVm[] = [];
@@ -74,7 +85,7 @@
         starts.push({ action: 'start', requestId, ...kind, labels });
       }
     }
-    stops.push(...stopsFor(demand, held, targets, input));
+    stops.push(...stopsFor(demand, held, targets, input, capacityOf));
   }
   return [...starts, ...stops];
 }
--- a/packages/supply/src/utils/plan-supply.ts
+++ b/packages/supply/src/utils/plan-supply.ts
@@ -6,6 +6,7 @@
 import { kindKey } from './kind-key.ts';
 import { offersOf } from './offers-of.ts';
 import { planActions } from './plan-actions.ts';
+import { protectedUnits } from './protected-units.ts';
 
 const DEFAULT_ON_DEMAND_FLOOR = 0.2;
 const DEFAULT_HOLD_DISCOUNT = 0.1;
@@ -39,5 +40,8 @@
  * when the live ones suffice without them.
  */
 export function planSupply(input: SupplyInput): readonly SupplyAction[] {
-  return planActions(input, (demand, held) => targetsFor(demand, held, input));
+  return planActions(input, {
+    targetsOf: (demand, held) => targetsFor(demand, held, input),
+    capacityOf: protectedUnits,
+  });
 }
