--- a/test/node/engine-orders.test.ts
+++ b/test/node/engine-orders.test.ts
@@ -206,3 +206,23 @@
     t.is((await one.placed()).length, 1);
   });
 });
+
+test('after a refusal for the rate of the weight store no load is ordered for the time named', async (t) => {
+  const one = new Case(true);
+  await one.run(async () => {
+    const holder = one.leases.holder('first');
+    await one.leases.pass(holder);
+    class FullStore extends EngineClient {
+      orders = 0;
+
+      override order(): ReturnType<EngineClient['order']> {
+        this.orders += 1;
+        return Promise.resolve({ kind: 'throttled', retryAfterMs: 3_600_000 });
+      }
+    }
+    const store = new FullStore();
+    const orders = one.orders(holder, store);
+    for (let round = 0; round < 3; round += 1) await one.check(orders, 'v1');
+    t.is(store.orders, 1);
+  });
+});
--- a/test/supply/plan-supply.test.ts
+++ b/test/supply/plan-supply.test.ts
@@ -170,3 +170,15 @@
   t.true((mixed?.left ?? 0) >= 48);
   t.true((cheapest?.left ?? 0) < 48);
 });
+
+test('a baseline returns what its own mix does not name, without regard to a lost domain', (t) => {
+  const cheapest = new CheapestFirstSupply();
+  const held = applied([], cheapest.plan(inputOf()));
+  const options = { ...inputOf().options, nextSequence: 100 };
+  const dearer = inputOf({ current: held, prices: pricesOf([3, 1, 3, 1]), options });
+  const both = applied(held, cheapest.plan(dearer));
+  const left = applied(both, cheapest.plan({ ...dearer, current: both }));
+  t.is(new Set(both.map(({ failureDomain }) => failureDomain)).size, 2);
+  t.is(protectedUnits(both, UNITS), 12);
+  t.is(protectedUnits(left, UNITS), 1);
+});
