Continue a stream on the runner that got its KV cache

Cause: the runner to which the KV cache of a request was moved was noted with its attempts (AttemptHistory.preferred) and read nowhere, so the next attempt could go to any other runner and computed the tokens again. The dispatcher now takes it when it has room.

--- a/packages/node/src/node/runners/dispatcher.ts
+++ b/packages/node/src/node/runners/dispatcher.ts
@@ -97,7 +97,13 @@
       .filter((view) => this.#isOpen(view));
     const request = this.describe(owned, version);
     const policy = this.#policyOf(owned);
-    const options = { candidates, request, random: this.#random, cache: this.#pool.cache };
+    const preferred = candidates.filter(({ id }) => id === owned.attempts.preferred);
+    const options = {
+      candidates: preferred.length > 0 ? preferred : candidates,
+      request,
+      random: this.#random,
+      cache: this.#pool.cache,
+    };
     const choice =
       policy.choose({ ...options, avoid: owned.attempts.avoid }) ?? policy.choose(options);
     const runner = choice && this.#pool.find(choice.runner.id);
