--- a/packages/bench/src/experiments/silent-run.ts
+++ b/packages/bench/src/experiments/silent-run.ts
@@ -24,6 +24,8 @@
 const PATIENCE_MS = 1000;
 const NEVER_MS = 600_000;
 const MIN_SILENCE_MS = 500;
+/** Time after the fault at which connections without detection are closed. */
+const DEADLINE_MS = 30_000;
 const SLOW_FACTORS = { 'slow x5': 5, 'slow x10': 10 };
 /** Gap between tokens above which a stream counts as interrupted. */
 const INTERRUPTED_MS = 400;
@@ -41,6 +43,16 @@
   await Promise.all(ids.map((id) => fleet.engineFault(id, change)));
 }
 
+/** Closes the connections that are still open when the deadline of the last request before the fault has come. */
+async function closeAtDeadline(fleet: Fleet, { fault }: SilentRun): Promise<void> {
+  await sleep(DEADLINE_MS, undefined, { ref: false });
+  const ids = fleet.runners
+    .filter(({ failureDomain }) => failureDomain === 'a')
+    .map(({ id }) => id);
+  if (fault === 'connections go silent') await fleet.linkFault({ to: ids }, 'cut');
+  else await Promise.all(ids.map((id) => fleet.engineFault(id, { refuse: true })));
+}
+
 /** Longest gap of an answer that began about when the fault did; undefined without one. */
 function interruptionMs({ request, firstMs, gapsMs }: AnswerTiming): number | undefined {
   let at = request.atMs + firstMs;
@@ -64,14 +76,15 @@
   return {
     requests: answers.length,
     lost: lost.length,
+    late: answers.filter(({ elapsedMs }) => elapsedMs > DEADLINE_MS).length,
     resumed: gaps.length,
     gapP50: percentile(gaps, 0.5),
     gapP95: percentile(gaps, 0.95),
     gapMax: gaps.length === 0 ? Number.NaN : Math.max(...gaps),
-    probesRetired: count('stream_probes{result="PROBE_OK"'),
-    probesExplained: count('stream_probes{result="PROGRESS"'),
-    probesFailed: count('stream_probes{result="PROBE_FAIL"'),
-    recomputedSilent: count('tokens_recomputed{cause="silent-connection"'),
+    probesRetired: count('stream_probes_total{result="PROBE_OK"'),
+    probesExplained: count('stream_probes_total{result="PROGRESS"'),
+    probesFailed: count('stream_probes_total{result="PROBE_FAIL"'),
+    recomputedSilent: count('tokens_recomputed_total{cause="silent-connection"'),
     recomputed: count('tokens_recomputed'),
     elapsedP95: percentile(
       answers.map(({ elapsedMs }) => elapsedMs),
@@ -107,6 +120,7 @@
     await sleep(FAULT_AT_MS);
     await bringAbout(fleet, run);
     const counters = readCounters(fleet);
+    if (!run.isDetected) void closeAtDeadline(fleet, run).catch(() => undefined);
     const answers = await sent;
     return valuesOf(answers, await counters());
   });
