--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -2,9 +2,12 @@
 import { admission } from './admission.ts';
 import { applicationRouting } from './application-routing.ts';
 import { onceOnly } from './once-only.ts';
+import { reclaims } from './reclaims.ts';
 import { retries } from './retries.ts';
 import { routing } from './routing.ts';
+import { silent } from './silent.ts';
 import { supply } from './supply.ts';
+import { versionMoves } from './version-moves.ts';
 
 /** Experiments of the bench. */
 export const experiments: readonly Experiment[] = [
@@ -14,4 +17,7 @@
   applicationRouting,
   onceOnly,
   supply,
+  versionMoves,
+  reclaims,
+  silent,
 ];
