Tell congestion from noise, join before taking requests, prove tickets over replaced nodes

Ruled out: pacing of replica messages (no gain, tried before). Conclusion: latencies below 100 ms (models) and 20 ms (applications) are not told apart by the limit.

--- a/packages/admission/src/types/concurrency-limit-options.ts
+++ b/packages/admission/src/types/concurrency-limit-options.ts
@@ -20,6 +20,11 @@
    * @default 2
    */
   readonly tolerance?: number;
+  /**
+   * Latencies below this one, in milliseconds, count as this one: their spread says nothing about congestion.
+   * @default 0
+   */
+  readonly noiseMs?: number;
   /**
    * Window of the minimum latency in milliseconds.
    * @default 30000
--- a/packages/admission/src/utils/concurrency-limit.ts
+++ b/packages/admission/src/utils/concurrency-limit.ts
@@ -22,6 +22,7 @@
   readonly #ceiling: number;
   readonly #initial: number;
   readonly #tolerance: number;
+  readonly #noiseMs: number;
   readonly #windowMs: number;
   #limit: number;
   #threshold: number;
@@ -36,6 +37,7 @@
     this.#floor = options.floor ?? DEFAULT_FLOOR;
     this.#ceiling = options.ceiling ?? DEFAULT_CEILING;
     this.#tolerance = options.tolerance ?? DEFAULT_TOLERANCE;
+    this.#noiseMs = options.noiseMs ?? 0;
     this.#windowMs = options.windowMs ?? DEFAULT_WINDOW_MS;
     this.#limit = this.#clamp(this.#initial);
     this.#threshold = this.#ceiling;
@@ -67,8 +69,9 @@
       this.#decrease(OVERLOAD_DECREASE, completion.latencyMs, now);
       return;
     }
-    this.#observe(completion.latencyMs, now);
-    const isCongested = completion.latencyMs > this.#minimumMs * this.#tolerance;
+    const latencyMs = Math.max(this.#noiseMs, completion.latencyMs);
+    this.#observe(latencyMs, now);
+    const isCongested = latencyMs > this.#minimumMs * this.#tolerance;
     if (isCongested) this.#decrease(CONGESTION_DECREASE, completion.latencyMs, now);
     else if (wasUsed) this.#increase();
   }
--- a/packages/node/src/node/life/node-life.ts
+++ b/packages/node/src/node/life/node-life.ts
@@ -1,17 +1,34 @@
 import { Chart, node as nodeChart } from '@ragwortrudder/charts';
 import { inject, injectable } from 'inversify';
+import type { Clock } from '@ragwortrudder/core';
+import { tokens } from '../../types/tokens.ts';
 import { TicketBoard } from '../configuration/ticket-board.ts';
 import { StateLog } from '../metrics/state-log.ts';
+import { PeerDirectory } from '../peers/peer-directory.ts';
+
+/** Time after which a node that meets no peer takes requests all the same. */
+const JOIN_PATIENCE_MS = 5000;
 
 /** Life of this node: starting, ready, leaving, closed. */
 @injectable()
 export class NodeLife {
   readonly #tickets: TicketBoard;
+  readonly #peers: PeerDirectory;
+  readonly #clock: Clock;
+  readonly #startedAt: number;
   readonly #log: StateLog;
   readonly #chart = new Chart(nodeChart);
 
-  constructor(@inject(TicketBoard) tickets: TicketBoard, @inject(StateLog) log: StateLog) {
+  constructor(
+    @inject(tokens.clock) clock: Clock,
+    @inject(TicketBoard) tickets: TicketBoard,
+    @inject(PeerDirectory) peers: PeerDirectory,
+    @inject(StateLog) log: StateLog,
+  ) {
+    this.#clock = clock;
+    this.#startedAt = clock.monotonic();
     this.#tickets = tickets;
+    this.#peers = peers;
     this.#log = log;
     tickets.subscribe(() => {
       this.#update();
@@ -51,7 +68,14 @@
   }
 
   #update(): void {
-    if (this.#tickets.ready && this.#chart.can('CATCH_UP')) this.#go('CATCH_UP');
+    if (!this.#chart.can('CATCH_UP')) return;
+    if (this.#tickets.ready && this.#hasJoined()) this.#go('CATCH_UP');
+  }
+
+  /** A node without peers would hold its requests alone, so it waits a while for the first one. */
+  #hasJoined(): boolean {
+    const waitedMs = this.#clock.monotonic() - this.#startedAt;
+    return this.#peers.reachable.length > 0 || waitedMs > JOIN_PATIENCE_MS;
   }
 
   #go(event: string): void {
--- a/packages/node/src/node/runners/runner.ts
+++ b/packages/node/src/node/runners/runner.ts
@@ -5,6 +5,10 @@
 /** An application runner has no prefix cache to know of. */
 const NO_CACHE = { cache: { maxHints: 1, maxSent: 1 } };
 
+/** Times to the first token, and of operations, below which a runner is not congested. */
+const MODEL_NOISE_MS = 100;
+const APPLICATION_NOISE_MS = 20;
+
 interface RunnerOptions {
   readonly identity: RunnerIdentity;
   /** Requests that may be in flight on the runner before its limit has adapted. */
@@ -30,6 +34,7 @@
     this.identity = identity;
     this.tracker = new RunnerTracker(identity, identity.kind === 'application' ? NO_CACHE : {});
     this.watch = new StreamWatch({ minSilenceMs });
-    this.limit = new ConcurrencyLimit({ initial: initialLimit });
+    const noiseMs = identity.kind === 'model' ? MODEL_NOISE_MS : APPLICATION_NOISE_MS;
+    this.limit = new ConcurrencyLimit({ initial: initialLimit, noiseMs });
   }
 }
--- a/packages/prove/src/node/proofs/ticket-in-force.ts
+++ b/packages/prove/src/node/proofs/ticket-in-force.ts
@@ -5,7 +5,7 @@
 
 const DURATION_MS = 16_000;
 const POLL_MS = 100;
-const TICKET_PAUSE_MS = 250;
+const TICKET_PAUSE_MS = 500;
 const BOUND_MS = 16_000;
 const READ_TIMEOUT_MS = 1000;
 
@@ -18,13 +18,14 @@
   fleet: proofFleet({
     relays: true,
     runners: [{ service: 'stock', version: 'v1', kind: 'application', count: 1 }],
-    platform: { retention: { count: 25 } },
+    platform: { retention: { count: 30 } },
     settings: { log: { pollWaitMs: 1000, snapshotEvery: 10 } },
   }),
   async run(stage) {
     const watching = new AbortController();
     const watch = watchNodes(stage, watching.signal);
     await Promise.all([submitTickets(stage), disturb(stage)]);
+    await replaceAll(stage);
     await stage.pause(BOUND_MS + 1000);
     watching.abort();
     await watch;
@@ -84,6 +85,17 @@
   stage.fault('cut', domain, 'end');
 }
 
+/** Replaces all nodes at once, so that the configuration is left in the log alone. */
+async function replaceAll(stage: Stage): Promise<void> {
+  const { fleet } = stage;
+  stage.fault('kill', 'all nodes');
+  await Promise.all(fleet.entries.map(({ name }) => fleet.kill(name)));
+  for (const { name, failureDomain } of fleet.entries) {
+    stage.record({ type: 'start', target: name, role: 'node', failureDomain });
+  }
+  await Promise.all(fleet.entries.map(({ name }) => fleet.restart(name).catch(() => undefined)));
+}
+
 /** Records each ticket that a node shows in force. */
 async function watchNodes(stage: Stage, signal: AbortSignal): Promise<void> {
   const newest = new Map<string, number>();
