--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,5 +8,6 @@
 export { canonicalJson } from './utils/canonical-json.ts';
 export { digest } from './utils/digest.ts';
 export { ManualClock } from './utils/manual-clock.ts';
+export { PeriodicTask } from './utils/periodic-task.ts';
 export { SeededRandom } from './utils/seeded-random.ts';
 export { SystemClock } from './utils/system-clock.ts';
--- a/packages/node/src/utils/periodic-task.ts
+++ b/packages/core/src/utils/periodic-task.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { Closeable } from '@ragwortrudder/core';
+import type { Closeable } from '../types/closeable.ts';
 
 interface PeriodicTaskOptions {
   /** Pause between the end of one run and the start of the next, in milliseconds. */
--- a/packages/node/src/node/configuration/followed-stream.ts
+++ b/packages/node/src/node/configuration/followed-stream.ts
@@ -1,9 +1,9 @@
+import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import { GroupCommit, LogFollower, SnapshotWriter } from '@ragwortrudder/log';
 import type { Fold } from '@ragwortrudder/log';
 import { HttpLog } from '@ragwortrudder/platform';
 import type { Settings } from '@ragwortrudder/settings';
-import { PeriodicTask } from '../../utils/periodic-task.ts';
 
 const SNAPSHOT_PERIOD_MS = 5000;
 
--- a/packages/node/src/node/configuration/ticket-board.ts
+++ b/packages/node/src/node/configuration/ticket-board.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { inject, injectable } from 'inversify';
-import { digest } from '@ragwortrudder/core';
+import { PeriodicTask, digest } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import type { LogFollower, Position } from '@ragwortrudder/log';
 import type { Settings } from '@ragwortrudder/settings';
@@ -9,7 +9,6 @@
 import { ServiceUnknown } from '../../errors/service-unknown.ts';
 import { logPrefix } from '../../types/methods/log-prefix.ts';
 import { tokens } from '../../types/tokens.ts';
-import { PeriodicTask } from '../../utils/periodic-task.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { PeerClient } from '../peers/peer-client.ts';
 import { PeerDirectory } from '../peers/peer-directory.ts';
--- a/packages/node/src/node/daemon.ts
+++ b/packages/node/src/node/daemon.ts
@@ -1,8 +1,8 @@
 import { inject, injectable } from 'inversify';
+import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import { tokens } from '../types/tokens.ts';
-import { PeriodicTask } from '../utils/periodic-task.ts';
 import { CallerServer } from './callers/caller-server.ts';
 import { RequestRoutes } from './callers/request-routes.ts';
 import { ClaimBoard } from './configuration/claim-board.ts';
--- a/packages/node/src/node/leases/lease-board.ts
+++ b/packages/node/src/node/leases/lease-board.ts
@@ -1,11 +1,11 @@
 import { inject, injectable } from 'inversify';
+import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import { LeaseHolder, leaseFold } from '@ragwortrudder/leases';
 import type { LeaseRecord, LeaseState } from '@ragwortrudder/leases';
 import { rendezvousOrder } from '@ragwortrudder/routing';
 import type { Settings } from '@ragwortrudder/settings';
 import { tokens } from '../../types/tokens.ts';
-import { PeriodicTask } from '../../utils/periodic-task.ts';
 import { FollowedStream } from '../configuration/followed-stream.ts';
 import type { LiveIncarnation } from '../life/live-incarnation.ts';
 import { Metrics } from '../metrics/metrics.ts';
--- a/packages/node/src/node/moves/version-moves.ts
+++ b/packages/node/src/node/moves/version-moves.ts
@@ -1,4 +1,5 @@
 import { inject, injectable } from 'inversify';
+import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import { MoveBoard } from '@ragwortrudder/moves';
 import type { BadMark, Evidence, MoveStatus, MoveWord, Outcome } from '@ragwortrudder/moves';
@@ -6,7 +7,6 @@
 import { ticketAt } from '@ragwortrudder/tickets';
 import type { Move } from '@ragwortrudder/tickets';
 import { tokens } from '../../types/tokens.ts';
-import { PeriodicTask } from '../../utils/periodic-task.ts';
 import { TicketBoard } from '../configuration/ticket-board.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { StateLog } from '../metrics/state-log.ts';
--- a/packages/node/src/node/reports/report-publisher.ts
+++ b/packages/node/src/node/reports/report-publisher.ts
@@ -1,7 +1,6 @@
 import { inject, injectable } from 'inversify';
-import { canonicalJson } from '@ragwortrudder/core';
+import { PeriodicTask, canonicalJson } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
-import { PeriodicTask } from '../../utils/periodic-task.ts';
 import { TicketBoard } from '../configuration/ticket-board.ts';
 import { NodeLife } from '../life/node-life.ts';
 import { Metrics } from '../metrics/metrics.ts';
--- a/packages/node/src/node/runners/notice-watch.ts
+++ b/packages/node/src/node/runners/notice-watch.ts
@@ -1,9 +1,9 @@
 import { inject, injectable } from 'inversify';
+import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable } from '@ragwortrudder/core';
 import { CloudApi } from '@ragwortrudder/platform';
 import type { Settings } from '@ragwortrudder/settings';
 import { tokens } from '../../types/tokens.ts';
-import { PeriodicTask } from '../../utils/periodic-task.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { PeerDirectory } from '../peers/peer-directory.ts';
 import { ReturningVms } from '../supply/returning-vms.ts';
--- a/packages/node/src/node/runners/runner-pool.ts
+++ b/packages/node/src/node/runners/runner-pool.ts
@@ -1,4 +1,5 @@
 import { inject, injectable } from 'inversify';
+import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable } from '@ragwortrudder/core';
 import { VmDirectory } from '@ragwortrudder/platform';
 import type { Vm } from '@ragwortrudder/platform';
@@ -7,7 +8,6 @@
 import type { Settings } from '@ragwortrudder/settings';
 import { tokens } from '../../types/tokens.ts';
 import { dueReads } from '../../utils/due-reads.ts';
-import { PeriodicTask } from '../../utils/periodic-task.ts';
 import { runnerIdentityOf } from '../../utils/runner-identity-of.ts';
 import { Metrics } from '../metrics/metrics.ts';
 import { StateLog } from '../metrics/state-log.ts';
--- a/packages/node/src/node/supply/supply-jobs.ts
+++ b/packages/node/src/node/supply/supply-jobs.ts
@@ -1,4 +1,5 @@
 import { inject, injectable } from 'inversify';
+import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable } from '@ragwortrudder/core';
 import { CloudApi, VmDirectory } from '@ragwortrudder/platform';
 import type { Settings, Supply } from '@ragwortrudder/settings';
@@ -8,7 +9,6 @@
 import type { Vm } from '@ragwortrudder/platform';
 import type { SupplyStatus } from '../../types/supply-status.ts';
 import { tokens } from '../../types/tokens.ts';
-import { PeriodicTask } from '../../utils/periodic-task.ts';
 import { supplyVersions } from '../../utils/supply-versions.ts';
 import { TicketBoard } from '../configuration/ticket-board.ts';
 import { LeaseBoard } from '../leases/lease-board.ts';
--- a/packages/prove/src/node/run-watch.ts
+++ b/packages/prove/src/node/run-watch.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises';
+import { PeriodicTask } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import type { HistoryRecord } from '@ragwortrudder/history';
 import type { Fleet } from '@ragwortrudder/standins';
@@ -15,20 +15,23 @@
 export class RunWatch implements Closeable {
   readonly #options: RunWatchOptions;
   readonly #seen = new Set<string>();
-  readonly #closing = new AbortController();
-  #running: Promise<void> | undefined;
+  readonly #task: PeriodicTask;
 
   constructor(options: RunWatchOptions) {
     this.#options = options;
+    this.#task = new PeriodicTask({
+      periodMs: PERIOD_MS,
+      run: () => this.read(),
+      onFailure: () => undefined,
+    });
   }
 
   start(): void {
-    this.#running ??= this.#loop();
+    this.#task.start();
   }
 
   async close(): Promise<void> {
-    this.#closing.abort();
-    await this.#running;
+    await this.#task.close();
   }
 
   /** Reads all runs and records those that are new. */
@@ -36,14 +39,6 @@
     await Promise.all([this.#readOperations(), this.#readGenerations()]);
   }
 
-  async #loop(): Promise<void> {
-    const { signal } = this.#closing;
-    while (!signal.aborted) {
-      await this.read().catch(() => undefined);
-      await sleep(PERIOD_MS, undefined, { signal }).catch(() => undefined);
-    }
-  }
-
   async #readOperations(): Promise<void> {
     const { fleet, record, tenantOf } = this.#options;
     for (const run of await fleet.operationRuns()) {
--- a/packages/settings/src/types/runners.ts
+++ b/packages/settings/src/types/runners.ts
@@ -40,7 +40,9 @@
     policy: z
       .enum(['estimate', 'round-robin', 'least-loaded', 'prefix-hash'])
       .default('estimate')
-      .describe('How a model engine is chosen.'),
+      .describe(
+        'How a runner is chosen; an application runner is chosen by two choices, or by round robin or least load where these are set.',
+      ),
     reclaimPolicy: z
       .enum(['cost', 'finish', 'recompute', 'move-kv'])
       .default('cost')
--- a/packages/settings/src/utils/cross-problems.ts
+++ b/packages/settings/src/utils/cross-problems.ts
@@ -22,6 +22,10 @@
     .object({ probePeriodMs: Milliseconds, probeTimeoutMs: Milliseconds })
     .optional()
     .catch(undefined),
+  supply: z
+    .object({ leaseMs: Milliseconds, leaseMarginMs: Milliseconds })
+    .optional()
+    .catch(undefined),
   shutdown: z
     .object({ graceMs: Milliseconds, handOverMs: Milliseconds })
     .optional()
@@ -82,7 +86,12 @@
   readonly limit: number | undefined;
 }
 
-function orderProblems({ requests, membership, shutdown }: Parts): readonly SettingsProblem[] {
+function orderProblems({
+  requests,
+  membership,
+  supply,
+  shutdown,
+}: Parts): readonly SettingsProblem[] {
   const orders: readonly Order[] = [
     {
       path: 'requests.deadlineMs',
@@ -96,6 +105,12 @@
       limitName: 'membership.probePeriodMs',
       limit: membership?.probePeriodMs,
     },
+    {
+      path: 'supply.leaseMarginMs',
+      value: supply?.leaseMarginMs,
+      limitName: 'half of supply.leaseMs',
+      limit: supply?.leaseMs === undefined ? undefined : supply.leaseMs / 2,
+    },
     {
       path: 'shutdown.handOverMs',
       value: shutdown?.handOverMs,
--- a/test/settings/check-settings.test.ts
+++ b/test/settings/check-settings.test.ts
@@ -173,6 +173,13 @@
     found: '2000',
     allowed: /at most shutdown.graceMs, which is 1000/,
   },
+  {
+    name: 'a lease that ends before its holder may act',
+    text: changed({ supply: { leaseMs: 10_000, leaseMarginMs: 9000 } }),
+    path: 'supply.leaseMarginMs',
+    found: '9000',
+    allowed: /at most half of supply.leaseMs, which is 5000/,
+  },
   {
     name: 'a default that another setting rules out',
     text: changed({ shutdown: { graceMs: 1000 } }),
