--- a/packages/prove/src/node/proofs/ticket-in-force.ts
+++ b/packages/prove/src/node/proofs/ticket-in-force.ts
@@ -5,7 +5,7 @@
 
 const DURATION_MS = 16_000;
 const POLL_MS = 100;
-const TICKET_PAUSE_MS = 500;
+const TICKET_PAUSE_MS = 250;
 const BOUND_MS = 16_000;
 const READ_TIMEOUT_MS = 1000;
 
@@ -69,13 +69,9 @@
   await fleet.kill(second);
   stage.fault('log down', 'platform');
   await fleet.platformFault({ target: 'log.read', mode: 'down' });
+  const { failureDomain } = fleet.member(second);
+  stage.record({ type: 'start', target: second, role: 'node', failureDomain });
   await fleet.restart(second).catch(() => undefined);
-  stage.record({
-    type: 'start',
-    target: second,
-    role: 'node',
-    failureDomain: fleet.member(second).failureDomain,
-  });
   await stage.pause(2500);
   await fleet.platformFault({ target: 'log.read', mode: 'ok' });
   await fleet.linkFault({ from: [first], to: ['platform'] }, 'open');
@@ -131,6 +127,7 @@
       retry: { limit: 0 },
     }).json<Status>();
     if (node.state === 'starting') return;
+    stage.noteTicket(log.newestTicket);
     const life = `${name}/${node.incarnation}`;
     if (newest.get(life) === log.newestTicket) return;
     newest.set(life, log.newestTicket);
--- a/packages/prove/src/node/stage.ts
+++ b/packages/prove/src/node/stage.ts
@@ -48,6 +48,11 @@
     return this.#callers;
   }
 
+  /** Notes a ticket that a node showed as accepted, also when its submission was not answered. */
+  noteTicket(number: number): void {
+    this.#ticket = Math.max(this.#ticket, number);
+  }
+
   /** Final words received, by kind. */
   get words(): Readonly<Record<string, number>> {
     return this.#words;
