--- a/packages/node/src/node/requests/keyed-requests.ts
+++ b/packages/node/src/node/requests/keyed-requests.ts
@@ -134,11 +134,6 @@
     throw new ClaimUnavailable(RETRY_AFTER_MS);
   }
 
-  /** What the log says about a caller's own key, without appending anything. */
-  look(use: KeyUse): ClaimDecision {
-    return decideClaim(this.#claims.state, { ...this.#queryOf(use), logAvailable: false });
-  }
-
   /** Permission to send `owned` to a runner; the same one at every call. */
   permitOf(owned: OwnedRequest): RunPermit {
     const known = this.#permits.get(owned);
--- a/packages/node/src/node/runners/application-runs.ts
+++ b/packages/node/src/node/runners/application-runs.ts
@@ -9,6 +9,7 @@
 import type { Assignment } from '../../types/assignment.ts';
 import type { OperationAnswer } from '../../types/operation-answer.ts';
 import { tokens } from '../../types/tokens.ts';
+import { retryKeyOf } from '../../utils/retry-key-of.ts';
 import { runnerLoadOf } from '../../utils/runner-load-of.ts';
 import { toOutcome } from '../../utils/to-outcome.ts';
 import { Metrics } from '../metrics/metrics.ts';
@@ -58,7 +59,8 @@
   /** Makes one attempt; returns true when another one must follow. */
   async run(owned: OwnedRequest, assignment: Assignment): Promise<boolean> {
     owned.advance('DISPATCH');
-    if (owned.attempts.started === 0) this.#budget.firstTry(keyOf(owned), this.#clock.monotonic());
+    if (owned.attempts.started === 0)
+      this.#budget.firstTry(retryKeyOf(owned.request), this.#clock.monotonic());
     if (
       !owned.request.idempotent &&
       owned.attempts.started === 0 &&
@@ -156,7 +158,7 @@
     const now = this.#clock.monotonic();
     const decision = decideRetry({
       request: {
-        key: keyOf(owned),
+        key: retryKeyOf(owned.request),
         retriesLeft: this.#settings.requests.maxAttempts - owned.attempts.failed,
         idempotent: owned.request.idempotent,
         notRun: answer.kind === 'not-run',
@@ -201,10 +203,3 @@
     return new RunnerFailed(runnerId, 'reason' in answer ? answer.reason : answer.kind);
   }
 }
-
-function keyOf({ request }: OwnedRequest): {
-  readonly endpoint: string;
-  readonly class: 'interactive' | 'batch';
-} {
-  return { endpoint: request.service, class: request.class === 'batch' ? 'batch' : 'interactive' };
-}
--- a/packages/node/src/node/runners/model-runs.ts
+++ b/packages/node/src/node/runners/model-runs.ts
@@ -9,6 +9,7 @@
 import type { Assignment } from '../../types/assignment.ts';
 import type { AttemptEnd } from '../../types/attempt-end.ts';
 import { tokens } from '../../types/tokens.ts';
+import { retryKeyOf } from '../../utils/retry-key-of.ts';
 import { runnerLoadOf } from '../../utils/runner-load-of.ts';
 import { toOutcome } from '../../utils/to-outcome.ts';
 import { Metrics } from '../metrics/metrics.ts';
@@ -92,7 +93,8 @@
   #begin(owned: OwnedRequest, assignment: Assignment): ModelAttempt {
     const { runner, request } = assignment;
     owned.advance('DISPATCH');
-    if (owned.attempts.started === 0) this.#budget.firstTry(keyOf(owned), this.#clock.monotonic());
+    if (owned.attempts.started === 0)
+      this.#budget.firstTry(retryKeyOf(owned.request), this.#clock.monotonic());
     owned.attempts.start();
     const attempt = new ModelAttempt({
       owned,
@@ -157,7 +159,7 @@
         signal: owned.signal,
       }).catch(() => undefined);
       if (owned.ended || owned.remainingMs <= 0) return true;
-    } while (!this.#budget.trySpend(keyOf(owned), this.#clock.monotonic()));
+    } while (!this.#budget.trySpend(retryKeyOf(owned.request), this.#clock.monotonic()));
     owned.advance('RETRY');
     this.#metrics.count('retries', { service: owned.request.service });
     return true;
@@ -206,10 +208,3 @@
     }
   }
 }
-
-function keyOf({ request }: OwnedRequest): {
-  readonly endpoint: string;
-  readonly class: 'interactive' | 'batch';
-} {
-  return { endpoint: request.service, class: request.class === 'batch' ? 'batch' : 'interactive' };
-}
