--- a/packages/gateway/src/errors/refusal.ts
+++ b/packages/gateway/src/errors/refusal.ts
@@ -15,7 +15,7 @@
   'runner-full': 'the runner refused the request without running it',
   'runner-unreachable': 'no connection to a runner could be opened',
   'runner-broken': 'the runner broke off; the request may have run',
-  'time-out': 'the request was not answered within its deadline or its route’s timeout',
+  'time-out': "the request was not answered within its deadline or the route's timeout",
   'body-too-large': 'the body is larger than the limit of the configuration',
   'header-too-large': 'the headers are larger than the limit of the configuration',
   'node-stopping': 'the node is stopping; send the request to another',
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -11,7 +11,9 @@
 import { Refusal } from '../errors/refusal.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { Dialect } from '../types/dialect.ts';
+import type { GatewaySettings } from '../types/gateway-settings.ts';
 import { costOf } from '../utils/cost-of.ts';
+import { toleratedLimit } from '../utils/tolerated-limit.ts';
 import type { LoadBoard } from '../utils/load-board.ts';
 import type { UsageCounter } from '../utils/usage-counter.ts';
 import type { CallerChannel } from './caller-channel.ts';
@@ -32,6 +34,7 @@
   readonly quota: SharedQuota;
   readonly budget: RetryBudget;
   readonly usage: UsageCounter;
+  readonly quotas: () => GatewaySettings['quotas'];
   readonly trueTime: { now(): number };
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
@@ -77,7 +80,7 @@
       services: new Map(configuration.services.map((service) => [service.name, service])),
     };
     const limits = configuration.teams.flatMap(({ name, limit }) =>
-      limit ? [[name, limit] as const] : [],
+      limit ? [[name, toleratedLimit(limit, this.#options.quotas())] as const] : [],
     );
     this.#options.quota.setLimits(new Map(limits));
   }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -5,6 +5,7 @@
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import type { KeyedLog, KeyedRecord } from '@ragwortrudder/log';
 import type { Writable } from 'node:stream';
+import { isDeepStrictEqual } from 'node:util';
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { CatalogCodec } from '../types/catalog-codec.ts';
 import type { Cloud } from '../types/cloud.ts';
@@ -81,9 +82,11 @@
   #hasRunners = false;
   #isEntered = false;
   #isStopping = false;
+  #settings: GatewaySettings;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
+    this.#settings = options.settings;
     const { settings, clock, random, dialect, codec, out } = options;
     const { node, listen, retries, duties } = settings;
     this.#life = clock.wall();
@@ -110,7 +113,7 @@
       address: { host: node.host, port: listen.peerPort },
       clock,
       log: this.#decisions,
-      report: () => this.#reports.own(this.#isStopping),
+      report: (isLeaving) => this.#reports.own(isLeaving),
       onReport: (report, isNewLife) => {
         this.#reports.take(report, isNewLife);
       },
@@ -131,6 +134,7 @@
       pool: this.#pool,
       board: this.#board,
       quota: this.#quota,
+      quotas: () => this.#settings.quotas,
       budget: new RetryBudget({
         ratio: retries.ratio / 2,
         floorPerSecond: (retries.slack * MS_PER_S) / retries.windowMs / 32,
@@ -215,11 +219,29 @@
     this.#duties?.start();
   }
 
+  /** Puts new settings in force. Addresses and duties stay as they were until the next start. */
+  reload(settings: GatewaySettings): void {
+    const changed = Object.entries(settings)
+      .filter(([name, value]) => !isDeepStrictEqual(value, Reflect.get(this.#settings, name)))
+      .map(([name]) => name);
+    this.#settings = settings;
+    this.#decisions.notable('settings-reloaded', { changed: changed.join(',') });
+    if (this.#configuration) this.#forwarder.apply(this.#configuration);
+  }
+
+  /** Records that new settings cannot be used; the old ones stay in force. */
+  rejectReload(error: unknown): void {
+    this.#metrics.count('reload_failures');
+    this.#decisions.notable('settings-rejected', {
+      reason: error instanceof Error ? error.message : String(error),
+    });
+  }
+
   /** Leaves the rotation, finishes what is in progress within the grace period, and closes. */
   async stop(): Promise<void> {
     if (this.#isStopping) return;
     this.#isStopping = true;
-    const { clock, settings } = this.#options;
+    const { clock } = this.#options;
     const startedAt = clock.monotonic();
     this.#decisions.notable('stopping', { active: this.#forwarder.active.size });
     this.#callers.stopKeepingConnections();
@@ -227,7 +249,7 @@
       const sinceMs = clock.monotonic() - startedAt;
       if (sinceMs < LEAVE_ROTATION_MS) return;
       this.#callers.closeIdle();
-      if (this.#forwarder.active.size > 0 && sinceMs < settings.graceMs - GRACE_MARGIN_MS) return;
+      if (this.#forwarder.active.size > 0 && sinceMs < this.#settings.graceMs - GRACE_MARGIN_MS) return;
       clearInterval(leave);
       void this.close();
     }, UPKEEP_MS);
@@ -235,7 +257,7 @@
   }
 
   async close(): Promise<void> {
-    this.#peers.tell();
+    this.#peers.tell(true);
     this.#decisions.notable('stopped', { active: this.#forwarder.active.size });
     await Promise.all([
       ...this.#followers.map((follower) => follower.close()),
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -12,7 +12,7 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Makes the report that goes to every peer. */
-  readonly report: () => NodeReport;
+  readonly report: (isLeaving: boolean) => NodeReport;
   /** Receives a peer's report; `isNewLife` with the first of each life of a peer. */
   readonly onReport: (report: NodeReport, isNewLife: boolean) => void;
 }
@@ -110,8 +110,8 @@
   }
 
   /** Sends a report to all peers now. */
-  tell(): void {
-    const notification = createJSONRPCNotification(METHOD, this.#options.report());
+  tell(isLeaving = false): void {
+    const notification = createJSONRPCNotification(METHOD, this.#options.report(isLeaving));
     const bytes = Buffer.from(JSON.stringify(notification));
     for (const { address } of this.#peers.values()) {
       this.#socket?.send(bytes, address.port, address.host, (error) => {
@@ -162,11 +162,6 @@
       return;
     }
     if (report.node === this.#options.node) return;
-    if (report.isLeaving) {
-      this.#peers.delete(report.node);
-      this.#options.log.notable('peer-left', { peer: report.node });
-      return;
-    }
     const known = this.#peers.get(report.node);
     if (known && (report.life < known.life || (report.life === known.life && report.sequence <= known.sequence))) return;
     if (!known || known.isSilent) this.#options.log.notable('peer-heard', { peer: report.node });
@@ -181,6 +176,9 @@
       isSilent: false,
     });
     this.#options.onReport(report, known?.life !== report.life);
+    if (!report.isLeaving) return;
+    this.#peers.delete(report.node);
+    this.#options.log.notable('peer-left', { peer: report.node });
   }
 }
 
--- a/packages/gateway/src/node/runner-agent.ts
+++ b/packages/gateway/src/node/runner-agent.ts
@@ -27,6 +27,7 @@
 export class RunnerAgent extends Agent {
   readonly #idle = new WeakMap<Socket, IdleState>();
   #idleMs = UNSTATED_IDLE_MS;
+  #isRetired = false;
 
   constructor({ maxSockets }: RunnerAgentOptions) {
     super({ keepAlive: true, maxSockets, maxFreeSockets: maxSockets, scheduling: 'lifo' });
@@ -57,7 +58,7 @@
   }
 
   override keepSocketAlive(socket: Socket): boolean {
-    if (socket.readableLength > 0) return false;
+    if (this.#isRetired || socket.readableLength > 0) return false;
     const onData = (): void => {
       socket.destroy();
     };
@@ -76,7 +77,14 @@
       socket.off('data', state.onData);
       this.#idle.delete(socket);
     }
-    request.reusedSocket = true;
-    socket.ref();
+    super.reuseSocket(socket, request);
+  }
+
+  /** Closes connections once they are idle; requests in progress go on. */
+  retire(): void {
+    this.#isRetired = true;
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
   }
 }
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -128,7 +128,7 @@
     for (const [id, { agent }] of this.#runners) {
       if (listed.has(id)) continue;
       this.#runners.delete(id);
-      agent.destroy();
+      agent.retire();
     }
     board.retain(new Set(listed.keys()));
     for (const [service, detector] of this.#detectors) {
@@ -190,7 +190,7 @@
     if (known && keyOf(known.entry) === keyOf(entry) && known.entry.bornMs === entry.bornMs) {
       return known;
     }
-    known?.agent.destroy();
+    known?.agent.retire();
     const runner: PooledRunner = {
       entry,
       agent: new RunnerAgent({ maxSockets: Infinity }),
--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -104,6 +104,7 @@
     return {
       failureDomain,
       price,
+      onDemand: this.#orderedCount({ service: service.name, failureDomain, isSpot: false }),
       spot: spot.filter(({ isDraining }) => !isDraining).length,
       isSpotRefused: now < (this.#refusedUntil.get(key) ?? 0),
     };
@@ -132,7 +133,7 @@
     const now = this.#options.clock.monotonic();
     const has = this.#countOf(order);
     const standing = this.#standing.get(key);
-    const wanted = standing?.order.count ?? has;
+    const wanted = this.#orderedCount(order);
     if (now < (this.#refusedUntil.get(key) ?? 0)) return false;
     if (order.count > wanted) return true;
     if (order.count < wanted) {
@@ -147,6 +148,12 @@
     return has < order.count && now - standing.at > repeatMs;
   }
 
+  /** Runners that were ordered last, or those that are there when nothing was ordered. */
+  #orderedCount(order: Omit<RunnerOrderCount, 'count'>): number {
+    const key = keyOf({ ...order, count: 0 });
+    return this.#standing.get(key)?.order.count ?? this.#countOf({ ...order, count: 0 });
+  }
+
   /** The runners that an order takes away are replaced by ones of the other kind that serve already. */
   #hasReplacements(service: Service, order: RunnerOrderCount): boolean {
     const others = this.#countOf({ ...order, isSpot: !order.isSpot });
--- a/packages/gateway/src/types/gateway-settings.ts
+++ b/packages/gateway/src/types/gateway-settings.ts
@@ -24,6 +24,12 @@
     readonly slack: number;
     readonly windowMs: number;
   };
+  readonly quotas: {
+    /** Part of a team's limit by which it may be exceeded, over all nodes. */
+    readonly overage: number;
+    /** Amount by which a team's limit may be exceeded besides, over all nodes, in the limit's unit. */
+    readonly slack: number;
+  };
   readonly duties: {
     readonly reportsUsage: boolean;
     readonly ordersRunners: boolean;
--- a/packages/supply/src/utils/plan-runners.ts
+++ b/packages/supply/src/utils/plan-runners.ts
@@ -13,15 +13,16 @@
 }
 
 /** Utilization up to which waits stay short, from the queueing of prompts of very unequal size. */
-const TARGET_UTILIZATION = 0.5;
+const TARGET_UTILIZATION = 0.7;
 /** Utilization of reclaimable runners: one of three failure domains may be reclaimed at once. */
-const SPOT_UTILIZATION = 0.32;
+const SPOT_UTILIZATION = 0.45;
 /** Price share from which reclaimable runners no longer pay for the spare ones. */
 const MAX_SPOT_PRICE = 0.6;
 /** On-demand runners that are kept whatever the supply of reclaimable ones. */
 const ON_DEMAND_FLOOR = 1;
 
-function onDemandByDomain(
+/** Places on-demand runners: where they are already, then one by one in the cheapest domain with room. */
+function placeOnDemand(
   count: number,
   domains: readonly DomainRunners[],
   roomOf: (domain: DomainRunners) => number,
@@ -29,6 +30,11 @@
   const byPrice = domains.toSorted((a, b) => a.price - b.price);
   const placed = new Map<string, number>();
   let rest = count;
+  for (const domain of byPrice) {
+    const kept = Math.min(rest, domain.onDemand, roomOf(domain));
+    placed.set(domain.failureDomain, kept);
+    rest -= kept;
+  }
   while (rest > 0) {
     const open = byPrice.filter(
       (domain) => (placed.get(domain.failureDomain) ?? 0) < roomOf(domain),
@@ -58,9 +64,8 @@
   const onDemand = Math.max(ON_DEMAND_FLOOR, needed - spotNow);
   const roomOf = (domain: DomainRunners): number =>
     max - (domain.isSpotRefused ? Math.min(domain.spot, spotEach) : Math.min(spotEach, max - 1));
-  const placed = onDemandByDomain(onDemand, domains, roomOf);
-  return domains.map((domain) => {
-    const { failureDomain } = domain;
+  const placed = placeOnDemand(onDemand, domains, roomOf);
+  return domains.map(({ failureDomain }) => {
     const ordered = placed.get(failureDomain) ?? 0;
     const spot = Math.min(spotEach, max - ordered);
     const missing = Math.max(0, min - spot - ordered);
