Tell a reset from an end at answers without a length

Ruled out: the node's own timers and agents closing the connection (traced: the socket closes without an error). A connection that was reset has no peer address by then; one that ended has.

--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -110,7 +110,12 @@
       return;
     }
     const body = JSON.stringify({ code: failure.code, hint: failure.hint });
-    const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body))];
+    const headers = [
+      'Content-Type',
+      'application/json',
+      'Content-Length',
+      String(Buffer.byteLength(body)),
+    ];
     const own = this.#options.dialect.ownHeaders(requestId, failure.retryAfterMs);
     for (const [name, value] of own) headers.push(name, value);
     this.#closeWhenStopping(headers);
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import type { Address, CallerLimits } from '@ragwortrudder/catalog';
 import type { Closeable, Failure } from '@ragwortrudder/core';
 import { Refusal } from '../errors/refusal.ts';
@@ -63,7 +64,7 @@
       void this.#receive(request, response);
     });
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      this.#refuseUnread(error, socket as Socket);
+      this.#refuseUnread(error, socket);
     });
     this.#server.on('connection', (socket) => {
       this.#sockets.set(socket, 0);
@@ -123,7 +124,8 @@
       const request = await this.#read(message);
       if (request) await onRequest(request, channel);
     } catch (error) {
-      const failure = error instanceof Refusal || error instanceof RequestInvalid ? error : undefined;
+      const failure =
+        error instanceof Refusal || error instanceof RequestInvalid ? error : undefined;
       log.notable('request-not-read', {
         reason: error instanceof Error ? error.message : String(error),
         code: failure?.code,
@@ -160,8 +162,9 @@
     response.end();
   }
 
-  #refuseUnread(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable || socket.bytesWritten > 0 || error.code === 'ECONNRESET') {
+  #refuseUnread(error: NodeJS.ErrnoException, socket: Duplex): void {
+    const hasWritten = socket instanceof Socket && socket.bytesWritten > 0;
+    if (!socket.writable || hasWritten || error.code === 'ECONNRESET') {
       socket.destroy();
       return;
     }
@@ -175,7 +178,10 @@
   }
 }
 
-function bodyOf(message: IncomingMessage, maxBytes: number): Promise<Buffer | undefined | 'broken'> {
+function bodyOf(
+  message: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | undefined | 'broken'> {
   const { headers } = message;
   const hasBody =
     headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
--- a/packages/gateway/src/node/duty-board.ts
+++ b/packages/gateway/src/node/duty-board.ts
@@ -78,7 +78,7 @@
     } catch (error) {
       if (error instanceof AppendConflict) {
         this.#end = undefined;
-        return this.#term === undefined ? false : this.#confirm(key, value);
+        return this.#confirm(key, value);
       }
       throw error;
     }
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -9,7 +9,7 @@
 import { nextStep } from '../utils/next-step.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
 import type { CallerChannel } from './caller-channel.ts';
-import type { ForwarderOptions } from './forwarder.ts';
+import type { ForwarderOptions } from '../types/forwarder-options.ts';
 import { RunnerAttempt } from './runner-attempt.ts';
 
 interface ForwardedRequestOptions extends ForwarderOptions {
@@ -176,7 +176,10 @@
       board.add(entry.id, { requests: 0, prefillTokens: -rest.prefillTokens, kvTokens: 0 });
       rest = { ...rest, prefillTokens: 0 };
       this.#began(firstAt - sentAt);
-      pool.succeeded(entry, (firstAt - sentAt + FIXED_COST_MS) / (chosen.expectedMs + FIXED_COST_MS));
+      pool.succeeded(
+        entry,
+        (firstAt - sentAt + FIXED_COST_MS) / (chosen.expectedMs + FIXED_COST_MS),
+      );
     };
     channel.onFirstEvent(noteFirst);
     const attempt = new RunnerAttempt({
@@ -211,7 +214,11 @@
     this.#sends += 1;
     const outcome = await attempt.outcome;
     clearInterval(watch);
-    board.add(entry.id, { requests: -1, prefillTokens: -rest.prefillTokens, kvTokens: -rest.kvTokens });
+    board.add(entry.id, {
+      requests: -1,
+      prefillTokens: -rest.prefillTokens,
+      kvTokens: -rest.kvTokens,
+    });
     this.#learn(outcome, chosen, clock.monotonic() - sentAt);
     return outcome;
   }
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -1,46 +1,12 @@
 import { drawService, KeyTable, RouteTable } from '@ragwortrudder/catalog';
-import type {
-  Configuration,
-  Route,
-  RunnerDirectory,
-  Service,
-  Team,
-} from '@ragwortrudder/catalog';
-import type { RetryBudget, SharedQuota } from '@ragwortrudder/admission';
-import type { Clock, Random } from '@ragwortrudder/core';
+import type { Configuration, Route, Service, Team } from '@ragwortrudder/catalog';
 import { Refusal } from '../errors/refusal.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
-import type { Dialect } from '../types/dialect.ts';
-import type { GatewaySettings } from '../types/gateway-settings.ts';
+import type { ForwarderOptions } from '../types/forwarder-options.ts';
 import { costOf } from '../utils/cost-of.ts';
 import { toleratedLimit } from '../utils/tolerated-limit.ts';
-import type { LoadBoard } from '../utils/load-board.ts';
-import type { UsageCounter } from '../utils/usage-counter.ts';
 import type { CallerChannel } from './caller-channel.ts';
-import type { DecisionLog } from './decision-log.ts';
 import { ForwardedRequest } from './forwarded-request.ts';
-import type { GatewayMetrics } from './gateway-metrics.ts';
-import type { RunnerPool } from './runner-pool.ts';
-
-/** Parts that every forwarded request uses. */
-export interface ForwarderOptions {
-  readonly failureDomain: string;
-  readonly dialect: Dialect;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly directory: RunnerDirectory;
-  readonly pool: RunnerPool;
-  readonly board: LoadBoard;
-  readonly quota: SharedQuota;
-  readonly budget: RetryBudget;
-  readonly usage: UsageCounter;
-  readonly quotas: () => GatewaySettings['quotas'];
-  readonly trueTime: { now(): number };
-  readonly log: DecisionLog;
-  readonly metrics: GatewayMetrics;
-  /** Called with each request that is admitted, for the forecast of demand. */
-  readonly onDemand: (service: Service, request: CallerRequest) => void;
-}
 
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
--- a/packages/gateway/src/node/gateway-metrics.ts
+++ b/packages/gateway/src/node/gateway-metrics.ts
@@ -46,13 +46,13 @@
     for (const [key, histogram] of this.#latencies) {
       for (const percent of QUANTILES) {
         const value = histogram.getValueAtPercentile(percent);
-        lines.push(
-          `ragwortrudder_latency_ms{${key},quantile="${percent / PERCENT}"} ${value}`,
-        );
+        lines.push(`ragwortrudder_latency_ms{${key},quantile="${percent / PERCENT}"} ${value}`);
       }
       lines.push(`ragwortrudder_latency_ms_count{${key}} ${histogram.totalCount}`);
     }
     const text = `${lines.join('\n')}\n`;
-    return text.length <= MAX_TEXT_BYTES ? text : text.slice(0, text.lastIndexOf('\n', MAX_TEXT_BYTES) + 1);
+    return text.length <= MAX_TEXT_BYTES
+      ? text
+      : text.slice(0, text.lastIndexOf('\n', MAX_TEXT_BYTES) + 1);
   }
 }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -249,7 +249,8 @@
       const sinceMs = clock.monotonic() - startedAt;
       if (sinceMs < LEAVE_ROTATION_MS) return;
       this.#callers.closeIdle();
-      if (this.#forwarder.active.size > 0 && sinceMs < this.#settings.graceMs - GRACE_MARGIN_MS) return;
+      if (this.#forwarder.active.size > 0 && sinceMs < this.#settings.graceMs - GRACE_MARGIN_MS)
+        return;
       clearInterval(leave);
       void this.close();
     }, UPKEEP_MS);
@@ -317,21 +318,13 @@
       peers: this.#peers,
       clock,
       log: this.#decisions,
-      duties: [
-        ...(duties.reportsUsage ? [usage] : []),
-        ...(duties.ordersRunners ? [supply] : []),
-      ],
+      duties: [...(duties.reportsUsage ? [usage] : []), ...(duties.ordersRunners ? [supply] : [])],
       leaseMs: duties.leaseMs,
       isStopping: () => this.#isStopping,
     });
   }
 
-  #follow(
-    topic: string,
-    waitMs: number,
-    pauseMs: number,
-    handlers: FollowHandlers,
-  ): KeyedFollower {
+  #follow(topic: string, waitMs: number, pauseMs: number, handlers: FollowHandlers): KeyedFollower {
     const { log, clock, random } = this.#options;
     return new KeyedFollower({
       log,
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -163,7 +163,12 @@
     }
     if (report.node === this.#options.node) return;
     const known = this.#peers.get(report.node);
-    if (known && (report.life < known.life || (report.life === known.life && report.sequence <= known.sequence))) return;
+    if (
+      known &&
+      (report.life < known.life ||
+        (report.life === known.life && report.sequence <= known.sequence))
+    )
+      return;
     if (!known || known.isSilent) this.#options.log.notable('peer-heard', { peer: report.node });
     const now = this.#options.clock.monotonic();
     this.#peers.set(report.node, {
--- a/packages/gateway/src/node/runner-agent.ts
+++ b/packages/gateway/src/node/runner-agent.ts
@@ -36,7 +36,8 @@
   /** Takes in the value of a runner's `Keep-Alive` header. */
   setKeepAlive(value: string): void {
     const seconds = /timeout=(\d+)/i.exec(value)?.[1];
-    if (seconds !== undefined) this.#idleMs = Math.max(100, Number(seconds) * MS_PER_S * IDLE_SHARE);
+    if (seconds !== undefined)
+      this.#idleMs = Math.max(100, Number(seconds) * MS_PER_S * IDLE_SHARE);
   }
 
   override createConnection(
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -1,5 +1,6 @@
 import { request as sendRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Answer } from '../types/answer.ts';
 import type { AnswerHead } from '../types/answer-head.ts';
 import type { AnswerSink } from '../types/answer-sink.ts';
@@ -40,6 +41,7 @@
   #settle: (outcome: AttemptOutcome) => void = () => undefined;
   #isSettled = false;
   #wasConnected = false;
+  #wasReset = false;
 
   constructor(options: RunnerAttemptOptions) {
     this.#options = options;
@@ -68,6 +70,7 @@
       setHost: false,
     });
     client.on('socket', (socket) => {
+      this.#watchForReset(client, socket);
       if (!socket.connecting) this.#wasConnected = true;
       else
         socket.once('connect', () => {
@@ -92,13 +95,28 @@
     return client;
   }
 
+  /**
+   * An answer without a length ends with its connection, and a reset that arrives together with data
+   * is reported as an ordinary end. Only a connection that was reset has no peer by then.
+   */
+  #watchForReset(client: ClientRequest, socket: Socket): void {
+    const onEnd = (): void => {
+      this.#wasReset = socket.remoteAddress === undefined;
+    };
+    socket.prependListener('end', onEnd);
+    client.once('close', () => {
+      socket.off('end', onEnd);
+    });
+  }
+
   #receive(response: IncomingMessage): void {
     const { dialect, request, sink, onHead, onProgress, agent } = this.#options;
     const keepAlive = response.headers['keep-alive'];
     if (typeof keepAlive === 'string') agent.setKeepAlive(keepAlive);
     onProgress();
     const head = dialect.readAnswer(response.statusCode ?? 0, response.rawHeaders);
-    const isOther = head.requestId === undefined ? isSuccess(head.status) : head.requestId !== request.id;
+    const isOther =
+      head.requestId === undefined ? isSuccess(head.status) : head.requestId !== request.id;
     if (isOther) {
       this.abort({ kind: 'broken', reason: 'the answer belongs to another request' });
       return;
@@ -127,7 +145,7 @@
     });
     response.on('end', () => {
       if (this.#isSettled) return;
-      if (!response.complete) {
+      if (!response.complete || this.#wasReset) {
         this.#finish({ kind: 'broken', reason: 'the stream was cut short' });
         return;
       }
@@ -148,7 +166,7 @@
       }
     });
     response.on('end', () => {
-      if (!response.complete) {
+      if (!response.complete || this.#wasReset) {
         this.#finish({ kind: 'broken', reason: 'the answer was cut short' });
         return;
       }
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -169,7 +169,10 @@
     );
   }
 
-  #record(entry: RunnerEntry, outcome: { readonly ok: boolean; readonly latencyMs?: number }): void {
+  #record(
+    entry: RunnerEntry,
+    outcome: { readonly ok: boolean; readonly latencyMs?: number },
+  ): void {
     const now = this.#options.clock.monotonic();
     const isAside = this.#detectorOf(entry.service).record(entry.id, outcome, now);
     if (!isAside) return;
--- a/packages/gateway/src/node/usage-duty.ts
+++ b/packages/gateway/src/node/usage-duty.ts
@@ -49,7 +49,8 @@
     const newest = Math.max(0, ...reports.map(({ window }) => window));
     this.#nextWindow = Math.max(oldestDue, newest + 1);
     this.#unsent.clear();
-    for (const report of reports) if (report.window >= oldestDue) this.#unsent.set(report.window, report);
+    for (const report of reports)
+      if (report.window >= oldestDue) this.#unsent.set(report.window, report);
   }
 
   async perform(board: DutyBoard): Promise<void> {
--- a/packages/gateway/src/types/dialect.ts
+++ b/packages/gateway/src/types/dialect.ts
@@ -12,5 +12,8 @@
   /** Reads the head of a runner's answer. */
   readAnswer(status: number, rawHeaders: readonly string[]): AnswerHead;
   /** Headers of an answer of the node's own, by name. */
-  ownHeaders(requestId: string | undefined, retryAfterMs: number | undefined): ReadonlyMap<string, string>;
+  ownHeaders(
+    requestId: string | undefined,
+    retryAfterMs: number | undefined,
+  ): ReadonlyMap<string, string>;
 }
