Give an attempt up for silence only where another can follow; cover waves of reclaims; hand duties over

Ruled out: silent runners (they sent to others all the while). Reclaims of all three domains within 7 s left one runner; the holder of the duties left without saying so and nobody ordered for 10 s.

--- a/packages/admission/src/utils/retry-budget.ts
+++ b/packages/admission/src/utils/retry-budget.ts
@@ -36,6 +36,11 @@
     this.#put(key, this.#refilled(key, now) + this.#ratio, now);
   }
 
+  /** True when a retry or hedge is left in the budget. */
+  canSpend(key: RetryKey, now: number): boolean {
+    return this.#refilled(key, now) >= 1;
+  }
+
   /** Takes one retry or hedge from the budget; false when it is used up. */
   trySpend(key: RetryKey, now: number): boolean {
     const tokens = this.#refilled(key, now);
--- a/packages/admission/src/utils/shared-quota.ts
+++ b/packages/admission/src/utils/shared-quota.ts
@@ -14,6 +14,8 @@
 }
 
 const MS_PER_S = 1000;
+/** Part of the burst that a large request must find in the bucket. */
+const ENTRY_SHARE = 0.1;
 
 /**
  * Token buckets that several nodes draw from. Each node keeps a copy of every bucket, draws from it
@@ -58,7 +60,7 @@
     const bucket = this.#buckets.get(name);
     if (!bucket) return true;
     const refilled = this.#refilled(bucket);
-    const isAllowed = refilled.level >= Math.min(cost, bucket.limit.burst * this.#share);
+    const isAllowed = refilled.level >= this.#entryLevel(bucket, cost);
     this.#buckets.set(name, isAllowed ? { ...refilled, level: refilled.level - cost } : refilled);
     if (isAllowed) this.#taken.set(name, (this.#taken.get(name) ?? 0) + cost);
     return isAllowed;
@@ -85,10 +87,15 @@
     const bucket = this.#buckets.get(name);
     if (!bucket) return 0;
     const { level, limit } = this.#refilled(bucket);
-    const missing = Math.min(cost, limit.burst * this.#share) - level;
+    const missing = this.#entryLevel(bucket, cost) - level;
     return missing <= 0 ? 0 : (missing * MS_PER_S) / Math.max(1, limit.perSecond * this.#share);
   }
 
+  /** Level from which a request is let in; large ones overdraw, so that small ones do not shut them out. */
+  #entryLevel({ limit }: Bucket, cost: number): number {
+    return Math.min(cost, limit.burst * this.#share * ENTRY_SHARE);
+  }
+
   #put(name: string, limit: QuotaLimit): void {
     const known = this.#buckets.get(name);
     const now = this.#clock.monotonic();
--- a/packages/gateway/src/node/duty-board.ts
+++ b/packages/gateway/src/node/duty-board.ts
@@ -49,6 +49,12 @@
     return this.#records;
   }
 
+  /** True when the newest term was taken by this node. */
+  async wasHeldHere(): Promise<boolean> {
+    await this.#read();
+    return this.#termRecord()?.holder === this.#options.node;
+  }
+
   /** Takes a new term; false when another node was faster. Returns the holder before. */
   async takeOver(): Promise<{ readonly isTaken: boolean; readonly before: string | undefined }> {
     const end = await this.#read();
--- a/packages/gateway/src/node/duty-holder.ts
+++ b/packages/gateway/src/node/duty-holder.ts
@@ -35,6 +35,8 @@
   #vacantSince: number;
   #actAfter = 0;
   #failures = 0;
+  /** A life of this node before held the newest term. */
+  #wasHolder: boolean | undefined;
   #lastTick: { readonly steady: number; readonly wall: number } | undefined;
 
   constructor(options: DutyHolderOptions) {
@@ -55,8 +57,9 @@
 
   /** Fencing token that the node tells its peers: 0 when it holds no term or cannot act on it. */
   get toldToken(): number {
-    const { term } = this.#options.board;
-    return term && this.#failures < MAX_FAILURES ? term.fencingToken : 0;
+    const { board, isStopping } = this.#options;
+    const canAct = this.#failures < MAX_FAILURES && !isStopping();
+    return board.term && canAct ? board.term.fencingToken : 0;
   }
 
   start(): void {
@@ -72,6 +75,7 @@
     const { board, peers, clock, log, duties, isStopping } = this.#options;
     const now = clock.monotonic();
     if (isStopping()) return;
+    this.#wasHolder ??= await board.wasHeldHere();
     if (board.term && this.#wasPaused()) {
       log.notable('duty-term-dropped', { token: board.term.fencingToken, reason: 'paused' });
       board.resign();
@@ -95,6 +99,7 @@
   async #takeOver(now: number): Promise<void> {
     const { board, clock, log, duties, node } = this.#options;
     this.#vacantSince = now;
+    this.#wasHolder = false;
     const { isTaken, before } = await board.takeOver();
     if (!isTaken || !board.term) return;
     this.#failures = 0;
@@ -107,7 +112,8 @@
   #waitMs(): number {
     const { peers, node, leaseMs } = this.#options;
     const rank = peers.heardIds().filter((id) => id < node).length;
-    return leaseMs + rank * RANK_WAIT_MS;
+    const firstMs = peers.hasHolderResigned || this.#wasHolder ? 0 : leaseMs;
+    return firstMs + rank * RANK_WAIT_MS;
   }
 
   #wasPaused(): boolean {
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -29,6 +29,7 @@
   readonly prefillTokens: number;
 }
 
+const SILENT = 'silent';
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_GATEWAY_TIMEOUT = 504;
@@ -42,6 +43,8 @@
 const MIN_SILENCE_MS = 700;
 /** Silence of a stream after which it is resumed elsewhere, as a multiple of the longest pause on time. */
 const SILENT_GAPS = 3;
+/** Silence of one connection, as a multiple of that of a whole runner, after which the connection is given up. */
+const SILENT_CONNECTION_FACTOR = 2.5;
 /** Silence before the first byte after which a request is sent elsewhere, as a multiple of the latency target. */
 const SILENT_TARGETS = 1.5;
 
@@ -201,15 +204,21 @@
       },
       onProgress: () => {
         progressAt = clock.monotonic();
+        pool.progressed(entry);
       },
     });
     this.#attempt = attempt;
     const watch = setInterval(() => {
       const silentMs = clock.monotonic() - progressAt;
-      if (!isRepeatable || silentMs < this.#silenceLimitMs(firstAt !== undefined)) return;
-      if (this.#sends >= route.maxAttempts) return;
-      pool.failed(entry);
-      attempt.abort({ kind: 'broken', reason: 'silent' });
+      const runnerSilentMs = Math.min(silentMs, pool.silentMs(entry));
+      if (!isRepeatable || !this.#isTooSilent(silentMs, runnerSilentMs, firstAt !== undefined)) {
+        return;
+      }
+      if (!this.#canSendElsewhere()) return;
+      if (runnerSilentMs >= this.#silenceLimitMs(firstAt !== undefined)) {
+        pool.unreachable(entry, SILENT);
+      }
+      attempt.abort({ kind: 'broken', reason: SILENT });
     }, MIN_SILENCE_MS / 4);
     this.#sends += 1;
     const outcome = await attempt.outcome;
@@ -243,7 +252,7 @@
         return;
       case 'broken':
         this.#mayHaveRun = true;
-        pool.failed(entry);
+        if (outcome.reason !== SILENT) pool.failed(entry);
         return;
       case 'relayed':
         this.#began(tookMs);
@@ -269,10 +278,30 @@
     return kind === 'idempotent' || (kind === 'stream' && isResumable);
   }
 
+  /**
+   * A runner that sends nothing to anyone is taken for dead sooner than a connection of a runner that
+   * works for others: there the request may only be waiting.
+   */
+  #isTooSilent(silentMs: number, runnerSilentMs: number, hasFirst: boolean): boolean {
+    const limitMs = this.#silenceLimitMs(hasFirst);
+    return runnerSilentMs >= limitMs || silentMs >= limitMs * SILENT_CONNECTION_FACTOR;
+  }
+
   #silenceLimitMs(hasFirst: boolean): number {
     const { maxGapMs, latencyTargetMs } = this.#options.route;
-    const limit = hasFirst ? maxGapMs * SILENT_GAPS : latencyTargetMs * SILENT_TARGETS;
-    return Math.max(MIN_SILENCE_MS, limit);
+    const limitMs = hasFirst ? maxGapMs * SILENT_GAPS : latencyTargetMs * SILENT_TARGETS;
+    return Math.max(MIN_SILENCE_MS, limitMs);
+  }
+
+  #canSendElsewhere(): boolean {
+    const { route, budget, service, clock } = this.#options;
+    const now = clock.monotonic();
+    return (
+      this.#sends < route.maxAttempts &&
+      this.#endsAt - now > MIN_RETRY_MS &&
+      this.#choose() !== undefined &&
+      budget.canSpend({ endpoint: service.name, class: 'interactive' }, now)
+    );
   }
 
   #choose(): ChosenRunner | undefined {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -6,6 +6,7 @@
 import type { KeyedLog, KeyedRecord } from '@ragwortrudder/log';
 import type { Writable } from 'node:stream';
 import { isDeepStrictEqual } from 'node:util';
+import { Refusal } from '../errors/refusal.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { CatalogCodec } from '../types/catalog-codec.ts';
 import type { Cloud } from '../types/cloud.ts';
@@ -57,6 +58,9 @@
 /** Most of the repeats allowed in a window that one node saves up. */
 const BUDGET_BURST_SHARE = 0.8;
 const MS_PER_S = 1_000;
+const HTTP_UNAVAILABLE = 503;
+/** When a caller that a stopping node refuses may go to another, in milliseconds. */
+const STOPPING_RETRY_MS = 50;
 
 /** Node that forwards callers' requests to runners, by a configuration and a list of runners in a keyed log. */
 export class Gateway implements Closeable {
@@ -82,6 +86,7 @@
   #hasRunners = false;
   #isEntered = false;
   #isStopping = false;
+  #stoppingSince: number | undefined;
   #settings: GatewaySettings;
 
   constructor(options: GatewayOptions) {
@@ -243,6 +248,7 @@
     this.#isStopping = true;
     const { clock } = this.#options;
     const startedAt = clock.monotonic();
+    this.#stoppingSince = startedAt;
     this.#decisions.notable('stopping', { active: this.#forwarder.active.size });
     this.#callers.stopKeepingConnections();
     const leave = setInterval(() => {
@@ -286,7 +292,23 @@
     return this.#configuration !== undefined && this.#hasRunners && !this.#isStopping;
   }
 
+  /** A stopping node takes requests until new connections go elsewhere; later ones might not end in time. */
+  #refusesNew(): boolean {
+    if (this.#stoppingSince === undefined) return false;
+    return this.#options.clock.monotonic() - this.#stoppingSince >= LEAVE_ROTATION_MS;
+  }
+
   async #serve(request: CallerRequest, channel: CallerChannel): Promise<void> {
+    if (this.#refusesNew()) {
+      const refusal = new Refusal('node-stopping', {
+        status: HTTP_UNAVAILABLE,
+        retryAfterMs: STOPPING_RETRY_MS,
+      });
+      this.#metrics.count('refusals', { cause: refusal.code });
+      this.#decisions.notable('request-refused', { request: request.id, cause: refusal.code });
+      channel.fail(refusal, request.id);
+      return;
+    }
     await this.#forwarder.forward(request, channel);
   }
 
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -42,6 +42,7 @@
 export class Peers implements Closeable {
   readonly #options: PeersOptions;
   readonly #peers = new Map<string, Peer>();
+  #hasResigned = false;
   #socket: Socket | undefined;
   #timer: NodeJS.Timeout | undefined;
 
@@ -65,6 +66,11 @@
     return [...this.#peers].filter(([, peer]) => this.#isHeard(peer, now)).map(([id]) => id);
   }
 
+  /** The newest holder of the duty term has told that it gave it up. */
+  get hasHolderResigned(): boolean {
+    return this.#hasResigned;
+  }
+
   /** Newest duty term that a heard peer holds; 0 when none does. */
   newestDuty(): number {
     const now = this.#options.clock.monotonic();
@@ -170,6 +176,8 @@
     )
       return;
     if (!known || known.isSilent) this.#options.log.notable('peer-heard', { peer: report.node });
+    if (report.duty > 0) this.#hasResigned = false;
+    else if (known && known.duty > 0 && known.life === report.life) this.#hasResigned = true;
     const now = this.#options.clock.monotonic();
     this.#peers.set(report.node, {
       address: { host: report.host, port: report.port },
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -57,6 +57,7 @@
 export class RunnerPool implements Closeable {
   readonly #options: RunnerPoolOptions;
   readonly #runners = new Map<string, PooledRunner>();
+  readonly #progressAt = new Map<string, number>();
   readonly #detectors = new Map<string, OutlierDetector>();
 
   constructor(options: RunnerPoolOptions) {
@@ -101,6 +102,16 @@
     this.#record(entry, { ok: true, latencyMs: ratio });
   }
 
+  /** Notes that bytes came from a runner. */
+  progressed(entry: RunnerEntry): void {
+    this.#progressAt.set(entry.id, this.#options.clock.monotonic());
+  }
+
+  /** Time since any bytes came from a runner, in milliseconds. */
+  silentMs(entry: RunnerEntry): number {
+    return this.#options.clock.monotonic() - (this.#progressAt.get(entry.id) ?? 0);
+  }
+
   /** Takes in that a runner failed a request. */
   failed(entry: RunnerEntry): void {
     this.#record(entry, { ok: false });
@@ -128,6 +139,7 @@
     for (const [id, { agent }] of this.#runners) {
       if (listed.has(id)) continue;
       this.#runners.delete(id);
+      this.#progressAt.delete(id);
       agent.retire();
     }
     board.retain(new Set(listed.keys()));
--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -1,4 +1,4 @@
-import type { RunnerDirectory, Service } from '@ragwortrudder/catalog';
+import type { RunnerDirectory, RunnerEntry, Service } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
 import { planRunners } from '@ragwortrudder/supply';
 import type { DomainRunners, RunnerPlan } from '@ragwortrudder/supply';
@@ -31,6 +31,8 @@
 const LOWER_AFTER_MS = 8_000;
 /** Time beyond a runner's start-up after which an order that was not met is given again, in milliseconds. */
 const REPEAT_SLACK_MS = 2_000;
+/** Time after a reclaim within which others are expected, in milliseconds: supply comes back after about a quarter of a minute. */
+const WAVE_MS = 14_000;
 /** Work that is planned for before any demand was seen, in busy runners. */
 const INITIAL_BUSY_RUNNERS = 2;
 
@@ -50,6 +52,7 @@
   readonly #refusedUntil = new Map<string, number>();
   readonly #lowerSince = new Map<string, number>();
   readonly #peakBusy = new Map<string, number>();
+  #waveUntil = 0;
 
   constructor(options: SupplyDutyOptions) {
     this.#options = options;
@@ -72,14 +75,16 @@
   #plansFor(service: Service): readonly RunnerPlan[] {
     const { scaling } = service;
     if (!scaling || Object.keys(scaling.prices).length === 0) return [];
+    const domains = Object.entries(scaling.prices).map(([failureDomain, price]) =>
+      this.#domainOf(service, failureDomain, price),
+    );
     return planRunners({
+      isWave: this.#options.clock.monotonic() < this.#waveUntil,
       busyRunners: this.#busyFor(service.name),
       min: scaling.min,
       max: scaling.max,
       ...(scaling.spotPrice === undefined ? {} : { spotPrice: scaling.spotPrice }),
-      domains: Object.entries(scaling.prices).map(([failureDomain, price]) =>
-        this.#domainOf(service, failureDomain, price),
-      ),
+      domains,
     });
   }
 
@@ -100,7 +105,10 @@
       .filter((entry) => entry.failureDomain === failureDomain && entry.isSpot);
     const key = keyOf({ service: service.name, failureDomain, isSpot: true, count: 0 });
     const now = clock.monotonic();
-    if (spot.some(({ isDraining }) => isDraining)) this.#refusedUntil.set(key, now + REFUSED_MS);
+    if (this.#isReclaimed(key, spot)) {
+      this.#refusedUntil.set(key, now + REFUSED_MS);
+      this.#waveUntil = now + WAVE_MS;
+    }
     return {
       failureDomain,
       price,
@@ -110,6 +118,12 @@
     };
   }
 
+  /** Runners that drain though no fewer were ordered are being reclaimed. */
+  #isReclaimed(key: string, spot: readonly RunnerEntry[]): boolean {
+    const serving = spot.filter(({ isDraining }) => !isDraining).length;
+    return serving < spot.length && serving < (this.#standing.get(key)?.order.count ?? 0);
+  }
+
   async #follow(board: DutyBoard, service: Service, plan: RunnerPlan): Promise<void> {
     const base = { service: service.name, failureDomain: plan.failureDomain };
     await this.#order(board, service, { ...base, count: plan.spot, isSpot: true });
--- a/packages/supply/src/utils/plan-runners.ts
+++ b/packages/supply/src/utils/plan-runners.ts
@@ -9,6 +9,8 @@
   readonly max: number;
   /** Price of a reclaimable runner as a share of the on-demand price; absent when none can be ordered. */
   readonly spotPrice?: number;
+  /** Reclaimable runners were reclaimed a short time ago; further failure domains may follow. */
+  readonly isWave: boolean;
   readonly domains: readonly DomainRunners[];
 }
 
@@ -50,10 +52,11 @@
 
 /**
  * Plans the runners of a service: reclaimable ones spread over all failure domains with one
- * domain's worth to spare, and on-demand ones for what they cannot cover now.
+ * domain's worth to spare, and on-demand ones for what they cannot cover now. Reclaims come in waves:
+ * during one, on-demand runners cover all of the work.
  */
 export function planRunners(options: PlanRunnersOptions): readonly RunnerPlan[] {
-  const { busyRunners, min, max, spotPrice, domains } = options;
+  const { busyRunners, min, max, spotPrice, isWave, domains } = options;
   const needed = Math.max(1, Math.ceil(busyRunners / TARGET_UTILIZATION));
   const usesSpot = spotPrice !== undefined && spotPrice <= MAX_SPOT_PRICE;
   const spotWanted = usesSpot ? Math.ceil(busyRunners / SPOT_UTILIZATION) : 0;
@@ -61,7 +64,8 @@
     ? Math.min(max, Math.max(1, min, Math.ceil(spotWanted / domains.length)))
     : 0;
   const spotNow = domains.reduce((sum, { spot }) => sum + Math.min(spot, spotEach), 0);
-  const onDemand = Math.max(ON_DEMAND_FLOOR, needed - spotNow);
+  const spared = isWave ? 0 : spotNow;
+  const onDemand = Math.max(ON_DEMAND_FLOOR, needed - spared);
   const roomOf = (domain: DomainRunners): number =>
     max - (domain.isSpotRefused ? Math.min(domain.spot, spotEach) : Math.min(spotEach, max - 1));
   const placed = placeOnDemand(onDemand, domains, roomOf);
