--- a/packages/admission/src/utils/shared-quota.ts
+++ b/packages/admission/src/utils/shared-quota.ts
@@ -14,8 +14,6 @@
 }
 
 const MS_PER_S = 1000;
-/** Part of the burst that a large request must find in the bucket. */
-const ENTRY_SHARE = 0.1;
 
 /**
  * Token buckets that several nodes draw from. Each node keeps a copy of every bucket, draws from it
@@ -55,12 +53,15 @@
     for (const [name, limit] of limits) this.#put(name, limit);
   }
 
-  /** Draws `cost` from a bucket; false when it is empty. Names without a limit are always allowed. */
+  /**
+   * Draws `cost` from a bucket; false when it is empty. A request may overdraw it, so that small ones
+   * do not shut large ones out. Names without a limit are always allowed.
+   */
   tryTake(name: string, cost: number): boolean {
     const bucket = this.#buckets.get(name);
     if (!bucket) return true;
     const refilled = this.#refilled(bucket);
-    const isAllowed = refilled.level >= this.#entryLevel(bucket, cost);
+    const isAllowed = refilled.level > 0;
     this.#buckets.set(name, isAllowed ? { ...refilled, level: refilled.level - cost } : refilled);
     if (isAllowed) this.#taken.set(name, (this.#taken.get(name) ?? 0) + cost);
     return isAllowed;
@@ -87,15 +88,10 @@
     const bucket = this.#buckets.get(name);
     if (!bucket) return 0;
     const { level, limit } = this.#refilled(bucket);
-    const missing = this.#entryLevel(bucket, cost) - level;
+    const missing = Math.min(cost, limit.burst * this.#share) - level;
     return missing <= 0 ? 0 : (missing * MS_PER_S) / Math.max(1, limit.perSecond * this.#share);
   }
 
-  /** Level from which a request is let in; large ones overdraw, so that small ones do not shut them out. */
-  #entryLevel({ limit }: Bucket, cost: number): number {
-    return Math.min(cost, limit.burst * this.#share * ENTRY_SHARE);
-  }
-
   #put(name: string, limit: QuotaLimit): void {
     const known = this.#buckets.get(name);
     const now = this.#clock.monotonic();
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { Address, CallerLimits } from '@ragwortrudder/catalog';
 import type { Closeable, Failure } from '@ragwortrudder/core';
@@ -83,6 +84,12 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  /** Port that the server listens on; 0 before it listens. */
+  get port(): number {
+    const address = this.#server.address() as AddressInfo | null;
+    return address?.port ?? 0;
+  }
+
   async listen(): Promise<void> {
     const { host, port } = this.#options.address;
     await new Promise<void>((resolve, reject) => {
--- a/packages/gateway/src/node/duty-holder.ts
+++ b/packages/gateway/src/node/duty-holder.ts
@@ -75,8 +75,9 @@
     const { board, peers, clock, log, duties, isStopping } = this.#options;
     const now = clock.monotonic();
     if (isStopping()) return;
+    const wasPaused = this.#wasPaused();
     this.#wasHolder ??= await board.wasHeldHere();
-    if (board.term && this.#wasPaused()) {
+    if (board.term && wasPaused) {
       log.notable('duty-term-dropped', { token: board.term.fencingToken, reason: 'paused' });
       board.resign();
       this.#vacantSince = now;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -212,6 +212,11 @@
     ];
   }
 
+  /** Ports that the node listens on. */
+  get ports(): { readonly callers: number; readonly readiness: number } {
+    return { callers: this.#callers.port, readiness: this.#status.port };
+  }
+
   /** Starts to follow the log and to listen. */
   async start(): Promise<void> {
     const { node } = this.#options.settings;
@@ -264,7 +269,7 @@
   }
 
   async close(): Promise<void> {
-    this.#peers.tell(true);
+    await this.#peers.tell(true);
     this.#decisions.notable('stopped', { active: this.#forwarder.active.size });
     await Promise.all([
       ...this.#followers.map((follower) => follower.close()),
@@ -321,7 +326,6 @@
       usage: this.#usage,
       peers: this.#peers,
       trueTime,
-      clock,
       log: this.#decisions,
       windowMs: duties.usageWindowMs,
       lateMs: duties.usageLateMs,
@@ -456,7 +460,7 @@
       if (peer) this.#peers.introduce(key, { host: peer.host, port: peer.port });
     }
     this.#isEntered = true;
-    this.#peers.tell();
+    await this.#peers.tell();
   }
 
   async #leave(): Promise<void> {
--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -94,7 +94,7 @@
   }
 
   #markAway(error: unknown): void {
-    if (this.#awaySince !== undefined) return;
+    if (this.#awaySince !== undefined || this.#closing.signal.aborted) return;
     this.#awaySince = this.#options.clock.monotonic();
     this.#options.onAway(error);
   }
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -115,15 +115,12 @@
     });
   }
 
-  /** Sends a report to all peers now. */
-  tell(isLeaving = false): void {
+  /** Sends a report to all peers now; settles once it is on its way. */
+  async tell(isLeaving = false): Promise<void> {
     const notification = createJSONRPCNotification(METHOD, this.#options.report(isLeaving));
     const bytes = Buffer.from(JSON.stringify(notification));
-    for (const { address } of this.#peers.values()) {
-      this.#socket?.send(bytes, address.port, address.host, (error) => {
-        if (error) this.#options.log.routine('peer-send-failed', { reason: error.message });
-      });
-    }
+    const addresses = [...this.#peers.values()].map(({ address }) => address);
+    await Promise.all(addresses.map((address) => this.#send(bytes, address)));
   }
 
   close(): Promise<void> {
@@ -133,11 +130,24 @@
     return Promise.resolve();
   }
 
+  #send(bytes: Buffer, { host, port }: Address): Promise<void> {
+    return new Promise((resolve) => {
+      if (!this.#socket) {
+        resolve();
+        return;
+      }
+      this.#socket.send(bytes, port, host, (error) => {
+        if (error) this.#options.log.routine('peer-send-failed', { reason: error.message });
+        resolve();
+      });
+    });
+  }
+
   #schedule(): void {
     const pauseMs = REPORT_MS * Math.max(1, this.#peers.size / FULL_RATE_PEERS);
     this.#timer = setTimeout(() => {
       this.#forgetSilent();
-      this.tell();
+      void this.tell();
       this.#schedule();
     }, pauseMs);
   }
--- a/packages/gateway/src/node/status-server.ts
+++ b/packages/gateway/src/node/status-server.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import type { Address } from '@ragwortrudder/catalog';
 import type { Closeable } from '@ragwortrudder/core';
 
@@ -38,6 +39,12 @@
     });
   }
 
+  /** Port that the server listens on; 0 before it listens. */
+  get port(): number {
+    const address = this.#server.address() as AddressInfo | null;
+    return address?.port ?? 0;
+  }
+
   async listen(): Promise<void> {
     const { host, port } = this.#options.address;
     await new Promise<void>((resolve, reject) => {
--- a/packages/gateway/src/node/usage-duty.ts
+++ b/packages/gateway/src/node/usage-duty.ts
@@ -1,18 +1,16 @@
-import type { Clock } from '@ragwortrudder/core';
 import type { Cloud } from '../types/cloud.ts';
 import type { Duty } from '../types/duty.ts';
 import type { UsageReport } from '../types/usage-report.ts';
 import type { UsageCounter } from '../utils/usage-counter.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { DutyBoard } from './duty-board.ts';
-import type { Peers } from './peers.ts';
 
 interface UsageDutyOptions {
   readonly cloud: Cloud;
   readonly usage: UsageCounter;
-  readonly peers: Peers;
+  /** Nodes that are known and heard. */
+  readonly peers: { readonly known: number; readonly heard: number };
   readonly trueTime: { now(): number };
-  readonly clock: Clock;
   readonly log: DecisionLog;
   readonly windowMs: number;
   /** Time after a window's end within which its usage is due, in milliseconds. */
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -53,3 +53,4 @@
 export type { KeyedPage } from './types/keyed-page.ts';
 export type { KeyedRead } from './types/keyed-read.ts';
 export type { KeyedRecord } from './types/keyed-record.ts';
+export { MemoryKeyedLog } from './utils/memory-keyed-log.ts';
--- /dev/null
+++ b/packages/log/src/utils/memory-keyed-log.ts
@@ -0,0 +1,82 @@
+import { AppendConflict } from '../errors/append-conflict.ts';
+import { LogExpired } from '../errors/log-expired.ts';
+import { LogUnavailable } from '../errors/log-unavailable.ts';
+import type { KeyedAppend } from '../types/keyed-append.ts';
+import type { KeyedLog } from '../types/keyed-log.ts';
+import type { KeyedPage } from '../types/keyed-page.ts';
+import type { KeyedRead } from '../types/keyed-read.ts';
+import type { KeyedRecord } from '../types/keyed-record.ts';
+
+interface Topic {
+  readonly records: readonly KeyedRecord[];
+  /** Records before this offset can no longer be read in order. */
+  readonly first: number;
+}
+
+const EMPTY: Topic = { records: [], first: 0 };
+const POLL_MS = 5;
+
+/** {@link KeyedLog} in memory, with faults on demand; for tests. */
+export class MemoryKeyedLog implements KeyedLog {
+  readonly #topics = new Map<string, Topic>();
+  #isDown = false;
+  #lostAppends = 0;
+
+  /** Makes all calls fail, or ends that. */
+  setDown(isDown: boolean): void {
+    this.#isDown = isDown;
+  }
+
+  /** Lets the next `count` appends take effect without a reply. */
+  loseReplies(count: number): void {
+    this.#lostAppends = count;
+  }
+
+  /** Drops the history of a topic; its newest records stay. */
+  dropHistory(topic: string): void {
+    const { records } = this.#topicOf(topic);
+    this.#topics.set(topic, { records, first: records.length });
+  }
+
+  async newest(topic: string): Promise<KeyedPage> {
+    await this.#reach();
+    const { records } = this.#topicOf(topic);
+    const byKey = new Map(records.map((record) => [record.key, record]));
+    const newest = [...byKey.values()].filter(({ value }) => value !== undefined);
+    return { records: newest, next: records.length };
+  }
+
+  async read({ topic, from, waitMs }: KeyedRead): Promise<KeyedPage> {
+    for (let waitedMs = 0; ; waitedMs += POLL_MS) {
+      await this.#reach();
+      const { records, first } = this.#topicOf(topic);
+      if (from < first) throw new LogExpired(first, records.length);
+      if (records.length > from || waitedMs >= waitMs) {
+        return { records: records.slice(from), next: records.length };
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  async append({ topic, key, value, at }: KeyedAppend): Promise<number> {
+    await this.#reach();
+    const { records, first } = this.#topicOf(topic);
+    if (at !== undefined && at !== records.length) throw new AppendConflict(topic, at);
+    const record = { key, value, offset: records.length };
+    this.#topics.set(topic, { records: [...records, record], first });
+    if (this.#lostAppends > 0) {
+      this.#lostAppends -= 1;
+      throw new LogUnavailable('the reply was lost');
+    }
+    return record.offset;
+  }
+
+  #topicOf(name: string): Topic {
+    return this.#topics.get(name) ?? EMPTY;
+  }
+
+  #reach(): Promise<void> {
+    if (this.#isDown) return Promise.reject(new LogUnavailable('down', { notRun: true }));
+    return Promise.resolve();
+  }
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -50,3 +50,4 @@
 export { RateLimit } from './utils/rate-limit.ts';
 export { LaggingValue } from './utils/lagging-value.ts';
 export { Sequence } from './utils/sequence.ts';
+export { KeyedStore } from './node/keyed-store.ts';
--- /dev/null
+++ b/test/catalog/catalog.test.ts
@@ -0,0 +1,127 @@
+import test from 'ava';
+import { drawService, KeyTable, RouteTable, RunnerDirectory } from '@ragwortrudder/catalog';
+import type { Configuration, Route, RunnerEntry } from '@ragwortrudder/catalog';
+import { ManualClock } from '@ragwortrudder/core';
+
+const LIMITS = {
+  headerBytes: 16_384,
+  bodyBytes: 1_000,
+  headerTimeoutMs: 1_000,
+  idleTimeoutMs: 1_000,
+};
+
+function route(name: string, host: string, pathPrefix: string): Route {
+  return {
+    name,
+    host,
+    pathPrefix,
+    kind: 'idempotent',
+    timeoutMs: 1_000,
+    latencyTargetMs: 100,
+    priority: 0,
+    targets: [{ service: 's', weight: 1 }],
+    maxAttempts: 2,
+    isPublic: false,
+    isResumable: false,
+    maxGapMs: 0,
+  };
+}
+
+function configuration(routes: readonly Route[]): Configuration {
+  return {
+    version: 1,
+    routes,
+    services: [],
+    teams: [{ name: 'buyers', apiKeys: ['k1', 'k2'] }],
+    limits: LIMITS,
+  };
+}
+
+function runner(id: string, change: Partial<RunnerEntry> = {}): RunnerEntry {
+  return {
+    id,
+    service: 's',
+    address: { host: '127.0.0.1', port: 1 },
+    failureDomain: 'a',
+    version: 'v1',
+    slots: 4,
+    isDraining: false,
+    coldMs: 0,
+    bornMs: 1,
+    isSpot: false,
+    ...change,
+  };
+}
+
+test('the longest prefix of the host wins', (t) => {
+  const table = new RouteTable(
+    configuration([
+      route('root', 'a.example', '/'),
+      route('short', 'a.example', '/x/'),
+      route('long', 'a.example', '/x/y/'),
+      route('other', 'b.example', '/x/y/z/'),
+    ]),
+  );
+  t.is(table.find('a.example', '/x/y/z/w')?.name, 'long');
+  t.is(table.find('A.Example', '/x/yy')?.name, 'short');
+  t.is(table.find('a.example', '/x')?.name, 'root');
+  t.is(table.find('b.example', '/x/y/'), undefined);
+  t.is(table.find('c.example', '/'), undefined);
+});
+
+test('a key belongs to its team, exactly as written', (t) => {
+  const keys = new KeyTable(configuration([]));
+  t.is(keys.find('k2')?.name, 'buyers');
+  t.is(keys.find('K2'), undefined);
+  t.is(keys.find('k2 '), undefined);
+});
+
+test('services of a split route are drawn by weight, those of weight 0 never', (t) => {
+  const targets = [
+    { service: 'none', weight: 0 },
+    { service: 'most', weight: 9 },
+    { service: 'few', weight: 1 },
+  ];
+  t.is(drawService(targets, 0), 'most');
+  t.is(drawService(targets, 0.89), 'most');
+  t.is(drawService(targets, 0.91), 'few');
+  t.is(drawService(targets, 0.999_999), 'few');
+  t.is(drawService([{ service: 'none', weight: 0 }], 0.5), undefined);
+});
+
+test('an entry that lapses during an outage of the list is kept until the list has been back for two seconds', (t) => {
+  const clock = new ManualClock();
+  const directory = new RunnerDirectory({ clock });
+  directory.replaceAll([runner('r1'), runner('r2')]);
+  directory.markAway();
+  clock.advance(5_000);
+  directory.markRead();
+  directory.replaceAll([]);
+  t.is(directory.ofService('s').length, 2);
+  clock.advance(1_000);
+  directory.put(runner('r1'));
+  clock.advance(1_500);
+  t.deepEqual(
+    directory.ofService('s').map(({ id }) => id),
+    ['r1'],
+  );
+});
+
+test('an entry that is removed while the list can be read is gone at once', (t) => {
+  const clock = new ManualClock();
+  const directory = new RunnerDirectory({ clock });
+  directory.replaceAll([runner('r1')]);
+  directory.markRead();
+  directory.remove('r1');
+  t.deepEqual(directory.ofService('s'), []);
+  t.is(directory.size, 0);
+});
+
+test('a draining runner that lapses during an outage does not come back', (t) => {
+  const clock = new ManualClock();
+  const directory = new RunnerDirectory({ clock });
+  directory.replaceAll([runner('r1', { isDraining: true })]);
+  directory.markAway();
+  directory.remove('r1');
+  t.deepEqual(directory.ofService('s'), []);
+});
--- /dev/null
+++ b/test/gateway/decisions.test.ts
@@ -0,0 +1,177 @@
+import { Writable } from 'node:stream';
+import test from 'ava';
+import { ManualClock } from '@ragwortrudder/core';
+import type { AttemptOutcome } from '../../packages/gateway/src/types/attempt-outcome.ts';
+import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
+import { DemandMeter } from '../../packages/gateway/src/utils/demand-meter.ts';
+import { EventSplitter } from '../../packages/gateway/src/utils/event-splitter.ts';
+import { LoadBoard } from '../../packages/gateway/src/utils/load-board.ts';
+import { nextStep } from '../../packages/gateway/src/utils/next-step.ts';
+import { TrueTime } from '../../packages/gateway/src/utils/true-time.ts';
+import { UsageCounter } from '../../packages/gateway/src/utils/usage-counter.ts';
+
+const BASE = {
+  route: { kind: 'idempotent', isResumable: false, maxAttempts: 2 },
+  sends: 1,
+  unsent: 0,
+  mayHaveRun: false,
+  hasBegun: false,
+  canRetry: true,
+  takeBudget: () => true,
+} as const;
+const BROKEN: AttemptOutcome = { kind: 'broken', reason: 'reset' };
+const REFUSED: AttemptOutcome = { kind: 'refused', isMisdirected: false };
+const NON_IDEMPOTENT = { kind: 'non-idempotent', isResumable: false, maxAttempts: 2 } as const;
+const STREAM = { kind: 'stream', isResumable: false, maxAttempts: 2 } as const;
+const RESUMABLE = { kind: 'stream', isResumable: true, maxAttempts: 2 } as const;
+
+function failure(status: number): AttemptOutcome {
+  const head = {
+    status,
+    headers: [],
+    requestId: 'r',
+    signature: 's',
+    isNotExecuted: false,
+    load: undefined,
+  };
+  return { kind: 'answered', answer: { head, body: Buffer.alloc(0) } };
+}
+
+test('what may have run and must not run twice ends as unknown', (t) => {
+  t.is(nextStep(BROKEN, { ...BASE, route: NON_IDEMPOTENT, mayHaveRun: true }), 'fail');
+  t.is(nextStep(BROKEN, { ...BASE, route: STREAM, mayHaveRun: true }), 'fail');
+  t.is(nextStep(failure(500), { ...BASE, route: NON_IDEMPOTENT, mayHaveRun: true }), 'answer');
+});
+
+test('what may be repeated is sent again within attempts, time and budget', (t) => {
+  t.is(nextStep(BROKEN, { ...BASE, mayHaveRun: true }), 'retry');
+  t.is(nextStep(BROKEN, { ...BASE, route: RESUMABLE, hasBegun: true }), 'retry');
+  t.is(nextStep(failure(500), BASE), 'retry');
+  t.is(nextStep(BROKEN, { ...BASE, sends: 2, mayHaveRun: true }), 'fail');
+  t.is(nextStep(BROKEN, { ...BASE, canRetry: false, mayHaveRun: true }), 'fail');
+  t.is(nextStep(BROKEN, { ...BASE, takeBudget: () => false, mayHaveRun: true }), 'fail');
+  t.is(nextStep(failure(500), { ...BASE, takeBudget: () => false }), 'answer');
+});
+
+test('a refusal is only given where nothing has run', (t) => {
+  t.is(nextStep(REFUSED, { ...BASE, route: NON_IDEMPOTENT }), 'retry');
+  t.is(nextStep(REFUSED, { ...BASE, route: NON_IDEMPOTENT, sends: 2 }), 'refuse');
+  t.is(nextStep(REFUSED, { ...BASE, sends: 2, mayHaveRun: true }), 'fail');
+  t.is(nextStep({ kind: 'unsent' }, { ...BASE, sends: 0, unsent: 1 }), 'retry');
+  t.is(nextStep({ kind: 'unsent' }, { ...BASE, sends: 0, unsent: 3 }), 'refuse');
+  t.is(nextStep({ kind: 'unsent' }, { ...BASE, mayHaveRun: true, unsent: 3 }), 'fail');
+});
+
+test('events are passed on whole, whatever the cuts between packets', (t) => {
+  const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid:3\ndata: c\n\nid: 4\nda';
+  for (let cut = 1; cut < text.length; cut += 1) {
+    const splitter = new EventSplitter();
+    const parts = [
+      splitter.push(Buffer.from(text.slice(0, cut))),
+      splitter.push(Buffer.from(text.slice(cut))),
+    ];
+    t.is(Buffer.concat(parts).toString(), text.slice(0, -'id: 4\nda'.length), `cut at ${cut}`);
+    t.is(splitter.lastId, '3', `cut at ${cut}`);
+    t.is(splitter.rest.toString(), 'id: 4\nda');
+  }
+});
+
+test('work at a runner is the node’s own and what peers told a short time ago', (t) => {
+  const clock = new ManualClock();
+  const board = new LoadBoard(clock);
+  const work = { requests: 1, prefillTokens: 100, kvTokens: 200 };
+  board.add('r1', work);
+  board.setPeer('p1', new Map([['r1', { requests: 2, prefillTokens: 50, kvTokens: 70 }]]));
+  t.deepEqual(board.workAt('r1'), { requests: 3, prefillTokens: 150, kvTokens: 270 });
+  board.setStated('r1', { running: 9, waiting: 1, slots: 8 });
+  t.is(board.workAt('r1').requests, 10);
+  clock.advance(1_100);
+  t.deepEqual(board.workAt('r1'), work);
+  board.add('r1', { requests: -1, prefillTokens: -100, kvTokens: -200 });
+  t.is(board.own.size, 0);
+});
+
+test('usage is summed over the lives of all nodes, and each figure replaces the one before', (t) => {
+  const usage = new UsageCounter(5_000);
+  usage.began('a', 12_000);
+  usage.began('a', 14_999);
+  usage.began('b', 15_000);
+  usage.setPeer('p1 1', new Map([[2, new Map([['a', 3]])]]));
+  usage.setPeer('p1 1', new Map([[2, new Map([['a', 5]])]]));
+  usage.setPeer('p1 2', new Map([[2, new Map([['b', 1]])]]));
+  t.deepEqual(usage.reportOf(2), { window: 2, counts: { a: 7, b: 1 } });
+  t.deepEqual(usage.reportOf(3), { window: 3, counts: { b: 1 } });
+});
+
+test('true time does not follow a step of the wall clock', (t) => {
+  let wall = 1_000_000;
+  let steady = 0;
+  const time = new TrueTime({ wall: () => wall, monotonic: () => steady });
+  steady += 500;
+  wall += 500 + 2_400;
+  t.is(time.now(), 1_000_500);
+});
+
+test('after a suspension, true time follows what most peers tell', (t) => {
+  let steady = 0;
+  const time = new TrueTime({ wall: () => 1_000_000, monotonic: () => steady });
+  steady += 100;
+  time.told('p1', 1_003_100);
+  t.is(time.now(), 1_000_100);
+  time.told('p2', 1_003_105);
+  t.true(time.now() >= 1_003_100);
+});
+
+test('demand per second is that of all nodes in the last seconds', (t) => {
+  const clock = new ManualClock();
+  const meter = new DemandMeter(clock);
+  meter.setTotal('p1', 's', { requests: 1_000, promptTokens: 0, outputTokens: 0 });
+  for (let step = 0; step < 40; step += 1) {
+    clock.advance(100);
+    meter.add('s', { requests: 1, promptTokens: 50, outputTokens: 5 });
+    meter.setTotal('p1', 's', { requests: 1_001 + step, promptTokens: 0, outputTokens: 0 });
+  }
+  const { requests, promptTokens } = meter.perSecond('s');
+  t.true(Math.abs(requests - 20) < 2, `${requests}`);
+  t.true(Math.abs(promptTokens - 500) < 50);
+  clock.advance(10_000);
+  t.is(meter.perSecond('s').requests, 0);
+});
+
+test('pattern: flood of refusals before a reader that has stopped; lines are dropped and counted, never waited for', (t) => {
+  const clock = new ManualClock(1_000_000);
+  const written: string[] = [];
+  let isStopped = true;
+  const out = new Writable({
+    highWaterMark: 1,
+    write(chunk: Buffer, _encoding, done) {
+      written.push(chunk.toString());
+      if (!isStopped) done();
+    },
+  });
+  const log = new DecisionLog({ node: 'n', out, clock });
+  for (let index = 0; index < 50_000; index += 1) {
+    log.notable('request-refused', { request: String(index) });
+    if (index % 1_000 === 0) clock.advance(1_000);
+  }
+  t.true(log.dropped > 40_000);
+  t.true(out.writableLength < 1024 * 1024);
+  isStopped = false;
+  t.is(written.length, 1);
+});
+
+test('lines about served requests are dropped before lines about failures', (t) => {
+  const clock = new ManualClock(5_000);
+  const lines: string[] = [];
+  const out = new Writable({
+    write(chunk: Buffer, _encoding, done) {
+      lines.push(chunk.toString());
+      done();
+    },
+  });
+  const log = new DecisionLog({ node: 'n', out, clock });
+  for (let index = 0; index < 500; index += 1) log.routine('request-served', { index });
+  log.notable('request-refused', { request: 'x' });
+  t.true(lines.some((line) => line.includes('"request-refused"')));
+  t.true(lines.some((line) => line.includes('"lines-dropped"')));
+});
--- /dev/null
+++ b/test/gateway/gateway-bed.ts
@@ -0,0 +1,227 @@
+import { request as sendRequest } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { connect } from 'node:net';
+import { Writable } from 'node:stream';
+import type { ExecutionContext } from 'ava';
+import { SeededRandom, SystemClock } from '@ragwortrudder/core';
+import { Gateway } from '@ragwortrudder/gateway';
+import { MemoryKeyedLog } from '@ragwortrudder/log';
+import { PlatformCatalogCodec, PlatformDialect } from '@ragwortrudder/platform-adapter';
+import type { ScriptedRunner } from './scripted-runner.ts';
+
+interface BedOptions {
+  readonly runners?: readonly ScriptedRunner[];
+  readonly route?: object;
+  readonly team?: object;
+  readonly graceMs?: number;
+  /** Puts no configuration into the log. */
+  readonly isEmpty?: boolean;
+}
+
+interface Call {
+  readonly method?: string;
+  readonly path?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+interface Reply {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** The answer arrived to its end, as framed. */
+  readonly isWhole: boolean;
+}
+
+const OPERATOR_TOPIC = 'keyed.op';
+const RUNNER_TOPIC = 'keyed.servers';
+const NO_BODY_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE']);
+
+/** Gateway between a test's callers and scripted runners, on a log in memory. */
+export class GatewayBed {
+  readonly log = new MemoryKeyedLog();
+  readonly lines: string[] = [];
+  readonly gateway: Gateway;
+  #version = 1;
+  #ids = 0;
+
+  private constructor(readonly options: BedOptions) {
+    const out = new Writable({
+      write: (chunk: Buffer, _encoding, done) => {
+        this.lines.push(chunk.toString());
+        done();
+      },
+    });
+    this.gateway = new Gateway({
+      settings: {
+        node: { id: 'n1', host: '127.0.0.1', failureDomain: 'a' },
+        listen: {
+          callers: { host: '127.0.0.1', port: 0 },
+          readiness: { host: '127.0.0.1', port: 0 },
+          peerPort: 0,
+        },
+        graceMs: options.graceMs ?? 8_000,
+        retries: { ratio: 0.2, slack: 600, windowMs: 10_000 },
+        quotas: { overage: 0, slack: 0 },
+        duties: {
+          reportsUsage: false,
+          ordersRunners: false,
+          leaseMs: 3_000,
+          usageWindowMs: 5_000,
+          usageLateMs: 10_000,
+        },
+      },
+      log: this.log,
+      codec: new PlatformCatalogCodec(),
+      dialect: new PlatformDialect(),
+      cloud: undefined,
+      clock: new SystemClock(),
+      random: new SeededRandom(7),
+      out,
+    });
+  }
+
+  /** Starts a gateway that is ready, and closes it after the test. */
+  static async start(t: ExecutionContext, options: BedOptions = {}): Promise<GatewayBed> {
+    const bed = new GatewayBed(options);
+    if (!options.isEmpty) await bed.configure({});
+    for (const [index, runner] of (options.runners ?? []).entries()) {
+      await bed.enterRunner(`r${index}`, runner.port);
+    }
+    await bed.gateway.start();
+    t.teardown(async () => {
+      await bed.gateway.close();
+      for (const runner of options.runners ?? []) await runner.close();
+    });
+    if (!options.isEmpty) await bed.until(() => bed.ready());
+    return bed;
+  }
+
+  /** Puts the next version of the configuration into the log. */
+  async configure(change: object): Promise<void> {
+    const record = {
+      version: this.#version,
+      routes: [
+        {
+          name: 'route',
+          host: 'a.example',
+          path_prefix: '/p/',
+          kind: 'idempotent',
+          timeout_ms: 2_000,
+          target_latency_ms: 300,
+          service: 's',
+          max_attempts: 2,
+          ...this.options.route,
+        },
+      ],
+      services: [{ name: 's', health_path: '/health', max_connections: 100 }],
+      tenants: [{ name: 'team', api_keys: ['key'], ...this.options.team }],
+      limits: {
+        max_header_bytes: 8_192,
+        max_body_bytes: 100_000,
+        header_timeout_ms: 2_000,
+        idle_timeout_ms: 5_000,
+      },
+      ...change,
+    };
+    this.#version += 1;
+    await this.log.append({
+      topic: OPERATOR_TOPIC,
+      key: 'config',
+      value: Buffer.from(JSON.stringify(record)),
+    });
+  }
+
+  async enterRunner(id: string, port: number, change: object = {}): Promise<void> {
+    const entry = {
+      service: 's',
+      address: `127.0.0.1:${port}`,
+      zone: 'a',
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      born: 1,
+      ...change,
+    };
+    await this.log.append({
+      topic: RUNNER_TOPIC,
+      key: id,
+      value: Buffer.from(JSON.stringify(entry)),
+    });
+  }
+
+  /** Sends a request, and settles once its answer has ended or broken off. */
+  call({
+    method = 'POST',
+    path = '/p/x',
+    headers = {},
+    body = 'hello',
+  }: Call = {}): Promise<Reply> {
+    this.#ids += 1;
+    const hasBody = !NO_BODY_METHODS.has(method);
+    return new Promise((resolve, reject) => {
+      const client = sendRequest({
+        host: '127.0.0.1',
+        port: this.gateway.ports.callers,
+        method,
+        path,
+        agent: false,
+        headers: {
+          Host: 'a.example',
+          'Request-Id': `q${this.#ids}`,
+          'X-Api-Key': 'key',
+          'Deadline-Ms': '5000',
+          ...(hasBody ? { 'Content-Length': String(Buffer.byteLength(body)) } : {}),
+          ...headers,
+        },
+      });
+      client.on('error', reject);
+      client.on('response', (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(chunks).toString(),
+            isWhole: response.complete,
+          });
+        });
+      });
+      client.end(hasBody ? body : undefined);
+    });
+  }
+
+  /** Sends raw bytes and returns what comes back until the connection ends or `quietMs` pass. */
+  raw(text: string, quietMs = 300): Promise<string> {
+    return new Promise((resolve) => {
+      const socket = connect(this.gateway.ports.callers, '127.0.0.1');
+      let received = '';
+      const finish = (): void => {
+        socket.destroy();
+        resolve(received);
+      };
+      let timer = setTimeout(finish, quietMs);
+      socket.on('data', (bytes) => {
+        received += bytes.toString();
+        clearTimeout(timer);
+        timer = setTimeout(finish, quietMs);
+      });
+      socket.on('error', finish);
+      socket.on('close', finish);
+      socket.write(text);
+    });
+  }
+
+  /** Status of the readiness check. */
+  async ready(): Promise<boolean> {
+    const response = await fetch(`http://127.0.0.1:${this.gateway.ports.readiness}/ready`);
+    return response.ok;
+  }
+
+  /** Settles once `condition` holds. */
+  async until(condition: () => boolean | Promise<boolean>): Promise<void> {
+    while (!(await condition())) await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+}
--- /dev/null
+++ b/test/gateway/memory-cloud.ts
@@ -0,0 +1,26 @@
+import type { Cloud, DutyTerm, RunnerOrderCount, UsageReport } from '@ragwortrudder/gateway';
+
+interface CloudCall {
+  readonly kind: 'usage' | 'scale';
+  readonly term: DutyTerm;
+  readonly report?: UsageReport;
+  readonly order?: RunnerOrderCount;
+}
+
+/** {@link Cloud} that keeps its calls; for tests. */
+export class MemoryCloud implements Cloud {
+  readonly calls: CloudCall[] = [];
+  isDown = false;
+
+  reportUsage(term: DutyTerm, report: UsageReport): Promise<void> {
+    if (this.isDown) return Promise.reject(new Error('down'));
+    this.calls.push({ kind: 'usage', term, report });
+    return Promise.resolve();
+  }
+
+  orderRunners(term: DutyTerm, order: RunnerOrderCount): Promise<boolean> {
+    if (this.isDown) return Promise.reject(new Error('down'));
+    this.calls.push({ kind: 'scale', term, order });
+    return Promise.resolve(true);
+  }
+}
--- /dev/null
+++ b/test/platform-adapter/platform-log.test.ts
@@ -0,0 +1,101 @@
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { AppendConflict, LogExpired, LogUnavailable } from '@ragwortrudder/log';
+import { PlatformHttp, PlatformLog } from '@ragwortrudder/platform-adapter';
+import { KeyedStore } from '@ragwortrudder/standins';
+
+interface Bed {
+  readonly store: KeyedStore;
+  readonly log: PlatformLog;
+}
+
+const TOPIC = 'keyed.things';
+
+async function start(
+  t: ExecutionContext,
+  options: { readonly pageSize?: number } = {},
+): Promise<Bed> {
+  const store = await new KeyedStore(options).listen();
+  const log = new PlatformLog(new PlatformHttp(store.address));
+  t.teardown(async () => {
+    await log.close();
+    await store.close();
+  });
+  return { store, log };
+}
+
+function text(value: Uint8Array | undefined): string | undefined {
+  return value && Buffer.from(value).toString();
+}
+
+test('records are appended, read in order, and removed', async (t) => {
+  const { log } = await start(t);
+  t.is(await log.append({ topic: TOPIC, key: 'a', value: Buffer.from('1') }), 0);
+  t.is(await log.append({ topic: TOPIC, key: 'b', value: Buffer.from('2') }), 1);
+  t.is(await log.append({ topic: TOPIC, key: 'a' }), 2);
+  const { records, next } = await log.read({ topic: TOPIC, from: 1, waitMs: 0 });
+  t.is(next, 3);
+  t.deepEqual(
+    records.map(({ key, value, offset }) => [key, text(value), offset]),
+    [
+      ['b', '2', 1],
+      ['a', undefined, 2],
+    ],
+  );
+  t.deepEqual(
+    (await log.newest(TOPIC)).records.map(({ key }) => key),
+    ['b'],
+  );
+});
+
+test('all pages of the newest records are read, and reading goes on at the end of the first', async (t) => {
+  const { store, log } = await start(t, { pageSize: 2 });
+  for (const key of ['a', 'b', 'c', 'd', 'e']) store.put(TOPIC, key, key);
+  const { records, next } = await log.newest(TOPIC);
+  t.deepEqual(
+    records.map(({ key }) => key),
+    ['a', 'b', 'c', 'd', 'e'],
+  );
+  t.is(next, 5);
+});
+
+test('an append at another end is a conflict', async (t) => {
+  const { store, log } = await start(t);
+  store.put(TOPIC, 'a', '1');
+  await t.throwsAsync(log.append({ topic: TOPIC, key: 'a', value: Buffer.from('2'), at: 0 }), {
+    instanceOf: AppendConflict,
+  });
+  t.is(await log.append({ topic: TOPIC, key: 'a', value: Buffer.from('2'), at: 1 }), 1);
+});
+
+test('a read waits for the next record', async (t) => {
+  const { store, log } = await start(t);
+  const page = log.read({ topic: TOPIC, from: 0, waitMs: 5_000 });
+  store.put(TOPIC, 'a', '1');
+  t.is((await page).records.length, 1);
+});
+
+test('history that is gone is said to be gone', async (t) => {
+  const { store, log } = await start(t);
+  store.put(TOPIC, 'a', '1');
+  store.dropHistory(TOPIC);
+  await t.throwsAsync(log.read({ topic: TOPIC, from: 0, waitMs: 0 }), { instanceOf: LogExpired });
+  t.is((await log.newest(TOPIC)).records.length, 1);
+});
+
+test('a refused append has not run; one without a reply may have', async (t) => {
+  const { store, log } = await start(t);
+  const append = { topic: TOPIC, key: 'a', value: Buffer.from('1') };
+  for (const fault of ['busy', 'many'] as const) {
+    store.setFault(fault);
+    const error = await t.throwsAsync(log.append(append), { instanceOf: LogUnavailable });
+    t.true(error.notRun, fault);
+  }
+  for (const fault of ['reset', 'lost', 'silent'] as const) {
+    store.setFault(fault);
+    const error = await t.throwsAsync(log.append(append), { instanceOf: LogUnavailable });
+    t.false(error.notRun, fault);
+  }
+  store.setFault('none');
+  t.is((await log.newest(TOPIC)).next, 1);
+});
--- /dev/null
+++ b/test/platform-adapter/translation.test.ts
@@ -0,0 +1,191 @@
+import { readFileSync } from 'node:fs';
+import test from 'ava';
+import {
+  PlatformCatalogCodec,
+  PlatformDialect,
+  PlatformSettings,
+} from '@ragwortrudder/platform-adapter';
+import { gatewaySettingsOf } from '../../platform/src/utils/gateway-settings-of.ts';
+
+const codec = new PlatformCatalogCodec();
+const dialect = new PlatformDialect();
+
+function bytes(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+const ENTRY = {
+  service: 's',
+  address: '10.0.0.1:80',
+  zone: 'a',
+  version: 'v1',
+  slots: 8,
+  state: 'ready',
+  cold_remaining_ms: 0,
+  born: 17,
+};
+
+test('an entry of another writer names no runner', (t) => {
+  t.truthy(codec.decodeRunner('r', bytes(ENTRY)));
+  for (const change of [
+    { state: 'odd' },
+    { slots: 'eight' },
+    { address: 'nowhere' },
+    { service: undefined },
+    { version: 3 },
+  ]) {
+    t.is(codec.decodeRunner('r', bytes({ ...ENTRY, ...change })), undefined);
+  }
+  t.is(codec.decodeRunner('r', Buffer.from([0xff, 0x00])), undefined);
+});
+
+test('what a runner says of its end and its price is kept', (t) => {
+  const entry = codec.decodeRunner(
+    'r',
+    bytes({ ...ENTRY, state: 'draining', spot: true, leaves_ms: 2_500 }),
+  );
+  t.like(entry, { id: 'r', isDraining: true, isSpot: true, bornMs: 17, failureDomain: 'a' });
+});
+
+test('a configuration is decoded into the product’s words', (t) => {
+  const configuration = codec.decodeConfiguration(
+    bytes({
+      version: 7,
+      routes: [
+        {
+          name: 'r',
+          host: 'h',
+          path_prefix: '/a/',
+          kind: 'streaming',
+          timeout_ms: 15_000,
+          target_latency_ms: 1_000,
+          priority: 1,
+          traffic_split: [{ service: 's', weight: 9 }],
+          max_attempts: 1,
+          stream_resume: true,
+          gap_target_ms: 400,
+        },
+        {
+          name: 'odd',
+          host: 'h',
+          path_prefix: '/b/',
+          kind: 'new kind',
+          timeout_ms: 1,
+          service: 's',
+        },
+      ],
+      services: [
+        {
+          name: 's',
+          health_path: '/health',
+          max_connections: 370,
+          engine: { slots: 64, kv_capacity_tokens: 1_000 },
+          scale_bounds: {
+            min_replicas: 1,
+            max_replicas: 4,
+            startup_s: 4,
+            spot_price: 0.18,
+            zone_prices: { a: 0.85 },
+          },
+        },
+      ],
+      limits: { max_header_bytes: 1, max_body_bytes: 2, header_timeout_ms: 3, idle_timeout_ms: 4 },
+      tenants: [
+        {
+          name: 'limited',
+          api_keys: ['k'],
+          unit: 'tokens',
+          plain_tokens: 200,
+          rate_per_s: 10,
+          burst: 20,
+        },
+        { name: 'free', api_keys: [], rate_per_s: 0 },
+      ],
+    }),
+  );
+  t.like(configuration?.routes[0], {
+    kind: 'stream',
+    isResumable: true,
+    maxGapMs: 400,
+    targets: [{ service: 's', weight: 9 }],
+  });
+  t.is(configuration?.routes[1]?.kind, 'non-idempotent');
+  t.like(configuration?.services[0]?.scaling, {
+    startupMs: 4_000,
+    spotPrice: 0.18,
+    prices: { a: 0.85 },
+  });
+  t.deepEqual(configuration?.teams[0]?.limit, {
+    perSecond: 10,
+    burst: 20,
+    unit: 'tokens',
+    plainTokens: 200,
+  });
+  t.is(configuration?.teams[1]?.limit, undefined);
+  t.is(codec.decodeConfiguration(bytes({ version: 7 })), undefined);
+});
+
+test('a request needs one id', (t) => {
+  const head = { method: 'GET', target: '/a?b', rawHeaders: ['Host', 'h:80', 'Request-Id', 'q'] };
+  t.like(dialect.readRequest(head, undefined), { id: 'q', host: 'h', path: '/a', target: '/a?b' });
+  t.throws(() => dialect.readRequest({ ...head, rawHeaders: ['Host', 'h'] }, undefined));
+  t.throws(() =>
+    dialect.readRequest(
+      { ...head, rawHeaders: [...head.rawHeaders, 'request-id', 'p'] },
+      undefined,
+    ),
+  );
+});
+
+test('tokens and parts of the prompt are read', (t) => {
+  const rawHeaders = [
+    'Host',
+    'h',
+    'Request-Id',
+    'q',
+    'Token-Usage',
+    '1460,80',
+    'Prompt-Prefix',
+    '5c1e07a2:800,91bd3f06:410,e4402b7d:250',
+  ];
+  const request = dialect.readRequest({ method: 'POST', target: '/', rawHeaders }, undefined);
+  t.like(request, { promptTokens: 1_460, outputTokens: 80 });
+  t.deepEqual(request.promptParts[1], { id: '91bd3f06', tokens: 410 });
+  const odd = ['Host', 'h', 'Request-Id', 'q', 'Token-Usage', 'many', 'Prompt-Prefix', ',:,zz:1'];
+  const unread = dialect.readRequest({ method: 'POST', target: '/', rawHeaders: odd }, undefined);
+  t.is(unread.promptTokens, undefined);
+  t.deepEqual(unread.promptParts, []);
+});
+
+test('a runner’s load and refusal are read, and connection headers stay behind', (t) => {
+  const head = dialect.readAnswer(503, [
+    'Not-Executed',
+    '1',
+    'Server-Load',
+    '3,1,8',
+    'Connection',
+    'close',
+    'X',
+    'y',
+  ]);
+  t.deepEqual(head.load, { running: 3, waiting: 1, slots: 8 });
+  t.true(head.isNotExecuted);
+  t.deepEqual(head.headers, ['Not-Executed', '1', 'Server-Load', '3,1,8', 'X', 'y']);
+  t.is(dialect.readAnswer(200, ['Server-Load', 'a,b']).load, undefined);
+});
+
+test('the template of the settings names every setting', (t) => {
+  const template = readFileSync('deploy/settings.template', 'utf8');
+  const filled = template
+    .replace(/\{\{[#/]cloud_api\.address\}\}/g, '')
+    .replaceAll('{{cloud_api.duties|json}}', '["usage_report"]')
+    .replace(/\{\{[\w.]*(address|front|readiness)\|json\}\}/g, '"127.0.0.1:80"')
+    .replace(/\{\{[\w.]+\|json\}\}/g, '"x"')
+    .replace(/\{\{[\w.]+\}\}/g, '7');
+  const settings = PlatformSettings.parse(JSON.parse(filled));
+  t.like(gatewaySettingsOf(settings), {
+    graceMs: 7_000,
+    duties: { reportsUsage: true, ordersRunners: false, usageWindowMs: 7_000 },
+    listen: { callers: { host: '127.0.0.1', port: 80 } },
+  });
+});
--- /dev/null
+++ b/test/routing/placement.test.ts
@@ -0,0 +1,90 @@
+import test from 'ava';
+import { SeededRandom } from '@ragwortrudder/core';
+import { placeCall, placeRequest } from '@ragwortrudder/routing';
+import type { PlacementCandidate, PlacementRequest } from '@ragwortrudder/routing';
+
+function candidate(id: string, change: Partial<PlacementCandidate> = {}): PlacementCandidate {
+  return {
+    id,
+    failureDomain: 'a',
+    slots: 32,
+    inFlight: 0,
+    prefillTokens: 0,
+    kvTokens: 0,
+    kvCapacityTokens: 400_000,
+    slowness: 1,
+    ...change,
+  };
+}
+
+function request(change: Partial<PlacementRequest> = {}): PlacementRequest {
+  return {
+    ownTokens: 1_000,
+    sharedTokens: 5_000,
+    outputTokens: 100,
+    session: 's1',
+    failureDomain: 'a',
+    ...change,
+  };
+}
+
+test('requests of a session go to one runner while it is not loaded', (t) => {
+  const runners = ['r1', 'r2', 'r3', 'r4'].map((id) => candidate(id));
+  const random = new SeededRandom(1);
+  const chosen = Array.from({ length: 20 }, () => placeRequest(request(), runners, random)?.id);
+  t.is(new Set(chosen).size, 1);
+});
+
+test('pattern: hot key; the session leaves its home once the prompts ahead cost more than reading again', (t) => {
+  const random = new SeededRandom(2);
+  const idle = ['r1', 'r2', 'r3'].map((id) => candidate(id));
+  const home = placeRequest(request(), idle, random)?.id;
+  const loaded = idle.map((item) =>
+    item.id === home ? { ...item, prefillTokens: 20_000, inFlight: 3 } : item,
+  );
+  t.not(placeRequest(request(), loaded, random)?.id, home);
+});
+
+test('pattern: many nodes with the same view; near-ties are spread', (t) => {
+  const runners = Array.from({ length: 8 }, (_item, index) => candidate(`r${index}`));
+  const counts = new Map<string, number>();
+  for (let node = 0; node < 80; node += 1) {
+    const id = placeRequest(request({ session: '' }), runners, new SeededRandom(node))?.id ?? '';
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  t.true(Math.max(...counts.values()) <= 25);
+});
+
+test('pattern: long prompts; a runner with a long prompt ahead is avoided though it has fewer requests', (t) => {
+  const runners = [
+    candidate('long', { inFlight: 1, prefillTokens: 50_000 }),
+    candidate('short', { inFlight: 6, prefillTokens: 1_000 }),
+  ];
+  t.is(placeRequest(request({ session: '' }), runners, new SeededRandom(3))?.id, 'short');
+});
+
+test('a prompt that does not fit into the KV cache goes elsewhere', (t) => {
+  const runners = [
+    candidate('full', { kvTokens: 399_000 }),
+    candidate('room', { inFlight: 20, kvTokens: 100_000 }),
+  ];
+  t.is(placeRequest(request({ session: '' }), runners, new SeededRandom(4))?.id, 'room');
+});
+
+test('pattern: one slow runner; it gets less', (t) => {
+  const runners = [candidate('slow', { slowness: 4 }), candidate('sound', { inFlight: 1 })];
+  t.is(placeRequest(request({ session: '' }), runners, new SeededRandom(5))?.id, 'sound');
+  t.is(
+    placeCall('a', [candidate('slow', { slowness: 4 }), candidate('sound')], new SeededRandom(5)),
+    'sound',
+  );
+});
+
+test('calls go to the runner with free slots', (t) => {
+  const runners = [
+    candidate('busy', { slots: 6, inFlight: 7 }),
+    candidate('free', { slots: 6, inFlight: 3 }),
+  ];
+  t.is(placeCall('a', runners, new SeededRandom(6)), 'free');
+  t.is(placeCall('a', [], new SeededRandom(6)), undefined);
+});
--- /dev/null
+++ b/test/supply/plan-runners.test.ts
@@ -0,0 +1,73 @@
+import test from 'ava';
+import { planRunners } from '@ragwortrudder/supply';
+import type { DomainRunners, RunnerPlan } from '@ragwortrudder/supply';
+
+function domain(failureDomain: string, change: Partial<DomainRunners> = {}): DomainRunners {
+  return { failureDomain, price: 1, onDemand: 0, spot: 0, isSpotRefused: false, ...change };
+}
+
+function totals(plans: readonly RunnerPlan[]): {
+  readonly spot: number;
+  readonly onDemand: number;
+} {
+  return {
+    spot: plans.reduce((sum, { spot }) => sum + spot, 0),
+    onDemand: plans.reduce((sum, { onDemand }) => sum + onDemand, 0),
+  };
+}
+
+const BOUNDS = { min: 1, max: 4, spotPrice: 0.2, isWave: false };
+
+test('cheap reclaimable runners carry the work, spread over the domains, and one on-demand runner stays', (t) => {
+  const domains = [
+    domain('a', { spot: 2 }),
+    domain('b', { spot: 2, price: 0.8 }),
+    domain('c', { spot: 2 }),
+  ];
+  const plans = planRunners({ ...BOUNDS, busyRunners: 2, domains });
+  t.deepEqual(
+    plans.map(({ spot }) => spot),
+    [2, 2, 2],
+  );
+  t.is(totals(plans).onDemand, 1);
+  t.is(plans[1]?.onDemand, 1);
+});
+
+test('without reclaimable runners, on-demand ones cover the work within the bounds', (t) => {
+  const domains = [domain('a'), domain('b'), domain('c')];
+  const plans = planRunners({ min: 1, max: 4, isWave: false, busyRunners: 3, domains });
+  t.deepEqual(totals(plans), { spot: 0, onDemand: 5 });
+  const most = planRunners({ min: 1, max: 4, isWave: false, busyRunners: 30, domains });
+  t.deepEqual(totals(most), { spot: 0, onDemand: 12 });
+});
+
+test('pattern: wave of reclaims; on-demand runners cover all of the work until it is over', (t) => {
+  const domains = [
+    domain('a', { spot: 2 }),
+    domain('b', { spot: 2 }),
+    domain('c', { isSpotRefused: true }),
+  ];
+  const calm = planRunners({ ...BOUNDS, busyRunners: 2, domains });
+  const wave = planRunners({ ...BOUNDS, isWave: true, busyRunners: 2, domains });
+  t.is(totals(calm).onDemand, 1);
+  t.is(totals(wave).onDemand, 3);
+});
+
+test('on-demand runners stay where they are when their number does not change', (t) => {
+  const domains = [domain('a', { price: 0.5 }), domain('b', { onDemand: 2 }), domain('c')];
+  const plans = planRunners({ min: 0, max: 4, isWave: false, busyRunners: 1.3, domains });
+  t.deepEqual(
+    plans.map(({ onDemand }) => onDemand),
+    [0, 2, 0],
+  );
+});
+
+test('both kinds together keep to the bounds of a domain', (t) => {
+  const domains = [domain('a', { onDemand: 4 }), domain('b'), domain('c')];
+  for (const busyRunners of [0, 1, 5, 20]) {
+    for (const plan of planRunners({ ...BOUNDS, isWave: true, busyRunners, domains })) {
+      t.true(plan.spot + plan.onDemand <= 4);
+      t.true(plan.spot + plan.onDemand >= 1);
+    }
+  }
+});
