--- a/packages/admission/src/utils/retry-budget.ts
+++ b/packages/admission/src/utils/retry-budget.ts
@@ -21,8 +21,8 @@
  */
 export class RetryBudget {
   readonly #ratio: number;
-  readonly #floorPerSecond: number;
-  readonly #burst: number;
+  #floorPerSecond: number;
+  #burst: number;
   readonly #buckets = new Map<string, Bucket>();
 
   constructor(options: RetryBudgetOptions = {}) {
@@ -31,6 +31,12 @@
     this.#burst = options.burst ?? DEFAULT_BURST;
   }
 
+  /** Changes the floor and the burst, for a budget that is shared by a changing number of nodes. */
+  setAllowance({ floorPerSecond, burst }: Required<Omit<RetryBudgetOptions, 'ratio'>>): void {
+    this.#floorPerSecond = floorPerSecond;
+    this.#burst = burst;
+  }
+
   /** Notes a first try. */
   firstTry(key: RetryKey, now: number): void {
     this.#put(key, this.#refilled(key, now) + this.#ratio, now);
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -65,7 +65,11 @@
   constructor(options: ForwardedRequestOptions) {
     this.#options = options;
     const { request, route, clock, failureDomain } = options;
-    this.#placement = placementRequestOf(request, failureDomain);
+    this.#placement = placementRequestOf(
+      request,
+      failureDomain,
+      options.pool.prefillRate(options.service.name).msPerToken,
+    );
     this.#arrivedAt = clock.monotonic();
     this.#endsAt = this.#arrivedAt + Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
   }
@@ -168,6 +172,7 @@
       kvTokens: this.#placement.ownTokens + this.#placement.sharedTokens,
     };
     let rest = work;
+    const isAlone = board.workAt(entry.id).prefillTokens === 0;
     board.add(entry.id, work);
     pool.sent(entry);
     const isRepeatable = this.#isRepeatable();
@@ -179,6 +184,9 @@
       board.add(entry.id, { requests: 0, prefillTokens: -rest.prefillTokens, kvTokens: 0 });
       rest = { ...rest, prefillTokens: 0 };
       this.#began(firstAt - sentAt);
+      if (isAlone) {
+        pool.prefillRate(entry.service).add(chosen.prefillTokens, firstAt - sentAt);
+      }
       pool.succeeded(
         entry,
         (firstAt - sentAt + FIXED_COST_MS) / (chosen.expectedMs + FIXED_COST_MS),
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -13,8 +13,10 @@
 import type { Dialect } from '../types/dialect.ts';
 import type { GatewaySettings } from '../types/gateway-settings.ts';
 import { PeerEntry } from '../types/peer-entry.ts';
+import type { TopicFeed } from '../types/topic-feed.ts';
 import { DemandMeter } from '../utils/demand-meter.ts';
 import { LoadBoard } from '../utils/load-board.ts';
+import { retryAllowance } from '../utils/retry-allowance.ts';
 import { TrueTime } from '../utils/true-time.ts';
 import { UsageCounter } from '../utils/usage-counter.ts';
 import type { CallerChannel } from './caller-channel.ts';
@@ -43,6 +45,8 @@
   readonly out: Writable;
 }
 
+/** Changes that fit into one datagram. */
+const MAX_FED_CHANGES = 40;
 const NODE_TOPIC = 'keyed.nodes';
 /** Wait of a read of the configuration, in milliseconds: a connection that fell silent is noticed within it. */
 const CONFIGURATION_WAIT_MS = 1_500;
@@ -55,9 +59,8 @@
 const LEAVE_ROTATION_MS = 3_000;
 /** Time before the end of the grace period at which the node ends, in milliseconds. */
 const GRACE_MARGIN_MS = 700;
-/** Most of the repeats allowed in a window that one node saves up. */
-const BUDGET_BURST_SHARE = 0.8;
-const MS_PER_S = 1_000;
+/** Part of the allowed share of repeats that is used; requests come unevenly within a window. */
+const USED_RETRY_RATIO = 0.5;
 const HTTP_UNAVAILABLE = 503;
 /** When a caller that a stopping node refuses may go to another, in milliseconds. */
 const STOPPING_RETRY_MS = 50;
@@ -72,6 +75,7 @@
   readonly #pool: RunnerPool;
   readonly #quota: SharedQuota;
   readonly #usage: UsageCounter;
+  readonly #budget: RetryBudget;
   readonly #demand: DemandMeter;
   readonly #forwarder: Forwarder;
   readonly #callers: CallerServer;
@@ -101,10 +105,12 @@
     this.#quota = new SharedQuota(clock);
     this.#usage = new UsageCounter(duties.usageWindowMs);
     this.#demand = new DemandMeter(clock);
+    this.#budget = new RetryBudget({ ratio: retries.ratio * USED_RETRY_RATIO });
     const trueTime = new TrueTime(clock);
     this.#reports = new PeerReports({
       node: node.id,
       address: { host: node.host, port: listen.peerPort },
+      failureDomain: node.failureDomain,
       life: this.#life,
       board: this.#board,
       quota: this.#quota,
@@ -119,9 +125,13 @@
       clock,
       log: this.#decisions,
       report: (isLeaving) => this.#reports.own(isLeaving),
+      failureDomain: node.failureDomain,
       onReport: (report, isNewLife) => {
         this.#reports.take(report, isNewLife);
       },
+      onFeed: (feed) => {
+        this.#takeFeed(feed);
+      },
     });
     this.#pool = new RunnerPool({
       directory: this.#directory,
@@ -140,11 +150,7 @@
       board: this.#board,
       quota: this.#quota,
       quotas: () => this.#settings.quotas,
-      budget: new RetryBudget({
-        ratio: retries.ratio / 2,
-        floorPerSecond: (retries.slack * MS_PER_S) / retries.windowMs / 32,
-        burst: Math.max(1, Math.floor((retries.slack * BUDGET_BURST_SHARE) / 16)),
-      }),
+      budget: this.#budget,
       usage: this.#usage,
       trueTime,
       log: this.#decisions,
@@ -177,6 +183,14 @@
         onRecords: (records) => {
           this.#takeConfiguration(records);
         },
+        onRange: (range, records) => {
+          this.#feed({
+            topic: codec.configurationTopic,
+            ...range,
+            changes: [],
+            isWhole: records.length === 0,
+          });
+        },
         onAway: () => undefined,
         onRead: () => undefined,
       }),
@@ -187,6 +201,16 @@
         onRecords: (records) => {
           this.#takeRunners(records);
         },
+        onRange: (range, records) => {
+          const changes = this.#runnerChanges(records);
+          const isWhole = changes.length <= MAX_FED_CHANGES;
+          this.#feed({
+            topic: codec.runnerTopic,
+            ...range,
+            changes: isWhole ? changes.map(fedRecord) : [],
+            isWhole,
+          });
+        },
         onAway: () => {
           this.#directory.markAway();
         },
@@ -200,6 +224,7 @@
         periodMs: UPKEEP_MS,
         run: () => {
           this.#quota.setShare(this.#peers.heard / this.#peers.known);
+          this.#budget.setAllowance(retryAllowance(this.#settings.retries, this.#peers.known));
           this.#pool.prune();
         },
         onFailure: this.#logFailure('upkeep'),
@@ -336,6 +361,7 @@
       demand: this.#demand,
       clock,
       log: this.#decisions,
+      prefillMsPerToken: (service) => this.#pool.prefillRate(service).msPerToken,
       services: () => this.#configuration?.services ?? [],
     });
     return new DutyHolder({
@@ -364,6 +390,7 @@
         handlers.onWhole(records);
       },
       onRecords: handlers.onRecords,
+      onRange: handlers.onRange,
       onAway: (error) => {
         handlers.onAway();
         this.#metrics.count('log_failures', { topic });
@@ -417,6 +444,29 @@
     this.#decisions.notable('runners-read', { runners: entries.length });
   }
 
+  /** Tells the failure domain what was read, so that its other nodes need not read it. */
+  #feed(feed: TopicFeed): void {
+    if (this.#peers.isReader) void this.#peers.feed(feed);
+  }
+
+  #takeFeed({ topic, from, next, changes, isWhole }: TopicFeed): void {
+    const follower = this.#followers.find((item) => item.topic === topic);
+    const records = changes.map(([key, value, offset]): KeyedRecord => {
+      return { key, value: value === null ? undefined : Buffer.from(value, 'base64'), offset };
+    });
+    follower?.offer({ from, next }, records, isWhole);
+  }
+
+  /** Newest record of each runner that differs from what is known. */
+  #runnerChanges(records: readonly KeyedRecord[]): readonly KeyedRecord[] {
+    const { codec } = this.#options;
+    const newest = new Map(records.map((record) => [record.key, record]));
+    return [...newest.values()].filter(({ key, value }) => {
+      const entry = value && codec.decodeRunner(key, value);
+      return !isDeepStrictEqual(entry, this.#directory.find(key));
+    });
+  }
+
   #takeRunners(records: readonly KeyedRecord[]): void {
     const { codec } = this.#options;
     for (const { key, value } of records) {
@@ -485,10 +535,18 @@
 interface FollowHandlers {
   readonly onWhole: (records: readonly KeyedRecord[]) => void;
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
+  readonly onRange: (
+    range: { readonly from: number; readonly next: number },
+    records: readonly KeyedRecord[],
+  ) => void;
   readonly onAway: () => void;
   readonly onRead: () => void;
 }
 
+function fedRecord({ key, value, offset }: KeyedRecord): [string, string | null, number] {
+  return [key, value ? Buffer.from(value).toString('base64') : null, offset];
+}
+
 function peerEntryIn(bytes: Uint8Array): PeerEntry | undefined {
   try {
     return PeerEntry.safeParse(JSON.parse(Buffer.from(bytes).toString())).data;
--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -16,12 +16,24 @@
   readonly onWhole: (records: readonly KeyedRecord[]) => void;
   /** Receives records in order. */
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
+  /** Called after each read of a range, before its records are taken in. */
+  readonly onRange: (range: Range, records: readonly KeyedRecord[]) => void;
   /** Called when reads begin to fail. */
   readonly onAway: (error: unknown) => void;
   /** Called when a read succeeds after failures, with how long they lasted, in milliseconds. */
   readonly onBack: (awayMs: number) => void;
 }
 
+/** Offsets from the first up to, and without, the next. */
+interface Range {
+  readonly from: number;
+  readonly next: number;
+}
+
+/** Time after a peer told what it read during which this node does not read itself, in milliseconds. */
+const FED_MS = 1_000;
+/** Pause between two looks at whether peers still tell what they read, in milliseconds. */
+const FED_PAUSE_MS = 100;
 /** Pause after a failed read, in milliseconds; up to twice as long by chance, so that nodes spread. */
 const FAILURE_PAUSE_MS = 250;
 
@@ -31,16 +43,42 @@
   readonly #closing = new AbortController();
   #from: number | undefined;
   #awaySince: number | undefined;
+  #fedAt = -Infinity;
+  #waking = new AbortController();
   #running: Promise<void> | undefined;
 
   constructor(options: KeyedFollowerOptions) {
     this.#options = options;
   }
 
+  get topic(): string {
+    return this.#options.topic;
+  }
+
   start(): void {
     this.#running ??= this.#loop();
   }
 
+  /**
+   * Takes in what a peer read. The records are applied when nothing is missing before them and they
+   * are whole; otherwise this node reads at once what it lacks.
+   */
+  offer({ from, next }: Range, records: readonly KeyedRecord[], isWhole: boolean): void {
+    if (this.#from === undefined || this.#awaySince !== undefined) return;
+    if (next < this.#from) return;
+    this.#fedAt = this.#options.clock.monotonic();
+    if (next === this.#from) return;
+    if (!isWhole || from > this.#from) {
+      this.#fedAt = -Infinity;
+      this.#waking.abort();
+      return;
+    }
+    const since = this.#from;
+    this.#from = next;
+    const missed = records.filter(({ offset }) => offset >= since);
+    if (missed.length > 0) this.#options.onRecords(missed);
+  }
+
   async close(): Promise<void> {
     this.#closing.abort();
     await Promise.race([this.#running, sleep(0)]);
@@ -49,11 +87,21 @@
   async #loop(): Promise<void> {
     const { signal } = this.#closing;
     while (!signal.aborted) {
-      const pauseMs = await this.#step();
-      if (pauseMs > 0) await sleep(pauseMs, undefined, { signal }).catch(() => undefined);
+      const pauseMs = this.#isFed() ? FED_PAUSE_MS : await this.#step();
+      if (pauseMs > 0) await this.#sleep(pauseMs);
     }
   }
 
+  #isFed(): boolean {
+    return this.#options.clock.monotonic() - this.#fedAt < FED_MS;
+  }
+
+  async #sleep(ms: number): Promise<void> {
+    this.#waking = new AbortController();
+    const signal = AbortSignal.any([this.#closing.signal, this.#waking.signal]);
+    await sleep(ms, undefined, { signal }).catch(() => undefined);
+  }
+
   /** Reads once and returns the pause before the next read. */
   async #step(): Promise<number> {
     const { pauseMs, random } = this.#options;
@@ -80,9 +128,13 @@
       this.#from = page.next;
       return;
     }
-    const page = await log.read({ topic, from: this.#from, waitMs });
+    const from = this.#from;
+    const page = await log.read({ topic, from, waitMs });
     this.#markRead();
-    if (!this.#closing.signal.aborted && page.records.length > 0) onRecords(page.records);
+    if (this.#closing.signal.aborted || page.next < this.#from) return;
+    this.#options.onRange({ from, next: page.next }, page.records);
+    const missed = page.records.filter(({ offset }) => offset >= (this.#from ?? 0));
+    if (missed.length > 0) onRecords(missed);
     this.#from = page.next;
   }
 
--- a/packages/gateway/src/node/peer-reports.ts
+++ b/packages/gateway/src/node/peer-reports.ts
@@ -10,6 +10,7 @@
 interface PeerReportsOptions {
   readonly node: string;
   readonly address: Address;
+  readonly failureDomain: string;
   readonly life: number;
   readonly board: LoadBoard;
   readonly quota: SharedQuota;
@@ -33,7 +34,8 @@
   }
 
   own(isLeaving: boolean): NodeReport {
-    const { node, address, life, board, quota, usage, demand, trueTime, dutyToken } = this.#options;
+    const { node, address, failureDomain, life, board, quota, usage, demand, trueTime, dutyToken } =
+      this.#options;
     this.#sequence += 1;
     const now = trueTime.now();
     const oldest = usage.windowAt(now) - TOLD_WINDOWS;
@@ -42,6 +44,7 @@
       node,
       host: address.host,
       port: address.port,
+      failureDomain,
       life,
       sequence: this.#sequence,
       now: Math.round(now),
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -3,22 +3,28 @@
 import type { Address } from '@ragwortrudder/catalog';
 import type { Clock, Closeable } from '@ragwortrudder/core';
 import { createJSONRPCNotification, isJSONRPCRequest } from 'json-rpc-2.0';
+import type { JSONRPCRequest } from 'json-rpc-2.0';
 import { NodeReport } from '../types/node-report.ts';
+import { TopicFeed } from '../types/topic-feed.ts';
 import type { DecisionLog } from './decision-log.ts';
 
 interface PeersOptions {
   readonly node: string;
   readonly address: Address;
+  readonly failureDomain: string;
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Makes the report that goes to every peer. */
   readonly report: (isLeaving: boolean) => NodeReport;
   /** Receives a peer's report; `isNewLife` with the first of each life of a peer. */
   readonly onReport: (report: NodeReport, isNewLife: boolean) => void;
+  /** Receives what a peer of the same failure domain read. */
+  readonly onFeed: (feed: TopicFeed) => void;
 }
 
 interface Peer {
   readonly address: Address;
+  readonly failureDomain: string | undefined;
   readonly life: number;
   readonly sequence: number;
   /** When its last report arrived; undefined when it has not been heard yet. */
@@ -28,11 +34,14 @@
   readonly isSilent: boolean;
 }
 
-const METHOD = 'report';
+const REPORT_METHOD = 'report';
+const FEED_METHOD = 'feed';
+/** Nodes of a failure domain that read topics for all of it. */
+const READERS = 2;
 /** Pause between two reports, in milliseconds, with up to `FULL_RATE_PEERS` peers. */
 const REPORT_MS = 200;
 /** Peers above which reports become rarer, so that a node's cost stays flat. */
-const FULL_RATE_PEERS = 16;
+const FULL_RATE_PEERS = 32;
 /** Silence after which a peer counts as unheard, in milliseconds: several reports in a row lost. */
 const UNHEARD_MS = 1_000;
 /** Silence after which a peer is forgotten, in milliseconds: longer than partitions that heal by themselves. */
@@ -80,6 +89,18 @@
     return Math.max(0, ...duties);
   }
 
+  /** This node is one of those that read topics for its failure domain. */
+  get isReader(): boolean {
+    const { node } = this.#options;
+    return this.#domainPeers().filter(([id]) => id < node).length < READERS;
+  }
+
+  /** Tells the other nodes of the failure domain what was read. */
+  async feed(feed: TopicFeed): Promise<void> {
+    const bytes = Buffer.from(JSON.stringify(createJSONRPCNotification(FEED_METHOD, feed)));
+    await Promise.all(this.#domainPeers().map(([, { address }]) => this.#send(bytes, address)));
+  }
+
   async start(): Promise<void> {
     const socket = createSocket('udp4');
     this.#socket = socket;
@@ -106,6 +127,7 @@
     const knownAt = this.#options.clock.monotonic();
     this.#peers.set(id, {
       address,
+      failureDomain: undefined,
       life: 0,
       sequence: 0,
       heardAt: undefined,
@@ -117,7 +139,7 @@
 
   /** Sends a report to all peers now; settles once it is on its way. */
   async tell(isLeaving = false): Promise<void> {
-    const notification = createJSONRPCNotification(METHOD, this.#options.report(isLeaving));
+    const notification = createJSONRPCNotification(REPORT_METHOD, this.#options.report(isLeaving));
     const bytes = Buffer.from(JSON.stringify(notification));
     const addresses = [...this.#peers.values()].map(({ address }) => address);
     await Promise.all(addresses.map((address) => this.#send(bytes, address)));
@@ -130,6 +152,14 @@
     return Promise.resolve();
   }
 
+  #domainPeers(): readonly (readonly [string, Peer])[] {
+    const now = this.#options.clock.monotonic();
+    const { failureDomain } = this.#options;
+    return [...this.#peers].filter(
+      ([, peer]) => peer.failureDomain === failureDomain && this.#isHeard(peer, now),
+    );
+  }
+
   #send(bytes: Buffer, { host, port }: Address): Promise<void> {
     return new Promise((resolve) => {
       if (!this.#socket) {
@@ -172,11 +202,21 @@
   }
 
   #receive(bytes: Buffer): void {
-    const report = reportIn(bytes);
+    const message = messageIn(bytes);
+    const feed = message?.method === FEED_METHOD && TopicFeed.safeParse(message.params).data;
+    if (feed) {
+      this.#options.onFeed(feed);
+      return;
+    }
+    const report = message && NodeReport.safeParse(message.params).data;
     if (!report) {
-      this.#options.log.routine('peer-report-unreadable', { bytes: bytes.length });
+      this.#options.log.routine('peer-message-unreadable', { bytes: bytes.length });
       return;
     }
+    this.#takeReport(report);
+  }
+
+  #takeReport(report: NodeReport): void {
     if (report.node === this.#options.node) return;
     const known = this.#peers.get(report.node);
     if (
@@ -191,6 +231,7 @@
     const now = this.#options.clock.monotonic();
     this.#peers.set(report.node, {
       address: { host: report.host, port: report.port },
+      failureDomain: report.failureDomain,
       life: report.life,
       sequence: report.sequence,
       heardAt: now,
@@ -205,11 +246,10 @@
   }
 }
 
-function reportIn(bytes: Buffer): NodeReport | undefined {
+function messageIn(bytes: Buffer): JSONRPCRequest | undefined {
   try {
     const message: unknown = JSON.parse(bytes.toString());
-    if (!isJSONRPCRequest(message) || message.method !== METHOD) return undefined;
-    return NodeReport.safeParse(message.params).data;
+    return isJSONRPCRequest(message) ? message : undefined;
   } catch {
     return undefined;
   }
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -1,6 +1,6 @@
 import type { RunnerDirectory, RunnerEntry, Service } from '@ragwortrudder/catalog';
 import type { Clock, Closeable } from '@ragwortrudder/core';
-import { OutlierDetector } from '@ragwortrudder/routing';
+import { OutlierDetector, PrefillRate } from '@ragwortrudder/routing';
 import type { PlacementCandidate } from '@ragwortrudder/routing';
 import type { LoadBoard } from '../utils/load-board.ts';
 import type { DecisionLog } from './decision-log.ts';
@@ -57,6 +57,7 @@
 export class RunnerPool implements Closeable {
   readonly #options: RunnerPoolOptions;
   readonly #runners = new Map<string, PooledRunner>();
+  readonly #prefillRates = new Map<string, PrefillRate>();
   readonly #progressAt = new Map<string, number>();
   readonly #detectors = new Map<string, OutlierDetector>();
 
@@ -80,6 +81,15 @@
       .filter(({ id }) => this.#hasConnectionLeft(id, service));
   }
 
+  /** Measured rate at which the engines of a service read prompts. */
+  prefillRate(service: string): PrefillRate {
+    const known = this.#prefillRates.get(service);
+    if (known) return known;
+    const rate = new PrefillRate();
+    this.#prefillRates.set(service, rate);
+    return rate;
+  }
+
   agentOf(entry: RunnerEntry): RunnerAgent {
     return this.#runnerOf(entry).agent;
   }
--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -16,6 +16,8 @@
   readonly demand: DemandMeter;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  /** Time that the engines of a service take to read a prompt token, in milliseconds. */
+  readonly prefillMsPerToken: (service: string) => number;
   /** Services of the configuration in force. */
   readonly services: () => readonly Service[];
 }
@@ -33,6 +35,8 @@
 const REPEAT_SLACK_MS = 2_000;
 /** Time after a reclaim within which others are expected, in milliseconds: supply comes back after about a quarter of a minute. */
 const WAVE_MS = 14_000;
+/** What is left of a peak of demand after one look at it: half within twelve seconds. */
+const PEAK_DECAY = 0.97;
 /** Work that is planned for before any demand was seen, in busy runners. */
 const INITIAL_BUSY_RUNNERS = 2;
 
@@ -52,6 +56,7 @@
   readonly #refusedUntil = new Map<string, number>();
   readonly #lowerSince = new Map<string, number>();
   readonly #peakBusy = new Map<string, number>();
+  readonly #draining = new Map<string, ReadonlySet<string>>();
   #waveUntil = 0;
 
   constructor(options: SupplyDutyOptions) {
@@ -91,9 +96,11 @@
   /** Demand now, or that of a short while ago while it falls. */
   #busyFor(service: string): number {
     const demand = this.#options.demand.perSecond(service);
-    const now = demand.requests === 0 ? INITIAL_BUSY_RUNNERS : busyRunners(demand);
-    const decay = 0.97;
-    const peak = Math.max(now, (this.#peakBusy.get(service) ?? 0) * decay);
+    const now =
+      demand.requests === 0
+        ? INITIAL_BUSY_RUNNERS
+        : busyRunners(demand, this.#options.prefillMsPerToken(service));
+    const peak = Math.max(now, (this.#peakBusy.get(service) ?? 0) * PEAK_DECAY);
     this.#peakBusy.set(service, peak);
     return peak;
   }
@@ -105,7 +112,7 @@
       .filter((entry) => entry.failureDomain === failureDomain && entry.isSpot);
     const key = keyOf({ service: service.name, failureDomain, isSpot: true, count: 0 });
     const now = clock.monotonic();
-    if (this.#isReclaimed(key, spot)) {
+    if (this.#isNewlyReclaimed(key, spot)) {
       this.#refusedUntil.set(key, now + REFUSED_MS);
       this.#waveUntil = now + WAVE_MS;
     }
@@ -118,10 +125,14 @@
     };
   }
 
-  /** Runners that drain though no fewer were ordered are being reclaimed. */
-  #isReclaimed(key: string, spot: readonly RunnerEntry[]): boolean {
-    const serving = spot.filter(({ isDraining }) => !isDraining).length;
-    return serving < spot.length && serving < (this.#standing.get(key)?.order.count ?? 0);
+  /** Runners that begin to drain though no fewer were ordered are being reclaimed. */
+  #isNewlyReclaimed(key: string, spot: readonly RunnerEntry[]): boolean {
+    const draining = spot.filter(({ isDraining }) => isDraining).map(({ id }) => id);
+    const known = this.#draining.get(key);
+    this.#draining.set(key, new Set(draining));
+    const hasNew = draining.some((id) => !known?.has(id));
+    const serving = spot.length - draining.length;
+    return hasNew && serving < (this.#standing.get(key)?.order.count ?? 0);
   }
 
   async #follow(board: DutyBoard, service: Service, plan: RunnerPlan): Promise<void> {
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -7,6 +7,7 @@
   node: z.string(),
   host: z.string(),
   port: z.number(),
+  failureDomain: z.string(),
   /** Distinguishes the lives of a node. */
   life: z.number(),
   /** Number of the report within the life; older ones are dropped. */
--- a/packages/gateway/src/utils/busy-runners.ts
+++ b/packages/gateway/src/utils/busy-runners.ts
@@ -1,12 +1,13 @@
 import type { Demand } from '../types/demand.ts';
 
-/** Time to read one prompt token, in milliseconds: 92 to 140 tokens per ms are published, and attention adds to long prompts. */
-const PREFILL_MS_PER_TOKEN = 0.014;
 /** Share of a runner's time that one output token takes, in milliseconds: a step divided by its batch. */
 const DECODE_MS_PER_TOKEN = 0.08;
 const MS_PER_S = 1_000;
 
 /** Work that demand per second brings, in model runners that are busy all the time. */
-export function busyRunners({ promptTokens, outputTokens }: Demand): number {
-  return (promptTokens * PREFILL_MS_PER_TOKEN + outputTokens * DECODE_MS_PER_TOKEN) / MS_PER_S;
+export function busyRunners(
+  { promptTokens, outputTokens }: Demand,
+  prefillMsPerToken: number,
+): number {
+  return (promptTokens * prefillMsPerToken + outputTokens * DECODE_MS_PER_TOKEN) / MS_PER_S;
 }
--- a/packages/gateway/src/utils/load-board.ts
+++ b/packages/gateway/src/utils/load-board.ts
@@ -11,8 +11,8 @@
   readonly byRunner: ReadonlyMap<string, RunnerWork>;
 }
 
-/** What a peer told is used for this long: five of its reports, in milliseconds. */
-const PEER_FRESH_MS = 1_000;
+/** What a peer told is used for this long, in milliseconds: several reports, also where many peers report rarely. */
+const PEER_FRESH_MS = 2_000;
 /** What a runner stated of its load is used for this long, in milliseconds: work changes within it. */
 const STATED_FRESH_MS = 300;
 const NO_WORK: RunnerWork = { requests: 0, prefillTokens: 0, kvTokens: 0 };
--- a/packages/gateway/src/utils/placement-request-of.ts
+++ b/packages/gateway/src/utils/placement-request-of.ts
@@ -5,6 +5,7 @@
 export function placementRequestOf(
   { promptParts, promptTokens, outputTokens }: CallerRequest,
   failureDomain: string,
+  prefillMsPerToken: number,
 ): PlacementRequest {
   const shared = promptParts.slice(0, -1);
   const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
@@ -16,5 +17,6 @@
     outputTokens: outputTokens ?? 0,
     session: shared.at(-1)?.id ?? '',
     failureDomain,
+    prefillMsPerToken,
   };
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -60,3 +60,4 @@
 export type { PlacementRequest } from './types/placement-request.ts';
 export { placeCall } from './utils/place-call.ts';
 export { placeRequest } from './utils/place-request.ts';
+export { PrefillRate } from './utils/prefill-rate.ts';
--- a/packages/routing/src/types/placement-request.ts
+++ b/packages/routing/src/types/placement-request.ts
@@ -8,4 +8,6 @@
   /** Identifies the session whose parts may be cached; empty when there is none. */
   readonly session: string;
   readonly failureDomain: string;
+  /** Time that an engine takes to read a prompt token, in milliseconds. */
+  readonly prefillMsPerToken: number;
 }
--- a/packages/routing/src/utils/place-request.ts
+++ b/packages/routing/src/utils/place-request.ts
@@ -4,8 +4,6 @@
 import type { PlacementRequest } from '../types/placement-request.ts';
 import { rendezvousScore } from './rendezvous-score.ts';
 
-/** Time to read one prompt token in milliseconds; the published rate of the engines is 92 to 140 tokens per ms. */
-const PREFILL_MS_PER_TOKEN = 0.01;
 /** Time that a further running request adds to the answers beside it, in milliseconds. */
 const BATCH_MS_PER_REQUEST = 4;
 /** Wait for a slot per request above the batch, in milliseconds: a mean answer over the slots. */
@@ -50,7 +48,8 @@
     const waiting = Math.max(0, candidate.inFlight + 1 - candidate.slots);
     const firstTokenMs =
       candidate.slowness *
-      ((candidate.prefillTokens + prefillTokens) * PREFILL_MS_PER_TOKEN + waiting * SLOT_WAIT_MS);
+      ((candidate.prefillTokens + prefillTokens) * request.prefillMsPerToken +
+        waiting * SLOT_WAIT_MS);
     const kvNeeded = candidate.kvTokens + request.ownTokens + request.sharedTokens;
     const overflows = candidate.kvCapacityTokens > 0 && kvNeeded > candidate.kvCapacityTokens;
     const cost =
--- a/test/routing/placement.test.ts
+++ b/test/routing/placement.test.ts
@@ -24,6 +24,7 @@
     outputTokens: 100,
     session: 's1',
     failureDomain: 'a',
+    prefillMsPerToken: 0.01,
     ...change,
   };
 }
