--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -121,6 +121,7 @@
       price,
       onDemand: this.#orderedCount({ service: service.name, failureDomain, isSpot: false }),
       spot: spot.filter(({ isDraining }) => !isDraining).length,
+      isSpotRefused: now < (this.#refusedUntil.get(key) ?? 0),
     };
   }
 
--- a/packages/supply/src/types/domain-runners.ts
+++ b/packages/supply/src/types/domain-runners.ts
@@ -7,4 +7,6 @@
   readonly onDemand: number;
   /** Reclaimable runners that serve and have no notice. */
   readonly spot: number;
+  /** Reclaimable runners were refused or reclaimed a short time ago. */
+  readonly isSpotRefused: boolean;
 }
--- a/packages/supply/src/utils/plan-runners.ts
+++ b/packages/supply/src/utils/plan-runners.ts
@@ -23,44 +23,30 @@
 /** On-demand runners that are kept whatever the supply of reclaimable ones. */
 const ON_DEMAND_FLOOR = 1;
 
-/** Adds runners one by one to the cheapest domains with room; returns how many found none. */
-function addRunners(
-  count: number,
-  domains: readonly DomainRunners[],
-  placed: Map<string, number>,
-  room: number,
-): number {
-  let rest = count;
-  while (rest > 0) {
-    const open = domains.filter(({ failureDomain }) => (placed.get(failureDomain) ?? 0) < room);
-    if (open.length === 0) return rest;
-    for (const { failureDomain } of open.slice(0, rest)) {
-      placed.set(failureDomain, (placed.get(failureDomain) ?? 0) + 1);
-      rest -= 1;
-    }
-  }
-  return rest;
-}
-
-/**
- * Places on-demand runners: first where they are already, then so that half of each domain stays
- * free for reclaimable ones, then wherever there is room.
- */
+/** Places on-demand runners: where they are already, then one by one in the cheapest domain with room. */
 function placeOnDemand(
   count: number,
   domains: readonly DomainRunners[],
-  max: number,
+  roomOf: (domain: DomainRunners) => number,
 ): ReadonlyMap<string, number> {
   const byPrice = domains.toSorted((a, b) => a.price - b.price);
   const placed = new Map<string, number>();
   let rest = count;
-  for (const { failureDomain, onDemand } of byPrice) {
-    const kept = Math.min(rest, onDemand, max);
-    placed.set(failureDomain, kept);
+  for (const domain of byPrice) {
+    const kept = Math.min(rest, domain.onDemand, roomOf(domain));
+    placed.set(domain.failureDomain, kept);
     rest -= kept;
   }
-  rest = addRunners(rest, byPrice, placed, Math.max(1, Math.floor(max / 2)));
-  addRunners(rest, byPrice, placed, max);
+  while (rest > 0) {
+    const open = byPrice.filter(
+      (domain) => (placed.get(domain.failureDomain) ?? 0) < roomOf(domain),
+    );
+    if (open.length === 0) break;
+    for (const { failureDomain } of open.slice(0, rest)) {
+      placed.set(failureDomain, (placed.get(failureDomain) ?? 0) + 1);
+      rest -= 1;
+    }
+  }
   return placed;
 }
 
@@ -80,7 +66,9 @@
   const spotNow = domains.reduce((sum, { spot }) => sum + Math.min(spot, spotEach), 0);
   const spared = isWave ? 0 : spotNow;
   const onDemand = Math.max(ON_DEMAND_FLOOR, needed - spared);
-  const placed = placeOnDemand(onDemand, domains, max);
+  const roomOf = (domain: DomainRunners): number =>
+    max - (domain.isSpotRefused ? Math.min(domain.spot, spotEach) : Math.min(spotEach, max - 1));
+  const placed = placeOnDemand(onDemand, domains, roomOf);
   return domains.map(({ failureDomain }) => {
     const ordered = placed.get(failureDomain) ?? 0;
     const spot = Math.min(spotEach, max - ordered);
