--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -37,8 +37,8 @@
 const WAVE_MS = 14_000;
 /** What is left of a peak of demand after one look at it: half within twelve seconds. */
 const PEAK_DECAY = 0.97;
-/** Work that is planned for before any demand was seen, in busy runners. */
-const INITIAL_BUSY_RUNNERS = 2;
+/** Part of the runners that are there which is taken to be busy before any demand was seen. */
+const PRESUMED_UTILIZATION = 0.45;
 
 function keyOf({ service, failureDomain, isSpot }: RunnerOrderCount): string {
   return `scale-${service}-${failureDomain}-${isSpot ? 'spot' : 'on-demand'}`;
@@ -55,6 +55,7 @@
   readonly #standing = new Map<string, StandingOrder>();
   readonly #refusedUntil = new Map<string, number>();
   readonly #lowerSince = new Map<string, number>();
+  readonly #mostSeen = new Map<string, number>();
   readonly #peakBusy = new Map<string, number>();
   readonly #draining = new Map<string, ReadonlySet<string>>();
   #waveUntil = 0;
@@ -98,13 +99,24 @@
     const demand = this.#options.demand.perSecond(service);
     const now =
       demand.requests === 0
-        ? INITIAL_BUSY_RUNNERS
+        ? this.#presumedBusy(service)
         : busyRunners(demand, this.#options.prefillMsPerToken(service));
     const peak = Math.max(now, (this.#peakBusy.get(service) ?? 0) * PEAK_DECAY);
     this.#peakBusy.set(service, peak);
     return peak;
   }
 
+  /** Work before any demand was seen: the runners that are there are there for a reason. */
+  #presumedBusy(service: string): number {
+    const serving = this.#options.directory.ofService(service).filter((entry) => !entry.isDraining);
+    const most = Math.max(
+      this.#mostSeen.get(service) ?? 0,
+      serving.filter(({ isSpot }) => !isSpot).length,
+    );
+    this.#mostSeen.set(service, most);
+    return most * PRESUMED_UTILIZATION;
+  }
+
   #domainOf(service: Service, failureDomain: string, price: number): DomainRunners {
     const { directory, clock } = this.#options;
     const spot = directory
