--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -126,8 +126,8 @@
       log: this.#decisions,
       report: (isLeaving) => this.#reports.own(isLeaving),
       failureDomain: node.failureDomain,
-      onReport: (report, isNewLife) => {
-        this.#reports.take(report, isNewLife);
+      onReport: (report, isFirst) => {
+        this.#reports.take(report, isFirst);
       },
       onFeed: (feed) => {
         this.#takeFeed(feed);
--- a/packages/gateway/src/node/peer-reports.ts
+++ b/packages/gateway/src/node/peer-reports.ts
@@ -67,7 +67,8 @@
     };
   }
 
-  take(report: NodeReport, isNewLife: boolean): void {
+  /** Takes in a peer's report; `isFirst` when it was not heard before, or not for a while. */
+  take(report: NodeReport, isFirst: boolean): void {
     const { board, usage, demand, trueTime } = this.#options;
     const life = `${report.node} ${report.life}`;
     board.setPeer(report.node, workOf(report));
@@ -76,12 +77,15 @@
     for (const [service, [requests, promptTokens, outputTokens]] of Object.entries(report.demand)) {
       demand.setTotal(life, service, { requests, promptTokens, outputTokens });
     }
-    this.#takeQuota(report, isNewLife);
+    this.#takeQuota(report, isFirst);
   }
 
-  /** Draws what the peer drew since its last report; what it drew before it was first heard is not known to be recent. */
-  #takeQuota({ node, taken }: NodeReport, isNewLife: boolean): void {
-    const before = isNewLife ? undefined : this.#takenByPeer.get(node);
+  /**
+   * Draws what the peer drew since its last report. What it drew while it was not heard came out of
+   * its own part of the buckets, which this node did not refill meanwhile.
+   */
+  #takeQuota({ node, taken }: NodeReport, isFirst: boolean): void {
+    const before = isFirst ? undefined : this.#takenByPeer.get(node);
     const totals = new Map(Object.entries(taken));
     if (before) {
       for (const [team, total] of totals) {
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -16,8 +16,8 @@
   readonly log: DecisionLog;
   /** Makes the report that goes to every peer. */
   readonly report: (isLeaving: boolean) => NodeReport;
-  /** Receives a peer's report; `isNewLife` with the first of each life of a peer. */
-  readonly onReport: (report: NodeReport, isNewLife: boolean) => void;
+  /** Receives a peer's report; `isFirst` when it was not heard before, or not for a while. */
+  readonly onReport: (report: NodeReport, isFirst: boolean) => void;
   /** Receives what a peer of the same failure domain read. */
   readonly onFeed: (feed: TopicFeed) => void;
 }
@@ -239,7 +239,7 @@
       duty: report.duty,
       isSilent: false,
     });
-    this.#options.onReport(report, known?.life !== report.life);
+    this.#options.onReport(report, known?.life !== report.life || known.isSilent);
     if (!report.isLeaving) return;
     this.#peers.delete(report.node);
     this.#options.log.notable('peer-left', { peer: report.node });
