--- a/packages/gateway/src/node/runner-agent.ts
+++ b/packages/gateway/src/node/runner-agent.ts
@@ -12,7 +12,8 @@
 const IDLE_SHARE = 0.7;
 /** Idle time after which a kept connection is closed when the runner does not state its time-out, in milliseconds. */
 const UNSTATED_IDLE_MS = 2_000;
-const CONNECT_TIMEOUT_MS = 400;
+/** Time to open a connection, in milliseconds: many round trips between failure domains, and far below a latency target. */
+const CONNECT_TIMEOUT_MS = 250;
 
 interface IdleState {
   readonly closer: NodeJS.Timeout;
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -1,6 +1,6 @@
 import type { RunnerDirectory, RunnerEntry, Service } from '@ragwortrudder/catalog';
 import type { Clock, Closeable } from '@ragwortrudder/core';
-import { OutlierDetector, PrefillRate } from '@ragwortrudder/routing';
+import { OutlierDetector, PrefillRate, withoutLostDomains } from '@ragwortrudder/routing';
 import type { PlacementCandidate } from '@ragwortrudder/routing';
 import type { LoadBoard } from '../utils/load-board.ts';
 import type { DecisionLog } from './decision-log.ts';
@@ -72,7 +72,10 @@
       .ofService(service.name)
       .filter((entry) => !entry.isDraining && !excluded.has(entry.id));
     const detector = this.#detectorOf(service.name);
-    const reachable = entries.filter((entry) => this.#runnerOf(entry).unreachableUntil <= now);
+    const reachable = withoutLostDomains(
+      entries,
+      (entry) => this.#runnerOf(entry).unreachableUntil > now,
+    );
     const sound = reachable.filter(({ id }) => !detector.isSetAside(id, now));
     const usable = sound.length > 0 ? sound : reachable;
     const median = medianOf(usable.map((entry) => this.#runnerOf(entry).ratio));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -61,3 +61,4 @@
 export { placeCall } from './utils/place-call.ts';
 export { placeRequest } from './utils/place-request.ts';
 export { PrefillRate } from './utils/prefill-rate.ts';
+export { withoutLostDomains } from './utils/without-lost-domains.ts';
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -33,7 +33,12 @@
 });
 writeFileSync(
   SEA_CONFIG,
-  JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }),
+  JSON.stringify({
+    main: BUNDLE,
+    output: BLOB,
+    disableExperimentalSEAWarning: true,
+    useCodeCache: true,
+  }),
 );
 run(process.execPath, ['--experimental-sea-config', SEA_CONFIG]);
 copyFileSync(process.execPath, BINARY);
