--- a/packages/cli/src/node/run.ts
+++ b/packages/cli/src/node/run.ts
@@ -3,7 +3,9 @@
 import { requestCommand } from '../commands/request.ts';
 import { serveCommand } from '../commands/serve.ts';
 import { settingsCommand } from '../commands/settings.ts';
+import { servePlatformCommand } from '../commands/serve-platform.ts';
 import { statusCommand } from '../commands/status.ts';
+import { storyCommand } from '../commands/story.ts';
 import { ticketCommand } from '../commands/ticket.ts';
 import { versionCommand } from '../commands/version.ts';
 import { UsageInvalid } from '../errors/usage-invalid.ts';
@@ -23,11 +25,13 @@
       .scriptName('ragwortrudder')
       .usage('$0 <command>\n\nServes requests of tenants on reclaimable VMs.')
       .command(serveCommand)
+      .command(servePlatformCommand)
       .command(settingsCommand)
       .command(ticketCommand)
       .command(statusCommand)
       .command(requestCommand)
       .command(keyCommand)
+      .command(storyCommand)
       .command(versionCommand)
       .demandCommand(1, 'name a command')
       .version(false)
--- a/test/standins/application.test.ts
+++ b/test/standins/application.test.ts
@@ -128,10 +128,19 @@
 });
 
 test('operations above the limit wait, and the load says so', async (t) => {
-  const runner = await start(t, { maxRunning: 1, workMs: 100 });
+  const runner = await start(t, { maxRunning: 1, workMs: 600_000 });
   const replies = [operate(runner.address, 'a'), operate(runner.address, 'b')];
   await until(() => runner.requests === 2);
   t.like((await call(`${runner.address}/load`)).body, { running: 1, waiting: 1 });
-  await Promise.all(replies);
+  await runner.close();
+  await Promise.allSettled(replies);
+});
+
+test('once all operations have ended, the load says so', async (t) => {
+  const runner = await start(t, { maxRunning: 1, workMs: 20 });
+  await Promise.all([operate(runner.address, 'a'), operate(runner.address, 'b')]);
   t.like((await call(`${runner.address}/load`)).body, { running: 0, waiting: 0 });
 });
+const replies = [operate(runner.address, 'a'), operate(runner.address, 'b')];
+await until(() => runner.requests === 2);
+t.like((await call(`${runner.address}/load`)).body, { running: 1, waiting: 1 });
