--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,6 +1,6 @@
 /** Bundles the daemon and its command line, and makes `ragwortrudder`, a single executable, in the folder named (`dist`). */
 import { spawnSync } from 'node:child_process';
-import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs';
+import { chmodSync, copyFileSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
 
 const FOLDER = process.argv[2] ?? 'dist';
@@ -41,6 +41,8 @@
   }),
 );
 run(process.execPath, ['--experimental-sea-config', SEA_CONFIG]);
+// A binary that runs cannot be overwritten, but its name can be given to a new file.
+rmSync(BINARY, { force: true });
 copyFileSync(process.execPath, BINARY);
 chmodSync(BINARY, 0o755);
 run('npx', ['postject', BINARY, 'NODE_SEA_BLOB', BLOB, '--sentinel-fuse', SEA_FUSE]);
