--- a/packages/gateway/src/errors/refusal.ts
+++ b/packages/gateway/src/errors/refusal.ts
@@ -4,6 +4,8 @@
 interface RefusalOptions {
   readonly status: number;
   readonly retryAfterMs?: number;
+  /** Inputs that decided the refusal, for the log. */
+  readonly inputs?: Readonly<Record<string, string | number | undefined>>;
 }
 
 const HINTS: Readonly<Record<RefusalCause, string>> = {
@@ -24,13 +26,16 @@
 /** Final answer of the node's own: why a request was not answered by a runner. */
 export class Refusal extends Failure {
   readonly code: RefusalCause;
+  /** Inputs that decided the refusal, for the log. */
+  readonly inputs: Readonly<Record<string, string | number | undefined>>;
 
-  constructor(code: RefusalCause, { status, retryAfterMs }: RefusalOptions) {
+  constructor(code: RefusalCause, { status, retryAfterMs, inputs = {} }: RefusalOptions) {
     super(code, {
       status,
       hint: HINTS[code],
       ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
     });
     this.code = code;
+    this.inputs = inputs;
   }
 }
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -101,6 +101,7 @@
         throw new Refusal(this.#sends > 0 ? 'runner-full' : 'no-runner', {
           status: HTTP_UNAVAILABLE,
           retryAfterMs: FULL_RETRY_MS,
+          inputs: this.#inputs(),
         });
       }
       const outcome = await this.#send(chosen);
@@ -148,15 +149,32 @@
         throw new Refusal(outcome.kind === 'unsent' ? 'runner-unreachable' : 'runner-full', {
           status: HTTP_UNAVAILABLE,
           retryAfterMs: FULL_RETRY_MS,
+          inputs: this.#inputs(),
         });
       case 'fail':
         return this.#fail('runner-broken', HTTP_BAD_GATEWAY);
     }
   }
 
+  /** What a refusal was decided on, for the log. */
+  #inputs(): Readonly<Record<string, string | number | undefined>> {
+    const { route, team, service, directory, pool, clock } = this.#options;
+    const listed = directory.ofService(service.name);
+    return {
+      route: route.name,
+      team: team?.name,
+      service: service.name,
+      runnersListed: listed.length,
+      runnersDraining: listed.filter(({ isDraining }) => isDraining).length,
+      runnersUsable: pool.candidates(service, new Set()).length,
+      runnersTried: this.#tried.size,
+      afterMs: Math.round(clock.monotonic() - this.#arrivedAt),
+    };
+  }
+
   #fail(cause: 'runner-broken' | 'time-out', status: number): never {
     this.#isOver = true;
-    throw new Refusal(cause, { status });
+    throw new Refusal(cause, { status, inputs: this.#inputs() });
   }
 
   async #send(chosen: ChosenRunner): Promise<AttemptOutcome> {
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -65,6 +65,7 @@
         status: error.status,
         retryAfterMs: error.retryAfterMs,
         version: this.#inForce?.configuration.version,
+        ...error.inputs,
       });
       channel.fail(error, request.id);
     }
@@ -79,7 +80,12 @@
       });
     }
     const route = inForce.routes.find(request.host, request.path);
-    if (!route) throw new Refusal('route-unknown', { status: HTTP_NOT_FOUND });
+    if (!route) {
+      throw new Refusal('route-unknown', {
+        status: HTTP_NOT_FOUND,
+        inputs: { host: request.host, path: request.path },
+      });
+    }
     const team = this.#teamOf(request, route, inForce);
     const service = this.#serviceOf(route, inForce);
     const cost = this.#draw(request, team);
@@ -106,7 +112,12 @@
   #teamOf(request: CallerRequest, route: Route, inForce: InForce): Team | undefined {
     if (route.isPublic || inForce.configuration.teams.length === 0) return undefined;
     const team = request.apiKey === undefined ? undefined : inForce.keys.find(request.apiKey);
-    if (!team) throw new Refusal('key-unknown', { status: HTTP_UNAUTHORIZED });
+    if (!team) {
+      throw new Refusal('key-unknown', {
+        status: HTTP_UNAUTHORIZED,
+        inputs: { route: route.name },
+      });
+    }
     return team;
   }
 
@@ -124,6 +135,7 @@
     throw new Refusal('quota-exceeded', {
       status: HTTP_TOO_MANY_REQUESTS,
       retryAfterMs: this.#options.quota.waitMs(team.name, cost),
+      inputs: { team: team.name, cost },
     });
   }
 }
