--- a/packages/gateway/src/node/duty-holder.ts
+++ b/packages/gateway/src/node/duty-holder.ts
@@ -8,7 +8,7 @@
 interface DutyHolderOptions {
   readonly node: string;
   readonly board: DutyBoard;
-  readonly peers: Peers;
+  readonly peers: Pick<Peers, 'hasHolderResigned' | 'heardIds' | 'newestDuty'>;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly duties: readonly Duty[];
--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -144,7 +144,8 @@
     this.#draining.set(key, new Set(draining));
     const hasNew = draining.some((id) => !known?.has(id));
     const serving = spot.length - draining.length;
-    return hasNew && serving < (this.#standing.get(key)?.order.count ?? 0);
+    const ordered = this.#standing.get(key)?.order.count;
+    return hasNew && (ordered === undefined || serving < ordered);
   }
 
   async #follow(board: DutyBoard, service: Service, plan: RunnerPlan): Promise<void> {
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -269,6 +269,55 @@
   t.true(reply.isWhole);
 });
 
+test('pattern: overload; a request that waits at a runner that works for others is not cut as silent', async (t) => {
+  const runners = await Promise.all(
+    [0, 1].map(() =>
+      new ScriptedRunner((socket, request) => {
+        if (request.head.includes('/busy')) {
+          socket.write(streamHead(request));
+          let id = 0;
+          const timer = setInterval(() => {
+            id += 1;
+            socket.write(chunk(event(id)));
+            if (id < 20) return;
+            clearInterval(timer);
+            socket.write('0\r\n\r\n');
+          }, 80);
+          return;
+        }
+        setTimeout(() => {
+          socket.write(`${streamHead(request)}${chunk(event(1))}0\r\n\r\n`);
+        }, 1_200);
+      }).listen(),
+    ),
+  );
+  const bed = await GatewayBed.start(t, {
+    runners,
+    route: { kind: 'streaming', stream_resume: true, timeout_ms: 5_000 },
+  });
+  const busy = [0, 1, 2, 3].map(() => bed.call({ path: '/p/busy' }));
+  const waiting = await bed.call();
+  t.is(waiting.status, 200);
+  t.true(waiting.isWhole);
+  const sends = runners
+    .flatMap(({ received }) => received)
+    .filter(({ head }) => !head.includes('/busy'));
+  t.is(sends.length, 1);
+  for (const reply of await Promise.all(busy)) t.true(reply.isWhole);
+});
+
+test('a runner that has fallen silent for all is given up, and its requests go elsewhere', async (t) => {
+  const silent = await new ScriptedRunner(() => undefined).listen();
+  const bed = await GatewayBed.start(t, { runners: [silent], route: { timeout_ms: 5_000 } });
+  const reply = bed.call();
+  await bed.until(() => silent.received.length === 1);
+  const other = await answering();
+  t.teardown(() => other.close());
+  await bed.enterRunner('r1', other.port);
+  t.is((await reply).status, 200);
+  t.is(other.received.length, 1);
+});
+
 test('a runner that leaves the list finishes the streams that it has', async (t) => {
   let release = (): void => undefined;
   const runner = await new ScriptedRunner((socket, request) => {
