--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -30,6 +30,8 @@
 }
 
 const SILENT = 'silent';
+const HTTP_OK = 200;
+const FIRST_SERVER_ERROR = 500;
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_GATEWAY_TIMEOUT = 504;
@@ -139,11 +141,11 @@
       case 'retry':
         return false;
       case 'done':
-        this.#logServed(entry);
+        this.#logServed(entry, HTTP_OK);
         return true;
       case 'answer':
         if (outcome.kind === 'answered') channel.answer(outcome.answer);
-        this.#logServed(entry);
+        this.#logServed(entry, outcome.kind === 'answered' ? outcome.answer.head.status : HTTP_OK);
         return true;
       case 'refuse':
         throw new Refusal(outcome.kind === 'unsent' ? 'runner-unreachable' : 'runner-full', {
@@ -271,7 +273,7 @@
         return;
       case 'answered':
         this.#began(tookMs);
-        if (outcome.answer.head.status >= HTTP_BAD_GATEWAY - 2) pool.failed(entry);
+        if (outcome.answer.head.status >= FIRST_SERVER_ERROR) pool.failed(entry);
         else if (!service.engine) {
           pool.succeeded(entry, (tookMs + FIXED_COST_MS) / (expectedMs + FIXED_COST_MS));
         }
@@ -373,16 +375,19 @@
     this.#attempt?.abort({ kind: 'ended' });
   }
 
-  #logServed(entry: RunnerEntry): void {
+  #logServed(entry: RunnerEntry, status: number): void {
     this.#isOver = true;
     const { request, route, team, log, clock } = this.#options;
-    log.routine('request-served', {
+    const fields = {
       request: request.id,
       route: route.name,
       team: team?.name,
       runner: entry.id,
+      status,
       sends: this.#sends,
       afterMs: Math.round(clock.monotonic() - this.#arrivedAt),
-    });
+    };
+    if (status >= FIRST_SERVER_ERROR) log.notable('request-served', fields);
+    else log.routine('request-served', fields);
   }
 }
--- a/test/gateway/duty-holder.test.ts
+++ b/test/gateway/duty-holder.test.ts
@@ -7,18 +7,24 @@
 import { DutyBoard } from '../../packages/gateway/src/node/duty-board.ts';
 import { DutyHolder } from '../../packages/gateway/src/node/duty-holder.ts';
 
-interface HeardPeers {
-  hasHolderResigned: boolean;
-  duty: number;
-  heardIds(): readonly string[];
-  newestDuty(): number;
+class HeardPeers {
+  hasHolderResigned = false;
+  duty = 0;
+
+  heardIds(): readonly string[] {
+    return [];
+  }
+
+  newestDuty(): number {
+    return this.duty;
+  }
 }
 
 interface Bed {
   readonly board: DutyBoard;
   readonly peers: HeardPeers;
   readonly holder: DutyHolder;
-  readonly acts: number[];
+  readonly acts: readonly number[];
 }
 
 const LEASE_MS = 60_000;
@@ -26,12 +32,7 @@
 function start(t: ExecutionContext, log: MemoryKeyedLog, isStopping = (): boolean => false): Bed {
   const clock = new SystemClock();
   const board = new DutyBoard({ log, node: 'n1' });
-  const peers: HeardPeers = {
-    hasHolderResigned: false,
-    duty: 0,
-    heardIds: () => [],
-    newestDuty: () => peers.duty,
-  };
+  const peers = new HeardPeers();
   const out = new Writable({
     write: (_chunk, _encoding, done) => {
       done();
