--- a/packages/gateway/src/node/duty-board.ts
+++ b/packages/gateway/src/node/duty-board.ts
@@ -12,7 +12,7 @@
   readonly token: number;
 }
 
-const TOPIC = 'keyed.duties';
+const TOPIC = 'duties';
 const TERM_KEY = 'term';
 
 function decode(value: Uint8Array | undefined): unknown {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -47,7 +47,7 @@
 
 /** Changes that fit into one datagram. */
 const MAX_FED_CHANGES = 40;
-const NODE_TOPIC = 'keyed.nodes';
+const NODE_TOPIC = 'nodes';
 /** Wait of a read of the configuration, in milliseconds: a connection that fell silent is noticed within it. */
 const CONFIGURATION_WAIT_MS = 1_500;
 /** Pause between reads of the runners, in milliseconds; a change must be in force within two seconds. */
@@ -80,6 +80,7 @@
   readonly #forwarder: Forwarder;
   readonly #callers: CallerServer;
   readonly #status: StatusServer;
+  readonly #metricsServer: StatusServer;
   readonly #reports: PeerReports;
   readonly #peers: Peers;
   readonly #duties: DutyHolder | undefined;
@@ -174,6 +175,11 @@
       isReady: () => this.#isReady,
       metricsText: () => this.#metrics.text(),
     });
+    this.#metricsServer = new StatusServer({
+      address: listen.metrics,
+      isReady: () => this.#isReady,
+      metricsText: () => this.#metrics.text(),
+    });
     this.#duties = this.#createDuties(trueTime);
     this.#followers = [
       this.#follow(codec.configurationTopic, CONFIGURATION_WAIT_MS, 0, {
@@ -238,8 +244,12 @@
   }
 
   /** Ports that the node listens on. */
-  get ports(): { readonly callers: number; readonly readiness: number } {
-    return { callers: this.#callers.port, readiness: this.#status.port };
+  get ports(): Readonly<Record<'callers' | 'readiness' | 'metrics', number>> {
+    return {
+      callers: this.#callers.port,
+      readiness: this.#status.port,
+      metrics: this.#metricsServer.port,
+    };
   }
 
   /** Starts to follow the log and to listen. */
@@ -249,6 +259,7 @@
     for (const follower of this.#followers) follower.start();
     await this.#peers.start();
     await this.#status.listen();
+    await this.#metricsServer.listen();
     await this.#callers.listen();
     for (const task of this.#tasks) task.start();
     this.#duties?.start();
@@ -301,6 +312,7 @@
       this.#duties?.close(),
       this.#callers.close(),
       this.#status.close(),
+      this.#metricsServer.close(),
       this.#pool.close(),
       this.#peers.close(),
     ]);
--- a/packages/gateway/src/types/gateway-settings.ts
+++ b/packages/gateway/src/types/gateway-settings.ts
@@ -10,8 +10,10 @@
   readonly listen: {
     /** Address for callers. */
     readonly callers: Address;
-    /** Address of the readiness check; metrics are served there too. */
+    /** Address of the readiness check. */
     readonly readiness: Address;
+    /** Address of the metrics. */
+    readonly metrics: Address;
     /** Port for datagrams between nodes. */
     readonly peerPort: number;
   };
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -327,7 +327,7 @@
   const bed = await GatewayBed.start(t, { runners: [runner], route: { kind: 'streaming' } });
   const reply = bed.call();
   await bed.until(() => runner.received.length === 1);
-  await bed.log.append({ topic: 'keyed.servers', key: 'r0' });
+  await bed.log.append({ topic: 'servers', key: 'r0' });
   await bed.until(() => bed.lines.some((line) => line.includes('runner-removed')));
   await new Promise((resolve) => setTimeout(resolve, 400));
   release();
@@ -349,8 +349,8 @@
   await bed.configure({ version: 50, tenants: [{ name: 'team', api_keys: ['new'] }] });
   await bed.until(async () => (await bed.call()).status === 401);
   await bed.configure({ version: 40 });
-  await bed.log.append({ topic: 'keyed.op', key: 'config', value: Buffer.from('not json') });
-  bed.log.dropHistory('keyed.op');
+  await bed.log.append({ topic: 'op', key: 'config', value: Buffer.from('not json') });
+  bed.log.dropHistory('op');
   await bed.until(() => bed.lines.some((line) => line.includes('configuration-unreadable')));
   t.is((await bed.call()).status, 401);
   t.is((await bed.call({ headers: { 'X-Api-Key': 'new' } })).status, 200);
@@ -392,7 +392,7 @@
   const bed = await GatewayBed.start(t, { runners: [runner] });
   await bed.call();
   await bed.call({ path: '/q/' });
-  const response = await fetch(`http://127.0.0.1:${bed.gateway.ports.readiness}/metrics`);
+  const response = await fetch(`http://127.0.0.1:${bed.gateway.ports.metrics}/metrics`);
   const text = await response.text();
   t.regex(text, /ragwortrudder_refusals\{cause="route-unknown"\} 1/);
   t.regex(text, /ragwortrudder_latency_ms\{team="team",route="route",quantile="0.5"\} \d+/);
--- a/test/gateway/gateway-bed.ts
+++ b/test/gateway/gateway-bed.ts
@@ -33,8 +33,8 @@
   readonly isWhole: boolean;
 }
 
-const OPERATOR_TOPIC = 'keyed.op';
-const RUNNER_TOPIC = 'keyed.servers';
+const OPERATOR_TOPIC = 'op';
+const RUNNER_TOPIC = 'servers';
 const NO_BODY_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE']);
 
 /** Gateway between a test's callers and scripted runners, on a log in memory. */
@@ -58,6 +58,7 @@
         listen: {
           callers: { host: '127.0.0.1', port: 0 },
           readiness: { host: '127.0.0.1', port: 0 },
+          metrics: { host: '127.0.0.1', port: 0 },
           peerPort: 0,
         },
         graceMs: options.graceMs ?? 8_000,
--- a/test/platform-adapter/platform-log.test.ts
+++ b/test/platform-adapter/platform-log.test.ts
@@ -9,7 +9,9 @@
   readonly log: PlatformLog;
 }
 
-const TOPIC = 'keyed.things';
+const TOPIC = 'things';
+/** Name of the topic at the store. */
+const STORED_TOPIC = 'keyed.things';
 
 async function start(
   t: ExecutionContext,
@@ -50,7 +52,7 @@
 
 test('all pages of the newest records are read, and reading goes on at the end of the first', async (t) => {
   const { store, log } = await start(t, { pageSize: 2 });
-  for (const key of ['a', 'b', 'c', 'd', 'e']) store.put(TOPIC, key, key);
+  for (const key of ['a', 'b', 'c', 'd', 'e']) store.put(STORED_TOPIC, key, key);
   const { records, next } = await log.newest(TOPIC);
   t.deepEqual(
     records.map(({ key }) => key),
@@ -61,7 +63,7 @@
 
 test('an append at another end is a conflict', async (t) => {
   const { store, log } = await start(t);
-  store.put(TOPIC, 'a', '1');
+  store.put(STORED_TOPIC, 'a', '1');
   await t.throwsAsync(log.append({ topic: TOPIC, key: 'a', value: Buffer.from('2'), at: 0 }), {
     instanceOf: AppendConflict,
   });
@@ -71,14 +73,14 @@
 test('a read waits for the next record', async (t) => {
   const { store, log } = await start(t);
   const page = log.read({ topic: TOPIC, from: 0, waitMs: 5_000 });
-  store.put(TOPIC, 'a', '1');
+  store.put(STORED_TOPIC, 'a', '1');
   t.is((await page).records.length, 1);
 });
 
 test('history that is gone is said to be gone', async (t) => {
   const { store, log } = await start(t);
-  store.put(TOPIC, 'a', '1');
-  store.dropHistory(TOPIC);
+  store.put(STORED_TOPIC, 'a', '1');
+  store.dropHistory(STORED_TOPIC);
   await t.throwsAsync(log.read({ topic: TOPIC, from: 0, waitMs: 0 }), { instanceOf: LogExpired });
   t.is((await log.newest(TOPIC)).records.length, 1);
 });
--- a/test/platform-adapter/translation.test.ts
+++ b/test/platform-adapter/translation.test.ts
@@ -181,6 +181,7 @@
     .replaceAll('{{cloud_api.duties|json}}', '["usage_report"]')
     .replace(/\{\{[\w.]*(address|front|readiness)\|json\}\}/g, '"127.0.0.1:80"')
     .replace(/\{\{[\w.]+\|json\}\}/g, '"x"')
+    .replace('{{ip}}', '127.0.0.1')
     .replace(/\{\{[\w.]+\}\}/g, '7');
   const settings = PlatformSettings.parse(JSON.parse(filled));
   t.like(gatewaySettingsOf(settings), {
