--- a/scripts/check-binary.sh
+++ b/scripts/check-binary.sh
@@ -77,13 +77,13 @@
 expect 3 settings check missing.json
 expect 3 serve --settings bad.json
 expect 0 settings schema
+contains out.txt '"headerTimeoutMs"'
 expect 3 serve-platform
 printf '%s\n' '{"time":2,"node":"b","event":"request-refused","request":"q1","cause":"runner-full"}' \
   'not a log line' '{"time":1,"node":"b","event":"attempt-ended","request":"q1","runner":"r7"}' >node.log
 expect 0 story q1 node.log
 contains out.txt 'request-refused cause=runner-full'
 expect 4 story q2 node.log
-contains out.txt '"headerTimeoutMs"'
 printf 'a key that is not used' >key.txt
 expect 5 status --node 127.0.0.1:1 --key-file key.txt
 
