--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -195,6 +195,7 @@
     const isAlone = board.workAt(entry.id).prefillTokens === 0;
     board.add(entry.id, work);
     pool.sent(entry);
+    this.#options.sessions.note(this.#placement.session, entry.id, sentAt);
     const isRepeatable = this.#isRepeatable();
     let progressAt = sentAt;
     let firstAt: number | undefined;
@@ -342,8 +343,10 @@
   }
 
   #chooseEngine(candidates: readonly PlacementCandidate[]): ChosenRunner | undefined {
-    const { directory, random } = this.#options;
-    const placement = placeRequest(this.#placement, candidates, random);
+    const { directory, random, sessions, clock } = this.#options;
+    const lastRunner = sessions.find(this.#placement.session, clock.monotonic());
+    const request = lastRunner === undefined ? this.#placement : { ...this.#placement, lastRunner };
+    const placement = placeRequest(request, candidates, random);
     const entry = placement && directory.find(placement.id);
     if (!entry) return undefined;
     return { entry, expectedMs: placement.firstTokenMs, prefillTokens: placement.prefillTokens };
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -4,6 +4,7 @@
 import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import type { KeyedLog, KeyedRecord } from '@ragwortrudder/log';
+import { SessionPlaces } from '@ragwortrudder/routing';
 import type { Writable } from 'node:stream';
 import { isDeepStrictEqual } from 'node:util';
 import { Refusal } from '../errors/refusal.ts';
@@ -104,7 +105,7 @@
     this.#directory = new RunnerDirectory({ clock });
     this.#board = new LoadBoard(clock);
     this.#quota = new SharedQuota(clock);
-    this.#usage = new UsageCounter(duties.usageWindowMs);
+    this.#usage = new UsageCounter(duties.usageWindowMs, `${node.id} ${this.#life}`);
     this.#demand = new DemandMeter(clock);
     this.#budget = new RetryBudget({ ratio: retries.ratio * USED_RETRY_RATIO });
     const trueTime = new TrueTime(clock);
@@ -149,6 +150,7 @@
       directory: this.#directory,
       pool: this.#pool,
       board: this.#board,
+      sessions: new SessionPlaces(),
       quota: this.#quota,
       quotas: () => this.#settings.quotas,
       budget: this.#budget,
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -47,6 +47,12 @@
 /** Silence after which a peer is forgotten, in milliseconds: longer than partitions that heal by themselves. */
 const FORGET_MS = 15_000;
 
+/** Silence after which a peer is taken to be dead rather than cut off, in milliseconds: cuts of a failure domain are mostly shorter. */
+const DEAD_MS = 7_000;
+
+/** Time within which a peer that lives and is reached is heard for the first time, in milliseconds. */
+const FIRST_REPORT_MS = 2_500;
+
 /** Datagrams between the nodes: each tells all others of its work, over and over. */
 export class Peers implements Closeable {
   readonly #options: PeersOptions;
@@ -69,6 +75,15 @@
     return this.heardIds().length + 1;
   }
 
+  /** A peer that seems alive has told nothing within the last `ms`: what it did since is not known yet. */
+  isMissingSince(ms: number): boolean {
+    const now = this.#options.clock.monotonic();
+    return [...this.#peers.values()].some(({ heardAt, knownAt }) => {
+      if (heardAt === undefined) return now - knownAt < FIRST_REPORT_MS;
+      return now - heardAt > ms && now - heardAt < DEAD_MS;
+    });
+  }
+
   /** Names of the peers that are heard. */
   heardIds(): readonly string[] {
     const now = this.#options.clock.monotonic();
--- a/packages/gateway/src/node/usage-duty.ts
+++ b/packages/gateway/src/node/usage-duty.ts
@@ -1,15 +1,16 @@
 import type { Cloud } from '../types/cloud.ts';
 import type { Duty } from '../types/duty.ts';
+import { UsageDraft } from '../types/usage-draft.ts';
 import type { UsageReport } from '../types/usage-report.ts';
 import type { UsageCounter } from '../utils/usage-counter.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { DutyBoard } from './duty-board.ts';
+import type { Peers } from './peers.ts';
 
 interface UsageDutyOptions {
   readonly cloud: Cloud;
   readonly usage: UsageCounter;
-  /** Nodes that are known and heard. */
-  readonly peers: { readonly known: number; readonly heard: number };
+  readonly peers: Pick<Peers, 'isMissingSince'>;
   readonly trueTime: { now(): number };
   readonly log: DecisionLog;
   readonly windowMs: number;
@@ -18,6 +19,9 @@
 }
 
 const KEY_PREFIX = 'usage-';
+const DRAFT_KEY = 'draft-of-usage';
+/** Least time between two records of running counts, in milliseconds: what is lost when all nodes are killed. */
+const DRAFT_PERIOD_MS = 1_000;
 /** Windows whose decided counts are kept: more than can be due at once. */
 const KEPT_REPORTS = 8;
 /** Time after a window's end after which all nodes have told their counts, in milliseconds. */
@@ -30,17 +34,24 @@
   return typeof report?.window === 'number' && typeof report.counts === 'object';
 }
 
-/** Reports usage by window. Counts are recorded before they are sent, so that no window gets two. */
+/**
+ * Reports usage by window. Counts are recorded before they are sent, so that no window gets two; the
+ * running counts of open windows are recorded as well, so that they outlive the nodes that made them.
+ */
 export class UsageDuty implements Duty {
   readonly #options: UsageDutyOptions;
   readonly #unsent = new Map<number, UsageReport>();
   #nextWindow = 0;
+  #draftedAt = -Infinity;
+  #drafted = '';
 
   constructor(options: UsageDutyOptions) {
     this.#options = options;
   }
 
   begin(board: DutyBoard): void {
+    const draft = UsageDraft.safeParse(board.records.get(DRAFT_KEY)).data;
+    if (draft) this.#options.usage.join(draft);
     const reports = [...board.records.values()].filter(isReport);
     const current = this.#currentWindow();
     const oldestDue = current - Math.ceil(this.#options.lateMs / this.#options.windowMs);
@@ -62,6 +73,18 @@
       this.#nextWindow += 1;
     }
     await this.#send(board);
+    await this.#draft(board);
+  }
+
+  async #draft(board: DutyBoard): Promise<void> {
+    const { usage, trueTime } = this.#options;
+    const now = trueTime.now();
+    if (Math.abs(now - this.#draftedAt) < DRAFT_PERIOD_MS) return;
+    const draft = usage.draftFrom(this.#nextWindow);
+    const text = JSON.stringify(draft);
+    if (text === this.#drafted) return;
+    this.#draftedAt = now;
+    if (await board.record(DRAFT_KEY, draft)) this.#drafted = text;
   }
 
   async #send(board: DutyBoard): Promise<void> {
@@ -83,11 +106,11 @@
     return Math.floor(this.#options.trueTime.now() / this.#options.windowMs);
   }
 
-  /** All nodes have told their counts of a window, or there is no more time to wait for them. */
+  /** All nodes that seem alive have told their counts of a window, or there is no more time to wait. */
   #isSettled(window: number): boolean {
     const { trueTime, windowMs, lateMs, peers } = this.#options;
     const sinceEnd = trueTime.now() - (window + 1) * windowMs;
     if (sinceEnd < SETTLE_MS) return false;
-    return peers.heard === peers.known || sinceEnd > lateMs * WAIT_SHARE;
+    return !peers.isMissingSince(sinceEnd) || sinceEnd > lateMs * WAIT_SHARE;
   }
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -54,6 +54,7 @@
 export { RunnerTracker } from './utils/runner-tracker.ts';
 export { StreamWatch } from './utils/stream-watch.ts';
 export { subset } from './utils/subset.ts';
+export { SessionPlaces } from './utils/session-places.ts';
 export { rendezvousScore } from './utils/rendezvous-score.ts';
 export type { Placement } from './types/placement.ts';
 export type { PlacementCandidate } from './types/placement-candidate.ts';
--- a/packages/routing/src/utils/place-request.ts
+++ b/packages/routing/src/utils/place-request.ts
@@ -32,7 +32,8 @@
 /**
  * Chooses the model runner with the least estimated time: prompt tokens ahead and its own, the
  * batch, the KV cache, and whether the session's shared parts are held there. Sessions have a home
- * runner by rendezvous hashing, and leave it once the load there costs more than reading again.
+ * runner by rendezvous hashing, and leave it once the load there costs more than reading again; they
+ * stay where this node sent them last.
  */
 export function placeRequest(
   request: PlacementRequest,
@@ -43,7 +44,8 @@
   let chosen: Placement | undefined;
   let least = Infinity;
   for (const candidate of candidates) {
-    const cached = candidate.id === home ? request.sharedTokens * CACHE_TRUST : 0;
+    const isHolder = candidate.id === home || candidate.id === request.lastRunner;
+    const cached = isHolder ? request.sharedTokens * CACHE_TRUST : 0;
     const prefillTokens = request.ownTokens + request.sharedTokens - cached;
     const waiting = Math.max(0, candidate.inFlight + 1 - candidate.slots);
     const firstTokenMs =
--- a/test/gateway/usage-duty.test.ts
+++ b/test/gateway/usage-duty.test.ts
@@ -18,19 +18,20 @@
   readonly log: MemoryKeyedLog;
   readonly cloud: MemoryCloud;
   readonly clock: ManualClock;
-  readonly peers?: { readonly known: number; readonly heard: number };
+  /** Time for which a peer that seems alive has not been heard. */
+  readonly silence?: { ms: number };
 }
 
 const WINDOW_MS = 5_000;
 const START_MS = 1_000 * WINDOW_MS;
 
 function holder(node: string, parts: HolderParts): Holder {
-  const { log, cloud, clock, peers = { known: 1, heard: 1 } } = parts;
-  const usage = new UsageCounter(WINDOW_MS);
+  const { log, cloud, clock, silence = { ms: 0 } } = parts;
+  const usage = new UsageCounter(WINDOW_MS, `${node} 1`);
   const duty = new UsageDuty({
     cloud,
     usage,
-    peers,
+    peers: { isMissingSince: (ms) => silence.ms > ms },
     trueTime: { now: () => clock.wall() },
     log: new DecisionLog({
       node,
@@ -93,8 +94,8 @@
 test('pattern: a failure domain is cut off; its counts are waited for while there is time', async (t) => {
   const clock = new ManualClock(START_MS);
   const cloud = new MemoryCloud();
-  const peers = { known: 3, heard: 2 };
-  const { board, duty, usage } = holder('n1', { log: new MemoryKeyedLog(), cloud, clock, peers });
+  const silence = { ms: 6_000 };
+  const { board, duty, usage } = holder('n1', { log: new MemoryKeyedLog(), cloud, clock, silence });
   await board.takeOver();
   duty.begin(board);
   usage.began('a', clock.wall());
@@ -102,7 +103,7 @@
   await duty.perform(board);
   t.is(cloud.calls.length, 0);
   usage.setPeer('p 1', new Map([[1_000, new Map([['a', 2]])]]));
-  peers.heard = 3;
+  silence.ms = 100;
   await duty.perform(board);
   t.deepEqual(cloud.calls[0]?.report, { window: 1_000, counts: { a: 3 } });
 });
@@ -110,8 +111,8 @@
 test('counts of peers that stay silent are given up in time', async (t) => {
   const clock = new ManualClock(START_MS);
   const cloud = new MemoryCloud();
-  const peers = { known: 3, heard: 2 };
-  const { board, duty, usage } = holder('n1', { log: new MemoryKeyedLog(), cloud, clock, peers });
+  const silence = { ms: 60_000 };
+  const { board, duty, usage } = holder('n1', { log: new MemoryKeyedLog(), cloud, clock, silence });
   await board.takeOver();
   duty.begin(board);
   usage.began('a', clock.wall());
@@ -119,3 +120,36 @@
   await duty.perform(board);
   t.is(cloud.calls.length, 1);
 });
+
+test('pattern: all nodes are killed within a window; counts of before are still reported', async (t) => {
+  const clock = new ManualClock(START_MS);
+  const log = new MemoryKeyedLog();
+  const cloud = new MemoryCloud();
+  const first = holder('n1', { log, cloud, clock });
+  await first.board.takeOver();
+  first.duty.begin(first.board);
+  first.usage.began('a', clock.wall());
+  first.usage.setPeer('n2 1', new Map([[1_000, new Map([['a', 4]])]]));
+  await first.duty.perform(first.board);
+  const second = holder('n3', { log, cloud, clock });
+  second.usage.began('a', clock.wall());
+  await second.board.takeOver();
+  second.duty.begin(second.board);
+  clock.advance(WINDOW_MS + 1_500);
+  await second.duty.perform(second.board);
+  t.deepEqual(cloud.calls[0]?.report, { window: 1_000, counts: { a: 6 } });
+});
+
+test('counts that were written down are not added to those of a life that is still heard', (t) => {
+  const usage = new UsageCounter(WINDOW_MS, 'n1 1');
+  usage.began('a', START_MS);
+  usage.setPeer('n2 1', new Map([[1_000, new Map([['a', 4]])]]));
+  usage.join({
+    lives: {
+      'n1 1': { '1000': { a: 1 } },
+      'n2 1': { '1000': { a: 3 } },
+      'n3 1': { '1000': { a: 2 } },
+    },
+  });
+  t.deepEqual(usage.reportOf(1_000).counts, { a: 7 });
+});
--- a/test/routing/placement.test.ts
+++ b/test/routing/placement.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { SeededRandom } from '@ragwortrudder/core';
-import { placeCall, placeRequest } from '@ragwortrudder/routing';
+import { placeCall, placeRequest, SessionPlaces } from '@ragwortrudder/routing';
 import type { PlacementCandidate, PlacementRequest } from '@ragwortrudder/routing';
 
 function candidate(id: string, change: Partial<PlacementCandidate> = {}): PlacementCandidate {
@@ -89,3 +89,32 @@
   t.is(placeCall('a', runners, new SeededRandom(6)), 'free');
   t.is(placeCall('a', [], new SeededRandom(6)), undefined);
 });
+
+test('pattern: hot key; a session that left its home stays where it went', (t) => {
+  const random = new SeededRandom(7);
+  const runners = ['r1', 'r2', 'r3', 'r4'].map((id) => candidate(id));
+  const home = placeRequest(request(), runners, random)?.id;
+  const lastRunner = runners.find(({ id }) => id !== home)?.id ?? '';
+  const loaded = runners.map((item) =>
+    item.id === home ? { ...item, prefillTokens: 8_000, inFlight: 2 } : item,
+  );
+  for (let attempt = 0; attempt < 10; attempt += 1) {
+    t.is(placeRequest(request({ lastRunner }), loaded, random)?.id, lastRunner);
+  }
+});
+
+test('the place of a session is forgotten once its parts have left the cache', (t) => {
+  const places = new SessionPlaces();
+  places.note('s1', 'r1', 0);
+  places.note('', 'r1', 0);
+  t.is(places.find('s1', 10_000), 'r1');
+  t.is(places.find('s1', 60_000), undefined);
+  t.is(places.find('', 0), undefined);
+});
+
+test('only a bounded number of sessions is remembered, the newest ones', (t) => {
+  const places = new SessionPlaces();
+  for (let session = 0; session < 10_000; session += 1) places.note(`s${session}`, 'r1', 0);
+  t.is(places.find('s0', 0), undefined);
+  t.is(places.find('s9999', 0), 'r1');
+});
