Log what runners are ordered on; hold peaks of demand for less long; use all room in a wave of reclaims

A peak was held twice: it decayed by half in 12 s, and orders are lowered only after 8 s. In a wave the room that is kept for reclaimable runners was not used though they could not be had. The first term of a new deployment no longer waits for a lease that nobody holds.

--- a/packages/gateway/src/node/duty-board.ts
+++ b/packages/gateway/src/node/duty-board.ts
@@ -49,10 +49,10 @@
     return this.#records;
   }
 
-  /** True when the newest term was taken by this node. */
-  async wasHeldHere(): Promise<boolean> {
+  /** Node that took the newest term, if any did. */
+  async newestHolder(): Promise<string | undefined> {
     await this.#read();
-    return this.#termRecord()?.holder === this.#options.node;
+    return this.#termRecord()?.holder;
   }
 
   /** Takes a new term; false when another node was faster. Returns the holder before. */
--- a/packages/gateway/src/node/duty-holder.ts
+++ b/packages/gateway/src/node/duty-holder.ts
@@ -21,6 +21,8 @@
 const TICK_MS = 500;
 /** Further wait of each node behind the first that may take over, in milliseconds: a take-over and its report. */
 const RANK_WAIT_MS = 500;
+/** Time after which the nodes of a new deployment have heard one another, in milliseconds. */
+const INTRODUCTION_MS = 1_000;
 /** Time between taking a term from another node and the first act, in milliseconds: calls of the node before have arrived. */
 const SETTLE_MS = 1_000;
 /** Difference of wall and steady clock over one tick that is taken for a pause of the process, in milliseconds. */
@@ -35,8 +37,9 @@
   #vacantSince: number;
   #actAfter = 0;
   #failures = 0;
-  /** A life of this node before held the newest term. */
-  #wasHolder: boolean | undefined;
+  /** Holder of the newest term when this node started; cleared once the node has tried to take one. */
+  #atStart: { readonly holder: string | undefined } | undefined;
+  #hasLooked = false;
   #lastTick: { readonly steady: number; readonly wall: number } | undefined;
 
   constructor(options: DutyHolderOptions) {
@@ -76,7 +79,7 @@
     const now = clock.monotonic();
     if (isStopping()) return;
     const wasPaused = this.#wasPaused();
-    this.#wasHolder ??= await board.wasHeldHere();
+    await this.#lookOnce();
     if (board.term && wasPaused) {
       log.notable('duty-term-dropped', { token: board.term.fencingToken, reason: 'paused' });
       board.resign();
@@ -100,7 +103,7 @@
   async #takeOver(now: number): Promise<void> {
     const { board, clock, log, duties, node } = this.#options;
     this.#vacantSince = now;
-    this.#wasHolder = false;
+    this.#atStart = undefined;
     const { isTaken, before } = await board.takeOver();
     if (!isTaken || !board.term) return;
     this.#failures = 0;
@@ -111,10 +114,24 @@
 
   /** Nodes wait in the order of their names, so that they do not all take over at once. */
   #waitMs(): number {
-    const { peers, node, leaseMs } = this.#options;
+    const { peers, node } = this.#options;
     const rank = peers.heardIds().filter((id) => id < node).length;
-    const firstMs = peers.hasHolderResigned || this.#wasHolder ? 0 : leaseMs;
-    return firstMs + rank * RANK_WAIT_MS;
+    return this.#firstWaitMs() + rank * RANK_WAIT_MS;
+  }
+
+  /** A holder that may still act is waited for; a life of this node before and a topic without terms need no wait. */
+  #firstWaitMs(): number {
+    const { peers, node, leaseMs } = this.#options;
+    if (peers.hasHolderResigned) return 0;
+    if (!this.#atStart) return leaseMs;
+    if (this.#atStart.holder === undefined) return INTRODUCTION_MS;
+    return this.#atStart.holder === node ? 0 : leaseMs;
+  }
+
+  async #lookOnce(): Promise<void> {
+    if (this.#hasLooked) return;
+    this.#atStart = { holder: await this.#options.board.newestHolder() };
+    this.#hasLooked = true;
   }
 
   #wasPaused(): boolean {
--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -1,4 +1,4 @@
-import type { RunnerDirectory, RunnerEntry, Service } from '@ragwortrudder/catalog';
+import type { RunnerDirectory, RunnerEntry, ScaleBounds, Service } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
 import { planRunners } from '@ragwortrudder/supply';
 import type { DomainRunners, RunnerPlan } from '@ragwortrudder/supply';
@@ -22,6 +22,13 @@
   readonly services: () => readonly Service[];
 }
 
+/** What an order was decided on, for the log. */
+interface OrderInputs {
+  /** Work of the service, in runners that are busy all the time. */
+  readonly busyRunners: number;
+  readonly isWave: boolean;
+}
+
 interface StandingOrder {
   readonly order: RunnerOrderCount;
   readonly at: number;
@@ -35,8 +42,8 @@
 const REPEAT_SLACK_MS = 2_000;
 /** Time after a reclaim within which others are expected, in milliseconds: supply comes back after about a quarter of a minute. */
 const WAVE_MS = 14_000;
-/** What is left of a peak of demand after one look at it: half within twelve seconds. */
-const PEAK_DECAY = 0.97;
+/** What is left of a peak of demand after one look at it: half within four seconds; orders are held longer. */
+const PEAK_DECAY = 0.92;
 /** Part of the runners that are there which is taken to be busy before any demand was seen. */
 const PRESUMED_UTILIZATION = 0.45;
 
@@ -74,26 +81,21 @@
 
   async perform(board: DutyBoard): Promise<void> {
     for (const service of this.#options.services()) {
-      for (const plan of this.#plansFor(service)) await this.#follow(board, service, plan);
+      const { scaling } = service;
+      if (!scaling || Object.keys(scaling.prices).length === 0) continue;
+      const domains = Object.entries(scaling.prices).map(([failureDomain, price]) =>
+        this.#domainOf(service, failureDomain, price),
+      );
+      const inputs: OrderInputs = {
+        busyRunners: this.#busyFor(service.name),
+        isWave: this.#options.clock.monotonic() < this.#waveUntil,
+      };
+      for (const plan of plansFor(scaling, domains, inputs)) {
+        await this.#follow(board, service, plan, inputs);
+      }
     }
   }
 
-  #plansFor(service: Service): readonly RunnerPlan[] {
-    const { scaling } = service;
-    if (!scaling || Object.keys(scaling.prices).length === 0) return [];
-    const domains = Object.entries(scaling.prices).map(([failureDomain, price]) =>
-      this.#domainOf(service, failureDomain, price),
-    );
-    return planRunners({
-      isWave: this.#options.clock.monotonic() < this.#waveUntil,
-      busyRunners: this.#busyFor(service.name),
-      min: scaling.min,
-      max: scaling.max,
-      ...(scaling.spotPrice === undefined ? {} : { spotPrice: scaling.spotPrice }),
-      domains,
-    });
-  }
-
   /** Demand now, or that of a short while ago while it falls. */
   #busyFor(service: string): number {
     const demand = this.#options.demand.perSecond(service);
@@ -148,13 +150,23 @@
     return hasNew && (ordered === undefined || serving < ordered);
   }
 
-  async #follow(board: DutyBoard, service: Service, plan: RunnerPlan): Promise<void> {
+  async #follow(
+    board: DutyBoard,
+    service: Service,
+    plan: RunnerPlan,
+    inputs: OrderInputs,
+  ): Promise<void> {
     const base = { service: service.name, failureDomain: plan.failureDomain };
-    await this.#order(board, service, { ...base, count: plan.spot, isSpot: true });
-    await this.#order(board, service, { ...base, count: plan.onDemand, isSpot: false });
+    await this.#order(board, service, { ...base, count: plan.spot, isSpot: true }, inputs);
+    await this.#order(board, service, { ...base, count: plan.onDemand, isSpot: false }, inputs);
   }
 
-  async #order(board: DutyBoard, service: Service, order: RunnerOrderCount): Promise<void> {
+  async #order(
+    board: DutyBoard,
+    service: Service,
+    order: RunnerOrderCount,
+    { busyRunners, isWave }: OrderInputs,
+  ): Promise<void> {
     const key = keyOf(order);
     if (!this.#isDue(key, service, order)) return;
     const { cloud, clock, log } = this.#options;
@@ -164,7 +176,13 @@
     const isGranted = await cloud.orderRunners(board.term, order);
     this.#standing.set(key, { order, at: clock.monotonic() });
     if (!isGranted) this.#refusedUntil.set(key, clock.monotonic() + REFUSED_MS);
-    log.notable('runners-ordered', { ...order, isGranted, token: board.term.fencingToken });
+    log.notable('runners-ordered', {
+      ...order,
+      busyRunners: Number(busyRunners.toFixed(2)),
+      isWave,
+      isGranted,
+      token: board.term.fencingToken,
+    });
   }
 
   #isDue(key: string, service: Service, order: RunnerOrderCount): boolean {
@@ -207,3 +225,17 @@
       ).length;
   }
 }
+
+function plansFor(
+  { min, max, spotPrice }: ScaleBounds,
+  domains: readonly DomainRunners[],
+  inputs: OrderInputs,
+): readonly RunnerPlan[] {
+  return planRunners({
+    ...inputs,
+    min,
+    max,
+    ...(spotPrice === undefined ? {} : { spotPrice }),
+    domains,
+  });
+}
--- a/packages/supply/src/utils/plan-runners.ts
+++ b/packages/supply/src/utils/plan-runners.ts
@@ -66,8 +66,8 @@
   const spotNow = domains.reduce((sum, { spot }) => sum + Math.min(spot, spotEach), 0);
   const spared = isWave ? 0 : spotNow;
   const onDemand = Math.max(ON_DEMAND_FLOOR, needed - spared);
-  const roomOf = (domain: DomainRunners): number =>
-    max - (domain.isSpotRefused ? Math.min(domain.spot, spotEach) : Math.min(spotEach, max - 1));
+  const roomOf = ({ spot, isSpotRefused }: DomainRunners): number =>
+    max - (isWave || isSpotRefused ? Math.min(spot, spotEach) : Math.min(spotEach, max - 1));
   const placed = placeOnDemand(onDemand, domains, roomOf);
   return domains.map(({ failureDomain }) => {
     const ordered = placed.get(failureDomain) ?? 0;
--- a/test/gateway/duty-board.test.ts
+++ b/test/gateway/duty-board.test.ts
@@ -58,6 +58,6 @@
 test('a node that starts again finds that it held the newest term', async (t) => {
   const log = new MemoryKeyedLog();
   await new DutyBoard({ log, node: 'n1' }).takeOver();
-  t.true(await new DutyBoard({ log, node: 'n1' }).wasHeldHere());
-  t.false(await new DutyBoard({ log, node: 'n2' }).wasHeldHere());
+  t.is(await new DutyBoard({ log, node: 'n2' }).newestHolder(), 'n1');
+  t.is(await new DutyBoard({ log: new MemoryKeyedLog(), node: 'n2' }).newestHolder(), undefined);
 });
--- a/test/gateway/duty-holder.test.ts
+++ b/test/gateway/duty-holder.test.ts
@@ -114,3 +114,9 @@
   isStopping = true;
   t.is(holder.toldToken, 0);
 });
+
+test('pattern: start of a new deployment; the first term is taken without waiting for a lease', async (t) => {
+  const { acts, board } = start(t, new MemoryKeyedLog());
+  await until(() => acts.length > 0);
+  t.truthy(board.term);
+});
--- a/test/supply/plan-runners.test.ts
+++ b/test/supply/plan-runners.test.ts
@@ -71,3 +71,15 @@
     }
   }
 });
+
+test('pattern: wave of reclaims; on-demand runners use the room that reclaimable ones have left', (t) => {
+  const domains = [
+    domain('a', { spot: 2, onDemand: 1 }),
+    domain('b', { spot: 2 }),
+    domain('c', { isSpotRefused: true }),
+  ];
+  const bounds = { min: 1, max: 6, spotPrice: 0.2, isWave: true };
+  const plans = planRunners({ ...bounds, busyRunners: 7, domains });
+  t.true(totals(plans).onDemand >= 10, JSON.stringify(plans));
+  for (const { spot, onDemand } of plans) t.true(spot + onDemand <= 6);
+});
