Add a randomized soak of serve-platform as separate processes

Faults from outside (signals, loopback proxy, stand-ins of store, API and runners) are drawn from a seed; a ledger judges what callers and runners saw: at most once, own answer whole and in order, true refusals, one holder of duties, recovery.

--- /dev/null
+++ b/packages/soak/src/cli/soak.ts
@@ -0,0 +1,52 @@
+/** Runs seeds of the soak; exits not 0 when one broke a promise. */
+import { rmSync } from 'node:fs';
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { Soak } from '../node/soak.ts';
+import type { SoakResult } from '../types/soak-result.ts';
+
+const MS_PER_MINUTE = 60_000;
+const SHOWN_VIOLATIONS = 5;
+const FOLDER = '.soak';
+
+function print({ seed, faults, requests, statuses, violations }: SoakResult): void {
+  const counts = Object.entries(statuses).map(([status, count]) => `${status}: ${count}`);
+  process.stdout.write(
+    `seed ${seed}: ${faults.length} faults, ${requests} requests (${counts.join(', ')}), ${violations.length} violations\n`,
+  );
+  for (const { promise, message } of violations.slice(0, SHOWN_VIOLATIONS)) {
+    process.stdout.write(`  ${promise}: ${message}\n`);
+  }
+}
+
+const args = await yargs(hideBin(process.argv))
+  .option('seed', { type: 'number', default: 1, describe: 'first seed' })
+  .option('seeds', { type: 'number', default: 1, describe: 'runs, with consecutive seeds' })
+  .option('minutes', { type: 'number', default: 1, describe: 'traffic of each run' })
+  .option('nodes', { type: 'number', default: 3, describe: 'nodes, each a process' })
+  .option('callers', {
+    type: 'number',
+    default: 12,
+    describe: 'callers, each with one request at a time',
+  })
+  .option('plan', { type: 'boolean', default: false, describe: 'print the faults of each run' })
+  .strict()
+  .parseAsync();
+
+let broken = 0;
+for (let seed = args.seed; seed < args.seed + args.seeds; seed += 1) {
+  const folder = `${FOLDER}/${seed}`;
+  const result = await new Soak({
+    seed,
+    lengthMs: args.minutes * MS_PER_MINUTE,
+    nodes: args.nodes,
+    callers: args.callers,
+    folder,
+  }).run();
+  print(result);
+  if (args.plan) process.stdout.write(`${JSON.stringify(result.faults)}\n`);
+  if (result.violations.length > 0) broken += 1;
+  else rmSync(folder, { recursive: true, force: true });
+}
+process.stdout.write(`${args.seeds} seeds, ${broken} with violations\n`);
+process.exitCode = broken === 0 ? 0 : 1;
--- /dev/null
+++ b/packages/soak/src/index.ts
@@ -0,0 +1,12 @@
+export { Soak } from './node/soak.ts';
+export type { FaultKind } from './types/fault-kind.ts';
+export type { PlannedFault } from './types/planned-fault.ts';
+export type { RequestKind } from './types/request-kind.ts';
+export type { SeenAnswer } from './types/seen-answer.ts';
+export type { SeenRun } from './types/seen-run.ts';
+export type { SentRequest } from './types/sent-request.ts';
+export type { SoakOptions } from './types/soak-options.ts';
+export type { SoakResult } from './types/soak-result.ts';
+export type { Violation } from './types/violation.ts';
+export { Ledger } from './utils/ledger.ts';
+export { planFaults } from './utils/plan-faults.ts';
--- /dev/null
+++ b/packages/soak/src/node/fault-injector.ts
@@ -0,0 +1,132 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { KeyedStore, Relay, RelayMode } from '@ragwortrudder/standins';
+import type { PlannedFault } from '../types/planned-fault.ts';
+import type { RunnerMode } from '../types/runner-mode.ts';
+import type { Roster } from './roster.ts';
+import type { SoakCloud } from './soak-cloud.ts';
+import type { SoakNode } from './soak-node.ts';
+
+interface FaultInjectorOptions {
+  readonly nodes: readonly SoakNode[];
+  readonly store: KeyedStore;
+  readonly cloud: SoakCloud;
+  readonly relay: Relay;
+  readonly roster: Roster;
+}
+
+type StoreFault = Parameters<KeyedStore['setFault']>[0];
+
+const SLOW_LINK_MS = 150;
+/** Pause between the stops of a series, in milliseconds. */
+const ROLL_GAP_MS = 1_200;
+
+/** Brings faults about and ends them; a fault that is still on when another of its kind ends is ended with it. */
+export class FaultInjector {
+  readonly #options: FaultInjectorOptions;
+
+  constructor(options: FaultInjectorOptions) {
+    this.#options = options;
+  }
+
+  /** Brings one fault about; settles once it has ended. */
+  async inject(fault: PlannedFault): Promise<void> {
+    const { store, cloud, roster } = this.#options;
+    const { kind, forMs, target } = fault;
+    switch (kind) {
+      case 'node-stop':
+        this.#node(target)?.signal('SIGTERM');
+        return;
+      case 'node-kill':
+        this.#node(target)?.signal('SIGKILL');
+        return;
+      case 'node-pause':
+        return this.#pause(target, forMs);
+      case 'node-reload':
+        this.#node(target)?.reload({ quotas: { overage: 0.1, slack: 100 + target } });
+        return;
+      case 'all-kill':
+        for (const node of this.#options.nodes) node.signal('SIGKILL');
+        return;
+      case 'roll-stop':
+        return this.#stopInTurn();
+      case 'store-forgets':
+        store.dropHistory('keyed.servers');
+        store.dropHistory('keyed.op');
+        return;
+      case 'store-busy':
+        return this.#storeFault('busy', forMs);
+      case 'store-silent':
+        return this.#storeFault('silent', forMs);
+      case 'store-reset':
+        return this.#storeFault('reset', forMs);
+      case 'store-lost':
+        return this.#storeFault('lost', forMs);
+      case 'cloud-down':
+        cloud.setDown(true);
+        await sleep(forMs);
+        cloud.setDown(false);
+        return;
+      case 'runner-crash':
+        return roster.crash(target, forMs);
+      case 'runner-drain':
+        return roster.drain(target, forMs);
+      case 'configure':
+        roster.configure();
+        return;
+      case 'runner-errors':
+        return this.#runnerMode(target, 'errors', forMs);
+      case 'runner-mute':
+        return this.#runnerMode(target, 'mute', forMs);
+      case 'runner-break-off':
+        return this.#runnerMode(target, 'break-off', forMs);
+      default:
+        return this.#linkFault(fault);
+    }
+  }
+
+  #node(target: number): SoakNode | undefined {
+    return this.#options.nodes[target];
+  }
+
+  async #pause(target: number, forMs: number): Promise<void> {
+    this.#node(target)?.signal('SIGSTOP');
+    await sleep(forMs);
+    this.#node(target)?.signal('SIGCONT');
+  }
+
+  async #stopInTurn(): Promise<void> {
+    for (const node of this.#options.nodes) {
+      node.signal('SIGTERM');
+      await sleep(ROLL_GAP_MS);
+    }
+  }
+
+  async #storeFault(fault: StoreFault, forMs: number): Promise<void> {
+    this.#options.store.setFault(fault);
+    await sleep(forMs);
+    this.#options.store.setFault('none');
+  }
+
+  async #runnerMode(target: number, mode: RunnerMode, forMs: number): Promise<void> {
+    const runner = this.#options.roster.runnerAt(target);
+    runner?.setMode(mode);
+    await sleep(forMs);
+    runner?.setMode('sound');
+  }
+
+  async #linkFault({ kind, forMs, target }: PlannedFault): Promise<void> {
+    const { relay } = this.#options;
+    const name = kind.startsWith('store') ? `store-${target}` : `runner-${target}`;
+    const mode: RelayMode = kind.endsWith('cut')
+      ? 'cut'
+      : kind.endsWith('silent')
+        ? 'silent'
+        : kind.endsWith('one-way')
+          ? 'one-way-request-only'
+          : 'open';
+    const delayMs = kind.endsWith('slow') ? SLOW_LINK_MS : 0;
+    await relay.setFault({ name, mode, delayMs });
+    await sleep(forMs);
+    await relay.setFault({ name, mode: 'open', delayMs: 0 });
+  }
+}
--- /dev/null
+++ b/packages/soak/src/node/soak-caller.ts
@@ -0,0 +1,130 @@
+import { Agent, request as sendRequest } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Closeable, Random } from '@ragwortrudder/core';
+import type { RequestKind } from '../types/request-kind.ts';
+import type { SentRequest } from '../types/sent-request.ts';
+import type { Ledger } from '../utils/ledger.ts';
+
+/** Node as callers reach it. */
+interface CalledNode {
+  readonly id: string;
+  readonly address: string;
+}
+
+interface SoakCallerOptions {
+  readonly name: string;
+  readonly nodes: readonly CalledNode[];
+  readonly team: string;
+  readonly apiKey: string;
+  readonly ledger: Ledger;
+  readonly random: Random;
+}
+
+const KINDS: readonly RequestKind[] = ['order', 'read', 'draft', 'ask'];
+const DEADLINE_MS = 4_000;
+/** Time after the deadline at which a caller gives up, in milliseconds. */
+const PATIENCE_MS = 1_500;
+const MAX_PAUSE_MS = 120;
+const MIN_EVENTS = 5;
+const MORE_EVENTS = 30;
+
+/** Caller that sends one request after the other on connections that it keeps as long as they last. */
+export class SoakCaller implements Closeable {
+  readonly #options: SoakCallerOptions;
+  readonly #agent = new Agent({ keepAlive: true });
+  #count = 0;
+  #isClosing = false;
+  #running: Promise<void> = Promise.resolve();
+
+  constructor(options: SoakCallerOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#running = this.#loop();
+  }
+
+  /** Ends after the request in progress. */
+  async close(): Promise<void> {
+    this.#isClosing = true;
+    await this.#running;
+    this.#agent.destroy();
+  }
+
+  async #loop(): Promise<void> {
+    const { random, nodes } = this.#options;
+    while (!this.#isClosing) {
+      const node = nodes[Math.floor(random.next() * nodes.length)];
+      const kind = KINDS[Math.floor(random.next() * KINDS.length)];
+      if (node && kind) await this.#send(node, kind);
+      await sleep(random.next() * MAX_PAUSE_MS);
+    }
+  }
+
+  #send(node: CalledNode, kind: RequestKind): Promise<void> {
+    const { name, team, ledger, random } = this.#options;
+    this.#count += 1;
+    const isStream = kind === 'draft' || kind === 'ask';
+    const request: SentRequest = {
+      id: `${name}-${this.#count}`,
+      kind,
+      node: node.id,
+      team,
+      body: kind === 'read' ? '' : `body of ${name}-${this.#count}`,
+      events: isStream ? MIN_EVENTS + Math.floor(random.next() * MORE_EVENTS) : 0,
+      at: performance.now(),
+    };
+    ledger.sent(request);
+    return this.#exchange(node, request);
+  }
+
+  #exchange(node: CalledNode, { id, kind, body, events }: SentRequest): Promise<void> {
+    const { apiKey, ledger } = this.#options;
+    return new Promise((resolve) => {
+      let status: number | undefined;
+      let signature: string | undefined;
+      const chunks: Buffer[] = [];
+      let isDone = false;
+      const finish = (isWhole: boolean): void => {
+        if (isDone) return;
+        isDone = true;
+        clearTimeout(timer);
+        const text = Buffer.concat(chunks).toString();
+        ledger.answered({ id, status, signature, body: text, isWhole, at: performance.now() });
+        resolve();
+      };
+      const client = sendRequest({
+        host: node.address.split(':')[0],
+        port: node.address.split(':')[1],
+        agent: this.#agent,
+        method: kind === 'read' ? 'GET' : 'POST',
+        path: `/${kind}/x${events > 0 ? `?events=${events}` : ''}`,
+        headers: {
+          Host: 'soak.example',
+          'Request-Id': id,
+          'X-Api-Key': apiKey,
+          'Deadline-Ms': String(DEADLINE_MS),
+          ...(body === '' ? {} : { 'Content-Length': String(Buffer.byteLength(body)) }),
+        },
+      });
+      const timer = setTimeout(() => {
+        client.destroy();
+        finish(false);
+      }, DEADLINE_MS + PATIENCE_MS);
+      client.on('error', () => {
+        finish(false);
+      });
+      client.on('response', (response) => {
+        status = response.statusCode;
+        const stated = response.headers['response-signature'];
+        signature = typeof stated === 'string' ? stated : undefined;
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          finish(response.complete);
+        });
+      });
+      client.end(body === '' ? undefined : body);
+    });
+  }
+}
--- /dev/null
+++ b/packages/soak/src/node/soak-node.ts
@@ -0,0 +1,85 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { createWriteStream, writeFileSync } from 'node:fs';
+import type { WriteStream } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import type { Closeable } from '@ragwortrudder/core';
+
+interface SoakNodeOptions {
+  readonly id: string;
+  readonly folder: string;
+  readonly settings: object;
+}
+
+const MAIN = fileURLToPath(new URL('../../../cli/src/cli/main.ts', import.meta.url));
+/** Pause before a process that ended starts again, in milliseconds. */
+const RESTART_MS = 200;
+
+/** Node under test: a process of its own that starts again whenever it ends. */
+export class SoakNode implements Closeable {
+  readonly id: string;
+  readonly #settingsPath: string;
+  readonly #log: WriteStream;
+  #settings: object;
+  #child: ChildProcess | undefined;
+  #ended: Promise<void> = Promise.resolve();
+  #isClosing = false;
+  #lives = 0;
+
+  constructor({ id, folder, settings }: SoakNodeOptions) {
+    this.id = id;
+    this.#settings = settings;
+    this.#settingsPath = join(folder, `${id}.json`);
+    this.#log = createWriteStream(join(folder, `${id}.log`));
+  }
+
+  /** Starts of the process so far. */
+  get lives(): number {
+    return this.#lives;
+  }
+
+  start(): void {
+    writeFileSync(this.#settingsPath, JSON.stringify(this.#settings));
+    this.#lives += 1;
+    const child = spawn(process.execPath, ['--import=tsx', MAIN, 'serve-platform'], {
+      env: { ...process.env, RAGWORTRUDDER_CONFIG: this.#settingsPath, NODE_NO_WARNINGS: '1' },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.#child = child;
+    child.stdout.pipe(this.#log, { end: false });
+    child.stderr.pipe(this.#log, { end: false });
+    this.#ended = new Promise((resolve) => {
+      child.once('close', () => {
+        setTimeout(() => {
+          this.#restart();
+        }, RESTART_MS);
+        resolve();
+      });
+    });
+  }
+
+  /** Sends a signal to this process only. */
+  signal(signal: NodeJS.Signals): void {
+    this.#child?.kill(signal);
+  }
+
+  /** Writes other settings and tells the process. */
+  reload(change: object): void {
+    this.#settings = { ...this.#settings, ...change };
+    writeFileSync(this.#settingsPath, JSON.stringify(this.#settings));
+    this.signal('SIGHUP');
+  }
+
+  async close(): Promise<void> {
+    this.#isClosing = true;
+    this.signal('SIGCONT');
+    this.signal('SIGKILL');
+    await this.#ended;
+    this.#log.end();
+  }
+
+  #restart(): void {
+    if (!this.#isClosing) this.start();
+  }
+}
--- /dev/null
+++ b/packages/soak/src/node/soak-runner.ts
@@ -0,0 +1,145 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Closeable } from '@ragwortrudder/core';
+import type { RunnerMode } from '../types/runner-mode.ts';
+import type { SeenRun } from '../types/seen-run.ts';
+import { streamText } from '../utils/stream-text.ts';
+
+interface SoakRunnerOptions {
+  readonly id: string;
+  readonly onRun: (run: SeenRun) => void;
+}
+
+const HTTP_OK = 200;
+const HTTP_MISDIRECTED = 421;
+const HTTP_SERVER_ERROR = 500;
+const HTTP_UNAVAILABLE = 503;
+const SLOTS = 32;
+const CALL_MS = 40;
+const EVENT_MS = 20;
+/** Event after which a stream of a runner that breaks off ends. */
+const BROKEN_EVENT = 3;
+
+/** Runner that answers each request with what belongs to it, and tells what it ran. */
+export class SoakRunner implements Closeable {
+  readonly #options: SoakRunnerOptions;
+  #server: Server;
+  #port = 0;
+  #running = 0;
+  #mode: RunnerMode = 'sound';
+
+  constructor(options: SoakRunnerOptions) {
+    this.#options = options;
+    this.#server = this.#createServer();
+  }
+
+  get id(): string {
+    return this.#options.id;
+  }
+
+  get address(): string {
+    return `127.0.0.1:${this.#port}`;
+  }
+
+  setMode(mode: RunnerMode): void {
+    this.#mode = mode;
+  }
+
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(this.#port, '127.0.0.1', resolve);
+    });
+    this.#port = (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Ends all connections and refuses new ones, as a process that is gone. */
+  async close(): Promise<void> {
+    const server = this.#server;
+    this.#server = this.#createServer();
+    server.closeAllConnections();
+    await new Promise((resolve) => server.close(resolve));
+  }
+
+  #createServer(): Server {
+    return createServer((request, response) => {
+      void this.#serve(request, response);
+    });
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.on('error', () => undefined);
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const id = String(request.headers['request-id'] ?? '');
+    response.setHeader('Request-Id', id);
+    if (request.headers['target-instance'] !== this.id) {
+      response.writeHead(HTTP_MISDIRECTED, { 'Not-Executed': '1' });
+      response.end();
+      return;
+    }
+    if (this.#running >= SLOTS) {
+      response.writeHead(HTTP_UNAVAILABLE, { 'Not-Executed': '1' });
+      response.end();
+      return;
+    }
+    const after = Number(request.headers['last-event-id'] ?? 0);
+    const team = request.headers.tenant;
+    this.#options.onRun({
+      id,
+      runner: this.id,
+      team: typeof team === 'string' ? team : undefined,
+      body: Buffer.concat(chunks).toString(),
+      after,
+      at: performance.now(),
+    });
+    response.setHeader('Response-Signature', `${this.id}.${id}`);
+    this.#running += 1;
+    try {
+      await this.#answer(request, response, { id, after });
+    } finally {
+      this.#running -= 1;
+    }
+  }
+
+  async #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { id, after }: { readonly id: string; readonly after: number },
+  ): Promise<void> {
+    const mode = this.#mode;
+    if (mode === 'mute') return;
+    const events = Number(new URL(request.url ?? '/', 'http://runner').searchParams.get('events'));
+    await sleep(CALL_MS);
+    if (response.destroyed) return;
+    if (mode === 'errors') {
+      response.writeHead(HTTP_SERVER_ERROR);
+      response.end('failed');
+      return;
+    }
+    response.setHeader('Server-Load', `${this.#running},0,${SLOTS}`);
+    if (events === 0) {
+      if (mode === 'break-off') request.socket.destroy();
+      else {
+        response.writeHead(HTTP_OK);
+        response.end(`done ${id}`);
+      }
+      return;
+    }
+    response.writeHead(HTTP_OK, { 'Content-Type': 'text/event-stream' });
+    for (let event = after + 1; event <= events; event += 1) {
+      if (response.closed) return;
+      const text = streamText(id, event, events);
+      if (mode === 'break-off' && event === BROKEN_EVENT) {
+        response.write(text.slice(0, text.length / 2));
+        request.socket.destroySoon();
+        return;
+      }
+      response.write(text);
+      await sleep(EVENT_MS);
+    }
+    response.end();
+  }
+}
--- /dev/null
+++ b/packages/soak/src/types/runner-mode.ts
@@ -0,0 +1,2 @@
+/** What a runner does with requests: serves them, or fails in one way. */
+export type RunnerMode = 'sound' | 'errors' | 'mute' | 'break-off';
--- /dev/null
+++ b/packages/soak/src/types/soak-options.ts
@@ -0,0 +1,10 @@
+/** One run of the soak. */
+export interface SoakOptions {
+  readonly seed: number;
+  /** Length of the traffic, in milliseconds. */
+  readonly lengthMs: number;
+  readonly nodes: number;
+  readonly callers: number;
+  /** Folder for the nodes' settings and logs. */
+  readonly folder: string;
+}
--- /dev/null
+++ b/packages/soak/src/utils/ledger.ts
@@ -0,0 +1,131 @@
+import type { SeenAnswer } from '../types/seen-answer.ts';
+import type { SeenRun } from '../types/seen-run.ts';
+import type { SentRequest } from '../types/sent-request.ts';
+import type { Violation } from '../types/violation.ts';
+import { streamText } from './stream-text.ts';
+
+const OK = 200;
+/** Statuses that promise that the request has not run and never will. */
+const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Runs that one request that may be repeated may have. */
+const MAX_ATTEMPTS = 2;
+
+function mayRepeat({ kind }: SentRequest): boolean {
+  return kind === 'read' || kind === 'ask';
+}
+
+function isStream({ kind }: SentRequest): boolean {
+  return kind === 'draft' || kind === 'ask';
+}
+
+/** What callers sent and received and what runners ran; judges it by the promises. */
+export class Ledger {
+  readonly #sent = new Map<string, SentRequest>();
+  readonly #runs = new Map<string, SeenRun[]>();
+  readonly #answers = new Map<string, SeenAnswer>();
+  readonly #violations: Violation[] = [];
+
+  sent(request: SentRequest): void {
+    this.#sent.set(request.id, request);
+  }
+
+  ran(run: SeenRun): void {
+    const request = this.#sent.get(run.id);
+    if (!request) {
+      this.violated('unasked', `${run.runner} ran ${run.id}, which nobody sent`);
+      return;
+    }
+    if (run.body !== request.body) {
+      this.violated('unasked', `${run.runner} ran ${run.id} with another body`);
+    }
+    if (run.team !== request.team) {
+      this.violated('unasked', `${run.runner} ran ${run.id} for team ${String(run.team)}`);
+    }
+    this.#runs.set(run.id, [...(this.#runs.get(run.id) ?? []), run]);
+  }
+
+  answered(answer: SeenAnswer): void {
+    if (this.#answers.has(answer.id)) {
+      this.violated('own-answer', `${answer.id} was answered twice`);
+    }
+    this.#answers.set(answer.id, answer);
+  }
+
+  /** Records what another check saw. */
+  violated(promise: string, message: string): void {
+    this.#violations.push({ promise, message });
+  }
+
+  /** Requests sent from `fromMs` on: how many, and how many were answered with success. */
+  servedSince(fromMs: number): { readonly sent: number; readonly served: number } {
+    const sent = [...this.#sent.values()].filter(({ at }) => at >= fromMs);
+    const served = sent.filter(({ id }) => {
+      const answer = this.#answers.get(id);
+      return answer?.status === OK && answer.isWhole;
+    });
+    return { sent: sent.length, served: served.length };
+  }
+
+  /** Answers by status. */
+  get statuses(): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    for (const { status } of this.#answers.values()) {
+      const name = status === undefined ? 'none' : String(status);
+      counts[name] = (counts[name] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  /** All that was broken, once the last request has ended. */
+  judge(): readonly Violation[] {
+    for (const request of this.#sent.values()) {
+      this.#judgeRuns(request);
+      this.#judgeAnswer(request);
+    }
+    return this.#violations;
+  }
+
+  #judgeRuns(request: SentRequest): void {
+    const runs = this.#runs.get(request.id) ?? [];
+    const most = mayRepeat(request) ? MAX_ATTEMPTS : 1;
+    if (runs.length > most) {
+      const where = runs.map(({ runner }) => runner).join(', ');
+      this.violated('at-most-once', `${request.id} (${request.kind}) ran at ${where}`);
+    }
+    const status = this.#answers.get(request.id)?.status ?? 0;
+    if (NOT_RUN.has(status) && runs.length > 0 && !mayRepeat(request)) {
+      this.violated('true-refusal', `${request.id} (${request.kind}) had ${status} and ran`);
+    }
+  }
+
+  #judgeAnswer(request: SentRequest): void {
+    const answer = this.#answers.get(request.id);
+    if (answer?.status !== OK) return;
+    const run = this.#runs.get(request.id)?.[0];
+    if (!run) {
+      this.violated('own-answer', `${request.id} was answered and has not run`);
+      return;
+    }
+    if (answer.signature !== `${run.runner}.${request.id}` && !mayRepeat(request)) {
+      this.violated('own-answer', `${request.id} has the signature ${String(answer.signature)}`);
+    }
+    if (isStream(request)) this.#judgeStream(request, answer);
+    else if (answer.isWhole && answer.body !== `done ${request.id}`) {
+      this.violated('own-answer', `${request.id} was answered with ${answer.body.slice(0, 60)}`);
+    }
+  }
+
+  /** What arrived is the events from the first on, in order; all of them when it looks complete. */
+  #judgeStream({ id, events }: SentRequest, { body, isWhole }: SeenAnswer): void {
+    const all = Array.from({ length: events }, (_item, index) => streamText(id, index + 1, events));
+    const whole = all.join('');
+    if (isWhole && body !== whole) {
+      this.violated('stream-order', `${id} looks complete and is not: ${body.slice(-60)}`);
+    } else if (!whole.startsWith(body)) {
+      this.violated(
+        'stream-order',
+        `${id} has events missing, twice or of another: ${body.slice(-60)}`,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/test/soak/soak.test.ts
@@ -0,0 +1,21 @@
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'ava';
+import { Soak } from '@ragwortrudder/soak';
+
+const SEED = 1;
+const LENGTH_MS = 24_000;
+
+test('a short seeded soak of three processes breaks no promise', async (t) => {
+  const folder = mkdtempSync(join(tmpdir(), 'soak-'));
+  const result = await new Soak({
+    seed: SEED,
+    lengthMs: LENGTH_MS,
+    nodes: 3,
+    callers: 6,
+    folder,
+  }).run();
+  t.deepEqual(result.violations, [], `logs in ${folder}`);
+  t.true(result.faults.length > 0);
+});
