Load the command line of the binary only when it is used, and leave zod's translations out

Cause: a node on the users' platform held the bundle of all commands in memory and compiled it at its start. The rest of the commands is an asset of the binary.

--- a/packages/claims/src/types/claim-entry.ts
+++ b/packages/claims/src/types/claim-entry.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { OutcomeWord } from './outcome-word.ts';
 import { Owner } from './owner.ts';
 
--- a/packages/claims/src/types/claim-state.ts
+++ b/packages/claims/src/types/claim-state.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { ClaimRecord } from './claim-record.ts';
 
 const Bucket = z.array(ClaimRecord.readonly()).readonly();
--- a/packages/claims/src/types/key-transfer.ts
+++ b/packages/claims/src/types/key-transfer.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Owner } from './owner.ts';
 
 /** Message that gives a key to another executor; receiving it twice has the effect of once. */
--- a/packages/claims/src/types/outcome-word.ts
+++ b/packages/claims/src/types/outcome-word.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Last word on a non-idempotent request. */
 export const OutcomeWord = z.enum(['completed', 'failed', 'not-run', 'unknown']);
--- a/packages/claims/src/types/owner.ts
+++ b/packages/claims/src/types/owner.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** One life of one node, as named in claims and issued keys. */
 export const Owner = z.strictObject({
--- a/packages/cli/src/cli/main.ts
+++ b/packages/cli/src/cli/main.ts
@@ -1,4 +1,5 @@
 import '../node/expected-warnings.ts';
+import { embeddedCommandLine } from '../node/embedded-command-line.ts';
 import { hideBin } from 'yargs/helpers';
 
 const args = hideBin(process.argv);
@@ -9,7 +10,7 @@
     const { servePlatformNode } = await import('../node/serve-platform-node.ts');
     return servePlatformNode();
   }
-  const { run } = await import('../node/run.ts');
+  const { run } = embeddedCommandLine() ?? (await import('../node/run.ts'));
   return run(args);
 }
 
--- a/packages/client/src/types/issued-key.ts
+++ b/packages/client/src/types/issued-key.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Answer to a request for a key. */
 export const IssuedKey = z.object({ key: z.string() }).readonly();
--- a/packages/client/src/types/key-report.ts
+++ b/packages/client/src/types/key-report.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What became of the request under an idempotency key. */
 export const KeyReport = z
--- a/packages/client/src/types/problem.ts
+++ b/packages/client/src/types/problem.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Body of an error answer (RFC 9457). */
 export const Problem = z
--- a/packages/client/src/types/ticket-list.ts
+++ b/packages/client/src/types/ticket-list.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { TicketReport } from './ticket-report.ts';
 
 /** The newest tickets, newest first. */
--- a/packages/history/src/types/history-event.ts
+++ b/packages/history/src/types/history-event.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const base = {
   /** Name of the recording process. */
--- a/packages/leases/src/types/lease-entry.ts
+++ b/packages/leases/src/types/lease-entry.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const job = z.string().min(1);
 const holder = z.string().min(1);
--- a/packages/leases/src/types/lease-record.ts
+++ b/packages/leases/src/types/lease-record.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The last effective lease of one job. */
 export const LeaseRecord = z.strictObject({
--- a/packages/leases/src/types/lease-state.ts
+++ b/packages/leases/src/types/lease-state.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { LeaseRecord } from './lease-record.ts';
 
 /** Fold of the stream `leases`; plain JSON, so that it can be kept in snapshots. */
--- a/packages/log/src/types/hashed-record.ts
+++ b/packages/log/src/types/hashed-record.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Record with the chained hash of the stream up to and including it. */
 export const HashedRecord = z
--- a/packages/log/src/types/prefix.ts
+++ b/packages/log/src/types/prefix.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { HashedRecord } from './hashed-record.ts';
 
 /** Part of a stream as one follower hands it to another. */
--- a/packages/log/src/utils/entries-of.ts
+++ b/packages/log/src/utils/entries-of.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Entry } from '../types/entry.ts';
 import type { LogRecord } from '../types/log-record.ts';
 import { POSITIONS_PER_RECORD } from './positions-per-record.ts';
--- a/packages/membership/src/types/gossip.ts
+++ b/packages/membership/src/types/gossip.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Member } from './member.ts';
 import { SoftStateEntry } from './soft-state-entry.ts';
 
--- a/packages/membership/src/types/indirect-probe.ts
+++ b/packages/membership/src/types/indirect-probe.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { ProbeMessage } from './probe-message.ts';
 
 /** Request to probe a third node on behalf of the sender. */
--- a/packages/membership/src/types/member.ts
+++ b/packages/membership/src/types/member.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** One life of one node as known to the members; the same shape is exchanged between nodes. */
 export const Member = z
--- a/packages/membership/src/types/origin-version.ts
+++ b/packages/membership/src/types/origin-version.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Newest version known of one origin's entry; the receiver answers with a newer entry when it has one. */
 export const OriginVersion = z
--- a/packages/membership/src/types/probe-message.ts
+++ b/packages/membership/src/types/probe-message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Gossip } from './gossip.ts';
 import { SyncRequest } from './sync-request.ts';
 
--- a/packages/membership/src/types/probe-reply.ts
+++ b/packages/membership/src/types/probe-reply.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Gossip } from './gossip.ts';
 
 /** Answer to a probe. */
--- a/packages/membership/src/types/soft-state-entry.ts
+++ b/packages/membership/src/types/soft-state-entry.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Value published by one incarnation of a node; a larger incarnation, then a larger version, wins. */
 export const SoftStateEntry = z
--- a/packages/membership/src/types/sync-request.ts
+++ b/packages/membership/src/types/sync-request.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { OriginVersion } from './origin-version.ts';
 
 const MAX_ORIGINS = 1024;
--- a/packages/moves/src/types/bad-mark.ts
+++ b/packages/moves/src/types/bad-mark.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Sticky statement of one node that the new version of a move is bad. */
 export const BadMark = z
--- a/packages/moves/src/types/evidence.ts
+++ b/packages/moves/src/types/evidence.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { EvidenceCell } from './evidence-cell.ts';
 
 const MAX_CELLS = 4096;
--- a/packages/node/src/node/peers/peer-methods.ts
+++ b/packages/node/src/node/peers/peer-methods.ts
@@ -1,6 +1,6 @@
 import { inject, injectable } from 'inversify';
 import { JSONRPCServer } from 'json-rpc-2.0';
-import { z } from 'zod';
+import * as z from 'zod';
 import { InvalidInput } from '@ragwortrudder/core';
 import { BodyMalformed } from '../../errors/body-malformed.ts';
 import type { RpcMethod } from '../../types/rpc-method.ts';
--- a/packages/node/src/node/runners/application-client.ts
+++ b/packages/node/src/node/runners/application-client.ts
@@ -2,7 +2,7 @@
 import got, { RequestError } from 'got';
 import type { Response } from 'got';
 import { inject, injectable } from 'inversify';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Closeable } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import type { OperationAnswer } from '../../types/operation-answer.ts';
--- a/packages/node/src/types/cache-listing.ts
+++ b/packages/node/src/types/cache-listing.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Answer of a model engine to `GET /cache/snapshot`. */
 export const CacheListing = z
--- a/packages/node/src/types/engine-event.ts
+++ b/packages/node/src/types/engine-event.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Event of a model engine's stream. */
 export const EngineEvent = z.discriminatedUnion('type', [
--- a/packages/node/src/types/engine-state.ts
+++ b/packages/node/src/types/engine-state.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What a model engine was last ordered to serve. */
 export const EngineState = z.object({
--- a/packages/node/src/types/methods/keys-find.ts
+++ b/packages/node/src/types/methods/keys-find.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { OutcomeWord } from '@ragwortrudder/claims';
 import type { RpcMethod } from '../rpc-method.ts';
 
--- a/packages/node/src/types/methods/requests-hand-over.ts
+++ b/packages/node/src/types/methods/requests-hand-over.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { KeyTransfer } from '@ragwortrudder/claims';
 import { RequestCopy } from '@ragwortrudder/requests';
 import type { RpcMethod } from '../rpc-method.ts';
--- a/packages/node/src/types/refusal-data.ts
+++ b/packages/node/src/types/refusal-data.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** A failure as one node tells it to another. */
 export const RefusalData = z
--- a/packages/node/src/types/report.ts
+++ b/packages/node/src/types/report.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { BadMark, Evidence } from '@ragwortrudder/moves';
 
 /** What each node tells the others about itself, exchanged with the membership. */
--- a/packages/node/src/types/runner-load.ts
+++ b/packages/node/src/types/runner-load.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Answer of a runner to `GET /load`. */
 export const RunnerLoad = z
--- a/packages/platform/src/node/cloud-api.ts
+++ b/packages/platform/src/node/cloud-api.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Closeable } from '@ragwortrudder/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import { NotFound } from '../errors/not-found.ts';
 import { PlatformUnavailable } from '../errors/platform-unavailable.ts';
 import { UnexpectedAnswer } from '../errors/unexpected-answer.ts';
--- a/packages/platform/src/node/vm-directory.ts
+++ b/packages/platform/src/node/vm-directory.ts
@@ -1,5 +1,5 @@
 import type { Closeable } from '@ragwortrudder/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ClientOptions } from '../types/client-options.ts';
 import { Vm } from '../types/vm.ts';
 import { checkStatus } from '../utils/check-status.ts';
--- a/packages/platform/src/types/append-answer.ts
+++ b/packages/platform/src/types/append-answer.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Answer to an append. */
 export const AppendAnswer = z.object({ offset: z.int().nonnegative() }).readonly();
--- a/packages/platform/src/types/expired-answer.ts
+++ b/packages/platform/src/types/expired-answer.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Answer to a read of records past retention. */
 export const ExpiredAnswer = z
--- a/packages/platform/src/types/notice-page.ts
+++ b/packages/platform/src/types/notice-page.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Notice } from './notice.ts';
 
 /** Notices after a sequence number. */
--- a/packages/platform/src/types/notice.ts
+++ b/packages/platform/src/types/notice.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Announcement that a VM will be reclaimed. */
 export const Notice = z
--- a/packages/platform/src/types/page-answer.ts
+++ b/packages/platform/src/types/page-answer.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const Record = z
   .object({ offset: z.int().nonnegative(), id: z.string(), time: z.number(), body: z.unknown() })
--- a/packages/platform/src/types/vm.ts
+++ b/packages/platform/src/types/vm.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** VM as the platform's lagging list shows it. */
 export const Vm = z
--- a/packages/requests/src/types/accepted-request.ts
+++ b/packages/requests/src/types/accepted-request.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { RequestInput } from './request-input.ts';
 
 /** A request that a node has accepted and is bound to finish. */
--- a/packages/requests/src/types/outcome.ts
+++ b/packages/requests/src/types/outcome.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Final word on a request that did not complete. */
 export const Outcome = z
--- a/packages/requests/src/types/owner.ts
+++ b/packages/requests/src/types/owner.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The incarnation of a node that owns a request. */
 export const Owner = z.strictObject({ nodeId: z.string().min(1), number: z.number() }).readonly();
--- a/packages/requests/src/types/replica-update.ts
+++ b/packages/requests/src/types/replica-update.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { RequestCopy } from './request-copy.ts';
 import { RequestEvent } from './request-event.ts';
 
--- a/packages/requests/src/types/replica-verdict.ts
+++ b/packages/requests/src/types/replica-verdict.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /**
  * Answer to a replica update: `ok`; `superseded` when a later owner exists, so that the sender must
--- a/packages/requests/src/types/request-copy.ts
+++ b/packages/requests/src/types/request-copy.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { AcceptedRequest } from './accepted-request.ts';
 import { Owner } from './owner.ts';
 import { RequestEvent } from './request-event.ts';
--- a/packages/requests/src/types/request-event.ts
+++ b/packages/requests/src/types/request-event.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Outcome } from './outcome.ts';
 
 const EventBody = z.discriminatedUnion('type', [
--- a/packages/settings/src/types/address.ts
+++ b/packages/settings/src/types/address.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const NUMBER = '(?:25[0-5]|2[0-4]\\d|1?\\d?\\d)';
 const PORT = '(?:6553[0-5]|655[0-2]\\d|65[0-4]\\d\\d|6[0-4]\\d{3}|[1-5]\\d{4}|[1-9]\\d{0,3})';
--- a/packages/settings/src/types/key.ts
+++ b/packages/settings/src/types/key.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Secret that a caller or peer shows. */
 export const Key = z.string().regex(/^\S{16,256}$/);
--- a/packages/settings/src/types/keys.ts
+++ b/packages/settings/src/types/keys.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Name } from './name.ts';
 import { Key } from './key.ts';
 
--- a/packages/settings/src/types/listen.ts
+++ b/packages/settings/src/types/listen.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Where one of the servers of a node listens. */
 export const Listen = z
--- a/packages/settings/src/types/name.ts
+++ b/packages/settings/src/types/name.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Name of a node, failure domain, region, operator or tenant. */
 export const Name = z.string().regex(/^[\w-]{1,64}$/);
--- a/packages/settings/src/types/node-identity.ts
+++ b/packages/settings/src/types/node-identity.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Name } from './name.ts';
 
 /** Who a node is and where it runs. */
--- a/packages/settings/src/types/requests.ts
+++ b/packages/settings/src/types/requests.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { ms } from '../utils/ms.ts';
 import { count } from '../utils/count.ts';
 import { share } from '../utils/share.ts';
--- a/packages/settings/src/types/settings.ts
+++ b/packages/settings/src/types/settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Address } from './address.ts';
 import { Admission } from './admission.ts';
 import { Keys } from './keys.ts';
--- a/packages/settings/src/types/shutdown.ts
+++ b/packages/settings/src/types/shutdown.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { ms } from '../utils/ms.ts';
 
 const MINUTE_MS = 60_000;
--- a/packages/settings/src/utils/count.ts
+++ b/packages/settings/src/utils/count.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Range } from '../types/range.ts';
 
 /** Whole number of things. */
--- a/packages/settings/src/utils/cross-problems.ts
+++ b/packages/settings/src/utils/cross-problems.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { SettingsProblem } from '../types/settings-problem.ts';
 
 const HIDDEN = 'a value that is not shown';
--- a/packages/settings/src/utils/settings-schema.ts
+++ b/packages/settings/src/utils/settings-schema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { SchemaNode } from '../types/schema-node.ts';
 import { Settings } from '../types/settings.ts';
 
--- a/packages/standins/src/commands/engine-command.ts
+++ b/packages/standins/src/commands/engine-command.ts
@@ -1,5 +1,5 @@
 import type { CommandModule } from 'yargs';
-import { z } from 'zod';
+import * as z from 'zod';
 import { EngineRunner } from '../node/engine-runner.ts';
 import { RunnerHost } from '../node/runner-host.ts';
 import { serveUntilSignal } from '../node/serve-until-signal.ts';
--- a/packages/standins/src/commands/platform-command.ts
+++ b/packages/standins/src/commands/platform-command.ts
@@ -1,5 +1,5 @@
 import type { CommandModule } from 'yargs';
-import { z } from 'zod';
+import * as z from 'zod';
 import { Platform } from '../node/platform.ts';
 import { serveUntilSignal } from '../node/serve-until-signal.ts';
 import type { PlatformOptions } from '../types/platform-options.ts';
--- a/packages/standins/src/commands/relay-command.ts
+++ b/packages/standins/src/commands/relay-command.ts
@@ -1,5 +1,5 @@
 import type { CommandModule } from 'yargs';
-import { z } from 'zod';
+import * as z from 'zod';
 import { Relay } from '../node/relay.ts';
 import { serveUntilSignal } from '../node/serve-until-signal.ts';
 import type { RelayLink } from '../types/relay-link.ts';
--- a/packages/standins/src/node/application-runner.ts
+++ b/packages/standins/src/node/application-runner.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { SeededRandom, SystemClock, digest } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ApplicationFault } from '../types/application-fault.ts';
 import type { ApplicationOptions } from '../types/application-options.ts';
 import type { HttpCall } from '../types/http-call.ts';
--- a/packages/standins/src/node/engine-runner.ts
+++ b/packages/standins/src/node/engine-runner.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { SeededRandom, SystemClock } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import { EngineFault } from '../types/engine-fault.ts';
 import type { EngineOptions } from '../types/engine-options.ts';
 import type { EngineStats } from '../types/engine-stats.ts';
--- a/packages/standins/src/node/order-book.ts
+++ b/packages/standins/src/node/order-book.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { HttpCall } from '../types/http-call.ts';
 import type { HttpReply } from '../types/http-reply.ts';
 import { parseBody } from './parse-body.ts';
--- a/packages/standins/src/node/platform-log.ts
+++ b/packages/standins/src/node/platform-log.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@ragwortrudder/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { HttpCall } from '../types/http-call.ts';
 import type { HttpReply } from '../types/http-reply.ts';
 import type { LogRecord } from '../types/log-record.ts';
--- a/packages/standins/src/node/platform-vms.ts
+++ b/packages/standins/src/node/platform-vms.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@ragwortrudder/core';
 import got from 'got';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { HttpCall } from '../types/http-call.ts';
 import type { HttpReply } from '../types/http-reply.ts';
 import type { Notice } from '../types/notice.ts';
--- a/packages/standins/src/node/platform.ts
+++ b/packages/standins/src/node/platform.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { SystemClock } from '@ragwortrudder/core';
 import type { Clock, Closeable } from '@ragwortrudder/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { FaultTarget } from '../types/fault-target.ts';
 import type { HttpHandler } from '../types/http-handler.ts';
 import type { HttpReply } from '../types/http-reply.ts';
--- a/packages/standins/src/node/relay.ts
+++ b/packages/standins/src/node/relay.ts
@@ -1,5 +1,5 @@
 import type { Closeable } from '@ragwortrudder/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import { UnknownName } from '../errors/unknown-name.ts';
 import { LinkFault } from '../types/link-fault.ts';
 import type { LinkReport } from '../types/link-report.ts';
--- a/packages/standins/src/types/application-fault.ts
+++ b/packages/standins/src/types/application-fault.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { FaultCondition } from './fault-condition.ts';
 
 /** Faults of an application runner; each POST replaces the whole fault. */
--- a/packages/standins/src/types/engine-fault.ts
+++ b/packages/standins/src/types/engine-fault.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { FaultCondition } from './fault-condition.ts';
 
 /** Faults of a model runner; each POST replaces the members that it names. */
--- a/packages/standins/src/types/fault-condition.ts
+++ b/packages/standins/src/types/fault-condition.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Limits a fault of a runner to some requests; all given conditions must hold. */
 export const FaultCondition = z
--- a/packages/standins/src/types/fault-mode.ts
+++ b/packages/standins/src/types/fault-mode.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What a faulty interface of the platform does with a call. */
 export const FaultMode = z.enum(['ok', 'down', 'slow', 'reply-lost', 'hang']);
--- a/packages/standins/src/types/link-fault.ts
+++ b/packages/standins/src/types/link-fault.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { RelayMode } from './relay-mode.ts';
 
 /** Change of the mode of a link, or of all links by the name `*`. */
--- a/packages/standins/src/types/platform-fault.ts
+++ b/packages/standins/src/types/platform-fault.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { FaultMode } from './fault-mode.ts';
 import { FaultTarget } from './fault-target.ts';
 
--- a/packages/standins/src/types/price.ts
+++ b/packages/standins/src/types/price.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Price of a machine class in a failure domain. */
 export const Price = z
--- a/packages/standins/src/types/relay-mode.ts
+++ b/packages/standins/src/types/relay-mode.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /**
  * What a link does: `cut` refuses new connections and destroys open ones; `silent` freezes the open ones for good while
--- a/packages/standins/src/types/retention.ts
+++ b/packages/standins/src/types/retention.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Limits after which the log forgets records; each limit is optional. */
 export const Retention = z
--- a/packages/standins/src/types/spare-runner.ts
+++ b/packages/standins/src/types/spare-runner.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { VmLabels } from './vm-labels.ts';
 
 /** Runner that waits for the cloud API to start a VM for it. */
--- a/packages/standins/src/types/vm-labels.ts
+++ b/packages/standins/src/types/vm-labels.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What runs on an endpoint VM. */
 export const VmLabels = z
--- a/packages/tickets/src/types/capacity.ts
+++ b/packages/tickets/src/types/capacity.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Capacity of a service that is kept up by starting and returning VMs. */
 export const Capacity = z
--- a/packages/tickets/src/types/move-word-entry.ts
+++ b/packages/tickets/src/types/move-word-entry.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { ObjectName } from './object-name.ts';
 
 /** Body of a log entry that ends a move. */
--- a/packages/tickets/src/types/object-name.ts
+++ b/packages/tickets/src/types/object-name.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Name of a service, tenant or failure domain. */
 export const ObjectName = z
--- a/packages/tickets/src/types/service.ts
+++ b/packages/tickets/src/types/service.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Capacity } from './capacity.ts';
 import { Trial } from './trial.ts';
 
--- a/packages/tickets/src/types/tenant-share.ts
+++ b/packages/tickets/src/types/tenant-share.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Share and limits of a tenant. */
 export const TenantShare = z
--- a/packages/tickets/src/types/ticket-entry.ts
+++ b/packages/tickets/src/types/ticket-entry.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Ticket } from './ticket.ts';
 
 /** Body of a log entry that publishes a ticket. */
--- a/packages/tickets/src/types/ticket.ts
+++ b/packages/tickets/src/types/ticket.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { BASE_PROBLEM } from '../utils/base-problem.ts';
 import { isNumberAboveBase } from '../utils/is-number-above-base.ts';
 import { ObjectName } from './object-name.ts';
--- a/packages/tickets/src/types/trial.ts
+++ b/packages/tickets/src/types/trial.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Limits of the traffic that a new version receives before it has proved itself. */
 export const Trial = z
--- a/packages/tickets/src/utils/parse-ticket.ts
+++ b/packages/tickets/src/utils/parse-ticket.ts
@@ -1,5 +1,5 @@
 import { InvalidInput } from '@ragwortrudder/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import { Ticket } from '../types/ticket.ts';
 import { BASE_PROBLEM } from './base-problem.ts';
 import { isNumberAboveBase } from './is-number-above-base.ts';
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -2,9 +2,11 @@
 import { spawnSync } from 'node:child_process';
 import { chmodSync, copyFileSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
+import type { BuildOptions } from 'esbuild';
 
 const FOLDER = process.argv[2] ?? 'dist';
-const BUNDLE = `${FOLDER}/ragwortrudder.cjs`;
+const MAIN_BUNDLE = `${FOLDER}/main.cjs`;
+const COMMAND_LINE_BUNDLE = `${FOLDER}/command-line.cjs`;
 const BLOB = `${FOLDER}/ragwortrudder.blob`;
 const SEA_CONFIG = `${FOLDER}/sea.json`;
 const BINARY = `${FOLDER}/ragwortrudder`;
@@ -16,28 +18,41 @@
 }
 
 mkdirSync(FOLDER, { recursive: true });
-await build({
-  entryPoints: ['packages/cli/src/cli/main.ts'],
-  outfile: BUNDLE,
+const bundle: BuildOptions = {
   bundle: true,
   platform: 'node',
   format: 'cjs',
   target: 'node20',
-  external: ['dtrace-provider'],
+  // A process keeps the text of its bundle in memory.
+  minifyWhitespace: true,
+  minifySyntax: true,
   define: { 'import.meta.url': 'importMetaUrl' },
   banner: {
     js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href;",
   },
   tsconfig: 'tsconfig.json',
   logLevel: 'warning',
+};
+await build({
+  ...bundle,
+  entryPoints: ['packages/cli/src/cli/main.ts'],
+  outfile: MAIN_BUNDLE,
+  external: ['dtrace-provider', '*/node/run.ts'],
+});
+await build({
+  ...bundle,
+  entryPoints: ['packages/cli/src/node/run.ts'],
+  outfile: COMMAND_LINE_BUNDLE,
+  external: ['dtrace-provider'],
 });
 writeFileSync(
   SEA_CONFIG,
   JSON.stringify({
-    main: BUNDLE,
+    main: MAIN_BUNDLE,
     output: BLOB,
     disableExperimentalSEAWarning: true,
     useCodeCache: true,
+    assets: { 'command-line.cjs': COMMAND_LINE_BUNDLE },
   }),
 );
 run(process.execPath, ['--experimental-sea-config', SEA_CONFIG]);
--- a/test/node-api/open-api.ts
+++ b/test/node-api/open-api.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 
 type Json = Readonly<Record<string, unknown>>;
 
