Tell other failure domains by digests of relays in large deployments

node tells its own domain, two relays of a domain tell the others a digest, and only the holder of the duties gets usage and demand. Up to 16 peers all is told to all, as before. Readers of topics told less often than their peers expected: each node read the configuration itself. The time for which a node counts on being fed now follows from the wait and pause of the readers, and it sleeps for it instead of looking every 100 ms.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -50,7 +50,7 @@
 const MAX_FED_CHANGES = 40;
 const NODE_TOPIC = 'nodes';
 /** Wait of a read of the configuration, in milliseconds: a connection that fell silent is noticed within it. */
-const CONFIGURATION_WAIT_MS = 1_500;
+const CONFIGURATION_WAIT_MS = 1_000;
 /** Pause between reads of the runners, in milliseconds; a change must be in force within two seconds. */
 const RUNNER_PAUSE_MS = 700;
 const UPKEEP_MS = 200;
@@ -114,6 +114,7 @@
       address: { host: node.host, port: listen.peerPort },
       failureDomain: node.failureDomain,
       life: this.#life,
+      clock,
       board: this.#board,
       quota: this.#quota,
       usage: this.#usage,
@@ -126,11 +127,16 @@
       address: { host: node.host, port: listen.peerPort },
       clock,
       log: this.#decisions,
-      report: (isLeaving) => this.#reports.own(isLeaving),
+      duty: () => this.#duties?.toldToken ?? 0,
+      report: (extent) => this.#reports.own(extent),
+      digest: (members) => this.#reports.digest(members),
       failureDomain: node.failureDomain,
       onReport: (report, isFirst) => {
         this.#reports.take(report, isFirst);
       },
+      onDigest: (digest) => {
+        this.#reports.takeDigest(digest);
+      },
       onFeed: (feed) => {
         this.#takeFeed(feed);
       },
@@ -307,7 +313,7 @@
   }
 
   async close(): Promise<void> {
-    await this.#peers.tell(true);
+    await this.#peers.tellAll(true);
     this.#decisions.notable('stopped', { active: this.#forwarder.active.size });
     await Promise.all([
       ...this.#followers.map((follower) => follower.close()),
@@ -460,7 +466,7 @@
 
   /** Tells the failure domain what was read, so that its other nodes need not read it. */
   #feed(feed: TopicFeed): void {
-    if (this.#peers.isReader) void this.#peers.feed(feed);
+    if (this.#peers.isRelay) void this.#peers.feed(feed);
   }
 
   #takeFeed({ topic, from, next, changes, isWhole }: TopicFeed): void {
@@ -514,17 +520,19 @@
   async #enter(): Promise<void> {
     if (this.#isEntered || this.#isStopping) return;
     const { log, settings } = this.#options;
-    const { id, host } = settings.node;
-    const entry: PeerEntry = { host, port: settings.listen.peerPort, life: this.#life };
+    const { id, host, failureDomain } = settings.node;
+    const port = settings.listen.peerPort;
+    const entry: PeerEntry = { host, port, failureDomain, life: this.#life };
     const value = Buffer.from(JSON.stringify(entry));
     await log.append({ topic: NODE_TOPIC, key: id, value });
     const { records } = await log.newest(NODE_TOPIC);
     for (const { key, value: bytes } of records) {
       const peer = bytes && peerEntryIn(bytes);
-      if (peer) this.#peers.introduce(key, { host: peer.host, port: peer.port });
+      if (!peer) continue;
+      this.#peers.introduce(key, { host: peer.host, port: peer.port }, peer.failureDomain);
     }
     this.#isEntered = true;
-    await this.#peers.tell();
+    await this.#peers.tellAll();
   }
 
   async #leave(): Promise<void> {
--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -30,10 +30,8 @@
   readonly next: number;
 }
 
-/** Time after a peer told what it read during which this node does not read itself, in milliseconds. */
-const FED_MS = 1_000;
-/** Pause between two looks at whether peers still tell what they read, in milliseconds. */
-const FED_PAUSE_MS = 100;
+/** Time beyond a peer's own wait and pause within which it tells again what it read, in milliseconds. */
+const FED_SLACK_MS = 500;
 /** Pause after a failed read, in milliseconds; up to twice as long by chance, so that nodes spread. */
 const FAILURE_PAUSE_MS = 250;
 
@@ -87,13 +85,16 @@
   async #loop(): Promise<void> {
     const { signal } = this.#closing;
     while (!signal.aborted) {
-      const pauseMs = this.#isFed() ? FED_PAUSE_MS : await this.#step();
+      const fedMs = this.#fedForMs();
+      const pauseMs = fedMs > 0 ? fedMs : await this.#step();
       if (pauseMs > 0) await this.#sleep(pauseMs);
     }
   }
 
-  #isFed(): boolean {
-    return this.#options.clock.monotonic() - this.#fedAt < FED_MS;
+  /** Time for which a peer is still expected to tell what it read, in milliseconds. */
+  #fedForMs(): number {
+    const { clock, waitMs, pauseMs } = this.#options;
+    return this.#fedAt + waitMs + pauseMs + FED_SLACK_MS - clock.monotonic();
   }
 
   async #sleep(ms: number): Promise<void> {
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -1,12 +1,11 @@
-import { createSocket } from 'node:dgram';
-import type { Socket } from 'node:dgram';
 import type { Address } from '@ragwortrudder/catalog';
 import type { Clock, Closeable } from '@ragwortrudder/core';
-import { createJSONRPCNotification, isJSONRPCRequest } from 'json-rpc-2.0';
-import type { JSONRPCRequest } from 'json-rpc-2.0';
+import { DomainDigest } from '../types/domain-digest.ts';
 import { NodeReport } from '../types/node-report.ts';
+import type { ReportExtent } from '../types/report-extent.ts';
 import { TopicFeed } from '../types/topic-feed.ts';
 import type { DecisionLog } from './decision-log.ts';
+import { PeerSocket } from './peer-socket.ts';
 
 interface PeersOptions {
   readonly node: string;
@@ -14,10 +13,16 @@
   readonly failureDomain: string;
   readonly clock: Clock;
   readonly log: DecisionLog;
-  /** Makes the report that goes to every peer. */
-  readonly report: (isLeaving: boolean) => NodeReport;
+  /** Fencing token of the duty term that this node holds; 0 when it holds none. */
+  readonly duty: () => number;
+  /** Makes this node's report. */
+  readonly report: (extent: ReportExtent) => NodeReport;
+  /** Makes the digest of this node's failure domain. */
+  readonly digest: (members: DomainDigest['members']) => DomainDigest;
   /** Receives a peer's report; `isFirst` when it was not heard before, or not for a while. */
   readonly onReport: (report: NodeReport, isFirst: boolean) => void;
+  /** Receives the digest of another failure domain. */
+  readonly onDigest: (digest: DomainDigest) => void;
   /** Receives what a peer of the same failure domain read. */
   readonly onFeed: (feed: TopicFeed) => void;
 }
@@ -27,7 +32,7 @@
   readonly failureDomain: string | undefined;
   readonly life: number;
   readonly sequence: number;
-  /** When its last report arrived; undefined when it has not been heard yet. */
+  /** When it was last heard, itself or by a relay; undefined when it has not been heard yet. */
   readonly heardAt: number | undefined;
   readonly knownAt: number;
   readonly duty: number;
@@ -35,34 +40,50 @@
 }
 
 const REPORT_METHOD = 'report';
+const DIGEST_METHOD = 'digest';
 const FEED_METHOD = 'feed';
-/** Nodes of a failure domain that read topics for all of it. */
-const READERS = 2;
-/** Pause between two reports, in milliseconds, with up to `FULL_RATE_PEERS` peers. */
+/** Nodes of a failure domain that read topics for all of it, and tell the other domains of it. */
+const RELAYS = 2;
+/** Peers up to which every node tells every other one. */
+const FULL_MESH_PEERS = 16;
+/** Pause between two reports, in milliseconds, with up to `FULL_RATE_PEERS` peers that receive them. */
 const REPORT_MS = 200;
-/** Peers above which reports become rarer, so that a node's cost stays flat. */
-const FULL_RATE_PEERS = 32;
+/** Peers of a failure domain above which reports become rarer, so that a node's cost stays flat. */
+const FULL_RATE_PEERS = 12;
+/** Pause between two accounts of usage and demand to the holder of the duties in a large deployment, in milliseconds. */
+const ACCOUNT_MS = 700;
 /** Silence after which a peer counts as unheard, in milliseconds: several reports in a row lost. */
 const UNHEARD_MS = 1_000;
 /** Silence after which a peer is forgotten, in milliseconds: longer than partitions that heal by themselves. */
 const FORGET_MS = 15_000;
-
 /** Silence after which a peer is taken to be dead rather than cut off, in milliseconds: cuts of a failure domain are mostly shorter. */
 const DEAD_MS = 7_000;
-
 /** Time within which a peer that lives and is reached is heard for the first time, in milliseconds. */
 const FIRST_REPORT_MS = 2_500;
 
-/** Datagrams between the nodes: each tells all others of its work, over and over. */
+/**
+ * The other nodes: who is known and heard, and what they tell over and over. A few nodes tell each
+ * other everything. In a large deployment a node tells its own failure domain, relays tell the other
+ * domains a digest of theirs, and only the holder of the duties gets the accounts.
+ */
 export class Peers implements Closeable {
   readonly #options: PeersOptions;
+  readonly #socket: PeerSocket;
   readonly #peers = new Map<string, Peer>();
+  readonly #digestSequences = new Map<string, number>();
   #hasResigned = false;
-  #socket: Socket | undefined;
+  #accountedAt = -Infinity;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: PeersOptions) {
     this.#options = options;
+    this.#socket = new PeerSocket({
+      address: options.address,
+      log: options.log,
+      onMessage: (method, params) => {
+        this.#receive(method, params);
+      },
+    });
   }
 
   /** Nodes that are known, this one included. */
@@ -97,52 +118,32 @@
 
   /** Newest duty term that a heard peer holds; 0 when none does. */
   newestDuty(): number {
-    const now = this.#options.clock.monotonic();
-    const duties = [...this.#peers.values()]
-      .filter((peer) => this.#isHeard(peer, now))
-      .map(({ duty }) => duty);
-    return Math.max(0, ...duties);
+    return this.#holder()?.duty ?? 0;
   }
 
-  /** This node is one of those that read topics for its failure domain. */
-  get isReader(): boolean {
+  /** This node is one of those that read topics for its failure domain, and tell others of it. */
+  get isRelay(): boolean {
     const { node } = this.#options;
-    return this.#domainPeers().filter(([id]) => id < node).length < READERS;
+    return this.#heardInDomain().filter(([id]) => id < node).length < RELAYS;
   }
 
   /** Tells the other nodes of the failure domain what was read. */
   async feed(feed: TopicFeed): Promise<void> {
-    const bytes = Buffer.from(JSON.stringify(createJSONRPCNotification(FEED_METHOD, feed)));
-    await Promise.all(this.#domainPeers().map(([, { address }]) => this.#send(bytes, address)));
+    await this.#socket.send(FEED_METHOD, feed, addressesOf(this.#heardInDomain()));
   }
 
   async start(): Promise<void> {
-    const socket = createSocket('udp4');
-    this.#socket = socket;
-    socket.on('message', (bytes) => {
-      this.#receive(bytes);
-    });
-    socket.on('error', (error) => {
-      this.#options.log.notable('peer-socket-failed', { reason: error.message });
-    });
-    const { host, port } = this.#options.address;
-    await new Promise<void>((resolve, reject) => {
-      socket.once('error', reject);
-      socket.bind(port, host, () => {
-        socket.off('error', reject);
-        resolve();
-      });
-    });
+    await this.#socket.start();
     this.#schedule();
   }
 
   /** Takes in a peer from the list of nodes. */
-  introduce(id: string, address: Address): void {
+  introduce(id: string, address: Address, failureDomain: string): void {
     if (id === this.#options.node || this.#peers.has(id)) return;
     const knownAt = this.#options.clock.monotonic();
     this.#peers.set(id, {
       address,
-      failureDomain: undefined,
+      failureDomain,
       life: 0,
       sequence: 0,
       heardAt: undefined,
@@ -152,22 +153,67 @@
     });
   }
 
-  /** Sends a report to all peers now; settles once it is on its way. */
-  async tell(isLeaving = false): Promise<void> {
-    const notification = createJSONRPCNotification(REPORT_METHOD, this.#options.report(isLeaving));
-    const bytes = Buffer.from(JSON.stringify(notification));
-    const addresses = [...this.#peers.values()].map(({ address }) => address);
-    await Promise.all(addresses.map((address) => this.#send(bytes, address)));
+  /** Sends a whole report to all peers now; settles once it is on its way. */
+  async tellAll(isLeaving = false): Promise<void> {
+    const report = this.#options.report({ isLeaving, hasAccount: true });
+    await this.#socket.send(REPORT_METHOD, report, addressesOf([...this.#peers]));
   }
 
   close(): Promise<void> {
     clearTimeout(this.#timer);
-    this.#socket?.close();
-    this.#socket = undefined;
-    return Promise.resolve();
+    return this.#socket.close();
+  }
+
+  get #isLarge(): boolean {
+    return this.#peers.size > FULL_MESH_PEERS;
   }
 
-  #domainPeers(): readonly (readonly [string, Peer])[] {
+  async #tell(): Promise<void> {
+    if (!this.#isLarge) {
+      await this.tellAll();
+      return;
+    }
+    const { failureDomain } = this.#options;
+    const peers = [...this.#peers];
+    const near = peers.filter(([, peer]) => peer.failureDomain === failureDomain);
+    const report = this.#options.report({ isLeaving: false, hasAccount: false });
+    await this.#socket.send(REPORT_METHOD, report, addressesOf(near));
+    await this.#account();
+    if (!this.isRelay) return;
+    const far = peers.filter(([, peer]) => peer.failureDomain !== failureDomain);
+    const digest = this.#options.digest(this.#members());
+    await this.#socket.send(DIGEST_METHOD, digest, addressesOf(far));
+  }
+
+  async #account(): Promise<void> {
+    const now = this.#options.clock.monotonic();
+    const holder = this.#holder();
+    if (!holder || now - this.#accountedAt < ACCOUNT_MS) return;
+    this.#accountedAt = now;
+    const report = this.#options.report({ isLeaving: false, hasAccount: true });
+    await this.#socket.send(REPORT_METHOD, report, [holder.address]);
+  }
+
+  #holder(): Peer | undefined {
+    const now = this.#options.clock.monotonic();
+    let holder: Peer | undefined;
+    for (const peer of this.#peers.values()) {
+      if (peer.duty > (holder?.duty ?? 0) && this.#isHeard(peer, now)) holder = peer;
+    }
+    return holder;
+  }
+
+  /** Nodes of the failure domain that are heard, this one included. */
+  #members(): DomainDigest['members'] {
+    const { node, address, duty } = this.#options;
+    const heard = this.#heardInDomain().map(([id, peer]): [string, [string, number, number]] => [
+      id,
+      [peer.address.host, peer.address.port, peer.duty],
+    ]);
+    return { ...Object.fromEntries(heard), [node]: [address.host, address.port, duty()] };
+  }
+
+  #heardInDomain(): readonly (readonly [string, Peer])[] {
     const now = this.#options.clock.monotonic();
     const { failureDomain } = this.#options;
     return [...this.#peers].filter(
@@ -175,35 +221,30 @@
     );
   }
 
-  #send(bytes: Buffer, { host, port }: Address): Promise<void> {
-    return new Promise((resolve) => {
-      if (!this.#socket) {
-        resolve();
-        return;
-      }
-      this.#socket.send(bytes, port, host, (error) => {
-        if (error) this.#options.log.routine('peer-send-failed', { reason: error.message });
-        resolve();
-      });
-    });
+  /** How much rarer reports are than in a small deployment. */
+  #rarity(): number {
+    const { failureDomain } = this.#options;
+    const near = [...this.#peers.values()].filter((peer) => peer.failureDomain === failureDomain);
+    return this.#isLarge ? Math.max(1, near.length / FULL_RATE_PEERS) : 1;
   }
 
   #schedule(): void {
-    const pauseMs = REPORT_MS * Math.max(1, this.#peers.size / FULL_RATE_PEERS);
     this.#timer = setTimeout(() => {
       this.#forgetSilent();
-      void this.tell();
+      void this.#tell();
       this.#schedule();
-    }, pauseMs);
+    }, REPORT_MS * this.#rarity());
   }
 
   #isHeard({ heardAt }: Peer, now: number): boolean {
-    const limitMs = UNHEARD_MS * Math.max(1, this.#peers.size / FULL_RATE_PEERS);
-    return heardAt !== undefined && now - heardAt < limitMs;
+    return heardAt !== undefined && now - heardAt < UNHEARD_MS * this.#unheardFactor;
   }
 
+  #unheardFactor = 1;
+
   #forgetSilent(): void {
     const now = this.#options.clock.monotonic();
+    this.#unheardFactor = this.#rarity();
     for (const [id, peer] of this.#peers) {
       const silentMs = now - (peer.heardAt ?? peer.knownAt);
       if (silentMs > FORGET_MS) {
@@ -216,56 +257,80 @@
     }
   }
 
-  #receive(bytes: Buffer): void {
-    const message = messageIn(bytes);
-    const feed = message?.method === FEED_METHOD && TopicFeed.safeParse(message.params).data;
-    if (feed) {
-      this.#options.onFeed(feed);
+  #receive(method: string, params: unknown): void {
+    if (method === REPORT_METHOD) {
+      const report = NodeReport.safeParse(params).data;
+      if (report) this.#takeReport(report);
       return;
     }
-    const report = message && NodeReport.safeParse(message.params).data;
-    if (!report) {
-      this.#options.log.routine('peer-message-unreadable', { bytes: bytes.length });
+    if (method === DIGEST_METHOD) {
+      const digest = DomainDigest.safeParse(params).data;
+      if (digest) this.#takeDigest(digest);
       return;
     }
-    this.#takeReport(report);
+    const feed = method === FEED_METHOD ? TopicFeed.safeParse(params).data : undefined;
+    if (feed) this.#options.onFeed(feed);
+    else this.#options.log.routine('peer-message-unreadable', { method });
   }
 
   #takeReport(report: NodeReport): void {
     if (report.node === this.#options.node) return;
     const known = this.#peers.get(report.node);
-    if (
-      known &&
-      (report.life < known.life ||
-        (report.life === known.life && report.sequence <= known.sequence))
-    )
-      return;
-    if (!known || known.isSilent) this.#options.log.notable('peer-heard', { peer: report.node });
-    if (report.duty > 0) this.#hasResigned = false;
-    else if (known && known.duty > 0 && known.life === report.life) this.#hasResigned = true;
-    const now = this.#options.clock.monotonic();
-    this.#peers.set(report.node, {
+    if (known && isOld(report, known)) return;
+    const isSameLife = known?.life === report.life;
+    const isFirst = !isSameLife || known.isSilent;
+    if (isSameLife && known.duty > 0 && report.duty === 0) this.#hasResigned = true;
+    this.#noteHeard(report.node, {
       address: { host: report.host, port: report.port },
       failureDomain: report.failureDomain,
       life: report.life,
       sequence: report.sequence,
-      heardAt: now,
-      knownAt: known?.knownAt ?? now,
       duty: report.duty,
-      isSilent: false,
     });
-    this.#options.onReport(report, known?.life !== report.life || known.isSilent);
+    this.#options.onReport(report, isFirst);
     if (!report.isLeaving) return;
     this.#peers.delete(report.node);
     this.#options.log.notable('peer-left', { peer: report.node });
   }
-}
 
-function messageIn(bytes: Buffer): JSONRPCRequest | undefined {
-  try {
-    const message: unknown = JSON.parse(bytes.toString());
-    return isJSONRPCRequest(message) ? message : undefined;
-  } catch {
-    return undefined;
+  #takeDigest(digest: DomainDigest): void {
+    const { relay, failureDomain, life, sequence, members } = digest;
+    if (failureDomain === this.#options.failureDomain) return;
+    const key = `${relay} ${life}`;
+    if (sequence <= (this.#digestSequences.get(key) ?? 0)) return;
+    this.#digestSequences.set(key, sequence);
+    for (const [id, [host, port, duty]] of Object.entries(members)) {
+      const known = this.#peers.get(id);
+      this.#noteHeard(id, {
+        address: { host, port },
+        failureDomain,
+        life: known?.life ?? 0,
+        sequence: known?.sequence ?? 0,
+        duty,
+      });
+    }
+    this.#options.onDigest(digest);
+  }
+
+  #noteHeard(id: string, told: Omit<Peer, 'heardAt' | 'knownAt' | 'isSilent'>): void {
+    const known = this.#peers.get(id);
+    if (!known || known.isSilent) this.#options.log.notable('peer-heard', { peer: id });
+    if (told.duty > 0) this.#hasResigned = false;
+    const now = this.#options.clock.monotonic();
+    this.#peers.set(id, {
+      ...told,
+      heardAt: now,
+      knownAt: known?.knownAt ?? now,
+      isSilent: false,
+    });
   }
 }
+
+function addressesOf(peers: readonly (readonly [string, Peer])[]): readonly Address[] {
+  return peers.map(([, { address }]) => address);
+}
+
+function isOld(report: NodeReport, known: Peer): boolean {
+  if (report.life !== known.life) return report.life < known.life;
+  return report.sequence <= known.sequence;
+}
--- a/packages/gateway/src/node/usage-duty.ts
+++ b/packages/gateway/src/node/usage-duty.ts
@@ -25,7 +25,7 @@
 /** Windows whose decided counts are kept: more than can be due at once. */
 const KEPT_REPORTS = 8;
 /** Time after a window's end after which all nodes have told their counts, in milliseconds. */
-const SETTLE_MS = 1_000;
+const SETTLE_MS = 1_500;
 /** Part of the time until a report is due for which counts of silent peers are waited for. */
 const WAIT_SHARE = 0.6;
 
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const counts = z.record(z.string(), z.number());
 
--- a/packages/gateway/src/types/peer-entry.ts
+++ b/packages/gateway/src/types/peer-entry.ts
@@ -1,9 +1,10 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Entry of a node in the list of nodes. */
 export const PeerEntry = z.object({
   host: z.string(),
   port: z.number(),
+  failureDomain: z.string(),
   life: z.number(),
 });
 /** Entry of a node in the list of nodes. */
--- a/packages/gateway/src/types/topic-feed.ts
+++ b/packages/gateway/src/types/topic-feed.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What a node that reads a topic tells the others of its failure domain after each read. */
 export const TopicFeed = z.object({
--- a/packages/gateway/src/types/usage-draft.ts
+++ b/packages/gateway/src/types/usage-draft.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Running counts of windows that are not reported yet, by life of a node, window and team. */
 export const UsageDraft = z.object({
--- a/packages/gateway/src/utils/load-board.ts
+++ b/packages/gateway/src/utils/load-board.ts
@@ -63,6 +63,19 @@
     for (const id of this.#stated.keys()) if (!runnerIds.has(id)) this.#stated.delete(id);
   }
 
+  /** This node's work and that of the peers named, by runner. */
+  sumOver(peerIds: ReadonlySet<string>): ReadonlyMap<string, RunnerWork> {
+    const now = this.#clock.monotonic();
+    const total = new Map(this.#own);
+    for (const [id, { at, byRunner }] of this.#peers) {
+      if (!peerIds.has(id) || now - at > PEER_FRESH_MS) continue;
+      for (const [runner, work] of byRunner) {
+        total.set(runner, sum(total.get(runner) ?? NO_WORK, work));
+      }
+    }
+    return total;
+  }
+
   /** All known work at a runner. */
   workAt(runnerId: string): RunnerWork {
     const now = this.#clock.monotonic();
