Keep the order of bytes in the relay when a delay ends

The node had one send and passed on what came; the relay ran a chunk without delay at once although delayed ones were still waiting. Ruled out: the node's splitter (one life of it, one runner).

--- a/packages/standins/src/node/relay-connection.ts
+++ b/packages/standins/src/node/relay-connection.ts
@@ -10,6 +10,11 @@
 }
 type Direction = 'request' | 'reply';
 
+interface Delivery {
+  readonly due: number;
+  readonly action: () => void;
+}
+
 /** Mode in which the bytes of a direction are lost. */
 const LOSING_MODE: Readonly<Record<Direction, RelayMode>> = {
   request: 'one-way-reply-only',
@@ -22,8 +27,11 @@
   readonly #target: Socket;
   readonly #link: Link;
   readonly #lost: Record<Direction, boolean> = { request: false, reply: false };
-  readonly #due: Record<Direction, number> = { request: 0, reply: 0 };
-  readonly #timers = new Set<NodeJS.Timeout>();
+  readonly #queues: Record<Direction, Delivery[]> = { request: [], reply: [] };
+  readonly #timers: Record<Direction, NodeJS.Timeout | undefined> = {
+    request: undefined,
+    reply: undefined,
+  };
 
   constructor(client: Socket, address: string, link: Link) {
     const [host = '127.0.0.1', port = '0'] = address.split(':');
@@ -41,7 +49,8 @@
   }
 
   destroy(): void {
-    for (const timer of this.#timers) clearTimeout(timer);
+    clearTimeout(this.#timers.request);
+    clearTimeout(this.#timers.reply);
     this.#client.destroy();
     this.#target.destroy();
   }
@@ -75,17 +84,24 @@
       this.#link.countLost(bytes);
       return;
     }
-    const now = performance.now();
-    const due = Math.max(this.#due[direction], now + delayMs);
-    this.#due[direction] = due;
-    if (due <= now) {
-      action();
-      return;
+    this.#queues[direction].push({ due: performance.now() + delayMs, action });
+    this.#run(direction);
+  }
+
+  /** Delivers what is due, in the order in which it came: a delay that ends lets nothing pass. */
+  #run(direction: Direction): void {
+    clearTimeout(this.#timers[direction]);
+    const queue = this.#queues[direction];
+    for (let next = queue[0]; next; next = queue[0]) {
+      const waitMs = next.due - performance.now();
+      if (waitMs > 0) {
+        this.#timers[direction] = setTimeout(() => {
+          this.#run(direction);
+        }, waitMs);
+        return;
+      }
+      queue.shift();
+      if (!this.#lost[direction]) next.action();
     }
-    const timer = setTimeout(() => {
-      this.#timers.delete(timer);
-      if (!this.#lost[direction]) action();
-    }, due - now);
-    this.#timers.add(timer);
   }
 }
--- a/test/standins/relay.test.ts
+++ b/test/standins/relay.test.ts
@@ -143,3 +143,19 @@
   t.is((await call(url, { json: { faults: [{ name: 'other', mode: 'cut' }] } })).status, 404);
   t.is((await call(url, { json: { faults: [{ name: 'link', mode: 'no' }] } })).status, 400);
 });
+
+test('bytes keep their order when a delay ends', async (t) => {
+  const { relay, echo, port } = await startRelay(t);
+  const { socket } = await open(t, port);
+  socket.setNoDelay(true);
+  let expected = '';
+  for (let round = 0; round < 40; round += 1) {
+    await relay.setFault({ name: 'link', mode: 'open', delayMs: round % 2 === 0 ? 3 : 0 });
+    const text = `${round};`;
+    expected += text;
+    socket.write(text);
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+  await until(() => echo.received.join('').length === expected.length);
+  t.is(echo.received.join(''), expected);
+});
