--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -58,6 +58,8 @@
   readonly #endsAt: number;
   readonly #tried = new Set<string>();
   #attempt: RunnerAttempt | undefined;
+  /** Gives the attempt in progress up when its runner is silent for too long. */
+  #watch: (() => void) | undefined;
   #sends = 0;
   #unsent = 0;
   #mayHaveRun = false;
@@ -95,6 +97,11 @@
     this.#options.metrics.count('requests', { route: route.name });
   }
 
+  /** Looks whether the runner is silent; called several times a second. */
+  watch(): void {
+    this.#watch?.();
+  }
+
   async #attemptUntilDone(): Promise<void> {
     for (;;) {
       const chosen = this.#choose();
@@ -237,7 +244,7 @@
       },
     });
     this.#attempt = attempt;
-    const watch = setInterval(() => {
+    this.#watch = () => {
       const silentMs = clock.monotonic() - progressAt;
       const runnerSilentMs = Math.min(silentMs, pool.silentMs(entry));
       if (!isRepeatable || !this.#isTooSilent(silentMs, runnerSilentMs, firstAt !== undefined)) {
@@ -248,10 +255,10 @@
         pool.unreachable(entry, SILENT);
       }
       attempt.abort({ kind: 'broken', reason: SILENT });
-    }, MIN_SILENCE_MS / 4);
+    };
     this.#sends += 1;
     const outcome = await attempt.outcome;
-    clearInterval(watch);
+    this.#watch = undefined;
     board.add(entry.id, {
       requests: -1,
       prefillTokens: -rest.prefillTokens,
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -37,6 +37,11 @@
     return this.#active;
   }
 
+  /** Looks at all requests in progress for silent runners; one timer of the node does for all of them. */
+  watch(): void {
+    for (const request of this.#active) request.watch();
+  }
+
   /** Puts a configuration in force. */
   apply(configuration: Configuration): void {
     this.#inForce = {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -240,6 +240,7 @@
           this.#quota.setShare(this.#peers.heard / this.#peers.known);
           this.#budget.setAllowance(retryAllowance(this.#settings.retries, this.#peers.known));
           this.#pool.prune();
+          this.#forwarder.watch();
         },
         onFailure: this.#logFailure('upkeep'),
       }),
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -49,7 +49,7 @@
 /** Pause between two reports, in milliseconds, with up to `FULL_RATE_PEERS` peers that receive them. */
 const REPORT_MS = 200;
 /** Peers of a failure domain above which reports become rarer, so that a node's cost stays flat. */
-const FULL_RATE_PEERS = 12;
+const FULL_RATE_PEERS = 8;
 /** Pause between two accounts of usage and demand to the holder of the duties in a large deployment, in milliseconds. */
 const ACCOUNT_MS = 700;
 /** Silence after which a peer counts as unheard, in milliseconds: several reports in a row lost. */
--- a/packages/soak/src/utils/ledger.ts
+++ b/packages/soak/src/utils/ledger.ts
@@ -7,6 +7,8 @@
 const OK = 200;
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Characters shown on both sides of a difference. */
+const SHOWN_CHARS = 40;
 /** Runs that one request that may be repeated may have. */
 const MAX_ATTEMPTS = 2;
 
@@ -120,12 +122,20 @@
     const all = Array.from({ length: events }, (_item, index) => streamText(id, index + 1, events));
     const whole = all.join('');
     if (isWhole && body !== whole) {
-      this.violated('stream-order', `${id} looks complete and is not: ${body.slice(-60)}`);
-    } else if (!whole.startsWith(body)) {
       this.violated(
         'stream-order',
-        `${id} has events missing, twice or of another: ${body.slice(-60)}`,
+        `${id} looks complete and is not: ${differenceOf(whole, body)}`,
       );
+    } else if (!whole.startsWith(body)) {
+      this.violated('stream-order', `${id} has other events: ${differenceOf(whole, body)}`);
     }
   }
 }
+
+/** What stands where a body first differs from what was expected. */
+function differenceOf(expected: string, body: string): string {
+  let at = 0;
+  while (at < body.length && body[at] === expected[at]) at += 1;
+  const from = Math.max(0, at - SHOWN_CHARS);
+  return JSON.stringify(body.slice(from, at + SHOWN_CHARS));
+}
