Let readers not wait for one another, and follow peers while the store turns a node away

Counted at the stand-in with 40 idle nodes: 30 reads a second; each of two readers let the other one postpone its read until the others' patience ended, so that all read. A node that the store turns away takes in what its domain's readers tell.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -406,6 +406,7 @@
       random,
       waitMs,
       pauseMs,
+      isReader: () => this.#peers.isRelay,
       onWhole: (records) => {
         handlers.onRead();
         handlers.onWhole(records);
--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -12,6 +12,8 @@
   readonly waitMs: number;
   /** Pause between two reads, in milliseconds. */
   readonly pauseMs: number;
+  /** This node reads for others, and does not rely on being told. */
+  readonly isReader: () => boolean;
   /** Receives the newest record of each key: the whole topic. */
   readonly onWhole: (records: readonly KeyedRecord[]) => void;
   /** Receives records in order. */
@@ -32,6 +34,10 @@
 
 /** Time beyond a peer's own wait and pause within which it tells again what it read, in milliseconds. */
 const FED_SLACK_MS = 500;
+/** Longest time by which one of two readers lets the other go first, in milliseconds; drawn anew each time. */
+const READER_SLACK_MS = 250;
+/** Time after a failed read of its own during which also a reader relies on being told, in milliseconds. */
+const OWN_FAILURE_MS = 3_000;
 /** Pause after a failed read, in milliseconds; up to twice as long by chance, so that nodes spread. */
 const FAILURE_PAUSE_MS = 250;
 
@@ -42,6 +48,7 @@
   #from: number | undefined;
   #awaySince: number | undefined;
   #fedAt = -Infinity;
+  #failedAt = -Infinity;
   #waking = new AbortController();
   #running: Promise<void> | undefined;
 
@@ -59,13 +66,16 @@
 
   /**
    * Takes in what a peer read. The records are applied when nothing is missing before them and they
-   * are whole; otherwise this node reads at once what it lacks.
+   * are whole; otherwise this node reads at once what it lacks. That holds as well while the log turns
+   * this node away and serves the peer.
    */
   offer({ from, next }: Range, records: readonly KeyedRecord[], isWhole: boolean): void {
-    if (this.#from === undefined || this.#awaySince !== undefined) return;
-    if (next < this.#from) return;
+    if (this.#from === undefined || next < this.#from) return;
     this.#fedAt = this.#options.clock.monotonic();
-    if (next === this.#from) return;
+    if (next === this.#from) {
+      this.#markRead();
+      return;
+    }
     if (!isWhole || from > this.#from) {
       this.#fedAt = -Infinity;
       this.#waking.abort();
@@ -73,6 +83,7 @@
     }
     const since = this.#from;
     this.#from = next;
+    this.#markRead();
     const missed = records.filter(({ offset }) => offset >= since);
     if (missed.length > 0) this.#options.onRecords(missed);
   }
@@ -93,8 +104,12 @@
 
   /** Time for which a peer is still expected to tell what it read, in milliseconds. */
   #fedForMs(): number {
-    const { clock, waitMs, pauseMs } = this.#options;
-    return this.#fedAt + waitMs + pauseMs + FED_SLACK_MS - clock.monotonic();
+    const { clock, random, waitMs, pauseMs, isReader } = this.#options;
+    const now = clock.monotonic();
+    const isReading = isReader() && now - this.#failedAt > OWN_FAILURE_MS;
+    if (isReading && waitMs > 0) return 0;
+    const slackMs = isReading ? random.next() * READER_SLACK_MS : FED_SLACK_MS;
+    return this.#fedAt + waitMs + pauseMs + slackMs - now;
   }
 
   async #sleep(ms: number): Promise<void> {
@@ -147,6 +162,7 @@
   }
 
   #markAway(error: unknown): void {
+    this.#failedAt = this.#options.clock.monotonic();
     if (this.#awaySince !== undefined || this.#closing.signal.aborted) return;
     this.#awaySince = this.#options.clock.monotonic();
     this.#options.onAway(error);
