--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -1,9 +1,9 @@
 import { RetryBudget, SharedQuota } from '@ragwortrudder/admission';
 import { RunnerDirectory } from '@ragwortrudder/catalog';
-import type { Configuration, RunnerEntry } from '@ragwortrudder/catalog';
+import type { Configuration } from '@ragwortrudder/catalog';
 import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
-import type { KeyedLog, KeyedRecord } from '@ragwortrudder/log';
+import type { KeyedLog } from '@ragwortrudder/log';
 import { SessionPlaces } from '@ragwortrudder/routing';
 import type { Writable } from 'node:stream';
 import { isDeepStrictEqual } from 'node:util';
@@ -14,7 +14,6 @@
 import type { Dialect } from '../types/dialect.ts';
 import type { GatewaySettings } from '../types/gateway-settings.ts';
 import { PeerEntry } from '../types/peer-entry.ts';
-import type { TopicFeed } from '../types/topic-feed.ts';
 import { DemandMeter } from '../utils/demand-meter.ts';
 import { LoadBoard } from '../utils/load-board.ts';
 import { retryAllowance } from '../utils/retry-allowance.ts';
@@ -22,12 +21,12 @@
 import { UsageCounter } from '../utils/usage-counter.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import { CallerServer } from './caller-server.ts';
+import { CatalogFollower } from './catalog-follower.ts';
 import { DecisionLog } from './decision-log.ts';
 import { DutyBoard } from './duty-board.ts';
 import { DutyHolder } from './duty-holder.ts';
 import { Forwarder } from './forwarder.ts';
 import { GatewayMetrics } from './gateway-metrics.ts';
-import { KeyedFollower } from './keyed-follower.ts';
 import { PeerReports } from './peer-reports.ts';
 import { Peers } from './peers.ts';
 import { RunnerPool } from './runner-pool.ts';
@@ -46,13 +45,7 @@
   readonly out: Writable;
 }
 
-/** Changes that fit into one datagram. */
-const MAX_FED_CHANGES = 40;
 const NODE_TOPIC = 'nodes';
-/** Wait of a read of the configuration, in milliseconds: a connection that fell silent is noticed within it. */
-const CONFIGURATION_WAIT_MS = 1_000;
-/** Pause between reads of the runners, in milliseconds; a change must be in force within two seconds. */
-const RUNNER_PAUSE_MS = 700;
 const UPKEEP_MS = 200;
 /** Pause between tries to enter this node in the list of nodes, in milliseconds. */
 const ENTER_PAUSE_MS = 1_000;
@@ -85,11 +78,10 @@
   readonly #reports: PeerReports;
   readonly #peers: Peers;
   readonly #duties: DutyHolder | undefined;
-  readonly #followers: readonly KeyedFollower[];
+  readonly #catalog: CatalogFollower;
   readonly #tasks: readonly PeriodicTask[];
   readonly #life: number;
   #configuration: Configuration | undefined;
-  #hasRunners = false;
   #isEntered = false;
   #isStopping = false;
   #stoppingSince: number | undefined;
@@ -138,7 +130,7 @@
         this.#reports.takeDigest(digest);
       },
       onFeed: (feed) => {
-        this.#takeFeed(feed);
+        this.#catalog.take(feed);
       },
     });
     this.#pool = new RunnerPool({
@@ -189,50 +181,20 @@
       metricsText: () => this.#metrics.text(),
     });
     this.#duties = this.#createDuties(trueTime);
-    this.#followers = [
-      this.#follow(codec.configurationTopic, CONFIGURATION_WAIT_MS, 0, {
-        onWhole: (records) => {
-          this.#takeConfiguration(records);
-        },
-        onRecords: (records) => {
-          this.#takeConfiguration(records);
-        },
-        onRange: (range, records) => {
-          this.#feed({
-            topic: codec.configurationTopic,
-            ...range,
-            changes: [],
-            isWhole: records.length === 0,
-          });
-        },
-        onAway: () => undefined,
-        onRead: () => undefined,
-      }),
-      this.#follow(codec.runnerTopic, 0, RUNNER_PAUSE_MS, {
-        onWhole: (records) => {
-          this.#takeAllRunners(records);
-        },
-        onRecords: (records) => {
-          this.#takeRunners(records);
-        },
-        onRange: (range, records) => {
-          const changes = this.#runnerChanges(records);
-          const isWhole = changes.length <= MAX_FED_CHANGES;
-          this.#feed({
-            topic: codec.runnerTopic,
-            ...range,
-            changes: isWhole ? changes.map(fedRecord) : [],
-            isWhole,
-          });
-        },
-        onAway: () => {
-          this.#directory.markAway();
-        },
-        onRead: () => {
-          this.#directory.markRead();
-        },
-      }),
-    ];
+    this.#catalog = new CatalogFollower({
+      log: options.log,
+      codec,
+      clock,
+      random,
+      directory: this.#directory,
+      decisions: this.#decisions,
+      metrics: this.#metrics,
+      isReader: () => this.#peers.isRelay,
+      feed: (feed) => void this.#peers.feed(feed),
+      onConfiguration: (configuration) => {
+        this.#apply(configuration);
+      },
+    });
     this.#tasks = [
       new PeriodicTask({
         periodMs: UPKEEP_MS,
@@ -265,7 +227,7 @@
   async start(): Promise<void> {
     const { node } = this.#options.settings;
     this.#decisions.notable('started', { life: this.#life, failureDomain: node.failureDomain });
-    for (const follower of this.#followers) follower.start();
+    this.#catalog.start();
     await this.#peers.start();
     await this.#status.listen();
     await this.#metricsServer.listen();
@@ -317,7 +279,7 @@
     await this.#peers.tellAll(true);
     this.#decisions.notable('stopped', { active: this.#forwarder.active.size });
     await Promise.all([
-      ...this.#followers.map((follower) => follower.close()),
+      this.#catalog.close(),
       this.#duties?.close(),
       this.#callers.close(),
       this.#status.close(),
@@ -340,7 +302,7 @@
   });
 
   get #isReady(): boolean {
-    return this.#configuration !== undefined && this.#hasRunners && !this.#isStopping;
+    return this.#configuration !== undefined && this.#catalog.hasRunners && !this.#isStopping;
   }
 
   /** A stopping node takes requests until new connections go elsewhere; later ones might not end in time. */
@@ -397,125 +359,10 @@
     });
   }
 
-  #follow(topic: string, waitMs: number, pauseMs: number, handlers: FollowHandlers): KeyedFollower {
-    const { log, clock, random } = this.#options;
-    return new KeyedFollower({
-      log,
-      topic,
-      clock,
-      random,
-      waitMs,
-      pauseMs,
-      isReader: () => this.#peers.isRelay,
-      onWhole: (records) => {
-        handlers.onRead();
-        handlers.onWhole(records);
-      },
-      onRecords: handlers.onRecords,
-      onRange: handlers.onRange,
-      onAway: (error) => {
-        handlers.onAway();
-        this.#metrics.count('log_failures', { topic });
-        this.#decisions.notable('log-lost', {
-          topic,
-          reason: error instanceof Error ? error.message : String(error),
-        });
-      },
-      onBack: (awayMs) => {
-        handlers.onRead();
-        this.#decisions.notable('log-back', { topic, awayMs: Math.round(awayMs) });
-      },
-    });
-  }
-
-  #takeConfiguration(records: readonly KeyedRecord[]): void {
-    const { codec } = this.#options;
-    for (const { key, value, offset } of records) {
-      if (key !== codec.configurationKey || !value) continue;
-      const configuration = codec.decodeConfiguration(value);
-      if (!configuration) {
-        this.#decisions.notable('configuration-unreadable', { offset });
-        continue;
-      }
-      this.#apply(configuration);
-    }
-  }
-
   #apply(configuration: Configuration): void {
-    const before = this.#configuration?.version ?? 0;
-    if (configuration.version <= before) return;
     this.#configuration = configuration;
     this.#forwarder.apply(configuration);
     this.#callers.setLimits(configuration.limits);
-    this.#decisions.notable('configuration-applied', {
-      version: configuration.version,
-      before,
-      routes: configuration.routes.length,
-      teams: configuration.teams.length,
-    });
-  }
-
-  #takeAllRunners(records: readonly KeyedRecord[]): void {
-    const { codec } = this.#options;
-    const entries = records.flatMap(({ key, value }) => {
-      const entry = value && codec.decodeRunner(key, value);
-      return entry ? [entry] : [];
-    });
-    this.#directory.replaceAll(entries);
-    this.#hasRunners ||= entries.length > 0;
-    this.#decisions.notable('runners-read', { runners: entries.length });
-  }
-
-  /** Tells the failure domain what was read, so that its other nodes need not read it. */
-  #feed(feed: TopicFeed): void {
-    if (this.#peers.isRelay) void this.#peers.feed(feed);
-  }
-
-  #takeFeed({ topic, from, next, changes, isWhole }: TopicFeed): void {
-    const follower = this.#followers.find((item) => item.topic === topic);
-    const records = changes.map(([key, value, offset]): KeyedRecord => {
-      return { key, value: value === null ? undefined : Buffer.from(value, 'base64'), offset };
-    });
-    follower?.offer({ from, next }, records, isWhole);
-  }
-
-  /** Newest record of each runner that differs from what is known. */
-  #runnerChanges(records: readonly KeyedRecord[]): readonly KeyedRecord[] {
-    const { codec } = this.#options;
-    const newest = new Map(records.map((record) => [record.key, record]));
-    return [...newest.values()].filter(({ key, value }) => {
-      const entry = value && codec.decodeRunner(key, value);
-      return !isDeepStrictEqual(entry, this.#directory.find(key));
-    });
-  }
-
-  #takeRunners(records: readonly KeyedRecord[]): void {
-    const { codec } = this.#options;
-    for (const { key, value } of records) {
-      const entry = value && codec.decodeRunner(key, value);
-      if (entry) this.#enterRunner(entry);
-      else this.#removeRunner(key, value !== undefined);
-    }
-  }
-
-  #enterRunner(entry: RunnerEntry): void {
-    const known = this.#directory.find(entry.id);
-    this.#directory.put(entry);
-    this.#hasRunners = true;
-    if (known?.isDraining === entry.isDraining && known.bornMs === entry.bornMs) return;
-    this.#decisions.notable('runner-entered', {
-      runner: entry.id,
-      service: entry.service,
-      version: entry.version,
-      isDraining: entry.isDraining,
-      isSpot: entry.isSpot,
-    });
-  }
-
-  #removeRunner(id: string, isUnreadable: boolean): void {
-    if (!this.#directory.find(id)) return;
-    this.#directory.remove(id);
-    this.#decisions.notable('runner-removed', { runner: id, isUnreadable });
   }
 
   /** Enters this node in the list of nodes, and learns of the others. */
@@ -556,21 +403,6 @@
   }
 }
 
-interface FollowHandlers {
-  readonly onWhole: (records: readonly KeyedRecord[]) => void;
-  readonly onRecords: (records: readonly KeyedRecord[]) => void;
-  readonly onRange: (
-    range: { readonly from: number; readonly next: number },
-    records: readonly KeyedRecord[],
-  ) => void;
-  readonly onAway: () => void;
-  readonly onRead: () => void;
-}
-
-function fedRecord({ key, value, offset }: KeyedRecord): [string, string | null, number] {
-  return [key, value ? Buffer.from(value).toString('base64') : null, offset];
-}
-
 function peerEntryIn(bytes: Uint8Array): PeerEntry | undefined {
   try {
     return PeerEntry.safeParse(JSON.parse(Buffer.from(bytes).toString())).data;
