Tell peers of a long prompt at once; prefer near runners; spread work over more reclaimable runners

A prompt of 8,000 tokens or more to be read is now told in a datagram of its own and counts until it is read or the next report. Other failure domains cost 12 ms instead of 3; reclaimable runners are planned for 0.4 of their time instead of 0.5.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -50,6 +50,9 @@
 /** Silence before the first byte after which a request is sent elsewhere, as a multiple of the latency target. */
 const SILENT_TARGETS = 1.5;
 
+/** Prompt tokens from which on peers are told at once: a runner reads them for longer than datagrams take by far. */
+const LONG_PROMPT_TOKENS = 8_000;
+
 /** One request on its way: its attempts at runners until its final answer. */
 export class ForwardedRequest {
   readonly #options: ForwardedRequestOptions;
@@ -201,6 +204,9 @@
     let rest = work;
     const isAlone = board.workAt(entry.id).prefillTokens === 0;
     board.add(entry.id, work);
+    if (work.prefillTokens >= LONG_PROMPT_TOKENS) {
+      this.#options.onPrompt(entry.id, work.prefillTokens);
+    }
     pool.sent(entry);
     this.#options.sessions.note(this.#placement.session, entry.id, sentAt);
     const isRepeatable = this.#isRepeatable();
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -129,6 +129,9 @@
       onDigest: (digest) => {
         this.#reports.takeDigest(digest);
       },
+      onPrompt: ({ node: peer, runner, tokens }) => {
+        this.#board.notice(peer, runner, tokens);
+      },
       onFeed: (feed) => {
         this.#catalog.take(feed);
       },
@@ -156,6 +159,7 @@
       trueTime,
       log: this.#decisions,
       metrics: this.#metrics,
+      onPrompt: (runnerId, tokens) => void this.#peers.tellPrompt(runnerId, tokens),
       onDemand: (service, request) => {
         this.#demand.add(service.name, {
           requests: 1,
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -2,6 +2,7 @@
 import type { Clock, Closeable } from '@ragwortrudder/core';
 import { DomainDigest } from '../types/domain-digest.ts';
 import { NodeReport } from '../types/node-report.ts';
+import { PromptNotice } from '../types/prompt-notice.ts';
 import type { ReportExtent } from '../types/report-extent.ts';
 import { TopicFeed } from '../types/topic-feed.ts';
 import type { DecisionLog } from './decision-log.ts';
@@ -23,6 +24,8 @@
   readonly onReport: (report: NodeReport, isFirst: boolean) => void;
   /** Receives the digest of another failure domain. */
   readonly onDigest: (digest: DomainDigest) => void;
+  /** Receives that a peer sent a long prompt. */
+  readonly onPrompt: (notice: PromptNotice) => void;
   /** Receives what a peer of the same failure domain read. */
   readonly onFeed: (feed: TopicFeed) => void;
 }
@@ -42,6 +45,7 @@
 const REPORT_METHOD = 'report';
 const DIGEST_METHOD = 'digest';
 const FEED_METHOD = 'feed';
+const PROMPT_METHOD = 'prompt';
 /** Nodes of a failure domain that read topics for all of it, and tell the other domains of it. */
 const RELAYS = 2;
 /** Peers up to which every node tells every other one. */
@@ -132,6 +136,16 @@
     await this.#socket.send(FEED_METHOD, feed, addressesOf(this.#heardInDomain()));
   }
 
+  /** Tells that this node has sent a long prompt, before the next report does. */
+  async tellPrompt(runner: string, tokens: number): Promise<void> {
+    const now = this.#options.clock.monotonic();
+    const heard = this.#isLarge
+      ? this.#heardInDomain()
+      : [...this.#peers].filter(([, peer]) => this.#isHeard(peer, now));
+    const notice: PromptNotice = { node: this.#options.node, runner, tokens: Math.round(tokens) };
+    await this.#socket.send(PROMPT_METHOD, notice, addressesOf(heard));
+  }
+
   async start(): Promise<void> {
     await this.#socket.start();
     this.#schedule();
@@ -268,6 +282,11 @@
       if (digest) this.#takeDigest(digest);
       return;
     }
+    if (method === PROMPT_METHOD) {
+      const notice = PromptNotice.safeParse(params).data;
+      if (notice) this.#options.onPrompt(notice);
+      return;
+    }
     const feed = method === FEED_METHOD ? TopicFeed.safeParse(params).data : undefined;
     if (feed) this.#options.onFeed(feed);
     else this.#options.log.routine('peer-message-unreadable', { method });
--- a/packages/gateway/src/types/forwarder-options.ts
+++ b/packages/gateway/src/types/forwarder-options.ts
@@ -28,6 +28,8 @@
   readonly trueTime: { now(): number };
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
+  /** Called when a request with so many prompt tokens to be read has been sent to a runner. */
+  readonly onPrompt: (runnerId: string, tokens: number) => void;
   /** Called with each request that is admitted, for the forecast of demand. */
   readonly onDemand: (service: Service, request: CallerRequest) => void;
 }
--- a/packages/gateway/src/utils/load-board.ts
+++ b/packages/gateway/src/utils/load-board.ts
@@ -11,6 +11,14 @@
   readonly byRunner: ReadonlyMap<string, RunnerWork>;
 }
 
+interface NoticedPrompt {
+  readonly peer: string;
+  readonly tokens: number;
+  readonly until: number;
+}
+
+/** Time for which a noticed prompt counts, in milliseconds per token: twice what a published engine takes to read it. */
+const NOTICED_MS_PER_TOKEN = 0.02;
 /** What a peer told is used for this long, in milliseconds: several reports, also where many peers report rarely. */
 const PEER_FRESH_MS = 2_000;
 /** What a runner stated of its load is used for this long, in milliseconds: work changes within it. */
@@ -31,6 +39,7 @@
   readonly #own = new Map<string, RunnerWork>();
   readonly #peers = new Map<string, PeerWork>();
   readonly #stated = new Map<string, StatedLoad>();
+  readonly #noticed = new Map<string, readonly NoticedPrompt[]>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -48,8 +57,21 @@
     else this.#own.set(runnerId, work);
   }
 
+  /** Takes in that a peer has just sent a long prompt; it counts until it is read or the peer tells again. */
+  notice(peer: string, runnerId: string, tokens: number): void {
+    const now = this.#clock.monotonic();
+    const until = now + tokens * NOTICED_MS_PER_TOKEN;
+    const open = (this.#noticed.get(runnerId) ?? []).filter((prompt) => prompt.until > now);
+    this.#noticed.set(runnerId, [...open, { peer, tokens, until }]);
+  }
+
   /** Replaces what a peer told. */
   setPeer(peerId: string, byRunner: ReadonlyMap<string, RunnerWork>): void {
+    for (const [runner, prompts] of this.#noticed) {
+      const others = prompts.filter(({ peer }) => peer !== peerId);
+      if (others.length === 0) this.#noticed.delete(runner);
+      else this.#noticed.set(runner, others);
+    }
     this.#peers.set(peerId, { at: this.#clock.monotonic(), byRunner });
   }
 
@@ -84,6 +106,9 @@
       const told = now - at > PEER_FRESH_MS ? undefined : byRunner.get(runnerId);
       if (told) work = sum(work, told);
     }
+    for (const { tokens, until } of this.#noticed.get(runnerId) ?? []) {
+      if (until > now) work = sum(work, { requests: 1, prefillTokens: tokens, kvTokens: tokens });
+    }
     const stated = this.#stated.get(runnerId);
     if (!stated || now - stated.at > STATED_FRESH_MS) return work;
     return { ...work, requests: Math.max(work.requests, stated.running + stated.waiting) };
--- a/packages/routing/src/utils/place-request.ts
+++ b/packages/routing/src/utils/place-request.ts
@@ -10,8 +10,8 @@
 const SLOT_WAIT_MS = 60;
 /** Cost of a prompt that does not fit into the KV cache beside the others, in milliseconds. */
 const KV_OVERFLOW_MS = 2_000;
-/** Cost of another failure domain, in milliseconds: a round trip and the bytes between domains. */
-const OTHER_DOMAIN_MS = 3;
+/** Cost of another failure domain, in milliseconds: bytes between domains, streams that a cut breaks off, and less news of what others send there. */
+const OTHER_DOMAIN_MS = 12;
 /** Near-ties within this range are broken at random, so that nodes with the same view spread, in milliseconds. */
 const TIE_MS = 3;
 /** Weight of cached prompt tokens against tokens to be read: they may have been evicted. */
--- a/packages/supply/src/utils/plan-runners.ts
+++ b/packages/supply/src/utils/plan-runners.ts
@@ -16,8 +16,8 @@
 
 /** Utilization up to which waits stay short, from the queueing of prompts of very unequal size. */
 const TARGET_UTILIZATION = 0.75;
-/** Utilization of reclaimable runners: one of three failure domains may be reclaimed at once. */
-const SPOT_UTILIZATION = 0.5;
+/** Utilization of reclaimable runners: one of three failure domains may be reclaimed at once, and prompts wait where nodes choose without news of one another. */
+const SPOT_UTILIZATION = 0.4;
 /** Price share from which reclaimable runners no longer pay for the spare ones. */
 const MAX_SPOT_PRICE = 0.6;
 /** On-demand runners that are kept whatever the supply of reclaimable ones. */
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -175,3 +175,15 @@
   t.true(lines.some((line) => line.includes('"request-refused"')));
   t.true(lines.some((line) => line.includes('"lines-dropped"')));
 });
+
+test('pattern: long prompts from many nodes; one that a peer has just sent counts until it is read or told', (t) => {
+  const clock = new ManualClock();
+  const board = new LoadBoard(clock);
+  board.notice('p', 'r1', 20_000);
+  board.notice('q', 'r1', 10_000);
+  t.is(board.workAt('r1').prefillTokens, 30_000);
+  board.setPeer('p', new Map([['r1', { requests: 1, prefillTokens: 5_000, kvTokens: 20_000 }]]));
+  t.is(board.workAt('r1').prefillTokens, 15_000);
+  clock.advance(1_000);
+  t.is(board.workAt('r1').prefillTokens, 5_000);
+});
