--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -5,6 +5,7 @@
 import { PromptNotice } from '../types/prompt-notice.ts';
 import type { ReportExtent } from '../types/report-extent.ts';
 import { TopicFeed } from '../types/topic-feed.ts';
+import { reportPace } from '../utils/report-pace.ts';
 import type { DecisionLog } from './decision-log.ts';
 import { PeerSocket } from './peer-socket.ts';
 
@@ -48,12 +49,8 @@
 const PROMPT_METHOD = 'prompt';
 /** Nodes of a failure domain that read topics for all of it, and tell the other domains of it. */
 const RELAYS = 2;
-/** Peers up to which every node tells every other one. */
-const FULL_MESH_PEERS = 16;
-/** Pause between two reports, in milliseconds, with up to `FULL_RATE_PEERS` peers that receive them. */
+/** Pause between two reports in a small deployment, in milliseconds. */
 const REPORT_MS = 200;
-/** Peers of a failure domain above which reports become rarer, so that a node's cost stays flat. */
-const FULL_RATE_PEERS = 8;
 /** Pause between two accounts of usage and demand to the holder of the duties in a large deployment, in milliseconds. */
 const ACCOUNT_MS = 700;
 /** Silence after which a peer counts as unheard, in milliseconds: several reports in a row lost. */
@@ -76,6 +73,8 @@
   readonly #peers = new Map<string, Peer>();
   readonly #digestSequences = new Map<string, number>();
   #hasResigned = false;
+  /** Multiplies the silence after which a peer counts as unheard. */
+  #unheardFactor = 1;
   #accountedAt = -Infinity;
   #timer: NodeJS.Timeout | undefined;
 
@@ -179,7 +178,7 @@
   }
 
   get #isLarge(): boolean {
-    return this.#peers.size > FULL_MESH_PEERS;
+    return this.#pace() !== undefined;
   }
 
   async #tell(): Promise<void> {
@@ -235,30 +234,28 @@
     );
   }
 
-  /** How much rarer reports are than in a small deployment. */
-  #rarity(): number {
-    const { failureDomain } = this.#options;
-    const near = [...this.#peers.values()].filter((peer) => peer.failureDomain === failureDomain);
-    return this.#isLarge ? Math.max(1, near.length / FULL_RATE_PEERS) : 1;
+  #pace(): ReturnType<typeof reportPace> {
+    return reportPace([...this.#peers.values()], this.#options.failureDomain);
   }
 
   #schedule(): void {
-    this.#timer = setTimeout(() => {
-      this.#forgetSilent();
-      void this.#tell();
-      this.#schedule();
-    }, REPORT_MS * this.#rarity());
+    this.#timer = setTimeout(
+      () => {
+        this.#forgetSilent();
+        void this.#tell();
+        this.#schedule();
+      },
+      REPORT_MS * (this.#pace()?.telling ?? 1),
+    );
   }
 
   #isHeard({ heardAt }: Peer, now: number): boolean {
     return heardAt !== undefined && now - heardAt < UNHEARD_MS * this.#unheardFactor;
   }
 
-  #unheardFactor = 1;
-
   #forgetSilent(): void {
     const now = this.#options.clock.monotonic();
-    this.#unheardFactor = this.#rarity();
+    this.#unheardFactor = this.#pace()?.listening ?? 1;
     for (const [id, peer] of this.#peers) {
       const silentMs = now - (peer.heardAt ?? peer.knownAt);
       if (silentMs > FORGET_MS) {
--- /dev/null
+++ b/test/gateway/report-pace.test.ts
@@ -0,0 +1,48 @@
+import test from 'ava';
+import { reportPace } from '../../packages/gateway/src/utils/report-pace.ts';
+
+interface PlacedNode {
+  readonly failureDomain: string;
+}
+
+function nodesOf(sizes: Readonly<Record<string, number>>): readonly PlacedNode[] {
+  return Object.entries(sizes).flatMap(([failureDomain, size]) =>
+    Array.from({ length: size }, () => ({ failureDomain })),
+  );
+}
+
+/** Pace of a node of each failure domain. */
+function pacesOf(
+  sizes: Readonly<Record<string, number>>,
+): readonly ReturnType<typeof reportPace>[] {
+  const nodes = nodesOf(sizes);
+  return Object.keys(sizes).map((failureDomain) => {
+    const self = nodes.findIndex((node) => node.failureDomain === failureDomain);
+    const peers = nodes.filter((_node, index) => index !== self);
+    return reportPace(peers, failureDomain);
+  });
+}
+
+test('a small deployment keeps its full pace', (t) => {
+  t.deepEqual(pacesOf({ a: 9, b: 8 }), [undefined, undefined]);
+});
+
+test('pattern: uneven failure domains; nobody is taken for silent because its domain tells less often', (t) => {
+  for (const sizes of [
+    { a: 3, b: 45 },
+    { a: 28, b: 27, c: 29 },
+    { a: 1, b: 1, c: 98 },
+  ]) {
+    const paces = pacesOf(sizes);
+    const slowest = Math.max(...paces.map((pace) => pace?.telling ?? 1));
+    for (const pace of paces) t.true((pace?.listening ?? 1) >= slowest, JSON.stringify(sizes));
+  }
+});
+
+test('reports that a node sends a second do not grow with its failure domain', (t) => {
+  const costOf = (size: number): number => {
+    const [pace] = pacesOf({ a: size, b: size });
+    return size / (pace?.telling ?? 1);
+  };
+  t.true(costOf(300) <= costOf(30) * 1.01);
+});
