--- a/packages/soak/src/node/soak-node.ts
+++ b/packages/soak/src/node/soak-node.ts
@@ -25,7 +25,6 @@
   #child: ChildProcess | undefined;
   #ended: Promise<void> = Promise.resolve();
   #isClosing = false;
-  #lives = 0;
 
   constructor({ id, folder, settings }: SoakNodeOptions) {
     this.id = id;
@@ -34,14 +33,8 @@
     this.#log = createWriteStream(join(folder, `${id}.log`));
   }
 
-  /** Starts of the process so far. */
-  get lives(): number {
-    return this.#lives;
-  }
-
   start(): void {
     writeFileSync(this.#settingsPath, JSON.stringify(this.#settings));
-    this.#lives += 1;
     const child = spawn(process.execPath, ['--import=tsx', MAIN, 'serve-platform'], {
       env: { ...process.env, RAGWORTRUDDER_CONFIG: this.#settingsPath, NODE_NO_WARNINGS: '1' },
       stdio: ['ignore', 'pipe', 'pipe'],
