Test streams that end inside an event, without framing, reset and framed (known red)

On this code, npx ava test/gateway/response-framing.test.ts:

fail: a stream without length or chunks that is closed inside an event does not look complete fail: a stream whose framing is completed inside an event does not look complete fail: a resumable stream that ends inside an event continues at another runner ok: a stream without length or chunks that is reset inside an event does not look complete

In the failures the caller gets 'id: 2\ndata: pie' and the last chunk. The reset is seen as one, so a missed reset is not what happened.

--- a/test/gateway/response-framing.test.ts
+++ b/test/gateway/response-framing.test.ts
@@ -2,6 +2,7 @@
 import { GatewayHarness } from './gateway-harness.ts';
 import { chunk, event, headFor, responseTo, streamHeadFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
+import type { ReceivedRequest } from './scripted-runner.ts';
 
 type Script = ConstructorParameters<typeof ScriptedRunner>[0];
 
@@ -54,3 +55,70 @@
   await harness.call();
   t.like(lineOf(harness, 'attempt-ended'), { framing: 'chunked', partialEventBytes: 8 });
 });
+
+test('a stream without length or chunks that is closed inside an event does not look complete', async (t) => {
+  const runner = await startRunner((socket, request) => {
+    socket.end(`${streamHeadFor(request, ['Connection: close'])}${event(1)}id: 2\ndata: pie`);
+  });
+  const harness = await GatewayHarness.start(t, {
+    runners: [runner],
+    route: { kind: 'streaming' },
+  });
+  const reply = await harness.call();
+  t.is(reply.body, event(1));
+  t.false(reply.isComplete);
+  t.is(runner.received.length, 1);
+});
+
+test('a stream without length or chunks that is reset inside an event does not look complete', async (t) => {
+  const runner = await startRunner((socket, request) => {
+    const head = streamHeadFor(request, ['Connection: close']);
+    socket.write(`${head}${event(1)}id: 2\ndata: pie`, () => socket.resetAndDestroy());
+  });
+  const harness = await GatewayHarness.start(t, {
+    runners: [runner],
+    route: { kind: 'streaming' },
+  });
+  const reply = await harness.call();
+  t.false(reply.isComplete);
+  t.notRegex(reply.body, /id: 2/);
+});
+
+test('a stream whose framing is completed inside an event does not look complete', async (t) => {
+  const body = `${event(1)}id: 2\ndata: pie`;
+  const framed: readonly ((request: ReceivedRequest) => string)[] = [
+    (request) => `${streamHeadFor(request)}${chunk(body)}0\r\n\r\n`,
+    (request) => `${streamHeadFor(request, [`Content-Length: ${body.length}`])}${body}`,
+  ];
+  for (const responseOf of framed) {
+    const runner = await startRunner((socket, request) => {
+      socket.write(responseOf(request));
+    });
+    const harness = await GatewayHarness.start(t, {
+      runners: [runner],
+      route: { kind: 'streaming' },
+    });
+    const reply = await harness.call();
+    t.is(reply.body, event(1));
+    t.false(reply.isComplete);
+  }
+});
+
+test('a resumable stream that ends inside an event continues at another runner', async (t) => {
+  const runners = await Promise.all(
+    [0, 1].map(() =>
+      startRunner((socket, request) => {
+        const isResumed = request.head.includes('Last-Event-Id: 1\r\n');
+        const rest = isResumed ? event(2) + event(3) : `${event(1)}id: 2\ndata: pie`;
+        socket.end(streamHeadFor(request, ['Connection: close']) + rest);
+      }),
+    ),
+  );
+  const harness = await GatewayHarness.start(t, {
+    runners,
+    route: { kind: 'streaming', stream_resume: true },
+  });
+  const reply = await harness.call();
+  t.is(reply.body, event(1) + event(2) + event(3));
+  t.true(reply.isComplete);
+});
