Give the peers' tests addresses that no other process uses

One run of the whole suite, beside other tests, failed once: 'large deployment with uneven failure domains' with EADDRINUSE 127.0.0.1:52387. The test asked the system for a free port, closed it and bound it again later; meanwhile a socket of another process got it. freeAddresses gives ports outside the range of outgoing connections, on a loopback address of the process's own. What the test checks is unchanged.

--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -1,9 +1,9 @@
-import { createSocket } from 'node:dgram';
 import { Writable } from 'node:stream';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { SharedQuota } from '@ragwortrudder/admission';
 import { SystemClock } from '@ragwortrudder/core';
+import { freeAddresses } from '@ragwortrudder/standins';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import { PeerStateSync } from '../../packages/gateway/src/node/peer-state-sync.ts';
 import { Peers } from '../../packages/gateway/src/node/peers.ts';
@@ -15,32 +15,21 @@
 interface TestNode {
   readonly id: string;
   readonly failureDomain: string;
+  readonly host: string;
   readonly port: number;
   readonly peers: Peers;
   readonly loadTracker: RunnerLoadTracker;
 }
 
-const HOST = '127.0.0.1';
-
-async function freePort(): Promise<number> {
-  const socket = createSocket('udp4');
-  await new Promise<void>((resolve) => {
-    socket.bind(0, HOST, resolve);
-  });
-  const { port } = socket.address();
-  await new Promise<void>((resolve) => {
-    socket.close(resolve);
-  });
-  return port;
-}
-
 async function startNode(
   t: ExecutionContext,
   id: string,
   failureDomain: string,
 ): Promise<TestNode> {
   const clock = new SystemClock();
-  const port = await freePort();
+  const [address = ''] = await freeAddresses(1);
+  const [host = '', portText] = address.split(':');
+  const port = Number(portText);
   const loadTracker = new RunnerLoadTracker(clock);
   const out = new Writable({
     write: (_chunk, _encoding, done) => {
@@ -49,7 +38,7 @@
   });
   const sync = new PeerStateSync({
     node: id,
-    address: { host: HOST, port },
+    address: { host, port },
     failureDomain,
     incarnation: 1,
     clock,
@@ -62,7 +51,7 @@
   });
   const peers = new Peers({
     node: id,
-    address: { host: HOST, port },
+    address: { host, port },
     failureDomain,
     clock,
     log: new DecisionLog({ node: id, out, clock }),
@@ -81,7 +70,7 @@
     onFeed: () => undefined,
   });
   t.teardown(() => peers.close());
-  return { id, failureDomain, port, peers, loadTracker };
+  return { id, failureDomain, host, port, peers, loadTracker };
 }
 
 /** Starts the given number of nodes in each failure domain, all known to each other. */
@@ -97,8 +86,8 @@
   }
   for (const { peers } of nodes) {
     await peers.start();
-    for (const { id, port, failureDomain } of nodes) {
-      peers.addPeer(id, { host: HOST, port }, failureDomain);
+    for (const { id, host, port, failureDomain } of nodes) {
+      peers.addPeer(id, { host, port }, failureDomain);
     }
   }
   for (const { peers } of nodes) await peers.publishReport();
