End a resumed stream whose next runner answers with an error

What callers saw: nothing. The stream stood still after its last event until the caller gave up, and the request counted as served.

Cause: the answer of the next runner, complete and with an error status, was handed to CallerChannel.respond, which does nothing once a response has begun. The request was then finished and its timer gone.

Such an answer is now like a broken attempt: the stream goes on at another runner while attempts and budget last, and is visibly aborted otherwise. Its attempt-ended line is written like that of any attempt that brings no answer.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -156,7 +156,7 @@
       canRetry: this.#deadlineAt - now > MIN_RETRY_MS && this.#chooseRunner() !== undefined,
       takeBudget: () => retryBudget.trySpend({ endpoint: service.name, class: 'interactive' }, now),
     });
-    if (outcome.kind !== 'relayed' && outcome.kind !== 'answered') {
+    if (step !== 'done' && step !== 'answer') {
       log.notable('attempt-ended', {
         request: request.id,
         route: route.name,
--- a/packages/gateway/src/utils/next-step.ts
+++ b/packages/gateway/src/utils/next-step.ts
@@ -39,6 +39,8 @@
     case 'ended':
       return 'done';
     case 'answered': {
+      // A caller that has received a part of a stream cannot receive another status.
+      if (hasBegun) return hasAttemptLeft && takeBudget() ? 'retry' : 'fail';
       const isFailure = outcome.response.head.status >= FIRST_SERVER_ERROR;
       const shouldRetry =
         isFailure && route.kind === 'idempotent' && hasAttemptLeft && takeBudget();
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -50,6 +50,13 @@
   t.is(nextStep(failure(500), { ...BASE, route: NON_IDEMPOTENT, mayHaveRun: true }), 'answer');
 });
 
+test('the error of the next runner never ends a stream that has begun', (t) => {
+  const history = { ...BASE, route: RESUMABLE, mayHaveRun: true, hasBegun: true, sends: 2 };
+  t.is(nextStep(failure(500), history), 'fail');
+  t.is(nextStep(failure(404), history), 'fail');
+  t.is(nextStep(failure(500), { ...history, sends: 1 }), 'retry');
+});
+
 test('a repeatable request is retried within its attempts, time and budget', (t) => {
   t.is(nextStep(BROKEN, { ...BASE, mayHaveRun: true }), 'retry');
   t.is(nextStep(BROKEN, { ...BASE, route: RESUMABLE, hasBegun: true }), 'retry');
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -33,6 +33,12 @@
   readonly isComplete: boolean;
 }
 
+interface ConnectionEnd {
+  readonly received: string;
+  /** Error code of the connection, if it did not end with an orderly close. */
+  readonly error: string | undefined;
+}
+
 const OPERATOR_TOPIC = 'op';
 const RUNNER_TOPIC = 'servers';
 const NO_BODY_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE']);
@@ -221,6 +227,25 @@
     });
   }
 
+  /** Sends raw bytes and returns what is received until the connection ends, and how it ends. */
+  sendUntilEnd(text: string): Promise<ConnectionEnd> {
+    return new Promise((resolve) => {
+      const socket = connect(this.gateway.ports.callers, '127.0.0.1');
+      let received = '';
+      let error: string | undefined;
+      socket.on('data', (bytes) => {
+        received += bytes.toString();
+      });
+      socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+        error = code;
+      });
+      socket.on('close', () => {
+        resolve({ received, error });
+      });
+      socket.write(text);
+    });
+  }
+
   /** Result of the readiness check. */
   async isReady(): Promise<boolean> {
     const response = await fetch(`http://127.0.0.1:${this.gateway.ports.readiness}/ready`);
--- a/test/gateway/response-framing.test.ts
+++ b/test/gateway/response-framing.test.ts
@@ -149,3 +149,25 @@
   t.is(reply.body, `${event(1)}: bye\n`);
   t.true(reply.isComplete);
 });
+
+test('a resumed stream whose next runner answers with an error ends visibly', async (t) => {
+  const runners = await Promise.all(
+    [0, 1].map(() =>
+      startRunner((socket, request) => {
+        if (request.head.includes('Last-Event-Id')) {
+          const framing = ['Content-Length: 4'];
+          socket.write(`${headFor(request, { status: '500 Failed', framing })}oops`);
+          return;
+        }
+        socket.end(streamHeadFor(request) + chunk(event(1)));
+      }),
+    ),
+  );
+  const harness = await GatewayHarness.start(t, {
+    runners,
+    route: { kind: 'streaming', stream_resume: true, timeout_ms: 20_000 },
+  });
+  const reply = await harness.call({ headers: { 'Deadline-Ms': '20000' } });
+  t.is(reply.body, event(1));
+  t.false(reply.isComplete);
+});
