Do not join an event stream with a body of another type

What callers saw: the text of another runner's answer after the events they had, in one complete response.

Cause: a resumed stream took any success for its continuation, whatever its content type.

Before, 'a resumed stream is not joined with a body that is not an event stream' failed: the caller got 'other' after event 1, as complete. Such an answer now counts as a broken attempt.

--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -9,6 +9,7 @@
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { Dialect } from '../types/dialect.ts';
 import type { ForwardingMetadata } from '../types/forwarding-metadata.ts';
+import { isEventStream } from '../utils/is-event-stream.ts';
 import { responseFraming } from '../utils/response-framing.ts';
 import type { RunnerAgent } from './runner-agent.ts';
 
@@ -131,6 +132,10 @@
       this.abort({ kind: 'broken', reason: 'successful response has no Response-Signature' });
       return;
     }
+    if (sink?.hasBegun && isSuccess(head.status) && !isEventStream(head.contentType)) {
+      this.abort({ kind: 'broken', reason: 'response does not continue the event stream' });
+      return;
+    }
     this.#framing = responseFraming({
       method: request.method,
       status: head.status,
--- a/packages/gateway/src/types/response-sink.ts
+++ b/packages/gateway/src/types/response-sink.ts
@@ -2,6 +2,8 @@
 
 /** Receives a successful response as it is streamed. */
 export interface ResponseSink {
+  /** Part of a response has been sent. */
+  readonly hasBegun: boolean;
   /** Bytes received after the last complete event. */
   readonly partialEventBytes: number;
   begin(head: ResponseHead): void;
--- a/test/gateway/response-framing.test.ts
+++ b/test/gateway/response-framing.test.ts
@@ -171,3 +171,25 @@
   t.is(reply.body, event(1));
   t.false(reply.isComplete);
 });
+
+test('a resumed stream is not joined with a body that is not an event stream', async (t) => {
+  const runners = await Promise.all(
+    [0, 1].map(() =>
+      startRunner((socket, request) => {
+        if (request.head.includes('Last-Event-Id')) {
+          const framing = ['Content-Type: text/plain', 'Content-Length: 5'];
+          socket.write(`${headFor(request, { framing })}other`);
+          return;
+        }
+        socket.end(streamHeadFor(request) + chunk(event(1)));
+      }),
+    ),
+  );
+  const harness = await GatewayHarness.start(t, {
+    runners,
+    route: { kind: 'streaming', stream_resume: true },
+  });
+  const reply = await harness.call();
+  t.is(reply.body, event(1));
+  t.false(reply.isComplete);
+});
