Do not replay a stream whose events have no ids

What callers saw: the first events again, in one complete response.

Cause: a stream on a route that resumes was sent to another runner after a break also where no event had an id; without Last-Event-Id that runner starts anew.

Before, 'a stream whose events have no ids is not replayed at another runner' failed: the caller got the first event twice.

--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -41,6 +41,11 @@
     return this.#lastEventId;
   }
 
+  /** Whether another runner can produce the rest of the response. */
+  get canContinue(): boolean {
+    return !this.hasBegun || this.#lastEventId !== undefined;
+  }
+
   /** Bytes received after the last complete event, which have not been sent. */
   get partialEventBytes(): number {
     return this.#splitter?.partialEventBytes ?? 0;
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -153,6 +153,7 @@
       unsent: this.#unsent,
       mayHaveRun: this.#mayHaveRun,
       hasBegun: channel.hasBegun,
+      canContinue: channel.canContinue,
       canRetry: this.#deadlineAt - now > MIN_RETRY_MS && this.#chooseRunner() !== undefined,
       takeBudget: () => retryBudget.trySpend({ endpoint: service.name, class: 'interactive' }, now),
     });
@@ -387,9 +388,10 @@
   }
 
   #canRetryElsewhere(): boolean {
-    const { route, retryBudget, service, clock } = this.#options;
+    const { route, retryBudget, service, clock, channel } = this.#options;
     const now = clock.monotonic();
     return (
+      channel.canContinue &&
       this.#sends < route.maxAttempts &&
       this.#deadlineAt - now > MIN_RETRY_MS &&
       this.#chooseRunner() !== undefined &&
--- a/packages/gateway/src/utils/next-step.ts
+++ b/packages/gateway/src/utils/next-step.ts
@@ -12,6 +12,11 @@
   readonly mayHaveRun: boolean;
   /** Part of a response has been sent to the caller. */
   readonly hasBegun: boolean;
+  /**
+   * Another runner can produce the rest of the response: nothing has been sent, or the last event
+   * that was sent has an id.
+   */
+  readonly canContinue: boolean;
   /** There is enough time and a candidate runner for another attempt. */
   readonly canRetry: boolean;
   /** Takes one retry from the budget; returns false when the budget is exhausted. */
@@ -31,9 +36,9 @@
  * idempotent or a resumable stream, and a request is refused only if no runner can have executed it.
  */
 export function nextStep(outcome: AttemptOutcome, history: AttemptHistory): NextStep {
-  const { route, sends, unsent, mayHaveRun, hasBegun, canRetry, takeBudget } = history;
+  const { route, sends, unsent, mayHaveRun, hasBegun, canContinue, canRetry, takeBudget } = history;
   const giveUpStep: NextStep = mayHaveRun || hasBegun ? 'fail' : 'refuse';
-  const hasAttemptLeft = canRetry && sends < route.maxAttempts;
+  const hasAttemptLeft = canRetry && canContinue && sends < route.maxAttempts;
   switch (outcome.kind) {
     case 'relayed':
     case 'ended':
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -16,6 +16,7 @@
   unsent: 0,
   mayHaveRun: false,
   hasBegun: false,
+  canContinue: true,
   canRetry: true,
   takeBudget: () => true,
 } as const;
@@ -50,6 +51,11 @@
   t.is(nextStep(failure(500), { ...BASE, route: NON_IDEMPOTENT, mayHaveRun: true }), 'answer');
 });
 
+test('a stream that cannot be continued after its last event is not sent to another runner', (t) => {
+  const history = { ...BASE, route: RESUMABLE, mayHaveRun: true, hasBegun: true };
+  t.is(nextStep(BROKEN, { ...history, canContinue: false }), 'fail');
+});
+
 test('the error of the next runner never ends a stream that has begun', (t) => {
   const history = { ...BASE, route: RESUMABLE, mayHaveRun: true, hasBegun: true, sends: 2 };
   t.is(nextStep(failure(500), history), 'fail');
--- a/test/gateway/response-framing.test.ts
+++ b/test/gateway/response-framing.test.ts
@@ -193,3 +193,20 @@
   t.is(reply.body, event(1));
   t.false(reply.isComplete);
 });
+
+test('a stream whose events have no ids is not replayed at another runner', async (t) => {
+  const runners = await Promise.all(
+    [0, 1].map(() =>
+      startRunner((socket, request) => {
+        socket.end(streamHeadFor(request) + chunk('data: first\n\n'));
+      }),
+    ),
+  );
+  const harness = await GatewayHarness.start(t, {
+    runners,
+    route: { kind: 'streaming', stream_resume: true },
+  });
+  const reply = await harness.call();
+  t.is(reply.body, 'data: first\n\n');
+  t.false(reply.isComplete);
+});
