Reset the connection of an HTTP/1.0 caller whose stream breaks off

What callers saw: a stream that broke off looked complete to a caller that does not speak HTTP/1.1, because its response has neither a length nor chunks and an orderly close is its end (RFC 9112, section 6.3).

Cause: aborting a response closed its connection in an orderly way, which shows only where the last chunk is missed.

Before, 'a stream that breaks off is reset for a caller that does not read chunks' failed: the connection ended without an error.

--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -112,7 +112,7 @@
   fail(failure: Failure, requestId: string | undefined): void {
     if (this.#response.destroyed) return;
     if (this.hasBegun) {
-      this.#response.destroy();
+      this.#abort();
       return;
     }
     const body = JSON.stringify({ code: failure.code, hint: failure.hint });
@@ -129,6 +129,13 @@
     this.#response.end(body);
   }
 
+  #abort(): void {
+    const { chunkedEncoding, socket } = this.#response;
+    // Without chunks an orderly close would mark the end of the body.
+    if (!chunkedEncoding) socket?.resetAndDestroy();
+    this.#response.destroy();
+  }
+
   #writeHead(): void {
     if (this.hasBegun || !this.#head) return;
     const headers = [...this.#head.headers];
--- a/test/gateway/response-framing.test.ts
+++ b/test/gateway/response-framing.test.ts
@@ -210,3 +210,19 @@
   t.is(reply.body, 'data: first\n\n');
   t.false(reply.isComplete);
 });
+
+test('a stream that breaks off is reset for a caller that does not read chunks', async (t) => {
+  const runner = await startRunner((socket, request) => {
+    socket.write(streamHeadFor(request) + chunk(event(1)));
+    setTimeout(() => socket.destroy(), 50);
+  });
+  const harness = await GatewayHarness.start(t, {
+    runners: [runner],
+    route: { kind: 'streaming', max_attempts: 1 },
+  });
+  const head =
+    'POST /p/x HTTP/1.0\r\nHost: a.example\r\nX-Api-Key: key\r\nRequest-Id: old\r\nContent-Length: 0\r\n\r\n';
+  const end = await harness.sendUntilEnd(head);
+  t.true(end.received.includes(event(1)));
+  t.is(end.error, 'ECONNRESET');
+});
