Decide in one place whether a response is complete

A reset counted against any response whose end was handled after it, also where a length or the last chunk had completed the body: the caller would have got 502 for a whole answer.

incompleteReason now holds the rule for streamed and buffered bodies: framing not complete, or framed by a connection that was reset, or ended inside an event. The bytes of a partial event are those of this response only; a buffered one had those of the run before.

--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -9,6 +9,7 @@
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { Dialect } from '../types/dialect.ts';
 import type { ForwardingMetadata } from '../types/forwarding-metadata.ts';
+import { incompleteReason } from '../utils/incomplete-reason.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
 import { responseFraming } from '../utils/response-framing.ts';
 import type { RunnerAgent } from './runner-agent.ts';
@@ -47,6 +48,7 @@
   #connection: ResponseTransfer['connection'] = 'open';
   #framing: ResponseTransfer['framing'] | undefined;
   #bytes = 0;
+  #isRelayed = false;
 
   constructor(options: RunnerAttemptOptions) {
     this.#options = options;
@@ -154,6 +156,7 @@
   }
 
   #relay(response: IncomingMessage, head: ResponseHead, sink: ResponseSink): void {
+    this.#isRelayed = true;
     sink.begin(head);
     response.on('data', (bytes: Buffer) => {
       if (this.#isSettled) return;
@@ -165,15 +168,12 @@
     });
     response.on('end', () => {
       if (this.#isSettled) return;
-      if (!response.complete || this.#connection === 'reset') {
-        this.#break('response stream ended prematurely');
-        return;
-      }
-      if (sink.partialEventBytes > 0) {
-        this.#break('response stream ended inside an event');
+      const transfer = this.#transfer();
+      const reason = incompleteReason(response.complete, transfer);
+      if (reason !== undefined) {
+        this.#break(reason);
         return;
       }
-      const transfer = this.#transfer();
       sink.end();
       this.#finish({ kind: 'relayed', transfer });
     });
@@ -189,8 +189,9 @@
       }
     });
     response.on('end', () => {
-      if (!response.complete || this.#connection === 'reset') {
-        this.#break('response body ended prematurely');
+      const reason = incompleteReason(response.complete, this.#transfer());
+      if (reason !== undefined) {
+        this.#break(reason);
         return;
       }
       this.#finish(this.#outcomeOf({ head, body: Buffer.concat(chunks) }));
@@ -210,7 +211,7 @@
       framing: this.#framing ?? 'length',
       bytes: this.#bytes,
       connection: this.#connection,
-      partialEventBytes: this.#options.sink?.partialEventBytes,
+      partialEventBytes: this.#isRelayed ? this.#options.sink?.partialEventBytes : undefined,
     };
   }
 
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -5,6 +5,7 @@
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import { DemandMeter } from '../../packages/gateway/src/utils/demand-meter.ts';
 import { EventSplitter } from '../../packages/gateway/src/utils/event-splitter.ts';
+import { incompleteReason } from '../../packages/gateway/src/utils/incomplete-reason.ts';
 import { RunnerLoadTracker } from '../../packages/gateway/src/utils/runner-load-tracker.ts';
 import { nextStep } from '../../packages/gateway/src/utils/next-step.ts';
 import { DisciplinedClock } from '../../packages/gateway/src/utils/disciplined-clock.ts';
@@ -51,6 +52,24 @@
   t.is(nextStep(failure(500), { ...BASE, route: NON_IDEMPOTENT, mayHaveRun: true }), 'answer');
 });
 
+test('only a body that its connection frames depends on how the connection ended', (t) => {
+  const transfer = { bytes: 9, partialEventBytes: 0 } as const;
+  for (const framing of ['length', 'chunked'] as const) {
+    t.is(incompleteReason(true, { ...transfer, framing, connection: 'reset' }), undefined);
+    t.truthy(incompleteReason(false, { ...transfer, framing, connection: 'closed' }));
+  }
+  const framing = 'connection';
+  t.is(incompleteReason(true, { ...transfer, framing, connection: 'closed' }), undefined);
+  t.truthy(incompleteReason(true, { ...transfer, framing, connection: 'reset' }));
+});
+
+test('a body that ends inside an event is incomplete with each framing', (t) => {
+  const transfer = { bytes: 9, partialEventBytes: 3, connection: 'open' } as const;
+  for (const framing of ['length', 'chunked', 'connection'] as const) {
+    t.truthy(incompleteReason(true, { ...transfer, framing }));
+  }
+});
+
 test('a stream that cannot be continued after its last event is not sent to another runner', (t) => {
   const history = { ...BASE, route: RESUMABLE, mayHaveRun: true, hasBegun: true };
   t.is(nextStep(BROKEN, { ...history, canContinue: false }), 'fail');
--- a/test/gateway/response-framing.test.ts
+++ b/test/gateway/response-framing.test.ts
@@ -226,3 +226,25 @@
   t.true(end.received.includes(event(1)));
   t.is(end.error, 'ECONNRESET');
 });
+
+test('a whole response with a length or chunks is delivered although its connection is reset after it', async (t) => {
+  const framed: readonly ((request: ReceivedRequest) => string)[] = [
+    (request) => responseTo(request, 'whole'),
+    (request) =>
+      `${headFor(request, { framing: ['Transfer-Encoding: chunked'] })}${chunk('whole')}0\r\n\r\n`,
+  ];
+  for (const responseOf of framed) {
+    const runner = await startRunner((socket, request) => {
+      socket.write(responseOf(request), () => socket.resetAndDestroy());
+    });
+    const harness = await GatewayHarness.start(t, {
+      runners: [runner],
+      route: { kind: 'non_idempotent' },
+    });
+    for (let index = 0; index < 10; index += 1) {
+      const reply = await harness.call();
+      t.is(reply.status, 200);
+      t.is(reply.body, 'whole');
+    }
+  }
+});
