Answer a request whose time is over before it is sent

What callers saw: nothing, until they closed the connection.

Cause: a request that had no time left when its runner was chosen ended its attempt without a response and was logged as served; that also disarmed the timer that would have sent the 504.

Before, 'a request whose time is over before it is sent gets its final answer at once' stayed pending. The time-out is now handled where the attempt ends.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -138,6 +138,7 @@
         });
       }
       const outcome = await this.#send(chosen);
+      if (outcome.kind === 'ended') this.#timeOut();
       if (this.#isFinished) return;
       const isDone = this.#handleOutcome(outcome, chosen);
       if (isDone) return;
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -404,3 +404,11 @@
   t.regex(text, /ragwortrudder_refusals\{cause="route-unknown"\} 1/);
   t.regex(text, /ragwortrudder_latency_ms\{team="team",route="route",quantile="0.5"\} \d+/);
 });
+
+test('a request whose time is over before it is sent gets its final answer at once', async (t) => {
+  const runner = await startAnsweringRunner();
+  const harness = await GatewayHarness.start(t, { runners: [runner] });
+  const reply = await harness.call({ headers: { 'Deadline-Ms': '0' } });
+  t.is(reply.status, 504);
+  t.is(runner.received.length, 0);
+});
