Let the stand-ins of runners cut answers that have no framing

Engine: unframed streams, and streams that end inside an event with an orderly close (failAs cut). Application: reply-cut runs the operation and sends a part of its answer without a length or chunks. The rule that tells the framing of a response moved to core, since the node package needs it too.

--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -1,11 +1,11 @@
 import type { ServerResponse } from 'node:http';
+import { hasBody } from '@ragwortrudder/core';
 import type { Failure } from '@ragwortrudder/core';
 import type { RunnerResponse } from '../types/runner-response.ts';
 import type { ResponseHead } from '../types/response-head.ts';
 import type { ResponseSink } from '../types/response-sink.ts';
 import type { Dialect } from '../types/dialect.ts';
 import { EventSplitter } from '../utils/event-splitter.ts';
-import { hasBody } from '../utils/has-body.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
 
 interface CallerChannelOptions {
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -1,6 +1,8 @@
 import { request as sendRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { responseFraming } from '@ragwortrudder/core';
+import type { ResponseFraming } from '@ragwortrudder/core';
 import type { RunnerResponse } from '../types/runner-response.ts';
 import type { ResponseHead } from '../types/response-head.ts';
 import type { ResponseSink } from '../types/response-sink.ts';
@@ -11,7 +13,6 @@
 import type { ForwardingMetadata } from '../types/forwarding-metadata.ts';
 import { incompleteReason } from '../utils/incomplete-reason.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
-import { responseFraming } from '../utils/response-framing.ts';
 import type { RunnerAgent } from './runner-agent.ts';
 
 interface RunnerAttemptOptions {
@@ -46,7 +47,7 @@
   #isSettled = false;
   #wasConnected = false;
   #connection: ResponseTransfer['connection'] = 'open';
-  #framing: ResponseTransfer['framing'] | undefined;
+  #framing: ResponseFraming | undefined;
   #bytes = 0;
   #isRelayed = false;
 
@@ -141,8 +142,7 @@
     this.#framing = responseFraming({
       method: request.method,
       status: head.status,
-      transferEncoding: response.headers['transfer-encoding'],
-      contentLength: response.headers['content-length'],
+      headers: response.headers,
     });
     onHead(head);
     response.on('data', (bytes: Buffer) => {
--- a/packages/gateway/src/types/response-transfer.ts
+++ b/packages/gateway/src/types/response-transfer.ts
@@ -1,7 +1,8 @@
+import type { ResponseFraming } from '@ragwortrudder/core';
+
 /** How the body of a runner's response arrived. */
 export interface ResponseTransfer {
-  /** What marks the end of the body: its length, the last chunk, or the end of the connection. */
-  readonly framing: 'length' | 'chunked' | 'connection';
+  readonly framing: ResponseFraming;
   /** Received bytes of the body. */
   readonly bytes: number;
   /** State of the connection when the body ended. */
--- a/packages/standins/src/node/application-runner.ts
+++ b/packages/standins/src/node/application-runner.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import { SeededRandom, SystemClock, digest } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
@@ -10,6 +11,7 @@
 import { conditionHolds } from '../utils/condition-holds.ts';
 import { LaggingValue } from '../utils/lagging-value.ts';
 import { HttpServer } from './http-server.ts';
+import { omitFraming } from './omit-framing.ts';
 import { parseBody } from './parse-body.ts';
 
 interface Operation {
@@ -30,6 +32,14 @@
   payload: z.unknown().optional(),
 });
 
+/** Sends the first half of a reply without a length or chunks, and closes the connection. */
+function sendPart(response: ServerResponse, { status, body, headers }: HttpReply): void {
+  const text = JSON.stringify(body);
+  omitFraming(response);
+  response.writeHead(status, { 'content-type': 'application/json', ...headers });
+  response.end(text.slice(0, text.length / 2));
+}
+
 /** Stand-in for an application runner: records each run of an operation, served over HTTP, with fault injection. */
 export class ApplicationRunner implements Closeable {
   readonly id: string;
@@ -134,7 +144,10 @@
       call.request.socket.destroy();
       return undefined;
     }
-    return this.#reply({ result: this.#result(run) });
+    const reply = this.#reply({ result: this.#result(run) });
+    if (mode !== 'reply-cut') return reply;
+    sendPart(call.response, reply);
+    return undefined;
   }
 
   #takeFault(operation: Operation): ApplicationFault {
--- a/packages/standins/src/node/engine-runner.ts
+++ b/packages/standins/src/node/engine-runner.ts
@@ -177,7 +177,11 @@
       this.#increment('failed');
       return this.#reply({ code: 'engine-error' }, 500);
     }
-    const stream = new TokenStream(call.response, this.#headers());
+    const stream = new TokenStream({
+      response: call.response,
+      headers: this.#headers(),
+      isUnframed: this.#fault.unframed ?? false,
+    });
     const sequence = new Sequence({ runner: this.id, ...body });
     this.#streams.set(sequence, stream);
     if (willFail) this.#failAtToken.set(sequence, sequence.answerTokens + failAfterTokens);
@@ -213,10 +217,19 @@
     this.#increment('failed');
     this.#streams.delete(sequence);
     this.#release(sequence);
-    if (this.#fault.failAs === 'disconnect') stream.destroy();
-    stream.send({ type: 'error', message: 'engine error' });
-    stream.end();
-    return true;
+    const event = { type: 'error', message: 'engine error' };
+    switch (this.#fault.failAs) {
+      case 'disconnect':
+        stream.destroy();
+        return true;
+      case 'cut':
+        stream.cut(event);
+        return true;
+      default:
+        stream.send(event);
+        stream.end();
+        return true;
+    }
   }
 
   /** Cancels a sequence unless it has already ended. */
--- a/packages/standins/src/types/application-fault.ts
+++ b/packages/standins/src/types/application-fault.ts
@@ -12,6 +12,7 @@
      * - `refuse`: answers 422 without running it
      * - `slow`: takes `delayMs` longer to run it
      * - `reply-lost`: runs it, then destroys the connection
+     * - `reply-cut`: runs it, then sends a part of an answer without a length or chunks and closes the connection
      * - `reply-late`: runs it, then waits `delayMs` before answering
      * - `not-run`: answers 503 without running it
      * - `hang`: never answers and does not run it
@@ -27,6 +28,7 @@
         'refuse',
         'slow',
         'reply-lost',
+        'reply-cut',
         'reply-late',
         'not-run',
         'hang',
--- a/packages/standins/src/types/engine-fault.ts
+++ b/packages/standins/src/types/engine-fault.ts
@@ -10,10 +10,11 @@
      */
     failRate: z.number().min(0).max(1).optional(),
     /**
-     * How a request fails: with an error event on the stream, with status 500, or by destroying the connection.
+     * How a request fails: with an error event on the stream, with status 500, by destroying the connection, or with a
+     * part of an event and an orderly close.
      * @default 'event'
      */
-    failAs: z.enum(['event', 'status', 'disconnect']).optional(),
+    failAs: z.enum(['event', 'status', 'disconnect', 'cut']).optional(),
     /**
      * Number of tokens that a failing stream sends before it fails.
      * @default 0
@@ -27,6 +28,8 @@
     slowFactor: z.number().min(1).optional(),
     /** Restricts `failRate` and `slowFactor` to matching requests. */
     condition: FaultCondition.optional(),
+    /** When true, later streams have neither a length nor chunks and end with their connection. */
+    unframed: z.boolean().optional(),
     /** When true, permanently freezes the streams that are currently open; later streams work. */
     stall: z.boolean().optional(),
     /** When true, refuses new connections and destroys open ones. */
--- a/test/standins/application.test.ts
+++ b/test/standins/application.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import got from 'got';
 import type { ExecutionContext } from 'ava';
 import { ApplicationRunner } from '@ragwortrudder/standins';
 import type { ApplicationFault, ApplicationOptions } from '@ragwortrudder/standins';
@@ -87,6 +88,19 @@
   t.is(runner.runs().length, 1);
 });
 
+test('fault reply-cut: the operation runs, and an orderly close cuts an answer without framing', async (t) => {
+  const runner = await start(t);
+  await runner.setFault({ mode: 'reply-cut', count: 1 });
+  const reply = await got.post(`http://${runner.address}/operations`, {
+    json: { key: 'k', operation: 'reorder' },
+    retry: { limit: 0 },
+  });
+  t.is(reply.headers['content-length'], undefined);
+  t.is(reply.headers['transfer-encoding'], undefined);
+  t.throws(() => JSON.parse(reply.body) as unknown);
+  t.is(runner.runs().length, 1);
+});
+
 for (const [mode, runs] of [
   ['hang', 0],
   ['hang-after', 1],
--- a/test/standins/engine.test.ts
+++ b/test/standins/engine.test.ts
@@ -387,6 +387,24 @@
   t.like(runner.stats(), { failed: 2, generatedTokens: 4, cancelled: 0 });
 });
 
+test('faults unframed and cut: a stream without framing ends inside an event with an orderly close', async (t) => {
+  const runner = await start(t);
+  await setFault(runner.address, { unframed: true });
+  t.is((await generate(runner.address)).at(-1)?.type, 'done');
+  await setFault(runner.address, { failRate: 1, failAs: 'cut', failAfterTokens: 2 });
+  const reply = await got.post(`http://${runner.address}/generate`, { json: generationBody({}) });
+  t.is(reply.headers['content-length'], undefined);
+  t.is(reply.headers['transfer-encoding'], undefined);
+  t.is(reply.body.match(/\n\n/g)?.length, 3);
+  t.false(reply.body.endsWith('\n'));
+});
+
+test('fault cut: a stream in chunks is cut before its last chunk', async (t) => {
+  const runner = await start(t);
+  await setFault(runner.address, { failRate: 1, failAs: 'cut' });
+  await t.throwsAsync(generate(runner.address));
+});
+
 test('fault conditions: apply after a number of requests, with a marker or above a number of running requests', async (t) => {
   const { address } = await start(t);
   const lastEventType = async (overrides: Generation = {}) =>
