Report the outcome of an operation whose answer was cut as unknown

What callers saw: 'the operation failed' for an operation that had run to its end, so that a buyer might order again under another key.

Cause: a 200 whose body is not JSON counted as failed. Without a length or chunks a body cut by a crash arrives like that, with no error of the connection.

Before, 'the outcome of an operation whose answer is cut is unknown' failed with 'failed'. A body that ends with its connection and does not parse is now unknown; a framed one that does not parse still counts as failed.

--- a/packages/node/src/node/runners/application-client.ts
+++ b/packages/node/src/node/runners/application-client.ts
@@ -3,6 +3,7 @@
 import type { Response } from 'got';
 import { inject, injectable } from 'inversify';
 import * as z from 'zod';
+import { responseFraming } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import type { OperationOutcome } from '../../types/operation-outcome.ts';
@@ -85,6 +86,9 @@
   if (response.statusCode < HTTP_REDIRECT && completed.success) {
     return { kind: 'completed', result: completed.data.result };
   }
+  if (isCut(response, body)) {
+    return { kind: 'unknown', reason: 'the connection ended inside the response' };
+  }
   const reason = `status ${response.statusCode}`;
   if (NotRunBody.safeParse(body).success) return { kind: 'not-run', reason };
   if (response.statusCode >= HTTP_REDIRECT && response.statusCode < HTTP_SERVER_ERROR) {
@@ -93,6 +97,13 @@
   return { kind: 'failed', reason };
 }
 
+/** Whether the body, whose end only the connection marks, is a part of a JSON text. */
+function isCut({ statusCode: status, headers }: Response<string>, body: unknown): boolean {
+  return (
+    body === undefined && responseFraming({ method: 'POST', status, headers }) === 'connection'
+  );
+}
+
 function classifyError(error: unknown): OperationOutcome {
   const code = error instanceof RequestError ? error.code : 'unexpected';
   const isConnectTimeout = error instanceof RequestError && error.message.includes("'connect'");
