Treat an unframed engine stream that ends without 'done' as a lost connection

What operators saw: a version of the engines could be blamed for a runner that died. A cut stream in chunks is an error of the call and does not count against the version; without chunks the same crash looked like a stream that the engine ended without a finish reason, which does.

Before, 'a stream without framing that ends with its connection is an error of the call' failed: nothing was thrown.

--- a/packages/node/src/node/runners/model-client.ts
+++ b/packages/node/src/node/runners/model-client.ts
@@ -4,6 +4,7 @@
 import { urlToHttpOptions } from 'node:url';
 import { createParser } from 'eventsource-parser';
 import { inject, injectable } from 'inversify';
+import { responseFraming } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import { CallFailed } from '../../errors/call-failed.ts';
@@ -42,6 +43,10 @@
       parser.feed(String(chunk));
       yield* events.splice(0);
     }
+    const { statusCode: status = 0, headers } = response;
+    if (responseFraming({ method: 'POST', status, headers }) === 'connection') {
+      throw new CallFailed(endpoint, 'the connection ended before the stream was complete');
+    }
   }
 
   close(): Promise<void> {
--- a/test/node/model-client.test.ts
+++ b/test/node/model-client.test.ts
@@ -77,3 +77,12 @@
   await t.throwsAsync(failing);
   await t.notThrowsAsync(closed ?? Promise.reject(new Error('not called')));
 });
+
+test('a stream without framing that ends with its connection is an error of the call', async (t) => {
+  const failing = readEvents((_request, response) => {
+    response.removeHeader('transfer-encoding');
+    response.removeHeader('content-length');
+    response.end(`${token}data: {"type":"to`);
+  });
+  await t.throwsAsync(failing, { code: 'call-failed' });
+});
