Forward a reset through the relay as a reset

A relay between runner and node turned the reset of a response without framing into an orderly close, so neither soak nor proofs could play one. Before, 'open: forwards a reset as a reset' failed: the client saw an orderly end.

--- a/packages/standins/src/node/relay-connection.ts
+++ b/packages/standins/src/node/relay-connection.ts
@@ -65,10 +65,12 @@
       });
     });
     from.on('end', () => {
-      this.#enqueue(direction, 0, () => to.end());
+      // A reset that arrives together with data ends the stream; only then is the address gone.
+      const wasReset = from.remoteAddress === undefined;
+      this.#enqueue(direction, 0, () => (wasReset ? to.resetAndDestroy() : to.end()));
     });
     from.on('error', () => {
-      this.#enqueue(direction, 0, () => to.destroy());
+      this.#enqueue(direction, 0, () => to.resetAndDestroy());
     });
     from.on('close', () => {
       this.#enqueue(direction, 0, () => {
--- a/test/standins/relay.test.ts
+++ b/test/standins/relay.test.ts
@@ -159,3 +159,33 @@
   await waitUntil(() => echo.received.join('').length === expected.length);
   t.is(echo.received.join(''), expected);
 });
+
+// Guards against a relay that makes a cut response look complete.
+test('open: forwards a reset as a reset', async (t) => {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write('part', () => socket.resetAndDestroy());
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  const target = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const relay = new Relay([{ name: 'link', target }]);
+  await relay.listen();
+  t.teardown(() => relay.close());
+  for (let index = 0; index < 10; index += 1) {
+    const { socket } = await open(t, relay.links()[0]?.port ?? 0);
+    const wasReset = new Promise<boolean>((resolve) => {
+      socket.once('error', () => {
+        resolve(true);
+      });
+      // Data and a reset that arrive together are read as an end, after which the address is gone.
+      socket.once('end', () => {
+        resolve(socket.remoteAddress === undefined);
+      });
+    });
+    socket.write('request');
+    t.true(await wasReset);
+  }
+});
