Resume an answer in the client when one of its events is missing

What callers could get: an answer with a gap, or the same event twice, that ends with done. The client dropped events that it had already, but took a later number than the next one, and an event without a number, as they came.

Before, 'resumes after the last event when an event is missing or has no number' failed: the answer was accepted, done without its token. Such a stream now counts as a lost connection and is resumed after the last event in order. That a stream without framing cut inside its last event is resumed was so already; it has a test now.

--- a/packages/client/src/node/caller-client.ts
+++ b/packages/client/src/node/caller-client.ts
@@ -43,6 +43,7 @@
       request.observer?.connecting(node, progress.requestId !== undefined);
       try {
         for await (const event of this.#connect(node, request, progress)) {
+          if (progress.isBehind(event)) throw new ConnectionLost(node, 'an event is missing');
           if (progress.advance(event)) yield event;
         }
         if (!progress.isFinished()) throw new ConnectionLost(node);
@@ -119,9 +120,14 @@
     return this.#isFinished;
   }
 
+  /** True if events between the last one received and `event` are missing, or it has no number. */
+  isBehind(event: AnswerEvent): boolean {
+    return !(numberOf(event) <= this.#lastNumber + 1);
+  }
+
   /** Records an event; returns false if it is a duplicate. */
   advance(event: AnswerEvent): boolean {
-    const number = Number(event.id.split('-')[1]);
+    const number = numberOf(event);
     if (number <= this.#lastNumber) return false;
     this.#lastNumber = number;
     this.lastEventId = event.id;
@@ -136,3 +142,8 @@
     return true;
   }
 }
+
+/** Number of an event, which its id contains; NaN if the id is malformed. */
+function numberOf({ id }: AnswerEvent): number {
+  return Number(id.split('-')[1]);
+}
--- a/test/client/caller-client.test.ts
+++ b/test/client/caller-client.test.ts
@@ -95,6 +95,34 @@
   t.is(calls[1]?.headers['last-event-id'], '1-2');
 });
 
+// Guards against yielding an answer with a piece missing, or an event twice, as the whole one.
+test('resumes after the last event when an event is missing or has no number', async (t) => {
+  for (const next of [DONE, TOKEN.replace('id: 1-2', 'id: '), TOKEN.replace('id: 1-2\n', '')]) {
+    const { client, calls } = await serve(t, [
+      stream(ACCEPTED + next, 'end'),
+      stream(TOKEN + DONE, 'end'),
+    ]);
+    t.deepEqual(types(await collectAnswer(client)), COMPLETE_ANSWER);
+    t.deepEqual(paths(calls), [SUBMIT, RESUME]);
+    t.is(calls[1]?.headers['last-event-id'], '1-1');
+  }
+});
+
+// Guards against taking a stream that is cut inside its last event for a finished one.
+test('resumes when a stream without framing ends inside an event', async (t) => {
+  const { client, calls } = await serve(t, [
+    (_request, response) => {
+      response.removeHeader('content-length');
+      response.removeHeader('transfer-encoding');
+      response.writeHead(200, { 'content-type': 'text/event-stream' });
+      response.end(ACCEPTED + TOKEN + DONE.slice(0, -1));
+    },
+    stream(DONE, 'end'),
+  ]);
+  t.deepEqual(types(await collectAnswer(client)), COMPLETE_ANSWER);
+  t.is(calls[1]?.headers['last-event-id'], '1-2');
+});
+
 test('resumes when a stream is idle for too long without having ended', async (t) => {
   const { client, calls } = await serve(t, [
     stream(ACCEPTED + TOKEN, 'silent'),
