Soak runners that answer without framing and break off inside an event

New faults: runner-unframed (sound answers without a length or chunks), runner-cut (streams that end inside an event with an orderly close) and runner-reset (the same with a reset, plain answers too), each broken off at another byte.

--- a/packages/soak/src/node/fault-injector.ts
+++ b/packages/soak/src/node/fault-injector.ts
@@ -82,6 +82,12 @@
         return this.#runnerFault(target, 'mute', forMs);
       case 'runner-break-off':
         return this.#runnerFault(target, 'break-off', forMs);
+      case 'runner-unframed':
+        return this.#runnerFault(target, 'unframed', forMs);
+      case 'runner-cut':
+        return this.#runnerFault(target, 'cut', forMs);
+      case 'runner-reset':
+        return this.#runnerFault(target, 'reset', forMs);
       default:
         return this.#linkFault(fault);
     }
--- a/packages/soak/src/node/soak-runner.ts
+++ b/packages/soak/src/node/soak-runner.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Closeable } from '@ragwortrudder/core';
+import { omitFraming } from '@ragwortrudder/standins';
 import type { RunnerMode } from '../types/runner-mode.ts';
 import type { ObservedRun } from '../types/observed-run.ts';
 import { streamText } from '../utils/stream-text.ts';
@@ -19,8 +20,12 @@
 const SLOTS = 32;
 const LATENCY_MS = 40;
 const EVENT_INTERVAL_MS = 20;
-/** Event in the middle of which a runner in `break-off` mode closes the connection. */
-const BREAK_OFF_EVENT = 3;
+/** Event inside which a runner breaks a stream off. */
+const BROKEN_EVENT = 3;
+/** Modes in which responses have neither a length nor chunks and end with their connection. */
+const UNFRAMED_MODES: ReadonlySet<RunnerMode> = new Set(['unframed', 'cut', 'reset']);
+/** Modes in which streams break off inside an event. */
+const BREAKING_MODES: ReadonlySet<RunnerMode> = new Set(['break-off', 'cut', 'reset']);
 
 /** Runner whose responses are derived from the request, and that records every request it executes. */
 export class SoakRunner implements Closeable {
@@ -29,6 +34,7 @@
   #port = 0;
   #running = 0;
   #mode: RunnerMode = 'sound';
+  #breaks = 0;
 
   constructor(options: SoakRunnerOptions) {
     this.#options = options;
@@ -120,21 +126,17 @@
       return;
     }
     response.setHeader('Server-Load', `${this.#running},0,${SLOTS}`);
+    if (UNFRAMED_MODES.has(mode)) omitFraming(response);
     if (events === 0) {
-      if (mode === 'break-off') request.socket.destroy();
-      else {
-        response.writeHead(HTTP_OK);
-        response.end(`done ${id}`);
-      }
+      this.#answerWhole(response, `done ${id}`, mode);
       return;
     }
     response.writeHead(HTTP_OK, { 'Content-Type': 'text/event-stream' });
     for (let event = after + 1; event <= events; event += 1) {
       if (response.closed) return;
       const text = streamText(id, event, events);
-      if (mode === 'break-off' && event === BREAK_OFF_EVENT) {
-        response.write(text.slice(0, text.length / 2));
-        request.socket.destroySoon();
+      if (BREAKING_MODES.has(mode) && event === BROKEN_EVENT) {
+        this.#breakOff(response, text, mode);
         return;
       }
       response.write(text);
@@ -142,4 +144,26 @@
     }
     response.end();
   }
+
+  /** Answers a request that is not a stream. An orderly close without framing would be its end. */
+  #answerWhole(response: ServerResponse, text: string, mode: RunnerMode): void {
+    if (mode === 'break-off' || mode === 'cut') {
+      response.socket?.destroy();
+      return;
+    }
+    response.writeHead(HTTP_OK);
+    if (mode === 'reset') this.#breakOff(response, text, mode);
+    else response.end(text);
+  }
+
+  /** Sends a part of `text`, a longer one each time, and ends the connection. */
+  #breakOff(response: ServerResponse, text: string, mode: RunnerMode): void {
+    const { socket } = response;
+    this.#breaks += 1;
+    const part = text.slice(0, 1 + (this.#breaks % (text.length - 1)));
+    response.write(part, () => {
+      if (mode === 'reset') socket?.resetAndDestroy();
+      else socket?.destroySoon();
+    });
+  }
 }
--- a/packages/soak/src/types/runner-mode.ts
+++ b/packages/soak/src/types/runner-mode.ts
@@ -1,2 +1,6 @@
-/** How a runner handles requests: it serves them (`sound`) or fails in a particular way. */
-export type RunnerMode = 'sound' | 'errors' | 'mute' | 'break-off';
+/**
+ * How a runner handles requests: it serves them (`sound`, or `unframed` without a length and chunks)
+ * or fails in a particular way. `cut` and `reset` break unframed streams off inside an event, with an
+ * orderly close and with a reset.
+ */
+export type RunnerMode = 'sound' | 'unframed' | 'errors' | 'mute' | 'break-off' | 'cut' | 'reset';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -7,6 +7,7 @@
 export { Fleet } from './node/fleet.ts';
 export { freeAddresses } from './node/free-addresses.ts';
 export { HttpServer } from './node/http-server.ts';
+export { omitFraming } from './node/omit-framing.ts';
 export { Platform } from './node/platform.ts';
 export { Relay } from './node/relay.ts';
 export { RunnerHost } from './node/runner-host.ts';
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -52,6 +52,7 @@
   t.is(nextStep(failure(500), { ...BASE, route: NON_IDEMPOTENT, mayHaveRun: true }), 'answer');
 });
 
+// Guards against reporting a delivered answer as broken.
 test('only a body that its connection frames depends on how the connection ended', (t) => {
   const transfer = { bytes: 9, partialEventBytes: 0 } as const;
   for (const framing of ['length', 'chunked'] as const) {
@@ -63,6 +64,7 @@
   t.truthy(incompleteReason(true, { ...transfer, framing, connection: 'reset' }));
 });
 
+// Guards against ending a stream as complete when its runner crashed (ORDER).
 test('a body that ends inside an event is incomplete with each framing', (t) => {
   const transfer = { bytes: 9, partialEventBytes: 3, connection: 'open' } as const;
   for (const framing of ['length', 'chunked', 'connection'] as const) {
@@ -70,11 +72,13 @@
   }
 });
 
+// Guards against sending events twice.
 test('a stream that cannot be continued after its last event is not sent to another runner', (t) => {
   const history = { ...BASE, route: RESUMABLE, mayHaveRun: true, hasBegun: true };
   t.is(nextStep(BROKEN, { ...history, canContinue: false }), 'fail');
 });
 
+// Guards against handing an error response to a caller in the middle of a stream.
 test('the error of the next runner never ends a stream that has begun', (t) => {
   const history = { ...BASE, route: RESUMABLE, mayHaveRun: true, hasBegun: true, sends: 2 };
   t.is(nextStep(failure(500), history), 'fail');
@@ -115,6 +119,7 @@
   }
 });
 
+// Guards against holding back a stream whose lines end with CR.
 test('events are recognized with each line end of the event stream format', (t) => {
   for (const [name, lineEnd] of Object.entries({ LF: '\n', CR: '\r', CRLF: '\r\n' })) {
     const whole = ['id: 1', 'data: a', '', 'id: 2', 'data: b', '', ''].join(lineEnd);
@@ -131,6 +136,7 @@
   }
 });
 
+// Guards against taking comments between events for a part of one.
 test('comments and line ends after the last event are not part of an event', (t) => {
   for (const rest of ['', '\n', ': bye\n', '\r\n: bye\r\n']) {
     const splitter = new EventSplitter();
@@ -144,6 +150,7 @@
   }
 });
 
+// Guards against resuming after the wrong event.
 test('the last event id follows the event stream format', (t) => {
   const idAfter = (text: string): string | undefined => {
     const splitter = new EventSplitter();
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -405,6 +405,7 @@
   t.regex(text, /ragwortrudder_latency_ms\{team="team",route="route",quantile="0.5"\} \d+/);
 });
 
+// Guards against a request that is finished without an answer.
 test('a request whose time is over before it is sent gets its final answer at once', async (t) => {
   const runner = await startAnsweringRunner();
   const harness = await GatewayHarness.start(t, { runners: [runner] });
--- a/test/gateway/response-framing.test.ts
+++ b/test/gateway/response-framing.test.ts
@@ -56,6 +56,7 @@
   t.like(lineOf(harness, 'attempt-ended'), { framing: 'chunked', partialEventBytes: 8 });
 });
 
+// Guards against ending a stream as complete when its runner crashed (ORDER).
 test('a stream without length or chunks that is closed inside an event does not look complete', async (t) => {
   const runner = await startRunner((socket, request) => {
     socket.end(`${streamHeadFor(request, ['Connection: close'])}${event(1)}id: 2\ndata: pie`);
@@ -70,6 +71,7 @@
   t.is(runner.received.length, 1);
 });
 
+// Guards against taking a reset for the end of a stream without framing (ORDER).
 test('a stream without length or chunks that is reset inside an event does not look complete', async (t) => {
   const runner = await startRunner((socket, request) => {
     const head = streamHeadFor(request, ['Connection: close']);
@@ -84,6 +86,7 @@
   t.notRegex(reply.body, /id: 2/);
 });
 
+// Guards against trusting the framing of a stream over its events (ORDER).
 test('a stream whose framing is completed inside an event does not look complete', async (t) => {
   const body = `${event(1)}id: 2\ndata: pie`;
   const framed: readonly ((request: ReceivedRequest) => string)[] = [
@@ -104,6 +107,7 @@
   }
 });
 
+// Guards against losing a stream that another runner could have continued (ORDER).
 test('a resumable stream that ends inside an event continues at another runner', async (t) => {
   const runners = await Promise.all(
     [0, 1].map(() =>
@@ -123,6 +127,7 @@
   t.true(reply.isComplete);
 });
 
+// Guards against breaking off bodies that have no events.
 test('a body on a streaming route that is not an event stream is complete when its framing is', async (t) => {
   const runner = await startRunner((socket, request) => {
     const framing = ['Content-Type: application/json', 'Content-Length: 8'];
@@ -137,6 +142,7 @@
   t.true(reply.isComplete);
 });
 
+// Guards against breaking off streams that end after a comment.
 test('a comment after the last event does not break a stream off', async (t) => {
   const runner = await startRunner((socket, request) => {
     socket.end(`${streamHeadFor(request, ['Connection: close'])}${event(1)}: bye\n`);
@@ -150,6 +156,7 @@
   t.true(reply.isComplete);
 });
 
+// Guards against a response that is neither continued nor ended.
 test('a resumed stream whose next runner answers with an error ends visibly', async (t) => {
   const runners = await Promise.all(
     [0, 1].map(() =>
@@ -172,6 +179,7 @@
   t.false(reply.isComplete);
 });
 
+// Guards against a response made of two bodies (ORDER).
 test('a resumed stream is not joined with a body that is not an event stream', async (t) => {
   const runners = await Promise.all(
     [0, 1].map(() =>
@@ -194,6 +202,7 @@
   t.false(reply.isComplete);
 });
 
+// Guards against sending events twice (ORDER).
 test('a stream whose events have no ids is not replayed at another runner', async (t) => {
   const runners = await Promise.all(
     [0, 1].map(() =>
@@ -211,6 +220,7 @@
   t.false(reply.isComplete);
 });
 
+// Guards against an orderly close that ends a response without framing (ORDER).
 test('a stream that breaks off is reset for a caller that does not read chunks', async (t) => {
   const runner = await startRunner((socket, request) => {
     socket.write(streamHeadFor(request) + chunk(event(1)));
@@ -227,6 +237,7 @@
   t.is(end.error, 'ECONNRESET');
 });
 
+// Guards against reporting a delivered answer as broken.
 test('a whole response with a length or chunks is delivered although its connection is reset after it', async (t) => {
   const framed: readonly ((request: ReceivedRequest) => string)[] = [
     (request) => responseTo(request, 'whole'),
--- a/test/node/model-client.test.ts
+++ b/test/node/model-client.test.ts
@@ -78,6 +78,7 @@
   await t.notThrowsAsync(closed ?? Promise.reject(new Error('not called')));
 });
 
+// Guards against blaming a version for a runner that died.
 test('a stream without framing that ends with its connection is an error of the call', async (t) => {
   const failing = readEvents((_request, response) => {
     response.removeHeader('transfer-encoding');
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -5,7 +5,7 @@
 import { Soak } from '@ragwortrudder/soak';
 
 const SEED = 1;
-const LENGTH_MS = 24_000;
+const LENGTH_MS = 70_000;
 
 test('a short seeded soak of three processes breaks no promise', async (t) => {
   const folder = mkdtempSync(join(tmpdir(), 'soak-'));
@@ -17,5 +17,8 @@
     folder,
   }).run();
   t.deepEqual(result.violations, [], `logs in ${folder}`);
-  t.true(result.faults.length > 0);
+  const kinds = new Set(result.faults.map(({ kind }) => kind));
+  for (const kind of ['runner-unframed', 'runner-cut', 'runner-reset'] as const) {
+    t.true(kinds.has(kind), kind);
+  }
 });
