Follow the operator's roll-outs: canary, verdict, completed or rolled back in time

Cause: the gateway did not read op/rollout at all (docs/design/platform.md had it under 'not built yet'). Runners of the new version were runners like others.

Now each node reads the order, and the target gets nothing until the holder of the duties has recorded the roll-out, and only while it renews the record. Nodes report how requests turned out at both versions; the holder judges the sum with the sequential tests of packages/moves and decides at 85 in 100 of the time at the latest. Why this holds the bound: no share without a live holder that sees the evidence, 8 in 100 until half of the time is over, and what is not proved good is taken back.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,6 +9,7 @@
 export type { GatewaySettings } from './types/gateway-settings.ts';
 export type { PromptPart } from './types/prompt-part.ts';
 export type { RequestHead } from './types/request-head.ts';
+export type { RolloutStatus } from './types/rollout-status.ts';
 export type { RunnerLoad } from './types/runner-load.ts';
 export type { ForwardingMetadata } from './types/forwarding-metadata.ts';
 export type { ScaleOrder } from './types/scale-order.ts';
--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -1,5 +1,10 @@
 import { isDeepStrictEqual } from 'node:util';
-import type { Configuration, RunnerDirectory, RunnerEntry } from '@ragwortrudder/catalog';
+import type {
+  Configuration,
+  RolloutOrder,
+  RunnerDirectory,
+  RunnerEntry,
+} from '@ragwortrudder/catalog';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import type { KeyedLog, KeyedRecord } from '@ragwortrudder/log';
 import type { CatalogCodec } from '../types/catalog-codec.ts';
@@ -22,6 +27,7 @@
   readonly publishFeed: (feed: TopicFeed) => void;
   /** Receives each configuration that is newer than the active one. */
   readonly onConfiguration: (configuration: Configuration) => void;
+  readonly onRollout: (order: RolloutOrder) => void;
 }
 
 interface TopicHandlers {
@@ -56,10 +62,10 @@
     this.#followers = [
       this.#createFollower(codec.configurationTopic, CONFIGURATION_WAIT_MS, 0, {
         onSnapshot: (records) => {
-          this.#applyConfiguration(records);
+          this.#applyOperatorRecords(records);
         },
         onRecords: (records) => {
-          this.#applyConfiguration(records);
+          this.#applyOperatorRecords(records);
         },
         selectChanges: (records) => (records.length === 0 ? [] : undefined),
         onUnavailable: () => undefined,
@@ -150,6 +156,15 @@
     });
   }
 
+  #applyOperatorRecords(records: readonly KeyedRecord[]): void {
+    const { codec, onRollout } = this.#options;
+    this.#applyConfiguration(records);
+    for (const { key, value } of records) {
+      const order = value && codec.decodeRollout(key, value);
+      if (order) onRollout(order);
+    }
+  }
+
   #applyConfiguration(records: readonly KeyedRecord[]): void {
     const { codec, decisions, onConfiguration } = this.#options;
     for (const { key, value, offset } of records) {
--- a/packages/gateway/src/node/duty-term-store.ts
+++ b/packages/gateway/src/node/duty-term-store.ts
@@ -12,7 +12,6 @@
   readonly token: number;
 }
 
-const TOPIC = 'duties';
 const TERM_KEY = 'term';
 
 function decode(value: Uint8Array | undefined): unknown {
@@ -30,6 +29,8 @@
  * An action that was recorded is therefore known to belong to the newest term.
  */
 export class DutyTermStore {
+  /** Topic of the terms and the records of their holders. */
+  static readonly topic = 'duties';
   readonly #options: DutyTermStoreOptions;
   #records: ReadonlyMap<string, unknown> = new Map();
   #nextOffset: number | undefined;
@@ -115,7 +116,7 @@
   }
 
   async #read(): Promise<number> {
-    const { records, next } = await this.#options.log.newest(TOPIC);
+    const { records, next } = await this.#options.log.newest(DutyTermStore.topic);
     this.#records = new Map(records.map(({ key, value }) => [key, decode(value)]));
     return next;
   }
@@ -124,7 +125,7 @@
     this.#nextOffset = undefined;
     const bytes = Buffer.from(JSON.stringify(value));
     const offset = await this.#options.log.append({
-      topic: TOPIC,
+      topic: DutyTermStore.topic,
       key,
       value: bytes,
       at,
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -49,6 +49,8 @@
  * regardless of the latency target.
  */
 const MIN_SILENCE_MS = 700;
+/** Lower bound of the expected time that a measured one is compared with, in milliseconds. */
+const MIN_EXPECTED_MS = 20;
 /** Silence of a stream after which it is resumed elsewhere, as a multiple of the route's maximum gap. */
 const STREAM_SILENCE_FACTOR = 3;
 /**
@@ -75,6 +77,8 @@
   readonly #arrivedAt: number;
   readonly #deadlineAt: number;
   readonly #tried = new Set<string>();
+  /** A roll-out sends this request to the target version. */
+  readonly #goesToTarget: boolean;
   #attempt: RunnerAttempt | undefined;
   /** Aborts the current attempt when its runner has been silent for too long. */
   #checkSilence: (() => void) | undefined;
@@ -92,6 +96,7 @@
       failureDomain,
       options.pool.prefillRate(options.service.name).msPerToken,
     );
+    this.#goesToTarget = options.rollouts.drawTarget(options.service.name);
     this.#arrivedAt = clock.monotonic();
     this.#deadlineAt = this.#arrivedAt + Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
   }
@@ -200,7 +205,7 @@
       service: service.name,
       runnersListed: listed.length,
       runnersDraining: listed.filter(({ isDraining }) => isDraining).length,
-      runnersUsable: pool.candidates(service, new Set()).length,
+      runnersUsable: pool.candidates(service).length,
       runnersTried: this.#tried.size,
       afterMs: Math.round(clock.monotonic() - this.#arrivedAt),
     };
@@ -247,10 +252,12 @@
       if (isOnlyPrefill) {
         pool.prefillRate(entry.service).add(chosen.prefillTokens, firstEventAt - sentAt);
       }
+      const firstEventMs = firstEventAt - sentAt;
       pool.recordSuccess(
         entry,
-        (firstEventAt - sentAt + FIXED_OVERHEAD_MS) / (chosen.expectedMs + FIXED_OVERHEAD_MS),
+        (firstEventMs + FIXED_OVERHEAD_MS) / (chosen.expectedMs + FIXED_OVERHEAD_MS),
       );
+      this.#recordForRollout(chosen, 'success', firstEventMs);
     };
     channel.onFirstEvent(recordFirstEvent);
     const attempt = new RunnerAttempt({
@@ -322,7 +329,13 @@
       case 'answered':
         this.#recordStart(tookMs);
         if (outcome.response.head.status >= FIRST_SERVER_ERROR) pool.recordFailure(entry);
-        else if (!service.engine) {
+        this.#recordForRollout(
+          { entry, expectedMs },
+          outcome.response.head.status >= FIRST_SERVER_ERROR ? 'failure' : 'success',
+          tookMs,
+        );
+        if (outcome.response.head.status >= FIRST_SERVER_ERROR) return;
+        if (!service.engine) {
           pool.recordSuccess(
             entry,
             (tookMs + FIXED_OVERHEAD_MS) / (expectedMs + FIXED_OVERHEAD_MS),
@@ -332,6 +345,7 @@
       case 'broken':
         this.#mayHaveRun = true;
         if (outcome.reason !== SILENT_REASON) pool.recordFailure(entry);
+        this.#recordForRollout({ entry, expectedMs }, 'failure', tookMs);
         return;
       case 'relayed':
         this.#recordStart(tookMs);
@@ -341,6 +355,24 @@
     }
   }
 
+  /** Compares the versions of a service during a roll-out. */
+  #recordForRollout(
+    { entry, expectedMs }: Pick<ChosenRunner, 'entry' | 'expectedMs'>,
+    kind: 'success' | 'failure',
+    tookMs: number,
+  ): void {
+    const { rollouts, route, service, loadTracker } = this.#options;
+    const slots = service.engine?.slots ?? entry.slots;
+    rollouts.recordOutcome(entry, {
+      route: route.name,
+      load: loadTracker.workAt(entry.id).requests / Math.max(1, slots),
+      kind,
+      ...(kind === 'success'
+        ? { latencyRatio: tookMs / Math.max(MIN_EXPECTED_MS, expectedMs) }
+        : {}),
+    });
+  }
+
   #countTransfer(outcome: AttemptOutcome): void {
     const transfer = 'transfer' in outcome ? outcome.transfer : undefined;
     if (!transfer) return;
@@ -401,14 +433,30 @@
   }
 
   #chooseRunner(): ChosenRunner | undefined {
-    const { pool, service, directory, random, failureDomain } = this.#options;
-    const candidates = pool.candidates(service, this.#tried);
+    const { service, directory, random, failureDomain } = this.#options;
+    const candidates = this.#candidates();
     if (service.engine) return this.#chooseEngine(candidates);
     const id = placeApplicationRequest(failureDomain, candidates, random);
     const entry = id === undefined ? undefined : directory.find(id);
     return entry && { entry, expectedMs: FIXED_OVERHEAD_MS, prefillTokens: 0 };
   }
 
+  /** A request that a roll-out gives to the target version is not sent there again after a failure. */
+  #candidates(): readonly PlacementCandidate[] {
+    const { pool, service, rollouts, directory } = this.#options;
+    const candidatesOf = (isTarget: boolean): readonly PlacementCandidate[] =>
+      pool.candidates(
+        service,
+        (entry) => !this.#tried.has(entry.id) && rollouts.accepts(entry, isTarget),
+      );
+    const hasOther = directory
+      .ofService(service.name)
+      .some((entry) => rollouts.accepts(entry, false));
+    if (!hasOther) return candidatesOf(true);
+    const target = this.#goesToTarget && this.#tried.size === 0 ? candidatesOf(true) : [];
+    return target.length > 0 ? target : candidatesOf(false);
+  }
+
   #chooseEngine(candidates: readonly PlacementCandidate[]): ChosenRunner | undefined {
     const { directory, random, sessions, clock } = this.#options;
     const lastRunner = sessions.find(this.#placement.session, clock.monotonic());
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -29,6 +29,8 @@
 import { GatewayMetrics } from './gateway-metrics.ts';
 import { PeerStateSync } from './peer-state-sync.ts';
 import { Peers } from './peers.ts';
+import { RolloutDuty } from './rollout-duty.ts';
+import { Rollouts } from './rollouts.ts';
 import { RunnerPool } from './runner-pool.ts';
 import { StatusServer } from './status-server.ts';
 import { SupplyDuty } from './supply-duty.ts';
@@ -48,6 +50,8 @@
 const NODE_TOPIC = 'nodes';
 const MAINTENANCE_PERIOD_MS = 200;
 /** Interval between attempts to register this node in the topic of nodes, in milliseconds. */
+/** Interval between reads of the states of open roll-outs, in milliseconds. */
+const ROLLOUT_PERIOD_MS = 500;
 const REGISTER_PERIOD_MS = 1_000;
 /**
  * Time after SIGTERM during which new connections still arrive, in milliseconds: two readiness
@@ -73,6 +77,7 @@
   readonly #directory: RunnerDirectory;
   readonly #loadTracker: RunnerLoadTracker;
   readonly #pool: RunnerPool;
+  readonly #rollouts: Rollouts;
   readonly #quota: SharedQuota;
   readonly #usage: UsageCounter;
   readonly #retryBudget: RetryBudget;
@@ -107,6 +112,7 @@
     this.#demand = new DemandMeter(clock);
     this.#retryBudget = new RetryBudget({ ratio: retries.ratio * USED_RETRY_RATIO });
     const disciplinedClock = new DisciplinedClock(clock);
+    this.#rollouts = new Rollouts({ clock, random, log: this.#decisions });
     this.#peerState = new PeerStateSync({
       node: node.id,
       address: { host: node.host, port: listen.peerPort },
@@ -117,6 +123,7 @@
       quota: this.#quota,
       usage: this.#usage,
       demand: this.#demand,
+      rollouts: this.#rollouts,
       disciplinedClock,
       dutyToken: () => this.#dutyHolder?.reportedToken ?? 0,
     });
@@ -156,6 +163,7 @@
       random,
       directory: this.#directory,
       pool: this.#pool,
+      rollouts: this.#rollouts,
       loadTracker: this.#loadTracker,
       sessions: new SessionAffinity(),
       quota: this.#quota,
@@ -204,6 +212,9 @@
       onConfiguration: (configuration) => {
         this.#apply(configuration);
       },
+      onRollout: (order) => {
+        this.#rollouts.applyOrder(order);
+      },
     });
     this.#tasks = [
       new PeriodicTask({
@@ -218,6 +229,11 @@
         },
         onFailure: this.#logFailure('upkeep'),
       }),
+      new PeriodicTask({
+        periodMs: ROLLOUT_PERIOD_MS,
+        run: () => this.#readRollouts(),
+        onFailure: this.#logFailure('rollouts'),
+      }),
       new PeriodicTask({
         periodMs: REGISTER_PERIOD_MS,
         run: () => this.#register(),
@@ -344,7 +360,7 @@
   }
 
   #createDutyHolder(disciplinedClock: DisciplinedClock): DutyHolder | undefined {
-    const { settings, log, cloud, clock } = this.#options;
+    const { settings, log, cloud, clock, codec } = this.#options;
     const { node, duties } = settings;
     if (!cloud) return undefined;
     const usage = new UsageDuty({
@@ -365,13 +381,27 @@
       prefillMsPerToken: (service) => this.#pool.prefillRate(service).msPerToken,
       services: () => this.#configuration?.services ?? [],
     });
+    const rollouts = new RolloutDuty({
+      rollouts: this.#rollouts,
+      directory: this.#directory,
+      loadTracker: this.#loadTracker,
+      disciplinedClock,
+      report: async (status) => {
+        const { key, value } = codec.encodeRolloutStatus(status);
+        await log.append({ topic: codec.statusTopic, key, value });
+      },
+    });
     return new DutyHolder({
       node: node.id,
       termStore: new DutyTermStore({ log, node: node.id }),
       peers: this.#peers,
       clock,
       log: this.#decisions,
-      duties: [...(duties.reportsUsage ? [usage] : []), ...(duties.ordersRunners ? [supply] : [])],
+      duties: [
+        rollouts,
+        ...(duties.reportsUsage ? [usage] : []),
+        ...(duties.ordersRunners ? [supply] : []),
+      ],
       leaseMs: duties.leaseMs,
       isStopping: () => this.#isStopping,
     });
@@ -383,6 +413,15 @@
     this.#callers.setLimits(configuration.limits);
   }
 
+  /** Reads the states of roll-outs while one of them is open. */
+  async #readRollouts(): Promise<void> {
+    if (!this.#rollouts.isFollowing) return;
+    const { records } = await this.#options.log.newest(DutyTermStore.topic);
+    for (const { key, value } of records) {
+      if (value && Rollouts.isKey(key)) this.#rollouts.applyState(decodeJson(value));
+    }
+  }
+
   /** Registers this node in the topic of nodes and reads the entries of the others. */
   async #register(): Promise<void> {
     if (this.#isRegistered || this.#isStopping) return;
@@ -422,8 +461,12 @@
 }
 
 function decodePeerEntry(bytes: Uint8Array): PeerEntry | undefined {
+  return PeerEntry.safeParse(decodeJson(bytes)).data;
+}
+
+function decodeJson(bytes: Uint8Array): unknown {
   try {
-    return PeerEntry.safeParse(JSON.parse(Buffer.from(bytes).toString())).data;
+    return JSON.parse(Buffer.from(bytes).toString()) as unknown;
   } catch {
     return undefined;
   }
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -9,6 +9,7 @@
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import type { DisciplinedClock } from '../utils/disciplined-clock.ts';
 import type { UsageCounter } from '../utils/usage-counter.ts';
+import type { Rollouts } from './rollouts.ts';
 
 interface PeerStateSyncOptions {
   readonly node: string;
@@ -20,6 +21,7 @@
   readonly quota: SharedQuota;
   readonly usage: UsageCounter;
   readonly demand: DemandMeter;
+  readonly rollouts: Pick<Rollouts, 'evidence' | 'setPeerEvidence'>;
   readonly disciplinedClock: DisciplinedClock;
   readonly dutyToken: () => number;
 }
@@ -110,6 +112,7 @@
     for (const [service, [requests, promptTokens, outputTokens]] of Object.entries(report.demand)) {
       demand.setTotal(incarnation, service, { requests, promptTokens, outputTokens });
     }
+    this.#options.rollouts.setPeerEvidence(incarnation, report.outcomes);
     if (this.#isCoveredByDigest(report.failureDomain)) return;
     loadTracker.setPeerWork(report.node, decodeWork(report));
     const previousTotals = isFirst ? undefined : this.#takenByPeer.get(report.node);
@@ -161,12 +164,14 @@
     }
   }
 
-  #totals(now: number): Pick<NodeReport, 'usage' | 'demand'> {
-    const { usage, demand } = this.#options;
+  #totals(now: number): Pick<NodeReport, 'usage' | 'demand' | 'outcomes'> {
+    const { usage, demand, rollouts } = this.#options;
+    const outcomes = rollouts.evidence;
     const oldest = usage.windowAt(now) - REPORTED_WINDOWS;
     const windows = [...usage.own].filter(([window]) => window >= oldest);
     return {
       usage: Object.fromEntries(windows.map(([key, counts]) => [key, Object.fromEntries(counts)])),
+      ...(outcomes.cells.length > 0 ? { outcomes } : {}),
       demand: Object.fromEntries(
         [...demand.own].map(([service, total]) => [
           service,
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -68,12 +68,15 @@
     this.#options = options;
   }
 
-  /** Runners of a service that can accept a request now, except those in `excluded`. */
-  candidates(service: Service, excluded: ReadonlySet<string>): readonly PlacementCandidate[] {
+  /** Runners of a service that can accept a request now, among those that `isAllowed` lets pass. */
+  candidates(
+    service: Service,
+    isAllowed: (entry: RunnerEntry) => boolean = () => true,
+  ): readonly PlacementCandidate[] {
     const now = this.#options.clock.monotonic();
     const entries = this.#options.directory
       .ofService(service.name)
-      .filter((entry) => !entry.isDraining && !excluded.has(entry.id));
+      .filter((entry) => !entry.isDraining && isAllowed(entry));
     const detector = this.#detectorOf(service.name);
     const reachable = excludeUnreachableDomains(
       entries,
--- a/packages/gateway/src/types/catalog-codec.ts
+++ b/packages/gateway/src/types/catalog-codec.ts
@@ -1,14 +1,20 @@
-import type { Configuration, RunnerEntry } from '@ragwortrudder/catalog';
+import type { Configuration, RolloutOrder, RunnerEntry } from '@ragwortrudder/catalog';
+import type { RolloutStatus } from './rollout-status.ts';
 
-/** Decodes the configuration and runner records of a deployment. */
+/** Translates the records of a deployment: configuration, roll-outs and runners. */
 export interface CatalogCodec {
-  /** Topic and key of the configuration record. */
+  /** Topic of the configuration and the orders of roll-outs, and key of the configuration. */
   readonly configurationTopic: string;
   readonly configurationKey: string;
   /** Topic with one entry for each runner, keyed by runner id. */
   readonly runnerTopic: string;
   /** Returns undefined when the record is not a valid configuration. */
   decodeConfiguration(value: Uint8Array): Configuration | undefined;
+  /** Topic of what the operator is told of roll-outs. */
+  readonly statusTopic: string;
+  /** Returns undefined when the record is not a valid order of a roll-out. */
+  decodeRollout(key: string, value: Uint8Array): RolloutOrder | undefined;
+  encodeRolloutStatus(status: RolloutStatus): { readonly key: string; readonly value: Uint8Array };
   /** Returns undefined when the record is not a valid entry. */
   decodeRunner(id: string, value: Uint8Array): RunnerEntry | undefined;
 }
--- a/packages/gateway/src/types/forwarder-options.ts
+++ b/packages/gateway/src/types/forwarder-options.ts
@@ -4,6 +4,7 @@
 import type { SessionAffinity } from '@ragwortrudder/routing';
 import type { DecisionLog } from '../node/decision-log.ts';
 import type { GatewayMetrics } from '../node/gateway-metrics.ts';
+import type { Rollouts } from '../node/rollouts.ts';
 import type { RunnerPool } from '../node/runner-pool.ts';
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import type { UsageCounter } from '../utils/usage-counter.ts';
@@ -19,6 +20,7 @@
   readonly random: Random;
   readonly directory: RunnerDirectory;
   readonly pool: RunnerPool;
+  readonly rollouts: Rollouts;
   readonly loadTracker: RunnerLoadTracker;
   readonly sessions: SessionAffinity;
   readonly quota: SharedQuota;
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -1,3 +1,4 @@
+import { Evidence } from '@ragwortrudder/moves';
 import * as z from 'zod';
 
 const countsByTeam = z.record(z.string(), z.number());
@@ -22,6 +23,8 @@
   usage: z.record(z.string(), countsByTeam),
   /** By service: requests, prompt tokens and output tokens since this incarnation started. */
   demand: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
+  /** How requests turned out at the versions of services that are rolled out. */
+  outcomes: Evidence.optional(),
   /** Fencing token of the duty term that the node holds and can act on; otherwise 0. */
   duty: z.number(),
   /** The node is shutting down. */
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -413,3 +413,35 @@
   t.is(reply.status, 504);
   t.is(runner.received.length, 0);
 });
+
+// Guards against giving requests to a version that the operator has only begun to roll out (EXPOSURE).
+test('during a roll-out the target version gets requests only as the recorded state says', async (t) => {
+  const [old, target] = [await startAnsweringRunner(), await startAnsweringRunner()];
+  const harness = await GatewayHarness.start(t, { runners: [old] });
+  const order = { service: 's', target: 'v2', duration_s: 10 };
+  const value = Buffer.from(JSON.stringify(order));
+  await harness.log.append({ topic: 'op', key: 'rollout/s', value });
+  await harness.waitUntil(() => harness.lines.some((line) => line.includes('rollout-ordered')));
+  await harness.registerRunner('target', target.port, { version: 'v2' });
+  t.teardown(() => target.close());
+  await harness.waitUntil(() => harness.lines.some((line) => line.includes('"target"')));
+  for (let index = 0; index < 10; index += 1) t.is((await harness.call()).status, 200);
+  t.is(target.received.length, 0);
+  const state = {
+    service: 's',
+    fromVersion: 'v1',
+    targetVersion: 'v2',
+    durationMs: 10_000,
+    rejected: [],
+    startedAt: 1,
+    share: 1,
+    phase: 'taking-over',
+    reason: '',
+    sequence: 1,
+  };
+  const record = Buffer.from(JSON.stringify(state));
+  await harness.log.append({ topic: 'duties', key: 'rollout-s', value: record });
+  await harness.waitUntil(() => harness.lines.some((line) => line.includes('rollout-changed')));
+  for (let index = 0; index < 10; index += 1) t.is((await harness.call()).status, 200);
+  t.is(target.received.length, 10);
+});
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -26,6 +26,7 @@
     quota,
     usage: new UsageCounter(5_000),
     demand: new DemandMeter(clock),
+    rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
     disciplinedClock: new DisciplinedClock(clock),
     dutyToken: () => 0,
   });
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -46,6 +46,7 @@
     quota: new SharedQuota(clock),
     usage: new UsageCounter(5_000, id),
     demand: new DemandMeter(clock),
+    rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
     disciplinedClock: new DisciplinedClock(clock),
     dutyToken: () => 0,
   });
--- a/test/platform-adapter/translation.test.ts
+++ b/test/platform-adapter/translation.test.ts
@@ -202,3 +202,25 @@
     listen: { callers: { host: '127.0.0.1', port: 80 } },
   });
 });
+
+test('orders of roll-outs are read, and their states written, in the words of the platform', (t) => {
+  const codec = new PlatformCatalogCodec();
+  const bytes = (record: object): Buffer => Buffer.from(JSON.stringify(record));
+  const order = bytes({ service: 's', target: 'v2', duration_s: 15 });
+  t.deepEqual(codec.decodeRollout('rollout/s', order), {
+    service: 's',
+    targetVersion: 'v2',
+    durationMs: 15_000,
+  });
+  t.is(codec.decodeRollout('config', order), undefined);
+  t.is(codec.decodeRollout('rollout/s', bytes({ service: 's', target: 2 })), undefined);
+  t.is(codec.decodeRollout('rollout/s', Buffer.from('not json')), undefined);
+  const status = { service: 's', targetVersion: 'v2', state: 'rolled-back' } as const;
+  const { key, value } = codec.encodeRolloutStatus(status);
+  t.is(key, 'rollout/s');
+  t.deepEqual(JSON.parse(Buffer.from(value).toString()), {
+    service: 's',
+    target: 'v2',
+    state: 'rolled_back',
+  });
+});
