--- a/test/gateway/response-framing.test.ts
+++ b/test/gateway/response-framing.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import type { ExecutionContext } from 'ava';
 import { GatewayHarness } from './gateway-harness.ts';
 import { chunk, event, headFor, responseTo, streamHeadFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
@@ -10,6 +11,30 @@
   return new ScriptedRunner(script).listen();
 }
 
+/** Chunked stream that its runner breaks off after `text`. */
+function brokenOff(request: ReceivedRequest, text: string): string {
+  return streamHeadFor(request) + chunk(text);
+}
+
+/** Sends a request of a resumable route over two runners that send a response and close. */
+async function callResumable(
+  t: ExecutionContext,
+  responseOf: (request: ReceivedRequest) => string,
+): ReturnType<GatewayHarness['call']> {
+  const runners = await Promise.all(
+    [0, 1].map(() =>
+      startRunner((socket, request) => {
+        socket.end(responseOf(request));
+      }),
+    ),
+  );
+  const harness = await GatewayHarness.start(t, {
+    runners,
+    route: { kind: 'streaming', stream_resume: true, timeout_ms: 20_000 },
+  });
+  return harness.call({ headers: { 'Deadline-Ms': '20000' } });
+}
+
 function lineOf(harness: GatewayHarness, name: string): Record<string, unknown> {
   const line = harness.lines.find((text) => text.includes(`"event":"${name}"`)) ?? '{}';
   return JSON.parse(line) as Record<string, unknown>;
@@ -109,20 +134,11 @@
 
 // Guards against losing a stream that another runner could have continued (ORDER).
 test('a resumable stream that ends inside an event continues at another runner', async (t) => {
-  const runners = await Promise.all(
-    [0, 1].map(() =>
-      startRunner((socket, request) => {
-        const isResumed = request.head.includes('Last-Event-Id: 1\r\n');
-        const rest = isResumed ? event(2) + event(3) : `${event(1)}id: 2\ndata: pie`;
-        socket.end(streamHeadFor(request, ['Connection: close']) + rest);
-      }),
-    ),
-  );
-  const harness = await GatewayHarness.start(t, {
-    runners,
-    route: { kind: 'streaming', stream_resume: true },
+  const reply = await callResumable(t, (request) => {
+    const isResumed = request.head.includes('Last-Event-Id: 1\r\n');
+    const rest = isResumed ? event(2) + event(3) : `${event(1)}id: 2\ndata: pie`;
+    return streamHeadFor(request, ['Connection: close']) + rest;
   });
-  const reply = await harness.call();
   t.is(reply.body, event(1) + event(2) + event(3));
   t.true(reply.isComplete);
 });
@@ -158,64 +174,29 @@
 
 // Guards against a response that is neither continued nor ended.
 test('a resumed stream whose next runner answers with an error ends visibly', async (t) => {
-  const runners = await Promise.all(
-    [0, 1].map(() =>
-      startRunner((socket, request) => {
-        if (request.head.includes('Last-Event-Id')) {
-          const framing = ['Content-Length: 4'];
-          socket.write(`${headFor(request, { status: '500 Failed', framing })}oops`);
-          return;
-        }
-        socket.end(streamHeadFor(request) + chunk(event(1)));
-      }),
-    ),
-  );
-  const harness = await GatewayHarness.start(t, {
-    runners,
-    route: { kind: 'streaming', stream_resume: true, timeout_ms: 20_000 },
+  const reply = await callResumable(t, (request) => {
+    const error = headFor(request, { status: '500 Failed', framing: ['Content-Length: 4'] });
+    return request.head.includes('Last-Event-Id') ? `${error}oops` : brokenOff(request, event(1));
   });
-  const reply = await harness.call({ headers: { 'Deadline-Ms': '20000' } });
   t.is(reply.body, event(1));
   t.false(reply.isComplete);
 });
 
 // Guards against a response made of two bodies (ORDER).
 test('a resumed stream is not joined with a body that is not an event stream', async (t) => {
-  const runners = await Promise.all(
-    [0, 1].map(() =>
-      startRunner((socket, request) => {
-        if (request.head.includes('Last-Event-Id')) {
-          const framing = ['Content-Type: text/plain', 'Content-Length: 5'];
-          socket.write(`${headFor(request, { framing })}other`);
-          return;
-        }
-        socket.end(streamHeadFor(request) + chunk(event(1)));
-      }),
-    ),
-  );
-  const harness = await GatewayHarness.start(t, {
-    runners,
-    route: { kind: 'streaming', stream_resume: true },
+  const reply = await callResumable(t, (request) => {
+    const framing = ['Content-Type: text/plain', 'Content-Length: 5'];
+    return request.head.includes('Last-Event-Id')
+      ? `${headFor(request, { framing })}other`
+      : brokenOff(request, event(1));
   });
-  const reply = await harness.call();
   t.is(reply.body, event(1));
   t.false(reply.isComplete);
 });
 
 // Guards against sending events twice (ORDER).
 test('a stream whose events have no ids is not replayed at another runner', async (t) => {
-  const runners = await Promise.all(
-    [0, 1].map(() =>
-      startRunner((socket, request) => {
-        socket.end(streamHeadFor(request) + chunk('data: first\n\n'));
-      }),
-    ),
-  );
-  const harness = await GatewayHarness.start(t, {
-    runners,
-    route: { kind: 'streaming', stream_resume: true },
-  });
-  const reply = await harness.call();
+  const reply = await callResumable(t, (request) => brokenOff(request, 'data: first\n\n'));
   t.is(reply.body, 'data: first\n\n');
   t.false(reply.isComplete);
 });
