Judge each roll-out by its own evidence, and let a failing duty stop no other

Found when the roll-outs were read again. An old runner could be stopped before every node had read that the target takes over; the take-over now lasts 1.5 s at least. And a call to the platform's API that failed kept the holder from its other duties, so that an outage there would have stopped the renewal of a roll-out; each duty is now performed, and the first failure is still thrown. A node now bears 3.5 s without news, as calls that time out in one round of duties take up to 2.4 s.

--- a/packages/gateway/src/node/duty-holder.ts
+++ b/packages/gateway/src/node/duty-holder.ts
@@ -105,10 +105,21 @@
       return;
     }
     if (now < this.#performAfter) return;
-    for (const duty of duties) await duty.perform(termStore);
+    await this.#perform(duties);
     this.#failures = 0;
   }
 
+  /** Performs every duty, also after one has failed, and then throws the first failure. */
+  async #perform(duties: readonly Duty[]): Promise<void> {
+    const failures: unknown[] = [];
+    for (const duty of duties) {
+      await duty.perform(this.#options.termStore).catch((error: unknown) => {
+        failures.push(error);
+      });
+    }
+    if (failures.length > 0) throw failures[0];
+  }
+
   async #takeOver(now: number): Promise<void> {
     const { termStore, clock, log, duties, node } = this.#options;
     this.#vacantSince = now;
--- a/packages/gateway/src/node/rollout-duty.ts
+++ b/packages/gateway/src/node/rollout-duty.ts
@@ -20,6 +20,8 @@
 
 /** Time before the limit at which a roll-out is completed although requests run at old runners, in milliseconds. */
 const LIMIT_MARGIN_MS = 1_000;
+/** Time within which every node in touch has read that the target takes over, in milliseconds. */
+const TAKE_OVER_MS = 1_500;
 const STATUS: Readonly<Record<RolloutState['phase'], RolloutStatus['state']>> = {
   moving: 'running',
   'taking-over': 'running',
@@ -40,7 +42,11 @@
 /** Decides the roll-outs: how much the target version gets, and whether it is kept or taken back. */
 export class RolloutDuty implements Duty {
   readonly #options: RolloutDutyOptions;
-  readonly #scores = new Map<string, SequentialScores>();
+  /** Scores of the roll-out that started at `startedAt`, by service. */
+  readonly #scores = new Map<
+    string,
+    { readonly startedAt: number; readonly scores: SequentialScores }
+  >();
   readonly #reported = new Map<string, string>();
 
   constructor(options: RolloutDutyOptions) {
@@ -82,11 +88,13 @@
       ({ version }) => version !== order.targetVersion && !rejected.includes(version),
     );
     if (runners.length === 0) return undefined;
+    const startedAt = Math.round(disciplinedClock.now());
     return {
       ...order,
       fromVersion: old?.version ?? order.targetVersion,
       rejected,
-      startedAt: Math.round(disciplinedClock.now()),
+      startedAt,
+      phaseSince: startedAt,
       share: old ? 0 : 1,
       phase: old ? 'moving' : 'completed',
       reason: 'ordered',
@@ -107,17 +115,19 @@
         : decision === 'roll-back'
           ? 'rolled-back'
           : state.phase;
-    return { ...state, share, phase, reason, sequence };
+    const phaseSince =
+      phase === state.phase ? state.phaseSince : Math.round(this.#options.disciplinedClock.now());
+    return { ...state, share, phase, phaseSince, reason, sequence };
   }
 
   #plan(state: RolloutState): ReturnType<typeof planRollout> {
     const { rollouts, disciplinedClock } = this.#options;
     const evidence = rollouts.totalEvidence;
     const pair = { ...state, toVersion: state.targetVersion };
-    const scores = (this.#scores.get(state.service) ?? new SequentialScores(pair)).advance(
-      evidence,
-    );
-    this.#scores.set(state.service, scores);
+    const known = this.#scores.get(state.service);
+    const isOfRollout = known?.startedAt === state.startedAt;
+    const scores = (isOfRollout ? known.scores : new SequentialScores(pair)).advance(evidence);
+    this.#scores.set(state.service, { startedAt: state.startedAt, scores });
     return planRollout({
       elapsed: (disciplinedClock.now() - state.startedAt) / state.durationMs,
       verdict: versionVerdict({ pair, evidence, scores }),
@@ -125,9 +135,12 @@
   }
 
   /** Old runners stop when the roll-out is completed, so their requests are awaited while there is time. */
-  #mayComplete({ service, targetVersion, startedAt, durationMs }: RolloutState): boolean {
+  #mayComplete(state: RolloutState): boolean {
+    const { service, targetVersion, startedAt, durationMs, phaseSince } = state;
     const { directory, loadTracker, disciplinedClock } = this.#options;
-    if (disciplinedClock.now() >= startedAt + durationMs - LIMIT_MARGIN_MS) return true;
+    const now = disciplinedClock.now();
+    if (now >= startedAt + durationMs - LIMIT_MARGIN_MS) return true;
+    if (now < phaseSince + TAKE_OVER_MS) return false;
     return directory
       .ofService(service)
       .filter(({ version }) => version !== targetVersion)
--- a/packages/gateway/src/node/rollouts.ts
+++ b/packages/gateway/src/node/rollouts.ts
@@ -24,7 +24,7 @@
 }
 
 /** Age of a state that is still moving, in milliseconds, from which the target gets no requests. */
-const MAX_STATE_AGE_MS = 2_500;
+const MAX_STATE_AGE_MS = 3_500;
 const KEY_PREFIX = 'rollout-';
 
 /** Versions that get no requests once `order` has replaced the previous one. */
--- a/packages/gateway/src/types/rollout-state.ts
+++ b/packages/gateway/src/types/rollout-state.ts
@@ -18,6 +18,8 @@
      * once the roll-out is `completed`.
      */
     phase: z.enum(['moving', 'taking-over', 'completed', 'rolled-back']),
+    /** Start of the phase in milliseconds since the epoch. */
+    phaseSince: z.number(),
     reason: z.string(),
     /** Increases with each record, also with one that changes nothing else. */
     sequence: z.number(),
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -434,6 +434,7 @@
     durationMs: 10_000,
     rejected: [],
     startedAt: 1,
+    phaseSince: 1,
     share: 1,
     phase: 'taking-over',
     reason: '',
