Say once which versions are rejected and how a record's JSON is read

Read again as a newcomer: the rule for rejected versions stood in Rollouts and in RolloutDuty, and the reader of JSON records in Gateway and in DutyTermStore; each has one copy now. The status of an answered attempt is looked at once instead of three times, and the description of REGISTER_PERIOD_MS stands above it again.

--- a/packages/gateway/src/node/duty-term-store.ts
+++ b/packages/gateway/src/node/duty-term-store.ts
@@ -1,6 +1,7 @@
 import { AppendConflict } from '@ragwortrudder/log';
 import type { KeyedLog } from '@ragwortrudder/log';
 import type { DutyTerm } from '../types/duty-term.ts';
+import { decodeJson } from '../utils/decode-json.ts';
 
 interface DutyTermStoreOptions {
   readonly log: KeyedLog;
@@ -14,15 +15,6 @@
 
 const TERM_KEY = 'term';
 
-function decode(value: Uint8Array | undefined): unknown {
-  if (!value) return undefined;
-  try {
-    return JSON.parse(Buffer.from(value).toString()) as unknown;
-  } catch {
-    return undefined;
-  }
-}
-
 /**
  * Stores the duty term and the actions of its holder in a topic of the log. A term is acquired, and each
  * action is recorded, by a conditional append that succeeds only if the writer has read the whole topic.
@@ -117,7 +109,7 @@
 
   async #read(): Promise<number> {
     const { records, next } = await this.#options.log.newest(DutyTermStore.topic);
-    this.#records = new Map(records.map(({ key, value }) => [key, decode(value)]));
+    this.#records = new Map(records.map(({ key, value }) => [key, decodeJson(value)]));
     return next;
   }
 
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -326,22 +326,19 @@
       case 'refused':
         if (outcome.isMisdirected) pool.markUnreachable(entry, 'another runner has the address');
         return;
-      case 'answered':
+      case 'answered': {
+        const isFailure = outcome.response.head.status >= FIRST_SERVER_ERROR;
         this.#recordStart(tookMs);
-        if (outcome.response.head.status >= FIRST_SERVER_ERROR) pool.recordFailure(entry);
-        this.#recordForRollout(
-          { entry, expectedMs },
-          outcome.response.head.status >= FIRST_SERVER_ERROR ? 'failure' : 'success',
-          tookMs,
-        );
-        if (outcome.response.head.status >= FIRST_SERVER_ERROR) return;
-        if (!service.engine) {
+        this.#recordForRollout({ entry, expectedMs }, isFailure ? 'failure' : 'success', tookMs);
+        if (isFailure) pool.recordFailure(entry);
+        else if (!service.engine) {
           pool.recordSuccess(
             entry,
             (tookMs + FIXED_OVERHEAD_MS) / (expectedMs + FIXED_OVERHEAD_MS),
           );
         }
         return;
+      }
       case 'broken':
         this.#mayHaveRun = true;
         if (outcome.reason !== SILENT_REASON) pool.recordFailure(entry);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -14,6 +14,7 @@
 import type { Dialect } from '../types/dialect.ts';
 import type { GatewaySettings } from '../types/gateway-settings.ts';
 import { PeerEntry } from '../types/peer-entry.ts';
+import { decodeJson } from '../utils/decode-json.ts';
 import { DemandMeter } from '../utils/demand-meter.ts';
 import { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import { retryAllowance } from '../utils/retry-allowance.ts';
@@ -49,9 +50,9 @@
 
 const NODE_TOPIC = 'nodes';
 const MAINTENANCE_PERIOD_MS = 200;
-/** Interval between attempts to register this node in the topic of nodes, in milliseconds. */
 /** Interval between reads of the states of open roll-outs, in milliseconds. */
 const ROLLOUT_PERIOD_MS = 500;
+/** Interval between attempts to register this node in the topic of nodes, in milliseconds. */
 const REGISTER_PERIOD_MS = 1_000;
 /**
  * Time after SIGTERM during which new connections still arrive, in milliseconds: two readiness
@@ -418,7 +419,7 @@
     if (!this.#rollouts.isFollowing) return;
     const { records } = await this.#options.log.newest(DutyTermStore.topic);
     for (const { key, value } of records) {
-      if (value && Rollouts.isKey(key)) this.#rollouts.applyState(decodeJson(value));
+      if (Rollouts.isKey(key)) this.#rollouts.applyState(decodeJson(value));
     }
   }
 
@@ -463,11 +464,3 @@
 function decodePeerEntry(bytes: Uint8Array): PeerEntry | undefined {
   return PeerEntry.safeParse(decodeJson(bytes)).data;
 }
-
-function decodeJson(bytes: Uint8Array): unknown {
-  try {
-    return JSON.parse(Buffer.from(bytes).toString()) as unknown;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/gateway/src/node/rollout-duty.ts
+++ b/packages/gateway/src/node/rollout-duty.ts
@@ -5,6 +5,7 @@
 import type { RolloutStatus } from '../types/rollout-status.ts';
 import { isSameOrder } from '../utils/is-same-order.ts';
 import { planRollout } from '../utils/plan-rollout.ts';
+import { rejectedAfter } from '../utils/rejected-after.ts';
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import type { DutyTermStore } from './duty-term-store.ts';
 import { Rollouts } from './rollouts.ts';
@@ -29,16 +30,6 @@
   'rolled-back': 'rolled-back',
 };
 
-function rejectedAfter(
-  { targetVersion }: RolloutOrder,
-  previous: RolloutState | undefined,
-): readonly string[] {
-  if (!previous) return [];
-  const unfinished = previous.phase === 'completed' ? [] : [previous.targetVersion];
-  const versions = new Set([...previous.rejected, ...unfinished]);
-  return [...versions].filter((version) => version !== targetVersion);
-}
-
 /** Decides the roll-outs: how much the target version gets, and whether it is kept or taken back. */
 export class RolloutDuty implements Duty {
   readonly #options: RolloutDutyOptions;
@@ -82,7 +73,7 @@
   /** Starts a roll-out once runners are known. Without another version there is nothing to move. */
   #first(order: RolloutOrder, previous: RolloutState | undefined): RolloutState | undefined {
     const { directory, disciplinedClock } = this.#options;
-    const rejected = rejectedAfter(order, previous);
+    const rejected = rejectedAfter(previous, order.targetVersion);
     const runners = directory.ofService(order.service);
     const old = runners.find(
       ({ version }) => version !== order.targetVersion && !rejected.includes(version),
--- a/packages/gateway/src/node/rollouts.ts
+++ b/packages/gateway/src/node/rollouts.ts
@@ -4,6 +4,7 @@
 import type { Evidence, Outcome } from '@ragwortrudder/moves';
 import { RolloutState } from '../types/rollout-state.ts';
 import { isSameOrder } from '../utils/is-same-order.ts';
+import { rejectedAfter } from '../utils/rejected-after.ts';
 import type { DecisionLog } from './decision-log.ts';
 
 interface RolloutsOptions {
@@ -27,19 +28,6 @@
 const MAX_STATE_AGE_MS = 3_500;
 const KEY_PREFIX = 'rollout-';
 
-/** Versions that get no requests once `order` has replaced the previous one. */
-function rejectedAfter(
-  previous: FollowedRollout | undefined,
-  { targetVersion }: RolloutOrder,
-): ReadonlySet<string> {
-  const rejected = new Set(previous?.rejected);
-  if (previous && previous.state?.phase !== 'completed') {
-    rejected.add(previous.order.targetVersion);
-  }
-  rejected.delete(targetVersion);
-  return rejected;
-}
-
 /**
  * Roll-outs as followed by one node: which version a request goes to, and how the versions' answers
  * turned out. The target gets requests only while the duty holder renews the state.
@@ -91,8 +79,18 @@
   applyOrder(order: RolloutOrder): void {
     const previous = this.#followed.get(order.service);
     if (previous && isSameOrder(previous.order, order)) return;
-    const rejected = rejectedAfter(previous, order);
-    this.#recorder.forget(order.service, order.targetVersion);
+    const { targetVersion } = order;
+    const rejected = new Set(
+      rejectedAfter(
+        previous && {
+          rejected: previous.rejected,
+          targetVersion: previous.order.targetVersion,
+          phase: previous.state?.phase,
+        },
+        targetVersion,
+      ),
+    );
+    this.#recorder.forget(order.service, targetVersion);
     this.#followed.set(order.service, {
       order,
       rejected,
