--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -82,6 +82,8 @@
   #attempt: RunnerAttempt | undefined;
   /** Aborts the current attempt when its runner has been silent for too long. */
   #checkSilence: (() => void) | undefined;
+  /** When the current attempt received the first bytes of its response. */
+  #respondingSince: number | undefined;
   #sends = 0;
   #unsent = 0;
   #mayHaveRun = false;
@@ -174,6 +176,7 @@
         step,
         afterMs: Math.round(now - this.#arrivedAt),
         ...(outcome.kind === 'broken' ? outcome.transfer : undefined),
+        ...(outcome.kind === 'broken' ? this.#interruptionInputs(entry, now) : undefined),
       });
     }
     switch (step) {
@@ -195,6 +198,21 @@
     }
   }
 
+  /** What is needed to tell a request that ends its runner from a runner that ends under its load. */
+  #interruptionInputs(
+    { id }: RunnerEntry,
+    now: number,
+  ): Readonly<Record<string, string | number | undefined>> {
+    const { requests, kvTokens } = this.#options.loadTracker.workAt(id);
+    return {
+      parts: this.#options.request.promptParts.map((part) => part.id).join(','),
+      respondingMs:
+        this.#respondingSince === undefined ? undefined : Math.round(now - this.#respondingSince),
+      otherRequests: requests,
+      otherKvTokens: Math.round(kvTokens),
+    };
+  }
+
   /** Values that a refusal is based on, for the log. */
   #refusalInputs(): Readonly<Record<string, string | number | undefined>> {
     const { route, team, service, directory, pool, clock } = this.#options;
@@ -279,10 +297,12 @@
       },
       onProgress: () => {
         progressAt = clock.monotonic();
+        this.#respondingSince ??= progressAt;
         pool.recordProgress(entry);
       },
     });
     this.#attempt = attempt;
+    this.#respondingSince = undefined;
     this.#checkSilence = () => {
       const silentMs = clock.monotonic() - progressAt;
       const runnerSilentMs = Math.min(silentMs, pool.silentMs(entry));
