--- a/test/gateway/crashing-prompt.test.ts
+++ b/test/gateway/crashing-prompt.test.ts
@@ -1,8 +1,90 @@
+import { createSocket } from 'node:dgram';
 import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { MemoryKeyedLog } from '@ragwortrudder/log';
+import { CrashingFleet } from './crashing-fleet.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { streamHeadFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
 
+const CONTACT_MS = 3_000;
+const CRASHING_PART = 'bad';
+/** Requests with the crashing part that may still reach runners, by the platform's limit. */
+const MAX_LATE_ARRIVALS = 3;
+
+interface Traffic {
+  readonly served: readonly number[];
+  readonly failed: readonly number[];
+  readonly close: () => Promise<void>;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+async function freePort(): Promise<number> {
+  const socket = createSocket('udp4');
+  await new Promise<void>((resolve) => {
+    socket.bind(0, '127.0.0.1', resolve);
+  });
+  const { port } = socket.address();
+  await new Promise<void>((resolve) => {
+    socket.close(resolve);
+  });
+  return port;
+}
+
+/** Sends requests at a steady rate, in turn to each gateway, until closed. */
+function startTraffic(
+  gateways: () => readonly GatewayHarness[],
+  periodMs: number,
+  partsOf: (index: number) => string,
+): Traffic {
+  const served: number[] = [];
+  const failed: number[] = [];
+  const calls: Promise<void>[] = [];
+  let sent = 0;
+  const timer = setInterval(() => {
+    const at = performance.now();
+    const index = sent;
+    sent += 1;
+    const gateway = gateways()[index % gateways().length];
+    if (!gateway) return;
+    const call = gateway
+      .call({ headers: { 'Prompt-Prefix': partsOf(index), 'Token-Usage': '60,10' } })
+      .then(({ status, isComplete }) => (status === 200 && isComplete ? served : failed).push(at))
+      .catch(() => failed.push(at));
+    calls.push(call.then(() => undefined));
+  }, periodMs);
+  return {
+    served,
+    failed,
+    close: async () => {
+      clearInterval(timer);
+      await Promise.all(calls);
+    },
+  };
+}
+
+async function startFleet(t: ExecutionContext): Promise<{
+  readonly fleet: CrashingFleet;
+  readonly startGateway: (node: string) => Promise<GatewayHarness>;
+}> {
+  const log = new MemoryKeyedLog();
+  const route = { kind: 'streaming', stream_resume: true, timeout_ms: 3_000 };
+  const fleet = new CrashingFleet({ log, runners: 6, crashingPart: CRASHING_PART });
+  await fleet.start();
+  let isConfigured = false;
+  const startGateway = async (node: string): Promise<GatewayHarness> => {
+    const options = { log, node, peerPort: await freePort(), route };
+    if (!isConfigured) await GatewayHarness.configure(options);
+    isConfigured = true;
+    return GatewayHarness.start(t, options);
+  };
+  t.teardown(() => fleet.close());
+  return { fleet, startGateway };
+}
+
 test('the log line of a broken attempt tells which prompt parts it had and how far its response was', async (t) => {
   const runner = await new ScriptedRunner((socket, request) => {
     socket.write(streamHeadFor(request));
@@ -18,3 +100,61 @@
   t.like(fields, { parts: 'aa,bb,cc', otherRequests: 0, otherKvTokens: 0 });
   t.is(typeof fields.respondingMs, 'number');
 });
+
+// Guards against sending requests that crash runners on to one runner after the other (BUDGET).
+test('requests with a part that crashed five runners no longer reach runners, and other requests are served', async (t) => {
+  t.timeout(60_000);
+  const { fleet, startGateway } = await startFleet(t);
+  const gateways = [await startGateway('n1'), await startGateway('n2')];
+  await pause(600);
+  const sound = startTraffic(
+    () => gateways,
+    25,
+    (index) => `common:20,c${index % 3}:20,s${index}:20`,
+  );
+  await pause(500);
+  const crashing = startTraffic(
+    () => gateways,
+    300,
+    (index) => `common:20,bad:20,q${index}:20`,
+  );
+  while (fleet.crashes.length < 5) await pause(20);
+  const fifthAt = fleet.crashes[4] ?? 0;
+  await pause(1_500);
+  gateways.push(await startGateway('n3'));
+  await pause(fifthAt + 2 * CONTACT_MS + 2_000 - performance.now());
+  await crashing.close();
+  await sound.close();
+  const late = fleet.arrivals.filter(
+    ({ at, parts }) => at > fifthAt + CONTACT_MS && parts.includes(CRASHING_PART),
+  );
+  t.true(late.length <= MAX_LATE_ARRIVALS, `${late.length} late arrivals`);
+  const boundAt = fifthAt + 2 * CONTACT_MS;
+  const served = sound.served.filter((at) => at > boundAt).length;
+  const failed = sound.failed.filter((at) => at > boundAt).length;
+  t.true(served >= 0.9 * (served + failed), `${served} served, ${failed} failed`);
+});
+
+// Guards against blaming a part that many requests share when several runners end together (LOST).
+test('runners that end together do not stop requests that share prompt parts', async (t) => {
+  t.timeout(60_000);
+  const { fleet, startGateway } = await startFleet(t);
+  const gateways = [await startGateway('n1'), await startGateway('n2')];
+  await pause(600);
+  const sound = startTraffic(
+    () => gateways,
+    25,
+    (index) => `common:20,c${index % 3}:20,s${index}:20`,
+  );
+  for (let wave = 0; wave < 3; wave += 1) {
+    await pause(1_000);
+    fleet.crashTogether(3);
+  }
+  await pause(1_500);
+  const from = performance.now();
+  await pause(1_500);
+  await sound.close();
+  const served = sound.served.filter((at) => at > from).length;
+  const failed = sound.failed.filter((at) => at > from).length;
+  t.true(served >= 0.9 * (served + failed), `${served} served, ${failed} failed`);
+});
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -16,6 +16,12 @@
   readonly graceMs?: number;
   /** Starts without a configuration in the log. */
   readonly isEmpty?: boolean;
+  /** @default 'n1' */
+  readonly node?: string;
+  /** @default 0 */
+  readonly peerPort?: number;
+  /** Log that is shared with other gateways; it is configured by the test. */
+  readonly log?: MemoryKeyedLog;
 }
 
 interface Call {
@@ -45,13 +51,14 @@
 
 /** Test harness: a gateway with an in-memory log between the test's callers and scripted runners. */
 export class GatewayHarness {
-  readonly log = new MemoryKeyedLog();
+  readonly log: MemoryKeyedLog;
   readonly lines: string[] = [];
   readonly gateway: Gateway;
   #version = 1;
   #requestCount = 0;
 
   private constructor(readonly options: GatewayHarnessOptions) {
+    this.log = options.log ?? new MemoryKeyedLog();
     const out = new Writable({
       write: (chunk: Buffer, _encoding, done) => {
         this.lines.push(chunk.toString());
@@ -60,12 +67,12 @@
     });
     this.gateway = new Gateway({
       settings: {
-        node: { id: 'n1', host: '127.0.0.1', failureDomain: 'a' },
+        node: { id: options.node ?? 'n1', host: '127.0.0.1', failureDomain: 'a' },
         listen: {
           callers: { host: '127.0.0.1', port: 0 },
           readiness: { host: '127.0.0.1', port: 0 },
           metrics: { host: '127.0.0.1', port: 0 },
-          peerPort: 0,
+          peerPort: options.peerPort ?? 0,
         },
         graceMs: options.graceMs ?? 8_000,
         retries: { ratio: 0.2, slack: 600, windowMs: 10_000 },
@@ -94,7 +101,7 @@
     options: GatewayHarnessOptions = {},
   ): Promise<GatewayHarness> {
     const harness = new GatewayHarness(options);
-    if (!options.isEmpty) await harness.configure({});
+    if (!options.isEmpty && !options.log) await harness.configure({});
     for (const [index, runner] of (options.runners ?? []).entries()) {
       await harness.registerRunner(`r${index}`, runner.port);
     }
@@ -107,6 +114,11 @@
     return harness;
   }
 
+  /** Appends a first configuration to a log that several gateways share. */
+  static async configure(options: GatewayHarnessOptions): Promise<void> {
+    await new GatewayHarness(options).configure({});
+  }
+
   /** Appends the next version of the configuration to the log. */
   async configure(change: object): Promise<void> {
     const record = {
