Quarantine prompt parts that crash runners, on all nodes

Cause: a failure was only ever attributed to the runner. Nothing looked at what the requests under which runners ended had in common, so such a request was retried at the next runner, and the next one like it was admitted.

Why this works: nodes share which requests were interrupted and which parts were served. A part that was present, in different requests, at one crash after the other and was never served is quarantined; requests with it are rejected at once as not run. The decision needs no network. It is adopted by every node that hears of it, kept in the log for nodes that start or hear no other one, and ended by one request that a single node tries after a minute. Runners that end together count as one event, and a part that was served before needs far more evidence, so that the loss of a rack blames no part.

--- /dev/null
+++ b/packages/admission/src/utils/find-crashing-parts.ts
@@ -0,0 +1,169 @@
+import type { InterruptedRequest } from '../types/interrupted-request.ts';
+import type { ServedRequest } from '../types/served-request.ts';
+
+interface CrashingParts {
+  readonly parts: readonly string[];
+  /** The evidence does not tell the parts from each other. */
+  readonly isAmbiguous: boolean;
+}
+
+interface CrashHistory {
+  readonly interrupted: readonly InterruptedRequest[];
+  /** When a request with a part was last served, by any node. */
+  readonly servedAt: (part: string) => number;
+  /** Requests that this node has served recently, whatever their parts. */
+  readonly served: readonly ServedRequest[];
+  /** Number of requests that all nodes have served recently. */
+  readonly servedCount: number;
+}
+
+/** Runners that ended at the same time, with the requests that they were working on. */
+interface CrashEvent {
+  readonly at: number;
+  readonly interrupted: readonly InterruptedRequest[];
+}
+
+interface Threshold {
+  /** Minimum number of events. */
+  readonly events: number;
+  /** Minimum number of distinct requests. */
+  readonly requests: number;
+}
+
+interface Suspect {
+  readonly part: string;
+  readonly firstAt: number;
+  /** Number of events in which the part was present at most of the runners that ended. */
+  readonly events: number;
+}
+
+/** Runners that end within this time may have a common cause, such as the loss of a rack. */
+const COMMON_CAUSE_MS = 100;
+/** Minimum share of the runners of an event at which the part was present. */
+const MIN_RUNNER_SHARE = 0.5;
+/** Evidence that is needed from requests whose responses had begun. */
+const RESPONDING: Threshold = { events: 3, requests: 3 };
+/** Evidence that is needed from all interrupted requests, most of which were waiting by chance. */
+const WAITING: Threshold = { events: 6, requests: 5 };
+/** Minimum share of the events meanwhile; several parts may crash runners at a time. */
+const MIN_EVENT_SHARE = 0.4;
+/** Requests without a new part that must have been served: otherwise the service has never worked. */
+const MIN_SERVED = 20;
+/** Requests without a part that must have been served meanwhile if the part used to be served. */
+const MIN_SERVED_IF_KNOWN = 30;
+/** Accepted probability that a part that used to be served is missing from them by chance. */
+const MAX_CHANCE = 0.001;
+/** Events from which parts that are equally suspicious are all reported. */
+const MIN_EVENTS_IF_AMBIGUOUS = 6;
+
+/**
+ * Finds the prompt parts that crash runners: runners ended, one after the other, under different
+ * requests with the part, none of which was served, while requests without it were.
+ */
+export function findCrashingParts(history: CrashHistory): CrashingParts {
+  const { interrupted } = history;
+  const events = crashEventsOf(interrupted);
+  const responding = interrupted.filter(({ hasResponded }) => hasResponded);
+  const found = findAmong(responding, RESPONDING, events, history);
+  return found.parts.length > 0 ? found : findAmong(interrupted, WAITING, events, history);
+}
+
+function findAmong(
+  interrupted: readonly InterruptedRequest[],
+  threshold: Threshold,
+  events: readonly CrashEvent[],
+  history: CrashHistory,
+): CrashingParts {
+  const suspects = [...groupByPart(interrupted, history)].flatMap(([part, requests]) => {
+    const suspect = suspectOf(part, requests, threshold, events);
+    return suspect ? [suspect] : [];
+  });
+  // Parts that have never been served come first: known ones may only accompany them.
+  const unknown = suspects.filter(({ part }) => !isKnown(part, history));
+  const missing = (unknown.length > 0 ? unknown : suspects).filter((suspect) =>
+    isMissing(suspect, history),
+  );
+  const mostEvents = Math.max(0, ...missing.map((suspect) => suspect.events));
+  const parts = missing
+    .filter((suspect) => suspect.events === mostEvents)
+    .map(({ part }) => part)
+    .toSorted();
+  const isAmbiguous = parts.length > 1;
+  if (isAmbiguous && mostEvents < MIN_EVENTS_IF_AMBIGUOUS) return { parts: [], isAmbiguous };
+  return { parts, isAmbiguous };
+}
+
+function crashEventsOf(interrupted: readonly InterruptedRequest[]): readonly CrashEvent[] {
+  const events: CrashEvent[] = [];
+  for (const request of interrupted.toSorted((a, b) => a.at - b.at)) {
+    const event = events.at(-1);
+    if (event && request.at - event.at < COMMON_CAUSE_MS) {
+      events[events.length - 1] = { ...event, interrupted: [...event.interrupted, request] };
+    } else events.push({ at: request.at, interrupted: [request] });
+  }
+  return events;
+}
+
+/** Interrupted requests by part, without those from before the part was last served. */
+function groupByPart(
+  interrupted: readonly InterruptedRequest[],
+  { servedAt }: CrashHistory,
+): ReadonlyMap<string, readonly InterruptedRequest[]> {
+  const byPart = new Map<string, InterruptedRequest[]>();
+  for (const request of interrupted) {
+    for (const part of request.parts) {
+      if (servedAt(part) >= request.at) continue;
+      const known = byPart.get(part);
+      if (known) known.push(request);
+      else byPart.set(part, [request]);
+    }
+  }
+  return byPart;
+}
+
+/** Whether the part may be the cause of the events in its time. */
+function suspectOf(
+  part: string,
+  interrupted: readonly InterruptedRequest[],
+  threshold: Threshold,
+  events: readonly CrashEvent[],
+): Suspect | undefined {
+  const requests = new Set(interrupted.map(({ request }) => request)).size;
+  if (requests < threshold.requests) return undefined;
+  const times = interrupted.map(({ at }) => at);
+  const firstAt = Math.min(...times);
+  const lastAt = Math.max(...times);
+  const meanwhile = events.filter(({ at }) => at > firstAt - COMMON_CAUSE_MS && at <= lastAt);
+  const explained = meanwhile.filter((event) => explains(interrupted, event));
+  if (explained.length < threshold.events) return undefined;
+  if (explained.length < MIN_EVENT_SHARE * meanwhile.length) return undefined;
+  return { part, firstAt, events: explained.length };
+}
+
+function explains(requests: readonly InterruptedRequest[], { interrupted }: CrashEvent): boolean {
+  const present = interrupted.filter((request) => requests.includes(request));
+  return countRunners(present) >= MIN_RUNNER_SHARE * countRunners(interrupted);
+}
+
+function countRunners(interrupted: readonly InterruptedRequest[]): number {
+  return new Set(interrupted.map(({ runner }) => runner)).size;
+}
+
+/**
+ * Whether the part would be among the served requests if it did not crash runners. For a part that
+ * used to be served, so many must have been served since the first crash that its absence is no
+ * chance.
+ */
+function isMissing({ part, firstAt }: Suspect, history: CrashHistory): boolean {
+  const { served, servedCount } = history;
+  if (!isKnown(part, history)) return servedCount >= MIN_SERVED;
+  const since = served.filter(({ at }) => at >= firstAt).length;
+  const before = served.filter(({ at }) => at < firstAt);
+  const withPart = before.filter(({ parts }) => parts.includes(part)).length;
+  const chance = (1 - withPart / Math.max(1, before.length)) ** since;
+  return since >= MIN_SERVED_IF_KNOWN && chance <= MAX_CHANCE;
+}
+
+function isKnown(part: string, { servedAt }: CrashHistory): boolean {
+  return servedAt(part) > -Infinity;
+}
--- /dev/null
+++ b/packages/admission/src/utils/prompt-quarantine.ts
@@ -0,0 +1,367 @@
+import type { Clock } from '@ragwortrudder/core';
+import type { InterruptedRequest } from '../types/interrupted-request.ts';
+import type { PromptEvidence } from '../types/prompt-evidence.ts';
+import type { QuarantineChange } from '../types/quarantine-change.ts';
+import type { QuarantinedPart } from '../types/quarantined-part.ts';
+import type { ServedRequest } from '../types/served-request.ts';
+import { findCrashingParts } from './find-crashing-parts.ts';
+
+type PromptRequest = Omit<InterruptedRequest, 'at'>;
+
+interface PromptQuarantineOptions {
+  readonly clock: Clock;
+  /** This node is the one that tries a part again after its quarantine. */
+  readonly isTrialNode: (part: string) => boolean;
+}
+
+interface Quarantine {
+  readonly at: number;
+  /** When a request with the part may be tried again. */
+  readonly until: number;
+  readonly failedTrials: number;
+  /** When this node last let a request with the part pass as a trial. */
+  readonly triedAt: number;
+}
+
+interface PeerEvidence {
+  readonly node: string;
+  readonly receivedAt: number;
+  readonly interrupted: readonly InterruptedRequest[];
+  readonly servedAt: ReadonlyMap<string, number>;
+  readonly servedCount: number;
+  readonly quarantined: readonly string[];
+}
+
+interface EvidenceSource {
+  /** Node, or failure domain, that the evidence comes from. */
+  readonly node: string;
+  /** Distinguishes its incarnations. */
+  readonly incarnation: string;
+}
+
+/**
+ * Time for which a response has to last, or its runner to live on after it, until the request counts
+ * as served, in milliseconds.
+ */
+const PROOF_MS = 500;
+/** Time between the end of a response and a crash that may follow from it, in milliseconds. */
+const CRASH_WINDOW_MS = 250;
+/** Age from which an interruption is taken into account, in milliseconds: peers have reported theirs. */
+const SETTLE_MS = 400;
+/** How long evidence is kept, in milliseconds; rare requests must add up. */
+const RETENTION_MS = 120_000;
+const MAX_INTERRUPTED = 64;
+const MAX_PARTS = 16;
+const MAX_SERVED_PARTS = 4_096;
+const MAX_SERVED = 256;
+const MAX_QUARANTINED = 64;
+/** First quarantine of a part, in milliseconds; doubles with each failed trial. */
+const QUARANTINE_MS = 60_000;
+const MAX_QUARANTINE_MS = 600_000;
+/** Quarantine until the first trial of parts that the evidence does not tell apart, in milliseconds. */
+const AMBIGUOUS_QUARANTINE_MS = 2_000;
+/** Time after which a trial without a result is repeated, in milliseconds. */
+const TRIAL_TIMEOUT_MS = 10_000;
+/** Time without a trial after which a quarantine is forgotten, in milliseconds. */
+const FORGET_MS = 600_000;
+
+/**
+ * Prompt parts that crash runners. Nodes share what they saw of interrupted and served requests; a
+ * part that a node quarantines is quarantined at all of them. Afterwards one node lets one request
+ * pass at a time: if it is served, the quarantine ends everywhere.
+ */
+export class PromptQuarantine {
+  readonly #options: PromptQuarantineOptions;
+  readonly #quarantines = new Map<string, Quarantine>();
+  readonly #servedAt = new Map<string, number>();
+  readonly #peers = new Map<string, PeerEvidence>();
+  #interrupted: readonly InterruptedRequest[] = [];
+  #ended: readonly InterruptedRequest[] = [];
+  #served: readonly ServedRequest[] = [];
+  #changes: QuarantineChange[] = [];
+
+  constructor(options: PromptQuarantineOptions) {
+    this.#options = options;
+  }
+
+  /** Finds a part for which a request must not be sent to a runner; claims the trial if there is one. */
+  find(parts: readonly string[]): QuarantinedPart | undefined {
+    if (this.#quarantines.size === 0) return undefined;
+    const now = this.#options.clock.monotonic();
+    const held = parts.flatMap((part) => {
+      const quarantine = this.#quarantines.get(part);
+      return quarantine && !this.#mayTry(part, quarantine, now) ? [{ part, quarantine }] : [];
+    });
+    const [first] = held;
+    if (first) {
+      const remainingMs = Math.max(TRIAL_TIMEOUT_MS, first.quarantine.until - now);
+      return { part: first.part, remainingMs, ageMs: now - first.quarantine.at };
+    }
+    for (const part of parts) {
+      const quarantine = this.#quarantines.get(part);
+      if (!quarantine) continue;
+      this.#quarantines.set(part, { ...quarantine, triedAt: now });
+      this.#changes.push({ part, kind: 'tried' });
+    }
+    return undefined;
+  }
+
+  /** Whether a request that was admitted must not be sent, or sent again, to a runner. */
+  isHeld(parts: readonly string[]): boolean {
+    return parts.some((part) => {
+      const quarantine = this.#quarantines.get(part);
+      return quarantine !== undefined && quarantine.triedAt <= quarantine.at;
+    });
+  }
+
+  /** Records that a runner closed the connection before a response had lasted for `PROOF_MS`. */
+  recordInterrupted(request: PromptRequest): void {
+    if (request.parts.length === 0) return;
+    const at = this.#options.clock.monotonic();
+    const parts = request.parts.slice(0, MAX_PARTS);
+    this.#addInterrupted({ ...request, parts, at });
+    for (const part of parts) {
+      const quarantine = this.#quarantines.get(part);
+      if (!quarantine || quarantine.triedAt <= quarantine.at) continue;
+      this.#quarantine(part, quarantine.failedTrials + 1);
+    }
+  }
+
+  /**
+   * Records a complete response. It proves its parts only if its runner lives on: a crash may come
+   * right after it, or look like the end of a response without framing.
+   */
+  recordEnded(request: Omit<PromptRequest, 'hasResponded'>): void {
+    if (request.parts.length === 0) return;
+    const at = this.#options.clock.monotonic();
+    this.#ended = [...this.#ended, { ...request, hasResponded: true, at }];
+  }
+
+  /** Records that a runner no longer accepts connections. */
+  recordUnreachable(runner: string): void {
+    const at = this.#options.clock.monotonic();
+    const ended = this.#ended.filter((request) => request.runner === runner);
+    if (ended.length === 0) return;
+    this.#ended = this.#ended.filter((request) => request.runner !== runner);
+    for (const request of ended) {
+      if (at - request.at < CRASH_WINDOW_MS) this.#addInterrupted(request);
+    }
+  }
+
+  /** Records a response that goes on `PROOF_MS` after it began. */
+  recordServed(parts: readonly string[]): void {
+    this.#addServed(parts, this.#options.clock.monotonic());
+  }
+
+  /** Time for which a response has to go on until `recordServed` applies, in milliseconds. */
+  static get proofMs(): number {
+    return PROOF_MS;
+  }
+
+  /** Decides on the evidence; returns what has changed since the last call. */
+  update(): readonly QuarantineChange[] {
+    const now = this.#options.clock.monotonic();
+    this.#settleEnded(now);
+    this.#prune(now);
+    this.#release();
+    const evidence = this.#unexplained(now);
+    if (evidence.length > 0) {
+      const { parts, isAmbiguous } = findCrashingParts({
+        interrupted: evidence,
+        servedAt: (part) => this.#lastServedAt(part),
+        served: this.#served,
+        servedCount: this.#servedCountOver([...this.#peers.values()]),
+      });
+      for (const part of parts) this.#quarantine(part, isAmbiguous ? 0 : 1);
+    }
+    const changes = this.#changes;
+    this.#changes = [];
+    return changes;
+  }
+
+  /** Evidence of this node, and all quarantines that it knows; undefined when there is none. */
+  get evidence(): PromptEvidence | undefined {
+    return this.#encode(this.#interrupted, this.#servedAt, this.#served.length);
+  }
+
+  /** Evidence of this node and of the given peers, for nodes that do not hear these. */
+  evidenceOver(nodes: ReadonlySet<string>): PromptEvidence | undefined {
+    const members = [...this.#peers.values()].filter(({ node }) => nodes.has(node));
+    const servedAt = new Map(this.#servedAt);
+    for (const peer of members) {
+      for (const [part, at] of peer.servedAt)
+        servedAt.set(part, Math.max(at, servedAt.get(part) ?? 0));
+    }
+    return this.#encode(
+      [...this.#interrupted, ...members.flatMap(({ interrupted }) => interrupted)],
+      servedAt,
+      this.#servedCountOver(members),
+    );
+  }
+
+  /** Replaces the evidence of a peer, or of a failure domain, and adopts its quarantines. */
+  setPeerEvidence(
+    { node, incarnation }: EvidenceSource,
+    evidence: PromptEvidence | undefined,
+  ): void {
+    if (!evidence) return;
+    const now = this.#options.clock.monotonic();
+    this.#peers.set(`${node} ${incarnation}`, {
+      node,
+      receivedAt: now,
+      servedCount: evidence.servedCount,
+      quarantined: evidence.quarantined.map(({ part }) => part),
+      interrupted: evidence.interrupted.map(({ ageMs, ...request }) => {
+        return { ...request, at: now - ageMs };
+      }),
+      servedAt: new Map(
+        Object.entries(evidence.served).map(([part, ageMs]) => [part, now - ageMs]),
+      ),
+    });
+    for (const { part, ageMs, remainingMs, failedTrials } of evidence.quarantined) {
+      const known = this.#quarantines.get(part);
+      const at = now - ageMs;
+      if (known && known.failedTrials >= failedTrials) continue;
+      if (this.#lastServedAt(part) >= at || remainingMs < -FORGET_MS) continue;
+      const until = now + Math.min(remainingMs, MAX_QUARANTINE_MS);
+      this.#quarantines.set(part, { at, until, failedTrials, triedAt: -Infinity });
+      this.#changes.push({ part, kind: 'adopted', failedTrials, forMs: Math.round(remainingMs) });
+    }
+  }
+
+  #mayTry(part: string, { until, triedAt }: Quarantine, now: number): boolean {
+    return now >= until && now - triedAt >= TRIAL_TIMEOUT_MS && this.#options.isTrialNode(part);
+  }
+
+  #quarantine(part: string, failedTrials: number): void {
+    if (this.#quarantines.size >= MAX_QUARANTINED && !this.#quarantines.has(part)) return;
+    const at = this.#options.clock.monotonic();
+    const forMs =
+      failedTrials === 0
+        ? AMBIGUOUS_QUARANTINE_MS
+        : Math.min(MAX_QUARANTINE_MS, QUARANTINE_MS * 2 ** (failedTrials - 1));
+    this.#quarantines.set(part, { at, until: at + forMs, failedTrials, triedAt: -Infinity });
+    this.#changes.push({ part, kind: 'quarantined', failedTrials, forMs });
+  }
+
+  /** Ends the quarantine of parts that have been served since it began. */
+  #release(): void {
+    for (const [part, { at }] of this.#quarantines) {
+      if (this.#lastServedAt(part) < at) continue;
+      this.#quarantines.delete(part);
+      this.#changes.push({ part, kind: 'released' });
+    }
+  }
+
+  #addInterrupted(request: InterruptedRequest): void {
+    this.#interrupted = [...this.#interrupted, request].slice(-MAX_INTERRUPTED);
+  }
+
+  #addServed(parts: readonly string[], at: number): void {
+    this.#served = [...this.#served, { parts, at }].slice(-MAX_SERVED);
+    for (const part of parts) {
+      // Parts are kept in the order in which they were last served.
+      this.#servedAt.delete(part);
+      this.#servedAt.set(part, at);
+    }
+    for (const part of this.#servedAt.keys()) {
+      if (this.#servedAt.size <= MAX_SERVED_PARTS) return;
+      this.#servedAt.delete(part);
+    }
+  }
+
+  /** Responses that ended a while ago were served, unless their runner ended at the same time. */
+  #settleEnded(now: number): void {
+    const settled = this.#ended.filter(({ at }) => now - at >= PROOF_MS);
+    if (settled.length === 0) return;
+    this.#ended = this.#ended.filter(({ at }) => now - at < PROOF_MS);
+    const interrupted = this.#allInterrupted();
+    for (const request of settled) {
+      const crashedAt = interrupted
+        .filter(({ runner }) => runner === request.runner)
+        .map(({ at }) => Math.abs(at - request.at));
+      const distanceMs = Math.min(...crashedAt);
+      if (distanceMs >= PROOF_MS) this.#addServed(request.parts, request.at);
+      else if (distanceMs < CRASH_WINDOW_MS) this.#addInterrupted(request);
+    }
+  }
+
+  #prune(now: number): void {
+    const isKept = (request: InterruptedRequest): boolean =>
+      now - request.at < RETENTION_MS &&
+      request.parts.some((part) => this.#lastServedAt(part) < request.at);
+    this.#interrupted = this.#interrupted.filter(isKept);
+    for (const [name, { receivedAt }] of this.#peers) {
+      if (now - receivedAt >= RETENTION_MS) this.#peers.delete(name);
+    }
+    for (const [part, { until }] of this.#quarantines) {
+      if (now - until >= FORGET_MS) this.#quarantines.delete(part);
+    }
+  }
+
+  #allInterrupted(): readonly InterruptedRequest[] {
+    return [
+      ...this.#interrupted,
+      ...[...this.#peers.values()].flatMap(({ interrupted }) => interrupted),
+    ];
+  }
+
+  /** Settled evidence without the crashes that a quarantined part explains. */
+  #unexplained(now: number): readonly InterruptedRequest[] {
+    const all = this.#allInterrupted();
+    const explained = new Set(
+      all
+        .filter(({ parts }) => parts.some((part) => this.#quarantines.has(part)))
+        .map(({ runner }) => runner),
+    );
+    return all.filter(
+      ({ runner, at }) =>
+        !explained.has(runner) && now - at >= SETTLE_MS && now - at < RETENTION_MS,
+    );
+  }
+
+  #servedCountOver(peers: readonly PeerEvidence[]): number {
+    return peers.reduce((sum, { servedCount }) => sum + servedCount, this.#served.length);
+  }
+
+  #lastServedAt(part: string): number {
+    let last = this.#servedAt.get(part) ?? -Infinity;
+    for (const { servedAt } of this.#peers.values())
+      last = Math.max(last, servedAt.get(part) ?? -Infinity);
+    return last;
+  }
+
+  #encode(
+    interrupted: readonly InterruptedRequest[],
+    servedAt: ReadonlyMap<string, number>,
+    servedCount: number,
+  ): PromptEvidence | undefined {
+    const now = this.#options.clock.monotonic();
+    const questioned = new Set(this.#quarantines.keys());
+    for (const { parts } of this.#allInterrupted()) for (const part of parts) questioned.add(part);
+    for (const { quarantined } of this.#peers.values()) {
+      for (const part of quarantined) questioned.add(part);
+    }
+    if (questioned.size === 0) return undefined;
+    return {
+      interrupted: interrupted
+        .slice(-MAX_INTERRUPTED)
+        .map(({ at, ...request }) => ({ ...request, ageMs: Math.round(now - at) })),
+      served: Object.fromEntries(
+        [...questioned].flatMap((part) => {
+          const at = servedAt.get(part);
+          return at === undefined ? [] : [[part, Math.round(now - at)]];
+        }),
+      ),
+      servedCount,
+      quarantined: [...this.#quarantines].map(([part, { at, until, failedTrials }]) => {
+        return {
+          part,
+          ageMs: Math.round(now - at),
+          remainingMs: Math.round(until - now),
+          failedTrials,
+        };
+      }),
+    };
+  }
+}
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -1,5 +1,6 @@
 import type { Route, RunnerEntry, Service, Team } from '@ragwortrudder/catalog';
 import { placeApplicationRequest, placeModelRequest } from '@ragwortrudder/routing';
+import { PromptQuarantine } from '@ragwortrudder/admission';
 import type { PlacementCandidate, PlacementRequest } from '@ragwortrudder/routing';
 import { Refusal } from '../errors/refusal.ts';
 import type { AttemptOutcome } from '../types/attempt-outcome.ts';
@@ -7,6 +8,7 @@
 import type { RunnerWork } from '../types/runner-work.ts';
 import { enginePriority } from '../utils/engine-priority.ts';
 import { nextStep } from '../utils/next-step.ts';
+import { sharedPartsOf } from '../utils/shared-parts-of.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
@@ -30,7 +32,9 @@
 }
 
 const SILENT_REASON = 'silent';
+const HELD_REASON = 'prompt part quarantined';
 const HTTP_OK = 200;
+const FIRST_CLIENT_ERROR = 400;
 const FIRST_SERVER_ERROR = 500;
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
@@ -76,6 +80,8 @@
   readonly #placement: PlacementRequest;
   readonly #arrivedAt: number;
   readonly #deadlineAt: number;
+  /** Prompt parts that other requests may share. */
+  readonly #sharedParts: readonly string[];
   readonly #tried = new Set<string>();
   /** A roll-out sends this request to the target version. */
   readonly #goesToTarget: boolean;
@@ -84,6 +90,8 @@
   #checkSilence: (() => void) | undefined;
   /** When the current attempt received the first bytes of its response. */
   #respondingSince: number | undefined;
+  /** The current attempt has shown that its prompt does not crash runners. */
+  #isProved = false;
   #sends = 0;
   #unsent = 0;
   #mayHaveRun = false;
@@ -93,6 +101,7 @@
   constructor(options: ForwardedRequestOptions) {
     this.#options = options;
     const { request, route, clock, failureDomain } = options;
+    this.#sharedParts = sharedPartsOf(request);
     this.#placement = placementRequestOf(
       request,
       failureDomain,
@@ -133,10 +142,20 @@
     this.#checkSilence?.();
   }
 
+  /** Ends the current attempt if its prompt must not be sent to runners and it has no response yet. */
+  stopIfHeld(): void {
+    if (this.#isFinished || this.#respondingSince !== undefined || !this.#isHeld()) return;
+    this.#attempt?.abort({ kind: 'broken', reason: HELD_REASON, isConnectionLost: false });
+  }
+
+  #isHeld(): boolean {
+    return this.#options.quarantine.isHeld(this.#sharedParts);
+  }
+
   async #attemptUntilDone(): Promise<void> {
     for (;;) {
       const chosen = this.#chooseRunner();
-      if (!chosen) {
+      if (!chosen || this.#isHeld()) {
         if (this.#mayHaveRun) this.#fail('runner-broken', HTTP_BAD_GATEWAY);
         throw new Refusal(this.#sends > 0 ? 'runner-full' : 'no-runner', {
           status: HTTP_UNAVAILABLE,
@@ -162,7 +181,10 @@
       mayHaveRun: this.#mayHaveRun,
       hasBegun: channel.hasBegun,
       canContinue: channel.canContinue,
-      canRetry: this.#deadlineAt - now > MIN_RETRY_MS && this.#chooseRunner() !== undefined,
+      canRetry:
+        !this.#isHeld() &&
+        this.#deadlineAt - now > MIN_RETRY_MS &&
+        this.#chooseRunner() !== undefined,
       takeBudget: () => retryBudget.trySpend({ endpoint: service.name, class: 'interactive' }, now),
     });
     if (step !== 'done' && step !== 'answer') {
@@ -298,11 +320,13 @@
       onProgress: () => {
         progressAt = clock.monotonic();
         this.#respondingSince ??= progressAt;
+        this.#recordProof(progressAt - this.#respondingSince);
         pool.recordProgress(entry);
       },
     });
     this.#attempt = attempt;
     this.#respondingSince = undefined;
+    this.#isProved = false;
     this.#checkSilence = () => {
       const silentMs = clock.monotonic() - progressAt;
       const runnerSilentMs = Math.min(silentMs, pool.silentMs(entry));
@@ -316,7 +340,7 @@
       if (runnerSilentMs >= this.#silenceLimitMs(firstEventAt !== undefined)) {
         pool.markUnreachable(entry, SILENT_REASON);
       }
-      attempt.abort({ kind: 'broken', reason: SILENT_REASON });
+      attempt.abort({ kind: 'broken', reason: SILENT_REASON, isConnectionLost: false });
     };
     this.#sends += 1;
     const outcome = await attempt.outcome;
@@ -327,6 +351,7 @@
       kvTokens: -remainingWork.kvTokens,
     });
     this.#recordOutcome(outcome, chosen, clock.monotonic() - sentAt);
+    this.#recordPromptOutcome(outcome, entry);
     this.#countTransfer(outcome);
     return outcome;
   }
@@ -361,6 +386,7 @@
       }
       case 'broken':
         this.#mayHaveRun = true;
+        if (outcome.reason === HELD_REASON) return;
         if (outcome.reason !== SILENT_REASON) pool.recordFailure(entry);
         this.#recordForRollout({ entry, expectedMs }, 'failure', tookMs);
         return;
@@ -372,6 +398,32 @@
     }
   }
 
+  #recordProof(respondingMs: number): void {
+    if (this.#isProved || respondingMs < PromptQuarantine.proofMs) return;
+    this.#isProved = true;
+    this.#options.quarantine.recordServed(this.#sharedParts);
+  }
+
+  /** Records whether the runner may have crashed under the prompt. */
+  #recordPromptOutcome(outcome: AttemptOutcome, { id, bornMs }: RunnerEntry): void {
+    if (this.#isProved) return;
+    const { quarantine, request } = this.#options;
+    const prompt = {
+      runner: `${id} ${bornMs}`,
+      request: request.promptParts.at(-1)?.id ?? request.id,
+      parts: this.#sharedParts,
+    };
+    if (outcome.kind === 'broken' && outcome.isConnectionLost) {
+      const hasResponded = this.#respondingSince !== undefined;
+      quarantine.recordInterrupted({ ...prompt, hasResponded });
+    }
+    const isServed =
+      outcome.kind === 'relayed' ||
+      (outcome.kind === 'answered' && outcome.response.head.status < FIRST_CLIENT_ERROR);
+    if (isServed) quarantine.recordEnded(prompt);
+    if (outcome.kind === 'unsent') quarantine.recordUnreachable(prompt.runner);
+  }
+
   /** Compares the versions of a service during a roll-out. */
   #recordForRollout(
     { entry, expectedMs }: Pick<ChosenRunner, 'entry' | 'expectedMs'>,
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -3,6 +3,7 @@
 import { Refusal } from '../errors/refusal.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
+import { sharedPartsOf } from '../utils/shared-parts-of.ts';
 import { costOf } from '../utils/cost-of.ts';
 import { toleratedLimit } from '../utils/tolerated-limit.ts';
 import type { CallerChannel } from './caller-channel.ts';
@@ -45,6 +46,11 @@
     for (const request of this.#active) request.checkSilence();
   }
 
+  /** Ends attempts whose runners have not responded to a prompt that must no longer be sent to them. */
+  stopHeldRequests(): void {
+    for (const request of this.#active) request.stopIfHeld();
+  }
+
   /** Activates a configuration. */
   apply(configuration: Configuration): void {
     this.#activeConfiguration = {
@@ -96,6 +102,7 @@
     }
     const team = this.#teamOf(request, route, activeConfiguration);
     const service = this.#serviceOf(route, activeConfiguration);
+    this.#checkPrompt(request, route);
     const cost = this.#takeQuota(request, team);
     this.#options.onAdmitted(service, request);
     const forwarded = new ForwardedRequest({
@@ -141,6 +148,16 @@
     return service;
   }
 
+  #checkPrompt(request: CallerRequest, route: Route): void {
+    const held = this.#options.quarantine.find(sharedPartsOf(request));
+    if (!held) return;
+    throw new Refusal('prompt-quarantined', {
+      status: HTTP_UNAVAILABLE,
+      retryAfterMs: held.remainingMs,
+      inputs: { route: route.name, part: held.part, quarantinedMs: Math.round(held.ageMs) },
+    });
+  }
+
   #takeQuota(request: CallerRequest, team: Team | undefined): number {
     if (!team?.limit) return 0;
     const cost = costOf(request, team.limit);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -1,10 +1,10 @@
-import { RetryBudget, SharedQuota } from '@ragwortrudder/admission';
+import { PromptQuarantine, RetryBudget, SharedQuota } from '@ragwortrudder/admission';
 import { RunnerDirectory } from '@ragwortrudder/catalog';
 import type { Configuration } from '@ragwortrudder/catalog';
 import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import type { KeyedLog } from '@ragwortrudder/log';
-import { SessionAffinity } from '@ragwortrudder/routing';
+import { rendezvousOrder, SessionAffinity } from '@ragwortrudder/routing';
 import type { Writable } from 'node:stream';
 import { isDeepStrictEqual } from 'node:util';
 import { Refusal } from '../errors/refusal.ts';
@@ -30,6 +30,7 @@
 import { GatewayMetrics } from './gateway-metrics.ts';
 import { PeerStateSync } from './peer-state-sync.ts';
 import { Peers } from './peers.ts';
+import { QuarantineSync } from './quarantine-sync.ts';
 import { RolloutDuty } from './rollout-duty.ts';
 import { Rollouts } from './rollouts.ts';
 import { RunnerPool } from './runner-pool.ts';
@@ -52,6 +53,10 @@
 const MAINTENANCE_PERIOD_MS = 200;
 /** Interval between reads of the states of open roll-outs, in milliseconds. */
 const ROLLOUT_PERIOD_MS = 500;
+/** Time after its start from which a node tries quarantined prompt parts, in milliseconds: it knows its peers. */
+const TRIAL_NODE_MIN_UPTIME_MS = 10_000;
+/** Interval between exchanges of quarantined prompt parts with the log, in milliseconds. */
+const QUARANTINE_PERIOD_MS = 1_000;
 /** Interval between attempts to register this node in the topic of nodes, in milliseconds. */
 const REGISTER_PERIOD_MS = 1_000;
 /**
@@ -82,6 +87,8 @@
   readonly #quota: SharedQuota;
   readonly #usage: UsageCounter;
   readonly #retryBudget: RetryBudget;
+  readonly #quarantine: PromptQuarantine;
+  readonly #quarantineSync: QuarantineSync;
   readonly #demand: DemandMeter;
   readonly #forwarder: Forwarder;
   readonly #callers: CallerServer;
@@ -93,6 +100,7 @@
   readonly #catalog: CatalogFollower;
   readonly #tasks: readonly PeriodicTask[];
   readonly #incarnation: number;
+  readonly #startedAt: number;
   #configuration: Configuration | undefined;
   #isRegistered = false;
   #isStopping = false;
@@ -105,6 +113,7 @@
     const { settings, clock, random, dialect, codec, out } = options;
     const { node, listen, retries, duties } = settings;
     this.#incarnation = clock.wall();
+    this.#startedAt = clock.monotonic();
     this.#decisions = new DecisionLog({ node: node.id, out, clock });
     this.#directory = new RunnerDirectory({ clock });
     this.#loadTracker = new RunnerLoadTracker(clock);
@@ -113,6 +122,10 @@
     this.#demand = new DemandMeter(clock);
     this.#retryBudget = new RetryBudget({ ratio: retries.ratio * USED_RETRY_RATIO });
     const disciplinedClock = new DisciplinedClock(clock);
+    this.#quarantine = new PromptQuarantine({
+      clock,
+      isTrialNode: (part) => this.#isTrialNode(part),
+    });
     this.#rollouts = new Rollouts({ clock, random, log: this.#decisions });
     this.#peerState = new PeerStateSync({
       node: node.id,
@@ -124,6 +137,7 @@
       quota: this.#quota,
       usage: this.#usage,
       demand: this.#demand,
+      quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       disciplinedClock,
       dutyToken: () => this.#dutyHolder?.reportedToken ?? 0,
@@ -170,6 +184,7 @@
       quota: this.#quota,
       quotas: () => this.#settings.quotas,
       retryBudget: this.#retryBudget,
+      quarantine: this.#quarantine,
       usage: this.#usage,
       disciplinedClock,
       log: this.#decisions,
@@ -183,6 +198,19 @@
         });
       },
     });
+    this.#quarantineSync = new QuarantineSync({
+      quarantine: this.#quarantine,
+      log: options.log,
+      node: node.id,
+      incarnation: this.#incarnation,
+      now: () => disciplinedClock.now(),
+      decisions: this.#decisions,
+      metrics: this.#metrics,
+      isDivided: () => this.#peers.isRelay && this.#peers.reachableCount < this.#peers.knownCount,
+      onHeld: () => {
+        this.#forwarder.stopHeldRequests();
+      },
+    });
     this.#callers = new CallerServer({
       address: listen.callers,
       dialect,
@@ -227,6 +255,7 @@
           );
           this.#pool.prune();
           this.#forwarder.checkSilence();
+          this.#quarantineSync.update();
         },
         onFailure: this.#logFailure('upkeep'),
       }),
@@ -235,6 +264,11 @@
         run: () => this.#readRollouts(),
         onFailure: this.#logFailure('rollouts'),
       }),
+      new PeriodicTask({
+        periodMs: QUARANTINE_PERIOD_MS,
+        run: () => this.#quarantineSync.exchange(),
+        onFailure: this.#logFailure('quarantine'),
+      }),
       new PeriodicTask({
         periodMs: REGISTER_PERIOD_MS,
         run: () => this.#register(),
@@ -337,6 +371,16 @@
     return this.#configuration !== undefined && this.#catalog.hasRunners && !this.#isStopping;
   }
 
+  /** One node tries a part again, provided that it reaches most of the others. */
+  #isTrialNode(part: string): boolean {
+    const { id } = this.#options.settings.node;
+    const upMs = this.#options.clock.monotonic() - this.#startedAt;
+    if (this.#isStopping || upMs < TRIAL_NODE_MIN_UPTIME_MS) return false;
+    if (2 * this.#peers.reachableCount <= this.#peers.knownCount) return false;
+    const nodes = [id, ...this.#peers.reachableIds()];
+    return rendezvousOrder(part, nodes, (node) => node)[0] === id;
+  }
+
   /**
    * A node that is shutting down accepts requests until new connections go elsewhere; later
    * requests might not finish in time.
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -1,4 +1,4 @@
-import type { SharedQuota } from '@ragwortrudder/admission';
+import type { PromptQuarantine, SharedQuota } from '@ragwortrudder/admission';
 import type { Address } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
 import type { DomainDigest } from '../types/domain-digest.ts';
@@ -21,6 +21,7 @@
   readonly quota: SharedQuota;
   readonly usage: UsageCounter;
   readonly demand: DemandMeter;
+  readonly quarantine: Pick<PromptQuarantine, 'evidence' | 'evidenceOver' | 'setPeerEvidence'>;
   readonly rollouts: Pick<Rollouts, 'evidence' | 'setPeerEvidence'>;
   readonly disciplinedClock: DisciplinedClock;
   readonly dutyToken: () => number;
@@ -69,6 +70,7 @@
     } = this.#options;
     this.#sequence += 1;
     const now = disciplinedClock.now();
+    const prompts = this.#options.quarantine.evidence;
     return {
       node,
       host: address.host,
@@ -80,6 +82,7 @@
       work: encodeWork(loadTracker.own),
       taken: Object.fromEntries(quota.taken),
       ...(includesTotals ? this.#totals(now) : { usage: {}, demand: {} }),
+      ...(prompts ? { prompts } : {}),
       duty: dutyToken(),
       isLeaving,
     };
@@ -92,6 +95,7 @@
     const taken = new Map(quota.taken);
     for (const [team, total] of this.#takenInDomain)
       taken.set(team, (taken.get(team) ?? 0) + total);
+    const prompts = this.#options.quarantine.evidenceOver(new Set(Object.keys(members)));
     return {
       relay: node,
       failureDomain,
@@ -100,6 +104,7 @@
       members,
       work: encodeWork(loadTracker.totalOver(new Set(Object.keys(members)))),
       taken: Object.fromEntries(taken),
+      ...(prompts ? { prompts } : {}),
     };
   }
 
@@ -113,6 +118,10 @@
       demand.setTotal(incarnation, service, { requests, promptTokens, outputTokens });
     }
     this.#options.rollouts.setPeerEvidence(incarnation, report.outcomes);
+    this.#options.quarantine.setPeerEvidence(
+      { node: report.node, incarnation: String(report.life) },
+      report.prompts,
+    );
     if (this.#isCoveredByDigest(report.failureDomain)) return;
     loadTracker.setPeerWork(report.node, decodeWork(report));
     const previousTotals = isFirst ? undefined : this.#takenByPeer.get(report.node);
@@ -127,6 +136,10 @@
     const { loadTracker, clock } = this.#options;
     const { relay, life: incarnation, failureDomain } = digest;
     loadTracker.setPeerWork(`domain ${failureDomain}`, decodeWork(digest));
+    this.#options.quarantine.setPeerEvidence(
+      { node: `domain ${failureDomain}`, incarnation: `${relay} ${incarnation}` },
+      digest.prompts,
+    );
     const known = this.#appliedDigests.get(failureDomain);
     const at = clock.monotonic();
     const isSameRelay = known?.relay === relay && known.incarnation === incarnation;
--- /dev/null
+++ b/packages/gateway/src/node/quarantine-sync.ts
@@ -0,0 +1,123 @@
+import type { PromptEvidence, PromptQuarantine, QuarantineChange } from '@ragwortrudder/admission';
+import type { KeyedLog } from '@ragwortrudder/log';
+import { StoredPromptEvidence } from '../types/stored-prompt-evidence.ts';
+import { decodeJson } from '../utils/decode-json.ts';
+import type { DecisionLog } from './decision-log.ts';
+import type { GatewayMetrics } from './gateway-metrics.ts';
+
+interface QuarantineSyncOptions {
+  readonly quarantine: PromptQuarantine;
+  readonly log: KeyedLog;
+  readonly node: string;
+  readonly incarnation: number;
+  /** Time of day that all nodes agree on, in milliseconds since the epoch. */
+  readonly now: () => number;
+  readonly decisions: DecisionLog;
+  readonly metrics: GatewayMetrics;
+  /** Some peers are unreachable, so that they exchange evidence with this node only through the log. */
+  readonly isDivided: () => boolean;
+  /** Called when requests may have to be stopped. */
+  readonly onHeld: () => void;
+}
+
+const TOPIC = 'quarantine';
+
+/**
+ * Keeps the quarantine of prompt parts in the log, for nodes that start and for nodes that cannot
+ * reach the others, and logs its changes.
+ */
+export class QuarantineSync {
+  readonly #options: QuarantineSyncOptions;
+  /** Parts in this node's record in the log. */
+  #storedParts: ReadonlySet<string> = new Set();
+  #storedText = '';
+  #isRead = false;
+  #isDirty = false;
+
+  constructor(options: QuarantineSyncOptions) {
+    this.#options = options;
+  }
+
+  /** Decides on the evidence and applies the result to requests in progress. */
+  update(): void {
+    const { quarantine, decisions, metrics, onHeld } = this.#options;
+    const changes = quarantine.update();
+    for (const change of changes) {
+      const { part, kind, failedTrials, forMs } = change;
+      metrics.count('prompt_parts', { change: kind });
+      decisions.notable(`prompt-part-${kind}`, { part, failedTrials, forMs });
+      this.#isDirty ||= this.#mustStore(change);
+    }
+    if (changes.some(({ kind }) => kind === 'quarantined' || kind === 'adopted')) onHeld();
+  }
+
+  /** Reads the records of the other nodes and stores this node's, where that is needed. */
+  async exchange(): Promise<void> {
+    const isDivided = this.#options.isDivided();
+    if (!this.#isRead || isDivided) await this.#read();
+    if (this.#isDirty || isDivided) await this.#store();
+  }
+
+  /** A quarantine is stored by the nodes that decided on it, and its end by those that stored it. */
+  #mustStore({ kind, part }: QuarantineChange): boolean {
+    return kind === 'quarantined' || (kind === 'released' && this.#storedParts.has(part));
+  }
+
+  async #read(): Promise<void> {
+    const { log, quarantine, now } = this.#options;
+    const { records } = await log.newest(TOPIC);
+    for (const { key, value } of records) {
+      const stored = StoredPromptEvidence.safeParse(decodeJson(value)).data;
+      if (!stored || (key === this.#options.node && stored.life === this.#options.incarnation))
+        continue;
+      const sinceMs = Math.max(0, now() - stored.at);
+      quarantine.setPeerEvidence(
+        { node: `record of ${key}`, incarnation: String(stored.life) },
+        agedBy(stored.evidence, sinceMs),
+      );
+    }
+    this.#isRead = true;
+  }
+
+  async #store(): Promise<void> {
+    const { log, quarantine, node, incarnation, now } = this.#options;
+    const { evidence } = quarantine;
+    const text = keyTextOf(evidence);
+    if (text === this.#storedText) {
+      this.#isDirty = false;
+      return;
+    }
+    const stored: StoredPromptEvidence | undefined = evidence && {
+      life: incarnation,
+      at: now(),
+      evidence,
+    };
+    const value = stored && Buffer.from(JSON.stringify(stored));
+    await log.append({ topic: TOPIC, key: node, ...(value ? { value } : {}) });
+    this.#isDirty = false;
+    this.#storedText = text;
+    this.#storedParts = new Set(evidence?.quarantined.map(({ part }) => part));
+  }
+}
+
+/** Text that changes whenever the evidence does, other than by ageing. */
+function keyTextOf(evidence: PromptEvidence | undefined): string {
+  if (!evidence) return '';
+  return JSON.stringify([
+    evidence.interrupted.map(({ runner, request }) => `${runner} ${request}`),
+    evidence.quarantined.map(({ part, failedTrials }) => `${part} ${failedTrials}`),
+  ]);
+}
+
+function agedBy(evidence: PromptEvidence, ms: number): PromptEvidence {
+  return {
+    ...evidence,
+    interrupted: evidence.interrupted.map((item) => ({ ...item, ageMs: item.ageMs + ms })),
+    served: Object.fromEntries(
+      Object.entries(evidence.served).map(([part, ageMs]) => [part, ageMs + ms]),
+    ),
+    quarantined: evidence.quarantined.map((item) => {
+      return { ...item, ageMs: item.ageMs + ms, remainingMs: item.remainingMs - ms };
+    }),
+  };
+}
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -128,15 +128,24 @@
       this.abort({
         kind: 'broken',
         reason: 'Request-Id of the response does not match the request',
+        isConnectionLost: false,
       });
       return;
     }
     if (isSuccess(head.status) && head.signature === undefined) {
-      this.abort({ kind: 'broken', reason: 'successful response has no Response-Signature' });
+      this.abort({
+        kind: 'broken',
+        reason: 'successful response has no Response-Signature',
+        isConnectionLost: false,
+      });
       return;
     }
     if (sink?.hasBegun && isSuccess(head.status) && !isEventStream(head.contentType)) {
-      this.abort({ kind: 'broken', reason: 'response does not continue the event stream' });
+      this.abort({
+        kind: 'broken',
+        reason: 'response does not continue the event stream',
+        isConnectionLost: false,
+      });
       return;
     }
     this.#framing = responseFraming({
@@ -171,7 +180,7 @@
       const transfer = this.#transfer();
       const reason = incompleteReason(response.complete, transfer);
       if (reason !== undefined) {
-        this.#break(reason);
+        this.#break(reason, !response.complete || transfer.framing === 'connection');
         return;
       }
       sink.end();
@@ -185,7 +194,11 @@
       chunks.push(bytes);
       this.#options.onProgress();
       if (this.#bytes > MAX_COLLECTED_BYTES) {
-        this.abort({ kind: 'broken', reason: 'response body exceeds the buffer limit' });
+        this.abort({
+          kind: 'broken',
+          reason: 'response body exceeds the buffer limit',
+          isConnectionLost: false,
+        });
       }
     });
     response.on('end', () => {
@@ -215,9 +228,14 @@
     };
   }
 
-  #break(reason: string): void {
+  #break(reason: string, isConnectionLost = true): void {
     const hasHead = this.#framing !== undefined;
-    this.#finish({ kind: 'broken', reason, ...(hasHead ? { transfer: this.#transfer() } : {}) });
+    this.#finish({
+      kind: 'broken',
+      reason,
+      isConnectionLost,
+      ...(hasHead ? { transfer: this.#transfer() } : {}),
+    });
   }
 
   #finish(outcome: AttemptOutcome): void {
--- a/packages/gateway/src/types/attempt-outcome.ts
+++ b/packages/gateway/src/types/attempt-outcome.ts
@@ -22,6 +22,8 @@
   | {
       readonly kind: 'broken';
       readonly reason: string;
+      /** The connection ended, as it does when the runner crashes. */
+      readonly isConnectionLost: boolean;
       /** Set when the head of a response had arrived. */
       readonly transfer?: ResponseTransfer;
     }
--- a/packages/gateway/src/types/domain-digest.ts
+++ b/packages/gateway/src/types/domain-digest.ts
@@ -1,3 +1,4 @@
+import { PromptEvidence } from '@ragwortrudder/admission';
 import * as z from 'zod';
 
 /**
@@ -20,6 +21,8 @@
   work: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
   /** By team: quota that the members have consumed since this incarnation of the relay started. */
   taken: z.record(z.string(), z.number()),
+  /** What the members know about prompt parts that may crash runners. */
+  prompts: PromptEvidence.optional(),
 });
 /** Summary of a failure domain that its relays send to the nodes of the other domains. */
 export type DomainDigest = Readonly<z.infer<typeof DomainDigest>>;
--- a/packages/gateway/src/types/forwarder-options.ts
+++ b/packages/gateway/src/types/forwarder-options.ts
@@ -1,4 +1,4 @@
-import type { RetryBudget, SharedQuota } from '@ragwortrudder/admission';
+import type { PromptQuarantine, RetryBudget, SharedQuota } from '@ragwortrudder/admission';
 import type { RunnerDirectory, Service } from '@ragwortrudder/catalog';
 import type { Clock, Random } from '@ragwortrudder/core';
 import type { SessionAffinity } from '@ragwortrudder/routing';
@@ -25,6 +25,7 @@
   readonly sessions: SessionAffinity;
   readonly quota: SharedQuota;
   readonly retryBudget: RetryBudget;
+  readonly quarantine: PromptQuarantine;
   readonly usage: UsageCounter;
   readonly quotas: () => GatewaySettings['quotas'];
   readonly disciplinedClock: { now(): number };
--- a/packages/gateway/src/types/refusal-cause.ts
+++ b/packages/gateway/src/types/refusal-cause.ts
@@ -4,6 +4,7 @@
   | 'route-unknown'
   | 'key-unknown'
   | 'quota-exceeded'
+  | 'prompt-quarantined'
   | 'no-runner'
   | 'runner-full'
   | 'runner-unreachable'
--- a/test/gateway/crashing-prompt.test.ts
+++ b/test/gateway/crashing-prompt.test.ts
@@ -110,13 +110,13 @@
   const sound = startTraffic(
     () => gateways,
     25,
-    (index) => `common:20,c${index % 3}:20,s${index}:20`,
+    (index) => `c0:20,c${1 + (index % 3)}:20,5${index}:20`,
   );
   await pause(500);
   const crashing = startTraffic(
     () => gateways,
     300,
-    (index) => `common:20,bad:20,q${index}:20`,
+    (index) => `c0:20,bad:20,6${index}:20`,
   );
   while (fleet.crashes.length < 5) await pause(20);
   const fifthAt = fleet.crashes[4] ?? 0;
@@ -144,7 +144,7 @@
   const sound = startTraffic(
     () => gateways,
     25,
-    (index) => `common:20,c${index % 3}:20,s${index}:20`,
+    (index) => `c0:20,c${1 + (index % 3)}:20,5${index}:20`,
   );
   for (let wave = 0; wave < 3; wave += 1) {
     await pause(1_000);
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -21,7 +21,7 @@
   canRetry: true,
   takeBudget: () => true,
 } as const;
-const BROKEN: AttemptOutcome = { kind: 'broken', reason: 'reset' };
+const BROKEN: AttemptOutcome = { kind: 'broken', reason: 'reset', isConnectionLost: true };
 const REFUSED: AttemptOutcome = { kind: 'refused', isMisdirected: false };
 const NON_IDEMPOTENT = { kind: 'non-idempotent', isResumable: false, maxAttempts: 2 } as const;
 const STREAM = { kind: 'stream', isResumable: false, maxAttempts: 2 } as const;
