--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -36,6 +36,7 @@
 const HTTP_OK = 200;
 const FIRST_CLIENT_ERROR = 400;
 const FIRST_SERVER_ERROR = 500;
+const HTTP_MISDIRECTED = 421;
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_GATEWAY_TIMEOUT = 504;
@@ -314,7 +315,9 @@
         lastEventId: channel.lastEventId ?? request.lastEventId,
       },
       ...(route.kind === 'stream' ? { sink: channel } : {}),
-      onHead: ({ load }) => {
+      onHead: ({ status, load, requestsPerSecond }) => {
+        if (status === HTTP_MISDIRECTED) return;
+        pool.recordStatedRate(entry, requestsPerSecond);
         if (load) loadTracker.setReportedLoad(entry.id, load);
       },
       onProgress: () => {
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -20,6 +20,8 @@
   readonly agent: RunnerAgent;
   /** Moving average of measured to expected latency; compared with the other runners of the service. */
   readonly latencyRatio: number;
+  /** Requests per second that the runner last said it accepts from all nodes together. */
+  readonly requestsPerSecond: number | undefined;
   readonly unreachableUntil: number;
   readonly unreachableTimes: number;
 }
@@ -121,6 +123,19 @@
     this.#record(entry, { ok: true, latencyMs: ratio });
   }
 
+  /** Records the rate of requests that a runner states in a response. */
+  recordStatedRate(entry: RunnerEntry, requestsPerSecond: number | undefined): void {
+    const runner = this.#runnerOf(entry);
+    if (runner.requestsPerSecond === requestsPerSecond) return;
+    this.#runners.set(entry.id, { ...runner, requestsPerSecond });
+    this.#options.log.notable('runner-rate-stated', {
+      runner: entry.id,
+      requestsPerSecond: requestsPerSecond ?? 'none',
+      before: runner.requestsPerSecond ?? 'none',
+      requestsInFlight: this.#options.loadTracker.workAt(entry.id).requests,
+    });
+  }
+
   /** Records that bytes have arrived from a runner. */
   recordProgress(entry: RunnerEntry): void {
     this.#progressAt.set(entry.id, this.#options.clock.monotonic());
@@ -233,6 +248,7 @@
       entry,
       agent: new RunnerAgent({ maxSockets: Infinity }),
       latencyRatio: 1,
+      requestsPerSecond: undefined,
       unreachableUntil: 0,
       unreachableTimes: 0,
     };
--- a/packages/gateway/src/types/response-head.ts
+++ b/packages/gateway/src/types/response-head.ts
@@ -12,4 +12,6 @@
   /** The runner declared that it did not execute the request. */
   readonly isNotExecuted: boolean;
   readonly load: RunnerLoad | undefined;
+  /** Requests per second that the runner accepts from all nodes together; undefined without a limit. */
+  readonly requestsPerSecond: number | undefined;
 }
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -36,6 +36,7 @@
     signature: 's',
     isNotExecuted: false,
     load: undefined,
+    requestsPerSecond: undefined,
   };
   const transfer = {
     framing: 'length',
