--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -114,9 +114,14 @@
     return harness;
   }
 
-  /** Appends a first configuration to a log that several gateways share. */
-  static async configure(options: GatewayHarnessOptions): Promise<void> {
-    await new GatewayHarness(options).configure({});
+  /** Appends a configuration, and runners by their ports, to a log that several gateways share. */
+  static async configure(
+    options: GatewayHarnessOptions,
+    ports: readonly number[] = [],
+  ): Promise<void> {
+    const harness = new GatewayHarness(options);
+    await harness.configure({});
+    for (const [index, port] of ports.entries()) await harness.registerRunner(`r${index}`, port);
   }
 
   /** Appends the next version of the configuration to the log. */
