Keep to the limit of requests that a runner states, over all nodes together

Cause: the nodes passed the limit on to the callers and did not read it. Load alone decided where requests went.

Why this works: nodes report the newest statement of each runner to each other, and a few of them, by rank for each runner, share its limit; the parts of unreachable nodes stay unused. A node that joins hears of it in the first report. The newest statement counts, also one without a limit, so that the runner gets its usual share again when its need ends.

--- /dev/null
+++ b/packages/admission/src/types/stated-limit.ts
@@ -0,0 +1,15 @@
+import * as z from 'zod';
+
+/** What a runner said of its limit in a response, as nodes report it to each other. */
+export const StatedLimit = z
+  .object({
+    /** Incarnation of the runner. */
+    runner: z.string(),
+    /** Requests per second from all nodes together; null after the runner no longer states a limit. */
+    perSecond: z.number().nullable(),
+    /** Time since the response, in milliseconds. */
+    ageMs: z.number(),
+  })
+  .readonly();
+/** What a runner said of its limit in a response. */
+export type StatedLimit = z.infer<typeof StatedLimit>;
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -7,6 +7,7 @@
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { RunnerWork } from '../types/runner-work.ts';
 import { enginePriority } from '../utils/engine-priority.ts';
+import { incarnationOf } from '../utils/incarnation-of.ts';
 import { nextStep } from '../utils/next-step.ts';
 import { sharedPartsOf } from '../utils/shared-parts-of.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
@@ -245,6 +246,7 @@
       team: team?.name,
       service: service.name,
       runnersListed: listed.length,
+      runnersLimited: pool.countLimited(listed),
       runnersDraining: listed.filter(({ isDraining }) => isDraining).length,
       runnersUsable: pool.candidates(service).length,
       runnersTried: this.#tried.size,
@@ -317,7 +319,7 @@
       ...(route.kind === 'stream' ? { sink: channel } : {}),
       onHead: ({ status, load, requestsPerSecond }) => {
         if (status === HTTP_MISDIRECTED) return;
-        pool.recordStatedRate(entry, requestsPerSecond);
+        pool.recordStatedLimit(entry, requestsPerSecond);
         if (load) loadTracker.setReportedLoad(entry.id, load);
       },
       onProgress: () => {
@@ -408,11 +410,11 @@
   }
 
   /** Records whether the runner may have crashed under the prompt. */
-  #recordPromptOutcome(outcome: AttemptOutcome, { id, bornMs }: RunnerEntry): void {
+  #recordPromptOutcome(outcome: AttemptOutcome, entry: RunnerEntry): void {
     if (this.#isProved) return;
     const { quarantine, request } = this.#options;
     const prompt = {
-      runner: `${id} ${bornMs}`,
+      runner: incarnationOf(entry),
       request: request.promptParts.at(-1)?.id ?? request.id,
       parts: this.#sharedParts,
     };
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -1,4 +1,4 @@
-import { PromptQuarantine, RetryBudget, SharedQuota } from '@ragwortrudder/admission';
+import { PromptQuarantine, RetryBudget, SharedQuota, StatedLimits } from '@ragwortrudder/admission';
 import { RunnerDirectory } from '@ragwortrudder/catalog';
 import type { Configuration } from '@ragwortrudder/catalog';
 import { PeriodicTask } from '@ragwortrudder/core';
@@ -87,6 +87,7 @@
   readonly #quota: SharedQuota;
   readonly #usage: UsageCounter;
   readonly #retryBudget: RetryBudget;
+  readonly #limits: StatedLimits;
   readonly #quarantine: PromptQuarantine;
   readonly #quarantineSync: QuarantineSync;
   readonly #demand: DemandMeter;
@@ -122,6 +123,11 @@
     this.#demand = new DemandMeter(clock);
     this.#retryBudget = new RetryBudget({ ratio: retries.ratio * USED_RETRY_RATIO });
     const disciplinedClock = new DisciplinedClock(clock);
+    this.#limits = new StatedLimits({
+      clock,
+      node: node.id,
+      rank: (runner, nodes) => rendezvousOrder(runner, nodes, (item) => item),
+    });
     this.#quarantine = new PromptQuarantine({
       clock,
       isTrialNode: (part) => this.#isTrialNode(part),
@@ -137,6 +143,7 @@
       quota: this.#quota,
       usage: this.#usage,
       demand: this.#demand,
+      limits: this.#limits,
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       disciplinedClock,
@@ -167,6 +174,7 @@
     this.#pool = new RunnerPool({
       directory: this.#directory,
       loadTracker: this.#loadTracker,
+      limits: this.#limits,
       clock,
       log: this.#decisions,
       nodeCount: () => this.#peers.knownCount,
@@ -253,6 +261,7 @@
           this.#retryBudget.setAllowance(
             retryAllowance(this.#settings.retries, this.#peers.knownCount),
           );
+          this.#updateLimits();
           this.#pool.prune();
           this.#forwarder.checkSilence();
           this.#quarantineSync.update();
@@ -371,6 +380,19 @@
     return this.#configuration !== undefined && this.#catalog.hasRunners && !this.#isStopping;
   }
 
+  #updateLimits(): void {
+    const nodes = [this.#options.settings.node.id, ...this.#peers.reachableIds()];
+    this.#limits.setNodes(nodes, this.#peers.knownCount);
+    for (const { runner, perSecond, before } of this.#limits.takeChanges()) {
+      this.#decisions.notable('runner-limit-stated', {
+        runner,
+        requestsPerSecond: perSecond ?? 'none',
+        before: before ?? 'none',
+        nodes: nodes.length,
+      });
+    }
+  }
+
   /** One node tries a part again, provided that it reaches most of the others. */
   #isTrialNode(part: string): boolean {
     const { id } = this.#options.settings.node;
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -1,4 +1,4 @@
-import type { PromptQuarantine, SharedQuota } from '@ragwortrudder/admission';
+import type { PromptQuarantine, SharedQuota, StatedLimits } from '@ragwortrudder/admission';
 import type { Address } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
 import type { DomainDigest } from '../types/domain-digest.ts';
@@ -21,6 +21,7 @@
   readonly quota: SharedQuota;
   readonly usage: UsageCounter;
   readonly demand: DemandMeter;
+  readonly limits: Pick<StatedLimits, 'own' | 'ofDomain' | 'setPeerLimits' | 'setDomainLimits'>;
   readonly quarantine: Pick<PromptQuarantine, 'evidence' | 'evidenceOver' | 'setPeerEvidence'>;
   readonly rollouts: Pick<Rollouts, 'evidence' | 'setPeerEvidence'>;
   readonly disciplinedClock: DisciplinedClock;
@@ -71,6 +72,7 @@
     this.#sequence += 1;
     const now = disciplinedClock.now();
     const prompts = this.#options.quarantine.evidence;
+    const limits = this.#options.limits.own;
     return {
       node,
       host: address.host,
@@ -82,6 +84,7 @@
       work: encodeWork(loadTracker.own),
       taken: Object.fromEntries(quota.taken),
       ...(includesTotals ? this.#totals(now) : { usage: {}, demand: {} }),
+      ...(limits.length > 0 ? { limits } : {}),
       ...(prompts ? { prompts } : {}),
       duty: dutyToken(),
       isLeaving,
@@ -95,6 +98,7 @@
     const taken = new Map(quota.taken);
     for (const [team, total] of this.#takenInDomain)
       taken.set(team, (taken.get(team) ?? 0) + total);
+    const limits = this.#options.limits.ofDomain;
     const prompts = this.#options.quarantine.evidenceOver(new Set(Object.keys(members)));
     return {
       relay: node,
@@ -104,6 +108,7 @@
       members,
       work: encodeWork(loadTracker.totalOver(new Set(Object.keys(members)))),
       taken: Object.fromEntries(taken),
+      ...(limits.length > 0 ? { limits } : {}),
       ...(prompts ? { prompts } : {}),
     };
   }
@@ -118,6 +123,7 @@
       demand.setTotal(incarnation, service, { requests, promptTokens, outputTokens });
     }
     this.#options.rollouts.setPeerEvidence(incarnation, report.outcomes);
+    this.#options.limits.setPeerLimits(report.limits ?? []);
     this.#options.quarantine.setPeerEvidence(
       { node: report.node, incarnation: String(report.life) },
       report.prompts,
@@ -136,6 +142,7 @@
     const { loadTracker, clock } = this.#options;
     const { relay, life: incarnation, failureDomain } = digest;
     loadTracker.setPeerWork(`domain ${failureDomain}`, decodeWork(digest));
+    this.#options.limits.setDomainLimits(digest.limits ?? []);
     this.#options.quarantine.setPeerEvidence(
       { node: `domain ${failureDomain}`, incarnation: `${relay} ${incarnation}` },
       digest.prompts,
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -1,7 +1,9 @@
 import type { RunnerDirectory, RunnerEntry, Service } from '@ragwortrudder/catalog';
 import type { Clock, Closeable } from '@ragwortrudder/core';
+import type { StatedLimits } from '@ragwortrudder/admission';
 import { OutlierDetector, PrefillRate, excludeUnreachableDomains } from '@ragwortrudder/routing';
 import type { PlacementCandidate } from '@ragwortrudder/routing';
+import { incarnationOf } from '../utils/incarnation-of.ts';
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import type { DecisionLog } from './decision-log.ts';
 import { RunnerAgent } from './runner-agent.ts';
@@ -9,6 +11,7 @@
 interface RunnerPoolOptions {
   readonly directory: RunnerDirectory;
   readonly loadTracker: RunnerLoadTracker;
+  readonly limits: StatedLimits;
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Number of nodes that share the runners' connections. */
@@ -20,8 +23,6 @@
   readonly agent: RunnerAgent;
   /** Moving average of measured to expected latency; compared with the other runners of the service. */
   readonly latencyRatio: number;
-  /** Requests per second that the runner last said it accepts from all nodes together. */
-  readonly requestsPerSecond: number | undefined;
   readonly unreachableUntil: number;
   readonly unreachableTimes: number;
 }
@@ -88,6 +89,7 @@
     const usable = healthy.length > 0 ? healthy : reachable;
     const median = medianOf(usable.map((entry) => this.#runnerOf(entry).latencyRatio));
     return usable
+      .filter((entry) => this.#options.limits.mayTake(incarnationOf(entry)))
       .map((entry) => this.#candidateOf(entry, service, median))
       .filter(({ id }) => this.#hasConnectionLeft(id, service));
   }
@@ -107,6 +109,7 @@
 
   /** Records that a request is being sent. */
   recordSend(entry: RunnerEntry): void {
+    this.#options.limits.take(incarnationOf(entry));
     this.#detectorOf(entry.service).recordSent(entry.id, this.#options.clock.monotonic());
   }
 
@@ -123,17 +126,14 @@
     this.#record(entry, { ok: true, latencyMs: ratio });
   }
 
-  /** Records the rate of requests that a runner states in a response. */
-  recordStatedRate(entry: RunnerEntry, requestsPerSecond: number | undefined): void {
-    const runner = this.#runnerOf(entry);
-    if (runner.requestsPerSecond === requestsPerSecond) return;
-    this.#runners.set(entry.id, { ...runner, requestsPerSecond });
-    this.#options.log.notable('runner-rate-stated', {
-      runner: entry.id,
-      requestsPerSecond: requestsPerSecond ?? 'none',
-      before: runner.requestsPerSecond ?? 'none',
-      requestsInFlight: this.#options.loadTracker.workAt(entry.id).requests,
-    });
+  /** Records the limit of requests that a runner states in a response. */
+  recordStatedLimit(entry: RunnerEntry, perSecond: number | undefined): void {
+    this.#options.limits.record(incarnationOf(entry), perSecond);
+  }
+
+  /** Number of runners that may get no request from this node now, because of the limits they state. */
+  countLimited(entries: readonly RunnerEntry[]): number {
+    return entries.filter((entry) => !this.#options.limits.mayTake(incarnationOf(entry))).length;
   }
 
   /** Records that bytes have arrived from a runner. */
@@ -168,7 +168,7 @@
 
   /** Removes runners that are no longer listed. */
   prune(): void {
-    const { directory, loadTracker } = this.#options;
+    const { directory, loadTracker, limits } = this.#options;
     const listed = new Map(directory.all().map((entry) => [entry.id, entry]));
     for (const [id, { agent }] of this.#runners) {
       if (listed.has(id)) continue;
@@ -177,6 +177,7 @@
       agent.retire();
     }
     loadTracker.retain(new Set(listed.keys()));
+    limits.retain(new Set([...listed.values()].map(incarnationOf)));
     for (const [service, detector] of this.#detectors) {
       detector.setRunners(directory.ofService(service).map(({ id }) => id));
     }
@@ -248,7 +249,6 @@
       entry,
       agent: new RunnerAgent({ maxSockets: Infinity }),
       latencyRatio: 1,
-      requestsPerSecond: undefined,
       unreachableUntil: 0,
       unreachableTimes: 0,
     };
--- a/packages/gateway/src/types/domain-digest.ts
+++ b/packages/gateway/src/types/domain-digest.ts
@@ -1,4 +1,4 @@
-import { PromptEvidence } from '@ragwortrudder/admission';
+import { PromptEvidence, StatedLimit } from '@ragwortrudder/admission';
 import * as z from 'zod';
 
 /**
@@ -21,6 +21,8 @@
   work: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
   /** By team: quota that the members have consumed since this incarnation of the relay started. */
   taken: z.record(z.string(), z.number()),
+  /** Limits that runners stated in responses to the members. */
+  limits: z.array(StatedLimit).readonly().optional(),
   /** What the members know about prompt parts that may crash runners. */
   prompts: PromptEvidence.optional(),
 });
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -1,4 +1,4 @@
-import { PromptEvidence } from '@ragwortrudder/admission';
+import { PromptEvidence, StatedLimit } from '@ragwortrudder/admission';
 import { Evidence } from '@ragwortrudder/moves';
 import * as z from 'zod';
 
@@ -26,6 +26,8 @@
   demand: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
   /** How requests turned out at the versions of services that are rolled out. */
   outcomes: Evidence.optional(),
+  /** Limits that runners stated in responses to the node. */
+  limits: z.array(StatedLimit).readonly().optional(),
   /** What the node knows about prompt parts that may crash runners. */
   prompts: PromptEvidence.optional(),
   /** Fencing token of the duty term that the node holds and can act on; otherwise 0. */
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { PromptQuarantine, SharedQuota } from '@ragwortrudder/admission';
+import { PromptQuarantine, SharedQuota, StatedLimits } from '@ragwortrudder/admission';
 import { ManualClock } from '@ragwortrudder/core';
 import { PeerStateSync } from '../../packages/gateway/src/node/peer-state-sync.ts';
 import { DemandMeter } from '../../packages/gateway/src/utils/demand-meter.ts';
@@ -26,6 +26,7 @@
     quota,
     usage: new UsageCounter(5_000),
     demand: new DemandMeter(clock),
+    limits: new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes }),
     quarantine: new PromptQuarantine({ clock, isTrialNode: () => true }),
     rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
     disciplinedClock: new DisciplinedClock(clock),
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -1,7 +1,7 @@
 import { Writable } from 'node:stream';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import { PromptQuarantine, SharedQuota } from '@ragwortrudder/admission';
+import { PromptQuarantine, SharedQuota, StatedLimits } from '@ragwortrudder/admission';
 import { SystemClock } from '@ragwortrudder/core';
 import { freeAddresses } from '@ragwortrudder/standins';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
@@ -46,6 +46,7 @@
     quota: new SharedQuota(clock),
     usage: new UsageCounter(5_000, id),
     demand: new DemandMeter(clock),
+    limits: new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes }),
     quarantine: new PromptQuarantine({ clock, isTrialNode: () => true }),
     rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
     disciplinedClock: new DisciplinedClock(clock),
--- a/test/gateway/stated-limit.test.ts
+++ b/test/gateway/stated-limit.test.ts
@@ -13,6 +13,8 @@
 const SLACK = 5;
 const GATEWAYS = 9;
 const PERIOD_MS = 20;
+/** Long enough for several requests to be in flight, so that the load decides where they go. */
+const RESPONSE_MS = 200;
 
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
@@ -39,7 +41,7 @@
     setTimeout(() => {
       const limit = this.limit === undefined ? [] : [`Server-Limit: ${this.limit}`];
       socket.write(`${headFor(request, { framing: ['Content-Length: 2', ...limit] })}ok`);
-    }, 20);
+    }, RESPONSE_MS);
   });
 
   get port(): number {
@@ -123,10 +125,11 @@
   const harness = await GatewayHarness.start(t, { runners: [runner] });
   await harness.call();
   await harness.call();
-  await pause(500);
+  await pause(1_500);
   await harness.call();
+  await pause(500);
   const stated = harness.lines
-    .filter((line) => line.includes('runner-rate-stated'))
+    .filter((line) => line.includes('runner-limit-stated'))
     .map((line) => (JSON.parse(line) as Record<string, unknown>).requestsPerSecond);
   t.deepEqual(stated, [2.5, 'none']);
 });
