--- a/test/docs/operations.test.ts
+++ b/test/docs/operations.test.ts
@@ -31,6 +31,7 @@
     'forwarder',
     'gateway',
     'peers',
+    'quarantine-sync',
     'rollouts',
     'runner-pool',
     'supply-duty',
