--- a/packages/client/src/node/event-source.ts
+++ b/packages/client/src/node/event-source.ts
@@ -1,6 +1,7 @@
 import { createParser } from 'eventsource-parser';
 import got from 'got';
 import type { Request } from 'got';
+import { EventSizeLimit } from '@ragwortrudder/core';
 import { ConnectionLost } from '../errors/connection-lost.ts';
 import { RequestRefused } from '../errors/request-refused.ts';
 import type { AnswerEvent } from '../types/answer-event.ts';
@@ -27,8 +28,12 @@
   const stream = openStream(options);
   const events: AnswerEvent[] = [];
   let interruption: RequestRefused | undefined;
+  const sizeLimit = new EventSizeLimit({
+    failure: () => new ConnectionLost(options.node, 'an event of the answer is too long'),
+  });
   const parser = createParser({
     onEvent: (event) => {
+      sizeLimit.reset();
       if (event.event === 'interrupted') {
         interruption = new RequestRefused(Problem.parse(JSON.parse(event.data)));
       }
@@ -45,6 +50,7 @@
   try {
     stream.setEncoding('utf8');
     for await (const chunk of stream) {
+      sizeLimit.add(String(chunk));
       parser.feed(String(chunk));
       yield* events.splice(0);
       throwIfSet(interruption);
--- a/packages/client/src/node/node-http-client.ts
+++ b/packages/client/src/node/node-http-client.ts
@@ -1,4 +1,5 @@
 import got from 'got';
+import { abortLargeDownload } from '@ragwortrudder/core';
 import { ConnectionLost } from '../errors/connection-lost.ts';
 import { RequestRefused } from '../errors/request-refused.ts';
 import { Problem } from '../types/problem.ts';
@@ -70,14 +71,15 @@
   }
 
   async #callOnce(node: string, { method, path, body, timeoutMs }: NodeRequest): Promise<unknown> {
-    const answer = await got(`http://${node}${path}`, {
+    const call = got(`http://${node}${path}`, {
       method,
       headers: { authorization: `Bearer ${this.#options.key}` },
       ...(method === 'POST' ? { json: body ?? {} } : {}),
       timeout: { request: timeoutMs ?? DEFAULT_TIMEOUT_MS },
       retry: { limit: 0 },
       throwHttpErrors: false,
-    }).catch((error: unknown) => {
+    });
+    const answer = await abortLargeDownload(call).catch((error: unknown) => {
       throw new ConnectionLost(node, error);
     });
     const content = parseJson(answer.body, node);
--- a/packages/node/src/node/runners/application-client.ts
+++ b/packages/node/src/node/runners/application-client.ts
@@ -3,7 +3,7 @@
 import type { Response } from 'got';
 import { inject, injectable } from 'inversify';
 import * as z from 'zod';
-import { responseFraming } from '@ragwortrudder/core';
+import { abortLargeDownload, responseFraming } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import type { OperationOutcome } from '../../types/operation-outcome.ts';
@@ -48,7 +48,7 @@
   async call(call: OperationCall): Promise<OperationOutcome> {
     const { key, payload } = call;
     try {
-      const response = await got.post(`http://${call.endpoint}/operations`, {
+      const posted = got.post(`http://${call.endpoint}/operations`, {
         body: JSON.stringify({ key, operation: call.operation, payload }),
         headers: { 'content-type': 'application/json' },
         // A reused connection can break after data was sent, so its failure does not prove that the
@@ -60,7 +60,7 @@
         throwHttpErrors: false,
         signal: call.signal,
       });
-      return classifyResponse(response);
+      return classifyResponse(await abortLargeDownload(posted));
     } catch (error) {
       return classifyError(error);
     }
--- a/packages/node/src/node/runners/model-client.ts
+++ b/packages/node/src/node/runners/model-client.ts
@@ -4,7 +4,7 @@
 import { urlToHttpOptions } from 'node:url';
 import { createParser } from 'eventsource-parser';
 import { inject, injectable } from 'inversify';
-import { responseFraming } from '@ragwortrudder/core';
+import { EventSizeLimit, responseFraming } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import { CallFailed } from '../../errors/call-failed.ts';
@@ -33,13 +33,18 @@
   ): AsyncGenerator<EngineEvent> {
     const response = await this.#open(endpoint, generation, signal);
     const events: EngineEvent[] = [];
+    const sizeLimit = new EventSizeLimit({
+      failure: () => new CallFailed(endpoint, 'an event of the stream is too long'),
+    });
     const parser = createParser({
       onEvent: (event) => {
+        sizeLimit.reset();
         events.push(EngineEvent.parse(JSON.parse(event.data)));
       },
     });
     response.setEncoding('utf8');
     for await (const chunk of response) {
+      sizeLimit.add(String(chunk));
       parser.feed(String(chunk));
       yield* events.splice(0);
     }
--- a/test/client/caller-client.test.ts
+++ b/test/client/caller-client.test.ts
@@ -165,3 +165,20 @@
   ]);
   await t.throwsAsync(client.showKey('k'), { instanceOf: ConnectionLost });
 });
+
+// Guards against buffering an event that a node never ends.
+test('an event without end breaks the connection off, and the answer is resumed', async (t) => {
+  t.timeout(20_000);
+  const endless: Handler = (_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.write(`${ACCEPTED}data: `);
+    const timer = setInterval(() => response.write('x'.repeat(64 * 1024)), 1);
+    response.on('close', () => {
+      clearInterval(timer);
+    });
+  };
+  const { client, calls } = await serve(t, [endless, stream(TOKEN + DONE, 'end')]);
+  const events = await collectAnswer(client);
+  t.is(events.at(-1)?.type, 'done');
+  t.is(calls.length, 2);
+});
--- a/test/node/application-client.test.ts
+++ b/test/node/application-client.test.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import type { Settings } from '@ragwortrudder/settings';
@@ -41,3 +43,33 @@
   t.is(await callWith(t, 'fail'), 'failed');
   t.is(await callWith(t, 'reply-lost'), 'unknown');
 });
+
+// Guards against buffering an answer that an application never ends.
+test('the outcome of an operation whose answer has no end is unknown, before its timeout', async (t) => {
+  const server = createServer((request, response) => {
+    request.resume();
+    const timer = setInterval(() => response.write('x'.repeat(1024 * 1024)), 1);
+    response.on('close', () => {
+      clearInterval(timer);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const client = new ApplicationClient(settings);
+  t.teardown(async () => {
+    await client.close();
+    server.closeAllConnections();
+    server.close();
+  });
+  const startedAt = performance.now();
+  const { kind } = await client.call({
+    endpoint: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    key: 'k',
+    operation: 'reorder',
+    payload: {},
+    idempotent: false,
+    timeoutMs: 30_000,
+    signal: new AbortController().signal,
+  });
+  t.is(kind, 'unknown');
+  t.true(performance.now() - startedAt < 30_000);
+});
--- a/test/node/model-client.test.ts
+++ b/test/node/model-client.test.ts
@@ -87,3 +87,18 @@
   });
   await t.throwsAsync(failing, { code: 'call-failed' });
 });
+
+// Guards against buffering an event that an engine never ends.
+test('an event without end is an error before the engine stops sending', async (t) => {
+  t.timeout(20_000);
+  const block = 'x'.repeat(64 * 1024);
+  const reading = readEvents((request, response) => {
+    request.resume();
+    response.write(`${token}data: `);
+    const timer = setInterval(() => response.write(block), 1);
+    response.on('close', () => {
+      clearInterval(timer);
+    });
+  });
+  await t.throwsAsync(reading, { message: /too long/ });
+});
