--- a/test/gateway/response-framing.test.ts
+++ b/test/gateway/response-framing.test.ts
@@ -240,3 +240,16 @@
     }
   }
 });
+
+// Guards against ending a stream as complete when its runner crashed before the first event (ORDER).
+test('a stream without length or chunks that is closed before its first event does not look complete', async (t) => {
+  const runner = await startRunner((socket, request) => {
+    socket.end(streamHeadFor(request, ['Connection: close']));
+  });
+  const harness = await GatewayHarness.start(t, {
+    runners: [runner],
+    route: { kind: 'streaming' },
+  });
+  const reply = await harness.call();
+  t.is(reply.status, 502);
+});
