Soak prompts that crash runners and limits that runners state

The checks: runs with a part that crashed five runners, runs at a runner beyond its limit, and sound requests that are rejected for the prompt of others.

--- a/packages/soak/src/node/fault-injector.ts
+++ b/packages/soak/src/node/fault-injector.ts
@@ -1,7 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { Closeable } from '@ragwortrudder/core';
 import type { KeyedStore, Relay, RelayMode } from '@ragwortrudder/standins';
 import type { PlannedFault } from '../types/planned-fault.ts';
 import type { RunnerMode } from '../types/runner-mode.ts';
+import type { RequestTracker } from '../utils/request-tracker.ts';
 import type { StoreWriter } from './store-writer.ts';
 import type { SoakCloud } from './soak-cloud.ts';
 import type { SoakNode } from './soak-node.ts';
@@ -12,11 +14,17 @@
   readonly cloud: SoakCloud;
   readonly relay: Relay;
   readonly storeWriter: StoreWriter;
+  readonly tracker: RequestTracker;
+  /** Starts a caller whose prompts crash runners. */
+  readonly startCrashingCaller: (part: string) => Closeable;
 }
 
 type StoreFault = Parameters<KeyedStore['setFault']>[0];
 
 const SLOW_LINK_MS = 150;
+const LIMIT_PER_S = 2;
+/** Time after which the platform's bounds apply, in milliseconds; such faults last longer by it. */
+const CONTACT_MS = 3_000;
 /** Pause between successive node stops in a rolling stop, in milliseconds. */
 const ROLLING_STOP_GAP_MS = 1_200;
 
@@ -27,12 +35,15 @@
 export class FaultInjector {
   readonly #options: FaultInjectorOptions;
 
+  #crashingParts = 0;
+
   constructor(options: FaultInjectorOptions) {
     this.#options = options;
   }
 
   /** Injects one fault; resolves once it has ended. */
   async inject(fault: PlannedFault): Promise<void> {
+    this.#options.tracker.recordFault(fault.kind);
     const { store, cloud, storeWriter } = this.#options;
     const { kind, forMs, target } = fault;
     switch (kind) {
@@ -76,6 +87,10 @@
       case 'configure':
         storeWriter.configure();
         return;
+      case 'runner-limit':
+        return this.#limitRunner(target, forMs);
+      case 'prompt-crash':
+        return this.#sendCrashingPrompts(forMs);
       case 'runner-errors':
         return this.#runnerFault(target, 'errors', forMs);
       case 'runner-mute':
@@ -123,6 +138,24 @@
     runner?.setMode('sound');
   }
 
+  async #limitRunner(target: number, forMs: number): Promise<void> {
+    const { storeWriter, tracker } = this.#options;
+    const runner = storeWriter.runnerAt(target);
+    if (!runner) return;
+    runner.setLimit(LIMIT_PER_S);
+    tracker.recordLimit(runner.id, LIMIT_PER_S);
+    await sleep(forMs + CONTACT_MS);
+    tracker.recordLimit(runner.id, undefined);
+    runner.setLimit(undefined);
+  }
+
+  async #sendCrashingPrompts(forMs: number): Promise<void> {
+    this.#crashingParts += 1;
+    const caller = this.#options.startCrashingCaller(`bad${this.#crashingParts.toString(16)}`);
+    await sleep(forMs + CONTACT_MS);
+    await caller.close();
+  }
+
   async #linkFault({ kind, forMs, target }: PlannedFault): Promise<void> {
     const { relay } = this.#options;
     const name = kind.startsWith('store') ? `store-${target}` : `runner-${target}`;
--- a/packages/soak/src/node/soak-caller.ts
+++ b/packages/soak/src/node/soak-caller.ts
@@ -18,6 +18,8 @@
   readonly apiKey: string;
   readonly tracker: RequestTracker;
   readonly random: Random;
+  /** Sends only streams whose prompts have this part, which crashes runners. */
+  readonly crashingPart?: string;
 }
 
 const KINDS: readonly RequestKind[] = ['order', 'read', 'draft', 'ask'];
@@ -25,6 +27,8 @@
 /** Time that a caller waits beyond the deadline before it gives up, in milliseconds. */
 const GIVE_UP_MARGIN_MS = 1_500;
 const MAX_PAUSE_MS = 120;
+/** Number of prompt parts that some of the requests share. */
+const SHARED_PARTS = 9;
 const MIN_EVENTS = 5;
 const EXTRA_EVENTS = 30;
 
@@ -55,12 +59,19 @@
     const { random, nodes } = this.#options;
     while (!this.#isClosing) {
       const node = nodes[Math.floor(random.next() * nodes.length)];
-      const kind = KINDS[Math.floor(random.next() * KINDS.length)];
+      const drawn = KINDS[Math.floor(random.next() * KINDS.length)];
+      const kind = this.#options.crashingPart === undefined ? drawn : 'ask';
       if (node && kind) await this.#send(node, kind);
       await sleep(random.next() * MAX_PAUSE_MS);
     }
   }
 
+  /** Prompt of parts that are shared by all, by some, and by no other requests. */
+  #prompt(): string {
+    const { crashingPart = `c${this.#count % SHARED_PARTS}` } = this.#options;
+    return `c0ffee:100,${crashingPart}:50,${this.#count.toString(16)}:10`;
+  }
+
   #send(node: CallerTarget, kind: RequestKind): Promise<void> {
     const { name, team, tracker, random } = this.#options;
     this.#count += 1;
@@ -72,6 +83,9 @@
       team,
       body: kind === 'read' ? '' : `body of ${name}-${this.#count}`,
       events: isStream ? MIN_EVENTS + Math.floor(random.next() * EXTRA_EVENTS) : 0,
+      ...(this.#options.crashingPart === undefined
+        ? {}
+        : { crashingPart: this.#options.crashingPart }),
       at: performance.now(),
     };
     tracker.recordRequest(request);
@@ -104,6 +118,7 @@
           'Request-Id': id,
           'X-Api-Key': apiKey,
           'Deadline-Ms': String(DEADLINE_MS),
+          ...(events > 0 ? { 'Prompt-Prefix': this.#prompt() } : {}),
           ...(body === '' ? {} : { 'Content-Length': String(Buffer.byteLength(body)) }),
         },
       });
--- a/packages/soak/src/node/soak-runner.ts
+++ b/packages/soak/src/node/soak-runner.ts
@@ -11,6 +11,8 @@
 interface SoakRunnerOptions {
   readonly id: string;
   readonly onRun: (run: ObservedRun) => void;
+  /** Called when the runner begins to respond to a prompt with a part that crashes it. */
+  readonly onCrash: (part: string) => void;
 }
 
 const HTTP_OK = 200;
@@ -20,6 +22,8 @@
 const SLOTS = 32;
 const LATENCY_MS = 40;
 const EVENT_INTERVAL_MS = 20;
+/** Parts of prompts that crash a runner when it begins to respond. */
+const CRASHING_PART = /bad[0-9a-f]+/;
 /** Event inside which a runner breaks a stream off. */
 const BROKEN_EVENT = 3;
 /** Modes in which responses have neither a length nor chunks and end with their connection. */
@@ -35,6 +39,9 @@
   #running = 0;
   #mode: RunnerMode = 'sound';
   #breaks = 0;
+  /** Requests per second that the runner states that it accepts. */
+  #limit: number | undefined;
+  readonly #unframedStreams = new Set<ServerResponse>();
 
   constructor(options: SoakRunnerOptions) {
     this.#options = options;
@@ -53,6 +60,10 @@
     this.#mode = mode;
   }
 
+  setLimit(perSecond: number | undefined): void {
+    this.#limit = perSecond;
+  }
+
   async listen(): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
@@ -65,6 +76,8 @@
   async close(): Promise<void> {
     const server = this.#server;
     this.#server = this.#createServer();
+    // Without framing, only the end inside an event shows that a stream was broken off.
+    for (const { socket } of this.#unframedStreams) socket?.write('id: ');
     server.closeAllConnections();
     await new Promise((resolve) => server.close(resolve));
   }
@@ -81,6 +94,7 @@
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const id = String(request.headers['request-id'] ?? '');
     response.setHeader('Request-Id', id);
+    if (this.#limit !== undefined) response.setHeader('Server-Limit', String(this.#limit));
     if (request.headers['target-instance'] !== this.id) {
       response.writeHead(HTTP_MISDIRECTED, { 'Not-Executed': '1' });
       response.end();
@@ -132,6 +146,14 @@
       return;
     }
     response.writeHead(HTTP_OK, { 'Content-Type': 'text/event-stream' });
+    if (UNFRAMED_MODES.has(mode)) this.#trackUnframed(response);
+    const crashingPart = CRASHING_PART.exec(String(request.headers['prompt-prefix']))?.[0];
+    if (crashingPart !== undefined) {
+      response.flushHeaders();
+      await sleep(EVENT_INTERVAL_MS);
+      this.#options.onCrash(crashingPart);
+      return;
+    }
     for (let event = after + 1; event <= events; event += 1) {
       if (response.closed) return;
       const text = streamText(id, event, events);
@@ -145,6 +167,12 @@
     response.end();
   }
 
+  #trackUnframed(response: ServerResponse): void {
+    this.#unframedStreams.add(response);
+    response.once('close', () => this.#unframedStreams.delete(response));
+    response.once('finish', () => this.#unframedStreams.delete(response));
+  }
+
   /** Answers a request that is not a stream. An orderly close without framing would be its end. */
   #answerWhole(response: ServerResponse, text: string, mode: RunnerMode): void {
     if (mode === 'break-off' || mode === 'cut') {
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -20,7 +20,7 @@
 const TEAMS = [
   { name: 'team-1', apiKey: 'key-1' },
   { name: 'team-2', apiKey: 'key-2' },
-];
+] as const;
 /** Maximum time that the traffic waits for the processes to become ready, in milliseconds. */
 const READY_TIMEOUT_MS = 12_000;
 const READY_POLL_MS = 100;
@@ -28,6 +28,8 @@
 const RECOVERED_PERIOD_MS = 2_000;
 /** Share of the requests in the final period that must succeed. */
 const RECOVERED_SHARE = 0.9;
+/** Time after which a runner that crashed under a prompt is back, in milliseconds. */
+const CRASHED_MS = 800;
 const ADDRESSES_PER_NODE = 4;
 const HTTP_OK = 200;
 
@@ -123,9 +125,14 @@
       },
     });
     await cloud.listen();
+    let crash: (target: number) => void = () => undefined;
     const runners = Array.from({ length: RUNNERS }, (_item, index) => {
       return new SoakRunner({
         id: `r${index}`,
+        onCrash: (part) => {
+          tracker.recordCrash(part);
+          crash(index);
+        },
         onRun: (run) => {
           tracker.recordRun(run);
         },
@@ -151,6 +158,7 @@
       })),
     });
     storeWriter.registerAll();
+    crash = (target) => void storeWriter.crash(target, CRASHED_MS);
     const addresses = await freeAddresses(count * ADDRESSES_PER_NODE);
     const nodes = Array.from({ length: count }, (_item, index) => {
       const [callers = '', readiness = '', metrics = '', peers = ''] = addresses.slice(
@@ -177,6 +185,20 @@
         cloud,
         relay,
         storeWriter,
+        tracker,
+        startCrashingCaller: (part) => {
+          const caller = new SoakCaller({
+            name: `s${this.#options.seed}-${part}`,
+            nodes: nodes.map(({ node, callers: address }) => ({ id: node.id, address })),
+            team: TEAMS[0].name,
+            apiKey: TEAMS[0].apiKey,
+            tracker,
+            random: new SeededRandom(this.#options.seed),
+            crashingPart: part,
+          });
+          caller.start();
+          return caller;
+        },
       }),
       close: async () => {
         await Promise.all(nodes.map(({ node }) => node.close()));
--- a/packages/soak/src/node/store-writer.ts
+++ b/packages/soak/src/node/store-writer.ts
@@ -37,6 +37,8 @@
 export class StoreWriter {
   readonly #options: StoreWriterOptions;
   readonly #startedAt = new Map<string, number>();
+  /** Runners that have crashed and are not back yet. */
+  readonly #crashed = new Set<number>();
   #version = 1;
 
   constructor(options: StoreWriterOptions) {
@@ -87,7 +89,8 @@
    */
   async crash(target: number, forMs: number): Promise<void> {
     const registered = this.#options.runners[target];
-    if (!registered) return;
+    if (!registered || this.#crashed.has(target)) return;
+    this.#crashed.add(target);
     await registered.runner.close();
     const expiry = setTimeout(() => {
       this.#remove(registered);
@@ -95,6 +98,7 @@
     await sleep(forMs);
     clearTimeout(expiry);
     await registered.runner.listen();
+    this.#crashed.delete(target);
     this.#startedAt.set(registered.runner.id, Date.now());
     this.#register(registered, 'ready');
   }
--- a/packages/soak/src/types/fault-kind.ts
+++ b/packages/soak/src/types/fault-kind.ts
@@ -28,4 +28,6 @@
   | 'runner-link-silent'
   | 'runner-link-one-way'
   | 'runner-link-slow'
+  | 'runner-limit'
+  | 'prompt-crash'
   | 'configure';
--- a/packages/soak/src/utils/plan-faults.ts
+++ b/packages/soak/src/utils/plan-faults.ts
@@ -39,6 +39,8 @@
   'runner-link-one-way',
   'runner-link-slow',
   'configure',
+  'runner-limit',
+  'prompt-crash',
 ];
 /** Time without faults before the first one, in milliseconds. */
 const INITIAL_DELAY_MS = 2_000;
--- a/packages/soak/src/utils/request-tracker.ts
+++ b/packages/soak/src/utils/request-tracker.ts
@@ -1,3 +1,4 @@
+import type { FaultKind } from '../types/fault-kind.ts';
 import type { ObservedAnswer } from '../types/observed-answer.ts';
 import type { ObservedRun } from '../types/observed-run.ts';
 import type { SentRequest } from '../types/sent-request.ts';
@@ -12,6 +13,28 @@
 /** Maximum number of runs of a repeatable request. */
 const MAX_ATTEMPTS = 2;
 
+const CONTACT_MS = 3_000;
+/** Runs with a crashing part that are allowed after the bound. */
+const MAX_LATE_RUNS = 3;
+const WINDOW_MS = 4_000;
+const MAX_LIMIT_RATIO = 1.5;
+const LIMIT_SLACK = 5;
+/** Faults that stop nodes or take the store away, for which the bounds make an exception. */
+const EXCUSING = /^(node-stop|node-kill|node-pause|all-kill|roll-stop|store-)/;
+/** Maximum length of such a fault and the time until its nodes count again, in milliseconds. */
+const EXCUSED_MS = 8_000;
+
+interface FaultStart {
+  readonly kind: FaultKind;
+  readonly at: number;
+}
+
+interface StatedLimit {
+  readonly runner: string;
+  readonly perSecond: number | undefined;
+  readonly at: number;
+}
+
 function isRepeatable({ kind }: SentRequest): boolean {
   return kind === 'read' || kind === 'ask';
 }
@@ -29,6 +52,9 @@
   readonly #runs = new Map<string, ObservedRun[]>();
   readonly #answers = new Map<string, ObservedAnswer>();
   readonly #violations: Violation[] = [];
+  readonly #faults: FaultStart[] = [];
+  readonly #limits: StatedLimit[] = [];
+  readonly #crashes = new Map<string, readonly number[]>();
 
   recordRequest(request: SentRequest): void {
     this.#sent.set(request.id, request);
@@ -56,6 +82,21 @@
     this.#answers.set(answer.id, answer);
   }
 
+  /** Records that a fault begins. */
+  recordFault(kind: FaultKind): void {
+    this.#faults.push({ kind, at: performance.now() });
+  }
+
+  /** Records that a runner states a limit of requests per second, or no longer does. */
+  recordLimit(runner: string, perSecond: number | undefined): void {
+    this.#limits.push({ runner, perSecond, at: performance.now() });
+  }
+
+  /** Records that a runner crashed under a prompt part. */
+  recordCrash(part: string): void {
+    this.#crashes.set(part, [...(this.#crashes.get(part) ?? []), performance.now()]);
+  }
+
   /** Records a violation that another check found. */
   recordViolation(promise: string, message: string): void {
     this.#violations.push({ promise, message });
@@ -87,9 +128,50 @@
       this.#checkRuns(request);
       this.#checkAnswer(request);
     }
+    for (const [part, crashes] of this.#crashes) this.#checkCrashes(part, crashes);
+    this.#checkLimits();
     return this.#violations;
   }
 
+  /** Requests with a part that crashed runners five times must soon no longer reach any. */
+  #checkCrashes(part: string, crashes: readonly number[]): void {
+    const [firstAt = 0] = crashes;
+    const fifthAt = crashes[4];
+    if (fifthAt === undefined) return;
+    const late = [...this.#sent.values()]
+      .filter(({ crashingPart }) => crashingPart === part)
+      .flatMap(({ id }) => this.#runs.get(id) ?? [])
+      .filter(({ at }) => at > fifthAt + CONTACT_MS);
+    const lastAt = Math.max(0, ...late.map(({ at }) => at));
+    if (late.length <= MAX_LATE_RUNS || this.#isExcused(firstAt, lastAt)) return;
+    this.recordViolation('crashing-prompt', `${late.length} late runs with the part ${part}`);
+  }
+
+  #checkLimits(): void {
+    const runs = [...this.#runs.values()].flat();
+    for (const [index, { runner, perSecond, at }] of this.#limits.entries()) {
+      if (perSecond === undefined) continue;
+      const end = this.#limits.slice(index + 1).find((limit) => limit.runner === runner)?.at;
+      const times = runs
+        .filter((run) => run.runner === runner && run.at > at + CONTACT_MS && run.at < (end ?? Infinity))
+        .map((run) => run.at);
+      for (const start of times) {
+        const count = times.filter((time) => time >= start && time < start + WINDOW_MS).length;
+        if (count <= MAX_LIMIT_RATIO * perSecond * (WINDOW_MS / 1_000) + LIMIT_SLACK) continue;
+        if (this.#isExcused(at, start + WINDOW_MS)) continue;
+        this.recordViolation('limit', `${count} runs in 4 s at ${runner}, limited to ${perSecond}`);
+        return;
+      }
+    }
+  }
+
+  /** Whether nodes were stopped or lost the store in a span, or shortly before it. */
+  #isExcused(fromMs: number, toMs: number): boolean {
+    return this.#faults.some(
+      ({ kind, at }) => EXCUSING.test(kind) && at > fromMs - EXCUSED_MS && at < toMs,
+    );
+  }
+
   #checkRuns(request: SentRequest): void {
     const runs = this.#runs.get(request.id) ?? [];
     const maxRuns = isRepeatable(request) ? MAX_ATTEMPTS : 1;
@@ -105,6 +187,9 @@
 
   #checkAnswer(request: SentRequest): void {
     const answer = this.#answers.get(request.id);
+    if (request.crashingPart === undefined && answer?.body.includes('prompt-quarantined')) {
+      this.recordViolation('sound-prompt', `${request.id} was rejected for the prompt of others`);
+    }
     if (answer?.status !== OK) return;
     const run = this.#runs.get(request.id)?.[0];
     if (!run) {
--- a/test/soak/request-tracker.test.ts
+++ b/test/soak/request-tracker.test.ts
@@ -93,3 +93,52 @@
   const messages = tracker.check().map(({ message }) => message.split(' ')[0]);
   t.deepEqual(messages, ['early', 'skips', 'repeats']);
 });
+
+test('a sound request that is rejected for its prompt is a violation, one that crashes runners is not', (t) => {
+  const tracker = new RequestTracker();
+  recordSent(tracker, 'a', 'ask', 3);
+  tracker.recordRequest({
+    ...{ id: 'b', kind: 'ask', node: 'n1', team: 't', body: 'b', events: 3, at: 0 },
+    crashingPart: 'bad1',
+  });
+  for (const id of ['a', 'b']) {
+    const body = '{"code":"prompt-quarantined"}';
+    tracker.recordAnswer(answer(id, { status: 503, signature: undefined, body }));
+  }
+  t.deepEqual(violatedPromises(tracker), ['sound-prompt']);
+});
+
+test('runs with a part that has crashed five runners are a violation from the bound on', (t) => {
+  const now = performance.now();
+  const late = (runs: number): readonly string[] => {
+    const tracker = new RequestTracker();
+    for (let index = 0; index < 5; index += 1) tracker.recordCrash('bad1');
+    for (let index = 0; index < runs; index += 1) {
+      const id = `q${index}`;
+      tracker.recordRequest({
+        ...{ id, kind: 'ask', node: 'n1', team: 't', body: 'b', events: 3, at: 0 },
+        crashingPart: 'bad1',
+      });
+      tracker.recordRun(run(id, { at: now + 60_000 }));
+    }
+    return violatedPromises(tracker);
+  };
+  t.deepEqual(late(3), []);
+  t.deepEqual(late(4), ['crashing-prompt']);
+});
+
+test('more runs in four seconds than a stated limit allows are a violation, unless a node was stopped', (t) => {
+  const check = (isExcused: boolean): readonly string[] => {
+    const tracker = new RequestTracker();
+    tracker.recordLimit('r1', 2);
+    if (isExcused) tracker.recordFault('node-kill');
+    const now = performance.now();
+    for (let index = 0; index < 18; index += 1) {
+      recordSent(tracker, `q${index}`, 'read');
+      tracker.recordRun(run(`q${index}`, { at: now + 3_500 + index }));
+    }
+    return violatedPromises(tracker);
+  };
+  t.deepEqual(check(false), ['limit']);
+  t.deepEqual(check(true), []);
+});
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -18,7 +18,13 @@
   }).run();
   t.deepEqual(result.violations, [], `logs in ${folder}`);
   const kinds = new Set(result.faults.map(({ kind }) => kind));
-  for (const kind of ['runner-unframed', 'runner-cut', 'runner-reset'] as const) {
+  for (const kind of [
+    'runner-unframed',
+    'runner-cut',
+    'runner-reset',
+    'runner-limit',
+    'prompt-crash',
+  ] as const) {
     t.true(kinds.has(kind), kind);
   }
 });
