--- a/packages/soak/src/utils/request-tracker.ts
+++ b/packages/soak/src/utils/request-tracker.ts
@@ -153,7 +153,9 @@
       if (perSecond === undefined) continue;
       const end = this.#limits.slice(index + 1).find((limit) => limit.runner === runner)?.at;
       const times = runs
-        .filter((run) => run.runner === runner && run.at > at + CONTACT_MS && run.at < (end ?? Infinity))
+        .filter(
+          (run) => run.runner === runner && run.at > at + CONTACT_MS && run.at < (end ?? Infinity),
+        )
         .map((run) => run.at);
       for (const start of times) {
         const count = times.filter((time) => time >= start && time < start + WINDOW_MS).length;
