--- a/test/gateway/crashing-prompt.test.ts
+++ b/test/gateway/crashing-prompt.test.ts
@@ -1,8 +1,8 @@
-import { createSocket } from 'node:dgram';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
 import { CrashingFleet } from './crashing-fleet.ts';
+import { freePort } from './free-port.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { streamHeadFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
@@ -22,18 +22,6 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-async function freePort(): Promise<number> {
-  const socket = createSocket('udp4');
-  await new Promise<void>((resolve) => {
-    socket.bind(0, '127.0.0.1', resolve);
-  });
-  const { port } = socket.address();
-  await new Promise<void>((resolve) => {
-    socket.close(resolve);
-  });
-  return port;
-}
-
 /** Sends requests at a steady rate, in turn to each gateway, until closed. */
 function startTraffic(
   gateways: () => readonly GatewayHarness[],
--- a/test/gateway/stated-limit.test.ts
+++ b/test/gateway/stated-limit.test.ts
@@ -1,7 +1,7 @@
-import { createSocket } from 'node:dgram';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
+import { freePort } from './free-port.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { headFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
@@ -20,18 +20,6 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-async function freePort(): Promise<number> {
-  const socket = createSocket('udp4');
-  await new Promise<void>((resolve) => {
-    socket.bind(0, '127.0.0.1', resolve);
-  });
-  const { port } = socket.address();
-  await new Promise<void>((resolve) => {
-    socket.close(resolve);
-  });
-  return port;
-}
-
 /** Runner that responds after a short time and can state a limit. */
 class LimitedRunner {
   readonly arrivals: number[] = [];
