Keep one copy of the limits of evidence and of how it ages

The sizes stood beside the schema and beside the code that has to stay within them: a change of one would have made peers reject whole reports. The ageing of stored evidence stood in the gateway, in a simulation and in a test.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -22,6 +22,7 @@
 export type { RetryBudgetKey } from './types/retry-budget-key.ts';
 export type { RetryOptions } from './types/retry-options.ts';
 export type { RetryRequest } from './types/retry-request.ts';
+export { ageEvidence } from './utils/age-evidence.ts';
 export { AdmissionQueue } from './utils/admission-queue.ts';
 export { ConcurrencyLimit } from './utils/concurrency-limit.ts';
 export { decideHedge } from './utils/decide-hedge.ts';
--- a/packages/admission/src/types/prompt-evidence.ts
+++ b/packages/admission/src/types/prompt-evidence.ts
@@ -1,8 +1,5 @@
 import * as z from 'zod';
-
-const MAX_INTERRUPTED = 64;
-const MAX_PARTS = 16;
-const MAX_QUARANTINED = 64;
+import { EVIDENCE_LIMITS } from '../utils/evidence-limits.ts';
 
 /**
  * What a node knows about prompt parts that may crash runners, as sent to peers and stored in the
@@ -15,12 +12,12 @@
         z.object({
           runner: z.string(),
           request: z.string(),
-          parts: z.array(z.string()).max(MAX_PARTS).readonly(),
+          parts: z.array(z.string()).max(EVIDENCE_LIMITS.parts).readonly(),
           hasResponded: z.boolean(),
           ageMs: z.number(),
         }),
       )
-      .max(MAX_INTERRUPTED)
+      .max(EVIDENCE_LIMITS.interrupted)
       .readonly(),
     /** By part: time since a request with it was last served. */
     served: z.record(z.string(), z.number()).readonly(),
@@ -37,7 +34,7 @@
           failedTrials: z.number(),
         }),
       )
-      .max(MAX_QUARANTINED)
+      .max(EVIDENCE_LIMITS.quarantined)
       .readonly(),
   })
   .readonly();
--- a/packages/admission/src/utils/prompt-quarantine.ts
+++ b/packages/admission/src/utils/prompt-quarantine.ts
@@ -4,6 +4,7 @@
 import type { QuarantineChange } from '../types/quarantine-change.ts';
 import type { QuarantinedPart } from '../types/quarantined-part.ts';
 import type { ServedRequest } from '../types/served-request.ts';
+import { EVIDENCE_LIMITS } from './evidence-limits.ts';
 import { findCrashingParts } from './find-crashing-parts.ts';
 
 type PromptRequest = Omit<InterruptedRequest, 'at'>;
@@ -50,11 +51,8 @@
 const SETTLE_MS = 400;
 /** How long evidence is kept, in milliseconds; rare requests must add up. */
 const RETENTION_MS = 120_000;
-const MAX_INTERRUPTED = 64;
-const MAX_PARTS = 16;
 const MAX_SERVED_PARTS = 4_096;
 const MAX_SERVED = 256;
-const MAX_QUARANTINED = 64;
 /** First quarantine of a part, in milliseconds; doubles with each failed trial. */
 const QUARANTINE_MS = 60_000;
 const MAX_QUARANTINE_MS = 600_000;
@@ -88,14 +86,11 @@
   find(parts: readonly string[]): QuarantinedPart | undefined {
     if (this.#quarantines.size === 0) return undefined;
     const now = this.#options.clock.monotonic();
-    const held = parts.flatMap((part) => {
+    for (const part of parts) {
       const quarantine = this.#quarantines.get(part);
-      return quarantine && !this.#mayTry(part, quarantine, now) ? [{ part, quarantine }] : [];
-    });
-    const [first] = held;
-    if (first) {
-      const remainingMs = Math.max(TRIAL_TIMEOUT_MS, first.quarantine.until - now);
-      return { part: first.part, remainingMs, ageMs: now - first.quarantine.at };
+      if (!quarantine || this.#mayTry(part, quarantine, now)) continue;
+      const remainingMs = Math.max(TRIAL_TIMEOUT_MS, quarantine.until - now);
+      return { part, remainingMs, ageMs: now - quarantine.at };
     }
     for (const part of parts) {
       const quarantine = this.#quarantines.get(part);
@@ -118,7 +113,7 @@
   recordInterrupted(request: PromptRequest): void {
     if (request.parts.length === 0) return;
     const at = this.#options.clock.monotonic();
-    const parts = request.parts.slice(0, MAX_PARTS);
+    const parts = request.parts.slice(0, EVIDENCE_LIMITS.parts);
     this.#addInterrupted({ ...request, parts, at });
     for (const part of parts) {
       const quarantine = this.#quarantines.get(part);
@@ -234,7 +229,8 @@
   }
 
   #quarantine(part: string, failedTrials: number): void {
-    if (this.#quarantines.size >= MAX_QUARANTINED && !this.#quarantines.has(part)) return;
+    if (this.#quarantines.size >= EVIDENCE_LIMITS.quarantined && !this.#quarantines.has(part))
+      return;
     const at = this.#options.clock.monotonic();
     const forMs =
       failedTrials === 0
@@ -254,7 +250,7 @@
   }
 
   #addInterrupted(request: InterruptedRequest): void {
-    this.#interrupted = [...this.#interrupted, request].slice(-MAX_INTERRUPTED);
+    this.#interrupted = [...this.#interrupted, request].slice(-EVIDENCE_LIMITS.interrupted);
   }
 
   #addServed(parts: readonly string[], at: number): void {
@@ -345,7 +341,7 @@
     if (questioned.size === 0) return undefined;
     return {
       interrupted: interrupted
-        .slice(-MAX_INTERRUPTED)
+        .slice(-EVIDENCE_LIMITS.interrupted)
         .map(({ at, ...request }) => ({ ...request, ageMs: Math.round(now - at) })),
       served: Object.fromEntries(
         [...questioned].flatMap((part) => {
--- a/packages/gateway/src/node/quarantine-sync.ts
+++ b/packages/gateway/src/node/quarantine-sync.ts
@@ -1,3 +1,4 @@
+import { ageEvidence } from '@ragwortrudder/admission';
 import type { PromptEvidence, PromptQuarantine, QuarantineChange } from '@ragwortrudder/admission';
 import type { KeyedLog } from '@ragwortrudder/log';
 import { StoredPromptEvidence } from '../types/stored-prompt-evidence.ts';
@@ -73,7 +74,7 @@
       const sinceMs = Math.max(0, now() - stored.at);
       quarantine.setPeerEvidence(
         { node: `record of ${key}`, incarnation: String(stored.life) },
-        agedBy(stored.evidence, sinceMs),
+        ageEvidence(stored.evidence, sinceMs),
       );
     }
     this.#isRead = true;
@@ -108,16 +109,3 @@
     evidence.quarantined.map(({ part, failedTrials }) => `${part} ${failedTrials}`),
   ]);
 }
-
-function agedBy(evidence: PromptEvidence, ms: number): PromptEvidence {
-  return {
-    ...evidence,
-    interrupted: evidence.interrupted.map((item) => ({ ...item, ageMs: item.ageMs + ms })),
-    served: Object.fromEntries(
-      Object.entries(evidence.served).map(([part, ageMs]) => [part, ageMs + ms]),
-    ),
-    quarantined: evidence.quarantined.map((item) => {
-      return { ...item, ageMs: item.ageMs + ms, remainingMs: item.remainingMs - ms };
-    }),
-  };
-}
--- a/test/admission/prompt-quarantine.test.ts
+++ b/test/admission/prompt-quarantine.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import { PromptQuarantine } from '@ragwortrudder/admission';
+import { ageEvidence, PromptQuarantine } from '@ragwortrudder/admission';
 import { ManualClock } from '@ragwortrudder/core';
 import { simulateCrashingPrompts } from './simulate-crashing-prompts.ts';
 
@@ -191,20 +191,10 @@
   peer.setPeerEvidence({ node: 'n1', incarnation: '1' }, node.evidence);
   peer.update();
   t.is(peer.find(['bad']), undefined);
-  peer.setPeerEvidence({ node: 'n3', incarnation: '1' }, stale && agedBy(stale, 61_000));
+  peer.setPeerEvidence({ node: 'n3', incarnation: '1' }, stale && ageEvidence(stale, 61_000));
   t.is(peer.find(['bad']), undefined);
 });
 
-function agedBy(
-  evidence: NonNullable<PromptQuarantine['evidence']>,
-  ms: number,
-): NonNullable<PromptQuarantine['evidence']> {
-  return {
-    ...evidence,
-    quarantined: evidence.quarantined.map((item) => ({ ...item, ageMs: item.ageMs + ms })),
-  };
-}
-
 test('a response that ends just before its runner crashes counts as interrupted', (t) => {
   const clock = new ManualClock();
   const quarantine = new PromptQuarantine({ clock, isTrialNode: () => true });
--- a/test/admission/simulate-crashing-prompts.ts
+++ b/test/admission/simulate-crashing-prompts.ts
@@ -1,4 +1,4 @@
-import { PromptQuarantine } from '@ragwortrudder/admission';
+import { ageEvidence, PromptQuarantine } from '@ragwortrudder/admission';
 import { ManualClock, SeededRandom } from '@ragwortrudder/core';
 
 interface SimulationOptions {
@@ -85,16 +85,7 @@
     const evidence = JSON.parse(text) as NonNullable<PromptQuarantine['evidence']>;
     quarantine.setPeerEvidence(
       { node: `record of ${key}`, incarnation: '' },
-      {
-        ...evidence,
-        interrupted: evidence.interrupted.map((item) => ({ ...item, ageMs: item.ageMs + ageMs })),
-        served: Object.fromEntries(
-          Object.entries(evidence.served).map(([part, age]) => [part, age + ageMs]),
-        ),
-        quarantined: evidence.quarantined.map((item) => {
-          return { ...item, ageMs: item.ageMs + ageMs, remainingMs: item.remainingMs - ageMs };
-        }),
-      },
+      ageEvidence(evidence, ageMs),
     );
   };
   let quarantines = Array.from({ length: count }, (_item, node) => start(node));
