Decide about an empty stream where completeness is decided

The rule was a special case of the attempt, beside the function that says why a response is incomplete. Behaviour is unchanged; its test stays as it is.

--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -187,7 +187,11 @@
     response.on('end', () => {
       if (this.#isSettled) return;
       const transfer = this.#transfer();
-      const reason = incompleteReason(response.complete, transfer) ?? this.#emptyReason(head);
+      const isEmptyStream =
+        isEventStream(head.contentType) &&
+        !sink.hasBegun &&
+        this.#options.request.lastEventId === undefined;
+      const reason = incompleteReason(response.complete, transfer, isEmptyStream);
       if (reason !== undefined) {
         this.#break(reason, !response.complete || transfer.framing === 'connection');
         return;
@@ -214,15 +218,6 @@
     });
   }
 
-  /** A stream that only its connection frames and that had no event yet has been broken off. */
-  #emptyReason({ contentType }: ResponseHead): string | undefined {
-    const { request, sink } = this.#options;
-    const isEmpty =
-      this.#framing === 'connection' && !sink?.hasBegun && request.lastEventId === undefined;
-    if (!isEmpty || !isEventStream(contentType)) return undefined;
-    return 'stream ended before its first event';
-  }
-
   /** Accounts for the bytes kept in memory; ends the attempt when there are too many. */
   #mayBuffer(bytes: number, maxBytes = Infinity): boolean {
     if (bytes <= maxBytes && this.#options.buffers.tryGrow(this.#bufferedBytes, bytes)) {
