--- a/packages/admission/src/utils/stated-limits.ts
+++ b/packages/admission/src/utils/stated-limits.ts
@@ -98,6 +98,11 @@
     return changes;
   }
 
+  /** No runner states a limit or has stated one that may still matter. */
+  get isEmpty(): boolean {
+    return this.#own.size + this.#fromPeers.size + this.#fromDomains.size === 0;
+  }
+
   /** Limit that a runner states, in requests per second from all nodes. */
   limitOf(runner: string): number | undefined {
     return this.#statementOf(runner)?.perSecond;
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -89,7 +89,7 @@
     const usable = healthy.length > 0 ? healthy : reachable;
     const median = medianOf(usable.map((entry) => this.#runnerOf(entry).latencyRatio));
     return usable
-      .filter((entry) => this.#options.limits.mayTake(incarnationOf(entry)))
+      .filter((entry) => this.#isWithinLimit(entry))
       .map((entry) => this.#candidateOf(entry, service, median))
       .filter(({ id }) => this.#hasConnectionLeft(id, service));
   }
@@ -133,7 +133,7 @@
 
   /** Number of runners that may get no request from this node now, because of the limits they state. */
   countLimited(entries: readonly RunnerEntry[]): number {
-    return entries.filter((entry) => !this.#options.limits.mayTake(incarnationOf(entry))).length;
+    return entries.filter((entry) => !this.#isWithinLimit(entry)).length;
   }
 
   /** Records that bytes have arrived from a runner. */
@@ -177,7 +177,7 @@
       agent.retire();
     }
     loadTracker.retain(new Set(listed.keys()));
-    limits.retain(new Set([...listed.values()].map(incarnationOf)));
+    if (!limits.isEmpty) limits.retain(new Set([...listed.values()].map(incarnationOf)));
     for (const [service, detector] of this.#detectors) {
       detector.setRunners(directory.ofService(service).map(({ id }) => id));
     }
@@ -189,6 +189,12 @@
     return Promise.resolve();
   }
 
+  /** Called for each runner and request, so that it costs nothing while no runner states a limit. */
+  #isWithinLimit(entry: RunnerEntry): boolean {
+    const { limits } = this.#options;
+    return limits.isEmpty || limits.mayTake(incarnationOf(entry));
+  }
+
   #candidateOf(entry: RunnerEntry, service: Service, median: number): PlacementCandidate {
     const work = this.#options.loadTracker.workAt(entry.id);
     return {
