--- a/test/gateway/crashing-prompt.test.ts
+++ b/test/gateway/crashing-prompt.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
@@ -18,10 +19,6 @@
   readonly close: () => Promise<void>;
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /** Sends requests at a steady rate, in turn to each gateway, until closed. */
 function startTraffic(
   gateways: () => readonly GatewayHarness[],
@@ -54,6 +51,18 @@
   };
 }
 
+/** Requests that share a part with all others, and one with a third of them. */
+function startSoundTraffic(gateways: () => readonly GatewayHarness[]): Traffic {
+  return startTraffic(gateways, 25, (index) => `c0:20,c${1 + (index % 3)}:20,5${index}:20`);
+}
+
+/** Asserts that nearly all requests sent after a time were served. */
+function assertServed(t: ExecutionContext, traffic: Traffic, fromMs: number): void {
+  const served = traffic.served.filter((at) => at > fromMs).length;
+  const failed = traffic.failed.filter((at) => at > fromMs).length;
+  t.true(served >= 0.9 * (served + failed), `${served} served, ${failed} failed`);
+}
+
 async function startFleet(t: ExecutionContext): Promise<{
   readonly fleet: CrashingFleet;
   readonly startGateway: (node: string) => Promise<GatewayHarness>;
@@ -94,33 +103,26 @@
   t.timeout(60_000);
   const { fleet, startGateway } = await startFleet(t);
   const gateways = [await startGateway('n1'), await startGateway('n2')];
-  await pause(600);
-  const sound = startTraffic(
-    () => gateways,
-    25,
-    (index) => `c0:20,c${1 + (index % 3)}:20,5${index}:20`,
-  );
-  await pause(500);
+  await sleep(600);
+  const sound = startSoundTraffic(() => gateways);
+  await sleep(500);
   const crashing = startTraffic(
     () => gateways,
     300,
     (index) => `c0:20,bad:20,6${index}:20`,
   );
-  while (fleet.crashes.length < 5) await pause(20);
+  while (fleet.crashes.length < 5) await sleep(20);
   const fifthAt = fleet.crashes[4] ?? 0;
-  await pause(1_500);
+  await sleep(1_500);
   gateways.push(await startGateway('n3'));
-  await pause(fifthAt + 2 * CONTACT_MS + 2_000 - performance.now());
+  await sleep(fifthAt + 2 * CONTACT_MS + 2_000 - performance.now());
   await crashing.close();
   await sound.close();
   const late = fleet.arrivals.filter(
     ({ at, parts }) => at > fifthAt + CONTACT_MS && parts.includes(CRASHING_PART),
   );
   t.true(late.length <= MAX_LATE_ARRIVALS, `${late.length} late arrivals`);
-  const boundAt = fifthAt + 2 * CONTACT_MS;
-  const served = sound.served.filter((at) => at > boundAt).length;
-  const failed = sound.failed.filter((at) => at > boundAt).length;
-  t.true(served >= 0.9 * (served + failed), `${served} served, ${failed} failed`);
+  assertServed(t, sound, fifthAt + 2 * CONTACT_MS);
 });
 
 // Guards against blaming a part that many requests share when several runners end together (LOST).
@@ -128,21 +130,15 @@
   t.timeout(60_000);
   const { fleet, startGateway } = await startFleet(t);
   const gateways = [await startGateway('n1'), await startGateway('n2')];
-  await pause(600);
-  const sound = startTraffic(
-    () => gateways,
-    25,
-    (index) => `c0:20,c${1 + (index % 3)}:20,5${index}:20`,
-  );
+  await sleep(600);
+  const sound = startSoundTraffic(() => gateways);
   for (let wave = 0; wave < 3; wave += 1) {
-    await pause(1_000);
+    await sleep(1_000);
     fleet.crashTogether(3);
   }
-  await pause(1_500);
+  await sleep(1_500);
   const from = performance.now();
-  await pause(1_500);
+  await sleep(1_500);
   await sound.close();
-  const served = sound.served.filter((at) => at > from).length;
-  const failed = sound.failed.filter((at) => at > from).length;
-  t.true(served >= 0.9 * (served + failed), `${served} served, ${failed} failed`);
+  assertServed(t, sound, from);
 });
--- a/test/gateway/stated-limit.test.ts
+++ b/test/gateway/stated-limit.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
@@ -16,10 +17,6 @@
 /** Long enough for several requests to be in flight, so that the load decides where they go. */
 const RESPONSE_MS = 200;
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /** Runner that responds after a short time and can state a limit. */
 class LimitedRunner {
   readonly arrivals: number[] = [];
@@ -113,9 +110,9 @@
   const harness = await GatewayHarness.start(t, { runners: [runner] });
   await harness.call();
   await harness.call();
-  await pause(1_500);
+  await sleep(1_500);
   await harness.call();
-  await pause(500);
+  await sleep(500);
   const stated = harness.lines
     .filter((line) => line.includes('runner-limit-stated'))
     .map((line) => (JSON.parse(line) as Record<string, unknown>).requestsPerSecond);
@@ -128,18 +125,18 @@
   const { runners, gateways, startGateway } = await startFleet(t);
   const [limited] = runners;
   if (!limited) throw new TypeError('no runner was started');
-  await pause(1_500);
+  await sleep(1_500);
   let joined: readonly GatewayHarness[] = [];
   const traffic = startTraffic(() => [...gateways, ...joined]);
-  await pause(2_000);
+  await sleep(2_000);
   limited.limit = 1;
   const statedAt = performance.now();
-  await pause(CONTACT_MS + 500);
+  await sleep(CONTACT_MS + 500);
   joined = [await startGateway('joined')];
-  await pause(8_000);
+  await sleep(8_000);
   limited.limit = undefined;
   const liftedAt = performance.now();
-  await pause(6_000);
+  await sleep(6_000);
   await traffic.close();
   const most = limited.mostInWindow(statedAt + CONTACT_MS, liftedAt);
   t.true(most <= TOLERANCE * 4 + SLACK, `${most} requests in 4 s`);
