Log when a topic of the store was restored from an older copy

No line tells whether it follows another history of the store than the one that is valid. The store names its era in each reply; it is now read, and log-restored tells a change by topic.

--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -141,6 +141,10 @@
           isWhole: changes !== undefined,
         });
       },
+      onRestored: ({ era, before }) => {
+        metrics.count('log_restores', { topic });
+        decisions.notable('log-restored', { topic, era, before });
+      },
       onUnavailable: (error) => {
         handlers.onUnavailable();
         metrics.count('log_failures', { topic });
--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -20,6 +20,8 @@
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
   /** Called after each read of a range, before its records are applied. */
   readonly onRange: (range: OffsetRange, records: readonly KeyedRecord[]) => void;
+  /** Called when a read shows that the log was restored from an older copy. */
+  readonly onRestored: (change: { readonly era: number; readonly before: number }) => void;
   /** Called when reads start to fail. */
   readonly onUnavailable: (error: unknown) => void;
   /** Called when the topic is available again, with the length of the outage in milliseconds. */
@@ -52,6 +54,7 @@
   readonly #options: KeyedFollowerOptions;
   readonly #closing = new AbortController();
   #nextOffset: number | undefined;
+  #era: number | undefined;
   #unavailableSince: number | undefined;
   #lastFeedAt = -Infinity;
   #lastFailureAt = -Infinity;
@@ -146,6 +149,7 @@
     if (this.#nextOffset === undefined) {
       const page = await log.newest(topic);
       this.#markAvailable();
+      this.#recordEra(page.era);
       if (!this.#closing.signal.aborted) onSnapshot(page.records);
       this.#nextOffset = page.next;
       return;
@@ -153,6 +157,7 @@
     const from = this.#nextOffset;
     const page = await log.read({ topic, from, waitMs });
     this.#markAvailable();
+    this.#recordEra(page.era);
     if (this.#closing.signal.aborted || page.next < this.#nextOffset) return;
     this.#options.onRange({ from, next: page.next }, page.records);
     const newRecords = page.records.filter(({ offset }) => offset >= (this.#nextOffset ?? 0));
@@ -160,6 +165,12 @@
     this.#nextOffset = page.next;
   }
 
+  #recordEra(era: number): void {
+    const before = this.#era;
+    this.#era = era;
+    if (before !== undefined && before !== era) this.#options.onRestored({ era, before });
+  }
+
   #markAvailable(): void {
     if (this.#unavailableSince === undefined) return;
     const outageMs = this.#options.clock.monotonic() - this.#unavailableSince;
--- a/packages/log/src/types/keyed-log.ts
+++ b/packages/log/src/types/keyed-log.ts
@@ -4,6 +4,11 @@
 
 /** Log with compacted topics: the newest record of each key is retained indefinitely. */
 export interface KeyedLog {
+  /**
+   * Newest era that a reply named. It rises when the log is restored from an older copy: newer records
+   * are lost, and their offsets are given out again. Replies of an older era are rejected.
+   */
+  readonly era: number;
   /** Returns the newest record of each key in a topic, and the offset that follows them. */
   newest(topic: string): Promise<KeyedPage>;
   /** Reads records from an offset on; throws `LogExpired` when they are no longer retained. */
--- a/packages/log/src/types/keyed-page.ts
+++ b/packages/log/src/types/keyed-page.ts
@@ -5,4 +5,6 @@
   readonly records: readonly KeyedRecord[];
   /** Offset at which the next read starts. */
   readonly next: number;
+  /** Era of the log in which the offsets are valid. */
+  readonly era: number;
 }
--- a/packages/log/src/utils/memory-keyed-log.ts
+++ b/packages/log/src/utils/memory-keyed-log.ts
@@ -19,9 +19,14 @@
 /** In-memory {@link KeyedLog} with fault injection, for tests. */
 export class MemoryKeyedLog implements KeyedLog {
   readonly #topics = new Map<string, Topic>();
+  #era = 0;
   #isDown = false;
   #repliesToLose = 0;
 
+  get era(): number {
+    return this.#era;
+  }
+
   /** Makes all calls fail while `isDown` is true. */
   setDown(isDown: boolean): void {
     this.#isDown = isDown;
@@ -43,7 +48,7 @@
     const { records } = this.#topicOf(topic);
     const byKey = new Map(records.map((record) => [record.key, record]));
     const newest = [...byKey.values()].filter(({ value }) => value !== undefined);
-    return { records: newest, next: records.length };
+    return { records: newest, next: records.length, era: this.#era };
   }
 
   async read({ topic, from, waitMs }: KeyedRead): Promise<KeyedPage> {
@@ -52,7 +57,7 @@
       const { records, first } = this.#topicOf(topic);
       if (from < first) throw new LogExpired(first, records.length);
       if (records.length > from || waitedMs >= waitMs) {
-        return { records: records.slice(from), next: records.length };
+        return { records: records.slice(from), next: records.length, era: this.#era };
       }
       await new Promise((resolve) => setTimeout(resolve, POLL_MS));
     }
--- a/test/gateway/keyed-follower.test.ts
+++ b/test/gateway/keyed-follower.test.ts
@@ -21,6 +21,9 @@
   let outages = 0;
   let recoveries = 0;
   const countingLog: KeyedLog = {
+    get era() {
+      return log.era;
+    },
     newest: (topic) => log.newest(topic),
     append: (append) => log.append(append),
     read: (read) => {
@@ -39,6 +42,7 @@
     onSnapshot: (snapshot) => records.push(...snapshot),
     onRecords: (more) => records.push(...more),
     onRange: () => undefined,
+    onRestored: () => undefined,
     onUnavailable: () => {
       outages += 1;
     },
@@ -96,6 +100,9 @@
   const log = await logWith('a');
   let isUnavailable = false;
   const flakyLog: KeyedLog = {
+    get era() {
+      return log.era;
+    },
     newest: (topic) => log.newest(topic),
     append: (append) => log.append(append),
     read: (read) => {
