--- a/packages/standins/src/node/keyed-store.ts
+++ b/packages/standins/src/node/keyed-store.ts
@@ -11,6 +11,9 @@
   readonly value: Buffer;
 }
 
+/** Content of a store at one time. */
+type StoreCopy = ReadonlyMap<string, StoredTopic>;
+
 interface StoredTopic {
   readonly records: readonly StoredRecord[];
   readonly first: number;
@@ -33,6 +36,7 @@
   readonly #topics = new Map<string, StoredTopic>();
   readonly #pageSize: number;
   #fault: StoreFault = 'none';
+  #era = 1;
 
   constructor({ pageSize = 500 }: { readonly pageSize?: number } = {}) {
     this.#pageSize = pageSize;
@@ -66,6 +70,22 @@
     this.#topics.set(topic, { records, first: records.length });
   }
 
+  /** Current content, to restore the store from later. */
+  copy(): StoreCopy {
+    return new Map(this.#topics);
+  }
+
+  /**
+   * Replaces the content by an older copy and starts a new era: newer records are lost. Calls in
+   * progress get no reply.
+   */
+  restore(copy: StoreCopy): void {
+    this.#era += 1;
+    this.#server.closeAllConnections();
+    this.#topics.clear();
+    for (const [name, topic] of copy) this.#topics.set(name, topic);
+  }
+
   close(): Promise<void> {
     this.#server.closeAllConnections();
     return new Promise((resolve) => {
@@ -79,6 +99,7 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const url = new URL(request.url ?? '/', 'http://store');
+    response.setHeader('Store-Era', String(this.#era));
     if (this.#fault === 'reset') {
       request.socket.resetAndDestroy();
       return;
@@ -139,7 +160,7 @@
     const deadline = performance.now() + Number(query.get('wait_ms') ?? 0);
     for (;;) {
       const { records, first } = this.#topics.get(topic) ?? EMPTY_TOPIC;
-      if (from < first) {
+      if (from < first || from > records.length) {
         reply(response, HTTP_GONE, { first });
         return;
       }
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -355,7 +355,7 @@
   await harness.waitUntil(async () => (await harness.call()).status === 401);
   await harness.configure({ version: 40 });
   await harness.log.append({ topic: 'op', key: 'config', value: Buffer.from('not json') });
-  harness.log.dropHistory('op');
+  harness.ownLog.dropHistory('op');
   await harness.waitUntil(() =>
     harness.lines.some((line) => line.includes('configuration-unreadable')),
   );
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -6,6 +6,7 @@
 import { SeededRandom, SystemClock } from '@ragwortrudder/core';
 import { Gateway } from '@ragwortrudder/gateway';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
+import type { KeyedLog } from '@ragwortrudder/log';
 import { PlatformCatalogCodec, PlatformDialect } from '@ragwortrudder/platform-adapter';
 import type { ScriptedRunner } from './scripted-runner.ts';
 
@@ -21,7 +22,7 @@
   /** @default 0 */
   readonly peerPort?: number;
   /** Log that is shared with other gateways; it is configured by the test. */
-  readonly log?: MemoryKeyedLog;
+  readonly log?: KeyedLog;
 }
 
 interface Call {
@@ -51,14 +52,16 @@
 
 /** Test harness: a gateway with an in-memory log between the test's callers and scripted runners. */
 export class GatewayHarness {
-  readonly log: MemoryKeyedLog;
+  /** The log of this gateway alone, unless it has a shared one. */
+  readonly ownLog = new MemoryKeyedLog();
+  readonly log: KeyedLog;
   readonly lines: string[] = [];
   readonly gateway: Gateway;
   #version = 1;
   #requestCount = 0;
 
   private constructor(readonly options: GatewayHarnessOptions) {
-    this.log = options.log ?? new MemoryKeyedLog();
+    this.log = options.log ?? this.ownLog;
     const out = new Writable({
       write: (chunk: Buffer, _encoding, done) => {
         this.lines.push(chunk.toString());
@@ -114,6 +117,11 @@
     return harness;
   }
 
+  /** Writes to a shared log on behalf of the operator and the runners; its gateway is not started. */
+  static writerFor(log: KeyedLog): GatewayHarness {
+    return new GatewayHarness({ log });
+  }
+
   /** Appends a configuration, and runners by their ports, to a log that several gateways share. */
   static async configure(
     options: GatewayHarnessOptions,
@@ -159,6 +167,11 @@
     });
   }
 
+  /** Lets the next configuration have the version of the newest one. */
+  repeatVersion(): void {
+    this.#version -= 1;
+  }
+
   async registerRunner(id: string, port: number, change: object = {}): Promise<void> {
     const entry = {
       service: 's',
