Follow the history of the store that is valid: eras of the log

Callers were refused by an older configuration long after a newer one had been confirmed.

Cause: the store came back from an older copy. Offsets are given out again, and a node that went on at its old offset never read what was written before it. A feed from a peer at the same offset even told it that it was up to date. Class: state that was derived from the log without the era in which it is valid.

The new unit tests use interfaces that did not exist before.

The era is now part of every position: followers, feeds between nodes and conditional appends. On a new era followers read anew, the duty holder writes its term and records again, nodes register again and repeat quarantines and states of roll-outs; fencing tokens rise with the era. What was known is not taken back by an older list: configuration, leaving runners, replaced orders of roll-outs.

--- a/packages/catalog/src/utils/runner-directory.ts
+++ b/packages/catalog/src/utils/runner-directory.ts
@@ -11,19 +11,44 @@
   readonly gracePeriodMs?: number;
 }
 
+/** End of a boot of a runner, which a restored list may show as if it had not come yet. */
+interface Departure {
+  readonly bornMs: number;
+  /** The runner has said that it is leaving. */
+  readonly isDraining: boolean;
+  /** The entry was removed. */
+  readonly isRemoved: boolean;
+}
+
+/** Entry of a restored list that had been removed before. */
+interface DoubtfulEntry {
+  readonly entry: RunnerEntry;
+  readonly until: number;
+}
+
+/**
+ * Time after a restore for which entries that had been removed before are not used unless their
+ * runners write them again, in milliseconds: a list removes entries that nobody renews by then.
+ */
+const RESTORED_ENTRY_DOUBT_MS = 5_000;
+/** Departures that are remembered; the oldest are dropped first. */
+const MAX_DEPARTURES = 4_096;
 /** The platform documents that a live runner is listed again about two seconds after an outage. */
 const DEFAULT_GRACE_PERIOD_MS = 2_000;
 
 /**
  * Directory of usable runners, fed from a list that can be temporarily unavailable. Entries that
  * expire during an outage are retained until the list has been available again for `gracePeriodMs`:
- * a live runner has registered itself again by then.
+ * a live runner has registered itself again by then. A runner that is leaving never comes back in the
+ * same boot, whatever the list says later.
  */
 export class RunnerDirectory {
   readonly #clock: Clock;
   readonly #gracePeriodMs: number;
   readonly #entries = new Map<string, RunnerEntry>();
   readonly #retained = new Map<string, RunnerEntry>();
+  readonly #departures = new Map<string, Departure>();
+  readonly #doubtful = new Map<string, DoubtfulEntry>();
   #byService = new Map<string, readonly RunnerEntry[]>();
   #isUnavailable = false;
   #graceEndsAt = 0;
@@ -50,29 +75,55 @@
     this.#dropRetained();
   }
 
-  /** Adds or replaces a runner. */
+  /** Adds or replaces a runner. An entry of an earlier boot is ignored. */
   put(entry: RunnerEntry): void {
-    this.#entries.set(entry.id, entry);
+    const bornMs = this.find(entry.id)?.bornMs ?? this.#departures.get(entry.id)?.bornMs;
+    if (bornMs !== undefined && bornMs > entry.bornMs) return;
+    const departure = this.#departureOf(entry);
+    const isDraining = entry.isDraining || departure?.isDraining === true;
+    this.#entries.set(entry.id, isDraining === entry.isDraining ? entry : { ...entry, isDraining });
     this.#retained.delete(entry.id);
+    this.#doubtful.delete(entry.id);
     this.#byService.clear();
+    if (isDraining) this.#recordDeparture(entry, { isDraining, isRemoved: false });
+    else this.#departures.delete(entry.id);
   }
 
   /** Removes a runner whose entry is no longer listed, or retains it during an outage. */
   remove(id: string): void {
+    this.#doubtful.delete(id);
     const entry = this.#entries.get(id);
     if (!entry) return;
     this.#entries.delete(id);
     this.#byService.clear();
     if (this.#isInGracePeriod() && !entry.isDraining) this.#retained.set(id, entry);
+    else this.#recordDeparture(entry, { isDraining: entry.isDraining, isRemoved: true });
   }
 
   /** Replaces the whole list. */
   replaceAll(entries: readonly RunnerEntry[]): void {
     const ids = new Set(entries.map(({ id }) => id));
-    for (const id of [...this.#entries.keys()]) if (!ids.has(id)) this.remove(id);
+    for (const id of [...this.#entries.keys(), ...this.#doubtful.keys()])
+      if (!ids.has(id)) this.remove(id);
     for (const entry of entries) this.put(entry);
   }
 
+  /**
+   * Replaces the whole list by one that was restored from an older copy. Runners that are not in it are
+   * retained for `gracePeriodMs`; those that had been removed before are not used until they are
+   * written again or stay listed for longer than a list keeps entries without renewal.
+   */
+  restoreAll(entries: readonly RunnerEntry[]): void {
+    const now = this.#clock.monotonic();
+    this.#graceEndsAt = now + this.#gracePeriodMs;
+    const isDoubtful = (entry: RunnerEntry): boolean =>
+      this.#departureOf(entry)?.isRemoved === true;
+    this.replaceAll(entries.filter((entry) => !isDoubtful(entry)));
+    for (const entry of entries.filter(isDoubtful)) {
+      this.#doubtful.set(entry.id, { entry, until: now + RESTORED_ENTRY_DOUBT_MS });
+    }
+  }
+
   find(id: string): RunnerEntry | undefined {
     return this.#entries.get(id) ?? this.#retained.get(id);
   }
@@ -80,6 +131,7 @@
   /** All runners of `service`, including draining and retained ones. */
   ofService(service: string): readonly RunnerEntry[] {
     this.#dropRetained();
+    this.#admitDoubtful();
     const cached = this.#byService.get(service);
     if (cached) return cached;
     const runners = [...this.#entries.values(), ...this.#retained.values()].filter(
@@ -92,6 +144,7 @@
   /** All runners, including draining and retained ones. */
   all(): readonly RunnerEntry[] {
     this.#dropRetained();
+    this.#admitDoubtful();
     return [...this.#entries.values(), ...this.#retained.values()];
   }
 
@@ -99,8 +152,31 @@
     return this.#isUnavailable || this.#clock.monotonic() < this.#graceEndsAt;
   }
 
+  /** What is known of the end of an entry's boot. */
+  #departureOf({ id, bornMs }: RunnerEntry): Departure | undefined {
+    const departure = this.#departures.get(id);
+    return departure?.bornMs === bornMs ? departure : undefined;
+  }
+
+  #recordDeparture({ id, bornMs }: RunnerEntry, change: Omit<Departure, 'bornMs'>): void {
+    this.#departures.delete(id);
+    this.#departures.set(id, { bornMs, ...change });
+    if (this.#departures.size <= MAX_DEPARTURES) return;
+    const [oldest] = this.#departures.keys();
+    if (oldest !== undefined) this.#departures.delete(oldest);
+  }
+
+  #admitDoubtful(): void {
+    if (this.#doubtful.size === 0) return;
+    const now = this.#clock.monotonic();
+    for (const { entry, until } of this.#doubtful.values()) if (now >= until) this.put(entry);
+  }
+
   #dropRetained(): void {
     if (this.#retained.size === 0 || this.#isInGracePeriod()) return;
+    for (const entry of this.#retained.values()) {
+      this.#recordDeparture(entry, { isDraining: false, isRemoved: true });
+    }
     this.#retained.clear();
     this.#byService = new Map();
   }
--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -27,11 +27,12 @@
   readonly publishFeed: (feed: TopicFeed) => void;
   /** Receives each configuration that is newer than the active one. */
   readonly onConfiguration: (configuration: Configuration) => void;
-  readonly onRollout: (order: RolloutOrder) => void;
+  /** Receives the orders of roll-outs; those of a restored log may have been replaced since. */
+  readonly onRollout: (order: RolloutOrder, isRestored: boolean) => void;
 }
 
 interface TopicHandlers {
-  readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
+  readonly onSnapshot: (records: readonly KeyedRecord[], isRestored: boolean) => void;
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
   /** Selects the records that other nodes need; undefined when there are too many for a feed. */
   readonly selectChanges: (records: readonly KeyedRecord[]) => readonly KeyedRecord[] | undefined;
@@ -61,19 +62,19 @@
     const { codec, directory } = options;
     this.#followers = [
       this.#createFollower(codec.configurationTopic, CONFIGURATION_WAIT_MS, 0, {
-        onSnapshot: (records) => {
-          this.#applyOperatorRecords(records);
+        onSnapshot: (records, isRestored) => {
+          this.#applyOperatorRecords(records, isRestored);
         },
         onRecords: (records) => {
-          this.#applyOperatorRecords(records);
+          this.#applyOperatorRecords(records, false);
         },
         selectChanges: (records) => (records.length === 0 ? [] : undefined),
         onUnavailable: () => undefined,
         onAvailable: () => undefined,
       }),
       this.#createFollower(codec.runnerTopic, 0, RUNNER_PAUSE_MS, {
-        onSnapshot: (records) => {
-          this.#replaceRunners(records);
+        onSnapshot: (records, isRestored) => {
+          this.#replaceRunners(records, isRestored);
         },
         onRecords: (records) => {
           this.#applyRunnerRecords(records);
@@ -99,12 +100,12 @@
   }
 
   /** Applies the result of a read by a peer of the failure domain. */
-  applyFeed({ topic, from, next, changes, isWhole }: TopicFeed): void {
+  applyFeed({ topic, from, next, era, changes, isWhole }: TopicFeed): void {
     const follower = this.#followers.find((item) => item.topic === topic);
     const records = changes.map(([key, value, offset]): KeyedRecord => {
       return { key, value: value === null ? undefined : Buffer.from(value, 'base64'), offset };
     });
-    follower?.applyFeed({ from, next }, records, isWhole);
+    follower?.applyFeed({ from, next, era }, records, isWhole);
   }
 
   async close(): Promise<void> {
@@ -118,6 +119,7 @@
     handlers: TopicHandlers,
   ): KeyedFollower {
     const { log, clock, random, decisions, metrics, isReader, publishFeed } = this.#options;
+    let isRestored = false;
     return new KeyedFollower({
       log,
       topic,
@@ -128,7 +130,8 @@
       isReader,
       onSnapshot: (records) => {
         handlers.onAvailable();
-        handlers.onSnapshot(records);
+        handlers.onSnapshot(records, isRestored);
+        isRestored = false;
       },
       onRecords: handlers.onRecords,
       onRange: (range, records) => {
@@ -142,6 +145,7 @@
         });
       },
       onRestored: ({ era, before }) => {
+        isRestored = true;
         metrics.count('log_restores', { topic });
         decisions.notable('log-restored', { topic, era, before });
       },
@@ -160,12 +164,12 @@
     });
   }
 
-  #applyOperatorRecords(records: readonly KeyedRecord[]): void {
+  #applyOperatorRecords(records: readonly KeyedRecord[], isRestored: boolean): void {
     const { codec, onRollout } = this.#options;
     this.#applyConfiguration(records);
     for (const { key, value } of records) {
       const order = value && codec.decodeRollout(key, value);
-      if (order) onRollout(order);
+      if (order) onRollout(order, isRestored);
     }
   }
 
@@ -191,15 +195,16 @@
     }
   }
 
-  #replaceRunners(records: readonly KeyedRecord[]): void {
+  #replaceRunners(records: readonly KeyedRecord[], isRestored: boolean): void {
     const { codec, directory, decisions } = this.#options;
     const entries = records.flatMap(({ key, value }) => {
       const entry = value && codec.decodeRunner(key, value);
       return entry ? [entry] : [];
     });
-    directory.replaceAll(entries);
+    if (isRestored) directory.restoreAll(entries);
+    else directory.replaceAll(entries);
     this.#hasRunners ||= entries.length > 0;
-    decisions.notable('runners-read', { runners: entries.length });
+    decisions.notable('runners-read', { runners: entries.length, isRestored });
   }
 
   /** Newest record of each runner whose entry changed; undefined when there are too many. */
--- a/packages/gateway/src/node/duty-holder.ts
+++ b/packages/gateway/src/node/duty-holder.ts
@@ -95,6 +95,7 @@
       this.#vacantSince = now;
     }
     const peerToken = peers.newestDutyToken();
+    const heldToken = termStore.term?.fencingToken;
     if (termStore.term && peerToken > termStore.term.fencingToken) {
       log.notable('duty-term-lost', { token: termStore.term.fencingToken, newer: peerToken });
       termStore.resign();
@@ -104,6 +105,10 @@
       else if (now - this.#vacantSince >= this.#takeOverDelayMs()) await this.#takeOver(now);
       return;
     }
+    if (!(await termStore.confirm())) {
+      log.notable('duty-term-lost', { token: heldToken, newer: 'recorded' });
+      return;
+    }
     if (now < this.#performAfter) return;
     await this.#perform(duties);
     this.#failures = 0;
--- a/packages/gateway/src/node/duty-term-store.ts
+++ b/packages/gateway/src/node/duty-term-store.ts
@@ -1,5 +1,6 @@
 import { AppendConflict } from '@ragwortrudder/log';
 import type { KeyedLog } from '@ragwortrudder/log';
+import { isDeepStrictEqual } from 'node:util';
 import type { DutyTerm } from '../types/duty-term.ts';
 import { decodeJson } from '../utils/decode-json.ts';
 
@@ -13,19 +14,32 @@
   readonly token: number;
 }
 
+/** Offset of the topic in an era of the log. */
+interface Position {
+  readonly offset: number;
+  readonly era: number;
+}
+
 const TERM_KEY = 'term';
+/** Fencing tokens reserved for an era, so that tokens rise although offsets are given out again. */
+const TOKENS_PER_ERA = 2 ** 24;
 
 /**
  * Stores the duty term and the actions of its holder in a topic of the log. A term is acquired, and each
  * action is recorded, by a conditional append that succeeds only if the writer has read the whole topic.
- * An action that was recorded is therefore known to belong to the newest term.
+ * An action that was recorded is therefore known to belong to the newest term. When the log is restored
+ * from an older copy, the holder of the newest term writes its records again.
  */
 export class DutyTermStore {
   /** Topic of the terms and the records of their holders. */
   static readonly topic = 'duties';
   readonly #options: DutyTermStoreOptions;
   #records: ReadonlyMap<string, unknown> = new Map();
-  #nextOffset: number | undefined;
+  #position: Position | undefined;
+  /** Keys whose newest records were lost when the log was restored. */
+  #lostKeys: ReadonlySet<string> = new Set();
+  /** Era of the newest read. */
+  #era = 0;
   #term: DutyTerm | undefined;
 
   constructor(options: DutyTermStoreOptions) {
@@ -53,11 +67,14 @@
     readonly isTaken: boolean;
     readonly previousHolder: string | undefined;
   }> {
-    const nextOffset = await this.#read();
+    const position = await this.#read();
     const previous = this.#termRecord();
-    const token = Math.max(nextOffset + 1, (previous?.token ?? 0) + 1);
+    const token = Math.max(
+      position.era * TOKENS_PER_ERA + position.offset + 1,
+      (previous?.token ?? 0) + 1,
+    );
     try {
-      await this.#append(TERM_KEY, { holder: this.#options.node, token }, nextOffset);
+      await this.#append(TERM_KEY, { holder: this.#options.node, token }, position);
     } catch (error) {
       if (!(error instanceof AppendConflict)) throw error;
       return { isTaken: false, previousHolder: previous?.holder };
@@ -71,22 +88,37 @@
    * holds a newer one.
    */
   async record(key: string, value: unknown): Promise<boolean> {
-    if (!this.#term) return false;
-    if (this.#nextOffset === undefined) {
-      const nextOffset = await this.#read();
-      if (this.#termRecord()?.token !== this.#term.fencingToken) return this.#endTerm();
-      this.#nextOffset = nextOffset;
-    }
+    if (!(await this.confirm())) return false;
     try {
-      await this.#append(key, value, this.#nextOffset);
+      await this.#append(key, value, this.#position);
       return true;
     } catch (error) {
-      if (error instanceof AppendConflict) {
-        this.#nextOffset = undefined;
-        return this.#appendAfterConflict(key, value);
-      }
-      throw error;
+      if (!(error instanceof AppendConflict)) throw error;
     }
+    // Either an own append whose reply was lost, a restored log, or a newer term.
+    if (!(await this.confirm())) return false;
+    await this.#append(key, value, this.#position);
+    return true;
+  }
+
+  /**
+   * Checks that this node still holds the newest term, where that is in doubt, and writes again what a
+   * restored log has lost. Returns false and ends the term when another node holds a newer one.
+   */
+  async confirm(): Promise<boolean> {
+    if (!this.#term) return false;
+    const { log } = this.#options;
+    if (this.#position?.era !== log.era || this.#lostKeys.size > 0) await this.#reread();
+    const isHeld = this.#termRecord()?.token === this.#term.fencingToken;
+    if (!isHeld) {
+      this.#term = undefined;
+      return false;
+    }
+    for (const key of this.#lostKeys) {
+      await this.#append(key, this.#records.get(key), this.#position);
+      this.#lostKeys = new Set([...this.#lostKeys].filter((lost) => lost !== key));
+    }
+    return true;
   }
 
   /** Gives up the term on this node. */
@@ -94,35 +126,41 @@
     this.#term = undefined;
   }
 
-  /** Retries after a conflict, which is either an own append whose reply was lost or a newer term. */
-  async #appendAfterConflict(key: string, value: unknown): Promise<boolean> {
-    const nextOffset = await this.#read();
-    if (this.#termRecord()?.token !== this.#term?.fencingToken) return this.#endTerm();
-    await this.#append(key, value, nextOffset);
-    return true;
-  }
-
-  #endTerm(): false {
-    this.#term = undefined;
-    return false;
+  /** Reads the topic; in a new era, records of this node's term stay valid until it is replaced. */
+  async #reread(): Promise<void> {
+    const own = this.#records;
+    const era = this.#era;
+    this.#position = await this.#read();
+    const isReplaced = (this.#termRecord()?.token ?? 0) > (this.#term?.fencingToken ?? 0);
+    if (isReplaced || (era === this.#position.era && this.#lostKeys.size === 0)) {
+      this.#lostKeys = new Set();
+      return;
+    }
+    const stored = this.#records;
+    this.#records = new Map([...stored, ...own]);
+    // The term comes first: its append fails when another node takes over at the same time.
+    this.#lostKeys = new Set(
+      [TERM_KEY, ...own.keys()].filter((key) => !isDeepStrictEqual(stored.get(key), own.get(key))),
+    );
   }
 
-  async #read(): Promise<number> {
-    const { records, next } = await this.#options.log.newest(DutyTermStore.topic);
+  async #read(): Promise<Position> {
+    const { records, next, era } = await this.#options.log.newest(DutyTermStore.topic);
     this.#records = new Map(records.map(({ key, value }) => [key, decodeJson(value)]));
-    return next;
+    this.#era = era;
+    return { offset: next, era };
   }
 
-  async #append(key: string, value: unknown, at: number): Promise<void> {
-    this.#nextOffset = undefined;
+  async #append(key: string, value: unknown, position: Position | undefined): Promise<void> {
+    this.#position = undefined;
     const bytes = Buffer.from(JSON.stringify(value));
     const offset = await this.#options.log.append({
       topic: DutyTermStore.topic,
       key,
       value: bytes,
-      at,
+      ...(position ? { at: position.offset, era: position.era } : {}),
     });
-    this.#nextOffset = offset + 1;
+    this.#position = { offset: offset + 1, era: this.#era };
     this.#records = new Map([...this.#records, [key, value]]);
   }
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -108,7 +108,8 @@
   readonly #incarnation: number;
   readonly #startedAt: number;
   #configuration: Configuration | undefined;
-  #isRegistered = false;
+  /** Era of the log in which this node is in the topic of nodes. */
+  #registeredEra: number | undefined;
   #isStopping = false;
   #stoppingSince: number | undefined;
   #settings: GatewaySettings;
@@ -258,8 +259,8 @@
       onConfiguration: (configuration) => {
         this.#apply(configuration);
       },
-      onRollout: (order) => {
-        this.#rollouts.applyOrder(order);
+      onRollout: (order, isRestored) => {
+        this.#rollouts.applyOrder(order, isRestored);
       },
     });
     this.#tasks = [
@@ -462,6 +463,7 @@
       directory: this.#directory,
       loadTracker: this.#loadTracker,
       disciplinedClock,
+      era: () => log.era,
       report: async (status) => {
         const { key, value } = codec.encodeRolloutStatus(status);
         await log.append({ topic: codec.statusTopic, key, value });
@@ -498,10 +500,10 @@
     }
   }
 
-  /** Registers this node in the topic of nodes and reads the entries of the others. */
+  /** Registers this node in the topic of nodes, again after a restore, and reads the entries of the others. */
   async #register(): Promise<void> {
-    if (this.#isRegistered || this.#isStopping) return;
     const { log, settings } = this.#options;
+    if (this.#isStopping || this.#registeredEra === log.era) return;
     const { id, host, failureDomain } = settings.node;
     const port = settings.listen.peerPort;
     const entry: PeerEntry = { host, port, failureDomain, life: this.#incarnation };
@@ -513,12 +515,12 @@
       if (!peer) continue;
       this.#peers.addPeer(key, { host: peer.host, port: peer.port }, peer.failureDomain);
     }
-    this.#isRegistered = true;
+    this.#registeredEra = log.era;
     await this.#peers.publishReport();
   }
 
   async #deregister(): Promise<void> {
-    if (!this.#isRegistered) return;
+    if (this.#registeredEra === undefined) return;
     try {
       await this.#options.log.append({ topic: NODE_TOPIC, key: this.#options.settings.node.id });
     } catch (error) {
--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -20,7 +20,7 @@
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
   /** Called after each read of a range, before its records are applied. */
   readonly onRange: (range: OffsetRange, records: readonly KeyedRecord[]) => void;
-  /** Called when a read shows that the log was restored from an older copy. */
+  /** Called before the first snapshot after the log was restored from an older copy. */
   readonly onRestored: (change: { readonly era: number; readonly before: number }) => void;
   /** Called when reads start to fail. */
   readonly onUnavailable: (error: unknown) => void;
@@ -28,10 +28,16 @@
   readonly onRecovered: (outageMs: number) => void;
 }
 
-/** Range of offsets from `from` (inclusive) to `next` (exclusive). */
+/** Range of offsets from `from` (inclusive) to `next` (exclusive), which are valid in `era`. */
 interface OffsetRange {
   readonly from: number;
   readonly next: number;
+  readonly era: number;
+}
+
+interface Position {
+  readonly offset: number;
+  readonly era: number;
 }
 
 /** Time beyond a peer's long-poll time and pause within which its next feed is expected, in milliseconds. */
@@ -53,8 +59,12 @@
 export class KeyedFollower implements Closeable {
   readonly #options: KeyedFollowerOptions;
   readonly #closing = new AbortController();
-  #nextOffset: number | undefined;
+  /** Offset of the next read. */
+  #position: Position | undefined;
+  /** Era of the newest read. */
   #era: number | undefined;
+  /** Newest era that a feed named. */
+  #peerEra = 0;
   #unavailableSince: number | undefined;
   #lastFeedAt = -Infinity;
   #lastFailureAt = -Infinity;
@@ -74,26 +84,36 @@
   }
 
   /**
-   * Applies the result of a read by a peer, provided that it is complete and leaves no gap after the
-   * records applied so far. Otherwise this node reads the missing range itself right away. Feeds also
-   * keep this node up to date while the log rejects its reads but serves those of the peer.
+   * Applies the result of a read by a peer, provided that it is complete, of the same era, and leaves
+   * no gap after the records applied so far. Otherwise this node reads the missing records itself
+   * right away. Feeds also keep this node up to date while the log rejects its reads but serves those
+   * of the peer.
    */
-  applyFeed({ from, next }: OffsetRange, records: readonly KeyedRecord[], isWhole: boolean): void {
-    if (this.#nextOffset === undefined || next < this.#nextOffset) return;
+  applyFeed(
+    { from, next, era }: OffsetRange,
+    records: readonly KeyedRecord[],
+    isWhole: boolean,
+  ): void {
+    const position = this.#position;
+    if (!position || era < position.era) return;
+    if (era > position.era) {
+      this.#peerEra = era;
+      this.#readNow();
+      return;
+    }
+    if (next < position.offset) return;
     this.#lastFeedAt = this.#options.clock.monotonic();
-    if (next === this.#nextOffset) {
+    if (next === position.offset) {
       this.#markAvailable();
       return;
     }
-    if (!isWhole || from > this.#nextOffset) {
-      this.#lastFeedAt = -Infinity;
-      this.#wakeUp.abort();
+    if (!isWhole || from > position.offset) {
+      this.#readNow();
       return;
     }
-    const appliedUpTo = this.#nextOffset;
-    this.#nextOffset = next;
+    this.#position = { offset: next, era };
     this.#markAvailable();
-    const newRecords = records.filter(({ offset }) => offset >= appliedUpTo);
+    const newRecords = records.filter(({ offset }) => offset >= position.offset);
     if (newRecords.length > 0) this.#options.onRecords(newRecords);
   }
 
@@ -133,10 +153,10 @@
     try {
       await this.#read();
       this.#markAvailable();
-      return pauseMs;
+      return this.#position ? pauseMs : 0;
     } catch (error) {
       if (error instanceof LogExpired) {
-        this.#nextOffset = undefined;
+        this.#position = undefined;
         return 0;
       }
       this.#markUnavailable(error);
@@ -145,24 +165,40 @@
   }
 
   async #read(): Promise<void> {
-    const { log, topic, waitMs, onSnapshot, onRecords } = this.#options;
-    if (this.#nextOffset === undefined) {
-      const page = await log.newest(topic);
-      this.#markAvailable();
-      this.#recordEra(page.era);
-      if (!this.#closing.signal.aborted) onSnapshot(page.records);
-      this.#nextOffset = page.next;
+    const { log, topic, waitMs, onRecords } = this.#options;
+    const position = this.#position;
+    if (!position || Math.max(log.era, this.#peerEra) > position.era) {
+      await this.#readSnapshot();
       return;
     }
-    const from = this.#nextOffset;
+    const from = position.offset;
     const page = await log.read({ topic, from, waitMs });
     this.#markAvailable();
-    this.#recordEra(page.era);
-    if (this.#closing.signal.aborted || page.next < this.#nextOffset) return;
-    this.#options.onRange({ from, next: page.next }, page.records);
-    const newRecords = page.records.filter(({ offset }) => offset >= (this.#nextOffset ?? 0));
+    if (page.era !== position.era) {
+      this.#position = undefined;
+      return;
+    }
+    // Feeds may have been applied in the meantime.
+    const appliedUpTo = this.#position?.offset ?? from;
+    if (this.#closing.signal.aborted || page.next < appliedUpTo) return;
+    this.#options.onRange({ from, next: page.next, era: page.era }, page.records);
+    const newRecords = page.records.filter(({ offset }) => offset >= appliedUpTo);
     if (newRecords.length > 0) onRecords(newRecords);
-    this.#nextOffset = page.next;
+    this.#position = { offset: page.next, era: page.era };
+  }
+
+  async #readSnapshot(): Promise<void> {
+    const page = await this.#options.log.newest(this.#options.topic);
+    this.#markAvailable();
+    this.#peerEra = page.era;
+    this.#recordEra(page.era);
+    if (!this.#closing.signal.aborted) this.#options.onSnapshot(page.records);
+    this.#position = { offset: page.next, era: page.era };
+  }
+
+  #readNow(): void {
+    this.#lastFeedAt = -Infinity;
+    this.#wakeUp.abort();
   }
 
   #recordEra(era: number): void {
--- a/packages/gateway/src/node/quarantine-sync.ts
+++ b/packages/gateway/src/node/quarantine-sync.ts
@@ -31,7 +31,9 @@
   readonly #options: QuarantineSyncOptions;
   /** Parts in this node's record in the log. */
   #storedParts: ReadonlySet<string> = new Set();
-  #storedText = '';
+  /** Undefined when it is not known what the log has. */
+  #storedText: string | undefined = '';
+  #era: number | undefined;
   #isRead = false;
   #isDirty = false;
 
@@ -54,9 +56,20 @@
 
   /** Reads the records of the other nodes and stores this node's, where that is needed. */
   async exchange(): Promise<void> {
+    const { log } = this.#options;
+    if (this.#era !== undefined && log.era !== this.#era) this.#forgetStored();
     const isDivided = this.#options.isDivided();
     if (!this.#isRead || isDivided) await this.#read();
     if (this.#isDirty || isDivided) await this.#store();
+    this.#era ??= log.era;
+  }
+
+  /** After a restore the log may have any earlier record of this node, or none. */
+  #forgetStored(): void {
+    if (this.#storedText !== '') this.#storedText = undefined;
+    this.#isDirty = true;
+    this.#isRead = false;
+    this.#era = undefined;
   }
 
   /** A quarantine is stored by the nodes that decided on it, and its end by those that stored it. */
--- a/packages/gateway/src/node/rollout-duty.ts
+++ b/packages/gateway/src/node/rollout-duty.ts
@@ -15,6 +15,8 @@
   readonly directory: RunnerDirectory;
   readonly loadTracker: Pick<RunnerLoadTracker, 'workAt'>;
   readonly disciplinedClock: { now(): number };
+  /** Era of the log, in which the reports to the operator are lost when it is restored. */
+  readonly era: () => number;
   /** Tells the operator the state of a roll-out. */
   readonly report: (status: RolloutStatus) => Promise<void>;
 }
@@ -56,7 +58,10 @@
   async #advance(order: RolloutOrder, termStore: DutyTermStore): Promise<void> {
     const key = Rollouts.keyOf(order.service);
     const { data: recorded } = RolloutState.safeParse(termStore.records.get(key));
-    const known = recorded && isSameOrder(recorded, order) ? recorded : undefined;
+    const followed = this.#options.rollouts.stateOf(order.service);
+    const known = newestOf(
+      [recorded, followed].filter((state) => state !== undefined && isSameOrder(state, order)),
+    );
     const isOver = known?.phase === 'completed' || known?.phase === 'rolled-back';
     if (!isOver) {
       const next = known ? this.#next(known) : this.#first(order, recorded);
@@ -140,9 +145,17 @@
 
   async #report({ service, targetVersion, phase }: RolloutState): Promise<void> {
     const state = STATUS[phase];
-    const text = `${targetVersion} ${state}`;
+    const text = `${this.#options.era()} ${targetVersion} ${state}`;
     if (this.#reported.get(service) === text) return;
     await this.#options.report({ service, targetVersion, state });
     this.#reported.set(service, text);
   }
 }
+
+/** A restored log may have an older state than the one that this node follows. */
+function newestOf(states: readonly (RolloutState | undefined)[]): RolloutState | undefined {
+  return states.reduce(
+    (newest, state) => ((state?.sequence ?? -1) > (newest?.sequence ?? -1) ? state : newest),
+    undefined,
+  );
+}
--- a/packages/gateway/src/node/rollouts.ts
+++ b/packages/gateway/src/node/rollouts.ts
@@ -20,12 +20,16 @@
   /** Versions that get no requests, whatever becomes of this order. */
   readonly rejected: ReadonlySet<string>;
   readonly state: RolloutState | undefined;
+  /** Earlier orders, which a restored log may show again. */
+  readonly replaced: readonly RolloutOrder[];
   /** Monotonic time at which `state` was last renewed, in milliseconds. */
   readonly renewedAt: number;
 }
 
 /** Age of a state that is still moving, in milliseconds, from which the target gets no requests. */
 const MAX_STATE_AGE_MS = 3_500;
+/** Earlier orders of a service that are remembered. */
+const MAX_REPLACED_ORDERS = 16;
 const KEY_PREFIX = 'rollout-';
 
 /**
@@ -75,10 +79,20 @@
     return sumEvidence([this.evidence, ...this.#peerEvidence.values()]);
   }
 
-  /** Applies an order of the operator; one that is already followed changes nothing. */
-  applyOrder(order: RolloutOrder): void {
+  /** State of a service's roll-out that this node follows. */
+  stateOf(service: string): RolloutState | undefined {
+    return this.#followed.get(service)?.state;
+  }
+
+  /**
+   * Applies an order of the operator. One that is already followed changes nothing, nor does one from
+   * a restored log that has been replaced since.
+   */
+  applyOrder(order: RolloutOrder, isRestored = false): void {
     const previous = this.#followed.get(order.service);
     if (previous && isSameOrder(previous.order, order)) return;
+    const replaced = previous?.replaced ?? [];
+    if (isRestored && replaced.some((earlier) => isSameOrder(earlier, order))) return;
     const { targetVersion } = order;
     const rejected = new Set(
       rejectedAfter(
@@ -95,6 +109,7 @@
       order,
       rejected,
       state: undefined,
+      replaced: previous ? [...replaced, previous.order].slice(-MAX_REPLACED_ORDERS) : [],
       renewedAt: -Infinity,
     });
     this.#options.log.notable('rollout-ordered', { ...order });
--- a/packages/gateway/src/types/topic-feed.ts
+++ b/packages/gateway/src/types/topic-feed.ts
@@ -6,6 +6,8 @@
   /** Range of offsets that was read: from `from` (inclusive) to `next` (exclusive). */
   from: z.number(),
   next: z.number(),
+  /** Era of the log in which the offsets are valid. */
+  era: z.number().default(0),
   /** Records of the range that change the state: key, value in base64 or null, offset. */
   changes: z.array(z.tuple([z.string(), z.string().nullable(), z.number()])),
   /** `changes` covers the whole range; when false, the receiver has to read the range itself. */
--- a/packages/log/src/utils/memory-keyed-log.ts
+++ b/packages/log/src/utils/memory-keyed-log.ts
@@ -37,6 +37,18 @@
     this.#repliesToLose = count;
   }
 
+  /** Current content, to restore the log from later. */
+  copy(): ReadonlyMap<string, Topic> {
+    return new Map(this.#topics);
+  }
+
+  /** Replaces the content by an older copy and starts a new era: newer records are lost. */
+  restore(copy: ReadonlyMap<string, Topic>): void {
+    this.#era += 1;
+    this.#topics.clear();
+    for (const [name, topic] of copy) this.#topics.set(name, topic);
+  }
+
   /** Drops the history of a topic; the newest record of each key remains. */
   dropHistory(topic: string): void {
     const { records } = this.#topicOf(topic);
@@ -55,7 +67,7 @@
     for (let waitedMs = 0; ; waitedMs += POLL_MS) {
       await this.#checkAvailable();
       const { records, first } = this.#topicOf(topic);
-      if (from < first) throw new LogExpired(first, records.length);
+      if (from < first || from > records.length) throw new LogExpired(first, records.length);
       if (records.length > from || waitedMs >= waitMs) {
         return { records: records.slice(from), next: records.length, era: this.#era };
       }
@@ -63,10 +75,11 @@
     }
   }
 
-  async append({ topic, key, value, at }: KeyedAppend): Promise<number> {
+  async append({ topic, key, value, at, era }: KeyedAppend): Promise<number> {
     await this.#checkAvailable();
     const { records, first } = this.#topicOf(topic);
-    if (at !== undefined && at !== records.length) throw new AppendConflict(topic, at);
+    if ((at !== undefined && at !== records.length) || (era ?? this.#era) !== this.#era)
+      throw new AppendConflict(topic, at ?? 0);
     const record = { key, value, offset: records.length };
     this.#topics.set(topic, { records: [...records, record], first });
     if (this.#repliesToLose > 0) {
--- a/test/gateway/duty-term-store.test.ts
+++ b/test/gateway/duty-term-store.test.ts
@@ -64,3 +64,47 @@
     undefined,
   );
 });
+
+// Guards against duties that go back with the log (CONFIG).
+test('pattern: store restored; the holder writes its records again and keeps its term', async (t) => {
+  const log = new MemoryKeyedLog();
+  const copy = log.copy();
+  const store = new DutyTermStore({ log, node: 'n1' });
+  await store.takeOver();
+  await store.record('usage-7', REPORT);
+  log.restore(copy);
+  t.true(await store.confirm());
+  const reader = new DutyTermStore({ log, node: 'n2' });
+  t.is(await reader.latestHolder(), 'n1');
+  t.deepEqual(reader.records.get('usage-7'), REPORT);
+});
+
+// Guards against duties that go back with the log (CONFIG).
+test('pattern: store restored; a term that another node took since then is the newest', async (t) => {
+  const log = new MemoryKeyedLog();
+  const copy = log.copy();
+  const first = new DutyTermStore({ log, node: 'n1' });
+  await first.takeOver();
+  for (let index = 0; index < 5; index += 1) await first.record('usage-7', REPORT);
+  const token = first.term?.fencingToken ?? 0;
+  log.restore(copy);
+  const second = new DutyTermStore({ log, node: 'n2' });
+  await second.takeOver();
+  t.true((second.term?.fencingToken ?? 0) > token);
+  t.false(await first.record('usage-8', REPORT));
+  t.is(first.term, undefined);
+});
+
+// Guards against duties that go back with the log (CONFIG).
+test('pattern: store restored; an append at an offset of the earlier era is not taken for a record', async (t) => {
+  const log = new MemoryKeyedLog();
+  const first = new DutyTermStore({ log, node: 'n1' });
+  await first.takeOver();
+  const copy = log.copy();
+  await first.record('usage-7', REPORT);
+  log.restore(copy);
+  const second = new DutyTermStore({ log, node: 'n2' });
+  await second.takeOver();
+  t.false(await first.record('usage-8', REPORT));
+  t.is(second.records.get('usage-8'), undefined);
+});
--- a/test/gateway/keyed-follower.test.ts
+++ b/test/gateway/keyed-follower.test.ts
@@ -78,11 +78,11 @@
 test('pattern: many nodes; a node that receives the feed of a reader does not read itself', async (t) => {
   const { follower, reads } = startFollower(t, await logWith('a'), false);
   await waitUntil(() => reads() > 0);
-  follower.applyFeed({ from: 1, next: 1 }, [], true);
+  follower.applyFeed({ from: 1, next: 1, era: 0 }, [], true);
   const before = reads();
   for (let round = 0; round < 10; round += 1) {
     await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
-    follower.applyFeed({ from: 1, next: 1 }, [], true);
+    follower.applyFeed({ from: 1, next: 1, era: 0 }, [], true);
   }
   t.true(reads() <= before + 1, `${before}, ${reads()}`);
 });
@@ -91,7 +91,7 @@
   const { follower, reads } = startFollower(t, await logWith('a'), true);
   await waitUntil(() => reads() > 0);
   const before = reads();
-  follower.applyFeed({ from: 1, next: 1 }, [], true);
+  follower.applyFeed({ from: 1, next: 1, era: 0 }, [], true);
   await waitUntil(() => reads() > before + 2);
   t.pass();
 });
@@ -114,10 +114,41 @@
   await waitUntil(() => records.length === 1);
   isUnavailable = true;
   await waitUntil(() => outages() === 1);
-  follower.applyFeed({ from: 1, next: 2 }, [record('b', 1)], true);
+  follower.applyFeed({ from: 1, next: 2, era: 0 }, [record('b', 1)], true);
   t.deepEqual(
     records.map(({ key }) => key),
     ['a', 'b'],
   );
   t.is(recoveries(), 1);
 });
+
+// Guards against following the log at an offset that it gave out again (CONFIG).
+test('pattern: store restored; a feed of a newer era makes a node read the records anew', async (t) => {
+  const log = await logWith('a', 'b');
+  const { follower, records } = startFollower(t, log, false);
+  await waitUntil(() => records.length === 2);
+  follower.applyFeed({ from: 2, next: 2, era: 0 }, [], true);
+  const copy = log.copy();
+  log.restore(copy);
+  await log.append({ topic: 'topic', key: 'c', value: Buffer.from('c') });
+  follower.applyFeed({ from: 2, next: 3, era: 1 }, [record('c', 2)], true);
+  await waitUntil(() => records.length === 5);
+  t.deepEqual(
+    records.map(({ key }) => key),
+    ['a', 'b', 'a', 'b', 'c'],
+  );
+});
+
+// Guards against following the log at an offset that it gave out again (CONFIG).
+test('pattern: store restored; feeds of a node that has not seen the change are not applied', async (t) => {
+  const log = await logWith('a');
+  const copy = log.copy();
+  const { follower, records } = startFollower(t, log, true);
+  await waitUntil(() => records.length === 1);
+  log.restore(copy);
+  await waitUntil(() => records.length === 2);
+  follower.applyFeed({ from: 1, next: 2, era: 0 }, [record('lost', 1)], true);
+  await log.append({ topic: 'topic', key: 'new', value: Buffer.from('new') });
+  await waitUntil(() => records.length === 3);
+  t.is(records.at(-1)?.key, 'new');
+});
--- a/test/gateway/rollouts.test.ts
+++ b/test/gateway/rollouts.test.ts
@@ -80,6 +80,7 @@
     directory,
     loadTracker: { workAt: () => ({ requests: 0, prefillTokens: 0, kvTokens: 0 }) },
     disciplinedClock: { now: () => clock.wall() },
+    era: () => 0,
     report: ({ state }) => {
       statuses.push(state);
       return Promise.resolve();
@@ -282,3 +283,23 @@
   t.is(planRollout({ elapsed: 0.1, verdict: { ...verdict, state: 'bad' } }).decision, 'roll-back');
   t.is(planRollout({ elapsed: 0.5, verdict: { ...verdict, state: 'good' } }).decision, undefined);
 });
+
+// Guards against starting a roll-out again that a restored log shows as open (CONFIG).
+test('pattern: store restored; an order that was replaced and a state from before are not taken', async (t) => {
+  const { clock, holder, duty, termStore, statuses } = await createDeployment();
+  const later: RolloutOrder = { ...ORDER, targetVersion: 'v3' };
+  holder.applyOrder(ORDER);
+  holder.applyOrder(later);
+  holder.applyOrder(ORDER, true);
+  t.deepEqual(holder.orders, [later]);
+  await duty.perform(termStore);
+  const early = termStore.records.get(Rollouts.keyOf(ORDER.service));
+  const state = holder.stateOf(ORDER.service);
+  if (!state) throw new Error('the roll-out has no state');
+  holder.applyState({ ...state, phase: 'rolled-back', sequence: state.sequence + 1 });
+  await termStore.record(Rollouts.keyOf(ORDER.service), early);
+  clock.advance(500);
+  await duty.perform(termStore);
+  t.is(holder.stateOf(ORDER.service)?.phase, 'rolled-back');
+  t.is(statuses.at(-1), 'rolled-back');
+});
--- a/test/platform-adapter/platform-log.test.ts
+++ b/test/platform-adapter/platform-log.test.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { AppendConflict, LogExpired, LogUnavailable } from '@ragwortrudder/log';
@@ -101,3 +103,33 @@
   store.setFault('none');
   t.is((await log.newest(TOPIC)).next, 1);
 });
+
+// Guards against following the log at an offset that it gave out again (CONFIG).
+test('pattern: store restored; a reply of the era before is rejected, and so is an append for it', async (t) => {
+  const { store, log } = await startLog(t);
+  const copy = store.copy();
+  store.put(STORED_TOPIC, 'a', '1');
+  const { era } = await log.newest(TOPIC);
+  const eras = [era + 1, era];
+  const late = createServer((_request, response) => {
+    response.setHeader('Store-Era', String(eras.shift()));
+    response.end(JSON.stringify({ items: [], more_pages: false, end: 0 }));
+  });
+  await new Promise<void>((resolve) => late.listen(0, '127.0.0.1', resolve));
+  const { port } = late.address() as AddressInfo;
+  const lateLog = new PlatformLog(new PlatformHttpClient(`127.0.0.1:${port}`));
+  t.teardown(async () => {
+    await lateLog.close();
+    late.close();
+  });
+  t.is((await lateLog.newest(TOPIC)).era, era + 1);
+  await t.throwsAsync(lateLog.newest(TOPIC), { instanceOf: LogUnavailable });
+  store.restore(copy);
+  // The client notices that its idle connection was closed.
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  await t.throwsAsync(log.append({ topic: TOPIC, key: 'b', value: Buffer.from('2'), at: 0, era }), {
+    instanceOf: AppendConflict,
+  });
+  t.is(log.era, era + 1);
+  await t.throwsAsync(log.read({ topic: TOPIC, from: 2, waitMs: 0 }), { instanceOf: LogExpired });
+});
