Soak a store that comes back from an older copy

The new fault store-restores; afterwards the operator and the runners write again what the store lost, within a heartbeat. At the end every node must serve the route that only the newest configuration has.

--- a/packages/soak/src/node/fault-injector.ts
+++ b/packages/soak/src/node/fault-injector.ts
@@ -22,6 +22,8 @@
 type StoreFault = Parameters<KeyedStore['setFault']>[0];
 
 const SLOW_LINK_MS = 150;
+/** Time for which the store is away before it comes back from a copy, in milliseconds. */
+const STORE_AWAY_MS = 300;
 const LIMIT_PER_S = 2;
 /** Time after which the platform's bounds apply, in milliseconds; such faults last longer by it. */
 const CONTACT_MS = 3_000;
@@ -67,6 +69,8 @@
         store.dropHistory('keyed.servers');
         store.dropHistory('keyed.op');
         return;
+      case 'store-restores':
+        return this.#restoreStore(forMs);
       case 'store-busy':
         return this.#storeFault('busy', forMs);
       case 'store-silent':
@@ -131,6 +135,18 @@
     this.#options.store.setFault('none');
   }
 
+  /** Brings the store back from an older copy; writers repeat what they have written since. */
+  async #restoreStore(forMs: number): Promise<void> {
+    const { store, storeWriter } = this.#options;
+    const copy = store.copy();
+    await sleep(forMs);
+    store.setFault('reset');
+    await sleep(STORE_AWAY_MS);
+    store.restore(copy);
+    store.setFault('none');
+    await storeWriter.repeatNewest();
+  }
+
   async #runnerFault(target: number, mode: RunnerMode, forMs: number): Promise<void> {
     const runner = this.#options.storeWriter.runnerAt(target);
     runner?.setMode(mode);
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -1,4 +1,5 @@
 import { mkdirSync } from 'node:fs';
+import { request as sendRequest } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { SeededRandom } from '@ragwortrudder/core';
 import type { Random } from '@ragwortrudder/core';
@@ -50,6 +51,7 @@
   readonly tracker: RequestTracker;
   readonly nodes: readonly EnvironmentNode[];
   readonly injector: FaultInjector;
+  readonly newestPath: () => string;
   readonly close: () => Promise<void>;
 }
 
@@ -78,7 +80,7 @@
   }
 
   async #runTraffic(
-    { tracker, nodes, injector }: SoakEnvironment,
+    { tracker, nodes, injector, newestPath }: SoakEnvironment,
     faults: readonly PlannedFault[],
   ): Promise<number> {
     const { lengthMs, callers: count, seed } = this.#options;
@@ -111,7 +113,26 @@
         `${served} of ${total} requests were served after the last fault`,
       );
     }
-    return tracker.servedSince(0).total;
+    const requests = tracker.servedSince(0).total;
+    for (const { node, callers: address } of nodes) {
+      const id = `probe-${node.id}`;
+      tracker.recordRequest({
+        id,
+        kind: 'read',
+        node: node.id,
+        team: TEAMS[0].name,
+        body: '',
+        events: 0,
+        at: performance.now(),
+      });
+      const status = await statusOf(address, newestPath(), id);
+      if (status === HTTP_OK) continue;
+      tracker.recordViolation(
+        'configuration',
+        `${node.id} answered ${status ?? 'nothing'} on ${newestPath()}`,
+      );
+    }
+    return requests;
   }
 
   async #start(): Promise<SoakEnvironment> {
@@ -151,6 +172,7 @@
     const storeWriter = new StoreWriter({
       store,
       teams: TEAMS,
+      random: this.#random,
       runners: runners.map((runner, index) => ({
         runner,
         failureDomain: DOMAINS[index % DOMAINS.length] ?? 'a',
@@ -179,6 +201,7 @@
     return {
       tracker,
       nodes,
+      newestPath: () => storeWriter.newestPath,
       injector: new FaultInjector({
         nodes: nodes.map(({ node }) => node),
         store,
@@ -223,6 +246,22 @@
   };
 }
 
+/** Status that a node answers to a request; undefined when it does not answer. */
+async function statusOf(address: string, path: string, id: string): Promise<number | undefined> {
+  const [host, port] = address.split(':');
+  const headers = { Host: 'soak.example', 'Request-Id': id, 'X-Api-Key': TEAMS[0].apiKey };
+  return new Promise((resolve) => {
+    const client = sendRequest({ host, port, path, headers, agent: false }, (response) => {
+      response.resume();
+      resolve(response.statusCode);
+    });
+    client.on('error', () => {
+      resolve(undefined);
+    });
+    client.end();
+  });
+}
+
 async function waitUntilReady(addresses: readonly string[]): Promise<void> {
   const endsAt = performance.now() + READY_TIMEOUT_MS;
   const pending = new Set(addresses);
--- a/packages/soak/src/node/store-writer.ts
+++ b/packages/soak/src/node/store-writer.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { Random } from '@ragwortrudder/core';
 import type { KeyedStore } from '@ragwortrudder/standins';
 import type { SoakRunner } from './soak-runner.ts';
 
@@ -14,6 +15,7 @@
   readonly store: KeyedStore;
   readonly runners: readonly RegisteredRunner[];
   readonly teams: readonly { readonly name: string; readonly apiKey: string }[];
+  readonly random: Random;
 }
 
 const SERVICE = 'work';
@@ -25,6 +27,10 @@
  */
 const ENTRY_EXPIRY_MS = 3_600;
 const VERSION_STEP = 3;
+const OPERATOR_TOPIC = 'keyed.op';
+const RUNNER_TOPIC = 'keyed.servers';
+/** Maximum time after which a writer repeats its record in a restored store, in milliseconds: a heartbeat. */
+const REPEAT_MS = 1_200;
 
 const ROUTES = [
   { name: 'order', kind: 'non_idempotent', max_attempts: 1 },
@@ -39,12 +45,29 @@
   readonly #startedAt = new Map<string, number>();
   /** Runners that have crashed and are not back yet. */
   readonly #crashed = new Set<number>();
+  readonly #newest = new Map<string, string | undefined>();
   #version = 1;
 
   constructor(options: StoreWriterOptions) {
     this.#options = options;
   }
 
+  /** Path of the route that only the newest configuration has. */
+  get newestPath(): string {
+    return `/v${this.#version}/`;
+  }
+
+  /** Writes the newest record of each key again, as after a loss of records. */
+  async repeatNewest(): Promise<void> {
+    const { store, random } = this.#options;
+    const repeats = [...this.#newest.keys()].map(async (name) => {
+      await sleep(random.next() * REPEAT_MS);
+      const [topic = '', key = ''] = name.split(' ');
+      store.put(topic, key, this.#newest.get(name));
+    });
+    await Promise.all(repeats);
+  }
+
   runnerAt(target: number): SoakRunner | undefined {
     return this.#options.runners[target]?.runner;
   }
@@ -80,7 +103,7 @@
         idle_timeout_ms: 5_000,
       },
     };
-    this.#options.store.put('keyed.op', 'config', JSON.stringify(record));
+    this.#put(OPERATOR_TOPIC, 'config', JSON.stringify(record));
   }
 
   /**
@@ -105,7 +128,7 @@
 
   /**
    * Drains a runner: it announces that it is draining, continues to serve, is removed, and registers
-   * again.
+   * again as a new incarnation.
    */
   async drain(target: number, forMs: number): Promise<void> {
     const registered = this.#options.runners[target];
@@ -114,9 +137,15 @@
     await sleep(forMs);
     this.#remove(registered);
     await sleep(forMs);
+    this.#startedAt.set(registered.runner.id, Date.now());
     this.#register(registered, 'ready');
   }
 
+  #put(topic: string, key: string, value: string | undefined): void {
+    this.#newest.set(`${topic} ${key}`, value);
+    this.#options.store.put(topic, key, value);
+  }
+
   #register(
     { runner, failureDomain, address }: RegisteredRunner,
     state: 'ready' | 'draining',
@@ -131,10 +160,10 @@
       state,
       born,
     };
-    this.#options.store.put('keyed.servers', runner.id, JSON.stringify(entry));
+    this.#put(RUNNER_TOPIC, runner.id, JSON.stringify(entry));
   }
 
   #remove({ runner }: RegisteredRunner): void {
-    this.#options.store.put('keyed.servers', runner.id, undefined);
+    this.#put(RUNNER_TOPIC, runner.id, undefined);
   }
 }
--- a/packages/soak/src/types/fault-kind.ts
+++ b/packages/soak/src/types/fault-kind.ts
@@ -11,6 +11,7 @@
   | 'store-reset'
   | 'store-lost'
   | 'store-forgets'
+  | 'store-restores'
   | 'store-link-cut'
   | 'store-link-silent'
   | 'store-link-one-way'
--- a/packages/soak/src/utils/plan-faults.ts
+++ b/packages/soak/src/utils/plan-faults.ts
@@ -21,6 +21,7 @@
   'store-reset',
   'store-lost',
   'store-forgets',
+  'store-restores',
   'store-link-cut',
   'store-link-silent',
   'store-link-one-way',
