Log when a runner says in a response that it is leaving

No line tells whether a node did not see the statement, or saw it and went on by the list of runners; the new line also tells what the list had.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -318,8 +318,9 @@
         lastEventId: channel.lastEventId ?? request.lastEventId,
       },
       ...(route.kind === 'stream' ? { sink: channel } : {}),
-      onHead: ({ status, load, requestsPerSecond }) => {
+      onHead: ({ status, load, requestsPerSecond, isLeaving }) => {
         if (status === HTTP_MISDIRECTED) return;
+        if (isLeaving) pool.recordLeaving(entry);
         pool.recordStatedLimit(entry, requestsPerSecond);
         if (load) loadTracker.setReportedLoad(entry.id, load);
       },
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -131,6 +131,15 @@
     this.#options.limits.record(incarnationOf(entry), perSecond);
   }
 
+  /** Records that a runner said in a response that it is leaving. */
+  recordLeaving({ id, bornMs, isDraining }: RunnerEntry): void {
+    this.#options.log.notable('runner-leaving', {
+      runner: id,
+      bornMs,
+      isListedAsDraining: isDraining,
+    });
+  }
+
   /** Number of runners that may get no request from this node now, because of the limits they state. */
   countLimited(entries: readonly RunnerEntry[]): number {
     return entries.filter((entry) => !this.#isWithinLimit(entry)).length;
--- a/packages/gateway/src/types/response-head.ts
+++ b/packages/gateway/src/types/response-head.ts
@@ -11,6 +11,8 @@
   readonly signature: string | undefined;
   /** The runner declared that it did not execute the request. */
   readonly isNotExecuted: boolean;
+  /** The runner declared that it is leaving; it ends soon and must get no new requests. */
+  readonly isLeaving: boolean;
   readonly load: RunnerLoad | undefined;
   /** Requests per second that the runner accepts from all nodes together; undefined without a limit. */
   readonly requestsPerSecond: number | undefined;
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -35,6 +35,7 @@
     requestId: 'r',
     signature: 's',
     isNotExecuted: false,
+    isLeaving: false,
     load: undefined,
     requestsPerSecond: undefined,
   };
