Log a fingerprint of requests whose runner ended

For requests without a prompt the lines of broken attempts could not tell whether one request ends runner after runner or different ones do.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -9,6 +9,7 @@
 import { enginePriority } from '../utils/engine-priority.ts';
 import { incarnationOf } from '../utils/incarnation-of.ts';
 import { nextStep } from '../utils/next-step.ts';
+import { requestFingerprint } from '../utils/request-fingerprint.ts';
 import { sharedPartsOf } from '../utils/shared-parts-of.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
 import type { CallerChannel } from './caller-channel.ts';
@@ -229,6 +230,7 @@
   ): Readonly<Record<string, string | number | undefined>> {
     const { requests, kvTokens } = this.#options.loadTracker.workAt(id);
     return {
+      fingerprint: requestFingerprint(this.#options.request, this.#options.team?.name),
       parts: this.#options.request.promptParts.map((part) => part.id).join(','),
       respondingMs:
         this.#respondingSince === undefined ? undefined : Math.round(now - this.#respondingSince),
