Reproduce a request that crashes runner after runner: failing tests

Three gateways, six runners, sound requests beside. The same request comes again at any node. The fleet of crashing runners now takes a predicate instead of a part.

--- a/test/gateway/crashing-fleet.ts
+++ b/test/gateway/crashing-fleet.ts
@@ -6,13 +6,15 @@
 interface CrashingFleetOptions {
   readonly log: MemoryKeyedLog;
   readonly runners: number;
-  /** Prompt part under which a runner ends as soon as it responds. */
-  readonly crashingPart: string;
+  /** Whether a request ends the runner that begins to run it. */
+  readonly crashes: (request: ReceivedRequest) => boolean;
+  /** A request that ends its runner gets the head of a response before. @default true */
+  readonly respondsFirst?: boolean;
 }
 
 interface Arrival {
   readonly at: number;
-  readonly parts: string;
+  readonly request: ReceivedRequest;
 }
 
 const EVENTS = 3;
@@ -20,7 +22,7 @@
 const CRASH_DELAY_MS = 30;
 const RESTART_DELAY_MS = 250;
 
-/** Runners that end on requests with a prompt part, and return at another address under another id. */
+/** Runners that end on some requests, and return at another address under another id. */
 export class CrashingFleet {
   readonly arrivals: Arrival[] = [];
   /** Times at which a runner ended. */
@@ -58,10 +60,11 @@
     const id = `i-${this.#started}`;
     this.#started += 1;
     const runner = await new ScriptedRunner((socket, request) => {
-      const parts = partsOf(request);
-      this.arrivals.push({ at: performance.now(), parts: parts.join(',') });
-      socket.write(streamHeadFor(request));
-      if (parts.includes(this.#options.crashingPart) && !this.#isCured) {
+      const { crashes, respondsFirst = true } = this.#options;
+      this.arrivals.push({ at: performance.now(), request });
+      const isCrashing = crashes(request) && !this.#isCured;
+      if (respondsFirst || !isCrashing) socket.write(streamHeadFor(request));
+      if (isCrashing) {
         setTimeout(() => {
           this.#crash(id);
         }, CRASH_DELAY_MS);
@@ -106,8 +109,3 @@
     }, RESTART_DELAY_MS);
   }
 }
-
-function partsOf({ head }: ReceivedRequest): readonly string[] {
-  const header = /prompt-prefix: (\S+)/i.exec(head)?.[1] ?? '';
-  return header.split(',').map((part) => part.split(':')[0] ?? '');
-}
--- a/test/gateway/crashing-prompt.test.ts
+++ b/test/gateway/crashing-prompt.test.ts
@@ -7,12 +7,17 @@
 import { GatewayHarness } from './gateway-harness.ts';
 import { streamHeadFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
+import type { ReceivedRequest } from './scripted-runner.ts';
 
 const CONTACT_MS = 3_000;
 const CRASHING_PART = 'bad';
 /** Requests with the crashing part that may still reach runners, by the platform's limit. */
 const MAX_LATE_ARRIVALS = 3;
 
+function hasCrashingPart({ head }: ReceivedRequest): boolean {
+  return (/prompt-prefix: (\S+)/i.exec(head)?.[1] ?? '').includes(`${CRASHING_PART}:`);
+}
+
 interface Traffic {
   readonly served: readonly number[];
   readonly failed: readonly number[];
@@ -69,7 +74,7 @@
 }> {
   const log = new MemoryKeyedLog();
   const route = { kind: 'streaming', stream_resume: true, timeout_ms: 3_000 };
-  const fleet = new CrashingFleet({ log, runners: 6, crashingPart: CRASHING_PART });
+  const fleet = new CrashingFleet({ log, runners: 6, crashes: hasCrashingPart });
   await fleet.start();
   let isConfigured = false;
   const startGateway = async (node: string): Promise<GatewayHarness> => {
@@ -96,6 +101,7 @@
   const fields = JSON.parse(line) as Record<string, unknown>;
   t.like(fields, { parts: 'aa,bb,cc', otherRequests: 0, otherKvTokens: 0 });
   t.is(typeof fields.respondingMs, 'number');
+  t.regex(String(fields.fingerprint), /^[0-9a-f]{16}$/);
 });
 
 // Guards against sending requests that crash runners on to one runner after the other (BUDGET).
@@ -119,7 +125,7 @@
   await crashing.close();
   await sound.close();
   const late = fleet.arrivals.filter(
-    ({ at, parts }) => at > fifthAt + CONTACT_MS && parts.includes(CRASHING_PART),
+    ({ at, request }) => at > fifthAt + CONTACT_MS && hasCrashingPart(request),
   );
   t.true(late.length <= MAX_LATE_ARRIVALS, `${late.length} late arrivals`);
   assertServed(t, sound, fifthAt + 2 * CONTACT_MS);
