Quarantine whole requests that crash the runners that run them

Cause: crashes were counted by prompt part only. A request without a prompt has no parts, and of one with a prompt the parts are shared with sound requests, which exonerate them. Class: as in the crashing prompts, the cause of a failure is sought in the runner; what comes again was recognised by a part, not as a whole.

When racks are lost nobody is blamed.

Nodes share under which requests runners ended, by a fingerprint of team, method, target and body. Three crashes at three runners without an answer in between are enough, also where another request explains them, for several that crash runners often meet. The quarantine lasts two seconds at first, because a sound neighbour cannot be told apart; then one node after the other lets one request pass.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -30,6 +30,8 @@
 export { findCrashingParts } from './utils/find-crashing-parts.ts';
 export { HedgeDelay } from './utils/hedge-delay.ts';
 export { parseRetriesLeft } from './utils/parse-retries-left.ts';
+export { isRepeatKey } from './utils/is-repeat-key.ts';
+export { repeatKey } from './utils/repeat-key.ts';
 export { PromptQuarantine } from './utils/prompt-quarantine.ts';
 export { RETRIES_LEFT_HEADER } from './utils/retries-left-header.ts';
 export { RetryBudget } from './utils/retry-budget.ts';
--- a/packages/admission/src/types/interrupted-request.ts
+++ b/packages/admission/src/types/interrupted-request.ts
@@ -4,7 +4,7 @@
   readonly runner: string;
   /** Distinguishes requests; attempts of one request share it. */
   readonly request: string;
-  /** Prompt parts that other requests may share. */
+  /** Key of the whole request, if it is known, and the prompt parts that other requests may share. */
   readonly parts: readonly string[];
   /** The response had begun; other requests may only have been waiting at the runner. */
   readonly hasResponded: boolean;
--- a/packages/admission/src/utils/find-crashing-parts.ts
+++ b/packages/admission/src/utils/find-crashing-parts.ts
@@ -1,5 +1,6 @@
+import type { CrashHistory } from '../types/crash-history.ts';
 import type { InterruptedRequest } from '../types/interrupted-request.ts';
-import type { ServedRequest } from '../types/served-request.ts';
+import { isRepeatKey } from './is-repeat-key.ts';
 
 interface CrashingParts {
   readonly parts: readonly string[];
@@ -7,16 +8,6 @@
   readonly isAmbiguous: boolean;
 }
 
-interface CrashHistory {
-  readonly interrupted: readonly InterruptedRequest[];
-  /** When a request with a part was last served, by any node. */
-  readonly servedAt: (part: string) => number;
-  /** Requests that this node has served recently, whatever their parts. */
-  readonly served: readonly ServedRequest[];
-  /** Number of requests that all nodes have served recently. */
-  readonly servedCount: number;
-}
-
 /** Runners that ended at the same time, with the requests that they were working on. */
 interface CrashEvent {
   readonly at: number;
@@ -28,6 +19,10 @@
   readonly events: number;
   /** Minimum number of distinct requests. */
   readonly requests: number;
+  /** Minimum share of the events meanwhile; several causes may end runners at a time. */
+  readonly share: number;
+  /** Minimum share of the runners of an event at which the part was present. */
+  readonly runnerShare: number;
 }
 
 interface Suspect {
@@ -39,14 +34,12 @@
 
 /** Runners that end within this time may have a common cause, such as the loss of a rack. */
 const COMMON_CAUSE_MS = 100;
-/** Minimum share of the runners of an event at which the part was present. */
-const MIN_RUNNER_SHARE = 0.5;
+/** Evidence that is needed against a whole request, which may come again. */
+const REPEATED: Threshold = { events: 3, requests: 1, share: 0.1, runnerShare: 0 };
 /** Evidence that is needed from requests whose responses had begun. */
-const RESPONDING: Threshold = { events: 3, requests: 3 };
+const RESPONDING: Threshold = { events: 3, requests: 3, share: 0.4, runnerShare: 0.5 };
 /** Evidence that is needed from all interrupted requests, most of which were waiting by chance. */
-const WAITING: Threshold = { events: 6, requests: 5 };
-/** Minimum share of the events meanwhile; several parts may crash runners at a time. */
-const MIN_EVENT_SHARE = 0.4;
+const WAITING: Threshold = { events: 6, requests: 5, share: 0.4, runnerShare: 0.5 };
 /** Requests without a new part that must have been served: otherwise the service has never worked. */
 const MIN_SERVED = 20;
 /** Requests without a part that must have been served meanwhile if the part used to be served. */
@@ -57,24 +50,44 @@
 const MIN_EVENTS_IF_AMBIGUOUS = 6;
 
 /**
- * Finds the prompt parts that crash runners: runners ended, one after the other, under different
- * requests with the part, none of which was served, while requests without it were.
+ * Finds the whole requests and the prompt parts that crash runners: runners ended, one after the other,
+ * under the same request, or under different requests with the part, none of which was served, while
+ * requests without it were.
  */
 export function findCrashingParts(history: CrashHistory): CrashingParts {
   const { interrupted } = history;
   const events = crashEventsOf(interrupted);
+  const repeated = findRepeated(history);
+  if (repeated.parts.length > 0) return repeated;
   const responding = interrupted.filter(({ hasResponded }) => hasResponded);
   const found = findAmong(responding, RESPONDING, events, history);
   return found.parts.length > 0 ? found : findAmong(interrupted, WAITING, events, history);
 }
 
+/**
+ * Finds whole requests under which runners ended, also where another one explains the crashes: several
+ * that end runners often meet. A sound request that was sent on to the same runners cannot be told from
+ * them until one of them is interrupted or served again.
+ */
+function findRepeated(history: CrashHistory): CrashingParts {
+  const all = [...history.interrupted, ...history.explained];
+  const events = crashEventsOf(all);
+  const suspects = [...groupByPart(all, history, isRepeatKey)].flatMap(([part, requests]) => {
+    const suspect = suspectOf(part, requests, REPEATED, events);
+    return suspect && countRunners(requests) >= REPEATED.events ? [suspect] : [];
+  });
+  const parts = mostSuspicious(suspects);
+  return { parts, isAmbiguous: parts.length > 1 };
+}
+
 function findAmong(
   interrupted: readonly InterruptedRequest[],
   threshold: Threshold,
   events: readonly CrashEvent[],
   history: CrashHistory,
 ): CrashingParts {
-  const suspects = [...groupByPart(interrupted, history)].flatMap(([part, requests]) => {
+  const isPart = (part: string): boolean => !isRepeatKey(part);
+  const suspects = [...groupByPart(interrupted, history, isPart)].flatMap(([part, requests]) => {
     const suspect = suspectOf(part, requests, threshold, events);
     return suspect ? [suspect] : [];
   });
@@ -83,16 +96,22 @@
   const missing = (unknown.length > 0 ? unknown : suspects).filter((suspect) =>
     isMissing(suspect, history),
   );
-  const mostEvents = Math.max(0, ...missing.map((suspect) => suspect.events));
-  const parts = missing
-    .filter((suspect) => suspect.events === mostEvents)
-    .map(({ part }) => part)
-    .toSorted();
+  const parts = mostSuspicious(missing);
   const isAmbiguous = parts.length > 1;
+  const mostEvents = Math.max(0, ...missing.map((suspect) => suspect.events));
   if (isAmbiguous && mostEvents < MIN_EVENTS_IF_AMBIGUOUS) return { parts: [], isAmbiguous };
   return { parts, isAmbiguous };
 }
 
+/** Suspects that were present at the most events, in alphabetical order. */
+function mostSuspicious(suspects: readonly Suspect[]): readonly string[] {
+  const mostEvents = Math.max(0, ...suspects.map(({ events }) => events));
+  return suspects
+    .filter(({ events }) => events === mostEvents)
+    .map(({ part }) => part)
+    .toSorted();
+}
+
 function crashEventsOf(interrupted: readonly InterruptedRequest[]): readonly CrashEvent[] {
   const events: CrashEvent[] = [];
   for (const request of interrupted.toSorted((a, b) => a.at - b.at)) {
@@ -108,11 +127,12 @@
 function groupByPart(
   interrupted: readonly InterruptedRequest[],
   { servedAt }: CrashHistory,
+  isIncluded: (part: string) => boolean,
 ): ReadonlyMap<string, readonly InterruptedRequest[]> {
   const byPart = new Map<string, InterruptedRequest[]>();
   for (const request of interrupted) {
     for (const part of request.parts) {
-      if (servedAt(part) >= request.at) continue;
+      if (!isIncluded(part) || servedAt(part) >= request.at) continue;
       const known = byPart.get(part);
       if (known) known.push(request);
       else byPart.set(part, [request]);
@@ -134,15 +154,21 @@
   const firstAt = Math.min(...times);
   const lastAt = Math.max(...times);
   const meanwhile = events.filter(({ at }) => at > firstAt - COMMON_CAUSE_MS && at <= lastAt);
-  const explained = meanwhile.filter((event) => explains(interrupted, event));
+  const explained = meanwhile.filter((event) =>
+    explains(interrupted, event, threshold.runnerShare),
+  );
   if (explained.length < threshold.events) return undefined;
-  if (explained.length < MIN_EVENT_SHARE * meanwhile.length) return undefined;
+  if (explained.length < threshold.share * meanwhile.length) return undefined;
   return { part, firstAt, events: explained.length };
 }
 
-function explains(requests: readonly InterruptedRequest[], { interrupted }: CrashEvent): boolean {
+function explains(
+  requests: readonly InterruptedRequest[],
+  { interrupted }: CrashEvent,
+  runnerShare: number,
+): boolean {
   const present = interrupted.filter((request) => requests.includes(request));
-  return countRunners(present) >= MIN_RUNNER_SHARE * countRunners(interrupted);
+  return present.length > 0 && countRunners(present) >= runnerShare * countRunners(interrupted);
 }
 
 function countRunners(interrupted: readonly InterruptedRequest[]): number {
--- a/packages/admission/src/utils/prompt-quarantine.ts
+++ b/packages/admission/src/utils/prompt-quarantine.ts
@@ -1,18 +1,23 @@
 import type { Clock } from '@ragwortrudder/core';
+import type { CrashHistory } from '../types/crash-history.ts';
 import type { InterruptedRequest } from '../types/interrupted-request.ts';
 import type { PromptEvidence } from '../types/prompt-evidence.ts';
 import type { QuarantineChange } from '../types/quarantine-change.ts';
 import type { QuarantinedPart } from '../types/quarantined-part.ts';
 import type { ServedRequest } from '../types/served-request.ts';
 import { EVIDENCE_LIMITS } from './evidence-limits.ts';
+import { isRepeatKey } from './is-repeat-key.ts';
 import { findCrashingParts } from './find-crashing-parts.ts';
 
 type PromptRequest = Omit<InterruptedRequest, 'at'>;
 
 interface PromptQuarantineOptions {
   readonly clock: Clock;
-  /** This node is the one that tries a part again after its quarantine. */
-  readonly isTrialNode: (part: string) => boolean;
+  /**
+   * Rank of this node among those that may try a part again after its quarantine, the first of which
+   * is 0; undefined when this node must not try.
+   */
+  readonly trialRank: (part: string) => number | undefined;
 }
 
 interface Quarantine {
@@ -56,15 +61,27 @@
 /** First quarantine of a part, in milliseconds; doubles with each failed trial. */
 const QUARANTINE_MS = 60_000;
 const MAX_QUARANTINE_MS = 600_000;
-/** Quarantine until the first trial of parts that the evidence does not tell apart, in milliseconds. */
-const AMBIGUOUS_QUARANTINE_MS = 2_000;
+/**
+ * Quarantine until the first trial of whole requests, and of parts that the evidence does not tell
+ * apart, in milliseconds.
+ */
+const FIRST_QUARANTINE_MS = 2_000;
+/** Time between the first trials of those that are quarantined together, in milliseconds. */
+const TRIAL_GAP_MS = 1_500;
+/**
+ * Time after which nodes other than the first may try a whole request again, in milliseconds: its caller
+ * may never reach the first one.
+ */
+const NEXT_TRIAL_MS = 5_000;
+/** Additional time for each rank, in milliseconds: nodes hear of a failed trial before they try. */
+const TRIAL_RANK_MS = 1_000;
 /** Time after which a trial without a result is repeated, in milliseconds. */
 const TRIAL_TIMEOUT_MS = 10_000;
 /** Time without a trial after which a quarantine is forgotten, in milliseconds. */
 const FORGET_MS = 600_000;
 
 /**
- * Prompt parts that crash runners. Nodes share what they saw of interrupted and served requests; a
+ * Prompt parts, and whole requests by their keys, that crash runners. Nodes share what they saw of interrupted and served requests; a
  * part that a node quarantines is quarantined at all of them. Afterwards one node lets one request
  * pass at a time: if it is served, the quarantine ends everywhere.
  */
@@ -159,15 +176,19 @@
     this.#settleEnded(now);
     this.#prune(now);
     this.#release();
-    const evidence = this.#unexplained(now);
-    if (evidence.length > 0) {
+    const { interrupted, explained } = this.#settledEvidence(now);
+    if (interrupted.length + explained.length > 0) {
       const { parts, isAmbiguous } = findCrashingParts({
-        interrupted: evidence,
+        interrupted,
+        explained,
         servedAt: (part) => this.#lastServedAt(part),
         served: this.#served,
         servedCount: this.#servedCountOver([...this.#peers.values()]),
       });
-      for (const part of parts) this.#quarantine(part, isAmbiguous ? 0 : 1);
+      for (const [index, part] of parts.entries()) {
+        const isSoonTried = isAmbiguous || isRepeatKey(part);
+        this.#quarantine(part, isSoonTried ? 0 : 1, index * TRIAL_GAP_MS);
+      }
     }
     const changes = this.#changes;
     this.#changes = [];
@@ -225,16 +246,20 @@
   }
 
   #mayTry(part: string, { until, triedAt }: Quarantine, now: number): boolean {
-    return now >= until && now - triedAt >= TRIAL_TIMEOUT_MS && this.#options.isTrialNode(part);
+    if (now < until || now - triedAt < TRIAL_TIMEOUT_MS) return false;
+    const rank = this.#options.trialRank(part);
+    if (rank === undefined) return false;
+    if (rank === 0) return true;
+    return isRepeatKey(part) && now >= until + NEXT_TRIAL_MS + rank * TRIAL_RANK_MS;
   }
 
-  #quarantine(part: string, failedTrials: number): void {
+  #quarantine(part: string, failedTrials: number, delayMs = 0): void {
     if (this.#quarantines.size >= EVIDENCE_LIMITS.quarantined && !this.#quarantines.has(part))
       return;
     const at = this.#options.clock.monotonic();
     const forMs =
       failedTrials === 0
-        ? AMBIGUOUS_QUARANTINE_MS
+        ? FIRST_QUARANTINE_MS + delayMs
         : Math.min(MAX_QUARANTINE_MS, QUARANTINE_MS * 2 ** (failedTrials - 1));
     this.#quarantines.set(part, { at, until: at + forMs, failedTrials, triedAt: -Infinity });
     this.#changes.push({ part, kind: 'quarantined', failedTrials, forMs });
@@ -249,13 +274,24 @@
     }
   }
 
+  /** Few requests come again, so that only those that were interrupted are remembered. */
+  #isSuspected(key: string): boolean {
+    return (
+      this.#quarantines.has(key) || this.#allInterrupted().some(({ parts }) => parts.includes(key))
+    );
+  }
+
   #addInterrupted(request: InterruptedRequest): void {
     this.#interrupted = [...this.#interrupted, request].slice(-EVIDENCE_LIMITS.interrupted);
   }
 
   #addServed(parts: readonly string[], at: number): void {
-    this.#served = [...this.#served, { parts, at }].slice(-MAX_SERVED);
+    const promptParts = parts.filter((part) => !isRepeatKey(part));
+    if (promptParts.length > 0) {
+      this.#served = [...this.#served, { parts: promptParts, at }].slice(-MAX_SERVED);
+    }
     for (const part of parts) {
+      if (isRepeatKey(part) && !this.#isSuspected(part)) continue;
       // Parts are kept in the order in which they were last served.
       this.#servedAt.delete(part);
       this.#servedAt.set(part, at);
@@ -302,18 +338,19 @@
     ];
   }
 
-  /** Settled evidence without the crashes that a quarantined part explains. */
-  #unexplained(now: number): readonly InterruptedRequest[] {
+  /** Settled evidence, divided by whether a quarantined part or request explains the crash. */
+  #settledEvidence(now: number): Pick<CrashHistory, 'interrupted' | 'explained'> {
+    const isQuarantined = ({ parts }: InterruptedRequest): boolean =>
+      parts.some((part) => this.#quarantines.has(part));
     const all = this.#allInterrupted();
-    const explained = new Set(
-      all
-        .filter(({ parts }) => parts.some((part) => this.#quarantines.has(part)))
-        .map(({ runner }) => runner),
-    );
-    return all.filter(
-      ({ runner, at }) =>
-        !explained.has(runner) && now - at >= SETTLE_MS && now - at < RETENTION_MS,
-    );
+    const explainedRunners = new Set(all.filter(isQuarantined).map(({ runner }) => runner));
+    const settled = all.filter(({ at }) => now - at >= SETTLE_MS && now - at < RETENTION_MS);
+    return {
+      interrupted: settled.filter(({ runner }) => !explainedRunners.has(runner)),
+      explained: settled.filter(
+        (request) => explainedRunners.has(request.runner) && !isQuarantined(request),
+      ),
+    };
   }
 
   #servedCountOver(peers: readonly PeerEvidence[]): number {
--- /dev/null
+++ b/packages/admission/src/utils/repeat-key-prefix.ts
@@ -0,0 +1,2 @@
+/** Distinguishes keys of whole requests from prompt parts. */
+export const REPEAT_KEY_PREFIX = 'request:';
--- a/packages/gateway/src/errors/refusal.ts
+++ b/packages/gateway/src/errors/refusal.ts
@@ -15,6 +15,8 @@
   'quota-exceeded': 'the team has used what its limit allows',
   'prompt-quarantined':
     'runners crashed under requests with a part of this prompt; see prompt-part lines in the log',
+  'request-quarantined':
+    'runners crashed under this request when it came before; see prompt-part lines in the log',
   'no-runner': 'no runner of the service can take the request; see the list of runners',
   'runner-full': 'the runner refused the request without running it',
   'runner-unreachable': 'no connection to a runner could be opened',
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -1,6 +1,6 @@
 import type { Route, RunnerEntry, Service, Team } from '@ragwortrudder/catalog';
 import { placeApplicationRequest, placeModelRequest } from '@ragwortrudder/routing';
-import { PromptQuarantine } from '@ragwortrudder/admission';
+import { isRepeatKey, PromptQuarantine } from '@ragwortrudder/admission';
 import type { PlacementCandidate, PlacementRequest } from '@ragwortrudder/routing';
 import { Refusal } from '../errors/refusal.ts';
 import type { AttemptOutcome } from '../types/attempt-outcome.ts';
@@ -9,8 +9,8 @@
 import { enginePriority } from '../utils/engine-priority.ts';
 import { incarnationOf } from '../utils/incarnation-of.ts';
 import { nextStep } from '../utils/next-step.ts';
+import { quarantineKeysOf } from '../utils/quarantine-keys-of.ts';
 import { requestFingerprint } from '../utils/request-fingerprint.ts';
-import { sharedPartsOf } from '../utils/shared-parts-of.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
@@ -83,8 +83,8 @@
   readonly #placement: PlacementRequest;
   readonly #arrivedAt: number;
   readonly #deadlineAt: number;
-  /** Prompt parts that other requests may share. */
-  readonly #sharedParts: readonly string[];
+  /** Keys under which the request may be found to crash runners. */
+  readonly #quarantineKeys: readonly string[];
   readonly #tried = new Set<string>();
   /** A roll-out sends this request to the target version. */
   readonly #goesToTarget: boolean;
@@ -104,7 +104,7 @@
   constructor(options: ForwardedRequestOptions) {
     this.#options = options;
     const { request, route, clock, failureDomain } = options;
-    this.#sharedParts = sharedPartsOf(request);
+    this.#quarantineKeys = quarantineKeysOf(request, options.team?.name);
     this.#placement = placementRequestOf(
       request,
       failureDomain,
@@ -152,7 +152,7 @@
   }
 
   #isHeld(): boolean {
-    return this.#options.quarantine.isHeld(this.#sharedParts);
+    return this.#options.quarantine.isHeld(this.#quarantineKeys);
   }
 
   async #attemptUntilDone(): Promise<void> {
@@ -410,7 +410,7 @@
   #recordProof(respondingMs: number): void {
     if (this.#isProved || respondingMs < PromptQuarantine.proofMs) return;
     this.#isProved = true;
-    this.#options.quarantine.recordServed(this.#sharedParts);
+    this.#options.quarantine.recordServed(this.#quarantineKeys);
   }
 
   /** Records whether the runner may have crashed under the prompt. */
@@ -420,16 +420,19 @@
     const prompt = {
       runner: incarnationOf(entry),
       request: request.promptParts.at(-1)?.id ?? request.id,
-      parts: this.#sharedParts,
+      parts: this.#quarantineKeys,
     };
     if (outcome.kind === 'broken' && outcome.isConnectionLost) {
       const hasResponded = this.#respondingSince !== undefined;
       quarantine.recordInterrupted({ ...prompt, hasResponded });
     }
-    const isServed =
-      outcome.kind === 'relayed' ||
-      (outcome.kind === 'answered' && outcome.response.head.status < FIRST_CLIENT_ERROR);
-    if (isServed) quarantine.recordEnded(prompt);
+    if (outcome.kind === 'relayed') quarantine.recordEnded(prompt);
+    if (outcome.kind === 'answered') {
+      // A failure proves nothing of the prompt, but the request has not ended its runner.
+      const isServed = outcome.response.head.status < FIRST_CLIENT_ERROR;
+      const parts = isServed ? prompt.parts : prompt.parts.filter(isRepeatKey);
+      quarantine.recordEnded({ ...prompt, parts });
+    }
     if (outcome.kind === 'unsent') quarantine.recordUnreachable(prompt.runner);
   }
 
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -1,9 +1,10 @@
+import { isRepeatKey } from '@ragwortrudder/admission';
 import { selectService, ApiKeyIndex, RouteTable } from '@ragwortrudder/catalog';
 import type { Configuration, Route, Service, Team } from '@ragwortrudder/catalog';
 import { Refusal } from '../errors/refusal.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
-import { sharedPartsOf } from '../utils/shared-parts-of.ts';
+import { quarantineKeysOf } from '../utils/quarantine-keys-of.ts';
 import { costOf } from '../utils/cost-of.ts';
 import { toleratedLimit } from '../utils/tolerated-limit.ts';
 import type { CallerChannel } from './caller-channel.ts';
@@ -102,7 +103,7 @@
     }
     const team = this.#teamOf(request, route, activeConfiguration);
     const service = this.#serviceOf(route, activeConfiguration);
-    this.#checkPrompt(request, route);
+    this.#checkQuarantine(request, route, team);
     const cost = this.#takeQuota(request, team);
     this.#options.onAdmitted(service, request);
     const forwarded = new ForwardedRequest({
@@ -148,10 +149,10 @@
     return service;
   }
 
-  #checkPrompt(request: CallerRequest, route: Route): void {
-    const held = this.#options.quarantine.find(sharedPartsOf(request));
+  #checkQuarantine(request: CallerRequest, route: Route, team: Team | undefined): void {
+    const held = this.#options.quarantine.find(quarantineKeysOf(request, team?.name));
     if (!held) return;
-    throw new Refusal('prompt-quarantined', {
+    throw new Refusal(isRepeatKey(held.part) ? 'request-quarantined' : 'prompt-quarantined', {
       status: HTTP_UNAVAILABLE,
       retryAfterMs: held.remainingMs,
       inputs: { route: route.name, part: held.part, quarantinedMs: Math.round(held.ageMs) },
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -136,7 +136,7 @@
     });
     this.#quarantine = new PromptQuarantine({
       clock,
-      isTrialNode: (part) => this.#isTrialNode(part),
+      trialRank: (part) => this.#trialRank(part),
     });
     this.#rollouts = new Rollouts({ clock, random, log: this.#decisions });
     this.#peerState = new PeerStateSync({
@@ -406,14 +406,14 @@
     }
   }
 
-  /** One node tries a part again, provided that it reaches most of the others. */
-  #isTrialNode(part: string): boolean {
+  /** Rank of this node for trying a part again, provided that it reaches most of the others. */
+  #trialRank(part: string): number | undefined {
     const { id } = this.#options.settings.node;
     const upMs = this.#options.clock.monotonic() - this.#startedAt;
-    if (this.#isStopping || upMs < TRIAL_NODE_MIN_UPTIME_MS) return false;
-    if (2 * this.#peers.reachableCount <= this.#peers.knownCount) return false;
+    if (this.#isStopping || upMs < TRIAL_NODE_MIN_UPTIME_MS) return undefined;
+    if (2 * this.#peers.reachableCount <= this.#peers.knownCount) return undefined;
     const nodes = [id, ...this.#peers.reachableIds()];
-    return rendezvousOrder(part, nodes, (node) => node)[0] === id;
+    return rendezvousOrder(part, nodes, (node) => node).indexOf(id);
   }
 
   /**
--- a/packages/gateway/src/types/refusal-cause.ts
+++ b/packages/gateway/src/types/refusal-cause.ts
@@ -5,6 +5,7 @@
   | 'key-unknown'
   | 'quota-exceeded'
   | 'prompt-quarantined'
+  | 'request-quarantined'
   | 'no-runner'
   | 'runner-full'
   | 'runner-unreachable'
--- a/test/admission/prompt-quarantine.test.ts
+++ b/test/admission/prompt-quarantine.test.ts
@@ -142,7 +142,10 @@
 
 /** A node that has quarantined `bad`. */
 function quarantinedNode(clock: ManualClock, isTrialNode = true): PromptQuarantine {
-  const quarantine = new PromptQuarantine({ clock, isTrialNode: () => isTrialNode });
+  const quarantine = new PromptQuarantine({
+    clock,
+    trialRank: () => (isTrialNode ? 0 : undefined),
+  });
   for (let index = 0; index < 4; index += 1) {
     for (let served = 0; served < 10; served += 1) quarantine.recordServed(['common']);
     clock.advance(600);
@@ -180,7 +183,7 @@
 test('a served request ends the quarantine on the nodes that hear of it, and stale evidence does not renew it', (t) => {
   const clock = new ManualClock();
   const node = quarantinedNode(clock);
-  const peer = new PromptQuarantine({ clock, isTrialNode: () => false });
+  const peer = new PromptQuarantine({ clock, trialRank: () => undefined });
   const stale = node.evidence;
   peer.setPeerEvidence({ node: 'n1', incarnation: '1' }, stale);
   t.like(peer.find(['bad']), { part: 'bad' });
@@ -197,7 +200,7 @@
 
 test('a response that ends just before its runner crashes counts as interrupted', (t) => {
   const clock = new ManualClock();
-  const quarantine = new PromptQuarantine({ clock, isTrialNode: () => true });
+  const quarantine = new PromptQuarantine({ clock, trialRank: () => 0 });
   quarantine.recordEnded({ runner: 'i1', request: 'q1', parts: ['earlier'] });
   clock.advance(500);
   quarantine.recordEnded({ runner: 'i1', request: 'q2', parts: ['last'] });
--- a/test/admission/simulate-crashing-prompts.ts
+++ b/test/admission/simulate-crashing-prompts.ts
@@ -1,4 +1,4 @@
-import { ageEvidence, PromptQuarantine } from '@ragwortrudder/admission';
+import { ageEvidence, isRepeatKey, PromptQuarantine, repeatKey } from '@ragwortrudder/admission';
 import { ManualClock, SeededRandom } from '@ragwortrudder/core';
 
 interface SimulationOptions {
@@ -12,7 +12,11 @@
   readonly reportPeriodMs?: number;
   /** Sound requests per second. @default 45 */
   readonly soundPerS?: number;
-  /** Requests per second with a crashing part, each with its own. */
+  /** @default 6 */
+  readonly runners?: number;
+  /** Share of the sound requests that have no prompt and may come again. @default 0 */
+  readonly plainShare?: number;
+  /** Requests per second with a crashing part, each with its own, or of a crashing request. */
   readonly crashing: readonly CrashingLoad[];
   /** Ends runners whatever they do: time and number of runners. */
   readonly rackLosses?: readonly (readonly [number, number])[];
@@ -53,7 +57,6 @@
 }
 
 const STEP_MS = 10;
-const RUNNERS = 6;
 const RESTART_MS = 4_000;
 const LOSS = 0.02;
 const EXCHANGE_PERIOD_MS = 1_000;
@@ -64,10 +67,16 @@
   { first: 'f2', share: 0.3, groups: 400, prefillMs: 200, lastsMs: 1_600 },
 ] as const;
 
+/** Sound requests without a prompt: different ones, and length of the response. */
+const PLAIN = { first: 'plain', things: 200, prefillMs: 40, lastsMs: 40 } as const;
+/** Time after which a caller repeats a request that failed, in milliseconds. */
+const REPEAT_MS = 100;
+
 /** Plays nodes that exchange evidence while requests with some prompt parts crash runners. */
 export function simulateCrashingPrompts(options: SimulationOptions): SimulationResult {
   const { seed, lengthMs, nodes: count = 9, domainNodes = count, crashing } = options;
   const { reportPeriodMs = 200, soundPerS = 45, rackLosses = [], restartsAt = [] } = options;
+  const { runners: runnerCount = 6, plainShare = 0 } = options;
   const isolated = options.isolated ?? new Set<number>();
   const random = new SeededRandom(seed);
   const clock = new ManualClock();
@@ -76,7 +85,7 @@
   let life = 0;
   let isStoreNeeded = new Set<number>();
   const start = (node: number): PromptQuarantine => {
-    const quarantine = new PromptQuarantine({ clock, isTrialNode: () => node === 0 });
+    const quarantine = new PromptQuarantine({ clock, trialRank: () => node });
     for (const [key, { at, text }] of log) adopt(quarantine, key, at, text);
     return quarantine;
   };
@@ -89,8 +98,8 @@
     );
   };
   let quarantines = Array.from({ length: count }, (_item, node) => start(node));
-  const upAt = Array.from({ length: RUNNERS }, () => 0);
-  const boots = Array.from({ length: RUNNERS }, () => 0);
+  const upAt = Array.from({ length: runnerCount }, () => 0);
+  const boots = Array.from({ length: runnerCount }, () => 0);
   let attempts: Attempt[] = [];
   const proved = new WeakSet<Attempt>();
   const arrivals = new Map<string, number[]>();
@@ -110,7 +119,7 @@
       if (crashingParts.has(part)) arrivals.set(part, [...(arrivals.get(part) ?? []), now()]);
     }
     const load = crashing.find(({ part, untilMs }) => parts.includes(part) && now() < untilMs);
-    const family = FAMILIES.find(({ first }) => parts[0] === first) ?? FAMILIES[0];
+    const family = FAMILIES.find(({ first }) => parts[0] === first) ?? PLAIN;
     const beginsAt = now() + family.prefillMs * (0.5 + random.next());
     attempts.push({
       node,
@@ -123,6 +132,7 @@
       crashesAt: load ? beginsAt + 30 + 100 * random.next() : Infinity,
     });
   };
+  let repeats: { readonly at: number; readonly parts: readonly string[] }[] = [];
   const arrive = (parts: readonly string[]): void => {
     requests += 1;
     const node = Math.floor(random.next() * count);
@@ -148,6 +158,7 @@
       if (!proved.has(attempt))
         quarantine?.recordInterrupted({ runner: incarnation, request, parts, hasResponded });
       if (sends < 2 && !quarantine?.isHeld(parts)) send(node, request, parts, sends + 1);
+      else if (parts.every(isRepeatKey)) repeats.push({ at: now() + REPEAT_MS, parts });
     }
   };
 
@@ -158,13 +169,20 @@
         for (let runner = 0; runner < runners; runner += 1) crash(runner);
       }
     }
-    if (random.next() < (soundPerS * STEP_MS) / MS_PER_S) {
+    const due = repeats.filter(({ at }) => at <= now());
+    repeats = repeats.filter(({ at }) => at > now());
+    for (const { parts } of due) arrive(parts);
+    const isSound = random.next() < (soundPerS * STEP_MS) / MS_PER_S;
+    if (isSound && random.next() < plainShare) {
+      arrive([repeatKey(`thing${Math.floor(random.next() * PLAIN.things)}`)]);
+    } else if (isSound) {
       const family = random.next() < FAMILIES[0].share ? FAMILIES[0] : FAMILIES[1];
       arrive([family.first, `${family.first}g${Math.floor(random.next() * family.groups)}`]);
     }
     for (const { part, perS, fromMs, untilMs } of crashing) {
       const isOn = now() >= fromMs && now() < Math.max(untilMs, lengthMs);
-      if (isOn && random.next() < (perS * STEP_MS) / MS_PER_S) arrive(['f1', part]);
+      if (isOn && random.next() < (perS * STEP_MS) / MS_PER_S)
+        arrive(isRepeatKey(part) ? [part] : ['f1', part]);
     }
     const crashed = attempts.find(({ crashesAt }) => crashesAt <= now());
     if (crashed) {
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -32,7 +32,7 @@
     directory,
     log: { notable: () => undefined },
     limits: new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes }),
-    quarantine: new PromptQuarantine({ clock, isTrialNode: () => true }),
+    quarantine: new PromptQuarantine({ clock, trialRank: () => 0 }),
     rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
     disciplinedClock: new DisciplinedClock(clock),
     dutyToken: () => 0,
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -50,7 +50,7 @@
     directory: new RunnerDirectory({ clock }),
     log: { notable: () => undefined },
     limits: new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes }),
-    quarantine: new PromptQuarantine({ clock, isTrialNode: () => true }),
+    quarantine: new PromptQuarantine({ clock, trialRank: () => 0 }),
     rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
     disciplinedClock: new DisciplinedClock(clock),
     dutyToken: () => 0,
