Pass a newer configuration on to a node that the store turns away

A node in touch that the store turned away served by its older configuration for as long as that lasted, though its peers had the newer one: feeds carry no configuration, they only make a node read by itself. A revoked key was served, an added one was not.

Reports name the version that a node follows.

--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -40,6 +40,12 @@
   readonly onAvailable: () => void;
 }
 
+/** Where a configuration was read: at an offset of the log, or from a peer. */
+interface ConfigurationSource {
+  readonly offset?: number;
+  readonly peer?: string;
+}
+
 /** Number of changes that fit into one datagram. */
 const MAX_FEED_CHANGES = 40;
 /**
@@ -55,6 +61,7 @@
   readonly #options: CatalogFollowerOptions;
   readonly #followers: readonly KeyedFollower[];
   #version = 0;
+  #record: Uint8Array | undefined;
   #hasRunners = false;
 
   constructor(options: CatalogFollowerOptions) {
@@ -90,6 +97,21 @@
     ];
   }
 
+  /** Version of the active configuration; 0 without one. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Record of the active configuration. */
+  get record(): Uint8Array | undefined {
+    return this.#record;
+  }
+
+  /** Applies the record of a configuration that a peer has read. */
+  applyPeerConfiguration(value: Uint8Array, peer: string): void {
+    this.#applyConfiguration(value, { peer });
+  }
+
   /** At least one runner has been read. */
   get hasRunners(): boolean {
     return this.#hasRunners;
@@ -166,33 +188,32 @@
 
   #applyOperatorRecords(records: readonly KeyedRecord[], isRestored: boolean): void {
     const { codec, onRollout } = this.#options;
-    this.#applyConfiguration(records);
-    for (const { key, value } of records) {
+    for (const { key, value, offset } of records) {
+      if (key === codec.configurationKey && value) this.#applyConfiguration(value, { offset });
       const order = value && codec.decodeRollout(key, value);
       if (order) onRollout(order, isRestored);
     }
   }
 
-  #applyConfiguration(records: readonly KeyedRecord[]): void {
+  #applyConfiguration(value: Uint8Array, source: ConfigurationSource): void {
     const { codec, decisions, onConfiguration } = this.#options;
-    for (const { key, value, offset } of records) {
-      if (key !== codec.configurationKey || !value) continue;
-      const configuration = codec.decodeConfiguration(value);
-      if (!configuration) {
-        decisions.notable('configuration-unreadable', { offset });
-        continue;
-      }
-      if (configuration.version <= this.#version) continue;
-      const before = this.#version;
-      this.#version = configuration.version;
-      onConfiguration(configuration);
-      decisions.notable('configuration-applied', {
-        version: configuration.version,
-        before,
-        routes: configuration.routes.length,
-        teams: configuration.teams.length,
-      });
+    const configuration = codec.decodeConfiguration(value);
+    if (!configuration) {
+      decisions.notable('configuration-unreadable', { ...source });
+      return;
     }
+    if (configuration.version <= this.#version) return;
+    const before = this.#version;
+    this.#version = configuration.version;
+    this.#record = value;
+    onConfiguration(configuration);
+    decisions.notable('configuration-applied', {
+      version: configuration.version,
+      before,
+      routes: configuration.routes.length,
+      teams: configuration.teams.length,
+      ...source,
+    });
   }
 
   #replaceRunners(records: readonly KeyedRecord[], isRestored: boolean): void {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -24,6 +24,7 @@
 import type { CallerChannel } from './caller-channel.ts';
 import { CallerServer } from './caller-server.ts';
 import { CatalogFollower } from './catalog-follower.ts';
+import { ConfigurationSync } from './configuration-sync.ts';
 import { DecisionLog } from './decision-log.ts';
 import { DutyTermStore } from './duty-term-store.ts';
 import { DutyHolder } from './duty-holder.ts';
@@ -104,6 +105,7 @@
   readonly #peers: Peers;
   readonly #dutyHolder: DutyHolder | undefined;
   readonly #catalog: CatalogFollower;
+  readonly #configurationSync: ConfigurationSync;
   readonly #tasks: readonly PeriodicTask[];
   readonly #incarnation: number;
   readonly #startedAt: number;
@@ -152,6 +154,10 @@
       limits: this.#limits,
       directory: this.#directory,
       log: this.#decisions,
+      configurationVersion: () => this.#catalog.version,
+      onPeerConfiguration: (version, peer) => {
+        this.#configurationSync.recordPeerVersion(version, peer);
+      },
       quarantine: this.#quarantine,
       rollouts: this.#rollouts,
       disciplinedClock,
@@ -175,6 +181,10 @@
       onPromptAnnouncement: ({ node: peer, runner, tokens }) => {
         this.#loadTracker.addAnnouncedPrompt(peer, runner, tokens);
       },
+      onConfigurationRequest: (request) => void this.#configurationSync.answer(request),
+      onConfigurationPart: (part) => {
+        this.#configurationSync.receive(part);
+      },
       onFeed: (feed) => {
         this.#catalog.applyFeed(feed);
       },
@@ -266,6 +276,14 @@
         this.#rollouts.applyOrder(order, isRestored);
       },
     });
+    this.#configurationSync = new ConfigurationSync({
+      node: node.id,
+      address: { host: node.host, port: listen.peerPort },
+      clock,
+      catalog: this.#catalog,
+      peers: this.#peers,
+      log: this.#decisions,
+    });
     this.#tasks = [
       new PeriodicTask({
         periodMs: MAINTENANCE_PERIOD_MS,
@@ -278,6 +296,7 @@
           this.#pool.prune();
           this.#forwarder.checkSilence();
           this.#quarantineSync.update();
+          this.#configurationSync.update();
         },
         onFailure: this.#logFailure('upkeep'),
       }),
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -26,6 +26,10 @@
   readonly limits: Pick<StatedLimits, 'own' | 'ofDomain' | 'setPeerLimits' | 'setDomainLimits'>;
   readonly directory: Pick<RunnerDirectory, 'leaving' | 'markLeaving'>;
   readonly log: Pick<DecisionLog, 'notable'>;
+  /** Version of the active configuration. */
+  readonly configurationVersion: () => number;
+  /** Receives the version that a peer follows. */
+  readonly onPeerConfiguration: (version: number, peer: Address) => void;
   readonly quarantine: Pick<PromptQuarantine, 'evidence' | 'evidenceOver' | 'setPeerEvidence'>;
   readonly rollouts: Pick<Rollouts, 'evidence' | 'setPeerEvidence'>;
   readonly disciplinedClock: DisciplinedClock;
@@ -84,6 +88,7 @@
       port: address.port,
       failureDomain,
       life,
+      configuration: this.#options.configurationVersion(),
       sequence: this.#sequence,
       now: Math.round(now),
       work: encodeWork(loadTracker.own),
@@ -111,6 +116,7 @@
       relay: node,
       failureDomain,
       life,
+      configuration: this.#options.configurationVersion(),
       sequence: this.#sequence,
       members,
       work: encodeWork(loadTracker.totalOver(new Set(Object.keys(members)))),
@@ -133,6 +139,8 @@
     this.#options.rollouts.setPeerEvidence(incarnation, report.outcomes);
     this.#options.limits.setPeerLimits(report.limits ?? []);
     this.#applyLeaving(report.leaving ?? [], report.node);
+    const { host, port } = report;
+    this.#options.onPeerConfiguration(report.configuration ?? 0, { host, port });
     this.#options.quarantine.setPeerEvidence(
       { node: report.node, incarnation: String(report.life) },
       report.prompts,
@@ -153,6 +161,10 @@
     loadTracker.setPeerWork(`domain ${failureDomain}`, decodeWork(digest));
     this.#options.limits.setDomainLimits(digest.limits ?? []);
     this.#applyLeaving(digest.leaving ?? [], digest.relay);
+    const [host, port] = digest.members[relay] ?? [];
+    if (host !== undefined && port !== undefined) {
+      this.#options.onPeerConfiguration(digest.configuration ?? 0, { host, port });
+    }
     this.#options.quarantine.setPeerEvidence(
       { node: `domain ${failureDomain}`, incarnation: `${relay} ${incarnation}` },
       digest.prompts,
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -1,5 +1,7 @@
 import type { Address } from '@ragwortrudder/catalog';
 import type { Clock, Closeable } from '@ragwortrudder/core';
+import { ConfigurationPart } from '../types/configuration-part.ts';
+import { ConfigurationRequest } from '../types/configuration-request.ts';
 import { DomainDigest } from '../types/domain-digest.ts';
 import { NodeReport } from '../types/node-report.ts';
 import { PromptAnnouncement } from '../types/prompt-announcement.ts';
@@ -27,6 +29,10 @@
   readonly onDigest: (digest: DomainDigest) => void;
   /** Receives an announcement that a peer has sent a long prompt. */
   readonly onPromptAnnouncement: (announcement: PromptAnnouncement) => void;
+  /** Receives a request for this node's configuration. */
+  readonly onConfigurationRequest: (request: ConfigurationRequest) => void;
+  /** Receives a part of a peer's configuration. */
+  readonly onConfigurationPart: (part: ConfigurationPart) => void;
   /** Receives the result of a topic read of a peer in the same failure domain. */
   readonly onFeed: (feed: TopicFeed) => void;
 }
@@ -50,6 +56,8 @@
 const DIGEST_METHOD = 'digest';
 const FEED_METHOD = 'feed';
 const PROMPT_METHOD = 'prompt';
+const CONFIGURATION_REQUEST_METHOD = 'configuration-request';
+const CONFIGURATION_METHOD = 'configuration';
 /** Nodes of each failure domain that read topics on its behalf and send its digests to the other domains. */
 const RELAYS_PER_DOMAIN = 2;
 /** Interval between two reports in a small deployment, in milliseconds. */
@@ -151,6 +159,16 @@
     await this.#socket.send(FEED_METHOD, feed, addressesOf(this.#reachableInDomain()));
   }
 
+  /** Asks a peer for its configuration. */
+  async requestConfiguration(request: ConfigurationRequest, peer: Address): Promise<void> {
+    await this.#socket.send(CONFIGURATION_REQUEST_METHOD, request, [peer]);
+  }
+
+  /** Sends a part of this node's configuration to a peer. */
+  async sendConfiguration(part: ConfigurationPart, peer: Address): Promise<void> {
+    await this.#socket.send(CONFIGURATION_METHOD, part, [peer]);
+  }
+
   /** Announces a long prompt that this node has sent, ahead of the next report. */
   async announcePrompt(runner: string, tokens: number): Promise<void> {
     const now = this.#options.clock.monotonic();
@@ -313,6 +331,16 @@
       if (announcement) this.#options.onPromptAnnouncement(announcement);
       return;
     }
+    if (method === CONFIGURATION_REQUEST_METHOD) {
+      const request = ConfigurationRequest.safeParse(params).data;
+      if (request) this.#options.onConfigurationRequest(request);
+      return;
+    }
+    if (method === CONFIGURATION_METHOD) {
+      const part = ConfigurationPart.safeParse(params).data;
+      if (part) this.#options.onConfigurationPart(part);
+      return;
+    }
     const feed = method === FEED_METHOD ? TopicFeed.safeParse(params).data : undefined;
     if (feed) this.#options.onFeed(feed);
     else this.#options.log.routine('peer-message-unreadable', { method });
--- /dev/null
+++ b/packages/gateway/src/types/configuration-part.ts
@@ -0,0 +1,15 @@
+import * as z from 'zod';
+
+/** One datagram of a configuration record, compressed. */
+export const ConfigurationPart = z
+  .object({
+    node: z.string(),
+    version: z.number(),
+    part: z.number().int().nonnegative(),
+    parts: z.number().int().positive().max(1_024),
+    /** Base64. */
+    text: z.string(),
+  })
+  .readonly();
+/** One datagram of a configuration record, compressed. */
+export type ConfigurationPart = z.infer<typeof ConfigurationPart>;
--- a/packages/gateway/src/types/domain-digest.ts
+++ b/packages/gateway/src/types/domain-digest.ts
@@ -24,6 +24,8 @@
   taken: z.record(z.string(), z.number()),
   /** Limits that runners stated in responses to the members. */
   limits: z.array(StatedLimit).readonly().optional(),
+  /** Version of the configuration that the relay follows. */
+  configuration: z.number().optional(),
   /** Runners that are leaving, as the members know. */
   leaving: z.array(LeavingRunner).readonly().optional(),
   /** What the members know about prompt parts that may crash runners. */
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -29,6 +29,8 @@
   outcomes: Evidence.optional(),
   /** Limits that runners stated in responses to the node. */
   limits: z.array(StatedLimit).readonly().optional(),
+  /** Version of the configuration that the node follows. */
+  configuration: z.number().optional(),
   /** Runners that are leaving, by id and start of the boot. */
   leaving: z.array(LeavingRunner).readonly().optional(),
   /** What the node knows about prompt parts that may crash runners. */
--- /dev/null
+++ b/test/gateway/configuration-parts.test.ts
@@ -0,0 +1,36 @@
+import { randomBytes } from 'node:crypto';
+import test from 'ava';
+import { ConfigurationAssembler } from '../../packages/gateway/src/utils/configuration-assembler.ts';
+import { splitConfiguration } from '../../packages/gateway/src/utils/split-configuration.ts';
+
+const DATAGRAM_BYTES = 65_000;
+
+test('a configuration of many parts is joined in any order, with parts that come twice', (t) => {
+  const value = randomBytes(100_000);
+  const parts = splitConfiguration({ node: 'n1', version: 3, value });
+  t.true(parts.length > 2);
+  for (const part of parts) t.true(JSON.stringify(part).length < DATAGRAM_BYTES);
+  const assembler = new ConfigurationAssembler();
+  const [first, ...others] = parts.toReversed();
+  if (!first) throw new Error('no part');
+  t.is(assembler.add(first), undefined);
+  const results = [first, ...others].map((part) => assembler.add(part));
+  t.deepEqual(results.at(-1), value);
+});
+
+test('parts of an older version are dropped, and a newer version replaces unfinished ones', (t) => {
+  const assembler = new ConfigurationAssembler();
+  const older = splitConfiguration({ node: 'n1', version: 3, value: randomBytes(50_000) });
+  const value = Buffer.from('newer');
+  const [newer] = splitConfiguration({ node: 'n2', version: 4, value });
+  if (!older[0] || !newer) throw new Error('no part');
+  t.is(assembler.add(older[0]), undefined);
+  t.deepEqual(assembler.add(newer), value);
+  t.true(older.every((part) => assembler.add(part) === undefined));
+});
+
+test('a part that cannot be decompressed is an error', (t) => {
+  const assembler = new ConfigurationAssembler();
+  const part = { node: 'n1', version: 1, part: 0, parts: 1, text: 'bm90IGRlZmxhdGVk' };
+  t.throws(() => assembler.add(part));
+});
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -31,6 +31,8 @@
     demand: new DemandMeter(clock),
     directory,
     log: { notable: () => undefined },
+    configurationVersion: () => 0,
+    onPeerConfiguration: () => undefined,
     limits: new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes }),
     quarantine: new PromptQuarantine({ clock, trialRank: () => 0 }),
     rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -49,6 +49,8 @@
     demand: new DemandMeter(clock),
     directory: new RunnerDirectory({ clock }),
     log: { notable: () => undefined },
+    configurationVersion: () => 0,
+    onPeerConfiguration: () => undefined,
     limits: new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes }),
     quarantine: new PromptQuarantine({ clock, trialRank: () => 0 }),
     rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
@@ -73,6 +75,8 @@
     onPromptAnnouncement: ({ node, runner, tokens }) => {
       loadTracker.addAnnouncedPrompt(node, runner, tokens);
     },
+    onConfigurationRequest: () => undefined,
+    onConfigurationPart: () => undefined,
     onFeed: () => undefined,
   });
   t.teardown(() => peers.close());
