Count a complete response as proof of a whole request at once

A whole request that crashes the runners that run it never gets a complete response, so one whose end its framing marks proves the request. Responses without framing wait as before.

--- a/packages/admission/src/utils/prompt-quarantine.ts
+++ b/packages/admission/src/utils/prompt-quarantine.ts
@@ -11,6 +11,11 @@
 
 type PromptRequest = Omit<InterruptedRequest, 'at'>;
 
+interface EndedRequest extends Omit<PromptRequest, 'hasResponded'> {
+  /** The end of the response was marked by its length or by chunks, not by its connection. */
+  readonly isFramed: boolean;
+}
+
 interface PromptQuarantineOptions {
   readonly clock: Clock;
   /**
@@ -140,13 +145,17 @@
   }
 
   /**
-   * Records a complete response. It proves its parts only if its runner lives on: a crash may come
-   * right after it, or look like the end of a response without framing.
+   * Records a complete response. It proves its prompt parts only if its runner lives on: a crash may
+   * come right after it, or look like the end of a response without framing. A whole request is proved
+   * by the end of the framing.
    */
-  recordEnded(request: Omit<PromptRequest, 'hasResponded'>): void {
-    if (request.parts.length === 0) return;
+  recordEnded({ isFramed, ...request }: EndedRequest): void {
     const at = this.#options.clock.monotonic();
-    this.#ended = [...this.#ended, { ...request, hasResponded: true, at }];
+    const proved = isFramed ? request.parts.filter(isRepeatKey) : [];
+    if (proved.length > 0) this.#addServed(proved, at);
+    const parts = request.parts.filter((part) => !proved.includes(part));
+    if (parts.length === 0) return;
+    this.#ended = [...this.#ended, { ...request, parts, hasResponded: true, at }];
   }
 
   /** Records that a runner no longer accepts connections. */
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -426,12 +426,13 @@
       const hasResponded = this.#respondingSince !== undefined;
       quarantine.recordInterrupted({ ...prompt, hasResponded });
     }
-    if (outcome.kind === 'relayed') quarantine.recordEnded(prompt);
-    if (outcome.kind === 'answered') {
+    if (outcome.kind === 'relayed' || outcome.kind === 'answered') {
       // A failure proves nothing of the prompt, but the request has not ended its runner.
-      const isServed = outcome.response.head.status < FIRST_CLIENT_ERROR;
-      const parts = isServed ? prompt.parts : prompt.parts.filter(isRepeatKey);
-      quarantine.recordEnded({ ...prompt, parts });
+      const isFailure =
+        outcome.kind === 'answered' && outcome.response.head.status >= FIRST_CLIENT_ERROR;
+      const parts = isFailure ? prompt.parts.filter(isRepeatKey) : prompt.parts;
+      const isFramed = outcome.transfer.framing !== 'connection';
+      quarantine.recordEnded({ ...prompt, parts, isFramed });
     }
     if (outcome.kind === 'unsent') quarantine.recordUnreachable(prompt.runner);
   }
--- a/test/admission/prompt-quarantine.test.ts
+++ b/test/admission/prompt-quarantine.test.ts
@@ -201,9 +201,9 @@
 test('a response that ends just before its runner crashes counts as interrupted', (t) => {
   const clock = new ManualClock();
   const quarantine = new PromptQuarantine({ clock, trialRank: () => 0 });
-  quarantine.recordEnded({ runner: 'i1', request: 'q1', parts: ['earlier'] });
+  quarantine.recordEnded({ runner: 'i1', request: 'q1', parts: ['earlier'], isFramed: true });
   clock.advance(500);
-  quarantine.recordEnded({ runner: 'i1', request: 'q2', parts: ['last'] });
+  quarantine.recordEnded({ runner: 'i1', request: 'q2', parts: ['last'], isFramed: true });
   clock.advance(100);
   quarantine.recordInterrupted({
     runner: 'i1',
@@ -211,9 +211,14 @@
     parts: ['other'],
     hasResponded: false,
   });
-  quarantine.recordEnded({ runner: 'i2', request: 'q4', parts: ['alone'] });
+  quarantine.recordEnded({ runner: 'i2', request: 'q4', parts: ['alone'], isFramed: true });
   quarantine.recordUnreachable('i2');
-  quarantine.recordEnded({ runner: 'i3', request: 'q5', parts: ['other', 'sound'] });
+  quarantine.recordEnded({
+    runner: 'i3',
+    request: 'q5',
+    parts: ['other', 'sound'],
+    isFramed: true,
+  });
   clock.advance(1_000);
   quarantine.update();
   const parts = quarantine.evidence?.interrupted.flatMap((item) => item.parts);
--- a/test/admission/request-quarantine.test.ts
+++ b/test/admission/request-quarantine.test.ts
@@ -100,9 +100,42 @@
   t.like(node.find(parts), { part: DEADLY });
   clock.advance(8_500);
   t.is(node.find(parts), undefined);
-  node.recordEnded({ runner: 'i4', request: 'q', parts });
+  node.recordEnded({ runner: 'i4', request: 'q', parts, isFramed: true });
   clock.advance(600);
   node.update();
   t.is(node.find(parts), undefined);
   t.false(node.isHeld(parts));
 });
+
+// Guards against blaming a sound request that is asked for all the time and runs beside a deadly one.
+test('a request that is served between the crashes is not blamed for them', (t) => {
+  const clock = new ManualClock();
+  const node = new PromptQuarantine({ clock, trialRank: () => 0 });
+  const sound = [repeatKey('asked for often')];
+  for (const runner of ['i1', 'i2', 'i3', 'i4']) {
+    for (const parts of [sound, [DEADLY]]) {
+      node.recordInterrupted({ runner, request: 'q', parts, hasResponded: false });
+    }
+    clock.advance(60);
+    node.recordEnded({ runner: 'i5', request: 'q', parts: sound, isFramed: true });
+    clock.advance(60);
+  }
+  node.recordInterrupted({ runner: 'i5', request: 'q', parts: sound, hasResponded: false });
+  clock.advance(400);
+  node.update();
+  t.is(node.find(sound), undefined);
+  t.like(node.find([DEADLY]), { part: DEADLY });
+});
+
+test('a response without framing proves a request only if its runner lives on', (t) => {
+  const clock = new ManualClock();
+  const node = new PromptQuarantine({ clock, trialRank: () => 0 });
+  for (const runner of ['i1', 'i2', 'i3']) {
+    node.recordEnded({ runner, request: 'q', parts: [DEADLY], isFramed: false });
+    node.recordUnreachable(runner);
+    clock.advance(200);
+  }
+  clock.advance(400);
+  node.update();
+  t.like(node.find([DEADLY]), { part: DEADLY });
+});
--- a/test/admission/simulate-crashing-prompts.ts
+++ b/test/admission/simulate-crashing-prompts.ts
@@ -196,7 +196,7 @@
       const quarantine = quarantines[node];
       const incarnation = `i${runner} ${boots[runner] ?? 0}`;
       if (endsAt <= now() && !proved.has(attempt)) {
-        quarantine?.recordEnded({ runner: incarnation, request, parts });
+        quarantine?.recordEnded({ runner: incarnation, request, parts, isFramed: true });
       } else if (now() - beginsAt >= PromptQuarantine.proofMs && !proved.has(attempt)) {
         quarantine?.recordServed(parts);
         proved.add(attempt);
