Take no evidence from requests that were sent to a runner after it had ended

An interruption now counts only if the request was sent before the first one that any node knows of that boot, or the runner has shown life since.

--- a/packages/admission/src/utils/prompt-quarantine.ts
+++ b/packages/admission/src/utils/prompt-quarantine.ts
@@ -11,6 +11,13 @@
 
 type PromptRequest = Omit<InterruptedRequest, 'at'>;
 
+interface InterruptedAttempt extends PromptRequest {
+  /** When the request was sent to the runner; monotonic, in milliseconds. */
+  readonly sentAt: number;
+  /** When bytes last arrived from the runner. */
+  readonly aliveAt: number;
+}
+
 interface EndedRequest extends Omit<PromptRequest, 'hasResponded'> {
   /** The end of the response was marked by its length or by chunks, not by its connection. */
   readonly isFramed: boolean;
@@ -131,9 +138,16 @@
     });
   }
 
-  /** Records that a runner closed the connection before a response had lasted for `PROOF_MS`. */
-  recordInterrupted(request: PromptRequest): void {
+  /**
+   * Records that a runner closed the connection before a response had lasted for `PROOF_MS`. A request
+   * that was sent after its runner had ended tells nothing.
+   */
+  recordInterrupted({ sentAt, aliveAt, ...request }: InterruptedAttempt): void {
     if (request.parts.length === 0) return;
+    const hadEnded = this.#allInterrupted().some(({ runner, at }) => {
+      return runner === request.runner && at < sentAt && at > aliveAt;
+    });
+    if (hadEnded) return;
     const at = this.#options.clock.monotonic();
     const parts = request.parts.slice(0, EVIDENCE_LIMITS.parts);
     this.#addInterrupted({ ...request, parts, at });
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -360,7 +360,7 @@
       kvTokens: -remainingWork.kvTokens,
     });
     this.#recordOutcome(outcome, chosen, clock.monotonic() - sentAt);
-    this.#recordPromptOutcome(outcome, entry);
+    this.#recordPromptOutcome(outcome, entry, sentAt);
     this.#countTransfer(outcome);
     return outcome;
   }
@@ -414,9 +414,9 @@
   }
 
   /** Records whether the runner may have crashed under the prompt. */
-  #recordPromptOutcome(outcome: AttemptOutcome, entry: RunnerEntry): void {
+  #recordPromptOutcome(outcome: AttemptOutcome, entry: RunnerEntry, sentAt: number): void {
     if (this.#isProved) return;
-    const { quarantine, request } = this.#options;
+    const { quarantine, request, pool } = this.#options;
     const prompt = {
       runner: incarnationOf(entry),
       request: request.promptParts.at(-1)?.id ?? request.id,
@@ -424,7 +424,8 @@
     };
     if (outcome.kind === 'broken' && outcome.isConnectionLost) {
       const hasResponded = this.#respondingSince !== undefined;
-      quarantine.recordInterrupted({ ...prompt, hasResponded });
+      const aliveAt = pool.lastProgressAt(entry);
+      quarantine.recordInterrupted({ ...prompt, hasResponded, sentAt, aliveAt });
     }
     if (outcome.kind === 'relayed' || outcome.kind === 'answered') {
       // A failure proves nothing of the prompt, but the request has not ended its runner.
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -151,9 +151,14 @@
     this.#progressAt.set(entry.id, this.#options.clock.monotonic());
   }
 
+  /** Monotonic time at which bytes last arrived from a runner, in milliseconds. */
+  lastProgressAt(entry: RunnerEntry): number {
+    return this.#progressAt.get(entry.id) ?? 0;
+  }
+
   /** Time since bytes last arrived from a runner, in milliseconds. */
   silentMs(entry: RunnerEntry): number {
-    return this.#options.clock.monotonic() - (this.#progressAt.get(entry.id) ?? 0);
+    return this.#options.clock.monotonic() - this.lastProgressAt(entry);
   }
 
   /** Records that a runner failed a request. */
--- a/test/admission/prompt-quarantine.test.ts
+++ b/test/admission/prompt-quarantine.test.ts
@@ -137,6 +137,8 @@
     request: `q${index}`,
     parts: ['common', 'bad'],
     hasResponded: true,
+    sentAt: 0,
+    aliveAt: 0,
   });
 }
 
@@ -210,6 +212,8 @@
     request: 'q3',
     parts: ['other'],
     hasResponded: false,
+    sentAt: 0,
+    aliveAt: 0,
   });
   quarantine.recordEnded({ runner: 'i2', request: 'q4', parts: ['alone'], isFramed: true });
   quarantine.recordUnreachable('i2');
--- a/test/admission/request-quarantine.test.ts
+++ b/test/admission/request-quarantine.test.ts
@@ -92,7 +92,14 @@
   const node = new PromptQuarantine({ clock, trialRank: () => 1 });
   const parts = [DEADLY];
   for (const runner of ['i1', 'i2', 'i3']) {
-    node.recordInterrupted({ runner, request: 'q', parts, hasResponded: false });
+    node.recordInterrupted({
+      runner,
+      request: 'q',
+      parts,
+      hasResponded: false,
+      sentAt: 0,
+      aliveAt: 0,
+    });
     clock.advance(200);
   }
   clock.advance(400);
@@ -114,13 +121,27 @@
   const sound = [repeatKey('asked for often')];
   for (const runner of ['i1', 'i2', 'i3', 'i4']) {
     for (const parts of [sound, [DEADLY]]) {
-      node.recordInterrupted({ runner, request: 'q', parts, hasResponded: false });
+      node.recordInterrupted({
+        runner,
+        request: 'q',
+        parts,
+        hasResponded: false,
+        sentAt: 0,
+        aliveAt: 0,
+      });
     }
     clock.advance(60);
     node.recordEnded({ runner: 'i5', request: 'q', parts: sound, isFramed: true });
     clock.advance(60);
   }
-  node.recordInterrupted({ runner: 'i5', request: 'q', parts: sound, hasResponded: false });
+  node.recordInterrupted({
+    runner: 'i5',
+    request: 'q',
+    parts: sound,
+    hasResponded: false,
+    sentAt: 0,
+    aliveAt: 0,
+  });
   clock.advance(400);
   node.update();
   t.is(node.find(sound), undefined);
@@ -139,3 +160,23 @@
   node.update();
   t.like(node.find([DEADLY]), { part: DEADLY });
 });
+
+// Guards against blaming requests that are sent on to runners that have ended already.
+test('requests that were sent to a runner after it had ended are no evidence', (t) => {
+  const clock = new ManualClock(1_000);
+  const node = new PromptQuarantine({ clock, trialRank: () => 0 });
+  const late = [repeatKey('late')];
+  for (const runner of ['i1', 'i2', 'i3']) {
+    const sentAt = clock.monotonic();
+    clock.advance(50);
+    const attempt = { runner, request: 'q', hasResponded: false, aliveAt: 0 };
+    node.recordInterrupted({ ...attempt, parts: [DEADLY], sentAt });
+    clock.advance(5);
+    node.recordInterrupted({ ...attempt, parts: late, sentAt: clock.monotonic() - 2 });
+    clock.advance(200);
+  }
+  clock.advance(400);
+  node.update();
+  t.is(node.find(late), undefined);
+  t.like(node.find([DEADLY]), { part: DEADLY });
+});
--- a/test/admission/simulate-crashing-prompts.ts
+++ b/test/admission/simulate-crashing-prompts.ts
@@ -39,6 +39,7 @@
   readonly request: string;
   readonly parts: readonly string[];
   readonly sends: number;
+  readonly sentAt: number;
   readonly beginsAt: number;
   readonly endsAt: number;
   readonly crashesAt: number;
@@ -127,6 +128,7 @@
       request,
       parts,
       sends,
+      sentAt: clock.monotonic(),
       beginsAt,
       endsAt: load ? Infinity : beginsAt + family.lastsMs * (0.5 + random.next()),
       crashesAt: load ? beginsAt + 30 + 100 * random.next() : Infinity,
@@ -152,11 +154,18 @@
     const lost = attempts.filter((attempt) => attempt.runner === runner);
     attempts = attempts.filter((attempt) => attempt.runner !== runner);
     for (const attempt of lost) {
-      const { node, request, parts, sends, beginsAt } = attempt;
+      const { node, request, parts, sends, sentAt, beginsAt } = attempt;
       const hasResponded = beginsAt <= now();
       const quarantine = quarantines[node];
       if (!proved.has(attempt))
-        quarantine?.recordInterrupted({ runner: incarnation, request, parts, hasResponded });
+        quarantine?.recordInterrupted({
+          runner: incarnation,
+          request,
+          parts,
+          hasResponded,
+          sentAt,
+          aliveAt: 0,
+        });
       if (sends < 2 && !quarantine?.isHeld(parts)) send(node, request, parts, sends + 1);
       else if (parts.every(isRepeatKey)) repeats.push({ at: now() + REPEAT_MS, parts });
     }
