Soak requests that crash runners and runners that say that they are leaving

request-crash: a caller sends one read again and again that ends each runner that runs it; from contact_ms after the third crash at most three more may run, and no sound request may be rejected for it. runner-leaves: a runner says in each response that it is leaving while its entry stays as it is, then it starts anew; a node that passed such a response on must send it nothing later than drain_ms after.

--- a/packages/soak/src/node/fault-injector.ts
+++ b/packages/soak/src/node/fault-injector.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Closeable } from '@ragwortrudder/core';
 import type { KeyedStore, Relay, RelayMode } from '@ragwortrudder/standins';
+import type { CrashCause } from '../types/crash-cause.ts';
 import type { PlannedFault } from '../types/planned-fault.ts';
 import type { RunnerMode } from '../types/runner-mode.ts';
 import type { RequestTracker } from '../utils/request-tracker.ts';
@@ -15,8 +16,8 @@
   readonly relay: Relay;
   readonly storeWriter: StoreWriter;
   readonly tracker: RequestTracker;
-  /** Starts a caller whose prompts crash runners. */
-  readonly startCrashingCaller: (part: string) => Closeable;
+  /** Starts a caller whose prompts, or whose repeated request, crash runners. */
+  readonly startCrashingCaller: (cause: CrashCause) => Closeable;
 }
 
 type StoreFault = Parameters<KeyedStore['setFault']>[0];
@@ -25,6 +26,8 @@
 /** Time for which the store is away before it comes back from a copy, in milliseconds. */
 const STORE_AWAY_MS = 300;
 const LIMIT_PER_S = 2;
+/** Time after which a runner that has left starts again, in milliseconds. */
+const RESTART_MS = 300;
 /** Time after which the platform's bounds apply, in milliseconds; such faults last longer by it. */
 const CONTACT_MS = 3_000;
 /** Pause between successive node stops in a rolling stop, in milliseconds. */
@@ -37,7 +40,7 @@
 export class FaultInjector {
   readonly #options: FaultInjectorOptions;
 
-  #crashingParts = 0;
+  #crashing = 0;
 
   constructor(options: FaultInjectorOptions) {
     this.#options = options;
@@ -94,7 +97,11 @@
       case 'runner-limit':
         return this.#limitRunner(target, forMs);
       case 'prompt-crash':
-        return this.#sendCrashingPrompts(forMs);
+        return this.#sendCrashing(forMs, (count) => ({ crashingPart: `bad${count.toString(16)}` }));
+      case 'request-crash':
+        return this.#sendCrashing(forMs, (count) => ({ crashingPath: `crash${count}` }));
+      case 'runner-leaves':
+        return this.#leave(target, forMs);
       case 'runner-errors':
         return this.#runnerFault(target, 'errors', forMs);
       case 'runner-mute':
@@ -165,9 +172,21 @@
     runner.setLimit(undefined);
   }
 
-  async #sendCrashingPrompts(forMs: number): Promise<void> {
-    this.#crashingParts += 1;
-    const caller = this.#options.startCrashingCaller(`bad${this.#crashingParts.toString(16)}`);
+  /** Lets a runner say that it is leaving, while its entry stays as it is; then it starts anew. */
+  async #leave(target: number, forMs: number): Promise<void> {
+    const { storeWriter, tracker } = this.#options;
+    const runner = storeWriter.runnerAt(target);
+    if (!runner) return;
+    runner.setLeaving(true);
+    await sleep(forMs + CONTACT_MS);
+    tracker.recordLeft(runner.id);
+    runner.setLeaving(false);
+    await storeWriter.crash(target, RESTART_MS);
+  }
+
+  async #sendCrashing(forMs: number, causeOf: (count: number) => CrashCause): Promise<void> {
+    this.#crashing += 1;
+    const caller = this.#options.startCrashingCaller(causeOf(this.#crashing));
     await sleep(forMs + CONTACT_MS);
     await caller.close();
   }
--- a/packages/soak/src/node/soak-caller.ts
+++ b/packages/soak/src/node/soak-caller.ts
@@ -1,6 +1,7 @@
 import { Agent, request as sendRequest } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Closeable, Random } from '@ragwortrudder/core';
+import type { CrashCause } from '../types/crash-cause.ts';
 import type { RequestKind } from '../types/request-kind.ts';
 import type { SentRequest } from '../types/sent-request.ts';
 import type { RequestTracker } from '../utils/request-tracker.ts';
@@ -11,15 +12,13 @@
   readonly address: string;
 }
 
-interface SoakCallerOptions {
+interface SoakCallerOptions extends CrashCause {
   readonly name: string;
   readonly nodes: readonly CallerTarget[];
   readonly team: string;
   readonly apiKey: string;
   readonly tracker: RequestTracker;
   readonly random: Random;
-  /** Sends only streams whose prompts have this part, which crashes runners. */
-  readonly crashingPart?: string;
 }
 
 const KINDS: readonly RequestKind[] = ['order', 'read', 'draft', 'ask'];
@@ -56,11 +55,11 @@
   }
 
   async #sendRequests(): Promise<void> {
-    const { random, nodes } = this.#options;
+    const { random, nodes, crashingPart, crashingPath } = this.#options;
     while (!this.#isClosing) {
       const node = nodes[Math.floor(random.next() * nodes.length)];
       const drawn = KINDS[Math.floor(random.next() * KINDS.length)];
-      const kind = this.#options.crashingPart === undefined ? drawn : 'ask';
+      const kind = crashingPath ? 'read' : crashingPart ? 'ask' : drawn;
       if (node && kind) await this.#send(node, kind);
       await sleep(random.next() * MAX_PAUSE_MS);
     }
@@ -73,7 +72,8 @@
   }
 
   #send(node: CallerTarget, kind: RequestKind): Promise<void> {
-    const { name, team, tracker, random } = this.#options;
+    const { name, team, tracker, random, crashingPart, crashingPath } = this.#options;
+    const crashes = crashingPath ?? crashingPart;
     this.#count += 1;
     const isStream = kind === 'draft' || kind === 'ask';
     const request: SentRequest = {
@@ -83,9 +83,7 @@
       team,
       body: kind === 'read' ? '' : `body of ${name}-${this.#count}`,
       events: isStream ? MIN_EVENTS + Math.floor(random.next() * EXTRA_EVENTS) : 0,
-      ...(this.#options.crashingPart === undefined
-        ? {}
-        : { crashingPart: this.#options.crashingPart }),
+      ...(crashes === undefined ? {} : { crashes }),
       at: performance.now(),
     };
     tracker.recordRequest(request);
@@ -93,7 +91,7 @@
   }
 
   #sendAndReceive(node: CallerTarget, { id, kind, body, events }: SentRequest): Promise<void> {
-    const { apiKey, tracker } = this.#options;
+    const { apiKey, tracker, crashingPath = 'x' } = this.#options;
     return new Promise((resolve) => {
       let status: number | undefined;
       let signature: string | undefined;
@@ -112,7 +110,7 @@
         port: node.address.split(':')[1],
         agent: this.#agent,
         method: kind === 'read' ? 'GET' : 'POST',
-        path: `/${kind}/x${events > 0 ? `?events=${events}` : ''}`,
+        path: `/${kind}/${crashingPath}${events > 0 ? `?events=${events}` : ''}`,
         headers: {
           Host: 'soak.example',
           'Request-Id': id,
@@ -133,6 +131,9 @@
         status = response.statusCode;
         const header = response.headers['response-signature'];
         signature = typeof header === 'string' ? header : undefined;
+        if (response.headers['server-leaving'] !== undefined && signature !== undefined) {
+          tracker.recordToldLeaving(node.id, signature.split('.')[0] ?? '');
+        }
         response.on('data', (chunk: Buffer) => chunks.push(chunk));
         response.on('error', () => undefined);
         response.on('close', () => {
--- a/packages/soak/src/node/soak-runner.ts
+++ b/packages/soak/src/node/soak-runner.ts
@@ -11,8 +11,8 @@
 interface SoakRunnerOptions {
   readonly id: string;
   readonly onRun: (run: ObservedRun) => void;
-  /** Called when the runner begins to respond to a prompt with a part that crashes it. */
-  readonly onCrash: (part: string) => void;
+  /** Called when the runner runs a request that crashes it, with the prompt part or path that does. */
+  readonly onCrash: (cause: string) => void;
 }
 
 const HTTP_OK = 200;
@@ -24,6 +24,8 @@
 const EVENT_INTERVAL_MS = 20;
 /** Parts of prompts that crash a runner when it begins to respond. */
 const CRASHING_PART = /bad[0-9a-f]+/;
+/** Paths of requests that crash a runner before it responds. */
+const CRASHING_PATH = /crash\d+/;
 /** Event inside which a runner breaks a stream off. */
 const BROKEN_EVENT = 3;
 /** Modes in which responses have neither a length nor chunks and end with their connection. */
@@ -41,6 +43,7 @@
   #breaks = 0;
   /** Requests per second that the runner states that it accepts. */
   #limit: number | undefined;
+  #isLeaving = false;
   readonly #unframedStreams = new Set<ServerResponse>();
 
   constructor(options: SoakRunnerOptions) {
@@ -64,6 +67,11 @@
     this.#limit = perSecond;
   }
 
+  /** Says in each response whether it is leaving. */
+  setLeaving(isLeaving: boolean): void {
+    this.#isLeaving = isLeaving;
+  }
+
   async listen(): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
@@ -95,6 +103,7 @@
     const id = String(request.headers['request-id'] ?? '');
     response.setHeader('Request-Id', id);
     if (this.#limit !== undefined) response.setHeader('Server-Limit', String(this.#limit));
+    if (this.#isLeaving) response.setHeader('Server-Leaving', '1');
     if (request.headers['target-instance'] !== this.id) {
       response.writeHead(HTTP_MISDIRECTED, { 'Not-Executed': '1' });
       response.end();
@@ -134,6 +143,11 @@
     const events = Number(new URL(request.url ?? '/', 'http://runner').searchParams.get('events'));
     await sleep(LATENCY_MS);
     if (response.destroyed) return;
+    const crashingPath = CRASHING_PATH.exec(request.url ?? '')?.[0];
+    if (crashingPath !== undefined) {
+      this.#options.onCrash(crashingPath);
+      return;
+    }
     if (mode === 'errors') {
       response.writeHead(HTTP_SERVER_ERROR);
       response.end('failed');
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -150,8 +150,8 @@
     const runners = Array.from({ length: RUNNERS }, (_item, index) => {
       return new SoakRunner({
         id: `r${index}`,
-        onCrash: (part) => {
-          tracker.recordCrash(part);
+        onCrash: (cause) => {
+          tracker.recordCrash(cause);
           crash(index);
         },
         onRun: (run) => {
@@ -209,15 +209,15 @@
         relay,
         storeWriter,
         tracker,
-        startCrashingCaller: (part) => {
+        startCrashingCaller: (cause) => {
           const caller = new SoakCaller({
-            name: `s${this.#options.seed}-${part}`,
+            name: `s${this.#options.seed}-${cause.crashingPart ?? cause.crashingPath ?? ''}`,
             nodes: nodes.map(({ node, callers: address }) => ({ id: node.id, address })),
             team: TEAMS[0].name,
             apiKey: TEAMS[0].apiKey,
             tracker,
             random: new SeededRandom(this.#options.seed),
-            crashingPart: part,
+            ...cause,
           });
           caller.start();
           return caller;
--- a/packages/soak/src/types/fault-kind.ts
+++ b/packages/soak/src/types/fault-kind.ts
@@ -31,4 +31,6 @@
   | 'runner-link-slow'
   | 'runner-limit'
   | 'prompt-crash'
+  | 'request-crash'
+  | 'runner-leaves'
   | 'configure';
--- a/packages/soak/src/types/sent-request.ts
+++ b/packages/soak/src/types/sent-request.ts
@@ -9,7 +9,7 @@
   readonly body: string;
   /** Number of events in the stream; 0 if the request is not a stream. */
   readonly events: number;
-  /** Prompt part that crashes the runners that run the request. */
-  readonly crashingPart?: string;
+  /** Prompt part or path that crashes the runners that run the request. */
+  readonly crashes?: string;
   readonly at: number;
 }
--- a/packages/soak/src/utils/plan-faults.ts
+++ b/packages/soak/src/utils/plan-faults.ts
@@ -42,6 +42,8 @@
   'configure',
   'runner-limit',
   'prompt-crash',
+  'request-crash',
+  'runner-leaves',
 ];
 /** Time without faults before the first one, in milliseconds. */
 const INITIAL_DELAY_MS = 2_000;
--- a/packages/soak/src/utils/request-tracker.ts
+++ b/packages/soak/src/utils/request-tracker.ts
@@ -14,6 +14,11 @@
 const MAX_ATTEMPTS = 2;
 
 const CONTACT_MS = 3_000;
+const DRAIN_MS = 2_000;
+/** Crashes after which a prompt part, or a whole request, must be known. */
+const PART_CRASHES = 5;
+const REQUEST_CRASHES = 3;
+const CRASHING_PATH_PREFIX = 'crash';
 /** Runs with a crashing part that are allowed after the bound. */
 const MAX_LATE_RUNS = 3;
 const WINDOW_MS = 4_000;
@@ -21,6 +26,8 @@
 const LIMIT_SLACK = 5;
 /** Faults that stop nodes or take the store away, for which the bounds make an exception. */
 const EXCUSING = /^(node-stop|node-kill|node-pause|all-kill|roll-stop|store-)/;
+/** Faults that stop nodes. */
+const STOPPING = /^(node-stop|node-kill|node-pause|all-kill|roll-stop)/;
 /** Maximum length of such a fault and the time until its nodes count again, in milliseconds. */
 const EXCUSED_MS = 8_000;
 
@@ -29,6 +36,13 @@
   readonly at: number;
 }
 
+/** A node has passed on a response in which a runner said that it is leaving. */
+interface ToldLeaving {
+  readonly node: string;
+  readonly runner: string;
+  readonly at: number;
+}
+
 interface StatedLimit {
   readonly runner: string;
   readonly perSecond: number | undefined;
@@ -54,6 +68,8 @@
   readonly #violations: Violation[] = [];
   readonly #faults: FaultStart[] = [];
   readonly #limits: StatedLimit[] = [];
+  readonly #toldLeaving: ToldLeaving[] = [];
+  readonly #left: { readonly runner: string; readonly at: number }[] = [];
   readonly #crashes = new Map<string, readonly number[]>();
 
   recordRequest(request: SentRequest): void {
@@ -92,9 +108,19 @@
     this.#limits.push({ runner, perSecond, at: performance.now() });
   }
 
-  /** Records that a runner crashed under a prompt part. */
-  recordCrash(part: string): void {
-    this.#crashes.set(part, [...(this.#crashes.get(part) ?? []), performance.now()]);
+  /** Records that a caller saw a response of a runner that is leaving, which a node had passed on. */
+  recordToldLeaving(node: string, runner: string): void {
+    this.#toldLeaving.push({ node, runner, at: performance.now() });
+  }
+
+  /** Records that a runner that was leaving has ended. */
+  recordLeft(runner: string): void {
+    this.#left.push({ runner, at: performance.now() });
+  }
+
+  /** Records that a runner crashed under a prompt part or a request. */
+  recordCrash(cause: string): void {
+    this.#crashes.set(cause, [...(this.#crashes.get(cause) ?? []), performance.now()]);
   }
 
   /** Records a violation that another check found. */
@@ -128,23 +154,42 @@
       this.#checkRuns(request);
       this.#checkAnswer(request);
     }
-    for (const [part, crashes] of this.#crashes) this.#checkCrashes(part, crashes);
+    for (const [cause, crashes] of this.#crashes) this.#checkCrashes(cause, crashes);
     this.#checkLimits();
+    this.#checkLeaving();
     return this.#violations;
   }
 
-  /** Requests with a part that crashed runners five times must soon no longer reach any. */
-  #checkCrashes(part: string, crashes: readonly number[]): void {
+  /** Requests that crashed runners several times must soon no longer reach any. */
+  #checkCrashes(cause: string, crashes: readonly number[]): void {
     const [firstAt = 0] = crashes;
-    const fifthAt = crashes[4];
-    if (fifthAt === undefined) return;
+    const isWholeRequest = cause.startsWith(CRASHING_PATH_PREFIX);
+    const knownAt = crashes[(isWholeRequest ? REQUEST_CRASHES : PART_CRASHES) - 1];
+    if (knownAt === undefined) return;
     const late = [...this.#sent.values()]
-      .filter(({ crashingPart }) => crashingPart === part)
+      .filter(({ crashes }) => crashes === cause)
       .flatMap(({ id }) => this.#runs.get(id) ?? [])
-      .filter(({ at }) => at > fifthAt + CONTACT_MS);
+      .filter(({ at }) => at > knownAt + CONTACT_MS);
     const lastAt = Math.max(0, ...late.map(({ at }) => at));
     if (late.length <= MAX_LATE_RUNS || this.#isExcused(firstAt, lastAt)) return;
-    this.recordViolation('crashing-prompt', `${late.length} late runs with the part ${part}`);
+    const promise = isWholeRequest ? 'crashing-request' : 'crashing-prompt';
+    this.recordViolation(promise, `${late.length} late runs of ${cause}`);
+  }
+
+  /** A node that was told that a runner is leaving sends it nothing new until it has left. */
+  #checkLeaving(): void {
+    const runs = [...this.#runs.values()].flat();
+    for (const { node, runner, at: toldAt } of this.#toldLeaving) {
+      const leftAt = this.#left.find((left) => left.runner === runner && left.at > toldAt)?.at;
+      const late = runs.find((run) => {
+        const request = this.#sent.get(run.id);
+        if (run.runner !== runner || request?.node !== node) return false;
+        return request.at > toldAt + DRAIN_MS && run.at < (leftAt ?? 0);
+      });
+      if (!late || this.#isExcused(toldAt, late.at, STOPPING)) continue;
+      this.recordViolation('leaving', `${late.id} ran at ${runner}, which had told ${node}`);
+      return;
+    }
   }
 
   #checkLimits(): void {
@@ -168,9 +213,9 @@
   }
 
   /** Whether nodes were stopped or lost the store in a span, or shortly before it. */
-  #isExcused(fromMs: number, toMs: number): boolean {
+  #isExcused(fromMs: number, toMs: number, excusing = EXCUSING): boolean {
     return this.#faults.some(
-      ({ kind, at }) => EXCUSING.test(kind) && at > fromMs - EXCUSED_MS && at < toMs,
+      ({ kind, at }) => excusing.test(kind) && at > fromMs - EXCUSED_MS && at < toMs,
     );
   }
 
@@ -189,9 +234,12 @@
 
   #checkAnswer(request: SentRequest): void {
     const answer = this.#answers.get(request.id);
-    if (request.crashingPart === undefined && answer?.body.includes('prompt-quarantined')) {
+    if (request.crashes === undefined && answer?.body.includes('prompt-quarantined')) {
       this.recordViolation('sound-prompt', `${request.id} was rejected for the prompt of others`);
     }
+    if (request.crashes === undefined && answer?.body.includes('request-quarantined')) {
+      this.recordViolation('sound-request', `${request.id} was rejected and is sound`);
+    }
     if (answer?.status !== OK) return;
     const run = this.#runs.get(request.id)?.[0];
     if (!run) {
--- a/test/soak/request-tracker.test.ts
+++ b/test/soak/request-tracker.test.ts
@@ -99,7 +99,7 @@
   recordSent(tracker, 'a', 'ask', 3);
   tracker.recordRequest({
     ...{ id: 'b', kind: 'ask', node: 'n1', team: 't', body: 'b', events: 3, at: 0 },
-    crashingPart: 'bad1',
+    crashes: 'bad1',
   });
   for (const id of ['a', 'b']) {
     const body = '{"code":"prompt-quarantined"}';
@@ -117,7 +117,7 @@
       const id = `q${index}`;
       tracker.recordRequest({
         ...{ id, kind: 'ask', node: 'n1', team: 't', body: 'b', events: 3, at: 0 },
-        crashingPart: 'bad1',
+        crashes: 'bad1',
       });
       tracker.recordRun(run(id, { at: now + 60_000 }));
     }
@@ -142,3 +142,52 @@
   t.deepEqual(check(false), ['limit']);
   t.deepEqual(check(true), []);
 });
+
+test('runs of a request that has crashed three runners are a violation from the bound on', (t) => {
+  const now = performance.now();
+  const late = (runs: number): readonly string[] => {
+    const tracker = new RequestTracker();
+    for (let index = 0; index < 3; index += 1) tracker.recordCrash('crash1');
+    for (let index = 0; index < runs; index += 1) {
+      const id = `q${index}`;
+      tracker.recordRequest({
+        ...{ id, kind: 'read', node: 'n1', team: 't', body: 'b', events: 0, at: 0 },
+        crashes: 'crash1',
+      });
+      tracker.recordRun(run(id, { at: now + 60_000 }));
+    }
+    return violatedPromises(tracker);
+  };
+  t.deepEqual(late(3), []);
+  t.deepEqual(late(4), ['crashing-request']);
+});
+
+test('a run at a runner that is leaving is a violation for the node that was told, until it has left', async (t) => {
+  const check = async (
+    node: string,
+    isStopped = false,
+    hasLeft = false,
+  ): Promise<readonly string[]> => {
+    const tracker = new RequestTracker();
+    tracker.recordToldLeaving(node, 'r1');
+    if (isStopped) tracker.recordFault('node-kill');
+    const at = performance.now() + 2_500;
+    tracker.recordRequest({
+      ...{ id: 'a', kind: 'read', node: 'n1', team: 't', body: 'b', events: 0, at },
+    });
+    if (hasLeft) tracker.recordLeft('r1');
+    tracker.recordRun(run('a', { at: at + 10 }));
+    if (!hasLeft) {
+      await new Promise((resolve) => setTimeout(resolve, 2_600));
+      tracker.recordLeft('r1');
+    }
+    return violatedPromises(tracker);
+  };
+  const results = await Promise.all([
+    check('n1'),
+    check('n2'),
+    check('n1', true),
+    check('n1', false, true),
+  ]);
+  t.deepEqual(results, [['leaving'], [], [], []]);
+});
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import { Soak } from '@ragwortrudder/soak';
 
-const SEED = 1;
+const SEED = 79;
 const LENGTH_MS = 70_000;
 
 test('a short seeded soak of three processes breaks no promise', async (t) => {
@@ -24,6 +24,9 @@
     'runner-reset',
     'runner-limit',
     'prompt-crash',
+    'request-crash',
+    'runner-leaves',
+    'store-restores',
   ] as const) {
     t.true(kinds.has(kind), kind);
   }
