--- a/packages/admission/src/utils/prompt-quarantine.ts
+++ b/packages/admission/src/utils/prompt-quarantine.ts
@@ -93,9 +93,9 @@
 const FORGET_MS = 600_000;
 
 /**
- * Prompt parts, and whole requests by their keys, that crash runners. Nodes share what they saw of interrupted and served requests; a
- * part that a node quarantines is quarantined at all of them. Afterwards one node lets one request
- * pass at a time: if it is served, the quarantine ends everywhere.
+ * Prompt parts, and whole requests by their keys, that crash runners. Nodes share what they saw of
+ * interrupted and served requests; a part that a node quarantines is quarantined at all of them.
+ * Afterwards one node lets one request pass at a time: if it is served, the quarantine ends everywhere.
  */
 export class PromptQuarantine {
   readonly #options: PromptQuarantineOptions;
@@ -238,14 +238,21 @@
     );
   }
 
-  /** Replaces the evidence of a peer, or of a failure domain, and adopts its quarantines. */
+  /**
+   * Replaces the evidence of a peer, or of a failure domain, and adopts its quarantines. Without evidence
+   * all that the peer has seen is out of date, for example because the requests were served since.
+   */
   setPeerEvidence(
     { node, incarnation }: EvidenceSource,
     evidence: PromptEvidence | undefined,
   ): void {
-    if (!evidence) return;
+    const name = `${node} ${incarnation}`;
+    if (!evidence) {
+      this.#peers.delete(name);
+      return;
+    }
     const now = this.#options.clock.monotonic();
-    this.#peers.set(`${node} ${incarnation}`, {
+    this.#peers.set(name, {
       node,
       receivedAt: now,
       servedCount: evidence.servedCount,
--- a/packages/catalog/src/utils/runner-directory.ts
+++ b/packages/catalog/src/utils/runner-directory.ts
@@ -80,10 +80,8 @@
     this.#dropRetained();
   }
 
-  /** Adds or replaces a runner. An entry of an earlier boot is ignored. */
+  /** Adds or replaces a runner. */
   put(entry: RunnerEntry): void {
-    const bornMs = this.find(entry.id)?.bornMs ?? this.#departures.get(entry.id)?.bornMs;
-    if (bornMs !== undefined && bornMs > entry.bornMs) return;
     const departure = this.#departureOf(entry);
     const isDraining = entry.isDraining || departure?.isDraining === true;
     this.#entries.set(entry.id, isDraining === entry.isDraining ? entry : { ...entry, isDraining });
@@ -101,9 +99,8 @@
   markLeaving({ id, bornMs }: RunnerBoot): boolean {
     const known = this.find(id);
     const departure = this.#departures.get(id);
-    const knownBornMs = Math.max(known?.bornMs ?? 0, departure?.bornMs ?? 0);
     const isKnown = departure?.bornMs === bornMs && departure.isDraining;
-    if (knownBornMs > bornMs || isKnown) return false;
+    if (this.#newestBornMs(id) > bornMs || isKnown) return false;
     const isListed = known?.bornMs === bornMs;
     this.#recordDeparture({ id, bornMs }, { isDraining: true, isRemoved: !isListed });
     if (isListed) this.put(known);
@@ -141,17 +138,19 @@
   }
 
   /**
-   * Replaces the whole list by one that was restored from an older copy. Runners that are not in it are
-   * retained for `gracePeriodMs`; those that had been removed before are not used until they are
-   * written again or stay listed for longer than a list keeps entries without renewal.
+   * Replaces the whole list by one that was restored from an older copy. Runners that are not in it, or
+   * with an earlier boot, are retained for `gracePeriodMs`; those that had been removed before are not
+   * used until they are written again or stay listed for longer than a list keeps entries without
+   * renewal.
    */
   restoreAll(entries: readonly RunnerEntry[]): void {
     const now = this.#clock.monotonic();
     this.#graceEndsAt = now + this.#gracePeriodMs;
     const isDoubtful = (entry: RunnerEntry): boolean =>
       this.#departureOf(entry)?.isRemoved === true;
-    this.replaceAll(entries.filter((entry) => !isDoubtful(entry)));
-    for (const entry of entries.filter(isDoubtful)) {
+    const current = entries.filter(({ id, bornMs }) => bornMs >= this.#newestBornMs(id));
+    this.replaceAll(current.filter((entry) => !isDoubtful(entry)));
+    for (const entry of current.filter(isDoubtful)) {
       this.#doubtful.set(entry.id, { entry, until: now + RESTORED_ENTRY_DOUBT_MS });
     }
   }
@@ -184,6 +183,11 @@
     return this.#isUnavailable || this.#clock.monotonic() < this.#graceEndsAt;
   }
 
+  /** Start of the newest known boot of a runner; 0 when none is known. */
+  #newestBornMs(id: string): number {
+    return Math.max(this.find(id)?.bornMs ?? 0, this.#departures.get(id)?.bornMs ?? 0);
+  }
+
   /** What is known of the end of an entry's boot. */
   #departureOf({ id, bornMs }: RunnerBoot): Departure | undefined {
     const departure = this.#departures.get(id);
--- a/packages/gateway/src/node/configuration-sync.ts
+++ b/packages/gateway/src/node/configuration-sync.ts
@@ -17,10 +17,13 @@
   readonly log: DecisionLog;
 }
 
+/** The last peer that was heard to follow a newer configuration. */
 interface NewerPeer {
   readonly version: number;
   readonly address: Address;
+  /** When this node was first behind, with `ownVersion`. */
   readonly since: number;
+  readonly ownVersion: number;
 }
 
 /** Time for which a node waits for its own read of a newer configuration, in milliseconds. */
@@ -41,8 +44,12 @@
 
   /** Records the version that a peer follows. */
   recordPeerVersion(version: number, address: Address): void {
-    if (version <= Math.max(this.#options.catalog.version, this.#newerPeer?.version ?? 0)) return;
-    this.#newerPeer = { version, address, since: this.#options.clock.monotonic() };
+    const { catalog, clock } = this.#options;
+    const known = this.#newerPeer;
+    if (version <= catalog.version || version < (known?.version ?? 0)) return;
+    const isStillBehind = known?.ownVersion === catalog.version;
+    const since = isStillBehind ? known.since : clock.monotonic();
+    this.#newerPeer = { version, address, since, ownVersion: catalog.version };
   }
 
   /** Asks for the newest version that a peer has, once this node should have read it. */
--- a/test/admission/request-quarantine.test.ts
+++ b/test/admission/request-quarantine.test.ts
@@ -180,3 +180,23 @@
   t.is(node.find(late), undefined);
   t.like(node.find([DEADLY]), { part: DEADLY });
 });
+
+// Guards against blaming a request by what a peer had seen before the request was served.
+test('evidence that a peer no longer reports is dropped', (t) => {
+  const clock = new ManualClock(1_000);
+  const peer = new PromptQuarantine({ clock, trialRank: () => 0 });
+  const node = new PromptQuarantine({ clock, trialRank: () => 0 });
+  const sound = [repeatKey('sound')];
+  const attempt = { request: 'q', parts: sound, hasResponded: false, sentAt: 0, aliveAt: 0 };
+  for (const runner of ['i1', 'i2']) peer.recordInterrupted({ ...attempt, runner });
+  node.setPeerEvidence({ node: 'n2', incarnation: '1' }, peer.evidence);
+  clock.advance(100);
+  peer.recordEnded({ runner: 'i4', request: 'q', parts: sound, isFramed: true });
+  peer.update();
+  node.setPeerEvidence({ node: 'n2', incarnation: '1' }, peer.evidence);
+  clock.advance(100);
+  node.recordInterrupted({ ...attempt, runner: 'i3' });
+  clock.advance(500);
+  node.update();
+  t.is(node.find(sound), undefined);
+});
--- a/test/gateway/configuration-parts.test.ts
+++ b/test/gateway/configuration-parts.test.ts
@@ -1,5 +1,9 @@
 import { randomBytes } from 'node:crypto';
+import { PassThrough } from 'node:stream';
 import test from 'ava';
+import { ManualClock } from '@ragwortrudder/core';
+import { ConfigurationSync } from '../../packages/gateway/src/node/configuration-sync.ts';
+import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import { ConfigurationAssembler } from '../../packages/gateway/src/utils/configuration-assembler.ts';
 import { splitConfiguration } from '../../packages/gateway/src/utils/split-configuration.ts';
 
@@ -34,3 +38,29 @@
   const part = { node: 'n1', version: 1, part: 0, parts: 1, text: 'bm90IGRlZmxhdGVk' };
   t.throws(() => assembler.add(part));
 });
+
+test('a node that is behind asks the peer that it heard last, as an earlier one may have died', (t) => {
+  const clock = new ManualClock();
+  const asked: string[] = [];
+  const sync = new ConfigurationSync({
+    node: 'n1',
+    address: { host: 'own', port: 1 },
+    clock,
+    catalog: { version: 1, record: undefined, applyPeerConfiguration: () => undefined },
+    peers: {
+      requestConfiguration: (_request, { host }) => {
+        asked.push(host);
+        return Promise.resolve();
+      },
+      sendConfiguration: () => Promise.resolve(),
+    },
+    log: new DecisionLog({ node: 'n1', out: new PassThrough(), clock }),
+  });
+  sync.recordPeerVersion(2, { host: 'first', port: 1 });
+  sync.update();
+  clock.advance(400);
+  sync.recordPeerVersion(2, { host: 'second', port: 1 });
+  clock.advance(200);
+  sync.update();
+  t.deepEqual(asked, ['second']);
+});
--- a/test/platform-adapter/platform-log.test.ts
+++ b/test/platform-adapter/platform-log.test.ts
@@ -133,3 +133,20 @@
   t.is(log.era, era + 1);
   await t.throwsAsync(log.read({ topic: TOPIC, from: 2, waitMs: 0 }), { instanceOf: LogExpired });
 });
+
+test('a reply that names no era, such as a rejection, belongs to the known one', async (t) => {
+  const headers = [{ 'Store-Era': '4' }, {}];
+  const server = createServer((_request, response) => {
+    response.writeHead(200, headers.shift());
+    response.end(JSON.stringify({ items: [], more_pages: false, end: 0 }));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const log = new PlatformLog(new PlatformHttpClient(`127.0.0.1:${port}`));
+  t.teardown(async () => {
+    await log.close();
+    server.close();
+  });
+  t.is((await log.newest(TOPIC)).era, 4);
+  t.is((await log.newest(TOPIC)).era, 4);
+});
