Skip usage windows that a restored store may have lost the report of

The record of the term names the era in which its holder last wrote all records; a holder writes it again after a restore. A successor that finds an older era there skips the windows that have ended: a missed report is priced, two different ones are not allowed.

--- a/packages/gateway/src/node/duty-term-store.ts
+++ b/packages/gateway/src/node/duty-term-store.ts
@@ -12,6 +12,8 @@
 interface TermRecord {
   readonly holder: string;
   readonly token: number;
+  /** Era of the log in which the holder last wrote all of its records. */
+  readonly era: number;
 }
 
 /** Offset of the topic in an era of the log. */
@@ -41,6 +43,7 @@
   /** Era of the newest read. */
   #era = 0;
   #term: DutyTerm | undefined;
+  #mayLackRecords = false;
 
   constructor(options: DutyTermStoreOptions) {
     this.#options = options;
@@ -56,6 +59,14 @@
     return this.#records;
   }
 
+  /**
+   * The log was restored from an older copy and the previous holder has not written its records again:
+   * the newest of its actions are not known.
+   */
+  get mayLackRecords(): boolean {
+    return this.#mayLackRecords;
+  }
+
   /** Holder of the newest term, if there is one. */
   async latestHolder(): Promise<string | undefined> {
     await this.#read();
@@ -74,12 +85,13 @@
       (previous?.token ?? 0) + 1,
     );
     try {
-      await this.#append(TERM_KEY, { holder: this.#options.node, token }, position);
+      await this.#append(TERM_KEY, this.#newTermRecord(token, position), position);
     } catch (error) {
       if (!(error instanceof AppendConflict)) throw error;
       return { isTaken: false, previousHolder: previous?.holder };
     }
     this.#term = { holder: this.#options.node, fencingToken: token };
+    this.#mayLackRecords = (previous?.era ?? 0) < position.era;
     return { isTaken: true, previousHolder: previous?.holder };
   }
 
@@ -137,10 +149,14 @@
       return;
     }
     const stored = this.#records;
-    this.#records = new Map([...stored, ...own]);
+    // The log may have lost a term that is newer than the one that it has.
+    const term = this.#term && this.#newTermRecord(this.#term.fencingToken, this.#position);
+    this.#records = new Map([...stored, ...own, [TERM_KEY, term]]);
     // The term comes first: its append fails when another node takes over at the same time.
     this.#lostKeys = new Set(
-      [TERM_KEY, ...own.keys()].filter((key) => !isDeepStrictEqual(stored.get(key), own.get(key))),
+      [TERM_KEY, ...own.keys()].filter(
+        (key) => !isDeepStrictEqual(stored.get(key), this.#records.get(key)),
+      ),
     );
   }
 
@@ -164,9 +180,13 @@
     this.#records = new Map([...this.#records, [key, value]]);
   }
 
+  #newTermRecord(token: number, { era }: Position): TermRecord {
+    return { holder: this.#options.node, token, era };
+  }
+
   #termRecord(): TermRecord | undefined {
     const record = this.#records.get(TERM_KEY) as Partial<TermRecord> | undefined;
     if (typeof record?.holder !== 'string' || typeof record.token !== 'number') return undefined;
-    return { holder: record.holder, token: record.token };
+    return { holder: record.holder, token: record.token, era: record.era ?? 0 };
   }
 }
--- a/packages/gateway/src/node/usage-duty.ts
+++ b/packages/gateway/src/node/usage-duty.ts
@@ -61,6 +61,11 @@
     const oldestDue = current - Math.ceil(this.#options.lateMs / this.#options.windowMs);
     const newest = Math.max(0, ...reports.map(({ window }) => window));
     this.#nextWindow = Math.max(oldestDue, newest + 1);
+    if (termStore.mayLackRecords) {
+      // A window that has ended may have been reported with counts that are lost.
+      this.#options.log.notable('usage-windows-skipped', { from: this.#nextWindow, to: current });
+      this.#nextWindow = Math.max(this.#nextWindow, current);
+    }
     this.#unsent.clear();
     for (const report of reports)
       if (report.window >= oldestDue) this.#unsent.set(report.window, report);
--- a/test/gateway/duty-term-store.test.ts
+++ b/test/gateway/duty-term-store.test.ts
@@ -108,3 +108,22 @@
   t.false(await first.record('usage-8', REPORT));
   t.is(second.records.get('usage-8'), undefined);
 });
+
+// Guards against reporting usage again that a restored log shows as not reported (CONFIG).
+test('pattern: store restored; a successor knows whether the records of its predecessor may be missing', async (t) => {
+  const log = new MemoryKeyedLog();
+  const first = new DutyTermStore({ log, node: 'n1' });
+  const successor = new DutyTermStore({ log, node: 'n2' });
+  await first.takeOver();
+  t.false(first.mayLackRecords);
+  const copy = log.copy();
+  await first.record('usage-7', REPORT);
+  log.restore(copy);
+  await successor.takeOver();
+  t.true(successor.mayLackRecords);
+  log.restore(copy);
+  t.true(await first.confirm());
+  await successor.takeOver();
+  t.false(successor.mayLackRecords);
+  t.deepEqual(successor.records.get('usage-7'), REPORT);
+});
