--- a/test/admission/request-quarantine.test.ts
+++ b/test/admission/request-quarantine.test.ts
@@ -188,7 +188,10 @@
   const node = new PromptQuarantine({ clock, trialRank: () => 0 });
   const sound = [repeatKey('sound')];
   const attempt = { request: 'q', parts: sound, hasResponded: false, sentAt: 0, aliveAt: 0 };
-  for (const runner of ['i1', 'i2']) peer.recordInterrupted({ ...attempt, runner });
+  for (const runner of ['i1', 'i2']) {
+    peer.recordInterrupted({ ...attempt, runner });
+    clock.advance(200);
+  }
   node.setPeerEvidence({ node: 'n2', incarnation: '1' }, peer.evidence);
   clock.advance(100);
   peer.recordEnded({ runner: 'i4', request: 'q', parts: sound, isFramed: true });
--- a/test/gateway/usage-duty.test.ts
+++ b/test/gateway/usage-duty.test.ts
@@ -168,3 +168,34 @@
   });
   t.deepEqual(usage.reportOf(1_000).counts, { a: 7 });
 });
+
+// Guards against reporting usage again that a restored log shows as not reported (CONFIG).
+test('pattern: store restored; a successor does not report a window whose report may be lost', async (t) => {
+  const clock = new ManualClock(START_MS);
+  const log = new MemoryKeyedLog();
+  const cloud = new InMemoryCloudApi();
+  const first = createHolder('n1', { log, cloud, clock });
+  await first.termStore.takeOver();
+  first.duty.begin(first.termStore);
+  const copy = log.copy();
+  first.usage.recordStart('a', clock.wall());
+  clock.advance(WINDOW_MS + 1_600);
+  await first.duty.perform(first.termStore);
+  log.restore(copy);
+  const second = createHolder('n2', { log, cloud, clock });
+  second.usage.recordStart('a', START_MS);
+  second.usage.recordStart('a', START_MS);
+  second.usage.recordStart('a', clock.wall());
+  await second.termStore.takeOver();
+  second.duty.begin(second.termStore);
+  await second.duty.perform(second.termStore);
+  clock.advance(WINDOW_MS);
+  await second.duty.perform(second.termStore);
+  t.deepEqual(
+    cloud.calls.map(({ report }) => report),
+    [
+      { window: 1_000, counts: { a: 1 } },
+      { window: 1_001, counts: { a: 1 } },
+    ],
+  );
+});
