Simplify how the era of the log is followed

Read again as a whole; behaviour stays. Followers and the store of the duty term share KeyedPosition instead of one type each. An append of the duty term always has a position: the branch without one, which would have been unconditional, is gone.

--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -141,7 +141,6 @@
     handlers: TopicHandlers,
   ): KeyedFollower {
     const { log, clock, random, decisions, metrics, isReader, publishFeed } = this.#options;
-    let isRestored = false;
     return new KeyedFollower({
       log,
       topic,
@@ -150,10 +149,13 @@
       waitMs,
       pauseMs,
       isReader,
-      onSnapshot: (records) => {
+      onSnapshot: (records, restore) => {
+        if (restore) {
+          metrics.count('log_restores', { topic });
+          decisions.notable('log-restored', { topic, ...restore });
+        }
         handlers.onAvailable();
-        handlers.onSnapshot(records, isRestored);
-        isRestored = false;
+        handlers.onSnapshot(records, restore !== undefined);
       },
       onRecords: handlers.onRecords,
       onRange: (range, records) => {
@@ -166,11 +168,6 @@
           isWhole: changes !== undefined,
         });
       },
-      onRestored: ({ era, before }) => {
-        isRestored = true;
-        metrics.count('log_restores', { topic });
-        decisions.notable('log-restored', { topic, era, before });
-      },
       onUnavailable: (error) => {
         handlers.onUnavailable();
         metrics.count('log_failures', { topic });
--- a/packages/gateway/src/node/configuration-sync.ts
+++ b/packages/gateway/src/node/configuration-sync.ts
@@ -54,7 +54,7 @@
 
   /** Asks for the newest version that a peer has, once this node should have read it. */
   update(): void {
-    const { catalog, peers, node, address, clock } = this.#options;
+    const { catalog, peers, address, clock } = this.#options;
     if (!this.#newerPeer) return;
     if (this.#newerPeer.version <= catalog.version) {
       this.#newerPeer = undefined;
@@ -63,7 +63,7 @@
     const now = clock.monotonic();
     if (now - this.#newerPeer.since < OWN_READ_MS || now - this.#requestedAt < REPEAT_MS) return;
     this.#requestedAt = now;
-    const request = { node, ...address, after: catalog.version };
+    const request = { ...address, after: catalog.version };
     void peers.requestConfiguration(request, this.#newerPeer.address);
   }
 
--- a/packages/gateway/src/node/duty-holder.ts
+++ b/packages/gateway/src/node/duty-holder.ts
@@ -95,7 +95,6 @@
       this.#vacantSince = now;
     }
     const peerToken = peers.newestDutyToken();
-    const heldToken = termStore.term?.fencingToken;
     if (termStore.term && peerToken > termStore.term.fencingToken) {
       log.notable('duty-term-lost', { token: termStore.term.fencingToken, newer: peerToken });
       termStore.resign();
@@ -105,8 +104,9 @@
       else if (now - this.#vacantSince >= this.#takeOverDelayMs()) await this.#takeOver(now);
       return;
     }
+    const token = termStore.term.fencingToken;
     if (!(await termStore.confirm())) {
-      log.notable('duty-term-lost', { token: heldToken, newer: 'recorded' });
+      log.notable('duty-term-lost', { token, newer: 'recorded' });
       return;
     }
     if (now < this.#performAfter) return;
--- a/packages/gateway/src/node/duty-term-store.ts
+++ b/packages/gateway/src/node/duty-term-store.ts
@@ -1,5 +1,5 @@
 import { AppendConflict } from '@ragwortrudder/log';
-import type { KeyedLog } from '@ragwortrudder/log';
+import type { KeyedLog, KeyedPosition } from '@ragwortrudder/log';
 import { isDeepStrictEqual } from 'node:util';
 import type { DutyTerm } from '../types/duty-term.ts';
 import { decodeJson } from '../utils/decode-json.ts';
@@ -16,12 +16,6 @@
   readonly era: number;
 }
 
-/** Offset of the topic in an era of the log. */
-interface Position {
-  readonly offset: number;
-  readonly era: number;
-}
-
 const TERM_KEY = 'term';
 /** Fencing tokens reserved for an era, so that tokens rise although offsets are given out again. */
 const TOKENS_PER_ERA = 2 ** 24;
@@ -37,10 +31,10 @@
   static readonly topic = 'duties';
   readonly #options: DutyTermStoreOptions;
   #records: ReadonlyMap<string, unknown> = new Map();
-  #position: Position | undefined;
+  #position: KeyedPosition | undefined;
   /** Keys whose newest records were lost when the log was restored. */
   #lostKeys: ReadonlySet<string> = new Set();
-  /** Era of the newest read. */
+  /** Era in which `#records` were read. */
   #era = 0;
   #term: DutyTerm | undefined;
   #mayLackRecords = false;
@@ -100,16 +94,18 @@
    * holds a newer one.
    */
   async record(key: string, value: unknown): Promise<boolean> {
-    if (!(await this.confirm())) return false;
+    const position = await this.#confirmedPosition();
+    if (!position) return false;
     try {
-      await this.#append(key, value, this.#position);
+      await this.#append(key, value, position);
       return true;
     } catch (error) {
       if (!(error instanceof AppendConflict)) throw error;
     }
     // Either an own append whose reply was lost, a restored log, or a newer term.
-    if (!(await this.confirm())) return false;
-    await this.#append(key, value, this.#position);
+    const newPosition = await this.#confirmedPosition();
+    if (!newPosition) return false;
+    await this.#append(key, value, newPosition);
     return true;
   }
 
@@ -118,19 +114,7 @@
    * restored log has lost. Returns false and ends the term when another node holds a newer one.
    */
   async confirm(): Promise<boolean> {
-    if (!this.#term) return false;
-    const { log } = this.#options;
-    if (this.#position?.era !== log.era || this.#lostKeys.size > 0) await this.#reread();
-    const isHeld = this.#termRecord()?.token === this.#term.fencingToken;
-    if (!isHeld) {
-      this.#term = undefined;
-      return false;
-    }
-    for (const key of this.#lostKeys) {
-      await this.#append(key, this.#records.get(key), this.#position);
-      this.#lostKeys = new Set([...this.#lostKeys].filter((lost) => lost !== key));
-    }
-    return true;
+    return (await this.#confirmedPosition()) !== undefined;
   }
 
   /** Gives up the term on this node. */
@@ -138,19 +122,38 @@
     this.#term = undefined;
   }
 
+  /** Position of the next append; undefined when this node does not hold the newest term. */
+  async #confirmedPosition(): Promise<KeyedPosition | undefined> {
+    if (!this.#term) return undefined;
+    let position = this.#position;
+    if (position?.era !== this.#options.log.era || this.#lostKeys.size > 0) {
+      position = await this.#reread();
+    }
+    if (this.#termRecord()?.token !== this.#term.fencingToken) {
+      this.#term = undefined;
+      return undefined;
+    }
+    for (const key of this.#lostKeys) {
+      position = await this.#append(key, this.#records.get(key), position);
+      this.#lostKeys = new Set([...this.#lostKeys].filter((lost) => lost !== key));
+    }
+    return position;
+  }
+
   /** Reads the topic; in a new era, records of this node's term stay valid until it is replaced. */
-  async #reread(): Promise<void> {
+  async #reread(): Promise<KeyedPosition> {
     const own = this.#records;
     const era = this.#era;
-    this.#position = await this.#read();
+    const position = await this.#read();
+    this.#position = position;
     const isReplaced = (this.#termRecord()?.token ?? 0) > (this.#term?.fencingToken ?? 0);
-    if (isReplaced || (era === this.#position.era && this.#lostKeys.size === 0)) {
+    if (isReplaced || (era === position.era && this.#lostKeys.size === 0)) {
       this.#lostKeys = new Set();
-      return;
+      return position;
     }
     const stored = this.#records;
     // The log may have lost a term that is newer than the one that it has.
-    const term = this.#term && this.#newTermRecord(this.#term.fencingToken, this.#position);
+    const term = this.#term && this.#newTermRecord(this.#term.fencingToken, position);
     this.#records = new Map([...stored, ...own, [TERM_KEY, term]]);
     // The term comes first: its append fails when another node takes over at the same time.
     this.#lostKeys = new Set(
@@ -158,29 +161,38 @@
         (key) => !isDeepStrictEqual(stored.get(key), this.#records.get(key)),
       ),
     );
+    return position;
   }
 
-  async #read(): Promise<Position> {
+  async #read(): Promise<KeyedPosition> {
     const { records, next, era } = await this.#options.log.newest(DutyTermStore.topic);
     this.#records = new Map(records.map(({ key, value }) => [key, decodeJson(value)]));
     this.#era = era;
     return { offset: next, era };
   }
 
-  async #append(key: string, value: unknown, position: Position | undefined): Promise<void> {
+  /** Appends a record at a position and returns the next one. */
+  async #append(
+    key: string,
+    value: unknown,
+    { offset: at, era }: KeyedPosition,
+  ): Promise<KeyedPosition> {
     this.#position = undefined;
     const bytes = Buffer.from(JSON.stringify(value));
     const offset = await this.#options.log.append({
       topic: DutyTermStore.topic,
       key,
       value: bytes,
-      ...(position ? { at: position.offset, era: position.era } : {}),
+      at,
+      era,
     });
-    this.#position = { offset: offset + 1, era: this.#era };
+    const next = { offset: offset + 1, era };
+    this.#position = next;
     this.#records = new Map([...this.#records, [key, value]]);
+    return next;
   }
 
-  #newTermRecord(token: number, { era }: Position): TermRecord {
+  #newTermRecord(token: number, { era }: KeyedPosition): TermRecord {
     return { holder: this.#options.node, token, era };
   }
 
--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -1,6 +1,6 @@
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import { LogExpired } from '@ragwortrudder/log';
-import type { KeyedLog, KeyedRecord } from '@ragwortrudder/log';
+import type { KeyedLog, KeyedPosition, KeyedRecord } from '@ragwortrudder/log';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 interface KeyedFollowerOptions {
@@ -14,20 +14,27 @@
   readonly pauseMs: number;
   /** This node reads on behalf of others and does not rely on feeds. */
   readonly isReader: () => boolean;
-  /** Receives a snapshot of the topic: the newest record of each key. */
-  readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
+  /**
+   * Receives a snapshot of the topic: the newest record of each key. `restore` is given when the log
+   * was restored from an older copy since the snapshot before.
+   */
+  readonly onSnapshot: (records: readonly KeyedRecord[], restore: LogRestore | undefined) => void;
   /** Receives new records in order. */
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
   /** Called after each read of a range, before its records are applied. */
   readonly onRange: (range: OffsetRange, records: readonly KeyedRecord[]) => void;
-  /** Called before the first snapshot after the log was restored from an older copy. */
-  readonly onRestored: (change: { readonly era: number; readonly before: number }) => void;
   /** Called when reads start to fail. */
   readonly onUnavailable: (error: unknown) => void;
   /** Called when the topic is available again, with the length of the outage in milliseconds. */
   readonly onRecovered: (outageMs: number) => void;
 }
 
+/** Eras of the log around its restore from an older copy. */
+interface LogRestore {
+  readonly era: number;
+  readonly before: number;
+}
+
 /** Range of offsets from `from` (inclusive) to `next` (exclusive), which are valid in `era`. */
 interface OffsetRange {
   readonly from: number;
@@ -35,11 +42,6 @@
   readonly era: number;
 }
 
-interface Position {
-  readonly offset: number;
-  readonly era: number;
-}
-
 /** Time beyond a peer's long-poll time and pause within which its next feed is expected, in milliseconds. */
 const FEED_SLACK_MS = 500;
 /**
@@ -60,8 +62,8 @@
   readonly #options: KeyedFollowerOptions;
   readonly #closing = new AbortController();
   /** Offset of the next read. */
-  #position: Position | undefined;
-  /** Era of the newest read. */
+  #position: KeyedPosition | undefined;
+  /** Era of the newest snapshot. */
   #era: number | undefined;
   /** Newest era that a feed named. */
   #peerEra = 0;
@@ -190,10 +192,13 @@
   async #readSnapshot(): Promise<void> {
     const page = await this.#options.log.newest(this.#options.topic);
     this.#markAvailable();
-    this.#peerEra = page.era;
-    this.#recordEra(page.era);
-    if (!this.#closing.signal.aborted) this.#options.onSnapshot(page.records);
-    this.#position = { offset: page.next, era: page.era };
+    const { era } = page;
+    const before = this.#era;
+    this.#era = era;
+    this.#peerEra = era;
+    const restore = before === undefined || before === era ? undefined : { era, before };
+    if (!this.#closing.signal.aborted) this.#options.onSnapshot(page.records, restore);
+    this.#position = { offset: page.next, era };
   }
 
   #readNow(): void {
@@ -201,12 +206,6 @@
     this.#wakeUp.abort();
   }
 
-  #recordEra(era: number): void {
-    const before = this.#era;
-    this.#era = era;
-    if (before !== undefined && before !== era) this.#options.onRestored({ era, before });
-  }
-
   #markAvailable(): void {
     if (this.#unavailableSince === undefined) return;
     const outageMs = this.#options.clock.monotonic() - this.#unavailableSince;
--- a/packages/gateway/src/node/rollout-duty.ts
+++ b/packages/gateway/src/node/rollout-duty.ts
@@ -59,9 +59,11 @@
     const key = Rollouts.keyOf(order.service);
     const { data: recorded } = RolloutState.safeParse(termStore.records.get(key));
     const followed = this.#options.rollouts.stateOf(order.service);
-    const known = newestOf(
-      [recorded, followed].filter((state) => state !== undefined && isSameOrder(state, order)),
-    );
+    // A restored log may have an older state than the one that this node follows.
+    const known = [recorded, followed]
+      .filter((state) => state !== undefined)
+      .filter((state) => isSameOrder(state, order))
+      .toSorted((a, b) => b.sequence - a.sequence)[0];
     const isOver = known?.phase === 'completed' || known?.phase === 'rolled-back';
     if (!isOver) {
       const next = known ? this.#next(known) : this.#first(order, recorded);
@@ -151,11 +153,3 @@
     this.#reported.set(service, text);
   }
 }
-
-/** A restored log may have an older state than the one that this node follows. */
-function newestOf(states: readonly (RolloutState | undefined)[]): RolloutState | undefined {
-  return states.reduce(
-    (newest, state) => ((state?.sequence ?? -1) > (newest?.sequence ?? -1) ? state : newest),
-    undefined,
-  );
-}
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -51,6 +51,7 @@
 export type { KeyedAppend } from './types/keyed-append.ts';
 export type { KeyedLog } from './types/keyed-log.ts';
 export type { KeyedPage } from './types/keyed-page.ts';
+export type { KeyedPosition } from './types/keyed-position.ts';
 export type { KeyedRead } from './types/keyed-read.ts';
 export type { KeyedRecord } from './types/keyed-record.ts';
 export { MemoryKeyedLog } from './utils/memory-keyed-log.ts';
--- a/packages/log/src/types/keyed-log.ts
+++ b/packages/log/src/types/keyed-log.ts
@@ -15,7 +15,8 @@
   read(range: KeyedRead): Promise<KeyedPage>;
   /**
    * Appends a record and returns its offset. Throws `AppendConflict` when the topic does not end at
-   * `at` or the log is not in `era`. After `LogUnavailable` the append may still take effect, unless `notRun` is set.
+   * `at` or the log is not in `era`. After `LogUnavailable` the append may still take effect, unless
+   * `notRun` is set.
    */
   append(record: KeyedAppend): Promise<number>;
 }
--- a/test/gateway/keyed-follower.test.ts
+++ b/test/gateway/keyed-follower.test.ts
@@ -42,7 +42,6 @@
     onSnapshot: (snapshot) => records.push(...snapshot),
     onRecords: (more) => records.push(...more),
     onRange: () => undefined,
-    onRestored: () => undefined,
     onUnavailable: () => {
       outages += 1;
     },
