Hash a request once

The fingerprint of a request was computed for the look-up of quarantines, again for the request in progress, and a third time for the log line of a broken attempt, over the whole body each time. It is now computed where the request is admitted and passed on. Crash events are grouped only if no whole request was found.

--- a/packages/admission/src/utils/find-crashing-parts.ts
+++ b/packages/admission/src/utils/find-crashing-parts.ts
@@ -55,10 +55,10 @@
  * requests without it were.
  */
 export function findCrashingParts(history: CrashHistory): CrashingParts {
-  const { interrupted } = history;
-  const events = crashEventsOf(interrupted);
   const repeated = findRepeated(history);
   if (repeated.parts.length > 0) return repeated;
+  const { interrupted } = history;
+  const events = crashEventsOf(interrupted);
   const responding = interrupted.filter(({ hasResponded }) => hasResponded);
   const found = findAmong(responding, RESPONDING, events, history);
   return found.parts.length > 0 ? found : findAmong(interrupted, WAITING, events, history);
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -9,8 +9,6 @@
 import { enginePriority } from '../utils/engine-priority.ts';
 import { incarnationOf } from '../utils/incarnation-of.ts';
 import { nextStep } from '../utils/next-step.ts';
-import { quarantineKeysOf } from '../utils/quarantine-keys-of.ts';
-import { requestFingerprint } from '../utils/request-fingerprint.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
@@ -22,6 +20,10 @@
   readonly route: Route;
   readonly service: Service;
   readonly team: Team | undefined;
+  /** Shared only by repeats of the request. */
+  readonly fingerprint: string;
+  /** Keys under which the request may be found to crash runners. */
+  readonly quarantineKeys: readonly string[];
   /** Refunds the quota that the request consumed. */
   readonly refundQuota: () => void;
 }
@@ -83,8 +85,6 @@
   readonly #placement: PlacementRequest;
   readonly #arrivedAt: number;
   readonly #deadlineAt: number;
-  /** Keys under which the request may be found to crash runners. */
-  readonly #quarantineKeys: readonly string[];
   readonly #tried = new Set<string>();
   /** A roll-out sends this request to the target version. */
   readonly #goesToTarget: boolean;
@@ -104,7 +104,6 @@
   constructor(options: ForwardedRequestOptions) {
     this.#options = options;
     const { request, route, clock, failureDomain } = options;
-    this.#quarantineKeys = quarantineKeysOf(request, options.team?.name);
     this.#placement = placementRequestOf(
       request,
       failureDomain,
@@ -152,7 +151,8 @@
   }
 
   #isHeld(): boolean {
-    return this.#options.quarantine.isHeld(this.#quarantineKeys);
+    const { quarantine, quarantineKeys } = this.#options;
+    return quarantine.isHeld(quarantineKeys);
   }
 
   async #attemptUntilDone(): Promise<void> {
@@ -230,7 +230,7 @@
   ): Readonly<Record<string, string | number | undefined>> {
     const { requests, kvTokens } = this.#options.loadTracker.workAt(id);
     return {
-      fingerprint: requestFingerprint(this.#options.request, this.#options.team?.name),
+      fingerprint: this.#options.fingerprint,
       parts: this.#options.request.promptParts.map((part) => part.id).join(','),
       respondingMs:
         this.#respondingSince === undefined ? undefined : Math.round(now - this.#respondingSince),
@@ -410,17 +410,18 @@
   #recordProof(respondingMs: number): void {
     if (this.#isProved || respondingMs < PromptQuarantine.proofMs) return;
     this.#isProved = true;
-    this.#options.quarantine.recordServed(this.#quarantineKeys);
+    const { quarantine, quarantineKeys } = this.#options;
+    quarantine.recordServed(quarantineKeys);
   }
 
   /** Records whether the runner may have crashed under the prompt. */
   #recordPromptOutcome(outcome: AttemptOutcome, entry: RunnerEntry, sentAt: number): void {
     if (this.#isProved) return;
-    const { quarantine, request, pool } = this.#options;
+    const { quarantine, quarantineKeys, request, pool } = this.#options;
     const prompt = {
       runner: incarnationOf(entry),
       request: request.promptParts.at(-1)?.id ?? request.id,
-      parts: this.#quarantineKeys,
+      parts: quarantineKeys,
     };
     if (outcome.kind === 'broken' && outcome.isConnectionLost) {
       const hasResponded = this.#respondingSince !== undefined;
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -5,6 +5,7 @@
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
 import { quarantineKeysOf } from '../utils/quarantine-keys-of.ts';
+import { requestFingerprint } from '../utils/request-fingerprint.ts';
 import { costOf } from '../utils/cost-of.ts';
 import { toleratedLimit } from '../utils/tolerated-limit.ts';
 import type { CallerChannel } from './caller-channel.ts';
@@ -103,7 +104,9 @@
     }
     const team = this.#teamOf(request, route, activeConfiguration);
     const service = this.#serviceOf(route, activeConfiguration);
-    this.#checkQuarantine(request, route, team);
+    const fingerprint = requestFingerprint(request, team?.name);
+    const quarantineKeys = quarantineKeysOf(request, fingerprint);
+    this.#checkQuarantine(quarantineKeys, route);
     const cost = this.#takeQuota(request, team);
     this.#options.onAdmitted(service, request);
     const forwarded = new ForwardedRequest({
@@ -113,6 +116,8 @@
       route,
       service,
       team,
+      fingerprint,
+      quarantineKeys,
       refundQuota: () => {
         if (team) this.#options.quota.refund(team.name, cost);
       },
@@ -149,8 +154,8 @@
     return service;
   }
 
-  #checkQuarantine(request: CallerRequest, route: Route, team: Team | undefined): void {
-    const held = this.#options.quarantine.find(quarantineKeysOf(request, team?.name));
+  #checkQuarantine(keys: readonly string[], route: Route): void {
+    const held = this.#options.quarantine.find(keys);
     if (!held) return;
     throw new Refusal(isRepeatKey(held.part) ? 'request-quarantined' : 'prompt-quarantined', {
       status: HTTP_UNAVAILABLE,
