--- a/packages/soak/src/utils/request-tracker.ts
+++ b/packages/soak/src/utils/request-tracker.ts
@@ -24,10 +24,10 @@
 const WINDOW_MS = 4_000;
 const MAX_LIMIT_RATIO = 1.5;
 const LIMIT_SLACK = 5;
-/** Faults that stop nodes or take the store away, for which the bounds make an exception. */
-const EXCUSING = /^(node-stop|node-kill|node-pause|all-kill|roll-stop|store-)/;
 /** Faults that stop nodes. */
 const STOPPING = /^(node-stop|node-kill|node-pause|all-kill|roll-stop)/;
+/** Faults that stop nodes or take the store away, for which the bounds make an exception. */
+const EXCUSING = new RegExp(`${STOPPING.source}|^store-`);
 /** Maximum length of such a fault and the time until its nodes count again, in milliseconds. */
 const EXCUSED_MS = 8_000;
 
