--- a/test/admission/request-quarantine.test.ts
+++ b/test/admission/request-quarantine.test.ts
@@ -10,6 +10,8 @@
 const MIN_SOUND_SHARE = 0.5;
 const SEEDS = [1, 2, 3];
 const DEADLY = repeatKey('deadly');
+/** Attempt that was sent long before its runner ended. */
+const ATTEMPT = { request: 'q', hasResponded: false, sentAt: 0, aliveAt: 0 };
 const LOAD = { part: DEADLY, perS: 1, fromMs: 5_000, untilMs: Infinity };
 
 function lateArrivals(
@@ -92,14 +94,7 @@
   const node = new PromptQuarantine({ clock, trialRank: () => 1 });
   const parts = [DEADLY];
   for (const runner of ['i1', 'i2', 'i3']) {
-    node.recordInterrupted({
-      runner,
-      request: 'q',
-      parts,
-      hasResponded: false,
-      sentAt: 0,
-      aliveAt: 0,
-    });
+    node.recordInterrupted({ ...ATTEMPT, runner, parts });
     clock.advance(200);
   }
   clock.advance(400);
@@ -121,27 +116,13 @@
   const sound = [repeatKey('asked for often')];
   for (const runner of ['i1', 'i2', 'i3', 'i4']) {
     for (const parts of [sound, [DEADLY]]) {
-      node.recordInterrupted({
-        runner,
-        request: 'q',
-        parts,
-        hasResponded: false,
-        sentAt: 0,
-        aliveAt: 0,
-      });
+      node.recordInterrupted({ ...ATTEMPT, runner, parts });
     }
     clock.advance(60);
     node.recordEnded({ runner: 'i5', request: 'q', parts: sound, isFramed: true });
     clock.advance(60);
   }
-  node.recordInterrupted({
-    runner: 'i5',
-    request: 'q',
-    parts: sound,
-    hasResponded: false,
-    sentAt: 0,
-    aliveAt: 0,
-  });
+  node.recordInterrupted({ ...ATTEMPT, runner: 'i5', parts: sound });
   clock.advance(400);
   node.update();
   t.is(node.find(sound), undefined);
@@ -169,10 +150,9 @@
   for (const runner of ['i1', 'i2', 'i3']) {
     const sentAt = clock.monotonic();
     clock.advance(50);
-    const attempt = { runner, request: 'q', hasResponded: false, aliveAt: 0 };
-    node.recordInterrupted({ ...attempt, parts: [DEADLY], sentAt });
+    node.recordInterrupted({ ...ATTEMPT, runner, parts: [DEADLY], sentAt });
     clock.advance(5);
-    node.recordInterrupted({ ...attempt, parts: late, sentAt: clock.monotonic() - 2 });
+    node.recordInterrupted({ ...ATTEMPT, runner, parts: late, sentAt: clock.monotonic() - 2 });
     clock.advance(200);
   }
   clock.advance(400);
@@ -187,9 +167,8 @@
   const peer = new PromptQuarantine({ clock, trialRank: () => 0 });
   const node = new PromptQuarantine({ clock, trialRank: () => 0 });
   const sound = [repeatKey('sound')];
-  const attempt = { request: 'q', parts: sound, hasResponded: false, sentAt: 0, aliveAt: 0 };
   for (const runner of ['i1', 'i2']) {
-    peer.recordInterrupted({ ...attempt, runner });
+    peer.recordInterrupted({ ...ATTEMPT, runner, parts: sound });
     clock.advance(200);
   }
   node.setPeerEvidence({ node: 'n2', incarnation: '1' }, peer.evidence);
@@ -198,7 +177,7 @@
   peer.update();
   node.setPeerEvidence({ node: 'n2', incarnation: '1' }, peer.evidence);
   clock.advance(100);
-  node.recordInterrupted({ ...attempt, runner: 'i3' });
+  node.recordInterrupted({ ...ATTEMPT, runner: 'i3', parts: sound });
   clock.advance(500);
   node.update();
   t.is(node.find(sound), undefined);
--- a/test/gateway/leaving-runner.test.ts
+++ b/test/gateway/leaving-runner.test.ts
@@ -3,20 +3,15 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
+import { DelayedRunner } from './delayed-runner.ts';
 import { freePort } from './free-port.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { chunk, event, headFor, streamHeadFor } from './scripted-response.ts';
-import { ScriptedRunner } from './scripted-runner.ts';
 import type { ReceivedRequest } from './scripted-runner.ts';
 
 /** How a runner that is leaving responds. */
 type Response = 'served' | 'refused' | 'failed' | 'stream';
 
-interface Arrival {
-  readonly request: string;
-  readonly at: number;
-}
-
 interface Fleet {
   readonly log: MemoryKeyedLog;
   readonly leaving: LeavingRunner;
@@ -35,35 +30,15 @@
 const OK = 200;
 
 /** Runner that says that it is leaving in each response while `response` is set. */
-class LeavingRunner {
-  readonly arrivals: Arrival[] = [];
+class LeavingRunner extends DelayedRunner {
   response: Response | undefined;
-  readonly #runner = new ScriptedRunner((socket, request) => {
-    this.arrivals.push({ request: request.id, at: performance.now() });
-    setTimeout(() => {
-      this.#respond(socket, request);
-    }, RESPONSE_MS);
-  });
-
-  get port(): number {
-    return this.#runner.port;
-  }
-
-  async listen(): Promise<this> {
-    await this.#runner.listen();
-    return this;
-  }
-
-  close(): Promise<void> {
-    return this.#runner.close();
-  }
 
   arrivalsSince(at: number, node = ''): number {
     return this.arrivals.filter((arrival) => arrival.at >= at && arrival.request.startsWith(node))
       .length;
   }
 
-  #respond(socket: Socket, request: ReceivedRequest): void {
+  protected respond(socket: Socket, request: ReceivedRequest): void {
     const length = 'Content-Length: 2';
     switch (this.response) {
       case undefined:
@@ -89,8 +64,8 @@
 
 async function startFleet(t: ExecutionContext, response: Response): Promise<Fleet> {
   const log = new MemoryKeyedLog();
-  const leaving = await new LeavingRunner().listen();
-  const staying = await new LeavingRunner().listen();
+  const leaving = await new LeavingRunner(RESPONSE_MS).listen();
+  const staying = await new LeavingRunner(RESPONSE_MS).listen();
   const route =
     response === 'stream' ? { kind: 'streaming', stream_resume: false, gap_target_ms: 300 } : {};
   await GatewayHarness.configure({ log, route }, [leaving.port, staying.port]);
--- a/test/gateway/stated-limit.test.ts
+++ b/test/gateway/stated-limit.test.ts
@@ -1,11 +1,14 @@
+import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
+import { DelayedRunner } from './delayed-runner.ts';
 import { freePort } from './free-port.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { headFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
+import type { ReceivedRequest } from './scripted-runner.ts';
 
 const CONTACT_MS = 3_000;
 const WINDOW_MS = 4_000;
@@ -18,38 +21,22 @@
 const RESPONSE_MS = 200;
 
 /** Runner that responds after a short time and can state a limit. */
-class LimitedRunner {
-  readonly arrivals: number[] = [];
+class LimitedRunner extends DelayedRunner {
   limit: number | undefined;
-  readonly #runner = new ScriptedRunner((socket, request) => {
-    this.arrivals.push(performance.now());
-    setTimeout(() => {
-      const limit = this.limit === undefined ? [] : [`Server-Limit: ${this.limit}`];
-      socket.write(`${headFor(request, { framing: ['Content-Length: 2', ...limit] })}ok`);
-    }, RESPONSE_MS);
-  });
-
-  get port(): number {
-    return this.#runner.port;
-  }
-
-  async listen(): Promise<this> {
-    await this.#runner.listen();
-    return this;
-  }
-
-  close(): Promise<void> {
-    return this.#runner.close();
-  }
 
   arrivalsBetween(from: number, to: number): number {
-    return this.arrivals.filter((at) => at >= from && at < to).length;
+    return this.arrivals.filter(({ at }) => at >= from && at < to).length;
   }
 
   /** Most arrivals in any window of `WINDOW_MS` that lies between two times. */
   mostInWindow(from: number, to: number): number {
-    const starts = this.arrivals.filter((at) => at >= from && at + WINDOW_MS <= to);
-    return Math.max(0, ...starts.map((at) => this.arrivalsBetween(at, at + WINDOW_MS)));
+    const starts = this.arrivals.filter(({ at }) => at >= from && at + WINDOW_MS <= to);
+    return Math.max(0, ...starts.map(({ at }) => this.arrivalsBetween(at, at + WINDOW_MS)));
+  }
+
+  protected respond(socket: Socket, request: ReceivedRequest): void {
+    const limit = this.limit === undefined ? [] : [`Server-Limit: ${this.limit}`];
+    socket.write(`${headFor(request, { framing: ['Content-Length: 2', ...limit] })}ok`);
   }
 }
 
@@ -59,7 +46,7 @@
   readonly startGateway: (node: string) => Promise<GatewayHarness>;
 }> {
   const log = new MemoryKeyedLog();
-  const runners = await Promise.all([0, 1, 2].map(() => new LimitedRunner().listen()));
+  const runners = await Promise.all([0, 1, 2].map(() => new LimitedRunner(RESPONSE_MS).listen()));
   await GatewayHarness.configure(
     { log },
     runners.map(({ port }) => port),
