--- a/packages/catalog/src/utils/runner-directory.ts
+++ b/packages/catalog/src/utils/runner-directory.ts
@@ -82,9 +82,8 @@
 
   /** Adds or replaces a runner. */
   put(entry: RunnerEntry): void {
-    const departure = this.#departureOf(entry);
-    const isDraining = entry.isDraining || departure?.isDraining === true;
-    this.#entries.set(entry.id, isDraining === entry.isDraining ? entry : { ...entry, isDraining });
+    const isDraining = entry.isDraining || this.#departureOf(entry)?.isDraining === true;
+    this.#entries.set(entry.id, { ...entry, isDraining });
     this.#retained.delete(entry.id);
     this.#doubtful.delete(entry.id);
     this.#byService.clear();
@@ -96,14 +95,12 @@
    * Records that a runner said elsewhere than in the list that it is leaving. Returns false when this is
    * known already or a newer boot of the runner is.
    */
-  markLeaving({ id, bornMs }: RunnerBoot): boolean {
-    const known = this.find(id);
-    const departure = this.#departures.get(id);
-    const isKnown = departure?.bornMs === bornMs && departure.isDraining;
-    if (this.#newestBornMs(id) > bornMs || isKnown) return false;
-    const isListed = known?.bornMs === bornMs;
-    this.#recordDeparture({ id, bornMs }, { isDraining: true, isRemoved: !isListed });
-    if (isListed) this.put(known);
+  markLeaving(boot: RunnerBoot): boolean {
+    if (this.#newestBornMs(boot.id) > boot.bornMs || this.#departureOf(boot)?.isDraining)
+      return false;
+    const known = this.find(boot.id);
+    if (known?.bornMs === boot.bornMs) this.put({ ...known, isDraining: true });
+    else this.#recordDeparture(boot, { isDraining: true, isRemoved: true });
     return true;
   }
 
@@ -146,11 +143,10 @@
   restoreAll(entries: readonly RunnerEntry[]): void {
     const now = this.#clock.monotonic();
     this.#graceEndsAt = now + this.#gracePeriodMs;
-    const isDoubtful = (entry: RunnerEntry): boolean =>
-      this.#departureOf(entry)?.isRemoved === true;
     const current = entries.filter(({ id, bornMs }) => bornMs >= this.#newestBornMs(id));
-    this.replaceAll(current.filter((entry) => !isDoubtful(entry)));
-    for (const entry of current.filter(isDoubtful)) {
+    const doubtful = current.filter((entry) => this.#departureOf(entry)?.isRemoved);
+    this.replaceAll(current.filter((entry) => !doubtful.includes(entry)));
+    for (const entry of doubtful) {
       this.#doubtful.set(entry.id, { entry, until: now + RESTORED_ENTRY_DOUBT_MS });
     }
   }
