Do not take for written what a restore took back meanwhile

A node noted the newest era after it had registered, and after the first exchange of quarantines. When the store was restored between the append and that, its entry or record was lost and counted as written in the new era.

A node is registered when it reads its own entry, in the era of that read; the quarantine notes the era of its read, which also replaces a flag.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -531,13 +531,17 @@
     const entry: PeerEntry = { host, port, failureDomain, life: this.#incarnation };
     const value = Buffer.from(JSON.stringify(entry));
     await log.append({ topic: NODE_TOPIC, key: id, value });
-    const { records } = await log.newest(NODE_TOPIC);
+    const { records, era } = await log.newest(NODE_TOPIC);
+    let isListed = false;
     for (const { key, value: bytes } of records) {
       const peer = bytes && decodePeerEntry(bytes);
       if (!peer) continue;
+      isListed ||= key === id && peer.life === this.#incarnation;
       this.#peers.addPeer(key, { host: peer.host, port: peer.port }, peer.failureDomain);
     }
-    this.#registeredEra = log.era;
+    // A restore in between may have taken the entry back.
+    if (!isListed) return;
+    this.#registeredEra = era;
     await this.#peers.publishReport();
   }
 
--- a/packages/gateway/src/node/quarantine-sync.ts
+++ b/packages/gateway/src/node/quarantine-sync.ts
@@ -33,8 +33,8 @@
   #storedParts: ReadonlySet<string> = new Set();
   /** Undefined when it is not known what the log has. */
   #storedText: string | undefined = '';
-  #era: number | undefined;
-  #isRead = false;
+  /** Era of the log in which the records of the other nodes were read. */
+  #readEra: number | undefined;
   #isDirty = false;
 
   constructor(options: QuarantineSyncOptions) {
@@ -57,19 +57,17 @@
   /** Reads the records of the other nodes and stores this node's, where that is needed. */
   async exchange(): Promise<void> {
     const { log } = this.#options;
-    if (this.#era !== undefined && log.era !== this.#era) this.#forgetStored();
+    const isRead = this.#readEra === log.era;
+    if (!isRead && this.#readEra !== undefined) this.#forgetStored();
     const isDivided = this.#options.isDivided();
-    if (!this.#isRead || isDivided) await this.#read();
+    if (!isRead || isDivided) await this.#read();
     if (this.#isDirty || isDivided) await this.#store();
-    this.#era ??= log.era;
   }
 
   /** After a restore the log may have any earlier record of this node, or none. */
   #forgetStored(): void {
     if (this.#storedText !== '') this.#storedText = undefined;
     this.#isDirty = true;
-    this.#isRead = false;
-    this.#era = undefined;
   }
 
   /** A quarantine is stored by the nodes that decided on it, and its end by those that stored it. */
@@ -79,7 +77,7 @@
 
   async #read(): Promise<void> {
     const { log, quarantine, now } = this.#options;
-    const { records } = await log.newest(TOPIC);
+    const { records, era } = await log.newest(TOPIC);
     for (const { key, value } of records) {
       const stored = StoredPromptEvidence.safeParse(decodeJson(value)).data;
       if (!stored || (key === this.#options.node && stored.life === this.#options.incarnation))
@@ -90,7 +88,7 @@
         ageEvidence(stored.evidence, sinceMs),
       );
     }
-    this.#isRead = true;
+    this.#readEra = era;
   }
 
   async #store(): Promise<void> {
--- a/test/gateway/restored-log.test.ts
+++ b/test/gateway/restored-log.test.ts
@@ -1,11 +1,12 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import { LogUnavailable } from '@ragwortrudder/log';
+import { LogUnavailable, MemoryKeyedLog } from '@ragwortrudder/log';
 import type { KeyedLog } from '@ragwortrudder/log';
 import { PlatformHttpClient, PlatformLog } from '@ragwortrudder/platform-adapter';
 import { KeyedStore } from '@ragwortrudder/standins';
 import { freePort } from './free-port.ts';
 import { GatewayHarness } from './gateway-harness.ts';
+import { RestoringLog } from './restoring-log.ts';
 import { responseTo } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
 
@@ -149,3 +150,20 @@
   );
   t.is(first?.received.length, before);
 });
+
+// Guards against taking an entry for written that a restore took back while it was being written (CONFIG).
+test('pattern: store restored while a node registers; it registers again', async (t) => {
+  const inner = new MemoryKeyedLog();
+  await GatewayHarness.configure({ log: inner }, [await freePort()]);
+  const log = new RestoringLog(inner);
+  log.restoreAfterAppendTo('nodes');
+  const gateway = await GatewayHarness.start(t, { log, node: 'n1', peerPort: await freePort() });
+  await new Promise((resolve) => setTimeout(resolve, APPLY_MS));
+  const { records } = await inner.newest('nodes');
+  t.deepEqual(
+    records.map(({ key }) => key),
+    ['n1'],
+  );
+  t.is(inner.era, 1);
+  t.true(await gateway.isReady());
+});
