Failing tests: nodes that lose all links to runners while their peers reach them (RECOVER)

Callers of such nodes get 503 at once, or an aborted stream. The stand-ins' relay learns two ways in which links are lost: dark (open connections are silent, new ones hang) and refuse-new (open ones live on).

--- a/packages/standins/src/node/relay-listener.ts
+++ b/packages/standins/src/node/relay-listener.ts
@@ -4,6 +4,10 @@
 import type { RelayLink } from '../types/relay-link.ts';
 import type { RelayMode } from '../types/relay-mode.ts';
 import { RelayConnection } from './relay-connection.ts';
+import { UnacceptingPort } from './unaccepting-port.ts';
+
+const FREEZING_MODES: ReadonlySet<RelayMode> = new Set(['silent', 'dark']);
+const REFUSING_MODES: ReadonlySet<RelayMode> = new Set(['dark', 'refuse-new']);
 
 /** Listening socket of a relay link. */
 export class RelayListener implements Closeable {
@@ -16,13 +20,14 @@
   #accepted = 0;
   #lostBytes = 0;
   #port: number;
+  #unaccepting: UnacceptingPort | undefined;
 
   constructor(link: RelayLink) {
     this.name = link.name;
     this.target = link.target;
     this.#port = link.listen ?? 0;
     this.#server = createServer({ allowHalfOpen: true }, (socket) => {
-      this.#accept(socket);
+      this.#forward(socket);
     });
   }
 
@@ -66,13 +71,20 @@
   async setMode(mode: RelayMode, delayMs: number): Promise<void> {
     this.#mode = mode;
     this.#delayMs = delayMs;
-    if (mode === 'silent') for (const connection of this.#connections.values()) connection.freeze();
-    if (mode === 'cut') await this.close();
-    else if (!this.#server.listening) await this.listen();
+    if (FREEZING_MODES.has(mode)) {
+      for (const connection of this.#connections.values()) connection.freeze();
+    }
+    if (mode === 'cut') {
+      await this.close();
+      return;
+    }
+    await this.#accept(mode);
   }
 
   async close(): Promise<void> {
     for (const connection of this.#connections.values()) connection.destroy();
+    await this.#unaccepting?.close();
+    this.#unaccepting = undefined;
     if (!this.#server.listening) return;
     await new Promise<void>((resolve) => {
       this.#server.close(() => {
@@ -81,7 +93,17 @@
     });
   }
 
-  #accept(socket: Socket): void {
+  /** Listens for new connections, or stops listening; open connections live on. */
+  async #accept(mode: RelayMode): Promise<void> {
+    await this.#unaccepting?.close();
+    this.#unaccepting = undefined;
+    const isRefusing = REFUSING_MODES.has(mode);
+    if (isRefusing && this.#server.listening) this.#server.close();
+    if (!isRefusing && !this.#server.listening) await this.listen();
+    if (mode === 'dark') this.#unaccepting = await UnacceptingPort.listen(this.#port);
+  }
+
+  #forward(socket: Socket): void {
     this.#accepted += 1;
     this.#connections.set(socket, new RelayConnection(socket, this.target, this));
     socket.once('close', () => this.#connections.delete(socket));
--- /dev/null
+++ b/test/gateway/cut-off-node.test.ts
@@ -0,0 +1,219 @@
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import type { RelayMode } from '@ragwortrudder/standins';
+import { CutFleet } from './cut-fleet.ts';
+import type { GatewayHarness } from './gateway-harness.ts';
+import { event } from './scripted-response.ts';
+import { SteadyRunner } from './steady-runner.ts';
+
+/** Half of the time after which the platform's bounds apply. */
+const DECISION_MS = 1_500;
+const TRAFFIC_MS = 2_000;
+const PERIOD_MS = 20;
+/** Time after the end of a cut within which requests go straight to the runners again. */
+const RETURN_MS = 2_500;
+const EVENTS = 6;
+const LONG_EVENTS = 150;
+/** Share of the first tries at nodes without links to runners that must be served. */
+const SERVED_SHARE = 0.95;
+/** Time within which a request that cannot be served is rejected. */
+const REJECTED_MS = 150;
+const OK = 200;
+const UNAVAILABLE = 503;
+
+const ROUTES = {
+  idempotent: { kind: 'idempotent' },
+  'once-only': { kind: 'non_idempotent' },
+  stream: { kind: 'streaming', stream_resume: true, gap_target_ms: 300 },
+} as const;
+
+interface FleetOptions {
+  readonly kind: keyof typeof ROUTES;
+  readonly gateways: number;
+  readonly events: number;
+}
+
+interface Outcome {
+  readonly status: number;
+  readonly tookMs: number;
+  readonly body: string;
+  readonly retryAfter: string | undefined;
+}
+
+async function startFleet(
+  t: ExecutionContext,
+  { kind, gateways, events }: FleetOptions,
+): Promise<{ readonly fleet: CutFleet; readonly runners: readonly SteadyRunner[] }> {
+  const runners = await Promise.all([0, 1, 2].map(() => new SteadyRunner({ events }).listen()));
+  const fleet = await CutFleet.start(t, { runners, gateways, route: ROUTES[kind] });
+  t.teardown(() => Promise.all(runners.map((runner) => runner.close())));
+  // The nodes hear each other.
+  await sleep(500);
+  return { fleet, runners };
+}
+
+/** Sends requests to gateways in turn for a time. */
+async function sendFor(
+  gateways: readonly (GatewayHarness | undefined)[],
+  ms: number,
+): Promise<readonly Outcome[]> {
+  const calls: Promise<Outcome>[] = [];
+  const endsAt = performance.now() + ms;
+  for (let count = 0; performance.now() < endsAt; count += 1) {
+    const gateway = gateways[count % gateways.length];
+    const sentAt = performance.now();
+    const id = `${gateway?.options.node ?? ''}-${sentAt}`;
+    const call = gateway?.call({ headers: { 'Request-Id': id } }).then((reply) => ({
+      status: reply.status,
+      tookMs: performance.now() - sentAt,
+      body: reply.body,
+      retryAfter: reply.headers['retry-after'],
+    }));
+    if (call) calls.push(call.catch(() => ({ status: 0, tookMs: 0, body: '', retryAfter: '' })));
+    await sleep(PERIOD_MS);
+  }
+  return Promise.all(calls);
+}
+
+function servedOf(outcomes: readonly Outcome[]): number {
+  return outcomes.filter(({ status }) => status === OK).length;
+}
+
+function linesOf(fleet: CutFleet, events: readonly string[]): readonly string[] {
+  return fleet.gateways.flatMap(({ lines }) => {
+    return lines.filter((line) => events.some((name) => line.includes(`"event":"${name}"`)));
+  });
+}
+
+for (const kind of ['idempotent', 'once-only', 'stream'] as const) {
+  for (const mode of ['cut', 'dark', 'refuse-new'] as const satisfies readonly RelayMode[]) {
+    for (const cutOff of [[0], [0, 1]]) {
+      // Guards against nodes that reject requests while their peers reach the runners (RECOVER).
+      test(`pattern: ${cutOff.length} of 3 nodes lose all links to runners (${mode}); ${kind} requests there are served`, async (t) => {
+        t.timeout(60_000);
+        const events = kind === 'stream' ? EVENTS : 0;
+        const { fleet, runners } = await startFleet(t, { kind, gateways: 3, events });
+        const nodes = cutOff.map((index) => fleet.gateways[index]);
+        await sendFor(fleet.gateways, 500);
+        await fleet.setLinks(cutOff, mode);
+        await sendFor(fleet.gateways, DECISION_MS);
+        const outcomes = await sendFor(nodes, TRAFFIC_MS);
+        const served = servedOf(outcomes);
+        t.true(
+          served >= SERVED_SHARE * outcomes.length,
+          `${served} of ${outcomes.length} were served at nodes without links`,
+        );
+        const others = await sendFor([fleet.gateways[2]], 500);
+        t.is(servedOf(others), others.length, 'at nodes with links');
+        if (kind === 'once-only') {
+          const runs = runners.flatMap((runner) => [...runner.runs.keys()]);
+          t.is(new Set(runs).size, runs.length, 'requests that ran at more than one runner');
+        }
+        t.deepEqual(linesOf(fleet, ['runner-set-aside', 'prompt-part']), [], 'nobody is blamed');
+        await fleet.setLinks(cutOff, 'open');
+        await sleep(RETURN_MS);
+        const passedBefore = linesOf(fleet, ['request-passed-on']).length;
+        const returned = await sendFor(nodes, 500);
+        t.is(servedOf(returned), returned.length, 'after the links are back');
+        t.is(linesOf(fleet, ['request-passed-on']).length, passedBefore, 'straight to the runners');
+      });
+    }
+  }
+}
+
+for (const mode of ['cut', 'dark'] as const) {
+  // Guards against streams that end with the links of their node while peers reach the runners.
+  test(`pattern: a node loses all links to runners (${mode}) during streams; they go on in order`, async (t) => {
+    const { fleet } = await startFleet(t, { kind: 'stream', gateways: 2, events: LONG_EVENTS });
+    const [node] = fleet.gateways;
+    await node?.configure({
+      routes: [
+        {
+          name: 'route',
+          host: 'a.example',
+          path_prefix: '/p/',
+          timeout_ms: 20_000,
+          target_latency_ms: 300,
+          service: 's',
+          max_attempts: 3,
+          ...ROUTES.stream,
+        },
+      ],
+      version: 2,
+    });
+    await sleep(500);
+    if (!node) throw new TypeError('no gateway was started');
+    const calls = Array.from({ length: 4 }, (_item, index) => {
+      return node.call({ headers: { 'Request-Id': `long${index}`, 'Deadline-Ms': '20000' } });
+    });
+    await sleep(800);
+    await fleet.setLinks([0], mode);
+    const replies = await Promise.all(calls);
+    const whole = Array.from({ length: LONG_EVENTS }, (_item, index) => event(index + 1)).join('');
+    for (const reply of replies) {
+      t.true(reply.isComplete);
+      t.is(reply.body, whole);
+    }
+  });
+}
+
+// Guards against requests that wait or go round when no node reaches a runner.
+test('pattern: all nodes lose all links to runners; requests are rejected at once', async (t) => {
+  const { fleet } = await startFleet(t, { kind: 'idempotent', gateways: 3, events: 0 });
+  await sendFor(fleet.gateways, 300);
+  await fleet.setLinks([0, 1, 2], 'cut');
+  await sendFor(fleet.gateways, DECISION_MS);
+  const outcomes = await sendFor(fleet.gateways, 1_000);
+  for (const { status, tookMs, retryAfter } of outcomes) {
+    t.is(status, UNAVAILABLE);
+    t.true(tookMs < REJECTED_MS, `rejected after ${tookMs} ms`);
+    t.truthy(retryAfter);
+  }
+});
+
+// Guards against a caller whose team, deadline or resume position is lost between nodes.
+test('a request that is passed on has its team, deadline and resume position', async (t) => {
+  const { fleet, runners } = await startFleet(t, { kind: 'stream', gateways: 2, events: EVENTS });
+  const [node] = fleet.gateways;
+  await fleet.setLinks([0], 'cut');
+  await sendFor([node], DECISION_MS);
+  const reply = await node?.call({
+    headers: {
+      'Request-Id': 'resumed',
+      'Deadline-Ms': '1800',
+      'Last-Event-Id': '4',
+      Tenant: 'forged',
+    },
+  });
+  t.is(reply?.body, [5, 6].map((id) => event(id)).join(''));
+  const head =
+    runners.flatMap(({ heads }) => heads).find((text) => text.includes(' resumed')) ?? '';
+  t.regex(head, /tenant: team\r\n/i);
+  t.notRegex(head, /forged|x-api-key|passed/i);
+  const deadlineMs = Number(/deadline-ms: (\d+)/i.exec(head)?.[1]);
+  t.true(deadlineMs > 1_500 && deadlineMs <= 1_800, `${deadlineMs} ms`);
+});
+
+// Guards against runners that work on for a caller who has left the node that passed its request on.
+test('a caller that leaves ends a request that was passed on', async (t) => {
+  const { fleet, runners } = await startFleet(t, {
+    kind: 'stream',
+    gateways: 2,
+    events: LONG_EVENTS,
+  });
+  const [node] = fleet.gateways;
+  await fleet.setLinks([0], 'cut');
+  await sendFor([node], DECISION_MS);
+  const socket = connect(node?.gateway.ports.callers ?? 0, '127.0.0.1');
+  t.teardown(() => socket.destroy());
+  const head = ['POST /p/x HTTP/1.1', 'Host: a.example', 'Request-Id: leaving', 'X-Api-Key: key'];
+  socket.write([...head, 'Content-Length: 0', '', ''].join('\r\n'));
+  await sleep(300);
+  const running = runners.find((runner) => runner.runs.has('leaving'));
+  t.deepEqual(running?.closed.includes('leaving'), false, 'it runs while the caller waits');
+  socket.destroy();
+  await sleep(300);
+  t.true(running?.closed.includes('leaving'), 'it is ended once the caller has left');
+});
