--- a/packages/admission/src/utils/prompt-quarantine.ts
+++ b/packages/admission/src/utils/prompt-quarantine.ts
@@ -172,6 +172,14 @@
     this.#ended = [...this.#ended, { ...request, parts, hasResponded: true, at }];
   }
 
+  /** Drops what this node has seen of requests that were interrupted at a runner since a monotonic time. */
+  retract(runner: string, since: number): void {
+    const isKept = (request: InterruptedRequest): boolean =>
+      request.runner !== runner || request.at < since;
+    this.#interrupted = this.#interrupted.filter(isKept);
+    this.#ended = this.#ended.filter(isKept);
+  }
+
   /** Records that a runner no longer accepts connections. */
   recordUnreachable(runner: string): void {
     const at = this.#options.clock.monotonic();
--- a/packages/gateway/src/errors/refusal.ts
+++ b/packages/gateway/src/errors/refusal.ts
@@ -19,12 +19,14 @@
     'runners crashed under this request when it came before; see prompt-part lines in the log',
   'no-runner': 'no runner of the service can take the request; see the list of runners',
   'runner-full': 'the runner refused the request without running it',
-  'runner-unreachable': 'no connection to a runner could be opened',
+  'runner-unreachable': 'no connection to a runner could be opened, here or at a peer',
   'runner-broken': 'the runner broke off; the request may have run',
   'time-out': "the request was not answered within its deadline or the route's timeout",
   'body-too-large': 'the body is larger than the limit of the configuration',
   'header-too-large': 'the headers are larger than the limit of the configuration',
   'node-stopping': 'the node is stopping; send the request to another',
+  'node-busy': 'the node has as many requests of its peers as it takes',
+  'rejected-by-peer': 'the peer that the request was passed on to rejected it; see its log',
 };
 
 /** Final error response of the node itself: the reason why no runner answered the request. */
--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -127,7 +127,7 @@
       'Content-Length',
       String(Buffer.byteLength(body)),
     ];
-    const own = this.#options.dialect.errorHeaders(requestId, failure.retryAfterMs);
+    const own = this.#options.dialect.errorHeaders(requestId, failure);
     for (const [name, value] of own) headers.push(name, value);
     this.#closeWhenStopping(headers);
     this.#response.writeHead(failure.status, headers);
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -12,11 +12,11 @@
 import { CallerChannel } from './caller-channel.ts';
 import type { DecisionLog } from './decision-log.ts';
 
-interface CallerServerOptions {
+interface CallerServerOptions<Request extends CallerRequest> {
   readonly address: Address;
-  readonly dialect: Dialect;
+  readonly dialect: Dialect<Request>;
   readonly log: DecisionLog;
-  readonly onRequest: (request: CallerRequest, channel: CallerChannel) => Promise<void>;
+  readonly onRequest: (request: Request, channel: CallerChannel) => Promise<void>;
 }
 
 const HTTP_BAD_REQUEST = 400;
@@ -47,14 +47,14 @@
 }
 
 /** HTTP server for callers: reads complete requests within the limits and passes them to `onRequest`. */
-export class CallerServer implements Closeable {
-  readonly #options: CallerServerOptions;
+export class CallerServer<Request extends CallerRequest = CallerRequest> implements Closeable {
+  readonly #options: CallerServerOptions<Request>;
   readonly #server: Server;
   readonly #sockets = new Map<Socket, number>();
   #limits: CallerLimits = DEFAULT_LIMITS;
   #isStopping = false;
 
-  constructor(options: CallerServerOptions) {
+  constructor(options: CallerServerOptions<Request>) {
     this.#options = options;
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -146,7 +146,7 @@
   }
 
   /** Reads a complete request; undefined when the caller disconnected before its end. */
-  async #read(message: IncomingMessage): Promise<CallerRequest | undefined> {
+  async #read(message: IncomingMessage): Promise<Request | undefined> {
     const { headerBytes: maxHeaderBytes, bodyBytes } = this.#limits;
     if (headerBytes(message) > maxHeaderBytes) {
       throw new Refusal('header-too-large', { status: HTTP_HEADERS_TOO_LARGE });
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -1,15 +1,17 @@
 import type { Route, RunnerEntry, Service, Team } from '@ragwortrudder/catalog';
 import { placeApplicationRequest, placeModelRequest } from '@ragwortrudder/routing';
-import { isRepeatKey, PromptQuarantine } from '@ragwortrudder/admission';
 import type { PlacementCandidate, PlacementRequest } from '@ragwortrudder/routing';
 import { Refusal } from '../errors/refusal.ts';
 import type { AttemptOutcome } from '../types/attempt-outcome.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
+import type { PassedRequest } from '../types/passed-request.ts';
 import type { RunnerWork } from '../types/runner-work.ts';
+import { ABORT_REASONS } from '../utils/abort-reasons.ts';
 import { enginePriority } from '../utils/engine-priority.ts';
-import { incarnationOf } from '../utils/incarnation-of.ts';
+import { FIXED_OVERHEAD_MS } from '../utils/fixed-overhead-ms.ts';
 import { nextStep } from '../utils/next-step.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
+import { AttemptEvidence } from './attempt-evidence.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
 import { RunnerAttempt } from './runner-attempt.ts';
@@ -24,8 +26,10 @@
   readonly fingerprint: string;
   /** Keys under which the request may be found to crash runners. */
   readonly quarantineKeys: readonly string[];
-  /** Refunds the quota that the request consumed. */
-  readonly refundQuota: () => void;
+  /** What the node that passed the request on has done about it; undefined for a caller's request. */
+  readonly passed?: PassedRequest;
+  /** Another node may serve the request if this one cannot. */
+  readonly mayPassOn: () => boolean;
 }
 
 interface ChosenRunner {
@@ -35,10 +39,7 @@
   readonly prefillTokens: number;
 }
 
-const SILENT_REASON = 'silent';
-const HELD_REASON = 'prompt part quarantined';
 const HTTP_OK = 200;
-const FIRST_CLIENT_ERROR = 400;
 const FIRST_SERVER_ERROR = 500;
 const HTTP_MISDIRECTED = 421;
 const HTTP_BAD_GATEWAY = 502;
@@ -48,18 +49,13 @@
 const SATURATED_RETRY_MS = 400;
 /** Minimum remaining time for a retry, in milliseconds: a round trip and a short response. */
 const MIN_RETRY_MS = 50;
-/**
- * Network and scheduling overhead that is added to both the measured and the expected latency
- * before they are compared, in milliseconds.
- */
-const FIXED_OVERHEAD_MS = 60;
 /**
  * Lower bound for the silence after which a request is retried elsewhere, in milliseconds,
  * regardless of the latency target.
  */
 const MIN_SILENCE_MS = 700;
-/** Lower bound of the expected time that a measured one is compared with, in milliseconds. */
-const MIN_EXPECTED_MS = 20;
+/** Silence of a runner after which a request is retried elsewhere when the link to it is lost, in milliseconds. */
+const LOST_LINK_SILENCE_MS = 300;
 /** Silence of a stream after which it is resumed elsewhere, as a multiple of the route's maximum gap. */
 const STREAM_SILENCE_FACTOR = 3;
 /**
@@ -93,17 +89,19 @@
   #checkSilence: (() => void) | undefined;
   /** When the current attempt received the first bytes of its response. */
   #respondingSince: number | undefined;
-  /** The current attempt has shown that its prompt does not crash runners. */
-  #isProved = false;
-  #sends = 0;
+  readonly #evidence: AttemptEvidence;
+  #sends: number;
   #unsent = 0;
   #mayHaveRun = false;
-  #isUsageCounted = false;
+  #isUsageCounted: boolean;
   #isFinished = false;
 
   constructor(options: ForwardedRequestOptions) {
     this.#options = options;
-    const { request, route, clock, failureDomain } = options;
+    const { request, route, clock, failureDomain, passed } = options;
+    this.#evidence = new AttemptEvidence(options);
+    this.#sends = passed?.sends ?? 0;
+    this.#isUsageCounted = passed?.isUsageCounted ?? false;
     this.#placement = placementRequestOf(
       request,
       failureDomain,
@@ -119,26 +117,56 @@
    * to send.
    */
   async run(): Promise<void> {
-    const { channel, route, service, retryBudget, clock } = this.#options;
+    const { channel, route } = this.#options;
     const timer = setTimeout(() => {
       this.#timeOut();
     }, this.#deadlineAt - this.#arrivedAt);
     channel.onDisconnect(() => {
       this.#cancel('caller-left');
     });
-    retryBudget.recordFirstAttempt(
-      { endpoint: service.name, class: 'interactive' },
-      clock.monotonic(),
-    );
     try {
       await this.#attemptUntilDone();
     } finally {
       clearTimeout(timer);
-      if (!this.#mayHaveRun) this.#options.refundQuota();
     }
     this.#options.metrics.count('requests', { route: route.name });
   }
 
+  /** A runner may have begun to execute the request. */
+  get mayHaveRun(): boolean {
+    return this.#mayHaveRun;
+  }
+
+  /** What a peer has to know to go on with the request. */
+  get progress(): Pick<PassedRequest, 'sends' | 'isUsageCounted' | 'lastRunner'> {
+    const { sessions, clock } = this.#options;
+    const lastRunner = sessions.find(this.#placement.session, clock.monotonic());
+    return {
+      sends: this.#sends,
+      isUsageCounted: this.#isUsageCounted,
+      ...(lastRunner === undefined ? {} : { lastRunner }),
+    };
+  }
+
+  /** Time until the deadline of the request, in milliseconds. */
+  get remainingMs(): number {
+    return this.#deadlineAt - this.#options.clock.monotonic();
+  }
+
+  /** The request may be sent again: it has not run, or may be repeated, and there is something left to do. */
+  canBePassedOn(): boolean {
+    const { channel, route, mayPassOn } = this.#options;
+    if (this.#mayHaveRun && !this.isRepeatable) return false;
+    if (this.#sends >= route.maxAttempts) return false;
+    return (
+      channel.canContinue &&
+      !channel.isDisconnected &&
+      !this.#isHeld() &&
+      this.remainingMs > MIN_RETRY_MS &&
+      mayPassOn()
+    );
+  }
+
   /** Checks whether the current runner has been silent for too long; called several times a second. */
   checkSilence(): void {
     this.#checkSilence?.();
@@ -147,7 +175,7 @@
   /** Ends the current attempt if its prompt must not be sent to runners and it has no response yet. */
   stopIfHeld(): void {
     if (this.#isFinished || this.#respondingSince !== undefined || !this.#isHeld()) return;
-    this.#attempt?.abort({ kind: 'broken', reason: HELD_REASON, isConnectionLost: false });
+    this.#attempt?.abort({ kind: 'broken', reason: ABORT_REASONS.held, isConnectionLost: false });
   }
 
   #isHeld(): boolean {
@@ -160,7 +188,7 @@
       const chosen = this.#chooseRunner();
       if (!chosen || this.#isHeld()) {
         if (this.#mayHaveRun) this.#fail('runner-broken', HTTP_BAD_GATEWAY);
-        throw new Refusal(this.#sends > 0 ? 'runner-full' : 'no-runner', {
+        throw new Refusal(this.#causeWithoutRunner(), {
           status: HTTP_UNAVAILABLE,
           retryAfterMs: SATURATED_RETRY_MS,
           inputs: this.#refusalInputs(),
@@ -239,6 +267,12 @@
     };
   }
 
+  #causeWithoutRunner(): 'runner-full' | 'runner-unreachable' | 'no-runner' {
+    const { runners, lost } = this.#options.pool.reachOf(this.#options.service.name);
+    if (lost.size > 0 && lost.size === runners.length) return 'runner-unreachable';
+    return this.#sends > 0 ? 'runner-full' : 'no-runner';
+  }
+
   /** Values that a refusal is based on, for the log. */
   #refusalInputs(): Readonly<Record<string, string | number | undefined>> {
     const { route, team, service, directory, pool, clock } = this.#options;
@@ -251,6 +285,7 @@
       runnersLimited: pool.countLimited(listed),
       runnersDraining: listed.filter(({ isDraining }) => isDraining).length,
       runnersUsable: pool.candidates(service).length,
+      runnersLost: pool.reachOf(service.name).lost.size,
       runnersTried: this.#tried.size,
       afterMs: Math.round(clock.monotonic() - this.#arrivedAt),
     };
@@ -281,8 +316,9 @@
     }
     pool.recordSend(entry);
     this.#options.sessions.record(this.#placement.session, entry.id, sentAt);
-    const isRepeatable = this.#isRepeatable();
+    const { isRepeatable } = this;
     let progressAt = sentAt;
+    let hasResponded = false;
     let firstEventAt: number | undefined;
     const recordFirstEvent = (): void => {
       if (firstEventAt !== undefined) return;
@@ -302,7 +338,7 @@
         entry,
         (firstEventMs + FIXED_OVERHEAD_MS) / (chosen.expectedMs + FIXED_OVERHEAD_MS),
       );
-      this.#recordForRollout(chosen, 'success', firstEventMs);
+      this.#evidence.recordForRollout(chosen, 'success', firstEventMs);
     };
     channel.onFirstEvent(recordFirstEvent);
     const attempt = new RunnerAttempt({
@@ -328,28 +364,28 @@
       },
       onProgress: () => {
         progressAt = clock.monotonic();
+        hasResponded = true;
         this.#respondingSince ??= progressAt;
-        this.#recordProof(progressAt - this.#respondingSince);
+        this.#evidence.recordProof(progressAt - this.#respondingSince);
         pool.recordProgress(entry);
       },
     });
     this.#attempt = attempt;
     this.#respondingSince = undefined;
-    this.#isProved = false;
+    this.#evidence.beginAttempt();
     this.#checkSilence = () => {
       const silentMs = clock.monotonic() - progressAt;
       const runnerSilentMs = Math.min(silentMs, pool.silentMs(entry));
-      if (
-        !isRepeatable ||
-        !this.#isTooSilent(silentMs, runnerSilentMs, firstEventAt !== undefined)
-      ) {
+      if (!isRepeatable) return;
+      const isCutOff = pool.links.isSilent(entry) && runnerSilentMs >= LOST_LINK_SILENCE_MS;
+      if (!isCutOff && !this.#isTooSilent(silentMs, runnerSilentMs, firstEventAt !== undefined)) {
         return;
       }
-      if (!this.#canRetryElsewhere()) return;
-      if (runnerSilentMs >= this.#silenceLimitMs(firstEventAt !== undefined)) {
-        pool.markUnreachable(entry, SILENT_REASON);
+      if (!this.#canRetryElsewhere(entry)) return;
+      if (!isCutOff && runnerSilentMs >= this.#silenceLimitMs(firstEventAt !== undefined)) {
+        pool.markUnreachable(entry, ABORT_REASONS.silent);
       }
-      attempt.abort({ kind: 'broken', reason: SILENT_REASON, isConnectionLost: false });
+      attempt.abort({ kind: 'broken', reason: ABORT_REASONS.silent, isConnectionLost: false });
     };
     this.#sends += 1;
     const outcome = await attempt.outcome;
@@ -359,104 +395,31 @@
       prefillTokens: -remainingWork.prefillTokens,
       kvTokens: -remainingWork.kvTokens,
     });
-    this.#recordOutcome(outcome, chosen, clock.monotonic() - sentAt);
-    this.#recordPromptOutcome(outcome, entry, sentAt);
+    const tookMs = clock.monotonic() - sentAt;
+    this.#recordOutcome(outcome, tookMs);
+    this.#evidence.record(outcome, { ...chosen, sentAt, tookMs, hasResponded });
     this.#countTransfer(outcome);
     return outcome;
   }
 
-  #recordOutcome(
-    outcome: AttemptOutcome,
-    { entry, expectedMs }: ChosenRunner,
-    tookMs: number,
-  ): void {
-    const { pool, service } = this.#options;
+  #recordOutcome(outcome: AttemptOutcome, tookMs: number): void {
     switch (outcome.kind) {
       case 'unsent':
         this.#sends -= 1;
         this.#unsent += 1;
-        pool.markUnreachable(entry, 'connection failed');
         return;
       case 'refused':
-        if (outcome.isMisdirected) pool.markUnreachable(entry, 'another runner has the address');
-        return;
-      case 'answered': {
-        const isFailure = outcome.response.head.status >= FIRST_SERVER_ERROR;
-        this.#recordStart(tookMs);
-        this.#recordForRollout({ entry, expectedMs }, isFailure ? 'failure' : 'success', tookMs);
-        if (isFailure) pool.recordFailure(entry);
-        else if (!service.engine) {
-          pool.recordSuccess(
-            entry,
-            (tookMs + FIXED_OVERHEAD_MS) / (expectedMs + FIXED_OVERHEAD_MS),
-          );
-        }
-        return;
-      }
-      case 'broken':
-        this.#mayHaveRun = true;
-        if (outcome.reason === HELD_REASON) return;
-        if (outcome.reason !== SILENT_REASON) pool.recordFailure(entry);
-        this.#recordForRollout({ entry, expectedMs }, 'failure', tookMs);
         return;
+      case 'answered':
       case 'relayed':
         this.#recordStart(tookMs);
         return;
+      case 'broken':
       case 'ended':
         this.#mayHaveRun = true;
     }
   }
 
-  #recordProof(respondingMs: number): void {
-    if (this.#isProved || respondingMs < PromptQuarantine.proofMs) return;
-    this.#isProved = true;
-    const { quarantine, quarantineKeys } = this.#options;
-    quarantine.recordServed(quarantineKeys);
-  }
-
-  /** Records whether the runner may have crashed under the prompt. */
-  #recordPromptOutcome(outcome: AttemptOutcome, entry: RunnerEntry, sentAt: number): void {
-    if (this.#isProved) return;
-    const { quarantine, quarantineKeys, request, pool } = this.#options;
-    const prompt = {
-      runner: incarnationOf(entry),
-      request: request.promptParts.at(-1)?.id ?? request.id,
-      parts: quarantineKeys,
-    };
-    if (outcome.kind === 'broken' && outcome.isConnectionLost) {
-      const hasResponded = this.#respondingSince !== undefined;
-      const aliveAt = pool.lastProgressAt(entry);
-      quarantine.recordInterrupted({ ...prompt, hasResponded, sentAt, aliveAt });
-    }
-    if (outcome.kind === 'relayed' || outcome.kind === 'answered') {
-      // A failure proves nothing of the prompt, but the request has not ended its runner.
-      const isFailure =
-        outcome.kind === 'answered' && outcome.response.head.status >= FIRST_CLIENT_ERROR;
-      const parts = isFailure ? prompt.parts.filter(isRepeatKey) : prompt.parts;
-      const isFramed = outcome.transfer.framing !== 'connection';
-      quarantine.recordEnded({ ...prompt, parts, isFramed });
-    }
-    if (outcome.kind === 'unsent') quarantine.recordUnreachable(prompt.runner);
-  }
-
-  /** Compares the versions of a service during a roll-out. */
-  #recordForRollout(
-    { entry, expectedMs }: Pick<ChosenRunner, 'entry' | 'expectedMs'>,
-    kind: 'success' | 'failure',
-    tookMs: number,
-  ): void {
-    const { rollouts, route, service, loadTracker } = this.#options;
-    const slots = service.engine?.slots ?? entry.slots;
-    rollouts.recordOutcome(entry, {
-      route: route.name,
-      load: loadTracker.workAt(entry.id).requests / Math.max(1, slots),
-      kind,
-      ...(kind === 'success'
-        ? { latencyRatio: tookMs / Math.max(MIN_EXPECTED_MS, expectedMs) }
-        : {}),
-    });
-  }
-
   #countTransfer(outcome: AttemptOutcome): void {
     const transfer = 'transfer' in outcome ? outcome.transfer : undefined;
     if (!transfer) return;
@@ -482,7 +445,8 @@
     metrics.recordLatency(team?.name ?? '', route.name, clock.monotonic() - this.#arrivedAt);
   }
 
-  #isRepeatable(): boolean {
+  /** The request may run more than once. */
+  get isRepeatable(): boolean {
     const { kind, isResumable } = this.#options.route;
     return kind === 'idempotent' || (kind === 'stream' && isResumable);
   }
@@ -504,15 +468,19 @@
     return Math.max(MIN_SILENCE_MS, limitMs);
   }
 
-  #canRetryElsewhere(): boolean {
-    const { route, retryBudget, service, clock, channel } = this.#options;
+  /** Another runner can be tried here, or a peer reaches runners that this node has lost its links to. */
+  #canRetryElsewhere(entry: RunnerEntry): boolean {
+    const { route, retryBudget, service, clock, channel, pool } = this.#options;
     const now = clock.monotonic();
+    if (!retryBudget.canSpend({ endpoint: service.name, class: 'interactive' }, now)) return false;
+    if (pool.links.isLost(entry) && pool.hasOwnFault(service.name) && this.canBePassedOn()) {
+      return true;
+    }
     return (
       channel.canContinue &&
       this.#sends < route.maxAttempts &&
-      this.#deadlineAt - now > MIN_RETRY_MS &&
-      this.#chooseRunner() !== undefined &&
-      retryBudget.canSpend({ endpoint: service.name, class: 'interactive' }, now)
+      this.remainingMs > MIN_RETRY_MS &&
+      this.#chooseRunner() !== undefined
     );
   }
 
@@ -529,10 +497,10 @@
   #candidates(): readonly PlacementCandidate[] {
     const { pool, service, rollouts, directory } = this.#options;
     const candidatesOf = (isTarget: boolean): readonly PlacementCandidate[] =>
-      pool.candidates(
-        service,
-        (entry) => !this.#tried.has(entry.id) && rollouts.accepts(entry, isTarget),
-      );
+      pool.candidates(service, {
+        isAllowed: (entry) => !this.#tried.has(entry.id) && rollouts.accepts(entry, isTarget),
+        isRepeatable: this.isRepeatable,
+      });
     const hasOther = directory
       .ofService(service.name)
       .some((entry) => rollouts.accepts(entry, false));
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -1,23 +1,36 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { isRepeatKey } from '@ragwortrudder/admission';
 import { selectService, ApiKeyIndex, RouteTable } from '@ragwortrudder/catalog';
 import type { Configuration, Route, Service, Team } from '@ragwortrudder/catalog';
 import { Refusal } from '../errors/refusal.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
+import type { ReceivedRequest } from '../types/received-request.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
 import { quarantineKeysOf } from '../utils/quarantine-keys-of.ts';
 import { requestFingerprint } from '../utils/request-fingerprint.ts';
+import { sharedPartsOf } from '../utils/shared-parts-of.ts';
 import { costOf } from '../utils/cost-of.ts';
 import { toleratedLimit } from '../utils/tolerated-limit.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import { ForwardedRequest } from './forwarded-request.ts';
+import type { PeerForwarder } from './peer-forwarder.ts';
 
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
 const HTTP_TOO_MANY_REQUESTS = 429;
 const HTTP_UNAVAILABLE = 503;
+const REJECTING_STATUSES: ReadonlySet<number> = new Set([HTTP_TOO_MANY_REQUESTS, HTTP_UNAVAILABLE]);
 /** Retry-After of a node without a configuration, in milliseconds: the time of a store read. */
 const NO_CONFIGURATION_RETRY_MS = 500;
 
+/** Time in which peers tell whether they reach a runner that this node does not, in milliseconds. */
+const VERDICT_MS = 600;
+const VERDICT_POLL_MS = 20;
+/** Requests of peers that a node takes at a time; its own callers come first. */
+const MAX_PASSED_REQUESTS = 256;
+/** Retry-After of a node that takes no more requests of peers, in milliseconds. */
+const BUSY_RETRY_MS = 400;
+
 interface ActiveConfiguration {
   readonly configuration: Configuration;
   readonly routes: RouteTable;
@@ -25,13 +38,29 @@
   readonly services: ReadonlyMap<string, Service>;
 }
 
+interface AdmittingOptions extends ForwarderOptions {
+  readonly peerForwarder: PeerForwarder;
+}
+
+type AdmittedRequest = Pick<
+  Parameters<PeerForwarder['passOn']>[0],
+  'request' | 'channel' | 'route' | 'service' | 'team'
+>;
+
+/** The node's own answer that says that the request has not run. */
+function isRejection(error: unknown): boolean {
+  return error instanceof Refusal && REJECTING_STATUSES.has(error.status);
+}
+
 /** Admits requests according to the active configuration and forwards them to runners. */
 export class Forwarder {
-  readonly #options: ForwarderOptions;
+  readonly #options: AdmittingOptions;
   readonly #active = new Set<ForwardedRequest>();
   #activeConfiguration: ActiveConfiguration | undefined;
+  /** Requests of peers in progress. */
+  #passedCount = 0;
 
-  constructor(options: ForwarderOptions) {
+  constructor(options: AdmittingOptions) {
     this.#options = options;
   }
 
@@ -68,9 +97,22 @@
   }
 
   /** Serves one request; settles once the response has been handed to the channel. */
-  async forward(request: CallerRequest, channel: CallerChannel): Promise<void> {
+  forward(request: CallerRequest, channel: CallerChannel): Promise<void> {
+    return this.#respond(request, channel, () => this.#serve(request, channel));
+  }
+
+  /** Serves a request that a peer has admitted and passed on; it is not passed on again. */
+  forwardPassed(request: ReceivedRequest, channel: CallerChannel): Promise<void> {
+    return this.#respond(request, channel, () => this.#servePassed(request, channel));
+  }
+
+  async #respond(
+    request: CallerRequest,
+    channel: CallerChannel,
+    serve: () => Promise<void>,
+  ): Promise<void> {
     try {
-      await this.#serve(request, channel);
+      await serve();
     } catch (error) {
       if (!(error instanceof Refusal)) throw error;
       const { log, metrics } = this.#options;
@@ -108,7 +150,12 @@
     const quarantineKeys = quarantineKeysOf(request, fingerprint);
     this.#checkQuarantine(quarantineKeys, route);
     const cost = this.#takeQuota(request, team);
-    this.#options.onAdmitted(service, request);
+    const { onAdmitted, retryBudget, clock, peerForwarder, quota } = this.#options;
+    onAdmitted(service, request);
+    retryBudget.recordFirstAttempt(
+      { endpoint: service.name, class: 'interactive' },
+      clock.monotonic(),
+    );
     const forwarded = new ForwardedRequest({
       ...this.#options,
       request,
@@ -118,15 +165,149 @@
       team,
       fingerprint,
       quarantineKeys,
-      refundQuota: () => {
-        if (team) this.#options.quota.refund(team.name, cost);
-      },
+      mayPassOn: () => peerForwarder.mayPassOn(service.name),
+    });
+    let mayHaveRun = true;
+    try {
+      mayHaveRun = await this.#runOrPassOn(forwarded, { request, channel, route, service, team });
+    } catch (error) {
+      mayHaveRun = forwarded.mayHaveRun || !isRejection(error);
+      throw error;
+    } finally {
+      if (!mayHaveRun && team) quota.refund(team.name, cost);
+    }
+  }
+
+  /**
+   * Runs a request here; a peer runs what this node cannot send to a runner. Returns whether it may have
+   * run.
+   */
+  async #runOrPassOn(forwarded: ForwardedRequest, request: AdmittedRequest): Promise<boolean> {
+    this.#active.add(forwarded);
+    try {
+      if (this.#isForPeer(forwarded, request.service) && (await this.#offer(forwarded, request))) {
+        return true;
+      }
+      const refusal = await this.#run(forwarded);
+      if (!refusal) return forwarded.mayHaveRun;
+      if (!(await this.#mayPassOn(forwarded, request.service))) throw refusal;
+      await this.#passOn(forwarded, request, refusal);
+      return true;
+    } finally {
+      this.#active.delete(forwarded);
+    }
+  }
+
+  /** Runs a request here; returns what its caller has to be told if that fails. */
+  async #run(forwarded: ForwardedRequest): Promise<Refusal | undefined> {
+    try {
+      await forwarded.run();
+      return undefined;
+    } catch (error) {
+      if (error instanceof Refusal) return error;
+      throw error;
+    }
+  }
+
+  /** A request that crashes runners must not crash those that only a peer reaches. */
+  async #mayPassOn(forwarded: ForwardedRequest, service: Service): Promise<boolean> {
+    if (!forwarded.canBePassedOn()) return false;
+    if (!forwarded.mayHaveRun) return true;
+    const isOwnFault = await this.#hasLostLinks(service);
+    return isOwnFault && forwarded.canBePassedOn() && this.#takeRetry(service);
+  }
+
+  /**
+   * The runners that this node still reaches get their usual share of its requests, and peers send the
+   * others to the runners that it has lost.
+   */
+  #isForPeer(forwarded: ForwardedRequest, { name }: Service): boolean {
+    const { pool, random } = this.#options;
+    if (!pool.hasOwnFault(name)) return false;
+    const { lastRunner } = forwarded.progress;
+    const { runners, lost, lostIds } = pool.reachOf(name);
+    const isForLost =
+      lastRunner === undefined
+        ? random.next() * runners.length < lost.size
+        : lostIds.has(lastRunner);
+    return isForLost && forwarded.canBePassedOn();
+  }
+
+  /** Offers a request to peers; returns false if none of them took it. */
+  async #offer(forwarded: ForwardedRequest, request: AdmittedRequest): Promise<boolean> {
+    const notTaken = new Refusal('runner-unreachable', { status: HTTP_UNAVAILABLE });
+    try {
+      await this.#passOn(forwarded, request, notTaken);
+      return true;
+    } catch (error) {
+      if (!isRejection(error)) throw error;
+      return false;
+    }
+  }
+
+  #passOn(forwarded: ForwardedRequest, request: AdmittedRequest, refusal: Refusal): Promise<void> {
+    return this.#options.peerForwarder.passOn({
+      ...request,
+      progress: forwarded.progress,
+      remainingMs: forwarded.remainingMs,
+      isRepeatable: forwarded.isRepeatable,
+      mayHaveRun: forwarded.mayHaveRun,
+      refusal,
+    });
+  }
+
+  /** Waits until peers have told whether they reach the runners that this node does not. */
+  async #hasLostLinks({ name }: Service): Promise<boolean> {
+    const { pool, clock } = this.#options;
+    const until = clock.monotonic() + VERDICT_MS;
+    for (;;) {
+      if (pool.hasOwnFault(name)) return true;
+      if (clock.monotonic() > until) return false;
+      await sleep(VERDICT_POLL_MS);
+    }
+  }
+
+  #takeRetry({ name: endpoint }: Service): boolean {
+    const { retryBudget, clock } = this.#options;
+    return retryBudget.trySpend({ endpoint, class: 'interactive' }, clock.monotonic());
+  }
+
+  async #servePassed(request: ReceivedRequest, channel: CallerChannel): Promise<void> {
+    const { route, service, team, lastRunner } = request.passed;
+    if (this.#passedCount >= MAX_PASSED_REQUESTS) {
+      throw new Refusal('node-busy', {
+        status: HTTP_UNAVAILABLE,
+        retryAfterMs: BUSY_RETRY_MS,
+        inputs: { passed: this.#passedCount },
+      });
+    }
+    const fingerprint = requestFingerprint(request, team?.name);
+    const quarantineKeys = quarantineKeysOf(request, fingerprint);
+    this.#checkQuarantine(quarantineKeys, route);
+    const { sessions, clock } = this.#options;
+    const session = sharedPartsOf(request).at(-1);
+    if (lastRunner !== undefined && session !== undefined) {
+      sessions.record(session, lastRunner, clock.monotonic());
+    }
+    const forwarded = new ForwardedRequest({
+      ...this.#options,
+      request,
+      channel,
+      route,
+      service,
+      team: team && { ...team, apiKeys: [] },
+      fingerprint,
+      quarantineKeys,
+      passed: request.passed,
+      mayPassOn: () => false,
     });
     this.#active.add(forwarded);
+    this.#passedCount += 1;
     try {
       await forwarded.run();
     } finally {
       this.#active.delete(forwarded);
+      this.#passedCount -= 1;
     }
   }
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -13,9 +13,9 @@
 import type { CloudApi } from '../types/cloud-api.ts';
 import type { Dialect } from '../types/dialect.ts';
 import type { GatewaySettings } from '../types/gateway-settings.ts';
-import { PeerEntry } from '../types/peer-entry.ts';
 import { BufferBudget } from '../utils/buffer-budget.ts';
 import { decodeJson } from '../utils/decode-json.ts';
+import { DeferredEvidence } from '../utils/deferred-evidence.ts';
 import { DemandMeter } from '../utils/demand-meter.ts';
 import { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import { retryAllowance } from '../utils/retry-allowance.ts';
@@ -24,21 +24,21 @@
 import type { CallerChannel } from './caller-channel.ts';
 import { CallerServer } from './caller-server.ts';
 import { CatalogFollower } from './catalog-follower.ts';
+import { createDutyHolder } from './create-duty-holder.ts';
 import { ConfigurationSync } from './configuration-sync.ts';
 import { DecisionLog } from './decision-log.ts';
 import { DutyTermStore } from './duty-term-store.ts';
-import { DutyHolder } from './duty-holder.ts';
+import type { DutyHolder } from './duty-holder.ts';
 import { Forwarder } from './forwarder.ts';
 import { GatewayMetrics } from './gateway-metrics.ts';
+import { NodeRegistration } from './node-registration.ts';
+import { PeerPassing } from './peer-passing.ts';
 import { PeerStateSync } from './peer-state-sync.ts';
 import { Peers } from './peers.ts';
 import { QuarantineSync } from './quarantine-sync.ts';
-import { RolloutDuty } from './rollout-duty.ts';
 import { Rollouts } from './rollouts.ts';
 import { RunnerPool } from './runner-pool.ts';
 import { StatusServer } from './status-server.ts';
-import { SupplyDuty } from './supply-duty.ts';
-import { UsageDuty } from './usage-duty.ts';
 
 interface GatewayOptions {
   readonly settings: GatewaySettings;
@@ -51,7 +51,6 @@
   readonly out: Writable;
 }
 
-const NODE_TOPIC = 'nodes';
 const MAINTENANCE_PERIOD_MS = 200;
 /** Interval between reads of the states of open roll-outs, in milliseconds. */
 const ROLLOUT_PERIOD_MS = 500;
@@ -74,6 +73,8 @@
 const GRACE_MARGIN_MS = 700;
 /** Fraction of the allowed retry ratio that is used, because requests arrive unevenly within a window. */
 const USED_RETRY_RATIO = 0.5;
+/** Time in which a node finds out that it has lost a link, in milliseconds. */
+const LOST_LINK_DETECTION_MS = 2_000;
 const HTTP_UNAVAILABLE = 503;
 /** Retry-After of a node that is shutting down, in milliseconds. */
 const STOPPING_RETRY_MS = 50;
@@ -103,6 +104,9 @@
   readonly #metricsServer: StatusServer;
   readonly #peerState: PeerStateSync;
   readonly #peers: Peers;
+  readonly #passing: PeerPassing;
+  readonly #registration: NodeRegistration;
+  readonly #deferredEvidence: DeferredEvidence;
   readonly #dutyHolder: DutyHolder | undefined;
   readonly #catalog: CatalogFollower;
   readonly #configurationSync: ConfigurationSync;
@@ -110,8 +114,6 @@
   readonly #incarnation: number;
   readonly #startedAt: number;
   #configuration: Configuration | undefined;
-  /** Era of the log in which this node is in the topic of nodes. */
-  #registeredEra: number | undefined;
   #isStopping = false;
   #stoppingSince: number | undefined;
   #settings: GatewaySettings;
@@ -159,6 +161,8 @@
         this.#configurationSync.recordPeerVersion(version, peer);
       },
       quarantine: this.#quarantine,
+      links: () => this.#pool.links,
+      reach: () => this.#passing.reach,
       rollouts: this.#rollouts,
       disciplinedClock,
       dutyToken: () => this.#dutyHolder?.reportedToken ?? 0,
@@ -197,6 +201,39 @@
       log: this.#decisions,
       nodeCount: () => this.#peers.knownCount,
       onLeaving: () => void this.#peers.publishChange(),
+      onLinksChanged: () => void this.#peers.publishChange(),
+    });
+    this.#deferredEvidence = new DeferredEvidence({
+      clock,
+      isOwnFault: (entry) => this.#pool.links.isOwnFault(entry),
+    });
+    const buffers = new BufferBudget({
+      totalBytes: MAX_BUFFERED_BYTES,
+      maxBytes: MAX_RESPONSE_BUFFER_BYTES,
+    });
+    const address = { host: node.host, port: listen.peerPort };
+    this.#passing = new PeerPassing({
+      node: node.id,
+      failureDomain: node.failureDomain,
+      address,
+      dialect,
+      clock,
+      random,
+      peers: this.#peers,
+      pool: () => this.#pool,
+      buffers,
+      log: this.#decisions,
+      metrics: this.#metrics,
+      isStopping: () => this.#isStopping,
+      onRequest: (request, channel) => this.#forwarder.forwardPassed(request, channel),
+    });
+    this.#registration = new NodeRegistration({
+      log: options.log,
+      node: node.id,
+      address,
+      failureDomain: node.failureDomain,
+      incarnation: this.#incarnation,
+      peers: this.#peers,
     });
     this.#forwarder = new Forwarder({
       failureDomain: node.failureDomain,
@@ -212,10 +249,9 @@
       quotas: () => this.#settings.quotas,
       retryBudget: this.#retryBudget,
       quarantine: this.#quarantine,
-      buffers: new BufferBudget({
-        totalBytes: MAX_BUFFERED_BYTES,
-        maxBytes: MAX_RESPONSE_BUFFER_BYTES,
-      }),
+      buffers,
+      deferredEvidence: this.#deferredEvidence,
+      peerForwarder: this.#passing.forwarder,
       usage: this.#usage,
       disciplinedClock,
       log: this.#decisions,
@@ -258,7 +294,24 @@
       isReady: () => this.#isReady,
       metricsText: () => this.#metrics.text(),
     });
-    this.#dutyHolder = this.#createDutyHolder(disciplinedClock);
+    this.#dutyHolder = createDutyHolder({
+      settings,
+      log: options.log,
+      cloud: options.cloud,
+      clock,
+      codec,
+      peers: this.#peers,
+      usage: this.#usage,
+      demand: this.#demand,
+      directory: this.#directory,
+      loadTracker: this.#loadTracker,
+      rollouts: this.#rollouts,
+      disciplinedClock,
+      decisions: this.#decisions,
+      prefillMsPerToken: (service) => this.#pool.prefillRate(service).msPerToken,
+      services: () => this.#configuration?.services ?? [],
+      isStopping: () => this.#isStopping,
+    });
     this.#catalog = new CatalogFollower({
       log: options.log,
       codec,
@@ -294,6 +347,8 @@
           );
           this.#updateLimits();
           this.#pool.prune();
+          this.#passing.update();
+          this.#settleEvidence();
           this.#forwarder.checkSilence();
           this.#quarantineSync.update();
           this.#configurationSync.update();
@@ -312,7 +367,7 @@
       }),
       new PeriodicTask({
         periodMs: REGISTER_PERIOD_MS,
-        run: () => this.#register(),
+        run: () => (this.#isStopping ? Promise.resolve() : this.#registration.register()),
         onFailure: this.#logFailure('enter'),
       }),
     ];
@@ -336,6 +391,7 @@
     });
     this.#catalog.start();
     await this.#peers.start();
+    await this.#passing.listen();
     await this.#status.listen();
     await this.#metricsServer.listen();
     await this.#callers.listen();
@@ -379,7 +435,7 @@
       clearInterval(drainTimer);
       void this.close();
     }, MAINTENANCE_PERIOD_MS);
-    await this.#deregister();
+    await this.#registration.deregister().catch(this.#logFailure('leave'));
   }
 
   async close(): Promise<void> {
@@ -391,6 +447,7 @@
       this.#callers.close(),
       this.#status.close(),
       this.#metricsServer.close(),
+      this.#passing.close(),
       this.#pool.close(),
       this.#peers.close(),
     ]);
@@ -458,59 +515,11 @@
     await this.#forwarder.forward(request, channel);
   }
 
-  #createDutyHolder(disciplinedClock: DisciplinedClock): DutyHolder | undefined {
-    const { settings, log, cloud, clock, codec } = this.#options;
-    const { node, duties } = settings;
-    if (!cloud) return undefined;
-    const usage = new UsageDuty({
-      cloud,
-      usage: this.#usage,
-      peers: this.#peers,
-      disciplinedClock,
-      log: this.#decisions,
-      windowMs: duties.usageWindowMs,
-      lateMs: duties.usageLateMs,
-    });
-    const supply = new SupplyDuty({
-      cloud,
-      directory: this.#directory,
-      demand: this.#demand,
-      clock,
-      log: this.#decisions,
-      prefillMsPerToken: (service) => this.#pool.prefillRate(service).msPerToken,
-      services: () => this.#configuration?.services ?? [],
-    });
-    const rollouts = new RolloutDuty({
-      rollouts: this.#rollouts,
-      directory: this.#directory,
-      loadTracker: this.#loadTracker,
-      disciplinedClock,
-      era: () => log.era,
-      report: async (status) => {
-        const { key, value } = codec.encodeRolloutStatus(status);
-        await log.append({ topic: codec.statusTopic, key, value });
-      },
-    });
-    return new DutyHolder({
-      node: node.id,
-      termStore: new DutyTermStore({ log, node: node.id }),
-      peers: this.#peers,
-      clock,
-      log: this.#decisions,
-      duties: [
-        rollouts,
-        ...(duties.reportsUsage ? [usage] : []),
-        ...(duties.ordersRunners ? [supply] : []),
-      ],
-      leaseMs: duties.leaseMs,
-      isStopping: () => this.#isStopping,
-    });
-  }
-
   #apply(configuration: Configuration): void {
     this.#configuration = configuration;
     this.#forwarder.apply(configuration);
     this.#callers.setLimits(configuration.limits);
+    this.#passing.setLimits(configuration.limits);
   }
 
   /** Reads the states of roll-outs while one of them is open. */
@@ -522,36 +531,12 @@
     }
   }
 
-  /** Registers this node in the topic of nodes, again after a restore, and reads the entries of the others. */
-  async #register(): Promise<void> {
-    const { log, settings } = this.#options;
-    if (this.#isStopping || this.#registeredEra === log.era) return;
-    const { id, host, failureDomain } = settings.node;
-    const port = settings.listen.peerPort;
-    const entry: PeerEntry = { host, port, failureDomain, life: this.#incarnation };
-    const value = Buffer.from(JSON.stringify(entry));
-    await log.append({ topic: NODE_TOPIC, key: id, value });
-    const { records, era } = await log.newest(NODE_TOPIC);
-    let isListed = false;
-    for (const { key, value: bytes } of records) {
-      const peer = bytes && decodePeerEntry(bytes);
-      if (!peer) continue;
-      isListed ||= key === id && peer.life === this.#incarnation;
-      this.#peers.addPeer(key, { host: peer.host, port: peer.port }, peer.failureDomain);
-    }
-    // A restore in between may have taken the entry back.
-    if (!isListed) return;
-    this.#registeredEra = era;
-    await this.#peers.publishReport();
-  }
-
-  async #deregister(): Promise<void> {
-    if (this.#registeredEra === undefined) return;
-    try {
-      await this.#options.log.append({ topic: NODE_TOPIC, key: this.#options.settings.node.id });
-    } catch (error) {
-      this.#logFailure('leave')(error);
+  /** Holds nothing against runners, versions and prompts that this node's own lost links explain. */
+  #settleEvidence(): void {
+    for (const { runner, since } of this.#pool.links.ownFaults()) {
+      this.#quarantine.retract(runner, since - LOST_LINK_DETECTION_MS);
     }
+    this.#deferredEvidence.settle();
   }
 
   #logFailure(task: string): (error: unknown) => void {
@@ -563,7 +548,3 @@
     };
   }
 }
-
-function decodePeerEntry(bytes: Uint8Array): PeerEntry | undefined {
-  return PeerEntry.safeParse(decodeJson(bytes)).data;
-}
--- /dev/null
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -0,0 +1,233 @@
+import type { Address, Route, RunnerEntry, Service, Team } from '@ragwortrudder/catalog';
+import type { Clock, Closeable, Random } from '@ragwortrudder/core';
+import { Refusal } from '../errors/refusal.ts';
+import type { AttemptOutcome } from '../types/attempt-outcome.ts';
+import type { CallerRequest } from '../types/caller-request.ts';
+import type { Dialect } from '../types/dialect.ts';
+import type { PassedRequest } from '../types/passed-request.ts';
+import type { BufferBudget } from '../utils/buffer-budget.ts';
+import { choosePeer } from '../utils/choose-peer.ts';
+import type { PeerReach } from '../utils/peer-reach.ts';
+import type { CallerChannel } from './caller-channel.ts';
+import type { DecisionLog } from './decision-log.ts';
+import type { GatewayMetrics } from './gateway-metrics.ts';
+import type { Peers } from './peers.ts';
+import { RunnerAgent } from './runner-agent.ts';
+import { RunnerAttempt } from './runner-attempt.ts';
+
+interface PeerForwarderOptions {
+  readonly node: string;
+  readonly failureDomain: string;
+  readonly dialectFor: (passed: PassedRequest) => Dialect;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly peers: Pick<Peers, 'reachable'>;
+  readonly reach: PeerReach;
+  /** Runners of a service, and those among them that this node cannot reach. */
+  readonly reachOf: (service: string) => {
+    readonly runners: readonly string[];
+    readonly lost: ReadonlySet<string>;
+  };
+  readonly buffers: BufferBudget;
+  readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
+}
+
+interface PassedOnRequest {
+  readonly request: CallerRequest;
+  readonly channel: CallerChannel;
+  readonly route: Route;
+  readonly service: Service;
+  readonly team: Team | undefined;
+  readonly progress: Pick<PassedRequest, 'sends' | 'isUsageCounted' | 'lastRunner'>;
+  readonly remainingMs: number;
+  readonly isRepeatable: boolean;
+  readonly mayHaveRun: boolean;
+  /** What the caller is told if no peer takes the request. */
+  readonly refusal: Refusal;
+}
+
+interface Peer {
+  readonly id: string;
+  readonly address: Address;
+}
+
+/** Peers that a request is offered to. */
+const MAX_PEERS = 3;
+const MAX_CONNECTIONS = 256;
+const CHECK_PERIOD_MS = 200;
+const HTTP_OK = 200;
+const HTTP_BAD_GATEWAY = 502;
+const HTTP_UNAVAILABLE = 503;
+const HTTP_GATEWAY_TIMEOUT = 504;
+/** Causes with which a peer rejects a request that another one may serve. */
+const NEXT_PEER_CAUSES: ReadonlySet<string> = new Set([
+  'runner-unreachable',
+  'node-busy',
+  'node-stopping',
+  'no-configuration',
+]);
+
+/** Passes requests on to peers that reach runners which this node cannot reach. */
+export class PeerForwarder implements Closeable {
+  readonly #options: PeerForwarderOptions;
+  readonly #agents = new Map<string, RunnerAgent>();
+
+  constructor(options: PeerForwarderOptions) {
+    this.#options = options;
+  }
+
+  /** A peer reaches a runner of the service that this node does not reach. */
+  mayPassOn(service: string): boolean {
+    return this.#choose(service, new Set()) !== undefined;
+  }
+
+  /**
+   * Passes a request on until a peer has answered it. Throws a `Refusal` that has to be sent to the caller.
+   */
+  async passOn(passed: PassedOnRequest): Promise<void> {
+    const { channel, request } = passed;
+    const tried = new Set<string>();
+    let { mayHaveRun } = passed;
+    const deadlineAt = this.#options.clock.monotonic() + passed.remainingMs;
+    while (tried.size < MAX_PEERS) {
+      const peer = this.#choose(passed.service.name, tried);
+      if (!peer) break;
+      tried.add(peer.id);
+      const outcome = await this.#send(passed, peer, deadlineAt);
+      if (outcome.kind === 'answered') {
+        if (channel.hasBegun) throw failedAfter(outcome);
+        channel.respond(outcome.response);
+      }
+      if (outcome.kind === 'answered' || outcome.kind === 'relayed' || channel.isDisconnected) {
+        return;
+      }
+      if (outcome.kind === 'ended') {
+        throw new Refusal('time-out', { status: HTTP_GATEWAY_TIMEOUT });
+      }
+      const isOffered = outcome.kind === 'broken';
+      mayHaveRun ||= isOffered;
+      if (isOffered && !(passed.isRepeatable && channel.canContinue)) break;
+      if (outcome.kind === 'refused' && !NEXT_PEER_CAUSES.has(outcome.head.rejection ?? '')) {
+        throw rejectionOf(outcome, { mayHaveRun: mayHaveRun || channel.hasBegun, peer: peer.id });
+      }
+      this.#options.reach.avoid(peer.id);
+    }
+    if (!mayHaveRun && !channel.hasBegun) throw passed.refusal;
+    throw new Refusal('runner-broken', {
+      status: HTTP_BAD_GATEWAY,
+      inputs: { request: request.id, peersTried: tried.size },
+    });
+  }
+
+  close(): Promise<void> {
+    for (const agent of this.#agents.values()) agent.destroy();
+    return Promise.resolve();
+  }
+
+  #choose(service: string, tried: ReadonlySet<string>): Peer | undefined {
+    const { reachOf, peers, reach, failureDomain, random } = this.#options;
+    const { runners, lost } = reachOf(service);
+    if (lost.size === 0) return undefined;
+    const candidates = peers
+      .reachable()
+      .map((peer) => ({ ...peer, ...reach.of(peer.id) }))
+      .filter(({ id, isAvoided }) => !tried.has(id) && !isAvoided);
+    return choosePeer({ peers: candidates, runners, lost, failureDomain, random });
+  }
+
+  async #send(passed: PassedOnRequest, peer: Peer, deadlineAt: number): Promise<AttemptOutcome> {
+    const { clock, reach, log, metrics, buffers, node, dialectFor, peers } = this.#options;
+    const { request, channel, route, service, team, progress } = passed;
+    const sentAt = clock.monotonic();
+    if (deadlineAt <= sentAt) return { kind: 'ended' };
+    const attempt = new RunnerAttempt({
+      dialect: dialectFor({
+        from: node,
+        route,
+        service,
+        ...(team ? { team: teamOf(team) } : {}),
+        ...progress,
+      }),
+      agent: this.#agentOf(peer.id),
+      buffers,
+      request,
+      metadata: {
+        runner: peer satisfies Pick<RunnerEntry, 'id' | 'address'>,
+        remainingMs: deadlineAt - sentAt,
+        team: undefined,
+        priority: undefined,
+        lastEventId: channel.lastEventId ?? request.lastEventId,
+      },
+      ...(route.kind === 'stream' ? { sink: channel } : {}),
+      onHead: () => undefined,
+      onProgress: () => undefined,
+    });
+    const deadline = setTimeout(() => {
+      attempt.abort({ kind: 'ended' });
+    }, deadlineAt - sentAt);
+    // A peer that is no longer heard has lost the request, or its response does not arrive.
+    const check = setInterval(() => {
+      if (!passed.isRepeatable || peers.reachable().some(({ id }) => id === peer.id)) return;
+      attempt.abort({ kind: 'broken', reason: 'peer not heard', isConnectionLost: false });
+    }, CHECK_PERIOD_MS);
+    channel.onDisconnect(() => {
+      attempt.abort({ kind: 'ended' });
+    });
+    reach.addPassed(peer.id, 1);
+    const outcome = await attempt.outcome;
+    reach.addPassed(peer.id, -1);
+    clearTimeout(deadline);
+    clearInterval(check);
+    metrics.count('passed_on', { outcome: outcome.kind });
+    const status = outcome.kind === 'answered' ? outcome.response.head.status : HTTP_OK;
+    log.notable('request-passed-on', {
+      request: request.id,
+      route: route.name,
+      peer: peer.id,
+      outcome: outcome.kind,
+      ...(outcome.kind === 'answered' || outcome.kind === 'relayed' ? { status } : {}),
+      ...(outcome.kind === 'refused' ? { cause: outcome.head.rejection } : {}),
+      ...(outcome.kind === 'broken' ? { reason: outcome.reason } : {}),
+      sends: progress.sends,
+      afterMs: Math.round(clock.monotonic() - sentAt),
+    });
+    return outcome;
+  }
+
+  #agentOf(peer: string): RunnerAgent {
+    const known = this.#agents.get(peer);
+    if (known) return known;
+    const agent = new RunnerAgent({ maxSockets: MAX_CONNECTIONS });
+    this.#agents.set(peer, agent);
+    return agent;
+  }
+}
+
+function teamOf({ name, priority }: Team): NonNullable<PassedRequest['team']> {
+  return priority === undefined ? { name } : { name, priority };
+}
+
+/** A stream that has begun cannot end with another response. */
+function failedAfter({
+  response,
+}: Extract<AttemptOutcome, { readonly kind: 'answered' }>): Refusal {
+  return new Refusal('runner-broken', {
+    status: HTTP_BAD_GATEWAY,
+    inputs: { peerStatus: response.head.status },
+  });
+}
+
+function rejectionOf(
+  { head }: Extract<AttemptOutcome, { readonly kind: 'refused' }>,
+  { mayHaveRun, peer }: { readonly mayHaveRun: boolean; readonly peer: string },
+): Refusal {
+  if (mayHaveRun) {
+    return new Refusal('runner-broken', { status: HTTP_BAD_GATEWAY, inputs: { peer } });
+  }
+  return new Refusal('rejected-by-peer', {
+    status: HTTP_UNAVAILABLE,
+    ...(head.retryAfterMs === undefined ? {} : { retryAfterMs: head.retryAfterMs }),
+    inputs: { peer, peerCause: head.rejection },
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/node/peer-passing.ts
@@ -0,0 +1,95 @@
+import type { Address, CallerLimits } from '@ragwortrudder/catalog';
+import type { Clock, Closeable, Random } from '@ragwortrudder/core';
+import { Refusal } from '../errors/refusal.ts';
+import type { Dialect } from '../types/dialect.ts';
+import type { ReceivedRequest } from '../types/received-request.ts';
+import type { BufferBudget } from '../utils/buffer-budget.ts';
+import { PassingDialect } from '../utils/passing-dialect.ts';
+import { PeerReach } from '../utils/peer-reach.ts';
+import type { CallerChannel } from './caller-channel.ts';
+import { CallerServer } from './caller-server.ts';
+import type { DecisionLog } from './decision-log.ts';
+import type { GatewayMetrics } from './gateway-metrics.ts';
+import { PeerForwarder } from './peer-forwarder.ts';
+import type { Peers } from './peers.ts';
+import type { RunnerPool } from './runner-pool.ts';
+
+interface PeerPassingOptions {
+  readonly node: string;
+  readonly failureDomain: string;
+  /** Address at which peers reach this node. */
+  readonly address: Address;
+  readonly dialect: Dialect;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly peers: Pick<Peers, 'reachable'>;
+  readonly pool: () => RunnerPool;
+  readonly buffers: BufferBudget;
+  readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
+  readonly isStopping: () => boolean;
+  /** Serves a request that a peer has passed on. */
+  readonly onRequest: (request: ReceivedRequest, channel: CallerChannel) => Promise<void>;
+}
+
+/** Additional bytes of headers with which a request comes from a peer. */
+const PASSED_HEADER_BYTES = 16_384;
+const HTTP_UNAVAILABLE = 503;
+
+/** Requests that nodes pass on to each other: those of this node, and those that it gets from its peers. */
+export class PeerPassing implements Closeable {
+  readonly reach: PeerReach;
+  readonly forwarder: PeerForwarder;
+  readonly #options: PeerPassingOptions;
+  readonly #server: CallerServer<ReceivedRequest>;
+
+  constructor(options: PeerPassingOptions) {
+    this.#options = options;
+    const { dialect, address, log, clock, pool } = options;
+    this.reach = new PeerReach(clock);
+    this.forwarder = new PeerForwarder({
+      ...options,
+      reach: this.reach,
+      dialectFor: (passed) => new PassingDialect(dialect, passed),
+      reachOf: (service) => pool().reachOf(service),
+    });
+    this.#server = new CallerServer({
+      address,
+      dialect: new PassingDialect(dialect),
+      log,
+      onRequest: (request, channel) => this.#serve(request, channel),
+    });
+  }
+
+  listen(): Promise<void> {
+    return this.#server.listen();
+  }
+
+  /** Applies the limits of callers' requests; those of peers have additional headers. */
+  setLimits(limits: CallerLimits): void {
+    const headerBytes = limits.headerBytes + PASSED_HEADER_BYTES;
+    this.#server.setLimits({ ...limits, headerBytes });
+  }
+
+  /** Forgets the peers that are not heard any more. */
+  update(): void {
+    this.reach.retain(new Set(this.#options.peers.reachable().map(({ id }) => id)));
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([this.#server.close(), this.forwarder.close()]);
+  }
+
+  async #serve(request: ReceivedRequest, channel: CallerChannel): Promise<void> {
+    const { log, metrics, isStopping, onRequest } = this.#options;
+    metrics.count('passed_to', { route: request.passed.route.name });
+    log.routine('request-received-from-peer', { request: request.id, peer: request.passed.from });
+    if (!isStopping()) {
+      await onRequest(request, channel);
+      return;
+    }
+    const refusal = new Refusal('node-stopping', { status: HTTP_UNAVAILABLE });
+    log.notable('request-refused', { request: request.id, cause: refusal.code });
+    channel.fail(refusal, request.id);
+  }
+}
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -2,15 +2,18 @@
 import type { Address, RunnerDirectory } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
 import type { DomainDigest } from '../types/domain-digest.ts';
-import type { LeavingRunner } from '../types/leaving-runner.ts';
+import type { RunnerBoot } from '../types/runner-boot.ts';
 import type { NodeReport } from '../types/node-report.ts';
 import type { ReportExtent } from '../types/report-extent.ts';
 import type { RunnerWork } from '../types/runner-work.ts';
 import type { DemandMeter } from '../utils/demand-meter.ts';
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import type { DisciplinedClock } from '../utils/disciplined-clock.ts';
+import { incarnationOf } from '../utils/incarnation-of.ts';
+import type { PeerReach } from '../utils/peer-reach.ts';
 import type { UsageCounter } from '../utils/usage-counter.ts';
 import type { DecisionLog } from './decision-log.ts';
+import type { RunnerLinks } from './runner-links.ts';
 import type { Rollouts } from './rollouts.ts';
 
 interface PeerStateSyncOptions {
@@ -31,6 +34,11 @@
   /** Receives the version that a peer follows. */
   readonly onPeerConfiguration: (version: number, peer: Address) => void;
   readonly quarantine: Pick<PromptQuarantine, 'evidence' | 'evidenceOver' | 'setPeerEvidence'>;
+  readonly links: () => Pick<
+    RunnerLinks,
+    'lost' | 'reachedFor' | 'probeFor' | 'recordReachedByPeer'
+  >;
+  readonly reach: () => Pick<PeerReach, 'of' | 'setPeer' | 'lostByPeers'>;
   readonly rollouts: Pick<Rollouts, 'evidence' | 'setPeerEvidence'>;
   readonly disciplinedClock: DisciplinedClock;
   readonly dutyToken: () => number;
@@ -82,6 +90,7 @@
     const prompts = this.#options.quarantine.evidence;
     const limits = this.#options.limits.own;
     const leaving = this.#leaving();
+    const reach = this.#reach();
     return {
       node,
       host: address.host,
@@ -96,6 +105,7 @@
       ...(includesTotals ? this.#totals(now) : { usage: {}, demand: {} }),
       ...(limits.length > 0 ? { limits } : {}),
       ...(leaving.length > 0 ? { leaving } : {}),
+      ...reach,
       ...(prompts ? { prompts } : {}),
       duty: dutyToken(),
       isLeaving,
@@ -139,6 +149,7 @@
     this.#options.rollouts.setPeerEvidence(incarnation, report.outcomes);
     this.#options.limits.setPeerLimits(report.limits ?? []);
     this.#applyLeaving(report.leaving ?? [], report.node);
+    this.#applyReach(report);
     const { host, port } = report;
     this.#options.onPeerConfiguration(report.configuration ?? 0, { host, port });
     this.#options.quarantine.setPeerEvidence(
@@ -182,11 +193,35 @@
     );
   }
 
-  #leaving(): readonly LeavingRunner[] {
+  #reach(): Pick<NodeReport, 'outOfReach' | 'reached'> {
+    const links = this.#options.links();
+    const { lost } = links;
+    const reached = links.reachedFor(this.#options.reach().lostByPeers());
+    return {
+      ...(lost.length > 0 ? { outOfReach: lost.map(({ id, bornMs }) => [id, bornMs]) } : {}),
+      ...(reached.length > 0 ? { reached: reached.map(({ id, bornMs }) => [id, bornMs]) } : {}),
+    };
+  }
+
+  #applyReach({ node, work, outOfReach = [], reached = [] }: NodeReport): void {
+    const reach = this.#options.reach();
+    const links = this.#options.links();
+    const lost = outOfReach.map(([id, bornMs]) => incarnationOf({ id, bornMs }));
+    const known = reach.of(node).outOfReach;
+    reach.setPeer(node, {
+      requests: Object.values(work).reduce((sum, [requests]) => sum + requests, 0),
+      outOfReach: new Set(lost),
+    });
+    const lostNow = lost.filter((runner) => !known.has(runner));
+    if (lostNow.length > 0) links.probeFor(lostNow);
+    for (const [id, bornMs] of reached) links.recordReachedByPeer(incarnationOf({ id, bornMs }));
+  }
+
+  #leaving(): readonly RunnerBoot[] {
     return this.#options.directory.leaving.map(({ id, bornMs }) => [id, bornMs] as const);
   }
 
-  #applyLeaving(runners: readonly LeavingRunner[], peer: string): void {
+  #applyLeaving(runners: readonly RunnerBoot[], peer: string): void {
     const { directory, log } = this.#options;
     for (const [id, bornMs] of runners) {
       if (!directory.markLeaving({ id, bornMs })) continue;
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -138,6 +138,18 @@
     return [...this.#peers].filter(([, peer]) => this.#isReachable(peer, now)).map(([id]) => id);
   }
 
+  /** The reachable peers. */
+  reachable(): readonly {
+    readonly id: string;
+    readonly address: Address;
+    readonly failureDomain: string | undefined;
+  }[] {
+    const now = this.#options.clock.monotonic();
+    return [...this.#peers]
+      .filter(([, peer]) => this.#isReachable(peer, now))
+      .map(([id, { address, failureDomain }]) => ({ id, address, failureDomain }));
+  }
+
   /** The latest duty holder has reported that it gave up its term. */
   get hasHolderResigned(): boolean {
     return this.#hasResigned;
--- /dev/null
+++ b/packages/gateway/src/node/probe-connection.ts
@@ -0,0 +1,29 @@
+import { connect } from 'node:net';
+import type { Address } from '@ragwortrudder/catalog';
+import type { LinkFailure } from '@ragwortrudder/routing';
+import { ConnectTimedOut } from '../errors/connect-timed-out.ts';
+import { linkFailureOf } from '../utils/link-failure-of.ts';
+
+/** Opens a connection and closes it at once; settles with the reason when it cannot be opened. */
+export function probeConnection(
+  { host, port }: Address,
+  timeoutMs: number,
+): Promise<LinkFailure | undefined> {
+  return new Promise((resolve) => {
+    const socket = connect({ host, port });
+    const timer = setTimeout(() => {
+      socket.destroy(new ConnectTimedOut());
+    }, timeoutMs);
+    const settle = (failure: LinkFailure | undefined): void => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(failure);
+    };
+    socket.once('connect', () => {
+      settle(undefined);
+    });
+    socket.once('error', (error) => {
+      settle(linkFailureOf(error));
+    });
+  });
+}
--- a/packages/gateway/src/node/runner-agent.ts
+++ b/packages/gateway/src/node/runner-agent.ts
@@ -2,6 +2,8 @@
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { ConnectTimedOut } from '../errors/connect-timed-out.ts';
+
 interface RunnerAgentOptions {
   /** Maximum number of concurrent connections. */
   readonly maxSockets: number;
@@ -53,7 +55,7 @@
     const socket = super.createConnection(...args);
     if (socket && 'connecting' in socket) {
       const timer = setTimeout(() => {
-        socket.destroy(new Error('connect timed out'));
+        socket.destroy(new ConnectTimedOut());
       }, CONNECT_TIMEOUT_MS);
       socket.once('connect', () => {
         clearTimeout(timer);
@@ -88,9 +90,21 @@
     super.reuseSocket(socket, request);
   }
 
+  /** A connection is open and has no request in progress. */
+  get hasIdle(): boolean {
+    return Object.values(this.freeSockets).some((sockets) => {
+      return sockets?.some((socket) => !socket.destroyed) ?? false;
+    });
+  }
+
   /** Closes idle connections, now and from now on; requests in progress continue. */
   retire(): void {
     this.#isRetired = true;
+    this.closeIdle();
+  }
+
+  /** Closes the connections that are idle now. */
+  closeIdle(): void {
     for (const sockets of Object.values(this.freeSockets)) {
       for (const socket of sockets ?? []) socket.destroy();
     }
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -11,6 +11,7 @@
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { Dialect } from '../types/dialect.ts';
 import type { ForwardingMetadata } from '../types/forwarding-metadata.ts';
+import { linkFailureOf } from '../utils/link-failure-of.ts';
 import { incompleteReason } from '../utils/incomplete-reason.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
 import type { BufferBudget } from '../utils/buffer-budget.ts';
@@ -96,7 +97,7 @@
     });
     client.on('error', (error) => {
       if (this.#wasConnected) this.#break(error.message);
-      else this.#finish({ kind: 'unsent' });
+      else this.#finish({ kind: 'unsent', failure: linkFailureOf(error) });
     });
     client.on('close', () => {
       this.#break('connection closed before a response was received');
@@ -231,7 +232,7 @@
   #outcomeOf(response: RunnerResponse): AttemptOutcome {
     const { status, isNotExecuted } = response.head;
     if (isNotExecuted || status === MISDIRECTED) {
-      return { kind: 'refused', isMisdirected: status === MISDIRECTED };
+      return { kind: 'refused', isMisdirected: status === MISDIRECTED, head: response.head };
     }
     return { kind: 'answered', response, transfer: this.#transfer() };
   }
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -7,6 +7,7 @@
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import type { DecisionLog } from './decision-log.ts';
 import { RunnerAgent } from './runner-agent.ts';
+import { RunnerLinks } from './runner-links.ts';
 
 interface RunnerPoolOptions {
   readonly directory: RunnerDirectory;
@@ -16,10 +17,22 @@
   readonly log: DecisionLog;
   /** Called when a runner said for the first time that it is leaving. */
   readonly onLeaving: () => void;
+  /** Called when this node's link to a runner was lost or is back. */
+  readonly onLinksChanged: () => void;
   /** Number of nodes that share the runners' connections. */
   readonly nodeCount: () => number;
 }
 
+interface CandidateQuery {
+  /** @default all */
+  readonly isAllowed?: (entry: RunnerEntry) => boolean;
+  /**
+   * The request may be sent where it may get lost.
+   * @default false
+   */
+  readonly isRepeatable?: boolean;
+}
+
 interface PooledRunner {
   readonly entry: RunnerEntry;
   readonly agent: RunnerAgent;
@@ -63,6 +76,7 @@
 
 /** Runners as observed by this node: connections, reachability, failures and latency. */
 export class RunnerPool implements Closeable {
+  readonly links: RunnerLinks;
   readonly #options: RunnerPoolOptions;
   readonly #runners = new Map<string, PooledRunner>();
   readonly #prefillRates = new Map<string, PrefillRate>();
@@ -71,12 +85,23 @@
 
   constructor(options: RunnerPoolOptions) {
     this.#options = options;
+    this.links = new RunnerLinks({
+      directory: options.directory,
+      clock: options.clock,
+      log: options.log,
+      lastProgressAt: (entry) => this.lastProgressAt(entry),
+      isInUse: ({ id }) => (options.loadTracker.own.get(id)?.requests ?? 0) > 0,
+      closeIdle: (entry) => {
+        this.#runnerOf(entry).agent.closeIdle();
+      },
+      onChange: options.onLinksChanged,
+    });
   }
 
   /** Runners of a service that can accept a request now, among those that `isAllowed` lets pass. */
   candidates(
     service: Service,
-    isAllowed: (entry: RunnerEntry) => boolean = () => true,
+    { isAllowed = () => true, isRepeatable = false }: CandidateQuery = {},
   ): readonly PlacementCandidate[] {
     const now = this.#options.clock.monotonic();
     const entries = this.#options.directory
@@ -85,7 +110,7 @@
     const detector = this.#detectorOf(service.name);
     const reachable = excludeUnreachableDomains(
       entries,
-      (entry) => this.#runnerOf(entry).unreachableUntil > now,
+      (entry) => !this.#isReachable(entry, isRepeatable, now),
     );
     const healthy = reachable.filter(({ id }) => !detector.isEjected(id, now));
     const usable = healthy.length > 0 ? healthy : reachable;
@@ -112,6 +137,7 @@
   /** Records that a request is being sent. */
   recordSend(entry: RunnerEntry): void {
     this.#options.limits.take(incarnationOf(entry));
+    this.links.recordSent(entry);
     this.#detectorOf(entry.service).recordSent(entry.id, this.#options.clock.monotonic());
   }
 
@@ -181,8 +207,32 @@
     this.#options.log.notable('runner-unreachable', { runner: entry.id, reason, forMs });
   }
 
-  /** Removes runners that are no longer listed. */
+  /**
+   * Listed runners of a service that could serve requests, and those among them that this node cannot
+   * reach.
+   */
+  reachOf(service: string): {
+    readonly runners: readonly string[];
+    readonly lost: ReadonlySet<string>;
+    readonly lostIds: ReadonlySet<string>;
+  } {
+    const entries = this.#options.directory.ofService(service).filter((entry) => !entry.isDraining);
+    const lost = entries.filter((entry) => this.links.isLost(entry));
+    return {
+      runners: entries.map(incarnationOf),
+      lost: new Set(lost.map(incarnationOf)),
+      lostIds: new Set(lost.map(({ id }) => id)),
+    };
+  }
+
+  /** Peers reach a runner of the service that this node has lost its link to. */
+  hasOwnFault(service: string): boolean {
+    return this.#options.directory.ofService(service).some((entry) => this.links.isOwnFault(entry));
+  }
+
+  /** Removes runners that are no longer listed, and probes links. */
   prune(): void {
+    this.links.update();
     const { directory, loadTracker, limits } = this.#options;
     const listed = new Map(directory.all().map((entry) => [entry.id, entry]));
     for (const [id, { agent }] of this.#runners) {
@@ -198,10 +248,17 @@
     }
   }
 
-  close(): Promise<void> {
+  async close(): Promise<void> {
+    await this.links.close();
     for (const { agent } of this.#runners.values()) agent.destroy();
     this.#runners.clear();
-    return Promise.resolve();
+  }
+
+  #isReachable(entry: RunnerEntry, isRepeatable: boolean, now: number): boolean {
+    const { agent, unreachableUntil } = this.#runnerOf(entry);
+    if (unreachableUntil > now) return false;
+    if (!this.links.isLost(entry)) return true;
+    return agent.hasIdle && this.links.mayUseOpen(entry, isRepeatable);
   }
 
   /** Called for each runner and request, so that it costs nothing while no runner states a limit. */
--- a/packages/gateway/src/types/attempt-outcome.ts
+++ b/packages/gateway/src/types/attempt-outcome.ts
@@ -1,3 +1,5 @@
+import type { LinkFailure } from '@ragwortrudder/routing';
+import type { ResponseHead } from './response-head.ts';
 import type { ResponseTransfer } from './response-transfer.ts';
 import type { RunnerResponse } from './runner-response.ts';
 
@@ -12,9 +14,9 @@
   /** The response was streamed to the caller to its end. */
   | { readonly kind: 'relayed'; readonly transfer: ResponseTransfer }
   /** The runner declared that it did not execute the request. */
-  | { readonly kind: 'refused'; readonly isMisdirected: boolean }
+  | { readonly kind: 'refused'; readonly isMisdirected: boolean; readonly head: ResponseHead }
   /** No connection could be opened, so nothing was sent. */
-  | { readonly kind: 'unsent' }
+  | { readonly kind: 'unsent'; readonly failure: LinkFailure }
   /**
    * The runner closed the connection early, sent an invalid response or stopped sending; the
    * request may have been executed.
--- a/packages/gateway/src/types/domain-digest.ts
+++ b/packages/gateway/src/types/domain-digest.ts
@@ -1,6 +1,6 @@
 import { PromptEvidence, StatedLimit } from '@ragwortrudder/admission';
 import * as z from 'zod';
-import { LeavingRunner } from './leaving-runner.ts';
+import { RunnerBoot } from './runner-boot.ts';
 
 /**
  * Summary of a failure domain that its relays send to the nodes of the other domains, so that not
@@ -27,7 +27,7 @@
   /** Version of the configuration that the relay follows. */
   configuration: z.number().optional(),
   /** Runners that are leaving, as the members know. */
-  leaving: z.array(LeavingRunner).readonly().optional(),
+  leaving: z.array(RunnerBoot).readonly().optional(),
   /** What the members know about prompt parts that may crash runners. */
   prompts: PromptEvidence.optional(),
 });
--- a/packages/gateway/src/types/forwarder-options.ts
+++ b/packages/gateway/src/types/forwarder-options.ts
@@ -7,6 +7,7 @@
 import type { Rollouts } from '../node/rollouts.ts';
 import type { RunnerPool } from '../node/runner-pool.ts';
 import type { BufferBudget } from '../utils/buffer-budget.ts';
+import type { DeferredEvidence } from '../utils/deferred-evidence.ts';
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import type { UsageCounter } from '../utils/usage-counter.ts';
 import type { CallerRequest } from './caller-request.ts';
@@ -27,6 +28,7 @@
   readonly quota: SharedQuota;
   readonly retryBudget: RetryBudget;
   readonly quarantine: PromptQuarantine;
+  readonly deferredEvidence: DeferredEvidence;
   readonly buffers: BufferBudget;
   readonly usage: UsageCounter;
   readonly quotas: () => GatewaySettings['quotas'];
--- a/packages/gateway/src/types/forwarding-metadata.ts
+++ b/packages/gateway/src/types/forwarding-metadata.ts
@@ -2,7 +2,7 @@
 
 /** Metadata that the gateway adds to a caller's request when it forwards it to a runner. */
 export interface ForwardingMetadata {
-  readonly runner: RunnerEntry;
+  readonly runner: Pick<RunnerEntry, 'id' | 'address'>;
   /** Time left until the deadline of the request, in milliseconds. */
   readonly remainingMs: number;
   /** Team that owns the caller's API key; undefined on public routes. */
--- a/packages/gateway/src/types/gateway-settings.ts
+++ b/packages/gateway/src/types/gateway-settings.ts
@@ -14,7 +14,7 @@
     readonly readiness: Address;
     /** Address of the metrics endpoint. */
     readonly metrics: Address;
-    /** UDP port for messages between nodes. */
+    /** Port for messages (UDP) and passed-on requests (TCP) between nodes. */
     readonly peerPort: number;
   };
   /** Time from SIGTERM to SIGKILL, in milliseconds. */
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -1,7 +1,7 @@
 import { PromptEvidence, StatedLimit } from '@ragwortrudder/admission';
 import { Evidence } from '@ragwortrudder/moves';
 import * as z from 'zod';
-import { LeavingRunner } from './leaving-runner.ts';
+import { RunnerBoot } from './runner-boot.ts';
 
 const countsByTeam = z.record(z.string(), z.number());
 
@@ -32,7 +32,11 @@
   /** Version of the configuration that the node follows. */
   configuration: z.number().optional(),
   /** Runners that are leaving, by id and start of the boot. */
-  leaving: z.array(LeavingRunner).readonly().optional(),
+  leaving: z.array(RunnerBoot).readonly().optional(),
+  /** Runners that the node cannot reach, by id and start of the boot. */
+  outOfReach: z.array(RunnerBoot).readonly().optional(),
+  /** Of the runners that peers cannot reach: those that the node has just reached. */
+  reached: z.array(RunnerBoot).readonly().optional(),
   /** What the node knows about prompt parts that may crash runners. */
   prompts: PromptEvidence.optional(),
   /** Fencing token of the duty term that the node holds and can act on; otherwise 0. */
--- /dev/null
+++ b/packages/gateway/src/types/passed-request.ts
@@ -0,0 +1,42 @@
+import * as z from 'zod';
+
+const route = z.object({
+  name: z.string(),
+  host: z.string(),
+  pathPrefix: z.string(),
+  kind: z.enum(['idempotent', 'non-idempotent', 'stream']),
+  timeoutMs: z.number(),
+  latencyTargetMs: z.number(),
+  priority: z.number(),
+  targets: z.array(z.object({ service: z.string(), weight: z.number() })).readonly(),
+  maxAttempts: z.number(),
+  isPublic: z.boolean(),
+  isResumable: z.boolean(),
+  maxGapMs: z.number(),
+});
+const service = z.object({
+  name: z.string(),
+  healthPath: z.string(),
+  maxConnections: z.number(),
+  engine: z.object({ slots: z.number(), kvCapacityTokens: z.number() }).exactOptional(),
+});
+
+/**
+ * What a node has decided about a request that it passes on to a peer: the peer does not decide it again, so
+ * that a configuration which only one of them has in force makes no difference.
+ */
+export const PassedRequest = z.object({
+  /** Node that received the request from its caller. */
+  from: z.string(),
+  route,
+  service,
+  team: z.object({ name: z.string(), priority: z.number().exactOptional() }).exactOptional(),
+  /** Attempts in which the request was sent to a runner. */
+  sends: z.number(),
+  /** A runner may have begun to execute the request; its usage is counted. */
+  isUsageCounted: z.boolean(),
+  /** Runner that has the prompt of the session in its cache. */
+  lastRunner: z.string().exactOptional(),
+});
+/** What a node has decided about a request that it passes on to a peer. */
+export type PassedRequest = Readonly<z.infer<typeof PassedRequest>>;
--- a/packages/gateway/src/types/refusal-cause.ts
+++ b/packages/gateway/src/types/refusal-cause.ts
@@ -13,4 +13,6 @@
   | 'time-out'
   | 'body-too-large'
   | 'header-too-large'
-  | 'node-stopping';
+  | 'node-stopping'
+  | 'node-busy'
+  | 'rejected-by-peer';
--- a/packages/gateway/src/types/response-head.ts
+++ b/packages/gateway/src/types/response-head.ts
@@ -16,4 +16,8 @@
   readonly load: RunnerLoad | undefined;
   /** Requests per second that the runner accepts from all nodes together; undefined without a limit. */
   readonly requestsPerSecond: number | undefined;
+  /** Time after which the request may be sent again, in milliseconds; undefined when none is given. */
+  readonly retryAfterMs: number | undefined;
+  /** Cause with which a peer rejected a request that was passed on to it. */
+  readonly rejection?: string;
 }
--- /dev/null
+++ b/packages/routing/src/utils/link-monitor.ts
@@ -0,0 +1,124 @@
+import type { Clock } from '@ragwortrudder/core';
+import type { LinkFailure } from '../types/link-failure.ts';
+
+interface DownLink {
+  readonly failure: LinkFailure;
+  readonly since: number;
+  /** When the next probe is due. */
+  readonly probeAt: number;
+  readonly gapMs: number;
+}
+
+/** Time between two probes of a link that is down, in milliseconds; grows up to the second value. */
+const FIRST_PROBE_GAP_MS = 200;
+const MAX_PROBE_GAP_MS = 800;
+const PROBE_GAP_FACTOR = 1.5;
+/** Minimum time between two probes of a link that is not down, in milliseconds. */
+const SUSPICION_GAP_MS = 1_000;
+/** Time after the loss of a link in which others tell that they reach its runner, in milliseconds. */
+const PROOF_MS = 1_500;
+
+/**
+ * Tracks which runners a node can open connections to. A link that is down is probed until it is up
+ * again, so that no request is needed to find out.
+ */
+export class LinkMonitor {
+  readonly #clock: Clock;
+  readonly #down = new Map<string, DownLink>();
+  /** Links that are not down and are to be probed at the next opportunity. */
+  readonly #suspected = new Set<string>();
+  readonly #suspectedAt = new Map<string, number>();
+  /** Runners whose links are down and that other nodes have reached since. */
+  readonly #reachedByPeers = new Set<string>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Records that no connection could be opened; returns true when the link was not down before. */
+  recordFailure(runner: string, failure: LinkFailure): boolean {
+    const known = this.#down.get(runner);
+    const now = this.#clock.monotonic();
+    const gapMs = known
+      ? Math.min(MAX_PROBE_GAP_MS, known.gapMs * PROBE_GAP_FACTOR)
+      : FIRST_PROBE_GAP_MS;
+    const since = known?.since ?? now;
+    this.#down.set(runner, { failure, since, probeAt: now + gapMs, gapMs });
+    this.#suspected.delete(runner);
+    return known === undefined;
+  }
+
+  /** Records that a connection was opened; returns true when the link was down before. */
+  recordSuccess(runner: string): boolean {
+    this.#suspected.delete(runner);
+    this.#reachedByPeers.delete(runner);
+    return this.#down.delete(runner);
+  }
+
+  /** Asks for a probe of a link that is not known to be down. */
+  suspect(runner: string): void {
+    const now = this.#clock.monotonic();
+    const suspectedAt = this.#suspectedAt.get(runner) ?? -Infinity;
+    if (this.#down.has(runner) || now - suspectedAt < SUSPICION_GAP_MS) return;
+    this.#suspectedAt.set(runner, now);
+    this.#suspected.add(runner);
+  }
+
+  isDown(runner: string): boolean {
+    return this.#down.has(runner);
+  }
+
+  /** Since when the link has been down, monotonic; undefined while it is up. */
+  downSince(runner: string): number | undefined {
+    return this.#down.get(runner)?.since;
+  }
+
+  /** Nothing answers behind the link, so that open connections are lost as well. */
+  isSilent(runner: string): boolean {
+    return this.#down.get(runner)?.failure === 'silent';
+  }
+
+  /** Runners whose links are down. */
+  get down(): readonly string[] {
+    return [...this.#down.keys()];
+  }
+
+  /** Records that another node has just reached a runner. */
+  recordReachedByPeer(runner: string): void {
+    const since = this.downSince(runner);
+    // Later the runner may have ended and another one may have its address.
+    if (since === undefined || this.#clock.monotonic() - since > PROOF_MS) return;
+    this.#reachedByPeers.add(runner);
+  }
+
+  /**
+   * The link to a runner is down although the runner lives, which others have seen; or the links to all
+   * runners are, at least one of which lives.
+   */
+  isOwnFault(runner: string, runners: readonly string[]): boolean {
+    if (!this.#down.has(runner)) return false;
+    if (this.#reachedByPeers.has(runner)) return true;
+    const hasLostAll = runners.every((item) => this.#down.has(item));
+    return hasLostAll && runners.some((item) => this.#reachedByPeers.has(item));
+  }
+
+  /** Links to probe now; each is due again only later. */
+  takeProbes(): readonly string[] {
+    const now = this.#clock.monotonic();
+    const due = [...this.#suspected];
+    this.#suspected.clear();
+    for (const [runner, link] of this.#down) {
+      if (link.probeAt > now) continue;
+      this.#down.set(runner, { ...link, probeAt: now + link.gapMs });
+      due.push(runner);
+    }
+    return due;
+  }
+
+  /** Forgets all runners that are not among these. */
+  retain(runners: ReadonlySet<string>): void {
+    for (const known of [this.#down, this.#suspectedAt, this.#suspected, this.#reachedByPeers]) {
+      for (const runner of known.keys()) if (!runners.has(runner)) known.delete(runner);
+    }
+  }
+}
--- a/test/gateway/cut-off-node.test.ts
+++ b/test/gateway/cut-off-node.test.ts
@@ -159,20 +159,36 @@
   });
 }
 
-// Guards against requests that wait or go round when no node reaches a runner.
-test('pattern: all nodes lose all links to runners; requests are rejected at once', async (t) => {
-  const { fleet } = await startFleet(t, { kind: 'idempotent', gateways: 3, events: 0 });
+// Guards against nodes that send all their requests to the few runners that they still reach.
+test('pattern: a node loses its links to 2 of 3 runners; the third gets no more than its share', async (t) => {
+  const { fleet, runners } = await startFleet(t, { kind: 'idempotent', gateways: 2, events: 0 });
   await sendFor(fleet.gateways, 300);
-  await fleet.setLinks([0, 1, 2], 'cut');
+  await fleet.setLinks([0], 'cut', ['r0', 'r1']);
   await sendFor(fleet.gateways, DECISION_MS);
-  const outcomes = await sendFor(fleet.gateways, 1_000);
-  for (const { status, tookMs, retryAfter } of outcomes) {
-    t.is(status, UNAVAILABLE);
-    t.true(tookMs < REJECTED_MS, `rejected after ${tookMs} ms`);
-    t.truthy(retryAfter);
-  }
+  const before = runners.map((runner) => runner.runs.size);
+  const outcomes = await sendFor([fleet.gateways[0]], TRAFFIC_MS);
+  t.true(servedOf(outcomes) >= SERVED_SHARE * outcomes.length);
+  const third = (runners[2]?.runs.size ?? 0) - (before[2] ?? 0);
+  t.true(third < 0.6 * outcomes.length, `${third} of ${outcomes.length}`);
 });
 
+// Guards against requests that wait or go round when no node reaches a runner.
+test.serial(
+  'pattern: all nodes lose all links to runners; requests are rejected at once',
+  async (t) => {
+    const { fleet } = await startFleet(t, { kind: 'idempotent', gateways: 3, events: 0 });
+    await sendFor(fleet.gateways, 300);
+    await fleet.setLinks([0, 1, 2], 'cut');
+    await sendFor(fleet.gateways, DECISION_MS);
+    const outcomes = await sendFor(fleet.gateways, 1_000);
+    for (const { status, tookMs, retryAfter } of outcomes) {
+      t.is(status, UNAVAILABLE);
+      t.true(tookMs < REJECTED_MS, `rejected after ${tookMs} ms`);
+      t.truthy(retryAfter);
+    }
+  },
+);
+
 // Guards against a caller whose team, deadline or resume position is lost between nodes.
 test('a request that is passed on has its team, deadline and resume position', async (t) => {
   const { fleet, runners } = await startFleet(t, { kind: 'stream', gateways: 2, events: EVENTS });
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import { ManualClock } from '@ragwortrudder/core';
 import type { AttemptOutcome } from '../../packages/gateway/src/types/attempt-outcome.ts';
+import type { ResponseHead } from '../../packages/gateway/src/types/response-head.ts';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import { DemandMeter } from '../../packages/gateway/src/utils/demand-meter.ts';
 import { EventSplitter } from '../../packages/gateway/src/utils/event-splitter.ts';
@@ -22,13 +23,14 @@
   takeBudget: () => true,
 } as const;
 const BROKEN: AttemptOutcome = { kind: 'broken', reason: 'reset', isConnectionLost: true };
-const REFUSED: AttemptOutcome = { kind: 'refused', isMisdirected: false };
+const UNSENT: AttemptOutcome = { kind: 'unsent', failure: 'refused' };
+const REFUSED: AttemptOutcome = { kind: 'refused', isMisdirected: false, head: headOf(503) };
 const NON_IDEMPOTENT = { kind: 'non-idempotent', isResumable: false, maxAttempts: 2 } as const;
 const STREAM = { kind: 'stream', isResumable: false, maxAttempts: 2 } as const;
 const RESUMABLE = { kind: 'stream', isResumable: true, maxAttempts: 2 } as const;
 
-function failure(status: number): AttemptOutcome {
-  const head = {
+function headOf(status: number): ResponseHead {
+  return {
     status,
     headers: [],
     contentType: undefined,
@@ -38,14 +40,18 @@
     isLeaving: false,
     load: undefined,
     requestsPerSecond: undefined,
+    retryAfterMs: undefined,
   };
+}
+
+function failure(status: number): AttemptOutcome {
   const transfer = {
     framing: 'length',
     bytes: 0,
     connection: 'open',
     partialEventBytes: undefined,
   } as const;
-  return { kind: 'answered', response: { head, body: Buffer.alloc(0) }, transfer };
+  return { kind: 'answered', response: { head: headOf(status), body: Buffer.alloc(0) }, transfer };
 }
 
 test('a request that may have been executed and must not be repeated ends with an unknown outcome', (t) => {
@@ -102,9 +108,9 @@
   t.is(nextStep(REFUSED, { ...BASE, route: NON_IDEMPOTENT }), 'retry');
   t.is(nextStep(REFUSED, { ...BASE, route: NON_IDEMPOTENT, sends: 2 }), 'refuse');
   t.is(nextStep(REFUSED, { ...BASE, sends: 2, mayHaveRun: true }), 'fail');
-  t.is(nextStep({ kind: 'unsent' }, { ...BASE, sends: 0, unsent: 1 }), 'retry');
-  t.is(nextStep({ kind: 'unsent' }, { ...BASE, sends: 0, unsent: 3 }), 'refuse');
-  t.is(nextStep({ kind: 'unsent' }, { ...BASE, mayHaveRun: true, unsent: 3 }), 'fail');
+  t.is(nextStep(UNSENT, { ...BASE, sends: 0, unsent: 1 }), 'retry');
+  t.is(nextStep(UNSENT, { ...BASE, sends: 0, unsent: 3 }), 'refuse');
+  t.is(nextStep(UNSENT, { ...BASE, mayHaveRun: true, unsent: 3 }), 'fail');
 });
 
 test('only complete events are forwarded, wherever the chunk boundaries are', (t) => {
--- a/test/gateway/free-port.ts
+++ b/test/gateway/free-port.ts
@@ -1,14 +1,31 @@
 import { createSocket } from 'node:dgram';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
 
-/** Returns a UDP port of the loopback address that no socket is bound to. */
-export async function freePort(): Promise<number> {
+const HOST = '127.0.0.1';
+
+function isUdpPortFree(port: number): Promise<boolean> {
   const socket = createSocket('udp4');
-  await new Promise<void>((resolve) => {
-    socket.bind(0, '127.0.0.1', resolve);
-  });
-  const { port } = socket.address();
-  await new Promise<void>((resolve) => {
-    socket.close(resolve);
+  return new Promise((resolve) => {
+    socket.once('error', () => {
+      resolve(false);
+    });
+    socket.bind(port, HOST, () => {
+      socket.close(() => {
+        resolve(true);
+      });
+    });
   });
-  return port;
+}
+
+/** Returns a port of the loopback address that no UDP or TCP socket is bound to. */
+export async function freePort(): Promise<number> {
+  for (;;) {
+    const server = createServer();
+    await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+    const { port } = server.address() as AddressInfo;
+    const isFree = await isUdpPortFree(port);
+    await new Promise((resolve) => server.close(resolve));
+    if (isFree) return port;
+  }
 }
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -4,10 +4,18 @@
 import { ManualClock } from '@ragwortrudder/core';
 import { PeerStateSync } from '../../packages/gateway/src/node/peer-state-sync.ts';
 import { DemandMeter } from '../../packages/gateway/src/utils/demand-meter.ts';
+import { PeerReach } from '../../packages/gateway/src/utils/peer-reach.ts';
 import { RunnerLoadTracker } from '../../packages/gateway/src/utils/runner-load-tracker.ts';
 import { DisciplinedClock } from '../../packages/gateway/src/utils/disciplined-clock.ts';
 import { UsageCounter } from '../../packages/gateway/src/utils/usage-counter.ts';
 
+const NO_LINKS = {
+  lost: [],
+  reachedFor: () => [],
+  probeFor: () => undefined,
+  recordReachedByPeer: () => undefined,
+};
+
 interface TestNode {
   readonly loadTracker: RunnerLoadTracker;
   readonly quota: SharedQuota;
@@ -35,6 +43,8 @@
     onPeerConfiguration: () => undefined,
     limits: new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes }),
     quarantine: new PromptQuarantine({ clock, trialRank: () => 0 }),
+    links: () => NO_LINKS,
+    reach: () => new PeerReach(clock),
     rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
     disciplinedClock: new DisciplinedClock(clock),
     dutyToken: () => 0,
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -9,10 +9,18 @@
 import { PeerStateSync } from '../../packages/gateway/src/node/peer-state-sync.ts';
 import { Peers } from '../../packages/gateway/src/node/peers.ts';
 import { DemandMeter } from '../../packages/gateway/src/utils/demand-meter.ts';
+import { PeerReach } from '../../packages/gateway/src/utils/peer-reach.ts';
 import { RunnerLoadTracker } from '../../packages/gateway/src/utils/runner-load-tracker.ts';
 import { DisciplinedClock } from '../../packages/gateway/src/utils/disciplined-clock.ts';
 import { UsageCounter } from '../../packages/gateway/src/utils/usage-counter.ts';
 
+const NO_LINKS = {
+  lost: [],
+  reachedFor: () => [],
+  probeFor: () => undefined,
+  recordReachedByPeer: () => undefined,
+};
+
 interface TestNode {
   readonly id: string;
   readonly failureDomain: string;
@@ -53,6 +61,8 @@
     onPeerConfiguration: () => undefined,
     limits: new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes }),
     quarantine: new PromptQuarantine({ clock, trialRank: () => 0 }),
+    links: () => NO_LINKS,
+    reach: () => new PeerReach(clock),
     rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
     disciplinedClock: new DisciplinedClock(clock),
     dutyToken: () => 0,
