Leave runners alone that ask a node for rest

Cause: only the fact of the refusal was read from a runner's 503, and the header was dropped.

The rest is kept by boot, from the head of the answer on. If all runners rest, a request is rejected at once with the time until the first rest ends. Afterwards the runner gets one request of each node at first, and more with each that it takes.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -35,5 +35,6 @@
 export { PromptQuarantine } from './utils/prompt-quarantine.ts';
 export { RETRIES_LEFT_HEADER } from './utils/retries-left-header.ts';
 export { RetryBudget } from './utils/retry-budget.ts';
+export { RunnerRests } from './utils/runner-rests.ts';
 export { StatedLimits } from './utils/stated-limits.ts';
 export { SharedQuota } from './utils/shared-quota.ts';
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -184,13 +184,14 @@
   }
 
   async #attemptUntilDone(): Promise<void> {
+    const { pool, service } = this.#options;
     for (;;) {
       const chosen = this.#chooseRunner();
       if (!chosen || this.#isHeld()) {
         if (this.#mayHaveRun) this.#fail('runner-broken', HTTP_BAD_GATEWAY);
         throw new Refusal(this.#causeWithoutRunner(), {
           status: HTTP_UNAVAILABLE,
-          retryAfterMs: SATURATED_RETRY_MS,
+          retryAfterMs: pool.restMs(service.name) ?? SATURATED_RETRY_MS,
           inputs: this.#refusalInputs(),
         });
       }
@@ -203,7 +204,7 @@
   }
 
   #handleOutcome(outcome: AttemptOutcome, { entry }: ChosenRunner): boolean {
-    const { route, channel, service, retryBudget, clock, log, request } = this.#options;
+    const { route, channel, service, retryBudget, clock, log, request, pool } = this.#options;
     const now = clock.monotonic();
     const step = nextStep(outcome, {
       route,
@@ -243,7 +244,7 @@
       case 'refuse':
         throw new Refusal(outcome.kind === 'unsent' ? 'runner-unreachable' : 'runner-full', {
           status: HTTP_UNAVAILABLE,
-          retryAfterMs: SATURATED_RETRY_MS,
+          retryAfterMs: pool.restMs(service.name) ?? SATURATED_RETRY_MS,
           inputs: this.#refusalInputs(),
         });
       case 'fail':
@@ -283,6 +284,7 @@
       service: service.name,
       runnersListed: listed.length,
       runnersLimited: pool.countLimited(listed),
+      runnersResting: pool.countResting(listed),
       runnersDraining: listed.filter(({ isDraining }) => isDraining).length,
       runnersUsable: pool.candidates(service).length,
       runnersLost: pool.reachOf(service.name).lost.size,
@@ -356,8 +358,10 @@
         lastEventId: channel.lastEventId ?? request.lastEventId,
       },
       ...(route.kind === 'stream' ? { sink: channel } : {}),
-      onHead: ({ status, load, requestsPerSecond, isLeaving }) => {
+      onHead: ({ status, load, requestsPerSecond, isLeaving, retryAfterMs = 0 }) => {
         if (status === HTTP_MISDIRECTED) return;
+        if (status === HTTP_UNAVAILABLE) pool.recordRest(entry, retryAfterMs);
+        else pool.recordTaken(entry);
         if (isLeaving) pool.recordLeaving(entry);
         pool.recordStatedLimit(entry, requestsPerSecond);
         if (load) loadTracker.setReportedLoad(entry.id, load);
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -1,5 +1,6 @@
 import type { RunnerDirectory, RunnerEntry, Service } from '@ragwortrudder/catalog';
 import type { Clock, Closeable } from '@ragwortrudder/core';
+import { RunnerRests } from '@ragwortrudder/admission';
 import type { StatedLimits } from '@ragwortrudder/admission';
 import { OutlierDetector, PrefillRate, excludeUnreachableDomains } from '@ragwortrudder/routing';
 import type { PlacementCandidate } from '@ragwortrudder/routing';
@@ -82,9 +83,11 @@
   readonly #prefillRates = new Map<string, PrefillRate>();
   readonly #progressAt = new Map<string, number>();
   readonly #detectors = new Map<string, OutlierDetector>();
+  readonly #rests: RunnerRests;
 
   constructor(options: RunnerPoolOptions) {
     this.#options = options;
+    this.#rests = new RunnerRests(options.clock);
     this.links = new RunnerLinks({
       directory: options.directory,
       clock: options.clock,
@@ -116,7 +119,7 @@
     const usable = healthy.length > 0 ? healthy : reachable;
     const median = medianOf(usable.map((entry) => this.#runnerOf(entry).latencyRatio));
     return usable
-      .filter((entry) => this.#isWithinLimit(entry))
+      .filter((entry) => this.#isWithinLimit(entry) && !this.#isResting(entry))
       .map((entry) => this.#candidateOf(entry, service, median))
       .filter(({ id }) => this.#hasConnectionLeft(id, service));
   }
@@ -159,6 +162,33 @@
     this.#options.limits.record(incarnationOf(entry), perSecond);
   }
 
+  /** Records that a runner turned a request away and wants nothing from this node for a time. */
+  recordRest(entry: RunnerEntry, forMs: number): void {
+    if (!this.#rests.record(incarnationOf(entry), forMs)) return;
+    this.#options.log.notable('runner-rests', { runner: entry.id, bornMs: entry.bornMs, forMs });
+  }
+
+  /** Records that a runner took a request. */
+  recordTaken(entry: RunnerEntry): void {
+    this.#rests.recordTaken(incarnationOf(entry));
+  }
+
+  /** Time until the first rest of a service's runners ends, in milliseconds; undefined unless all rest. */
+  restMs(service: string): number | undefined {
+    if (this.#rests.isEmpty) return undefined;
+    const remaining = this.#options.directory
+      .ofService(service)
+      .filter((entry) => !entry.isDraining)
+      .map((entry) => this.#rests.remainingMs(incarnationOf(entry)));
+    const firstMs = Math.min(...remaining);
+    return Number.isFinite(firstMs) && firstMs > 0 ? firstMs : undefined;
+  }
+
+  /** Number of runners that have asked this node for rest. */
+  countResting(entries: readonly RunnerEntry[]): number {
+    return entries.filter((entry) => this.#rests.remainingMs(incarnationOf(entry)) > 0).length;
+  }
+
   /** Records that a runner said in a response that it is leaving. */
   recordLeaving({ id, bornMs, isDraining }: RunnerEntry): void {
     const { directory, log, onLeaving } = this.#options;
@@ -242,6 +272,7 @@
       agent.retire();
     }
     loadTracker.retain(new Set(listed.keys()));
+    if (!this.#rests.isEmpty) this.#rests.prune(new Set([...listed.values()].map(incarnationOf)));
     if (!limits.isEmpty) limits.retain(new Set([...listed.values()].map(incarnationOf)));
     for (const [service, detector] of this.#detectors) {
       detector.setRunners(directory.ofService(service).map(({ id }) => id));
@@ -267,6 +298,13 @@
     return limits.isEmpty || limits.mayTake(incarnationOf(entry));
   }
 
+  /** Called for each runner and request, so that it costs nothing while no runner rests. */
+  #isResting(entry: RunnerEntry): boolean {
+    if (this.#rests.isEmpty) return false;
+    const inProgress = this.#options.loadTracker.own.get(entry.id)?.requests ?? 0;
+    return !this.#rests.mayTake(incarnationOf(entry), inProgress);
+  }
+
   #candidateOf(entry: RunnerEntry, service: Service, median: number): PlacementCandidate {
     const work = this.#options.loadTracker.workAt(entry.id);
     return {
