--- a/packages/gateway/src/node/runner-links.ts
+++ b/packages/gateway/src/node/runner-links.ts
@@ -47,7 +47,7 @@
 
   /** Listed runners that this node cannot open connections to. */
   get lost(): readonly RunnerEntry[] {
-    if (this.#monitor.down.length === 0) return [];
+    if (this.#monitor.isEmpty) return [];
     return this.#options.directory.all().filter((entry) => this.isLost(entry));
   }
 
@@ -63,6 +63,7 @@
 
   /** What this node sees of a runner is the fault of its link, or of all its links, and not of the runner. */
   isOwnFault(entry: RunnerEntry): boolean {
+    if (!this.isLost(entry)) return false;
     return this.#monitor.isOwnFault(
       incarnationOf(entry),
       this.#options.directory.all().map(incarnationOf),
@@ -90,8 +91,9 @@
     });
   }
 
+  /** Called for each runner and request, so that it costs nothing while no link is lost. */
   isLost(entry: RunnerEntry): boolean {
-    return this.#monitor.isDown(incarnationOf(entry));
+    return !this.#monitor.isEmpty && this.#monitor.isDown(incarnationOf(entry));
   }
 
   /** The link is lost and nothing can be expected of open connections either. */
--- a/packages/routing/src/utils/link-monitor.ts
+++ b/packages/routing/src/utils/link-monitor.ts
@@ -64,6 +64,11 @@
     this.#suspected.add(runner);
   }
 
+  /** No link is down. */
+  get isEmpty(): boolean {
+    return this.#down.size === 0;
+  }
+
   isDown(runner: string): boolean {
     return this.#down.has(runner);
   }
