--- a/packages/standins/src/node/relay-connection.ts
+++ b/packages/standins/src/node/relay-connection.ts
@@ -51,8 +51,9 @@
   destroy(): void {
     clearTimeout(this.#timers.request);
     clearTimeout(this.#timers.reply);
-    this.#client.destroy();
-    this.#target.destroy();
+    // An orderly close would mark the end of a response without framing.
+    this.#client.resetAndDestroy();
+    this.#target.resetAndDestroy();
   }
 
   #forward(direction: Direction, from: Socket, to: Socket): void {
