Count a lost offer to a peer as an attempt, and let no request wait for a connection to a peer

A request whose peer ended was offered to the next with all its attempts left and without a retry taken from the budget, read in the code; a peer with 256 connections let further requests wait instead of rejecting them.

--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -252,6 +252,7 @@
       remainingMs: forwarded.remainingMs,
       isRepeatable: forwarded.isRepeatable,
       mayHaveRun: forwarded.mayHaveRun,
+      takeRetry: () => this.#takeRetry(request.service),
       refusal,
     });
   }
--- a/packages/gateway/src/node/peer-forwarder.ts
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -43,10 +43,19 @@
   readonly remainingMs: number;
   readonly isRepeatable: boolean;
   readonly mayHaveRun: boolean;
+  /** Takes one retry from the budget; returns false when the budget is exhausted. */
+  readonly takeRetry: () => boolean;
   /** What the caller is told if no peer takes the request. */
   readonly refusal: Refusal;
 }
 
+interface Offer {
+  readonly peer: Peer;
+  /** Monotonic time, in milliseconds. */
+  readonly deadlineAt: number;
+  readonly sends: number;
+}
+
 interface Peer {
   readonly id: string;
   readonly address: Address;
@@ -54,7 +63,6 @@
 
 /** Peers that a request is offered to. */
 const MAX_PEERS = 3;
-const MAX_CONNECTIONS = 256;
 const CHECK_PERIOD_MS = 200;
 const HTTP_OK = 200;
 const HTTP_BAD_GATEWAY = 502;
@@ -89,12 +97,13 @@
     const { channel, request } = passed;
     const tried = new Set<string>();
     let { mayHaveRun } = passed;
+    let { sends } = passed.progress;
     const deadlineAt = this.#options.clock.monotonic() + passed.remainingMs;
     while (tried.size < MAX_PEERS) {
       const peer = this.#choose(passed.service.name, tried);
       if (!peer) break;
       tried.add(peer.id);
-      const outcome = await this.#send(passed, peer, deadlineAt);
+      const outcome = await this.#send(passed, { peer, deadlineAt, sends });
       if (outcome.kind === 'answered') {
         if (channel.hasBegun) throw failedAfter(outcome);
         channel.respond(outcome.response);
@@ -107,7 +116,11 @@
       }
       const isOffered = outcome.kind === 'broken';
       mayHaveRun ||= isOffered;
-      if (isOffered && !(passed.isRepeatable && channel.canContinue)) break;
+      if (isOffered) {
+        sends += 1;
+        const isRepeated = passed.isRepeatable && channel.canContinue;
+        if (!isRepeated || sends >= passed.route.maxAttempts || !passed.takeRetry()) break;
+      }
       if (outcome.kind === 'refused' && !NEXT_PEER_CAUSES.has(outcome.head.rejection ?? '')) {
         throw rejectionOf(outcome, { mayHaveRun: mayHaveRun || channel.hasBegun, peer: peer.id });
       }
@@ -136,7 +149,10 @@
     return choosePeer({ peers: candidates, runners, lost, failureDomain, random });
   }
 
-  async #send(passed: PassedOnRequest, peer: Peer, deadlineAt: number): Promise<AttemptOutcome> {
+  async #send(
+    passed: PassedOnRequest,
+    { peer, deadlineAt, sends }: Offer,
+  ): Promise<AttemptOutcome> {
     const { clock, reach, log, metrics, buffers, node, dialectFor, peers } = this.#options;
     const { request, channel, route, service, team, progress } = passed;
     const sentAt = clock.monotonic();
@@ -148,6 +164,7 @@
         service,
         ...(team ? { team: teamOf(team) } : {}),
         ...progress,
+        sends,
       }),
       agent: this.#agentOf(peer.id),
       buffers,
@@ -189,7 +206,7 @@
       ...(outcome.kind === 'answered' || outcome.kind === 'relayed' ? { status } : {}),
       ...(outcome.kind === 'refused' ? { cause: outcome.head.rejection } : {}),
       ...(outcome.kind === 'broken' ? { reason: outcome.reason } : {}),
-      sends: progress.sends,
+      sends,
       afterMs: Math.round(clock.monotonic() - sentAt),
     });
     return outcome;
@@ -198,7 +215,7 @@
   #agentOf(peer: string): RunnerAgent {
     const known = this.#agents.get(peer);
     if (known) return known;
-    const agent = new RunnerAgent({ maxSockets: MAX_CONNECTIONS });
+    const agent = new RunnerAgent({ maxSockets: Infinity });
     this.#agents.set(peer, agent);
     return agent;
   }
--- a/test/gateway/cut-off-node.test.ts
+++ b/test/gateway/cut-off-node.test.ts
@@ -233,3 +233,23 @@
   await sleep(300);
   t.true(running?.closed.includes('leaving'), 'it is ended once the caller has left');
 });
+
+// Guards against requests that a peer has lost and that are sent again although they must not be.
+test('pattern: the peer that a once-only request was passed on to ends; the request is not sent again', async (t) => {
+  const { fleet, runners } = await startFleet(t, { kind: 'once-only', gateways: 3, events: 0 });
+  const [node, ...peers] = fleet.gateways;
+  await fleet.setLinks([0], 'cut');
+  await sendFor([node], DECISION_MS);
+  const sending = sendFor([node], 600);
+  await sleep(300);
+  await peers[0]?.gateway.close();
+  const outcomes = await sending;
+  const runs = runners.flatMap((runner) => [...runner.runs]);
+  t.deepEqual(
+    runs.filter(([, count]) => count > 1),
+    [],
+  );
+  t.is(new Set(runs.map(([id]) => id)).size, runs.length, 'at one runner each');
+  const served = servedOf(outcomes);
+  t.true(served >= (2 / 3) * outcomes.length, `${served} of ${outcomes.length} were served`);
+});
