Take a retry from the budget before a peer repeats what runners have turned away

A request that runners had refused was passed on, and one that a peer's runners had refused was run here, without a retry taken from the budget (read in the code; no run showed it).

--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -212,9 +212,11 @@
   /** A request that crashes runners must not crash those that only a peer reaches. */
   async #mayPassOn(forwarded: ForwardedRequest, service: Service): Promise<boolean> {
     if (!forwarded.canBePassedOn()) return false;
-    if (!forwarded.mayHaveRun) return true;
-    const isOwnFault = await this.#hasLostLinks(service);
-    return isOwnFault && forwarded.canBePassedOn() && this.#takeRetry(service);
+    if (forwarded.mayHaveRun) {
+      const isOwnFault = await this.#hasLostLinks(service);
+      if (!isOwnFault || !forwarded.canBePassedOn()) return false;
+    }
+    return forwarded.progress.sends === 0 || this.#takeRetry(service);
   }
 
   /**
@@ -233,14 +235,14 @@
     return isForLost && forwarded.canBePassedOn();
   }
 
-  /** Offers a request to peers; returns false if none of them took it. */
+  /** Offers a request to peers; returns false if none of them reached a runner. */
   async #offer(forwarded: ForwardedRequest, request: AdmittedRequest): Promise<boolean> {
     const notTaken = new Refusal('runner-unreachable', { status: HTTP_UNAVAILABLE });
     try {
       await this.#passOn(forwarded, request, notTaken);
       return true;
     } catch (error) {
-      if (!isRejection(error)) throw error;
+      if (error !== notTaken) throw error;
       return false;
     }
   }
