Send passed-on requests to the runners that the first node has lost

A peer chose among all runners, so that those that the first node still reached got its own requests and a part of the others: 14 of 23 requests at one of three runners (the test of the share, beside load).

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -501,10 +501,12 @@
   #candidates(): readonly PlacementCandidate[] {
     const { pool, service, rollouts, directory } = this.#options;
     const candidatesOf = (isTarget: boolean): readonly PlacementCandidate[] =>
-      pool.candidates(service, {
-        isAllowed: (entry) => !this.#tried.has(entry.id) && rollouts.accepts(entry, isTarget),
-        isRepeatable: this.isRepeatable,
-      });
+      this.#preferLost(
+        pool.candidates(service, {
+          isAllowed: (entry) => !this.#tried.has(entry.id) && rollouts.accepts(entry, isTarget),
+          isRepeatable: this.isRepeatable,
+        }),
+      );
     const hasOther = directory
       .ofService(service.name)
       .some((entry) => rollouts.accepts(entry, false));
@@ -513,6 +515,14 @@
     return target.length > 0 ? target : candidatesOf(false);
   }
 
+  /** The node that passed a request on sends the others of its requests to the runners that it reaches. */
+  #preferLost(candidates: readonly PlacementCandidate[]): readonly PlacementCandidate[] {
+    const lost = this.#options.passed?.lost;
+    if (!lost) return candidates;
+    const preferred = candidates.filter(({ id }) => lost.includes(id));
+    return preferred.length > 0 ? preferred : candidates;
+  }
+
   #chooseEngine(candidates: readonly PlacementCandidate[]): ChosenRunner | undefined {
     const { directory, random, sessions, clock } = this.#options;
     const lastRunner = sessions.find(this.#placement.session, clock.monotonic());
--- a/packages/gateway/src/node/peer-forwarder.ts
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -27,6 +27,7 @@
   readonly reachOf: (service: string) => {
     readonly runners: readonly string[];
     readonly lost: ReadonlySet<string>;
+    readonly lostIds: ReadonlySet<string>;
   };
   readonly buffers: BufferBudget;
   readonly log: DecisionLog;
@@ -165,6 +166,7 @@
         ...(team ? { team: teamOf(team) } : {}),
         ...progress,
         sends,
+        lost: [...this.#options.reachOf(service.name).lostIds],
       }),
       agent: this.#agentOf(peer.id),
       buffers,
--- a/packages/gateway/src/types/passed-request.ts
+++ b/packages/gateway/src/types/passed-request.ts
@@ -35,6 +35,8 @@
   sends: z.number(),
   /** A runner may have begun to execute the request; its usage is counted. */
   isUsageCounted: z.boolean(),
+  /** Runners that the first node cannot reach; the request goes to one of them if it can. */
+  lost: z.array(z.string()).readonly(),
   /** Runner that has the prompt of the session in its cache. */
   lastRunner: z.string().exactOptional(),
 });
