--- a/packages/standins/src/node/relay-listener.ts
+++ b/packages/standins/src/node/relay-listener.ts
@@ -1,14 +1,23 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Closeable } from '@ragwortrudder/core';
 import type { RelayLink } from '../types/relay-link.ts';
 import type { RelayMode } from '../types/relay-mode.ts';
 import { RelayConnection } from './relay-connection.ts';
 import { UnacceptingPort } from './unaccepting-port.ts';
 
+/** Ports below those that the operating system assigns to outgoing connections. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 22_000;
+const RETRY_MS = 50;
 const FREEZING_MODES: ReadonlySet<RelayMode> = new Set(['silent', 'dark']);
 const REFUSING_MODES: ReadonlySet<RelayMode> = new Set(['dark', 'refuse-new']);
 
+function randomPort(): number {
+  return FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+}
+
 /** Listening socket of a relay link. */
 export class RelayListener implements Closeable {
   readonly name: string;
@@ -57,14 +66,11 @@
     this.#lostBytes += bytes;
   }
 
+  /** Listens on the port of the link, or on any port that no outgoing connection can get meanwhile. */
   async listen(): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(this.#port, '127.0.0.1', () => {
-        this.#server.off('error', reject);
-        resolve();
-      });
-    });
+    while (!(await this.#tryListen(this.#port || randomPort()))) {
+      if (this.#port > 0) await sleep(RETRY_MS);
+    }
     this.#port = (this.#server.address() as AddressInfo).port;
   }
 
@@ -103,6 +109,21 @@
     if (mode === 'dark') this.#unaccepting = await UnacceptingPort.listen(this.#port);
   }
 
+  /** Returns false when the port is in use. */
+  #tryListen(port: number): Promise<boolean> {
+    return new Promise((resolve, reject) => {
+      const onError = (error: NodeJS.ErrnoException): void => {
+        if (error.code === 'EADDRINUSE') resolve(false);
+        else reject(error);
+      };
+      this.#server.once('error', onError);
+      this.#server.listen(port, '127.0.0.1', () => {
+        this.#server.off('error', onError);
+        resolve(true);
+      });
+    });
+  }
+
   #forward(socket: Socket): void {
     this.#accepted += 1;
     this.#connections.set(socket, new RelayConnection(socket, this.target, this));
