--- a/packages/gateway/src/node/peer-forwarder.ts
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -115,12 +115,10 @@
       if (outcome.kind === 'ended') {
         throw new Refusal('time-out', { status: HTTP_GATEWAY_TIMEOUT });
       }
-      const isOffered = outcome.kind === 'broken';
-      mayHaveRun ||= isOffered;
-      if (isOffered) {
+      if (outcome.kind === 'broken') {
+        mayHaveRun = true;
         sends += 1;
-        const isRepeated = passed.isRepeatable && channel.canContinue;
-        if (!isRepeated || sends >= passed.route.maxAttempts || !passed.takeRetry()) break;
+        if (!mayRepeat(passed, sends)) break;
       }
       if (outcome.kind === 'refused' && !NEXT_PEER_CAUSES.has(outcome.head.rejection ?? '')) {
         throw rejectionOf(outcome, { mayHaveRun: mayHaveRun || channel.hasBegun, peer: peer.id });
@@ -223,6 +221,14 @@
   }
 }
 
+/** Whether a request that a peer may have run can be offered to another one; takes a retry if so. */
+function mayRepeat(
+  { isRepeatable, channel, route, takeRetry }: PassedOnRequest,
+  sends: number,
+): boolean {
+  return isRepeatable && channel.canContinue && sends < route.maxAttempts && takeRetry();
+}
+
 function teamOf({ name, priority }: Team): NonNullable<PassedRequest['team']> {
   return priority === undefined ? { name } : { name, priority };
 }
