--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -254,7 +254,6 @@
       remainingMs: forwarded.remainingMs,
       isRepeatable: forwarded.isRepeatable,
       mayHaveRun: forwarded.mayHaveRun,
-      takeRetry: () => this.#takeRetry(request.service),
       refusal,
     });
   }
--- a/packages/gateway/src/node/peer-forwarder.ts
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -44,8 +44,6 @@
   readonly remainingMs: number;
   readonly isRepeatable: boolean;
   readonly mayHaveRun: boolean;
-  /** Takes one retry from the budget; returns false when the budget is exhausted. */
-  readonly takeRetry: () => boolean;
   /** What the caller is told if no peer takes the request. */
   readonly refusal: Refusal;
 }
@@ -54,7 +52,6 @@
   readonly peer: Peer;
   /** Monotonic time, in milliseconds. */
   readonly deadlineAt: number;
-  readonly sends: number;
 }
 
 interface Peer {
@@ -98,13 +95,12 @@
     const { channel, request } = passed;
     const tried = new Set<string>();
     let { mayHaveRun } = passed;
-    let { sends } = passed.progress;
     const deadlineAt = this.#options.clock.monotonic() + passed.remainingMs;
     while (tried.size < MAX_PEERS) {
       const peer = this.#choose(passed.service.name, tried);
       if (!peer) break;
       tried.add(peer.id);
-      const outcome = await this.#send(passed, { peer, deadlineAt, sends });
+      const outcome = await this.#send(passed, { peer, deadlineAt });
       if (outcome.kind === 'answered') {
         if (channel.hasBegun) throw failedAfter(outcome);
         channel.respond(outcome.response);
@@ -116,9 +112,9 @@
         throw new Refusal('time-out', { status: HTTP_GATEWAY_TIMEOUT });
       }
       if (outcome.kind === 'broken') {
+        // The peer may have used up all attempts.
         mayHaveRun = true;
-        sends += 1;
-        if (!mayRepeat(passed, sends)) break;
+        break;
       }
       if (outcome.kind === 'refused' && !NEXT_PEER_CAUSES.has(outcome.head.rejection ?? '')) {
         throw rejectionOf(outcome, { mayHaveRun: mayHaveRun || channel.hasBegun, peer: peer.id });
@@ -148,10 +144,7 @@
     return choosePeer({ peers: candidates, runners, lost, failureDomain, random });
   }
 
-  async #send(
-    passed: PassedOnRequest,
-    { peer, deadlineAt, sends }: Offer,
-  ): Promise<AttemptOutcome> {
+  async #send(passed: PassedOnRequest, { peer, deadlineAt }: Offer): Promise<AttemptOutcome> {
     const { clock, reach, log, metrics, buffers, node, dialectFor, peers } = this.#options;
     const { request, channel, route, service, team, progress } = passed;
     const sentAt = clock.monotonic();
@@ -163,7 +156,6 @@
         service,
         ...(team ? { team: teamOf(team) } : {}),
         ...progress,
-        sends,
         lost: [...this.#options.reachOf(service.name).lostIds],
       }),
       agent: this.#agentOf(peer.id),
@@ -206,7 +198,7 @@
       ...(outcome.kind === 'answered' || outcome.kind === 'relayed' ? { status } : {}),
       ...(outcome.kind === 'refused' ? { cause: outcome.head.rejection } : {}),
       ...(outcome.kind === 'broken' ? { reason: outcome.reason } : {}),
-      sends,
+      sends: progress.sends,
       afterMs: Math.round(clock.monotonic() - sentAt),
     });
     return outcome;
@@ -221,14 +213,6 @@
   }
 }
 
-/** Whether a request that a peer may have run can be offered to another one; takes a retry if so. */
-function mayRepeat(
-  { isRepeatable, channel, route, takeRetry }: PassedOnRequest,
-  sends: number,
-): boolean {
-  return isRepeatable && channel.canContinue && sends < route.maxAttempts && takeRetry();
-}
-
 function teamOf({ name, priority }: Team): NonNullable<PassedRequest['team']> {
   return priority === undefined ? { name } : { name, priority };
 }
