Test the share of the runners that are still reached under a load that decides where requests go

Its log shows why: with 30 ms a request the node sent everything to one runner before the cut, too, never tried the second lost one, and so knew of one lost link.

--- a/test/gateway/cut-off-node.test.ts
+++ b/test/gateway/cut-off-node.test.ts
@@ -25,6 +25,8 @@
 const DECIDED_MS = 37;
 /** Time within which a runner hears that a caller has left. */
 const ENDED_MS = 500;
+/** Long enough for several requests to be in flight, so that the load decides where they go. */
+const LOADED_LATENCY_MS = 150;
 const OK = 200;
 const UNAVAILABLE = 503;
 
@@ -38,6 +40,7 @@
   readonly kind: keyof typeof ROUTES;
   readonly gateways: number;
   readonly events: number;
+  readonly latencyMs?: number;
 }
 
 interface Outcome {
@@ -53,11 +56,12 @@
 
 async function startFleet(
   t: ExecutionContext,
-  { kind, gateways, events }: FleetOptions,
+  { kind, gateways, events, latencyMs }: FleetOptions,
 ): Promise<{ readonly fleet: CutFleet; readonly runners: readonly SteadyRunner[] }> {
   t.timeout(TEST_TIMEOUT_MS);
   await takeTurn(t);
-  const runners = await Promise.all([0, 1, 2].map(() => new SteadyRunner({ events }).listen()));
+  const options = { events, ...(latencyMs === undefined ? {} : { latencyMs }) };
+  const runners = await Promise.all([0, 1, 2].map(() => new SteadyRunner(options).listen()));
   const fleet = await CutFleet.start(t, { runners, gateways, route: ROUTES[kind] });
   t.teardown(() => Promise.all(runners.map((runner) => runner.close())));
   // The nodes hear each other.
@@ -171,7 +175,12 @@
 
 // Guards against nodes that send all their requests to the few runners that they still reach.
 test('pattern: a node loses its links to 2 of 3 runners; the third gets no more than its share', async (t) => {
-  const { fleet, runners } = await startFleet(t, { kind: 'idempotent', gateways: 2, events: 0 });
+  const { fleet, runners } = await startFleet(t, {
+    kind: 'idempotent',
+    gateways: 2,
+    events: 0,
+    latencyMs: LOADED_LATENCY_MS,
+  });
   await sendFor(fleet.gateways, 300);
   await fleet.setLinks([0], 'cut', ['r0', 'r1']);
   await sendFor(fleet.gateways, DECISION_MS);
