Share what the change wrote twice: idle sockets, connect time-out, reachable peers, quarantine keys

closeIdleSockets serves the runners' agents and the platform's client; a probe and a request have one connect time-out; the ids of the reachable peers come from the reachable peers; own and passed-on requests get their quarantine keys in one place. No change of behaviour.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export type { ResponseFraming } from './types/response-framing.ts';
 export { abortLargeDownload } from './utils/abort-large-download.ts';
 export { canonicalJson } from './utils/canonical-json.ts';
+export { closeIdleSockets } from './utils/close-idle-sockets.ts';
 export { digest } from './utils/digest.ts';
 export { EventSizeLimit } from './utils/event-size-limit.ts';
 export { hasBody } from './utils/has-body.ts';
--- a/packages/gateway/src/node/attempt-evidence.ts
+++ b/packages/gateway/src/node/attempt-evidence.ts
@@ -9,7 +9,7 @@
 
 interface AttemptEvidenceOptions extends Pick<
   ForwarderOptions,
-  'pool' | 'rollouts' | 'quarantine' | 'loadTracker' | 'deferredEvidence' | 'clock'
+  'pool' | 'rollouts' | 'quarantine' | 'loadTracker' | 'deferredEvidence'
 > {
   readonly request: CallerRequest;
   readonly route: Route;
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -146,9 +146,7 @@
     }
     const team = this.#teamOf(request, route, activeConfiguration);
     const service = this.#serviceOf(route, activeConfiguration);
-    const fingerprint = requestFingerprint(request, team?.name);
-    const quarantineKeys = quarantineKeysOf(request, fingerprint);
-    this.#checkQuarantine(quarantineKeys, route);
+    const keys = this.#checkQuarantine(request, route, team?.name);
     const cost = this.#takeQuota(request, team);
     const { onAdmitted, retryBudget, clock, peerForwarder, quota } = this.#options;
     onAdmitted(service, request);
@@ -163,8 +161,7 @@
       route,
       service,
       team,
-      fingerprint,
-      quarantineKeys,
+      ...keys,
       mayPassOn: () => peerForwarder.mayPassOn(service.name),
     });
     let mayHaveRun = true;
@@ -283,9 +280,7 @@
         inputs: { passed: this.#passedCount },
       });
     }
-    const fingerprint = requestFingerprint(request, team?.name);
-    const quarantineKeys = quarantineKeysOf(request, fingerprint);
-    this.#checkQuarantine(quarantineKeys, route);
+    const keys = this.#checkQuarantine(request, route, team?.name);
     const { sessions, clock } = this.#options;
     const session = sharedPartsOf(request).at(-1);
     if (lastRunner !== undefined && session !== undefined) {
@@ -298,8 +293,7 @@
       route,
       service,
       team: team && { ...team, apiKeys: [] },
-      fingerprint,
-      quarantineKeys,
+      ...keys,
       passed: request.passed,
       mayPassOn: () => false,
     });
@@ -337,9 +331,16 @@
     return service;
   }
 
-  #checkQuarantine(keys: readonly string[], route: Route): void {
-    const held = this.#options.quarantine.find(keys);
-    if (!held) return;
+  /** Rejects a request that is quarantined; returns the keys under which it may be. */
+  #checkQuarantine(
+    request: CallerRequest,
+    route: Route,
+    team: string | undefined,
+  ): Pick<ConstructorParameters<typeof ForwardedRequest>[0], 'fingerprint' | 'quarantineKeys'> {
+    const fingerprint = requestFingerprint(request, team);
+    const quarantineKeys = quarantineKeysOf(request, fingerprint);
+    const held = this.#options.quarantine.find(quarantineKeys);
+    if (!held) return { fingerprint, quarantineKeys };
     throw new Refusal(isRepeatKey(held.part) ? 'request-quarantined' : 'prompt-quarantined', {
       status: HTTP_UNAVAILABLE,
       retryAfterMs: held.remainingMs,
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -134,8 +134,7 @@
 
   /** Ids of the reachable peers. */
   reachableIds(): readonly string[] {
-    const now = this.#options.clock.monotonic();
-    return [...this.#peers].filter(([, peer]) => this.#isReachable(peer, now)).map(([id]) => id);
+    return this.reachable().map(({ id }) => id);
   }
 
   /** The reachable peers. */
--- a/packages/gateway/src/node/runner-agent.ts
+++ b/packages/gateway/src/node/runner-agent.ts
@@ -1,8 +1,9 @@
 import { Agent } from 'node:http';
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
-
+import { closeIdleSockets } from '@ragwortrudder/core';
 import { ConnectTimedOut } from '../errors/connect-timed-out.ts';
+import { CONNECT_TIMEOUT_MS } from '../utils/connect-timeout-ms.ts';
 
 interface RunnerAgentOptions {
   /** Maximum number of concurrent connections. */
@@ -17,12 +18,6 @@
  * milliseconds.
  */
 const DEFAULT_IDLE_MS = 2_000;
-/**
- * Connect time-out, in milliseconds: many round trips between failure domains, yet far below a
- * latency target.
- */
-const CONNECT_TIMEOUT_MS = 250;
-
 interface IdleState {
   readonly closeTimer: NodeJS.Timeout;
   readonly since: number;
@@ -105,8 +100,6 @@
 
   /** Closes the connections that are idle now. */
   closeIdle(): void {
-    for (const sockets of Object.values(this.freeSockets)) {
-      for (const socket of sockets ?? []) socket.destroy();
-    }
+    closeIdleSockets(this);
   }
 }
--- a/packages/gateway/src/node/runner-links.ts
+++ b/packages/gateway/src/node/runner-links.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@ragwortrudder/core';
 import { LinkMonitor } from '@ragwortrudder/routing';
 import type { LinkFailure } from '@ragwortrudder/routing';
+import { CONNECT_TIMEOUT_MS } from '../utils/connect-timeout-ms.ts';
 import { incarnationOf } from '../utils/incarnation-of.ts';
 import type { DecisionLog } from './decision-log.ts';
 import { probeConnection } from './probe-connection.ts';
@@ -20,8 +21,6 @@
   readonly onChange: () => void;
 }
 
-/** Time within which a connection must be open, in milliseconds: many round trips between failure domains. */
-const PROBE_TIMEOUT_MS = 250;
 /** Silence of a runner with requests in progress after which its link is probed, in milliseconds. */
 const SILENCE_MS = 400;
 /** Time for which peers are told that a runner was reached, in milliseconds. */
@@ -189,7 +188,7 @@
     const key = incarnationOf(entry);
     if (this.#probing.has(key)) return;
     this.#probing.add(key);
-    const failure = await probeConnection(entry.address, PROBE_TIMEOUT_MS);
+    const failure = await probeConnection(entry.address, CONNECT_TIMEOUT_MS);
     this.#probing.delete(key);
     if (this.#isClosed) return;
     if (failure !== undefined) {
