Answer refusals of stopping nodes in the one place that counts and logs refusals

A node that stops answered its callers, and now its peers, with copies of what the forwarder does; the peers' one was missing in the counter of refusals. The lines of these refusals have status, Retry-After and version now, as all others.

--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -106,6 +106,21 @@
     return this.#respond(request, channel, () => this.#servePassed(request, channel));
   }
 
+  /** Answers a request with a refusal. */
+  refuse(refusal: Refusal, request: CallerRequest, channel: CallerChannel): void {
+    const { log, metrics } = this.#options;
+    metrics.count('refusals', { cause: refusal.code });
+    log.notable('request-refused', {
+      request: request.id,
+      cause: refusal.code,
+      status: refusal.status,
+      retryAfterMs: refusal.retryAfterMs,
+      version: this.#activeConfiguration?.configuration.version,
+      ...refusal.inputs,
+    });
+    channel.fail(refusal, request.id);
+  }
+
   async #respond(
     request: CallerRequest,
     channel: CallerChannel,
@@ -115,17 +130,7 @@
       await serve();
     } catch (error) {
       if (!(error instanceof Refusal)) throw error;
-      const { log, metrics } = this.#options;
-      metrics.count('refusals', { cause: error.code });
-      log.notable('request-refused', {
-        request: request.id,
-        cause: error.code,
-        status: error.status,
-        retryAfterMs: error.retryAfterMs,
-        version: this.#activeConfiguration?.configuration.version,
-        ...error.inputs,
-      });
-      channel.fail(error, request.id);
+      this.refuse(error, request, channel);
     }
   }
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -225,6 +225,9 @@
       log: this.#decisions,
       metrics: this.#metrics,
       isStopping: () => this.#isStopping,
+      refuse: (refusal, request, channel) => {
+        this.#forwarder.refuse(refusal, request, channel);
+      },
       onRequest: (request, channel) => this.#forwarder.forwardPassed(request, channel),
     });
     this.#registration = new NodeRegistration({
@@ -507,9 +510,7 @@
         status: HTTP_UNAVAILABLE,
         retryAfterMs: STOPPING_RETRY_MS,
       });
-      this.#metrics.count('refusals', { cause: refusal.code });
-      this.#decisions.notable('request-refused', { request: request.id, cause: refusal.code });
-      channel.fail(refusal, request.id);
+      this.#forwarder.refuse(refusal, request, channel);
       return;
     }
     await this.#forwarder.forward(request, channel);
--- a/packages/gateway/src/node/peer-passing.ts
+++ b/packages/gateway/src/node/peer-passing.ts
@@ -28,6 +28,7 @@
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
   readonly isStopping: () => boolean;
+  readonly refuse: (refusal: Refusal, request: ReceivedRequest, channel: CallerChannel) => void;
   /** Serves a request that a peer has passed on. */
   readonly onRequest: (request: ReceivedRequest, channel: CallerChannel) => Promise<void>;
 }
@@ -81,15 +82,13 @@
   }
 
   async #serve(request: ReceivedRequest, channel: CallerChannel): Promise<void> {
-    const { log, metrics, isStopping, onRequest } = this.#options;
+    const { log, metrics, isStopping, refuse, onRequest } = this.#options;
     metrics.count('passed_to', { route: request.passed.route.name });
     log.routine('request-received-from-peer', { request: request.id, peer: request.passed.from });
     if (!isStopping()) {
       await onRequest(request, channel);
       return;
     }
-    const refusal = new Refusal('node-stopping', { status: HTTP_UNAVAILABLE });
-    log.notable('request-refused', { request: request.id, cause: refusal.code });
-    channel.fail(refusal, request.id);
+    refuse(new Refusal('node-stopping', { status: HTTP_UNAVAILABLE }), request, channel);
   }
 }
