Keep a request at its silent runner while another one is tried

Callers saw: while all runners of a service were sound and only silent for 1.3 s, streams that had begun were cut off, with neither an end nor a refusal, and streams that had not begun got 502.

Cause: the check of silences aborted an attempt because another runner seemed possible. Whether there was one, with an attempt and a retry left, was decided after the abort; one pass of the check over all requests had by then marked runner after runner as unreachable, and the requests found none.

Class: something is given up in the hope of something else that is not certain. Now nothing is given up: the retry, the attempt and the runner are taken first, the request is sent there too, and the attempt whose bytes come first goes on; the others are ended at that moment. Runners that are silent themselves are not tried. A runner that sends again is used again at once, and while all are silent for up to 2 s, requests that may be repeated wait there. A retry that reached no runner is kept for the next one.

--- a/packages/gateway/src/node/attempt-evidence.ts
+++ b/packages/gateway/src/node/attempt-evidence.ts
@@ -33,21 +33,16 @@
 /** Lower bound of the expected time that a measured one is compared with, in milliseconds. */
 const MIN_EXPECTED_MS = 20;
 
-/** What the attempts of one request tell about runners, about versions of a service and about its prompt. */
+/** What an attempt tells about its runner, about versions of a service and about the prompt. */
 export class AttemptEvidence {
   readonly #options: AttemptEvidenceOptions;
-  /** The current attempt has shown that its prompt does not crash runners. */
+  /** The attempt has shown that its prompt does not crash runners. */
   #isProved = false;
 
   constructor(options: AttemptEvidenceOptions) {
     this.#options = options;
   }
 
-  /** Begins the evidence of another attempt. */
-  beginAttempt(): void {
-    this.#isProved = false;
-  }
-
   /** Records that the runner has been responding for a time. */
   recordProof(respondingMs: number): void {
     if (this.#isProved || respondingMs < PromptQuarantine.proofMs) return;
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -4,17 +4,18 @@
 import { Refusal } from '../errors/refusal.ts';
 import type { AttemptOutcome } from '../types/attempt-outcome.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
+import type { ChosenRunner } from '../types/chosen-runner.ts';
 import type { PassedRequest } from '../types/passed-request.ts';
-import type { RunnerWork } from '../types/runner-work.ts';
+import type { Silence } from '../types/silence.ts';
 import { ABORT_REASONS } from '../utils/abort-reasons.ts';
-import { enginePriority } from '../utils/engine-priority.ts';
+import { CompletionQueue } from '../utils/completion-queue.ts';
 import { FIXED_OVERHEAD_MS } from '../utils/fixed-overhead-ms.ts';
+import { isFaultySilence } from '../utils/is-faulty-silence.ts';
 import { nextStep } from '../utils/next-step.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
-import { AttemptEvidence } from './attempt-evidence.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
-import { RunnerAttempt } from './runner-attempt.ts';
+import { MonitoredAttempt } from './monitored-attempt.ts';
 
 interface ForwardedRequestOptions extends ForwarderOptions {
   readonly request: CallerRequest;
@@ -32,16 +33,14 @@
   readonly mayPassOn: () => boolean;
 }
 
-interface ChosenRunner {
-  readonly entry: RunnerEntry;
-  /** Expected time to the first token, in milliseconds, or 0 without an estimate. */
-  readonly expectedMs: number;
-  readonly prefillTokens: number;
+interface EndedAttempt {
+  readonly attempt: MonitoredAttempt;
+  readonly outcome: AttemptOutcome;
 }
 
+const SILENT_RUNNERS: ReadonlySet<Silence> = new Set(['runner', 'runner-for-long']);
 const HTTP_OK = 200;
 const FIRST_SERVER_ERROR = 500;
-const HTTP_MISDIRECTED = 421;
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_GATEWAY_TIMEOUT = 504;
@@ -49,31 +48,6 @@
 const SATURATED_RETRY_MS = 400;
 /** Minimum remaining time for a retry, in milliseconds: a round trip and a short response. */
 const MIN_RETRY_MS = 50;
-/**
- * Lower bound for the silence after which a request is retried elsewhere, in milliseconds,
- * regardless of the latency target.
- */
-const MIN_SILENCE_MS = 700;
-/** Silence of a runner after which a request is retried elsewhere when the link to it is lost, in milliseconds. */
-const LOST_LINK_SILENCE_MS = 300;
-/** Silence of a stream after which it is resumed elsewhere, as a multiple of the route's maximum gap. */
-const STREAM_SILENCE_FACTOR = 3;
-/**
- * Silence of a single connection after which it is aborted, as a multiple of the limit for a whole
- * runner.
- */
-const CONNECTION_SILENCE_FACTOR = 2.5;
-/**
- * Silence before the first byte after which a request is retried elsewhere, as a multiple of the
- * latency target.
- */
-const FIRST_BYTE_SILENCE_FACTOR = 1.5;
-
-/**
- * Prompt tokens from which a prompt is announced to peers immediately: its prefill takes far longer
- * than a datagram.
- */
-const LONG_PROMPT_TOKENS = 8_000;
 
 /** A request in progress: runs attempts at runners until there is a final response. */
 export class ForwardedRequest {
@@ -84,22 +58,20 @@
   readonly #tried = new Set<string>();
   /** A roll-out sends this request to the target version. */
   readonly #goesToTarget: boolean;
-  #attempt: RunnerAttempt | undefined;
-  /** Aborts the current attempt when its runner has been silent for too long. */
-  #checkSilence: (() => void) | undefined;
-  /** When the current attempt received the first bytes of its response. */
-  #respondingSince: number | undefined;
-  readonly #evidence: AttemptEvidence;
+  /** Attempts in progress; more than one while a runner is silent, the newest last. */
+  readonly #attempts = new Set<MonitoredAttempt>();
+  readonly #ended = new CompletionQueue<EndedAttempt>();
   #sends: number;
   #unsent = 0;
   #mayHaveRun = false;
   #isUsageCounted: boolean;
+  /** A retry was taken from the budget and has not reached a runner. */
+  #hasTakenRetry = false;
   #isFinished = false;
 
   constructor(options: ForwardedRequestOptions) {
     this.#options = options;
     const { request, route, clock, failureDomain, passed } = options;
-    this.#evidence = new AttemptEvidence(options);
     this.#sends = passed?.sends ?? 0;
     this.#isUsageCounted = passed?.isUsageCounted ?? false;
     this.#placement = placementRequestOf(
@@ -167,15 +139,41 @@
     );
   }
 
-  /** Checks whether the current runner has been silent for too long; called several times a second. */
+  /**
+   * Tries a request that may be repeated at another runner, too, when its runner has been silent for too
+   * long; whichever responds first goes on. Called several times a second.
+   */
   checkSilence(): void {
-    this.#checkSilence?.();
+    const attempt = [...this.#attempts].at(-1);
+    if (!attempt || this.#isFinished || !this.isRepeatable) return;
+    const { silence, entry } = attempt;
+    if (silence === 'none') return;
+    const chosen = this.#takeAlternative(silence);
+    if (chosen) {
+      if (SILENT_RUNNERS.has(silence))
+        this.#options.pool.markUnreachable(entry, ABORT_REASONS.silent);
+      this.#logAlternative(attempt, chosen);
+      this.#start(chosen);
+      return;
+    }
+    if (!this.#takePeer(entry)) return;
+    this.#abortAttempts({ kind: 'broken', reason: ABORT_REASONS.silent, isConnectionLost: false });
   }
 
-  /** Ends the current attempt if its prompt must not be sent to runners and it has no response yet. */
+  /** Ends attempts without a response if the prompt must not be sent to runners. */
   stopIfHeld(): void {
-    if (this.#isFinished || this.#respondingSince !== undefined || !this.#isHeld()) return;
-    this.#attempt?.abort({ kind: 'broken', reason: ABORT_REASONS.held, isConnectionLost: false });
+    if (this.#isFinished || !this.#isHeld()) return;
+    for (const attempt of this.#attempts) {
+      if (attempt.respondingMs !== undefined) continue;
+      attempt.abort({ kind: 'broken', reason: ABORT_REASONS.held, isConnectionLost: false });
+    }
+  }
+
+  /** Takes a retry from the budget for a peer. */
+  takeRetry(): boolean {
+    const isTaken = this.#takeBudget();
+    this.#hasTakenRetry = false;
+    return isTaken;
   }
 
   #isHeld(): boolean {
@@ -185,21 +183,26 @@
 
   async #attemptUntilDone(): Promise<void> {
     for (;;) {
-      const chosen = this.#chooseRunner();
-      if (!chosen || this.#isHeld()) {
-        if (this.#mayHaveRun) this.#fail('runner-broken', HTTP_BAD_GATEWAY);
-        this.#refuse(this.#causeWithoutRunner());
-      }
-      const outcome = await this.#send(chosen);
+      if (this.#attempts.size === 0 && !this.#start(this.#chooseOrReject())) return;
+      const { attempt, outcome } = await this.#ended.next();
+      if (!this.#attempts.delete(attempt)) continue;
+      this.#recordOutcome(outcome, attempt.tookMs);
       if (outcome.kind === 'ended') this.#timeOut();
       if (this.#isFinished) return;
-      const isDone = this.#handleOutcome(outcome, chosen);
-      if (isDone) return;
+      if (this.#handleOutcome(outcome, attempt)) return;
     }
   }
 
-  #handleOutcome(outcome: AttemptOutcome, { entry }: ChosenRunner): boolean {
-    const { route, channel, service, retryBudget, clock, log, request } = this.#options;
+  #chooseOrReject(): ChosenRunner {
+    const chosen = this.#chooseRunner();
+    if (chosen && !this.#isHeld()) return chosen;
+    if (this.#mayHaveRun) this.#fail('runner-broken', HTTP_BAD_GATEWAY);
+    return this.#refuse(this.#causeWithoutRunner());
+  }
+
+  #handleOutcome(outcome: AttemptOutcome, attempt: MonitoredAttempt): boolean {
+    const { route, channel, clock, log, request } = this.#options;
+    const { entry } = attempt;
     const now = clock.monotonic();
     const step = nextStep(outcome, {
       route,
@@ -212,7 +215,8 @@
         !this.#isHeld() &&
         this.#deadlineAt - now > MIN_RETRY_MS &&
         this.#chooseRunner() !== undefined,
-      takeBudget: () => retryBudget.trySpend({ endpoint: service.name, class: 'interactive' }, now),
+      hasOther: this.#attempts.size > 0,
+      takeBudget: () => this.#takeBudget(),
     });
     if (step !== 'done' && step !== 'answer') {
       log.notable('attempt-ended', {
@@ -225,14 +229,16 @@
         step,
         afterMs: Math.round(now - this.#arrivedAt),
         ...(outcome.kind === 'broken' ? outcome.transfer : undefined),
-        ...(outcome.kind === 'broken' ? this.#interruptionInputs(entry, now) : undefined),
+        ...(outcome.kind === 'broken' ? this.#interruptionInputs(attempt) : undefined),
       });
     }
     switch (step) {
       case 'retry':
+      case 'wait':
         return false;
       case 'done':
       case 'answer':
+        this.#supersede();
         if (outcome.kind === 'answered') channel.respond(outcome.response);
         this.#logServed(entry, outcome);
         return true;
@@ -244,16 +250,15 @@
   }
 
   /** What is needed to tell a request that ends its runner from a runner that ends under its load. */
-  #interruptionInputs(
-    { id }: RunnerEntry,
-    now: number,
-  ): Readonly<Record<string, string | number | undefined>> {
-    const { requests, kvTokens } = this.#options.loadTracker.workAt(id);
+  #interruptionInputs({
+    entry,
+    respondingMs,
+  }: MonitoredAttempt): Readonly<Record<string, string | number | undefined>> {
+    const { requests, kvTokens } = this.#options.loadTracker.workAt(entry.id);
     return {
       fingerprint: this.#options.fingerprint,
       parts: this.#options.request.promptParts.map((part) => part.id).join(','),
-      respondingMs:
-        this.#respondingSince === undefined ? undefined : Math.round(now - this.#respondingSince),
+      respondingMs: respondingMs === undefined ? undefined : Math.round(respondingMs),
       otherRequests: requests,
       otherKvTokens: Math.round(kvTokens),
     };
@@ -299,112 +304,45 @@
     throw new Refusal(cause, { status, inputs: this.#refusalInputs() });
   }
 
-  async #send(chosen: ChosenRunner): Promise<AttemptOutcome> {
-    const { request, route, team, channel, dialect, clock, pool, loadTracker } = this.#options;
-    const { entry } = chosen;
-    const sentAt = clock.monotonic();
-    const remainingMs = this.#deadlineAt - sentAt;
-    if (remainingMs <= 0) return { kind: 'ended' };
-    this.#tried.add(entry.id);
-    const work: RunnerWork = {
-      requests: 1,
-      prefillTokens: chosen.prefillTokens,
-      kvTokens: this.#placement.ownTokens + this.#placement.sharedTokens,
-    };
-    let remainingWork = work;
-    const isOnlyPrefill = loadTracker.workAt(entry.id).prefillTokens === 0;
-    loadTracker.add(entry.id, work);
-    if (work.prefillTokens >= LONG_PROMPT_TOKENS) {
-      this.#options.onLongPrompt(entry.id, work.prefillTokens);
+  /** Starts an attempt; returns false if the deadline has passed. */
+  #start(chosen: ChosenRunner): boolean {
+    const { remainingMs } = this;
+    if (remainingMs <= 0) {
+      this.#timeOut();
+      return false;
     }
-    pool.recordSend(entry);
-    this.#options.sessions.record(this.#placement.session, entry.id, sentAt);
-    const { isRepeatable } = this;
-    let progressAt = sentAt;
-    let hasResponded = false;
-    let firstEventAt: number | undefined;
-    const recordFirstEvent = (): void => {
-      if (firstEventAt !== undefined) return;
-      firstEventAt = clock.monotonic();
-      loadTracker.add(entry.id, {
-        requests: 0,
-        prefillTokens: -remainingWork.prefillTokens,
-        kvTokens: 0,
-      });
-      remainingWork = { ...remainingWork, prefillTokens: 0 };
-      this.#recordStart(firstEventAt - sentAt);
-      if (isOnlyPrefill) {
-        pool.prefillRate(entry.service).add(chosen.prefillTokens, firstEventAt - sentAt);
-      }
-      const firstEventMs = firstEventAt - sentAt;
-      pool.recordSuccess(
-        entry,
-        (firstEventMs + FIXED_OVERHEAD_MS) / (chosen.expectedMs + FIXED_OVERHEAD_MS),
-      );
-      this.#evidence.recordForRollout(chosen, 'success', firstEventMs);
-    };
-    channel.onFirstEvent(recordFirstEvent);
-    const attempt = new RunnerAttempt({
-      dialect,
-      agent: pool.agentOf(entry),
-      buffers: this.#options.buffers,
-      request,
-      metadata: {
-        runner: entry,
-        remainingMs,
-        team: team?.name,
-        priority: this.#options.service.engine
-          ? enginePriority(team?.priority ?? route.priority)
-          : undefined,
-        lastEventId: channel.lastEventId ?? request.lastEventId,
-      },
-      ...(route.kind === 'stream' ? { sink: channel } : {}),
-      onHead: ({ status, load, requestsPerSecond, isLeaving, retryAfterMs = 0 }) => {
-        if (status === HTTP_MISDIRECTED) return;
-        if (status === HTTP_UNAVAILABLE) pool.recordRest(entry, retryAfterMs);
-        else pool.recordTaken(entry);
-        if (isLeaving) pool.recordLeaving(entry);
-        pool.recordStatedLimit(entry, requestsPerSecond);
-        if (load) loadTracker.setReportedLoad(entry.id, load);
+    this.#tried.add(chosen.entry.id);
+    this.#sends += 1;
+    this.#hasTakenRetry = false;
+    const attempt = new MonitoredAttempt({
+      ...this.#options,
+      placement: this.#placement,
+      chosen,
+      remainingMs,
+      onBytes: (responding) => {
+        this.#supersede(responding);
       },
-      onProgress: () => {
-        progressAt = clock.monotonic();
-        hasResponded = true;
-        this.#respondingSince ??= progressAt;
-        this.#evidence.recordProof(progressAt - this.#respondingSince);
-        pool.recordProgress(entry);
+      onFirstEvent: (tookMs) => {
+        this.#recordStart(tookMs);
       },
     });
-    this.#attempt = attempt;
-    this.#respondingSince = undefined;
-    this.#evidence.beginAttempt();
-    this.#checkSilence = () => {
-      const silentMs = clock.monotonic() - progressAt;
-      const runnerSilentMs = Math.min(silentMs, pool.silentMs(entry));
-      if (!isRepeatable) return;
-      const isCutOff = pool.links.isSilent(entry) && runnerSilentMs >= LOST_LINK_SILENCE_MS;
-      if (!isCutOff && !this.#isTooSilent(silentMs, runnerSilentMs, firstEventAt !== undefined)) {
-        return;
-      }
-      if (!this.#canRetryElsewhere(entry)) return;
-      if (!isCutOff && runnerSilentMs >= this.#silenceLimitMs(firstEventAt !== undefined)) {
-        pool.markUnreachable(entry, ABORT_REASONS.silent);
-      }
-      attempt.abort({ kind: 'broken', reason: ABORT_REASONS.silent, isConnectionLost: false });
-    };
-    this.#sends += 1;
-    const outcome = await attempt.outcome;
-    this.#checkSilence = undefined;
-    loadTracker.add(entry.id, {
-      requests: -1,
-      prefillTokens: -remainingWork.prefillTokens,
-      kvTokens: -remainingWork.kvTokens,
-    });
-    const tookMs = clock.monotonic() - sentAt;
-    this.#recordOutcome(outcome, tookMs);
-    this.#evidence.record(outcome, { ...chosen, sentAt, tookMs, hasResponded });
-    this.#countTransfer(outcome);
-    return outcome;
+    this.#attempts.add(attempt);
+    this.#ended.add(attempt.outcome.then((outcome) => ({ attempt, outcome })));
+    return true;
+  }
+
+  /** Ends all attempts but the one that responds. */
+  #supersede(responding?: MonitoredAttempt): void {
+    for (const attempt of this.#attempts) {
+      if (attempt === responding) continue;
+      this.#attempts.delete(attempt);
+      this.#mayHaveRun = true;
+      attempt.supersede();
+    }
+  }
+
+  #abortAttempts(outcome: AttemptOutcome): void {
+    for (const attempt of this.#attempts) attempt.abort(outcome);
   }
 
   #recordOutcome(outcome: AttemptOutcome, tookMs: number): void {
@@ -412,6 +350,7 @@
       case 'unsent':
         this.#sends -= 1;
         this.#unsent += 1;
+        this.#hasTakenRetry = this.#sends > 0;
         return;
       case 'refused':
         return;
@@ -425,18 +364,6 @@
     }
   }
 
-  #countTransfer(outcome: AttemptOutcome): void {
-    const transfer = 'transfer' in outcome ? outcome.transfer : undefined;
-    if (!transfer) return;
-    const { framing, connection, partialEventBytes = 0 } = transfer;
-    this.#options.metrics.count('responses', {
-      framing,
-      connection,
-      partialEvent: String(partialEventBytes > 0),
-      outcome: outcome.kind,
-    });
-  }
-
   /** Records that a runner started executing the request; usage is counted only once. */
   #recordStart(tookMs: number): void {
     this.#mayHaveRun = true;
@@ -456,42 +383,36 @@
     return kind === 'idempotent' || (kind === 'stream' && isResumable);
   }
 
-  /**
-   * A runner that sends nothing on any connection is considered dead sooner than a single silent
-   * connection of a runner that serves other requests, where the request may only be queued.
-   */
-  #isTooSilent(silentMs: number, runnerSilentMs: number, hasFirstEvent: boolean): boolean {
-    const limitMs = this.#silenceLimitMs(hasFirstEvent);
-    return runnerSilentMs >= limitMs || silentMs >= limitMs * CONNECTION_SILENCE_FACTOR;
+  /** A runner to try besides a silent one, with the retry taken for it; nothing is given up for it. */
+  #takeAlternative(silence: Silence): ChosenRunner | undefined {
+    const { route, channel, pool } = this.#options;
+    if (!channel.canContinue || this.#sends >= route.maxAttempts) return undefined;
+    if (this.#isHeld() || this.remainingMs <= MIN_RETRY_MS) return undefined;
+    const isAllowed = (entry: RunnerEntry): boolean =>
+      isFaultySilence(silence) || !pool.links.isSuspect(entry);
+    const chosen = this.#chooseRunner(isAllowed);
+    return chosen && this.#takeBudget() ? chosen : undefined;
   }
 
-  #silenceLimitMs(hasFirstEvent: boolean): number {
-    const { maxGapMs, latencyTargetMs } = this.#options.route;
-    const limitMs = hasFirstEvent
-      ? maxGapMs * STREAM_SILENCE_FACTOR
-      : latencyTargetMs * FIRST_BYTE_SILENCE_FACTOR;
-    return Math.max(MIN_SILENCE_MS, limitMs);
+  /** A peer reaches runners that this node has lost its links to; the retry there is taken. */
+  #takePeer(entry: RunnerEntry): boolean {
+    const { pool, service } = this.#options;
+    if (!pool.links.isLost(entry) || !pool.hasOwnFault(service.name)) return false;
+    if (!this.canBePassedOn()) return false;
+    return this.#takeBudget();
   }
 
-  /** Another runner can be tried here, or a peer reaches runners that this node has lost its links to. */
-  #canRetryElsewhere(entry: RunnerEntry): boolean {
-    const { route, retryBudget, service, clock, channel, pool } = this.#options;
-    const now = clock.monotonic();
-    if (!retryBudget.canSpend({ endpoint: service.name, class: 'interactive' }, now)) return false;
-    if (pool.links.isLost(entry) && pool.hasOwnFault(service.name) && this.canBePassedOn()) {
-      return true;
-    }
-    return (
-      channel.canContinue &&
-      this.#sends < route.maxAttempts &&
-      this.remainingMs > MIN_RETRY_MS &&
-      this.#chooseRunner() !== undefined
-    );
+  /** Takes a retry from the budget, unless one has been taken for an attempt that was not sent. */
+  #takeBudget(): boolean {
+    const { retryBudget, service, clock } = this.#options;
+    const endpoint = { endpoint: service.name, class: 'interactive' } as const;
+    this.#hasTakenRetry ||= retryBudget.trySpend(endpoint, clock.monotonic());
+    return this.#hasTakenRetry;
   }
 
-  #chooseRunner(): ChosenRunner | undefined {
+  #chooseRunner(isAllowed?: (entry: RunnerEntry) => boolean): ChosenRunner | undefined {
     const { service, directory, random, failureDomain } = this.#options;
-    const candidates = this.#candidates();
+    const candidates = this.#candidates(isAllowed);
     if (service.engine) return this.#chooseEngine(candidates);
     const id = placeApplicationRequest(failureDomain, candidates, random);
     const entry = id === undefined ? undefined : directory.find(id);
@@ -499,12 +420,15 @@
   }
 
   /** A request that a roll-out gives to the target version is not sent there again after a failure. */
-  #candidates(): readonly PlacementCandidate[] {
+  #candidates(
+    isAllowed: (entry: RunnerEntry) => boolean = () => true,
+  ): readonly PlacementCandidate[] {
     const { pool, service, rollouts, directory } = this.#options;
     const candidatesOf = (isTarget: boolean): readonly PlacementCandidate[] =>
       this.#preferLost(
         pool.candidates(service, {
-          isAllowed: (entry) => !this.#tried.has(entry.id) && rollouts.accepts(entry, isTarget),
+          isAllowed: (entry) =>
+            !this.#tried.has(entry.id) && rollouts.accepts(entry, isTarget) && isAllowed(entry),
           isRepeatable: this.isRepeatable,
         }),
       );
@@ -534,6 +458,20 @@
     return { entry, expectedMs: placement.firstTokenMs, prefillTokens: placement.prefillTokens };
   }
 
+  #logAlternative({ entry, silence, tookMs }: MonitoredAttempt, chosen: ChosenRunner): void {
+    const { request, route, channel, log } = this.#options;
+    log.notable('attempt-added', {
+      request: request.id,
+      route: route.name,
+      runner: entry.id,
+      silent: silence,
+      alternative: chosen.entry.id,
+      sends: this.#sends,
+      hasBegun: channel.hasBegun,
+      afterMs: Math.round(tookMs),
+    });
+  }
+
   #timeOut(): void {
     if (this.#isFinished) return;
     const { channel, request, log, metrics, route } = this.#options;
@@ -547,7 +485,7 @@
       hasBegun: channel.hasBegun,
       afterMs: Math.round(this.#options.clock.monotonic() - this.#arrivedAt),
     });
-    this.#attempt?.abort({ kind: 'ended' });
+    this.#abortAttempts({ kind: 'ended' });
     channel.fail(failure, request.id);
   }
 
@@ -557,7 +495,7 @@
     const { request, log, metrics, route } = this.#options;
     metrics.count('left', { reason });
     log.routine('request-left', { request: request.id, route: route.name, reason });
-    this.#attempt?.abort({ kind: 'ended' });
+    this.#abortAttempts({ kind: 'ended' });
   }
 
   #logServed(entry: RunnerEntry, outcome: AttemptOutcome): void {
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -218,7 +218,7 @@
       const isOwnFault = await this.#hasLostLinks(service);
       if (!isOwnFault || !forwarded.canBePassedOn()) return false;
     }
-    return forwarded.progress.sends === 0 || this.#takeRetry(service);
+    return forwarded.progress.sends === 0 || forwarded.takeRetry();
   }
 
   /**
@@ -271,11 +271,6 @@
     }
   }
 
-  #takeRetry({ name: endpoint }: Service): boolean {
-    const { retryBudget, clock } = this.#options;
-    return retryBudget.trySpend({ endpoint, class: 'interactive' }, clock.monotonic());
-  }
-
   async #servePassed(request: ReceivedRequest, channel: CallerChannel): Promise<void> {
     const { route, service, team, lastRunner } = request.passed;
     if (this.#passedCount >= MAX_PASSED_REQUESTS) {
--- /dev/null
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -0,0 +1,218 @@
+import type { Route, RunnerEntry, Service, Team } from '@ragwortrudder/catalog';
+import type { PlacementRequest } from '@ragwortrudder/routing';
+import type { AttemptOutcome } from '../types/attempt-outcome.ts';
+import type { CallerRequest } from '../types/caller-request.ts';
+import type { ChosenRunner } from '../types/chosen-runner.ts';
+import type { ForwarderOptions } from '../types/forwarder-options.ts';
+import type { ResponseHead } from '../types/response-head.ts';
+import type { RunnerWork } from '../types/runner-work.ts';
+import type { Silence } from '../types/silence.ts';
+import { ABORT_REASONS } from '../utils/abort-reasons.ts';
+import { enginePriority } from '../utils/engine-priority.ts';
+import { FIXED_OVERHEAD_MS } from '../utils/fixed-overhead-ms.ts';
+import { isFaultySilence } from '../utils/is-faulty-silence.ts';
+import { silenceOf } from '../utils/silence-of.ts';
+import { AttemptEvidence } from './attempt-evidence.ts';
+import { AttemptSink } from './attempt-sink.ts';
+import type { CallerChannel } from './caller-channel.ts';
+import { RunnerAttempt } from './runner-attempt.ts';
+
+interface MonitoredAttemptOptions extends ForwarderOptions {
+  readonly request: CallerRequest;
+  readonly channel: CallerChannel;
+  readonly route: Route;
+  readonly service: Service;
+  readonly team: Team | undefined;
+  /** Keys under which the request may be found to crash runners. */
+  readonly quarantineKeys: readonly string[];
+  readonly placement: PlacementRequest;
+  readonly chosen: ChosenRunner;
+  readonly remainingMs: number;
+  /** Called before bytes of a streamed response are passed on. */
+  readonly onBytes: (attempt: MonitoredAttempt) => void;
+  /** Called when the first event of a response is passed on, with the time since the request was sent. */
+  readonly onFirstEvent: (tookMs: number) => void;
+}
+
+const HTTP_MISDIRECTED = 421;
+const HTTP_UNAVAILABLE = 503;
+/**
+ * Prompt tokens from which a prompt is announced to peers immediately: its prefill takes far longer
+ * than a datagram.
+ */
+const LONG_PROMPT_TOKENS = 8_000;
+
+/** An attempt at a runner, with its work accounted for and its progress watched. */
+export class MonitoredAttempt {
+  readonly entry: RunnerEntry;
+  /** Settles with the outcome, once it has been recorded. */
+  readonly outcome: Promise<AttemptOutcome>;
+  readonly #options: MonitoredAttemptOptions;
+  readonly #evidence: AttemptEvidence;
+  readonly #sink: AttemptSink;
+  readonly #attempt: RunnerAttempt;
+  readonly #sentAt: number;
+  /** No other prompt is being prefilled for this node at the runner. */
+  readonly #isOnlyPrefill: boolean;
+  #work: RunnerWork;
+  #progressAt: number;
+  #respondingSince: number | undefined;
+  #firstEventAt: number | undefined;
+
+  constructor(options: MonitoredAttemptOptions) {
+    this.#options = options;
+    const { clock, channel, loadTracker, pool, sessions, placement, chosen, onLongPrompt } =
+      options;
+    this.entry = chosen.entry;
+    this.#evidence = new AttemptEvidence(options);
+    this.#sentAt = clock.monotonic();
+    this.#progressAt = this.#sentAt;
+    this.#isOnlyPrefill = loadTracker.workAt(this.entry.id).prefillTokens === 0;
+    this.#work = {
+      requests: 1,
+      prefillTokens: chosen.prefillTokens,
+      kvTokens: placement.ownTokens + placement.sharedTokens,
+    };
+    loadTracker.add(this.entry.id, this.#work);
+    if (chosen.prefillTokens >= LONG_PROMPT_TOKENS) {
+      onLongPrompt(this.entry.id, chosen.prefillTokens);
+    }
+    pool.recordSend(this.entry);
+    sessions.record(placement.session, this.entry.id, this.#sentAt);
+    this.#sink = new AttemptSink({
+      target: channel,
+      onBytes: () => {
+        if (!this.#sink.hasPushed) {
+          channel.onFirstEvent(() => {
+            this.#recordFirstEvent();
+          });
+        }
+        options.onBytes(this);
+      },
+    });
+    this.#attempt = this.#send();
+    this.outcome = this.#attempt.outcome.then((outcome) => this.#record(outcome));
+  }
+
+  /** Time since the request was sent, in milliseconds. */
+  get tookMs(): number {
+    return this.#options.clock.monotonic() - this.#sentAt;
+  }
+
+  /** Time since the first bytes of the response arrived, in milliseconds; undefined before. */
+  get respondingMs(): number | undefined {
+    if (this.#respondingSince === undefined) return undefined;
+    return this.#options.clock.monotonic() - this.#respondingSince;
+  }
+
+  get silence(): Silence {
+    const { clock, pool, route } = this.#options;
+    const silentMs = clock.monotonic() - this.#progressAt;
+    return silenceOf({
+      route,
+      hasFirstEvent: this.#sink.hasPushed,
+      silentMs,
+      runnerSilentMs: Math.min(silentMs, pool.silentMs(this.entry)),
+      isLinkSilent: pool.links.isSilent(this.entry),
+    });
+  }
+
+  /** Ends the attempt with `outcome` and closes the connection to the runner. */
+  abort(outcome: AttemptOutcome): void {
+    this.#attempt.abort(outcome);
+  }
+
+  /** Ends the attempt because another one responds; a silence that no sound runner keeps is its runner's fault. */
+  supersede(): void {
+    const isFaulty = isFaultySilence(this.silence);
+    this.abort(
+      isFaulty
+        ? { kind: 'broken', reason: ABORT_REASONS.silent, isConnectionLost: false }
+        : { kind: 'ended' },
+    );
+  }
+
+  #send(): RunnerAttempt {
+    const { dialect, buffers, request, route, service, team, channel, pool, clock } = this.#options;
+    return new RunnerAttempt({
+      dialect,
+      agent: pool.agentOf(this.entry),
+      buffers,
+      request,
+      metadata: {
+        runner: this.entry,
+        remainingMs: this.#options.remainingMs,
+        team: team?.name,
+        priority: service.engine ? enginePriority(team?.priority ?? route.priority) : undefined,
+        lastEventId: channel.lastEventId ?? request.lastEventId,
+      },
+      ...(route.kind === 'stream' ? { sink: this.#sink } : {}),
+      onHead: (head) => {
+        this.#recordHead(head);
+      },
+      onProgress: () => {
+        this.#progressAt = clock.monotonic();
+        this.#respondingSince ??= this.#progressAt;
+        this.#evidence.recordProof(this.#progressAt - this.#respondingSince);
+        pool.recordProgress(this.entry);
+      },
+    });
+  }
+
+  #recordHead(head: ResponseHead): void {
+    const { pool, loadTracker } = this.#options;
+    const { status, load, requestsPerSecond, isLeaving, retryAfterMs = 0 } = head;
+    if (status === HTTP_MISDIRECTED) return;
+    if (status === HTTP_UNAVAILABLE) pool.recordRest(this.entry, retryAfterMs);
+    else pool.recordTaken(this.entry);
+    if (isLeaving) pool.recordLeaving(this.entry);
+    pool.recordStatedLimit(this.entry, requestsPerSecond);
+    if (load) loadTracker.setReportedLoad(this.entry.id, load);
+  }
+
+  #recordFirstEvent(): void {
+    if (this.#firstEventAt !== undefined) return;
+    const { clock, loadTracker, pool, chosen, onFirstEvent } = this.#options;
+    this.#firstEventAt = clock.monotonic();
+    const firstEventMs = this.#firstEventAt - this.#sentAt;
+    const { prefillTokens } = this.#work;
+    loadTracker.add(this.entry.id, { requests: 0, prefillTokens: -prefillTokens, kvTokens: 0 });
+    this.#work = { ...this.#work, prefillTokens: 0 };
+    onFirstEvent(firstEventMs);
+    if (this.#isOnlyPrefill) {
+      pool.prefillRate(this.entry.service).add(chosen.prefillTokens, firstEventMs);
+    }
+    const ratio = (firstEventMs + FIXED_OVERHEAD_MS) / (chosen.expectedMs + FIXED_OVERHEAD_MS);
+    pool.recordSuccess(this.entry, ratio);
+    this.#evidence.recordForRollout(chosen, 'success', firstEventMs);
+  }
+
+  #record(outcome: AttemptOutcome): AttemptOutcome {
+    const { loadTracker, chosen } = this.#options;
+    loadTracker.add(this.entry.id, {
+      requests: -1,
+      prefillTokens: -this.#work.prefillTokens,
+      kvTokens: -this.#work.kvTokens,
+    });
+    this.#evidence.record(outcome, {
+      ...chosen,
+      sentAt: this.#sentAt,
+      tookMs: this.tookMs,
+      hasResponded: this.#respondingSince !== undefined,
+    });
+    this.#countTransfer(outcome);
+    return outcome;
+  }
+
+  #countTransfer(outcome: AttemptOutcome): void {
+    const transfer = 'transfer' in outcome ? outcome.transfer : undefined;
+    if (!transfer) return;
+    const { framing, connection, partialEventBytes = 0 } = transfer;
+    this.#options.metrics.count('responses', {
+      framing,
+      connection,
+      partialEvent: String(partialEventBytes > 0),
+      outcome: outcome.kind,
+    });
+  }
+}
--- a/packages/gateway/src/node/runner-links.ts
+++ b/packages/gateway/src/node/runner-links.ts
@@ -110,6 +110,13 @@
     return isRepeatable || this.#options.lastProgressAt(entry) > since;
   }
 
+  /** The runner has requests in progress and has sent nothing for a time. */
+  isSuspect(entry: RunnerEntry): boolean {
+    if (!this.#options.isInUse(entry)) return false;
+    const now = this.#options.clock.monotonic();
+    return now - this.#waitingFrom(entry, now) > SILENCE_MS;
+  }
+
   /** Records that a request is being sent to a runner. */
   recordSent(entry: RunnerEntry): void {
     const key = incarnationOf(entry);
@@ -141,7 +148,7 @@
 
   /** Probes links that are lost or silent; called several times a second. */
   update(): void {
-    const { directory, clock, lastProgressAt, isInUse } = this.#options;
+    const { directory, clock, isInUse } = this.#options;
     const now = clock.monotonic();
     const listed = directory.all();
     const keys = new Set(listed.map(incarnationOf));
@@ -153,8 +160,7 @@
         this.#waitingSince.delete(key);
         continue;
       }
-      const since = Math.max(lastProgressAt(entry), this.#waitingSince.get(key) ?? now);
-      if (now - since > SILENCE_MS) this.#monitor.suspect(key);
+      if (now - this.#waitingFrom(entry, now) > SILENCE_MS) this.#monitor.suspect(key);
     }
     this.#suspectOthers();
     this.#probe();
@@ -165,6 +171,12 @@
     return Promise.resolve();
   }
 
+  /** Since when requests have been waiting for bytes of a runner, monotonic, in milliseconds. */
+  #waitingFrom(entry: RunnerEntry, now: number): number {
+    const sentAt = this.#waitingSince.get(incarnationOf(entry)) ?? now;
+    return Math.max(this.#options.lastProgressAt(entry), sentAt);
+  }
+
   /** When links are lost and the others have told nothing since, the cause may be on this side. */
   #suspectOthers(): void {
     const { down } = this.#monitor;
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -4,6 +4,7 @@
 import type { StatedLimits } from '@ragwortrudder/admission';
 import { OutlierDetector, PrefillRate, excludeUnreachableDomains } from '@ragwortrudder/routing';
 import type { PlacementCandidate } from '@ragwortrudder/routing';
+import { ABORT_REASONS } from '../utils/abort-reasons.ts';
 import { incarnationOf } from '../utils/incarnation-of.ts';
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import type { DecisionLog } from './decision-log.ts';
@@ -41,6 +42,8 @@
   readonly latencyRatio: number;
   readonly unreachableUntil: number;
   readonly unreachableTimes: number;
+  /** It was marked as unreachable because it sent nothing, and has sent nothing since. */
+  readonly isSilent: boolean;
 }
 
 const OUTLIER_OPTIONS = {
@@ -57,6 +60,8 @@
  */
 const UNREACHABLE_MS = 400;
 const MAX_UNREACHABLE_MS = 3_200;
+/** Silence that a sound runner may keep, in milliseconds. */
+const MAX_SOUND_SILENCE_MS = 2_000;
 /** Weight of a new measurement in the moving average. */
 const RATIO_GAIN = 0.1;
 const MIN_RATIO = 0.2;
@@ -115,8 +120,12 @@
       entries,
       (entry) => !this.#isReachable(entry, isRepeatable, now),
     );
-    const healthy = reachable.filter(({ id }) => !detector.isEjected(id, now));
-    const usable = healthy.length > 0 ? healthy : reachable;
+    const hopeful =
+      reachable.length === 0 && isRepeatable
+        ? entries.filter((entry) => this.#mayOnlyBeSilent(entry))
+        : reachable;
+    const healthy = hopeful.filter(({ id }) => !detector.isEjected(id, now));
+    const usable = healthy.length > 0 ? healthy : hopeful;
     const median = medianOf(usable.map((entry) => this.#runnerOf(entry).latencyRatio));
     return usable
       .filter((entry) => this.#isWithinLimit(entry) && !this.#isResting(entry))
@@ -153,6 +162,7 @@
       latencyRatio: runner.latencyRatio + RATIO_GAIN * (bounded - runner.latencyRatio),
       unreachableUntil: 0,
       unreachableTimes: 0,
+      isSilent: false,
     });
     this.#record(entry, { ok: true, latencyMs: ratio });
   }
@@ -202,9 +212,13 @@
     return entries.filter((entry) => !this.#isWithinLimit(entry)).length;
   }
 
-  /** Records that bytes have arrived from a runner. */
+  /** Records that bytes have arrived from a runner; one that was only silent may be used again. */
   recordProgress(entry: RunnerEntry): void {
     this.#progressAt.set(entry.id, this.#options.clock.monotonic());
+    const runner = this.#runnerOf(entry);
+    if (!runner.isSilent) return;
+    this.#runners.set(entry.id, { ...runner, isSilent: false, unreachableUntil: 0 });
+    this.#options.log.notable('runner-heard', { runner: entry.id });
   }
 
   /** Monotonic time at which bytes last arrived from a runner, in milliseconds. */
@@ -233,6 +247,7 @@
       ...runner,
       unreachableTimes: times,
       unreachableUntil: now + forMs,
+      isSilent: reason === ABORT_REASONS.silent,
     });
     this.#options.log.notable('runner-unreachable', { runner: entry.id, reason, forMs });
   }
@@ -292,6 +307,12 @@
     return agent.hasIdle && this.links.mayUseOpen(entry, isRepeatable);
   }
 
+  /** The runner is avoided for its silence alone, which a sound runner may keep for a second or so. */
+  #mayOnlyBeSilent(entry: RunnerEntry): boolean {
+    const { isSilent } = this.#runnerOf(entry);
+    return isSilent && !this.links.isLost(entry) && this.silentMs(entry) < MAX_SOUND_SILENCE_MS;
+  }
+
   /** Called for each runner and request, so that it costs nothing while no runner states a limit. */
   #isWithinLimit(entry: RunnerEntry): boolean {
     const { limits } = this.#options;
@@ -367,6 +388,7 @@
       latencyRatio: 1,
       unreachableUntil: 0,
       unreachableTimes: 0,
+      isSilent: false,
     };
     this.#runners.set(entry.id, runner);
     return runner;
--- a/packages/gateway/src/types/next-step.ts
+++ b/packages/gateway/src/types/next-step.ts
@@ -2,6 +2,8 @@
 export type NextStep =
   /** Send the request to another runner. */
   | 'retry'
+  /** Wait for the other attempt that is in progress. */
+  | 'wait'
   /** Forward the response. */
   | 'answer'
   /** Refuse the request: it has not been executed. */
--- a/packages/gateway/src/utils/next-step.ts
+++ b/packages/gateway/src/utils/next-step.ts
@@ -19,6 +19,11 @@
   readonly canContinue: boolean;
   /** There is enough time and a candidate runner for another attempt. */
   readonly canRetry: boolean;
+  /**
+   * Another attempt at the request is in progress.
+   * @default false
+   */
+  readonly hasOther?: boolean;
   /** Takes one retry from the budget; returns false when the budget is exhausted. */
   readonly takeBudget: () => boolean;
 }
@@ -31,12 +36,21 @@
   return kind === 'idempotent' || (kind === 'stream' && isResumable);
 }
 
+/** The outcome ends the request, so that no other attempt is waited for. */
+function isResponse(outcome: AttemptOutcome, hasBegun: boolean): boolean {
+  if (outcome.kind === 'answered') {
+    return !hasBegun && outcome.response.head.status < FIRST_SERVER_ERROR;
+  }
+  return outcome.kind === 'relayed' || outcome.kind === 'ended';
+}
+
 /**
  * Decides what to do after an attempt. A request that may have been executed is retried only if it is
  * idempotent or a resumable stream, and a request is refused only if no runner can have executed it.
  */
 export function nextStep(outcome: AttemptOutcome, history: AttemptHistory): NextStep {
   const { route, sends, unsent, mayHaveRun, hasBegun, canContinue, canRetry, takeBudget } = history;
+  if (history.hasOther && !isResponse(outcome, hasBegun)) return 'wait';
   const giveUpStep: NextStep = mayHaveRun || hasBegun ? 'fail' : 'refuse';
   const hasAttemptLeft = canRetry && canContinue && sends < route.maxAttempts;
   switch (outcome.kind) {
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -6,6 +6,8 @@
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import { DemandMeter } from '../../packages/gateway/src/utils/demand-meter.ts';
 import { EventSplitter } from '../../packages/gateway/src/utils/event-splitter.ts';
+import { isFaultySilence } from '../../packages/gateway/src/utils/is-faulty-silence.ts';
+import { silenceOf } from '../../packages/gateway/src/utils/silence-of.ts';
 import { incompleteReason } from '../../packages/gateway/src/utils/incomplete-reason.ts';
 import { RunnerLoadTracker } from '../../packages/gateway/src/utils/runner-load-tracker.ts';
 import { nextStep } from '../../packages/gateway/src/utils/next-step.ts';
@@ -94,6 +96,45 @@
   t.is(nextStep(failure(500), { ...history, sends: 1 }), 'retry');
 });
 
+// Guards against requests that fail while another runner is at work on them (LOST).
+test('while another attempt is in progress, only a response ends a request', (t) => {
+  const history = { ...BASE, hasOther: true, mayHaveRun: true };
+  for (const outcome of [BROKEN, REFUSED, UNSENT, failure(500)]) {
+    t.is(nextStep(outcome, history), 'wait');
+  }
+  t.is(nextStep(failure(404), { ...history, hasBegun: true }), 'wait');
+  t.is(nextStep(failure(404), history), 'answer');
+  t.is(nextStep(failure(200), history), 'answer');
+});
+
+const SILENT = {
+  route: { maxGapMs: 400, latencyTargetMs: 1_000 },
+  hasFirstEvent: false,
+  silentMs: 0,
+  runnerSilentMs: 0,
+  isLinkSilent: false,
+} as const;
+
+// Guards against sound runners that are blamed for a silence of a second or so.
+test('only a silence that no sound runner keeps is held against its runner', (t) => {
+  const short = silenceOf({ ...SILENT, silentMs: 1_500, runnerSilentMs: 1_500 });
+  t.is(short, 'runner');
+  t.false(isFaultySilence(short));
+  const long = silenceOf({ ...SILENT, silentMs: 3_750, runnerSilentMs: 3_750 });
+  t.is(long, 'runner-for-long');
+  t.true(isFaultySilence(long));
+  t.is(silenceOf({ ...SILENT, silentMs: 3_749, runnerSilentMs: 10 }), 'none');
+  t.is(silenceOf({ ...SILENT, silentMs: 3_750, runnerSilentMs: 10 }), 'connection');
+});
+
+test('a stream is judged by its gaps once it has events, and sooner when its link is lost', (t) => {
+  const silences = { silentMs: 1_200, runnerSilentMs: 1_200 };
+  t.is(silenceOf({ ...SILENT, ...silences }), 'none');
+  t.is(silenceOf({ ...SILENT, ...silences, hasFirstEvent: true }), 'runner');
+  t.is(silenceOf({ ...SILENT, ...silences, isLinkSilent: true }), 'link');
+  t.is(silenceOf({ ...SILENT, silentMs: 1_200, runnerSilentMs: 10, isLinkSilent: true }), 'none');
+});
+
 test('a repeatable request is retried within its attempts, time and budget', (t) => {
   t.is(nextStep(BROKEN, { ...BASE, mayHaveRun: true }), 'retry');
   t.is(nextStep(BROKEN, { ...BASE, route: RESUMABLE, hasBegun: true }), 'retry');
--- a/test/gateway/steady-runner.ts
+++ b/test/gateway/steady-runner.ts
@@ -7,7 +7,10 @@
 interface SteadyRunnerOptions {
   /** Number of events of a response; 0 for a response with a length. */
   readonly events: number;
+  /** @default 30 */
   readonly latencyMs?: number;
+  /** @default 20 */
+  readonly eventIntervalMs?: number;
 }
 
 const LATENCY_MS = 30;
@@ -19,6 +22,7 @@
   readonly runs = new Map<string, number>();
   readonly #runner: ScriptedRunner;
   readonly #options: SteadyRunnerOptions;
+  #silence: Promise<void> = Promise.resolve();
 
   constructor(options: SteadyRunnerOptions) {
     this.#options = options;
@@ -51,9 +55,15 @@
     return this.#runner.close();
   }
 
+  /** Reads and writes nothing on any connection for a time, and then goes on. */
+  async fallSilent(ms: number): Promise<void> {
+    this.#silence = sleep(ms);
+    await this.#silence;
+  }
+
   async #serve(socket: Socket, request: ReceivedRequest): Promise<void> {
-    const { events, latencyMs = LATENCY_MS } = this.#options;
-    await sleep(latencyMs);
+    const { events, latencyMs = LATENCY_MS, eventIntervalMs = EVENT_INTERVAL_MS } = this.#options;
+    await this.#work(latencyMs);
     if (events === 0) {
       socket.write(responseTo(request, `ran ${request.id}`));
       return;
@@ -63,8 +73,13 @@
     for (let id = after + 1; id <= events; id += 1) {
       if (socket.destroyed) return;
       socket.write(chunk(event(id)));
-      await sleep(EVENT_INTERVAL_MS);
+      await this.#work(eventIntervalMs);
     }
     socket.write(chunk(''));
   }
+
+  async #work(ms: number): Promise<void> {
+    await sleep(ms);
+    await this.#silence;
+  }
 }
