Open a new connection for a request whose connection was lost

Callers saw: when a node loses its links by resets, streams in progress there were cut off although a peer, or another runner, could go on with them.

Cause: a retry went over another idle connection, which the same cut had reset as well but which had shown no sign of it yet. Each such write counts as an attempt that may have run; within 2 ms three attempts were used up, and nothing was left for a peer. The new test fails without the change.

Class: a decision that is taken on what one connection showed, while the same cause acts on others. A connection that is opened anew fails without having sent anything, so it costs no attempt.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -64,6 +64,8 @@
   #sends: number;
   #unsent = 0;
   #mayHaveRun = false;
+  /** A connection was lost under the request; whatever has cut it may have cut others. */
+  #hasLostConnection = false;
   #isUsageCounted: boolean;
   /** A retry was taken from the budget and has not reached a runner. */
   #hasTakenRetry = false;
@@ -319,6 +321,7 @@
       placement: this.#placement,
       chosen,
       remainingMs,
+      needsNewConnection: this.#hasLostConnection,
       onBytes: (responding) => {
         this.#supersede(responding);
       },
@@ -359,6 +362,9 @@
         this.#recordStart(tookMs);
         return;
       case 'broken':
+        this.#hasLostConnection ||= outcome.isConnectionLost;
+        this.#mayHaveRun = true;
+        return;
       case 'ended':
         this.#mayHaveRun = true;
     }
--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -28,6 +28,8 @@
   readonly placement: PlacementRequest;
   readonly chosen: ChosenRunner;
   readonly remainingMs: number;
+  /** Idle connections may be lost. */
+  readonly needsNewConnection: boolean;
   /** Called before bytes of a streamed response are passed on. */
   readonly onBytes: (attempt: MonitoredAttempt) => void;
   /** Called when the first event of a response is passed on, with the time since the request was sent. */
@@ -134,14 +136,15 @@
 
   #send(): RunnerAttempt {
     const { dialect, buffers, request, route, service, team, channel, pool, clock } = this.#options;
+    const { remainingMs, needsNewConnection } = this.#options;
     return new RunnerAttempt({
       dialect,
-      agent: pool.agentOf(this.entry),
+      agent: needsNewConnection ? pool.newAgent() : pool.agentOf(this.entry),
       buffers,
       request,
       metadata: {
         runner: this.entry,
-        remainingMs: this.#options.remainingMs,
+        remainingMs,
         team: team?.name,
         priority: service.engine ? enginePriority(team?.priority ?? route.priority) : undefined,
         lastEventId: channel.lastEventId ?? request.lastEventId,
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -146,6 +146,13 @@
     return this.#runnerOf(entry).agent;
   }
 
+  /** Connections for one request alone, for when those that are open may be lost without a sign so far. */
+  newAgent(): RunnerAgent {
+    const agent = new RunnerAgent({ maxSockets: 1 });
+    agent.retire();
+    return agent;
+  }
+
   /** Records that a request is being sent. */
   recordSend(entry: RunnerEntry): void {
     this.#options.limits.take(incarnationOf(entry));
--- a/test/gateway/silent-runner.test.ts
+++ b/test/gateway/silent-runner.test.ts
@@ -172,7 +172,7 @@
 }
 
 for (const kind of ['stream', 'idempotent'] as const) {
-  for (const mode of ['dark', 'refuse-new'] as const) {
+  for (const mode of ['cut', 'dark', 'refuse-new'] as const) {
     // Guards against requests that are given up for peers whose runners are only silent (LOST).
     test(`pattern: all runners fall silent beside a node without links (${mode}); no ${kind} request is lost`, async (t) => {
       const started = await startFleet(t, kind, 3);
