End a caller's connection only between its requests, and log each end with its cause

What callers saw: a request that a runner was serving got no answer, or the answer of other bytes. Of three requests on one connection to a node that stops, one was answered and all three ran. A request behind a stream that broke off ran without an answer. Bytes after a request that were no request, or the begin of a request that did not go on, were refused in its place (400, 408) while a runner served it. A request whose time for headers had passed was told 408 and ran when its rest arrived. On a kept connection the same refusal was left out, and the connection closed: a configuration that lowers the time limit for headers does this to requests that are arriving. The log had nothing, or `request-served`.

Cause: the server decided about a connection without looking at the requests on it: the parser's errors, the time limits and `Connection: close` act on the socket, and later requests were passed on before it was known that the connection would be kept.

Why this works: `CallerConnection` serves requests in order, so that a request goes to a runner only when its response can follow; a refusal of unread bytes waits for the responses that are due; nothing is taken after it. Idle connections of a stopping node are those on which nothing has begun to arrive.

--- /dev/null
+++ b/packages/gateway/src/node/caller-connection.ts
@@ -0,0 +1,106 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { ConnectionEnd } from '../types/connection-end.ts';
+
+/** Time for which a connection is read after its last response, so that the caller can receive it. */
+const LINGER_MS = 1_000;
+
+/**
+ * Connection of a caller. Its requests are served one after the other, and it is closed only between
+ * them.
+ */
+export class CallerConnection {
+  readonly #socket: Socket;
+  #requestCount = 0;
+  #newest: IncomingMessage | undefined;
+  #lastResponse: Promise<void> = Promise.resolve();
+  /** Bytes that had been received at the end of the newest request. */
+  #receivedBytes = 0;
+  #end: ConnectionEnd | undefined;
+  #hasCallerLeft = false;
+
+  constructor(socket: Socket) {
+    this.#socket = socket;
+    socket.once('end', () => {
+      this.#hasCallerLeft = true;
+    });
+  }
+
+  /** Requests whose responses have not been sent completely. */
+  get requestCount(): number {
+    return this.#requestCount;
+  }
+
+  /** No request is in progress or has begun to arrive. */
+  get isIdle(): boolean {
+    return this.#requestCount === 0 && this.#socket.bytesRead === this.#receivedBytes;
+  }
+
+  /** A response can be sent. */
+  get isOpen(): boolean {
+    return this.#socket.writable && !this.#hasCallerLeft;
+  }
+
+  /** Why no further request is taken; undefined while the connection is kept. */
+  get endCause(): string | undefined {
+    if (this.#end) return this.#end.cause;
+    if (this.#hasCallerLeft || this.#socket.errored) return 'caller-left';
+    if (this.#socket.destroyed) return 'response-aborted';
+    return this.#socket.writable ? undefined : 'response-ended';
+  }
+
+  /** A request that is still arriving has been answered. */
+  get isRefused(): boolean {
+    return this.#end?.response !== undefined;
+  }
+
+  /** Adds a request; settles when the responses to the earlier ones have ended. */
+  addRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const turn = this.#lastResponse;
+    this.#newest = message;
+    this.#requestCount += 1;
+    message.once('end', () => {
+      this.#receivedBytes = this.#socket.bytesRead;
+    });
+    this.#lastResponse = new Promise((resolve) => {
+      const settle = (): void => {
+        response.off('close', settle);
+        this.#socket.off('close', settle);
+        this.#requestCount -= 1;
+        this.#finish();
+        resolve();
+      };
+      response.once('close', settle);
+      this.#socket.once('close', settle);
+    });
+    return turn;
+  }
+
+  /**
+   * Ends the connection once the complete requests that it has received are answered. A request that is
+   * still arriving is answered with `response`.
+   */
+  end(end: ConnectionEnd): void {
+    this.#end ??= end;
+    if (this.#socket.writable) this.#finish();
+    else this.#socket.destroy();
+  }
+
+  /** Closes the connection, together with its requests in progress. */
+  destroy(cause: string): void {
+    this.#end ??= { cause };
+    this.#socket.destroy();
+  }
+
+  #finish(): void {
+    const incomplete = this.#newest && !this.#newest.complete ? 1 : 0;
+    if (!this.#end || this.#requestCount > incomplete || !this.#socket.writable) return;
+    this.#socket.end(this.#end.response ?? '');
+    const timer = setTimeout(() => {
+      this.#socket.destroy();
+    }, LINGER_MS);
+    this.#socket.once('close', () => {
+      clearTimeout(timer);
+    });
+  }
+}
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -4,21 +4,30 @@
 import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { Address, CallerLimits } from '@ragwortrudder/catalog';
-import type { Closeable, Failure } from '@ragwortrudder/core';
+import type { Closeable } from '@ragwortrudder/core';
 import { Refusal } from '../errors/refusal.ts';
 import { RequestInvalid } from '../errors/request-invalid.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { Dialect } from '../types/dialect.ts';
 import { CallerChannel } from './caller-channel.ts';
+import { CallerConnection } from './caller-connection.ts';
 import type { DecisionLog } from './decision-log.ts';
+import type { GatewayMetrics } from './gateway-metrics.ts';
 
 interface CallerServerOptions<Request extends CallerRequest> {
   readonly address: Address;
   readonly dialect: Dialect<Request>;
   readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
   readonly onRequest: (request: Request, channel: CallerChannel) => Promise<void>;
 }
 
+interface ReceivedMessage {
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly connection: CallerConnection;
+}
+
 const HTTP_BAD_REQUEST = 400;
 const HTTP_REQUEST_TIMEOUT = 408;
 const HTTP_PAYLOAD_TOO_LARGE = 413;
@@ -36,6 +45,8 @@
 const BACKLOG = 1_024;
 /** Time allowed for the body, in addition to that for the headers, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000;
+/** Requests that may arrive on a connection before the first of them is answered. */
+const MAX_PIPELINED_REQUESTS = 64;
 
 const PARSER_STATUS: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: HTTP_HEADERS_TOO_LARGE,
@@ -46,11 +57,15 @@
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
 
+function refusalText(status: number): string {
+  return `HTTP/1.1 ${status} Refused\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+}
+
 /** HTTP server for callers: reads complete requests within the limits and passes them to `onRequest`. */
 export class CallerServer<Request extends CallerRequest = CallerRequest> implements Closeable {
   readonly #options: CallerServerOptions<Request>;
   readonly #server: Server;
-  readonly #sockets = new Map<Socket, number>();
+  readonly #connections = new Map<Socket, CallerConnection>();
   #limits: CallerLimits = DEFAULT_LIMITS;
   #isStopping = false;
 
@@ -61,16 +76,24 @@
       connectionsCheckingInterval: CHECK_PERIOD_MS,
       noDelay: true,
     });
-    this.#server.on('request', (request, response) => {
-      void this.#receive(request, response);
+    this.#server.on('request', (message, response) => {
+      void this.#receive(message, response);
+    });
+    this.#server.on('connect', (_message, socket) => {
+      this.#logEnd('method-not-supported', {});
+      socket.end(refusalText(HTTP_BAD_REQUEST));
     });
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.#refuseUnparsed(error, socket);
     });
+    this.#server.on('timeout', (socket: Socket) => {
+      this.#options.metrics.count('connections_ended', { cause: 'idle' });
+      socket.destroy();
+    });
     this.#server.on('connection', (socket) => {
-      this.#sockets.set(socket, 0);
+      this.#connections.set(socket, new CallerConnection(socket));
       socket.on('close', () => {
-        this.#sockets.delete(socket);
+        this.#connections.delete(socket);
       });
     });
     this.setLimits(DEFAULT_LIMITS);
@@ -105,43 +128,59 @@
 
   /** Closes connections that have no request in progress. */
   closeIdleConnections(): void {
-    for (const [socket, requests] of this.#sockets) if (requests === 0) socket.end();
+    for (const connection of this.#connections.values()) {
+      if (connection.isIdle) connection.destroy('node-stopping');
+    }
   }
 
+  /** Closes all connections, together with the requests in progress. */
   async close(): Promise<void> {
     this.#server.close();
-    for (const socket of this.#sockets.keys()) socket.destroy();
+    for (const connection of this.#connections.values()) connection.destroy('node-closed');
     return Promise.resolve();
   }
 
   async #receive(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { dialect, log, onRequest } = this.#options;
-    const { socket } = message;
-    this.#countRequests(socket, 1);
+    const connection = this.#connections.get(message.socket);
+    if (!connection) return;
+    const received = { message, response, connection };
+    if (connection.endCause !== undefined) {
+      this.#drop(received);
+      return;
+    }
+    const turn = connection.addRequest(message, response);
+    if (connection.requestCount > MAX_PIPELINED_REQUESTS) {
+      this.#logEnd('too-many-requests', { requests: connection.requestCount });
+      connection.destroy('too-many-requests');
+    }
+    let isSent = false;
+    // A response also finishes when it is written to a connection that has been closed.
+    response.prependOnceListener('finish', () => {
+      isSent = !message.socket.destroyed;
+    });
     response.once('close', () => {
-      this.#countRequests(socket, -1);
+      if (!isSent) this.#logCut(received);
     });
+    const arrivedAt = performance.now();
+    await turn;
+    if (connection.isOpen) await this.#serve(received, performance.now() - arrivedAt);
+    else this.#drop(received);
+  }
+
+  async #serve(received: ReceivedMessage, waitedMs: number): Promise<void> {
+    const { dialect, onRequest } = this.#options;
+    const { message, response, connection } = received;
     const channel = new CallerChannel({
       response,
       method: message.method ?? 'GET',
       dialect,
-      isStopping: () => this.#isStopping,
+      isStopping: () => this.#isStopping && connection.requestCount === 1,
     });
     try {
       const request = await this.#read(message);
-      if (request) await onRequest(request, channel);
+      if (request) await onRequest(withDeadlineIn(request, waitedMs), channel);
     } catch (error) {
-      const failure =
-        error instanceof Refusal || error instanceof RequestInvalid ? error : undefined;
-      log.notable('request-not-read', {
-        reason: error instanceof Error ? error.message : String(error),
-        code: failure?.code,
-      });
-      if (!failure) {
-        response.destroy();
-        return;
-      }
-      this.#refuse(failure, response, message);
+      this.#fail(error, received);
     }
   }
 
@@ -161,30 +200,97 @@
     return this.#options.dialect.parseRequest({ method, target, rawHeaders }, body);
   }
 
-  #refuse(failure: Failure, response: ServerResponse, message: IncomingMessage): void {
-    const isComplete = message.complete;
-    const headers: Record<string, string> = { 'content-length': '0' };
-    if (!isComplete) headers.connection = 'close';
-    response.writeHead(failure.status, headers);
-    response.end();
+  /** Answers a request that could not be read, or in whose handling the node failed. */
+  #fail(error: unknown, received: ReceivedMessage): void {
+    const { log, metrics } = this.#options;
+    const { message, response, connection } = received;
+    const request = this.#idOf(message);
+    const reason = error instanceof Error ? error.message : String(error);
+    const isRefusal = error instanceof Refusal || error instanceof RequestInvalid;
+    log.notable('request-not-read', {
+      request,
+      reason,
+      code: isRefusal ? error.code : undefined,
+    });
+    if (!isRefusal) {
+      response.destroy();
+      return;
+    }
+    metrics.count('refusals', { cause: error.code });
+    if (message.complete) {
+      response.writeHead(error.status, { 'content-length': '0' });
+      response.end();
+      return;
+    }
+    message.resume();
+    connection.end({ cause: error.code, response: refusalText(error.status) });
+  }
+
+  /** Leaves a request without an answer that arrived on a connection which is being closed. */
+  #drop({ message, connection }: ReceivedMessage): void {
+    message.resume();
+    this.#options.metrics.count('requests_dropped', { cause: connection.endCause ?? '' });
+    this.#options.log.notable('request-dropped', {
+      request: this.#idOf(message),
+      cause: connection.endCause,
+    });
+  }
+
+  /** Logs that a request that was received did not get a complete response. */
+  #logCut({ message, response, connection }: ReceivedMessage): void {
+    if (!message.complete && connection.isRefused) return;
+    const { log, metrics } = this.#options;
+    const cause = connection.endCause ?? 'response-aborted';
+    const fields = {
+      request: this.#idOf(message),
+      cause,
+      wasRead: message.complete,
+      hasBegun: response.headersSent,
+    };
+    metrics.count('responses_cut', { cause, hasBegun: String(response.headersSent) });
+    if (cause === 'caller-left') log.routine('response-cut', fields);
+    else log.notable('response-cut', fields);
   }
 
   #refuseUnparsed(error: NodeJS.ErrnoException, socket: Duplex): void {
-    const hasWritten = socket instanceof Socket && socket.bytesWritten > 0;
-    if (!socket.writable || hasWritten || error.code === 'ECONNRESET') {
+    const connection = socket instanceof Socket ? this.#connections.get(socket) : undefined;
+    if (!connection || !socket.writable || error.syscall !== undefined) {
       socket.destroy();
       return;
     }
     const status = PARSER_STATUS[error.code ?? ''] ?? HTTP_BAD_REQUEST;
-    socket.end(`HTTP/1.1 ${status} Refused\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    const cause = error.code ?? 'parser-error';
+    if (connection.endCause === undefined) {
+      this.#logEnd(cause, { status, requests: connection.requestCount });
+    }
+    connection.end({ cause, response: refusalText(status) });
+  }
+
+  #logEnd(cause: string, fields: Readonly<Record<string, number>>): void {
+    this.#options.metrics.count('connections_ended', { cause });
+    this.#options.log.notable('connection-ended', { cause, ...fields });
   }
 
-  #countRequests(socket: Socket, change: number): void {
-    const count = this.#sockets.get(socket);
-    if (count !== undefined) this.#sockets.set(socket, count + change);
+  /** Id of a request, as far as its head is valid. */
+  #idOf({ method = 'GET', url: target = '/', rawHeaders }: IncomingMessage): string | undefined {
+    try {
+      return this.#options.dialect.parseRequest({ method, target, rawHeaders }, undefined).id;
+    } catch (error) {
+      if (error instanceof RequestInvalid) return undefined;
+      throw error;
+    }
   }
 }
 
+/** The caller's time goes on while earlier requests on its connection are served. */
+function withDeadlineIn<Request extends CallerRequest>(
+  request: Request,
+  waitedMs: number,
+): Request {
+  if (request.deadlineMs === undefined) return request;
+  return { ...request, deadlineMs: Math.max(0, request.deadlineMs - waitedMs) };
+}
+
 function bodyOf(
   message: IncomingMessage,
   maxBytes: number,
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -285,18 +285,12 @@
       address: listen.callers,
       dialect,
       log: this.#decisions,
+      metrics: this.#metrics,
       onRequest: (request, channel) => this.#serve(request, channel),
     });
-    this.#status = new StatusServer({
-      address: listen.readiness,
-      isReady: () => this.#isReady,
-      metricsText: () => this.#metrics.text(),
-    });
-    this.#metricsServer = new StatusServer({
-      address: listen.metrics,
-      isReady: () => this.#isReady,
-      metricsText: () => this.#metrics.text(),
-    });
+    const status = { isReady: () => this.#isReady, metricsText: () => this.#metrics.text() };
+    this.#status = new StatusServer({ address: listen.readiness, ...status });
+    this.#metricsServer = new StatusServer({ address: listen.metrics, ...status });
     this.#dutyHolder = createDutyHolder({
       settings,
       log: options.log,
--- a/packages/gateway/src/node/peer-passing.ts
+++ b/packages/gateway/src/node/peer-passing.ts
@@ -46,7 +46,7 @@
 
   constructor(options: PeerPassingOptions) {
     this.#options = options;
-    const { dialect, address, log, clock, pool } = options;
+    const { dialect, address, log, metrics, clock, pool } = options;
     this.reach = new PeerReach(clock);
     this.forwarder = new PeerForwarder({
       ...options,
@@ -58,6 +58,7 @@
       address,
       dialect: new PassingDialect(dialect),
       log,
+      metrics,
       onRequest: (request, channel) => this.#serve(request, channel),
     });
   }
