Close a node that stops only after its responses have been sent

What callers saw: after SIGTERM a response ended early. The log had `request-served`.

Cause: a node closed as soon as no request was in progress, and a request counted as done when its response had been handed to the connection, not when it had been sent. A caller that reads slowly then lost the rest.

Why this works: the node waits, within the grace period, for the responses themselves, those to callers and those to peers.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -113,6 +113,11 @@
     return address?.port ?? 0;
   }
 
+  /** Requests whose responses have not been sent completely. */
+  get requestCount(): number {
+    return [...this.#connections.values()].reduce((sum, item) => sum + item.requestCount, 0);
+  }
+
   async listen(): Promise<void> {
     const { host, port } = this.#options.address;
     await new Promise<void>((resolve, reject) => {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -427,8 +427,8 @@
       const sinceMs = clock.monotonic() - startedAt;
       if (sinceMs < LEAVE_ROTATION_DELAY_MS) return;
       this.#callers.closeIdleConnections();
-      if (this.#forwarder.active.size > 0 && sinceMs < this.#settings.graceMs - GRACE_MARGIN_MS)
-        return;
+      const requestCount = this.#callers.requestCount + this.#passing.requestCount;
+      if (requestCount > 0 && sinceMs < this.#settings.graceMs - GRACE_MARGIN_MS) return;
       clearInterval(drainTimer);
       void this.close();
     }, MAINTENANCE_PERIOD_MS);
--- a/packages/gateway/src/node/peer-passing.ts
+++ b/packages/gateway/src/node/peer-passing.ts
@@ -63,6 +63,11 @@
     });
   }
 
+  /** Requests of peers whose responses have not been sent completely. */
+  get requestCount(): number {
+    return this.#server.requestCount;
+  }
+
   listen(): Promise<void> {
     return this.#server.listen();
   }
