Answer and log a request that the node itself fails to serve

What callers saw: a connection that closed without an answer. The log had `request-not-read` without the request's id.

Cause: an unexpected error in the handling of a request destroyed its connection.

Why this works: the caller gets 500 (the request may have run), or the stream that has begun is aborted; `request-failed` has the id and the reason, and the counter `ragwortrudder_refusals{cause="node-failed"}` the number.

--- a/packages/gateway/src/errors/refusal.ts
+++ b/packages/gateway/src/errors/refusal.ts
@@ -26,6 +26,7 @@
   'header-too-large': 'the headers are larger than the limit of the configuration',
   'node-stopping': 'the node is stopping; send the request to another',
   'node-busy': 'the node has as many requests of its peers as it takes',
+  'node-failed': 'the node failed to serve the request, which may have run; see its log',
   'rejected-by-peer': 'the peer that the request was passed on to rejected it; see its log',
 };
 
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -32,6 +32,7 @@
 const HTTP_REQUEST_TIMEOUT = 408;
 const HTTP_PAYLOAD_TOO_LARGE = 413;
 const HTTP_HEADERS_TOO_LARGE = 431;
+const HTTP_INTERNAL_ERROR = 500;
 /** Limits until a configuration is active. */
 const DEFAULT_LIMITS: CallerLimits = {
   headerBytes: 16_384,
@@ -185,7 +186,7 @@
       const request = await this.#read(message);
       if (request) await onRequest(withDeadlineIn(request, waitedMs), channel);
     } catch (error) {
-      this.#fail(error, received);
+      this.#fail(error, received, channel);
     }
   }
 
@@ -206,22 +207,20 @@
   }
 
   /** Answers a request that could not be read, or in whose handling the node failed. */
-  #fail(error: unknown, received: ReceivedMessage): void {
+  #fail(error: unknown, received: ReceivedMessage, channel: CallerChannel): void {
     const { log, metrics } = this.#options;
     const { message, response, connection } = received;
     const request = this.#idOf(message);
     const reason = error instanceof Error ? error.message : String(error);
     const isRefusal = error instanceof Refusal || error instanceof RequestInvalid;
-    log.notable('request-not-read', {
-      request,
-      reason,
-      code: isRefusal ? error.code : undefined,
-    });
     if (!isRefusal) {
-      response.destroy();
+      metrics.count('refusals', { cause: 'node-failed' });
+      log.notable('request-failed', { request, reason, hasBegun: response.headersSent });
+      channel.fail(new Refusal('node-failed', { status: HTTP_INTERNAL_ERROR }), request);
       return;
     }
     metrics.count('refusals', { cause: error.code });
+    log.notable('request-not-read', { request, reason, code: error.code });
     if (message.complete) {
       response.writeHead(error.status, { 'content-length': '0' });
       response.end();
--- a/packages/gateway/src/types/refusal-cause.ts
+++ b/packages/gateway/src/types/refusal-cause.ts
@@ -15,4 +15,5 @@
   | 'header-too-large'
   | 'node-stopping'
   | 'node-busy'
+  | 'node-failed'
   | 'rejected-by-peer';
