Let a stream that a peer has begun go on although the peer is not heard

What callers saw: a stream that a peer served was cut off, though its events still arrived.

Cause: a peer whose reports are missing for a second was given up in the hope that the request fares better elsewhere; but no other peer is tried once an offer has broken off, and what has begun can only end visibly cut.

Why this works: what has begun goes on until its end, its connection's end or its deadline. A request without a response still gets its 502 early, so that its caller can repeat it.

Evidence: test/gateway/lost-peers.test.ts; before the change the stream ended after the first of two events. The second test, that a request whose peer is not heard is answered before its deadline, passed before and passes after.

Looked for elsewhere: the silence of runners is a fault of the same class.

--- a/packages/gateway/src/node/peer-forwarder.ts
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -175,9 +175,10 @@
     const deadline = setTimeout(() => {
       attempt.abort({ kind: 'ended' });
     }, deadlineAt - sentAt);
-    // A peer that is no longer heard has lost the request, or its response does not arrive.
+    // A peer that is not heard may have lost the request. A response that has begun has nowhere else to go.
     const check = setInterval(() => {
-      if (!passed.isRepeatable || peers.reachable().some(({ id }) => id === peer.id)) return;
+      if (!passed.isRepeatable || channel.hasBegun) return;
+      if (peers.reachable().some(({ id }) => id === peer.id)) return;
       attempt.abort({ kind: 'broken', reason: 'peer not heard', isConnectionLost: false });
     }, CHECK_PERIOD_MS);
     channel.onDisconnect(() => {
