--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -285,18 +285,12 @@
       address: listen.callers,
       dialect,
       log: this.#decisions,
+      metrics: this.#metrics,
       onRequest: (request, channel) => this.#serve(request, channel),
     });
-    this.#status = new StatusServer({
-      address: listen.readiness,
-      isReady: () => this.#isReady,
-      metricsText: () => this.#metrics.text(),
-    });
-    this.#metricsServer = new StatusServer({
-      address: listen.metrics,
-      isReady: () => this.#isReady,
-      metricsText: () => this.#metrics.text(),
-    });
+    const status = { isReady: () => this.#isReady, metricsText: () => this.#metrics.text() };
+    this.#status = new StatusServer({ address: listen.readiness, ...status });
+    this.#metricsServer = new StatusServer({ address: listen.metrics, ...status });
     this.#dutyHolder = createDutyHolder({
       settings,
       log: options.log,
@@ -433,8 +427,8 @@
       const sinceMs = clock.monotonic() - startedAt;
       if (sinceMs < LEAVE_ROTATION_DELAY_MS) return;
       this.#callers.closeIdleConnections();
-      if (this.#forwarder.active.size > 0 && sinceMs < this.#settings.graceMs - GRACE_MARGIN_MS)
-        return;
+      const requestCount = this.#callers.requestCount + this.#passing.requestCount;
+      if (requestCount > 0 && sinceMs < this.#settings.graceMs - GRACE_MARGIN_MS) return;
       clearInterval(drainTimer);
       void this.close();
     }, MAINTENANCE_PERIOD_MS);
--- a/packages/gateway/src/node/peer-passing.ts
+++ b/packages/gateway/src/node/peer-passing.ts
@@ -46,7 +46,7 @@
 
   constructor(options: PeerPassingOptions) {
     this.#options = options;
-    const { dialect, address, log, clock, pool } = options;
+    const { dialect, address, log, metrics, clock, pool } = options;
     this.reach = new PeerReach(clock);
     this.forwarder = new PeerForwarder({
       ...options,
@@ -58,10 +58,16 @@
       address,
       dialect: new PassingDialect(dialect),
       log,
+      metrics,
       onRequest: (request, channel) => this.#serve(request, channel),
     });
   }
 
+  /** Requests of peers whose responses have not been sent completely. */
+  get requestCount(): number {
+    return this.#server.requestCount;
+  }
+
   listen(): Promise<void> {
     return this.#server.listen();
   }
