Reject odd entries, records and messages where they are decoded, and log each once

What callers saw: requests without an answer, and nodes that ended. The probe of its link threw, nobody handled that, and the process ended. An entry of a node with such a port, or port 0, did the same to every node that read it, several times a second, since its reports could not be sent. Nothing of this was logged.

Cause: what others write was checked for its types, not for its range, size or depth, and promises that nobody waits for could reject.

Why it works: parseBoundedJson bounds size and depth and rejects what is not UTF-8; the schemas state ranges; a port is 1 to 65535 everywhere. Each record is applied by itself, so that one cannot keep a node from those after it. The socket between nodes and the probe settle with a failure when the runtime throws; what nobody waits for in Peers logs its failure. A record that fits into no page, or an offset beyond the end, no longer keeps a node reading the same offset for ever.

Node reports were rejected without a line.

--- a/packages/admission/src/types/prompt-evidence.ts
+++ b/packages/admission/src/types/prompt-evidence.ts
@@ -1,6 +1,9 @@
 import * as z from 'zod';
 import { EVIDENCE_LIMITS } from '../utils/evidence-limits.ts';
 
+/** Age, time or number that stays exact. */
+const quantity = z.number().nonnegative().max(Number.MAX_SAFE_INTEGER);
+
 /**
  * What a node knows about prompt parts that may crash runners, as sent to peers and stored in the
  * log. Times are ages, because nodes share no clock.
@@ -14,24 +17,24 @@
           request: z.string(),
           parts: z.array(z.string()).max(EVIDENCE_LIMITS.parts).readonly(),
           hasResponded: z.boolean(),
-          ageMs: z.number(),
+          ageMs: quantity,
         }),
       )
       .max(EVIDENCE_LIMITS.interrupted)
       .readonly(),
     /** By part: time since a request with it was last served. */
-    served: z.record(z.string(), z.number()).readonly(),
+    served: z.record(z.string(), quantity).readonly(),
     /** Number of requests that were served recently, whatever their parts. */
-    servedCount: z.number(),
+    servedCount: quantity,
     quarantined: z
       .array(
         z.object({
           part: z.string(),
-          ageMs: z.number(),
+          ageMs: quantity,
           /** Time until a request with the part is tried again. */
-          remainingMs: z.number(),
+          remainingMs: quantity,
           /** Number of times that such a trial has failed. */
-          failedTrials: z.number(),
+          failedTrials: quantity,
         }),
       )
       .max(EVIDENCE_LIMITS.quarantined)
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,4 +13,6 @@
 export type { RunnerLoad } from './types/runner-load.ts';
 export type { ForwardingMetadata } from './types/forwarding-metadata.ts';
 export type { ScaleOrder } from './types/scale-order.ts';
+export { Port } from './types/port.ts';
 export type { UsageReport } from './types/usage-report.ts';
+export { schemaProblem } from './utils/schema-problem.ts';
--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -9,6 +9,7 @@
 import type { KeyedLog, KeyedRecord } from '@ragwortrudder/log';
 import type { CatalogCodec } from '../types/catalog-codec.ts';
 import type { TopicFeed } from '../types/topic-feed.ts';
+import { reasonOf } from '../utils/reason-of.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { GatewayMetrics } from './gateway-metrics.ts';
 import { KeyedFollower } from './keyed-follower.ts';
@@ -186,9 +187,13 @@
   #applyOperatorRecords(records: readonly KeyedRecord[], isRestored: boolean): void {
     const { codec, onRollout } = this.#options;
     for (const { key, value, offset } of records) {
-      if (key === codec.configurationKey && value) this.#applyConfiguration(value, { offset });
-      const order = value && codec.decodeRollout(key, value);
-      if (order) onRollout(order, isRestored);
+      if (!value) continue;
+      this.#attempt(codec.configurationTopic, key, () => {
+        if (key === codec.configurationKey) this.#applyConfiguration(value, { offset });
+        const order = codec.decodeRollout(key, value);
+        if (order) onRollout(order, isRestored);
+        else if (key !== codec.configurationKey) this.#reject(codec.configurationTopic, key, value);
+      });
     }
   }
 
@@ -196,7 +201,8 @@
     const { codec, decisions, onConfiguration } = this.#options;
     const configuration = codec.decodeConfiguration(value);
     if (!configuration) {
-      decisions.notable('configuration-unreadable', { ...source });
+      const cause = codec.problemOf(codec.configurationTopic, codec.configurationKey, value);
+      decisions.notable('configuration-unreadable', { ...source, cause });
       return;
     }
     if (configuration.version <= this.#version) return;
@@ -214,11 +220,8 @@
   }
 
   #replaceRunners(records: readonly KeyedRecord[], isRestored: boolean): void {
-    const { codec, directory, decisions } = this.#options;
-    const entries = records.flatMap(({ key, value }) => {
-      const entry = value && codec.decodeRunner(key, value);
-      return entry ? [entry] : [];
-    });
+    const { directory, decisions } = this.#options;
+    const entries = records.flatMap((record) => this.#decodeRunner(record) ?? []);
     if (isRestored) directory.restoreAll(entries);
     else directory.replaceAll(entries);
     this.#hasRunners ||= entries.length > 0;
@@ -238,10 +241,36 @@
 
   #applyRunnerRecords(records: readonly KeyedRecord[]): void {
     const { codec } = this.#options;
-    for (const { key, value } of records) {
-      const entry = value && codec.decodeRunner(key, value);
-      if (entry) this.#putRunner(entry);
-      else this.#removeRunner(key, value !== undefined);
+    for (const record of records) {
+      this.#attempt(codec.runnerTopic, record.key, () => {
+        const entry = this.#decodeRunner(record);
+        if (entry) this.#putRunner(entry);
+        else this.#removeRunner(record.key, record.value !== undefined);
+      });
+    }
+  }
+
+  #decodeRunner({ key, value }: KeyedRecord): RunnerEntry | undefined {
+    const { codec, decisions } = this.#options;
+    const entry = value && codec.decodeRunner(key, value);
+    if (entry || !value) decisions.accepted(codec.runnerTopic, key);
+    else this.#reject(codec.runnerTopic, key, value);
+    return entry;
+  }
+
+  /** Logs a record that is not used; there are others beside it that nodes have no use for. */
+  #reject(topic: string, key: string, value: Uint8Array): void {
+    const { codec, decisions } = this.#options;
+    const cause = codec.problemOf(topic, key, value);
+    if (cause !== undefined) decisions.rejected({ topic, key, cause });
+  }
+
+  /** Applies one record; one that cannot be applied must not keep the node from those after it. */
+  #attempt(topic: string, key: string, apply: () => void): void {
+    try {
+      apply();
+    } catch (error) {
+      this.#options.decisions.rejected({ topic, key, cause: reasonOf(error) });
     }
   }
 
--- a/packages/gateway/src/node/configuration-sync.ts
+++ b/packages/gateway/src/node/configuration-sync.ts
@@ -54,7 +54,7 @@
 
   /** Asks for the newest version that a peer has, once this node should have read it. */
   update(): void {
-    const { catalog, peers, address, clock } = this.#options;
+    const { catalog, peers, address, clock, log } = this.#options;
     if (!this.#newerPeer) return;
     if (this.#newerPeer.version <= catalog.version) {
       this.#newerPeer = undefined;
@@ -64,11 +64,17 @@
     if (now - this.#newerPeer.since < OWN_READ_MS || now - this.#requestedAt < REPEAT_MS) return;
     this.#requestedAt = now;
     const request = { ...address, after: catalog.version };
-    void peers.requestConfiguration(request, this.#newerPeer.address);
+    peers
+      .requestConfiguration(request, this.#newerPeer.address)
+      .catch(log.onTaskFailure('configuration of a peer'));
   }
 
-  /** Sends this node's configuration to a peer that has an older one. */
-  async answer({ host, port, after }: ConfigurationRequest): Promise<void> {
+  /** Sends this node's configuration to a peer that has an older one, in the background. */
+  answer(request: ConfigurationRequest): void {
+    this.#send(request).catch(this.#options.log.onTaskFailure('configuration for a peer'));
+  }
+
+  async #send({ host, port, after }: ConfigurationRequest): Promise<void> {
     const { catalog, peers, node } = this.#options;
     const { version, record } = catalog;
     if (!record || version <= after) return;
--- a/packages/gateway/src/node/decision-log.ts
+++ b/packages/gateway/src/node/decision-log.ts
@@ -1,8 +1,17 @@
 import type { Writable } from 'node:stream';
 import type { Clock } from '@ragwortrudder/core';
+import { reasonOf } from '../utils/reason-of.ts';
+import { RejectionLimiter } from '../utils/rejection-limiter.ts';
 
 type Fields = Readonly<Record<string, string | number | boolean | undefined>>;
 
+/** Something that others have written and that this node does not use. */
+interface RejectedInput {
+  readonly topic: string;
+  readonly key: string;
+  readonly cause: string;
+}
+
 interface DecisionLogOptions {
   readonly node: string;
   readonly out: Writable;
@@ -18,6 +27,8 @@
 /** Lines per second above which all lines are dropped. */
 const HARD_LINES_PER_S = 1_000;
 const MS_PER_S = 1_000;
+/** Characters of a key that are logged. */
+const MAX_KEY_LENGTH = 64;
 
 /**
  * Writes a structured log line for each decision that affects a request or changes the state of the
@@ -26,12 +37,14 @@
  */
 export class DecisionLog {
   readonly #options: DecisionLogOptions;
+  readonly #rejections: RejectionLimiter;
   #second = 0;
   #lines = 0;
   #dropped = 0;
 
   constructor(options: DecisionLogOptions) {
     this.#options = options;
+    this.#rejections = new RejectionLimiter(options.clock);
   }
 
   /** Number of lines dropped since the last `lines-dropped` line. */
@@ -49,6 +62,24 @@
     this.#write(event, fields, HARD_LIMIT_BYTES, HARD_LINES_PER_S);
   }
 
+  /** Writes a line about a rejected record or message, once for each key and cause. */
+  rejected({ topic, key, cause }: RejectedInput): void {
+    if (!this.#rejections.mustLog(`${topic} ${key}`, cause)) return;
+    this.notable('record-rejected', { topic, key: key.slice(0, MAX_KEY_LENGTH), cause });
+  }
+
+  /** Records that a key now has a sound record, so that its next rejection is logged again. */
+  accepted(topic: string, key: string): void {
+    this.#rejections.recordSound(`${topic} ${key}`);
+  }
+
+  /** Handler of the failures of a task that runs beside the requests. */
+  onTaskFailure(task: string): (error: unknown) => void {
+    return (error) => {
+      this.notable('task-failed', { task, reason: reasonOf(error) });
+    };
+  }
+
   #write(event: string, fields: Fields, limitBytes: number, linesPerS: number): void {
     const { out, clock, node } = this.#options;
     const second = Math.floor(clock.monotonic() / MS_PER_S);
--- a/packages/gateway/src/node/duty-term-store.ts
+++ b/packages/gateway/src/node/duty-term-store.ts
@@ -1,20 +1,27 @@
 import { AppendConflict } from '@ragwortrudder/log';
-import type { KeyedLog, KeyedPosition } from '@ragwortrudder/log';
+import type { KeyedLog, KeyedPosition, KeyedRecord } from '@ragwortrudder/log';
 import { isDeepStrictEqual } from 'node:util';
 import type { DutyTerm } from '../types/duty-term.ts';
+import * as z from 'zod';
+import { Ordinal } from '../types/ordinal.ts';
 import { decodeJson } from '../utils/decode-json.ts';
+import type { DecisionLog } from './decision-log.ts';
 
 interface DutyTermStoreOptions {
   readonly log: KeyedLog;
   readonly node: string;
+  readonly decisions?: Pick<DecisionLog, 'rejected'>;
 }
 
-interface TermRecord {
-  readonly holder: string;
-  readonly token: number;
-  /** Era of the log in which the holder last wrote all of its records. */
-  readonly era: number;
-}
+const TermRecord = z
+  .object({
+    holder: z.string(),
+    token: Ordinal,
+    /** Era of the log in which the holder last wrote all of its records. */
+    era: Ordinal.default(0),
+  })
+  .readonly();
+type TermRecord = z.infer<typeof TermRecord>;
 
 const TERM_KEY = 'term';
 /** Fencing tokens reserved for an era, so that tokens rise although offsets are given out again. */
@@ -166,11 +173,22 @@
 
   async #read(): Promise<KeyedPosition> {
     const { records, next, era } = await this.#options.log.newest(DutyTermStore.topic);
-    this.#records = new Map(records.map(({ key, value }) => [key, decodeJson(value)]));
+    this.#records = new Map(records.flatMap((record) => this.#decode(record)));
     this.#era = era;
     return { offset: next, era };
   }
 
+  #decode({ key, value }: KeyedRecord): readonly (readonly [string, unknown])[] {
+    const decoded = decodeJson(value);
+    if (decoded !== undefined) return [[key, decoded]];
+    const isDropped = value === undefined;
+    if (!isDropped) {
+      const rejected = { topic: DutyTermStore.topic, key, cause: 'not readable' };
+      this.#options.decisions?.rejected(rejected);
+    }
+    return [];
+  }
+
   /** Appends a record at a position and returns the next one. */
   async #append(
     key: string,
@@ -197,8 +215,6 @@
   }
 
   #termRecord(): TermRecord | undefined {
-    const record = this.#records.get(TERM_KEY) as Partial<TermRecord> | undefined;
-    if (typeof record?.holder !== 'string' || typeof record.token !== 'number') return undefined;
-    return { holder: record.holder, token: record.token, era: record.era ?? 0 };
+    return TermRecord.safeParse(this.#records.get(TERM_KEY)).data;
   }
 }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -18,6 +18,7 @@
 import { DeferredEvidence } from '../utils/deferred-evidence.ts';
 import { DemandMeter } from '../utils/demand-meter.ts';
 import { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
+import { reasonOf } from '../utils/reason-of.ts';
 import { retryAllowance } from '../utils/retry-allowance.ts';
 import { DisciplinedClock } from '../utils/disciplined-clock.ts';
 import { UsageCounter } from '../utils/usage-counter.ts';
@@ -185,7 +186,9 @@
       onPromptAnnouncement: ({ node: peer, runner, tokens }) => {
         this.#loadTracker.addAnnouncedPrompt(peer, runner, tokens);
       },
-      onConfigurationRequest: (request) => void this.#configurationSync.answer(request),
+      onConfigurationRequest: (request) => {
+        this.#configurationSync.answer(request);
+      },
       onConfigurationPart: (part) => {
         this.#configurationSync.receive(part);
       },
@@ -232,6 +235,7 @@
     });
     this.#registration = new NodeRegistration({
       log: options.log,
+      decisions: this.#decisions,
       node: node.id,
       address,
       failureDomain: node.failureDomain,
@@ -356,22 +360,22 @@
           this.#quarantineSync.update();
           this.#configurationSync.update();
         },
-        onFailure: this.#logFailure('upkeep'),
+        onFailure: this.#decisions.onTaskFailure('upkeep'),
       }),
       new PeriodicTask({
         periodMs: ROLLOUT_PERIOD_MS,
         run: () => this.#readRollouts(),
-        onFailure: this.#logFailure('rollouts'),
+        onFailure: this.#decisions.onTaskFailure('rollouts'),
       }),
       new PeriodicTask({
         periodMs: QUARANTINE_PERIOD_MS,
         run: () => this.#quarantineSync.exchange(),
-        onFailure: this.#logFailure('quarantine'),
+        onFailure: this.#decisions.onTaskFailure('quarantine'),
       }),
       new PeriodicTask({
         periodMs: REGISTER_PERIOD_MS,
         run: () => (this.#isStopping ? Promise.resolve() : this.#registration.register()),
-        onFailure: this.#logFailure('enter'),
+        onFailure: this.#decisions.onTaskFailure('enter'),
       }),
     ];
   }
@@ -416,7 +420,7 @@
   recordReloadFailure(error: unknown): void {
     this.#metrics.count('reload_failures');
     this.#decisions.notable('settings-rejected', {
-      reason: error instanceof Error ? error.message : String(error),
+      reason: reasonOf(error),
     });
   }
 
@@ -436,9 +440,9 @@
       if (this.#forwarder.active.size > 0 && sinceMs < this.#settings.graceMs - GRACE_MARGIN_MS)
         return;
       clearInterval(drainTimer);
-      void this.close();
+      void this.close().catch(this.#decisions.onTaskFailure('close'));
     }, MAINTENANCE_PERIOD_MS);
-    await this.#registration.deregister().catch(this.#logFailure('leave'));
+    await this.#registration.deregister().catch(this.#decisions.onTaskFailure('leave'));
   }
 
   async close(): Promise<void> {
@@ -539,13 +543,4 @@
     }
     this.#deferredEvidence.settle();
   }
-
-  #logFailure(task: string): (error: unknown) => void {
-    return (error) => {
-      this.#decisions.notable('task-failed', {
-        task,
-        reason: error instanceof Error ? error.message : String(error),
-      });
-    };
-  }
 }
--- a/packages/gateway/src/node/node-registration.ts
+++ b/packages/gateway/src/node/node-registration.ts
@@ -2,10 +2,13 @@
 import type { KeyedLog } from '@ragwortrudder/log';
 import { PeerEntry } from '../types/peer-entry.ts';
 import { decodeJson } from '../utils/decode-json.ts';
+import { schemaProblem } from '../utils/schema-problem.ts';
+import type { DecisionLog } from './decision-log.ts';
 import type { Peers } from './peers.ts';
 
 interface NodeRegistrationOptions {
   readonly log: KeyedLog;
+  readonly decisions: DecisionLog;
   readonly node: string;
   readonly address: Address;
   readonly failureDomain: string;
@@ -27,7 +30,7 @@
 
   /** Registers this node, again after a restore, and reads the entries of the others. */
   async register(): Promise<void> {
-    const { log, node, address, failureDomain, incarnation, peers } = this.#options;
+    const { log, node, address, failureDomain, incarnation } = this.#options;
     if (this.#registeredEra === log.era) return;
     const entry: PeerEntry = { ...address, failureDomain, life: incarnation };
     const value = Buffer.from(JSON.stringify(entry));
@@ -35,15 +38,20 @@
     const { records, era } = await log.newest(NODE_TOPIC);
     let isListed = false;
     for (const { key, value: bytes } of records) {
-      const peer = PeerEntry.safeParse(decodeJson(bytes)).data;
-      if (!peer) continue;
-      isListed ||= key === node && peer.life === incarnation;
-      peers.addPeer(key, { host: peer.host, port: peer.port }, peer.failureDomain);
+      if (key === node) isListed ||= bytes !== undefined && value.equals(bytes);
+      else this.#addPeer(key, bytes);
     }
     // A restore in between may have taken the entry back.
     if (!isListed) return;
     this.#registeredEra = era;
-    await peers.publishReport();
+    await this.#options.peers.publishReport();
+  }
+
+  #addPeer(id: string, bytes: Uint8Array | undefined): void {
+    const { peers, decisions } = this.#options;
+    const { data: peer, error } = PeerEntry.safeParse(decodeJson(bytes));
+    if (peer) peers.addPeer(id, { host: peer.host, port: peer.port }, peer.failureDomain);
+    else decisions.rejected({ topic: NODE_TOPIC, key: id, cause: schemaProblem(error) });
   }
 
   async deregister(): Promise<void> {
--- a/packages/gateway/src/node/peer-socket.ts
+++ b/packages/gateway/src/node/peer-socket.ts
@@ -1,9 +1,11 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 import type { Address } from '@ragwortrudder/catalog';
+import { parseBoundedJson } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
-import { createJSONRPCNotification, isJSONRPCRequest } from 'json-rpc-2.0';
-import type { JSONRPCRequest } from 'json-rpc-2.0';
+import { createJSONRPCNotification } from 'json-rpc-2.0';
+import * as z from 'zod';
+import { reasonOf } from '../utils/reason-of.ts';
 import type { DecisionLog } from './decision-log.ts';
 
 interface PeerSocketOptions {
@@ -12,6 +14,14 @@
   readonly onMessage: (method: string, params: unknown) => void;
 }
 
+const MAX_METHOD_LENGTH = 64;
+
+const Notification = z.object({
+  jsonrpc: z.literal('2.0'),
+  method: z.string().max(MAX_METHOD_LENGTH),
+  params: z.unknown(),
+});
+
 /** UDP socket for messages between nodes, each a JSON-RPC notification. Lost messages are not resent. */
 export class PeerSocket implements Closeable {
   readonly #options: PeerSocketOptions;
@@ -25,8 +35,8 @@
     const { address, log } = this.#options;
     const socket = createSocket('udp4');
     this.#socket = socket;
-    socket.on('message', (bytes) => {
-      this.#receive(bytes);
+    socket.on('message', (bytes, { address: sender }) => {
+      this.#receive(bytes, sender);
     });
     socket.on('error', (error) => {
       log.notable('peer-socket-failed', { reason: error.message });
@@ -40,7 +50,7 @@
     });
   }
 
-  /** Sends a notification to each address; settles once all have been sent. */
+  /** Sends a notification to each address; settles once all have been sent or have failed. */
   async send(method: string, params: object, addresses: readonly Address[]): Promise<void> {
     if (addresses.length === 0) return;
     const bytes = Buffer.from(JSON.stringify(createJSONRPCNotification(method, params)));
@@ -59,25 +69,22 @@
         resolve();
         return;
       }
-      this.#socket.send(bytes, port, host, (error) => {
-        if (error) this.#options.log.routine('peer-send-failed', { reason: error.message });
+      const settle = (error: unknown): void => {
+        if (error) this.#options.log.routine('peer-send-failed', { reason: reasonOf(error) });
         resolve();
-      });
+      };
+      // Thrown, for example, for a port that no socket can have.
+      try {
+        this.#socket.send(bytes, port, host, settle);
+      } catch (error) {
+        settle(error);
+      }
     });
   }
 
-  #receive(bytes: Buffer): void {
-    const message = decodeMessage(bytes);
+  #receive(bytes: Buffer, sender: string): void {
+    const message = Notification.safeParse(parseBoundedJson(bytes)).data;
     if (message) this.#options.onMessage(message.method, message.params);
-    else this.#options.log.routine('peer-message-unreadable', { bytes: bytes.length });
-  }
-}
-
-function decodeMessage(bytes: Buffer): JSONRPCRequest | undefined {
-  try {
-    const message: unknown = JSON.parse(bytes.toString());
-    return isJSONRPCRequest(message) ? message : undefined;
-  } catch {
-    return undefined;
+    else this.#options.log.rejected({ topic: 'peer-message', key: sender, cause: 'not readable' });
   }
 }
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -1,5 +1,6 @@
 import type { Address } from '@ragwortrudder/catalog';
 import type { Clock, Closeable } from '@ragwortrudder/core';
+import type * as z from 'zod';
 import { ConfigurationPart } from '../types/configuration-part.ts';
 import { ConfigurationRequest } from '../types/configuration-request.ts';
 import { DomainDigest } from '../types/domain-digest.ts';
@@ -7,7 +8,9 @@
 import { PromptAnnouncement } from '../types/prompt-announcement.ts';
 import type { ReportExtent } from '../types/report-extent.ts';
 import { TopicFeed } from '../types/topic-feed.ts';
+import { reasonOf } from '../utils/reason-of.ts';
 import { reportPace } from '../utils/report-pace.ts';
+import { schemaProblem } from '../utils/schema-problem.ts';
 import type { DecisionLog } from './decision-log.ts';
 import { PeerSocket } from './peer-socket.ts';
 
@@ -52,6 +55,8 @@
   readonly isSilent: boolean;
 }
 
+/** Under which rejected messages are logged. */
+const MESSAGE_TOPIC = 'peer-message';
 const REPORT_METHOD = 'report';
 const DIGEST_METHOD = 'digest';
 const FEED_METHOD = 'feed';
@@ -165,9 +170,11 @@
     return this.#reachableInDomain().filter(([id]) => id < node).length < RELAYS_PER_DOMAIN;
   }
 
-  /** Sends the result of a topic read to the other nodes of the failure domain. */
-  async publishFeed(feed: TopicFeed): Promise<void> {
-    await this.#socket.send(FEED_METHOD, feed, addressesOf(this.#reachableInDomain()));
+  /** Sends the result of a topic read to the other nodes of the failure domain; never rejects. */
+  publishFeed(feed: TopicFeed): Promise<void> {
+    return this.#attempt('feed', () =>
+      this.#socket.send(FEED_METHOD, feed, addressesOf(this.#reachableInDomain())),
+    );
   }
 
   /** Asks a peer for its configuration. */
@@ -180,8 +187,12 @@
     await this.#socket.send(CONFIGURATION_METHOD, part, [peer]);
   }
 
-  /** Announces a long prompt that this node has sent, ahead of the next report. */
-  async announcePrompt(runner: string, tokens: number): Promise<void> {
+  /** Announces a long prompt that this node has sent, ahead of the next report; never rejects. */
+  announcePrompt(runner: string, tokens: number): Promise<void> {
+    return this.#attempt('prompt', () => this.#announcePrompt(runner, tokens));
+  }
+
+  async #announcePrompt(runner: string, tokens: number): Promise<void> {
     const now = this.#options.clock.monotonic();
     const reachable = this.#usesRelays
       ? this.#reachableInDomain()
@@ -221,9 +232,14 @@
     await this.#socket.send(REPORT_METHOD, report, addressesOf([...this.#peers]));
   }
 
-  /** Sends a change at once where every node reports to every other one; elsewhere it waits for the next report. */
-  async publishChange(): Promise<void> {
-    if (!this.#usesRelays) await this.publishReport();
+  /**
+   * Sends a change at once where every node reports to every other one; elsewhere it waits for the next
+   * report. Never rejects.
+   */
+  publishChange(): Promise<void> {
+    return this.#attempt('report', async () => {
+      if (!this.#usesRelays) await this.publishReport();
+    });
   }
 
   close(): Promise<void> {
@@ -235,6 +251,15 @@
     return this.#pace() !== undefined;
   }
 
+  /** Runs what nobody waits for: a failure is logged and ends nothing else. */
+  async #attempt(task: string, run: () => Promise<void>): Promise<void> {
+    try {
+      await run();
+    } catch (error) {
+      this.#options.log.onTaskFailure(task)(error);
+    }
+  }
+
   async #publish(): Promise<void> {
     if (!this.#usesRelays) {
       await this.publishReport();
@@ -298,7 +323,7 @@
     this.#timer = setTimeout(
       () => {
         this.#expireSilentPeers();
-        void this.#publish();
+        void this.#attempt('report', () => this.#publish());
         this.#schedule();
       },
       REPORT_PERIOD_MS * (this.#pace()?.intervalFactor ?? 1),
@@ -327,34 +352,51 @@
   }
 
   #receive(method: string, params: unknown): void {
-    if (method === REPORT_METHOD) {
-      const report = NodeReport.safeParse(params).data;
-      if (report) this.#applyReport(report);
-      return;
+    const { onPromptAnnouncement, onConfigurationRequest, onConfigurationPart, onFeed } =
+      this.#options;
+    switch (method) {
+      case REPORT_METHOD:
+        this.#apply(method, NodeReport.safeParse(params), (report) => {
+          this.#applyReport(report);
+        });
+        return;
+      case DIGEST_METHOD:
+        this.#apply(method, DomainDigest.safeParse(params), (digest) => {
+          this.#applyDigest(digest);
+        });
+        return;
+      case PROMPT_METHOD:
+        this.#apply(method, PromptAnnouncement.safeParse(params), onPromptAnnouncement);
+        return;
+      case CONFIGURATION_REQUEST_METHOD:
+        this.#apply(method, ConfigurationRequest.safeParse(params), onConfigurationRequest);
+        return;
+      case CONFIGURATION_METHOD:
+        this.#apply(method, ConfigurationPart.safeParse(params), onConfigurationPart);
+        return;
+      case FEED_METHOD:
+        this.#apply(method, TopicFeed.safeParse(params), onFeed);
+        return;
+      default:
+        this.#reject(method, 'unknown method');
     }
-    if (method === DIGEST_METHOD) {
-      const digest = DomainDigest.safeParse(params).data;
-      if (digest) this.#applyDigest(digest);
-      return;
-    }
-    if (method === PROMPT_METHOD) {
-      const announcement = PromptAnnouncement.safeParse(params).data;
-      if (announcement) this.#options.onPromptAnnouncement(announcement);
-      return;
-    }
-    if (method === CONFIGURATION_REQUEST_METHOD) {
-      const request = ConfigurationRequest.safeParse(params).data;
-      if (request) this.#options.onConfigurationRequest(request);
+  }
+
+  /** Applies a message; one that cannot be applied must not end the node. */
+  #apply<T>(method: string, parsed: z.ZodSafeParseResult<T>, apply: (message: T) => void): void {
+    if (!parsed.success) {
+      this.#reject(method, schemaProblem(parsed.error));
       return;
     }
-    if (method === CONFIGURATION_METHOD) {
-      const part = ConfigurationPart.safeParse(params).data;
-      if (part) this.#options.onConfigurationPart(part);
-      return;
+    try {
+      apply(parsed.data);
+    } catch (error) {
+      this.#reject(method, reasonOf(error));
     }
-    const feed = method === FEED_METHOD ? TopicFeed.safeParse(params).data : undefined;
-    if (feed) this.#options.onFeed(feed);
-    else this.#options.log.routine('peer-message-unreadable', { method });
+  }
+
+  #reject(method: string, cause: string): void {
+    this.#options.log.rejected({ topic: MESSAGE_TOPIC, key: method, cause });
   }
 
   #applyReport(report: NodeReport): void {
--- a/packages/gateway/src/node/probe-connection.ts
+++ b/packages/gateway/src/node/probe-connection.ts
@@ -1,16 +1,19 @@
-import { connect } from 'node:net';
+import { Socket } from 'node:net';
 import type { Address } from '@ragwortrudder/catalog';
 import type { LinkFailure } from '@ragwortrudder/routing';
 import { ConnectTimedOut } from '../errors/connect-timed-out.ts';
 import { linkFailureOf } from '../utils/link-failure-of.ts';
 
-/** Opens a connection and closes it at once; settles with the reason when it cannot be opened. */
+/**
+ * Opens a connection and closes it at once; settles with the reason when it cannot be opened, also to an
+ * address that no connection can have.
+ */
 export function probeConnection(
   { host, port }: Address,
   timeoutMs: number,
 ): Promise<LinkFailure | undefined> {
   return new Promise((resolve) => {
-    const socket = connect({ host, port });
+    const socket = new Socket();
     const timer = setTimeout(() => {
       socket.destroy(new ConnectTimedOut());
     }, timeoutMs);
@@ -25,5 +28,10 @@
     socket.once('error', (error) => {
       settle(linkFailureOf(error));
     });
+    try {
+      socket.connect({ host, port });
+    } catch (error) {
+      settle(linkFailureOf(error as NodeJS.ErrnoException));
+    }
   });
 }
--- a/packages/gateway/src/node/quarantine-sync.ts
+++ b/packages/gateway/src/node/quarantine-sync.ts
@@ -3,6 +3,7 @@
 import type { KeyedLog } from '@ragwortrudder/log';
 import { StoredPromptEvidence } from '../types/stored-prompt-evidence.ts';
 import { decodeJson } from '../utils/decode-json.ts';
+import { schemaProblem } from '../utils/schema-problem.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { GatewayMetrics } from './gateway-metrics.ts';
 
@@ -76,12 +77,16 @@
   }
 
   async #read(): Promise<void> {
-    const { log, quarantine, now } = this.#options;
+    const { log, quarantine, now, decisions } = this.#options;
     const { records, era } = await log.newest(TOPIC);
     for (const { key, value } of records) {
-      const stored = StoredPromptEvidence.safeParse(decodeJson(value)).data;
-      if (!stored || (key === this.#options.node && stored.life === this.#options.incarnation))
+      if (!value) continue;
+      const { data: stored, error } = StoredPromptEvidence.safeParse(decodeJson(value));
+      if (!stored) {
+        decisions.rejected({ topic: TOPIC, key, cause: schemaProblem(error) });
         continue;
+      }
+      if (key === this.#options.node && stored.life === this.#options.incarnation) continue;
       const sinceMs = Math.max(0, now() - stored.at);
       quarantine.setPeerEvidence(
         { node: `record of ${key}`, incarnation: String(stored.life) },
--- a/packages/gateway/src/node/rollouts.ts
+++ b/packages/gateway/src/node/rollouts.ts
@@ -5,6 +5,7 @@
 import { RolloutState } from '../types/rollout-state.ts';
 import { isSameOrder } from '../utils/is-same-order.ts';
 import { rejectedAfter } from '../utils/rejected-after.ts';
+import { schemaProblem } from '../utils/schema-problem.ts';
 import type { DecisionLog } from './decision-log.ts';
 
 interface RolloutsOptions {
@@ -117,8 +118,14 @@
 
   /** Applies the state that the duty holder recorded. */
   applyState(value: unknown): void {
-    const { data: state } = RolloutState.safeParse(value);
-    const followed = state && this.#followed.get(state.service);
+    if (value === undefined) return;
+    const { data: state, error } = RolloutState.safeParse(value);
+    if (!state) {
+      const rejected = { topic: 'duties', key: KEY_PREFIX, cause: schemaProblem(error) };
+      this.#options.log.rejected(rejected);
+      return;
+    }
+    const followed = this.#followed.get(state.service);
     if (!followed || !isSameOrder(state, followed.order)) return;
     const known = followed.state;
     if (known?.startedAt === state.startedAt && state.sequence <= known.sequence) return;
--- a/packages/gateway/src/node/runner-links.ts
+++ b/packages/gateway/src/node/runner-links.ts
@@ -180,16 +180,21 @@
     const due = new Set(this.#monitor.takeProbes());
     if (due.size === 0 || this.#isClosed) return;
     for (const entry of this.#options.directory.all()) {
-      if (due.has(incarnationOf(entry))) void this.#probeLink(entry);
+      if (due.has(incarnationOf(entry))) this.#probeInBackground(entry);
     }
   }
 
+  #probeInBackground(entry: RunnerEntry): void {
+    this.#probeLink(entry).catch(this.#options.log.onTaskFailure(`probe of ${entry.id}`));
+  }
+
   async #probeLink(entry: RunnerEntry): Promise<void> {
     const key = incarnationOf(entry);
     if (this.#probing.has(key)) return;
     this.#probing.add(key);
-    const failure = await probeConnection(entry.address, CONNECT_TIMEOUT_MS);
-    this.#probing.delete(key);
+    const failure = await probeConnection(entry.address, CONNECT_TIMEOUT_MS).finally(() => {
+      this.#probing.delete(key);
+    });
     if (this.#isClosed) return;
     if (failure !== undefined) {
       this.recordFailure(entry, failure);
--- a/packages/gateway/src/node/usage-duty.ts
+++ b/packages/gateway/src/node/usage-duty.ts
@@ -1,7 +1,12 @@
+import * as z from 'zod';
+import { Amount } from '../types/amount.ts';
+import { BoundedText } from '../types/bounded-text.ts';
 import type { CloudApi } from '../types/cloud-api.ts';
 import type { Duty } from '../types/duty.ts';
+import { Ordinal } from '../types/ordinal.ts';
 import { UsageCheckpoint } from '../types/usage-checkpoint.ts';
 import type { UsageReport } from '../types/usage-report.ts';
+import { schemaProblem } from '../utils/schema-problem.ts';
 import type { UsageCounter } from '../utils/usage-counter.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { DutyTermStore } from './duty-term-store.ts';
@@ -18,6 +23,8 @@
   readonly lateMs: number;
 }
 
+/** Under which rejected records are logged. */
+const DUTY_TOPIC = 'duties';
 const KEY_PREFIX = 'usage-';
 const CHECKPOINT_KEY = 'draft-of-usage';
 /**
@@ -32,10 +39,7 @@
 /** Fraction of the reporting time for which counts of silent peers are awaited. */
 const SILENT_PEER_WAIT_SHARE = 0.6;
 
-function isReport(value: unknown): value is UsageReport {
-  const report = value as Partial<UsageReport> | undefined;
-  return typeof report?.window === 'number' && typeof report.counts === 'object';
-}
+const RecordedReport = z.object({ window: Ordinal, counts: z.record(BoundedText, Amount) });
 
 /**
  * Reports usage by window. Final counts are recorded before they are sent, so that every report of a
@@ -54,10 +58,9 @@
   }
 
   begin(termStore: DutyTermStore): void {
-    const checkpoint = UsageCheckpoint.safeParse(termStore.records.get(CHECKPOINT_KEY)).data;
-    if (checkpoint) this.#options.usage.mergeCheckpoint(checkpoint);
-    const reports = [...termStore.records.values()].filter(isReport);
+    this.#applyCheckpoint(termStore.records.get(CHECKPOINT_KEY));
     const current = this.#currentWindow();
+    const reports = this.#recordedReports(termStore, current);
     const oldestDue = current - Math.ceil(this.#options.lateMs / this.#options.windowMs);
     const newest = Math.max(0, ...reports.map(({ window }) => window));
     this.#nextWindow = Math.max(oldestDue, newest + 1);
@@ -88,6 +91,30 @@
     await this.#writeCheckpoint(termStore);
   }
 
+  #applyCheckpoint(value: unknown): void {
+    if (value === undefined) return;
+    const { data: checkpoint, error } = UsageCheckpoint.safeParse(value);
+    if (checkpoint) this.#options.usage.mergeCheckpoint(checkpoint);
+    else this.#reject(CHECKPOINT_KEY, schemaProblem(error));
+  }
+
+  /** Reports that holders have recorded. One of a window far ahead would end all reports until then. */
+  #recordedReports({ records }: DutyTermStore, current: number): readonly UsageReport[] {
+    const reports: UsageReport[] = [];
+    for (const [key, value] of records) {
+      if (!key.startsWith(KEY_PREFIX)) continue;
+      const { data: report, error } = RecordedReport.safeParse(value);
+      if (!report) this.#reject(key, schemaProblem(error));
+      else if (report.window > current + KEPT_REPORTS) this.#reject(key, 'window: far ahead');
+      else reports.push(report);
+    }
+    return reports;
+  }
+
+  #reject(key: string, cause: string): void {
+    this.#options.log.rejected({ topic: DUTY_TOPIC, key, cause });
+  }
+
   async #writeCheckpoint(termStore: DutyTermStore): Promise<void> {
     const { usage, disciplinedClock } = this.#options;
     const now = disciplinedClock.now();
--- a/packages/gateway/src/types/catalog-codec.ts
+++ b/packages/gateway/src/types/catalog-codec.ts
@@ -15,6 +15,11 @@
   /** Returns undefined when the record is not a valid order of a roll-out. */
   decodeRollout(key: string, value: Uint8Array): RolloutOrder | undefined;
   encodeRolloutStatus(status: RolloutStatus): { readonly key: string; readonly value: Uint8Array };
+  /**
+   * Why a record of the topics of the configuration and of the runners is not used; undefined when it is
+   * used, or is not meant for nodes.
+   */
+  problemOf(topic: string, key: string, value: Uint8Array): string | undefined;
   /** Returns undefined when the record is not a valid entry. */
   decodeRunner(id: string, value: Uint8Array): RunnerEntry | undefined;
 }
--- a/packages/gateway/src/types/configuration-part.ts
+++ b/packages/gateway/src/types/configuration-part.ts
@@ -1,4 +1,6 @@
 import * as z from 'zod';
+import { BoundedText } from './bounded-text.ts';
+import { Ordinal } from './ordinal.ts';
 
 /** Parts of a configuration record that are accepted. */
 const MAX_PARTS = 1_024;
@@ -6,8 +8,8 @@
 /** One datagram of a configuration record, compressed. */
 export const ConfigurationPart = z
   .object({
-    node: z.string(),
-    version: z.number(),
+    node: BoundedText,
+    version: Ordinal,
     part: z.number().int().nonnegative(),
     parts: z.number().int().positive().max(MAX_PARTS),
     /** Base64. */
--- a/packages/gateway/src/types/domain-digest.ts
+++ b/packages/gateway/src/types/domain-digest.ts
@@ -1,31 +1,35 @@
 import { PromptEvidence, StatedLimit } from '@ragwortrudder/admission';
 import * as z from 'zod';
 import { RunnerBoot } from './runner-boot.ts';
+import { Amount } from './amount.ts';
+import { BoundedText } from './bounded-text.ts';
+import { Ordinal } from './ordinal.ts';
+import { Port } from './port.ts';
 
 /**
  * Summary of a failure domain that its relays send to the nodes of the other domains, so that not
  * every node has to report to every other one. Each value replaces the previous one.
  */
 export const DomainDigest = z.object({
-  relay: z.string(),
-  failureDomain: z.string(),
+  relay: BoundedText,
+  failureDomain: BoundedText,
   /** Incarnation of the relay. */
-  life: z.number(),
+  life: Ordinal,
   /** Sequence number within the incarnation; receivers drop older digests. */
-  sequence: z.number(),
+  sequence: Ordinal,
   /**
    * Nodes of the domain that are reachable from the relay, including itself: host, port, fencing
    * token of the duty term.
    */
-  members: z.record(z.string(), z.tuple([z.string(), z.number(), z.number()])),
+  members: z.record(BoundedText, z.tuple([BoundedText, Port, Ordinal])),
   /** By runner, summed over all members: requests, prompt tokens still in prefill, all tokens. */
-  work: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
+  work: z.record(BoundedText, z.tuple([Amount, Amount, Amount])),
   /** By team: quota that the members have consumed since this incarnation of the relay started. */
-  taken: z.record(z.string(), z.number()),
+  taken: z.record(BoundedText, Amount),
   /** Limits that runners stated in responses to the members. */
   limits: z.array(StatedLimit).readonly().optional(),
   /** Version of the configuration that the relay follows. */
-  configuration: z.number().optional(),
+  configuration: Ordinal.optional(),
   /** Runners that are leaving, as the members know. */
   leaving: z.array(RunnerBoot).readonly().optional(),
   /** What the members know about prompt parts that may crash runners. */
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -2,35 +2,40 @@
 import { Evidence } from '@ragwortrudder/moves';
 import * as z from 'zod';
 import { RunnerBoot } from './runner-boot.ts';
+import { Amount } from './amount.ts';
+import { BoundedText } from './bounded-text.ts';
+import { Ordinal } from './ordinal.ts';
+import { Port } from './port.ts';
+import { UsageWindow } from './usage-window.ts';
 
-const countsByTeam = z.record(z.string(), z.number());
+const countsByTeam = z.record(BoundedText, Amount);
 
 /** State that a node sends to its peers several times a second; each value replaces the previous one. */
 export const NodeReport = z.object({
-  node: z.string(),
-  host: z.string(),
-  port: z.number(),
-  failureDomain: z.string(),
+  node: BoundedText,
+  host: BoundedText,
+  port: Port,
+  failureDomain: BoundedText,
   /** Incarnation of the node. */
-  life: z.number(),
+  life: Ordinal,
   /** Sequence number within the incarnation; receivers drop older reports. */
-  sequence: z.number(),
+  sequence: Ordinal,
   /** Time of day according to the node, in milliseconds since the epoch. */
-  now: z.number(),
+  now: Ordinal,
   /** By runner: requests, prompt tokens still in prefill, all tokens. */
-  work: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
+  work: z.record(BoundedText, z.tuple([Amount, Amount, Amount])),
   /** By team: quota that this node has consumed since this incarnation started. */
   taken: countsByTeam,
   /** By window and team: requests that started executing. */
-  usage: z.record(z.string(), countsByTeam),
+  usage: z.record(UsageWindow, countsByTeam),
   /** By service: requests, prompt tokens and output tokens since this incarnation started. */
-  demand: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
+  demand: z.record(BoundedText, z.tuple([Amount, Amount, Amount])),
   /** How requests turned out at the versions of services that are rolled out. */
   outcomes: Evidence.optional(),
   /** Limits that runners stated in responses to the node. */
   limits: z.array(StatedLimit).readonly().optional(),
   /** Version of the configuration that the node follows. */
-  configuration: z.number().optional(),
+  configuration: Ordinal.optional(),
   /** Runners that are leaving, by id and start of the boot. */
   leaving: z.array(RunnerBoot).readonly().optional(),
   /** Runners that the node cannot reach, by id and start of the boot. */
@@ -40,7 +45,7 @@
   /** What the node knows about prompt parts that may crash runners. */
   prompts: PromptEvidence.optional(),
   /** Fencing token of the duty term that the node holds and can act on; otherwise 0. */
-  duty: z.number(),
+  duty: Ordinal,
   /** The node is shutting down. */
   isLeaving: z.boolean(),
 });
--- a/packages/gateway/src/types/passed-request.ts
+++ b/packages/gateway/src/types/passed-request.ts
@@ -1,24 +1,27 @@
 import * as z from 'zod';
+import { Amount } from './amount.ts';
+import { BoundedText } from './bounded-text.ts';
+import { DurationMs } from './duration-ms.ts';
 
 const route = z.object({
   name: z.string(),
   host: z.string(),
   pathPrefix: z.string(),
   kind: z.enum(['idempotent', 'non-idempotent', 'stream']),
-  timeoutMs: z.number(),
-  latencyTargetMs: z.number(),
-  priority: z.number(),
-  targets: z.array(z.object({ service: z.string(), weight: z.number() })).readonly(),
-  maxAttempts: z.number(),
+  timeoutMs: DurationMs,
+  latencyTargetMs: DurationMs,
+  priority: Amount,
+  targets: z.array(z.object({ service: z.string(), weight: Amount })).readonly(),
+  maxAttempts: Amount,
   isPublic: z.boolean(),
   isResumable: z.boolean(),
-  maxGapMs: z.number(),
+  maxGapMs: DurationMs,
 });
 const service = z.object({
   name: z.string(),
   healthPath: z.string(),
-  maxConnections: z.number(),
-  engine: z.object({ slots: z.number(), kvCapacityTokens: z.number() }).exactOptional(),
+  maxConnections: Amount,
+  engine: z.object({ slots: Amount, kvCapacityTokens: Amount }).exactOptional(),
 });
 
 /**
@@ -27,12 +30,12 @@
  */
 export const PassedRequest = z.object({
   /** Node that received the request from its caller. */
-  from: z.string(),
+  from: BoundedText,
   route,
   service,
-  team: z.object({ name: z.string(), priority: z.number().exactOptional() }).exactOptional(),
+  team: z.object({ name: z.string(), priority: Amount.exactOptional() }).exactOptional(),
   /** Attempts in which the request was sent to a runner. */
-  sends: z.number(),
+  sends: Amount,
   /** A runner may have begun to execute the request; its usage is counted. */
   isUsageCounted: z.boolean(),
   /** Runners that the first node cannot reach; the request goes to one of them if it can. */
--- a/packages/gateway/src/types/peer-entry.ts
+++ b/packages/gateway/src/types/peer-entry.ts
@@ -1,11 +1,14 @@
 import * as z from 'zod';
+import { BoundedText } from './bounded-text.ts';
+import { Ordinal } from './ordinal.ts';
+import { Port } from './port.ts';
 
 /** Entry of a node in the topic of nodes. */
 export const PeerEntry = z.object({
-  host: z.string(),
-  port: z.number(),
-  failureDomain: z.string(),
-  life: z.number(),
+  host: BoundedText,
+  port: Port,
+  failureDomain: BoundedText,
+  life: Ordinal,
 });
 /** Entry of a node in the topic of nodes. */
 export type PeerEntry = Readonly<z.infer<typeof PeerEntry>>;
--- a/packages/gateway/src/types/prompt-announcement.ts
+++ b/packages/gateway/src/types/prompt-announcement.ts
@@ -1,11 +1,13 @@
 import * as z from 'zod';
+import { Amount } from './amount.ts';
+import { BoundedText } from './bounded-text.ts';
 
 /** Sent to peers immediately, ahead of the next report, when a node sends a long prompt to a runner. */
 export const PromptAnnouncement = z.object({
-  node: z.string(),
-  runner: z.string(),
+  node: BoundedText,
+  runner: BoundedText,
   /** Prompt tokens that the runner has to read. */
-  tokens: z.number(),
+  tokens: Amount,
 });
 /** Sent to peers immediately, ahead of the next report, when a node sends a long prompt to a runner. */
 export type PromptAnnouncement = Readonly<z.infer<typeof PromptAnnouncement>>;
--- a/packages/gateway/src/types/rollout-state.ts
+++ b/packages/gateway/src/types/rollout-state.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod';
+import { Ordinal } from './ordinal.ts';
 
 /** State of the roll-out of a service, recorded by the duty holder and followed by all nodes. */
 export const RolloutState = z
@@ -8,9 +9,9 @@
     targetVersion: z.string(),
     /** Versions that earlier roll-outs took back or did not finish. */
     rejected: z.array(z.string()).readonly(),
-    durationMs: z.number(),
+    durationMs: Ordinal,
     /** Start in milliseconds since the epoch. */
-    startedAt: z.number(),
+    startedAt: Ordinal,
     /** Share of the requests that the target version receives. */
     share: z.number().min(0).max(1),
     /**
@@ -19,10 +20,10 @@
      */
     phase: z.enum(['moving', 'taking-over', 'completed', 'rolled-back']),
     /** Start of the phase in milliseconds since the epoch. */
-    phaseSince: z.number(),
+    phaseSince: Ordinal,
     reason: z.string(),
     /** Increases with each record, also with one that changes nothing else. */
-    sequence: z.number(),
+    sequence: Ordinal,
   })
   .readonly();
 /** State of the roll-out of a service, recorded by the duty holder and followed by all nodes. */
--- a/packages/gateway/src/utils/decode-json.ts
+++ b/packages/gateway/src/utils/decode-json.ts
@@ -1,9 +1,6 @@
-/** Parses the JSON of a record; undefined when there is none or it cannot be read. */
+import { parseBoundedJson } from '@ragwortrudder/core';
+
+/** Parses the JSON of a record; undefined when there is none or it cannot be used. */
 export function decodeJson(bytes: Uint8Array | undefined): unknown {
-  if (!bytes) return undefined;
-  try {
-    return JSON.parse(Buffer.from(bytes).toString()) as unknown;
-  } catch {
-    return undefined;
-  }
+  return bytes && parseBoundedJson(bytes);
 }
--- /dev/null
+++ b/test/platform-adapter/odd-pages.test.ts
@@ -0,0 +1,66 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { LogExpired, LogUnavailable } from '@ragwortrudder/log';
+import { PlatformHttpClient, PlatformLog } from '@ragwortrudder/platform-adapter';
+
+const OFFSET_BYTES = 8;
+const LENGTH_BYTES = 4;
+
+/** Page of the store: its end, then the bytes of records. */
+function page(end: bigint, records: Buffer = Buffer.alloc(0)): Buffer {
+  const head = Buffer.alloc(2 * OFFSET_BYTES);
+  head.writeBigUInt64BE(end);
+  return Buffer.concat([head, records]);
+}
+
+async function startLog(t: ExecutionContext, reply: Buffer, status = 200): Promise<PlatformLog> {
+  const server = createServer((_request, response) => {
+    response.writeHead(status).end(reply);
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const log = new PlatformLog(new PlatformHttpClient(`127.0.0.1:${port}`));
+  t.teardown(async () => {
+    await log.close();
+    server.close();
+  });
+  return log;
+}
+
+const RANGE = { topic: 'things', from: 5, waitMs: 0 };
+
+// Guards against: a record that no page can hold was asked for again and again, and nothing after it read.
+test('a record that is cut off by its page is passed over by reading the newest of each key', async (t) => {
+  const cut = Buffer.alloc(LENGTH_BYTES + 10);
+  cut.writeUInt32BE(2_000_000);
+  const log = await startLog(t, page(7n, cut));
+  await t.throwsAsync(log.read(RANGE), { instanceOf: LogExpired });
+});
+
+// Guards against: a node whose position another one had stated wrongly waited there for ever.
+test('a position beyond the end of the topic is given up', async (t) => {
+  const log = await startLog(t, page(3n));
+  await t.throwsAsync(log.read(RANGE), { instanceOf: LogExpired });
+});
+
+test('an empty page at the end of the topic is nothing odd', async (t) => {
+  const log = await startLog(t, page(5n));
+  t.deepEqual((await log.read(RANGE)).records, []);
+});
+
+test('replies with odd values are failures of the store', async (t) => {
+  for (const reply of [
+    '{"items":[{"key":"a","offset":1e400}],"more_pages":false,"end":1}',
+    '{"items":[],"more_pages":false,"end":-1}',
+    '{"items":[],"more_pages":false,"end":0.5}',
+    `${'['.repeat(60_000)}${']'.repeat(60_000)}`,
+    'null',
+  ]) {
+    const log = await startLog(t, Buffer.from(reply));
+    await t.throwsAsync(log.newest('things'), { instanceOf: LogUnavailable });
+  }
+  const expired = await startLog(t, Buffer.from('{"first":1e400}'), 410);
+  await t.throwsAsync(expired.read(RANGE), { instanceOf: LogUnavailable });
+});
