Bound the numbers that callers, runners and the configuration state

What callers saw: with a time-out of the configuration beyond 2^31 ms every request was answered 504 after a millisecond, for a timer that cannot wait so long fires at once.

Cause: numbers of headers and of the configuration were taken as far as they were finite, and went into sums and timers.

Harmless before: Retry-After 1e9 and 400 digits, Server-Load and Server-Limit of any kind, a Deadline-Ms beyond timers beside a sound route.

Why it works: timerDelayMs (packages/core) is the one place that bounds a delay; a sum or a difference of two of its results is one that a timer can wait.

Looked for elsewhere: every setTimeout in packages/ and platform/ with a delay from outside; requests that a peer passes on (DurationMs).

--- a/packages/core/src/utils/timer-delay-ms.ts
+++ b/packages/core/src/utils/timer-delay-ms.ts
@@ -1,5 +1,8 @@
-/** Longest delay of a timer of the runtime, in milliseconds; a longer one fires at once. */
-const MAX_DELAY_MS = 2 ** 31 - 1;
+/**
+ * Longest delay, in milliseconds. A timer of the runtime can wait for a little more than twice that, and fires at once with
+ * anything longer; a sum of two delays is still one that it can wait for.
+ */
+const MAX_DELAY_MS = 1_000_000_000;
 
 /**
  * Delay for a timer from a time that others have stated, in milliseconds: never longer than a timer can
--- a/packages/gateway/src/node/create-duty-holder.ts
+++ b/packages/gateway/src/node/create-duty-holder.ts
@@ -73,7 +73,7 @@
   });
   return new DutyHolder({
     node: node.id,
-    termStore: new DutyTermStore({ log, node: node.id }),
+    termStore: new DutyTermStore({ log, node: node.id, decisions }),
     peers,
     clock,
     log: decisions,
--- a/packages/gateway/src/node/runner-agent.ts
+++ b/packages/gateway/src/node/runner-agent.ts
@@ -1,7 +1,7 @@
 import { Agent } from 'node:http';
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
-import { closeIdleSockets } from '@ragwortrudder/core';
+import { closeIdleSockets, timerDelayMs } from '@ragwortrudder/core';
 import { ConnectTimedOut } from '../errors/connect-timed-out.ts';
 import { CONNECT_TIMEOUT_MS } from '../utils/connect-timeout-ms.ts';
 
@@ -18,6 +18,9 @@
  * milliseconds.
  */
 const DEFAULT_IDLE_MS = 2_000;
+/** Shortest idle time that a runner can ask for, in milliseconds. */
+const MIN_IDLE_MS = 100;
+
 interface IdleState {
   readonly closeTimer: NodeJS.Timeout;
   readonly since: number;
@@ -41,7 +44,7 @@
   setKeepAlive(value: string): void {
     const seconds = /timeout=(\d+)/i.exec(value)?.[1];
     if (seconds !== undefined)
-      this.#idleMs = Math.max(100, Number(seconds) * MS_PER_S * IDLE_SHARE);
+      this.#idleMs = timerDelayMs(Math.max(MIN_IDLE_MS, Number(seconds) * MS_PER_S * IDLE_SHARE));
   }
 
   override createConnection(
--- a/packages/gateway/src/types/duration-ms.ts
+++ b/packages/gateway/src/types/duration-ms.ts
@@ -1,6 +1,5 @@
+import { timerDelayMs } from '@ragwortrudder/core';
 import * as z from 'zod';
 
-const MAX_DURATION_MS = 2 ** 31 - 1;
-
-/** Duration that a timer can wait, in milliseconds. */
-export const DurationMs = z.number().nonnegative().max(MAX_DURATION_MS);
+/** Duration that another node has sent, in milliseconds; at most as long as a timer can wait. */
+export const DurationMs = z.number().nonnegative().transform(timerDelayMs);
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -118,8 +118,8 @@
   }
 
   /** Writes to a shared log on behalf of the operator and the runners; its gateway is not started. */
-  static writerFor(log: KeyedLog): GatewayHarness {
-    return new GatewayHarness({ log });
+  static writerFor(log: KeyedLog, route: object = {}): GatewayHarness {
+    return new GatewayHarness({ log, route });
   }
 
   /** Appends a configuration, and runners by their ports, to a log that several gateways share. */
