Pass over records of a stream that are nested too deeply or cannot be folded

What operators saw: nothing in the log of the product's own nodes, and a configuration, claims and leases that no longer changed. A record whose body was nested in thousands of levels could be neither hashed nor folded; each node read it again and again, with "reading the log failed unexpectedly", and never a record after it. An entry that a fold threw at did the same.

Why it works: a body deeper than 64 levels counts as null before it is hashed, folded or kept for peers, on every node alike; an entry that the fold throws at changes nothing. Each is one line `record ... rejected` of the state log and counts as a failed task of the configuration.

Looked for elsewhere: Retry-After of the product's log service and cloud API, and the waiting time that a peer states, go through timerDelayMs.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export { digest } from './utils/digest.ts';
 export { EventSizeLimit } from './utils/event-size-limit.ts';
 export { hasBody } from './utils/has-body.ts';
+export { isDeeperThan } from './utils/is-deeper-than.ts';
 export { ManualClock } from './utils/manual-clock.ts';
 export { parseBoundedJson } from './utils/parse-bounded-json.ts';
 export { PeriodicTask } from './utils/periodic-task.ts';
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -31,6 +31,7 @@
 export type { MemoryLogFaults } from './types/memory-log-faults.ts';
 export type { MemoryLogOptions } from './types/memory-log-options.ts';
 export type { Position } from './types/position.ts';
+export type { RejectedRecord } from './types/rejected-record.ts';
 export type { PrefixRange } from './types/prefix-range.ts';
 export { Prefix } from './types/prefix.ts';
 export type { StreamReader } from './types/stream-reader.ts';
--- a/packages/log/src/node/log-follower.ts
+++ b/packages/log/src/node/log-follower.ts
@@ -55,7 +55,8 @@
     this.#backoff = new Backoff(options.random, options.backoff);
     const { tailRecords = TAIL_RECORDS, tailBytes = TAIL_BYTES } = options;
     const tail = { records: tailRecords, bytes: tailBytes };
-    this.#stream = new FoldedStream({ fold: options.fold, tail });
+    const { fold, onRejected } = options;
+    this.#stream = new FoldedStream({ fold, tail, ...(onRejected ? { onRejected } : {}) });
   }
 
   get state(): S {
--- a/packages/log/src/types/log-follower-options.ts
+++ b/packages/log/src/types/log-follower-options.ts
@@ -2,6 +2,7 @@
 import type { BackoffOptions } from './backoff-options.ts';
 import type { Fold } from './fold.ts';
 import type { Log } from './log.ts';
+import type { RejectedRecord } from './rejected-record.ts';
 
 /** Options of `LogFollower`. */
 export interface LogFollowerOptions<S> {
@@ -29,6 +30,11 @@
    * @default 2097152
    */
   readonly tailBytes?: number;
+  /**
+   * Called for a record or an entry that is passed over, because it is nested too deeply or cannot be
+   * folded; every node passes over the same ones.
+   */
+  readonly onRejected?: (rejected: RejectedRecord) => void;
   /** Backoff between reads while the log is unavailable. */
   readonly backoff?: BackoffOptions;
 }
--- a/packages/log/src/utils/folded-stream.ts
+++ b/packages/log/src/utils/folded-stream.ts
@@ -1,4 +1,4 @@
-import { digest } from '@ragwortrudder/core';
+import { digest, isDeeperThan } from '@ragwortrudder/core';
 import { LogGap } from '../errors/log-gap.ts';
 import { PrefixUnavailable } from '../errors/prefix-unavailable.ts';
 import { SnapshotInvalid } from '../errors/snapshot-invalid.ts';
@@ -9,6 +9,7 @@
 import type { LogRecord } from '../types/log-record.ts';
 import type { Prefix } from '../types/prefix.ts';
 import type { PrefixRange } from '../types/prefix-range.ts';
+import type { RejectedRecord } from '../types/rejected-record.ts';
 import type { Snapshot } from '../types/snapshot.ts';
 import type { SnapshotLocation } from '../types/snapshot-location.ts';
 import type { TailLimits } from '../types/tail-limits.ts';
@@ -22,12 +23,18 @@
 interface FoldedStreamOptions<S> {
   readonly fold: Fold<S>;
   readonly tail: TailLimits;
+  /** Called for a record or an entry that is passed over. */
+  readonly onRejected?: (rejected: RejectedRecord) => void;
 }
 
+/** Levels of nested lists and objects of a record; hashing and folding walk it recursively. */
+const MAX_DEPTH = 64;
+
 /** State and chained hash of a stream up to an offset that only moves forward. */
 export class FoldedStream<S> {
   readonly #fold: Fold<S>;
   readonly #tail: RecordTail;
+  readonly #onRejected: (rejected: RejectedRecord) => void;
   readonly #listeners = new Set<(change: FollowerChange<S>) => void>();
   readonly #assembler = new SnapshotAssembler();
   #state: S;
@@ -35,8 +42,9 @@
   #hash = GENESIS_HASH;
   #newestSnapshot: SnapshotLocation | undefined;
 
-  constructor({ fold, tail }: FoldedStreamOptions<S>) {
+  constructor({ fold, tail, onRejected = () => undefined }: FoldedStreamOptions<S>) {
     this.#fold = fold;
+    this.#onRejected = onRejected;
     this.#state = fold.initial;
     this.#tail = new RecordTail(tail, { next: 0, hash: GENESIS_HASH });
   }
@@ -148,12 +156,13 @@
     this.#notify([]);
   }
 
-  #foldRecord(record: LogRecord): readonly Entry[] {
+  #foldRecord(received: LogRecord): readonly Entry[] {
+    const record = this.#bounded(received);
     const entries = entriesOf(record);
     let state = this.#state;
     for (const entry of entries) {
       if (SnapshotAssembler.isPart(entry)) this.#addSnapshotPart(entry);
-      else state = this.#fold.apply(state, entry);
+      else state = this.#apply(state, entry);
     }
     this.#hash = chainHash(this.#hash, record);
     this.#tail.push({ record: { ...record, body: record.body }, hash: this.#hash });
@@ -162,6 +171,25 @@
     return entries;
   }
 
+  /** The record, without a body that is nested too deeply: every node hashes and folds the same. */
+  #bounded(record: LogRecord): LogRecord {
+    if (!isDeeperThan(record.body, MAX_DEPTH)) return record;
+    const { offset, id } = record;
+    this.#onRejected({ offset, id, cause: `nested in more than ${MAX_DEPTH} levels` });
+    return { ...record, body: null };
+  }
+
+  /** Folds an entry; one that cannot be folded changes nothing, and the stream goes on after it. */
+  #apply(state: S, entry: Entry): S {
+    try {
+      return this.#fold.apply(state, entry);
+    } catch (error) {
+      const cause = error instanceof Error ? error.message : String(error);
+      this.#onRejected({ offset: entry.offset, id: entry.id, cause });
+      return state;
+    }
+  }
+
   #addSnapshotPart(entry: Entry): void {
     const complete = this.#assembler.add(entry);
     if (complete) this.#recordSnapshot(complete.location);
--- a/packages/node/src/node/configuration/followed-stream.ts
+++ b/packages/node/src/node/configuration/followed-stream.ts
@@ -1,10 +1,12 @@
-import { PeriodicTask } from '@ragwortrudder/core';
+import createDebug from 'debug';
+import { InvalidInput, PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import { GroupCommit, LogFollower, SnapshotWriter } from '@ragwortrudder/log';
-import type { Fold } from '@ragwortrudder/log';
+import type { Fold, RejectedRecord } from '@ragwortrudder/log';
 import { HttpLog } from '@ragwortrudder/platform';
 import type { Settings } from '@ragwortrudder/settings';
 
+const debug = createDebug('ragwortrudder:state');
 const SNAPSHOT_PERIOD_MS = 5000;
 
 interface FollowedStreamOptions<S> {
@@ -15,6 +17,7 @@
   readonly random: Random;
   /** True on the node that writes snapshots. It is safe if two nodes do. */
   readonly writesSnapshots: () => boolean;
+  /** Called when a snapshot cannot be written, and for a record that every node passes over. */
   readonly onFailure: (error: unknown) => void;
 }
 
@@ -33,7 +36,18 @@
     const { pollWaitMs, appendTimeoutMs, snapshotAgeMs, snapshotEvery } = settings.log;
     const log = new HttpLog({ baseUrl: settings.platform.url, stream });
     this.#log = log;
-    this.follower = new LogFollower({ log, fold, clock, random, pollWaitMs });
+    const onRejected = (rejected: RejectedRecord): void => {
+      debug('%j', {
+        node: settings.node.id,
+        kind: 'record',
+        stream,
+        state: 'rejected',
+        ...rejected,
+      });
+      const { offset, cause } = rejected;
+      onFailure(new InvalidInput(`record ${offset} of ${stream} is passed over`, [cause]));
+    };
+    this.follower = new LogFollower({ log, fold, clock, random, pollWaitMs, onRejected });
     this.writer = new GroupCommit({
       log,
       follower: this.follower,
--- a/packages/node/src/node/requests/local-events.ts
+++ b/packages/node/src/node/requests/local-events.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { inject, injectable } from 'inversify';
 import type { z } from 'zod';
+import { timerDelayMs } from '@ragwortrudder/core';
 import { EventLog, ResumeDiverged, isFinal } from '@ragwortrudder/requests';
 import type { EventPosition, RequestEvent } from '@ragwortrudder/requests';
 import { requestsEvents } from '../../types/methods/requests-events.ts';
@@ -94,7 +95,7 @@
       signal?.removeEventListener('abort', finish);
       resolve();
     };
-    const timer = setTimeout(finish, waitMs);
+    const timer = setTimeout(finish, timerDelayMs(waitMs));
     const unsubscribe = owned.events.subscribe(finish);
     signal?.addEventListener('abort', finish);
   });
--- a/packages/platform/src/utils/retry-after-ms.ts
+++ b/packages/platform/src/utils/retry-after-ms.ts
@@ -1,3 +1,5 @@
+import { timerDelayMs } from '@ragwortrudder/core';
+
 const DEFAULT_DELAY_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 
@@ -5,7 +7,7 @@
 export function retryAfterMs(header: string | undefined, nowMs: number): number {
   if (header === undefined || header.trim() === '') return DEFAULT_DELAY_MS;
   const seconds = Number(header);
-  if (Number.isFinite(seconds)) return Math.max(0, seconds * MS_PER_SECOND);
+  if (Number.isFinite(seconds)) return timerDelayMs(seconds * MS_PER_SECOND);
   const date = Date.parse(header);
-  return Number.isNaN(date) ? DEFAULT_DELAY_MS : Math.max(0, date - nowMs);
+  return Number.isNaN(date) ? DEFAULT_DELAY_MS : timerDelayMs(date - nowMs);
 }
