Refuse bodies of callers and peers that are nested too deeply as malformed

What callers saw: a request with a payload nested in 60,000 levels was accepted (200, `accepted`) and failed inside the node at once. Code that walks a value recursively (the digest of a keyed request, the text for a runner) ran out of stack.

Why it works: the bodies of callers and of peers go through parseBoundedJson, as on the platform path; a malformed body is refused before anything is accepted.

--- a/packages/node/src/node/http/read-json.ts
+++ b/packages/node/src/node/http/read-json.ts
@@ -1,6 +1,6 @@
 import type { Request } from 'restify';
 import type { z } from 'zod';
-import { InvalidInput } from '@ragwortrudder/core';
+import { InvalidInput, parseBoundedJson } from '@ragwortrudder/core';
 import { BodyMalformed } from '../../errors/body-malformed.ts';
 
 /**
@@ -20,11 +20,8 @@
 
 function parse(request: Request): unknown {
   const body = request.body as unknown;
-  const text = Buffer.isBuffer(body) ? body.toString('utf8') : body;
-  if (typeof text !== 'string') return text ?? {};
-  try {
-    return JSON.parse(text);
-  } catch {
-    throw new BodyMalformed();
-  }
+  if (typeof body !== 'string' && !Buffer.isBuffer(body)) return body ?? {};
+  const parsed = parseBoundedJson(Buffer.from(body));
+  if (parsed === undefined) throw new BodyMalformed();
+  return parsed;
 }
--- a/packages/node/src/node/peers/peer-methods.ts
+++ b/packages/node/src/node/peers/peer-methods.ts
@@ -1,11 +1,14 @@
 import { inject, injectable } from 'inversify';
 import { JSONRPCServer } from 'json-rpc-2.0';
 import * as z from 'zod';
-import { InvalidInput } from '@ragwortrudder/core';
+import { InvalidInput, parseBoundedJson } from '@ragwortrudder/core';
 import { BodyMalformed } from '../../errors/body-malformed.ts';
 import type { RpcMethod } from '../../types/rpc-method.ts';
 import { Metrics } from '../metrics/metrics.ts';
 
+/** Bounds of a message; its size is bounded by the server. Records of a stream have levels of their own. */
+const BOUNDS = { maxBytes: Number.MAX_SAFE_INTEGER, maxDepth: 128 };
+
 const RpcMessage = z.strictObject({
   jsonrpc: z.literal('2.0'),
   id: z.union([z.string(), z.number()]).nullish(),
@@ -46,17 +49,9 @@
    * @throws {@link BodyMalformed} if `body` is not a JSON-RPC message.
    */
   async receive(body: string): Promise<unknown> {
-    const message = RpcMessage.safeParse(parseJson(body));
+    const message = RpcMessage.safeParse(parseBoundedJson(Buffer.from(body), BOUNDS));
     if (!message.success) throw new BodyMalformed();
     const { id = null, ...call } = message.data;
     return this.#server.receive({ ...call, id });
   }
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    throw new BodyMalformed();
-  }
-}
