--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -389,6 +389,11 @@
     };
   }
 
+  /** Log of the node. */
+  get log(): DecisionLog {
+    return this.#decisions;
+  }
+
   /** Starts following the log and listening. */
   async start(): Promise<void> {
     const { node } = this.#options.settings;
--- a/test/log/poisoned-record.test.ts
+++ b/test/log/poisoned-record.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import type { Fold, Log, LogRecord } from '@ragwortrudder/log';
+import type { Fold, Log, LogRecord, RejectedRecord } from '@ragwortrudder/log';
 import { createFollower, listFold, waitUntil } from './helpers.ts';
 
 const SEED = 32;
@@ -38,7 +38,7 @@
 ] as const) {
   test(`pattern: a poisoned record of a stream; the records after it are followed: ${kind}`, async (t) => {
     const rejected: string[] = [];
-    const onRejected = ({ offset, cause }: { offset: number; cause: string }): void => {
+    const onRejected = ({ offset, cause }: RejectedRecord): void => {
       rejected.push(`${offset} ${cause}`);
     };
     const log = logOf([entry('a'), body, entry('b')]);
