Believe a runner's refusal only when it bears the id of the request

What callers saw: a runner that wrote an earlier refusal once more on a kept connection, without its Request-Id, made the node take it for the answer to the next request. A once-only request that the runner was running then ran at a second runner, or its caller was told 408 or 503 ("not run") for it.

Cause: only successes had to bear the id of the request.

Why this works: runners echo Request-Id in all their responses, so one without it, with several or with another one belongs to no known request. It ends the attempt with an unknown outcome: 502, or another attempt where the request may be repeated. Refusals with the id of the request are served by the other runner as before (40 of 40 requests on each of four kinds of routes).

Looked for elsewhere: responses of peers take the same path.

--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -14,6 +14,7 @@
 import { linkFailureOf } from '../utils/link-failure-of.ts';
 import { incompleteReason } from '../utils/incomplete-reason.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
+import { mismatchReason } from '../utils/mismatch-reason.ts';
 import type { BufferBudget } from '../utils/buffer-budget.ts';
 import type { RunnerAgent } from './runner-agent.ts';
 
@@ -129,12 +130,10 @@
     if (typeof keepAlive === 'string') agent.setKeepAlive(keepAlive);
     onProgress();
     const head = dialect.parseResponseHead(response.statusCode ?? 0, response.rawHeaders);
-    const isMismatched =
-      head.requestId === undefined ? isSuccess(head.status) : head.requestId !== request.id;
-    if (isMismatched) {
+    if (head.requestId !== request.id) {
       this.abort({
         kind: 'broken',
-        reason: 'Request-Id of the response does not match the request',
+        reason: mismatchReason(head.requestId),
         isConnectionLost: false,
       });
       return;
--- /dev/null
+++ b/test/gateway/repeated-refusal.test.ts
@@ -0,0 +1,140 @@
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { GatewayHarness } from './gateway-harness.ts';
+import { ROUTE_KINDS } from './route-kinds.ts';
+import { chunk, event, responseTo, streamHeadFor } from './scripted-response.ts';
+import { ScriptedRunner } from './scripted-runner.ts';
+import type { ReceivedRequest } from './scripted-runner.ts';
+
+type Socket = Parameters<ConstructorParameters<typeof ScriptedRunner>[0]>[0];
+
+interface Fleet {
+  readonly harness: GatewayHarness;
+  /** Requests that runners have executed, by id. */
+  readonly runs: readonly string[];
+}
+
+interface FleetOptions {
+  readonly route: object;
+  /** Bytes that the first runner to get the request writes before its response. */
+  readonly written: (request: ReceivedRequest) => string;
+}
+
+const KINDS = {
+  ...ROUTE_KINDS,
+  'once-only stream': { kind: 'streaming', stream_resume: false, gap_target_ms: 300 },
+} as const;
+const ONCE_ONLY: ReadonlySet<string> = new Set(['once-only', 'once-only stream']);
+/** Statuses with which a caller is told that its request has not run. */
+const PROMISES: readonly number[] = [408, 421, 429, 503];
+const EARLIER_ID = 'earlier';
+const RESPONSE_MS = 40;
+
+/** A refusal, by default the one of the earlier request. */
+function refusal(
+  status = '503 Full',
+  headers: readonly string[] = [`Request-Id: ${EARLIER_ID}`, 'Not-Executed: 1'],
+): string {
+  return [`HTTP/1.1 ${status}`, ...headers, 'Content-Length: 2', '', 'no'].join('\r\n');
+}
+
+function responseFor(request: ReceivedRequest, isStream: boolean): string {
+  if (!isStream) return responseTo(request, 'whole');
+  return `${streamHeadFor(request)}${chunk(event(1))}${chunk(event(2))}${chunk('')}`;
+}
+
+/** Two runners that have refused a request on connections which are kept. */
+async function startFleet(t: ExecutionContext, { route, written }: FleetOptions): Promise<Fleet> {
+  const runs: string[] = [];
+  const isStream = 'kind' in route && route.kind === 'streaming';
+  const script = (socket: Socket, request: ReceivedRequest): void => {
+    if (request.id === EARLIER_ID) {
+      socket.write(refusal());
+      return;
+    }
+    runs.push(request.id);
+    if (runs.length === 1) socket.write(written(request));
+    setTimeout(() => socket.write(responseFor(request, isStream)), RESPONSE_MS);
+  };
+  const runners = await Promise.all([0, 1].map(() => new ScriptedRunner(script).listen()));
+  const harness = await GatewayHarness.start(t, { runners, route });
+  const { status } = await harness.call({ headers: { 'Request-Id': EARLIER_ID } });
+  t.is(status, 503);
+  return { harness, runs };
+}
+
+/** Responses of which the node cannot know that they say anything about the request. */
+const FOREIGN: Readonly<Record<string, (request: ReceivedRequest) => string>> = {
+  'with its id': () => refusal(),
+  '429 with its id': () => refusal('429 Slow'),
+  '421 with its id': () => refusal('421 Misdirected', [`Request-Id: ${EARLIER_ID}`]),
+  'without an id': () => refusal('503 Full', ['Not-Executed: 1']),
+  '429 without an id': () => refusal('429 Slow', ['Not-Executed: 1']),
+  '421 without an id': () => refusal('421 Misdirected', []),
+  '400 without an id': () => refusal('400 Bad', ['Not-Executed: 1']),
+  '408 without an id': () => refusal('408 Late', []),
+  '413 without an id': () => refusal('413 Long', ['Not-Executed: 1']),
+  '500 without an id': () => refusal('500 Failed', []),
+  'with an empty id': () => refusal('503 Full', ['Request-Id:', 'Not-Executed: 1']),
+  'with two ids, the own one last': ({ id }) =>
+    refusal('503 Full', [`Request-Id: ${EARLIER_ID}`, `Request-Id: ${id}`, 'Not-Executed: 1']),
+  'with two ids, the own one first': ({ id }) =>
+    refusal('503 Full', [`Request-Id: ${id}`, `Request-Id: ${EARLIER_ID}`, 'Not-Executed: 1']),
+  'with joined ids': ({ id }) =>
+    refusal('503 Full', [`Request-Id: ${EARLIER_ID}, ${id}`, 'Not-Executed: 1']),
+  'with a header of passed requests and without an id': () =>
+    refusal('503 Full', ['Passed-Request-Rejected: node-busy']),
+  'as a trailer of a chunked body': ({ id }) =>
+    `HTTP/1.1 500 Failed\r\nRequest-Id: ${id}\r\nTransfer-Encoding: chunked\r\nTrailer: Not-Executed\r\n\r\n2\r\nno\r\n0\r\nNot-Executed: 1\r\n\r\n`,
+  'as an interim response': ({ id }) =>
+    `HTTP/1.1 103 Early\r\nRequest-Id: ${id}\r\nNot-Executed: 1\r\n\r\n`,
+  'with a length and chunks': ({ id }) =>
+    `HTTP/1.1 503 Full\r\nRequest-Id: ${id}\r\nNot-Executed: 1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+};
+
+for (const [kind, route] of Object.entries(KINDS)) {
+  for (const [name, written] of Object.entries(FOREIGN)) {
+    // Guards against a promise "not run" that no runner has given for this request, and a second run.
+    test(`a refusal written again is no promise: ${kind}, ${name}`, async (t) => {
+      const { harness, runs } = await startFleet(t, { route, written });
+      const reply = await harness.call({ headers: { 'Request-Id': 'later' } });
+      t.false(PROMISES.includes(reply.status), `${reply.status}`);
+      if (ONCE_ONLY.has(kind)) t.is(runs.length, 1);
+      else t.true(runs.length <= 2);
+      if (reply.status === 200) t.regex(reply.body, /whole|piece 2/);
+    });
+  }
+}
+
+// Guards against a mismatch that the log does not explain.
+test('a response to another request is logged with both ids', async (t) => {
+  const { harness } = await startFleet(t, {
+    route: ROUTE_KINDS['once-only'],
+    written: () => refusal(),
+  });
+  await harness.call({ headers: { 'Request-Id': 'later' } });
+  const line = harness.lines.findLast((text) => text.includes('"event":"attempt-ended"'));
+  t.like(JSON.parse(line ?? '{}'), {
+    request: 'later',
+    outcome: 'broken',
+    reason: 'response belongs to request "earlier"',
+  });
+});
+
+for (const [kind, route] of Object.entries(KINDS)) {
+  // Guards against a check of refusals that loses those of the request itself.
+  test(`a request that a runner refused is served by another one: ${kind}`, async (t) => {
+    const full = await new ScriptedRunner((socket, { id }) => {
+      socket.write(refusal('503 Full', [`Request-Id: ${id}`, 'Not-Executed: 1']));
+    }).listen();
+    const serving = await new ScriptedRunner((socket, request) => {
+      socket.write(responseFor(request, route.kind === 'streaming'));
+    }).listen();
+    const harness = await GatewayHarness.start(t, { runners: [full, serving], route });
+    const statuses: number[] = [];
+    for (let count = 0; count < 40; count += 1) statuses.push((await harness.call()).status);
+    t.deepEqual(new Set(statuses), new Set([200]));
+    t.is(serving.received.length, 40);
+    t.true(full.received.length > 0);
+  });
+}
--- a/test/platform-adapter/translation.test.ts
+++ b/test/platform-adapter/translation.test.ts
@@ -186,6 +186,18 @@
   t.is(dialect.parseResponseHead(200, ['Server-Load', 'a,b']).load, undefined);
 });
 
+// Guards against a response to another request that also has the id of this one.
+test('the id of a response with several Request-Id headers is that of no request', (t) => {
+  const idOf = (...ids: readonly string[]): string | undefined => {
+    const headers = ids.flatMap((id) => ['Request-Id', id]);
+    return dialect.parseResponseHead(503, headers).requestId;
+  };
+  t.is(idOf('a'), 'a');
+  t.is(idOf('a', 'b'), 'a, b');
+  t.is(idOf('', 'b'), ', b');
+  t.is(idOf(), undefined);
+});
+
 test('the settings template contains every setting', (t) => {
   const template = readFileSync('deploy/settings.template', 'utf8');
   const filled = template
