Answer 502 where a runner's status would tell "not run" without saying so

What callers saw: 503, 429 and 408 of a runner were forwarded although the response had no Not-Executed, so the request may have run. To a caller these statuses are the promise that it has not. A once-only request whose 200 had Not-Executed was sent to a second runner after a first one had executed it.

Cause: the status that the caller gets and the statement that the runner has made were not compared.

Why this works: what is invalid is decided in one place for a head (invalidHeadReason), and a status that promises is forwarded as such only with the runner's own statement. Otherwise the outcome is unknown: 502, or another attempt where the request may be repeated. 421 states it by itself, as before.

Looked for elsewhere: the statuses 400, 413, 431, 500 and 504 promise nothing and are forwarded unchanged.

--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -13,8 +13,9 @@
 import type { ForwardingMetadata } from '../types/forwarding-metadata.ts';
 import { linkFailureOf } from '../utils/link-failure-of.ts';
 import { incompleteReason } from '../utils/incomplete-reason.ts';
+import { invalidHeadReason } from '../utils/invalid-head-reason.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
-import { mismatchReason } from '../utils/mismatch-reason.ts';
+import { isSuccess } from '../utils/is-success.ts';
 import type { BufferBudget } from '../utils/buffer-budget.ts';
 import type { RunnerAgent } from './runner-agent.ts';
 
@@ -34,16 +35,12 @@
 }
 
 const MISDIRECTED = 421;
-const OK = 200;
-const FIRST_REDIRECT = 300;
+/** Statuses that tell a caller that its request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, MISDIRECTED, 429, 503]);
 /** Maximum size of an event of a stream, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 const BUFFER_LIMIT_REASON = 'response exceeds the buffer limit';
 
-function isSuccess(status: number): boolean {
-  return status >= OK && status < FIRST_REDIRECT;
-}
-
 /** One attempt to send a request to a runner. Settles exactly once, with the outcome. */
 export class RunnerAttempt {
   readonly outcome: Promise<AttemptOutcome>;
@@ -130,28 +127,12 @@
     if (typeof keepAlive === 'string') agent.setKeepAlive(keepAlive);
     onProgress();
     const head = dialect.parseResponseHead(response.statusCode ?? 0, response.rawHeaders);
-    if (head.requestId !== request.id) {
-      this.abort({
-        kind: 'broken',
-        reason: mismatchReason(head.requestId),
-        isConnectionLost: false,
-      });
-      return;
-    }
-    if (isSuccess(head.status) && head.signature === undefined) {
-      this.abort({
-        kind: 'broken',
-        reason: 'successful response has no Response-Signature',
-        isConnectionLost: false,
-      });
-      return;
-    }
-    if (sink?.hasBegun && isSuccess(head.status) && !isEventStream(head.contentType)) {
-      this.abort({
-        kind: 'broken',
-        reason: 'response does not continue the event stream',
-        isConnectionLost: false,
-      });
+    const invalidReason = invalidHeadReason(head, {
+      requestId: request.id,
+      hasBegun: sink?.hasBegun ?? false,
+    });
+    if (invalidReason !== undefined) {
+      this.abort({ kind: 'broken', reason: invalidReason, isConnectionLost: false });
       return;
     }
     this.#framing = responseFraming({
@@ -233,6 +214,10 @@
     if (isNotExecuted || status === MISDIRECTED) {
       return { kind: 'refused', isMisdirected: status === MISDIRECTED, head: response.head };
     }
+    if (NOT_RUN_STATUSES.has(status)) {
+      const reason = `status ${status} without Not-Executed`;
+      return { kind: 'broken', reason, isConnectionLost: false, transfer: this.#transfer() };
+    }
     return { kind: 'answered', response, transfer: this.#transfer() };
   }
 
--- /dev/null
+++ b/packages/gateway/src/utils/invalid-head-reason.ts
@@ -0,0 +1,23 @@
+import type { ResponseHead } from '../types/response-head.ts';
+import { isEventStream } from './is-event-stream.ts';
+import { isSuccess } from './is-success.ts';
+import { mismatchReason } from './mismatch-reason.ts';
+
+interface HeadExpectation {
+  readonly requestId: string;
+  /** Part of the response has been sent; the rest has to continue it. */
+  readonly hasBegun: boolean;
+}
+
+/** Returns why a response with this head cannot be used; undefined if it can. */
+export function invalidHeadReason(
+  head: ResponseHead,
+  { requestId, hasBegun }: HeadExpectation,
+): string | undefined {
+  if (head.requestId !== requestId) return mismatchReason(head.requestId);
+  if (!isSuccess(head.status)) return undefined;
+  if (head.isNotExecuted) return 'successful response has Not-Executed';
+  if (head.signature === undefined) return 'successful response has no Response-Signature';
+  const isContinued = !hasBegun || isEventStream(head.contentType);
+  return isContinued ? undefined : 'response does not continue the event stream';
+}
--- a/test/gateway/repeated-refusal.test.ts
+++ b/test/gateway/repeated-refusal.test.ts
@@ -2,7 +2,7 @@
 import type { ExecutionContext } from 'ava';
 import { GatewayHarness } from './gateway-harness.ts';
 import { ROUTE_KINDS } from './route-kinds.ts';
-import { chunk, event, responseTo, streamHeadFor } from './scripted-response.ts';
+import { chunk, event, responseTo, SIGNATURE, streamHeadFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
 import type { ReceivedRequest } from './scripted-runner.ts';
 
@@ -92,6 +92,19 @@
     `HTTP/1.1 503 Full\r\nRequest-Id: ${id}\r\nNot-Executed: 1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
 };
 
+/** Responses to the request that do not say that it has not run. */
+const UNPROVEN: Readonly<Record<string, (request: ReceivedRequest) => string>> = {
+  '503 that does not say so': ({ id }) => refusal('503 Failed', [`Request-Id: ${id}`]),
+  'signed 503 that does not say so': ({ id }) =>
+    refusal('503 Failed', [`Request-Id: ${id}`, SIGNATURE]),
+  'signed 429 that does not say so': ({ id }) =>
+    refusal('429 Failed', [`Request-Id: ${id}`, SIGNATURE]),
+  'signed 408 that does not say so': ({ id }) =>
+    refusal('408 Failed', [`Request-Id: ${id}`, SIGNATURE]),
+  'success that says so': ({ id }) =>
+    refusal('200 OK', [`Request-Id: ${id}`, SIGNATURE, 'Not-Executed: 1']),
+};
+
 for (const [kind, route] of Object.entries(KINDS)) {
   for (const [name, written] of Object.entries(FOREIGN)) {
     // Guards against a promise "not run" that no runner has given for this request, and a second run.
@@ -106,6 +119,18 @@
   }
 }
 
+for (const [kind, route] of Object.entries(KINDS)) {
+  for (const [name, written] of Object.entries(UNPROVEN)) {
+    // Guards against telling a caller "not run" for a request that its runner may have run.
+    test(`a response that does not say "not run" is no promise: ${kind}, ${name}`, async (t) => {
+      const { harness, runs } = await startFleet(t, { route, written });
+      const reply = await harness.call();
+      t.is(reply.status, ONCE_ONLY.has(kind) ? 502 : 200);
+      t.is(runs.length, ONCE_ONLY.has(kind) ? 1 : 2);
+    });
+  }
+}
+
 // Guards against a mismatch that the log does not explain.
 test('a response to another request is logged with both ids', async (t) => {
   const { harness } = await startFleet(t, {
