Take a runner's response for no rejection of the peer that forwards it

What callers saw: with a node cut off from the runners, a runner whose responses bear Passed-Request-Rejected made that node believe that the peer had rejected the request. Once-only requests ran at the runners of a second peer, and callers were told 503.

Cause: the header counted on any response that a peer sends, also on those of runners, which a peer forwards with all their headers.

Why this works: a rejection of a peer is an unsigned 503. A runner's 503 is not forwarded unless it says that it has not run the request.

Looked for elsewhere: no other header of nodes among themselves is read from responses; Passed-Request is removed from what runners receive.

--- a/packages/gateway/src/utils/passing-dialect.ts
+++ b/packages/gateway/src/utils/passing-dialect.ts
@@ -58,7 +58,10 @@
   parseResponseHead(status: number, rawHeaders: readonly string[]): ResponseHead {
     const rejection = valueOf(rawHeaders, REJECTED_HEADER);
     const head = this.#dialect.parseResponseHead(status, withoutOwn(rawHeaders));
-    return rejection === undefined ? head : { ...head, isNotExecuted: true, rejection };
+    // A runner's response that the peer forwards may have the header, too.
+    const isRejection = status === HTTP_UNAVAILABLE && head.signature === undefined;
+    if (rejection === undefined || !isRejection) return head;
+    return { ...head, isNotExecuted: true, rejection };
   }
 
   errorHeaders(requestId: string | undefined, failure: Failure): ReadonlyMap<string, string> {
--- a/test/gateway/repeated-refusal.test.ts
+++ b/test/gateway/repeated-refusal.test.ts
@@ -1,8 +1,11 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
+import { CutFleet } from './cut-fleet.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { ROUTE_KINDS } from './route-kinds.ts';
 import { chunk, event, responseTo, SIGNATURE, streamHeadFor } from './scripted-response.ts';
+import { sendFor } from './send-for.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
 import type { ReceivedRequest } from './scripted-runner.ts';
 
@@ -29,6 +32,10 @@
 const PROMISES: readonly number[] = [408, 421, 429, 503];
 const EARLIER_ID = 'earlier';
 const RESPONSE_MS = 40;
+/** Time within which nodes hear each other, in milliseconds. */
+const HEARD_MS = 500;
+/** Time within which a node knows that it has lost its links, in milliseconds. */
+const DECISION_MS = 1_500;
 
 /** A refusal, by default the one of the earlier request. */
 function refusal(
@@ -163,3 +170,37 @@
     t.true(full.received.length > 0);
   });
 }
+
+for (const status of ['200 OK', '500 Failed']) {
+  // Guards against a runner that writes the header with which peers reject requests.
+  test(`a runner's response is no rejection of the peer that forwards it: ${status}`, async (t) => {
+    const runs = new Map<string, number>();
+    const runners = await Promise.all(
+      [0, 1].map(() =>
+        new ScriptedRunner((socket, { id }) => {
+          runs.set(id, (runs.get(id) ?? 0) + 1);
+          const headers = [`Request-Id: ${id}`, SIGNATURE, 'Passed-Request-Rejected: node-busy'];
+          socket.write(refusal(status, headers));
+        }).listen(),
+      ),
+    );
+    t.teardown(() => Promise.all(runners.map((runner) => runner.close())));
+    const fleet = await CutFleet.start(t, {
+      runners,
+      gateways: 3,
+      route: { ...ROUTE_KINDS['once-only'], max_attempts: 3 },
+    });
+    await sleep(HEARD_MS);
+    await fleet.setLinks([0], 'cut');
+    await sendFor([fleet.gateways[0]], DECISION_MS);
+    runs.clear();
+    const outcomes = await sendFor([fleet.gateways[0]], DECISION_MS);
+    t.true(runs.size > 0);
+    t.deepEqual(
+      [...runs.values()].filter((count) => count > 1),
+      [],
+    );
+    const forwarded = outcomes.filter((outcome) => status.startsWith(String(outcome.status)));
+    t.is(forwarded.length, runs.size);
+  });
+}
