Deliver a whole response whatever follows it on its connection

What callers saw: a stream whose runner had sent all of it and then closed the connection was cut off for a caller that takes its bytes slowly. A whole response that other bytes followed in the same piece became a 502.

Cause: an attempt took the end or an error of the connection for the end of its response, also after the framing of the response had ended, when its last bytes were still held back for the caller or about to be handled.

Why this works: once the parser has the end of a response with a length or chunks, nothing on its connection belongs to it; its outcome comes from its own end. A response that only its connection frames is as before.

Looked for elsewhere: peers' responses take the same path.

--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -55,6 +55,7 @@
   /** Bytes of the response that are kept in memory. */
   #bufferedBytes = 0;
   #isRelayed = false;
+  #response: IncomingMessage | undefined;
 
   constructor(options: RunnerAttemptOptions) {
     this.#options = options;
@@ -94,10 +95,13 @@
       this.#handleResponse(response);
     });
     client.on('error', (error) => {
+      // What follows a whole response on its connection belongs to no request.
+      if (this.#isWhole) return;
       if (this.#wasConnected) this.#break(error.message);
       else this.#finish({ kind: 'unsent', failure: linkFailureOf(error) });
     });
     client.on('close', () => {
+      if (this.#isWhole) return;
       this.#break('connection closed before a response was received');
     });
     client.on('upgrade', (_response, socket) => {
@@ -140,6 +144,7 @@
       status: head.status,
       headers: response.headers,
     });
+    this.#response = response;
     onHead(head);
     response.on('data', (bytes: Buffer) => {
       this.#bytes += bytes.length;
@@ -221,6 +226,11 @@
     return { kind: 'answered', response, transfer: this.#transfer() };
   }
 
+  /** The framing of the response has ended; what it had to read may still be on its way to `end`. */
+  get #isWhole(): boolean {
+    return this.#framing !== 'connection' && this.#response?.complete === true;
+  }
+
   #transfer(): ResponseTransfer {
     return {
       framing: this.#framing ?? 'length',
