--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -13,7 +13,9 @@
 import type { ForwardingMetadata } from '../types/forwarding-metadata.ts';
 import { linkFailureOf } from '../utils/link-failure-of.ts';
 import { incompleteReason } from '../utils/incomplete-reason.ts';
+import { invalidHeadReason } from '../utils/invalid-head-reason.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
+import { isSuccess } from '../utils/is-success.ts';
 import type { BufferBudget } from '../utils/buffer-budget.ts';
 import type { RunnerAgent } from './runner-agent.ts';
 
@@ -33,16 +35,12 @@
 }
 
 const MISDIRECTED = 421;
-const OK = 200;
-const FIRST_REDIRECT = 300;
+/** Statuses that tell a caller that its request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, MISDIRECTED, 429, 503]);
 /** Maximum size of an event of a stream, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 const BUFFER_LIMIT_REASON = 'response exceeds the buffer limit';
 
-function isSuccess(status: number): boolean {
-  return status >= OK && status < FIRST_REDIRECT;
-}
-
 /** One attempt to send a request to a runner. Settles exactly once, with the outcome. */
 export class RunnerAttempt {
   readonly outcome: Promise<AttemptOutcome>;
@@ -57,6 +55,7 @@
   /** Bytes of the response that are kept in memory. */
   #bufferedBytes = 0;
   #isRelayed = false;
+  #response: IncomingMessage | undefined;
 
   constructor(options: RunnerAttemptOptions) {
     this.#options = options;
@@ -96,10 +95,13 @@
       this.#handleResponse(response);
     });
     client.on('error', (error) => {
+      // What follows a whole response on its connection belongs to no request.
+      if (this.#isWhole) return;
       if (this.#wasConnected) this.#break(error.message);
       else this.#finish({ kind: 'unsent', failure: linkFailureOf(error) });
     });
     client.on('close', () => {
+      if (this.#isWhole) return;
       this.#break('connection closed before a response was received');
     });
     client.on('upgrade', (_response, socket) => {
@@ -129,30 +131,12 @@
     if (typeof keepAlive === 'string') agent.setKeepAlive(keepAlive);
     onProgress();
     const head = dialect.parseResponseHead(response.statusCode ?? 0, response.rawHeaders);
-    const isMismatched =
-      head.requestId === undefined ? isSuccess(head.status) : head.requestId !== request.id;
-    if (isMismatched) {
-      this.abort({
-        kind: 'broken',
-        reason: 'Request-Id of the response does not match the request',
-        isConnectionLost: false,
-      });
-      return;
-    }
-    if (isSuccess(head.status) && head.signature === undefined) {
-      this.abort({
-        kind: 'broken',
-        reason: 'successful response has no Response-Signature',
-        isConnectionLost: false,
-      });
-      return;
-    }
-    if (sink?.hasBegun && isSuccess(head.status) && !isEventStream(head.contentType)) {
-      this.abort({
-        kind: 'broken',
-        reason: 'response does not continue the event stream',
-        isConnectionLost: false,
-      });
+    const invalidReason = invalidHeadReason(head, {
+      requestId: request.id,
+      hasBegun: sink?.hasBegun ?? false,
+    });
+    if (invalidReason !== undefined) {
+      this.abort({ kind: 'broken', reason: invalidReason, isConnectionLost: false });
       return;
     }
     this.#framing = responseFraming({
@@ -160,6 +144,7 @@
       status: head.status,
       headers: response.headers,
     });
+    this.#response = response;
     onHead(head);
     response.on('data', (bytes: Buffer) => {
       this.#bytes += bytes.length;
@@ -234,9 +219,18 @@
     if (isNotExecuted || status === MISDIRECTED) {
       return { kind: 'refused', isMisdirected: status === MISDIRECTED, head: response.head };
     }
+    if (NOT_RUN_STATUSES.has(status)) {
+      const reason = `status ${status} without Not-Executed`;
+      return { kind: 'broken', reason, isConnectionLost: false, transfer: this.#transfer() };
+    }
     return { kind: 'answered', response, transfer: this.#transfer() };
   }
 
+  /** The framing of the response has ended; what it had to read may still be on its way to `end`. */
+  get #isWhole(): boolean {
+    return this.#framing !== 'connection' && this.#response?.complete === true;
+  }
+
   #transfer(): ResponseTransfer {
     return {
       framing: this.#framing ?? 'length',
