End a resumed stream only with its continuation

Callers saw a stream as complete after two of its events: it had begun and broke off, and the next runner answered 204 (or 202 and 205 without a body). After 201, 206 and 299 with events, these were joined with what had been sent.

The cause: whether a response continues a stream was decided by its content type alone, a missing one counts as an event stream, and each status from 200 to 299 as success. The end of such a response ended the stream.

A stream that has begun is now continued only by 200 with an event stream. Anything else is a broken attempt ("response does not continue the event stream"): the stream goes on at another runner while the route has attempts left, and is visibly aborted otherwise. A first response is passed on as it is, 204 included.

--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -11,6 +11,7 @@
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { Dialect } from '../types/dialect.ts';
 import type { ForwardingMetadata } from '../types/forwarding-metadata.ts';
+import { continuesStream } from '../utils/continues-stream.ts';
 import { linkFailureOf } from '../utils/link-failure-of.ts';
 import { incompleteReason } from '../utils/incomplete-reason.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
@@ -147,7 +148,7 @@
       });
       return;
     }
-    if (sink?.hasBegun && isSuccess(head.status) && !isEventStream(head.contentType)) {
+    if (sink?.hasBegun && isSuccess(head.status) && !continuesStream(head)) {
       this.abort({
         kind: 'broken',
         reason: 'response does not continue the event stream',
--- /dev/null
+++ b/packages/gateway/src/utils/continues-stream.ts
@@ -0,0 +1,9 @@
+import type { ResponseHead } from '../types/response-head.ts';
+import { isEventStream } from './is-event-stream.ts';
+
+const OK = 200;
+
+/** Whether a successful response can go on with an event stream of which a part has been sent. */
+export function continuesStream({ status, contentType }: ResponseHead): boolean {
+  return status === OK && isEventStream(contentType);
+}
