Take an unframed stream without events for a cut one, also where it continues

Callers saw a stream as complete after two of its events: it had begun and broke off, the next runner sent the head of a response without length or chunks, and its connection closed before an event. The same for a caller that resumes a stream itself, and so for a stream passed on to a peer, which ended it with a last chunk.

The cause: such a response was exempt from the rule that a stream framed by its connection has at least one event, because a runner resumed after the last event has nothing more to send. Nothing tells that end from a crash.

Now the exemption is gone: an end without events counts only if a length or a last chunk states it. A comment counts as no event. What this costs: a runner that frames by its connection and had nothing left is asked again elsewhere, and the stream is aborted visibly if nobody states its end.

--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -46,6 +46,11 @@
     return !this.hasBegun || this.#lastEventId !== undefined;
   }
 
+  /** The response that has begun last has brought an event. */
+  get hasEvents(): boolean {
+    return this.#splitter?.hasEvents ?? false;
+  }
+
   /** Bytes received after the last complete event, which have not been sent. */
   get partialEventBytes(): number {
     return this.#splitter?.partialEventBytes ?? 0;
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -189,10 +189,7 @@
     response.on('end', () => {
       if (this.#isSettled) return;
       const transfer = this.#transfer();
-      const isEmptyStream =
-        isEventStream(head.contentType) &&
-        !sink.hasBegun &&
-        this.#options.request.lastEventId === undefined;
+      const isEmptyStream = isEventStream(head.contentType) && !sink.hasEvents;
       const reason = incompleteReason(response.complete, transfer, isEmptyStream);
       if (reason !== undefined) {
         this.#break(reason, !response.complete || transfer.framing === 'connection');
--- a/packages/gateway/src/types/response-sink.ts
+++ b/packages/gateway/src/types/response-sink.ts
@@ -4,6 +4,8 @@
 export interface ResponseSink {
   /** Part of a response has been sent. */
   readonly hasBegun: boolean;
+  /** The response that has begun last has brought an event. */
+  readonly hasEvents: boolean;
   /** Bytes received after the last complete event. */
   readonly partialEventBytes: number;
   /** Bytes received after the last event that was sent, comments included. */
--- a/packages/gateway/src/utils/event-splitter.ts
+++ b/packages/gateway/src/utils/event-splitter.ts
@@ -19,9 +19,15 @@
   #isFirstLine = true;
   /** The current event has a line that is not a comment. */
   #hasField = false;
+  #hasEvents = false;
   #lastId: string | undefined;
   #pendingId: string | undefined;
 
+  /** An event is complete. */
+  get hasEvents(): boolean {
+    return this.#hasEvents;
+  }
+
   /** Event id after the last complete event; undefined when there is none, or an empty one. */
   get lastId(): string | undefined {
     return this.#lastId === '' ? undefined : this.#lastId;
@@ -69,6 +75,7 @@
     this.#isFirstLine = false;
     const content = hasMark ? line.subarray(BYTE_ORDER_MARK.length) : line;
     if (content.length === 0) {
+      this.#hasEvents ||= this.#hasField;
       this.#hasField = false;
       this.#lastId = this.#pendingId;
       return true;
--- a/packages/gateway/src/utils/incomplete-reason.ts
+++ b/packages/gateway/src/utils/incomplete-reason.ts
@@ -3,7 +3,8 @@
 /**
  * Returns why the body of a response is not complete; undefined if it is. A body with a length or
  * chunks is complete once its framing is, whatever becomes of its connection afterwards. A stream of
- * events that only its connection frames has at least one, unless it continues another one.
+ * events that only its connection frames has at least one: without any it cannot be told from one that
+ * was cut, also where it continues another one.
  */
 export function incompleteReason(
   hasFramingEnded: boolean,
--- a/test/gateway/resumed-stream.test.ts
+++ b/test/gateway/resumed-stream.test.ts
@@ -107,6 +107,30 @@
   t.regex(received[2]?.head ?? '', /Last-Event-Id: 2\r\n/);
 });
 
+// Guards against ending a stream as complete when its next runner crashed before an event (ORDER).
+test('a resumed stream without length or chunks that is closed before an event does not look complete', async (t) => {
+  for (const text of ['', ': waiting\n\n']) {
+    const { reply } = await resumeWith(t, (request) => {
+      return streamHeadFor(request, ['Connection: close']) + text;
+    });
+    t.is(reply.body, SENT + text);
+    t.false(reply.isComplete);
+  }
+});
+
+// Guards against ending a stream as complete through a caller that resumes it itself (ORDER).
+test('a stream without length or chunks that a caller resumes and that is closed before an event does not look complete', async (t) => {
+  const runner = await new ScriptedRunner((socket, request) => {
+    socket.end(streamHeadFor(request, ['Connection: close']));
+  }).listen();
+  const harness = await GatewayHarness.start(t, {
+    runners: [runner],
+    route: { kind: 'streaming', stream_resume: true },
+  });
+  const reply = await harness.call({ headers: { 'Last-Event-Id': '2' } });
+  t.is(reply.status, 502);
+});
+
 // Guards against breaking off a stream of which only the end was missing.
 test('a resumed stream of which nothing is left ends as its next runner ends it', async (t) => {
   const responses: readonly ResponseOf[] = [
