Do not join a stream with a run that does not follow it

Callers saw events 1 and 2 twice in a stream that looked complete: it had begun and broke off, and the next runner began from the start in spite of Last-Event-Id. A run that skips an event, or that begins with one without an id, was joined as well, and an event that one runner repeats was passed on.

The cause: the node told the next runner where to go on, and never looked where it did.

EventSequence now keeps what the events of a response tell across its runners. An integer id that is not above the last one, an opaque id that an earlier runner sent, a continuation whose first event has no id, and one that leaves out a number where all steps before were of one, end the attempt ("event of the stream has come before", "has no id", "follows a missing one"). The events before it are sent; the stream goes on at another runner after the last of them, or is aborted visibly. Repeated events are not skipped instead: a second run generates another text. A byte order mark inside a stream is none.

What cannot be known: a gap after a single event or where ids also took other steps, and whether the text of the next run follows. A stream that a caller resumes itself is passed on as its runner sends it.

--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -5,6 +5,7 @@
 import type { ResponseHead } from '../types/response-head.ts';
 import type { ResponseSink } from '../types/response-sink.ts';
 import type { Dialect } from '../types/dialect.ts';
+import { EventSequence } from '../utils/event-sequence.ts';
 import { EventSplitter } from '../utils/event-splitter.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
 
@@ -22,6 +23,7 @@
   readonly #response: ServerResponse;
   /** Undefined for a body that is not an event stream, which is sent as it arrives. */
   #splitter: EventSplitter | undefined;
+  readonly #sequence = new EventSequence();
   #head: ResponseHead | undefined;
   #lastEventId: string | undefined;
   #onFirstEvent: () => void = () => undefined;
@@ -51,6 +53,11 @@
     return this.#splitter?.hasEvents ?? false;
   }
 
+  /** Why the next event cannot follow those that were sent; neither it nor anything after it is sent. */
+  get fault(): string | undefined {
+    return this.#splitter?.fault;
+  }
+
   /** Bytes received after the last complete event, which have not been sent. */
   get partialEventBytes(): number {
     return this.#splitter?.partialEventBytes ?? 0;
@@ -80,7 +87,10 @@
 
   begin(head: ResponseHead): void {
     this.#head ??= head;
-    this.#splitter = isEventStream(head.contentType) ? new EventSplitter() : undefined;
+    if (this.hasBegun) this.#sequence.continueElsewhere();
+    this.#splitter = isEventStream(head.contentType)
+      ? new EventSplitter(this.#sequence)
+      : undefined;
   }
 
   push(bytes: Buffer): Promise<void> | undefined {
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -178,7 +178,11 @@
     response.on('data', (bytes: Buffer) => {
       if (this.#isSettled) return;
       const drained = sink.push(bytes);
-      const { bufferedBytes } = sink;
+      const { bufferedBytes, fault } = sink;
+      if (fault !== undefined) {
+        this.abort({ kind: 'broken', reason: fault, isConnectionLost: false });
+        return;
+      }
       if (!this.#mayBuffer(bufferedBytes, MAX_EVENT_BYTES)) return;
       // Bytes that complete no event are no progress.
       if (bufferedBytes < bytes.length) this.#options.onProgress();
--- a/packages/gateway/src/types/response-sink.ts
+++ b/packages/gateway/src/types/response-sink.ts
@@ -6,6 +6,8 @@
   readonly hasBegun: boolean;
   /** The response that has begun last has brought an event. */
   readonly hasEvents: boolean;
+  /** Why the next event cannot follow those that were sent; neither it nor anything after it is sent. */
+  readonly fault: string | undefined;
   /** Bytes received after the last complete event. */
   readonly partialEventBytes: number;
   /** Bytes received after the last event that was sent, comments included. */
--- a/packages/gateway/src/utils/event-splitter.ts
+++ b/packages/gateway/src/utils/event-splitter.ts
@@ -1,8 +1,11 @@
+import { EventSequence } from './event-sequence.ts';
+
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 const COLON = 58;
 const LOWER_I = 105;
 const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
+const DATA_NAME = Buffer.from('data');
 const ID_FIELD = /^id(?:: ?(.*))?$/;
 const NUL = '\0';
 
@@ -16,13 +19,29 @@
   /** Start of the current line in the remainder. */
   #lineStart = 0;
   #isAfterCarriageReturn = false;
-  #isFirstLine = true;
+  #isFirstLine: boolean;
   /** The current event has a line that is not a comment. */
   #hasField = false;
+  #hasData = false;
+  /** The id that the current event itself has. */
+  #ownId: string | undefined;
+  readonly #sequence: EventSequence;
+  #fault: string | undefined;
   #hasEvents = false;
   #lastId: string | undefined;
   #pendingId: string | undefined;
 
+  constructor(sequence = new EventSequence()) {
+    this.#sequence = sequence;
+    // A byte order mark is one only at the start of the whole stream.
+    this.#isFirstLine = !sequence.isContinuing;
+  }
+
+  /** Why the event after those returned cannot follow them; nothing is returned after it. */
+  get fault(): string | undefined {
+    return this.#fault;
+  }
+
   /** An event is complete. */
   get hasEvents(): boolean {
     return this.#hasEvents;
@@ -61,6 +80,7 @@
       } else if (byte === LINE_FEED || byte === CARRIAGE_RETURN) {
         if (this.#endLine(buffered.subarray(this.#lineStart, at))) end = at + 1;
         this.#lineStart = at + 1;
+        if (this.#fault !== undefined) break;
       }
     }
     this.#remainder = buffered.subarray(end);
@@ -74,16 +94,35 @@
       this.#isFirstLine && line.subarray(0, BYTE_ORDER_MARK.length).equals(BYTE_ORDER_MARK);
     this.#isFirstLine = false;
     const content = hasMark ? line.subarray(BYTE_ORDER_MARK.length) : line;
-    if (content.length === 0) {
-      this.#hasEvents ||= this.#hasField;
-      this.#hasField = false;
-      this.#lastId = this.#pendingId;
-      return true;
-    }
+    if (content.length === 0) return this.#endEvent();
     if (content[0] === COLON) return false;
     this.#hasField = true;
+    this.#hasData ||= isData(content);
     const id = content[0] === LOWER_I ? ID_FIELD.exec(content.toString('latin1')) : null;
-    if (id && !id[1]?.includes(NUL)) this.#pendingId = id[1] ?? '';
+    if (id && !id[1]?.includes(NUL)) {
+      this.#pendingId = id[1] ?? '';
+      this.#ownId = this.#pendingId;
+    }
     return false;
   }
+
+  /** Returns true if the event follows those before it. */
+  #endEvent(): boolean {
+    if (this.#hasField) {
+      const id = this.#ownId === '' ? undefined : this.#ownId;
+      this.#fault = this.#sequence.add({ id, hasData: this.#hasData });
+      if (this.#fault !== undefined) return false;
+      this.#hasEvents = true;
+    }
+    this.#hasField = false;
+    this.#hasData = false;
+    this.#ownId = undefined;
+    this.#lastId = this.#pendingId;
+    return true;
+  }
+}
+
+function isData(line: Buffer): boolean {
+  const hasName = line.subarray(0, DATA_NAME.length).equals(DATA_NAME);
+  return hasName && (line.length === DATA_NAME.length || line[DATA_NAME.length] === COLON);
 }
--- a/test/gateway/resumed-stream.test.ts
+++ b/test/gateway/resumed-stream.test.ts
@@ -154,3 +154,86 @@
   t.is(reply.headers['response-signature'], 's.1');
   t.true(reply.isComplete);
 });
+
+/** Events with opaque ids. */
+function opaque(...ids: readonly string[]): string {
+  return ids.map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
+}
+
+const RESTARTS: Readonly<Record<string, readonly [sent: string, continuation: string]>> = {
+  'from the start': [SENT, event(1) + event(2) + event(3)],
+  'at the last event that was sent': [SENT, event(2) + event(3)],
+  'at an earlier one of ids with two digits': [event(9) + event(10), event(9) + event(11)],
+  'at an earlier one of opaque ids': [opaque('b', 'a', 'c'), opaque('a', 'c', 'd')],
+  'from the start of opaque ids': [opaque('b', 'a', 'c'), opaque('b', 'a', 'c', 'd')],
+  'with an event without an id': [SENT, `data: piece 1\n\n${event(3)}`],
+  'after an event that is missing': [SENT, event(4)],
+  'from the start after a comment': [SENT, `: again\n\n${event(1)}${event(2)}${event(3)}`],
+  'from the start behind an id without data': [SENT, `id: 0\n\n${event(1)}${event(3)}`],
+  'from the start behind a byte order mark': [SENT, `\uFEFF${event(1)}${event(2)}${event(3)}`],
+};
+
+for (const [name, [sent, continuation]] of Object.entries(RESTARTS)) {
+  // Guards against events that come twice, or are missing, in a stream of two runs (ORDER).
+  test(`a resumed stream whose next runner begins ${name} goes on elsewhere`, async (t) => {
+    const last = sent.includes('10') ? '11' : sent === SENT ? '3' : 'd';
+    const broken: ResponseOf = (request) => whole(request, continuation);
+    const right: ResponseOf = (request) => whole(request, opaque(last));
+    const first: ResponseOf = (request) => brokenOff(request, sent);
+    const resumed = await callOver(t, [first, broken, right]);
+    const comment = continuation.startsWith(':') ? ': again\n\n' : '';
+    t.is(resumed.reply.body, sent + comment + opaque(last));
+    t.true(resumed.reply.isComplete);
+    const ended = await callOver(t, [first, broken]);
+    t.is(ended.reply.body, sent + comment);
+    t.false(ended.reply.isComplete);
+    t.regex(String(reasonsOf(ended.harness).at(-1)), /^event of the stream /);
+  });
+}
+
+// Guards against breaking off streams whose ids are right.
+test('a resumed stream goes on with ids that increase in another way', async (t) => {
+  const streams: readonly (readonly [string, string])[] = [
+    [event(5) + event(10), event(12) + event(20)],
+    [event(1), event(7)],
+    [opaque('k', 'b'), opaque('a', 'c')],
+    [opaque('99999999999999999998'), opaque('99999999999999999999')],
+    [SENT, `: still here\n\nretry: 100\n\n${event(3)}data: no id\n\n`],
+  ];
+  for (const [sent, continuation] of streams) {
+    const { reply } = await callOver(t, [
+      (request) => brokenOff(request, sent),
+      (request) => whole(request, continuation),
+    ]);
+    t.is(reply.body, sent + continuation);
+    t.true(reply.isComplete);
+  }
+});
+
+// Guards against events that come twice in the stream of one runner (ORDER).
+test('a stream whose runner repeats an event goes on elsewhere after the events that were right', async (t) => {
+  for (const repeated of [event(1), event(2)]) {
+    const { reply, received } = await callOver(t, [
+      (request) => whole(request, SENT + repeated + event(3)),
+      (request) => whole(request, event(3)),
+    ]);
+    t.is(reply.body, SENT + event(3));
+    t.true(reply.isComplete);
+    t.regex(received[1]?.head ?? '', /Last-Event-Id: 2\r\n/);
+  }
+});
+
+// Guards against breaking off streams of one runner that are passed on as they are.
+test('a stream of one runner without ids, with some or with gaps is passed on as it is', async (t) => {
+  const texts = [
+    'data: a\n\ndata: b\n\n',
+    `data: a\n\n${event(1)}data: b\n\n${event(7)}`,
+    opaque('a', 'a', 'b'),
+    `id: 1\n\n${event(1)}id: 1\n\n${event(2)}`,
+  ];
+  for (const text of texts) {
+    const { reply } = await callOver(t, [(request) => whole(request, text)]);
+    t.is(reply.body, text);
+    t.true(reply.isComplete);
+  }
+});
--- a/test/gateway/scripted-response.ts
+++ b/test/gateway/scripted-response.ts
@@ -31,7 +31,7 @@
 
 /** One chunk of a chunked body. */
 export function chunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
+  return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 }
 
 /** One event of a stream. */
