Do not resume a stream after an event that has no id

Callers saw an event twice: a stream ended with an event without an id (or with an empty one, which resets it) and broke off. Last-Event-Id named the last event with an id, and the next runner sent again what came after it.

The cause: the last id that was sent was taken for the id of the last event. A stream can now be continued only if its last event has an id of its own; otherwise it is aborted visibly.

Before: 'a stream whose last event has no id of its own is not resumed after the one before it' failed (two requests, the last event twice).

--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -45,7 +45,7 @@
 
   /** Whether another runner can produce the rest of the response. */
   get canContinue(): boolean {
-    return !this.hasBegun || this.#lastEventId !== undefined;
+    return !this.hasBegun || (this.#lastEventId !== undefined && this.#sequence.isIdentified);
   }
 
   /** The response that has begun last has brought an event. */
--- a/test/gateway/resumed-stream.test.ts
+++ b/test/gateway/resumed-stream.test.ts
@@ -223,6 +223,19 @@
   }
 });
 
+// Guards against events that come twice because the last one that was sent had no id (ORDER).
+test('a stream whose last event has no id of its own is not resumed after the one before it', async (t) => {
+  for (const last of ['data: no id\n\n', 'id\ndata: empty id\n\n']) {
+    const { reply, received } = await callOver(t, [
+      (request) => brokenOff(request, event(1) + last),
+      (request) => whole(request, last + event(3)),
+    ]);
+    t.is(reply.body, event(1) + last);
+    t.false(reply.isComplete);
+    t.is(received.length, 1);
+  }
+});
+
 // Guards against breaking off streams of one runner that are passed on as they are.
 test('a stream of one runner without ids, with some or with gaps is passed on as it is', async (t) => {
   const texts = [
