Send the head of the runner whose body is sent

Callers got status, headers and signature of one runner with the body of another: a stream broke off before its first event, so that nothing had been sent, and the next runner answered with another success. JSON came as an event stream, a 204 as a 200 that looked like a complete, empty stream.

The cause: the channel kept the first head that it was given, sent or not. It now keeps the last one until something has been sent.

Before: 'a stream that breaks off before its first event leaves nothing of its head' failed (200 in place of 201, and of 204).

--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -53,7 +53,7 @@
     return this.#splitter?.hasEvents ?? false;
   }
 
-  /** Why the next event cannot follow those that were sent; neither it nor anything after it is sent. */
+  /** Why nothing after the events that were sent can follow them. */
   get fault(): string | undefined {
     return this.#splitter?.fault;
   }
@@ -86,8 +86,8 @@
   }
 
   begin(head: ResponseHead): void {
-    this.#head ??= head;
     if (this.hasBegun) this.#sequence.continueElsewhere();
+    else this.#head = head;
     this.#splitter = isEventStream(head.contentType)
       ? new EventSplitter(this.#sequence)
       : undefined;
--- a/test/gateway/resumed-stream.test.ts
+++ b/test/gateway/resumed-stream.test.ts
@@ -155,6 +155,29 @@
   t.true(reply.isComplete);
 });
 
+// Guards against the head of one runner before the body of another one (MIXED, ORDER).
+test('a stream that breaks off before its first event leaves nothing of its head', async (t) => {
+  const unbegun: ResponseOf = (request) => {
+    const framing = ['Content-Type: text/event-stream', 'X-Run: 1', 'Transfer-Encoding: chunked'];
+    return headFor(request, { framing }) + chunk('id: 1\nda');
+  };
+  const json = ['Content-Type: application/json', 'X-Run: 2', 'Content-Length: 2'];
+  const { reply } = await callOver(t, [
+    unbegun,
+    (request) => `${headFor(request, { status: '201 Created', framing: json })}{}`,
+  ]);
+  t.is(reply.status, 201);
+  t.is(reply.headers['content-type'], 'application/json');
+  t.is(reply.headers['x-run'], '2');
+  t.is(reply.body, '{}');
+  const empty = await callOver(t, [
+    unbegun,
+    (request) => headFor(request, { status: '204 No Content', framing: ['X-Run: 2'] }),
+  ]);
+  t.is(empty.reply.status, 204);
+  t.is(empty.reply.headers['x-run'], '2');
+});
+
 /** Events with opaque ids. */
 function opaque(...ids: readonly string[]): string {
   return ids.map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
