--- a/test/gateway/resumed-stream.test.ts
+++ b/test/gateway/resumed-stream.test.ts
@@ -178,6 +178,28 @@
   t.is(empty.reply.headers['x-run'], '2');
 });
 
+/** Heads of responses that do not continue a stream though their bodies would. */
+const OTHER_HEADS: Readonly<Record<string, readonly string[]>> = {
+  'no signature': ['Request-Id: ID', 'Content-Type: text/event-stream'],
+  'the id of another request': ['Request-Id: other', 'Response-Signature: s.1'],
+  'no request id': ['Response-Signature: s.1'],
+  'another type': ['Request-Id: ID', 'Response-Signature: s.1', 'Content-Type: text/plain'],
+  'an encoding': ['Request-Id: ID', 'Response-Signature: s.1', 'Content-Encoding: gzip'],
+};
+
+for (const [name, headers] of Object.entries(OTHER_HEADS)) {
+  // Guards against bytes of another response in a stream (MIXED).
+  test(`a stream is not resumed with a response with ${name}`, async (t) => {
+    const { reply } = await resumeWith(t, (request) => {
+      const lines = ['HTTP/1.1 200 OK', ...headers, 'Transfer-Encoding: chunked', '', ''];
+      const head = lines.join('\r\n').replace('Request-Id: ID', `Request-Id: ${request.id}`);
+      return head + chunk(event(3)) + LAST_CHUNK;
+    });
+    t.is(reply.body, SENT);
+    t.false(reply.isComplete);
+  });
+}
+
 /** Events with opaque ids. */
 function opaque(...ids: readonly string[]): string {
   return ids.map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
