Break a stream off where its runner writes the head of another response

Callers found the head and text of an error in the middle of their stream, and the stream looked complete: a runner wrote "HTTP/1.1 503 ..." behind its events, or inside one, into a body without framing, within a chunk or a length. Inside an event the caller got "data: pieHTTP/1.1 503 Service Unavailable".

The cause: the node took all bytes before the end of a body for events. A status line has no colon and is ignored by readers of event streams, but nothing that follows is part of the stream any more.

A status line, or one of the fields that frame a response (Content-Length, Content-Type, Transfer-Encoding, Connection), at the start of a line now ends the attempt before the event that contains it; no event has such a field, and data and comments may contain their text. The stream goes on elsewhere or is aborted visibly.

What cannot be known: an error's text without a head between two line ends, which readers ignore, and a head hidden behind the start of an event that has none of these fields.

--- a/packages/gateway/src/types/response-sink.ts
+++ b/packages/gateway/src/types/response-sink.ts
@@ -6,7 +6,7 @@
   readonly hasBegun: boolean;
   /** The response that has begun last has brought an event. */
   readonly hasEvents: boolean;
-  /** Why the next event cannot follow those that were sent; neither it nor anything after it is sent. */
+  /** Why nothing after the events that were sent can follow them. */
   readonly fault: string | undefined;
   /** Bytes received after the last complete event. */
   readonly partialEventBytes: number;
--- a/packages/gateway/src/utils/event-splitter.ts
+++ b/packages/gateway/src/utils/event-splitter.ts
@@ -1,4 +1,5 @@
 import { EventSequence } from './event-sequence.ts';
+import { isHeadLine } from './is-head-line.ts';
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
@@ -37,7 +38,7 @@
     this.#isFirstLine = !sequence.isContinuing;
   }
 
-  /** Why the event after those returned cannot follow them; nothing is returned after it. */
+  /** Why nothing after the events that were returned can follow them. */
   get fault(): string | undefined {
     return this.#fault;
   }
@@ -96,6 +97,10 @@
     const content = hasMark ? line.subarray(BYTE_ORDER_MARK.length) : line;
     if (content.length === 0) return this.#endEvent();
     if (content[0] === COLON) return false;
+    if (isHeadLine(content)) {
+      this.#fault = 'event stream contains the head of another response';
+      return false;
+    }
     this.#hasField = true;
     this.#hasData ||= isData(content);
     const id = content[0] === LOWER_I ? ID_FIELD.exec(content.toString('latin1')) : null;
--- a/test/gateway/resumed-stream.test.ts
+++ b/test/gateway/resumed-stream.test.ts
@@ -200,6 +200,68 @@
   });
 }
 
+const ERROR_TEXT = '{"code":"busy"}';
+const ERROR_HEAD = `HTTP/1.1 503 Service Unavailable\r\nContent-Length: ${ERROR_TEXT.length}\r\n\r\n`;
+const ERROR = ERROR_HEAD + ERROR_TEXT;
+const INSIDE = 'id: 3\ndata: pie';
+/** Streams into which their runner writes an error. */
+const MIXED_STREAMS: Readonly<Record<string, ResponseOf>> = {
+  'between two events, without framing': (request) => unframed(request, SENT + ERROR),
+  'inside an event, without framing': (request) => unframed(request, SENT + INSIDE + ERROR),
+  'inside an event and behind line ends, without framing': (request) => {
+    return unframed(request, `${SENT}${INSIDE}${ERROR}\n\n${event(4)}`);
+  },
+  'between two events, and its text ends like an event': (request) => {
+    return unframed(request, `${SENT}${ERROR}\n\n`);
+  },
+  'between two events, in place of a chunk': (request) => brokenOff(request, SENT) + ERROR,
+  'inside an event, in place of a chunk': (request) => brokenOff(request, SENT + INSIDE) + ERROR,
+  'inside an event, in a chunk': (request) => whole(request, `${SENT}${INSIDE}${ERROR}\n\n`),
+  'inside an event, within the length': (request) => {
+    const text = `${SENT}${INSIDE}${ERROR}\n\n`;
+    return streamHeadFor(request, [`Content-Length: ${text.length}`]) + text;
+  },
+  'inside an event, without a length': (request) => {
+    const head = 'HTTP/1.1 503 Busy\r\nConnection: close\r\n\r\n';
+    return unframed(request, `${SENT}${INSIDE}${head}`);
+  },
+};
+
+function unframed(request: ReceivedRequest, text: string): string {
+  return streamHeadFor(request, ['Connection: close']) + text;
+}
+
+for (const [name, responseOf] of Object.entries(MIXED_STREAMS)) {
+  // Guards against the error of a runner in the middle of a stream (MIXED).
+  test(`a runner that writes an error ${name}, is left, and its stream goes on elsewhere`, async (t) => {
+    const resumed = await callOver(t, [
+      responseOf,
+      (request) => {
+        const isResumed = request.head.includes('Last-Event-Id: 2\r\n');
+        return whole(request, isResumed ? event(3) : SENT + event(3));
+      },
+    ]);
+    t.is(resumed.reply.body, SENT + event(3));
+    t.true(resumed.reply.isComplete);
+    const ended = await callOver(t, [responseOf]);
+    // A chunk that cannot be read may hide those before it.
+    if (ended.reply.status === 502) return;
+    t.is(ended.reply.body, SENT);
+    t.false(ended.reply.isComplete);
+  });
+}
+
+// Guards against breaking off streams that tell of HTTP.
+test('an event may contain the text of a head, and fields that are not known', async (t) => {
+  const text = [
+    'id: 1\nweight-versions: 3\ndata: HTTP/1.1 503 Service Unavailable\ndata: Content-Length: 4\n\n',
+    'id: 2\nevent: connection\ndata\nHTTP: 1\nconnections: 2\n: HTTP/1.1 503 Busy\n\n',
+  ].join('');
+  const { reply } = await callOver(t, [(request) => whole(request, text)]);
+  t.is(reply.body, text);
+  t.true(reply.isComplete);
+});
+
 /** Events with opaque ids. */
 function opaque(...ids: readonly string[]): string {
   return ids.map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
