--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -104,19 +104,26 @@
     options: GatewayHarnessOptions = {},
   ): Promise<GatewayHarness> {
     const harness = new GatewayHarness(options);
-    if (!options.isEmpty && !options.log) await harness.configure({});
-    for (const [index, runner] of (options.runners ?? []).entries()) {
-      await harness.registerRunner(`r${index}`, runner.port);
-    }
-    await harness.gateway.start();
-    t.teardown(async () => {
-      await harness.gateway.close();
-      for (const runner of options.runners ?? []) await runner.close();
-    });
-    if (!options.isEmpty) await harness.waitUntil(() => harness.isReady());
+    await harness.#launch();
+    t.teardown(() => harness.close());
+    await harness.#waitUntilReady();
     return harness;
   }
 
+  /** Starts a gateway and waits until it is ready; the test closes it. */
+  static async open(options: GatewayHarnessOptions = {}): Promise<GatewayHarness> {
+    const harness = new GatewayHarness(options);
+    await harness.#launch();
+    await harness.#waitUntilReady();
+    return harness;
+  }
+
+  /** Closes the gateway and its runners. */
+  async close(): Promise<void> {
+    await this.gateway.close();
+    for (const runner of this.options.runners ?? []) await runner.close();
+  }
+
   /** Writes to a shared log on behalf of the operator and the runners; its gateway is not started. */
   static writerFor(log: KeyedLog): GatewayHarness {
     return new GatewayHarness({ log });
@@ -286,4 +293,17 @@
   async waitUntil(condition: () => boolean | Promise<boolean>): Promise<void> {
     while (!(await condition())) await new Promise((resolve) => setTimeout(resolve, 10));
   }
+
+  async #launch(): Promise<void> {
+    const { isEmpty, log, runners = [] } = this.options;
+    if (!isEmpty && !log) await this.configure({});
+    for (const [index, runner] of runners.entries()) {
+      await this.registerRunner(`r${index}`, runner.port);
+    }
+    await this.gateway.start();
+  }
+
+  async #waitUntilReady(): Promise<void> {
+    if (!this.options.isEmpty) await this.waitUntil(() => this.isReady());
+  }
 }
