Do not join the events of two runs in the caller's client

A caller would have got the beginning of one run and the end of another as one answer: its connection broke off, the node that it resumed at began from the start (or went on in a log that has been superseded), the client dropped the events whose numbers it knew and yielded the rest.

The cause: events were told apart by their numbers alone. Their ids also name the epoch of the owner that produced them. An event that comes again with another epoch, or follows with an older one, now ends the connection, and the answer is resumed at the next node until the caller's patience ends.

A 204, an empty or JSON body and the head of an error in place of the rest were already resumed; a test shows it. The project's nodes refuse to resume an unknown event (EventLog.eventsAfter).

--- a/packages/client/src/node/caller-client.ts
+++ b/packages/client/src/node/caller-client.ts
@@ -43,6 +43,8 @@
       request.observer?.connecting(node, progress.requestId !== undefined);
       try {
         for await (const event of this.#connect(node, request, progress)) {
+          if (progress.isForeign(event))
+            throw new ConnectionLost(node, 'an event is of another run');
           if (progress.isBehind(event)) throw new ConnectionLost(node, 'an event is missing');
           if (progress.advance(event)) yield event;
         }
@@ -114,12 +116,21 @@
   lastEventId = '0-0';
   #isFinished = false;
   #lastNumber = 0;
+  /** Epochs of the events by their numbers. */
+  readonly #epochs: number[] = [0];
 
   /** True once the final event has been received. */
   isFinished(): boolean {
     return this.#isFinished;
   }
 
+  /** True if the event has come before with another epoch, or its epoch is older than the last one. */
+  isForeign(event: AnswerEvent): boolean {
+    const number = numberOf(event);
+    if (number <= this.#lastNumber) return epochOf(event) !== this.#epochs[number];
+    return epochOf(event) < (this.#epochs.at(-1) ?? 0);
+  }
+
   /** True if events between the last one received and `event` are missing, or it has no number. */
   isBehind(event: AnswerEvent): boolean {
     return !(numberOf(event) <= this.#lastNumber + 1);
@@ -130,6 +141,7 @@
     const number = numberOf(event);
     if (number <= this.#lastNumber) return false;
     this.#lastNumber = number;
+    this.#epochs.push(epochOf(event));
     this.lastEventId = event.id;
     if (
       event.type === 'accepted' &&
@@ -147,3 +159,8 @@
 function numberOf({ id }: AnswerEvent): number {
   return Number(id.split('-')[1]);
 }
+
+/** Epoch of an event, which its id contains; NaN if the id is malformed. */
+function epochOf({ id }: AnswerEvent): number {
+  return Number(id.split('-')[0]);
+}
--- a/test/client/caller-client.test.ts
+++ b/test/client/caller-client.test.ts
@@ -108,6 +108,47 @@
   }
 });
 
+// Guards against joining the pieces of two runs into one answer.
+test('resumes elsewhere when a node goes on with the events of another run', async (t) => {
+  const foreign = [
+    // From the start, in spite of Last-Event-Id.
+    event(1, 'accepted', { id: ID }, 2) + event(2, 'token', {}, 2) + event(3, 'done', {}, 2),
+    // After the last event, in a log that has been superseded.
+    event(3, 'done', {}, 0),
+  ];
+  for (const text of foreign) {
+    const { client, calls } = await serve(t, [
+      stream(ACCEPTED + TOKEN, 'break'),
+      stream(text, 'end'),
+      stream(DONE, 'end'),
+    ]);
+    const answer = await collectAnswer(client);
+    t.deepEqual(
+      answer.map(({ id }) => id),
+      ['1-1', '1-2', '1-3'],
+    );
+    t.is(calls[2]?.headers['last-event-id'], '1-2');
+  }
+});
+
+// Guards against taking a success without a stream for the end of an answer.
+test('resumes when a node answers without a stream', async (t) => {
+  const others: readonly Handler[] = [
+    (_request, response) => response.writeHead(204).end(),
+    (_request, response) => response.writeHead(200, { 'content-length': 0 }).end(),
+    (_request, response) => response.writeHead(200).end('{"code":"failed"}\n\n'),
+    stream('HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\noops\n\n', 'end'),
+  ];
+  for (const other of others) {
+    const { client } = await serve(t, [
+      stream(ACCEPTED + TOKEN, 'break'),
+      other,
+      stream(DONE, 'end'),
+    ]);
+    t.deepEqual(types(await collectAnswer(client)), COMPLETE_ANSWER);
+  }
+});
+
 // Guards against taking a stream that is cut inside its last event for a finished one.
 test('resumes when a stream without framing ends inside an event', async (t) => {
   const { client, calls } = await serve(t, [
