Fail an attempt whose engine begins again with other tokens

A caller would have got tokens of two runs as one text: an engine that was asked to go on after the generated tokens began from the first one; tokens with known indexes were dropped, whatever they were, and those after them followed the text of the first run.

The cause is that of the gateway's restarts: where the next run begins was told and not checked. A token that comes again must now be the one that was sent; otherwise the attempt has failed and the request goes on elsewhere.

The test 'tokens that the caller has already received are not emitted again' expected the joined text (z, then b of a run that began with a). It now has the same token come again; the old case is the new test, which failed before.

--- a/packages/node/src/node/runners/model-attempt.ts
+++ b/packages/node/src/node/runners/model-attempt.ts
@@ -156,7 +156,7 @@
       return undefined;
     }
     const expected = this.owned.tokenCount;
-    if (engineEvent.index < expected) return undefined;
+    if (engineEvent.index < expected) return this.#compareToken(engineEvent);
     if (engineEvent.index > expected)
       return {
         kind: 'failed',
@@ -168,6 +168,19 @@
     return undefined;
   }
 
+  /** A token that the caller has received may come again only as it was. */
+  #compareToken({
+    index,
+    text,
+  }: Extract<EngineEvent, { readonly type: 'token' }>): AttemptEnd | undefined {
+    if (this.owned.events.tokens[index] === text) return undefined;
+    return {
+      kind: 'failed',
+      reason: 'the runner began the stream again with another token',
+      countsAgainstVersion: true,
+    };
+  }
+
   #classifyFinish(finish: string): AttemptEnd {
     if (COMPLETE_FINISH_REASONS.has(finish)) return { kind: 'done', tokens: this.owned.tokenCount };
     return {
--- a/test/node/model-attempt.test.ts
+++ b/test/node/model-attempt.test.ts
@@ -93,10 +93,20 @@
 });
 
 test('tokens that the caller has already received are not emitted again', async (t) => {
+  const owned = ownedBy('a');
+  owned.events.add({ type: 'token', index: 0, text: 'a' });
+  const end = await attemptOf(owned, [...tokens, { type: 'done', finish: 'length' }]).run();
+  t.is(end.kind, 'done');
+  t.deepEqual(owned.events.tokens, ['a', 'b']);
+});
+
+// Guards against joining the tokens of two runs into one answer.
+test('an engine that begins again with other tokens is a failed attempt', async (t) => {
   const owned = ownedBy('a');
   owned.events.add({ type: 'token', index: 0, text: 'z' });
-  await attemptOf(owned, [...tokens, { type: 'done', finish: 'length' }]).run();
-  t.deepEqual(owned.events.tokens, ['z', 'b']);
+  const end = await attemptOf(owned, [...tokens, { type: 'done', finish: 'length' }]).run();
+  t.is(end.kind, 'failed');
+  t.deepEqual(owned.events.tokens, ['z']);
 });
 
 test('two owners of one request never use the same attempt id at an engine', (t) => {
