Let the soak check the status and signature of streams and reads

The soak passed over a stream that ended as another success: a body was compared only after 200, so that a 204 or 206 for a stream went unseen. The signature was checked only of requests that run once.

Any other success is now a violation, as its runners send none; and a signature must be that of one of the request's runs (of the first, as before, for requests that may run once). Repeated and missing events and an early end of a stream were seen before.

Before: the new test found none of its four violations.

--- a/packages/soak/src/utils/request-tracker.ts
+++ b/packages/soak/src/utils/request-tracker.ts
@@ -6,6 +6,7 @@
 import { streamText } from './stream-text.ts';
 
 const OK = 200;
+const FIRST_REDIRECT = 300;
 /** Statuses that guarantee that the request did not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Number of characters shown on each side of a difference. */
@@ -319,13 +320,18 @@
     if (request.crashes === undefined && answer?.body.includes('request-quarantined')) {
       this.recordViolation('sound-request', `${request.id} was rejected and is sound`);
     }
-    if (answer?.status !== OK) return;
-    const run = this.#runs.get(request.id)?.[0];
-    if (!run) {
+    if (!answer || !isSuccess(answer)) return;
+    if (answer.status !== OK) {
+      this.recordViolation('own-answer', `${request.id} had ${String(answer.status)} of no runner`);
+      return;
+    }
+    const runs = this.#runs.get(request.id) ?? [];
+    if (runs.length === 0) {
       this.recordViolation('own-answer', `${request.id} was answered and has not run`);
       return;
     }
-    if (answer.signature !== `${run.runner}.${request.id}` && !isRepeatable(request)) {
+    const answering = isRepeatable(request) ? runs : runs.slice(0, 1);
+    if (!answering.some(({ runner }) => answer.signature === `${runner}.${request.id}`)) {
       this.recordViolation(
         'own-answer',
         `${request.id} has the signature ${String(answer.signature)}`,
@@ -361,6 +367,11 @@
   }
 }
 
+/** The soak's runners succeed with 200 only. */
+function isSuccess({ status }: ObservedAnswer): boolean {
+  return status !== undefined && status >= OK && status < FIRST_REDIRECT;
+}
+
 /** Returns the part of the body around its first difference from the expected one. */
 function excerptAtDifference(expected: string, body: string): string {
   let at = 0;
--- a/test/soak/request-tracker.test.ts
+++ b/test/soak/request-tracker.test.ts
@@ -94,6 +94,30 @@
   t.deepEqual(messages, ['early', 'skips', 'repeats']);
 });
 
+// Guards against a check that passes over streams that end as another success or without their runner.
+test('a stream that succeeds with another status or without a signature of its runs is a violation', (t) => {
+  const tracker = new RequestTracker();
+  const changes: Readonly<Record<string, Partial<ObservedAnswer>>> = {
+    'no-content': { status: 204, body: '' },
+    partial: { status: 206 },
+    unsigned: { signature: undefined },
+    foreign: { signature: 'r3.foreign' },
+    resumed: { signature: 'r1.resumed' },
+  };
+  for (const [id, change] of Object.entries(changes)) {
+    recordSent(tracker, id, 'ask', 1);
+    tracker.recordRun(run(id));
+    tracker.recordRun(run(id, { runner: 'r2', after: 1 }));
+    const body = `id: 1\ndata: ${id} 1/1\n\n`;
+    tracker.recordAnswer(answer(id, { body, ...change }));
+  }
+  const violations = tracker.check();
+  t.deepEqual(
+    violations.map(({ promise, message }) => `${promise} ${message.split(' ')[0] ?? ''}`),
+    ['no-content', 'partial', 'unsigned', 'foreign'].map((id) => `own-answer ${id}`),
+  );
+});
+
 test('a sound request that is rejected for its prompt is a violation, one that crashes runners is not', (t) => {
   const tracker = new RequestTracker();
   recordSent(tracker, 'a', 'ask', 3);
