--- a/packages/gateway/src/node/attempt-sink.ts
+++ b/packages/gateway/src/node/attempt-sink.ts
@@ -1,17 +1,24 @@
 import type { ResponseHead } from '../types/response-head.ts';
 import type { ResponseSink } from '../types/response-sink.ts';
+import type { EventSplitter } from '../utils/event-splitter.ts';
+import type { CallerChannel } from './caller-channel.ts';
 
 interface AttemptSinkOptions {
-  /** Receives the response of the attempt that sends the next bytes. */
-  readonly target: ResponseSink;
+  /** Receives the response of the attempt that sends the next event. */
+  readonly channel: CallerChannel;
   /** Called before bytes are passed on, so that other attempts can be ended. */
   readonly onBytes: () => void;
 }
 
-/** Sink of one of several attempts at the same request; its head counts only once bytes follow. */
+/**
+ * Sink of one of several attempts at the same request. Nothing is passed on before a whole event has
+ * arrived that follows those that were sent, so that no other attempt ends for less.
+ */
 export class AttemptSink implements ResponseSink {
   readonly #options: AttemptSinkOptions;
   #head: ResponseHead | undefined;
+  #preview: EventSplitter | undefined;
+  #pending: readonly Buffer[] = [];
   #hasPushed = false;
 
   constructor(options: AttemptSinkOptions) {
@@ -19,15 +26,24 @@
   }
 
   get hasBegun(): boolean {
-    return this.#options.target.hasBegun;
+    return this.#options.channel.hasBegun;
+  }
+
+  get hasEvents(): boolean {
+    return this.#source?.hasEvents ?? false;
+  }
+
+  get fault(): string | undefined {
+    return this.#source?.fault;
   }
 
   get partialEventBytes(): number {
-    return this.#hasPushed ? this.#options.target.partialEventBytes : 0;
+    return this.#source?.partialEventBytes ?? 0;
   }
 
   get bufferedBytes(): number {
-    return this.#hasPushed ? this.#options.target.bufferedBytes : 0;
+    if (this.#hasPushed) return this.#options.channel.bufferedBytes;
+    return this.#preview?.remainder.length ?? 0;
   }
 
   /** Bytes of the attempt have been passed on. */
@@ -37,23 +53,36 @@
 
   begin(head: ResponseHead): void {
     this.#head = head;
+    this.#preview = this.#options.channel.previewOf(head);
   }
 
   push(bytes: Buffer): Promise<void> | undefined {
-    this.#claim();
-    return this.#options.target.push(bytes);
+    if (this.#hasPushed) return this.#pass(bytes);
+    this.#pending = [...this.#pending, bytes];
+    const isHeldBack = this.#preview?.push(bytes).length === 0;
+    return isHeldBack ? undefined : this.#passPending();
   }
 
   end(): void {
-    this.#claim();
-    this.#options.target.end();
+    if (!this.#hasPushed) void this.#passPending();
+    this.#options.channel.end();
   }
 
-  #claim(): void {
-    const { target, onBytes } = this.#options;
-    onBytes();
-    if (this.#hasPushed || !this.#head) return;
+  get #source(): CallerChannel | EventSplitter | undefined {
+    return this.#hasPushed ? this.#options.channel : this.#preview;
+  }
+
+  #passPending(): Promise<void> | undefined {
+    const bytes = Buffer.concat(this.#pending);
+    this.#pending = [];
+    this.#options.onBytes();
     this.#hasPushed = true;
-    target.begin(this.#head);
+    if (this.#head) this.#options.channel.begin(this.#head);
+    return bytes.length === 0 ? undefined : this.#options.channel.push(bytes);
+  }
+
+  #pass(bytes: Buffer): Promise<void> | undefined {
+    this.#options.onBytes();
+    return this.#options.channel.push(bytes);
   }
 }
--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -5,6 +5,7 @@
 import type { ResponseHead } from '../types/response-head.ts';
 import type { ResponseSink } from '../types/response-sink.ts';
 import type { Dialect } from '../types/dialect.ts';
+import { EventSequence } from '../utils/event-sequence.ts';
 import { EventSplitter } from '../utils/event-splitter.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
 
@@ -22,6 +23,7 @@
   readonly #response: ServerResponse;
   /** Undefined for a body that is not an event stream, which is sent as it arrives. */
   #splitter: EventSplitter | undefined;
+  readonly #sequence = new EventSequence();
   #head: ResponseHead | undefined;
   #lastEventId: string | undefined;
   #onFirstEvent: () => void = () => undefined;
@@ -43,7 +45,17 @@
 
   /** Whether another runner can produce the rest of the response. */
   get canContinue(): boolean {
-    return !this.hasBegun || this.#lastEventId !== undefined;
+    return !this.hasBegun || (this.#lastEventId !== undefined && this.#sequence.isIdentified);
+  }
+
+  /** The response that has begun last has brought an event. */
+  get hasEvents(): boolean {
+    return this.#splitter?.hasEvents ?? false;
+  }
+
+  /** Why nothing after the events that were sent can follow them. */
+  get fault(): string | undefined {
+    return this.#splitter?.fault;
   }
 
   /** Bytes received after the last complete event, which have not been sent. */
@@ -73,9 +85,20 @@
     this.#onFirstEvent = listener;
   }
 
+  /** Splitter that tells whether a response could begin or go on here, without a change of this channel. */
+  previewOf(head: ResponseHead): EventSplitter | undefined {
+    if (!isEventStream(head.contentType)) return undefined;
+    const sequence = this.#sequence.fork();
+    if (this.hasBegun) sequence.continueElsewhere();
+    return new EventSplitter(sequence);
+  }
+
   begin(head: ResponseHead): void {
-    this.#head ??= head;
-    this.#splitter = isEventStream(head.contentType) ? new EventSplitter() : undefined;
+    if (this.hasBegun) this.#sequence.continueElsewhere();
+    else this.#head = head;
+    this.#splitter = isEventStream(head.contentType)
+      ? new EventSplitter(this.#sequence)
+      : undefined;
   }
 
   push(bytes: Buffer): Promise<void> | undefined {
--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -82,7 +82,7 @@
     pool.recordSend(this.entry);
     sessions.record(placement.session, this.entry.id, this.#sentAt);
     this.#sink = new AttemptSink({
-      target: channel,
+      channel,
       onBytes: () => {
         if (!this.#sink.hasPushed) {
           channel.onFirstEvent(() => {
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -162,7 +162,11 @@
     response.on('data', (bytes: Buffer) => {
       if (this.#isSettled) return;
       const drained = sink.push(bytes);
-      const { bufferedBytes } = sink;
+      const { bufferedBytes, fault } = sink;
+      if (fault !== undefined) {
+        this.abort({ kind: 'broken', reason: fault, isConnectionLost: false });
+        return;
+      }
       if (!this.#mayBuffer(bufferedBytes, MAX_EVENT_BYTES)) return;
       // Bytes that complete no event are no progress.
       if (bufferedBytes < bytes.length) this.#options.onProgress();
@@ -173,10 +177,7 @@
     response.on('end', () => {
       if (this.#isSettled) return;
       const transfer = this.#transfer();
-      const isEmptyStream =
-        isEventStream(head.contentType) &&
-        !sink.hasBegun &&
-        this.#options.request.lastEventId === undefined;
+      const isEmptyStream = isEventStream(head.contentType) && !sink.hasEvents;
       const reason = incompleteReason(response.complete, transfer, isEmptyStream);
       if (reason !== undefined) {
         this.#break(reason, !response.complete || transfer.framing === 'connection');
--- a/packages/gateway/src/utils/invalid-head-reason.ts
+++ b/packages/gateway/src/utils/invalid-head-reason.ts
@@ -1,5 +1,5 @@
 import type { ResponseHead } from '../types/response-head.ts';
-import { isEventStream } from './is-event-stream.ts';
+import { continuesStream } from './continues-stream.ts';
 import { isSuccess } from './is-success.ts';
 import { mismatchReason } from './mismatch-reason.ts';
 
@@ -18,6 +18,6 @@
   if (!isSuccess(head.status)) return undefined;
   if (head.isNotExecuted) return 'successful response has Not-Executed';
   if (head.signature === undefined) return 'successful response has no Response-Signature';
-  const isContinued = !hasBegun || isEventStream(head.contentType);
+  const isContinued = !hasBegun || continuesStream(head);
   return isContinued ? undefined : 'response does not continue the event stream';
 }
