Soak: sound runners that fall silent, odd entries, repeated refusals, streams that go on wrongly

New faults, drawn from the seed: runner-silent (one, some or all runners read and write nothing for 1 to 1.5 s, up to three times) beside changes of time-outs, attempts, idle limit, services, routes, keys and caps, SIGHUP, SIGTERM, rolling stops, lost links of nodes and odd entries; odd-entry; runner-repeats-refusal; streams-restart, streams-fail-resumed, streams-empty-resumed. A third of the seeds has no fault that makes a runner unsound.

The relay of the stand-ins can pause links.

The draws of all seeds change, since there are more kinds and seven runners of two services in place of four of one.

The test of cut-off streams in request-tracker.test.ts looks at stream-order only: a stream cut off with no fault around is now a violation of its own (cut-response), which find-losses.test.ts covers.

--- a/packages/soak/src/cli/soak.ts
+++ b/packages/soak/src/cli/soak.ts
@@ -1,5 +1,5 @@
 /** Runs the soak for consecutive seeds. Exits with a non-zero code if any run violated a promise. */
-import { rmSync } from 'node:fs';
+import { rmSync, writeFileSync } from 'node:fs';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { Soak } from '../node/soak.ts';
@@ -45,8 +45,10 @@
   }).run();
   print(result);
   if (args.plan) process.stdout.write(`${JSON.stringify(result.faults)}\n`);
-  if (result.violations.length > 0) failedSeeds += 1;
-  else rmSync(folder, { recursive: true, force: true });
+  if (result.violations.length > 0) {
+    failedSeeds += 1;
+    writeFileSync(`${folder}/result.json`, JSON.stringify(result, null, 2));
+  } else rmSync(folder, { recursive: true, force: true });
 }
 process.stdout.write(`${args.seeds} seeds, ${failedSeeds} with violations\n`);
 process.exitCode = failedSeeds === 0 ? 0 : 1;
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,12 +1,16 @@
 export { Soak } from './node/soak.ts';
+export { SoakRunner } from './node/soak-runner.ts';
 export type { FaultKind } from './types/fault-kind.ts';
+export type { FaultSpan } from './types/fault-span.ts';
 export type { PlannedFault } from './types/planned-fault.ts';
 export type { RequestKind } from './types/request-kind.ts';
 export type { ObservedAnswer } from './types/observed-answer.ts';
 export type { ObservedRun } from './types/observed-run.ts';
+export type { RunnerMode } from './types/runner-mode.ts';
 export type { SentRequest } from './types/sent-request.ts';
 export type { SoakOptions } from './types/soak-options.ts';
 export type { SoakResult } from './types/soak-result.ts';
 export type { Violation } from './types/violation.ts';
+export { findLosses } from './utils/find-losses.ts';
 export { RequestTracker } from './utils/request-tracker.ts';
 export { planFaults } from './utils/plan-faults.ts';
--- a/packages/soak/src/node/fault-injector.ts
+++ b/packages/soak/src/node/fault-injector.ts
@@ -24,6 +24,8 @@
 
 type StoreFault = Parameters<KeyedStore['setFault']>[0];
 
+/** Faults that affect one node only. */
+const NODE_FAULT = /^(node-|links-cut|links-dark|links-refuse-new|store-link-)/;
 const SLOW_LINK_MS = 150;
 /** Time for which the store is away before it comes back from a copy, in milliseconds. */
 const STORE_AWAY_MS = 300;
@@ -50,7 +52,16 @@
 
   /** Injects one fault; resolves once it has ended. */
   async inject(fault: PlannedFault): Promise<void> {
-    this.#options.tracker.recordFault(fault.kind);
+    const isOfOneNode = NODE_FAULT.test(fault.kind);
+    const recordEnd = this.#options.tracker.recordFault(
+      fault.kind,
+      isOfOneNode ? this.#node(fault.target)?.id : undefined,
+    );
+    await this.#apply(fault);
+    recordEnd();
+  }
+
+  async #apply(fault: PlannedFault): Promise<void> {
     const { store, cloud, storeWriter } = this.#options;
     const { kind, forMs, target } = fault;
     switch (kind) {
@@ -96,6 +107,26 @@
       case 'configure':
         storeWriter.configure();
         return;
+      case 'configure-timeouts':
+      case 'configure-attempts':
+      case 'configure-idle':
+      case 'configure-moves':
+      case 'configure-removes':
+      case 'configure-keys':
+      case 'configure-caps':
+        return storeWriter.change(kind, target, forMs);
+      case 'odd-entry':
+        return storeWriter.leaveOddEntry(target, forMs);
+      case 'runner-silent':
+        return this.#silence(target, forMs);
+      case 'runner-repeats-refusal':
+        return this.#runnerFault([target], 'repeats-refusal', forMs);
+      case 'streams-restart':
+        return this.#runnerFault([...storeWriter.targets], 'restart', forMs);
+      case 'streams-fail-resumed':
+        return this.#runnerFault([...storeWriter.targets], 'fail-resumed', forMs);
+      case 'streams-empty-resumed':
+        return this.#runnerFault([...storeWriter.targets], 'empty-resumed', forMs);
       case 'runner-limit':
         return this.#limitRunner(target, forMs);
       case 'prompt-crash':
@@ -117,17 +148,17 @@
       case 'runners-rest':
         return this.#rest([...storeWriter.targets], forMs);
       case 'runner-errors':
-        return this.#runnerFault(target, 'errors', forMs);
+        return this.#runnerFault([target], 'errors', forMs);
       case 'runner-mute':
-        return this.#runnerFault(target, 'mute', forMs);
+        return this.#runnerFault([target], 'mute', forMs);
       case 'runner-break-off':
-        return this.#runnerFault(target, 'break-off', forMs);
+        return this.#runnerFault([target], 'break-off', forMs);
       case 'runner-unframed':
-        return this.#runnerFault(target, 'unframed', forMs);
+        return this.#runnerFault([target], 'unframed', forMs);
       case 'runner-cut':
-        return this.#runnerFault(target, 'cut', forMs);
+        return this.#runnerFault([target], 'cut', forMs);
       case 'runner-reset':
-        return this.#runnerFault(target, 'reset', forMs);
+        return this.#runnerFault([target], 'reset', forMs);
       default:
         return this.#linkFault(fault);
     }
@@ -198,11 +229,21 @@
     await storeWriter.repeatNewest();
   }
 
-  async #runnerFault(target: number, mode: RunnerMode, forMs: number): Promise<void> {
-    const runner = this.#options.storeWriter.runnerAt(target);
-    runner?.setMode(mode);
+  async #runnerFault(targets: readonly number[], mode: RunnerMode, forMs: number): Promise<void> {
+    const runners = targets.map((target) => this.#options.storeWriter.runnerAt(target));
+    for (const runner of runners) runner?.setMode(mode);
+    await sleep(forMs);
+    for (const runner of runners) runner?.setMode('sound');
+  }
+
+  /** Lets a sound runner read and write nothing for a time; then it goes on. */
+  async #silence(target: number, forMs: number): Promise<void> {
+    const { relay, storeWriter } = this.#options;
+    const name = `runner-${target}`;
+    storeWriter.runnerAt(target)?.fallSilent(forMs);
+    await relay.setFault({ name, mode: 'paused', delayMs: 0 });
     await sleep(forMs);
-    runner?.setMode('sound');
+    await relay.setFault({ name, mode: 'open', delayMs: 0 });
   }
 
   async #limitRunner(target: number, forMs: number): Promise<void> {
--- a/packages/soak/src/node/soak-node.ts
+++ b/packages/soak/src/node/soak-node.ts
@@ -12,6 +12,8 @@
   readonly settings: object;
   /** Addresses through which the node's connections go instead, by the addresses that it connects to. */
   readonly routes: Readonly<Record<string, string>>;
+  /** Called when the process ends although no signal told it to. */
+  readonly onOwnEnd: (how: string) => void;
 }
 
 const ROUTE_PRELOAD = new URL('../../../standins/src/node/route-preload.ts', import.meta.url).href;
@@ -19,6 +21,8 @@
 /** Delay before a process that exited is restarted, in milliseconds. */
 const RESTART_DELAY_MS = 200;
 
+const ENDING_SIGNALS: ReadonlySet<NodeJS.Signals> = new Set(['SIGTERM', 'SIGKILL']);
+
 /** Node under test. Runs as a separate process, which is restarted whenever it exits. */
 export class SoakNode implements Closeable {
   readonly id: string;
@@ -28,10 +32,14 @@
   #settings: object;
   #child: ChildProcess | undefined;
   #exited: Promise<void> = Promise.resolve();
+  readonly #onOwnEnd: (how: string) => void;
+  /** Signal that the process must end by. */
+  #ending: NodeJS.Signals | undefined;
   #isClosing = false;
 
-  constructor({ id, folder, settings, routes }: SoakNodeOptions) {
+  constructor({ id, folder, settings, routes, onOwnEnd }: SoakNodeOptions) {
     this.id = id;
+    this.#onOwnEnd = onOwnEnd;
     this.#routes = routes;
     this.#settings = settings;
     this.#settingsPath = join(folder, `${id}.json`);
@@ -51,8 +59,14 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.#child = child;
+    this.#ending = undefined;
     child.stdout.pipe(this.#log, { end: false });
     child.stderr.pipe(this.#log, { end: false });
+    child.once('exit', (code, signal) => {
+      const isClean = code === 0 || signal === this.#ending;
+      if (this.#ending !== undefined && isClean) return;
+      this.#onOwnEnd(`exit code ${String(code)}, signal ${String(signal)}`);
+    });
     this.#exited = new Promise((resolve) => {
       child.once('close', () => {
         setTimeout(() => {
@@ -65,7 +79,8 @@
 
   /** Sends a signal to this node's process only. */
   signal(signal: NodeJS.Signals): void {
-    this.#child?.kill(signal);
+    const isSent = this.#child?.kill(signal) ?? false;
+    if (isSent && ENDING_SIGNALS.has(signal)) this.#ending = signal;
   }
 
   /** Merges `change` into the settings file and makes the process reload it with SIGHUP. */
--- a/packages/soak/src/node/soak-runner.ts
+++ b/packages/soak/src/node/soak-runner.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Closeable } from '@ragwortrudder/core';
 import { omitFraming } from '@ragwortrudder/standins';
@@ -18,6 +18,7 @@
 }
 
 const HTTP_OK = 200;
+const HTTP_NO_CONTENT = 204;
 const HTTP_MISDIRECTED = 421;
 const HTTP_SERVER_ERROR = 500;
 const HTTP_UNAVAILABLE = 503;
@@ -35,6 +36,14 @@
 const UNFRAMED_MODES: ReadonlySet<RunnerMode> = new Set(['unframed', 'cut', 'reset']);
 /** Modes in which streams break off inside an event. */
 const BREAKING_MODES: ReadonlySet<RunnerMode> = new Set(['break-off', 'cut', 'reset']);
+/** Modes in which streams break off inside an event, and those that go on are answered wrongly. */
+const RESUMPTION_MODES: ReadonlySet<RunnerMode> = new Set([
+  'restart',
+  'fail-resumed',
+  'empty-resumed',
+]);
+/** Time after which a refusal is repeated on a connection that is idle, in milliseconds. */
+const REPEAT_MS = 20;
 
 /** Runner whose responses are derived from the request, and that records every request it executes. */
 export class SoakRunner implements Closeable {
@@ -49,6 +58,12 @@
   #isLeaving = false;
   /** Until when the runner turns requests away and asks for rest. */
   #restsUntil = 0;
+  /** Until when the runner is silent on all connections, and does not work. */
+  #silentUntil = 0;
+  #refusals = 0;
+  /** Refusals to be written once more, by their connections. */
+  readonly #repeatedRefusals = new WeakMap<Socket, string>();
+  readonly #busySockets = new WeakSet<Socket>();
   readonly #unframedStreams = new Set<ServerResponse>();
 
   constructor(options: SoakRunnerOptions) {
@@ -82,6 +97,11 @@
     this.#restsUntil = performance.now() + forMs;
   }
 
+  /** Stands still for a time, and then goes on. Its connections are paused by a relay. */
+  fallSilent(forMs: number): void {
+    this.#silentUntil = performance.now() + forMs;
+  }
+
   async listen(): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
@@ -132,6 +152,7 @@
       response.end();
       return;
     }
+    if (this.#mode === 'repeats-refusal' && this.#repeatRefusal(response, id)) return;
     const after = Number(request.headers['last-event-id'] ?? 0);
     const team = request.headers.tenant;
     this.#options.onRun({
@@ -144,10 +165,12 @@
     });
     response.setHeader('Response-Signature', `${this.id}.${id}`);
     this.#running += 1;
+    this.#busySockets.add(request.socket);
     try {
       await this.#answer(request, response, { id, after });
     } finally {
       this.#running -= 1;
+      this.#busySockets.delete(request.socket);
     }
   }
 
@@ -160,7 +183,9 @@
     if (mode === 'mute') return;
     const events = Number(new URL(request.url ?? '/', 'http://runner').searchParams.get('events'));
     await sleep(LATENCY_MS);
+    await this.#silence();
     if (response.destroyed) return;
+    this.#writeRefusalAgain(request.socket);
     const crashingPath = CRASHING_PATH.exec(request.url ?? '')?.[0];
     if (crashingPath !== undefined) {
       this.#options.onCrash(crashingPath);
@@ -177,6 +202,11 @@
       this.#answerWhole(response, `done ${id}`, mode);
       return;
     }
+    if (after > 0 && (mode === 'fail-resumed' || mode === 'empty-resumed')) {
+      response.writeHead(mode === 'fail-resumed' ? HTTP_SERVER_ERROR : HTTP_NO_CONTENT);
+      response.end(mode === 'fail-resumed' ? 'failed' : undefined);
+      return;
+    }
     response.writeHead(HTTP_OK, { 'Content-Type': 'text/event-stream' });
     if (UNFRAMED_MODES.has(mode)) this.#trackUnframed(response);
     const crashingPart = CRASHING_PART.exec(String(request.headers['prompt-prefix']))?.[0];
@@ -186,10 +216,13 @@
       this.#options.onCrash(crashingPart);
       return;
     }
-    for (let event = after + 1; event <= events; event += 1) {
+    const isBreaking = BREAKING_MODES.has(mode) || (after === 0 && RESUMPTION_MODES.has(mode));
+    const first = mode === 'restart' ? 1 : after + 1;
+    for (let event = first; event <= events; event += 1) {
+      await this.#silence();
       if (response.closed) return;
       const text = streamText(id, event, events);
-      if (BREAKING_MODES.has(mode) && event === BROKEN_EVENT) {
+      if (isBreaking && event === BROKEN_EVENT) {
         this.#breakOff(response, text, mode);
         return;
       }
@@ -199,6 +232,33 @@
     response.end();
   }
 
+  async #silence(): Promise<void> {
+    const waitMs = this.#silentUntil - performance.now();
+    if (waitMs > 0) await sleep(waitMs);
+  }
+
+  /** Turns every second request away; its refusal comes once more while idle, or before the next response. */
+  #repeatRefusal(response: ServerResponse, id: string): boolean {
+    this.#refusals += 1;
+    const { socket } = response;
+    if (this.#refusals % 2 === 0 || !socket) return false;
+    response.writeHead(HTTP_UNAVAILABLE, { 'Not-Executed': '1', 'Content-Length': '0' });
+    response.end();
+    const head = `HTTP/1.1 ${HTTP_UNAVAILABLE} Service Unavailable\r\nRequest-Id: ${id}`;
+    this.#repeatedRefusals.set(socket, `${head}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`);
+    setTimeout(() => {
+      if (!this.#busySockets.has(socket)) this.#writeRefusalAgain(socket);
+    }, REPEAT_MS);
+    return true;
+  }
+
+  #writeRefusalAgain(socket: Socket): void {
+    const refusal = this.#repeatedRefusals.get(socket);
+    if (refusal === undefined) return;
+    this.#repeatedRefusals.delete(socket);
+    if (socket.writable) socket.write(refusal);
+  }
+
   #trackUnframed(response: ServerResponse): void {
     this.#unframedStreams.add(response);
     response.once('close', () => this.#unframedStreams.delete(response));
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -17,7 +17,8 @@
 import { SoakRunner } from './soak-runner.ts';
 
 const DOMAINS = ['a', 'b', 'c'] as const;
-const RUNNERS = 4;
+/** Services of the runners. Routes move from the first one to the second. */
+const SERVICES = ['work', 'work', 'work', 'work', 'more', 'more', 'more'] as const;
 const TEAMS = [
   { name: 'team-1', apiKey: 'key-1' },
   { name: 'team-2', apiKey: 'key-2' },
@@ -67,7 +68,7 @@
 
   async run(): Promise<SoakResult> {
     const { seed, lengthMs, nodes } = this.#options;
-    const faults = planFaults({ lengthMs, nodes, runners: RUNNERS, random: this.#random });
+    const faults = planFaults({ lengthMs, nodes, runners: SERVICES.length, random: this.#random });
     const environment = await this.#start();
     try {
       await waitUntilReady(environment.nodes.map(({ readiness }) => readiness));
@@ -147,7 +148,7 @@
     });
     await cloud.listen();
     let crash: (target: number) => void = () => undefined;
-    const runners = Array.from({ length: RUNNERS }, (_item, index) => {
+    const runners = SERVICES.map((_service, index) => {
       return new SoakRunner({
         id: `r${index}`,
         onCrash: (cause) => {
@@ -178,6 +179,7 @@
       random: this.#random,
       runners: runners.map((runner, index) => ({
         runner,
+        service: SERVICES[index] ?? 'work',
         failureDomain: DOMAINS[index % DOMAINS.length] ?? 'a',
         address: linkOf(`runner-${index}`),
       })),
@@ -214,7 +216,15 @@
         store,
         cloud: cloud.address,
       });
-      const node = new SoakNode({ id: `n${index}`, folder, settings, routes: routesOf(index) });
+      const node = new SoakNode({
+        id: `n${index}`,
+        folder,
+        settings,
+        routes: routesOf(index),
+        onOwnEnd: (how) => {
+          tracker.recordViolation('own-end', `the process of n${index} ended by itself: ${how}`);
+        },
+      });
       return { node, callers, readiness };
     });
     for (const { node } of nodes) node.start();
--- a/packages/soak/src/node/store-writer.ts
+++ b/packages/soak/src/node/store-writer.ts
@@ -1,11 +1,15 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Random } from '@ragwortrudder/core';
 import type { KeyedStore } from '@ragwortrudder/standins';
+import type { ConfigurationChange } from '../types/configuration-change.ts';
+import { ODD_ENTRIES } from '../utils/odd-entries.ts';
+import { SoakConfiguration } from '../utils/soak-configuration.ts';
 import type { SoakRunner } from './soak-runner.ts';
 
 /** A runner and the values that its entry in the store has. */
 interface RegisteredRunner {
   readonly runner: SoakRunner;
+  readonly service: string;
   readonly failureDomain: string;
   /** Address at which nodes reach the runner: a link of the relay. */
   readonly address: string;
@@ -18,27 +22,16 @@
   readonly random: Random;
 }
 
-const SERVICE = 'work';
-const TIMEOUT_MS = 3_500;
-const TARGET_LATENCY_MS = 300;
 /**
  * Time after the last heartbeat at which the store removes the entry of a runner, in milliseconds:
  * three heartbeat intervals.
  */
 const ENTRY_EXPIRY_MS = 3_600;
-const VERSION_STEP = 3;
 const OPERATOR_TOPIC = 'keyed.op';
 const RUNNER_TOPIC = 'keyed.servers';
 /** Maximum time after which a writer repeats its record in a restored store, in milliseconds: a heartbeat. */
 const REPEAT_MS = 1_200;
 
-const ROUTES = [
-  { name: 'order', kind: 'non_idempotent', max_attempts: 1 },
-  { name: 'read', kind: 'idempotent', max_attempts: 2 },
-  { name: 'draft', kind: 'streaming', max_attempts: 1, stream_resume: false },
-  { name: 'ask', kind: 'streaming', max_attempts: 2, stream_resume: true },
-];
-
 /** Writes the records of operators and runners to the store. */
 export class StoreWriter {
   readonly #options: StoreWriterOptions;
@@ -46,15 +39,18 @@
   /** Runners that have crashed and are not back yet. */
   readonly #crashed = new Set<number>();
   readonly #newest = new Map<string, string | undefined>();
-  #version = 1;
+  readonly #configuration: SoakConfiguration;
+  #oddEntries = 0;
 
   constructor(options: StoreWriterOptions) {
     this.#options = options;
+    const services = new Set(options.runners.map(({ service }) => service));
+    this.#configuration = new SoakConfiguration(options.teams, [...services]);
   }
 
   /** Path of the route that only the newest configuration has. */
   get newestPath(): string {
-    return `/v${this.#version}/`;
+    return `/v${this.#configuration.version}/`;
   }
 
   /** Writes the newest record of each key again, as after a loss of records. */
@@ -85,30 +81,25 @@
 
   /** Writes a new version of the configuration, which adds one route named after the version. */
   configure(): void {
-    this.#version += VERSION_STEP;
-    const routes = [...ROUTES, { name: `v${this.#version}`, kind: 'idempotent', max_attempts: 2 }];
-    const record = {
-      version: this.#version,
-      routes: routes.map((route) => ({
-        host: 'soak.example',
-        path_prefix: `/${route.name}/`,
-        timeout_ms: TIMEOUT_MS,
-        target_latency_ms: TARGET_LATENCY_MS,
-        gap_target_ms: TARGET_LATENCY_MS,
-        priority: 1,
-        service: SERVICE,
-        ...route,
-      })),
-      services: [{ name: SERVICE, health_path: '/health', max_connections: 500 }],
-      tenants: this.#options.teams.map(({ name, apiKey }) => ({ name, api_keys: [apiKey] })),
-      limits: {
-        max_header_bytes: 8_192,
-        max_body_bytes: 100_000,
-        header_timeout_ms: 2_000,
-        idle_timeout_ms: 5_000,
-      },
-    };
-    this.#put(OPERATOR_TOPIC, 'config', JSON.stringify(record));
+    this.#put(OPERATOR_TOPIC, 'config', JSON.stringify(this.#configuration.next()));
+  }
+
+  /** Changes the configuration for a time. */
+  async change(change: ConfigurationChange, target: number, forMs: number): Promise<void> {
+    this.#configuration.begin(change, target);
+    this.configure();
+    await sleep(forMs);
+    this.#configuration.end(change);
+    this.configure();
+  }
+
+  /** Leaves an odd entry among those of the runners for a time. */
+  async leaveOddEntry(target: number, forMs: number): Promise<void> {
+    this.#oddEntries += 1;
+    const key = `odd${this.#oddEntries}`;
+    this.#put(RUNNER_TOPIC, key, ODD_ENTRIES[target]);
+    await sleep(forMs);
+    this.#put(RUNNER_TOPIC, key, undefined);
   }
 
   /**
@@ -152,12 +143,12 @@
   }
 
   #register(
-    { runner, failureDomain, address }: RegisteredRunner,
+    { runner, service, failureDomain, address }: RegisteredRunner,
     state: 'ready' | 'draining',
   ): void {
     const born = this.#startedAt.get(runner.id) ?? 1;
     const entry = {
-      service: SERVICE,
+      service,
       address,
       zone: failureDomain,
       version: 'v1',
--- /dev/null
+++ b/packages/soak/src/types/configuration-change.ts
@@ -0,0 +1,4 @@
+import type { FaultKind } from './fault-kind.ts';
+
+/** Faults that change the configuration for a time. */
+export type ConfigurationChange = Extract<FaultKind, `configure-${string}`>;
--- a/packages/soak/src/types/fault-kind.ts
+++ b/packages/soak/src/types/fault-kind.ts
@@ -39,4 +39,17 @@
   | 'links-most-cut'
   | 'runner-rests'
   | 'runners-rest'
-  | 'configure';
+  | 'configure'
+  | 'configure-timeouts'
+  | 'configure-attempts'
+  | 'configure-idle'
+  | 'configure-moves'
+  | 'configure-removes'
+  | 'configure-keys'
+  | 'configure-caps'
+  | 'runner-silent'
+  | 'odd-entry'
+  | 'runner-repeats-refusal'
+  | 'streams-restart'
+  | 'streams-fail-resumed'
+  | 'streams-empty-resumed';
--- a/packages/soak/src/types/runner-mode.ts
+++ b/packages/soak/src/types/runner-mode.ts
@@ -1,6 +1,19 @@
 /**
  * How a runner handles requests: it serves them (`sound`, or `unframed` without a length and chunks)
  * or fails in a particular way. `cut` and `reset` break unframed streams off inside an event, with an
- * orderly close and with a reset.
+ * orderly close and with a reset. `repeats-refusal` turns every second request away and writes that
+ * response once more on the connection. The last three break streams off, and answer those that go on
+ * from the start (`restart`), with an error (`fail-resumed`) or without content (`empty-resumed`).
  */
-export type RunnerMode = 'sound' | 'unframed' | 'errors' | 'mute' | 'break-off' | 'cut' | 'reset';
+export type RunnerMode =
+  | 'sound'
+  | 'unframed'
+  | 'errors'
+  | 'mute'
+  | 'break-off'
+  | 'cut'
+  | 'reset'
+  | 'repeats-refusal'
+  | 'restart'
+  | 'fail-resumed'
+  | 'empty-resumed';
--- /dev/null
+++ b/packages/soak/src/utils/find-losses.ts
@@ -0,0 +1,74 @@
+import type { FaultKind } from '../types/fault-kind.ts';
+import type { FaultSpan } from '../types/fault-span.ts';
+import type { ObservedAnswer } from '../types/observed-answer.ts';
+import type { SentRequest } from '../types/sent-request.ts';
+import type { Violation } from '../types/violation.ts';
+
+interface ObservedRequest {
+  readonly request: SentRequest;
+  readonly answer: ObservedAnswer | undefined;
+  readonly hasRun: boolean;
+}
+
+const HTTP_OK = 200;
+/** Statuses of a node that gave up a request which a runner may have run. */
+const GIVEN_UP: ReadonlySet<number | undefined> = new Set([500, 502, 504]);
+/**
+ * Faults that take no request from a sound runner: planned work, an impaired store or API, silences,
+ * and entries of runners that do not exist.
+ */
+const HARMLESS =
+  /^(configure|node-stop$|node-reload$|roll-stop$|runner-silent$|runner-drain$|store-(busy|silent|reset|lost|forgets)$|cloud-down$|odd-entry$)/;
+/** Faults after which processes start again. */
+const KILLING: ReadonlySet<FaultKind> = new Set(['node-kill', 'all-kill']);
+/** Time from a kill until the node serves again, in milliseconds. */
+const RESTART_MS = 5_000;
+/** Time after a fault from which the platform's bounds apply, in milliseconds. */
+const CONTACT_MS = 3_000;
+/** Time after which a request that crosses the close of its connection has been read, in milliseconds. */
+const LOSS_SLACK_MS = 200;
+/** Lowest timeout of the routes that the soak configures, in milliseconds. */
+const MIN_TIMEOUT_MS = 3_000;
+/** Share of its time that a request may use beside a change of the configuration. */
+const CHANGED_SHARE = 0.7;
+/** Time after a change in which it counts as beside a request, in milliseconds. */
+const CHANGE_MS = 3_000;
+
+/** Finds requests that ended early although only planned work and silences of sound runners were going on. */
+export function findLosses(
+  observed: readonly ObservedRequest[],
+  faults: readonly FaultSpan[],
+): readonly Violation[] {
+  return observed.flatMap(({ request, answer, hasRun }) => {
+    if (answer === undefined || request.crashes !== undefined) return [];
+    const isOverlapping = ({ at, until, node }: FaultSpan, afterMs: number): boolean =>
+      (node ?? request.node) === request.node && at < answer.at && request.at < until + afterMs;
+    const harmful = faults.find((fault) => {
+      if (HARMLESS.test(fault.kind)) return false;
+      return isOverlapping(fault, CONTACT_MS + (KILLING.has(fault.kind) ? RESTART_MS : 0));
+    });
+    if (harmful) return [];
+    const beside = faults.filter((fault) => isOverlapping(fault, CHANGE_MS));
+    const isBesideChange = beside.some(({ kind }) => kind.startsWith('configure'));
+    const usedMs = answer.at - request.at;
+    if (usedMs >= MIN_TIMEOUT_MS * (isBesideChange ? CHANGED_SHARE : 1)) return [];
+    const promise = promiseBroken(request, answer, hasRun || usedMs > LOSS_SLACK_MS);
+    if (promise === undefined) return [];
+    const kinds = [...new Set(beside.map(({ kind }) => kind))].join(', ');
+    const how = `${String(answer.status)} after ${usedMs.toFixed(0)} ms`;
+    const what = `${request.id} (${request.kind}) at ${request.node}: ${how}`;
+    return [{ promise, message: `${what}, ${hasRun ? 'ran' : 'did not run'}, beside ${kinds}` }];
+  });
+}
+
+/** Name of the promise that an early end breaks. A request that nobody has read may cross a close. */
+function promiseBroken(
+  { kind }: SentRequest,
+  { status, isWhole }: ObservedAnswer,
+  wasRead: boolean,
+): string | undefined {
+  if (status === undefined) return wasRead ? 'lost-request' : undefined;
+  if (status === HTTP_OK) return isWhole ? undefined : 'cut-response';
+  const isRepeatable = kind === 'read' || kind === 'ask';
+  return isRepeatable && GIVEN_UP.has(status) ? 'given-up-request' : undefined;
+}
--- a/packages/soak/src/utils/plan-faults.ts
+++ b/packages/soak/src/utils/plan-faults.ts
@@ -1,6 +1,7 @@
 import type { Random } from '@ragwortrudder/core';
 import type { FaultKind } from '../types/fault-kind.ts';
 import type { PlannedFault } from '../types/planned-fault.ts';
+import { ODD_ENTRIES } from './odd-entries.ts';
 
 interface PlanOptions {
   readonly lengthMs: number;
@@ -9,6 +10,24 @@
   readonly random: Random;
 }
 
+/** Faults that are injected while runners are silent. */
+const COMPANIONS: readonly FaultKind[] = [
+  'configure',
+  'configure-timeouts',
+  'configure-attempts',
+  'configure-idle',
+  'configure-moves',
+  'configure-removes',
+  'configure-keys',
+  'configure-caps',
+  'node-stop',
+  'node-reload',
+  'roll-stop',
+  'links-cut',
+  'links-dark',
+  'links-refuse-new',
+  'odd-entry',
+];
 const KINDS: readonly FaultKind[] = [
   'node-stop',
   'node-kill',
@@ -50,7 +69,35 @@
   'links-most-cut',
   'runner-rests',
   'runners-rest',
+  'configure-timeouts',
+  'configure-attempts',
+  'configure-idle',
+  'configure-moves',
+  'configure-removes',
+  'configure-keys',
+  'configure-caps',
+  'runner-silent',
+  'odd-entry',
+  'runner-repeats-refusal',
+  'streams-restart',
+  'streams-fail-resumed',
+  'streams-empty-resumed',
 ];
+/** Kinds in which all runners stay sound; a part of the runs has no others. */
+const SOUND_KINDS: readonly FaultKind[] = [
+  ...COMPANIONS,
+  'runner-silent',
+  'runner-silent',
+  'runner-silent',
+  'runner-silent',
+  'runner-drain',
+  'store-busy',
+  'store-silent',
+  'store-lost',
+  'cloud-down',
+];
+/** Share of the runs in which all runners stay sound. */
+const SOUND_SHARE = 1 / 3;
 /** Time without faults before the first one, in milliseconds. */
 const INITIAL_DELAY_MS = 2_000;
 /**
@@ -64,6 +111,12 @@
 const MAX_FAULT_MS = 5_000;
 /** Share of the faults that are followed by another one at the same time. */
 const SIMULTANEOUS_SHARE = 0.25;
+const MIN_SILENCE_MS = 1_000;
+const MAX_SILENCE_MS = 1_500;
+/** Pause between silences, so that none is longer than its maximum, in milliseconds. */
+const SILENCE_GAP_MS = 300;
+const MAX_SILENCES = 3;
+const MAX_COMPANIONS = 3;
 
 /**
  * Draws the faults of a soak at random. Faults may overlap or start at the same time; all end before
@@ -76,18 +129,71 @@
   random,
 }: PlanOptions): readonly PlannedFault[] {
   const endMs = lengthMs - RECOVERY_TIME_MS;
+  const kinds = random.next() < SOUND_SHARE ? SOUND_KINDS : KINDS;
   const faults: PlannedFault[] = [];
+  const add = (kind: FaultKind, atMs: number): void => {
+    const forMs = Math.min(endMs - atMs, drawBetween(random, MIN_FAULT_MS, MAX_FAULT_MS));
+    const targets = kind.startsWith('runner')
+      ? runners
+      : kind === 'odd-entry'
+        ? ODD_ENTRIES.length
+        : nodes;
+    faults.push({ kind, atMs, forMs, target: drawIndex(random, targets) });
+  };
   let atMs = INITIAL_DELAY_MS;
   while (atMs < endMs) {
-    const kind = KINDS[Math.floor(random.next() * KINDS.length)] ?? 'node-kill';
-    const forMs = Math.min(
-      endMs - atMs,
-      MIN_FAULT_MS + random.next() * (MAX_FAULT_MS - MIN_FAULT_MS),
-    );
-    const targets = kind.startsWith('runner') ? runners : nodes;
-    faults.push({ kind, atMs, forMs, target: Math.floor(random.next() * targets) });
-    if (random.next() < SIMULTANEOUS_SHARE) continue;
-    atMs += MIN_GAP_MS + random.next() * (MAX_GAP_MS - MIN_GAP_MS);
+    const kind = kinds[drawIndex(random, kinds.length)] ?? 'node-kill';
+    if (kind === 'runner-silent') {
+      const silences = planSilences({ atMs, endMs, runners, random });
+      faults.push(...silences);
+      for (const silence of silences.filter(({ target }) => target === silences[0]?.target)) {
+        const count = 1 + drawIndex(random, MAX_COMPANIONS);
+        for (let index = 0; index < count; index += 1) {
+          const companion = COMPANIONS[drawIndex(random, COMPANIONS.length)] ?? 'configure';
+          add(companion, silence.atMs + random.next() * silence.forMs);
+        }
+      }
+      atMs = Math.max(atMs, ...silences.map((silence) => silence.atMs + silence.forMs));
+    } else {
+      add(kind, atMs);
+      if (random.next() < SIMULTANEOUS_SHARE) continue;
+    }
+    atMs += drawBetween(random, MIN_GAP_MS, MAX_GAP_MS);
   }
   return faults;
 }
+
+interface SilenceOptions {
+  readonly atMs: number;
+  readonly endMs: number;
+  readonly runners: number;
+  readonly random: Random;
+}
+
+/** Draws one silence or several in turn, of one runner, some or all. */
+function planSilences({ atMs, endMs, runners, random }: SilenceOptions): readonly PlannedFault[] {
+  const silences: PlannedFault[] = [];
+  const counts = [1, 1 + drawIndex(random, runners), runners];
+  const count = counts[drawIndex(random, counts.length)] ?? 1;
+  const first = drawIndex(random, runners);
+  const times = 1 + drawIndex(random, MAX_SILENCES);
+  let startMs = atMs;
+  for (let time = 0; time < times; time += 1) {
+    const forMs = drawBetween(random, MIN_SILENCE_MS, MAX_SILENCE_MS);
+    if (startMs + forMs > endMs) break;
+    for (let index = 0; index < count; index += 1) {
+      const target = (first + index) % runners;
+      silences.push({ kind: 'runner-silent', atMs: startMs, forMs, target });
+    }
+    startMs += forMs + SILENCE_GAP_MS + random.next() * MAX_SILENCE_MS;
+  }
+  return silences;
+}
+
+function drawBetween(random: Random, min: number, max: number): number {
+  return min + random.next() * (max - min);
+}
+
+function drawIndex(random: Random, count: number): number {
+  return Math.floor(random.next() * count);
+}
--- a/packages/soak/src/utils/request-tracker.ts
+++ b/packages/soak/src/utils/request-tracker.ts
@@ -1,8 +1,10 @@
 import type { FaultKind } from '../types/fault-kind.ts';
+import type { FaultSpan } from '../types/fault-span.ts';
 import type { ObservedAnswer } from '../types/observed-answer.ts';
 import type { ObservedRun } from '../types/observed-run.ts';
 import type { SentRequest } from '../types/sent-request.ts';
 import type { Violation } from '../types/violation.ts';
+import { findLosses } from './find-losses.ts';
 import { streamText } from './stream-text.ts';
 
 const OK = 200;
@@ -39,11 +41,6 @@
 /** Maximum length of such a fault and the time until its nodes count again, in milliseconds. */
 const EXCUSED_MS = 8_000;
 
-interface FaultStart {
-  readonly kind: FaultKind;
-  readonly at: number;
-}
-
 /** A node has passed on a response in which a runner said that it is leaving. */
 interface ToldLeaving {
   readonly node: string;
@@ -87,7 +84,7 @@
   readonly #runs = new Map<string, ObservedRun[]>();
   readonly #answers = new Map<string, ObservedAnswer>();
   readonly #violations: Violation[] = [];
-  readonly #faults: FaultStart[] = [];
+  readonly #faults: FaultSpan[] = [];
   readonly #limits: StatedLimit[] = [];
   readonly #toldLeaving: ToldLeaving[] = [];
   readonly #left: { readonly runner: string; readonly at: number }[] = [];
@@ -127,9 +124,13 @@
     this.#answers.set(answer.id, answer);
   }
 
-  /** Records that a fault begins. */
-  recordFault(kind: FaultKind): void {
-    this.#faults.push({ kind, at: performance.now() });
+  /** Records that a fault begins, at one node or at all; returns what records its end. */
+  recordFault(kind: FaultKind, node?: string): () => void {
+    const fault = { kind, node, at: performance.now(), until: Infinity };
+    this.#faults.push(fault);
+    return () => {
+      fault.until = performance.now();
+    };
   }
 
   /** Records that a runner states a limit of requests per second, or no longer does. */
@@ -199,6 +200,12 @@
       this.#checkAnswer(request);
     }
     for (const [cause, crashes] of this.#crashes) this.#checkCrashes(cause, crashes);
+    const observed = [...this.#sent.values()].map((request) => ({
+      request,
+      answer: this.#answers.get(request.id),
+      hasRun: this.#runs.has(request.id),
+    }));
+    this.#violations.push(...findLosses(observed, this.#faults));
     this.#checkLimits();
     this.#checkLeaving();
     for (const cutOff of this.#cutOffs) this.#checkCutOff(cutOff);
--- a/packages/standins/src/node/relay-connection.ts
+++ b/packages/standins/src/node/relay-connection.ts
@@ -27,6 +27,7 @@
   readonly #target: Socket;
   readonly #link: Link;
   readonly #dropping: Record<Direction, boolean> = { request: false, reply: false };
+  #isPaused = false;
   readonly #queues: Record<Direction, QueuedDelivery[]> = { request: [], reply: [] };
   readonly #timers: Record<Direction, NodeJS.Timeout | undefined> = {
     request: undefined,
@@ -40,6 +41,17 @@
     this.#target = connect({ host, port: Number(port), allowHalfOpen: true });
     this.#forward('request', this.#client, this.#target);
     this.#forward('reply', this.#target, this.#client);
+    this.setPaused(link.mode === 'paused');
+  }
+
+  /** Stops reading in both directions, or goes on; bytes that arrive meanwhile wait. */
+  setPaused(isPaused: boolean): void {
+    if (isPaused === this.#isPaused) return;
+    this.#isPaused = isPaused;
+    for (const socket of [this.#client, this.#target]) {
+      if (isPaused) socket.pause();
+      else socket.resume();
+    }
   }
 
   /** Drops all further bytes in both directions without closing the connection. */
@@ -62,7 +74,9 @@
       this.#enqueue(direction, chunk.length, () => {
         if (to.write(chunk)) return;
         from.pause();
-        to.once('drain', () => from.resume());
+        to.once('drain', () => {
+          if (!this.#isPaused) from.resume();
+        });
       });
     });
     from.on('end', () => {
--- a/packages/standins/src/node/relay-listener.ts
+++ b/packages/standins/src/node/relay-listener.ts
@@ -77,8 +77,9 @@
   async setMode(mode: RelayMode, delayMs: number): Promise<void> {
     this.#mode = mode;
     this.#delayMs = delayMs;
-    if (FREEZING_MODES.has(mode)) {
-      for (const connection of this.#connections.values()) connection.freeze();
+    for (const connection of this.#connections.values()) {
+      connection.setPaused(mode === 'paused');
+      if (FREEZING_MODES.has(mode)) connection.freeze();
     }
     if (mode === 'cut') {
       await this.close();
--- a/packages/standins/src/types/relay-mode.ts
+++ b/packages/standins/src/types/relay-mode.ts
@@ -12,6 +12,7 @@
   'silent',
   'dark',
   'refuse-new',
+  'paused',
   'one-way-request-only',
   'one-way-reply-only',
 ]);
--- /dev/null
+++ b/test/soak/find-losses.test.ts
@@ -0,0 +1,75 @@
+import test from 'ava';
+import { findLosses } from '@ragwortrudder/soak';
+import type { FaultSpan, ObservedAnswer, RequestKind } from '@ragwortrudder/soak';
+
+interface Case {
+  readonly kind?: RequestKind;
+  readonly answer: Partial<ObservedAnswer>;
+  readonly hasRun?: boolean;
+  readonly faults?: readonly Partial<FaultSpan>[];
+}
+
+const SENT_AT = 10_000;
+
+function promisesBroken({ kind = 'read', answer, hasRun = true, faults = [] }: Case) {
+  const request = {
+    ...{ id: 'a', kind, node: 'n1', team: 't', body: '', events: 0, at: SENT_AT },
+  };
+  const observed = {
+    ...{ id: 'a', status: 200, signature: 'r1.a', body: '', isWhole: true, at: SENT_AT + 1_000 },
+    ...answer,
+  };
+  const spans = faults.map((fault) => ({
+    ...{ kind: 'runner-silent' as const, node: undefined, at: SENT_AT, until: SENT_AT + 500 },
+    ...fault,
+  }));
+  return findLosses([{ request, answer: observed, hasRun }], spans).map(({ promise }) => promise);
+}
+
+test('a request that has run and ends without an answer is lost, beside a silence and a change', (t) => {
+  const answer = { status: undefined, isWhole: false };
+  const faults = [{}, { kind: 'configure-timeouts' as const }, { kind: 'node-stop' as const }];
+  t.deepEqual(promisesBroken({ answer, faults }), ['lost-request']);
+  t.deepEqual(promisesBroken({ answer, kind: 'order' }), ['lost-request']);
+});
+
+test('a request that crosses the close of its connection unread is not lost, one that waited is', (t) => {
+  const answer = { status: undefined, isWhole: false, at: SENT_AT + 150 };
+  t.deepEqual(promisesBroken({ answer, hasRun: false }), []);
+  t.deepEqual(promisesBroken({ answer, hasRun: true }), ['lost-request']);
+  const later = { ...answer, at: SENT_AT + 250 };
+  t.deepEqual(promisesBroken({ answer: later, hasRun: false }), ['lost-request']);
+});
+
+test('a response that begins and is cut off is a violation of its own', (t) => {
+  t.deepEqual(promisesBroken({ kind: 'ask', answer: { isWhole: false } }), ['cut-response']);
+  t.deepEqual(promisesBroken({ kind: 'draft', answer: { isWhole: false } }), ['cut-response']);
+});
+
+test('a repeatable request that is given up while runners are sound is a violation', (t) => {
+  for (const status of [500, 502, 504]) {
+    t.deepEqual(promisesBroken({ kind: 'ask', answer: { status } }), ['given-up-request']);
+    t.deepEqual(promisesBroken({ kind: 'order', answer: { status } }), []);
+  }
+  t.deepEqual(promisesBroken({ kind: 'ask', answer: { status: 503 } }), []);
+});
+
+test('faults of runners and of its node excuse a request for a time, those of other nodes do not', (t) => {
+  const answer = { status: 502 };
+  const crash = { kind: 'runner-crash' as const };
+  t.deepEqual(promisesBroken({ answer, faults: [crash] }), []);
+  const ended = { at: SENT_AT - 5_000, until: SENT_AT - 2_900 };
+  t.deepEqual(promisesBroken({ answer, faults: [{ ...crash, ...ended }] }), []);
+  const longAgo = { ...crash, at: SENT_AT - 5_000, until: SENT_AT - 3_100 };
+  t.deepEqual(promisesBroken({ answer, faults: [longAgo] }), ['given-up-request']);
+  const cut = { kind: 'links-cut' as const };
+  t.deepEqual(promisesBroken({ answer, faults: [{ ...cut, node: 'n1' }] }), []);
+  t.deepEqual(promisesBroken({ answer, faults: [{ ...cut, node: 'n2' }] }), ['given-up-request']);
+});
+
+test('a request that has used up its time may end, beside a change after seven tenths of it', (t) => {
+  const answer = { status: 504, at: SENT_AT + 2_500 };
+  t.deepEqual(promisesBroken({ answer }), ['given-up-request']);
+  t.deepEqual(promisesBroken({ answer, faults: [{ kind: 'configure-idle' }] }), []);
+  t.deepEqual(promisesBroken({ answer: { ...answer, at: SENT_AT + 3_000 } }), []);
+});
--- a/test/soak/plan-faults.test.ts
+++ b/test/soak/plan-faults.test.ts
@@ -22,3 +22,34 @@
 function endOf(faults: ReturnType<typeof planFaults>): number {
   return Math.max(0, ...faults.map(({ atMs, forMs }) => atMs + forMs));
 }
+
+test('silences last for 1 to 1.5 s and never longer in a row, beside changes and signals', (t) => {
+  const companions = new Set<string>();
+  const counts = new Set<number>();
+  for (let seed = 1; seed <= 200; seed += 1) {
+    const faults = plan(seed);
+    const silences = faults.filter(({ kind }) => kind === 'runner-silent');
+    for (const silence of silences) {
+      const end = silence.atMs + silence.forMs;
+      t.true(silence.forMs >= 1_000 && silence.forMs <= 1_500);
+      const isLater = ({ atMs }: (typeof faults)[number]): boolean => atMs > silence.atMs;
+      const same = silences.filter((other) => other.target === silence.target);
+      t.true(same.filter(isLater).every(({ atMs }) => atMs > end));
+      counts.add(silences.filter(({ atMs }) => atMs === silence.atMs).length);
+      for (const { kind, atMs } of faults) {
+        if (atMs > silence.atMs && atMs < end) companions.add(kind);
+      }
+    }
+  }
+  t.true(counts.has(1) && counts.has(2) && counts.has(4));
+  for (const kind of ['configure', 'configure-moves', 'node-stop', 'node-reload', 'roll-stop']) {
+    t.true(companions.has(kind), kind);
+  }
+});
+
+test('in some runs all runners stay sound', (t) => {
+  const unsound = /^(runner-(?!silent|drain)|runners-|prompt-|request-|streams-|all-kill)/;
+  const plans = Array.from({ length: 30 }, (_item, seed) => plan(seed + 1));
+  const sound = plans.filter((faults) => !faults.some(({ kind }) => unsound.test(kind)));
+  t.true(sound.length >= 5 && sound.length <= 15, String(sound.length));
+});
--- a/test/soak/request-tracker.test.ts
+++ b/test/soak/request-tracker.test.ts
@@ -90,8 +90,11 @@
     const body = numbers.map((number) => event(id, number)).join('');
     tracker.recordAnswer(answer(id, { body, isWhole }));
   }
-  const messages = tracker.check().map(({ message }) => message.split(' ')[0]);
-  t.deepEqual(messages, ['early', 'skips', 'repeats']);
+  const ids = tracker
+    .check()
+    .filter(({ promise }) => promise === 'stream-order')
+    .map(({ message }) => message.split(' ')[0]);
+  t.deepEqual(ids, ['early', 'skips', 'repeats']);
 });
 
 test('a sound request that is rejected for its prompt is a violation, one that crashes runners is not', (t) => {
--- /dev/null
+++ b/test/soak/soak-runner.test.ts
@@ -0,0 +1,95 @@
+import { Agent, request as sendRequest } from 'node:http';
+import { connect } from 'node:net';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { SoakRunner } from '@ragwortrudder/soak';
+import type { RunnerMode } from '@ragwortrudder/soak';
+
+interface ReceivedStream {
+  readonly status: number | undefined;
+  readonly body: string;
+  readonly isWhole: boolean;
+}
+
+async function startRunner(t: ExecutionContext, mode: RunnerMode) {
+  const runs: string[] = [];
+  const runner = new SoakRunner({
+    id: 'r1',
+    onRun: ({ id }) => runs.push(id),
+    onDisturbed: () => undefined,
+    onCrash: () => undefined,
+  });
+  await runner.listen();
+  t.teardown(() => runner.close());
+  runner.setMode(mode);
+  return { runner, runs, port: Number(runner.address.split(':')[1]) };
+}
+
+/** Sends a request for a stream of five events and returns the status and the body as far as it came. */
+async function stream(port: number, headers: Readonly<Record<string, string>> = {}) {
+  const agent = new Agent();
+  return new Promise<ReceivedStream>((resolve) => {
+    const client = sendRequest({
+      ...{ port, agent, path: '/ask/x?events=5' },
+      headers: { 'Request-Id': 'a', 'Target-Instance': 'r1', ...headers },
+    });
+    client.on('response', (response) => {
+      let body = '';
+      response.on('data', (chunk: Buffer) => (body += chunk.toString()));
+      response.on('error', () => undefined);
+      response.on('close', () => {
+        resolve({ status: response.statusCode, body, isWhole: response.complete });
+      });
+    });
+    client.end();
+  });
+}
+
+test('modes of resumption break a stream off and answer the one that goes on wrongly', async (t) => {
+  const expected = [
+    ['restart', 200, true],
+    ['fail-resumed', 500, false],
+    ['empty-resumed', 204, false],
+  ] as const;
+  for (const [mode, status, hasEvents] of expected) {
+    const { port } = await startRunner(t, mode);
+    const first = await stream(port);
+    t.false(first.isWhole, mode);
+    t.true(first.body.startsWith('id: 1'), mode);
+    const resumed = await stream(port, { 'Last-Event-Id': '2' });
+    t.is(resumed.status, status, mode);
+    t.is(resumed.body.startsWith('id: 1'), hasEvents, mode);
+  }
+});
+
+test('a refusal comes once more on its connection, while idle and before the next response', async (t) => {
+  const text = (id: string): string =>
+    `GET /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: ${id}\r\nTarget-Instance: r1\r\n\r\n`;
+  for (const waitMs of [200, 0]) {
+    const { port, runs } = await startRunner(t, 'repeats-refusal');
+    const socket = connect(port, '127.0.0.1');
+    t.teardown(() => socket.destroy());
+    let received = '';
+    socket.on('data', (chunk) => (received += chunk.toString()));
+    const receive = async (part: string): Promise<void> => {
+      while (!received.includes(part)) await new Promise((resolve) => setTimeout(resolve, 5));
+    };
+    socket.write(text('a'));
+    await receive('503');
+    await new Promise((resolve) => setTimeout(resolve, waitMs));
+    socket.write(text('b'));
+    await receive('done b');
+    t.deepEqual(runs, ['b']);
+    t.is(received.match(/HTTP\/1\.1 503[^]*?Request-Id: a/g)?.length, 2, received);
+  }
+});
+
+test('a silent runner goes on where it was', async (t) => {
+  const { port, runner } = await startRunner(t, 'sound');
+  const startedAt = performance.now();
+  runner.fallSilent(300);
+  const { body, isWhole } = await stream(port);
+  t.true(isWhole);
+  t.is(body.match(/id: /g)?.length, 5);
+  t.true(performance.now() - startedAt >= 290);
+});
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import { Soak } from '@ragwortrudder/soak';
 
-const SEED = 46;
+const SEED = 13_931;
 const LENGTH_MS = 70_000;
 
 test('a short seeded soak of three processes breaks no promise', async (t) => {
@@ -32,6 +32,12 @@
     'links-most-cut',
     'runner-rests',
     'runners-rest',
+    'runner-silent',
+    'odd-entry',
+    'runner-repeats-refusal',
+    'streams-restart',
+    'streams-fail-resumed',
+    'streams-empty-resumed',
   ] as const) {
     t.true(kinds.has(kind), kind);
   }
--- a/test/standins/relay.test.ts
+++ b/test/standins/relay.test.ts
@@ -189,3 +189,19 @@
     t.true(await wasReset);
   }
 });
+
+test('a paused link forwards nothing, on open and new connections, and loses nothing', async (t) => {
+  const { relay, echo, port } = await startRelay(t);
+  const before = await open(t, port);
+  await relay.setFault({ name: 'link', mode: 'paused' });
+  const during = await open(t, port);
+  before.socket.write('old');
+  during.socket.write('new');
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  t.deepEqual(echo.received, []);
+  await relay.setFault({ name: 'link', mode: 'open' });
+  await waitUntil(() => before.replies.length > 0 && during.replies.length > 0);
+  t.is(before.replies.join(''), 'old');
+  t.is(during.replies.join(''), 'new');
+  t.is(lostBytes(relay), 0);
+});
