--- a/packages/standins/src/node/relay-listener.ts
+++ b/packages/standins/src/node/relay-listener.ts
@@ -30,6 +30,8 @@
   #lostBytes = 0;
   #port: number;
   #unaccepting: UnacceptingPort | undefined;
+  /** Changes run one after another: two listens at a time would claim the port twice. */
+  #changed: Promise<void> = Promise.resolve();
 
   constructor(link: RelayLink) {
     this.name = link.name;
@@ -74,7 +76,21 @@
     this.#port = (this.#server.address() as AddressInfo).port;
   }
 
-  async setMode(mode: RelayMode, delayMs: number): Promise<void> {
+  setMode(mode: RelayMode, delayMs: number): Promise<void> {
+    return this.#afterOthers(() => this.#change(mode, delayMs));
+  }
+
+  close(): Promise<void> {
+    return this.#afterOthers(() => this.#stop());
+  }
+
+  #afterOthers(change: () => Promise<void>): Promise<void> {
+    const changed = this.#changed.then(change);
+    this.#changed = changed.catch(() => undefined);
+    return changed;
+  }
+
+  async #change(mode: RelayMode, delayMs: number): Promise<void> {
     this.#mode = mode;
     this.#delayMs = delayMs;
     for (const connection of this.#connections.values()) {
@@ -82,13 +98,13 @@
       if (FREEZING_MODES.has(mode)) connection.freeze();
     }
     if (mode === 'cut') {
-      await this.close();
+      await this.#stop();
       return;
     }
     await this.#accept(mode);
   }
 
-  async close(): Promise<void> {
+  async #stop(): Promise<void> {
     for (const connection of this.#connections.values()) connection.destroy();
     await this.#unaccepting?.close();
     this.#unaccepting = undefined;
--- a/test/standins/relay.test.ts
+++ b/test/standins/relay.test.ts
@@ -205,3 +205,13 @@
   t.is(during.replies.join(''), 'new');
   t.is(lostBytes(relay), 0);
 });
+
+// Guards against a relay that listens twice on its port when faults of one link end at the same time.
+test('changes of a link at the same time are made one after another', async (t) => {
+  const { relay, port } = await startRelay(t);
+  for (let round = 0; round < 5; round += 1) {
+    const modes = ['cut', 'open', 'dark', 'open', 'refuse-new', 'paused', 'open'] as const;
+    await Promise.all(modes.map((mode) => relay.setFault({ name: 'link', mode })));
+  }
+  t.is(await roundTrip(t, port, 'still'), 'still');
+});
