--- a/packages/soak/src/cli/soak.ts
+++ b/packages/soak/src/cli/soak.ts
@@ -29,6 +29,10 @@
     default: 12,
     describe: 'callers, each with one request at a time',
   })
+  .option('production', {
+    type: 'string',
+    describe: 'checkout of the version whose nodes are upgraded one after another',
+  })
   .option('plan', { type: 'boolean', default: false, describe: 'print the faults of each run' })
   .strict()
   .parseAsync();
@@ -41,6 +45,7 @@
     lengthMs: args.minutes * MS_PER_MINUTE,
     nodes: args.nodes,
     callers: args.callers,
+    production: args.production,
     folder,
   }).run();
   print(result);
--- a/packages/soak/src/node/fault-injector.ts
+++ b/packages/soak/src/node/fault-injector.ts
@@ -34,6 +34,8 @@
 const RESTART_MS = 300;
 /** Time after which the platform's bounds apply, in milliseconds; such faults last longer by it. */
 const CONTACT_MS = 3_000;
+/** Pause between upgrades of nodes, for which both versions run side by side, in milliseconds. */
+const UPGRADE_GAP_MS = 3_000;
 /** Pause between successive node stops in a rolling stop, in milliseconds. */
 const ROLLING_STOP_GAP_MS = 1_200;
 
@@ -81,6 +83,8 @@
         return;
       case 'roll-stop':
         return this.#rollingStop();
+      case 'upgrade':
+        return this.#upgrade();
       case 'store-forgets':
         store.dropHistory('keyed.servers');
         store.dropHistory('keyed.op');
@@ -211,6 +215,14 @@
     }
   }
 
+  /** Replaces the nodes of the version in production one after another. */
+  async #upgrade(): Promise<void> {
+    for (const node of this.#options.nodes) {
+      node.upgrade();
+      await sleep(UPGRADE_GAP_MS);
+    }
+  }
+
   async #storeFault(fault: StoreFault, forMs: number): Promise<void> {
     this.#options.store.setFault(fault);
     await sleep(forMs);
--- a/packages/soak/src/node/soak-node.ts
+++ b/packages/soak/src/node/soak-node.ts
@@ -2,7 +2,7 @@
 import type { ChildProcess } from 'node:child_process';
 import { createWriteStream, writeFileSync } from 'node:fs';
 import type { WriteStream } from 'node:fs';
-import { join } from 'node:path';
+import { join, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import type { Closeable } from '@ragwortrudder/core';
 
@@ -14,10 +14,16 @@
   readonly routes: Readonly<Record<string, string>>;
   /** Called when the process ends although no signal told it to. */
   readonly onOwnEnd: (how: string) => void;
+  /**
+   * Checkout of the version that runs until the node is upgraded.
+   * @default this checkout
+   */
+  readonly production?: string | undefined;
 }
 
 const ROUTE_PRELOAD = new URL('../../../standins/src/node/route-preload.ts', import.meta.url).href;
-const MAIN = fileURLToPath(new URL('../../../cli/src/cli/main.ts', import.meta.url));
+const CHECKOUT = fileURLToPath(new URL('../../../..', import.meta.url));
+const MAIN = 'packages/cli/src/cli/main.ts';
 /** Delay before a process that exited is restarted, in milliseconds. */
 const RESTART_DELAY_MS = 200;
 
@@ -29,6 +35,8 @@
   readonly #settingsPath: string;
   readonly #log: WriteStream;
   readonly #routes: Readonly<Record<string, string>>;
+  /** Checkout of the version that the next process runs. */
+  #checkout: string;
   #settings: object;
   #child: ChildProcess | undefined;
   #exited: Promise<void> = Promise.resolve();
@@ -37,12 +45,13 @@
   #ending: NodeJS.Signals | undefined;
   #isClosing = false;
 
-  constructor({ id, folder, settings, routes, onOwnEnd }: SoakNodeOptions) {
+  constructor({ id, folder, settings, routes, onOwnEnd, production }: SoakNodeOptions) {
     this.id = id;
     this.#onOwnEnd = onOwnEnd;
     this.#routes = routes;
     this.#settings = settings;
-    this.#settingsPath = join(folder, `${id}.json`);
+    this.#checkout = production === undefined ? CHECKOUT : resolve(production);
+    this.#settingsPath = resolve(folder, `${id}.json`);
     this.#log = createWriteStream(join(folder, `${id}.log`));
   }
 
@@ -50,6 +59,7 @@
     writeFileSync(this.#settingsPath, JSON.stringify(this.#settings));
     const imports = ['--import=tsx', `--import=${ROUTE_PRELOAD}`];
     const child = spawn(process.execPath, [...imports, MAIN, 'serve-platform'], {
+      cwd: this.#checkout,
       env: {
         ...process.env,
         RAGWORTRUDDER_CONFIG: this.#settingsPath,
@@ -67,12 +77,12 @@
       if (this.#ending !== undefined && isClean) return;
       this.#onOwnEnd(`exit code ${String(code)}, signal ${String(signal)}`);
     });
-    this.#exited = new Promise((resolve) => {
+    this.#exited = new Promise((exited) => {
       child.once('close', () => {
         setTimeout(() => {
           this.#restart();
         }, RESTART_DELAY_MS);
-        resolve();
+        exited();
       });
     });
   }
@@ -83,6 +93,12 @@
     if (isSent && ENDING_SIGNALS.has(signal)) this.#ending = signal;
   }
 
+  /** Stops the process; the next one runs the version of this checkout. */
+  upgrade(): void {
+    this.#checkout = CHECKOUT;
+    this.signal('SIGTERM');
+  }
+
   /** Merges `change` into the settings file and makes the process reload it with SIGHUP. */
   reload(change: object): void {
     this.#settings = { ...this.#settings, ...change };
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -32,6 +32,8 @@
 const RECOVERED_SHARE = 0.9;
 /** Time after which a runner that crashed under a prompt is back, in milliseconds. */
 const CRASHED_MS = 800;
+/** Part of the traffic after which the nodes are upgraded. */
+const UPGRADE_PART = 4;
 const ADDRESSES_PER_NODE = 4;
 const HTTP_OK = 200;
 
@@ -67,8 +69,15 @@
   }
 
   async run(): Promise<SoakResult> {
-    const { seed, lengthMs, nodes } = this.#options;
-    const faults = planFaults({ lengthMs, nodes, runners: SERVICES.length, random: this.#random });
+    const { seed, lengthMs, nodes, production } = this.#options;
+    const planned = planFaults({ lengthMs, nodes, runners: SERVICES.length, random: this.#random });
+    const upgrade = {
+      kind: 'upgrade',
+      atMs: lengthMs / UPGRADE_PART,
+      forMs: 0,
+      target: 0,
+    } as const;
+    const faults = production === undefined ? planned : [...planned, upgrade];
     const environment = await this.#start();
     try {
       await waitUntilReady(environment.nodes.map(({ readiness }) => readiness));
@@ -221,6 +230,7 @@
         folder,
         settings,
         routes: routesOf(index),
+        production: this.#options.production,
         onOwnEnd: (how) => {
           tracker.recordViolation('own-end', `the process of n${index} ended by itself: ${how}`);
         },
--- a/packages/soak/src/types/fault-kind.ts
+++ b/packages/soak/src/types/fault-kind.ts
@@ -48,6 +48,7 @@
   | 'configure-keys'
   | 'configure-caps'
   | 'runner-silent'
+  | 'upgrade'
   | 'odd-entry'
   | 'runner-repeats-refusal'
   | 'streams-restart'
--- a/packages/soak/src/types/soak-options.ts
+++ b/packages/soak/src/types/soak-options.ts
@@ -5,6 +5,11 @@
   readonly lengthMs: number;
   readonly nodes: number;
   readonly callers: number;
+  /**
+   * Checkout of the version that runs at first; its nodes are upgraded to this one in turn.
+   * @default no upgrade
+   */
+  readonly production?: string | undefined;
   /** Folder for the nodes' settings and logs. */
   readonly folder: string;
 }
--- a/packages/soak/src/utils/find-losses.ts
+++ b/packages/soak/src/utils/find-losses.ts
@@ -18,7 +18,7 @@
  * and entries of runners that do not exist.
  */
 const HARMLESS =
-  /^(configure|node-stop$|node-reload$|roll-stop$|runner-silent$|runner-drain$|store-(busy|silent|reset|lost|forgets)$|cloud-down$|odd-entry$)/;
+  /^(configure|node-stop$|node-reload$|roll-stop$|upgrade$|runner-silent$|runner-drain$|store-(busy|silent|reset|lost|forgets)$|cloud-down$|odd-entry$)/;
 /** Faults after which processes start again. */
 const KILLING: ReadonlySet<FaultKind> = new Set(['node-kill', 'all-kill']);
 /** Time from a kill until the node serves again, in milliseconds. */
--- a/packages/soak/src/utils/request-tracker.ts
+++ b/packages/soak/src/utils/request-tracker.ts
@@ -35,7 +35,7 @@
 /** Requests of each node that may reach a resting runner later. */
 const MAX_DISTURBING = 2;
 /** Faults that stop nodes. */
-const STOPPING = /^(node-stop|node-kill|node-pause|all-kill|roll-stop)/;
+const STOPPING = /^(node-stop|node-kill|node-pause|all-kill|roll-stop|upgrade)/;
 /** Faults that stop nodes or take the store away, for which the bounds make an exception. */
 const EXCUSING = new RegExp(`${STOPPING.source}|^store-`);
 /** Maximum length of such a fault and the time until its nodes count again, in milliseconds. */
