--- a/packages/soak/src/cli/soak.ts
+++ b/packages/soak/src/cli/soak.ts
@@ -1,5 +1,5 @@
 /** Runs the soak for consecutive seeds. Exits with a non-zero code if any run violated a promise. */
-import { rmSync } from 'node:fs';
+import { rmSync, writeFileSync } from 'node:fs';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { Soak } from '../node/soak.ts';
@@ -29,6 +29,10 @@
     default: 12,
     describe: 'callers, each with one request at a time',
   })
+  .option('production', {
+    type: 'string',
+    describe: 'checkout of the version whose nodes are upgraded one after another',
+  })
   .option('plan', { type: 'boolean', default: false, describe: 'print the faults of each run' })
   .strict()
   .parseAsync();
@@ -41,12 +45,15 @@
     lengthMs: args.minutes * MS_PER_MINUTE,
     nodes: args.nodes,
     callers: args.callers,
+    production: args.production,
     folder,
   }).run();
   print(result);
   if (args.plan) process.stdout.write(`${JSON.stringify(result.faults)}\n`);
-  if (result.violations.length > 0) failedSeeds += 1;
-  else rmSync(folder, { recursive: true, force: true });
+  if (result.violations.length > 0) {
+    failedSeeds += 1;
+    writeFileSync(`${folder}/result.json`, JSON.stringify(result, null, 2));
+  } else rmSync(folder, { recursive: true, force: true });
 }
 process.stdout.write(`${args.seeds} seeds, ${failedSeeds} with violations\n`);
 process.exitCode = failedSeeds === 0 ? 0 : 1;
--- a/packages/soak/src/node/soak-node.ts
+++ b/packages/soak/src/node/soak-node.ts
@@ -2,7 +2,7 @@
 import type { ChildProcess } from 'node:child_process';
 import { createWriteStream, writeFileSync } from 'node:fs';
 import type { WriteStream } from 'node:fs';
-import { join } from 'node:path';
+import { join, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import type { Closeable } from '@ragwortrudder/core';
 
@@ -12,29 +12,46 @@
   readonly settings: object;
   /** Addresses through which the node's connections go instead, by the addresses that it connects to. */
   readonly routes: Readonly<Record<string, string>>;
+  /** Called when the process ends although no signal told it to. */
+  readonly onOwnEnd: (how: string) => void;
+  /**
+   * Checkout of the version that runs until the node is upgraded.
+   * @default this checkout
+   */
+  readonly production?: string | undefined;
 }
 
 const ROUTE_PRELOAD = new URL('../../../standins/src/node/route-preload.ts', import.meta.url).href;
-const MAIN = fileURLToPath(new URL('../../../cli/src/cli/main.ts', import.meta.url));
+const CHECKOUT = fileURLToPath(new URL('../../../..', import.meta.url));
+const MAIN = 'packages/cli/src/cli/main.ts';
 /** Delay before a process that exited is restarted, in milliseconds. */
 const RESTART_DELAY_MS = 200;
 
+const ENDING_SIGNALS: ReadonlySet<NodeJS.Signals> = new Set(['SIGTERM', 'SIGKILL']);
+
 /** Node under test. Runs as a separate process, which is restarted whenever it exits. */
 export class SoakNode implements Closeable {
   readonly id: string;
   readonly #settingsPath: string;
   readonly #log: WriteStream;
   readonly #routes: Readonly<Record<string, string>>;
+  /** Checkout of the version that the next process runs. */
+  #checkout: string;
   #settings: object;
   #child: ChildProcess | undefined;
   #exited: Promise<void> = Promise.resolve();
+  readonly #onOwnEnd: (how: string) => void;
+  /** Signal that the process must end by. */
+  #ending: NodeJS.Signals | undefined;
   #isClosing = false;
 
-  constructor({ id, folder, settings, routes }: SoakNodeOptions) {
+  constructor({ id, folder, settings, routes, onOwnEnd, production }: SoakNodeOptions) {
     this.id = id;
+    this.#onOwnEnd = onOwnEnd;
     this.#routes = routes;
     this.#settings = settings;
-    this.#settingsPath = join(folder, `${id}.json`);
+    this.#checkout = production === undefined ? CHECKOUT : resolve(production);
+    this.#settingsPath = resolve(folder, `${id}.json`);
     this.#log = createWriteStream(join(folder, `${id}.log`));
   }
 
@@ -42,6 +59,7 @@
     writeFileSync(this.#settingsPath, JSON.stringify(this.#settings));
     const imports = ['--import=tsx', `--import=${ROUTE_PRELOAD}`];
     const child = spawn(process.execPath, [...imports, MAIN, 'serve-platform'], {
+      cwd: this.#checkout,
       env: {
         ...process.env,
         RAGWORTRUDDER_CONFIG: this.#settingsPath,
@@ -51,21 +69,34 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.#child = child;
+    this.#ending = undefined;
     child.stdout.pipe(this.#log, { end: false });
     child.stderr.pipe(this.#log, { end: false });
-    this.#exited = new Promise((resolve) => {
+    child.once('exit', (code, signal) => {
+      const isClean = code === 0 || signal === this.#ending;
+      if (this.#ending !== undefined && isClean) return;
+      this.#onOwnEnd(`exit code ${String(code)}, signal ${String(signal)}`);
+    });
+    this.#exited = new Promise((exited) => {
       child.once('close', () => {
         setTimeout(() => {
           this.#restart();
         }, RESTART_DELAY_MS);
-        resolve();
+        exited();
       });
     });
   }
 
   /** Sends a signal to this node's process only. */
   signal(signal: NodeJS.Signals): void {
-    this.#child?.kill(signal);
+    const isSent = this.#child?.kill(signal) ?? false;
+    if (isSent && ENDING_SIGNALS.has(signal)) this.#ending = signal;
+  }
+
+  /** Stops the process; the next one runs the version of this checkout. */
+  upgrade(): void {
+    this.#checkout = CHECKOUT;
+    this.signal('SIGTERM');
   }
 
   /** Merges `change` into the settings file and makes the process reload it with SIGHUP. */
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -17,7 +17,8 @@
 import { SoakRunner } from './soak-runner.ts';
 
 const DOMAINS = ['a', 'b', 'c'] as const;
-const RUNNERS = 4;
+/** Services of the runners. Routes move from the first one to the second. */
+const SERVICES = ['work', 'work', 'work', 'work', 'more', 'more', 'more'] as const;
 const TEAMS = [
   { name: 'team-1', apiKey: 'key-1' },
   { name: 'team-2', apiKey: 'key-2' },
@@ -31,6 +32,8 @@
 const RECOVERED_SHARE = 0.9;
 /** Time after which a runner that crashed under a prompt is back, in milliseconds. */
 const CRASHED_MS = 800;
+/** Part of the traffic after which the nodes are upgraded. */
+const UPGRADE_PART = 4;
 const ADDRESSES_PER_NODE = 4;
 const HTTP_OK = 200;
 
@@ -66,8 +69,15 @@
   }
 
   async run(): Promise<SoakResult> {
-    const { seed, lengthMs, nodes } = this.#options;
-    const faults = planFaults({ lengthMs, nodes, runners: RUNNERS, random: this.#random });
+    const { seed, lengthMs, nodes, production } = this.#options;
+    const planned = planFaults({ lengthMs, nodes, runners: SERVICES.length, random: this.#random });
+    const upgrade = {
+      kind: 'upgrade',
+      atMs: lengthMs / UPGRADE_PART,
+      forMs: 0,
+      target: 0,
+    } as const;
+    const faults = production === undefined ? planned : [...planned, upgrade];
     const environment = await this.#start();
     try {
       await waitUntilReady(environment.nodes.map(({ readiness }) => readiness));
@@ -147,7 +157,7 @@
     });
     await cloud.listen();
     let crash: (target: number) => void = () => undefined;
-    const runners = Array.from({ length: RUNNERS }, (_item, index) => {
+    const runners = SERVICES.map((_service, index) => {
       return new SoakRunner({
         id: `r${index}`,
         onCrash: (cause) => {
@@ -178,6 +188,7 @@
       random: this.#random,
       runners: runners.map((runner, index) => ({
         runner,
+        service: SERVICES[index] ?? 'work',
         failureDomain: DOMAINS[index % DOMAINS.length] ?? 'a',
         address: linkOf(`runner-${index}`),
       })),
@@ -214,7 +225,16 @@
         store,
         cloud: cloud.address,
       });
-      const node = new SoakNode({ id: `n${index}`, folder, settings, routes: routesOf(index) });
+      const node = new SoakNode({
+        id: `n${index}`,
+        folder,
+        settings,
+        routes: routesOf(index),
+        production: this.#options.production,
+        onOwnEnd: (how) => {
+          tracker.recordViolation('own-end', `the process of n${index} ended by itself: ${how}`);
+        },
+      });
       return { node, callers, readiness };
     });
     for (const { node } of nodes) node.start();
--- a/test/standins/relay.test.ts
+++ b/test/standins/relay.test.ts
@@ -189,3 +189,29 @@
     t.true(await wasReset);
   }
 });
+
+test('a paused link forwards nothing, on open and new connections, and loses nothing', async (t) => {
+  const { relay, echo, port } = await startRelay(t);
+  const before = await open(t, port);
+  await relay.setFault({ name: 'link', mode: 'paused' });
+  const during = await open(t, port);
+  before.socket.write('old');
+  during.socket.write('new');
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  t.deepEqual(echo.received, []);
+  await relay.setFault({ name: 'link', mode: 'open' });
+  await waitUntil(() => before.replies.length > 0 && during.replies.length > 0);
+  t.is(before.replies.join(''), 'old');
+  t.is(during.replies.join(''), 'new');
+  t.is(lostBytes(relay), 0);
+});
+
+// Guards against a relay that listens twice on its port when faults of one link end at the same time.
+test('changes of a link at the same time are made one after another', async (t) => {
+  const { relay, port } = await startRelay(t);
+  for (let round = 0; round < 5; round += 1) {
+    const modes = ['cut', 'open', 'dark', 'open', 'refuse-new', 'paused', 'open'] as const;
+    await Promise.all(modes.map((mode) => relay.setFault({ name: 'link', mode })));
+  }
+  t.is(await roundTrip(t, port, 'still'), 'still');
+});
