Give each operation, generation and engine order a connection of its own

What callers saw, on the product's own interface: an application runner that wrote an earlier "not run" once more made a node take it for the answer to the next operation, once-only ones included, which the runner was running; a result, a stream or the reply to an order was taken for the next one in the same way.

Cause: these answers do not name their request, and connections were reused. Once-only operations were meant to have connections of their own, but without an agent they used the global one, which keeps connections alive since Node 19.

Why this works: a late or repeated answer finds no next request on its connection.

Looked for elsewhere, and left: JsonClient (load reports of runners, calls between nodes) and the clients of the platform's store and API reuse connections and have no ids in their answers, either. Node drops what arrives on an idle connection; only what arrives between a call and its answer is mistaken. Their servers would have to be the faulty ones.

--- a/packages/node/src/node/runners/application-client.ts
+++ b/packages/node/src/node/runners/application-client.ts
@@ -29,7 +29,6 @@
   readonly key: string;
   readonly operation: string;
   readonly payload: unknown;
-  readonly idempotent: boolean;
   readonly timeoutMs: number;
   readonly signal: AbortSignal;
 }
@@ -37,7 +36,9 @@
 /** Calls operations of application runners. */
 @injectable()
 export class ApplicationClient implements Closeable {
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_RUNNER });
+  // Answers do not name their request: on a reused connection a late or repeated one would be taken for
+  // the answer to the next request, and a reused connection can break after data was sent.
+  readonly #agent = new Agent({ keepAlive: false, maxSockets: MAX_SOCKETS_PER_RUNNER });
   readonly #connectTimeoutMs: number;
 
   constructor(@inject(tokens.settings) settings: Settings) {
@@ -51,10 +52,7 @@
       const posted = got.post(`http://${call.endpoint}/operations`, {
         body: JSON.stringify({ key, operation: call.operation, payload }),
         headers: { 'content-type': 'application/json' },
-        // A reused connection can break after data was sent, so its failure does not prove that the
-        // operation was not run. Non-idempotent operations therefore do not use the keep-alive agent
-        // of this client.
-        ...(call.idempotent ? { agent: { http: this.#agent } } : {}),
+        agent: { http: this.#agent },
         timeout: { connect: this.#connectTimeoutMs, request: call.timeoutMs },
         retry: { limit: 0 },
         throwHttpErrors: false,
--- a/packages/node/src/node/runners/application-runs.ts
+++ b/packages/node/src/node/runners/application-runs.ts
@@ -97,7 +97,6 @@
       key: request.key ?? request.id,
       operation: input.operation,
       payload: input.payload,
-      idempotent: request.idempotent,
       timeoutMs: Math.max(
         DEADLINE_MARGIN_MS,
         Math.min(
--- a/packages/node/src/node/runners/model-client.ts
+++ b/packages/node/src/node/runners/model-client.ts
@@ -18,7 +18,9 @@
 /** Streams generations from model engines. */
 @injectable()
 export class ModelClient implements Closeable {
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_ENGINE });
+  // Streams do not name their request: on a reused connection a late or repeated one would be taken for
+  // that of the next request.
+  readonly #agent = new Agent({ keepAlive: false, maxSockets: MAX_SOCKETS_PER_ENGINE });
   readonly #connectTimeoutMs: number;
 
   constructor(@inject(tokens.settings) settings: Settings) {
--- a/packages/node/src/node/supply/engine-client.ts
+++ b/packages/node/src/node/supply/engine-client.ts
@@ -16,7 +16,9 @@
 /** Reads the state of model engines and sends them orders under the lease of a supply job. */
 @injectable()
 export class EngineClient implements Closeable {
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_ENGINE });
+  // Replies do not name their order: on a reused connection a late or repeated one would acknowledge the
+  // next order.
+  readonly #agent = new Agent({ keepAlive: false, maxSockets: MAX_SOCKETS_PER_ENGINE });
 
   /** Reads the state that the engine was last ordered to serve. */
   async state(endpoint: string): Promise<EngineState['state']> {
--- a/test/node/application-client.test.ts
+++ b/test/node/application-client.test.ts
@@ -24,7 +24,6 @@
     key: 'k',
     operation: 'reorder',
     payload: {},
-    idempotent: false,
     timeoutMs: 2_000,
     signal: new AbortController().signal,
   });
@@ -66,7 +65,6 @@
     key: 'k',
     operation: 'reorder',
     payload: {},
-    idempotent: false,
     timeoutMs: 30_000,
     signal: new AbortController().signal,
   });
