Read what arrived during a stall of the node before judging others' silence

What callers saw: after the node's process had stalled for a second or so, streams were given up at sound runners, and those runners were left alone as unreachable; where no other runner could take over, the stream was cut off or the request got 502. After a stall of a quarter of a second, connections that were open counted as timed out.

Cause: the timers that judge silence run before the sockets are read, so that the node took its own stall for silence of the runner, the peer or the connection.

Why this works: a periodic task starts its run after a turn of the event loop in which pending input is read; the time limit of a connection looks at the connection after such a turn.

Looked for elsewhere: the check whether a peer is heard becomes a periodic task (read, no test of its own). `probeConnection` has the same time limit and is not changed here.

--- a/packages/core/src/utils/periodic-task.ts
+++ b/packages/core/src/utils/periodic-task.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 import type { Closeable } from '../types/closeable.ts';
 
 interface PeriodicTaskOptions {
@@ -9,7 +9,10 @@
   readonly onFailure: (error: unknown) => void;
 }
 
-/** Runs a task periodically, without overlapping runs. */
+/**
+ * Runs a task periodically, without overlapping runs. After a stall of the process, input that arrived
+ * meanwhile is read before the next run, so that a run does not mistake the stall for silence of others.
+ */
 export class PeriodicTask implements Closeable {
   readonly #options: PeriodicTaskOptions;
   readonly #closing = new AbortController();
@@ -38,6 +41,7 @@
         this.#options.onFailure(error);
       }
       await sleep(this.#options.periodMs, undefined, { signal }).catch(() => undefined);
+      await nextTurn();
     }
   }
 }
--- a/packages/gateway/src/node/peer-forwarder.ts
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -1,4 +1,5 @@
 import type { Address, Route, RunnerEntry, Service, Team } from '@ragwortrudder/catalog';
+import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import { Refusal } from '../errors/refusal.ts';
 import type { AttemptOutcome } from '../types/attempt-outcome.ts';
@@ -176,11 +177,18 @@
       attempt.abort({ kind: 'ended' });
     }, deadlineAt - sentAt);
     // A peer that is not heard may have lost the request. A response that has begun has nowhere else to go.
-    const check = setInterval(() => {
-      if (!passed.isRepeatable || channel.hasBegun) return;
-      if (peers.reachable().some(({ id }) => id === peer.id)) return;
-      attempt.abort({ kind: 'broken', reason: 'peer not heard', isConnectionLost: false });
-    }, CHECK_PERIOD_MS);
+    const check = new PeriodicTask({
+      periodMs: CHECK_PERIOD_MS,
+      run: () => {
+        if (!passed.isRepeatable || channel.hasBegun) return;
+        if (peers.reachable().some(({ id }) => id === peer.id)) return;
+        attempt.abort({ kind: 'broken', reason: 'peer not heard', isConnectionLost: false });
+      },
+      onFailure: (error) => {
+        log.notable('task-failed', { task: 'peer-check', reason: String(error) });
+      },
+    });
+    check.start();
     channel.onDisconnect(() => {
       attempt.abort({ kind: 'ended' });
     });
@@ -188,7 +196,7 @@
     const outcome = await attempt.outcome;
     reach.addPassed(peer.id, -1);
     clearTimeout(deadline);
-    clearInterval(check);
+    void check.close();
     metrics.count('passed_on', { outcome: outcome.kind });
     const status = outcome.kind === 'answered' ? outcome.response.head.status : HTTP_OK;
     log.notable('request-passed-on', {
--- a/packages/gateway/src/node/runner-agent.ts
+++ b/packages/gateway/src/node/runner-agent.ts
@@ -1,9 +1,9 @@
 import { Agent } from 'node:http';
 import type { ClientRequest } from 'node:http';
-import type { Socket } from 'node:net';
+import { Socket } from 'node:net';
 import { closeIdleSockets } from '@ragwortrudder/core';
-import { ConnectTimedOut } from '../errors/connect-timed-out.ts';
 import { CONNECT_TIMEOUT_MS } from '../utils/connect-timeout-ms.ts';
+import { limitConnectTime } from '../utils/limit-connect-time.ts';
 
 interface RunnerAgentOptions {
   /** Maximum number of concurrent connections. */
@@ -48,17 +48,7 @@
     ...args: Parameters<Agent['createConnection']>
   ): ReturnType<Agent['createConnection']> {
     const socket = super.createConnection(...args);
-    if (socket && 'connecting' in socket) {
-      const timer = setTimeout(() => {
-        socket.destroy(new ConnectTimedOut());
-      }, CONNECT_TIMEOUT_MS);
-      socket.once('connect', () => {
-        clearTimeout(timer);
-      });
-      socket.once('close', () => {
-        clearTimeout(timer);
-      });
-    }
+    if (socket instanceof Socket) limitConnectTime(socket, CONNECT_TIMEOUT_MS);
     return socket;
   }
 
