Read what arrived during a stall of the node before closing idle connections

What callers saw: a kept connection was reset although a request had been sent on it within the idle limit, when the node stalled across that limit.

Why this works: an idle connection is closed after a turn of the event loop, if no request is on it then.

The tests of the file stall the process that they share, and therefore run one after the other.

Looked for elsewhere: Node's own check of the time limit for headers acts in the same order; it ends with a refusal, 408, and the request does not run.

--- a/packages/gateway/src/node/caller-connection.ts
+++ b/packages/gateway/src/node/caller-connection.ts
@@ -31,11 +31,6 @@
     return this.#requestCount;
   }
 
-  /** No request is in progress or has begun to arrive. */
-  get isIdle(): boolean {
-    return this.#requestCount === 0 && this.#socket.bytesRead === this.#receivedBytes;
-  }
-
   /** A response can be sent. */
   get isOpen(): boolean {
     return this.#socket.writable && !this.#hasCallerLeft;
@@ -86,6 +81,15 @@
     else this.#socket.destroy();
   }
 
+  /** Closes the connection if no request is in progress or has begun to arrive. */
+  closeIfIdle(cause: string): void {
+    // A request that arrived during a stall of the process is read first.
+    setImmediate(() => {
+      const isArriving = this.#socket.bytesRead !== this.#receivedBytes;
+      if (this.#requestCount === 0 && !isArriving) this.destroy(cause);
+    });
+  }
+
   /** Closes the connection, together with its requests in progress. */
   destroy(cause: string): void {
     this.#end ??= { cause };
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -88,13 +88,15 @@
       this.#refuseUnparsed(error, socket);
     });
     this.#server.on('timeout', (socket: Socket) => {
-      this.#options.metrics.count('connections_ended', { cause: 'idle' });
-      socket.destroy();
+      this.#connections.get(socket)?.closeIfIdle('idle');
     });
     this.#server.on('connection', (socket) => {
-      this.#connections.set(socket, new CallerConnection(socket));
+      const connection = new CallerConnection(socket);
+      this.#connections.set(socket, connection);
       socket.on('close', () => {
         this.#connections.delete(socket);
+        if (connection.endCause !== 'idle') return;
+        this.#options.metrics.count('connections_ended', { cause: 'idle' });
       });
     });
     this.setLimits(DEFAULT_LIMITS);
@@ -135,7 +137,7 @@
   /** Closes connections that have no request in progress. */
   closeIdleConnections(): void {
     for (const connection of this.#connections.values()) {
-      if (connection.isIdle) connection.destroy('node-stopping');
+      connection.closeIfIdle('node-stopping');
     }
   }
 
--- a/test/gateway/lost-stalls.test.ts
+++ b/test/gateway/lost-stalls.test.ts
@@ -39,6 +39,7 @@
 /** Longer than the silence after which a stream is resumed elsewhere. */
 const STALL_MS = 1_500;
 const STALLS = 3;
+const IDLE_LIMIT_MS = 1_000;
 /** Time between stalls; no multiple of the period with which runners are checked. */
 const INTERVAL_MS = 330;
 /** Long enough for the rest of the events. */
@@ -54,7 +55,7 @@
 }
 
 // Guards against a node that takes a stall of its own for the silence of runners.
-test('streams go on at their runners after the node itself has stalled', async (t) => {
+test.serial('streams go on at their runners after the node itself has stalled', async (t) => {
   const harness = await GatewayHarness.start(t, {
     route: { kind: 'streaming', stream_resume: true, gap_target_ms: 100, timeout_ms: 10_000 },
     isEmpty: true,
@@ -90,7 +91,7 @@
 });
 
 // Guards against a node that takes a stall of its own for a connection that cannot be opened.
-test('a connection that was opened while the node stalled is used', async (t) => {
+test.serial('a connection that was opened while the node stalled is used', async (t) => {
   const runner = await new ScriptedRunner((socket, request) => {
     socket.write(responseTo(request, 'ok'));
   }).listen();
@@ -110,3 +111,32 @@
   });
   t.is(await status, 200);
 });
+
+// Guards against the end of an idle connection on which a request has arrived.
+test.serial(
+  'a request that arrived while the node stalled across the idle limit is answered',
+  async (t) => {
+    const runner = await new ScriptedRunner((socket, request) => {
+      socket.write(responseTo(request, 'ok'));
+    }).listen();
+    const harness = await GatewayHarness.start(t, { runners: [runner], isEmpty: true });
+    await harness.configure({
+      limits: {
+        max_header_bytes: 8_192,
+        max_body_bytes: 100_000,
+        header_timeout_ms: 2_000,
+        idle_timeout_ms: IDLE_LIMIT_MS,
+      },
+    });
+    await harness.waitUntil(() => harness.isReady());
+    const caller = new RawCaller(harness.gateway.ports.callers);
+    t.teardown(() => caller.socket.destroy());
+    caller.send(requestText({ id: 'a' }));
+    while (caller.responses.length === 0) await sleep(5);
+    await sleep(IDLE_LIMIT_MS);
+    caller.send(requestText({ id: 'b' }));
+    stall(STALL_MS);
+    await Promise.race([caller.closed, sleep(500)]);
+    t.deepEqual(caller.responses, ['200 a', '200 b']);
+  },
+);
