Do not take a slow caller for a silent runner

Callers saw: a resumable stream whose caller does not read for a while was started again at another runner, and where none could take over it was cut off; the sound runner was left alone as unreachable by this node.

Cause: the response of the runner is paused while the caller has not taken what was sent, and the check of silences counted the pause.

An attempt that waits for its caller is not silent, and its silence begins anew when it goes on. The class is the same as that of a stalled node: silence of this side taken for that of the other.

--- a/packages/gateway/src/node/attempt-sink.ts
+++ b/packages/gateway/src/node/attempt-sink.ts
@@ -8,6 +8,8 @@
   readonly channel: CallerChannel;
   /** Called before bytes are passed on, so that other attempts can be ended. */
   readonly onBytes: () => void;
+  /** Called when the caller has taken what was sent, and the response is read on. */
+  readonly onDrain: () => void;
 }
 
 /**
@@ -20,6 +22,7 @@
   #preview: EventSplitter | undefined;
   #pending: readonly Buffer[] = [];
   #hasPushed = false;
+  #isBlocked = false;
 
   constructor(options: AttemptSinkOptions) {
     this.#options = options;
@@ -51,6 +54,11 @@
     return this.#hasPushed;
   }
 
+  /** The response is not read because the caller has not taken what was sent. */
+  get isBlocked(): boolean {
+    return this.#isBlocked;
+  }
+
   begin(head: ResponseHead): void {
     this.#head = head;
     this.#preview = this.#options.channel.previewOf(head);
@@ -78,11 +86,21 @@
     this.#options.onBytes();
     this.#hasPushed = true;
     if (this.#head) this.#options.channel.begin(this.#head);
-    return bytes.length === 0 ? undefined : this.#options.channel.push(bytes);
+    return bytes.length === 0 ? undefined : this.#send(bytes);
   }
 
   #pass(bytes: Buffer): Promise<void> | undefined {
     this.#options.onBytes();
-    return this.#options.channel.push(bytes);
+    return this.#send(bytes);
+  }
+
+  #send(bytes: Buffer): Promise<void> | undefined {
+    const drained = this.#options.channel.push(bytes);
+    if (!drained) return undefined;
+    this.#isBlocked = true;
+    return drained.then(() => {
+      this.#isBlocked = false;
+      this.#options.onDrain();
+    });
   }
 }
--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -91,6 +91,9 @@
         }
         options.onBytes(this);
       },
+      onDrain: () => {
+        this.#progressAt = clock.monotonic();
+      },
     });
     this.#attempt = this.#send();
     this.outcome = this.#attempt.outcome.then((outcome) => this.#record(outcome));
@@ -107,7 +110,9 @@
     return this.#options.clock.monotonic() - this.#respondingSince;
   }
 
+  /** A runner is not silent while its response waits for the caller. */
   get silence(): Silence {
+    if (this.#sink.isBlocked) return 'none';
     const { clock, pool, route } = this.#options;
     const silentMs = clock.monotonic() - this.#progressAt;
     return silenceOf({
