Count and log failures of the background work of the product's own nodes

Read, not seen from outside: the check of a stream's progress, the migration of a request, the record of an outcome, a run and the stop after a notice were promises that nobody waited for; one that rejects ends the node.

runInBackground counts such a failure (background_failures, by task) and writes its cause to the state log.

--- a/packages/node/src/node/daemon.ts
+++ b/packages/node/src/node/daemon.ts
@@ -9,6 +9,7 @@
 import { TicketStore } from './configuration/ticket-store.ts';
 import { LeaseManager } from './leases/lease-manager.ts';
 import { Metrics } from './metrics/metrics.ts';
+import { runInBackground } from './metrics/run-in-background.ts';
 import { VersionMoves } from './moves/version-moves.ts';
 import { PeerClient } from './peers/peer-client.ts';
 import { PeerDirectory } from './peers/peer-directory.ts';
@@ -111,11 +112,14 @@
         await keyedRequests.forfeitInactiveClaims();
       }),
     ];
+    const stopInBackground = (graceMs?: number): void => {
+      runInBackground({ task: 'stop', metrics, promise: this.stop(graceMs) });
+    };
     peers.subscribe(({ kind }) => {
-      if (kind === 'replaced') void this.stop();
+      if (kind === 'replaced') stopInBackground();
     });
     notices.onOwnNotice((reclaimAt) => {
-      void this.stop(reclaimAt - this.#clock.wall() - RECLAIM_MARGIN_MS);
+      stopInBackground(reclaimAt - this.#clock.wall() - RECLAIM_MARGIN_MS);
     });
     metrics.gauge(
       'requests_open',
--- a/packages/node/src/node/requests/service-gates.ts
+++ b/packages/node/src/node/requests/service-gates.ts
@@ -8,6 +8,7 @@
 import { ServiceGate } from '../admission/service-gate.ts';
 import { TicketStore } from '../configuration/ticket-store.ts';
 import { Metrics } from '../metrics/metrics.ts';
+import { runInBackground } from '../metrics/run-in-background.ts';
 import { ApplicationRuns } from '../runners/application-runs.ts';
 import { Dispatcher } from '../runners/dispatcher.ts';
 import { ModelRuns } from '../runners/model-runs.ts';
@@ -121,7 +122,8 @@
   #start(owned: OwnedRequest): boolean {
     const assignment = this.#dispatcher.assign(owned);
     if (!assignment) return false;
-    void this.#run(owned, assignment);
+    const promise = this.#run(owned, assignment);
+    runInBackground({ task: 'run', metrics: this.#metrics, promise });
     return true;
   }
 
@@ -153,7 +155,10 @@
 
   #expire(owned: OwnedRequest, failure: DeadlinePassed): void {
     const notRun = owned.attempts.started === 0;
-    if (notRun) void this.#keyedRequests.finish(owned, 'not-run');
+    if (notRun) {
+      const promise = this.#keyedRequests.finish(owned, 'not-run');
+      runInBackground({ task: 'outcome', metrics: this.#metrics, promise });
+    }
     owned.fail({ ...toOutcome(failure), notRun });
   }
 }
--- a/packages/node/src/node/runners/application-runs.ts
+++ b/packages/node/src/node/runners/application-runs.ts
@@ -13,6 +13,7 @@
 import { runnerLoadOf } from '../../utils/runner-load-of.ts';
 import { toOutcome } from '../../utils/to-outcome.ts';
 import { Metrics } from '../metrics/metrics.ts';
+import { runInBackground } from '../metrics/run-in-background.ts';
 import { VersionMoves } from '../moves/version-moves.ts';
 import { KeyedRequests } from '../requests/keyed-requests.ts';
 import type { OwnedRequest } from '../requests/owned-request.ts';
@@ -76,7 +77,10 @@
   async #beginExecution(owned: OwnedRequest, { runner }: Assignment): Promise<boolean> {
     const outcome = await this.#keyedRequests.permitOf(owned).begin();
     if (!outcome) return true;
-    if (outcome.notRun) void this.#keyedRequests.finish(owned, 'not-run');
+    if (outcome.notRun) {
+      const promise = this.#keyedRequests.finish(owned, 'not-run');
+      runInBackground({ task: 'outcome', metrics: this.#metrics, promise });
+    }
     runner.limit.release({ outcome: 'ignored', latencyMs: 0 }, this.#clock.monotonic());
     owned.fail(outcome);
     return false;
--- a/packages/node/src/node/runners/model-runs.ts
+++ b/packages/node/src/node/runners/model-runs.ts
@@ -13,6 +13,7 @@
 import { runnerLoadOf } from '../../utils/runner-load-of.ts';
 import { toOutcome } from '../../utils/to-outcome.ts';
 import { Metrics } from '../metrics/metrics.ts';
+import { runInBackground } from '../metrics/run-in-background.ts';
 import { VersionMoves } from '../moves/version-moves.ts';
 import type { OwnedRequest } from '../requests/owned-request.ts';
 import { Dispatcher } from './dispatcher.ts';
@@ -84,12 +85,18 @@
   /** Checks the progress of all streams, and migrates those on runners that will be reclaimed. */
   check(): void {
     for (const attempt of this.#attempts) {
-      void attempt.checkProgress();
+      this.#inBackground('progress', attempt.checkProgress());
       const { reclaimAt } = attempt.assignment.runner;
-      if (reclaimAt !== undefined) void this.#migrate(attempt, reclaimAt);
+      if (reclaimAt !== undefined) {
+        this.#inBackground('migration', this.#migrate(attempt, reclaimAt));
+      }
     }
   }
 
+  #inBackground(task: string, promise: Promise<void>): void {
+    runInBackground({ task, metrics: this.#metrics, promise });
+  }
+
   #begin(owned: OwnedRequest, assignment: Assignment): ModelAttempt {
     const { runner, request } = assignment;
     owned.advance('DISPATCH');
