Accept the evidence of a quarantine whose trial is due

Not seen in a run of nodes: found while the bounds were compared with what nodes send. test/admission/prompt-evidence.test.ts fails with those bounds, and holds what is sent against what is accepted through a quarantine's life.

--- a/packages/admission/src/types/prompt-evidence.ts
+++ b/packages/admission/src/types/prompt-evidence.ts
@@ -1,8 +1,8 @@
 import * as z from 'zod';
 import { EVIDENCE_LIMITS } from '../utils/evidence-limits.ts';
 
-/** Age, time or number that stays exact. */
-const quantity = z.number().nonnegative().max(Number.MAX_SAFE_INTEGER);
+/** Age, time or number that stays exact; the time until a trial is negative once the trial is due. */
+const quantity = z.number().min(Number.MIN_SAFE_INTEGER).max(Number.MAX_SAFE_INTEGER);
 
 /**
  * What a node knows about prompt parts that may crash runners, as sent to peers and stored in the
--- a/packages/admission/src/types/stated-limit.ts
+++ b/packages/admission/src/types/stated-limit.ts
@@ -11,7 +11,7 @@
     /** Requests per second from all nodes together; null after the runner no longer states a limit. */
     perSecond: z.number().nonnegative().max(MAX_RATE).nullable(),
     /** Time since the response, in milliseconds. */
-    ageMs: z.number().nonnegative().max(Number.MAX_SAFE_INTEGER),
+    ageMs: z.number().min(Number.MIN_SAFE_INTEGER).max(Number.MAX_SAFE_INTEGER),
   })
   .readonly();
 /** What a runner said of its limit in a response. */
