--- a/packages/gateway/src/utils/event-splitter.ts
+++ b/packages/gateway/src/utils/event-splitter.ts
@@ -69,6 +69,7 @@
    * event is complete.
    */
   push(bytes: Buffer): Buffer {
+    if (this.fault !== undefined) return bytes.subarray(0, 0);
     const buffered = this.#remainder.length === 0 ? bytes : Buffer.concat([this.#remainder, bytes]);
     let end = 0;
     for (let at = this.#remainder.length; at < buffered.length; at += 1) {
