Let tests of odd entries show by removal that the list is still followed

The tests asked that each sound runner serve some of 24 requests. That is a matter of the choice of runners, not of odd entries: without other load a runner that enters late got none (all tests of runner entries failed so, run five at a time, and many in a whole suite at load 26). Instead the other runners are now removed, and the one that entered last has to serve all 24: stricter, and it covers a removal too. Five tests run at a time.

--- a/test/gateway/poisoned-entry.test.ts
+++ b/test/gateway/poisoned-entry.test.ts
@@ -5,6 +5,7 @@
 import { MemoryKeyedLog } from '@ragwortrudder/log';
 import { freePort } from './free-port.ts';
 import { GatewayHarness } from './gateway-harness.ts';
+import { limitConcurrency } from './limit-concurrency.ts';
 import { SteadyRunner } from './steady-runner.ts';
 import { unhandledRejections } from './unhandled-rejections.ts';
 
@@ -15,6 +16,8 @@
 /** Longer than two reads of the list of runners. */
 const FOLLOWING_MS = 1_800;
 
+const waitForTurn = limitConcurrency(5);
+
 const SOUND = {
   service: 's',
   address: '127.0.0.1:1',
@@ -105,10 +108,16 @@
   await log.append({ topic, key, value: Buffer.from(value) });
 }
 
+/** Removes entries, so that only the runners that entered later are left. */
+async function removeRunners(log: MemoryKeyedLog, ids: readonly string[]): Promise<void> {
+  for (const key of ids) await log.append({ topic: RUNNER_TOPIC, key });
+}
+
 // Guards against: one odd entry among those of the runners ended processes (port 70000: a rejection of
 // the probe of its link that nobody handled), lost requests that were sent there, or ended following.
 for (const [kind, value] of Object.entries(POISONED)) {
   test(`an odd entry among those of the runners harms nobody: ${kind}`, async (t) => {
+    await waitForTurn(t);
     const before = unhandledRejections.length;
     const log = new MemoryKeyedLog();
     await GatewayHarness.configure({ log });
@@ -124,7 +133,10 @@
     await writer.registerRunner('r2', runners[2]?.port ?? 0);
     await sleep(FOLLOWING_MS);
     t.is(await countServed(gateway), REQUESTS);
-    for (const runner of runners) t.true(runner.runs.size > 0, 'a sound runner was not used');
+    await removeRunners(log, ['r0', 'r1']);
+    await sleep(FOLLOWING_MS);
+    t.is(await countServed(gateway), REQUESTS);
+    t.true((runners[2]?.runs.size ?? 0) >= REQUESTS, 'the runner that entered last was not used');
 
     const rejections = linesOf(gateway, 'record-rejected');
     t.is(rejections.length, 1, rejections.join(''));
@@ -140,6 +152,7 @@
 // Guards against: an id that no header can carry made each request to its runner fail without an answer.
 for (const id of ['i-\u0000', 'i-\r\nOdd: 1', 'i-\u4e2d', ' ', 'i'.repeat(300)]) {
   test(`an entry whose id cannot be sent names no runner: ${JSON.stringify(id.slice(0, 20))}`, async (t) => {
+    await waitForTurn(t);
     const log = new MemoryKeyedLog();
     await GatewayHarness.configure({ log });
     const runners = await startRunners(t);
@@ -156,6 +169,7 @@
 
 // Guards against: the same odd entry was logged with each read, or each of thousands drowned the log.
 test('odd entries that are written again and again, and many of them, are logged within bounds', async (t) => {
+  await waitForTurn(t);
   const log = new MemoryKeyedLog();
   await GatewayHarness.configure({ log });
   const runners = await startRunners(t);
@@ -176,13 +190,17 @@
   await writer.registerRunner('r2', runners[2]?.port ?? 0);
   await sleep(FOLLOWING_MS);
   t.is(await countServed(gateway), REQUESTS);
-  t.true((runners[2]?.runs.size ?? 0) > 0);
+  await removeRunners(log, ['r0', 'r1']);
+  await sleep(FOLLOWING_MS);
+  t.is(await countServed(gateway), REQUESTS);
+  t.true((runners[2]?.runs.size ?? 0) >= REQUESTS, 'the runner that entered last was not used');
 });
 
 // Guards against: an entry among the nodes with a port out of range ended every node that read it, since
 // its reports were rejected by the socket and nobody handled that.
 for (const port of [70_000, 0, -1, 1.5, 1e308]) {
   test(`an odd entry among those of the nodes harms nobody: port ${port}`, async (t) => {
+    await waitForTurn(t);
     const before = unhandledRejections.length;
     const log = new MemoryKeyedLog();
     await poison(
@@ -216,6 +234,7 @@
 
 // Guards against: a message of a peer with a port out of range ended the node.
 test('odd messages between nodes harm nobody and are logged once', async (t) => {
+  await waitForTurn(t);
   const before = unhandledRejections.length;
   const log = new MemoryKeyedLog();
   await GatewayHarness.configure({ log });
@@ -286,7 +305,10 @@
   await writer.registerRunner('r2', runners[2]?.port ?? 0);
   await sleep(FOLLOWING_MS);
   t.is(await countServed(gateway), REQUESTS);
-  t.true((runners[2]?.runs.size ?? 0) > 0);
+  await removeRunners(log, ['r0', 'r1']);
+  await sleep(FOLLOWING_MS);
+  t.is(await countServed(gateway), REQUESTS);
+  t.true((runners[2]?.runs.size ?? 0) >= REQUESTS, 'the runner that entered last was not used');
   t.deepEqual(linesOf(gateway, 'peer-heard'), []);
   const rejections = linesOf(gateway, 'record-rejected');
   t.true(rejections.length >= 6 && rejections.length <= 8, rejections.join(''));
