Keep a node that gets a SIGHUP while it starts

Cause: the handler was installed once the settings had been read and the gateway built. Now the program ignores it while it loads, and from before the settings are read it is remembered and the settings are read again after the start.

--- a/packages/cli/src/cli/main.ts
+++ b/packages/cli/src/cli/main.ts
@@ -1,3 +1,4 @@
+import '../node/early-hangups.ts';
 import '../node/expected-warnings.ts';
 import { embeddedCommandLine } from '../node/embedded-command-line.ts';
 import { hideBin } from 'yargs/helpers';
