Let the tests of resting runners wait for what they presume

It now waits until all have been asked, with a longer rest. 'all runners ask ...' counted more than 50 rejections; at load 30, 60 requests were sent and 50 were to count. Now all requests sent in that time must be rejected.

--- a/test/gateway/resting-runner.test.ts
+++ b/test/gateway/resting-runner.test.ts
@@ -17,7 +17,8 @@
 /** Requests that may reach a runner in the rest of its rest, from each node. */
 const ALLOWED = 2;
 const REST_MS = 3_000;
-const PERIOD_MS = 20;
+/** Long enough for several requests to be in flight, so that each runner gets some even if it is slower. */
+const ASKING_MS = 300;
 /** Long enough for several requests to be in flight, so that the load decides where they go. */
 const RESPONSE_MS = 120;
 /** Time within which a request that cannot be served is rejected: the latency target of the route. */
@@ -126,10 +127,9 @@
   }
   const first = Math.min(...runners.map(({ askedAt }) => askedAt));
   const last = Math.max(...runners.map(({ askedAt }) => askedAt));
-  const rejected = outcomes.filter(({ status, sentAt }) => {
-    return status === UNAVAILABLE && sentAt > last + 100;
-  });
-  t.true(rejected.length > 50);
+  const rejected = outcomes.filter(({ sentAt }) => sentAt > last + 100);
+  t.true(rejected.length > 0);
+  t.true(rejected.every(({ status }) => status === UNAVAILABLE));
   for (const { sentAt, retryAfterMs, tookMs } of rejected) {
     const endsInMs = first + REST_MS - sentAt;
     t.true(Math.abs(retryAfterMs - endsInMs) < 250, `${retryAfterMs} instead of ${endsInMs}`);
@@ -164,7 +164,7 @@
   const [first] = runners;
   if (!first) throw new TypeError('no runner was started');
   first.ask('8');
-  while (first.askedAt === Infinity) await sendFor(gateways, PERIOD_MS);
+  while (first.askedAt === Infinity) await sendFor(gateways, ASKING_MS);
   first.retryAfter = '0.1';
   await sleep(GRACE_MS);
   const writer = GatewayHarness.writerFor(log);
@@ -189,14 +189,17 @@
   const [first] = runners;
   if (!first) throw new TypeError('no runner was started');
   await Promise.all(gateways.map((gateway) => sendFor([gateway], 500)));
-  first.ask('2');
-  const sending = Promise.all(gateways.map((gateway) => sendFor([gateway], 5_500)));
-  await sleep(600);
+  first.ask('4');
+  const sending = Promise.all(gateways.map((gateway) => sendFor([gateway], 7_500)));
+  const haveAllBeenAsked = (): boolean =>
+    gateways.every(({ lines }) => lines.some((line) => line.includes('runner-rests')));
+  while (!haveAllBeenAsked()) await sleep(20);
+  const askedUntil = performance.now();
   first.retryAfter = undefined;
   await sending;
-  const until = Math.max(...first.arrivals.map(({ at }) => (at < first.askedAt + 700 ? at : 0)));
+  const until = Math.max(...first.arrivals.map(({ at }) => (at < askedUntil + 100 ? at : 0)));
   const firstBack = Math.min(
-    ...first.arrivals.map(({ at }) => (at > first.askedAt + 1_000 ? at : Infinity)),
+    ...first.arrivals.map(({ at }) => (at > askedUntil + 400 ? at : Infinity)),
   );
   t.true(firstBack - until > 1_000);
   const early = first.arrivalsBetween(firstBack, firstBack + 100);
@@ -216,7 +219,7 @@
   await fleet.setLinks([0], 'cut');
   await sendFor([cut], 1_500);
   first.ask('3');
-  while (first.askedAt === Infinity) await sendFor([peer, cut], PERIOD_MS);
+  while (first.askedAt === Infinity) await sendFor([peer, cut], ASKING_MS);
   await sleep(400);
   first.retryAfter = undefined;
   const outcomes = await sendFor([cut, peer], REST_MS - GRACE_MS);
