--- a/packages/soak/src/node/soak-node.ts
+++ b/packages/soak/src/node/soak-node.ts
@@ -12,7 +12,7 @@
   readonly settings: object;
   /** Addresses through which the node's connections go instead, by the addresses that it connects to. */
   readonly routes: Readonly<Record<string, string>>;
-  /** Called when the process ends although no signal told it to. */
+  /** Called when the process ends although no signal told it to, or goes on after a fault of its own. */
   readonly onOwnEnd: (how: string) => void;
   /**
    * Checkout of the version that runs until the node is upgraded.
@@ -23,7 +23,11 @@
 
 const ROUTE_PRELOAD = new URL('../../../standins/src/node/route-preload.ts', import.meta.url).href;
 const CHECKOUT = fileURLToPath(new URL('../../../..', import.meta.url));
+/** The built program handles the signal from its first module on; here its loader comes before it. */
+const HANGUP_PRELOAD = 'data:text/javascript,process.on("SIGHUP",()=>{})';
 const MAIN = 'packages/cli/src/cli/main.ts';
+/** Event of a fault that ended the process of earlier versions. */
+const UNHANDLED_REJECTION = '"event":"rejection-unhandled"';
 /** Delay before a process that exited is restarted, in milliseconds. */
 const RESTART_DELAY_MS = 200;
 
@@ -57,7 +61,7 @@
 
   start(): void {
     writeFileSync(this.#settingsPath, JSON.stringify(this.#settings));
-    const imports = ['--import=tsx', `--import=${ROUTE_PRELOAD}`];
+    const imports = [`--import=${HANGUP_PRELOAD}`, '--import=tsx', `--import=${ROUTE_PRELOAD}`];
     const child = spawn(process.execPath, [...imports, MAIN, 'serve-platform'], {
       cwd: this.#checkout,
       env: {
@@ -71,6 +75,9 @@
     this.#child = child;
     this.#ending = undefined;
     child.stdout.pipe(this.#log, { end: false });
+    child.stdout.on('data', (bytes: Buffer) => {
+      if (bytes.includes(UNHANDLED_REJECTION)) this.#onOwnEnd('a rejection that nobody handles');
+    });
     child.stderr.pipe(this.#log, { end: false });
     child.once('exit', (code, signal) => {
       const isClean = code === 0 || signal === this.#ending;
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -235,7 +235,10 @@
         routes: routesOf(index),
         production: this.#options.production,
         onOwnEnd: (how) => {
-          tracker.recordViolation('own-end', `the process of n${index} ended by itself: ${how}`);
+          tracker.recordViolation(
+            'own-end',
+            `the process of n${index} ended by itself or has a fault: ${how}`,
+          );
         },
       });
       return { node, callers, readiness };
