Leave a restarted runner alone while a stream of its earlier life goes on

No caller was refused.

Cause: recording that bytes had arrived looked the runner up by its entry, and where another life had the id by then, the lookup replaced that one by the old one: its connections were retired and what was known of it (silence, unreachable, latency) was forgotten, with each event of the old stream.

Now what an attempt tells about a runner changes only the life it was sent to. Only a request that is being sent, or chosen a runner for, starts anew.

Looked for the same in recordSuccess, markUnreachable and closeIdle of the links: changed likewise. The outlier detector and lastProgressAt still go by the id alone.

--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -100,7 +100,7 @@
       lastProgressAt: (entry) => this.lastProgressAt(entry),
       isInUse: ({ id }) => (options.loadTracker.own.get(id)?.requests ?? 0) > 0,
       closeIdle: (entry) => {
-        this.#runnerOf(entry).agent.closeIdle();
+        this.#knownRunner(entry)?.agent.closeIdle();
       },
       onChange: options.onLinksChanged,
     });
@@ -162,15 +162,17 @@
 
   /** Records a successful response, with the ratio of measured to expected latency. */
   recordSuccess(entry: RunnerEntry, ratio: number): void {
-    const runner = this.#runnerOf(entry);
+    const runner = this.#knownRunner(entry);
     const bounded = Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio));
-    this.#runners.set(entry.id, {
-      ...runner,
-      latencyRatio: runner.latencyRatio + RATIO_GAIN * (bounded - runner.latencyRatio),
-      unreachableUntil: 0,
-      unreachableTimes: 0,
-      isSilent: false,
-    });
+    if (runner) {
+      this.#runners.set(entry.id, {
+        ...runner,
+        latencyRatio: runner.latencyRatio + RATIO_GAIN * (bounded - runner.latencyRatio),
+        unreachableUntil: 0,
+        unreachableTimes: 0,
+        isSilent: false,
+      });
+    }
     this.#record(entry, { ok: true, latencyMs: ratio });
   }
 
@@ -222,8 +224,8 @@
   /** Records that bytes have arrived from a runner; one that was only silent may be used again. */
   recordProgress(entry: RunnerEntry): void {
     this.#progressAt.set(entry.id, this.#options.clock.monotonic());
-    const runner = this.#runnerOf(entry);
-    if (!runner.isSilent) return;
+    const runner = this.#knownRunner(entry);
+    if (!runner?.isSilent) return;
     this.#runners.set(entry.id, { ...runner, isSilent: false, unreachableUntil: 0 });
     this.#options.log.notable('runner-heard', { runner: entry.id });
   }
@@ -245,9 +247,9 @@
 
   /** Records that a runner could not be connected to or stopped sending. */
   markUnreachable(entry: RunnerEntry, reason: string): void {
-    const runner = this.#runnerOf(entry);
+    const runner = this.#knownRunner(entry);
     const now = this.#options.clock.monotonic();
-    if (runner.unreachableUntil > now) return;
+    if (!runner || runner.unreachableUntil > now) return;
     const times = runner.unreachableTimes + 1;
     const forMs = Math.min(MAX_UNREACHABLE_MS, UNREACHABLE_MS * 2 ** (times - 1));
     this.#runners.set(entry.id, {
@@ -379,16 +381,17 @@
     return detector;
   }
 
+  /** What is known of a runner; undefined if another one has its id by now. */
+  #knownRunner(entry: RunnerEntry): PooledRunner | undefined {
+    const runner = this.#runners.get(entry.id);
+    if (!runner || endpointKey(runner.entry) !== endpointKey(entry)) return undefined;
+    return runner.entry.bornMs === entry.bornMs ? runner : undefined;
+  }
+
   #runnerOf(entry: RunnerEntry): PooledRunner {
-    const known = this.#runners.get(entry.id);
-    if (
-      known &&
-      endpointKey(known.entry) === endpointKey(entry) &&
-      known.entry.bornMs === entry.bornMs
-    ) {
-      return known;
-    }
-    known?.agent.retire();
+    const known = this.#knownRunner(entry);
+    if (known) return known;
+    this.#runners.get(entry.id)?.agent.retire();
     const runner: PooledRunner = {
       entry,
       agent: new RunnerAgent({ maxSockets: Infinity }),
