Do not resume a stream after an event id that fits no header

Callers saw: other requests at the same node were not tried elsewhere while their runners were silent, as long as one stream had such an id: the upkeep of the node failed in each pass (task-failed, 'Invalid character in header content ["Last-Event-Id"]'). The stream itself ended with request-failed where its runner broke off.

Cause: an event id of a runner may have any character but NUL and line ends; a header may not. Opening the request to the second runner threw, out of the check of silences, after the attempt, the retry and the load had been counted.

Now such a stream cannot continue elsewhere, like one whose last event has no id. Ids that begin or end with a space or tab are among them: they would arrive changed. Last-Event-Id of callers comes out of a header and is valid.

--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -7,6 +7,7 @@
 import type { Dialect } from '../types/dialect.ts';
 import { EventSequence } from '../utils/event-sequence.ts';
 import { EventSplitter } from '../utils/event-splitter.ts';
+import { isHeaderValue } from '../utils/is-header-value.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
 
 interface CallerChannelOptions {
@@ -45,7 +46,9 @@
 
   /** Whether another runner can produce the rest of the response. */
   get canContinue(): boolean {
-    return !this.hasBegun || (this.#lastEventId !== undefined && this.#sequence.isIdentified);
+    if (!this.hasBegun) return true;
+    const id = this.#lastEventId;
+    return id !== undefined && isHeaderValue(id) && this.#sequence.isIdentified;
   }
 
   /** The response that has begun last has brought an event. */
