Keep a silent runner's stream until another one has sent an event

Callers saw: a stream that had begun was cut off, though its runner was sound and only silent, where the runner that was tried meanwhile sent a comment and broke off. In the run of the new test on the old code the caller got event 1, ': ready' and no end; since, events 1 and 2 and the end.

While another attempt is in progress, comments wait for the first event. What waits counts as buffered. A single attempt sends comments on as before.

Remains: a silent runner that had begun ends the other attempt with any bytes, also with a part of an event.

--- a/packages/gateway/src/node/attempt-sink.ts
+++ b/packages/gateway/src/node/attempt-sink.ts
@@ -6,6 +6,8 @@
 interface AttemptSinkOptions {
   /** Receives the response of the attempt that sends the next event. */
   readonly channel: CallerChannel;
+  /** Another attempt is in progress. */
+  readonly hasOther: () => boolean;
   /** Called before bytes are passed on, so that other attempts can be ended. */
   readonly onBytes: () => void;
   /** Called when the caller has taken what was sent, and the response is read on. */
@@ -21,6 +23,7 @@
   #head: ResponseHead | undefined;
   #preview: EventSplitter | undefined;
   #pending: readonly Buffer[] = [];
+  #pendingBytes = 0;
   #hasPushed = false;
   #isBlocked = false;
 
@@ -46,7 +49,7 @@
 
   get bufferedBytes(): number {
     if (this.#hasPushed) return this.#options.channel.bufferedBytes;
-    return this.#preview?.remainder.length ?? 0;
+    return this.#pendingBytes;
   }
 
   /** Bytes of the attempt have been passed on. */
@@ -67,8 +70,8 @@
   push(bytes: Buffer): Promise<void> | undefined {
     if (this.#hasPushed) return this.#pass(bytes);
     this.#pending = [...this.#pending, bytes];
-    const isHeldBack = this.#preview?.push(bytes).length === 0;
-    return isHeldBack ? undefined : this.#passPending();
+    this.#pendingBytes += bytes.length;
+    return this.#isHeldBack(bytes) ? undefined : this.#passPending();
   }
 
   end(): void {
@@ -80,9 +83,18 @@
     return this.#hasPushed ? this.#options.channel : this.#preview;
   }
 
+  /** Comments are passed on only where no other attempt would end for them. */
+  #isHeldBack(bytes: Buffer): boolean {
+    if (!this.#preview) return false;
+    const complete = this.#preview.push(bytes);
+    if (this.#preview.hasEvents) return false;
+    return complete.length === 0 || this.#options.hasOther();
+  }
+
   #passPending(): Promise<void> | undefined {
     const bytes = Buffer.concat(this.#pending);
     this.#pending = [];
+    this.#pendingBytes = 0;
     this.#options.onBytes();
     this.#hasPushed = true;
     if (this.#head) this.#options.channel.begin(this.#head);
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -322,6 +322,7 @@
       chosen,
       remainingMs,
       needsNewConnection: this.#hasLostConnection,
+      hasOther: () => this.#attempts.size > 1,
       onBytes: (responding) => {
         this.#supersede(responding);
       },
--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -30,6 +30,8 @@
   readonly remainingMs: number;
   /** Idle connections may be lost. */
   readonly needsNewConnection: boolean;
+  /** Another attempt at the request is in progress. */
+  readonly hasOther: () => boolean;
   /** Called before bytes of a streamed response are passed on. */
   readonly onBytes: (attempt: MonitoredAttempt) => void;
   /** Called when the first event of a response is passed on, with the time since the request was sent. */
@@ -83,6 +85,7 @@
     sessions.record(placement.session, this.entry.id, this.#sentAt);
     this.#sink = new AttemptSink({
       channel,
+      hasOther: options.hasOther,
       onBytes: () => {
         if (!this.#sink.hasPushed) {
           channel.onFirstEvent(() => {
