Do not give attempts up for a peer while their connections live on

Callers saw: a stream that had begun was cut off, and one that had not begun got 502, though its runner was sound and only silent, at a node to whose new connections the runners were closed, where the peer found no room. In the run of the new test on the old code the stream was given up 975 ms after it had arrived, the peer refused it (runner-full) 22 ms later, and the caller got one of two events; since, both and the end.

Cause: the last place that gave attempts up for a hope. It also ended all attempts of a request because of the link of the newest one.

Now a request goes to a peer only when each of its attempts is at a runner whose link is lost and keeps a silence that no sound runner keeps there: new connections get no reply, so that open ones are lost as well, or the silence is long.

Remains: the attempts are still ended before the peer has taken the request.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -158,7 +158,7 @@
       this.#start(chosen);
       return;
     }
-    if (!this.#takePeer(entry)) return;
+    if (!this.#takePeer()) return;
     this.#abortAttempts({ kind: 'broken', reason: ABORT_REASONS.silent, isConnectionLost: false });
   }
 
@@ -401,11 +401,17 @@
     return chosen && this.#takeBudget() ? chosen : undefined;
   }
 
-  /** A peer reaches runners that this node has lost its links to; the retry there is taken. */
-  #takePeer(entry: RunnerEntry): boolean {
+  /**
+   * The attempts have nothing to expect, and a peer reaches runners that this node has lost its links to;
+   * the retry there is taken.
+   */
+  #takePeer(): boolean {
     const { pool, service } = this.#options;
-    if (!pool.links.isLost(entry) || !pool.hasOwnFault(service.name)) return false;
-    if (!this.canBePassedOn()) return false;
+    const isHopeless = [...this.#attempts].every(({ silence, entry }) => {
+      const isSound = silence !== 'link' && !isFaultySilence(silence);
+      return !isSound && pool.links.isLost(entry);
+    });
+    if (!isHopeless || !pool.hasOwnFault(service.name) || !this.canBePassedOn()) return false;
     return this.#takeBudget();
   }
 
