Answer with a runner's failure when the other attempt brings nothing

Callers saw: 504 at the deadline, or 502, where a runner had answered with 500.

Cause: while a silent runner is waited for, a response with a failure is set aside so that a better one may come, and it was dropped.

Now it is kept, and sent where the request would end without a response and nothing has been sent.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -38,6 +38,11 @@
   readonly outcome: AttemptOutcome;
 }
 
+interface FailedResponse {
+  readonly entry: RunnerEntry;
+  readonly outcome: Extract<AttemptOutcome, { readonly kind: 'answered' }>;
+}
+
 const SILENT_RUNNERS: ReadonlySet<Silence> = new Set(['runner', 'runner-for-long']);
 const HTTP_OK = 200;
 const FIRST_SERVER_ERROR = 500;
@@ -69,6 +74,8 @@
   #isUsageCounted: boolean;
   /** A retry was taken from the budget and has not reached a runner. */
   #hasTakenRetry = false;
+  /** Response of a runner that has failed, sent unless another attempt brings a better one. */
+  #failedResponse: FailedResponse | undefined;
   #isFinished = false;
 
   constructor(options: ForwardedRequestOptions) {
@@ -236,7 +243,9 @@
     }
     switch (step) {
       case 'retry':
+        return false;
       case 'wait':
+        if (outcome.kind === 'answered') this.#failedResponse = { entry, outcome };
         return false;
       case 'done':
       case 'answer':
@@ -247,10 +256,20 @@
       case 'refuse':
         return this.#refuse(outcome.kind === 'unsent' ? 'runner-unreachable' : 'runner-full');
       case 'fail':
-        return this.#fail('runner-broken', HTTP_BAD_GATEWAY);
+        return this.#respondFailed() || this.#fail('runner-broken', HTTP_BAD_GATEWAY);
     }
   }
 
+  /** Sends the response of a runner that has failed, if there is one and nothing has been sent. */
+  #respondFailed(): boolean {
+    const { channel } = this.#options;
+    if (!this.#failedResponse || channel.hasBegun) return false;
+    const { entry, outcome } = this.#failedResponse;
+    channel.respond(outcome.response);
+    this.#logServed(entry, outcome);
+    return true;
+  }
+
   /** What is needed to tell a request that ends its runner from a runner that ends under its load. */
   #interruptionInputs({
     entry,
@@ -487,6 +506,10 @@
 
   #timeOut(): void {
     if (this.#isFinished) return;
+    if (this.#respondFailed()) {
+      this.#abortAttempts({ kind: 'ended' });
+      return;
+    }
     const { channel, request, log, metrics, route } = this.#options;
     this.#isFinished = true;
     const failure = new Refusal('time-out', { status: HTTP_GATEWAY_TIMEOUT });
