--- a/test/gateway/silent-runner.test.ts
+++ b/test/gateway/silent-runner.test.ts
@@ -213,6 +213,7 @@
   stream_resume: true,
   gap_target_ms: 300,
   max_attempts: 3,
+  timeout_ms: 8_000,
 } as const;
 /** Silence of a stream of such a route after which it is tried elsewhere, and the period of the check. */
 const STREAM_LIMIT_MS = 900;
