Give stand-ins and test nodes addresses that no other process can take

Both now use freeAddresses: a loopback host of the process alone and a port below the ephemeral range that was not given before.

Ruled out: the relay of the stand-ins, which has listened outside the ephemeral range before.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -52,3 +52,4 @@
 export { LaggingValue } from './utils/lagging-value.ts';
 export { Sequence } from './utils/sequence.ts';
 export { KeyedStore } from './node/keyed-store.ts';
+export { processHost } from './utils/process-host.ts';
--- a/packages/standins/src/node/application-runner.ts
+++ b/packages/standins/src/node/application-runner.ts
@@ -13,6 +13,7 @@
 import { HttpServer } from './http-server.ts';
 import { omitFraming } from './omit-framing.ts';
 import { parseBody } from './parse-body.ts';
+import { runnerAddress } from './runner-address.ts';
 
 interface Operation {
   readonly key: string;
@@ -70,7 +71,8 @@
   }
 
   async listen(): Promise<void> {
-    await this.#server.listen(this.#options.host, this.#options.port);
+    const { host, port } = await runnerAddress(this.#options);
+    await this.#server.listen(host, port);
   }
 
   async drain(graceMs: number): Promise<void> {
--- a/packages/standins/src/node/engine-runner.ts
+++ b/packages/standins/src/node/engine-runner.ts
@@ -16,6 +16,7 @@
 import { HttpServer } from './http-server.ts';
 import { OrderHandler } from './order-handler.ts';
 import { parseBody } from './parse-body.ts';
+import { runnerAddress } from './runner-address.ts';
 import { TokenStream } from './token-stream.ts';
 
 interface Load {
@@ -101,7 +102,8 @@
   }
 
   async listen(): Promise<void> {
-    await this.#server.listen(this.#options.host, this.#options.port);
+    const { host, port } = await runnerAddress(this.#options);
+    await this.#server.listen(host, port);
   }
 
   async drain(graceMs: number): Promise<void> {
--- a/packages/standins/src/node/free-addresses.ts
+++ b/packages/standins/src/node/free-addresses.ts
@@ -1,18 +1,12 @@
 import { createServer } from 'node:net';
+import { processHost } from '../utils/process-host.ts';
 
 /** The range lies below the ephemeral ports that the operating system assigns to outgoing connections. */
 const FIRST_PORT = 10_000;
 const LAST_PORT = 32_000;
-const BYTE_MASK = 0xff;
 
 let lastPort = FIRST_PORT;
 
-/** Returns a loopback address derived from the process id, so that no other process uses it. */
-function processHost(): string {
-  const { pid } = process;
-  return ['127', (pid >> 16) & BYTE_MASK, (pid >> 8) & BYTE_MASK, pid & BYTE_MASK].join('.');
-}
-
 async function isFree(host: string, port: number): Promise<boolean> {
   const server = createServer();
   return new Promise<boolean>((resolve) => {
--- a/packages/standins/src/types/application-options.ts
+++ b/packages/standins/src/types/application-options.ts
@@ -1,11 +1,14 @@
 /** Options of an application runner. */
 export interface ApplicationOptions {
   readonly id: string;
-  /** @default '127.0.0.1' */
+  /**
+   * Host to listen on.
+   * @default '127.0.0.1' with a port, otherwise a loopback address of this process alone
+   */
   readonly host?: string | undefined;
   /**
    * Port to listen on; 0 selects any free port.
-   * @default 0
+   * @default 0 with a host, otherwise a port that no outgoing connection can get
    */
   readonly port?: number | undefined;
   /**
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -8,6 +8,7 @@
 import { MemoryKeyedLog } from '@ragwortrudder/log';
 import type { KeyedLog } from '@ragwortrudder/log';
 import { PlatformCatalogCodec, PlatformDialect } from '@ragwortrudder/platform-adapter';
+import { processHost } from '@ragwortrudder/standins';
 import type { ScriptedRunner } from './scripted-runner.ts';
 
 interface GatewayHarnessOptions {
@@ -70,7 +71,7 @@
     });
     this.gateway = new Gateway({
       settings: {
-        node: { id: options.node ?? 'n1', host: '127.0.0.1', failureDomain: 'a' },
+        node: { id: options.node ?? 'n1', host: processHost(), failureDomain: 'a' },
         listen: {
           callers: { host: '127.0.0.1', port: 0 },
           readiness: { host: '127.0.0.1', port: 0 },
--- a/test/gateway/poisoned-entry.test.ts
+++ b/test/gateway/poisoned-entry.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
+import { processHost } from '@ragwortrudder/standins';
 import { freePort } from './free-port.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { limitConcurrency } from './limit-concurrency.ts';
@@ -290,7 +291,7 @@
   t.teardown(() => socket.close());
   const send = (text: string | Buffer): Promise<void> =>
     new Promise((resolve) => {
-      socket.send(text, peerPort, '127.0.0.1', () => {
+      socket.send(text, peerPort, processHost(), () => {
         resolve();
       });
     });
--- a/test/standins/fleet.test.ts
+++ b/test/standins/fleet.test.ts
@@ -3,11 +3,14 @@
 import type { ExecutionContext } from 'ava';
 import { checkSettings } from '@ragwortrudder/settings';
 import {
+  ApplicationRunner,
   ChildProcess,
+  EngineRunner,
   Fleet,
   ProcessFailure,
   entrySettings,
   freeAddresses,
+  processHost,
 } from '@ragwortrudder/standins';
 import type { FleetOptions } from '@ragwortrudder/standins';
 import { call } from './call.ts';
@@ -61,6 +64,27 @@
   t.true(addresses.every((address) => Number(address.split(':')[1]) < 32_768));
 });
 
+// Guards against tests that fail because another process took the port of a runner that refused connections.
+test('a runner that comes back listens on an address that no other process uses', async (t) => {
+  const runners = [new EngineRunner({ id: 'm1' }), new ApplicationRunner({ id: 'a1' })];
+  for (const runner of runners) {
+    await runner.listen();
+    t.teardown(() => runner.close());
+    const [host, port] = runner.address.split(':');
+    t.is(host, processHost());
+    t.true(Number(port) < 32_768);
+  }
+});
+
+test('a runner with a port of its own listens on it', async (t) => {
+  const [address = ''] = await freeAddresses(1);
+  const [host = '', port] = address.split(':');
+  const runner = new EngineRunner({ id: 'm1', host, port: Number(port) });
+  await runner.listen();
+  t.teardown(() => runner.close());
+  t.is(runner.address, address);
+});
+
 test('the layout distributes entry nodes and runners over the failure domains', (t) => {
   const { layout } = new Fleet({
     entriesPerFailureDomain: 2,
