Do not take a stall of the node for a link that cannot be probed

What callers saw: a node that was held up for longer than the 250 ms of a probe took the link for lost ('silent'). It closed its idle connections to that runner, and requests for it were offered to peers or rejected until the next probe.

Cause: the timer of the probe destroyed its socket although the connection had been opened meanwhile; timers run before sockets are read.

--- a/test/gateway/lost-stalls.test.ts
+++ b/test/gateway/lost-stalls.test.ts
@@ -2,7 +2,9 @@
 import { request as sendRequest } from 'node:http';
 import { Worker } from 'node:worker_threads';
 import test from 'ava';
+import { probeConnection } from '../../packages/gateway/src/node/probe-connection.ts';
 import { RunnerAgent } from '../../packages/gateway/src/node/runner-agent.ts';
+import { CONNECT_TIMEOUT_MS } from '../../packages/gateway/src/utils/connect-timeout-ms.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { RawCaller, requestText } from './raw-caller.ts';
 import { responseTo } from './scripted-response.ts';
@@ -112,6 +114,18 @@
   t.is(await status, 200);
 });
 
+// Guards against a link that counts as lost because the node itself has stalled during its probe.
+test.serial(
+  'a probe whose connection was opened while the node stalled finds its link',
+  async (t) => {
+    const runner = await new ScriptedRunner(() => undefined).listen();
+    t.teardown(() => runner.close());
+    const probe = probeConnection({ host: '127.0.0.1', port: runner.port }, CONNECT_TIMEOUT_MS);
+    stall(SHORT_STALL_MS);
+    t.is(await probe, undefined);
+  },
+);
+
 // Guards against the end of an idle connection on which a request has arrived.
 test.serial(
   'a request that arrived while the node stalled across the idle limit is answered',
