Do not take a block without data for an event of a stream

What callers saw: a stream whose runner was only silent was cut off, because another runner had sent `retry: 100` or an event without data, and broke off (LOST). A stream looked complete after two of its events, because its next runner, without length or chunks, sent such a block and was closed (ORDER).

Cause: a block with any field counted as an event. By the format of event streams one without data is none, and many servers begin each response with one.

Why it works: `hasEvents` asks for data, so that such a block is held back and proves nothing, like a comment.

--- a/packages/gateway/src/utils/event-splitter.ts
+++ b/packages/gateway/src/utils/event-splitter.ts
@@ -43,7 +43,7 @@
     return this.#fault;
   }
 
-  /** An event is complete. */
+  /** An event is complete; a block without data is none for the caller. */
   get hasEvents(): boolean {
     return this.#hasEvents;
   }
@@ -118,7 +118,7 @@
       const id = this.#ownId === '' ? undefined : this.#ownId;
       this.#fault = this.#sequence.add({ id, hasData: this.#hasData });
       if (this.#fault !== undefined) return false;
-      this.#hasEvents = true;
+      this.#hasEvents ||= this.#hasData;
     }
     this.#hasField = false;
     this.#hasData = false;
--- a/test/gateway/lost-races.test.ts
+++ b/test/gateway/lost-races.test.ts
@@ -18,30 +18,39 @@
 /** Time in which nodes hear each other. */
 const MEETING_MS = 600;
 
-// Guards against a stream whose silent runner is given up for one that has sent no event (LOST).
-test('a stream goes on at its silent runner when the other one sends only a comment', async (t) => {
-  const silent = new ScriptedRunner((socket, request) => {
-    socket.write(streamHeadFor(request) + chunk(event(1)));
-    setTimeout(() => socket.write(chunk(event(2)) + chunk('')), SILENCE_MS);
-  });
-  const other = new ScriptedRunner((socket, request) => {
-    socket.write(streamHeadFor(request) + chunk(': ready\n\n'));
-    setTimeout(() => socket.destroy(), PAUSE_MS);
-  });
-  const harness = await GatewayHarness.start(t, {
-    runners: [await silent.listen()],
-    route: { ...RESUMABLE, max_attempts: 2 },
+/** What a runner may send before its first event; callers get no event for it. */
+const PREAMBLES = {
+  'a comment': ': ready\n\n',
+  'a time to wait before reconnecting': 'retry: 100\n\n',
+  'an event without data': 'event: ready\n\n',
+} as const;
+
+for (const [name, preamble] of Object.entries(PREAMBLES)) {
+  // Guards against a stream whose silent runner is given up for one that has sent no event (LOST).
+  test(`a stream goes on at its silent runner when the other one sends only ${name}`, async (t) => {
+    const silent = new ScriptedRunner((socket, request) => {
+      socket.write(streamHeadFor(request) + chunk(event(1)));
+      setTimeout(() => socket.write(chunk(event(2)) + chunk('')), SILENCE_MS);
+    });
+    const other = new ScriptedRunner((socket, request) => {
+      socket.write(streamHeadFor(request) + chunk(preamble));
+      setTimeout(() => socket.destroy(), PAUSE_MS);
+    });
+    const harness = await GatewayHarness.start(t, {
+      runners: [await silent.listen()],
+      route: { ...RESUMABLE, max_attempts: 2 },
+    });
+    const reply = harness.call();
+    await harness.waitUntil(() => silent.received.length === 1);
+    await other.listen();
+    t.teardown(() => other.close());
+    await harness.registerRunner('r1', other.port);
+    const { body, isComplete } = await reply;
+    t.is(other.received.length, 1);
+    t.is(body, event(1) + event(2));
+    t.true(isComplete);
   });
-  const reply = harness.call();
-  await harness.waitUntil(() => silent.received.length === 1);
-  await other.listen();
-  t.teardown(() => other.close());
-  await harness.registerRunner('r1', other.port);
-  const { body, isComplete } = await reply;
-  t.is(other.received.length, 1);
-  t.is(body, event(1) + event(2));
-  t.true(isComplete);
-});
+}
 
 // Guards against a stream that is given up for a peer although open connections live on (LOST).
 test('a stream goes on at its silent runner when a peer reaches only runners without room', async (t) => {
--- a/test/gateway/resumed-stream.test.ts
+++ b/test/gateway/resumed-stream.test.ts
@@ -109,7 +109,7 @@
 
 // Guards against ending a stream as complete when its next runner crashed before an event (ORDER).
 test('a resumed stream without length or chunks that is closed before an event does not look complete', async (t) => {
-  for (const text of ['', ': waiting\n\n']) {
+  for (const text of ['', ': waiting\n\n', 'retry: 100\n\n', 'event: ready\n\n']) {
     const { reply } = await resumeWith(t, (request) => {
       return streamHeadFor(request, ['Connection: close']) + text;
     });
