Let a stream's other attempt go on until its silent runner sends an event

What callers saw: a stream was cut off though a sound runner was about to go on with it. Its silent runner had sent a comment, or a part of an event, which ended the other attempt, and then broke off; no attempt was left.

Cause: any bytes of an attempt that had sent before ended the others. An attempt that had not sent yet ends them only with a whole event since.

Why it works: bytes are passed on first, and the others end if an event came with them; a body that is no event stream ends them with any bytes, as before. All of this happens in one turn, so that no two attempts send. Ruled out: a change of the sequence under an attempt that is compared with it; an event ends that attempt, and a comment changes no id.

--- a/packages/gateway/src/node/attempt-sink.ts
+++ b/packages/gateway/src/node/attempt-sink.ts
@@ -8,7 +8,7 @@
   readonly channel: CallerChannel;
   /** Another attempt is in progress. */
   readonly hasOther: () => boolean;
-  /** Called before bytes are passed on, so that other attempts can be ended. */
+  /** Called when the attempt passes on its first bytes, and with each event, so that others can be ended. */
   readonly onBytes: () => void;
   /** Called when the caller has taken what was sent, and the response is read on. */
   readonly onDrain: () => void;
@@ -36,7 +36,7 @@
   }
 
   get hasEvents(): boolean {
-    return this.#source?.hasEvents ?? false;
+    return (this.#source?.eventCount ?? 0) > 0;
   }
 
   get fault(): string | undefined {
@@ -87,7 +87,7 @@
   #isHeldBack(bytes: Buffer): boolean {
     if (!this.#preview) return false;
     const complete = this.#preview.push(bytes);
-    if (this.#preview.hasEvents) return false;
+    if (this.#preview.eventCount > 0) return false;
     return complete.length === 0 || this.#options.hasOther();
   }
 
@@ -102,8 +102,11 @@
   }
 
   #pass(bytes: Buffer): Promise<void> | undefined {
-    this.#options.onBytes();
-    return this.#send(bytes);
+    const { channel, onBytes } = this.#options;
+    const before = channel.eventCount;
+    const drained = this.#send(bytes);
+    if (before === undefined || channel.eventCount !== before) onBytes();
+    return drained;
   }
 
   #send(bytes: Buffer): Promise<void> | undefined {
--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -53,7 +53,12 @@
 
   /** The response that has begun last has brought an event. */
   get hasEvents(): boolean {
-    return this.#splitter?.hasEvents ?? false;
+    return (this.eventCount ?? 0) > 0;
+  }
+
+  /** Events that the response that has begun last has brought; undefined for another body. */
+  get eventCount(): number | undefined {
+    return this.#splitter?.eventCount;
   }
 
   /** Why nothing after the events that were sent can follow them. */
--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -32,7 +32,7 @@
   readonly needsNewConnection: boolean;
   /** Another attempt at the request is in progress. */
   readonly hasOther: () => boolean;
-  /** Called before bytes of a streamed response are passed on. */
+  /** Called when the first bytes of a streamed response are passed on, and with each event. */
   readonly onBytes: (attempt: MonitoredAttempt) => void;
   /** Called when the first event of a response is passed on, with the time since the request was sent. */
   readonly onFirstEvent: (tookMs: number) => void;
--- a/packages/gateway/src/utils/event-splitter.ts
+++ b/packages/gateway/src/utils/event-splitter.ts
@@ -28,7 +28,7 @@
   #ownId: string | undefined;
   readonly #sequence: EventSequence;
   #fault: string | undefined;
-  #hasEvents = false;
+  #eventCount = 0;
   #lastId: string | undefined;
   #pendingId: string | undefined;
 
@@ -43,9 +43,9 @@
     return this.#fault;
   }
 
-  /** An event is complete; a block without data is none for the caller. */
-  get hasEvents(): boolean {
-    return this.#hasEvents;
+  /** Complete events; a block without data is none for the caller. */
+  get eventCount(): number {
+    return this.#eventCount;
   }
 
   /** Event id after the last complete event; undefined when there is none, or an empty one. */
@@ -118,7 +118,7 @@
       const id = this.#ownId === '' ? undefined : this.#ownId;
       this.#fault = this.#sequence.add({ id, hasData: this.#hasData });
       if (this.#fault !== undefined) return false;
-      this.#hasEvents ||= this.#hasData;
+      if (this.#hasData) this.#eventCount += 1;
     }
     this.#hasField = false;
     this.#hasData = false;
