Keep the failure of a runner while the request is sent again

What callers saw: a request got 502 or 504 from the node though a runner had answered it with 500: the response was given up for a retry, and the retry's runner broke off, had no room or stayed silent.

Cause: a failure was kept only while another attempt was in progress, not where the retry began after it.

Evidence: 3 of 3 new tests failed before (502, 502 and 504 in place of 500).

Why it works: the failure is kept for a retry, too, and sent if nothing better comes; a response that has begun never takes it. Ruled out: other statuses; only failures of a server are retried.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -243,7 +243,6 @@
     }
     switch (step) {
       case 'retry':
-        return false;
       case 'wait':
         if (outcome.kind === 'answered') this.#failedResponse = { entry, outcome };
         return false;
