Do not take a stall of the node for a lost link when it probes one

Callers of a node that was held up for longer than 250 ms while it probed a runner's link got 503 runner-unreachable although the runner was sound: the probe's timer ran before the socket was read, the link counted as lost and silent, idle connections to the runner were closed, and its requests were rejected or passed on until the next probe. Probes follow from 400 ms of silence, which a stall brings about as well, so that one follows the other on a busy machine.

An address that answers nothing still gives 'silent' after 250 ms. Other timers of the gateway that judge others: the upkeep task reads first, the idle limit of callers' connections too; deadlines of requests are meant to run by the clock.

--- a/packages/gateway/src/node/probe-connection.ts
+++ b/packages/gateway/src/node/probe-connection.ts
@@ -1,7 +1,7 @@
 import { Socket } from 'node:net';
 import type { Address } from '@ragwortrudder/catalog';
 import type { LinkFailure } from '@ragwortrudder/routing';
-import { ConnectTimedOut } from '../errors/connect-timed-out.ts';
+import { limitConnectTime } from '../utils/limit-connect-time.ts';
 import { linkFailureOf } from '../utils/link-failure-of.ts';
 
 /**
@@ -14,11 +14,8 @@
 ): Promise<LinkFailure | undefined> {
   return new Promise((resolve) => {
     const socket = new Socket();
-    const timer = setTimeout(() => {
-      socket.destroy(new ConnectTimedOut());
-    }, timeoutMs);
+    limitConnectTime(socket, timeoutMs);
     const settle = (failure: LinkFailure | undefined): void => {
-      clearTimeout(timer);
       socket.destroy();
       resolve(failure);
     };
--- a/test/gateway/lost-stalls.test.ts
+++ b/test/gateway/lost-stalls.test.ts
@@ -2,7 +2,9 @@
 import { request as sendRequest } from 'node:http';
 import { Worker } from 'node:worker_threads';
 import test from 'ava';
+import { probeConnection } from '../../packages/gateway/src/node/probe-connection.ts';
 import { RunnerAgent } from '../../packages/gateway/src/node/runner-agent.ts';
+import { CONNECT_TIMEOUT_MS } from '../../packages/gateway/src/utils/connect-timeout-ms.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { RawCaller, requestText } from './raw-caller.ts';
 import { responseTo } from './scripted-response.ts';
@@ -112,6 +114,21 @@
   t.is(await status, 200);
 });
 
+// Guards against a node that takes a stall of its own for a lost link, and rejects requests for it.
+test.serial('a link that was probed while the node stalled is not lost', async (t) => {
+  const runner = await new ScriptedRunner(() => undefined).listen();
+  t.teardown(() => runner.close());
+  const failure = await new Promise((resolve) => {
+    setImmediate(() => {
+      resolve(probeConnection({ host: '127.0.0.1', port: runner.port }, CONNECT_TIMEOUT_MS));
+      process.nextTick(() => {
+        process.nextTick(stall, SHORT_STALL_MS);
+      });
+    });
+  });
+  t.is(failure, undefined);
+});
+
 // Guards against the end of an idle connection on which a request has arrived.
 test.serial(
   'a request that arrived while the node stalled across the idle limit is answered',
