Test the skipping of an unreachable runner with a port that no one else gets

'an unreachable runner is skipped, even for non-idempotent requests' got 502 for 200 in one of 8 runs of its file, four at a time at load 19. The test closed a listener and took its port for that of a runner that has gone. The port goes back to the system, and one of the listeners that 25 other tests of the file and other files open meanwhile can get it. The node then reaches a server that is no runner, and a once-only request ends with 502, as it has to.

A trial in which an HTTP server listens on the port after its release gives the same 502 in each run. The test now uses port 1, which lies outside the range that listeners get and on which nothing listens; connections are refused as before, and what is asked of the node is the same.

--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -5,6 +5,9 @@
 import { ScriptedRunner } from './scripted-runner.ts';
 import type { ReceivedRequest } from './scripted-runner.ts';
 
+/** Below the ports that other listeners get, so that none of them is taken for a runner that has gone. */
+const UNUSED_PORT = 1;
+
 function startAnsweringRunner(): Promise<ScriptedRunner> {
   return new ScriptedRunner((socket, request) => {
     socket.write(responseTo(request, `for ${request.id}`));
@@ -173,16 +176,14 @@
   t.is(reply.headers['response-signature'], undefined);
 });
 
+// Guards against requests that are lost at a runner which accepts no connection.
 test('an unreachable runner is skipped, even for non-idempotent requests', async (t) => {
-  const dead = await startAnsweringRunner();
-  const { port } = dead;
-  await dead.close();
   const runner = await startAnsweringRunner();
   const harness = await GatewayHarness.start(t, {
     runners: [runner],
     route: { kind: 'non_idempotent', max_attempts: 1 },
   });
-  await harness.registerRunner('dead', port);
+  await harness.registerRunner('dead', UNUSED_PORT);
   await harness.waitUntil(() => harness.lines.some((line) => line.includes('"dead"')));
   for (let index = 0; index < 5; index += 1) t.is((await harness.call()).status, 200);
 });
