Give two tests of resting runners the process to themselves

The rejection itself takes no time: it is decided in the turn of the event loop in which the request is read. All 13 tests of the file ran at the same time in one process, which held 19 gateways, their runners and their callers: 13 s of processor time in 13 s, with turns of 100 to 240 ms, and a call takes several of them. The caller's clock measured that.

The test now runs alone in its process, and so does the one with six gateways; the others run three at a time, as in the tests of nodes without links. All bounds and measures are as they were.

Ruled out: requests that go round or wait.

--- a/test/gateway/resting-runner.test.ts
+++ b/test/gateway/resting-runner.test.ts
@@ -7,6 +7,7 @@
 import { DelayedRunner } from './delayed-runner.ts';
 import { freePort } from './free-port.ts';
 import { GatewayHarness } from './gateway-harness.ts';
+import { limitConcurrency } from './limit-concurrency.ts';
 import { ROUTE_KINDS } from './route-kinds.ts';
 import { sendFor } from './send-for.ts';
 import { chunk, event, headFor, responseTo, streamHeadFor } from './scripted-response.ts';
@@ -27,6 +28,9 @@
 const DECIDED_MS = 37;
 const OK = 200;
 const UNAVAILABLE = 503;
+/** Includes the time for which a test waits for others of this file, in milliseconds. */
+const TEST_TIMEOUT_MS = 115_000;
+const takeTurn = limitConcurrency(3);
 
 /** Runner that turns requests away with a `Retry-After` while `retryAfter` is set. */
 class RestingRunner extends DelayedRunner {
@@ -66,6 +70,8 @@
   count: number,
   isStreaming = false,
 ): Promise<readonly RestingRunner[]> {
+  t.timeout(TEST_TIMEOUT_MS);
+  await takeTurn(t);
   const runners = await Promise.all(
     Array.from({ length: count }, () => new RestingRunner(RESPONSE_MS).listen()),
   );
@@ -116,32 +122,35 @@
 }
 
 // Guards against requests that go round among resting runners, or wait for them.
-test('pattern: all runners ask for rest; requests are rejected at once with the time at which the first rest ends', async (t) => {
-  const runners = await startRunners(t, 3);
-  const { gateways } = await startFleet(t, runners, { gateways: 1, kind: 'idempotent' });
-  await sendFor(gateways, 300);
-  for (const runner of runners) runner.ask('3');
-  const outcomes = await sendFor(gateways, REST_MS - 500);
-  for (const [index, { late }] of runners.entries()) {
-    t.true(late <= ALLOWED, `${late} requests to runner ${index} in the rest`);
-  }
-  const first = Math.min(...runners.map(({ askedAt }) => askedAt));
-  const last = Math.max(...runners.map(({ askedAt }) => askedAt));
-  const rejected = outcomes.filter(({ sentAt }) => sentAt > last + 100);
-  t.true(rejected.length > 0);
-  t.true(rejected.every(({ status }) => status === UNAVAILABLE));
-  for (const { sentAt, retryAfterMs, tookMs } of rejected) {
-    const endsInMs = first + REST_MS - sentAt;
-    t.true(Math.abs(retryAfterMs - endsInMs) < 250, `${retryAfterMs} instead of ${endsInMs}`);
-    t.true(tookMs < REJECTED_MS, `rejected after ${tookMs} ms`);
-  }
-  const decisions = (gateways[0]?.lines ?? [])
-    .map((line) => JSON.parse(line) as Record<string, unknown>)
-    .filter(({ event: name, cause }) => name === 'request-refused' && cause === 'no-runner');
-  t.true(decisions.length > 50);
-  for (const { afterMs } of decisions)
-    t.true(Number(afterMs) <= DECIDED_MS, `${String(afterMs)} ms`);
-});
+test.serial(
+  'pattern: all runners ask for rest; requests are rejected at once with the time at which the first rest ends',
+  async (t) => {
+    const runners = await startRunners(t, 3);
+    const { gateways } = await startFleet(t, runners, { gateways: 1, kind: 'idempotent' });
+    await sendFor(gateways, 300);
+    for (const runner of runners) runner.ask('3');
+    const outcomes = await sendFor(gateways, REST_MS - 500);
+    for (const [index, { late }] of runners.entries()) {
+      t.true(late <= ALLOWED, `${late} requests to runner ${index} in the rest`);
+    }
+    const first = Math.min(...runners.map(({ askedAt }) => askedAt));
+    const last = Math.max(...runners.map(({ askedAt }) => askedAt));
+    const rejected = outcomes.filter(({ sentAt }) => sentAt > last + 100);
+    t.true(rejected.length > 0);
+    t.true(rejected.every(({ status }) => status === UNAVAILABLE));
+    for (const { sentAt, retryAfterMs, tookMs } of rejected) {
+      const endsInMs = first + REST_MS - sentAt;
+      t.true(Math.abs(retryAfterMs - endsInMs) < 250, `${retryAfterMs} instead of ${endsInMs}`);
+      t.true(tookMs < REJECTED_MS, `rejected after ${tookMs} ms`);
+    }
+    const decisions = (gateways[0]?.lines ?? [])
+      .map((line) => JSON.parse(line) as Record<string, unknown>)
+      .filter(({ event: name, cause }) => name === 'request-refused' && cause === 'no-runner');
+    t.true(decisions.length > 50);
+    for (const { afterMs } of decisions)
+      t.true(Number(afterMs) <= DECIDED_MS, `${String(afterMs)} ms`);
+  },
+);
 
 for (const value of ['soon', '-3', '0', 'Wed, 21 Oct 2037 07:28:00 GMT', '1e9', '']) {
   // Guards against a runner that is never used again because of a value that cannot be read.
@@ -183,7 +192,7 @@
 });
 
 // Guards against a herd of requests from all nodes at the moment at which a rest ends.
-test('after a rest work returns gradually from all nodes', async (t) => {
+test.serial('after a rest work returns gradually from all nodes', async (t) => {
   const runners = await startRunners(t, 3);
   const { gateways } = await startFleet(t, runners, { gateways: 6, kind: 'idempotent' });
   const [first] = runners;
