Send a request on over an open connection where none can be opened

Cause: after a lost connection each further attempt opened a new one, and a runner that refused it counted as tried. A second loss beside refused connections closed all open ones, so that the next request ended as well.

Fix: an attempt that had to open a connection and could not has sent nothing, so its runner may be tried over an open connection. It costs no attempt, and its retry is kept. After a loss beside a link that is down the open connections are kept for that alone, until bytes arrive on them.

The choice of a runner moves to RunnerSelection, what was tried to TriedRunners. Ruled out: using open connections first, which spends the last attempt on them where a peer could serve.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -1,6 +1,5 @@
 import type { Route, RunnerEntry, Service, Team } from '@ragwortrudder/catalog';
-import { placeApplicationRequest, placeModelRequest } from '@ragwortrudder/routing';
-import type { PlacementCandidate, PlacementRequest } from '@ragwortrudder/routing';
+import type { PlacementRequest } from '@ragwortrudder/routing';
 import { Refusal } from '../errors/refusal.ts';
 import type { AttemptOutcome } from '../types/attempt-outcome.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
@@ -9,13 +8,15 @@
 import type { Silence } from '../types/silence.ts';
 import { ABORT_REASONS } from '../utils/abort-reasons.ts';
 import { CompletionQueue } from '../utils/completion-queue.ts';
-import { FIXED_OVERHEAD_MS } from '../utils/fixed-overhead-ms.ts';
 import { isFaultySilence } from '../utils/is-faulty-silence.ts';
+import { MAX_UNSENT } from '../utils/max-unsent.ts';
 import { nextStep } from '../utils/next-step.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
+import { TriedRunners } from '../utils/tried-runners.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
 import { MonitoredAttempt } from './monitored-attempt.ts';
+import { RunnerSelection } from './runner-selection.ts';
 
 interface ForwardedRequestOptions extends ForwarderOptions {
   readonly request: CallerRequest;
@@ -31,6 +32,8 @@
   readonly passed?: PassedRequest;
   /** Another node may serve the request if this one cannot. */
   readonly mayPassOn: () => boolean;
+  /** Waits until peers have told whether they reach runners that this node does not. */
+  readonly hasLostLinks: () => Promise<boolean>;
 }
 
 interface EndedAttempt {
@@ -60,17 +63,13 @@
   readonly #placement: PlacementRequest;
   readonly #arrivedAt: number;
   readonly #deadlineAt: number;
-  readonly #tried = new Set<string>();
-  /** A roll-out sends this request to the target version. */
-  readonly #goesToTarget: boolean;
+  readonly #tried = new TriedRunners();
+  readonly #selection: RunnerSelection;
   /** Attempts in progress; more than one while a runner is silent, the newest last. */
   readonly #attempts = new Set<MonitoredAttempt>();
   readonly #ended = new CompletionQueue<EndedAttempt>();
   #sends: number;
-  #unsent = 0;
   #mayHaveRun = false;
-  /** A connection was lost under the request; whatever has cut it may have cut others. */
-  #hasLostConnection = false;
   #isUsageCounted: boolean;
   /** A retry was taken from the budget and has not reached a runner. */
   #hasTakenRetry = false;
@@ -88,7 +87,12 @@
       failureDomain,
       options.pool.prefillRate(options.service.name).msPerToken,
     );
-    this.#goesToTarget = options.rollouts.drawTarget(options.service.name);
+    this.#selection = new RunnerSelection({
+      ...options,
+      placement: this.#placement,
+      tried: this.#tried,
+      isRepeatable: this.isRepeatable,
+    });
     this.#arrivedAt = clock.monotonic();
     this.#deadlineAt = this.#arrivedAt + Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
   }
@@ -192,18 +196,34 @@
 
   async #attemptUntilDone(): Promise<void> {
     for (;;) {
-      if (this.#attempts.size === 0 && !this.#start(this.#chooseOrReject())) return;
+      if (this.#attempts.size === 0) {
+        const chosen = await this.#chooseNext();
+        if (this.#isFinished || (!chosen && this.#respondFailed())) return;
+        if (!this.#start(this.#checkChosen(chosen))) return;
+      }
       const { attempt, outcome } = await this.#ended.next();
       if (!this.#attempts.delete(attempt)) continue;
-      this.#recordOutcome(outcome, attempt.tookMs);
+      this.#recordOutcome(outcome, attempt);
       if (outcome.kind === 'ended') this.#timeOut();
       if (this.#isFinished) return;
       if (this.#handleOutcome(outcome, attempt)) return;
     }
   }
 
-  #chooseOrReject(): ChosenRunner {
-    const chosen = this.#chooseRunner();
+  /**
+   * Chooses where to go on. Before an open connection is used because none can be opened, a peer that
+   * reaches the runners goes first: what has cut a connection may have cut the open ones without a sign.
+   */
+  async #chooseNext(): Promise<ChosenRunner | undefined> {
+    const hasOpen = this.#selection.chooseOpen() !== undefined;
+    const mayConnect = !hasOpen || this.#tried.unsent < MAX_UNSENT;
+    const chosen = mayConnect ? this.#selection.choose() : undefined;
+    if (chosen || !hasOpen) return chosen;
+    if (this.canBePassedOn() && (await this.#options.hasLostLinks())) return undefined;
+    return this.#selection.chooseOpen();
+  }
+
+  #checkChosen(chosen: ChosenRunner | undefined): ChosenRunner {
     if (chosen && !this.#isHeld()) return chosen;
     if (this.#mayHaveRun) this.#fail('runner-broken', HTTP_BAD_GATEWAY);
     return this.#refuse(this.#causeWithoutRunner());
@@ -213,18 +233,20 @@
     const { route, channel, clock, log, request } = this.#options;
     const { entry } = attempt;
     const now = clock.monotonic();
+    const hasOpen = this.#selection.chooseOpen() !== undefined;
     const step = nextStep(outcome, {
       route,
       sends: this.#sends,
-      unsent: this.#unsent,
+      unsent: this.#tried.unsent,
       mayHaveRun: this.#mayHaveRun,
       hasBegun: channel.hasBegun,
       canContinue: channel.canContinue,
       canRetry:
         !this.#isHeld() &&
         this.#deadlineAt - now > MIN_RETRY_MS &&
-        this.#chooseRunner() !== undefined,
+        (hasOpen || this.#selection.choose() !== undefined),
       hasOther: this.#attempts.size > 0,
+      hasOpen,
       takeBudget: () => this.#takeBudget(),
     });
     if (step !== 'done' && step !== 'answer') {
@@ -332,7 +354,6 @@
       this.#timeOut();
       return false;
     }
-    this.#tried.add(chosen.entry.id);
     this.#sends += 1;
     this.#hasTakenRetry = false;
     const attempt = new MonitoredAttempt({
@@ -340,7 +361,7 @@
       placement: this.#placement,
       chosen,
       remainingMs,
-      needsNewConnection: this.#hasLostConnection,
+      needsNewConnection: this.#tried.recordStart(chosen),
       hasOther: () => this.#attempts.size > 1,
       onBytes: (responding) => {
         this.#supersede(responding);
@@ -368,11 +389,11 @@
     for (const attempt of this.#attempts) attempt.abort(outcome);
   }
 
-  #recordOutcome(outcome: AttemptOutcome, tookMs: number): void {
+  #recordOutcome(outcome: AttemptOutcome, { entry, tookMs }: MonitoredAttempt): void {
+    this.#tried.recordOutcome(entry.id, outcome);
     switch (outcome.kind) {
       case 'unsent':
         this.#sends -= 1;
-        this.#unsent += 1;
         this.#hasTakenRetry = this.#sends > 0;
         return;
       case 'refused':
@@ -382,7 +403,6 @@
         this.#recordStart(tookMs);
         return;
       case 'broken':
-        this.#hasLostConnection ||= outcome.isConnectionLost;
         this.#mayHaveRun = true;
         return;
       case 'ended':
@@ -416,7 +436,7 @@
     if (this.#isHeld() || this.remainingMs <= MIN_RETRY_MS) return undefined;
     const isAllowed = (entry: RunnerEntry): boolean =>
       isFaultySilence(silence) || !pool.links.isSuspect(entry);
-    const chosen = this.#chooseRunner(isAllowed);
+    const chosen = this.#selection.choose(isAllowed);
     return chosen && this.#takeBudget() ? chosen : undefined;
   }
 
@@ -442,54 +462,6 @@
     return this.#hasTakenRetry;
   }
 
-  #chooseRunner(isAllowed?: (entry: RunnerEntry) => boolean): ChosenRunner | undefined {
-    const { service, directory, random, failureDomain } = this.#options;
-    const candidates = this.#candidates(isAllowed);
-    if (service.engine) return this.#chooseEngine(candidates);
-    const id = placeApplicationRequest(failureDomain, candidates, random);
-    const entry = id === undefined ? undefined : directory.find(id);
-    return entry && { entry, expectedMs: FIXED_OVERHEAD_MS, prefillTokens: 0 };
-  }
-
-  /** A request that a roll-out gives to the target version is not sent there again after a failure. */
-  #candidates(
-    isAllowed: (entry: RunnerEntry) => boolean = () => true,
-  ): readonly PlacementCandidate[] {
-    const { pool, service, rollouts, directory } = this.#options;
-    const candidatesOf = (isTarget: boolean): readonly PlacementCandidate[] =>
-      this.#preferLost(
-        pool.candidates(service, {
-          isAllowed: (entry) =>
-            !this.#tried.has(entry.id) && rollouts.accepts(entry, isTarget) && isAllowed(entry),
-          isRepeatable: this.isRepeatable,
-        }),
-      );
-    const hasOther = directory
-      .ofService(service.name)
-      .some((entry) => rollouts.accepts(entry, false));
-    if (!hasOther) return candidatesOf(true);
-    const target = this.#goesToTarget && this.#tried.size === 0 ? candidatesOf(true) : [];
-    return target.length > 0 ? target : candidatesOf(false);
-  }
-
-  /** The node that passed a request on sends the others of its requests to the runners that it reaches. */
-  #preferLost(candidates: readonly PlacementCandidate[]): readonly PlacementCandidate[] {
-    const lost = this.#options.passed?.lost;
-    if (!lost) return candidates;
-    const preferred = candidates.filter(({ id }) => lost.includes(id));
-    return preferred.length > 0 ? preferred : candidates;
-  }
-
-  #chooseEngine(candidates: readonly PlacementCandidate[]): ChosenRunner | undefined {
-    const { directory, random, sessions, clock } = this.#options;
-    const lastRunner = sessions.find(this.#placement.session, clock.monotonic());
-    const request = lastRunner === undefined ? this.#placement : { ...this.#placement, lastRunner };
-    const placement = placeModelRequest(request, candidates, random);
-    const entry = placement && directory.find(placement.id);
-    if (!entry) return undefined;
-    return { entry, expectedMs: placement.firstTokenMs, prefillTokens: placement.prefillTokens };
-  }
-
   #logAlternative({ entry, silence, tookMs }: MonitoredAttempt, chosen: ChosenRunner): void {
     const { request, route, channel, log } = this.#options;
     log.notable('attempt-added', {
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -168,6 +168,7 @@
       team,
       ...keys,
       mayPassOn: () => peerForwarder.mayPassOn(service.name),
+      hasLostLinks: () => this.#hasLostLinks(service),
     });
     let mayHaveRun = true;
     try {
@@ -296,6 +297,7 @@
       ...keys,
       passed: request.passed,
       mayPassOn: () => false,
+      hasLostLinks: () => Promise.resolve(false),
     });
     this.#active.add(forwarded);
     this.#passedCount += 1;
--- a/packages/gateway/src/node/runner-links.ts
+++ b/packages/gateway/src/node/runner-links.ts
@@ -21,6 +21,12 @@
   readonly onChange: () => void;
 }
 
+interface OpenQuery {
+  readonly isRepeatable: boolean;
+  /** The request may be sent over a connection that has been cut without a sign. */
+  readonly mayBeCut: boolean;
+}
+
 /** Silence of a runner with requests in progress after which its link is probed, in milliseconds. */
 const SILENCE_MS = 400;
 /** Time for which peers are told that a runner was reached, in milliseconds. */
@@ -102,12 +108,16 @@
 
   /**
    * Whether open connections to a runner may be used although new ones are refused. Until bytes have
-   * arrived on them, only requests that may be repeated are sent there.
+   * arrived on them, only requests that may be repeated are sent there; after one of them was cut, only
+   * those for which `mayBeCut` is set.
    */
-  mayUseOpen(entry: RunnerEntry, isRepeatable: boolean): boolean {
-    const since = this.#monitor.downSince(incarnationOf(entry));
+  mayUseOpen(entry: RunnerEntry, { isRepeatable, mayBeCut }: OpenQuery): boolean {
+    const key = incarnationOf(entry);
+    const since = this.#monitor.downSince(key);
     if (since === undefined || this.isSilent(entry)) return false;
-    return isRepeatable || this.#options.lastProgressAt(entry) > since;
+    const progressAt = this.#options.lastProgressAt(entry);
+    if (!mayBeCut && progressAt <= this.#monitor.cutAt(key)) return false;
+    return isRepeatable || progressAt > since;
   }
 
   /** The runner has requests in progress and has sent nothing for a time. */
@@ -141,7 +151,7 @@
 
   /** Records that a connection with a request in progress was lost. */
   recordLoss(entry: RunnerEntry): void {
-    if (this.isLost(entry)) for (const lost of this.lost) this.#options.closeIdle(lost);
+    if (this.isLost(entry)) this.#monitor.recordCut();
     this.#monitor.suspect(incarnationOf(entry));
     this.#probe();
   }
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -33,6 +33,11 @@
    * @default false
    */
   readonly isRepeatable?: boolean;
+  /**
+   * Only connections that are open are used, also those that may be lost.
+   * @default false
+   */
+  readonly usesOpen?: boolean;
 }
 
 interface PooledRunner {
@@ -109,7 +114,7 @@
   /** Runners of a service that can accept a request now, among those that `isAllowed` lets pass. */
   candidates(
     service: Service,
-    { isAllowed = () => true, isRepeatable = false }: CandidateQuery = {},
+    { isAllowed = () => true, isRepeatable = false, usesOpen = false }: CandidateQuery = {},
   ): readonly PlacementCandidate[] {
     const now = this.#options.clock.monotonic();
     const entries = this.#options.directory
@@ -118,10 +123,10 @@
     const detector = this.#detectorOf(service.name);
     const reachable = excludeUnreachableDomains(
       entries,
-      (entry) => !this.#isReachable(entry, isRepeatable, now),
+      (entry) => !this.#isReachable(entry, { isRepeatable, usesOpen }, now),
     );
     const hopeful =
-      reachable.length === 0 && isRepeatable
+      reachable.length === 0 && isRepeatable && !usesOpen
         ? entries.filter((entry) => this.#mayOnlyBeSilent(entry))
         : reachable;
     const healthy = hopeful.filter(({ id }) => !detector.isEjected(id, now));
@@ -309,11 +314,16 @@
     this.#runners.clear();
   }
 
-  #isReachable(entry: RunnerEntry, isRepeatable: boolean, now: number): boolean {
+  #isReachable(
+    entry: RunnerEntry,
+    { isRepeatable, usesOpen }: Required<Pick<CandidateQuery, 'isRepeatable' | 'usesOpen'>>,
+    now: number,
+  ): boolean {
     const { agent, unreachableUntil } = this.#runnerOf(entry);
     if (unreachableUntil > now) return false;
+    if (usesOpen && !agent.hasIdle) return false;
     if (!this.links.isLost(entry)) return true;
-    return agent.hasIdle && this.links.mayUseOpen(entry, isRepeatable);
+    return agent.hasIdle && this.links.mayUseOpen(entry, { isRepeatable, mayBeCut: usesOpen });
   }
 
   /** The runner is avoided for its silence alone, which a sound runner may keep for a second or so. */
--- /dev/null
+++ b/packages/gateway/src/node/runner-selection.ts
@@ -0,0 +1,103 @@
+import type { RunnerEntry, Service } from '@ragwortrudder/catalog';
+import { placeApplicationRequest, placeModelRequest } from '@ragwortrudder/routing';
+import type { PlacementCandidate, PlacementRequest } from '@ragwortrudder/routing';
+import type { ChosenRunner } from '../types/chosen-runner.ts';
+import type { ForwarderOptions } from '../types/forwarder-options.ts';
+import type { PassedRequest } from '../types/passed-request.ts';
+import { FIXED_OVERHEAD_MS } from '../utils/fixed-overhead-ms.ts';
+import type { TriedRunners } from '../utils/tried-runners.ts';
+
+interface RunnerSelectionOptions extends Pick<
+  ForwarderOptions,
+  'failureDomain' | 'clock' | 'random' | 'directory' | 'pool' | 'rollouts' | 'sessions'
+> {
+  readonly service: Service;
+  readonly placement: PlacementRequest;
+  readonly tried: TriedRunners;
+  /** The request may run more than once. */
+  readonly isRepeatable: boolean;
+  /** What the node that passed the request on has done about it; undefined for a caller's request. */
+  readonly passed?: PassedRequest;
+}
+
+interface RunnerQuery {
+  readonly isAllowed: (entry: RunnerEntry) => boolean;
+  /** Only connections that are open are used, also those that may be lost. */
+  readonly usesOpen: boolean;
+}
+
+/** Chooses the runners that a request is sent to. */
+export class RunnerSelection {
+  readonly #options: RunnerSelectionOptions;
+  /** A roll-out sends this request to the target version. */
+  readonly #goesToTarget: boolean;
+
+  constructor(options: RunnerSelectionOptions) {
+    this.#options = options;
+    this.#goesToTarget = options.rollouts.drawTarget(options.service.name);
+  }
+
+  /** A runner that was not tried. */
+  choose(isAllowed: (entry: RunnerEntry) => boolean = () => true): ChosenRunner | undefined {
+    const { tried } = this.#options;
+    return this.#choose({
+      isAllowed: (entry) => !tried.has(entry.id) && isAllowed(entry),
+      usesOpen: false,
+    });
+  }
+
+  /** A runner with an open connection, for a request that has lost one and may have no other way. */
+  chooseOpen(): ChosenRunner | undefined {
+    const { tried } = this.#options;
+    if (!tried.hasLostConnection) return undefined;
+    const isAllowed = ({ id }: RunnerEntry): boolean => tried.mayUseOpen(id);
+    const chosen = this.#choose({ isAllowed, usesOpen: true });
+    return chosen && { ...chosen, usesOpen: true };
+  }
+
+  #choose(query: RunnerQuery): ChosenRunner | undefined {
+    const { service, directory, random, failureDomain } = this.#options;
+    const candidates = this.#candidates(query);
+    if (service.engine) return this.#chooseEngine(candidates);
+    const id = placeApplicationRequest(failureDomain, candidates, random);
+    const entry = id === undefined ? undefined : directory.find(id);
+    return entry && { entry, expectedMs: FIXED_OVERHEAD_MS, prefillTokens: 0 };
+  }
+
+  /** A request that a roll-out gives to the target version is not sent there again after a failure. */
+  #candidates({ isAllowed, usesOpen }: RunnerQuery): readonly PlacementCandidate[] {
+    const { pool, service, rollouts, directory, tried, isRepeatable } = this.#options;
+    const candidatesOf = (isTarget: boolean): readonly PlacementCandidate[] =>
+      this.#preferLost(
+        pool.candidates(service, {
+          isAllowed: (entry) => rollouts.accepts(entry, isTarget) && isAllowed(entry),
+          isRepeatable,
+          usesOpen,
+        }),
+      );
+    const hasOther = directory
+      .ofService(service.name)
+      .some((entry) => rollouts.accepts(entry, false));
+    if (!hasOther) return candidatesOf(true);
+    const target = this.#goesToTarget && tried.size === 0 ? candidatesOf(true) : [];
+    return target.length > 0 ? target : candidatesOf(false);
+  }
+
+  /** The node that passed a request on sends the others of its requests to the runners that it reaches. */
+  #preferLost(candidates: readonly PlacementCandidate[]): readonly PlacementCandidate[] {
+    const lost = this.#options.passed?.lost;
+    if (!lost) return candidates;
+    const preferred = candidates.filter(({ id }) => lost.includes(id));
+    return preferred.length > 0 ? preferred : candidates;
+  }
+
+  #chooseEngine(candidates: readonly PlacementCandidate[]): ChosenRunner | undefined {
+    const { directory, random, sessions, clock, placement } = this.#options;
+    const lastRunner = sessions.find(placement.session, clock.monotonic());
+    const request = lastRunner === undefined ? placement : { ...placement, lastRunner };
+    const placed = placeModelRequest(request, candidates, random);
+    const entry = placed && directory.find(placed.id);
+    if (!entry) return undefined;
+    return { entry, expectedMs: placed.firstTokenMs, prefillTokens: placed.prefillTokens };
+  }
+}
--- a/packages/gateway/src/types/chosen-runner.ts
+++ b/packages/gateway/src/types/chosen-runner.ts
@@ -6,4 +6,9 @@
   /** Expected time to the first token, in milliseconds, or 0 without an estimate. */
   readonly expectedMs: number;
   readonly prefillTokens: number;
+  /**
+   * The request goes over a connection that is open.
+   * @default false
+   */
+  readonly usesOpen?: boolean;
 }
--- /dev/null
+++ b/packages/gateway/src/utils/max-unsent.ts
@@ -0,0 +1,2 @@
+/** Failed connection attempts after which a request opens no further connections. */
+export const MAX_UNSENT = 3;
--- a/packages/gateway/src/utils/next-step.ts
+++ b/packages/gateway/src/utils/next-step.ts
@@ -1,6 +1,7 @@
 import type { Route } from '@ragwortrudder/catalog';
 import type { AttemptOutcome } from '../types/attempt-outcome.ts';
 import type { NextStep } from '../types/next-step.ts';
+import { MAX_UNSENT } from './max-unsent.ts';
 
 interface AttemptHistory {
   readonly route: Pick<Route, 'kind' | 'isResumable' | 'maxAttempts'>;
@@ -24,12 +25,15 @@
    * @default false
    */
   readonly hasOther?: boolean;
+  /**
+   * The request may be sent over an open connection, so that none has to be opened.
+   * @default false
+   */
+  readonly hasOpen?: boolean;
   /** Takes one retry from the budget; returns false when the budget is exhausted. */
   readonly takeBudget: () => boolean;
 }
 
-/** Failed connection attempts after which a request is refused. */
-const MAX_UNSENT = 3;
 const FIRST_SERVER_ERROR = 500;
 
 function isRepeatable({ kind, isResumable }: AttemptHistory['route']): boolean {
@@ -65,8 +69,10 @@
         isFailure && route.kind === 'idempotent' && hasAttemptLeft && takeBudget();
       return shouldRetry ? 'retry' : 'answer';
     }
-    case 'unsent':
-      return canRetry && unsent < MAX_UNSENT && sends < route.maxAttempts ? 'retry' : giveUpStep;
+    case 'unsent': {
+      const mayConnect = history.hasOpen === true || unsent < MAX_UNSENT;
+      return canRetry && mayConnect && sends < route.maxAttempts ? 'retry' : giveUpStep;
+    }
     case 'refused':
       return hasAttemptLeft && takeBudget() ? 'retry' : giveUpStep;
     case 'broken':
--- a/packages/routing/src/utils/link-monitor.ts
+++ b/packages/routing/src/utils/link-monitor.ts
@@ -4,6 +4,8 @@
 interface DownLink {
   readonly failure: LinkFailure;
   readonly since: number;
+  /** When an open connection over a link that was down was last lost. */
+  readonly cutAt: number;
   /** When the next probe is due. */
   readonly probeAt: number;
   readonly gapMs: number;
@@ -42,8 +44,8 @@
     const gapMs = known
       ? Math.min(MAX_PROBE_GAP_MS, known.gapMs * PROBE_GAP_FACTOR)
       : FIRST_PROBE_GAP_MS;
-    const since = known?.since ?? now;
-    this.#down.set(runner, { failure, since, probeAt: now + gapMs, gapMs });
+    const { since, cutAt } = known ?? { since: now, cutAt: -Infinity };
+    this.#down.set(runner, { failure, since, cutAt, probeAt: now + gapMs, gapMs });
     this.#suspected.delete(runner);
     return known === undefined;
   }
@@ -55,6 +57,12 @@
     return this.#down.delete(runner);
   }
 
+  /** Records that an open connection over a link that is down was lost, and others with it may be. */
+  recordCut(): void {
+    const cutAt = this.#clock.monotonic();
+    for (const [runner, link] of this.#down) this.#down.set(runner, { ...link, cutAt });
+  }
+
   /** Asks for a probe of a link that is not known to be down. */
   suspect(runner: string): void {
     const now = this.#clock.monotonic();
@@ -78,6 +86,11 @@
     return this.#down.get(runner)?.since;
   }
 
+  /** When a connection was last lost while the link was down, monotonic; -Infinity if none was. */
+  cutAt(runner: string): number {
+    return this.#down.get(runner)?.cutAt ?? -Infinity;
+  }
+
   /** Nothing answers behind the link, so that open connections are lost as well. */
   isSilent(runner: string): boolean {
     return this.#down.get(runner)?.failure === 'silent';
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -154,6 +154,12 @@
   t.is(nextStep(UNSENT, { ...BASE, mayHaveRun: true, unsent: 3 }), 'fail');
 });
 
+// Guards against giving up after refused connections while open ones serve.
+test('a request goes on over an open connection after many that could not be opened', (t) => {
+  t.is(nextStep(UNSENT, { ...BASE, mayHaveRun: true, unsent: 3, hasOpen: true }), 'retry');
+  t.is(nextStep(UNSENT, { ...BASE, sends: 2, unsent: 1, hasOpen: true }), 'refuse');
+});
+
 test('only complete events are forwarded, wherever the chunk boundaries are', (t) => {
   const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid:3\ndata: c\n\nid: 4\nda';
   for (let cut = 1; cut < text.length; cut += 1) {
