Do not count interruptions at runners that live on as crashes

Callers of a sound read that is repeated got 503 `request-quarantined` for two seconds and more after three of its responses had been reset, although no runner had ended.

Cause: each lost connection under a request counted as the end of its runner. Nothing looked at whether the runner went on.

A runner that begins to respond to a request which was sent after the interruption has not ended; what was interrupted there before no longer counts, whichever node reports it. A runner that refused a connection, or closed one without a response, in between is taken for ended, so that the next boot at its address clears nothing.

An accepted connection was ruled out as proof: a relay accepts for a runner that is gone.

--- a/packages/admission/src/utils/prompt-quarantine.ts
+++ b/packages/admission/src/utils/prompt-quarantine.ts
@@ -66,6 +66,11 @@
 const CRASH_WINDOW_MS = 250;
 /** Age from which an interruption is taken into account, in milliseconds: peers have reported theirs. */
 const SETTLE_MS = 400;
+/**
+ * Time after an interruption from which a request counts that its runner responds to, in milliseconds:
+ * peers report theirs with a delay.
+ */
+const LIFE_MARGIN_MS = 100;
 /** How long evidence is kept, in milliseconds; rare requests must add up. */
 const RETENTION_MS = 120_000;
 const MAX_SERVED_PARTS = 4_096;
@@ -101,6 +106,10 @@
   readonly #options: PromptQuarantineOptions;
   readonly #quarantines = new Map<string, Quarantine>();
   readonly #servedAt = new Map<string, number>();
+  /** By runner: when the newest request was sent to which it has begun to respond. */
+  readonly #aliveAt = new Map<string, number>();
+  /** By runner: when it was last found to have ended. */
+  readonly #endedAt = new Map<string, number>();
   readonly #peers = new Map<string, PeerEvidence>();
   #interrupted: readonly InterruptedRequest[] = [];
   #ended: readonly InterruptedRequest[] = [];
@@ -147,8 +156,11 @@
     const hadEnded = this.#allInterrupted().some(({ runner, at }) => {
       return runner === request.runner && at < sentAt && at > aliveAt;
     });
-    if (hadEnded) return;
     const at = this.#options.clock.monotonic();
+    if (hadEnded) {
+      this.#endedAt.set(request.runner, at);
+      return;
+    }
     const parts = request.parts.slice(0, EVIDENCE_LIMITS.parts);
     this.#addInterrupted({ ...request, parts, at });
     for (const part of parts) {
@@ -180,9 +192,18 @@
     this.#ended = this.#ended.filter(isKept);
   }
 
+  /**
+   * Records that a runner has begun to respond to a request: what was interrupted there before the
+   * request was sent did not end the runner.
+   */
+  recordAlive(runner: string, sentAt: number): void {
+    this.#aliveAt.set(runner, Math.max(sentAt, this.#aliveAt.get(runner) ?? 0));
+  }
+
   /** Records that a runner no longer accepts connections. */
   recordUnreachable(runner: string): void {
     const at = this.#options.clock.monotonic();
+    this.#endedAt.set(runner, at);
     const ended = this.#ended.filter((request) => request.runner === runner);
     if (ended.length === 0) return;
     this.#ended = this.#ended.filter((request) => request.runner !== runner);
@@ -319,6 +340,12 @@
     );
   }
 
+  /** A runner that was found to have ended may have started again at the same address. */
+  #hasLivedOn({ runner, at }: InterruptedRequest): boolean {
+    const aliveAt = this.#aliveAt.get(runner) ?? -Infinity;
+    return aliveAt > at + LIFE_MARGIN_MS && (this.#endedAt.get(runner) ?? -Infinity) < at;
+  }
+
   #addInterrupted(request: InterruptedRequest): void {
     this.#interrupted = [...this.#interrupted, request].slice(-EVIDENCE_LIMITS.interrupted);
   }
@@ -359,8 +386,12 @@
   #prune(now: number): void {
     const isKept = (request: InterruptedRequest): boolean =>
       now - request.at < RETENTION_MS &&
+      !this.#hasLivedOn(request) &&
       request.parts.some((part) => this.#lastServedAt(part) < request.at);
     this.#interrupted = this.#interrupted.filter(isKept);
+    for (const times of [this.#aliveAt, this.#endedAt]) {
+      for (const [runner, at] of times) if (now - at >= RETENTION_MS) times.delete(runner);
+    }
     for (const [name, { receivedAt }] of this.#peers) {
       if (now - receivedAt >= RETENTION_MS) this.#peers.delete(name);
     }
@@ -373,7 +404,7 @@
     return [
       ...this.#interrupted,
       ...[...this.#peers.values()].flatMap(({ interrupted }) => interrupted),
-    ];
+    ].filter((request) => !this.#hasLivedOn(request));
   }
 
   /** Settled evidence, divided by whether a quarantined part or request explains the crash. */
--- a/packages/gateway/src/node/attempt-evidence.ts
+++ b/packages/gateway/src/node/attempt-evidence.ts
@@ -43,6 +43,11 @@
     this.#options = options;
   }
 
+  /** Records that the runner has begun to respond to a request that was sent at `sentAt`. */
+  recordAlive(entry: RunnerEntry, sentAt: number): void {
+    this.#options.quarantine.recordAlive(incarnationOf(entry), sentAt);
+  }
+
   /** Records that the runner has been responding for a time. */
   recordProof(respondingMs: number): void {
     if (this.#isProved || respondingMs < PromptQuarantine.proofMs) return;
--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -174,6 +174,7 @@
     const { pool, loadTracker } = this.#options;
     const { status, load, requestsPerSecond, isLeaving, retryAfterMs = 0 } = head;
     if (status === HTTP_MISDIRECTED) return;
+    this.#evidence.recordAlive(this.entry, this.#sentAt);
     if (status === HTTP_UNAVAILABLE) pool.recordRest(this.entry, retryAfterMs);
     else pool.recordTaken(this.entry);
     if (isLeaving) pool.recordLeaving(this.entry);
