Soak: let stand-ins go on when a request breaks off in its body

A request whose connection ends before its body has arrived (a node is killed, a link is reset, an attempt is ended) rejected `for await` in the soak's runners and platform API. Nobody handled the rejection, and the whole soak ended without a result.

The body is received in one place, which tells an incomplete request from other errors; those still reject. KeyedStore of the stand-ins receives bodies in the same way and is not changed here.

--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,4 +1,5 @@
 export { Soak } from './node/soak.ts';
+export { SoakCloud } from './node/soak-cloud.ts';
 export { SoakRunner } from './node/soak-runner.ts';
 export type { FaultKind } from './types/fault-kind.ts';
 export type { FaultSpan } from './types/fault-span.ts';
--- a/packages/soak/src/node/soak-cloud.ts
+++ b/packages/soak/src/node/soak-cloud.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Closeable } from '@ragwortrudder/core';
+import { receiveBody } from '../utils/receive-body.ts';
 
 interface SoakCloudOptions {
   readonly onViolation: (message: string) => void;
@@ -52,8 +53,8 @@
   }
 
   async #receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const body = await receiveBody(request);
+    if (!body) return;
     if (this.#isDown) {
       response.writeHead(HTTP_UNAVAILABLE);
       response.end();
@@ -63,7 +64,7 @@
       String(request.headers['lease-holder']),
       Number(request.headers['fencing-token']),
     );
-    if (request.url === '/usage') this.#checkUsage(Buffer.concat(chunks).toString());
+    if (request.url === '/usage') this.#checkUsage(body.toString());
     response.writeHead(HTTP_OK);
     response.end();
   }
--- a/packages/soak/src/node/soak-runner.ts
+++ b/packages/soak/src/node/soak-runner.ts
@@ -6,6 +6,7 @@
 import { omitFraming } from '@ragwortrudder/standins';
 import type { RunnerMode } from '../types/runner-mode.ts';
 import type { ObservedRun } from '../types/observed-run.ts';
+import { receiveBody } from '../utils/receive-body.ts';
 import { streamText } from '../utils/stream-text.ts';
 
 interface SoakRunnerOptions {
@@ -128,8 +129,8 @@
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     response.on('error', () => undefined);
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const body = await receiveBody(request);
+    if (!body) return;
     const id = String(request.headers['request-id'] ?? '');
     response.setHeader('Request-Id', id);
     if (this.#limit !== undefined) response.setHeader('Server-Limit', String(this.#limit));
@@ -159,7 +160,7 @@
       id,
       runner: this.id,
       team: typeof team === 'string' ? team : undefined,
-      body: Buffer.concat(chunks).toString(),
+      body: body.toString(),
       after,
       at: performance.now(),
     });
