Soak: let runners listen where no outgoing connection gets their port

A runner that crashes comes back at its port. The port was one that the operating system assigns, also to outgoing connections of other processes: listen failed with EADDRINUSE, and the rejection (after a crash under a prompt, or in a fault) ended the soak without a result.

Evidence: the new test, in which the port is taken on 127.0.0.1 while the runner is away, failed before with "listen EADDRINUSE: address already in use 127.0.0.1:39525". It passes now: freeAddresses gives each process its own loopback address and ports below those of outgoing connections.

The tests of the runner connect to its address in place of 127.0.0.1.

--- a/packages/soak/src/node/soak-runner.ts
+++ b/packages/soak/src/node/soak-runner.ts
@@ -1,9 +1,9 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Closeable } from '@ragwortrudder/core';
-import { omitFraming } from '@ragwortrudder/standins';
+import { freeAddresses, omitFraming } from '@ragwortrudder/standins';
 import type { RunnerMode } from '../types/runner-mode.ts';
 import type { ObservedRun } from '../types/observed-run.ts';
 import { receiveBody } from '../utils/receive-body.ts';
@@ -50,7 +50,8 @@
 export class SoakRunner implements Closeable {
   readonly #options: SoakRunnerOptions;
   #server: Server;
-  #port = 0;
+  /** Kept over restarts, and out of the reach of outgoing connections meanwhile. */
+  #address: string | undefined;
   #running = 0;
   #mode: RunnerMode = 'sound';
   #breaks = 0;
@@ -77,7 +78,7 @@
   }
 
   get address(): string {
-    return `127.0.0.1:${this.#port}`;
+    return this.#address ?? '';
   }
 
   setMode(mode: RunnerMode): void {
@@ -104,11 +105,12 @@
   }
 
   async listen(): Promise<void> {
+    this.#address ??= (await freeAddresses(1))[0];
+    const [host, port] = this.address.split(':');
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
-      this.#server.listen(this.#port, '127.0.0.1', resolve);
+      this.#server.listen(Number(port), host, resolve);
     });
-    this.#port = (this.#server.address() as AddressInfo).port;
   }
 
   /** Closes all connections and refuses new ones, like a process that has exited. */
--- a/test/soak/cut-requests.test.ts
+++ b/test/soak/cut-requests.test.ts
@@ -1,4 +1,4 @@
-import { connect } from 'node:net';
+import { createServer, connect } from 'node:net';
 import test from 'ava';
 import { SoakCloud, SoakRunner } from '@ragwortrudder/soak';
 
@@ -43,3 +43,19 @@
   t.deepEqual(violations, []);
   t.is(cloud.windows, 0);
 });
+
+// Guards against EADDRINUSE from a runner that comes back, which ended the soak without a result.
+test('a runner comes back while an outgoing connection has got its port', async (t) => {
+  const runner = createRunner([]);
+  await runner.listen();
+  const { address } = runner;
+  await runner.close();
+  const other = createServer();
+  await new Promise<void>((resolve) => {
+    other.listen(Number(address.split(':')[1]), '127.0.0.1', resolve);
+  });
+  t.teardown(() => other.close());
+  await runner.listen();
+  t.teardown(() => runner.close());
+  t.is(runner.address, address);
+});
--- a/test/soak/soak-runner.test.ts
+++ b/test/soak/soak-runner.test.ts
@@ -22,15 +22,19 @@
   await runner.listen();
   t.teardown(() => runner.close());
   runner.setMode(mode);
-  return { runner, runs, port: Number(runner.address.split(':')[1]) };
+  const [host = '', port] = runner.address.split(':');
+  return { runner, runs, host, port: Number(port) };
 }
 
 /** Sends a request for a stream of five events and returns the status and the body as far as it came. */
-async function stream(port: number, headers: Readonly<Record<string, string>> = {}) {
+async function stream(
+  { host, port }: { readonly host: string; readonly port: number },
+  headers: Readonly<Record<string, string>> = {},
+) {
   const agent = new Agent();
   return new Promise<ReceivedStream>((resolve) => {
     const client = sendRequest({
-      ...{ port, agent, path: '/ask/x?events=5' },
+      ...{ host, port, agent, path: '/ask/x?events=5' },
       headers: { 'Request-Id': 'a', 'Target-Instance': 'r1', ...headers },
     });
     client.on('response', (response) => {
@@ -52,11 +56,11 @@
     ['empty-resumed', 204, false],
   ] as const;
   for (const [mode, status, hasEvents] of expected) {
-    const { port } = await startRunner(t, mode);
-    const first = await stream(port);
+    const started = await startRunner(t, mode);
+    const first = await stream(started);
     t.false(first.isWhole, mode);
     t.true(first.body.startsWith('id: 1'), mode);
-    const resumed = await stream(port, { 'Last-Event-Id': '2' });
+    const resumed = await stream(started, { 'Last-Event-Id': '2' });
     t.is(resumed.status, status, mode);
     t.is(resumed.body.startsWith('id: 1'), hasEvents, mode);
   }
@@ -66,8 +70,8 @@
   const text = (id: string): string =>
     `GET /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: ${id}\r\nTarget-Instance: r1\r\n\r\n`;
   for (const waitMs of [200, 0]) {
-    const { port, runs } = await startRunner(t, 'repeats-refusal');
-    const socket = connect(port, '127.0.0.1');
+    const { host, port, runs } = await startRunner(t, 'repeats-refusal');
+    const socket = connect(port, host);
     t.teardown(() => socket.destroy());
     let received = '';
     socket.on('data', (chunk) => (received += chunk.toString()));
@@ -85,10 +89,10 @@
 });
 
 test('a silent runner goes on where it was', async (t) => {
-  const { port, runner } = await startRunner(t, 'sound');
+  const started = await startRunner(t, 'sound');
   const startedAt = performance.now();
-  runner.fallSilent(300);
-  const { body, isWhole } = await stream(port);
+  started.runner.fallSilent(300);
+  const { body, isWhole } = await stream(started);
   t.true(isWhole);
   t.is(body.match(/id: /g)?.length, 5);
   t.true(performance.now() - startedAt >= 290);
