Soak: give each run a result, however it ends

A run could end without a result line and without result.json: on SIGHUP, SIGINT or SIGTERM to the soak itself; on a rejection or exception that nothing handles (a rejected fault, EADDRINUSE, a log that cannot be written, the folder removed by another run of the seed); when a node could not be spawned; and it could wait without end for a node that accepts a probe and does not answer, or for a fault or part that does not end. Nodes that never got ready were sent traffic. A killed soak left nothing.

RunGuard ends a run early on such signals and errors. The run then reports what it has seen, with the violation "unfinished-run" and its cause, and closes what it has opened, within time limits. The command writes a result before the run, which stays when it is killed; its nodes end when their stdin does. A signal ends a series of seeds, an error only its run.

The time until all nodes are ready is at most 60 s in place of 12 s, as the run now ends if they are not.

--- a/packages/soak/src/cli/soak.ts
+++ b/packages/soak/src/cli/soak.ts
@@ -1,5 +1,5 @@
 /** Runs the soak for consecutive seeds. Exits with a non-zero code if any run violated a promise. */
-import { rmSync, writeFileSync } from 'node:fs';
+import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { Soak } from '../node/soak.ts';
@@ -37,9 +37,19 @@
   .strict()
   .parseAsync();
 
+/** Leaves a result of a run in its folder. */
+function writeResult(folder: string, result: object): void {
+  mkdirSync(folder, { recursive: true });
+  writeFileSync(`${folder}/result.json`, JSON.stringify(result, null, 2));
+}
+
 let failedSeeds = 0;
+let runs = 0;
 for (let seed = args.seed; seed < args.seed + args.seeds; seed += 1) {
   const folder = `${FOLDER}/${seed}`;
+  // It stays if this process is killed.
+  const violations = [{ promise: 'unfinished-run', message: 'the run has not ended' }];
+  writeResult(folder, { seed, violations });
   const result = await new Soak({
     seed,
     lengthMs: args.minutes * MS_PER_MINUTE,
@@ -48,12 +58,15 @@
     production: args.production,
     folder,
   }).run();
+  runs += 1;
   print(result);
   if (args.plan) process.stdout.write(`${JSON.stringify(result.faults)}\n`);
   if (result.violations.length > 0) {
     failedSeeds += 1;
-    writeFileSync(`${folder}/result.json`, JSON.stringify(result, null, 2));
+    writeResult(folder, result);
   } else rmSync(folder, { recursive: true, force: true });
+  if (result.interruptedBy !== undefined) break;
 }
-process.stdout.write(`${args.seeds} seeds, ${failedSeeds} with violations\n`);
-process.exitCode = failedSeeds === 0 ? 0 : 1;
+process.stdout.write(`${runs} seeds, ${failedSeeds} with violations\n`);
+// Parts of an unfinished run may still be open.
+process.exit(failedSeeds === 0 ? 0 : 1);
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,6 +1,7 @@
 export { Soak } from './node/soak.ts';
 export { SoakCloud } from './node/soak-cloud.ts';
 export { SoakRunner } from './node/soak-runner.ts';
+export { statusOf } from './node/status-of.ts';
 export type { FaultKind } from './types/fault-kind.ts';
 export type { FaultSpan } from './types/fault-span.ts';
 export type { PlannedFault } from './types/planned-fault.ts';
--- a/packages/soak/src/node/soak-node.ts
+++ b/packages/soak/src/node/soak-node.ts
@@ -5,6 +5,7 @@
 import { join, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import type { Closeable } from '@ragwortrudder/core';
+import { NodeNotStarted } from '../errors/node-not-started.ts';
 
 interface SoakNodeOptions {
   readonly id: string;
@@ -14,6 +15,8 @@
   readonly routes: Readonly<Record<string, string>>;
   /** Called when the process ends although no signal told it to, or goes on after a fault of its own. */
   readonly onOwnEnd: (how: string) => void;
+  /** Called when a process cannot be started. */
+  readonly onNotStarted: (error: Error) => void;
   /**
    * Checkout of the version that runs until the node is upgraded.
    * @default this checkout
@@ -23,8 +26,12 @@
 
 const ROUTE_PRELOAD = new URL('../../../standins/src/node/route-preload.ts', import.meta.url).href;
 const CHECKOUT = fileURLToPath(new URL('../../../..', import.meta.url));
-/** The built program handles the signal from its first module on; here its loader comes before it. */
-const HANGUP_PRELOAD = 'data:text/javascript,process.on("SIGHUP",()=>{})';
+/**
+ * The built program handles the signal from its first module on; here its loader comes before it. The
+ * end of stdin tells that the soak is gone.
+ */
+const PRELOAD =
+  'data:text/javascript,process.on("SIGHUP",()=>{});process.stdin.on("end",()=>process.exit(1)).resume().unref()';
 const MAIN = 'packages/cli/src/cli/main.ts';
 /** Event of a fault that ended the process of earlier versions. */
 const UNHANDLED_REJECTION = '"event":"rejection-unhandled"';
@@ -45,13 +52,15 @@
   #child: ChildProcess | undefined;
   #exited: Promise<void> = Promise.resolve();
   readonly #onOwnEnd: (how: string) => void;
+  readonly #onNotStarted: (error: Error) => void;
   /** Signal that the process must end by. */
   #ending: NodeJS.Signals | undefined;
   #isClosing = false;
 
-  constructor({ id, folder, settings, routes, onOwnEnd, production }: SoakNodeOptions) {
+  constructor({ id, folder, settings, routes, production, ...events }: SoakNodeOptions) {
     this.id = id;
-    this.#onOwnEnd = onOwnEnd;
+    this.#onOwnEnd = events.onOwnEnd;
+    this.#onNotStarted = events.onNotStarted;
     this.#routes = routes;
     this.#settings = settings;
     this.#checkout = production === undefined ? CHECKOUT : resolve(production);
@@ -61,7 +70,7 @@
 
   start(): void {
     writeFileSync(this.#settingsPath, JSON.stringify(this.#settings));
-    const imports = [`--import=${HANGUP_PRELOAD}`, '--import=tsx', `--import=${ROUTE_PRELOAD}`];
+    const imports = [`--import=${PRELOAD}`, '--import=tsx', `--import=${ROUTE_PRELOAD}`];
     const child = spawn(process.execPath, [...imports, MAIN, 'serve-platform'], {
       cwd: this.#checkout,
       env: {
@@ -70,7 +79,7 @@
         STANDINS_ROUTES: JSON.stringify(this.#routes),
         NODE_NO_WARNINGS: '1',
       },
-      stdio: ['ignore', 'pipe', 'pipe'],
+      stdio: ['pipe', 'pipe', 'pipe'],
     });
     this.#child = child;
     this.#ending = undefined;
@@ -85,6 +94,10 @@
       this.#onOwnEnd(`exit code ${String(code)}, signal ${String(signal)}`);
     });
     this.#exited = new Promise((exited) => {
+      child.once('error', (error) => {
+        this.#onNotStarted(new NodeNotStarted(this.id, error));
+        exited();
+      });
       child.once('close', () => {
         setTimeout(() => {
           this.#restart();
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -1,16 +1,19 @@
 import { mkdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { request as sendRequest } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { SeededRandom } from '@ragwortrudder/core';
-import type { Random } from '@ragwortrudder/core';
+import type { Closeable, Random } from '@ragwortrudder/core';
 import { freeAddresses, KeyedStore, Relay } from '@ragwortrudder/standins';
+import { InterruptedRun } from '../errors/interrupted-run.ts';
+import { StalledRun } from '../errors/stalled-run.ts';
 import type { PlannedFault } from '../types/planned-fault.ts';
 import type { SoakOptions } from '../types/soak-options.ts';
 import type { SoakResult } from '../types/soak-result.ts';
 import { RequestTracker } from '../utils/request-tracker.ts';
 import { planFaults } from '../utils/plan-faults.ts';
 import { FaultInjector } from './fault-injector.ts';
+import { RunGuard } from './run-guard.ts';
+import { statusOf } from './status-of.ts';
 import { StoreWriter } from './store-writer.ts';
 import { SoakCaller } from './soak-caller.ts';
 import { SoakCloud } from './soak-cloud.ts';
@@ -25,8 +28,14 @@
   { name: 'team-2', apiKey: 'key-2' },
 ] as const;
 /** Maximum time that the traffic waits for the processes to become ready, in milliseconds. */
-const READY_TIMEOUT_MS = 12_000;
+const READY_TIMEOUT_MS = 60_000;
 const READY_POLL_MS = 100;
+const READY_PROBE_TIMEOUT_MS = 2_000;
+const PROBE_TIMEOUT_MS = 6_000;
+/** Maximum time in which callers and faults end after the traffic, in milliseconds. */
+const END_TIMEOUT_MS = 20_000;
+/** Maximum time in which all parts of a run close, in milliseconds. */
+const CLOSE_TIMEOUT_MS = 20_000;
 /** Final period of the traffic, without faults, in which requests must succeed again, in milliseconds. */
 const RECOVERED_PERIOD_MS = 2_000;
 /** Share of the requests in the final period that must succeed. */
@@ -56,10 +65,21 @@
   readonly nodes: readonly EnvironmentNode[];
   readonly injector: FaultInjector;
   readonly newestPath: () => string;
-  readonly close: () => Promise<void>;
 }
 
-/** One randomized run: starts all processes, injects the faults and checks the recorded requests. */
+/** What a run opens, and what ends it early. */
+interface RunScope {
+  readonly tracker: RequestTracker;
+  readonly guard: RunGuard;
+  /** Closed in reverse order, however the run ends. */
+  readonly parts: readonly Closeable[];
+  readonly add: (part: Closeable) => void;
+}
+
+/**
+ * One randomized run: starts all processes, injects the faults and checks the recorded requests. It
+ * has a result however it ends; "unfinished-run" says that not all of it has run.
+ */
 export class Soak {
   readonly #options: SoakOptions;
   readonly #random: Random;
@@ -79,21 +99,74 @@
       target: 0,
     } as const;
     const faults = production === undefined ? planned : [...planned, upgrade];
-    const environment = await this.#start();
+    const scope = this.#open();
+    const { tracker, guard } = scope;
+    const resultSoFar = (requests: number): SoakResult => {
+      return { seed, faults, requests, statuses: tracker.statuses, violations: tracker.violations };
+    };
+    let requests = 0;
+    let interruptedBy: NodeJS.Signals | undefined;
+    const fail = (error: unknown): void => {
+      if (error instanceof InterruptedRun) interruptedBy = error.signal;
+      tracker.recordViolation('unfinished-run', describe(error));
+      guard.end(error);
+    };
     try {
-      await waitUntilReady(environment.nodes.map(({ readiness }) => readiness));
-      const requests = await this.#runTraffic(environment, faults);
-      const violations = environment.tracker.check();
-      return { seed, faults, requests, statuses: environment.tracker.statuses, violations };
-    } finally {
-      await environment.close();
+      const environment = await guard.watch(this.#start(scope));
+      await guard.watch(this.#untilReady(environment));
+      await guard.watch(this.#runTraffic(environment, faults, scope));
+      requests = tracker.requests;
+      await guard.watch(this.#probe(environment));
+    } catch (error) {
+      fail(error);
+      requests = tracker.requests;
+    }
+    try {
+      tracker.check();
+    } catch (error) {
+      fail(error);
+    }
+    try {
+      await withinTime(closeAll(scope.parts), CLOSE_TIMEOUT_MS, 'not all parts have closed');
+    } catch (error) {
+      fail(error);
+    }
+    await guard.close();
+    return { ...resultSoFar(requests), ...(interruptedBy === undefined ? {} : { interruptedBy }) };
+  }
+
+  #open(): RunScope {
+    const { folder, nodes } = this.#options;
+    mkdirSync(folder, { recursive: true });
+    const tracker = new RequestTracker(nodes, ({ id, node }) =>
+      readLog(folder, node).includes(`"request":"${id}"`),
+    );
+    const parts: Closeable[] = [];
+    return { tracker, guard: new RunGuard(), parts, add: (part) => parts.push(part) };
+  }
+
+  async #untilReady({ nodes }: SoakEnvironment): Promise<void> {
+    const { readyTimeoutMs = READY_TIMEOUT_MS } = this.#options;
+    const endsAt = performance.now() + readyTimeoutMs;
+    const pending = new Map(nodes.map(({ node, readiness }) => [node.id, readiness]));
+    while (pending.size > 0) {
+      if (performance.now() > endsAt) {
+        const ids = [...pending.keys()].join(', ');
+        throw new StalledRun(`not ready after ${readyTimeoutMs} ms: ${ids}`);
+      }
+      for (const [id, address] of pending) {
+        const probe = { address, path: '/ready', headers: {}, timeoutMs: READY_PROBE_TIMEOUT_MS };
+        if ((await statusOf(probe)) === HTTP_OK) pending.delete(id);
+      }
+      await sleep(READY_POLL_MS);
     }
   }
 
   async #runTraffic(
-    { tracker, nodes, injector, newestPath }: SoakEnvironment,
+    { tracker, nodes, injector }: SoakEnvironment,
     faults: readonly PlannedFault[],
-  ): Promise<number> {
+    { guard, add }: RunScope,
+  ): Promise<void> {
     const { lengthMs, callers: count, seed } = this.#options;
     const targets = nodes.map(({ node, callers: address }) => ({ id: node.id, address }));
     const callers = Array.from({ length: count }, (_item, index) => {
@@ -110,13 +183,19 @@
     });
     const startedAt = performance.now();
     for (const caller of callers) caller.start();
-    const injections = faults.map(async (fault) => {
-      await sleep(fault.atMs);
-      await injector.inject(fault);
-    });
-    await sleep(lengthMs);
-    await Promise.all(callers.map((caller) => caller.close()));
-    await Promise.all(injections);
+    const injections = Promise.all(
+      faults.map(async (fault) => {
+        await sleep(fault.atMs, undefined, { signal: guard.signal });
+        await injector.inject(fault);
+      }),
+    );
+    const closeCallers = async (): Promise<void> => {
+      await Promise.all(callers.map((caller) => caller.close()));
+    };
+    add({ close: closeCallers });
+    await Promise.race([sleep(lengthMs), neverUnlessRejected(injections)]);
+    const ends = Promise.all([closeCallers(), injections]);
+    await withinTime(ends, END_TIMEOUT_MS, 'callers or faults have not ended');
     const { total, served } = tracker.servedSince(startedAt + lengthMs - RECOVERED_PERIOD_MS);
     if (served < total * RECOVERED_SHARE) {
       tracker.recordViolation(
@@ -124,40 +203,40 @@
         `${served} of ${total} requests were served after the last fault`,
       );
     }
-    const requests = tracker.servedSince(0).total;
+  }
+
+  /** Checks that each node serves the route that only the newest configuration has. */
+  async #probe({ tracker, nodes, newestPath }: SoakEnvironment): Promise<void> {
+    const { name: team, apiKey } = TEAMS[0];
     for (const { node, callers: address } of nodes) {
       const id = `probe-${node.id}`;
-      tracker.recordRequest({
-        id,
-        kind: 'read',
-        node: node.id,
-        team: TEAMS[0].name,
-        body: '',
-        events: 0,
-        at: performance.now(),
-      });
-      const status = await statusOf(address, newestPath(), id);
+      const at = performance.now();
+      tracker.recordRequest({ id, kind: 'read', node: node.id, team, body: '', events: 0, at });
+      const headers = { Host: 'soak.example', 'Request-Id': id, 'X-Api-Key': apiKey };
+      const probe = { address, path: newestPath(), headers, timeoutMs: PROBE_TIMEOUT_MS };
+      const status = await statusOf(probe);
       if (status === HTTP_OK) continue;
       tracker.recordViolation(
         'configuration',
         `${node.id} answered ${status ?? 'nothing'} on ${newestPath()}`,
       );
     }
-    return requests;
   }
 
-  async #start(): Promise<SoakEnvironment> {
+  async #start({ tracker, guard, add }: RunScope): Promise<SoakEnvironment> {
     const { folder, nodes: count } = this.#options;
-    mkdirSync(folder, { recursive: true });
-    const tracker = new RequestTracker(count, ({ id, node }) =>
-      readLog(folder, node).includes(`"request":"${id}"`),
+    const open = <Part extends Closeable>(part: Part): Part => {
+      add(part);
+      return part;
+    };
+    const store = open(await new KeyedStore().listen());
+    const cloud = open(
+      new SoakCloud({
+        onViolation: (message) => {
+          tracker.recordViolation('one-holder', message);
+        },
+      }),
     );
-    const store = await new KeyedStore().listen();
-    const cloud = new SoakCloud({
-      onViolation: (message) => {
-        tracker.recordViolation('one-holder', message);
-      },
-    });
     await cloud.listen();
     let crash: (target: number) => void = () => undefined;
     const runners = SERVICES.map((_service, index) => {
@@ -175,14 +254,14 @@
         },
       });
     });
-    for (const runner of runners) await runner.listen();
+    for (const runner of runners) await open(runner).listen();
     const relay = new Relay([
       ...Array.from({ length: count }, (_item, index) => {
         return { name: `store-${index}`, target: store.address };
       }),
       ...runners.map(({ address }, index) => ({ name: `runner-${index}`, target: address })),
     ]);
-    await relay.listen();
+    await open(relay).listen();
     const linkPorts = new Map(relay.links().map(({ name, port }) => [name, port]));
     const linkOf = (name: string): string => `127.0.0.1:${linkPorts.get(name) ?? 0}`;
     const storeWriter = new StoreWriter({
@@ -205,7 +284,7 @@
         });
       }),
     );
-    await nodeLinks.listen();
+    await open(nodeLinks).listen();
     const nodeLinkPorts = new Map(nodeLinks.links().map(({ name, port }) => [name, port]));
     const routesOf = (node: number): Readonly<Record<string, string>> =>
       Object.fromEntries(
@@ -240,10 +319,11 @@
             `the process of n${index} ended by itself or has a fault: ${how}`,
           );
         },
+        onNotStarted: guard.end,
       });
       return { node, callers, readiness };
     });
-    for (const { node } of nodes) node.start();
+    for (const { node } of nodes) open(node).start();
     return {
       tracker,
       nodes,
@@ -270,10 +350,6 @@
           return caller;
         },
       }),
-      close: async () => {
-        await Promise.all(nodes.map(({ node }) => node.close()));
-        for (const part of [nodeLinks, relay, store, cloud, ...runners]) await part.close();
-      },
     };
   }
 }
@@ -298,30 +374,30 @@
   };
 }
 
-/** Status that a node answers to a request; undefined when it does not answer. */
-async function statusOf(address: string, path: string, id: string): Promise<number | undefined> {
-  const [host, port] = address.split(':');
-  const headers = { Host: 'soak.example', 'Request-Id': id, 'X-Api-Key': TEAMS[0].apiKey };
-  return new Promise((resolve) => {
-    const client = sendRequest({ host, port, path, headers, agent: false }, (response) => {
-      response.resume();
-      resolve(response.statusCode);
-    });
-    client.on('error', () => {
-      resolve(undefined);
-    });
-    client.end();
-  });
+function describe(error: unknown): string {
+  return error instanceof Error ? (error.stack ?? error.message) : String(error);
 }
 
-async function waitUntilReady(addresses: readonly string[]): Promise<void> {
-  const endsAt = performance.now() + READY_TIMEOUT_MS;
-  const pending = new Set(addresses);
-  while (pending.size > 0 && performance.now() < endsAt) {
-    for (const address of pending) {
-      const response = await fetch(`http://${address}/ready`).catch(() => undefined);
-      if (response?.status === HTTP_OK) pending.delete(address);
-    }
-    await sleep(READY_POLL_MS);
+/** Rejects like `work`, and never resolves. */
+async function neverUnlessRejected(work: Promise<unknown>): Promise<never> {
+  await work;
+  return new Promise(() => undefined);
+}
+
+async function withinTime(work: Promise<unknown>, timeoutMs: number, what: string): Promise<void> {
+  const controller = new AbortController();
+  const expiry = sleep(timeoutMs, undefined, { signal: controller.signal }).then(() => {
+    throw new StalledRun(`${what} after ${timeoutMs} ms`);
+  });
+  try {
+    await Promise.race([work, expiry]);
+  } finally {
+    expiry.catch(() => undefined);
+    controller.abort();
   }
 }
+
+/** Closes all parts, the last one first; those of a kind at the same time would be no faster. */
+async function closeAll(parts: readonly Closeable[]): Promise<void> {
+  for (const part of parts.toReversed()) await part.close();
+}
--- a/packages/soak/src/types/soak-options.ts
+++ b/packages/soak/src/types/soak-options.ts
@@ -10,6 +10,11 @@
    * @default no upgrade
    */
   readonly production?: string | undefined;
+  /**
+   * Maximum time until all nodes are ready, in milliseconds.
+   * @default 60000
+   */
+  readonly readyTimeoutMs?: number;
   /** Folder for the nodes' settings and logs. */
   readonly folder: string;
 }
--- a/packages/soak/src/types/soak-result.ts
+++ b/packages/soak/src/types/soak-result.ts
@@ -9,4 +9,6 @@
   /** Number of responses by HTTP status; `none` counts connections that ended without one. */
   readonly statuses: Readonly<Record<string, number>>;
   readonly violations: readonly Violation[];
+  /** Signal that ended the run early. */
+  readonly interruptedBy?: NodeJS.Signals;
 }
--- a/packages/soak/src/utils/request-tracker.ts
+++ b/packages/soak/src/utils/request-tracker.ts
@@ -190,6 +190,16 @@
     return { total: recordRequest.length, served: served.length };
   }
 
+  /** Number of requests sent so far. */
+  get requests(): number {
+    return this.#sent.size;
+  }
+
+  /** The violations that were found so far. */
+  get violations(): readonly Violation[] {
+    return this.#violations;
+  }
+
   /** Number of responses by HTTP status. */
   get statuses(): Readonly<Record<string, number>> {
     const counts: Record<string, number> = {};
