Soak: let a process end by any of the signals that it got

When SIGTERM followed SIGKILL at once, as when all nodes are killed while one is told to stop, the process ended by SIGKILL and was reported as ended by itself ("own-end"), because only the last signal counted.

Evidence: the first new test failed before, with "exit code null, signal SIGKILL" after SIGKILL and SIGTERM; it passes now. The second one, which passed before as well, shows that an end by another signal is still found.

--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,5 +1,6 @@
 export { Soak } from './node/soak.ts';
 export { SoakCloud } from './node/soak-cloud.ts';
+export { SoakNode } from './node/soak-node.ts';
 export { SoakRunner } from './node/soak-runner.ts';
 export { statusOf } from './node/status-of.ts';
 export type { FaultKind } from './types/fault-kind.ts';
--- a/packages/soak/src/node/soak-node.ts
+++ b/packages/soak/src/node/soak-node.ts
@@ -53,8 +53,8 @@
   #exited: Promise<void> = Promise.resolve();
   readonly #onOwnEnd: (how: string) => void;
   readonly #onNotStarted: (error: Error) => void;
-  /** Signal that the process must end by. */
-  #ending: NodeJS.Signals | undefined;
+  /** Signals by which the process may end; those that follow the first may come too late. */
+  readonly #ending = new Set<NodeJS.Signals>();
   #isClosing = false;
 
   constructor({ id, folder, settings, routes, production, ...events }: SoakNodeOptions) {
@@ -82,15 +82,15 @@
       stdio: ['pipe', 'pipe', 'pipe'],
     });
     this.#child = child;
-    this.#ending = undefined;
+    this.#ending.clear();
     child.stdout.pipe(this.#log, { end: false });
     child.stdout.on('data', (bytes: Buffer) => {
       if (bytes.includes(UNHANDLED_REJECTION)) this.#onOwnEnd('a rejection that nobody handles');
     });
     child.stderr.pipe(this.#log, { end: false });
     child.once('exit', (code, signal) => {
-      const isClean = code === 0 || signal === this.#ending;
-      if (this.#ending !== undefined && isClean) return;
+      const isClean = code === 0 || (signal !== null && this.#ending.has(signal));
+      if (this.#ending.size > 0 && isClean) return;
       this.#onOwnEnd(`exit code ${String(code)}, signal ${String(signal)}`);
     });
     this.#exited = new Promise((exited) => {
@@ -110,7 +110,7 @@
   /** Sends a signal to this node's process only. */
   signal(signal: NodeJS.Signals): void {
     const isSent = this.#child?.kill(signal) ?? false;
-    if (isSent && ENDING_SIGNALS.has(signal)) this.#ending = signal;
+    if (isSent && ENDING_SIGNALS.has(signal)) this.#ending.add(signal);
   }
 
   /** Stops the process; the next one runs the version of this checkout. */
