--- a/packages/soak/src/node/soak-runner.ts
+++ b/packages/soak/src/node/soak-runner.ts
@@ -1,11 +1,12 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Closeable } from '@ragwortrudder/core';
-import { omitFraming } from '@ragwortrudder/standins';
+import { freeAddresses, omitFraming } from '@ragwortrudder/standins';
 import type { RunnerMode } from '../types/runner-mode.ts';
 import type { ObservedRun } from '../types/observed-run.ts';
+import { receiveBody } from '../utils/receive-body.ts';
 import { streamText } from '../utils/stream-text.ts';
 
 interface SoakRunnerOptions {
@@ -49,7 +50,8 @@
 export class SoakRunner implements Closeable {
   readonly #options: SoakRunnerOptions;
   #server: Server;
-  #port = 0;
+  /** Kept over restarts, and out of the reach of outgoing connections meanwhile. */
+  #address: string | undefined;
   #running = 0;
   #mode: RunnerMode = 'sound';
   #breaks = 0;
@@ -76,7 +78,7 @@
   }
 
   get address(): string {
-    return `127.0.0.1:${this.#port}`;
+    return this.#address ?? '';
   }
 
   setMode(mode: RunnerMode): void {
@@ -103,11 +105,12 @@
   }
 
   async listen(): Promise<void> {
+    this.#address ??= (await freeAddresses(1))[0];
+    const [host, port] = this.address.split(':');
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
-      this.#server.listen(this.#port, '127.0.0.1', resolve);
+      this.#server.listen(Number(port), host, resolve);
     });
-    this.#port = (this.#server.address() as AddressInfo).port;
   }
 
   /** Closes all connections and refuses new ones, like a process that has exited. */
@@ -128,8 +131,8 @@
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     response.on('error', () => undefined);
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const body = await receiveBody(request);
+    if (!body) return;
     const id = String(request.headers['request-id'] ?? '');
     response.setHeader('Request-Id', id);
     if (this.#limit !== undefined) response.setHeader('Server-Limit', String(this.#limit));
@@ -159,7 +162,7 @@
       id,
       runner: this.id,
       team: typeof team === 'string' ? team : undefined,
-      body: Buffer.concat(chunks).toString(),
+      body: body.toString(),
       after,
       at: performance.now(),
     });
