Keep a request at a peer that is silent for a moment

Cause: the request was given up at the first check, one in 200 ms, at which the peer did not count as reachable, about 1 s after its last report. A sound node may be silent for longer, and reports can be lost while connections live. Nothing else was certain: a peer may have used up the attempts, so the request can go nowhere else.

Evidence: before, lost-peers.test.ts got 502 in place of 200 in six of six cases: streams and idempotent requests, with a peer that is left out of the reachable ones for 300, 900 and 1,500 ms. All get 200 now. The test that asks for a 502 before the deadline where the peer is gone passes as it is (after 2.3 s, before 0.3 s). A new one guards the early 502 of a peer whose connection ends (0.4 s); it passed before.

Fix: a peer counts as gone only after 2 s out of reach, longer than a sound node is silent; bytes of the response count as a sign of it. The time begins at the first check that misses the peer, so that a stall of this node alone does not use it up.

Class: something is given up before anything else is certain. Ruled out: a second peer beside the silent one, whose attempts are not known; opening a connection to the peer, which the system accepts for a process that is gone silent as well.

--- a/packages/gateway/src/node/peer-forwarder.ts
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -9,6 +9,7 @@
 import type { BufferBudget } from '../utils/buffer-budget.ts';
 import { choosePeer } from '../utils/choose-peer.ts';
 import type { PeerReach } from '../utils/peer-reach.ts';
+import { PeerSilence } from '../utils/peer-silence.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { GatewayMetrics } from './gateway-metrics.ts';
@@ -150,6 +151,7 @@
     const { request, channel, route, service, team, progress } = passed;
     const sentAt = clock.monotonic();
     if (deadlineAt <= sentAt) return { kind: 'ended' };
+    const silence = new PeerSilence(clock);
     const attempt = new RunnerAttempt({
       dialect: dialectFor({
         from: node,
@@ -171,17 +173,20 @@
       },
       ...(route.kind === 'stream' ? { sink: channel } : {}),
       onHead: () => undefined,
-      onProgress: () => undefined,
+      onProgress: () => {
+        silence.record(true);
+      },
     });
     const deadline = setTimeout(() => {
       attempt.abort({ kind: 'ended' });
     }, deadlineAt - sentAt);
-    // A peer that is not heard may have lost the request. A response that has begun has nowhere else to go.
+    // A peer that is gone has lost the request. A response that has begun has nowhere else to go.
     const check = new PeriodicTask({
       periodMs: CHECK_PERIOD_MS,
       run: () => {
         if (!passed.isRepeatable || channel.hasBegun) return;
-        if (peers.reachable().some(({ id }) => id === peer.id)) return;
+        silence.record(peers.reachable().some(({ id }) => id === peer.id));
+        if (!silence.isFaulty) return;
         attempt.abort({ kind: 'broken', reason: 'peer not heard', isConnectionLost: false });
       },
       onFailure: (error) => {
--- a/test/gateway/lost-peers.test.ts
+++ b/test/gateway/lost-peers.test.ts
@@ -14,8 +14,9 @@
 import { PassingDialect } from '../../packages/gateway/src/utils/passing-dialect.ts';
 import { PeerReach } from '../../packages/gateway/src/utils/peer-reach.ts';
 import { RawCaller, requestText } from './raw-caller.ts';
-import { chunk, event, streamHeadFor } from './scripted-response.ts';
+import { chunk, event, responseTo, streamHeadFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
+import type { ReceivedRequest } from './scripted-runner.ts';
 
 const ROUTE: Route = {
   name: 'route',
@@ -33,6 +34,10 @@
 };
 /** Time between the events of the peer, several checks of whether it is heard. */
 const EVENT_INTERVAL_MS = 700;
+/** Times for which no report of a sound peer arrives after it has counted as reachable for the last time. */
+const SOUND_SILENCES_MS = [300, 900, 1_500];
+/** Time from the last report that is missed to the response of the peer. */
+const RESPONSE_MS = 300;
 
 interface Node {
   readonly caller: RawCaller;
@@ -41,7 +46,11 @@
 }
 
 /** A node that passes each request on to one peer. */
-async function start(t: ExecutionContext, peer: ScriptedRunner): Promise<Node> {
+async function start(
+  t: ExecutionContext,
+  peer: ScriptedRunner,
+  kind: Route['kind'] = 'stream',
+): Promise<Node> {
   const out = new Writable({
     write: (_bytes, _encoding, done) => {
       done();
@@ -76,7 +85,7 @@
         await forwarder.passOn({
           request,
           channel,
-          route: ROUTE,
+          route: { ...ROUTE, kind },
           service: { name: 's', healthPath: '/', maxConnections: 100 },
           team: undefined,
           progress: { sends: 0, isUsageCounted: false },
@@ -122,6 +131,50 @@
   t.true(caller.received.endsWith('0\r\n\r\n'));
 });
 
+const WHOLE_RESPONSES = {
+  stream: (request: ReceivedRequest) => streamHeadFor(request) + chunk(event(1)) + chunk(''),
+  idempotent: (request: ReceivedRequest) => responseTo(request, 'served'),
+} as const;
+
+for (const kind of ['stream', 'idempotent'] as const) {
+  for (const silentMs of SOUND_SILENCES_MS) {
+    // Guards against a request that is given up while a sound peer is silent for a moment (LOST).
+    test(`${kind}: a request is answered by a peer that was not heard for ${silentMs} ms`, async (t) => {
+      const peer = await new ScriptedRunner((socket, request) => {
+        const response = WHOLE_RESPONSES[kind](request);
+        setTimeout(() => socket.write(response), silentMs + RESPONSE_MS);
+      }).listen();
+      const { caller, setHeard } = await start(t, peer, kind);
+      caller.send(requestText({ id: 'a' }));
+      while (peer.received.length === 0) await sleep(10);
+      setHeard(false);
+      await sleep(silentMs);
+      setHeard(true);
+      await Promise.race([
+        caller.closed,
+        new Promise((resolve) => caller.socket.once('data', resolve)),
+      ]);
+      t.deepEqual(caller.responses, ['200 a']);
+    });
+  }
+}
+
+// Guards against waiting for reports of a peer whose connection tells that it is gone.
+test('a request whose peer is gone is answered as soon as its connection ends', async (t) => {
+  const peer = await new ScriptedRunner((socket) => {
+    setTimeout(() => socket.resetAndDestroy(), RESPONSE_MS);
+  }).listen();
+  const { caller, setHeard } = await start(t, peer);
+  caller.send(requestText({ id: 'a' }));
+  while (peer.received.length === 0) await sleep(10);
+  setHeard(false);
+  await Promise.race([
+    sleep(Math.max(...SOUND_SILENCES_MS)),
+    new Promise((resolve) => caller.socket.once('data', resolve)),
+  ]);
+  t.deepEqual(caller.responses, ['502 a']);
+});
+
 // Guards against waiting until the deadline for a peer that has lost the request.
 test('a request whose peer is not heard is answered before its deadline', async (t) => {
   const peer = await new ScriptedRunner(() => undefined).listen();
