End all attempts at a request that the node fails to serve

Seen: after an unexpected error the caller got 500, while another attempt at the request stayed at its runner. The deadline had been cleared with the request, so it went on for as long as the runner did.

Cause: an error out of one attempt left the loop of attempts, and nothing ended the others.

Fix: whatever ends the loop ends the attempts that are left. Where a request ends regularly there are none.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -113,6 +113,8 @@
       await this.#attemptUntilDone();
     } finally {
       clearTimeout(timer);
+      // After an unexpected error nothing else would end those that are left.
+      this.#abortAttempts({ kind: 'ended' });
     }
     this.#options.metrics.count('requests', { route: route.name });
   }
