Keep apart when the lives of a runner were last heard

Seen: a runner that has restarted under its id and says nothing passed for one that sends, as long as a stream of its earlier life went on. A request there was tried elsewhere only after the longer limit for a single connection.

Cause: the time at which bytes last arrived was kept by the id of the runner alone, across restarts.

Evidence: the new test in runner-restarts.test.ts failed before with silent 'connection' in place of 'runner' in the line attempt-added; it passes now. Besides, 13 tests of runner-restarts, open-connections and crashing-request pass.

Fix: the time is kept by incarnation, as limits, rests and links are.

--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -91,6 +91,7 @@
   readonly #options: RunnerPoolOptions;
   readonly #runners = new Map<string, PooledRunner>();
   readonly #prefillRates = new Map<string, PrefillRate>();
+  /** By incarnation: an earlier life of a runner may still send. */
   readonly #progressAt = new Map<string, number>();
   readonly #detectors = new Map<string, OutlierDetector>();
   readonly #rests: RunnerRests;
@@ -228,7 +229,7 @@
 
   /** Records that bytes have arrived from a runner; one that was only silent may be used again. */
   recordProgress(entry: RunnerEntry): void {
-    this.#progressAt.set(entry.id, this.#options.clock.monotonic());
+    this.#progressAt.set(incarnationOf(entry), this.#options.clock.monotonic());
     const runner = this.#knownRunner(entry);
     if (!runner?.isSilent) return;
     this.#runners.set(entry.id, { ...runner, isSilent: false, unreachableUntil: 0 });
@@ -237,7 +238,7 @@
 
   /** Monotonic time at which bytes last arrived from a runner, in milliseconds. */
   lastProgressAt(entry: RunnerEntry): number {
-    return this.#progressAt.get(entry.id) ?? 0;
+    return this.#progressAt.get(incarnationOf(entry)) ?? 0;
   }
 
   /** Time since bytes last arrived from a runner, in milliseconds. */
@@ -297,12 +298,15 @@
     for (const [id, { agent }] of this.#runners) {
       if (listed.has(id)) continue;
       this.#runners.delete(id);
-      this.#progressAt.delete(id);
       agent.retire();
     }
+    const incarnations = new Set([...listed.values()].map(incarnationOf));
+    for (const key of this.#progressAt.keys()) {
+      if (!incarnations.has(key)) this.#progressAt.delete(key);
+    }
     loadTracker.retain(new Set(listed.keys()));
-    if (!this.#rests.isEmpty) this.#rests.prune(new Set([...listed.values()].map(incarnationOf)));
-    if (!limits.isEmpty) limits.retain(new Set([...listed.values()].map(incarnationOf)));
+    if (!this.#rests.isEmpty) this.#rests.prune(incarnations);
+    if (!limits.isEmpty) limits.retain(incarnations);
     for (const [service, detector] of this.#detectors) {
       detector.setRunners(directory.ofService(service).map(({ id }) => id));
     }
