--- a/test/gateway/odd-headers.test.ts
+++ b/test/gateway/odd-headers.test.ts
@@ -163,3 +163,21 @@
     t.true(seconds >= 0 && seconds <= 86_400, String(headers['retry-after']));
   }
 });
+
+// Guards against: a status that is no final one of HTTP reached the caller as the end of its request (MIXED),
+// or failed the node itself.
+for (const status of ['000', '099', '101', '600', '999']) {
+  test(`a response of a runner with status ${status} counts as broken`, async (t) => {
+    await waitForTurn(t);
+    const odd = new ScriptedRunner((socket, request) => {
+      socket.write(headFor(request, { status, framing: ['Content-Length: 0'] }));
+    });
+    await odd.listen();
+    t.teardown(() => odd.close());
+    const log = new MemoryKeyedLog();
+    await GatewayHarness.configure({ log }, [odd.port]);
+    const gateway = await GatewayHarness.start(t, { log });
+    t.is((await gateway.call()).status, 502);
+    t.deepEqual(linesOf(gateway, 'request-failed'), []);
+  });
+}
