Bound the runners that a request which is passed on names

What callers saw: a node that had lost its links to many runners of a service answered requests with 502, although a peer reached them all.

Cause: the request told the peer the ids of all of them in a header. With 400 ids of 63 characters it was longer than a peer reads (431 without the id of the request, so the attempt counted as broken).

Evidence: many-lost-runners.test.ts failed (502 in place of 200 at the first call; it passed with 240 runners).

Why it works: the ids only tell the peer what to prefer. As many as fit into 6,000 bytes are named, from a random one on, so that all get their share. An older peer reads the same header. Ruled out: the reports between nodes, which are datagrams and were heard at this size.

--- a/packages/gateway/src/node/peer-forwarder.ts
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -8,6 +8,7 @@
 import type { PassedRequest } from '../types/passed-request.ts';
 import type { BufferBudget } from '../utils/buffer-budget.ts';
 import { choosePeer } from '../utils/choose-peer.ts';
+import { fittingIds } from '../utils/fitting-ids.ts';
 import type { PeerReach } from '../utils/peer-reach.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { DecisionLog } from './decision-log.ts';
@@ -63,6 +64,8 @@
 /** Peers that a request is offered to. */
 const MAX_PEERS = 3;
 const CHECK_PERIOD_MS = 200;
+/** Bytes of the runners that a peer is told to prefer; a half of the header that has them. */
+const MAX_LOST_BYTES = 6_000;
 const HTTP_OK = 200;
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
@@ -146,7 +149,8 @@
   }
 
   async #send(passed: PassedOnRequest, { peer, deadlineAt }: Offer): Promise<AttemptOutcome> {
-    const { clock, reach, log, metrics, buffers, node, dialectFor, peers } = this.#options;
+    const { clock, reach, log, metrics, buffers, node, dialectFor, peers, reachOf, random } =
+      this.#options;
     const { request, channel, route, service, team, progress } = passed;
     const sentAt = clock.monotonic();
     if (deadlineAt <= sentAt) return { kind: 'ended' };
@@ -157,7 +161,7 @@
         service,
         ...(team ? { team: teamOf(team) } : {}),
         ...progress,
-        lost: [...this.#options.reachOf(service.name).lostIds],
+        lost: fittingIds([...reachOf(service.name).lostIds], { maxBytes: MAX_LOST_BYTES, random }),
       }),
       agent: this.#agentOf(peer.id),
       buffers,
