Do not count a request that cannot be sent as work of its runner

What callers saw: after 90 requests that failed before they were sent, a runner counted as full: requests of all teams were rejected with `no-runner` although it was idle, until the node was started again.

Cause: the work was added before the request was sent; where that throws (a header that no connection can carry), no attempt exists that takes it off.

Evidence: the new test got 503 in place of 500 from the 91st request on, and then 503 for a sound one. A way to get there from outside is a team whose name has letters beyond Latin-1: 90 times 500, then 503.

Why it works: the request is sent first; everything else follows in the same turn, before anything can arrive.

--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -77,12 +77,6 @@
       prefillTokens: chosen.prefillTokens,
       kvTokens: placement.ownTokens + placement.sharedTokens,
     };
-    loadTracker.add(this.entry.id, this.#work);
-    if (chosen.prefillTokens >= LONG_PROMPT_TOKENS) {
-      onLongPrompt(this.entry.id, chosen.prefillTokens);
-    }
-    pool.recordSend(this.entry);
-    sessions.record(placement.session, this.entry.id, this.#sentAt);
     this.#sink = new AttemptSink({
       channel,
       hasOther: options.hasOther,
@@ -98,7 +92,14 @@
         this.#progressAt = clock.monotonic();
       },
     });
+    // What cannot be sent is no work.
     this.#attempt = this.#send();
+    loadTracker.add(this.entry.id, this.#work);
+    if (chosen.prefillTokens >= LONG_PROMPT_TOKENS) {
+      onLongPrompt(this.entry.id, chosen.prefillTokens);
+    }
+    pool.recordSend(this.entry);
+    sessions.record(placement.session, this.entry.id, this.#sentAt);
     this.outcome = this.#attempt.outcome.then((outcome) => this.#record(outcome));
   }
 
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -5,6 +5,7 @@
 import type { ExecutionContext } from 'ava';
 import { SeededRandom, SystemClock } from '@ragwortrudder/core';
 import { Gateway } from '@ragwortrudder/gateway';
+import type { Dialect } from '@ragwortrudder/gateway';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
 import type { KeyedLog } from '@ragwortrudder/log';
 import { PlatformCatalogCodec, PlatformDialect } from '@ragwortrudder/platform-adapter';
@@ -23,6 +24,8 @@
   readonly peerPort?: number;
   /** Log that is shared with other gateways; it is configured by the test. */
   readonly log?: KeyedLog;
+  /** @default the one of the platform */
+  readonly dialect?: Dialect;
 }
 
 interface Call {
@@ -90,7 +93,7 @@
       },
       log: this.log,
       codec: new PlatformCatalogCodec(),
-      dialect: new PlatformDialect(),
+      dialect: options.dialect ?? new PlatformDialect(),
       cloud: undefined,
       clock: new SystemClock(),
       random: new SeededRandom(7),
