Keep silence out of the tests of resumed streams

'a resumed stream whose next runner begins from the start after a comment goes on elsewhere' failed once, at load 26. The runners of these tests share the process with their node and give their responses in the order of arrival. With no latency target of its own the route lets a node try a second runner after 700 ms of silence. Where a turn of the event loop takes a few hundred milliseconds, accepting, reading and responding take longer than that; the second runner's response is then ended in favour of the first one's, its comment is rightly not passed on, and the attempt is used up.

Trial: turns of 350 ms while the call is in progress.

What the tests ask of the order and the end of streams is as before. Silent runners have tests of their own (silent-runner.test.ts). Such slow turns on a real node would also cost an attempt, but no request.

--- a/test/gateway/resumed-stream.test.ts
+++ b/test/gateway/resumed-stream.test.ts
@@ -14,6 +14,8 @@
   readonly received: readonly ReceivedRequest[];
 }
 
+/** Longer than a busy machine holds the process up, so that no runner is tried for the silence of another one. */
+const SILENCE_TARGET_MS = 20_000;
 const LAST_CHUNK = '0\r\n\r\n';
 const SENT = event(1) + event(2);
 
@@ -48,6 +50,8 @@
       kind: 'streaming',
       stream_resume: true,
       timeout_ms: 20_000,
+      target_latency_ms: SILENCE_TARGET_MS,
+      gap_target_ms: SILENCE_TARGET_MS,
       max_attempts: responses.length,
     },
   });
