Split event streams without an object for each line

A node that passes on streams of many small events was held up by splitting them: for each line it created two buffers and compared them, and it wrote to a field for each byte. Every turn of the event loop takes up to 64 KB of each stream, and a node accepts one connection a turn, so that with 32 such streams turns took 100 ms and the last callers were accepted 2.5 s late.

Lines are now told apart in place. 63 KB of events of 9 bytes take 0.85 ms in place of 4.3 ms.

Old and new splitter gave the same bytes, faults, ids and remainders for 300,000 random streams in random pieces (a trial), 66,578 of them with events and 56,930 with a fault.

--- a/packages/gateway/src/utils/event-splitter.ts
+++ b/packages/gateway/src/utils/event-splitter.ts
@@ -19,7 +19,8 @@
   #remainder: Buffer = Buffer.alloc(0);
   /** Start of the current line in the remainder. */
   #lineStart = 0;
-  #isAfterCarriageReturn = false;
+  /** The bytes before the next chunk end with a carriage return. */
+  #endsWithCarriageReturn = false;
   #isFirstLine: boolean;
   /** The current event has a line that is not a comment. */
   #hasField = false;
@@ -71,40 +72,40 @@
   push(bytes: Buffer): Buffer {
     if (this.fault !== undefined) return bytes.subarray(0, 0);
     const buffered = this.#remainder.length === 0 ? bytes : Buffer.concat([this.#remainder, bytes]);
+    const from = this.#remainder.length;
     let end = 0;
-    for (let at = this.#remainder.length; at < buffered.length; at += 1) {
+    for (let at = from; at < buffered.length; at += 1) {
       const byte = buffered[at];
-      const isSecondOfPair = byte === LINE_FEED && this.#isAfterCarriageReturn;
-      this.#isAfterCarriageReturn = byte === CARRIAGE_RETURN;
-      if (isSecondOfPair) {
+      if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) continue;
+      const isAfterCarriageReturn =
+        at > from ? buffered[at - 1] === CARRIAGE_RETURN : this.#endsWithCarriageReturn;
+      if (byte === LINE_FEED && isAfterCarriageReturn) {
         if (end === at) end = at + 1;
-        this.#lineStart = at + 1;
-      } else if (byte === LINE_FEED || byte === CARRIAGE_RETURN) {
-        if (this.#endLine(buffered.subarray(this.#lineStart, at))) end = at + 1;
-        this.#lineStart = at + 1;
-        if (this.#fault !== undefined) break;
-      }
+      } else if (this.#endLine(buffered, at)) end = at + 1;
+      this.#lineStart = at + 1;
+      if (this.#fault !== undefined) break;
     }
+    if (bytes.length > 0) this.#endsWithCarriageReturn = buffered.at(-1) === CARRIAGE_RETURN;
     this.#remainder = buffered.subarray(end);
     this.#lineStart -= end;
     return buffered.subarray(0, end);
   }
 
-  /** Handles a line without its end; returns true if it ends an event. */
-  #endLine(line: Buffer): boolean {
-    const hasMark =
-      this.#isFirstLine && line.subarray(0, BYTE_ORDER_MARK.length).equals(BYTE_ORDER_MARK);
+  /** Handles the current line, which ends at `end`; returns true if it ends an event. */
+  #endLine(buffered: Buffer, end: number): boolean {
+    const hasMark = this.#isFirstLine && hasAt(buffered, this.#lineStart, BYTE_ORDER_MARK);
+    const start = hasMark ? this.#lineStart + BYTE_ORDER_MARK.length : this.#lineStart;
     this.#isFirstLine = false;
-    const content = hasMark ? line.subarray(BYTE_ORDER_MARK.length) : line;
-    if (content.length === 0) return this.#endEvent();
-    if (content[0] === COLON) return false;
-    if (isHeadLine(content)) {
+    if (start === end) return this.#endEvent();
+    const first = buffered[start];
+    if (first === COLON) return false;
+    if (isHeadLine(buffered, start, end)) {
       this.#fault = 'event stream contains the head of another response';
       return false;
     }
     this.#hasField = true;
-    this.#hasData ||= isData(content);
-    const id = content[0] === LOWER_I ? ID_FIELD.exec(content.toString('latin1')) : null;
+    this.#hasData ||= isData(buffered, start, end);
+    const id = first === LOWER_I ? ID_FIELD.exec(buffered.toString('latin1', start, end)) : null;
     if (id && !id[1]?.includes(NUL)) {
       this.#pendingId = id[1] ?? '';
       this.#ownId = this.#pendingId;
@@ -128,7 +129,16 @@
   }
 }
 
-function isData(line: Buffer): boolean {
-  const hasName = line.subarray(0, DATA_NAME.length).equals(DATA_NAME);
-  return hasName && (line.length === DATA_NAME.length || line[DATA_NAME.length] === COLON);
+function hasAt(buffered: Buffer, start: number, expected: Buffer): boolean {
+  for (let index = 0; index < expected.length; index += 1) {
+    if (buffered[start + index] !== expected[index]) return false;
+  }
+  return true;
+}
+
+/** Lines are told apart in place: a stream can have many thousands of them in one read. */
+function isData(buffered: Buffer, start: number, end: number): boolean {
+  const nameEnd = start + DATA_NAME.length;
+  if (nameEnd > end || !hasAt(buffered, start, DATA_NAME)) return false;
+  return nameEnd === end || buffered[nameEnd] === COLON;
 }
