Soak: let signals come in series beside silent runners

Beside silences of sound runners the plan drew configuration changes, lost links, SIGTERM and SIGHUP one by one, but never a killed node, hardly ever a draining runner or a node that keeps its links alone, and few signals that overlap each other or a change.

Each silence is followed by two more faults: a signal, and a signal, a change, a loss of links or a draining runner. They are drawn after the others, so that a seed keeps the faults that it had.

Evidence: the new test failed before (node-kill beside no silence of one runner or of all) and passes now: over 200 seeds each of four signals overlaps each of 13 changes, losses of links and drains beside a silence.

--- a/packages/soak/src/utils/plan-faults.ts
+++ b/packages/soak/src/utils/plan-faults.ts
@@ -28,6 +28,15 @@
   'links-refuse-new',
   'odd-entry',
 ];
+/** Faults that stop nodes or tell them to reload, and that come in series beside silences. */
+const SIGNALS: readonly FaultKind[] = ['node-stop', 'node-reload', 'roll-stop', 'node-kill'];
+/** Faults beside which signals come in series. */
+const SERIES: readonly FaultKind[] = [
+  ...SIGNALS,
+  ...COMPANIONS.filter((kind) => /^(configure|links-)/.test(kind)),
+  'links-most-cut',
+  'runner-drain',
+];
 const KINDS: readonly FaultKind[] = [
   'node-stop',
   'node-kill',
@@ -116,6 +125,8 @@
 /** Pause between silences, so that none is longer than its maximum, in milliseconds. */
 const SILENCE_GAP_MS = 300;
 const MAX_SILENCES = 3;
+/** Time after the begin of a silence in which a series of faults begins, in milliseconds. */
+const SERIES_MS = 800;
 const MAX_COMPANIONS = 3;
 
 /**
@@ -160,6 +171,13 @@
     }
     atMs += drawBetween(random, MIN_GAP_MS, MAX_GAP_MS);
   }
+  const silences = faults.filter(({ kind }) => kind === 'runner-silent');
+  for (const startMs of new Set(silences.map((silence) => silence.atMs))) {
+    for (const kinds of [SERIES, SIGNALS]) {
+      const kind = kinds[drawIndex(random, kinds.length)] ?? 'node-reload';
+      add(kind, startMs + random.next() * SERIES_MS);
+    }
+  }
   return faults;
 }
 
--- a/test/soak/plan-faults.test.ts
+++ b/test/soak/plan-faults.test.ts
@@ -47,6 +47,35 @@
   }
 });
 
+// Guards against signals, restarts and lost links that never come in series beside silent runners.
+test('beside silences of one runner and of all, each signal overlaps each change and loss of links', (t) => {
+  const signals = ['node-stop', 'node-reload', 'roll-stop', 'node-kill'];
+  const others = /^(configure|links-|runner-drain)/;
+  const pairs = new Set<string>();
+  const seen = new Set<string>();
+  for (let seed = 1; seed <= 200; seed += 1) {
+    const faults = plan(seed);
+    const silences = faults.filter(({ kind }) => kind === 'runner-silent');
+    for (const { atMs, forMs } of silences) {
+      const count = silences.filter((silence) => silence.atMs === atMs).length;
+      const isBeside = (fault: (typeof faults)[number]): boolean =>
+        fault.atMs >= atMs && fault.atMs < atMs + forMs;
+      const beside = faults.filter(isBeside).map(({ kind }) => kind);
+      for (const signal of beside.filter((kind) => signals.includes(kind))) {
+        if (count === 1 || count === 4) seen.add(`${signal} ${count}`);
+        for (const other of beside.filter((kind) => others.test(kind))) {
+          pairs.add(`${signal} ${other}`);
+        }
+      }
+    }
+  }
+  t.deepEqual(
+    [...seen].toSorted(),
+    signals.flatMap((kind) => [`${kind} 1`, `${kind} 4`]).toSorted(),
+  );
+  t.is(pairs.size, signals.length * (8 + 4 + 1), [...pairs].toSorted().join('; '));
+});
+
 test('in some runs all runners stay sound', (t) => {
   const unsound = /^(runner-(?!silent|drain)|runners-|prompt-|request-|streams-|all-kill)/;
   const plans = Array.from({ length: 30 }, (_item, seed) => plan(seed + 1));
