--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,4 +1,5 @@
 export { Soak } from './node/soak.ts';
+export { SoakCaller } from './node/soak-caller.ts';
 export { SoakCloud } from './node/soak-cloud.ts';
 export { SoakNode } from './node/soak-node.ts';
 export { SoakRunner } from './node/soak-runner.ts';
--- /dev/null
+++ b/test/soak/soak-caller.test.ts
@@ -0,0 +1,34 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import test from 'ava';
+import { SeededRandom } from '@ragwortrudder/core';
+import { RequestTracker, SoakCaller } from '@ragwortrudder/soak';
+
+// Guards against callers that leave a node when it stops listening, before its process is gone.
+test('a caller keeps using its open connection while the node no longer listens', async (t) => {
+  const sockets: Socket[] = [];
+  let requests = 0;
+  const server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', (bytes) => {
+      const count = bytes.toString().match(/^(GET|POST) /gm)?.length ?? 0;
+      requests += count;
+      socket.write('HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n'.repeat(count));
+      if (requests === 1) server.close();
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const tracker = new RequestTracker();
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const caller = new SoakCaller({
+    ...{ name: 'c', team: 't', apiKey: 'k', tracker, random: new SeededRandom(1) },
+    nodes: [{ id: 'n1', address }],
+  });
+  caller.start();
+  while (requests < 10) await new Promise((resolve) => setTimeout(resolve, 20));
+  await caller.close();
+  for (const socket of sockets) socket.destroy();
+  t.is(sockets.length, 1);
+  t.deepEqual(tracker.statuses, { 503: requests });
+});
