Soak: hold SIGHUP back until the process can handle it

A process does not handle a signal at that time whatever it is going to run, so that this says nothing about the program.

The first module of the process tells the soak over a pipe that the signal is handled. SIGHUP that is due earlier is sent at that moment; the new settings are in the file by then, and the loader has not run yet. All later ones are sent at once as before, also before the program itself is loaded.

--- a/packages/soak/src/node/soak-node.ts
+++ b/packages/soak/src/node/soak-node.ts
@@ -27,11 +27,13 @@
 const ROUTE_PRELOAD = new URL('../../../standins/src/node/route-preload.ts', import.meta.url).href;
 const CHECKOUT = fileURLToPath(new URL('../../../..', import.meta.url));
 /**
- * The built program handles the signal from its first module on; here its loader comes before it. The
- * end of stdin tells that the soak is gone.
+ * The built program handles SIGHUP from its first module on; here its loader comes before it, so this
+ * module tells over a pipe that the signal is handled. The end of stdin tells that the soak is gone.
  */
 const PRELOAD =
-  'data:text/javascript,process.on("SIGHUP",()=>{});process.stdin.on("end",()=>process.exit(1)).resume().unref()';
+  'data:text/javascript,import{closeSync,writeSync}from"node:fs";process.on("SIGHUP",()=>{});writeSync(3,"1");closeSync(3);process.stdin.on("end",()=>process.exit(1)).resume().unref()';
+/** Position of that pipe. */
+const BOOTED_PIPE = 3;
 const MAIN = 'packages/cli/src/cli/main.ts';
 /** Event of a fault that ended the process of earlier versions. */
 const UNHANDLED_REJECTION = '"event":"rejection-unhandled"';
@@ -56,6 +58,9 @@
   /** Signals by which the process may end; those that follow the first may come too late. */
   readonly #ending = new Set<NodeJS.Signals>();
   #isClosing = false;
+  /** The process handles SIGHUP; the one sent before waits, since it would end Node.js in its boot. */
+  #hasBooted = false;
+  #isReloadWaiting = false;
 
   constructor({ id, folder, settings, routes, production, ...events }: SoakNodeOptions) {
     this.id = id;
@@ -79,10 +84,14 @@
         STANDINS_ROUTES: JSON.stringify(this.#routes),
         NODE_NO_WARNINGS: '1',
       },
-      stdio: ['pipe', 'pipe', 'pipe'],
+      stdio: ['pipe', 'pipe', 'pipe', 'pipe'],
     });
     this.#child = child;
     this.#ending.clear();
+    this.#hasBooted = false;
+    child.stdio[BOOTED_PIPE]?.once('data', () => {
+      this.#continueBooted(child);
+    });
     child.stdout.pipe(this.#log, { end: false });
     child.stdout.on('data', (bytes: Buffer) => {
       if (bytes.includes(UNHANDLED_REJECTION)) this.#onOwnEnd('a rejection that nobody handles');
@@ -123,7 +132,8 @@
   reload(change: object): void {
     this.#settings = { ...this.#settings, ...change };
     writeFileSync(this.#settingsPath, JSON.stringify(this.#settings));
-    this.signal('SIGHUP');
+    this.#isReloadWaiting = !this.#hasBooted;
+    if (this.#hasBooted) this.signal('SIGHUP');
   }
 
   async close(): Promise<void> {
@@ -134,6 +144,13 @@
     this.#log.end();
   }
 
+  #continueBooted(child: ChildProcess): void {
+    if (child !== this.#child) return;
+    this.#hasBooted = true;
+    if (this.#isReloadWaiting) this.signal('SIGHUP');
+    this.#isReloadWaiting = false;
+  }
+
   #restart(): void {
     if (!this.#isClosing) this.start();
   }
--- a/test/soak/soak-node.test.ts
+++ b/test/soak/soak-node.test.ts
@@ -17,7 +17,10 @@
 const STARTED = 'program has started';
 
 /** Starts a node whose program only waits. */
-async function startNode(ownEnds: string[]) {
+async function startNode(
+  ownEnds: string[],
+  afterStart: (node: SoakNode) => Promise<void> = () => Promise.resolve(),
+) {
   const folder = mkdtempSync(join(tmpdir(), 'soak-node-'));
   mkdirSync(join(folder, 'packages/cli/src/cli'), { recursive: true });
   symlinkSync(join(CHECKOUT, 'node_modules'), join(folder, 'node_modules'));
@@ -29,23 +32,24 @@
     onNotStarted: (error) => ownEnds.push(error.message),
   });
   node.start();
+  await afterStart(node);
   const log = join(folder, 'n0.log');
-  const untilStarted = async (times: number): Promise<void> => {
-    const starts = (): number =>
-      existsSync(log) ? readFileSync(log, 'utf8').split(STARTED).length - 1 : 0;
-    while (starts() < times) await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  const untilLogged = async (text: string, times: number): Promise<void> => {
+    const count = (): number =>
+      existsSync(log) ? readFileSync(log, 'utf8').split(text).length - 1 : 0;
+    while (count() < times) await new Promise((resolve) => setTimeout(resolve, POLL_MS));
   };
-  await untilStarted(1);
-  return { node, untilStarted };
+  await untilLogged(STARTED, 1);
+  return { node, untilLogged };
 }
 
 // Guards against the report that a process ended by itself when a second signal came too late for it.
 test('a process that gets several signals may end by each of them', async (t) => {
   for (const signals of [['SIGKILL', 'SIGTERM'], ['SIGTERM', 'SIGKILL'], ['SIGKILL']] as const) {
     const ownEnds: string[] = [];
-    const { node, untilStarted } = await startNode(ownEnds);
+    const { node, untilLogged } = await startNode(ownEnds);
     for (const signal of signals) node.signal(signal);
-    await untilStarted(2);
+    await untilLogged(STARTED, 2);
     await node.close();
     t.deepEqual(ownEnds, [], signals.join(', '));
   }
@@ -60,3 +64,16 @@
   await node.close();
   t.deepEqual(ownEnds, ['exit code null, signal SIGUSR2']);
 });
+
+// Guards against SIGHUP that ends Node.js in its own boot, before the program can handle it.
+test('a process whose settings are reloaded while it boots goes on', async (t) => {
+  for (const delayMs of [0, 5, 10, 20, 40]) {
+    const ownEnds: string[] = [];
+    const { node } = await startNode(ownEnds, async (started) => {
+      await new Promise((resolve) => setTimeout(resolve, delayMs));
+      started.reload({ delayMs });
+    });
+    await node.close();
+    t.deepEqual(ownEnds, [], `${delayMs} ms`);
+  }
+});
