--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,4 +1,5 @@
 export { Soak } from './node/soak.ts';
+export { SoakCaller } from './node/soak-caller.ts';
 export { SoakCloud } from './node/soak-cloud.ts';
 export { SoakNode } from './node/soak-node.ts';
 export { SoakRunner } from './node/soak-runner.ts';
@@ -17,3 +18,4 @@
 export { findLosses } from './utils/find-losses.ts';
 export { RequestTracker } from './utils/request-tracker.ts';
 export { planFaults } from './utils/plan-faults.ts';
+export { rollingStops } from './utils/rolling-stops.ts';
