Do not blame a request that used to be served for crashes that others explain

Callers of a sound read that many ask for got 503 `request-quarantined` while prompt parts and other requests crashed the runners at which it was in flight, and for two seconds and more afterwards.

Cause: whole requests were judged before prompt parts, by three crashes only, and crashes that a quarantined part or request explains counted in full. A sound request in flight was found first; its quarantine then explained the crashes, so that the true cause was found later.

Nodes now remember which whole requests were served, as they do for prompt parts, within a bound. Requests that were never served come first, then prompt parts, then requests that used to be served; the last are not blamed if a known part or request explains each of their crashes.

--- a/packages/admission/src/utils/find-crashing-parts.ts
+++ b/packages/admission/src/utils/find-crashing-parts.ts
@@ -55,31 +55,45 @@
  * requests without it were.
  */
 export function findCrashingParts(history: CrashHistory): CrashingParts {
-  const repeated = findRepeated(history);
+  const repeated = findRepeated(history, (key) => !isKnown(key, history));
   if (repeated.parts.length > 0) return repeated;
   const { interrupted } = history;
   const events = crashEventsOf(interrupted);
   const responding = interrupted.filter(({ hasResponded }) => hasResponded);
   const found = findAmong(responding, RESPONDING, events, history);
-  return found.parts.length > 0 ? found : findAmong(interrupted, WAITING, events, history);
+  if (found.parts.length > 0) return found;
+  const waiting = findAmong(interrupted, WAITING, events, history);
+  if (waiting.parts.length > 0) return waiting;
+  return findRepeated(history, (key) => isKnown(key, history));
 }
 
 /**
  * Finds whole requests under which runners ended, also where another one explains the crashes: several
- * that end runners often meet. A sound request that was sent on to the same runners cannot be told from
+ * that end runners often meet. One that used to be served may only accompany them, and is not blamed for
+ * crashes that others explain. A sound request that was sent on to the same runners cannot be told from
  * them until one of them is interrupted or served again.
  */
-function findRepeated(history: CrashHistory): CrashingParts {
+function findRepeated(history: CrashHistory, isIncluded: (key: string) => boolean): CrashingParts {
   const all = [...history.interrupted, ...history.explained];
   const events = crashEventsOf(all);
-  const suspects = [...groupByPart(all, history, isRepeatKey)].flatMap(([part, requests]) => {
+  const isSuspect = (part: string): boolean => isRepeatKey(part) && isIncluded(part);
+  const suspects = [...groupByPart(all, history, isSuspect)].flatMap(([part, requests]) => {
     const suspect = suspectOf(part, requests, REPEATED, events);
-    return suspect && countRunners(requests) >= REPEATED.events ? [suspect] : [];
+    if (!suspect || countRunners(requests) < REPEATED.events) return [];
+    return isKnown(part, history) && isExplained(requests, history) ? [] : [suspect];
   });
   const parts = mostSuspicious(suspects);
   return { parts, isAmbiguous: parts.length > 1 };
 }
 
+/** Whether a known part or request explains each crash under a request. */
+function isExplained(
+  requests: readonly InterruptedRequest[],
+  { interrupted }: CrashHistory,
+): boolean {
+  return !requests.some((request) => interrupted.includes(request));
+}
+
 function findAmong(
   interrupted: readonly InterruptedRequest[],
   threshold: Threshold,
--- a/packages/admission/src/utils/prompt-quarantine.ts
+++ b/packages/admission/src/utils/prompt-quarantine.ts
@@ -73,7 +73,8 @@
 const LIFE_MARGIN_MS = 100;
 /** How long evidence is kept, in milliseconds; rare requests must add up. */
 const RETENTION_MS = 120_000;
-const MAX_SERVED_PARTS = 4_096;
+/** Bound of the prompt parts, and of the whole requests, whose last response is remembered. */
+const MAX_SERVED_KEYS = 4_096;
 const MAX_SERVED = 256;
 /** First quarantine of a part, in milliseconds; doubles with each failed trial. */
 const QUARANTINE_MS = 60_000;
@@ -106,6 +107,8 @@
   readonly #options: PromptQuarantineOptions;
   readonly #quarantines = new Map<string, Quarantine>();
   readonly #servedAt = new Map<string, number>();
+  /** The same for whole requests, most of which never come again. */
+  readonly #requestServedAt = new Map<string, number>();
   /** By runner: when the newest request was sent to which it has begun to respond. */
   readonly #aliveAt = new Map<string, number>();
   /** By runner: when it was last found to have ended. */
@@ -249,20 +252,15 @@
 
   /** Evidence of this node, and all quarantines that it knows; undefined when there is none. */
   get evidence(): PromptEvidence | undefined {
-    return this.#encode(this.#interrupted, this.#servedAt, this.#served.length);
+    return this.#encode(this.#interrupted, [], this.#served.length);
   }
 
   /** Evidence of this node and of the given peers, for nodes that do not hear these. */
   evidenceOver(nodes: ReadonlySet<string>): PromptEvidence | undefined {
     const members = [...this.#peers.values()].filter(({ node }) => nodes.has(node));
-    const servedAt = new Map(this.#servedAt);
-    for (const peer of members) {
-      for (const [part, at] of peer.servedAt)
-        servedAt.set(part, Math.max(at, servedAt.get(part) ?? 0));
-    }
     return this.#encode(
       [...this.#interrupted, ...members.flatMap(({ interrupted }) => interrupted)],
-      servedAt,
+      members,
       this.#servedCountOver(members),
     );
   }
@@ -333,13 +331,6 @@
     }
   }
 
-  /** Few requests come again, so that only those that were interrupted are remembered. */
-  #isSuspected(key: string): boolean {
-    return (
-      this.#quarantines.has(key) || this.#allInterrupted().some(({ parts }) => parts.includes(key))
-    );
-  }
-
   /** A runner that was found to have ended may have started again at the same address. */
   #hasLivedOn({ runner, at }: InterruptedRequest): boolean {
     const aliveAt = this.#aliveAt.get(runner) ?? -Infinity;
@@ -356,14 +347,7 @@
       this.#served = [...this.#served, { parts: promptParts, at }].slice(-MAX_SERVED);
     }
     for (const part of parts) {
-      if (isRepeatKey(part) && !this.#isSuspected(part)) continue;
-      // Parts are kept in the order in which they were last served.
-      this.#servedAt.delete(part);
-      this.#servedAt.set(part, at);
-    }
-    for (const part of this.#servedAt.keys()) {
-      if (this.#servedAt.size <= MAX_SERVED_PARTS) return;
-      this.#servedAt.delete(part);
+      setNewest(isRepeatKey(part) ? this.#requestServedAt : this.#servedAt, part, at);
     }
   }
 
@@ -426,16 +410,17 @@
     return peers.reduce((sum, { servedCount }) => sum + servedCount, this.#served.length);
   }
 
-  #lastServedAt(part: string): number {
-    let last = this.#servedAt.get(part) ?? -Infinity;
-    for (const { servedAt } of this.#peers.values())
-      last = Math.max(last, servedAt.get(part) ?? -Infinity);
+  /** When a part was last served by any node; by default by all that are known. */
+  #lastServedAt(part: string, peers: Iterable<PeerEvidence> = this.#peers.values()): number {
+    const own = isRepeatKey(part) ? this.#requestServedAt : this.#servedAt;
+    let last = own.get(part) ?? -Infinity;
+    for (const { servedAt } of peers) last = Math.max(last, servedAt.get(part) ?? -Infinity);
     return last;
   }
 
   #encode(
     interrupted: readonly InterruptedRequest[],
-    servedAt: ReadonlyMap<string, number>,
+    peers: readonly PeerEvidence[],
     servedCount: number,
   ): PromptEvidence | undefined {
     const now = this.#options.clock.monotonic();
@@ -451,8 +436,8 @@
         .map(({ at, ...request }) => ({ ...request, ageMs: Math.round(now - at) })),
       served: Object.fromEntries(
         [...questioned].flatMap((part) => {
-          const at = servedAt.get(part);
-          return at === undefined ? [] : [[part, Math.round(now - at)]];
+          const at = this.#lastServedAt(part, peers);
+          return at === -Infinity ? [] : [[part, Math.round(now - at)]];
         }),
       ),
       servedCount,
@@ -467,3 +452,13 @@
     };
   }
 }
+
+/** Sets when a key was last served; keys that were not served for the longest time are dropped. */
+function setNewest(servedAt: Map<string, number>, key: string, at: number): void {
+  servedAt.delete(key);
+  servedAt.set(key, at);
+  for (const oldest of servedAt.keys()) {
+    if (servedAt.size <= MAX_SERVED_KEYS) return;
+    servedAt.delete(oldest);
+  }
+}
--- a/test/admission/simulate-crashing-prompts.ts
+++ b/test/admission/simulate-crashing-prompts.ts
@@ -31,6 +31,8 @@
   readonly perS: number;
   readonly fromMs: number;
   readonly untilMs: number;
+  /** Until when requests with the part are served. @default 0 */
+  readonly soundUntilMs?: number;
 }
 
 interface Attempt {
@@ -119,7 +121,9 @@
     for (const part of parts) {
       if (crashingParts.has(part)) arrivals.set(part, [...(arrivals.get(part) ?? []), now()]);
     }
-    const load = crashing.find(({ part, untilMs }) => parts.includes(part) && now() < untilMs);
+    const load = crashing.find(({ part, untilMs, soundUntilMs = 0 }) => {
+      return parts.includes(part) && now() >= soundUntilMs && now() < untilMs;
+    });
     const family = FAMILIES.find(({ first }) => parts[0] === first) ?? PLAIN;
     const beginsAt = now() + family.prefillMs * (0.5 + random.next());
     attempts.push({
