--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -9,6 +9,7 @@
 import { ABORT_REASONS } from '../utils/abort-reasons.ts';
 import { CompletionQueue } from '../utils/completion-queue.ts';
 import { isFaultySilence } from '../utils/is-faulty-silence.ts';
+import { isRepeatable } from '../utils/is-repeatable.ts';
 import { MAX_UNSENT } from '../utils/max-unsent.ts';
 import { nextStep } from '../utils/next-step.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
@@ -426,8 +427,7 @@
 
   /** The request may run more than once. */
   get isRepeatable(): boolean {
-    const { kind, isResumable } = this.#options.route;
-    return kind === 'idempotent' || (kind === 'stream' && isResumable);
+    return isRepeatable(this.#options.route);
   }
 
   /** A runner to try besides a silent one, with the retry taken for it; nothing is given up for it. */
--- a/packages/gateway/src/utils/next-step.ts
+++ b/packages/gateway/src/utils/next-step.ts
@@ -1,6 +1,7 @@
 import type { Route } from '@ragwortrudder/catalog';
 import type { AttemptOutcome } from '../types/attempt-outcome.ts';
 import type { NextStep } from '../types/next-step.ts';
+import { isRepeatable } from './is-repeatable.ts';
 import { MAX_UNSENT } from './max-unsent.ts';
 
 interface AttemptHistory {
@@ -36,10 +37,6 @@
 
 const FIRST_SERVER_ERROR = 500;
 
-function isRepeatable({ kind, isResumable }: AttemptHistory['route']): boolean {
-  return kind === 'idempotent' || (kind === 'stream' && isResumable);
-}
-
 /** The outcome ends the request, so that no other attempt is waited for. */
 function isResponse(outcome: AttemptOutcome, hasBegun: boolean): boolean {
   if (outcome.kind === 'answered') {
--- a/test/gateway/lost-event-ids.test.ts
+++ b/test/gateway/lost-event-ids.test.ts
@@ -1,15 +1,10 @@
 import test from 'ava';
 import { GatewayHarness } from './gateway-harness.ts';
+import { RESUMABLE_ROUTE } from './resumable-route.ts';
 import { chunk, streamHeadFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
 
-const RESUMABLE = {
-  kind: 'streaming',
-  stream_resume: true,
-  gap_target_ms: 300,
-  timeout_ms: 8_000,
-  max_attempts: 2,
-} as const;
+const RESUMABLE = { ...RESUMABLE_ROUTE, max_attempts: 2 } as const;
 const SILENCE_MS = 1_800;
 const PAUSE_MS = 100;
 
--- a/test/gateway/lost-races.test.ts
+++ b/test/gateway/lost-races.test.ts
@@ -2,16 +2,10 @@
 import test from 'ava';
 import { CutFleet } from './cut-fleet.ts';
 import { GatewayHarness } from './gateway-harness.ts';
+import { RESUMABLE_ROUTE } from './resumable-route.ts';
 import { chunk, event, headFor, streamHeadFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
 
-const RESUMABLE = {
-  kind: 'streaming',
-  stream_resume: true,
-  gap_target_ms: 300,
-  timeout_ms: 8_000,
-  max_attempts: 3,
-} as const;
 /** Longer than the silence after which a stream is tried elsewhere, and such as a sound runner keeps. */
 const SILENCE_MS = 1_800;
 const PAUSE_MS = 100;
@@ -38,7 +32,7 @@
     });
     const harness = await GatewayHarness.start(t, {
       runners: [await silent.listen()],
-      route: { ...RESUMABLE, max_attempts: 2 },
+      route: { ...RESUMABLE_ROUTE, max_attempts: 2 },
     });
     const reply = harness.call();
     await harness.waitUntil(() => silent.received.length === 1);
@@ -64,7 +58,7 @@
   });
   const runners = [await silent.listen(), await full.listen()];
   t.teardown(() => Promise.all(runners.map((runner) => runner.close())));
-  const fleet = await CutFleet.start(t, { runners, gateways: 2, route: RESUMABLE });
+  const fleet = await CutFleet.start(t, { runners, gateways: 2, route: RESUMABLE_ROUTE });
   await sleep(MEETING_MS);
   const [, cut] = fleet.gateways;
   if (!cut) throw new TypeError('no node was started');
--- a/test/gateway/poisoned-entry.test.ts
+++ b/test/gateway/poisoned-entry.test.ts
@@ -114,6 +114,29 @@
   for (const key of ids) await log.append({ topic: RUNNER_TOPIC, key });
 }
 
+interface Following {
+  readonly gateway: GatewayHarness;
+  readonly writer: GatewayHarness;
+  readonly log: MemoryKeyedLog;
+  readonly runners: readonly SteadyRunner[];
+}
+
+/** Checks that the node still follows the list of runners: a third one enters, and the others leave. */
+async function checkFollowing(
+  t: ExecutionContext,
+  { gateway, writer, log, runners }: Following,
+): Promise<void> {
+  const [, , last] = runners;
+  t.is(await countServed(gateway), REQUESTS);
+  await writer.registerRunner('r2', last?.port ?? 0);
+  await sleep(FOLLOWING_MS);
+  t.is(await countServed(gateway), REQUESTS);
+  await removeRunners(log, ['r0', 'r1']);
+  await sleep(FOLLOWING_MS);
+  t.is(await countServed(gateway), REQUESTS);
+  t.true((last?.runs.size ?? 0) >= REQUESTS, 'the runner that entered last was not used');
+}
+
 // Guards against: one odd entry among those of the runners ended processes (port 70000: a rejection of
 // the probe of its link that nobody handled), lost requests that were sent there, or ended following.
 for (const [kind, value] of Object.entries(POISONED)) {
@@ -187,14 +210,7 @@
   await sleep(FOLLOWING_MS);
   const lines = linesOf(gateway, 'record-rejected').length;
   t.true(lines > 1 && lines <= 100, `${lines} lines`);
-  t.is(await countServed(gateway), REQUESTS);
-  await writer.registerRunner('r2', runners[2]?.port ?? 0);
-  await sleep(FOLLOWING_MS);
-  t.is(await countServed(gateway), REQUESTS);
-  await removeRunners(log, ['r0', 'r1']);
-  await sleep(FOLLOWING_MS);
-  t.is(await countServed(gateway), REQUESTS);
-  t.true((runners[2]?.runs.size ?? 0) >= REQUESTS, 'the runner that entered last was not used');
+  await checkFollowing(t, { gateway, writer, log, runners });
 });
 
 // Guards against: an entry among the nodes with a port out of range ended every node that read it, since
@@ -302,14 +318,7 @@
     await sleep(100);
   }
   await sleep(FOLLOWING_MS);
-  t.is(await countServed(gateway), REQUESTS);
-  await writer.registerRunner('r2', runners[2]?.port ?? 0);
-  await sleep(FOLLOWING_MS);
-  t.is(await countServed(gateway), REQUESTS);
-  await removeRunners(log, ['r0', 'r1']);
-  await sleep(FOLLOWING_MS);
-  t.is(await countServed(gateway), REQUESTS);
-  t.true((runners[2]?.runs.size ?? 0) >= REQUESTS, 'the runner that entered last was not used');
+  await checkFollowing(t, { gateway, writer, log, runners });
   t.deepEqual(linesOf(gateway, 'peer-heard'), []);
   const rejections = linesOf(gateway, 'record-rejected');
   t.true(rejections.length >= 6 && rejections.length <= 8, rejections.join(''));
--- a/test/gateway/silent-runner.test.ts
+++ b/test/gateway/silent-runner.test.ts
@@ -4,6 +4,7 @@
 import { CutFleet } from './cut-fleet.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { limitConcurrency } from './limit-concurrency.ts';
+import { RESUMABLE_ROUTE } from './resumable-route.ts';
 import { ROUTE_KINDS } from './route-kinds.ts';
 import { chunk, event, headFor, responseTo, streamHeadFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
@@ -208,13 +209,6 @@
   t.is(replies.filter(({ status }) => status === UNAVAILABLE).length, 0);
 });
 
-const RESUMABLE = {
-  kind: 'streaming',
-  stream_resume: true,
-  gap_target_ms: 300,
-  max_attempts: 3,
-  timeout_ms: 8_000,
-} as const;
 /** Silence of a stream of such a route after which it is tried elsewhere, and the period of the check. */
 const STREAM_LIMIT_MS = 900;
 const CHECK_MS = 200;
@@ -236,7 +230,7 @@
     socket.write(refusalTo(request));
   });
   const runners = [await silent.listen()];
-  const harness = await GatewayHarness.start(t, { runners, route: RESUMABLE });
+  const harness = await GatewayHarness.start(t, { runners, route: RESUMABLE_ROUTE });
   const reply = harness.call();
   await harness.waitUntil(() => silent.received.length === 1);
   await full.listen();
@@ -256,7 +250,7 @@
     socket.write(streamHeadFor(request) + chunk(event(2)) + chunk(event(3)) + chunk(''));
   });
   const runners = [await silent.listen()];
-  const harness = await GatewayHarness.start(t, { runners, route: RESUMABLE });
+  const harness = await GatewayHarness.start(t, { runners, route: RESUMABLE_ROUTE });
   const reply = harness.call({ headers: { 'Request-Id': 'silent' } });
   await harness.waitUntil(() => silent.received.length === 1);
   await other.listen();
@@ -284,7 +278,7 @@
     setTimeout(() => socket.write(streamHeadFor(request) + chunk(event(2))), STREAM_LIMIT_MS);
   });
   const runners = [await silent.listen()];
-  const harness = await GatewayHarness.start(t, { runners, route: RESUMABLE });
+  const harness = await GatewayHarness.start(t, { runners, route: RESUMABLE_ROUTE });
   const reply = harness.call({ headers: { 'Request-Id': 'kept' } });
   await harness.waitUntil(() => silent.received.length === 1);
   await late.listen();
