Record a session at the runner that has responded

Seen: after a silent runner had gone on and its response had won against the attempt beside it, the next request of the session was expected, and offered to peers as, at the other runner, which had been asked to stop.

Cause: the session was recorded when an attempt began, so the one that was tried last kept it, also when the first one responded.

Fix: an attempt whose response goes on while the session is recorded elsewhere records it again.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -67,6 +67,8 @@
   readonly #selection: RunnerSelection;
   /** Attempts in progress; more than one while a runner is silent, the newest last. */
   readonly #attempts = new Set<MonitoredAttempt>();
+  /** Attempt at whose runner the session of the request is recorded. */
+  #sessionAt: MonitoredAttempt | undefined;
   readonly #ended = new CompletionQueue<EndedAttempt>();
   #sends: number;
   #mayHaveRun = false;
@@ -273,7 +275,7 @@
         return false;
       case 'done':
       case 'answer':
-        this.#supersede();
+        this.#supersede(attempt);
         if (outcome.kind === 'answered') channel.respond(outcome.response);
         this.#logServed(entry, outcome);
         return true;
@@ -373,12 +375,15 @@
       },
     });
     this.#attempts.add(attempt);
+    this.#sessionAt = attempt;
     this.#ended.add(attempt.outcome.then((outcome) => ({ attempt, outcome })));
     return true;
   }
 
   /** Ends all attempts but the one that responds. */
-  #supersede(responding?: MonitoredAttempt): void {
+  #supersede(responding: MonitoredAttempt): void {
+    if (responding !== this.#sessionAt) responding.recordSession();
+    this.#sessionAt = responding;
     for (const attempt of this.#attempts) {
       if (attempt === responding) continue;
       this.#attempts.delete(attempt);
--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -65,8 +65,7 @@
 
   constructor(options: MonitoredAttemptOptions) {
     this.#options = options;
-    const { clock, channel, loadTracker, pool, sessions, placement, chosen, onLongPrompt } =
-      options;
+    const { clock, channel, loadTracker, pool, placement, chosen, onLongPrompt } = options;
     this.entry = chosen.entry;
     this.#evidence = new AttemptEvidence(options);
     this.#sentAt = clock.monotonic();
@@ -82,7 +81,7 @@
       onLongPrompt(this.entry.id, chosen.prefillTokens);
     }
     pool.recordSend(this.entry);
-    sessions.record(placement.session, this.entry.id, this.#sentAt);
+    this.recordSession();
     this.#sink = new AttemptSink({
       channel,
       hasOther: options.hasOther,
@@ -127,6 +126,12 @@
     });
   }
 
+  /** Records that the runner has the session of the request. */
+  recordSession(): void {
+    const { sessions, placement, clock } = this.#options;
+    sessions.record(placement.session, this.entry.id, clock.monotonic());
+  }
+
   /** Ends the attempt with `outcome` and closes the connection to the runner. */
   abort(outcome: AttemptOutcome): void {
     this.#attempt.abort(outcome);
--- a/test/gateway/lost-attempts.test.ts
+++ b/test/gateway/lost-attempts.test.ts
@@ -1,13 +1,22 @@
 import test from 'ava';
+import { SystemClock } from '@ragwortrudder/core';
+import { SessionAffinity } from '@ragwortrudder/routing';
 import { AttemptEvidence } from '../../packages/gateway/src/node/attempt-evidence.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { ROUTE_KINDS } from './route-kinds.ts';
+import { chunk, event, responseTo, streamHeadFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
+import type { ReceivedRequest } from './scripted-runner.ts';
 
 interface Recording {
   readonly record: (this: AttemptEvidence, ...args: Parameters<AttemptEvidence['record']>) => void;
 }
 
+interface SessionRecording {
+  readonly record: (this: SessionAffinity, ...args: Parameters<SessionAffinity['record']>) => void;
+}
+
+const OK = 200;
 const INTERNAL_ERROR = 500;
 /** Time limit of the requests, in milliseconds; no attempt ends by itself before. */
 const DEADLINE_MS = 20_000;
@@ -48,3 +57,48 @@
     t.true(haveClosed());
   });
 }
+
+const RESPONSES = {
+  idempotent: (request: ReceivedRequest) => responseTo(request, 'served'),
+  stream: (request: ReceivedRequest) => streamHeadFor(request) + chunk(event(1)) + chunk(''),
+} as const;
+
+for (const kind of ['idempotent', 'stream'] as const) {
+  // Guards against a session that is looked for at a runner which has not served its request.
+  test.serial(
+    `${kind}: a session is recorded at the runner that has responded first`,
+    async (t) => {
+      const used = new Set<SessionAffinity>();
+      const affinity: SessionRecording = SessionAffinity.prototype;
+      const { record } = affinity;
+      const observing: SessionRecording['record'] = function (...args) {
+        used.add(this);
+        record.apply(this, args);
+      };
+      Object.assign(affinity, { record: observing });
+      t.teardown(() => Object.assign(affinity, { record }));
+      const answers: (() => void)[] = [];
+      const create = (): ScriptedRunner =>
+        new ScriptedRunner((socket, request) => {
+          answers.push(() => socket.write(RESPONSES[kind](request)));
+          // The first runner goes on once the request is tried at the other one.
+          if (answers.length > 1) answers[0]?.();
+        });
+      const runners = await Promise.all([0, 1].map(() => create().listen()));
+      const harness = await GatewayHarness.start(t, {
+        runners,
+        route: { ...ROUTE_KINDS[kind], timeout_ms: DEADLINE_MS, max_attempts: 3 },
+      });
+      const call = harness.call({
+        headers: { 'Prompt-Prefix': 'aa:10,bb:20', 'Deadline-Ms': String(DEADLINE_MS) },
+      });
+      await harness.waitUntil(() => answers.length > 0);
+      const first = runners.findIndex(({ received }) => received.length > 0);
+      t.is((await call).status, OK);
+      t.is(answers.length, 2);
+      const now = new SystemClock().monotonic();
+      const found = [...used].map((sessions) => sessions.find('aa', now));
+      t.deepEqual(found, [`r${first}`]);
+    },
+  );
+}
