Soak: end rolling stops in the time that is planned for them

A rolling stop told one node after another to stop, 1.2 s apart, however many there were, and went on after the end of its fault. With 24 nodes it took 28 s, into the time in which all must be served again.

A rolling stop now takes as many nodes as fit its time, at least three, from its target on. Three nodes stop as before if there is time; in a shorter one the gaps shrink, and the last of them stops by its end too. The time in which faults must end grows with the nodes, because an upgrade takes them one after another.

--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -18,3 +18,4 @@
 export { findLosses } from './utils/find-losses.ts';
 export { RequestTracker } from './utils/request-tracker.ts';
 export { planFaults } from './utils/plan-faults.ts';
+export { rollingStops } from './utils/rolling-stops.ts';
--- a/packages/soak/src/node/fault-injector.ts
+++ b/packages/soak/src/node/fault-injector.ts
@@ -5,6 +5,7 @@
 import type { PlannedFault } from '../types/planned-fault.ts';
 import type { RunnerMode } from '../types/runner-mode.ts';
 import type { RequestTracker } from '../utils/request-tracker.ts';
+import { rollingStops } from '../utils/rolling-stops.ts';
 import type { StoreWriter } from './store-writer.ts';
 import type { SoakCloud } from './soak-cloud.ts';
 import type { SoakNode } from './soak-node.ts';
@@ -36,8 +37,6 @@
 const CONTACT_MS = 3_000;
 /** Pause between upgrades of nodes, for which both versions run side by side, in milliseconds. */
 const UPGRADE_GAP_MS = 3_000;
-/** Pause between successive node stops in a rolling stop, in milliseconds. */
-const ROLLING_STOP_GAP_MS = 1_200;
 
 /**
  * Injects faults and ends them. Overlapping faults that change the same setting are not tracked
@@ -82,7 +81,7 @@
         for (const node of this.#options.nodes) node.signal('SIGKILL');
         return;
       case 'roll-stop':
-        return this.#rollingStop();
+        return this.#rollingStop(target, forMs);
       case 'upgrade':
         return this.#upgrade();
       case 'store-forgets':
@@ -208,11 +207,13 @@
     this.#node(target)?.signal('SIGCONT');
   }
 
-  async #rollingStop(): Promise<void> {
-    for (const node of this.#options.nodes) {
-      node.signal('SIGTERM');
-      await sleep(ROLLING_STOP_GAP_MS);
-    }
+  async #rollingStop(first: number, forMs: number): Promise<void> {
+    const stops = rollingStops({ nodes: this.#options.nodes.length, first, forMs });
+    const stopped = stops.map(async ({ node, atMs }) => {
+      await sleep(atMs);
+      this.#node(node)?.signal('SIGTERM');
+    });
+    await Promise.all(stopped);
   }
 
   /** Replaces the nodes of the version in production one after another. */
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -34,6 +34,8 @@
 const PROBE_TIMEOUT_MS = 6_000;
 /** Maximum time in which callers and faults end after the traffic, in milliseconds. */
 const END_TIMEOUT_MS = 20_000;
+/** More of that time for each node, as an upgrade takes them one after another, in milliseconds. */
+const END_TIMEOUT_PER_NODE_MS = 4_000;
 /** Maximum time in which all parts of a run close, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 20_000;
 /** Final period of the traffic, without faults, in which requests must succeed again, in milliseconds. */
@@ -195,7 +197,8 @@
     add({ close: closeCallers });
     await Promise.race([sleep(lengthMs), neverUnlessRejected(injections)]);
     const ends = Promise.all([closeCallers(), injections]);
-    await withinTime(ends, END_TIMEOUT_MS, 'callers or faults have not ended');
+    const timeoutMs = END_TIMEOUT_MS + nodes.length * END_TIMEOUT_PER_NODE_MS;
+    await withinTime(ends, timeoutMs, 'callers or faults have not ended');
     const { total, served } = tracker.servedSince(startedAt + lengthMs - RECOVERED_PERIOD_MS);
     if (served < total * RECOVERED_SHARE) {
       tracker.recordViolation(
