--- a/packages/soak/src/node/run-guard.ts
+++ b/packages/soak/src/node/run-guard.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { Closeable } from '@ragwortrudder/core';
 import { InterruptedRun } from '../errors/interrupted-run.ts';
 
@@ -10,6 +11,8 @@
   #end: (error: unknown) => void = () => undefined;
 
   constructor() {
+    // Each fault that has not begun waits for it.
+    setMaxListeners(0, this.#controller.signal);
     this.#ended = new Promise((_resolve, reject) => {
       this.#end = reject;
     });
