Soak: count a node as stopping until its grace period has passed

"lost-request" asks for a line about a request that did not run only if its node was stopping, which was taken to last 3 s from the signal. A node may take its grace period of 8 s, and a second more.

Only requests that did not run and that no line names are concerned; the new test asks that all others stay lost, and all of them again 9.1 s after the signal. It failed before 8.9 s after the signal ('lost-request').

--- a/packages/soak/src/utils/find-losses.ts
+++ b/packages/soak/src/utils/find-losses.ts
@@ -39,6 +39,8 @@
 const CHANGED_SHARE = 0.7;
 /** Time after a change in which it counts as beside a request, in milliseconds. */
 const CHANGE_MS = 3_000;
+/** Time after a signal in which a node stops: its grace period, and one more second, in milliseconds. */
+const STOP_MS = 9_000;
 
 /** Finds requests that ended early although only planned work and silences of sound runners were going on. */
 export function findLosses(
@@ -58,7 +60,9 @@
     const isBesideChange = beside.some(({ kind }) => kind.startsWith('configure'));
     const usedMs = answer.at - request.at;
     if (usedMs >= MIN_TIMEOUT_MS * (isBesideChange ? CHANGED_SHARE : 1)) return [];
-    const isStopping = beside.some(({ kind }) => STOPPING.has(kind));
+    const isStopping = faults.some(
+      (fault) => STOPPING.has(fault.kind) && isOverlapping(fault, STOP_MS),
+    );
     const wasRead =
       hasRun ||
       (usedMs > LOSS_SLACK_MS &&
--- a/test/soak/find-losses.test.ts
+++ b/test/soak/find-losses.test.ts
@@ -57,6 +57,19 @@
   t.deepEqual(promisesBroken({ answer: { ...later, error: 'ECONNRESET' } }), ['lost-request']);
 });
 
+// Guards against reports of requests that nobody read at the end of a node which stopped for long.
+test('a node stops until a second after its grace period, and only what it has read is lost', (t) => {
+  const answer = { status: undefined, isWhole: false, error: 'ECONNRESET', at: SENT_AT + 250 };
+  const stoppedAgo = (ms: number, isLogged: boolean, hasRun = false): readonly string[] => {
+    const fault = { kind: 'node-stop' as const, at: SENT_AT - ms, until: SENT_AT - ms };
+    return promisesBroken({ answer, hasRun, isLogged, faults: [fault] });
+  };
+  t.deepEqual(stoppedAgo(8_900, false), []);
+  t.deepEqual(stoppedAgo(8_900, true), ['lost-request']);
+  t.deepEqual(stoppedAgo(8_900, false, true), ['lost-request']);
+  t.deepEqual(stoppedAgo(9_100, false), ['lost-request']);
+});
+
 test('a response that begins and is cut off is a violation of its own', (t) => {
   t.deepEqual(promisesBroken({ kind: 'ask', answer: { isWhole: false } }), ['cut-response']);
   t.deepEqual(promisesBroken({ kind: 'draft', answer: { isWhole: false } }), ['cut-response']);
