Close connections whose end is being sent when they are reset

Cause: socket.resetAndDestroy() while the end of a connection is being sent. libuv rejects the reset (EINVAL), Node.js takes the handle for closing all the same, and it is never closed: no 'close' event, the descriptor stays, and at the end of the process Node.js waits for the handle for good (found in a process that hung: no system call, two sockets without a connection; shown with ten lines of code).

Evidence: the abort of an unframed response to a caller that has half-closed left its connection open (caller-channel.test.ts timed out before); reset-connection.test.ts failed with EINVAL.

Why it works: the reset follows when the end has been sent.

Class: something is taken for closed that is not. The relay, the store's and the runners' stand-ins used the same call.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export { ManualClock } from './utils/manual-clock.ts';
 export { parseBoundedJson } from './utils/parse-bounded-json.ts';
 export { PeriodicTask } from './utils/periodic-task.ts';
+export { resetConnection } from './utils/reset-connection.ts';
 export { responseFraming } from './utils/response-framing.ts';
 export { SeededRandom } from './utils/seeded-random.ts';
 export { SystemClock } from './utils/system-clock.ts';
--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { hasBody } from '@ragwortrudder/core';
+import { hasBody, resetConnection } from '@ragwortrudder/core';
 import type { Failure } from '@ragwortrudder/core';
 import type { RunnerResponse } from '../types/runner-response.ts';
 import type { ResponseHead } from '../types/response-head.ts';
@@ -168,7 +168,7 @@
   #abort(): void {
     const { chunkedEncoding, socket } = this.#response;
     // Without chunks an orderly close would mark the end of the body.
-    if (!chunkedEncoding) socket?.resetAndDestroy();
+    if (!chunkedEncoding && socket) resetConnection(socket);
     this.#response.destroy();
   }
 
--- a/packages/soak/src/node/soak-runner.ts
+++ b/packages/soak/src/node/soak-runner.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { resetConnection } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import { freeAddresses, omitFraming } from '@ragwortrudder/standins';
 import type { RunnerMode } from '../types/runner-mode.ts';
@@ -285,8 +286,9 @@
     this.#breaks += 1;
     const part = text.slice(0, 1 + (this.#breaks % (text.length - 1)));
     response.write(part, () => {
-      if (mode === 'reset') socket?.resetAndDestroy();
-      else socket?.destroySoon();
+      if (!socket) return;
+      if (mode === 'reset') resetConnection(socket);
+      else socket.destroySoon();
     });
   }
 }
--- a/packages/standins/src/node/keyed-store.ts
+++ b/packages/standins/src/node/keyed-store.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { resetConnection } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import type { StoreFault } from '../types/store-fault.ts';
 import { keyedRecord } from '../utils/keyed-record.ts';
@@ -101,7 +102,7 @@
     const url = new URL(request.url ?? '/', 'http://store');
     response.setHeader('Store-Era', String(this.#era));
     if (this.#fault === 'reset') {
-      request.socket.resetAndDestroy();
+      resetConnection(request.socket);
       return;
     }
     if (this.#fault === 'silent') return;
--- a/packages/standins/src/node/relay-connection.ts
+++ b/packages/standins/src/node/relay-connection.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { resetConnection } from '@ragwortrudder/core';
 import type { RelayMode } from '../types/relay-mode.ts';
 
 interface Link {
@@ -64,8 +65,8 @@
     clearTimeout(this.#timers.request);
     clearTimeout(this.#timers.reply);
     // An orderly close would mark the end of a response without framing.
-    this.#client.resetAndDestroy();
-    this.#target.resetAndDestroy();
+    resetConnection(this.#client);
+    resetConnection(this.#target);
   }
 
   #forward(direction: Direction, from: Socket, to: Socket): void {
@@ -82,10 +83,15 @@
     from.on('end', () => {
       // A reset that arrives together with data ends the stream; only then is the address gone.
       const wasReset = from.remoteAddress === undefined;
-      this.#enqueue(direction, 0, () => (wasReset ? to.resetAndDestroy() : to.end()));
+      this.#enqueue(direction, 0, () => {
+        if (wasReset) resetConnection(to);
+        else to.end();
+      });
     });
     from.on('error', () => {
-      this.#enqueue(direction, 0, () => to.resetAndDestroy());
+      this.#enqueue(direction, 0, () => {
+        resetConnection(to);
+      });
     });
     from.on('close', () => {
       this.#enqueue(direction, 0, () => {
