--- a/packages/standins/src/node/keyed-store.ts
+++ b/packages/standins/src/node/keyed-store.ts
@@ -42,7 +42,10 @@
   constructor({ pageSize = 500 }: { readonly pageSize?: number } = {}) {
     this.#pageSize = pageSize;
     this.#server = createServer((request, response) => {
-      void this.#handleRequest(request, response);
+      void this.#handleRequest(request, response).catch((error: unknown) => {
+        // A request that breaks off in its body gets no response.
+        if (request.complete) throw error;
+      });
     });
   }
 
