Keep the list of reachable peers for a moment

The list is formed anew after 100 ms, or when a peer was added, moved, left or was heard after a silence; the pace only when the peers change.

--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -57,6 +57,20 @@
   readonly isSilent: boolean;
 }
 
+interface ReachablePeer {
+  readonly id: string;
+  readonly address: Address;
+  readonly failureDomain: string | undefined;
+}
+
+/** The peers that were reachable at a time. */
+interface ReachableView {
+  readonly at: number;
+  readonly all: readonly ReachablePeer[];
+  readonly ids: readonly string[];
+  readonly inDomain: readonly (readonly [string, Peer])[];
+}
+
 /** Under which rejected messages are logged. */
 const MESSAGE_TOPIC = 'peer-message';
 const REPORT_METHOD = 'report';
@@ -88,6 +102,11 @@
 const PRESUMED_DEAD_MS = 7_000;
 /** Time within which the first report of a live and reachable peer arrives, in milliseconds. */
 const FIRST_REPORT_TIMEOUT_MS = 2_500;
+/**
+ * Time for which the list of reachable peers is kept, in milliseconds: far below the silence after which
+ * a peer is no longer one of them.
+ */
+const VIEW_TTL_MS = 100;
 
 /**
  * Tracks the other nodes and exchanges periodic reports with them. In a small deployment every node
@@ -104,6 +123,9 @@
   /** Multiplies the silence after which a peer counts as unreachable. */
   #timeoutFactor = 1;
   #totalsSentAt = -Infinity;
+  #view: ReachableView | undefined;
+  /** Pace for the known peers; absent until it is needed after they have changed. */
+  #knownPace: { readonly pace: ReturnType<typeof reportPace> } | undefined;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: PeersOptions) {
@@ -124,7 +146,7 @@
 
   /** Number of reachable nodes, including this one. */
   get reachableCount(): number {
-    return this.reachableIds().length + 1;
+    return this.#reachableView().ids.length + 1;
   }
 
   /**
@@ -141,19 +163,12 @@
 
   /** Ids of the reachable peers. */
   reachableIds(): readonly string[] {
-    return this.reachable().map(({ id }) => id);
+    return this.#reachableView().ids;
   }
 
   /** The reachable peers. */
-  reachable(): readonly {
-    readonly id: string;
-    readonly address: Address;
-    readonly failureDomain: string | undefined;
-  }[] {
-    const now = this.#options.clock.monotonic();
-    return [...this.#peers]
-      .filter(([, peer]) => this.#isReachable(peer, now))
-      .map(([id, { address, failureDomain }]) => ({ id, address, failureDomain }));
+  reachable(): readonly ReachablePeer[] {
+    return this.#reachableView().all;
   }
 
   /** The latest duty holder has reported that it gave up its term. */
@@ -226,6 +241,7 @@
       dutyToken: 0,
       isSilent: true,
     });
+    this.#forgetViews();
   }
 
   /** Sends a full report to all peers immediately; settles once it has been sent. */
@@ -310,15 +326,36 @@
   }
 
   #reachableInDomain(): readonly (readonly [string, Peer])[] {
-    const now = this.#options.clock.monotonic();
-    const { failureDomain } = this.#options;
-    return [...this.#peers].filter(
-      ([, peer]) => peer.failureDomain === failureDomain && this.#isReachable(peer, now),
-    );
+    return this.#reachableView().inDomain;
+  }
+
+  #reachableView(): ReachableView {
+    const { clock, failureDomain } = this.#options;
+    const at = clock.monotonic();
+    if (this.#view && at - this.#view.at < VIEW_TTL_MS) return this.#view;
+    const reachable = [...this.#peers].filter(([, peer]) => this.#isReachable(peer, at));
+    this.#view = {
+      at,
+      all: reachable.map(([id, peer]) => {
+        return { id, address: peer.address, failureDomain: peer.failureDomain };
+      }),
+      ids: reachable.map(([id]) => id),
+      inDomain: reachable.filter(([, peer]) => peer.failureDomain === failureDomain),
+    };
+    return this.#view;
+  }
+
+  /** Called when a peer was added, removed, or heard after a silence. */
+  #forgetViews(): void {
+    this.#view = undefined;
+    this.#knownPace = undefined;
   }
 
   #pace(): ReturnType<typeof reportPace> {
-    return reportPace([...this.#peers.values()], this.#options.failureDomain);
+    this.#knownPace ??= {
+      pace: reportPace([...this.#peers.values()], this.#options.failureDomain),
+    };
+    return this.#knownPace.pace;
   }
 
   #schedule(): void {
@@ -345,6 +382,7 @@
       const silentMs = now - (peer.lastReceivedAt ?? peer.addedAt);
       if (silentMs > PEER_EXPIRY_MS) {
         this.#peers.delete(id);
+        this.#forgetViews();
         this.#options.log.notable('peer-forgotten', { peer: id, silentMs: Math.round(silentMs) });
       } else if (!peer.isSilent && !this.#isReachable(peer, now)) {
         this.#peers.set(id, { ...peer, isSilent: true });
@@ -418,6 +456,7 @@
     this.#options.onReport(report, isFirst);
     if (!report.isLeaving) return;
     this.#peers.delete(report.node);
+    this.#forgetViews();
     this.#options.log.notable('peer-left', { peer: report.node });
   }
 
@@ -445,6 +484,9 @@
     if (!known || known.isSilent) this.#options.log.notable('peer-heard', { peer: id });
     if (contact.dutyToken > 0) this.#hasResigned = false;
     const now = this.#options.clock.monotonic();
+    const hasMoved =
+      known?.address.host !== contact.address.host || known.address.port !== contact.address.port;
+    if (hasMoved || known.isSilent || !this.#isReachable(known, now)) this.#forgetViews();
     this.#peers.set(id, {
       ...contact,
       lastReceivedAt: now,
