Sum the work of peers once for the runners of a request, and look for another runner only after a failure

Each request asked for the work at each runner, and each time all peers were walked: 60 runners and 42 peers or domains in the large deployment. After each attempt, also a served one, the runners were compared once more for a retry that nothing could follow.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -238,7 +238,12 @@
     const { route, channel, clock, log, request } = this.#options;
     const { entry } = attempt;
     const now = clock.monotonic();
-    const hasOpen = this.#selection.chooseOpen() !== undefined;
+    const isServed =
+      outcome.kind === 'relayed' ||
+      (outcome.kind === 'answered' &&
+        !channel.hasBegun &&
+        outcome.response.head.status < FIRST_SERVER_ERROR);
+    const hasOpen = !isServed && this.#selection.chooseOpen() !== undefined;
     const step = nextStep(outcome, {
       route,
       sends: this.#sends,
@@ -247,6 +252,7 @@
       hasBegun: channel.hasBegun,
       canContinue: channel.canContinue,
       canRetry:
+        !isServed &&
         !this.#isHeld() &&
         this.#deadlineAt - now > MIN_RETRY_MS &&
         (hasOpen || this.#selection.choose() !== undefined),
--- a/packages/gateway/src/utils/runner-load-tracker.ts
+++ b/packages/gateway/src/utils/runner-load-tracker.ts
@@ -29,6 +29,8 @@
 const PEER_WORK_TTL_MS = 2_000;
 /** How long a load reported by a runner is used, in milliseconds: the load changes on this time scale. */
 const REPORTED_LOAD_TTL_MS = 300;
+/** How long the sum of the peers' work is used, in milliseconds, unless one of them reports before. */
+const PEER_TOTAL_TTL_MS = 50;
 const NO_WORK: RunnerWork = { requests: 0, prefillTokens: 0, kvTokens: 0 };
 
 function addWork(a: RunnerWork, b: RunnerWork): RunnerWork {
@@ -49,6 +51,8 @@
   readonly #peerWork = new Map<string, PeerWork>();
   readonly #reportedLoads = new Map<string, ReportedLoad>();
   readonly #announcedPrompts = new Map<string, readonly AnnouncedPrompt[]>();
+  /** Sum of the peers' work. */
+  #peerTotal: PeerWork | undefined;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -87,6 +91,7 @@
       else this.#announcedPrompts.set(runner, others);
     }
     this.#peerWork.set(peerId, { at: this.#clock.monotonic(), byRunner });
+    this.#peerTotal = undefined;
   }
 
   /** Records the load that a runner reported. */
@@ -113,14 +118,31 @@
     return total;
   }
 
+  /** Kept for a moment, since a request asks for each runner of its service. */
+  #peerTotalAt(now: number): ReadonlyMap<string, RunnerWork> {
+    if (this.#peerTotal && now - this.#peerTotal.at < PEER_TOTAL_TTL_MS) {
+      return this.#peerTotal.byRunner;
+    }
+    const byRunner = new Map<string, RunnerWork>();
+    for (const [id, peer] of this.#peerWork) {
+      if (now - peer.at > PEER_WORK_TTL_MS) {
+        this.#peerWork.delete(id);
+        continue;
+      }
+      for (const [runner, work] of peer.byRunner) {
+        byRunner.set(runner, addWork(byRunner.get(runner) ?? NO_WORK, work));
+      }
+    }
+    this.#peerTotal = { at: now, byRunner };
+    return byRunner;
+  }
+
   /** Total known work at a runner. */
   workAt(runnerId: string): RunnerWork {
     const now = this.#clock.monotonic();
     let work = this.#own.get(runnerId) ?? NO_WORK;
-    for (const { at, byRunner } of this.#peerWork.values()) {
-      const peerWork = now - at > PEER_WORK_TTL_MS ? undefined : byRunner.get(runnerId);
-      if (peerWork) work = addWork(work, peerWork);
-    }
+    const peerWork = this.#peerTotalAt(now).get(runnerId);
+    if (peerWork) work = addWork(work, peerWork);
     for (const { tokens, until } of this.#announcedPrompts.get(runnerId) ?? []) {
       if (until > now)
         work = addWork(work, { requests: 1, prefillTokens: tokens, kvTokens: tokens });
