Report to the relays of a large failure domain only, which tell all of its nodes

The relays have all reports anyway: now their digest goes to the nodes of their own domain, too, and says which report of each node it is based on, so that a node takes its own part out. A node reports to the two relays and their successor, so it gets 10 messages a second and sends 3. Digests also tell the time of day.

To the whole domain still go: what digests do not pass on (lost links, prompts that crash runners), reports while a node has no digest of its domain for 1.75 periods, and all reports while a node of an older build is heard there. Only nodes that report to a relay are told by it, with the age of the report, so that two relays cannot keep a dead node alive.

A node that starts sends its full report to its own domain, whose relays tell the others.

Quota that digests covered was subtracted again with the first report after them; shown by the new test in peer-state-sync, which failed before.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -167,6 +167,8 @@
       rollouts: this.#rollouts,
       disciplinedClock,
       dutyToken: () => this.#dutyHolder?.reportedToken ?? 0,
+      timing: () => this.#peers.timing,
+      isRelay: () => this.#peers.isRelay,
     });
     this.#peers = new Peers({
       node: node.id,
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -5,6 +5,7 @@
 import type { RunnerBoot } from '../types/runner-boot.ts';
 import type { NodeReport } from '../types/node-report.ts';
 import type { ReportExtent } from '../types/report-extent.ts';
+import type { ReportTiming } from '../types/report-timing.ts';
 import type { RunnerWork } from '../types/runner-work.ts';
 import type { DemandMeter } from '../utils/demand-meter.ts';
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
@@ -42,6 +43,16 @@
   readonly rollouts: Pick<Rollouts, 'evidence' | 'setPeerEvidence'>;
   readonly disciplinedClock: DisciplinedClock;
   readonly dutyToken: () => number;
+  readonly timing: () => ReportTiming;
+  /** This node gets the reports of its failure domain. */
+  readonly isRelay: () => boolean;
+}
+
+/** What this node has reported of itself. */
+interface OwnReport {
+  readonly sequence: number;
+  readonly work: NodeReport['work'];
+  readonly taken: ReadonlyMap<string, number>;
 }
 
 interface AppliedDigest {
@@ -49,17 +60,15 @@
   readonly incarnation: number;
   readonly at: number;
   readonly taken: ReadonlyMap<string, number>;
+  /** What of this node itself is part of the digest; undefined in a digest of another domain. */
+  readonly own: OwnReport | undefined;
 }
 
-/** Silence of a relay after which digests of another relay of its domain are accepted, in milliseconds. */
-const RELAY_TIMEOUT_MS = 1_500;
-/**
- * Gap between two digests of a relay, in milliseconds, after which the quota consumed in between is
- * not applied: the gap indicates a partition.
- */
-const DIGEST_BASELINE_TTL_MS = 4_000;
 /** Number of past usage windows in a report: those that may still change or that a peer may have missed. */
 const REPORTED_WINDOWS = 3;
+/** Number of own reports that a digest may still be based on. */
+const KEPT_REPORTS = 16;
+const NOTHING_REPORTED: OwnReport = { sequence: 0, work: {}, taken: new Map() };
 
 /** Creates this node's reports and the digests of its failure domain, and applies those of other nodes. */
 export class PeerStateSync {
@@ -68,6 +77,7 @@
   readonly #appliedDigests = new Map<string, AppliedDigest>();
   /** Quota consumed by peers of this failure domain, by team, as received in their reports. */
   readonly #takenInDomain = new Map<string, number>();
+  #ownReports: readonly OwnReport[] = [];
   #sequence = 0;
 
   constructor(options: PeerStateSyncOptions) {
@@ -91,6 +101,12 @@
     const limits = this.#options.limits.own;
     const leaving = this.#leaving();
     const reach = this.#reach();
+    const work = encodeWork(loadTracker.own);
+    const taken = new Map(quota.taken);
+    this.#ownReports = [
+      ...this.#ownReports.slice(1 - KEPT_REPORTS),
+      { sequence: this.#sequence, work, taken },
+    ];
     return {
       node,
       host: address.host,
@@ -100,8 +116,9 @@
       configuration: this.#options.configurationVersion(),
       sequence: this.#sequence,
       now: Math.round(now),
-      work: encodeWork(loadTracker.own),
-      taken: Object.fromEntries(quota.taken),
+      work,
+      taken: Object.fromEntries(taken),
+      readsLocalDigests: true,
       ...(includesTotals ? this.#totals(now) : { usage: {}, demand: {} }),
       ...(limits.length > 0 ? { limits } : {}),
       ...(leaving.length > 0 ? { leaving } : {}),
@@ -115,6 +132,7 @@
   /** Summarizes this node's view of its failure domain. */
   createDigest(members: DomainDigest['members']): DomainDigest {
     const { node, failureDomain, incarnation: life, loadTracker, quota } = this.#options;
+    const { disciplinedClock } = this.#options;
     this.#sequence += 1;
     const taken = new Map(quota.taken);
     for (const [team, total] of this.#takenInDomain)
@@ -128,6 +146,7 @@
       life,
       configuration: this.#options.configurationVersion(),
       sequence: this.#sequence,
+      now: Math.round(disciplinedClock.now()),
       members,
       work: encodeWork(loadTracker.totalOver(new Set(Object.keys(members)))),
       taken: Object.fromEntries(taken),
@@ -156,8 +175,11 @@
       { node: report.node, incarnation: String(report.life) },
       report.prompts,
     );
-    if (this.#isCoveredByDigest(report.failureDomain)) return;
-    loadTracker.setPeerWork(report.node, decodeWork(report));
+    if (this.#isCoveredByDigest(report.failureDomain)) {
+      this.#takenByPeer.delete(report.node);
+      return;
+    }
+    loadTracker.setPeerWork(report.node, decodeWork(report), this.#options.timing().workTtlMs);
     const previousTotals = isFirst ? undefined : this.#takenByPeer.get(report.node);
     const taken = new Map(Object.entries(report.taken));
     this.#takenByPeer.set(report.node, taken);
@@ -165,32 +187,59 @@
     this.#applyQuotaUse(previousTotals, taken, isLocal ? this.#takenInDomain : undefined);
   }
 
-  /** Applies the digest of another failure domain. Only one of its relays is followed at a time. */
+  /** Applies the digest of a failure domain. Only one of its relays is followed at a time. */
   applyDigest(digest: DomainDigest): void {
-    const { loadTracker, clock } = this.#options;
+    const { loadTracker, clock, disciplinedClock } = this.#options;
     const { relay, life: incarnation, failureDomain } = digest;
-    loadTracker.setPeerWork(`domain ${failureDomain}`, decodeWork(digest));
+    const { workTtlMs, relayTimeoutMs, baselineTtlMs } = this.#options.timing();
+    const own = digest.heard && this.#ownReportIn(digest.heard);
+    const others = withoutOwn(decodeWork(digest), own);
+    loadTracker.setPeerWork(domainKey(failureDomain), others, workTtlMs);
+    if (digest.now !== undefined) disciplinedClock.addPeerTime(relay, digest.now);
     this.#options.limits.setDomainLimits(digest.limits ?? []);
     this.#applyLeaving(digest.leaving ?? [], digest.relay);
     const [host, port] = digest.members[relay] ?? [];
     if (host !== undefined && port !== undefined) {
       this.#options.onPeerConfiguration(digest.configuration ?? 0, { host, port });
     }
-    this.#options.quarantine.setPeerEvidence(
-      { node: `domain ${failureDomain}`, incarnation: `${relay} ${incarnation}` },
-      digest.prompts,
-    );
+    // Within a domain each node sends what it knows of prompts itself.
+    if (!digest.heard) {
+      this.#options.quarantine.setPeerEvidence(
+        { node: domainKey(failureDomain), incarnation: `${relay} ${incarnation}` },
+        digest.prompts,
+      );
+    }
     const known = this.#appliedDigests.get(failureDomain);
     const at = clock.monotonic();
     const isSameRelay = known?.relay === relay && known.incarnation === incarnation;
-    if (known && !isSameRelay && at - known.at < RELAY_TIMEOUT_MS) return;
+    if (known && !isSameRelay && at - known.at < relayTimeoutMs) return;
     const taken = new Map(Object.entries(digest.taken));
-    this.#appliedDigests.set(failureDomain, { relay, incarnation, at, taken });
-    this.#applyQuotaUse(
-      isSameRelay && at - known.at < DIGEST_BASELINE_TTL_MS ? known.taken : undefined,
-      taken,
-      undefined,
-    );
+    this.#appliedDigests.set(failureDomain, { relay, incarnation, at, taken, own });
+    if (!isSameRelay || at - known.at >= baselineTtlMs) return;
+    if (own && known.own) this.#applyUseOfOthers(known, { taken, own });
+    else if (!own && !known.own) this.#applyQuotaUse(known.taken, taken, undefined);
+  }
+
+  /** The report of this node that a digest is based on. */
+  #ownReportIn(heard: NonNullable<DomainDigest['heard']>): OwnReport {
+    const { node, incarnation } = this.#options;
+    const [life, sequence] = heard[node] ?? [];
+    if (life !== incarnation) return NOTHING_REPORTED;
+    return this.#ownReports.find((report) => report.sequence === sequence) ?? NOTHING_REPORTED;
+  }
+
+  /** Subtracts the quota that the others of the failure domain have consumed between two digests. */
+  #applyUseOfOthers(
+    before: { readonly taken: ReadonlyMap<string, number>; readonly own: OwnReport | undefined },
+    { taken, own }: { readonly taken: ReadonlyMap<string, number>; readonly own: OwnReport },
+  ): void {
+    if (before.own === NOTHING_REPORTED || own === NOTHING_REPORTED) return;
+    for (const [team, total] of taken) {
+      const ownUse = (own.taken.get(team) ?? 0) - (before.own?.taken.get(team) ?? 0);
+      const consumed = total - (before.taken.get(team) ?? 0) - ownUse;
+      // Where the relay has not counted an own use, it is not given back.
+      if (consumed > 0) this.#options.quota.recordPeerUsage(team, consumed);
+    }
   }
 
   #reach(): Pick<NodeReport, 'outOfReach' | 'reached'> {
@@ -229,9 +278,17 @@
     }
   }
 
+  /** The work and the quota in reports of a failure domain are part of its digests as well. */
   #isCoveredByDigest(failureDomain: string): boolean {
+    const { clock, loadTracker, timing, isRelay } = this.#options;
     const known = this.#appliedDigests.get(failureDomain);
-    return known !== undefined && this.#options.clock.monotonic() - known.at < RELAY_TIMEOUT_MS;
+    if (known === undefined) return false;
+    if (failureDomain === this.#options.failureDomain && isRelay()) {
+      this.#appliedDigests.delete(failureDomain);
+      loadTracker.setPeerWork(domainKey(failureDomain), new Map(), 0);
+      return false;
+    }
+    return clock.monotonic() - known.at < timing().relayTimeoutMs;
   }
 
   /**
@@ -271,6 +328,29 @@
   }
 }
 
+function domainKey(failureDomain: string): string {
+  return `domain ${failureDomain}`;
+}
+
+/** Subtracts what this node has reported from the work of its failure domain. */
+function withoutOwn(
+  byRunner: ReadonlyMap<string, RunnerWork>,
+  own: OwnReport | undefined,
+): ReadonlyMap<string, RunnerWork> {
+  if (!own) return byRunner;
+  const others = new Map(byRunner);
+  for (const [runner, [requests, prefillTokens, kvTokens]] of Object.entries(own.work)) {
+    const total = others.get(runner);
+    if (!total) continue;
+    others.set(runner, {
+      requests: Math.max(0, total.requests - requests),
+      prefillTokens: Math.max(0, total.prefillTokens - prefillTokens),
+      kvTokens: Math.max(0, total.kvTokens - kvTokens),
+    });
+  }
+  return others;
+}
+
 function encodeWork(byRunner: ReadonlyMap<string, RunnerWork>): NodeReport['work'] {
   return Object.fromEntries(
     [...byRunner].map(([id, work]) => [
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -7,11 +7,13 @@
 import type { NodeReport } from '../types/node-report.ts';
 import { PromptAnnouncement } from '../types/prompt-announcement.ts';
 import type { ReportExtent } from '../types/report-extent.ts';
+import type { ReportTiming } from '../types/report-timing.ts';
 import { TopicFeed } from '../types/topic-feed.ts';
 import { parseDomainDigest } from '../utils/parse-domain-digest.ts';
 import { parseNodeReport } from '../utils/parse-node-report.ts';
 import { reasonOf } from '../utils/reason-of.ts';
 import { reportPace } from '../utils/report-pace.ts';
+import { reportTiming } from '../utils/report-timing.ts';
 import { schemaProblem } from '../utils/schema-problem.ts';
 import type { DecisionLog } from './decision-log.ts';
 import { PeerSocket } from './peer-socket.ts';
@@ -30,7 +32,7 @@
   readonly createDigest: (members: DomainDigest['members']) => DomainDigest;
   /** Receives a peer's report; `isFirst` when it is the first from this incarnation or after a silence. */
   readonly onReport: (report: NodeReport, isFirst: boolean) => void;
-  /** Receives the digest of another failure domain. */
+  /** Receives the digest of another failure domain, or of the own one where this node is no relay. */
   readonly onDigest: (digest: DomainDigest) => void;
   /** Receives an announcement that a peer has sent a long prompt. */
   readonly onPromptAnnouncement: (announcement: PromptAnnouncement) => void;
@@ -52,6 +54,10 @@
    * the first time.
    */
   readonly lastReceivedAt: number | undefined;
+  /** When its own last report arrived; undefined before the first one. */
+  readonly lastReportAt: number | undefined;
+  /** It reads digests of its own failure domain. */
+  readonly readsLocalDigests: boolean;
   readonly addedAt: number;
   readonly dutyToken: number;
   readonly isSilent: boolean;
@@ -81,18 +87,22 @@
 const CONFIGURATION_METHOD = 'configuration';
 /** Nodes of each failure domain that read topics on its behalf and send its digests to the other domains. */
 const RELAYS_PER_DOMAIN = 2;
-/** Interval between two reports in a small deployment, in milliseconds. */
-const REPORT_PERIOD_MS = 200;
+/** Relays and their successor, which get the reports of the nodes of a large failure domain. */
+const REPORT_RECEIVERS = RELAYS_PER_DOMAIN + 1;
+/** Peers in the failure domain above which its nodes report to the relays only. */
+const MAX_MESHED_PEERS = 8;
+/**
+ * Periods without a digest of the own domain after which a node reports to the whole domain again: before
+ * the nodes that are only heard through the relays count as unreachable.
+ */
+const MISSED_DIGEST_PERIODS = 1.75;
+/** Periods for which a node still reports to its whole domain after it had something that relays do not pass on. */
+const WHOLE_DOMAIN_PERIODS = 3;
 /**
  * Interval between two reports of usage and demand to the duty holder in a large deployment, in
  * milliseconds.
  */
 const TOTALS_PERIOD_MS = 700;
-/**
- * Silence after which a peer counts as unreachable, in milliseconds: several consecutive reports
- * were lost.
- */
-const PEER_TIMEOUT_MS = 1_000;
 /** Silence after which a peer is removed, in milliseconds: longer than partitions that heal on their own. */
 const PEER_EXPIRY_MS = 15_000;
 /**
@@ -112,7 +122,8 @@
  * Tracks the other nodes and exchanges periodic reports with them. In a small deployment every node
  * sends full reports to every other one. In a large deployment a node reports only to its own failure
  * domain, relays send a digest of their domain to the others, and only the duty holder receives usage
- * and demand.
+ * and demand. In a large failure domain a node reports to the relays only, which send their digest to
+ * the nodes of the domain as well.
  */
 export class Peers implements Closeable {
   readonly #options: PeersOptions;
@@ -120,8 +131,10 @@
   readonly #peers = new Map<string, Peer>();
   readonly #digestSequences = new Map<string, number>();
   #hasResigned = false;
-  /** Multiplies the silence after which a peer counts as unreachable. */
-  #timeoutFactor = 1;
+  #timing = reportTiming(undefined);
+  #localDigestAt = -Infinity;
+  /** Until then reports go to the whole failure domain; monotonic, in milliseconds. */
+  #wholeDomainUntil = -Infinity;
   #totalsSentAt = -Infinity;
   #view: ReachableView | undefined;
   /** Pace for the known peers; absent until it is needed after they have changed. */
@@ -139,6 +152,11 @@
     });
   }
 
+  /** Times that follow from the pace of reports. */
+  get timing(): ReportTiming {
+    return this.#timing;
+  }
+
   /** Number of known nodes, including this one. */
   get knownCount(): number {
     return this.#peers.size + 1;
@@ -237,6 +255,8 @@
       incarnation: 0,
       sequence: 0,
       lastReceivedAt: undefined,
+      lastReportAt: undefined,
+      readsLocalDigests: false,
       addedAt,
       dutyToken: 0,
       isSilent: true,
@@ -244,10 +264,14 @@
     this.#forgetViews();
   }
 
-  /** Sends a full report to all peers immediately; settles once it has been sent. */
+  /**
+   * Sends a full report immediately; settles once it has been sent. In a large deployment only a node
+   * that leaves sends it to the other failure domains, too, whose relays tell of a new one.
+   */
   async publishReport(isLeaving = false): Promise<void> {
     const report = this.#options.createReport({ isLeaving, includesTotals: true });
-    await this.#socket.send(REPORT_METHOD, report, addressesOf([...this.#peers]));
+    const receivers = this.#usesRelays && !isLeaving ? this.#localPeers() : [...this.#peers];
+    await this.#socket.send(REPORT_METHOD, report, addressesOf(receivers));
   }
 
   /**
@@ -283,16 +307,64 @@
       await this.publishReport();
       return;
     }
-    const { failureDomain } = this.#options;
-    const peers = [...this.#peers];
-    const localPeers = peers.filter(([, peer]) => peer.failureDomain === failureDomain);
     const report = this.#options.createReport({ isLeaving: false, includesTotals: false });
-    await this.#socket.send(REPORT_METHOD, report, addressesOf(localPeers));
+    const usesLocalDigests = this.#usesLocalDigests;
+    const isForRelays = usesLocalDigests && !this.#concernsWholeDomain(report);
+    const receivers =
+      isForRelays && this.#hearsRelays ? this.#reportReceivers() : this.#localPeers();
+    await this.#socket.send(REPORT_METHOD, report, addressesOf(receivers));
     await this.#sendTotals();
     if (!this.isRelay) return;
-    const remotePeers = peers.filter(([, peer]) => peer.failureDomain !== failureDomain);
+    const { failureDomain } = this.#options;
+    const remotePeers = [...this.#peers].filter(([, peer]) => peer.failureDomain !== failureDomain);
     const digest = this.#options.createDigest(this.#members());
     await this.#socket.send(DIGEST_METHOD, digest, addressesOf(remotePeers));
+    if (!usesLocalDigests) return;
+    const localDigest: DomainDigest = { ...digest, heard: this.#heard() };
+    await this.#socket.send(DIGEST_METHOD, localDigest, addressesOf(this.#localPeers()));
+  }
+
+  #localPeers(): readonly (readonly [string, Peer])[] {
+    const { failureDomain } = this.#options;
+    return [...this.#peers].filter(([, peer]) => peer.failureDomain === failureDomain);
+  }
+
+  /** The failure domain is large, and none of its nodes is of a build that reads no digests of it. */
+  get #usesLocalDigests(): boolean {
+    const peers = this.#reachableInDomain();
+    return (
+      this.#usesRelays &&
+      peers.length > MAX_MESHED_PEERS &&
+      peers.every(([, { readsLocalDigests }]) => readsLocalDigests)
+    );
+  }
+
+  /** This node is a relay, or has just got a digest of its failure domain. */
+  get #hearsRelays(): boolean {
+    const sinceMs = this.#options.clock.monotonic() - this.#localDigestAt;
+    return this.isRelay || sinceMs < MISSED_DIGEST_PERIODS * this.#timing.periodMs;
+  }
+
+  /** What digests do not pass on goes to each node of the domain, and for a while that it has ended. */
+  #concernsWholeDomain({ outOfReach, reached, prompts }: NodeReport): boolean {
+    const now = this.#options.clock.monotonic();
+    if (outOfReach ?? reached ?? prompts) {
+      this.#wholeDomainUntil = now + WHOLE_DOMAIN_PERIODS * this.#timing.periodMs;
+    }
+    return now < this.#wholeDomainUntil;
+  }
+
+  /** The first nodes of the failure domain, among them enough that are reachable. */
+  #reportReceivers(): readonly (readonly [string, Peer])[] {
+    const now = this.#options.clock.monotonic();
+    const receivers: (readonly [string, Peer])[] = [];
+    let reachable = 0;
+    for (const entry of this.#localPeers().toSorted(byId)) {
+      if (reachable >= REPORT_RECEIVERS) break;
+      receivers.push(entry);
+      if (this.#isReachable(entry[1], now)) reachable += 1;
+    }
+    return receivers;
   }
 
   async #sendTotals(): Promise<void> {
@@ -313,16 +385,33 @@
     return holder;
   }
 
-  /** Reachable nodes of the failure domain, including this one. */
+  /** Nodes of the failure domain that report to this one, and this one. */
   #members(): DomainDigest['members'] {
     const { node, address, dutyToken } = this.#options;
-    const reachable = this.#reachableInDomain().map(
-      ([id, peer]): [string, [string, number, number]] => [
+    const reporting = this.#reporting().map(([id, peer]): [string, [string, number, number]] => [
+      id,
+      [peer.address.host, peer.address.port, peer.dutyToken],
+    ]);
+    return { ...Object.fromEntries(reporting), [node]: [address.host, address.port, dutyToken()] };
+  }
+
+  /** What this node has last heard of the members. */
+  #heard(): NonNullable<DomainDigest['heard']> {
+    const now = this.#options.clock.monotonic();
+    return Object.fromEntries(
+      this.#reporting().map(([id, { incarnation, sequence, lastReportAt = now }]) => [
         id,
-        [peer.address.host, peer.address.port, peer.dutyToken],
-      ],
+        [incarnation, sequence, Math.round(now - lastReportAt)],
+      ]),
+    );
+  }
+
+  /** Peers that are only known through another relay could outlive their nodes by being told back and forth. */
+  #reporting(): readonly (readonly [string, Peer])[] {
+    const since = this.#options.clock.monotonic() - this.#timing.peerTimeoutMs;
+    return this.#reachableInDomain().filter(
+      ([, { lastReportAt }]) => lastReportAt !== undefined && lastReportAt > since,
     );
-    return { ...Object.fromEntries(reachable), [node]: [address.host, address.port, dutyToken()] };
   }
 
   #reachableInDomain(): readonly (readonly [string, Peer])[] {
@@ -359,25 +448,20 @@
   }
 
   #schedule(): void {
-    this.#timer = setTimeout(
-      () => {
-        this.#expireSilentPeers();
-        void this.#attempt('report', () => this.#publish());
-        this.#schedule();
-      },
-      REPORT_PERIOD_MS * (this.#pace()?.intervalFactor ?? 1),
-    );
+    this.#timing = reportTiming(this.#pace());
+    this.#timer = setTimeout(() => {
+      this.#expireSilentPeers();
+      void this.#attempt('report', () => this.#publish());
+      this.#schedule();
+    }, this.#timing.periodMs);
   }
 
   #isReachable({ lastReceivedAt }: Peer, now: number): boolean {
-    return (
-      lastReceivedAt !== undefined && now - lastReceivedAt < PEER_TIMEOUT_MS * this.#timeoutFactor
-    );
+    return lastReceivedAt !== undefined && now - lastReceivedAt < this.#timing.peerTimeoutMs;
   }
 
   #expireSilentPeers(): void {
     const now = this.#options.clock.monotonic();
-    this.#timeoutFactor = this.#pace()?.timeoutFactor ?? 1;
     for (const [id, peer] of this.#peers) {
       const silentMs = now - (peer.lastReceivedAt ?? peer.addedAt);
       if (silentMs > PEER_EXPIRY_MS) {
@@ -441,6 +525,7 @@
 
   #applyReport(report: NodeReport): void {
     if (report.node === this.#options.node) return;
+    const now = this.#options.clock.monotonic();
     const known = this.#peers.get(report.node);
     if (known && isStale(report, known)) return;
     const isSameIncarnation = known?.incarnation === report.life;
@@ -452,7 +537,11 @@
       incarnation: report.life,
       sequence: report.sequence,
       dutyToken: report.duty,
+      lastReceivedAt: now,
+      lastReportAt: now,
+      readsLocalDigests: report.readsLocalDigests === true,
     });
+    if (!known || known.isSilent) this.#logHeard([report.node], report.failureDomain);
     this.#options.onReport(report, isFirst);
     if (!report.isLeaving) return;
     this.#peers.delete(report.node);
@@ -461,41 +550,60 @@
   }
 
   #applyDigest(digest: DomainDigest): void {
-    const { relay, failureDomain, life, sequence, members } = digest;
-    if (failureDomain === this.#options.failureDomain) return;
+    const { relay, failureDomain, life, sequence, heard } = digest;
+    const isLocal = failureDomain === this.#options.failureDomain;
+    if (relay === this.#options.node || (isLocal && !heard)) return;
     const key = `${relay} ${life}`;
     if (sequence <= (this.#digestSequences.get(key) ?? 0)) return;
     this.#digestSequences.set(key, sequence);
+    if (isLocal) this.#localDigestAt = this.#options.clock.monotonic();
+    this.#recordMembers(digest);
+    // A relay has the reports themselves.
+    if (!isLocal || !this.isRelay) this.#options.onDigest(digest);
+  }
+
+  #recordMembers({ failureDomain, members, heard }: DomainDigest): void {
+    const now = this.#options.clock.monotonic();
+    const newlyHeard: string[] = [];
     for (const [id, [host, port, dutyToken]] of Object.entries(members)) {
+      if (id === this.#options.node) continue;
       const known = this.#peers.get(id);
+      const [, , ageMs = 0] = heard?.[id] ?? [];
+      if (!known || known.isSilent) newlyHeard.push(id);
       this.#recordContact(id, {
         address: { host, port },
         failureDomain,
         incarnation: known?.incarnation ?? 0,
         sequence: known?.sequence ?? 0,
         dutyToken,
+        lastReceivedAt: Math.max(known?.lastReceivedAt ?? -Infinity, now - ageMs),
+        lastReportAt: known?.lastReportAt,
+        // Digests of a domain are sent where all of its nodes read them.
+        readsLocalDigests: heard !== undefined || known?.readsLocalDigests === true,
       });
     }
-    this.#options.onDigest(digest);
+    if (newlyHeard.length > 0) this.#logHeard(newlyHeard, failureDomain);
+  }
+
+  #logHeard(peers: readonly string[], failureDomain: string): void {
+    this.#options.log.notable('peer-heard', { peer: peers.join(','), failureDomain });
   }
 
-  #recordContact(id: string, contact: Omit<Peer, 'lastReceivedAt' | 'addedAt' | 'isSilent'>): void {
+  #recordContact(id: string, contact: Omit<Peer, 'addedAt' | 'isSilent'>): void {
     const known = this.#peers.get(id);
-    if (!known || known.isSilent) this.#options.log.notable('peer-heard', { peer: id });
     if (contact.dutyToken > 0) this.#hasResigned = false;
     const now = this.#options.clock.monotonic();
     const hasMoved =
       known?.address.host !== contact.address.host || known.address.port !== contact.address.port;
     if (hasMoved || known.isSilent || !this.#isReachable(known, now)) this.#forgetViews();
-    this.#peers.set(id, {
-      ...contact,
-      lastReceivedAt: now,
-      addedAt: known?.addedAt ?? now,
-      isSilent: false,
-    });
+    this.#peers.set(id, { ...contact, addedAt: known?.addedAt ?? now, isSilent: false });
   }
 }
 
+function byId([a]: readonly [string, Peer], [b]: readonly [string, Peer]): number {
+  return a < b ? -1 : 1;
+}
+
 function addressesOf(peers: readonly (readonly [string, Peer])[]): readonly Address[] {
   return peers.map(([, { address }]) => address);
 }
--- a/packages/gateway/src/types/domain-digest.ts
+++ b/packages/gateway/src/types/domain-digest.ts
@@ -26,6 +26,13 @@
   work: z.record(BoundedText, z.tuple([Amount, Amount, Amount])),
   /** By team: quota that the members have consumed since this incarnation of the relay started. */
   taken: z.record(BoundedText, Amount),
+  /** Time of day according to the relay, in milliseconds since the epoch. */
+  now: Ordinal.optional(),
+  /**
+   * Only for the nodes of the domain itself: which report of each member the digest is based on
+   * (incarnation, sequence number), and its age in milliseconds.
+   */
+  heard: z.record(BoundedText, z.tuple([Ordinal, Ordinal, Ordinal])).optional(),
   /** Limits that runners stated in responses to the members. */
   limits: z.array(StatedLimit).readonly().optional(),
   /** Version of the configuration that the relay follows. */
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -44,6 +44,8 @@
   reached: z.array(RunnerBoot).readonly().optional(),
   /** What the node knows about prompt parts that may crash runners. */
   prompts: PromptEvidence.optional(),
+  /** The node reads digests of its own failure domain; absent in reports of older builds. */
+  readsLocalDigests: z.boolean().optional(),
   /** Fencing token of the duty term that the node holds and can act on; otherwise 0. */
   duty: Ordinal,
   /** The node is shutting down. */
--- a/packages/gateway/src/utils/parse-domain-digest.ts
+++ b/packages/gateway/src/utils/parse-domain-digest.ts
@@ -15,7 +15,12 @@
     work: recordOf(tupleOf(isAmount, isAmount, isAmount)),
     taken: recordOf(isAmount),
   },
-  optional: { configuration: isOrdinal, leaving: listOf(tupleOf(isText, isOrdinal)) },
+  optional: {
+    configuration: isOrdinal,
+    now: isOrdinal,
+    heard: recordOf(tupleOf(isOrdinal, isOrdinal, isOrdinal)),
+    leaving: listOf(tupleOf(isText, isOrdinal)),
+  },
 });
 
 /** Checks a digest of another domain; the schema is only used for digests with fields that few have. */
--- a/packages/gateway/src/utils/parse-node-report.ts
+++ b/packages/gateway/src/utils/parse-node-report.ts
@@ -26,6 +26,7 @@
   },
   optional: {
     configuration: isOrdinal,
+    readsLocalDigests: isBoolean,
     leaving: isRunnerBoots,
     outOfReach: isRunnerBoots,
     reached: isRunnerBoots,
--- a/packages/gateway/src/utils/runner-load-tracker.ts
+++ b/packages/gateway/src/utils/runner-load-tracker.ts
@@ -7,7 +7,8 @@
 }
 
 interface PeerWork {
-  readonly at: number;
+  /** Monotonic time until which it is used, in milliseconds. */
+  readonly until: number;
   readonly byRunner: ReadonlyMap<string, RunnerWork>;
 }
 
@@ -22,11 +23,6 @@
  * of an engine.
  */
 const ANNOUNCED_MS_PER_TOKEN = 0.02;
-/**
- * How long a peer's work is used, in milliseconds: several report periods, even in large
- * deployments that report less often.
- */
-const PEER_WORK_TTL_MS = 2_000;
 /** How long a load reported by a runner is used, in milliseconds: the load changes on this time scale. */
 const REPORTED_LOAD_TTL_MS = 300;
 /** How long the sum of the peers' work is used, in milliseconds, unless one of them reports before. */
@@ -83,14 +79,14 @@
     this.#announcedPrompts.set(runnerId, [...unexpired, { peer, tokens, until }]);
   }
 
-  /** Replaces the work of a peer and drops the prompts that it announced. */
-  setPeerWork(peerId: string, byRunner: ReadonlyMap<string, RunnerWork>): void {
+  /** Replaces the work of a peer, which is used for `ttlMs`, and drops the prompts that it announced. */
+  setPeerWork(peerId: string, byRunner: ReadonlyMap<string, RunnerWork>, ttlMs: number): void {
     for (const [runner, prompts] of this.#announcedPrompts) {
       const others = prompts.filter(({ peer }) => peer !== peerId);
       if (others.length === 0) this.#announcedPrompts.delete(runner);
       else this.#announcedPrompts.set(runner, others);
     }
-    this.#peerWork.set(peerId, { at: this.#clock.monotonic(), byRunner });
+    this.#peerWork.set(peerId, { until: this.#clock.monotonic() + ttlMs, byRunner });
     this.#peerTotal = undefined;
   }
 
@@ -109,8 +105,8 @@
   totalOver(peerIds: ReadonlySet<string>): ReadonlyMap<string, RunnerWork> {
     const now = this.#clock.monotonic();
     const total = new Map(this.#own);
-    for (const [id, { at, byRunner }] of this.#peerWork) {
-      if (!peerIds.has(id) || now - at > PEER_WORK_TTL_MS) continue;
+    for (const [id, { until, byRunner }] of this.#peerWork) {
+      if (!peerIds.has(id) || until < now) continue;
       for (const [runner, work] of byRunner) {
         total.set(runner, addWork(total.get(runner) ?? NO_WORK, work));
       }
@@ -120,12 +116,12 @@
 
   /** Kept for a moment, since a request asks for each runner of its service. */
   #peerTotalAt(now: number): ReadonlyMap<string, RunnerWork> {
-    if (this.#peerTotal && now - this.#peerTotal.at < PEER_TOTAL_TTL_MS) {
+    if (this.#peerTotal && now < this.#peerTotal.until) {
       return this.#peerTotal.byRunner;
     }
     const byRunner = new Map<string, RunnerWork>();
     for (const [id, peer] of this.#peerWork) {
-      if (now - peer.at > PEER_WORK_TTL_MS) {
+      if (peer.until < now) {
         this.#peerWork.delete(id);
         continue;
       }
@@ -133,7 +129,7 @@
         byRunner.set(runner, addWork(byRunner.get(runner) ?? NO_WORK, work));
       }
     }
-    this.#peerTotal = { at: now, byRunner };
+    this.#peerTotal = { until: now + PEER_TOTAL_TTL_MS, byRunner };
     return byRunner;
   }
 
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -229,6 +229,7 @@
   loadTracker.setPeerWork(
     'p1',
     new Map([['r1', { requests: 2, prefillTokens: 50, kvTokens: 70 }]]),
+    2_000,
   );
   t.deepEqual(loadTracker.workAt('r1'), { requests: 3, prefillTokens: 150, kvTokens: 270 });
   loadTracker.setReportedLoad('r1', { running: 9, waiting: 1, slots: 8 });
@@ -333,6 +334,7 @@
   loadTracker.setPeerWork(
     'p',
     new Map([['r1', { requests: 1, prefillTokens: 5_000, kvTokens: 20_000 }]]),
+    2_000,
   );
   t.is(loadTracker.workAt('r1').prefillTokens, 15_000);
   clock.advance(1_000);
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -7,6 +7,7 @@
 import { PeerReach } from '../../packages/gateway/src/utils/peer-reach.ts';
 import { RunnerLoadTracker } from '../../packages/gateway/src/utils/runner-load-tracker.ts';
 import { DisciplinedClock } from '../../packages/gateway/src/utils/disciplined-clock.ts';
+import { reportTiming } from '../../packages/gateway/src/utils/report-timing.ts';
 import { UsageCounter } from '../../packages/gateway/src/utils/usage-counter.ts';
 
 const NO_LINKS = {
@@ -23,7 +24,12 @@
   readonly sync: PeerStateSync;
 }
 
-function createNode(name: string, clock: ManualClock, failureDomain = 'a'): TestNode {
+function createNode(
+  name: string,
+  clock: ManualClock,
+  failureDomain = 'a',
+  isRelay = true,
+): TestNode {
   const loadTracker = new RunnerLoadTracker(clock);
   const quota = new SharedQuota(clock);
   const directory = new RunnerDirectory({ clock });
@@ -48,6 +54,8 @@
     rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
     disciplinedClock: new DisciplinedClock(clock),
     dutyToken: () => 0,
+    timing: () => reportTiming(undefined),
+    isRelay: () => isRelay,
   });
   return { loadTracker, quota, directory, sync };
 }
@@ -132,3 +140,67 @@
     t.deepEqual(directory.leaving, [{ id: 'r0', bornMs: 5 }]);
   }
 });
+
+// Guards against counting a node's own work and use twice where its relay tells it of the whole domain.
+test('pattern: large failure domain; a node counts what the others do, and itself once, from digests of its relay', (t) => {
+  const clock = new ManualClock(1_000);
+  const relay = createNode('n1', clock);
+  const [node, other] = ['n2', 'n3'].map((name) => createNode(name, clock, 'a', false));
+  if (!node || !other) throw new Error('expected two nodes');
+  for (const { quota } of [relay, node, other]) quota.setLimits(LIMITS);
+  const members: Readonly<Record<string, [string, number, number]>> = {
+    n1: ['127.0.0.1', 1, 0],
+    n2: ['127.0.0.1', 2, 0],
+    n3: ['127.0.0.1', 3, 0],
+  };
+  const exchange = (isFirst: boolean): void => {
+    const reports = [node, other].map(({ sync }) => sync.createReport(WITH_TOTALS));
+    for (const report of reports) relay.sync.applyReport(report, isFirst);
+    const heard = Object.fromEntries(
+      reports.map(({ node: id, life, sequence }): [string, [number, number, number]] => [
+        id,
+        [life, sequence, 0],
+      ]),
+    );
+    const digest = { ...relay.sync.createDigest(members), heard };
+    for (const { sync } of [node, other]) sync.applyDigest(digest);
+  };
+  exchange(true);
+  node.loadTracker.add('r1', { requests: 2, prefillTokens: 100, kvTokens: 300 });
+  other.loadTracker.add('r1', { requests: 1, prefillTokens: 10, kvTokens: 20 });
+  relay.loadTracker.add('r1', { requests: 4, prefillTokens: 0, kvTokens: 40 });
+  t.true(node.quota.tryTake('team', 30));
+  t.true(other.quota.tryTake('team', 20));
+  t.true(relay.quota.tryTake('team', 10));
+  exchange(false);
+  for (const { loadTracker, quota } of [relay, node, other]) {
+    t.deepEqual(loadTracker.workAt('r1'), { requests: 7, prefillTokens: 110, kvTokens: 360 });
+    t.true(quota.tryTake('team', 40));
+    t.false(quota.tryTake('team', 1));
+  }
+});
+
+// Guards against counting use twice when the reports of a node count again after digests did.
+test('pattern: large failure domain; use that a digest covered is not subtracted again when its relays are gone', (t) => {
+  const clock = new ManualClock(1_000);
+  const relay = createNode('n1', clock);
+  const [node, other] = ['n2', 'n3'].map((name) => createNode(name, clock, 'a', false));
+  if (!node || !other) throw new Error('expected two nodes');
+  for (const { quota } of [relay, node, other]) quota.setLimits(LIMITS);
+  const exchange = (isFirst: boolean): void => {
+    const report = other.sync.createReport(WITH_TOTALS);
+    node.sync.applyReport(report, isFirst);
+    relay.sync.applyReport(report, isFirst);
+    const { life, sequence } = node.sync.createReport(WITH_TOTALS);
+    const heard: Readonly<Record<string, [number, number, number]>> = { n2: [life, sequence, 0] };
+    node.sync.applyDigest({ ...relay.sync.createDigest({}), heard });
+  };
+  node.sync.applyReport(other.sync.createReport(WITH_TOTALS), true);
+  exchange(true);
+  t.true(other.quota.tryTake('team', 60));
+  exchange(false);
+  clock.advance(1_600);
+  const before = node.quota.tryTake('team', 100);
+  node.sync.applyReport(other.sync.createReport(WITH_TOTALS), false);
+  t.true(before || node.quota.tryTake('team', 100));
+});
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -1,4 +1,5 @@
 import { Writable } from 'node:stream';
+import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { PromptQuarantine, SharedQuota, StatedLimits } from '@ragwortrudder/admission';
@@ -28,12 +29,15 @@
   readonly port: number;
   readonly peers: Peers;
   readonly loadTracker: RunnerLoadTracker;
+  /** Number of reports that have arrived since the last call. */
+  readonly takeReportCount: () => number;
 }
 
 async function startNode(
   t: ExecutionContext,
   id: string,
   failureDomain: string,
+  isOlderBuild = false,
 ): Promise<TestNode> {
   const clock = new SystemClock();
   const [address = ''] = await freeAddresses(1);
@@ -65,17 +69,29 @@
     rollouts: { evidence: { cells: [] }, setPeerEvidence: () => undefined },
     disciplinedClock: new DisciplinedClock(clock),
     dutyToken: () => 0,
+    timing: () => peers.timing,
+    isRelay: () => peers.isRelay,
   });
-  const peers = new Peers({
+  let reportCount = 0;
+  const takeReportCount = (): number => {
+    const count = reportCount;
+    reportCount = 0;
+    return count;
+  };
+  const peers: Peers = new Peers({
     node: id,
     address: { host, port },
     failureDomain,
     clock,
     log: new DecisionLog({ node: id, out, clock }),
     dutyToken: () => 0,
-    createReport: (extent) => sync.createReport(extent),
+    createReport: (extent) => {
+      const { readsLocalDigests, ...report } = sync.createReport(extent);
+      return isOlderBuild ? report : { ...report, readsLocalDigests };
+    },
     createDigest: (members) => sync.createDigest(members),
     onReport: (report, isFirst) => {
+      reportCount += 1;
       sync.applyReport(report, isFirst);
     },
     onDigest: (digest) => {
@@ -89,18 +105,20 @@
     onFeed: () => undefined,
   });
   t.teardown(() => peers.close());
-  return { id, failureDomain, host, port, peers, loadTracker };
+  return { id, failureDomain, host, port, peers, loadTracker, takeReportCount };
 }
 
 /** Starts the given number of nodes in each failure domain, all known to each other. */
 async function startDeployment(
   t: ExecutionContext,
   sizes: Readonly<Record<string, number>>,
+  olderBuilds: readonly string[] = [],
 ): Promise<readonly TestNode[]> {
   const nodes: TestNode[] = [];
   for (const [failureDomain, size] of Object.entries(sizes)) {
     for (let index = 0; index < size; index += 1) {
-      nodes.push(await startNode(t, `${failureDomain}${index}`, failureDomain));
+      const id = `${failureDomain}${index}`;
+      nodes.push(await startNode(t, id, failureDomain, olderBuilds.includes(id)));
     }
   }
   for (const { peers } of nodes) {
@@ -135,3 +153,67 @@
   await waitUntil(() => remote?.loadTracker.workAt('r1').requests === 2);
   t.is(remote?.loadTracker.workAt('r1').prefillTokens, 500);
 });
+
+const LARGE_DOMAINS = { a: 12, b: 10 };
+/** Time for which reports are counted, in milliseconds: at least five periods. */
+const COUNTED_MS = 1_600;
+
+function reachableCounts(nodes: readonly TestNode[]): readonly number[] {
+  return nodes.map(({ peers }) => peers.reachableCount);
+}
+
+async function startLargeDomains(
+  t: ExecutionContext,
+  olderBuilds: readonly string[] = [],
+): Promise<readonly TestNode[]> {
+  const nodes = await startDeployment(t, LARGE_DOMAINS, olderBuilds);
+  await waitUntil(() => reachableCounts(nodes).every((count) => count === nodes.length));
+  await sleep(COUNTED_MS);
+  return nodes;
+}
+
+async function countReports(nodes: readonly TestNode[]): Promise<ReadonlyMap<string, number>> {
+  for (const { takeReportCount } of nodes) takeReportCount();
+  await sleep(COUNTED_MS);
+  return new Map(nodes.map(({ id, takeReportCount }) => [id, takeReportCount()]));
+}
+
+test('pattern: large failure domain; a node gets digests in place of reports, and hears of all others', async (t) => {
+  const nodes = await startLargeDomains(t);
+  nodes[11]?.loadTracker.add('r1', { requests: 2, prefillTokens: 0, kvTokens: 10 });
+  const counts = await countReports(nodes);
+  t.is(counts.get('a9'), 0);
+  t.is(counts.get('b9'), 0);
+  t.true((counts.get('a1') ?? 0) >= 2 * (LARGE_DOMAINS.a - 1));
+  t.true(reachableCounts(nodes).every((count) => count === nodes.length));
+  t.deepEqual(
+    nodes.map(({ loadTracker }) => loadTracker.workAt('r1').requests),
+    nodes.map(() => 2),
+  );
+});
+
+// Guards against taking all nodes of a failure domain for lost, and their quota away, with its relays.
+test('pattern: large failure domain; its nodes still hear each other when both relays die', async (t) => {
+  const nodes = await startLargeDomains(t);
+  const survivors = nodes.filter(({ id }) => id !== 'a0' && id !== 'a1');
+  for (const { id, peers } of nodes)
+    if (!survivors.some((node) => node.id === id)) await peers.close();
+  let least = nodes.length;
+  const endAt = Date.now() + 4_000;
+  while (Date.now() < endAt) {
+    least = Math.min(least, ...reachableCounts(survivors.filter(({ id }) => id.startsWith('a'))));
+    await sleep(20);
+  }
+  t.is(least, survivors.length);
+  t.true(reachableCounts(survivors).every((count) => count === survivors.length));
+  const counts = await countReports(survivors);
+  t.is(counts.get('a9'), 0);
+});
+
+test('a failure domain with a node of an older build exchanges reports between all of its nodes', async (t) => {
+  const nodes = await startLargeDomains(t, ['a5']);
+  const counts = await countReports(nodes);
+  t.true((counts.get('a9') ?? 0) >= 2 * (LARGE_DOMAINS.a - 1));
+  t.is(counts.get('b9'), 0);
+  t.true(reachableCounts(nodes).every((count) => count === nodes.length));
+});
--- a/test/gateway/report-pace.test.ts
+++ b/test/gateway/report-pace.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { reportPace } from '../../packages/gateway/src/utils/report-pace.ts';
+import { reportTiming } from '../../packages/gateway/src/utils/report-timing.ts';
 
 interface LocatedNode {
   readonly failureDomain: string;
@@ -46,3 +47,28 @@
   };
   t.true(costOf(300) <= costOf(30) * 1.01);
 });
+
+/** Time within which a node must know that a peer is dead, in milliseconds. */
+const CONTACT_MS = 5_000;
+
+test('a dead node is known in time, and no time-out is shorter than two periods, from 3 to 250 nodes', (t) => {
+  for (const sizes of [
+    { a: 3 },
+    { a: 9, b: 8 },
+    { a: 15, b: 15, c: 15, d: 15 },
+    { a: 28, b: 27, c: 29 },
+    { a: 37, b: 37, c: 41, d: 38, e: 42 },
+    { a: 1, b: 1, c: 50 },
+    { a: 50, b: 50, c: 50, d: 50, e: 50 },
+  ]) {
+    const timings = pacesOf(sizes).map(reportTiming);
+    const slowestMs = Math.max(...timings.map(({ periodMs }) => periodMs));
+    for (const timing of timings) {
+      const { peerTimeoutMs, relayTimeoutMs, workTtlMs, baselineTtlMs } = timing;
+      t.true(peerTimeoutMs < CONTACT_MS, JSON.stringify(sizes));
+      for (const ms of [peerTimeoutMs, relayTimeoutMs, workTtlMs, baselineTtlMs]) {
+        t.true(ms >= 2 * slowestMs, JSON.stringify(sizes));
+      }
+    }
+  }
+});
