Try quarantined parts soon after a start where all nodes are heard

The 10 s stand for knowing the peers and what they try; a node that has read which nodes there are, and hears each of them, knows that after its first reports.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -22,6 +22,7 @@
 import { reasonOf } from '../utils/reason-of.ts';
 import { ResponseTimes } from '../utils/response-times.ts';
 import { retryAllowance } from '../utils/retry-allowance.ts';
+import { trialRank } from '../utils/trial-rank.ts';
 import { DisciplinedClock } from '../utils/disciplined-clock.ts';
 import { UsageCounter } from '../utils/usage-counter.ts';
 import type { CallerChannel } from './caller-channel.ts';
@@ -57,8 +58,6 @@
 const MAINTENANCE_PERIOD_MS = 200;
 /** Interval between reads of the states of open roll-outs, in milliseconds. */
 const ROLLOUT_PERIOD_MS = 500;
-/** Time after its start from which a node tries quarantined prompt parts, in milliseconds: it knows its peers. */
-const TRIAL_NODE_MIN_UPTIME_MS = 10_000;
 /** Interval between exchanges of quarantined prompt parts with the log, in milliseconds. */
 const QUARANTINE_PERIOD_MS = 1_000;
 /** Interval between attempts to register this node in the topic of nodes, in milliseconds. */
@@ -512,14 +511,14 @@
     }
   }
 
-  /** Rank of this node for trying a part again, provided that it reaches most of the others. */
   #trialRank(part: string): number | undefined {
-    const { id } = this.#options.settings.node;
-    const upMs = this.#options.clock.monotonic() - this.#startedAt;
-    if (this.#isStopping || upMs < TRIAL_NODE_MIN_UPTIME_MS) return undefined;
-    if (2 * this.#peers.reachableCount <= this.#peers.knownCount) return undefined;
-    const nodes = [id, ...this.#peers.reachableIds()];
-    return rendezvousOrder(part, nodes, (node) => node).indexOf(id);
+    return trialRank(part, {
+      id: this.#options.settings.node.id,
+      upMs: this.#options.clock.monotonic() - this.#startedAt,
+      isStopping: this.#isStopping,
+      reachableIds: this.#peers.reachableIds(),
+      knownCount: this.#registration.isRegistered ? this.#peers.knownCount : undefined,
+    });
   }
 
   /**
--- a/packages/gateway/src/node/node-registration.ts
+++ b/packages/gateway/src/node/node-registration.ts
@@ -28,6 +28,11 @@
     this.#options = options;
   }
 
+  /** This node has been registered, and knows the entries of the others. */
+  get isRegistered(): boolean {
+    return this.#registeredEra !== undefined;
+  }
+
   /** Registers this node, again after a restore, and reads the entries of the others. */
   async register(): Promise<void> {
     const { log, node, address, failureDomain, incarnation } = this.#options;
