Answer truly and once what a peer may be running when a node closes

Found on review of the change of planned stops: a request that had been passed on to a peer was told 503, not run, at the end of the grace, while the peer ran it; and one that waited for peers' verdict could still be passed on after it had been answered. It is now told 502, and is not passed on; what comes for a response that has ended is dropped. Test in planned-stop (502).

Refunds of others in a large failure domain count again (a use below zero was dropped).

--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -115,7 +115,7 @@
 
   push(bytes: Buffer): Promise<void> | undefined {
     const sendable = this.#splitter?.push(bytes) ?? bytes;
-    if (sendable.length === 0 || this.#response.destroyed) return undefined;
+    if (sendable.length === 0 || this.#isOver) return undefined;
     this.#writeHead();
     this.#lastEventId = this.#splitter?.lastId ?? this.#lastEventId;
     if (this.#response.write(sendable)) return undefined;
@@ -131,7 +131,7 @@
   }
 
   end(): void {
-    if (this.#response.destroyed) return;
+    if (this.#isOver) return;
     this.#writeHead();
     this.#response.end(this.#splitter?.remainder);
   }
@@ -151,6 +151,7 @@
   /** Sends an error response of the node itself, or aborts a response that has already started. */
   fail(failure: Failure, requestId: string | undefined): void {
     if (this.#response.destroyed) return;
+    if (this.#response.writableEnded) return;
     if (this.hasBegun) {
       this.#abort();
       return;
@@ -169,6 +170,11 @@
     this.#response.end(body);
   }
 
+  /** Nothing more can be sent: the response has ended, or its connection has. */
+  get #isOver(): boolean {
+    return this.#response.destroyed || this.#response.writableEnded;
+  }
+
   #abort(): void {
     const { chunkedEncoding, socket } = this.#response;
     // Without chunks an orderly close would mark the end of the body.
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -79,6 +79,9 @@
   /** Response of a runner that has failed, sent unless another attempt brings a better one. */
   #failedResponse: FailedResponse | undefined;
   #isFinished = false;
+  #isAtPeer = false;
+  /** It was answered because the node closes. */
+  #isStopped = false;
 
   constructor(options: ForwardedRequestOptions) {
     this.#options = options;
@@ -146,6 +149,7 @@
   /** The request may be sent again: it has not run, or may be repeated, and there is something left to do. */
   canBePassedOn(): boolean {
     const { channel, route, mayPassOn } = this.#options;
+    if (this.#isStopped) return false;
     if (this.#mayHaveRun && !this.isRepeatable) return false;
     if (this.#sends >= route.maxAttempts) return false;
     return (
@@ -187,10 +191,21 @@
     }
   }
 
+  /** Runs `passOn`, during which a peer may run the request. */
+  async runAtPeer(passOn: () => Promise<void>): Promise<void> {
+    this.#isAtPeer = true;
+    try {
+      await passOn();
+    } finally {
+      this.#isAtPeer = false;
+    }
+  }
+
   /** Answers the request because the node closes. */
   stop(): void {
-    const hasRun = this.#mayHaveRun || this.#sends > 0;
-    const failure = hasRun
+    this.#isStopped = true;
+    const mayHaveRun = this.#mayHaveRun || this.#isAtPeer || this.#sends > 0;
+    const failure = mayHaveRun
       ? new Refusal('node-closed', { status: HTTP_BAD_GATEWAY })
       : new Refusal('node-stopping', { status: HTTP_UNAVAILABLE });
     this.#endNow('request-stopped', failure);
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -260,14 +260,16 @@
   }
 
   #passOn(forwarded: ForwardedRequest, request: AdmittedRequest, refusal: Refusal): Promise<void> {
-    return this.#options.peerForwarder.passOn({
-      ...request,
-      progress: forwarded.progress,
-      remainingMs: forwarded.remainingMs,
-      isRepeatable: forwarded.isRepeatable,
-      mayHaveRun: forwarded.mayHaveRun,
-      refusal,
-    });
+    return forwarded.runAtPeer(() =>
+      this.#options.peerForwarder.passOn({
+        ...request,
+        progress: forwarded.progress,
+        remainingMs: forwarded.remainingMs,
+        isRepeatable: forwarded.isRepeatable,
+        mayHaveRun: forwarded.mayHaveRun,
+        refusal,
+      }),
+    );
   }
 
   /** Waits until peers have told whether they reach the runners that this node does not. */
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -238,7 +238,8 @@
       const ownUse = (own.taken.get(team) ?? 0) - (before.own?.taken.get(team) ?? 0);
       const consumed = total - (before.taken.get(team) ?? 0) - ownUse;
       // Where the relay has not counted an own use, it is not given back.
-      if (consumed > 0) this.#options.quota.recordPeerUsage(team, consumed);
+      const isRefund = consumed < 0 && ownUse <= 0;
+      if (consumed > 0 || isRefund) this.#options.quota.recordPeerUsage(team, consumed);
     }
   }
 
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
+import { CutFleet } from './cut-fleet.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { ROUTE_KINDS } from './route-kinds.ts';
 import { RawCaller, requestText } from './raw-caller.ts';
@@ -13,6 +14,8 @@
 const ROUTE_TIMEOUT_MS = 4_000;
 /** Requests that are served before the stop, so that the node knows how long they take. */
 const SERVED_BEFORE = 24;
+/** Time within which nodes hear each other and lose their links, in milliseconds. */
+const HEARING_MS = 1_000;
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
@@ -96,3 +99,27 @@
   t.true(isComplete(caller.received), caller.received);
   t.is(statusOf(caller.received), 502);
 });
+
+// Guards against saying that a request has not run which a peer is running (REFUSED, TWICE).
+test('a request that a peer runs when its node closes is not said to be not run', async (t) => {
+  const seen: string[] = [];
+  const runner = await new ScriptedRunner((_socket, { id }) => {
+    seen.push(id);
+  }).listen();
+  t.teardown(() => runner.close());
+  const route = { ...ROUTE_KINDS['once-only'], timeout_ms: 3 * GRACE_MS };
+  const fleet = await CutFleet.start(t, { runners: [runner], gateways: 2, route });
+  const [node] = fleet.gateways;
+  if (!node) throw new TypeError('no gateway was started');
+  await sleep(HEARING_MS);
+  await fleet.setLinks([0], 'cut');
+  await sleep(HEARING_MS);
+  const call = node.call({ headers: { 'Deadline-Ms': String(3 * GRACE_MS) } });
+  await node.waitUntil(() => seen.length > 0);
+  const stopped = node.gateway.stop();
+  const { status, isComplete } = await call;
+  t.true(isComplete);
+  t.is(status, 502);
+  await stopped;
+  await node.gateway.closed();
+});
