Serve what a stopping node had received before it was told to stop

The test was wrong in that it left to the draws what it is about. It now refuses each request once, at whichever runner gets it first, and asks that the other one serves it: 40 of 40 in place of at least one.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -293,8 +293,8 @@
   request: Request,
   waitedMs: number,
 ): Request {
-  if (request.deadlineMs === undefined) return request;
-  return { ...request, deadlineMs: Math.max(0, request.deadlineMs - waitedMs) };
+  if (request.deadlineMs === undefined) return { ...request, waitedMs };
+  return { ...request, waitedMs, deadlineMs: Math.max(0, request.deadlineMs - waitedMs) };
 }
 
 function bodyOf(
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -345,13 +345,14 @@
   }
 
   /**
-   * Rejects a request that this node might not answer before it closes. One that may run only once is
+   * Rejects a request that has come since the node is stopping, and that it might not answer before it closes. One that may run only once is
    * taken only if even its time-out leaves time for an answer.
    */
   #checkGrace(request: CallerRequest, route: Route): void {
-    const { remainingGraceMs, responseTimes } = this.#options;
-    const remainingMs = remainingGraceMs();
-    if (remainingMs === undefined) return;
+    const { responseTimes } = this.#options;
+    const grace = this.#options.grace();
+    if (!grace || (request.waitedMs ?? 0) > grace.passedMs) return;
+    const { remainingMs } = grace;
     const longestMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
     const expectedMs = isRepeatable(route) ? responseTimes.expectedMs(route.name) : undefined;
     const neededMs = Math.min(longestMs, expectedMs ?? longestMs);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -269,7 +269,7 @@
       log: this.#decisions,
       metrics: this.#metrics,
       responseTimes: new ResponseTimes(),
-      remainingGraceMs: () => this.#remainingGraceMs,
+      grace: () => this.#grace,
       onLongPrompt: (runnerId, tokens) => void this.#peers.announcePrompt(runnerId, tokens),
       onAdmitted: (service, request) => {
         this.#demand.add(service.name, {
@@ -487,11 +487,10 @@
     this.#onClosed = resolve;
   });
 
-  /** Time until the node closes, in milliseconds; undefined while it is not stopping. */
-  get #remainingGraceMs(): number | undefined {
+  get #grace(): ReturnType<ConstructorParameters<typeof Forwarder>[0]['grace']> {
     if (this.#stoppingSince === undefined) return undefined;
-    const sinceMs = this.#options.clock.monotonic() - this.#stoppingSince;
-    return this.#settings.graceMs - GRACE_MARGIN_MS - sinceMs;
+    const passedMs = this.#options.clock.monotonic() - this.#stoppingSince;
+    return { passedMs, remainingMs: this.#settings.graceMs - GRACE_MARGIN_MS - passedMs };
   }
 
   get #isReady(): boolean {
--- a/packages/gateway/src/types/caller-request.ts
+++ b/packages/gateway/src/types/caller-request.ts
@@ -24,4 +24,6 @@
   readonly promptTokens: number | undefined;
   /** Maximum number of output tokens; undefined when the request does not declare it. */
   readonly outputTokens: number | undefined;
+  /** Time for which it has waited behind earlier requests on its connection, in milliseconds. */
+  readonly waitedMs?: number;
 }
--- a/packages/gateway/src/types/forwarder-options.ts
+++ b/packages/gateway/src/types/forwarder-options.ts
@@ -39,8 +39,8 @@
   /** Called when a request with a long prompt has been sent to a runner, with the tokens to prefill. */
   readonly onLongPrompt: (runnerId: string, tokens: number) => void;
   readonly responseTimes: ResponseTimes;
-  /** Time until a stopping node closes, in milliseconds; undefined while it is not stopping. */
-  readonly remainingGraceMs: () => number | undefined;
+  /** Grace period of a stopping node, in milliseconds; undefined while it is not stopping. */
+  readonly grace: () => { readonly passedMs: number; readonly remainingMs: number } | undefined;
   /** Called for each admitted request, to measure demand. */
   readonly onAdmitted: (service: Service, request: CallerRequest) => void;
 }
--- a/test/gateway/repeated-refusal.test.ts
+++ b/test/gateway/repeated-refusal.test.ts
@@ -267,21 +267,31 @@
   test(`a request that a runner refused is served by another one: ${kind}`, async (t) => {
     t.timeout(TEST_TIMEOUT_MS);
     await takeTurn(t);
-    const full = await new ScriptedRunner((socket, { id }) => {
-      socket.write(refusal('503 Full', [`Request-Id: ${id}`, 'Not-Executed: 1']));
-    }).listen();
-    const serving = await new ScriptedRunner((socket, request) => {
-      socket.write(responseFor(request, route.kind === 'streaming'));
-    }).listen();
-    const harness = await GatewayHarness.start(t, { runners: [full, serving], route });
+    const refusedBy = new Map<string, number>();
+    const servedBy = new Map<string, number>();
+    const runners = await Promise.all(
+      [0, 1].map((runner) =>
+        new ScriptedRunner((socket, request) => {
+          const { id } = request;
+          if (refusedBy.has(id)) {
+            servedBy.set(id, runner);
+            socket.write(responseFor(request, route.kind === 'streaming'));
+            return;
+          }
+          refusedBy.set(id, runner);
+          socket.write(refusal('503 Full', [`Request-Id: ${id}`, 'Not-Executed: 1']));
+        }).listen(),
+      ),
+    );
+    const harness = await GatewayHarness.start(t, { runners, route });
     const statuses: number[] = [];
     for (let count = 0; count < 40; count += 1) {
       statuses.push((await harness.call()).status);
       await sleep(BUDGET_MS);
     }
     t.deepEqual(new Set(statuses), new Set([200]));
-    t.is(serving.received.length, 40);
-    t.true(full.received.length > 0);
+    t.is(servedBy.size, 40);
+    for (const [id, runner] of servedBy) t.not(refusedBy.get(id), runner);
   });
 }
 
