Add a buffer that holds pieces of any size in one block

A list of pieces costs an object for each of them, and each is a view that keeps the whole block of its read.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export type { Random } from './types/random.ts';
 export type { ResponseFraming } from './types/response-framing.ts';
 export { abortLargeDownload } from './utils/abort-large-download.ts';
+export { ByteBuffer } from './utils/byte-buffer.ts';
 export { canonicalJson } from './utils/canonical-json.ts';
 export { closeIdleSockets } from './utils/close-idle-sockets.ts';
 export { digest } from './utils/digest.ts';
