Let one reader of a failure domain wait for new configurations

Both readers of a failure domain held an open poll for the same records all the time. Now a reader waits for the feed of the one that reads, and reads itself when no feed has come a quarter of a second after the time of a poll; the others, half a second after it, as before. A change that the reading one has seen is told to the others at once, as before.

--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -138,7 +138,6 @@
     const { clock, random, waitMs, pauseMs, isReader } = this.#options;
     const now = clock.monotonic();
     const isReading = isReader() && now - this.#lastFailureAt > READ_FAILURE_FALLBACK_MS;
-    if (isReading && waitMs > 0) return 0;
     const slackMs = isReading ? random.next() * READER_STAGGER_MS : FEED_SLACK_MS;
     return this.#lastFeedAt + waitMs + pauseMs + slackMs - now;
   }
--- a/test/gateway/keyed-follower.test.ts
+++ b/test/gateway/keyed-follower.test.ts
@@ -4,6 +4,8 @@
 import { LogUnavailable, MemoryKeyedLog } from '@ragwortrudder/log';
 import type { KeyedLog, KeyedRecord } from '@ragwortrudder/log';
 import { KeyedFollower } from '../../packages/gateway/src/node/keyed-follower.ts';
+import type { TopicFeed } from '../../packages/gateway/src/types/topic-feed.ts';
+import { encodeChange } from '../../packages/gateway/src/utils/encode-change.ts';
 
 interface TestEnvironment {
   readonly follower: KeyedFollower;
@@ -13,9 +15,24 @@
   readonly recoveries: () => number;
 }
 
+interface FollowerOptions {
+  /** @default 0 */
+  readonly waitMs?: number;
+  /** @default PAUSE_MS */
+  readonly pauseMs?: number;
+  /** Receives each range that was read. */
+  readonly publishFeed?: (feed: TopicFeed) => void;
+}
+
 const PAUSE_MS = 20;
+const LONG_POLL_MS = 300;
 
-function startFollower(t: ExecutionContext, log: KeyedLog, isReader: boolean): TestEnvironment {
+function startFollower(
+  t: ExecutionContext,
+  log: KeyedLog,
+  isReader: boolean,
+  { waitMs = 0, pauseMs = PAUSE_MS, publishFeed }: FollowerOptions = {},
+): TestEnvironment {
   const records: KeyedRecord[] = [];
   let reads = 0;
   let outages = 0;
@@ -36,12 +53,14 @@
     topic: 'topic',
     clock: new SystemClock(),
     random: new SeededRandom(1),
-    waitMs: 0,
-    pauseMs: PAUSE_MS,
+    waitMs,
+    pauseMs,
     isReader: () => isReader,
     onSnapshot: (snapshot) => records.push(...snapshot),
     onRecords: (more) => records.push(...more),
-    onRange: () => undefined,
+    onRange: (range, read) => {
+      publishFeed?.({ topic: 'topic', ...range, changes: read.map(encodeChange), isWhole: false });
+    },
     onUnavailable: () => {
       outages += 1;
     },
@@ -95,6 +114,27 @@
   t.pass();
 });
 
+// Guards against open polls of all readers of a failure domain for the same records.
+test('pattern: many nodes; of two readers that wait for new records one waits at the log', async (t) => {
+  const log = await logWith('a');
+  const readers: TestEnvironment[] = [];
+  const startReader = (other: number): TestEnvironment =>
+    startFollower(t, log, true, {
+      waitMs: LONG_POLL_MS,
+      pauseMs: 0,
+      publishFeed: (feed) => readers[other]?.follower.applyFeed(feed, [], feed.isWhole),
+    });
+  readers.push(startReader(1), startReader(0));
+  const countReads = (): number => readers.reduce((sum, { reads }) => sum + reads(), 0);
+  await waitUntil(() => readers.every(({ records }) => records.length === 1));
+  const before = countReads();
+  await new Promise((resolve) => setTimeout(resolve, 10 * LONG_POLL_MS));
+  const reads = countReads() - before;
+  t.true(reads <= 14, `${reads} reads in ten waits`);
+  await log.append({ topic: 'topic', key: 'b', value: Buffer.from('b') });
+  await waitUntil(() => readers.every(({ records }) => records.length === 2));
+});
+
 test('pattern: the log rejects the reads of one node; the node follows the feed of a peer', async (t) => {
   const log = await logWith('a');
   let isUnavailable = false;
