Send small configurations to the nodes of a failure domain

The feed now has the operator's records where they fit into one datagram; larger ones are read by each node, as before, and a node that misses a feed reads what it lacks.

--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -50,6 +50,8 @@
 
 /** Number of changes that fit into one datagram. */
 const MAX_FEED_CHANGES = 40;
+/** Size of the operator's records that fit into one datagram, in bytes before they are encoded. */
+const MAX_FEED_BYTES = 32 * 1024;
 /**
  * Long-poll time of configuration reads, in milliseconds; it bounds how long a dead connection goes
  * unnoticed.
@@ -77,7 +79,7 @@
         onRecords: (records) => {
           this.#applyOperatorRecords(records, false);
         },
-        selectChanges: (records) => (records.length === 0 ? [] : undefined),
+        selectChanges: (records) => (bytesOf(records) <= MAX_FEED_BYTES ? records : undefined),
         onUnavailable: () => undefined,
         onAvailable: () => undefined,
       }),
@@ -297,3 +299,7 @@
     decisions.notable('runner-removed', { runner: id, isUnreadable });
   }
 }
+
+function bytesOf(records: readonly KeyedRecord[]): number {
+  return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+}
