--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -9,6 +9,7 @@
 import type { KeyedLog, KeyedRecord } from '@ragwortrudder/log';
 import type { CatalogCodec } from '../types/catalog-codec.ts';
 import type { TopicFeed } from '../types/topic-feed.ts';
+import { encodeChange } from '../utils/encode-change.ts';
 import { reasonOf } from '../utils/reason-of.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { GatewayMetrics } from './gateway-metrics.ts';
@@ -49,6 +50,8 @@
 
 /** Number of changes that fit into one datagram. */
 const MAX_FEED_CHANGES = 40;
+/** Size of the operator's records that fit into one datagram, in bytes before they are encoded. */
+const MAX_FEED_BYTES = 32 * 1024;
 /**
  * Long-poll time of configuration reads, in milliseconds; it bounds how long a dead connection goes
  * unnoticed.
@@ -76,7 +79,7 @@
         onRecords: (records) => {
           this.#applyOperatorRecords(records, false);
         },
-        selectChanges: (records) => (records.length === 0 ? [] : undefined),
+        selectChanges: (records) => (bytesOf(records) <= MAX_FEED_BYTES ? records : undefined),
         onUnavailable: () => undefined,
         onAvailable: () => undefined,
       }),
@@ -297,6 +300,6 @@
   }
 }
 
-function encodeChange({ key, value, offset }: KeyedRecord): [string, string | null, number] {
-  return [key, value ? Buffer.from(value).toString('base64') : null, offset];
+function bytesOf(records: readonly KeyedRecord[]): number {
+  return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
 }
