Do not run a request that was told 408 when the rest of its body arrives

Cause: the server's time limit answers on the connection and does not look at the handler that waits for the body; the handler went on once the body was whole. A request whose headers are late was held back already, because no handler exists for it yet. A configuration that lowers the time for headers lowers that of the bodies that are arriving, too.

Why this works: the connection remembers which request it has answered before its end, and that one is not served. The line `response-cut` is left out for that request alone.

--- a/packages/gateway/src/node/caller-connection.ts
+++ b/packages/gateway/src/node/caller-connection.ts
@@ -17,6 +17,8 @@
   /** Bytes that had been received at the end of the newest request. */
   #receivedBytes = 0;
   #end: ConnectionEnd | undefined;
+  /** Request that was answered before it had arrived completely. */
+  #refused: IncomingMessage | undefined;
   #hasCallerLeft = false;
 
   constructor(socket: Socket) {
@@ -44,9 +46,9 @@
     return this.#socket.writable ? undefined : 'response-ended';
   }
 
-  /** A request that is still arriving has been answered. */
-  get isRefused(): boolean {
-    return this.#end?.response !== undefined;
+  /** The request was answered before it had arrived completely; its rest may still arrive. */
+  hasRefused(message: IncomingMessage): boolean {
+    return this.#refused === message;
   }
 
   /** Adds a request; settles when the responses to the earlier ones have ended. */
@@ -99,6 +101,7 @@
   #finish(): void {
     const incomplete = this.#newest && !this.#newest.complete ? 1 : 0;
     if (!this.#end || this.#requestCount > incomplete || !this.#socket.writable) return;
+    if (incomplete > 0 && this.#end.response !== undefined) this.#refused = this.#newest;
     this.#socket.end(this.#end.response ?? '');
     const timer = setTimeout(() => {
       this.#socket.destroy();
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -186,7 +186,8 @@
     });
     try {
       const request = await this.#read(message);
-      if (request) await onRequest(withDeadlineIn(request, waitedMs), channel);
+      if (request && !connection.hasRefused(message))
+        await onRequest(withDeadlineIn(request, waitedMs), channel);
     } catch (error) {
       this.#fail(error, received, channel);
     }
@@ -244,7 +245,7 @@
 
   /** Logs that a request that was received did not get a complete response. */
   #logCut({ message, response, connection }: ReceivedMessage): void {
-    if (!message.complete && connection.isRefused) return;
+    if (connection.hasRefused(message)) return;
     const { log, metrics } = this.#options;
     const cause = connection.endCause ?? 'response-aborted';
     const fields = {
