Let a peer take what the node that passes it on has admitted

Callers got 502 for requests that a node without links had admitted and passed on to a peer whose configuration had a lower limit for bodies or headers: an older one, or a newer one that the first node did not have yet.

Cause: nodes applied the limits for callers' requests to those of peers, too. A peer refused the request unread, without its id, and the first node could not tell that from a broken response. The route, the service, the team and the attempts travel with a request that is passed on; the limits did not.

Why this works: requests of peers have limits of their own, that of the parser for headers and at least 8 MiB for bodies; nodes admit by the callers' limits first. Idle connections between nodes no longer follow the callers' idle limit either; no failure was seen from that.

--- a/packages/gateway/src/node/peer-passing.ts
+++ b/packages/gateway/src/node/peer-passing.ts
@@ -33,8 +33,16 @@
   readonly onRequest: (request: ReceivedRequest, channel: CallerChannel) => Promise<void>;
 }
 
-/** Additional bytes of headers with which a request comes from a peer. */
-const PASSED_HEADER_BYTES = 16_384;
+/**
+ * Limits for requests of peers. A peer may have another configuration, according to which it has admitted
+ * a request; what is refused here would be lost.
+ */
+const PASSED_LIMITS: CallerLimits = {
+  headerBytes: 65_536,
+  bodyBytes: 8 * 1024 * 1024,
+  headerTimeoutMs: 5_000,
+  idleTimeoutMs: 15_000,
+};
 const HTTP_UNAVAILABLE = 503;
 
 /** Requests that nodes pass on to each other: those of this node, and those that it gets from its peers. */
@@ -61,6 +69,7 @@
       metrics,
       onRequest: (request, channel) => this.#serve(request, channel),
     });
+    this.#server.setLimits(PASSED_LIMITS);
   }
 
   /** Requests of peers whose responses have not been sent completely. */
@@ -72,10 +81,12 @@
     return this.#server.listen();
   }
 
-  /** Applies the limits of callers' requests; those of peers have additional headers. */
-  setLimits(limits: CallerLimits): void {
-    const headerBytes = limits.headerBytes + PASSED_HEADER_BYTES;
-    this.#server.setLimits({ ...limits, headerBytes });
+  /** Applies the limits of callers' requests where they are higher than those of peers. */
+  setLimits({ bodyBytes }: CallerLimits): void {
+    this.#server.setLimits({
+      ...PASSED_LIMITS,
+      bodyBytes: Math.max(bodyBytes, PASSED_LIMITS.bodyBytes),
+    });
   }
 
   /** Forgets the peers that are not heard any more. */
--- a/test/gateway/cut-fleet.ts
+++ b/test/gateway/cut-fleet.ts
@@ -13,16 +13,24 @@
   readonly route?: object;
 }
 
+interface NodeView {
+  /** Port of this node's own link to a runner, by the runner's port. */
+  readonly ports: ReadonlyMap<number, number>;
+  /** What this node finds in place of the parts of the configuration that it names. */
+  readonly configuration?: object;
+}
+
+const OPERATOR_TOPIC = 'op';
 const RUNNER_TOPIC = 'servers';
 
 /** A shared log in which one node finds the runners at the ports of its own links. */
 class LinkedLog implements KeyedLog {
   readonly #log: KeyedLog;
-  readonly #ports: ReadonlyMap<number, number>;
+  readonly #view: NodeView;
 
-  constructor(log: KeyedLog, ports: ReadonlyMap<number, number>) {
+  constructor(log: KeyedLog, view: NodeView) {
     this.#log = log;
-    this.#ports = ports;
+    this.#view = view;
   }
 
   get era(): number {
@@ -44,13 +52,22 @@
   }
 
   #linked<T extends { readonly value?: Uint8Array | undefined }>(topic: string, record: T): T {
-    if (topic !== RUNNER_TOPIC || !record.value) return record;
+    if (!record.value) return record;
     const text = Buffer.from(record.value).toString();
+    if (topic === OPERATOR_TOPIC) return { ...record, value: Buffer.from(this.#changed(text)) };
+    if (topic !== RUNNER_TOPIC) return record;
     const linked = text.replace(/127\.0\.0\.1:(\d+)/, (_address, port: string) => {
-      return `127.0.0.1:${this.#ports.get(Number(port)) ?? port}`;
+      return `127.0.0.1:${this.#view.ports.get(Number(port)) ?? port}`;
     });
     return { ...record, value: Buffer.from(linked) };
   }
+
+  #changed(text: string): string {
+    const { configuration } = this.#view;
+    return configuration
+      ? JSON.stringify({ ...(JSON.parse(text) as object), ...configuration })
+      : text;
+  }
 }
 
 /** Gateways that share a log and runners; each reaches each runner over a link of its own. */
@@ -76,8 +93,8 @@
     return fleet;
   }
 
-  /** Starts another gateway. */
-  async join(t: ExecutionContext): Promise<GatewayHarness> {
+  /** Starts another gateway; it finds `configuration` in place of the parts that this names. */
+  async join(t: ExecutionContext, configuration?: object): Promise<GatewayHarness> {
     const links = this.#options.runners.map(({ port }, index) => {
       return { name: `r${index}`, target: `127.0.0.1:${port}` };
     });
@@ -89,7 +106,7 @@
       this.#options.runners.map(({ port }, index) => [port, linkPorts[index] ?? 0]),
     );
     const gateway = await GatewayHarness.start(t, {
-      log: new LinkedLog(this.log, ports),
+      log: new LinkedLog(this.log, { ports, ...(configuration ? { configuration } : {}) }),
       node: `n${this.gateways.length + 1}`,
       peerPort: await freePort(),
     });
