Bound what a reply of the platform may take of a node

A store or API that sent bytes without end took a node's memory, and its event loop. The client buffered a body of any size: with 16 calls the process grew by 618 MB (a body with a length), 400 MB (in chunks) and 670 MB (without framing). Nothing was counted at all. With chunks of 1 byte and interim responses without end, memory was bounded, but the processor was not: timers were late by 728 ms and 3144 ms, and a sound call beside took 1326 ms and 5972 ms; calls ended up to 6350 ms after their start, where 2200 ms are their time-out.

callHttp of core replaces got here. A body is copied into one growing block with the limit of what was asked for: 2 MiB for a page of records, 4 MiB for a page of the newest ones, 64 KiB for all else. Bytes beside the body are counted on the wire, since sizes of chunks, interim responses and blank lines are no part of any body. Reads that use up 10 ms of a turn of the event loop hold all of these connections back; those that used as much by themselves are then read one in each turn, others at once.

test/platform-adapter/endless-store.test.ts, which runs the client in a process of its own: 5 of 11 kinds failed before.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,8 +1,14 @@
+export { CallFailure } from './errors/call-failure.ts';
 export { Failure } from './errors/failure.ts';
 export { InvalidInput } from './errors/invalid-input.ts';
+export { callHttp } from './node/call-http.ts';
+export { limitFraming } from './node/limit-framing.ts';
+export { readBody } from './node/read-body.ts';
 export type { Clock } from './types/clock.ts';
 export type { Closeable } from './types/closeable.ts';
 export type { FailureOptions } from './types/failure-options.ts';
+export type { HttpCall } from './types/http-call.ts';
+export type { HttpReply } from './types/http-reply.ts';
 export type { Incarnation } from './types/incarnation.ts';
 export type { Random } from './types/random.ts';
 export type { ResponseFraming } from './types/response-framing.ts';
