Pause between reads of a topic that neither wait nor bring anything

The follower relied on the store to wait: the pause after a read of the configuration is 0, as is the one after a read of expired history.

Reads without a new record that did not wait either are counted now.

--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -56,6 +56,13 @@
  * retries of nodes spread out.
  */
 const FAILURE_PAUSE_MS = 250;
+/** Shortest time of a read that has waited for a record, in milliseconds. */
+const MIN_LONG_POLL_MS = 20;
+/**
+ * Consecutive reads without a new record or a wait, such as a read of expired history and the snapshot
+ * after it, that follow each other without a pause.
+ */
+const MAX_IDLE_READS = 3;
 
 /** Follows a keyed topic: a snapshot first, then each new record. */
 export class KeyedFollower implements Closeable {
@@ -70,6 +77,8 @@
   #unavailableSince: number | undefined;
   #lastFeedAt = -Infinity;
   #lastFailureAt = -Infinity;
+  /** Consecutive reads that brought no new record and did not wait for one. */
+  #idleReads = 0;
   #wakeUp = new AbortController();
   #running: Promise<void> | undefined;
 
@@ -151,42 +160,49 @@
 
   /** Reads once and returns the pause before the next read, in milliseconds. */
   async #readOnce(): Promise<number> {
-    const { pauseMs, random } = this.#options;
+    const { pauseMs, random, clock } = this.#options;
+    const retryPauseMs = FAILURE_PAUSE_MS * (1 + random.next());
+    const startedAt = clock.monotonic();
     try {
-      await this.#read();
+      const hasNewRecords = await this.#read();
       this.#markAvailable();
-      return this.#position ? pauseMs : 0;
+      const hasWaited = clock.monotonic() - startedAt >= MIN_LONG_POLL_MS;
+      this.#idleReads = hasNewRecords || hasWaited ? 0 : this.#idleReads + 1;
     } catch (error) {
-      if (error instanceof LogExpired) {
-        this.#position = undefined;
-        return 0;
+      if (!(error instanceof LogExpired)) {
+        this.#markUnavailable(error);
+        return retryPauseMs;
       }
-      this.#markUnavailable(error);
-      return FAILURE_PAUSE_MS * (1 + random.next());
+      this.#position = undefined;
+      this.#idleReads += 1;
     }
+    const nextPauseMs = this.#position ? pauseMs : 0;
+    return this.#idleReads > MAX_IDLE_READS ? Math.max(nextPauseMs, retryPauseMs) : nextPauseMs;
   }
 
-  async #read(): Promise<void> {
+  /** Reads a page, or a snapshot; returns true for a page with new records. */
+  async #read(): Promise<boolean> {
     const { log, topic, waitMs, onRecords } = this.#options;
     const position = this.#position;
     if (!position || Math.max(log.era, this.#peerEra) > position.era) {
       await this.#readSnapshot();
-      return;
+      return false;
     }
     const from = position.offset;
     const page = await log.read({ topic, from, waitMs });
     this.#markAvailable();
     if (page.era !== position.era) {
       this.#position = undefined;
-      return;
+      return false;
     }
     // Feeds may have been applied in the meantime.
     const appliedUpTo = this.#position?.offset ?? from;
-    if (this.#closing.signal.aborted || page.next < appliedUpTo) return;
+    if (this.#closing.signal.aborted || page.next < appliedUpTo) return false;
     this.#options.onRange({ from, next: page.next, era: page.era }, page.records);
     const newRecords = page.records.filter(({ offset }) => offset >= appliedUpTo);
     if (newRecords.length > 0) onRecords(newRecords);
     this.#position = { offset: page.next, era: page.era };
+    return newRecords.length > 0;
   }
 
   async #readSnapshot(): Promise<void> {
