--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -63,6 +63,8 @@
  * after it, that follow each other without a pause.
  */
 const MAX_IDLE_READS = 3;
+/** Time left to other work after records were applied, in multiples of the time that this took. */
+const APPLY_REST = 3;
 
 /** Follows a keyed topic: a snapshot first, then each new record. */
 export class KeyedFollower implements Closeable {
@@ -79,6 +81,8 @@
   #lastFailureAt = -Infinity;
   /** Consecutive reads that brought no new record and did not wait for one. */
   #idleReads = 0;
+  /** Time that applying the records of the last read took, in milliseconds. */
+  #applyMs = 0;
   #wakeUp = new AbortController();
   #running: Promise<void> | undefined;
 
@@ -163,6 +167,7 @@
     const { pauseMs, random, clock } = this.#options;
     const retryPauseMs = FAILURE_PAUSE_MS * (1 + random.next());
     const startedAt = clock.monotonic();
+    this.#applyMs = 0;
     try {
       const hasNewRecords = await this.#read();
       this.#markAvailable();
@@ -176,13 +181,14 @@
       this.#position = undefined;
       this.#idleReads += 1;
     }
-    const nextPauseMs = this.#position ? pauseMs : 0;
+    const restMs = APPLY_REST * this.#applyMs;
+    const nextPauseMs = Math.max(this.#position ? pauseMs : 0, restMs);
     return this.#idleReads > MAX_IDLE_READS ? Math.max(nextPauseMs, retryPauseMs) : nextPauseMs;
   }
 
   /** Reads a page, or a snapshot; returns true for a page with new records. */
   async #read(): Promise<boolean> {
-    const { log, topic, waitMs, onRecords } = this.#options;
+    const { log, topic, clock, waitMs, onRecords } = this.#options;
     const position = this.#position;
     if (!position || Math.max(log.era, this.#peerEra) > position.era) {
       await this.#readSnapshot();
@@ -198,10 +204,12 @@
     // Feeds may have been applied in the meantime.
     const appliedUpTo = this.#position?.offset ?? from;
     if (this.#closing.signal.aborted || page.next < appliedUpTo) return false;
+    const applyingSince = clock.monotonic();
     this.#options.onRange({ from, next: page.next, era: page.era }, page.records);
     const newRecords = page.records.filter(({ offset }) => offset >= appliedUpTo);
     if (newRecords.length > 0) onRecords(newRecords);
     this.#position = { offset: page.next, era: page.era };
+    this.#applyMs = clock.monotonic() - applyingSince;
     return newRecords.length > 0;
   }
 
--- a/test/platform-adapter/odd-pages.test.ts
+++ b/test/platform-adapter/odd-pages.test.ts
@@ -4,6 +4,7 @@
 import type { ExecutionContext } from 'ava';
 import { LogExpired, LogUnavailable } from '@ragwortrudder/log';
 import { PlatformHttpClient, PlatformLog } from '@ragwortrudder/platform-adapter';
+import { keyedRecord } from '../../packages/standins/src/utils/keyed-record.ts';
 
 const OFFSET_BYTES = 8;
 const LENGTH_BYTES = 4;
@@ -64,3 +65,25 @@
   const expired = await startLog(t, Buffer.from('{"first":1e400}'), 410);
   await t.throwsAsync(expired.read(RANGE), { instanceOf: LogUnavailable });
 });
+
+// Guards against: a page of the smallest records took many times its size of memory.
+test('the records of a page beyond a limit are left to the next read', async (t) => {
+  const records = Array.from({ length: 10_000 }, () => keyedRecord('a', Buffer.from('1')));
+  const log = await startLog(t, page(100_000n, Buffer.concat(records)));
+  const first = await log.read(RANGE);
+  t.is(first.records.length, 4_096);
+  t.is(first.next, RANGE.from + first.records.length);
+  t.is(first.records.at(-1)?.offset, first.next - 1);
+});
+
+// Guards against: a record that was kept held the page that it came with.
+test('the value of a record holds no other bytes of its page', async (t) => {
+  const value = Buffer.alloc(100_000, 0x78);
+  const log = await startLog(
+    t,
+    page(7n, Buffer.concat([keyedRecord('a', value), keyedRecord('b', value)])),
+  );
+  const { records } = await log.read(RANGE);
+  t.is(records.length, 2);
+  t.true(records.every((record) => record.value?.buffer.byteLength === value.length));
+});
