--- a/test/platform-adapter/node-beside-store.test.ts
+++ b/test/platform-adapter/node-beside-store.test.ts
@@ -140,7 +140,7 @@
 }
 
 // Guards against: a topic without end, or one whose reads never wait, took the node's memory or its processor.
-for (const kind of ['empty', 'expired', 'full'] as const) {
+for (const kind of ['empty', 'expired', 'full', 'newest'] as const) {
   test.serial(
     `a node serves its callers beside a store whose pages do not end: ${kind}`,
     async (t) => {
@@ -157,7 +157,7 @@
       );
       const seconds = (CALLS * CALL_INTERVAL_MS) / MS_PER_S;
       // Pages with new records are read as fast as they are applied.
-      if (kind === 'full') return;
+      if (kind === 'full' || kind === 'newest') return;
       t.true(odd.calls < MAX_READS_PER_S * seconds, `${odd.calls} calls`);
     },
   );
--- a/test/platform-adapter/odd-pages.test.ts
+++ b/test/platform-adapter/odd-pages.test.ts
@@ -87,3 +87,13 @@
   t.is(records.length, 2);
   t.true(records.every((record) => record.value?.buffer.byteLength === value.length));
 });
+
+// Guards against: pages of the newest records that never end were collected until the memory was used up.
+for (const [kind, bytes] of Object.entries({ large: 1_000_000, small: 1 })) {
+  test(`newest records without end, each on a ${kind} page, are a failure of the store`, async (t) => {
+    const value = Buffer.alloc(bytes).toString('base64');
+    const endless = { items: [{ key: 'a', value, offset: 0 }], more_pages: true, end: 1 };
+    const log = await startLog(t, Buffer.from(JSON.stringify(endless)));
+    await t.throwsAsync(log.newest('things'), { instanceOf: LogUnavailable, message: /too many/ });
+  });
+}
