Let a manual clock tell how silent the runners are in the test of a silent pair

"a request is not tried at runners that are silent themselves" failed once beside three other files (load 27 to 31); the assertion was not kept. Its premise, that both runners fall silent at the same time and respond before a time-out of 2 s, was left to the scheduler.

Nothing else in the way of these requests depends on time, and no fault of the gateway was found. The test now uses a manual clock: both requests are at their runners, then the clock goes to both ends of the interval in which a silence is not yet that of a faulty runner (0.7 s and 1.74 s), and the node has to have probed the links, which it does in the turn in which it checks the requests. It is as strict: without the check for suspect runners in #takeAlternative there are 4 attempts and it fails.

--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -4,6 +4,7 @@
 import { Writable } from 'node:stream';
 import type { ExecutionContext } from 'ava';
 import { SeededRandom, SystemClock } from '@ragwortrudder/core';
+import type { Clock } from '@ragwortrudder/core';
 import { Gateway } from '@ragwortrudder/gateway';
 import type { Dialect } from '@ragwortrudder/gateway';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
@@ -27,6 +28,8 @@
   readonly log?: KeyedLog;
   /** @default the one of the platform */
   readonly dialect?: Dialect;
+  /** @default the clock of the system */
+  readonly clock?: Clock;
 }
 
 interface Call {
@@ -96,7 +99,7 @@
       codec: new PlatformCatalogCodec(),
       dialect: options.dialect ?? new PlatformDialect(),
       cloud: undefined,
-      clock: new SystemClock(),
+      clock: options.clock ?? new SystemClock(),
       random: new SeededRandom(7),
       out,
     });
--- a/test/gateway/silent-runner.test.ts
+++ b/test/gateway/silent-runner.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
+import { ManualClock } from '@ragwortrudder/core';
 import { CutFleet } from './cut-fleet.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { limitConcurrency } from './limit-concurrency.ts';
@@ -291,17 +292,40 @@
   t.true(late.closed.includes('kept'));
 });
 
+/** Shortest and longest silence in which a request is tried only at runners that are not silent. */
+const SILENCES_MS = [700, 1_740] as const;
+/** Longer than the test may take: no deadline ends a request whose runner is silent. */
+const LONG_TIMEOUT_MS = 60_000;
+
 // Guards against a retry budget that is spent on runners that are as silent as the first one.
 test('a request is not tried at runners that are silent themselves', async (t) => {
+  const respond: (() => void)[] = [];
   const runners = await Promise.all(
     [0, 1].map(() =>
       new ScriptedRunner((socket, request) => {
-        setTimeout(() => socket.write(responseTo(request, 'late')), SILENCE_MS);
+        respond.push(() => socket.write(responseTo(request, 'late')));
       }).listen(),
     ),
   );
-  const harness = await GatewayHarness.start(t, { runners });
-  const replies = await Promise.all([harness.call(), harness.call()]);
-  for (const { status } of replies) t.is(status, OK);
+  const clock = new ManualClock(Date.now());
+  const harness = await GatewayHarness.start(t, {
+    runners,
+    route: { timeout_ms: LONG_TIMEOUT_MS },
+    clock,
+  });
+  const headers = { 'Deadline-Ms': String(LONG_TIMEOUT_MS) };
+  const replies = Promise.all([harness.call({ headers }), harness.call({ headers })]);
+  await harness.waitUntil(() => runners.every(({ received }) => received.length === 1));
+  const sentAt = clock.monotonic();
+  for (const silenceMs of SILENCES_MS) {
+    const counts = runners.map(({ closed }) => closed.length);
+    clock.advance(sentAt + silenceMs - clock.monotonic());
+    // The node probes the links of silent runners when it checks the requests for their silence.
+    await harness.waitUntil(() =>
+      runners.every(({ closed }, index) => closed.length > (counts[index] ?? 0)),
+    );
+  }
+  for (const answer of respond) answer();
+  for (const { status } of await replies) t.is(status, OK);
   t.is(runners.flatMap(({ received }) => received).length, 2);
 });
