Draw bytes without end, slow bodies and series of changes in the soak

Two checks are new. 'sound-beside' asks that a request which reached no faulty runner is served within its deadline.

--- a/packages/soak/src/cli/soak.ts
+++ b/packages/soak/src/cli/soak.ts
@@ -9,11 +9,14 @@
 const SHOWN_VIOLATIONS = 5;
 const FOLDER = '.soak';
 
-function print({ seed, faults, requests, statuses, violations }: SoakResult): void {
+function print(result: SoakResult): void {
+  const { seed, faults, requests, statuses, violations, memoryGrowthMb, maxLagMs } = result;
   const counts = Object.entries(statuses).map(([status, count]) => `${status}: ${count}`);
   process.stdout.write(
     `seed ${seed}: ${faults.length} faults, ${requests} requests (${counts.join(', ')}), ${violations.length} violations\n`,
   );
+  const growth = Object.entries(memoryGrowthMb).map(([node, megabytes]) => `${node} ${megabytes}`);
+  process.stdout.write(`  MB more: ${growth.join(', ')}; own lag ${Math.round(maxLagMs)} ms\n`);
   for (const { promise, message } of violations.slice(0, SHOWN_VIOLATIONS)) {
     process.stdout.write(`  ${promise}: ${message}\n`);
   }
@@ -33,6 +36,11 @@
     type: 'string',
     describe: 'checkout of the version whose nodes are upgraded one after another',
   })
+  .option('endless', {
+    type: 'boolean',
+    default: false,
+    describe: 'draw bytes without end, slow bodies and series of changes, too',
+  })
   .option('plan', { type: 'boolean', default: false, describe: 'print the faults of each run' })
   .strict()
   .parseAsync();
@@ -56,6 +64,7 @@
     nodes: args.nodes,
     callers: args.callers,
     production: args.production,
+    endless: args.endless,
     folder,
   }).run();
   runs += 1;
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,3 +1,4 @@
+export { EndlessWriter } from './node/endless-writer.ts';
 export { Soak } from './node/soak.ts';
 export { SoakCaller } from './node/soak-caller.ts';
 export { SoakCloud } from './node/soak-cloud.ts';
@@ -15,7 +16,11 @@
 export type { SoakOptions } from './types/soak-options.ts';
 export type { SoakResult } from './types/soak-result.ts';
 export type { Violation } from './types/violation.ts';
+export { ENDLESS_REQUESTS } from './utils/endless-requests.ts';
+export { ENDLESS_RESPONSES } from './utils/endless-responses.ts';
 export { findLosses } from './utils/find-losses.ts';
+export { findStarved } from './utils/find-starved.ts';
+export { MemoryPeaks } from './utils/memory-peaks.ts';
 export { RequestTracker } from './utils/request-tracker.ts';
 export { planFaults } from './utils/plan-faults.ts';
 export { rollingStops } from './utils/rolling-stops.ts';
--- a/packages/soak/src/node/fault-injector.ts
+++ b/packages/soak/src/node/fault-injector.ts
@@ -6,6 +6,7 @@
 import type { RunnerMode } from '../types/runner-mode.ts';
 import type { RequestTracker } from '../utils/request-tracker.ts';
 import { rollingStops } from '../utils/rolling-stops.ts';
+import type { EndlessFaults } from './endless-faults.ts';
 import type { StoreWriter } from './store-writer.ts';
 import type { SoakCloud } from './soak-cloud.ts';
 import type { SoakNode } from './soak-node.ts';
@@ -19,6 +20,7 @@
   readonly nodeLinks: Relay;
   readonly storeWriter: StoreWriter;
   readonly tracker: RequestTracker;
+  readonly endless: EndlessFaults;
   /** Starts a caller whose prompts, or whose repeated request, crash runners. */
   readonly startCrashingCaller: (cause: CrashCause) => Closeable;
 }
@@ -54,9 +56,11 @@
   /** Injects one fault; resolves once it has ended. */
   async inject(fault: PlannedFault): Promise<void> {
     const isOfOneNode = NODE_FAULT.test(fault.kind);
-    const recordEnd = this.#options.tracker.recordFault(
+    const { tracker, storeWriter } = this.#options;
+    const recordEnd = tracker.recordFault(
       fault.kind,
       isOfOneNode ? this.#node(fault.target)?.id : undefined,
+      fault.kind === 'runner-endless' ? storeWriter.runnerAt(fault.target)?.id : undefined,
     );
     await this.#apply(fault);
     recordEnd();
@@ -118,6 +122,14 @@
       case 'configure-keys':
       case 'configure-caps':
         return storeWriter.change(kind, target, forMs);
+      case 'configure-series':
+        return storeWriter.changeInSeries(target, forMs);
+      case 'runner-endless':
+      case 'runners-endless':
+      case 'store-endless':
+      case 'caller-endless':
+      case 'caller-slow-body':
+        return this.#options.endless.inject(fault);
       case 'odd-entry':
         return storeWriter.leaveOddEntry(target, forMs);
       case 'runner-silent':
--- a/packages/soak/src/node/soak-caller.ts
+++ b/packages/soak/src/node/soak-caller.ts
@@ -1,10 +1,12 @@
 import { Agent, request as sendRequest } from 'node:http';
+import type { ClientRequest } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Closeable, Random } from '@ragwortrudder/core';
 import type { CrashCause } from '../types/crash-cause.ts';
 import type { RequestKind } from '../types/request-kind.ts';
 import type { SentRequest } from '../types/sent-request.ts';
 import type { RequestTracker } from '../utils/request-tracker.ts';
+import { DEADLINE_MS } from '../utils/deadline-ms.ts';
 
 /** A node and the address at which callers reach it. */
 interface CallerTarget {
@@ -19,10 +21,15 @@
   readonly apiKey: string;
   readonly tracker: RequestTracker;
   readonly random: Random;
+  /**
+   * Sends only requests with a body, which arrives in pieces.
+   * @default false
+   */
+  readonly isSlow?: boolean;
 }
 
 const KINDS: readonly RequestKind[] = ['order', 'read', 'draft', 'ask'];
-const DEADLINE_MS = 4_000;
+const KINDS_WITH_BODY: readonly RequestKind[] = ['order', 'draft', 'ask'];
 /** Time that a caller waits beyond the deadline before it gives up, in milliseconds. */
 const GIVE_UP_MARGIN_MS = 1_500;
 const MAX_PAUSE_MS = 120;
@@ -30,6 +37,10 @@
 const SHARED_PARTS = 9;
 const MIN_EVENTS = 5;
 const EXTRA_EVENTS = 30;
+/** Pieces of a body that arrives slowly, and the pauses between them in milliseconds. */
+const SLOW_PIECES = 5;
+const MIN_PIECE_GAP_MS = 100;
+const MAX_PIECE_GAP_MS = 300;
 
 /** Caller that sends requests one at a time over keep-alive connections. */
 export class SoakCaller implements Closeable {
@@ -55,10 +66,11 @@
   }
 
   async #sendRequests(): Promise<void> {
-    const { random, nodes, crashingPart, crashingPath } = this.#options;
+    const { random, nodes, crashingPart, crashingPath, isSlow = false } = this.#options;
+    const kinds = isSlow ? KINDS_WITH_BODY : KINDS;
     while (!this.#isClosing) {
       const node = nodes[Math.floor(random.next() * nodes.length)];
-      const drawn = KINDS[Math.floor(random.next() * KINDS.length)];
+      const drawn = kinds[Math.floor(random.next() * kinds.length)];
       const kind = crashingPath ? 'read' : crashingPart ? 'ask' : drawn;
       if (node && kind) await this.#send(node, kind);
       await sleep(random.next() * MAX_PAUSE_MS);
@@ -91,7 +103,7 @@
   }
 
   #sendAndReceive(node: CallerTarget, { id, kind, body, events }: SentRequest): Promise<void> {
-    const { apiKey, tracker, crashingPath = 'x' } = this.#options;
+    const { apiKey, tracker, crashingPath = 'x', isSlow = false } = this.#options;
     return new Promise((resolve) => {
       let status: number | undefined;
       let signature: string | undefined;
@@ -141,7 +153,22 @@
           finish(response.complete);
         });
       });
-      client.end(body === '' ? undefined : body);
+      if (isSlow) void this.#sendSlowly(client, body, () => isFinished);
+      else client.end(body === '' ? undefined : body);
     });
   }
+
+  /** Sends a body in pieces, until its request has ended. */
+  async #sendSlowly(client: ClientRequest, body: string, isFinished: () => boolean): Promise<void> {
+    const { random } = this.#options;
+    const length = Math.ceil(body.length / SLOW_PIECES);
+    for (let start = 0; start < body.length; start += length) {
+      client.write(body.slice(start, start + length));
+      await sleep(MIN_PIECE_GAP_MS + random.next() * (MAX_PIECE_GAP_MS - MIN_PIECE_GAP_MS));
+      if (!isFinished()) continue;
+      client.destroy();
+      return;
+    }
+    client.end();
+  }
 }
--- a/packages/soak/src/node/soak-node.ts
+++ b/packages/soak/src/node/soak-node.ts
@@ -116,6 +116,11 @@
     });
   }
 
+  /** Id of the present process; undefined if it could not be started. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   /** Sends a signal to this node's process only. */
   signal(signal: NodeJS.Signals): void {
     const isSent = this.#child?.kill(signal) ?? false;
--- a/packages/soak/src/node/soak-runner.ts
+++ b/packages/soak/src/node/soak-runner.ts
@@ -67,6 +67,7 @@
   readonly #repeatedRefusals = new WeakMap<Socket, string>();
   readonly #busySockets = new WeakSet<Socket>();
   readonly #unframedStreams = new Set<ServerResponse>();
+  #intercept: ((request: IncomingMessage) => void) | undefined;
 
   constructor(options: SoakRunnerOptions) {
     this.#options = options;
@@ -85,6 +86,11 @@
     this.#mode = mode;
   }
 
+  /** Lets `answer` handle further requests in place of the runner; undefined ends it. */
+  intercept(answer: ((request: IncomingMessage) => void) | undefined): void {
+    this.#intercept = answer;
+  }
+
   setLimit(perSecond: number | undefined): void {
     this.#limit = perSecond;
   }
@@ -166,6 +172,10 @@
       after,
       at: performance.now(),
     });
+    if (this.#intercept) {
+      this.#intercept(request);
+      return;
+    }
     response.setHeader('Response-Signature', `${this.id}.${id}`);
     this.#running += 1;
     this.#busySockets.add(request.socket);
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -6,12 +6,15 @@
 import { freeAddresses, KeyedStore, Relay } from '@ragwortrudder/standins';
 import { InterruptedRun } from '../errors/interrupted-run.ts';
 import { StalledRun } from '../errors/stalled-run.ts';
+import type { CrashCause } from '../types/crash-cause.ts';
 import type { PlannedFault } from '../types/planned-fault.ts';
 import type { SoakOptions } from '../types/soak-options.ts';
 import type { SoakResult } from '../types/soak-result.ts';
 import { RequestTracker } from '../utils/request-tracker.ts';
 import { planFaults } from '../utils/plan-faults.ts';
+import { EndlessFaults } from './endless-faults.ts';
 import { FaultInjector } from './fault-injector.ts';
+import { MemorySampler } from './memory-sampler.ts';
 import { RunGuard } from './run-guard.ts';
 import { statusOf } from './status-of.ts';
 import { StoreWriter } from './store-writer.ts';
@@ -23,6 +26,7 @@
 const DOMAINS = ['a', 'b', 'c'] as const;
 /** Services of the runners. Routes move from the first one to the second. */
 const SERVICES = ['work', 'work', 'work', 'work', 'more', 'more', 'more'] as const;
+const BUSY_RUNNERS = SERVICES.filter((service) => service === SERVICES[0]).length;
 const TEAMS = [
   { name: 'team-1', apiKey: 'key-1' },
   { name: 'team-2', apiKey: 'key-2' },
@@ -75,7 +79,8 @@
   readonly guard: RunGuard;
   /** Closed in reverse order, however the run ends. */
   readonly parts: readonly Closeable[];
-  readonly add: (part: Closeable) => void;
+  readonly add: (part: Closeable) => unknown;
+  readonly sampler: MemorySampler;
 }
 
 /**
@@ -92,8 +97,11 @@
   }
 
   async run(): Promise<SoakResult> {
-    const { seed, lengthMs, nodes, production } = this.#options;
-    const planned = planFaults({ lengthMs, nodes, runners: SERVICES.length, random: this.#random });
+    const { seed, lengthMs, nodes, production, endless } = this.#options;
+    const planned = planFaults({
+      ...{ lengthMs, nodes, runners: SERVICES.length, busyRunners: BUSY_RUNNERS, endless },
+      random: this.#random,
+    });
     const upgrade = {
       kind: 'upgrade',
       atMs: lengthMs / UPGRADE_PART,
@@ -104,7 +112,11 @@
     const scope = this.#open();
     const { tracker, guard } = scope;
     const resultSoFar = (requests: number): SoakResult => {
-      return { seed, faults, requests, statuses: tracker.statuses, violations: tracker.violations };
+      return {
+        ...{ seed, faults, requests, statuses: tracker.statuses, violations: tracker.violations },
+        memoryGrowthMb: scope.sampler.peaks.growthMb,
+        maxLagMs: scope.sampler.maxLagMs,
+      };
     };
     let requests = 0;
     let interruptedBy: NodeJS.Signals | undefined;
@@ -116,6 +128,7 @@
     try {
       const environment = await guard.watch(this.#start(scope));
       await guard.watch(this.#untilReady(environment));
+      scope.sampler.start(environment.nodes.map(({ node }) => node));
       await guard.watch(this.#runTraffic(environment, faults, scope));
       requests = tracker.requests;
       await guard.watch(this.#probe(environment));
@@ -125,6 +138,9 @@
     }
     try {
       tracker.check();
+      for (const { promise, message } of scope.sampler.peaks.check()) {
+        tracker.recordViolation(promise, message);
+      }
     } catch (error) {
       fail(error);
     }
@@ -143,8 +159,10 @@
     const tracker = new RequestTracker(nodes, ({ id, node }) =>
       readLog(folder, node).includes(`"request":"${id}"`),
     );
-    const parts: Closeable[] = [];
-    return { tracker, guard: new RunGuard(), parts, add: (part) => parts.push(part) };
+    const sampler = new MemorySampler();
+    const parts: Closeable[] = [sampler];
+    const add = (part: Closeable): unknown => parts.push(part);
+    return { tracker, guard: new RunGuard(), parts, add, sampler };
   }
 
   async #untilReady({ nodes }: SoakEnvironment): Promise<void> {
@@ -258,10 +276,11 @@
       });
     });
     for (const runner of runners) await open(runner).listen();
+    const storeAddresses = await Promise.all(
+      Array.from({ length: count }, () => store.addAddress()),
+    );
     const relay = new Relay([
-      ...Array.from({ length: count }, (_item, index) => {
-        return { name: `store-${index}`, target: store.address };
-      }),
+      ...storeAddresses.map((target, index) => ({ name: `store-${index}`, target })),
       ...runners.map(({ address }, index) => ({ name: `runner-${index}`, target: address })),
     ]);
     await open(relay).listen();
@@ -327,6 +346,22 @@
       return { node, callers, readiness };
     });
     for (const { node } of nodes) open(node).start();
+    const startCaller = (
+      name: string,
+      changes: CrashCause & { readonly isSlow?: boolean },
+    ): SoakCaller => {
+      const caller = new SoakCaller({
+        name: `s${this.#options.seed}-${name}`,
+        nodes: nodes.map(({ node, callers: address }) => ({ id: node.id, address })),
+        team: TEAMS[0].name,
+        apiKey: TEAMS[0].apiKey,
+        tracker,
+        random: new SeededRandom(this.#options.seed),
+        ...changes,
+      });
+      caller.start();
+      return caller;
+    };
     return {
       tracker,
       nodes,
@@ -339,18 +374,13 @@
         nodeLinks,
         storeWriter,
         tracker,
+        endless: new EndlessFaults({
+          ...{ store, storeWriter, storeAddresses, apiKey: TEAMS[0].apiKey },
+          nodeAddresses: nodes.map(({ callers }) => callers),
+          startSlowCaller: (name) => startCaller(name, { isSlow: true }),
+        }),
         startCrashingCaller: (cause) => {
-          const caller = new SoakCaller({
-            name: `s${this.#options.seed}-${cause.crashingPart ?? cause.crashingPath ?? ''}`,
-            nodes: nodes.map(({ node, callers: address }) => ({ id: node.id, address })),
-            team: TEAMS[0].name,
-            apiKey: TEAMS[0].apiKey,
-            tracker,
-            random: new SeededRandom(this.#options.seed),
-            ...cause,
-          });
-          caller.start();
-          return caller;
+          return startCaller(cause.crashingPart ?? cause.crashingPath ?? '', cause);
         },
       }),
     };
--- a/packages/soak/src/node/store-writer.ts
+++ b/packages/soak/src/node/store-writer.ts
@@ -2,6 +2,7 @@
 import type { Random } from '@ragwortrudder/core';
 import type { KeyedStore } from '@ragwortrudder/standins';
 import type { ConfigurationChange } from '../types/configuration-change.ts';
+import { CONFIGURATION_CHANGES } from '../utils/configuration-changes.ts';
 import { ODD_ENTRIES } from '../utils/odd-entries.ts';
 import { SoakConfiguration } from '../utils/soak-configuration.ts';
 import type { SoakRunner } from './soak-runner.ts';
@@ -31,6 +32,9 @@
 const RUNNER_TOPIC = 'keyed.servers';
 /** Maximum time after which a writer repeats its record in a restored store, in milliseconds: a heartbeat. */
 const REPEAT_MS = 1_200;
+/** Changes of a series, which all begin within 50 ms, and the pause between two in milliseconds. */
+const SERIES_CHANGES = 4;
+const SERIES_GAP_MS = 15;
 
 /** Writes the records of operators and runners to the store. */
 export class StoreWriter {
@@ -93,6 +97,16 @@
     this.configure();
   }
 
+  /** Begins several changes of the configuration right after one another, and ends them likewise. */
+  async changeInSeries(first: number, forMs: number): Promise<void> {
+    const changes = Array.from({ length: SERIES_CHANGES }, async (_item, index) => {
+      const change = CONFIGURATION_CHANGES[(first + index) % CONFIGURATION_CHANGES.length];
+      await sleep(index * SERIES_GAP_MS);
+      if (change) await this.change(change, first, forMs);
+    });
+    await Promise.all(changes);
+  }
+
   /** Leaves an odd entry among those of the runners for a time. */
   async leaveOddEntry(target: number, forMs: number): Promise<void> {
     this.#oddEntries += 1;
--- a/packages/soak/src/types/fault-kind.ts
+++ b/packages/soak/src/types/fault-kind.ts
@@ -53,4 +53,10 @@
   | 'runner-repeats-refusal'
   | 'streams-restart'
   | 'streams-fail-resumed'
-  | 'streams-empty-resumed';
+  | 'streams-empty-resumed'
+  | 'runner-endless'
+  | 'runners-endless'
+  | 'caller-endless'
+  | 'store-endless'
+  | 'caller-slow-body'
+  | 'configure-series';
--- a/packages/soak/src/types/planned-fault.ts
+++ b/packages/soak/src/types/planned-fault.ts
@@ -9,4 +9,6 @@
   readonly forMs: number;
   /** Index of the affected node or runner, starting at 0. */
   readonly target: number;
+  /** Name of the bytes that are sent without end. */
+  readonly variant?: string;
 }
--- a/packages/soak/src/types/soak-options.ts
+++ b/packages/soak/src/types/soak-options.ts
@@ -5,6 +5,12 @@
   readonly lengthMs: number;
   readonly nodes: number;
   readonly callers: number;
+  /**
+   * Draws from the faults that send bytes without end, bodies that arrive slowly and series of
+   * changes, too.
+   * @default false
+   */
+  readonly endless?: boolean | undefined;
   /**
    * Checkout of the version that runs at first; its nodes are upgraded to this one in turn.
    * @default no upgrade
--- a/packages/soak/src/types/soak-result.ts
+++ b/packages/soak/src/types/soak-result.ts
@@ -8,6 +8,10 @@
   readonly requests: number;
   /** Number of responses by HTTP status; `none` counts connections that ended without one. */
   readonly statuses: Readonly<Record<string, number>>;
+  /** Peak of each node's memory over its memory before the traffic, in MB. */
+  readonly memoryGrowthMb: Readonly<Record<string, number>>;
+  /** Longest time for which the soak's own process did not run its timers, in milliseconds. */
+  readonly maxLagMs: number;
   readonly violations: readonly Violation[];
   /** Signal that ended the run early. */
   readonly interruptedBy?: NodeJS.Signals;
--- a/packages/soak/src/utils/find-losses.ts
+++ b/packages/soak/src/utils/find-losses.ts
@@ -21,10 +21,10 @@
 const GIVEN_UP: ReadonlySet<number | undefined> = new Set([500, 502, 504]);
 /**
  * Faults that take no request from a sound runner: planned work, an impaired store or API, silences,
- * and entries of runners that do not exist.
+ * entries of runners that do not exist, and requests of other callers.
  */
 const HARMLESS =
-  /^(configure|node-stop$|node-reload$|roll-stop$|upgrade$|runner-silent$|runner-drain$|store-(busy|silent|reset|lost|forgets)$|cloud-down$|odd-entry$)/;
+  /^(configure|node-stop$|node-reload$|roll-stop$|upgrade$|runner-silent$|runner-drain$|store-(busy|silent|reset|lost|forgets|endless)$|cloud-down$|odd-entry$|caller-)/;
 /** Faults after which processes start again. */
 const KILLING: ReadonlySet<FaultKind> = new Set(['node-kill', 'all-kill']);
 /** Time from a kill until the node serves again, in milliseconds. */
--- a/packages/soak/src/utils/plan-faults.ts
+++ b/packages/soak/src/utils/plan-faults.ts
@@ -1,13 +1,23 @@
 import type { Random } from '@ragwortrudder/core';
 import type { FaultKind } from '../types/fault-kind.ts';
 import type { PlannedFault } from '../types/planned-fault.ts';
+import { CONFIGURATION_CHANGES } from './configuration-changes.ts';
+import { ENDLESS_REQUESTS } from './endless-requests.ts';
+import { ENDLESS_RESPONSES } from './endless-responses.ts';
 import { ODD_ENTRIES } from './odd-entries.ts';
 
 interface PlanOptions {
   readonly lengthMs: number;
   readonly nodes: number;
   readonly runners: number;
+  /**
+   * Number of runners, from the first one on, that the routes lead to unless they are moved.
+   * @default runners
+   */
+  readonly busyRunners?: number;
   readonly random: Random;
+  /** Draws from the kinds of `ENDLESS_KINDS`, too. */
+  readonly endless?: boolean | undefined;
 }
 
 /** Faults that are injected while runners are silent. */
@@ -105,8 +115,47 @@
   'store-lost',
   'cloud-down',
 ];
+/** Kinds that are drawn on request only. */
+const ENDLESS_KINDS: readonly FaultKind[] = [
+  'runner-endless',
+  'runners-endless',
+  'caller-endless',
+  'store-endless',
+  'caller-slow-body',
+  'configure-series',
+];
+/** Kinds beside which each request that reaches no faulty runner is served. */
+const BESIDE_KINDS: readonly FaultKind[] = [
+  'runner-endless',
+  'runner-endless',
+  'caller-endless',
+  'caller-endless',
+  'store-endless',
+  'caller-slow-body',
+  'configure',
+  'configure-idle',
+  'node-reload',
+  'odd-entry',
+  'cloud-down',
+];
+/** Number of targets of the kinds that are neither of nodes nor of runners. */
+const TARGETS: Partial<Readonly<Record<FaultKind, number>>> = {
+  'odd-entry': ODD_ENTRIES.length,
+  'configure-series': CONFIGURATION_CHANGES.length,
+};
+/** Names of the bytes that a kind of fault sends. */
+const VARIANTS: Partial<Readonly<Record<FaultKind, readonly string[]>>> = {
+  'runner-endless': Object.keys(ENDLESS_RESPONSES),
+  'runners-endless': Object.keys(ENDLESS_RESPONSES),
+  'store-endless': Object.keys(ENDLESS_RESPONSES),
+  'caller-endless': Object.keys(ENDLESS_REQUESTS),
+};
 /** Share of the runs in which all runners stay sound. */
 const SOUND_SHARE = 1 / 3;
+/** Share of the runs with bytes without end that have no other faults which take requests. */
+const BESIDE_SHARE = 1 / 2;
+/** Times that each kind with bytes without end is as likely as another kind. */
+const ENDLESS_WEIGHT = 5;
 /** Time without faults before the first one, in milliseconds. */
 const INITIAL_DELAY_MS = 2_000;
 /**
@@ -128,6 +177,9 @@
 /** Time after the begin of a silence in which a series of faults begins, in milliseconds. */
 const SERIES_MS = 800;
 const MAX_COMPANIONS = 3;
+/** Time in which a silence, a loss of links and changes of the configuration begin, in milliseconds. */
+const CHANGE_SERIES_MS = 50;
+const LOST_LINKS: readonly FaultKind[] = ['links-cut', 'links-dark', 'links-refuse-new'];
 
 /**
  * Draws the faults of a soak at random. Faults may overlap or start at the same time; all end before
@@ -137,26 +189,41 @@
   lengthMs,
   nodes,
   runners,
+  busyRunners = runners,
   random,
+  endless = false,
 }: PlanOptions): readonly PlannedFault[] {
   const endMs = lengthMs - RECOVERY_TIME_MS;
-  const kinds = random.next() < SOUND_SHARE ? SOUND_KINDS : KINDS;
+  const kinds = endless
+    ? drawEndlessKinds(random)
+    : random.next() < SOUND_SHARE
+      ? SOUND_KINDS
+      : KINDS;
   const faults: PlannedFault[] = [];
+  const countTargets = (kind: FaultKind): number => {
+    if (kind === 'runner-endless') return busyRunners;
+    // One more target of a store means all nodes.
+    if (kind === 'store-endless') return nodes + 1;
+    return TARGETS[kind] ?? (kind.startsWith('runner') ? runners : nodes);
+  };
   const add = (kind: FaultKind, atMs: number): void => {
     const forMs = Math.min(endMs - atMs, drawBetween(random, MIN_FAULT_MS, MAX_FAULT_MS));
-    const targets = kind.startsWith('runner')
-      ? runners
-      : kind === 'odd-entry'
-        ? ODD_ENTRIES.length
-        : nodes;
-    faults.push({ kind, atMs, forMs, target: drawIndex(random, targets) });
+    const target = drawIndex(random, countTargets(kind));
+    const variants = VARIANTS[kind];
+    const variant = variants?.[drawIndex(random, variants.length)];
+    faults.push({ kind, atMs, forMs, target, ...(variant === undefined ? {} : { variant }) });
   };
   let atMs = INITIAL_DELAY_MS;
   while (atMs < endMs) {
     const kind = kinds[drawIndex(random, kinds.length)] ?? 'node-kill';
-    if (kind === 'runner-silent') {
+    if (kind === 'runner-silent' || kind === 'configure-series') {
       const silences = planSilences({ atMs, endMs, runners, random });
       faults.push(...silences);
+      if (kind === 'configure-series') {
+        const links = LOST_LINKS[drawIndex(random, LOST_LINKS.length)] ?? 'links-cut';
+        add(kind, atMs + random.next() * CHANGE_SERIES_MS);
+        add(links, atMs + random.next() * CHANGE_SERIES_MS);
+      }
       for (const silence of silences.filter(({ target }) => target === silences[0]?.target)) {
         const count = 1 + drawIndex(random, MAX_COMPANIONS);
         for (let index = 0; index < count; index += 1) {
@@ -181,6 +248,12 @@
   return faults;
 }
 
+/** Draws the kinds of a run with bytes without end: all kinds, or those beside which requests are served. */
+function drawEndlessKinds(random: Random): readonly FaultKind[] {
+  if (random.next() < BESIDE_SHARE) return BESIDE_KINDS;
+  return [...KINDS, ...Array.from({ length: ENDLESS_WEIGHT }, () => ENDLESS_KINDS).flat()];
+}
+
 interface SilenceOptions {
   readonly atMs: number;
   readonly endMs: number;
--- a/packages/soak/src/utils/request-tracker.ts
+++ b/packages/soak/src/utils/request-tracker.ts
@@ -5,6 +5,7 @@
 import type { SentRequest } from '../types/sent-request.ts';
 import type { Violation } from '../types/violation.ts';
 import { findLosses } from './find-losses.ts';
+import { findStarved } from './find-starved.ts';
 import { streamText } from './stream-text.ts';
 
 const OK = 200;
@@ -131,9 +132,9 @@
     this.#answers.set(answer.id, answer);
   }
 
-  /** Records that a fault begins, at one node or at all; returns what records its end. */
-  recordFault(kind: FaultKind, node?: string): () => void {
-    const fault = { kind, node, at: performance.now(), until: Infinity };
+  /** Records that a fault begins, at one node or runner or at all; returns what records its end. */
+  recordFault(kind: FaultKind, node?: string, runner?: string): () => void {
+    const fault = { kind, node, runner, at: performance.now(), until: Infinity };
     this.#faults.push(fault);
     return () => {
       fault.until = performance.now();
@@ -221,9 +222,11 @@
       request,
       answer: this.#answers.get(request.id),
       hasRun: this.#runs.has(request.id),
+      runners: (this.#runs.get(request.id) ?? []).map(({ runner }) => runner),
       isLogged: () => this.#isLogged(request),
     }));
     this.#violations.push(...findLosses(observed, this.#faults));
+    this.#violations.push(...findStarved(observed, this.#faults));
     this.#checkLimits();
     this.#checkLeaving();
     for (const cutOff of this.#cutOffs) this.#checkCutOff(cutOff);
--- a/packages/standins/src/node/keyed-store.ts
+++ b/packages/standins/src/node/keyed-store.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { createServer as createNetServer } from 'node:net';
+import type { AddressInfo, Server as NetServer } from 'node:net';
 import { resetConnection } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import type { StoreFault } from '../types/store-fault.ts';
@@ -37,7 +38,10 @@
   readonly #server: Server;
   readonly #topics = new Map<string, StoredTopic>();
   readonly #pageSize: number;
+  /** Further addresses at which the store is reached. */
+  readonly #fronts: NetServer[] = [];
   #fault: StoreFault = 'none';
+  #intercept: (request: IncomingMessage, era: number) => boolean = () => false;
   #era = 1;
 
   constructor({ pageSize = 500 }: { readonly pageSize?: number } = {}) {
@@ -56,6 +60,19 @@
     return this;
   }
 
+  /** Opens one more address of the store, so that the calls of one client can be told by their port. */
+  async addAddress(): Promise<string> {
+    const front = createNetServer((socket) => this.#server.emit('connection', socket));
+    this.#fronts.push(front);
+    await new Promise<void>((resolve) => front.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(front.address() as AddressInfo).port}`;
+  }
+
+  /** Lets `answer` handle further calls in place of the store; it returns whether it did. */
+  intercept(answer: (request: IncomingMessage, era: number) => boolean): void {
+    this.#intercept = answer;
+  }
+
   /** Sets the fault that applies to all further calls. */
   setFault(fault: StoreFault): void {
     this.#fault = fault;
@@ -89,6 +106,7 @@
   }
 
   close(): Promise<void> {
+    for (const front of this.#fronts) front.close();
     this.#server.closeAllConnections();
     return new Promise((resolve) => {
       this.#server.close(() => {
@@ -99,7 +117,7 @@
 
   async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await receiveBody(request);
-    if (!body) return;
+    if (!body || this.#intercept(request, this.#era)) return;
     const url = new URL(request.url ?? '/', 'http://store');
     response.setHeader('Store-Era', String(this.#era));
     if (this.#fault === 'reset') {
--- a/test/soak/plan-faults.test.ts
+++ b/test/soak/plan-faults.test.ts
@@ -1,9 +1,10 @@
 import test from 'ava';
 import { SeededRandom } from '@ragwortrudder/core';
-import { planFaults } from '@ragwortrudder/soak';
+import { ENDLESS_REQUESTS, ENDLESS_RESPONSES, planFaults } from '@ragwortrudder/soak';
 
-function plan(seed: number): ReturnType<typeof planFaults> {
-  return planFaults({ lengthMs: 60_000, nodes: 3, runners: 4, random: new SeededRandom(seed) });
+function plan(seed: number, endless = false): ReturnType<typeof planFaults> {
+  const random = new SeededRandom(seed);
+  return planFaults({ lengthMs: 60_000, nodes: 3, runners: 4, busyRunners: 3, random, endless });
 }
 
 test('the same seed draws the same faults', (t) => {
@@ -82,3 +83,48 @@
   const sound = plans.filter((faults) => !faults.some(({ kind }) => unsound.test(kind)));
   t.true(sound.length >= 5 && sound.length <= 15, String(sound.length));
 });
+
+function sorted(variants: Iterable<string | undefined> = []): readonly string[] {
+  return [...variants].map(String).toSorted();
+}
+
+test('bytes without end come on request only, in all variants of runners, callers and the store', (t) => {
+  const drawn = new Map<string, Set<string | undefined>>();
+  for (let seed = 1; seed <= 200; seed += 1) {
+    t.false(plan(seed).some(({ kind }) => /endless|slow-body|series/.test(kind)));
+    for (const { kind, variant, target } of plan(seed, true)) {
+      t.true(kind !== 'runner-endless' || target < 3);
+      const variants = drawn.get(kind) ?? new Set();
+      drawn.set(kind, variants.add(variant));
+      if (kind === 'store-endless') variants.add(String(target));
+    }
+  }
+  const responses = Object.keys(ENDLESS_RESPONSES);
+  for (const kind of ['runner-endless', 'runners-endless']) {
+    t.deepEqual(sorted(drawn.get(kind)), responses.toSorted(), kind);
+  }
+  const requests = Object.keys(ENDLESS_REQUESTS);
+  t.deepEqual(sorted(drawn.get('caller-endless')), requests.toSorted());
+  // Each node alone, and all of them.
+  const stores = [...responses, '0', '1', '2', '3'];
+  t.deepEqual(sorted(drawn.get('store-endless')), stores.toSorted());
+  t.true(drawn.has('caller-slow-body'));
+});
+
+test("a series of changes begins within 50 ms of a silence and of the loss of a node's links", (t) => {
+  const links = new Set<string>();
+  let count = 0;
+  for (let seed = 1; seed <= 200; seed += 1) {
+    const faults = plan(seed, true);
+    for (const series of faults.filter(({ kind }) => kind === 'configure-series')) {
+      const near = faults.filter(({ atMs }) => Math.abs(atMs - series.atMs) <= 50);
+      count += 1;
+      const lost = near.filter(({ kind }) => /^links-(cut|dark|refuse-new)$/.test(kind));
+      t.true(lost.length > 0);
+      for (const { kind } of lost) links.add(kind);
+      t.true(near.some(({ kind }) => kind === 'runner-silent') || series.atMs > 44_000);
+    }
+  }
+  t.true(count > 50);
+  t.is(links.size, 3);
+});
