--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,5 +1,6 @@
 export { EndlessFaults } from './node/endless-faults.ts';
 export { EndlessWriter } from './node/endless-writer.ts';
+export { MemorySampler } from './node/memory-sampler.ts';
 export { Soak } from './node/soak.ts';
 export { SoakCaller } from './node/soak-caller.ts';
 export { SoakCloud } from './node/soak-cloud.ts';
--- a/packages/soak/src/node/memory-sampler.ts
+++ b/packages/soak/src/node/memory-sampler.ts
@@ -3,6 +3,8 @@
 import { MemoryPeaks } from '../utils/memory-peaks.ts';
 import type { SoakNode } from './soak-node.ts';
 
+type SampledNode = Pick<SoakNode, 'id' | 'pid'>;
+
 const SAMPLE_MS = 100;
 const RESIDENT = /^VmRSS:\s+(\d+) kB$/m;
 
@@ -21,7 +23,7 @@
 /** Samples the memory of the nodes' processes, and how late the timers of the soak itself are. */
 export class MemorySampler implements Closeable {
   readonly peaks = new MemoryPeaks();
-  #nodes: readonly SoakNode[] = [];
+  #nodes: readonly SampledNode[] = [];
   #timer: NodeJS.Timeout | undefined;
   #sampledAt = 0;
   #maxLagMs = 0;
@@ -32,7 +34,7 @@
   }
 
   /** Takes the present memory of each node, which is ready, as the one without traffic. */
-  start(nodes: readonly SoakNode[]): void {
+  start(nodes: readonly SampledNode[]): void {
     this.#nodes = nodes;
     this.#sample((id, kilobytes) => {
       this.peaks.recordReady(id, kilobytes);
