--- a/packages/soak/src/node/memory-sampler.ts
+++ b/packages/soak/src/node/memory-sampler.ts
@@ -39,13 +39,14 @@
     this.#sample((id, kilobytes) => {
       this.peaks.recordReady(id, kilobytes);
     });
-    this.#sampledAt = performance.now();
+    const startedAt = performance.now();
+    this.#sampledAt = startedAt;
     this.#timer = setInterval(() => {
       const now = performance.now();
       this.#maxLagMs = Math.max(this.#maxLagMs, now - this.#sampledAt - SAMPLE_MS);
       this.#sampledAt = now;
       this.#sample((id, kilobytes) => {
-        this.peaks.record(id, kilobytes);
+        this.peaks.record(id, kilobytes, now - startedAt);
       });
     }, SAMPLE_MS);
   }
--- a/test/soak/memory-peaks.test.ts
+++ b/test/soak/memory-peaks.test.ts
@@ -14,7 +14,10 @@
     const peaks = new MemoryPeaks();
     peaks.recordReady('n1', 200 * MB);
     peaks.recordReady('n2', 200 * MB);
-    for (const megabytes of [210, peakMb, 220]) peaks.record('n1', megabytes * MB);
+    for (const [index, megabytes] of [210, peakMb, 220].entries()) {
+      peaks.record('n1', megabytes * MB, index * 1_000);
+    }
+    t.true(peaks.check().every(({ message }) => message.endsWith('1000 ms after the start')));
     t.deepEqual(
       peaks.check().map(({ promise }) => promise),
       [...promises],
