Refuse what peers pass on until they know that a stopping node leaves

Callers got 502 for requests of every kind that a node without links had passed on to a peer at the moment at which that peer closed; nothing had run.

Cause: a stopping node told its peers that it leaves and closed its connections to them in one step. What they had sent until they knew was lost unread, and the other node could not tell whether it had run.

It sends no report after the last one, which would let peers count it in again.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -451,12 +451,11 @@
     await this.#registration.deregister().catch(this.#decisions.onTaskFailure('leave'));
   }
 
-  /** Answers the requests that are left, and closes. */
+  /** Answers the requests that are left, and those that peers send until they know, and closes. */
   async #finish(): Promise<void> {
-    if (this.#forwarder.active.size > 0) {
-      this.#forwarder.stopRequests();
-      await sleep(LAST_RESPONSE_MS);
-    }
+    this.#forwarder.stopRequests();
+    await this.#peers.publishReport(true);
+    await sleep(LAST_RESPONSE_MS);
     await this.close();
   }
 
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -131,6 +131,8 @@
   readonly #peers = new Map<string, Peer>();
   readonly #digestSequences = new Map<string, number>();
   #hasResigned = false;
+  /** The peers were told that this node leaves; it sends nothing after that. */
+  #isLeaving = false;
   #timing = reportTiming(undefined);
   #localDigestAt = -Infinity;
   /** Until then reports go to the whole failure domain; monotonic, in milliseconds. */
@@ -269,6 +271,8 @@
    * that leaves sends it to the other failure domains, too, whose relays tell of a new one.
    */
   async publishReport(isLeaving = false): Promise<void> {
+    if (this.#isLeaving) return;
+    this.#isLeaving = isLeaving;
     const report = this.#options.createReport({ isLeaving, includesTotals: true });
     const receivers = this.#usesRelays && !isLeaving ? this.#localPeers() : [...this.#peers];
     await this.#socket.send(REPORT_METHOD, report, addressesOf(receivers));
@@ -303,6 +307,7 @@
   }
 
   async #publish(): Promise<void> {
+    if (this.#isLeaving) return;
     if (!this.#usesRelays) {
       await this.publishReport();
       return;
--- a/test/gateway/lost-shutdown.test.ts
+++ b/test/gateway/lost-shutdown.test.ts
@@ -1,5 +1,8 @@
+import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
+import { processHost } from '@ragwortrudder/standins';
+import { CutFleet } from './cut-fleet.ts';
 import { GatewayHarness } from './gateway-harness.ts';
 import { RawCaller, requestText } from './raw-caller.ts';
 import { responseTo } from './scripted-response.ts';
@@ -28,3 +31,24 @@
   await stopped;
   await harness.gateway.closed();
 });
+
+// Guards against a request that a peer passes on to a node as it closes, and that gets 502 (LOST).
+test('a stopping node answers its peers until they know that it leaves', async (t) => {
+  const runner = await new ScriptedRunner((socket, request) => {
+    socket.write(responseTo(request, 'ok'));
+  }).listen();
+  t.teardown(() => runner.close());
+  const fleet = await CutFleet.start(t, { runners: [runner], gateways: 2 });
+  const [node, peer] = fleet.gateways;
+  if (!node || !peer) throw new TypeError('no gateway was started');
+  await node.waitUntil(() => node.lines.some((line) => line.includes('"peer-heard"')));
+  const stopped = peer.gateway.stop();
+  await node.waitUntil(() => node.lines.some((line) => line.includes('"peer-left"')));
+  const caller = new RawCaller(peer.options.peerPort ?? 0, processHost());
+  caller.send(requestText({ id: 'a' }));
+  await Promise.race([caller.closed, once(caller.socket, 'data')]);
+  t.deepEqual(caller.responses, ['400']);
+  caller.socket.destroy();
+  await stopped;
+  await peer.gateway.closed();
+});
--- a/test/gateway/raw-caller.ts
+++ b/test/gateway/raw-caller.ts
@@ -37,8 +37,8 @@
   readonly closed: Promise<void>;
   #received = '';
 
-  constructor(port: number) {
-    this.socket = connect({ port, host: '127.0.0.1', noDelay: true, allowHalfOpen: true });
+  constructor(port: number, host = '127.0.0.1') {
+    this.socket = connect({ port, host, noDelay: true, allowHalfOpen: true });
     this.socket.once('end', () => {
       setTimeout(() => this.socket.end(), OPEN_MS);
     });
