--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -5,7 +5,7 @@
 import type { ExecutionContext } from 'ava';
 import { SeededRandom, SystemClock } from '@ragwortrudder/core';
 import { Gateway } from '@ragwortrudder/gateway';
-import type { Dialect } from '@ragwortrudder/gateway';
+import type { Dialect, GatewaySettings } from '@ragwortrudder/gateway';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
 import type { KeyedLog } from '@ragwortrudder/log';
 import { PlatformCatalogCodec, PlatformDialect } from '@ragwortrudder/platform-adapter';
@@ -60,6 +60,8 @@
   readonly ownLog = new MemoryKeyedLog();
   readonly log: KeyedLog;
   readonly lines: string[] = [];
+  /** Settings with which the gateway starts. */
+  readonly settings: GatewaySettings;
   readonly gateway: Gateway;
   #version = 1;
   #requestCount = 0;
@@ -72,26 +74,27 @@
         done();
       },
     });
-    this.gateway = new Gateway({
-      settings: {
-        node: { id: options.node ?? 'n1', host: processHost(), failureDomain: 'a' },
-        listen: {
-          callers: { host: '127.0.0.1', port: 0 },
-          readiness: { host: '127.0.0.1', port: 0 },
-          metrics: { host: '127.0.0.1', port: 0 },
-          peerPort: options.peerPort ?? 0,
-        },
-        graceMs: options.graceMs ?? 8_000,
-        retries: { ratio: 0.2, slack: 600, windowMs: 10_000 },
-        quotas: { overage: 0, slack: 0 },
-        duties: {
-          reportsUsage: false,
-          ordersRunners: false,
-          leaseMs: 3_000,
-          usageWindowMs: 5_000,
-          usageLateMs: 10_000,
-        },
+    this.settings = {
+      node: { id: options.node ?? 'n1', host: processHost(), failureDomain: 'a' },
+      listen: {
+        callers: { host: '127.0.0.1', port: 0 },
+        readiness: { host: '127.0.0.1', port: 0 },
+        metrics: { host: '127.0.0.1', port: 0 },
+        peerPort: options.peerPort ?? 0,
       },
+      graceMs: options.graceMs ?? 8_000,
+      retries: { ratio: 0.2, slack: 600, windowMs: 10_000 },
+      quotas: { overage: 0, slack: 0 },
+      duties: {
+        reportsUsage: false,
+        ordersRunners: false,
+        leaseMs: 3_000,
+        usageWindowMs: 5_000,
+        usageLateMs: 10_000,
+      },
+    };
+    this.gateway = new Gateway({
+      settings: this.settings,
       log: this.log,
       codec: new PlatformCatalogCodec(),
       dialect: options.dialect ?? new PlatformDialect(),
--- a/test/gateway/steady-runner.ts
+++ b/test/gateway/steady-runner.ts
@@ -5,8 +5,8 @@
 import type { ReceivedRequest } from './scripted-runner.ts';
 
 interface SteadyRunnerOptions {
-  /** Number of events of a response; 0 for a response with a length. */
-  readonly events: number;
+  /** Number of events of a response, or of that to a request; 0 for a response with a length. */
+  readonly events: number | ((request: ReceivedRequest) => number);
   /** @default 30 */
   readonly latencyMs?: number;
   /** @default 20 */
@@ -62,7 +62,11 @@
   }
 
   async #serve(socket: Socket, request: ReceivedRequest): Promise<void> {
-    const { events, latencyMs = LATENCY_MS, eventIntervalMs = EVENT_INTERVAL_MS } = this.#options;
+    const { latencyMs = LATENCY_MS, eventIntervalMs = EVENT_INTERVAL_MS } = this.#options;
+    const events =
+      typeof this.#options.events === 'number'
+        ? this.#options.events
+        : this.#options.events(request);
     await this.#work(latencyMs);
     if (events === 0) {
       socket.write(responseTo(request, `ran ${request.id}`));
