Answer requests that arrive while the node handles others across the idle limit

When the idle limit of a connection passes, the node waits for one turn of its event loop, so that a request which arrived in a stall is read first. If that turn itself takes long, because of what other connections sent, a request that arrives in it is not among those which the turn reads, and the connection was closed with it: the caller sees a reset, longer after sending than the 200 ms in which a request may cross a close.

A connection is now closed only after a turn of at most 100 ms, so no request has waited longer than that unread.

--- a/packages/gateway/src/node/caller-connection.ts
+++ b/packages/gateway/src/node/caller-connection.ts
@@ -4,6 +4,11 @@
 
 /** Time for which a connection is read after its last response, so that the caller can receive it. */
 const LINGER_MS = 1_000;
+/**
+ * Maximum time for which a request may have waited unread when its idle connection is closed, in
+ * milliseconds: half of the time in which a request may cross the close of its connection.
+ */
+const MAX_UNREAD_MS = 100;
 
 /**
  * Connection of a caller. Its requests are served one after the other, and it is closed only between
@@ -83,10 +88,14 @@
 
   /** Closes the connection if no request is in progress or has begun to arrive. */
   closeIfIdle(cause: string): void {
+    const startedAt = performance.now();
     // A request that arrived during a stall of the process is read first.
     setImmediate(() => {
       const isArriving = this.#socket.bytesRead !== this.#receivedBytes;
-      if (this.#requestCount === 0 && !isArriving) this.destroy(cause);
+      if (this.#requestCount > 0 || isArriving || this.#socket.destroyed) return;
+      // One that arrived while other connections were handled is read in the next turn.
+      if (performance.now() - startedAt > MAX_UNREAD_MS) this.closeIfIdle(cause);
+      else this.destroy(cause);
     });
   }
 
