Draw soak seeds with sound runners, slow bodies and series of changes

All seeds that drew a series of changes or bodies in pieces beside it had faults of runners, too, which excuse lost requests.

A node that has lost its links to runners may give a request up, but has to answer it: a request at such a node that ends without an answer now counts as lost. Before, the loss of links excused it.

--- a/packages/soak/src/utils/find-losses.ts
+++ b/packages/soak/src/utils/find-losses.ts
@@ -25,6 +25,8 @@
  */
 const HARMLESS =
   /^(configure|node-stop$|node-reload$|roll-stop$|upgrade$|runner-silent$|runner-drain$|store-(busy|silent|reset|lost|forgets|endless)$|cloud-down$|odd-entry$|caller-)/;
+/** Faults that take runners from a node, but no answer from its callers. */
+const LOST_LINKS = 'links-';
 /** Faults after which processes start again. */
 const KILLING: ReadonlySet<FaultKind> = new Set(['node-kill', 'all-kill']);
 /** Time from a kill until the node serves again, in milliseconds. */
@@ -51,11 +53,11 @@
     if (answer === undefined || request.crashes !== undefined) return [];
     const isOverlapping = ({ at, until, node }: FaultSpan, afterMs: number): boolean =>
       (node ?? request.node) === request.node && at < answer.at && request.at < until + afterMs;
-    const harmful = faults.find((fault) => {
+    const harmful = faults.filter((fault) => {
       if (HARMLESS.test(fault.kind)) return false;
       return isOverlapping(fault, CONTACT_MS + (KILLING.has(fault.kind) ? RESTART_MS : 0));
     });
-    if (harmful) return [];
+    if (harmful.some(({ kind }) => !kind.startsWith(LOST_LINKS))) return [];
     const beside = faults.filter((fault) => isOverlapping(fault, CHANGE_MS));
     const isBesideChange = beside.some(({ kind }) => kind.startsWith('configure'));
     const usedMs = answer.at - request.at;
@@ -69,7 +71,9 @@
         answer.error !== CONNECTION_REFUSED &&
         (!isStopping || isLogged()));
     const promise = promiseBroken(request, answer, wasRead);
-    if (promise === undefined) return [];
+    // A node that has lost its links answers all the same.
+    const mayBeGivenUp = harmful.length > 0 && promise !== 'lost-request';
+    if (promise === undefined || mayBeGivenUp) return [];
     const kinds = [...new Set(beside.map(({ kind }) => kind))].join(', ');
     const how = `${String(answer.status ?? answer.error)} after ${usedMs.toFixed(0)} ms`;
     const what = `${request.id} (${request.kind}) at ${request.node}: ${how}`;
--- a/packages/soak/src/utils/plan-faults.ts
+++ b/packages/soak/src/utils/plan-faults.ts
@@ -124,6 +124,13 @@
   'caller-slow-body',
   'configure-series',
 ];
+/** Those of them in which all runners stay sound, and how often each is drawn. */
+const SOUND_ENDLESS: readonly FaultKind[] = [
+  'caller-endless',
+  'caller-slow-body',
+  'configure-series',
+];
+const SOUND_ENDLESS_WEIGHT = 4;
 /** Kinds beside which each request that reaches no faulty runner is served. */
 const BESIDE_KINDS: readonly FaultKind[] = [
   'runner-endless',
@@ -143,6 +150,11 @@
   'odd-entry': ODD_ENTRIES.length,
   'configure-series': CONFIGURATION_CHANGES.length,
 };
+/** Kinds with bytes without end, slow bodies and series of changes in which all runners stay sound. */
+const SOUND_ENDLESS_KINDS: readonly FaultKind[] = [
+  ...SOUND_KINDS,
+  ...Array.from({ length: SOUND_ENDLESS_WEIGHT }, () => SOUND_ENDLESS).flat(),
+];
 /** Names of the bytes that a kind of fault sends. */
 const VARIANTS: Partial<Readonly<Record<FaultKind, readonly string[]>>> = {
   'runner-endless': Object.keys(ENDLESS_RESPONSES),
@@ -153,7 +165,7 @@
 /** Share of the runs in which all runners stay sound. */
 const SOUND_SHARE = 1 / 3;
 /** Share of the runs with bytes without end that have no other faults which take requests. */
-const BESIDE_SHARE = 1 / 2;
+const BESIDE_SHARE = 1 / 3;
 /** Times that each kind with bytes without end is as likely as another kind. */
 const ENDLESS_WEIGHT = 5;
 /** Time without faults before the first one, in milliseconds. */
@@ -248,9 +260,14 @@
   return faults;
 }
 
-/** Draws the kinds of a run with bytes without end: all kinds, or those beside which requests are served. */
+/**
+ * Draws the kinds of a run with bytes without end: those beside which requests are served, those in
+ * which all runners stay sound, or all.
+ */
 function drawEndlessKinds(random: Random): readonly FaultKind[] {
-  if (random.next() < BESIDE_SHARE) return BESIDE_KINDS;
+  const drawn = random.next();
+  if (drawn < BESIDE_SHARE) return BESIDE_KINDS;
+  if (drawn < BESIDE_SHARE + SOUND_SHARE) return SOUND_ENDLESS_KINDS;
   return [...KINDS, ...Array.from({ length: ENDLESS_WEIGHT }, () => ENDLESS_KINDS).flat()];
 }
 
--- a/test/soak/find-losses.test.ts
+++ b/test/soak/find-losses.test.ts
@@ -106,6 +106,19 @@
   t.deepEqual(promisesBroken({ answer, faults: [{ ...cut, node: 'n2' }] }), ['given-up-request']);
 });
 
+// Guards against requests without an answer that pass because their node had lost its links to runners.
+test('a node that has lost its links may give requests up, and leaves none without an answer', (t) => {
+  const lost = { status: undefined, isWhole: false };
+  for (const kind of ['links-cut', 'links-dark', 'links-refuse-new', 'links-most-cut'] as const) {
+    const faults = [{ kind, node: 'n1' }, { kind: 'configure-series' as const }];
+    t.deepEqual(promisesBroken({ answer: lost, faults }), ['lost-request'], kind);
+    t.deepEqual(promisesBroken({ answer: { status: 502 }, faults }), [], kind);
+    t.deepEqual(promisesBroken({ answer: { isWhole: false }, faults }), [], kind);
+    const killed = [...faults, { kind: 'node-kill' as const }];
+    t.deepEqual(promisesBroken({ answer: lost, faults: killed }), [], kind);
+  }
+});
+
 test('a request that has used up its time may end, beside a change after seven tenths of it', (t) => {
   const answer = { status: 504, at: SENT_AT + 2_500 };
   t.deepEqual(promisesBroken({ answer }), ['given-up-request']);
--- a/test/soak/plan-faults.test.ts
+++ b/test/soak/plan-faults.test.ts
@@ -111,6 +111,17 @@
   t.true(drawn.has('caller-slow-body'));
 });
 
+test('a third of the runs with bytes without end has sound runners, slow bodies and series', (t) => {
+  const unsound = /^(runner-(?!silent|drain)|runners-|prompt-|request-|streams-|all-kill)/;
+  const plans = Array.from({ length: 60 }, (_item, seed) => plan(seed + 1, true));
+  const sound = plans.filter((faults) => !faults.some(({ kind }) => unsound.test(kind)));
+  t.true(sound.length >= 10 && sound.length <= 30, String(sound.length));
+  const kinds = new Set(sound.flat().map(({ kind }) => kind));
+  for (const kind of ['caller-endless', 'caller-slow-body', 'configure-series'] as const) {
+    t.true(kinds.has(kind), kind);
+  }
+});
+
 test("a series of changes begins within 50 ms of a silence and of the loss of a node's links", (t) => {
   const links = new Set<string>();
   let count = 0;
