Count bodies that a stopping node drops half received as lost

A node that stops may close connections whose requests it has not read, and its log then has no line about them. A body that has been arriving for a second on a connection in use has been read in part, so its end without an answer is a loss, logged or not.

--- a/packages/soak/src/node/soak-caller.ts
+++ b/packages/soak/src/node/soak-caller.ts
@@ -84,7 +84,7 @@
   }
 
   #send(node: CallerTarget, kind: RequestKind): Promise<void> {
-    const { name, team, tracker, random, crashingPart, crashingPath } = this.#options;
+    const { name, team, tracker, random, crashingPart, crashingPath, isSlow } = this.#options;
     const crashes = crashingPath ?? crashingPart;
     this.#count += 1;
     const isStream = kind === 'draft' || kind === 'ask';
@@ -96,6 +96,7 @@
       body: kind === 'read' ? '' : `body of ${name}-${this.#count}`,
       events: isStream ? MIN_EVENTS + Math.floor(random.next() * EXTRA_EVENTS) : 0,
       ...(crashes === undefined ? {} : { crashes }),
+      ...(isSlow === undefined ? {} : { isSlow }),
       at: performance.now(),
     };
     tracker.recordRequest(request);
@@ -115,7 +116,16 @@
         clearTimeout(timer);
         const text = Buffer.concat(chunks).toString();
         const at = performance.now();
-        tracker.recordAnswer({ id, status, signature, body: text, isWhole, error, at });
+        tracker.recordAnswer({
+          id,
+          status,
+          signature,
+          body: text,
+          isWhole,
+          error,
+          isReused: client.reusedSocket,
+          at,
+        });
         resolve();
       };
       const client = sendRequest({
--- a/packages/soak/src/types/observed-answer.ts
+++ b/packages/soak/src/types/observed-answer.ts
@@ -9,5 +9,7 @@
   readonly isWhole: boolean;
   /** Code of the error that the connection ended with, if any. */
   readonly error?: string | undefined;
+  /** The connection had been used for an earlier request. */
+  readonly isReused?: boolean;
   readonly at: number;
 }
--- a/packages/soak/src/types/sent-request.ts
+++ b/packages/soak/src/types/sent-request.ts
@@ -11,5 +11,7 @@
   readonly events: number;
   /** Prompt part or path that crashes the runners that run the request. */
   readonly crashes?: string;
+  /** Its body arrives in pieces. */
+  readonly isSlow?: boolean;
   readonly at: number;
 }
--- a/packages/soak/src/utils/find-losses.ts
+++ b/packages/soak/src/utils/find-losses.ts
@@ -35,6 +35,8 @@
 const CONTACT_MS = 3_000;
 /** Time after which a request that crosses the close of its connection has been read, in milliseconds. */
 const LOSS_SLACK_MS = 200;
+/** Time after which the begin of a slow request on a connection in use has been read, in milliseconds. */
+const SLOW_READ_MS = 1_000;
 /** Lowest timeout of the routes that the soak configures, in milliseconds. */
 const MIN_TIMEOUT_MS = 3_000;
 /** Share of its time that a request may use beside a change of the configuration. */
@@ -67,6 +69,7 @@
     );
     const wasRead =
       hasRun ||
+      (request.isSlow === true && answer.isReused === true && usedMs > SLOW_READ_MS) ||
       (usedMs > LOSS_SLACK_MS &&
         answer.error !== CONNECTION_REFUSED &&
         (!isStopping || isLogged()));
--- a/test/soak/find-losses.test.ts
+++ b/test/soak/find-losses.test.ts
@@ -7,6 +7,7 @@
   readonly answer: Partial<ObservedAnswer>;
   readonly hasRun?: boolean;
   readonly isLogged?: boolean;
+  readonly isSlow?: boolean;
   readonly faults?: readonly Partial<FaultSpan>[];
 }
 
@@ -17,10 +18,11 @@
   answer,
   hasRun = true,
   isLogged = true,
+  isSlow = false,
   faults = [],
 }: Case) {
   const request = {
-    ...{ id: 'a', kind, node: 'n1', team: 't', body: '', events: 0, at: SENT_AT },
+    ...{ id: 'a', kind, node: 'n1', team: 't', body: '', events: 0, isSlow, at: SENT_AT },
   };
   const observed = {
     ...{ id: 'a', status: 200, signature: 'r1.a', body: '', isWhole: true, at: SENT_AT + 1_000 },
@@ -80,6 +82,19 @@
   }
 });
 
+// Guards against bodies that a stopping node drops half received, without a line in its log.
+test('a body that was arriving for a second when its node stopped is lost', (t) => {
+  const lostAfter = (ms: number, isReused: boolean, isSlow = true): readonly string[] => {
+    const answer = { status: undefined, isWhole: false, isReused, at: SENT_AT + ms };
+    const faults = [{ kind: 'node-stop' as const }];
+    return promisesBroken({ answer, hasRun: false, isLogged: false, isSlow, faults });
+  };
+  t.deepEqual(lostAfter(1_100, true), ['lost-request']);
+  t.deepEqual(lostAfter(1_000, true), []);
+  t.deepEqual(lostAfter(1_100, false), []);
+  t.deepEqual(lostAfter(1_100, true, false), []);
+});
+
 test('a response that begins and is cut off is a violation of its own', (t) => {
   t.deepEqual(promisesBroken({ kind: 'ask', answer: { isWhole: false } }), ['cut-response']);
   t.deepEqual(promisesBroken({ kind: 'draft', answer: { isWhole: false } }), ['cut-response']);
