--- a/test/soak/find-losses.test.ts
+++ b/test/soak/find-losses.test.ts
@@ -7,6 +7,7 @@
   readonly answer: Partial<ObservedAnswer>;
   readonly hasRun?: boolean;
   readonly isLogged?: boolean;
+  readonly isSlow?: boolean;
   readonly faults?: readonly Partial<FaultSpan>[];
 }
 
@@ -17,10 +18,11 @@
   answer,
   hasRun = true,
   isLogged = true,
+  isSlow = false,
   faults = [],
 }: Case) {
   const request = {
-    ...{ id: 'a', kind, node: 'n1', team: 't', body: '', events: 0, at: SENT_AT },
+    ...{ id: 'a', kind, node: 'n1', team: 't', body: '', events: 0, isSlow, at: SENT_AT },
   };
   const observed = {
     ...{ id: 'a', status: 200, signature: 'r1.a', body: '', isWhole: true, at: SENT_AT + 1_000 },
@@ -80,6 +82,19 @@
   }
 });
 
+// Guards against bodies that a stopping node drops half received, without a line in its log.
+test('a body that was arriving for a second when its node stopped is lost', (t) => {
+  const lostAfter = (ms: number, isReused: boolean, isSlow = true): readonly string[] => {
+    const answer = { status: undefined, isWhole: false, isReused, at: SENT_AT + ms };
+    const faults = [{ kind: 'node-stop' as const }];
+    return promisesBroken({ answer, hasRun: false, isLogged: false, isSlow, faults });
+  };
+  t.deepEqual(lostAfter(1_100, true), ['lost-request']);
+  t.deepEqual(lostAfter(1_000, true), []);
+  t.deepEqual(lostAfter(1_100, false), []);
+  t.deepEqual(lostAfter(1_100, true, false), []);
+});
+
 test('a response that begins and is cut off is a violation of its own', (t) => {
   t.deepEqual(promisesBroken({ kind: 'ask', answer: { isWhole: false } }), ['cut-response']);
   t.deepEqual(promisesBroken({ kind: 'draft', answer: { isWhole: false } }), ['cut-response']);
@@ -106,6 +121,19 @@
   t.deepEqual(promisesBroken({ answer, faults: [{ ...cut, node: 'n2' }] }), ['given-up-request']);
 });
 
+// Guards against requests without an answer that pass because their node had lost its links to runners.
+test('a node that has lost its links may give requests up, and leaves none without an answer', (t) => {
+  const lost = { status: undefined, isWhole: false };
+  for (const kind of ['links-cut', 'links-dark', 'links-refuse-new', 'links-most-cut'] as const) {
+    const faults = [{ kind, node: 'n1' }, { kind: 'configure-series' as const }];
+    t.deepEqual(promisesBroken({ answer: lost, faults }), ['lost-request'], kind);
+    t.deepEqual(promisesBroken({ answer: { status: 502 }, faults }), [], kind);
+    t.deepEqual(promisesBroken({ answer: { isWhole: false }, faults }), [], kind);
+    const killed = [...faults, { kind: 'node-kill' as const }];
+    t.deepEqual(promisesBroken({ answer: lost, faults: killed }), [], kind);
+  }
+});
+
 test('a request that has used up its time may end, beside a change after seven tenths of it', (t) => {
   const answer = { status: 504, at: SENT_AT + 2_500 };
   t.deepEqual(promisesBroken({ answer }), ['given-up-request']);
