Bound what responses to a node's own calls may take of it

Peers, runners, applications and engines that send bytes without end could take the memory or the processor of a node of the product's own interface. 16 calls at a time, in a process of its own: an exported KV cache had no limit in 30 s (8.6 GB more), nor had the state of an engine (702 MB) and the load of a runner that is probed (326 MB); the load of a runner was limited to 64 MiB (216 MB). The limits that were there counted the body: with interim responses timers were late by 693 to 4292 ms and calls ended up to 9338 ms after their start (1000 ms allowed); with chunks of 1 byte timers were late by 599 to 942 ms for all but the load of a runner, whose connections are limited to 4.

The calls go through callHttp, with limits of what is asked for: 64 KiB from engines, 4 MiB of reports, 16 MiB of answers and KV caches. ModelClient reads its streams in pieces that wait for their turn, within limitFraming. Redirects are no longer followed: a runner's answer is its own.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,7 +3,7 @@
 export { InvalidInput } from './errors/invalid-input.ts';
 export { callHttp } from './node/call-http.ts';
 export { limitFraming } from './node/limit-framing.ts';
-export { readBody } from './node/read-body.ts';
+export { readPieces } from './node/read-pieces.ts';
 export type { Clock } from './types/clock.ts';
 export type { Closeable } from './types/closeable.ts';
 export type { FailureOptions } from './types/failure-options.ts';
--- a/packages/node/src/node/http/json-client.ts
+++ b/packages/node/src/node/http/json-client.ts
@@ -1,5 +1,5 @@
-import { Agent, request } from 'node:http';
-import type { IncomingMessage, RequestOptions } from 'node:http';
+import { Agent } from 'node:http';
+import { callHttp } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import { CallFailed } from '../../errors/call-failed.ts';
 
@@ -40,58 +40,27 @@
    * @throws {@link CallFailed} when no successful response arrives in time; the call may still have
    * taken effect.
    */
-  async call(call: JsonCall): Promise<string> {
-    return new Promise((resolve, reject) => {
-      const fail = (cause: unknown): void => {
-        clearTimeout(timer);
-        clientRequest.destroy();
-        reject(new CallFailed(call.address, cause));
-      };
-      const clientRequest = request(this.#toRequestOptions(call), (response) => {
-        this.#readResponse(response, call.address).then((text) => {
-          clearTimeout(timer);
-          resolve(text);
-        }, fail);
-      });
-      const timer = setTimeout(() => {
-        fail(`no response within ${call.timeoutMs} ms`);
-      }, call.timeoutMs);
-      clientRequest.on('error', fail);
-      clientRequest.end(call.body);
+  async call({ address, path, body, key, timeoutMs }: JsonCall): Promise<string> {
+    const reply = await callHttp({
+      url: `http://${address}${path}`,
+      method: body === undefined ? 'GET' : 'POST',
+      headers: {
+        ...(body === undefined ? {} : { 'content-type': 'application/json' }),
+        ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
+      },
+      ...(body === undefined ? {} : { body }),
+      agent: this.#agent,
+      timeoutMs,
+      maxBodyBytes: this.#maxResponseBytes,
+    }).catch((error: unknown) => {
+      throw new CallFailed(address, error);
     });
+    if (reply.status >= HTTP_REDIRECT) throw new CallFailed(address, `status ${reply.status}`);
+    return reply.body.toString('utf8');
   }
 
   close(): Promise<void> {
     this.#agent.destroy();
     return Promise.resolve();
   }
-
-  #toRequestOptions({ address, path, body, key }: JsonCall): RequestOptions {
-    const { hostname, port } = new URL(`http://${address}`);
-    const content =
-      body === undefined
-        ? {}
-        : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) };
-    const authorization = key === undefined ? {} : { authorization: `Bearer ${key}` };
-    return {
-      agent: this.#agent,
-      ...{ hostname: hostname.replace(/^\[|\]$/g, ''), port, path },
-      method: body === undefined ? 'GET' : 'POST',
-      headers: { ...content, ...authorization },
-    };
-  }
-
-  async #readResponse(response: IncomingMessage, address: string): Promise<string> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    for await (const chunk of response as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > this.#maxResponseBytes)
-        throw new CallFailed(address, 'the response exceeds the maximum size');
-      chunks.push(chunk);
-    }
-    const status = response.statusCode ?? 0;
-    if (status >= HTTP_REDIRECT) throw new CallFailed(address, `status ${status}`);
-    return Buffer.concat(chunks).toString('utf8');
-  }
 }
--- a/packages/node/src/node/runners/application-client.ts
+++ b/packages/node/src/node/runners/application-client.ts
@@ -1,24 +1,17 @@
 import { Agent } from 'node:http';
-import got, { RequestError } from 'got';
-import type { Response } from 'got';
 import { inject, injectable } from 'inversify';
 import * as z from 'zod';
-import { abortLargeDownload, responseFraming } from '@ragwortrudder/core';
-import type { Closeable } from '@ragwortrudder/core';
+import { CallFailure, callHttp, responseFraming } from '@ragwortrudder/core';
+import type { Closeable, HttpReply } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import type { OperationOutcome } from '../../types/operation-outcome.ts';
 import { tokens } from '../../types/tokens.ts';
 
 const MAX_SOCKETS_PER_RUNNER = 256;
+/** Bound of an answer, in bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const HTTP_REDIRECT = 300;
 const HTTP_SERVER_ERROR = 500;
-/** Error codes of connections that were never established, so that nothing was sent. */
-const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-]);
 
 const CompletedBody = z.object({ result: z.unknown() });
 const NotRunBody = z.object({ notRun: z.literal(true) });
@@ -49,16 +42,18 @@
   async call(call: OperationCall): Promise<OperationOutcome> {
     const { key, payload } = call;
     try {
-      const posted = got.post(`http://${call.endpoint}/operations`, {
+      const reply = await callHttp({
+        url: `http://${call.endpoint}/operations`,
+        method: 'POST',
         body: JSON.stringify({ key, operation: call.operation, payload }),
         headers: { 'content-type': 'application/json' },
-        agent: { http: this.#agent },
-        timeout: { connect: this.#connectTimeoutMs, request: call.timeoutMs },
-        retry: { limit: 0 },
-        throwHttpErrors: false,
+        agent: this.#agent,
+        timeoutMs: call.timeoutMs,
+        connectTimeoutMs: this.#connectTimeoutMs,
+        maxBodyBytes: MAX_ANSWER_BYTES,
         signal: call.signal,
       });
-      return classifyResponse(await abortLargeDownload(posted));
+      return classifyReply(reply);
     } catch (error) {
       return classifyError(error);
     }
@@ -78,33 +73,31 @@
   }
 }
 
-function classifyResponse(response: Response<string>): OperationOutcome {
-  const body = parseBody(response.body);
+function classifyReply(reply: HttpReply): OperationOutcome {
+  const body = parseBody(reply.body.toString());
   const completed = CompletedBody.safeParse(body);
-  if (response.statusCode < HTTP_REDIRECT && completed.success) {
+  if (reply.status < HTTP_REDIRECT && completed.success) {
     return { kind: 'completed', result: completed.data.result };
   }
-  if (isCut(response, body)) {
+  if (isCut(reply, body)) {
     return { kind: 'unknown', reason: 'the connection ended inside the response' };
   }
-  const reason = `status ${response.statusCode}`;
+  const reason = `status ${reply.status}`;
   if (NotRunBody.safeParse(body).success) return { kind: 'not-run', reason };
-  if (response.statusCode >= HTTP_REDIRECT && response.statusCode < HTTP_SERVER_ERROR) {
-    return { kind: 'refused', status: response.statusCode, reason };
+  if (reply.status >= HTTP_REDIRECT && reply.status < HTTP_SERVER_ERROR) {
+    return { kind: 'refused', status: reply.status, reason };
   }
   return { kind: 'failed', reason };
 }
 
 /** Whether the body, whose end only the connection marks, is a part of a JSON text. */
-function isCut({ statusCode: status, headers }: Response<string>, body: unknown): boolean {
+function isCut({ status, headers }: HttpReply, body: unknown): boolean {
   return (
     body === undefined && responseFraming({ method: 'POST', status, headers }) === 'connection'
   );
 }
 
 function classifyError(error: unknown): OperationOutcome {
-  const code = error instanceof RequestError ? error.code : 'unexpected';
-  const isConnectTimeout = error instanceof RequestError && error.message.includes("'connect'");
-  if (CONNECT_ERROR_CODES.has(code) || isConnectTimeout) return { kind: 'not-run', reason: code };
-  return { kind: 'unknown', reason: code };
+  if (!(error instanceof CallFailure)) return { kind: 'unknown', reason: 'unexpected' };
+  return { kind: error.notRun ? 'not-run' : 'unknown', reason: error.reason };
 }
--- a/packages/node/src/node/runners/model-client.ts
+++ b/packages/node/src/node/runners/model-client.ts
@@ -4,7 +4,7 @@
 import { urlToHttpOptions } from 'node:url';
 import { createParser } from 'eventsource-parser';
 import { inject, injectable } from 'inversify';
-import { EventSizeLimit, responseFraming } from '@ragwortrudder/core';
+import { EventSizeLimit, limitFraming, readPieces, responseFraming } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import { CallFailed } from '../../errors/call-failed.ts';
@@ -33,7 +33,9 @@
     generation: GenerationRequest,
     signal: AbortSignal,
   ): AsyncGenerator<EngineEvent> {
-    const response = await this.#open(endpoint, generation, signal);
+    let readBytes = 0;
+    const response = await this.#open(endpoint, generation, signal, () => readBytes);
+    const decoder = new TextDecoder();
     const events: EngineEvent[] = [];
     const sizeLimit = new EventSizeLimit({
       failure: () => new CallFailed(endpoint, 'an event of the stream is too long'),
@@ -44,10 +46,11 @@
         events.push(EngineEvent.parse(JSON.parse(event.data)));
       },
     });
-    response.setEncoding('utf8');
-    for await (const chunk of response) {
-      sizeLimit.add(String(chunk));
-      parser.feed(String(chunk));
+    for await (const piece of readPieces(response)) {
+      readBytes += piece.length;
+      const text = decoder.decode(piece, { stream: true });
+      sizeLimit.add(text);
+      parser.feed(text);
       yield* events.splice(0);
     }
     const { statusCode: status = 0, headers } = response;
@@ -65,6 +68,7 @@
     address: string,
     generation: GenerationRequest,
     signal: AbortSignal,
+    readBytes: () => number,
   ): Promise<IncomingMessage> {
     const body = JSON.stringify(generation);
     const clientRequest = request({
@@ -77,6 +81,7 @@
         accept: 'text/event-stream',
       },
     });
+    limitFraming(clientRequest, readBytes);
     setConnectTimeout(clientRequest, this.#connectTimeoutMs);
     // Once the response has begun, its reader gets the errors.
     clientRequest.on('error', () => undefined);
--- a/packages/node/src/node/runners/runner-client.ts
+++ b/packages/node/src/node/runners/runner-client.ts
@@ -1,16 +1,22 @@
-import got from 'got';
 import { inject, injectable } from 'inversify';
 import type { z } from 'zod';
-import type { Closeable } from '@ragwortrudder/core';
+import { callHttp } from '@ragwortrudder/core';
+import type { Closeable, HttpCall, HttpReply } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import { CacheSnapshotResponse } from '../../types/cache-snapshot-response.ts';
 import { CacheEventsResponse } from '../../types/cache-events-response.ts';
+import { CallFailed } from '../../errors/call-failed.ts';
 import { RunnerLoad } from '../../types/runner-load.ts';
 import { tokens } from '../../types/tokens.ts';
 import { JsonClient } from '../http/json-client.ts';
 
 const MAX_SOCKETS_PER_RUNNER = 4;
 const KV_TRANSFER_TIMEOUT_MS = 30_000;
+/** Bound of a report: the snapshot of a cache with 200,000 prefixes. */
+const MAX_REPORT_BYTES = 4 * 1024 * 1024;
+/** Bound of an exported KV cache. */
+const MAX_KV_BYTES = 16 * 1024 * 1024;
+const HTTP_REDIRECT = 300;
 
 /**
  * Calls to runners other than the requests themselves: load, cache state, cancellation and moves of
@@ -18,7 +24,10 @@
  */
 @injectable()
 export class RunnerClient implements Closeable {
-  readonly #httpClient = new JsonClient({ maxSockets: MAX_SOCKETS_PER_RUNNER });
+  readonly #httpClient = new JsonClient({
+    maxSockets: MAX_SOCKETS_PER_RUNNER,
+    maxResponseBytes: MAX_REPORT_BYTES,
+  });
   readonly #timeoutMs: number;
 
   constructor(@inject(tokens.settings) settings: Settings) {
@@ -32,12 +41,12 @@
 
   /** Reads the load report on a new connection. */
   async probe(endpoint: string): Promise<RunnerLoad> {
-    const response = await got(`http://${endpoint}/load`, {
-      timeout: { request: this.#timeoutMs },
-      retry: { limit: 0 },
-      headers: { connection: 'close' },
-    }).json();
-    return RunnerLoad.parse(response);
+    const { body } = await callSuccessfully(endpoint, {
+      url: `http://${endpoint}/load`,
+      timeoutMs: this.#timeoutMs,
+      maxBodyBytes: MAX_REPORT_BYTES,
+    });
+    return RunnerLoad.parse(JSON.parse(body.toString()));
   }
 
   /** Reads cache events after `seq`. */
@@ -52,10 +61,11 @@
 
   /** Cancels a generation on a new connection. */
   async cancel(endpoint: string, requestId: string): Promise<void> {
-    await got.delete(`http://${endpoint}/generate/${encodeURIComponent(requestId)}`, {
-      timeout: { request: this.#timeoutMs },
-      retry: { limit: 0 },
-      throwHttpErrors: false,
+    await callHttp({
+      url: `http://${endpoint}/generate/${encodeURIComponent(requestId)}`,
+      method: 'DELETE',
+      timeoutMs: this.#timeoutMs,
+      maxBodyBytes: MAX_REPORT_BYTES,
     });
   }
 
@@ -65,18 +75,18 @@
     readonly to: string;
     readonly requestId: string;
   }): Promise<void> {
-    const exported = await got(
-      `http://${options.from}/kv/${encodeURIComponent(options.requestId)}`,
-      {
-        timeout: { request: KV_TRANSFER_TIMEOUT_MS },
-        retry: { limit: 0 },
-      },
-    ).text();
-    await got.post(`http://${options.to}/kv`, {
-      body: exported,
+    const exported = await callSuccessfully(options.from, {
+      url: `http://${options.from}/kv/${encodeURIComponent(options.requestId)}`,
+      timeoutMs: KV_TRANSFER_TIMEOUT_MS,
+      maxBodyBytes: MAX_KV_BYTES,
+    });
+    await callSuccessfully(options.to, {
+      url: `http://${options.to}/kv`,
+      method: 'POST',
       headers: { 'content-type': 'application/json' },
-      timeout: { request: KV_TRANSFER_TIMEOUT_MS },
-      retry: { limit: 0 },
+      body: exported.body,
+      timeoutMs: KV_TRANSFER_TIMEOUT_MS,
+      maxBodyBytes: MAX_REPORT_BYTES,
     });
   }
 
@@ -89,3 +99,9 @@
     return schema.parse(JSON.parse(text));
   }
 }
+
+async function callSuccessfully(address: string, call: HttpCall): Promise<HttpReply> {
+  const reply = await callHttp(call);
+  if (reply.status < HTTP_REDIRECT) return reply;
+  throw new CallFailed(address, `status ${reply.status}`);
+}
--- a/packages/node/src/node/supply/engine-client.ts
+++ b/packages/node/src/node/supply/engine-client.ts
@@ -1,15 +1,19 @@
 import { Agent } from 'node:http';
-import got from 'got';
 import { injectable } from 'inversify';
-import type { Closeable } from '@ragwortrudder/core';
+import { callHttp } from '@ragwortrudder/core';
+import type { Closeable, HttpCall } from '@ragwortrudder/core';
+import { CallFailed } from '../../errors/call-failed.ts';
 import type { EngineOrder } from '../../types/engine-order.ts';
 import { EngineState } from '../../types/engine-state.ts';
 import type { OrderReply } from '../../types/order-reply.ts';
 
 const MAX_SOCKETS_PER_ENGINE = 2;
 const REQUEST_TIMEOUT_MS = 2000;
+/** Bound of a reply, in bytes. */
+const MAX_REPLY_BYTES = 64 * 1024;
 const MS_PER_SECOND = 1000;
 const DEFAULT_RETRY_AFTER_MS = 1000;
+const HTTP_REDIRECT = 300;
 const HTTP_CONFLICT = 409;
 const HTTP_TOO_MANY_REQUESTS = 429;
 
@@ -22,20 +26,23 @@
 
   /** Reads the state that the engine was last ordered to serve. */
   async state(endpoint: string): Promise<EngineState['state']> {
-    const response = await got(`http://${endpoint}/orders`, this.#requestOptions()).json();
-    return EngineState.parse(response).state;
+    const { status, body } = await callHttp(this.#callTo(endpoint));
+    if (status >= HTTP_REDIRECT) throw new CallFailed(endpoint, `status ${status}`);
+    return EngineState.parse(JSON.parse(body.toString())).state;
   }
 
   /** Sends one order and classifies the response. */
   async order(endpoint: string, order: EngineOrder): Promise<OrderReply> {
     try {
-      const { statusCode, headers, ok } = await got.post(`http://${endpoint}/orders`, {
-        ...this.#requestOptions(),
-        json: order,
-        throwHttpErrors: false,
+      const { status, headers } = await callHttp({
+        ...this.#callTo(endpoint),
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(order),
       });
-      if (statusCode === HTTP_CONFLICT) return { kind: 'old-fence' };
-      if (statusCode !== HTTP_TOO_MANY_REQUESTS) return { kind: ok ? 'done' : 'failed' };
+      if (status === HTTP_CONFLICT) return { kind: 'old-fence' };
+      if (status !== HTTP_TOO_MANY_REQUESTS)
+        return { kind: status < HTTP_REDIRECT ? 'done' : 'failed' };
       const seconds = Number(headers['retry-after']);
       const retryAfterMs = seconds > 0 ? seconds * MS_PER_SECOND : DEFAULT_RETRY_AFTER_MS;
       return { kind: 'throttled', retryAfterMs };
@@ -49,15 +56,12 @@
     return Promise.resolve();
   }
 
-  #requestOptions(): {
-    readonly agent: { readonly http: Agent };
-    readonly timeout: { readonly request: number };
-    readonly retry: { readonly limit: number };
-  } {
+  #callTo(endpoint: string): HttpCall {
     return {
-      agent: { http: this.#agent },
-      timeout: { request: REQUEST_TIMEOUT_MS },
-      retry: { limit: 0 },
+      url: `http://${endpoint}/orders`,
+      agent: this.#agent,
+      timeoutMs: REQUEST_TIMEOUT_MS,
+      maxBodyBytes: MAX_REPLY_BYTES,
     };
   }
 }
