Keep what arrives in small pieces in one block, and count the block

A runner that sent its response in chunks of one byte, without end, made a node keep one object for each byte, and EventSplitter and AttemptSink join all that was kept for each chunk. The buffer budget counted the payload: 8 MB allowed for a response were several hundred in memory.

Bodies, the pending bytes of an attempt and the remainder of an event stream are now copied into a ByteBuffer, whose work does not grow with what it keeps, and the budget counts the memory that it holds. A block of up to twice a response is held while it grows, so the limit for one is 16 MB in place of 8; the total stays.

--- a/packages/gateway/src/node/attempt-sink.ts
+++ b/packages/gateway/src/node/attempt-sink.ts
@@ -1,3 +1,4 @@
+import { ByteBuffer } from '@ragwortrudder/core';
 import type { ResponseHead } from '../types/response-head.ts';
 import type { ResponseSink } from '../types/response-sink.ts';
 import type { EventSplitter } from '../utils/event-splitter.ts';
@@ -22,8 +23,7 @@
   readonly #options: AttemptSinkOptions;
   #head: ResponseHead | undefined;
   #preview: EventSplitter | undefined;
-  #pending: Buffer[] = [];
-  #pendingBytes = 0;
+  readonly #pending = new ByteBuffer();
   #hasPushed = false;
   #isBlocked = false;
 
@@ -49,7 +49,12 @@
 
   get bufferedBytes(): number {
     if (this.#hasPushed) return this.#options.channel.bufferedBytes;
-    return this.#pendingBytes;
+    return this.#pending.length;
+  }
+
+  get heldBytes(): number {
+    if (this.#hasPushed) return this.#options.channel.heldBytes;
+    return this.#pending.heldBytes + (this.#preview?.heldBytes ?? 0);
   }
 
   get unfinishedBytes(): number {
@@ -74,8 +79,7 @@
 
   push(bytes: Buffer): Promise<void> | undefined {
     if (this.#hasPushed) return this.#pass(bytes);
-    this.#pending.push(bytes);
-    this.#pendingBytes += bytes.length;
+    this.#pending.append(bytes);
     return this.#isHeldBack(bytes) ? undefined : this.#passPending();
   }
 
@@ -100,9 +104,8 @@
   }
 
   #passPending(): Promise<void> | undefined {
-    const bytes = Buffer.concat(this.#pending);
-    this.#pending = [];
-    this.#pendingBytes = 0;
+    const bytes = this.#pending.take();
+    this.#preview = undefined;
     this.#options.onBytes();
     this.#hasPushed = true;
     if (this.#head) this.#options.channel.begin(this.#head);
--- a/packages/gateway/src/node/caller-channel.ts
+++ b/packages/gateway/src/node/caller-channel.ts
@@ -76,6 +76,10 @@
     return this.#splitter?.remainder.length ?? 0;
   }
 
+  get heldBytes(): number {
+    return this.#splitter?.heldBytes ?? 0;
+  }
+
   get unfinishedBytes(): number {
     return this.bufferedBytes;
   }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -67,9 +67,9 @@
  * checks and their period.
  */
 const LEAVE_ROTATION_DELAY_MS = 3_000;
-/** Bytes of one response, or of one event of a stream, that are buffered. */
-const MAX_RESPONSE_BUFFER_BYTES = 8 * 1024 * 1024;
-/** Bytes of all responses in progress that are buffered; a node has a few hundred megabytes. */
+/** Memory held for one response, at most twice its bytes. */
+const MAX_RESPONSE_BUFFER_BYTES = 16 * 1024 * 1024;
+/** Memory held for all responses in progress; a node has a few hundred megabytes. */
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 /** Time before the end of the grace period at which the node closes, in milliseconds. */
 const GRACE_MARGIN_MS = 700;
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -1,7 +1,7 @@
 import { request as sendRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { responseFraming } from '@ragwortrudder/core';
+import { ByteBuffer, responseFraming } from '@ragwortrudder/core';
 import type { ResponseFraming } from '@ragwortrudder/core';
 import type { RunnerResponse } from '../types/runner-response.ts';
 import type { ResponseHead } from '../types/response-head.ts';
@@ -52,8 +52,8 @@
   #connection: ResponseTransfer['connection'] = 'open';
   #framing: ResponseFraming | undefined;
   #bytes = 0;
-  /** Bytes of the response that are kept in memory. */
-  #bufferedBytes = 0;
+  /** Memory that is held for the response, in bytes. */
+  #heldBytes = 0;
   #isRelayed = false;
   #response: IncomingMessage | undefined;
 
@@ -162,12 +162,12 @@
     response.on('data', (bytes: Buffer) => {
       if (this.#isSettled) return;
       const drained = sink.push(bytes);
-      const { bufferedBytes, unfinishedBytes, fault } = sink;
+      const { bufferedBytes, heldBytes, unfinishedBytes, fault } = sink;
       if (fault !== undefined) {
         this.abort({ kind: 'broken', reason: fault, isConnectionLost: false });
         return;
       }
-      if (!this.#mayBuffer(bufferedBytes, MAX_EVENT_BYTES)) return;
+      if (!this.#mayHold(heldBytes, bufferedBytes <= MAX_EVENT_BYTES)) return;
       // Bytes that complete no event are no progress.
       if (unfinishedBytes < bytes.length) this.#options.onProgress();
       if (!drained) return;
@@ -189,11 +189,11 @@
   }
 
   #collect(response: IncomingMessage, head: ResponseHead): void {
-    const chunks: Buffer[] = [];
+    const body = new ByteBuffer();
     response.on('data', (bytes: Buffer) => {
-      if (this.#isSettled || !this.#mayBuffer(this.#bytes)) return;
-      chunks.push(bytes);
-      this.#options.onProgress();
+      if (this.#isSettled) return;
+      body.append(bytes);
+      if (this.#mayHold(body.heldBytes)) this.#options.onProgress();
     });
     response.on('end', () => {
       const reason = incompleteReason(response.complete, this.#transfer());
@@ -201,14 +201,14 @@
         this.#break(reason);
         return;
       }
-      this.#finish(this.#outcomeOf({ head, body: Buffer.concat(chunks) }));
+      this.#finish(this.#outcomeOf({ head, body: body.take() }));
     });
   }
 
-  /** Accounts for the bytes kept in memory; ends the attempt when there are too many. */
-  #mayBuffer(bytes: number, maxBytes = Infinity): boolean {
-    if (bytes <= maxBytes && this.#options.buffers.tryGrow(this.#bufferedBytes, bytes)) {
-      this.#bufferedBytes = bytes;
+  /** Accounts for the memory held for the response; ends the attempt when it is too much. */
+  #mayHold(heldBytes: number, isWithinLimit = true): boolean {
+    if (isWithinLimit && this.#options.buffers.tryGrow(this.#heldBytes, heldBytes)) {
+      this.#heldBytes = heldBytes;
       return true;
     }
     this.abort({ kind: 'broken', reason: BUFFER_LIMIT_REASON, isConnectionLost: false });
@@ -254,7 +254,7 @@
   #finish(outcome: AttemptOutcome): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
-    this.#options.buffers.tryGrow(this.#bufferedBytes, 0);
+    this.#options.buffers.tryGrow(this.#heldBytes, 0);
     this.#settle(outcome);
   }
 }
--- a/packages/gateway/src/types/response-sink.ts
+++ b/packages/gateway/src/types/response-sink.ts
@@ -12,6 +12,8 @@
   readonly partialEventBytes: number;
   /** Bytes that are kept in memory until they can be sent. */
   readonly bufferedBytes: number;
+  /** Memory that is held for them, in bytes. */
+  readonly heldBytes: number;
   /** Bytes received after the last complete event or comment. */
   readonly unfinishedBytes: number;
   begin(head: ResponseHead): void;
--- a/packages/gateway/src/utils/buffer-budget.ts
+++ b/packages/gateway/src/utils/buffer-budget.ts
@@ -1,7 +1,7 @@
 interface BufferBudgetOptions {
-  /** Bytes that all holders together may buffer. */
+  /** Memory that all holders together may take, in bytes. */
   readonly totalBytes: number;
-  /** Bytes that one holder may buffer. */
+  /** Memory that one holder may take, in bytes. */
   readonly maxBytes: number;
 }
 
@@ -14,12 +14,12 @@
     this.#options = options;
   }
 
-  /** Bytes that are buffered now. */
+  /** Memory that is taken now, in bytes. */
   get usedBytes(): number {
     return this.#usedBytes;
   }
 
-  /** Accounts for a holder that grows to `toBytes`; returns false if it must not. */
+  /** Accounts for a holder whose memory grows to `toBytes`; returns false if it must not. */
   tryGrow(fromBytes: number, toBytes: number): boolean {
     const { totalBytes, maxBytes } = this.#options;
     const usedBytes = this.#usedBytes + toBytes - fromBytes;
--- a/packages/gateway/src/utils/event-splitter.ts
+++ b/packages/gateway/src/utils/event-splitter.ts
@@ -1,3 +1,4 @@
+import { ByteBuffer } from '@ragwortrudder/core';
 import { EventSequence } from './event-sequence.ts';
 import { isHeadLine } from './is-head-line.ts';
 
@@ -16,7 +17,7 @@
  * an event.
  */
 export class EventSplitter {
-  #remainder: Buffer = Buffer.alloc(0);
+  readonly #kept = new ByteBuffer();
   /** Start of the current line in the remainder. */
   #lineStart = 0;
   /** The bytes before the next chunk end with a carriage return. */
@@ -56,13 +57,18 @@
 
   /** Bytes after the last complete event; comments and line ends between events may be among them. */
   get remainder(): Buffer {
-    return this.#remainder;
+    return this.#kept.bytes;
+  }
+
+  /** Memory that is held for the remainder, in bytes. */
+  get heldBytes(): number {
+    return this.#kept.heldBytes;
   }
 
   /** Bytes of an event, or of a line, that is not complete. */
   get partialEventBytes(): number {
-    const isInsideLine = this.#lineStart < this.#remainder.length;
-    return this.#hasField || isInsideLine ? this.#remainder.length : 0;
+    const isInsideLine = this.#lineStart < this.#kept.length;
+    return this.#hasField || isInsideLine ? this.#kept.length : 0;
   }
 
   /**
@@ -71,8 +77,9 @@
    */
   push(bytes: Buffer): Buffer {
     if (this.fault !== undefined) return bytes.subarray(0, 0);
-    const buffered = this.#remainder.length === 0 ? bytes : Buffer.concat([this.#remainder, bytes]);
-    const from = this.#remainder.length;
+    const from = this.#kept.length;
+    if (from > 0) this.#kept.append(bytes);
+    const buffered = from > 0 ? this.#kept.bytes : bytes;
     let end = 0;
     for (let at = from; at < buffered.length; at += 1) {
       const byte = buffered[at];
@@ -86,9 +93,10 @@
       if (this.#fault !== undefined) break;
     }
     if (bytes.length > 0) this.#endsWithCarriageReturn = buffered.at(-1) === CARRIAGE_RETURN;
-    this.#remainder = buffered.subarray(end);
     this.#lineStart -= end;
-    return buffered.subarray(0, end);
+    if (from > 0) return end > 0 ? this.#kept.take(end) : bytes.subarray(0, 0);
+    if (end < bytes.length) this.#kept.append(bytes.subarray(end));
+    return bytes.subarray(0, end);
   }
 
   /** Handles the current line, which ends at `end`; returns true if it ends an event. */
--- a/test/gateway/runner-attempt.test.ts
+++ b/test/gateway/runner-attempt.test.ts
@@ -15,6 +15,7 @@
 class SlowSink implements ResponseSink {
   readonly partialEventBytes = 0;
   readonly bufferedBytes = 0;
+  readonly heldBytes = 0;
   readonly unfinishedBytes = 0;
   readonly hasEvents = true;
   readonly fault = undefined;
--- a/test/gateway/scripted-response.ts
+++ b/test/gateway/scripted-response.ts
@@ -34,6 +34,11 @@
   return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 }
 
+/** Chunks with one byte each. */
+export function tinyChunks(text: string): string {
+  return Array.from(text, (byte) => chunk(byte)).join('');
+}
+
 /** One event of a stream. */
 export function event(id: number): string {
   return `id: ${id}\ndata: piece ${id}\n\n`;
