Read costly connections in turn, and bound the framing of a response

A response in chunks of one byte costs a node more time to read than its runner to write: one read of 64 KB has 11,000 pieces. libuv reads a connection up to 32 times before it looks at the next one, so 32 such responses took the event loop for seconds; requests beside them and their own time-outs waited. Digits of a chunk size, blank lines and interim responses are no payload, and nothing limited them but the time-out.

PacedReader measures what a read of a runner's connection costs; from 2 ms on, the connection is held back and ReadTurns lets one of them read in a turn of the event loop. SlicedSocket hands out a read in slices of 8 KB, so that the first one costs little. A response that is held back is not silent: its silence does not count the wait, its time limit does. An attempt ends with "response exceeds the framing limit" when more than 1 MB and the size of its body is framing, or after 1,000 interim responses. What attempts share for received bytes is now the Intake of the gateway.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -14,7 +14,6 @@
 import type { CloudApi } from '../types/cloud-api.ts';
 import type { Dialect } from '../types/dialect.ts';
 import type { GatewaySettings } from '../types/gateway-settings.ts';
-import { BufferBudget } from '../utils/buffer-budget.ts';
 import { decodeJson } from '../utils/decode-json.ts';
 import { DeferredEvidence } from '../utils/deferred-evidence.ts';
 import { DemandMeter } from '../utils/demand-meter.ts';
@@ -34,6 +33,7 @@
 import { DutyTermStore } from './duty-term-store.ts';
 import type { DutyHolder } from './duty-holder.ts';
 import { Forwarder } from './forwarder.ts';
+import { Intake } from './intake.ts';
 import { GatewayMetrics } from './gateway-metrics.ts';
 import { NodeRegistration } from './node-registration.ts';
 import { PeerPassing } from './peer-passing.ts';
@@ -67,10 +67,6 @@
  * checks and their period.
  */
 const LEAVE_ROTATION_DELAY_MS = 3_000;
-/** Memory held for one response, at most twice its bytes. */
-const MAX_RESPONSE_BUFFER_BYTES = 16 * 1024 * 1024;
-/** Memory held for all responses in progress; a node has a few hundred megabytes. */
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 /** Time before the end of the grace period at which the node closes, in milliseconds. */
 const GRACE_MARGIN_MS = 700;
 /** Time in which the last responses are sent before the node closes, in milliseconds. */
@@ -215,10 +211,7 @@
       clock,
       isOwnFault: (entry) => this.#pool.links.isOwnFault(entry),
     });
-    const buffers = new BufferBudget({
-      totalBytes: MAX_BUFFERED_BYTES,
-      maxBytes: MAX_RESPONSE_BUFFER_BYTES,
-    });
+    const intake = new Intake();
     const address = { host: node.host, port: listen.peerPort };
     this.#passing = new PeerPassing({
       node: node.id,
@@ -229,7 +222,7 @@
       random,
       peers: this.#peers,
       pool: () => this.#pool,
-      buffers,
+      intake,
       log: this.#decisions,
       metrics: this.#metrics,
       isStopping: () => this.#isStopping,
@@ -261,7 +254,7 @@
       quotas: () => this.#settings.quotas,
       retryBudget: this.#retryBudget,
       quarantine: this.#quarantine,
-      buffers,
+      intake,
       deferredEvidence: this.#deferredEvidence,
       peerForwarder: this.#passing.forwarder,
       usage: this.#usage,
--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -113,9 +113,9 @@
     return this.#options.clock.monotonic() - this.#respondingSince;
   }
 
-  /** A runner is not silent while its response waits for the caller. */
+  /** A runner is not silent while its response waits for the caller, or for its turn to be read. */
   get silence(): Silence {
-    if (this.#sink.isBlocked) return 'none';
+    if (this.#sink.isBlocked || this.#attempt.isHeld) return 'none';
     const { clock, pool, route } = this.#options;
     const silentMs = clock.monotonic() - this.#progressAt;
     return silenceOf({
@@ -149,12 +149,12 @@
   }
 
   #send(): RunnerAttempt {
-    const { dialect, buffers, request, route, service, team, channel, pool, clock } = this.#options;
+    const { dialect, intake, request, route, service, team, channel, pool, clock } = this.#options;
     const { remainingMs, needsNewConnection } = this.#options;
     return new RunnerAttempt({
       dialect,
       agent: needsNewConnection ? pool.newAgent() : pool.agentOf(this.entry),
-      buffers,
+      intake,
       request,
       metadata: {
         runner: this.entry,
@@ -173,6 +173,9 @@
         this.#evidence.recordProof(this.#progressAt - this.#respondingSince);
         pool.recordProgress(this.entry);
       },
+      onRelease: (heldMs) => {
+        this.#progressAt += heldMs;
+      },
     });
   }
 
--- a/packages/gateway/src/node/peer-forwarder.ts
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -6,7 +6,6 @@
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { Dialect } from '../types/dialect.ts';
 import type { PassedRequest } from '../types/passed-request.ts';
-import type { BufferBudget } from '../utils/buffer-budget.ts';
 import { choosePeer } from '../utils/choose-peer.ts';
 import { fittingIds } from '../utils/fitting-ids.ts';
 import type { PeerReach } from '../utils/peer-reach.ts';
@@ -14,6 +13,7 @@
 import type { CallerChannel } from './caller-channel.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { GatewayMetrics } from './gateway-metrics.ts';
+import type { Intake } from './intake.ts';
 import type { Peers } from './peers.ts';
 import { RunnerAgent } from './runner-agent.ts';
 import { RunnerAttempt } from './runner-attempt.ts';
@@ -32,7 +32,7 @@
     readonly lost: ReadonlySet<string>;
     readonly lostIds: ReadonlySet<string>;
   };
-  readonly buffers: BufferBudget;
+  readonly intake: Intake;
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
 }
@@ -150,7 +150,7 @@
   }
 
   async #send(passed: PassedOnRequest, { peer, deadlineAt }: Offer): Promise<AttemptOutcome> {
-    const { clock, reach, log, metrics, buffers, node, dialectFor, peers, reachOf, random } =
+    const { clock, reach, log, metrics, intake, node, dialectFor, peers, reachOf, random } =
       this.#options;
     const { request, channel, route, service, team, progress } = passed;
     const sentAt = clock.monotonic();
@@ -166,7 +166,7 @@
         lost: fittingIds([...reachOf(service.name).lostIds], { maxBytes: MAX_LOST_BYTES, random }),
       }),
       agent: this.#agentOf(peer.id),
-      buffers,
+      intake,
       request,
       metadata: {
         runner: peer satisfies Pick<RunnerEntry, 'id' | 'address'>,
--- a/packages/gateway/src/node/runner-agent.ts
+++ b/packages/gateway/src/node/runner-agent.ts
@@ -1,9 +1,10 @@
 import { Agent } from 'node:http';
 import type { ClientRequest } from 'node:http';
-import { Socket } from 'node:net';
+import type { Socket, TcpNetConnectOpts } from 'node:net';
 import { closeIdleSockets, timerDelayMs } from '@ragwortrudder/core';
 import { CONNECT_TIMEOUT_MS } from '../utils/connect-timeout-ms.ts';
 import { limitConnectTime } from '../utils/limit-connect-time.ts';
+import { SlicedSocket } from './sliced-socket.ts';
 
 interface RunnerAgentOptions {
   /** Maximum number of concurrent connections. */
@@ -47,11 +48,9 @@
       this.#idleMs = timerDelayMs(Math.max(MIN_IDLE_MS, Number(seconds) * MS_PER_S * IDLE_SHARE));
   }
 
-  override createConnection(
-    ...args: Parameters<Agent['createConnection']>
-  ): ReturnType<Agent['createConnection']> {
-    const socket = super.createConnection(...args);
-    if (socket instanceof Socket) limitConnectTime(socket, CONNECT_TIMEOUT_MS);
+  override createConnection(options: TcpNetConnectOpts): Socket {
+    const socket = new SlicedSocket(options).connect(options);
+    limitConnectTime(socket, CONNECT_TIMEOUT_MS);
     return socket;
   }
 
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -11,19 +11,21 @@
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { Dialect } from '../types/dialect.ts';
 import type { ForwardingMetadata } from '../types/forwarding-metadata.ts';
+import { exceedsFramingLimit } from '../utils/exceeds-framing-limit.ts';
 import { linkFailureOf } from '../utils/link-failure-of.ts';
 import { incompleteReason } from '../utils/incomplete-reason.ts';
 import { invalidHeadReason } from '../utils/invalid-head-reason.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
 import { isSuccess } from '../utils/is-success.ts';
-import type { BufferBudget } from '../utils/buffer-budget.ts';
+import type { Intake } from './intake.ts';
+import { PacedReader } from './paced-reader.ts';
 import type { RunnerAgent } from './runner-agent.ts';
 
 interface RunnerAttemptOptions {
   readonly dialect: Dialect;
   readonly agent: RunnerAgent;
   /** Shared by all attempts of the node. */
-  readonly buffers: BufferBudget;
+  readonly intake: Intake;
   readonly request: CallerRequest;
   readonly metadata: ForwardingMetadata;
   /** Receives the body of a successful response as it arrives; when absent, the response is buffered. */
@@ -32,6 +34,8 @@
   readonly onHead: (head: ResponseHead) => void;
   /** Called whenever bytes arrive. */
   readonly onProgress: () => void;
+  /** Called when the response is read again, with the time for which it waited for its turn. */
+  readonly onRelease?: (heldMs: number) => void;
 }
 
 const MISDIRECTED = 421;
@@ -39,7 +43,10 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, MISDIRECTED, 429, 503]);
 /** Maximum size of an event of a stream, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
+/** Interim responses that a runner may send before a response. */
+const MAX_INTERIM_RESPONSES = 1_000;
 const BUFFER_LIMIT_REASON = 'response exceeds the buffer limit';
+const FRAMING_LIMIT_REASON = 'response exceeds the framing limit';
 
 /** One attempt to send a request to a runner. Settles exactly once, with the outcome. */
 export class RunnerAttempt {
@@ -52,10 +59,12 @@
   #connection: ResponseTransfer['connection'] = 'open';
   #framing: ResponseFraming | undefined;
   #bytes = 0;
+  #interimCount = 0;
   /** Memory that is held for the response, in bytes. */
   #heldBytes = 0;
   #isRelayed = false;
   #response: IncomingMessage | undefined;
+  #reader: PacedReader | undefined;
 
   constructor(options: RunnerAttemptOptions) {
     this.#options = options;
@@ -65,6 +74,11 @@
     this.#client = this.#send();
   }
 
+  /** The response waits for its turn to be read. */
+  get isHeld(): boolean {
+    return this.#reader?.isHeld ?? false;
+  }
+
   /** Ends the attempt with `outcome` and closes the connection to the runner. */
   abort(outcome: AttemptOutcome): void {
     this.#finish(outcome);
@@ -85,12 +99,16 @@
     });
     client.on('socket', (socket) => {
       this.#watchConnection(client, socket);
+      this.#paceReads(client, socket);
       if (!socket.connecting) this.#wasConnected = true;
       else
         socket.once('connect', () => {
           this.#wasConnected = true;
         });
     });
+    client.on('information', () => {
+      this.#interimCount += 1;
+    });
     client.on('response', (response) => {
       this.#handleResponse(response);
     });
@@ -125,6 +143,36 @@
     });
   }
 
+  /** Bounds what the node reads, and the time that it takes, also where no body arrives. */
+  #paceReads(client: ClientRequest, socket: Socket): void {
+    const { intake, onRelease } = this.#options;
+    const reader = new PacedReader({ socket, turns: intake.turns, onRelease });
+    this.#reader = reader;
+    const bytesBefore = socket.bytesRead;
+    const onRead = (): void => {
+      reader.begin();
+    };
+    const onHandled = (): void => {
+      if (this.#isSettled || this.#isWhole) return;
+      const wireBytes = socket.bytesRead - bytesBefore;
+      if (
+        this.#interimCount > MAX_INTERIM_RESPONSES ||
+        exceedsFramingLimit({ wireBytes, bodyBytes: this.#bytes })
+      ) {
+        this.abort({ kind: 'broken', reason: FRAMING_LIMIT_REASON, isConnectionLost: false });
+        return;
+      }
+      reader.end();
+    };
+    socket.prependListener('data', onRead);
+    socket.on('data', onHandled);
+    client.once('close', () => {
+      socket.off('data', onRead);
+      socket.off('data', onHandled);
+      reader.close();
+    });
+  }
+
   #handleResponse(response: IncomingMessage): void {
     const { dialect, request, sink, onHead, onProgress, agent } = this.#options;
     const keepAlive = response.headers['keep-alive'];
@@ -207,7 +255,7 @@
 
   /** Accounts for the memory held for the response; ends the attempt when it is too much. */
   #mayHold(heldBytes: number, isWithinLimit = true): boolean {
-    if (isWithinLimit && this.#options.buffers.tryGrow(this.#heldBytes, heldBytes)) {
+    if (isWithinLimit && this.#options.intake.responses.tryGrow(this.#heldBytes, heldBytes)) {
       this.#heldBytes = heldBytes;
       return true;
     }
@@ -254,7 +302,7 @@
   #finish(outcome: AttemptOutcome): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
-    this.#options.buffers.tryGrow(this.#heldBytes, 0);
+    this.#options.intake.responses.tryGrow(this.#heldBytes, 0);
     this.#settle(outcome);
   }
 }
--- /dev/null
+++ b/packages/gateway/src/types/reader.ts
@@ -0,0 +1,5 @@
+/** A connection whose reads can be put off. */
+export interface Reader {
+  hold(): void;
+  release(): void;
+}
