--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -15,7 +15,6 @@
 import type { Dialect } from '../types/dialect.ts';
 import type { GatewaySettings } from '../types/gateway-settings.ts';
 import type { TopicFeed } from '../types/topic-feed.ts';
-import { BufferBudget } from '../utils/buffer-budget.ts';
 import { DeferredEvidence } from '../utils/deferred-evidence.ts';
 import { DemandMeter } from '../utils/demand-meter.ts';
 import { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
@@ -34,6 +33,7 @@
 import { DutyTermStore } from './duty-term-store.ts';
 import type { DutyHolder } from './duty-holder.ts';
 import { Forwarder } from './forwarder.ts';
+import { Intake } from './intake.ts';
 import { GatewayMetrics } from './gateway-metrics.ts';
 import { NodeRegistration } from './node-registration.ts';
 import { PeerPassing } from './peer-passing.ts';
@@ -66,10 +66,6 @@
  * checks and their period.
  */
 const LEAVE_ROTATION_DELAY_MS = 3_000;
-/** Bytes of one response, or of one event of a stream, that are buffered. */
-const MAX_RESPONSE_BUFFER_BYTES = 8 * 1024 * 1024;
-/** Bytes of all responses in progress that are buffered; a node has a few hundred megabytes. */
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 /** Time before the end of the grace period at which the node closes, in milliseconds. */
 const GRACE_MARGIN_MS = 700;
 /** Time in which the last responses are sent before the node closes, in milliseconds. */
@@ -222,10 +218,7 @@
       clock,
       isOwnFault: (entry) => this.#pool.links.isOwnFault(entry),
     });
-    const buffers = new BufferBudget({
-      totalBytes: MAX_BUFFERED_BYTES,
-      maxBytes: MAX_RESPONSE_BUFFER_BYTES,
-    });
+    const intake = new Intake();
     const address = { host: node.host, port: listen.peerPort };
     this.#passing = new PeerPassing({
       node: node.id,
@@ -236,7 +229,7 @@
       random,
       peers: this.#peers,
       pool: () => this.#pool,
-      buffers,
+      intake,
       log: this.#decisions,
       metrics: this.#metrics,
       isStopping: () => this.#isStopping,
@@ -268,7 +261,7 @@
       quotas: () => this.#settings.quotas,
       retryBudget: this.#retryBudget,
       quarantine: this.#quarantine,
-      buffers,
+      intake,
       deferredEvidence: this.#deferredEvidence,
       peerForwarder: this.#passing.forwarder,
       usage: this.#usage,
