--- a/test/admission/sound-requests.test.ts
+++ b/test/admission/sound-requests.test.ts
@@ -14,6 +14,7 @@
 /** Arrivals of a crashing request that are allowed later than `CONTACT_MS` after the third crash. */
 const MAX_LATE_ARRIVALS = 3;
 const SEEDS = [1, 2, 3];
+const SMALL_FLEET_SEEDS = 25;
 
 function startNode(): { readonly clock: ManualClock; readonly node: PromptQuarantine } {
   const clock = new ManualClock(1_000_000);
@@ -128,6 +129,44 @@
   });
 }
 
+for (const perS of [0.2, 0.5]) {
+  // Guards against taking runners that end under a request and its retry, one after the other, for a rack.
+  test(`pattern: deadly request that used to be served; ${perS} a second are contained at 3 nodes and 3 runners`, (t) => {
+    for (let seed = 1; seed <= SMALL_FLEET_SEEDS; seed += 1) {
+      const { arrivals, crashes } = simulateCrashingPrompts({
+        seed,
+        nodes: 3,
+        runners: 3,
+        lengthMs: 40_000,
+        plainShare: 0.8,
+        crashing: [{ part: DEADLY, perS, fromMs: 0, untilMs: Infinity, soundUntilMs: 10_000 }],
+      });
+      const thirdAt = crashes.get(DEADLY)?.[2] ?? Infinity;
+      const late = (arrivals.get(DEADLY) ?? []).filter((at) => at > thirdAt + CONTACT_MS).length;
+      t.true(late <= MAX_LATE_ARRIVALS, `${late} late arrivals, seed ${seed}`);
+    }
+  });
+}
+
+// Guards against blaming a request that was sent on within a rack while the rack was lost.
+test('three ends under one request in turn blame it, and those of a rack that is lost do not', (t) => {
+  for (const { gapMs, isBlamed } of [
+    { gapMs: 20, isBlamed: false },
+    { gapMs: 60, isBlamed: true },
+  ]) {
+    const { clock, node } = startNode();
+    serve(node, [SOUND]);
+    for (const runner of ['i1', 'i2', 'i3']) {
+      clock.advance(gapMs);
+      const request = { runner, request: 'q1', parts: [SOUND], hasResponded: true };
+      node.recordInterrupted({ ...ATTEMPT, ...request });
+    }
+    clock.advance(SETTLE_MS);
+    node.update();
+    t.is(node.find([SOUND]) !== undefined, isBlamed, `${gapMs} ms apart`);
+  }
+});
+
 // Guards against a quarantine that outlasts its reason where all nodes have started a moment ago.
 test('a request that was blamed by chance is served again after its first trial', (t) => {
   const started = startNode();
