Bound what the answers of a node may take of its caller

The client counted the body of an answer, and the length of an event, but nothing beside them. With interim responses without end the caller's timers were late by 3444 ms (answers) and 2837 ms (streams) and calls ended 5677 and 3221 ms after their start, where 1000 ms are their time-out; with chunks of 1 byte, or of a comment's 2 bytes, timers were late by 580 to 679 ms. The description of a problem, in place of a stream, had no limit at all.

--- a/packages/client/src/node/event-source.ts
+++ b/packages/client/src/node/event-source.ts
@@ -1,12 +1,23 @@
+import { request } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { createParser } from 'eventsource-parser';
-import got from 'got';
-import type { Request } from 'got';
-import { EventSizeLimit } from '@ragwortrudder/core';
+import {
+  ByteBuffer,
+  EventSizeLimit,
+  limitConnectTime,
+  limitFraming,
+  parseBoundedJson,
+  readBody,
+  readPieces,
+} from '@ragwortrudder/core';
 import { ConnectionLost } from '../errors/connection-lost.ts';
 import { RequestRefused } from '../errors/request-refused.ts';
 import type { AnswerEvent } from '../types/answer-event.ts';
 import { Problem } from '../types/problem.ts';
 
+const HTTP_REDIRECT = 300;
+/** Bound of the description of a problem, in bytes. */
+const MAX_PROBLEM_BYTES = 64 * 1024;
 const EVENT_TYPES: ReadonlySet<string> = new Set(['accepted', 'token', 'result', 'done', 'failed']);
 
 interface EventSourceOptions {
@@ -25,7 +36,6 @@
  * @throws {@link RequestRefused} for a problem body, {@link ConnectionLost} if the connection fails.
  */
 export async function* readEventSource(options: EventSourceOptions): AsyncGenerator<AnswerEvent> {
-  const stream = openStream(options);
   const events: AnswerEvent[] = [];
   let interruption: RequestRefused | undefined;
   const sizeLimit = new EventSizeLimit({
@@ -47,16 +57,20 @@
       });
     },
   });
+  let readBytes = 0;
   try {
-    stream.setEncoding('utf8');
-    for await (const chunk of stream) {
-      sizeLimit.add(String(chunk));
-      parser.feed(String(chunk));
+    const response = await open(options, () => readBytes);
+    const decoder = new TextDecoder();
+    for await (const piece of readPieces(response)) {
+      readBytes += piece.length;
+      const text = decoder.decode(piece, { stream: true });
+      sizeLimit.add(text);
+      parser.feed(text);
       yield* events.splice(0);
       throwIfSet(interruption);
     }
   } catch (error) {
-    throw toFailure(error, options.node);
+    throw error instanceof RequestRefused ? error : new ConnectionLost(options.node, error);
   }
 }
 
@@ -64,37 +78,45 @@
   if (failure) throw failure;
 }
 
-function openStream(options: EventSourceOptions): Request {
+/** Sends the request and returns the successful response to it. */
+async function open(
+  options: EventSourceOptions,
+  readBytes: () => number,
+): Promise<IncomingMessage> {
   const { node, path, method, headers, body, connectMs, idleTimeoutMs, signal } = options;
-  return got.stream(`http://${node}${path}`, {
+  const length = body === undefined ? {} : { 'content-length': String(Buffer.byteLength(body)) };
+  const call = request(new URL(`http://${node}${path}`), {
     method,
-    headers: { accept: 'text/event-stream', 'content-type': 'application/json', ...headers },
-    ...(body === undefined ? {} : { body }),
-    timeout: { connect: connectMs, socket: idleTimeoutMs },
-    retry: { limit: 0 },
-    decompress: false,
+    agent: false,
+    headers: {
+      ...{ accept: 'text/event-stream', 'content-type': 'application/json' },
+      ...headers,
+      ...length,
+    },
     ...(signal ? { signal } : {}),
   });
+  limitFraming(call, readBytes);
+  limitConnectTime(call, connectMs);
+  call.setTimeout(idleTimeoutMs, () => {
+    call.destroy(new ConnectionLost(node, `nothing was received for ${idleTimeoutMs} ms`));
+  });
+  const response = await new Promise<IncomingMessage>((resolve, reject) => {
+    call.once('response', resolve);
+    // Once the response has begun, its reader gets the errors.
+    call.on('error', reject);
+    call.once('close', () => {
+      reject(new ConnectionLost(node));
+    });
+    call.end(body);
+  });
+  if ((response.statusCode ?? 0) < HTTP_REDIRECT) return response;
+  throw await refusalOf(response, node);
 }
 
-function toFailure(error: unknown, node: string): Error {
-  if (error instanceof RequestRefused) return error;
-  const body = errorBody(error);
-  const problem = body === undefined ? undefined : Problem.safeParse(body);
-  return problem?.success ? new RequestRefused(problem.data) : new ConnectionLost(node, error);
-}
-
-/** Returns the parsed body of the HTTP response attached to `error`, if there is one. */
-function errorBody(error: unknown): unknown {
-  if (!(error instanceof Error) || !('response' in error)) return undefined;
-  const { response } = error as {
-    readonly response?: { readonly body?: unknown; readonly rawBody?: Buffer };
-  };
-  const text =
-    typeof response?.body === 'string' ? response.body : response?.rawBody?.toString('utf8');
-  try {
-    return text === undefined ? undefined : JSON.parse(text);
-  } catch {
-    return undefined;
-  }
+async function refusalOf(response: IncomingMessage, node: string): Promise<Error> {
+  const buffer = new ByteBuffer();
+  await readBody(response, buffer, MAX_PROBLEM_BYTES);
+  const problem = Problem.safeParse(parseBoundedJson(buffer.take()));
+  const status = `status ${response.statusCode ?? 0}`;
+  return problem.success ? new RequestRefused(problem.data) : new ConnectionLost(node, status);
 }
--- a/packages/client/src/node/node-http-client.ts
+++ b/packages/client/src/node/node-http-client.ts
@@ -1,10 +1,12 @@
-import got from 'got';
-import { abortLargeDownload } from '@ragwortrudder/core';
+import { callHttp } from '@ragwortrudder/core';
 import { ConnectionLost } from '../errors/connection-lost.ts';
 import { RequestRefused } from '../errors/request-refused.ts';
 import { Problem } from '../types/problem.ts';
 
 const DEFAULT_TIMEOUT_MS = 5000;
+const HTTP_REDIRECT = 300;
+/** Bound of an answer, in bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
 interface NodeHttpClientOptions {
   /** Addresses of nodes, `host:port`; tried in round-robin order. */
@@ -71,19 +73,22 @@
   }
 
   async #callOnce(node: string, { method, path, body, timeoutMs }: NodeRequest): Promise<unknown> {
-    const call = got(`http://${node}${path}`, {
+    const answer = await callHttp({
+      url: `http://${node}${path}`,
       method,
-      headers: { authorization: `Bearer ${this.#options.key}` },
-      ...(method === 'POST' ? { json: body ?? {} } : {}),
-      timeout: { request: timeoutMs ?? DEFAULT_TIMEOUT_MS },
-      retry: { limit: 0 },
-      throwHttpErrors: false,
-    });
-    const answer = await abortLargeDownload(call).catch((error: unknown) => {
+      headers: {
+        accept: 'application/json',
+        authorization: `Bearer ${this.#options.key}`,
+        ...(method === 'POST' ? { 'content-type': 'application/json' } : {}),
+      },
+      ...(method === 'POST' ? { body: JSON.stringify(body ?? {}) } : {}),
+      timeoutMs: timeoutMs ?? DEFAULT_TIMEOUT_MS,
+      maxBodyBytes: MAX_ANSWER_BYTES,
+    }).catch((error: unknown) => {
       throw new ConnectionLost(node, error);
     });
-    const content = parseJson(answer.body, node);
-    if (answer.ok) return content;
+    const content = parseJson(answer.body.toString(), node);
+    if (answer.status < HTTP_REDIRECT) return content;
     const problem = Problem.safeParse(content);
     throw problem.success ? new RequestRefused(problem.data) : new ConnectionLost(node, content);
   }
--- a/packages/core/src/node/call-http.ts
+++ b/packages/core/src/node/call-http.ts
@@ -1,11 +1,11 @@
 import { request as sendHttp } from 'node:http';
 import type { ClientRequest, IncomingMessage, RequestOptions } from 'node:http';
 import { request as sendHttps } from 'node:https';
-import type { Socket } from 'node:net';
 import { CallFailure } from '../errors/call-failure.ts';
 import type { HttpCall } from '../types/http-call.ts';
 import type { HttpReply } from '../types/http-reply.ts';
 import { ByteBuffer } from '../utils/byte-buffer.ts';
+import { limitConnectTime } from './limit-connect-time.ts';
 import { limitFraming } from './limit-framing.ts';
 import { readBody } from './read-body.ts';
 
@@ -75,27 +75,6 @@
   return target.protocol === 'https:' ? sendHttps(target, options) : sendHttp(target, options);
 }
 
-function limitConnectTime(request: ClientRequest, timeoutMs: number): void {
-  request.once('socket', (socket: Socket) => {
-    if (!socket.connecting) return;
-    const timer = setTimeout(() => {
-      if (!socket.connecting) return;
-      request.destroy(
-        new CallFailure({
-          reason: 'connect-timeout',
-          message: `no connection within ${timeoutMs} ms`,
-          notRun: true,
-        }),
-      );
-    }, timeoutMs);
-    const stop = (): void => {
-      clearTimeout(timer);
-    };
-    socket.once('connect', stop);
-    request.once('close', stop);
-  });
-}
-
 function responseTo(
   request: ClientRequest,
   body: string | Buffer | undefined,
