Close connections of the node's interface that flood it between requests

Callers of the product's own interface that sent blank lines without end let a request of others wait for 1873 ms, and callers that sent requests without reading a response let none of 40 others be answered within 2 s: bytes between two requests were not counted, and each pipelined request went the whole way through restify.

A connection may send twice the limit of a head between two requests, and have 16 requests without a whole response; a request beyond that closes it before restify sees it.

A body in chunks of 1 byte still takes 559 MB and all of the processor.

--- a/packages/node/src/node/http/http-server.ts
+++ b/packages/node/src/node/http/http-server.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { createServer, plugins } from 'restify';
 import type { Request, Response, Server } from 'restify';
@@ -29,6 +29,8 @@
  * Connections above the limit that are still accepted, so that they can be refused with a response.
  */
 const EXCESS_CONNECTIONS = 64;
+/** Requests of one connection that have no whole response yet. */
+const MAX_PIPELINED_REQUESTS = 16;
 
 type HttpMethod = 'get' | 'post' | 'del';
 type Handler = (request: Request, response: Response) => Promise<void>;
@@ -55,6 +57,10 @@
   readonly #sockets = new Set<Socket>();
   readonly #excessSockets = new WeakSet<Socket>();
   readonly #responses = new WeakMap<Socket, ServerResponse>();
+  /** Requests without a whole response, by connection. */
+  readonly #openRequests = new WeakMap<Socket, number>();
+  /** Bytes that connections have sent between two requests. */
+  readonly #idleBytes = new WeakMap<Socket, number>();
 
   constructor(options: HttpServerOptions) {
     this.#options = options;
@@ -114,8 +120,11 @@
     server.on('connection', (socket: Socket) => {
       this.#trackSocket(socket);
     });
+    const listeners = server.listeners('request') as RequestListener[];
+    server.removeAllListeners('request');
     server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-      this.#responses.set(request.socket, response);
+      if (!this.#admit(request.socket, response)) return;
+      for (const listener of listeners) listener.call(server, request, response);
     });
     server.on('checkExpectation', (_request: IncomingMessage, response: ServerResponse) => {
       this.#fail(response, new ExpectationUnsupported());
@@ -141,6 +150,33 @@
     this.#sockets.add(socket);
     socket.setNoDelay(true);
     socket.once('close', () => this.#sockets.delete(socket));
+    socket.on('data', (bytes) => {
+      this.#countIdleBytes(socket, bytes.length);
+    });
+  }
+
+  /** Rejects a request, with its connection, when too many before it have no whole response yet. */
+  #admit(socket: Socket, response: ServerResponse): boolean {
+    if (socket.destroyed) return false;
+    this.#responses.set(socket, response);
+    this.#idleBytes.delete(socket);
+    const open = (this.#openRequests.get(socket) ?? 0) + 1;
+    this.#openRequests.set(socket, open);
+    response.once('close', () => {
+      this.#openRequests.set(socket, (this.#openRequests.get(socket) ?? 1) - 1);
+    });
+    if (open > MAX_PIPELINED_REQUESTS) socket.destroy();
+    return !socket.destroyed;
+  }
+
+  /** Closes a connection that sends bytes which are no request, such as blank lines without end. */
+  #countIdleBytes(socket: Socket, bytes: number): void {
+    const response = this.#responses.get(socket);
+    const isIdle = !response || (response.req.complete && response.writableFinished);
+    if (!isIdle) return;
+    const idleBytes = (this.#idleBytes.get(socket) ?? 0) + bytes;
+    this.#idleBytes.set(socket, idleBytes);
+    if (idleBytes > 2 * this.#options.headerBytes) socket.destroy();
   }
 
   /** Reason to refuse a request before its body is read; undefined when there is none. */
