Bound what the requests of callers cost to receive

Callers that sent a body in chunks of one byte, with or without a valid key, took 2.2 and 3.6 GB of a node and starved all other requests: one object for each byte was kept, the limit on bodies counted payload, and libuv read one connection up to 32 times before the next. Digits of chunk sizes and blank lines were not counted. Nothing bounded all bodies together. Requests without a host were answered by the parser of Node.js, so the limit on pipelined requests did not count them.

readBody copies a body into one block, BodyBudget bounds all of them (32 MB; the largest that is arriving is refused with 503, memory-full, and Retry-After, as not run), CallerConnection waits for its turn after costly pieces, and a check each 100 ms ends connections of which more than 256 KB and the size of the body is framing (400, excessive-framing). Requests behind the 64th on a connection are counted and no longer logged one by one: a read has thousands.

--- a/packages/gateway/src/errors/refusal.ts
+++ b/packages/gateway/src/errors/refusal.ts
@@ -28,6 +28,7 @@
   'node-closed':
     'the node closed at the end of its grace period, before a runner answered; the request may have run',
   'node-busy': 'the node has as many requests of its peers as it takes',
+  'memory-full': 'the bodies of all requests take the memory that the node has for them',
   'node-failed': 'the node failed to serve the request, which may have run; see its log',
   'rejected-by-peer': 'the peer that the request was passed on to rejected it; see its log',
 };
--- a/packages/gateway/src/node/caller-connection.ts
+++ b/packages/gateway/src/node/caller-connection.ts
@@ -1,9 +1,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { ConnectionEnd } from '../types/connection-end.ts';
+import { exceedsFramingLimit } from '../utils/exceeds-framing-limit.ts';
+import type { ReadTurns } from '../utils/read-turns.ts';
+import { PacedReader } from './paced-reader.ts';
 
 /** Time for which a connection is read after its last response, so that the caller can receive it. */
 const LINGER_MS = 1_000;
+/** Framing of any request: its head, or a body of 64 KB in chunks of one byte. */
+const MAX_FRAMING_BYTES = 256 * 1024;
 
 /**
  * Connection of a caller. Its requests are served one after the other, and it is closed only between
@@ -11,16 +16,27 @@
  */
 export class CallerConnection {
   readonly #socket: Socket;
+  readonly #reader: PacedReader;
   #requestCount = 0;
   #newest: IncomingMessage | undefined;
   #lastResponse: Promise<void> = Promise.resolve();
   /** Bytes that had been received at the end of the newest request. */
   #receivedBytes = 0;
+  /** Bytes that had been received when the newest request began to be read, or was whole. */
+  #bytesBefore = 0;
+  /** Bytes of bodies since then. */
+  #bodyBytes = 0;
+  /** Bytes that had been received when the newest piece of a body arrived. */
+  #readBytes = 0;
   #end: ConnectionEnd | undefined;
   #hasCallerLeft = false;
 
-  constructor(socket: Socket) {
+  constructor(socket: Socket, turns: ReadTurns) {
     this.#socket = socket;
+    this.#reader = new PacedReader({ socket, turns });
+    socket.once('close', () => {
+      this.#reader.close();
+    });
     socket.once('end', () => {
       this.#hasCallerLeft = true;
     });
@@ -49,13 +65,37 @@
     return this.#end?.response !== undefined;
   }
 
+  /** More of what is arriving is framing than a sound caller needs. */
+  get exceedsFraming(): boolean {
+    const wireBytes = this.#socket.bytesRead - this.#bytesBefore;
+    return exceedsFramingLimit({
+      baseBytes: MAX_FRAMING_BYTES,
+      wireBytes,
+      bodyBytes: this.#bodyBytes,
+    });
+  }
+
+  /** Handles a piece of a body; the connection waits for its turn if its pieces cost much. */
+  receive(bytes: Buffer, handle: (bytes: Buffer) => void): void {
+    const { bytesRead } = this.#socket;
+    if (bytesRead !== this.#readBytes) {
+      this.#readBytes = bytesRead;
+      this.#reader.begin();
+    }
+    this.#bodyBytes += bytes.length;
+    handle(bytes);
+    this.#reader.end();
+  }
+
   /** Adds a request; settles when the responses to the earlier ones have ended. */
   addRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const turn = this.#lastResponse;
     this.#newest = message;
     this.#requestCount += 1;
+    this.#awaitBytes();
     message.once('end', () => {
       this.#receivedBytes = this.#socket.bytesRead;
+      this.#awaitBytes();
     });
     this.#lastResponse = new Promise((resolve) => {
       const settle = (): void => {
@@ -96,6 +136,11 @@
     this.#socket.destroy();
   }
 
+  #awaitBytes(): void {
+    this.#bytesBefore = this.#socket.bytesRead;
+    this.#bodyBytes = 0;
+  }
+
   #finish(): void {
     const incomplete = this.#newest && !this.#newest.complete ? 1 : 0;
     if (!this.#end || this.#requestCount > incomplete || !this.#socket.writable) return;
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -13,10 +13,13 @@
 import { CallerConnection } from './caller-connection.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { GatewayMetrics } from './gateway-metrics.ts';
+import type { Intake } from './intake.ts';
+import { readBody } from './read-body.ts';
 
 interface CallerServerOptions<Request extends CallerRequest> {
   readonly address: Address;
   readonly dialect: Dialect<Request>;
+  readonly intake: Intake;
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
   readonly onRequest: (request: Request, channel: CallerChannel) => Promise<void>;
@@ -30,7 +33,6 @@
 
 const HTTP_BAD_REQUEST = 400;
 const HTTP_REQUEST_TIMEOUT = 408;
-const HTTP_PAYLOAD_TOO_LARGE = 413;
 const HTTP_HEADERS_TOO_LARGE = 431;
 const HTTP_INTERNAL_ERROR = 500;
 /** Limits until a configuration is active. */
@@ -48,6 +50,10 @@
 const BODY_TIMEOUT_MS = 10_000;
 /** Requests that may arrive on a connection before the first of them is answered. */
 const MAX_PIPELINED_REQUESTS = 64;
+const EXCESSIVE_FRAMING = 'excessive-framing';
+const TOO_MANY_REQUESTS = 'too-many-requests';
+/** Interval between checks of what connections have received, in milliseconds. */
+const FRAMING_CHECK_PERIOD_MS = 100;
 
 const PARSER_STATUS: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: HTTP_HEADERS_TOO_LARGE,
@@ -58,8 +64,9 @@
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
 
-function refusalText(status: number): string {
-  return `HTTP/1.1 ${status} Refused\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+function refusalText(status: number, headers: ReadonlyMap<string, string> = new Map()): string {
+  const lines = [...headers].map(([name, value]) => `${name}: ${value}\r\n`).join('');
+  return `HTTP/1.1 ${status} Refused\r\n${lines}Connection: close\r\nContent-Length: 0\r\n\r\n`;
 }
 
 /** HTTP server for callers: reads complete requests within the limits and passes them to `onRequest`. */
@@ -68,6 +75,7 @@
   readonly #server: Server;
   readonly #connections = new Map<Socket, CallerConnection>();
   #limits: CallerLimits = DEFAULT_LIMITS;
+  #framingCheck: NodeJS.Timeout | undefined;
   #isStopping = false;
 
   constructor(options: CallerServerOptions<Request>) {
@@ -76,6 +84,8 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: CHECK_PERIOD_MS,
       noDelay: true,
+      // The parser would answer such requests itself, as many as come.
+      requireHostHeader: false,
     });
     this.#server.on('request', (message, response) => {
       void this.#receive(message, response);
@@ -91,7 +101,7 @@
       this.#connections.get(socket)?.closeIfIdle('idle');
     });
     this.#server.on('connection', (socket) => {
-      const connection = new CallerConnection(socket);
+      const connection = new CallerConnection(socket, options.intake.turns);
       this.#connections.set(socket, connection);
       socket.on('close', () => {
         this.#connections.delete(socket);
@@ -127,6 +137,9 @@
       this.#server.once('error', reject);
       this.#server.listen({ host, port, backlog: BACKLOG }, resolve);
     });
+    this.#framingCheck = setInterval(() => {
+      this.#checkFraming();
+    }, FRAMING_CHECK_PERIOD_MS);
   }
 
   /** Closes each connection after its next response. */
@@ -143,6 +156,7 @@
 
   /** Closes all connections, together with the requests in progress. */
   async close(): Promise<void> {
+    clearInterval(this.#framingCheck);
     this.#server.close();
     for (const connection of this.#connections.values()) connection.destroy('node-closed');
     return Promise.resolve();
@@ -158,8 +172,8 @@
     }
     const turn = connection.addRequest(message, response);
     if (connection.requestCount > MAX_PIPELINED_REQUESTS) {
-      this.#logEnd('too-many-requests', { requests: connection.requestCount });
-      connection.destroy('too-many-requests');
+      this.#logEnd(TOO_MANY_REQUESTS, { requests: connection.requestCount });
+      connection.destroy(TOO_MANY_REQUESTS);
     }
     let isSent = false;
     // A response also finishes when it is written to a connection that has been closed.
@@ -185,7 +199,7 @@
       isStopping: () => this.#isStopping && connection.requestCount === 1,
     });
     try {
-      const request = await this.#read(message);
+      const request = await this.#read(received);
       if (request) await onRequest(withDeadlineIn(request, waitedMs), channel);
     } catch (error) {
       this.#fail(error, received, channel);
@@ -193,16 +207,21 @@
   }
 
   /** Reads a complete request; undefined when the caller disconnected before its end. */
-  async #read(message: IncomingMessage): Promise<Request | undefined> {
-    const { headerBytes: maxHeaderBytes, bodyBytes } = this.#limits;
+  async #read(received: ReceivedMessage): Promise<Request | undefined> {
+    const { message } = received;
+    const { bodies } = this.#options.intake;
+    const { headerBytes: maxHeaderBytes, bodyBytes: maxBytes } = this.#limits;
     if (headerBytes(message) > maxHeaderBytes) {
       throw new Refusal('header-too-large', { status: HTTP_HEADERS_TOO_LARGE });
     }
-    const { 'transfer-encoding': encoding } = message.headers;
+    const { 'transfer-encoding': encoding, host } = message.headers;
+    if (host === undefined && message.httpVersion === '1.1') {
+      throw new RequestInvalid('header host is missing');
+    }
     if (encoding !== undefined && encoding.toLowerCase() !== 'chunked') {
       throw new RequestInvalid(`transfer encoding ${encoding} is not supported`);
     }
-    const body = await bodyOf(message, bodyBytes);
+    const body = await readBody({ ...received, bodies, maxBytes });
     if (body === 'broken') return undefined;
     const { method = 'GET', url: target = '/', rawHeaders } = message;
     return this.#options.dialect.parseRequest({ method, target, rawHeaders }, body);
@@ -210,7 +229,7 @@
 
   /** Answers a request that could not be read, or in whose handling the node failed. */
   #fail(error: unknown, received: ReceivedMessage, channel: CallerChannel): void {
-    const { log, metrics } = this.#options;
+    const { log, metrics, dialect } = this.#options;
     const { message, response, connection } = received;
     const request = this.#idOf(message);
     const reason = error instanceof Error ? error.message : String(error);
@@ -223,19 +242,23 @@
     }
     metrics.count('refusals', { cause: error.code });
     log.notable('request-not-read', { request, reason, code: error.code });
+    const hasDelay = error.retryAfterMs !== undefined;
+    const headers = hasDelay ? dialect.errorHeaders(request, error) : new Map<string, string>();
     if (message.complete) {
-      response.writeHead(error.status, { 'content-length': '0' });
+      response.writeHead(error.status, { ...Object.fromEntries(headers), 'content-length': '0' });
       response.end();
       return;
     }
     message.resume();
-    connection.end({ cause: error.code, response: refusalText(error.status) });
+    connection.end({ cause: error.code, response: refusalText(error.status, headers) });
   }
 
   /** Leaves a request without an answer that arrived on a connection which is being closed. */
   #drop({ message, connection }: ReceivedMessage): void {
     message.resume();
     this.#options.metrics.count('requests_dropped', { cause: connection.endCause ?? '' });
+    // One read can have thousands of them; the line on the end of the connection stands for all.
+    if (connection.endCause === TOO_MANY_REQUESTS) return;
     this.#options.log.notable('request-dropped', {
       request: this.#idOf(message),
       cause: connection.endCause,
@@ -272,6 +295,16 @@
     connection.end({ cause, response: refusalText(status) });
   }
 
+  /** Ends connections that bring more framing than sound callers need, also without a request. */
+  #checkFraming(): void {
+    for (const connection of this.#connections.values()) {
+      if (connection.endCause !== undefined || !connection.exceedsFraming) continue;
+      const status = HTTP_BAD_REQUEST;
+      this.#logEnd(EXCESSIVE_FRAMING, { status, requests: connection.requestCount });
+      connection.end({ cause: EXCESSIVE_FRAMING, response: refusalText(status) });
+    }
+  }
+
   #logEnd(cause: string, fields: Readonly<Record<string, number>>): void {
     this.#options.metrics.count('connections_ended', { cause });
     this.#options.log.notable('connection-ended', { cause, ...fields });
@@ -296,34 +329,3 @@
   if (request.deadlineMs === undefined) return { ...request, waitedMs };
   return { ...request, waitedMs, deadlineMs: Math.max(0, request.deadlineMs - waitedMs) };
 }
-
-function bodyOf(
-  message: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | undefined | 'broken'> {
-  const { headers } = message;
-  const hasBody =
-    headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    message.on('data', (bytes: Buffer) => {
-      size += bytes.length;
-      if (size > maxBytes) {
-        message.pause();
-        reject(new Refusal('body-too-large', { status: HTTP_PAYLOAD_TOO_LARGE }));
-        return;
-      }
-      chunks.push(bytes);
-    });
-    message.on('end', () => {
-      resolve(hasBody ? Buffer.concat(chunks) : undefined);
-    });
-    message.on('error', () => {
-      resolve('broken');
-    });
-    message.on('close', () => {
-      resolve('broken');
-    });
-  });
-}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -288,6 +288,7 @@
     this.#callers = new CallerServer({
       address: listen.callers,
       dialect,
+      intake,
       log: this.#decisions,
       metrics: this.#metrics,
       onRequest: (request, channel) => this.#serve(request, channel),
--- a/packages/gateway/src/node/peer-forwarder.ts
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -75,6 +75,7 @@
 const NEXT_PEER_CAUSES: ReadonlySet<string> = new Set([
   'runner-unreachable',
   'node-busy',
+  'memory-full',
   'node-stopping',
   'no-configuration',
 ]);
--- a/packages/gateway/src/node/peer-passing.ts
+++ b/packages/gateway/src/node/peer-passing.ts
@@ -46,7 +46,7 @@
 
   constructor(options: PeerPassingOptions) {
     this.#options = options;
-    const { dialect, address, log, metrics, clock, pool } = options;
+    const { dialect, address, intake, log, metrics, clock, pool } = options;
     this.reach = new PeerReach(clock);
     this.forwarder = new PeerForwarder({
       ...options,
@@ -57,6 +57,7 @@
     this.#server = new CallerServer({
       address,
       dialect: new PassingDialect(dialect),
+      intake,
       log,
       metrics,
       onRequest: (request, channel) => this.#serve(request, channel),
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -43,6 +43,8 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, MISDIRECTED, 429, 503]);
 /** Maximum size of an event of a stream, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
+/** Framing of any response: a stream of 200 KB can come in chunks of one byte. */
+const MAX_FRAMING_BYTES = 1024 * 1024;
 /** Interim responses that a runner may send before a response. */
 const MAX_INTERIM_RESPONSES = 1_000;
 const BUFFER_LIMIT_REASON = 'response exceeds the buffer limit';
@@ -157,7 +159,7 @@
       const wireBytes = socket.bytesRead - bytesBefore;
       if (
         this.#interimCount > MAX_INTERIM_RESPONSES ||
-        exceedsFramingLimit({ wireBytes, bodyBytes: this.#bytes })
+        exceedsFramingLimit({ baseBytes: MAX_FRAMING_BYTES, wireBytes, bodyBytes: this.#bytes })
       ) {
         this.abort({ kind: 'broken', reason: FRAMING_LIMIT_REASON, isConnectionLost: false });
         return;
--- a/packages/gateway/src/types/refusal-cause.ts
+++ b/packages/gateway/src/types/refusal-cause.ts
@@ -16,5 +16,6 @@
   | 'node-stopping'
   | 'node-closed'
   | 'node-busy'
+  | 'memory-full'
   | 'node-failed'
   | 'rejected-by-peer';
--- a/test/gateway/lost-failures.test.ts
+++ b/test/gateway/lost-failures.test.ts
@@ -5,6 +5,7 @@
 import { CallerServer } from '../../packages/gateway/src/node/caller-server.ts';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import { GatewayMetrics } from '../../packages/gateway/src/node/gateway-metrics.ts';
+import { Intake } from '../../packages/gateway/src/node/intake.ts';
 import { RawCaller, requestText } from './raw-caller.ts';
 
 // Guards against a connection that closes without an answer because the node failed to serve the request.
@@ -19,6 +20,7 @@
   const metrics = new GatewayMetrics();
   const server = new CallerServer({
     address: { host: '127.0.0.1', port: 0 },
+    intake: new Intake(),
     dialect: new PlatformDialect(),
     log: new DecisionLog({ node: 'n1', out, clock: new SystemClock() }),
     metrics,
--- a/test/gateway/lost-peers.test.ts
+++ b/test/gateway/lost-peers.test.ts
@@ -77,6 +77,7 @@
   });
   const server = new CallerServer({
     address: { host: '127.0.0.1', port: 0 },
+    intake: new Intake(),
     dialect,
     log,
     metrics,
