--- a/test/gateway/tiny-pieces.test.ts
+++ b/test/gateway/tiny-pieces.test.ts
@@ -56,6 +56,12 @@
     head: (request) => streamHeadFor(request),
     unit: chunk('x'),
   },
+  'a stream of events in a chunk each': {
+    isStream: true,
+    isValid: true,
+    head: (request) => streamHeadFor(request),
+    unit: chunk('data: x\n\n'),
+  },
   'digits of the size of a chunk': {
     head: (request) => headFor(request, CHUNKED),
     isFraming: true,
