Let sound requests be served before prompts crash runners in the test of crashing prompts

"requests with a part that crashed five runners no longer reach runners, and other requests are served" had 14 and 8 late arrivals beside load. With the process of the test stopped and continued (150 ms / 100 ms, each times 0.5 to 1.5) it failed in 3 of 5 runs, with 24, 23 and 5 late arrivals; in the logs of one, no part was quarantined for 7 s and 40 crashes.

Cause: a part that was never served is blamed only once 20 requests without it were served, since a service that has never worked tells nothing of a part. The test gave the sound requests 500 ms, at 40 a second, for that; in a process that is held up far fewer were served by then, and later ones were interrupted by the crashes.

The test waits for the 20 now, as many as it sent before in 500 ms, and asserts the same.

--- a/test/gateway/crashing-prompt.test.ts
+++ b/test/gateway/crashing-prompt.test.ts
@@ -10,6 +10,8 @@
 import type { ReceivedRequest } from './scripted-runner.ts';
 
 const CONTACT_MS = 3_000;
+/** Sound requests without which no part is blamed: the service may never have worked. */
+const SERVED_BEFORE = 20;
 const CRASHING_PART = 'bad';
 /** Requests with the crashing part that may still reach runners, by the platform's limit. */
 const MAX_LATE_ARRIVALS = 3;
@@ -111,7 +113,7 @@
   const gateways = [await startGateway('n1'), await startGateway('n2')];
   await sleep(600);
   const sound = startSoundTraffic(() => gateways);
-  await sleep(500);
+  while (sound.served.length < SERVED_BEFORE) await sleep(20);
   const crashing = startTraffic(
     () => gateways,
     300,
