Bound what an answer of the platform's log and API may take of a node

PlatformHttp, the client of the product's own interface, buffered a body of any size, and counted nothing beside it. With interim responses without end timers were late by 3760 ms and calls ended 7175 ms after their start (2000 ms are their time-out here); with chunks of 1 byte timers were late by 1042 ms.

Its calls go through callHttp, with 16 MiB for an answer.

--- a/packages/platform/src/node/platform-http.ts
+++ b/packages/platform/src/node/platform-http.ts
@@ -1,8 +1,7 @@
 import { Agent as HttpAgent } from 'node:http';
 import { Agent as HttpsAgent } from 'node:https';
+import { CallFailure, callHttp } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
-import { got, RequestError, TimeoutError } from 'got';
-import type { Got } from 'got';
 import { PlatformUnavailable } from '../errors/platform-unavailable.ts';
 import type { PlatformAnswer } from '../types/platform-answer.ts';
 import type { PlatformCall } from '../types/platform-call.ts';
@@ -11,18 +10,12 @@
 const DEFAULT_TIMEOUT_MS = 5_000;
 const CONNECT_TIMEOUT_MS = 2_000;
 const DEFAULT_MAX_SOCKETS = 8;
-/** Errors that occur before anything is written to a connection, so the call had no effect. */
-const CONNECT_ERRORS: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'ENOTFOUND',
-]);
-const CONNECT_PHASES: ReadonlySet<string> = new Set(['lookup', 'connect', 'secureConnect']);
+/** Bound of an answer, in bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
 /** JSON client over HTTP with a limited number of connections, time-outs and no retries. */
 export class PlatformHttp implements Closeable {
-  readonly #client: Got;
+  readonly #baseUrl: string;
   readonly #timeoutMs: number;
   readonly #agents: { readonly http: HttpAgent; readonly https: HttpsAgent };
 
@@ -34,13 +27,7 @@
     const options = { keepAlive: true, maxSockets };
     this.#timeoutMs = timeoutMs;
     this.#agents = { http: new HttpAgent(options), https: new HttpsAgent(options) };
-    this.#client = got.extend({
-      prefixUrl: baseUrl,
-      agent: this.#agents,
-      retry: { limit: 0 },
-      throwHttpErrors: false,
-      followRedirect: false,
-    });
+    this.#baseUrl = baseUrl.replace(/\/$/, '');
   }
 
   /** Returns the answer to a request, whatever its status; throws `PlatformUnavailable` without one. */
@@ -52,16 +39,28 @@
     waitMs = 0,
     signal,
   }: PlatformCall): Promise<PlatformAnswer> {
+    const url = new URL(`${this.#baseUrl}/${path}`);
+    for (const [name, value] of Object.entries(query ?? {})) {
+      url.searchParams.set(name, String(value));
+    }
+    const connectTimeoutMs = Math.min(CONNECT_TIMEOUT_MS, this.#timeoutMs);
     try {
-      const response = await this.#client(path, {
+      const reply = await callHttp({
+        url,
         method,
-        timeout: this.#timeouts(waitMs),
-        ...(query ? { searchParams: query } : {}),
-        ...(method === 'POST' ? { json: body ?? {} } : {}),
+        headers: {
+          accept: 'application/json',
+          ...(method === 'POST' ? { 'content-type': 'application/json' } : {}),
+        },
+        ...(method === 'POST' ? { body: JSON.stringify(body ?? {}) } : {}),
+        agent: url.protocol === 'https:' ? this.#agents.https : this.#agents.http,
+        timeoutMs: this.#timeoutMs + waitMs + connectTimeoutMs,
+        connectTimeoutMs,
+        maxBodyBytes: MAX_ANSWER_BYTES,
         ...(signal ? { signal } : {}),
       });
-      const { statusCode: status, headers } = response;
-      return { status, retryAfter: headers['retry-after'], body: parseJson(response.body) };
+      const { status, headers } = reply;
+      return { status, retryAfter: headers['retry-after'], body: parseJson(reply.body.toString()) };
     } catch (error) {
       throw toPlatformUnavailable(error);
     }
@@ -72,21 +71,6 @@
     this.#agents.https.destroy();
     return Promise.resolve();
   }
-
-  #timeouts(waitMs: number): Readonly<Record<string, number>> {
-    const connect = Math.min(CONNECT_TIMEOUT_MS, this.#timeoutMs);
-    const exchangeTimeoutMs = this.#timeoutMs + waitMs;
-    return {
-      lookup: connect,
-      connect,
-      secureConnect: connect,
-      socket: exchangeTimeoutMs,
-      send: this.#timeoutMs,
-      response: exchangeTimeoutMs,
-      read: this.#timeoutMs,
-      request: exchangeTimeoutMs + connect,
-    };
-  }
 }
 
 function parseJson(text: string): unknown {
@@ -98,11 +82,8 @@
 }
 
 function toPlatformUnavailable(error: unknown): PlatformUnavailable {
-  if (!(error instanceof RequestError)) {
+  if (!(error instanceof CallFailure)) {
     return new PlatformUnavailable('the call to the platform failed', { cause: error });
   }
-  const notRun =
-    CONNECT_ERRORS.has(error.code) ||
-    (error instanceof TimeoutError && CONNECT_PHASES.has(error.event));
-  return new PlatformUnavailable(error.message, { cause: error, notRun });
+  return new PlatformUnavailable(error.message, { cause: error, notRun: error.notRun });
 }
