--- a/test/gateway/configuration-parts.test.ts
+++ b/test/gateway/configuration-parts.test.ts
@@ -64,3 +64,23 @@
   sync.update();
   t.deepEqual(asked, ['second']);
 });
+
+// Guards against: a sender of parts that belong to no configuration filled the memory of a node.
+test('parts that cannot belong to a configuration are not held', (t) => {
+  const assembler = new ConfigurationAssembler();
+  const text = 'x'.repeat(64 * 1024);
+  const sendParts = (first: number): void => {
+    for (let part = first; part < first + 1_023; part += 1) {
+      assembler.add({ node: 'n2', version: 7, part, parts: 1_024, text });
+    }
+  };
+  t.notThrows(() => {
+    sendParts(1_024);
+  });
+  t.throws(
+    () => {
+      sendParts(0);
+    },
+    { message: /too large/ },
+  );
+});
