Tell only of records that a read itself has brought

A node could miss that a runner drains or has gone until its entry changed again. Where two readers of a failure domain read the same record, one of them applied the feed of the other during its own read, compared the whole page with what it then had itself, found no change, and told that the range had none. A node that had lost the first feed, or got it late, skipped the record.

A reader now announces the range from where it was when its read came back, so that a node which lacks more than that reads it itself. The test failed before: the feed began at 2 in place of 3.

--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -204,8 +204,9 @@
     const appliedUpTo = this.#position?.offset ?? from;
     if (this.#closing.signal.aborted || page.next < appliedUpTo) return false;
     const applyingSince = clock.monotonic();
-    this.#options.onRange({ from, next: page.next, era: page.era }, page.records);
     const newRecords = page.records.filter(({ offset }) => offset >= appliedUpTo);
+    // What a feed has brought meanwhile is no change here any more, but may be one for others.
+    this.#options.onRange({ from: appliedUpTo, next: page.next, era: page.era }, newRecords);
     if (newRecords.length > 0) onRecords(newRecords);
     this.#position = { offset: page.next, era: page.era };
     this.#applyMs = clock.monotonic() - applyingSince;
--- a/test/gateway/keyed-follower.test.ts
+++ b/test/gateway/keyed-follower.test.ts
@@ -161,6 +161,42 @@
   t.is(recoveries(), 1);
 });
 
+// Guards against a change that a node never learns of: the reader that tells of it compares it with what it has itself.
+test('a reader tells only of the records that no feed has brought it during its read', async (t) => {
+  const log = await logWith('a', 'b');
+  let letRead: () => void = () => undefined;
+  const mayRead = new Promise<void>((resolve) => {
+    letRead = resolve;
+  });
+  const slowLog: KeyedLog = {
+    get era() {
+      return log.era;
+    },
+    newest: (topic) => log.newest(topic),
+    append: (append) => log.append(append),
+    read: async (read) => {
+      await mayRead;
+      return log.read(read);
+    },
+  };
+  const feeds: TopicFeed[] = [];
+  const { follower, records, reads } = startFollower(t, slowLog, true, {
+    publishFeed: (feed) => feeds.push(feed),
+  });
+  await waitUntil(() => reads() === 1);
+  await log.append({ topic: 'topic', key: 'c', value: Buffer.from('c') });
+  follower.applyFeed({ from: 2, next: 3, era: 0 }, [record('c', 2)], true);
+  t.is(records.length, 3);
+  await log.append({ topic: 'topic', key: 'd', value: Buffer.from('d') });
+  letRead();
+  await waitUntil(() => feeds.length > 0);
+  t.is(feeds[0]?.from, 3);
+  t.deepEqual(
+    feeds[0]?.changes.map(([key]) => key),
+    ['d'],
+  );
+});
+
 // Guards against following the log at an offset that it gave out again (CONFIG).
 test('pattern: store restored; a feed of a newer era makes a node read the records anew', async (t) => {
   const log = await logWith('a', 'b');
