Bound the rest after records that took long to apply

After records that took 0.9 s to apply a node did not read for 2.7 s, longer than the two seconds within which a change has to be in force. The rest is at most half a second now.

--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -65,6 +65,8 @@
 const MAX_IDLE_READS = 3;
 /** Time left to other work after records were applied, in multiples of the time that this took. */
 const APPLY_REST = 3;
+/** Longest rest, in milliseconds: a change must be in force within two seconds. */
+const MAX_REST_MS = 500;
 
 /** Follows a keyed topic: a snapshot first, then each new record. */
 export class KeyedFollower implements Closeable {
@@ -180,7 +182,7 @@
       this.#position = undefined;
       this.#idleReads += 1;
     }
-    const restMs = APPLY_REST * this.#applyMs;
+    const restMs = Math.min(MAX_REST_MS, APPLY_REST * this.#applyMs);
     const nextPauseMs = Math.max(this.#position ? pauseMs : 0, restMs);
     return this.#idleReads > MAX_IDLE_READS ? Math.max(nextPauseMs, retryPauseMs) : nextPauseMs;
   }
--- a/test/gateway/keyed-follower.test.ts
+++ b/test/gateway/keyed-follower.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import { SeededRandom, SystemClock } from '@ragwortrudder/core';
+import { ManualClock, SeededRandom, SystemClock } from '@ragwortrudder/core';
+import type { Clock } from '@ragwortrudder/core';
 import { LogUnavailable, MemoryKeyedLog } from '@ragwortrudder/log';
 import type { KeyedLog, KeyedRecord } from '@ragwortrudder/log';
 import { KeyedFollower } from '../../packages/gateway/src/node/keyed-follower.ts';
@@ -20,6 +21,10 @@
   readonly waitMs?: number;
   /** @default PAUSE_MS */
   readonly pauseMs?: number;
+  /** @default the clock of the system */
+  readonly clock?: Clock;
+  /** Called when records are applied. */
+  readonly onApply?: () => void;
   /** Receives each range that was read. */
   readonly publishFeed?: (feed: TopicFeed) => void;
 }
@@ -31,7 +36,13 @@
   t: ExecutionContext,
   log: KeyedLog,
   isReader: boolean,
-  { waitMs = 0, pauseMs = PAUSE_MS, publishFeed }: FollowerOptions = {},
+  {
+    waitMs = 0,
+    pauseMs = PAUSE_MS,
+    clock = new SystemClock(),
+    onApply,
+    publishFeed,
+  }: FollowerOptions = {},
 ): TestEnvironment {
   const records: KeyedRecord[] = [];
   let reads = 0;
@@ -51,13 +62,16 @@
   const follower = new KeyedFollower({
     log: countingLog,
     topic: 'topic',
-    clock: new SystemClock(),
+    clock,
     random: new SeededRandom(1),
     waitMs,
     pauseMs,
     isReader: () => isReader,
     onSnapshot: (snapshot) => records.push(...snapshot),
-    onRecords: (more) => records.push(...more),
+    onRecords: (more) => {
+      records.push(...more);
+      onApply?.();
+    },
     onRange: (range, read) => {
       publishFeed?.({ topic: 'topic', ...range, changes: read.map(encodeChange), isWhole: false });
     },
@@ -161,6 +175,26 @@
   t.is(recoveries(), 1);
 });
 
+// Guards against a record that waits for seconds because the one before took long to apply (CONFIG).
+test('a record is read soon after one that took long to apply', async (t) => {
+  const log = await logWith('a');
+  const clock = new ManualClock();
+  const { records } = startFollower(t, log, true, {
+    clock,
+    onApply: () => {
+      clock.advance(900);
+    },
+  });
+  await waitUntil(() => records.length === 1);
+  await log.append({ topic: 'topic', key: 'b', value: Buffer.from('b') });
+  await waitUntil(() => records.length === 2);
+  const startedAt = performance.now();
+  await log.append({ topic: 'topic', key: 'c', value: Buffer.from('c') });
+  await waitUntil(() => records.length === 3);
+  const tookMs = performance.now() - startedAt;
+  t.true(tookMs < 2_000, `${tookMs} ms`);
+});
+
 // Guards against a change that a node never learns of: the reader that tells of it compares it with what it has itself.
 test('a reader tells only of the records that no feed has brought it during its read', async (t) => {
   const log = await logWith('a', 'b');
