Do not go back to an older state of a roll-out by a read that a feed has overtaken

A read of the states that was in flight while a feed brought newer ones applied its older ones afterwards. Where the same version was ordered anew between the two, a node took the new roll-out for the completed one before, and stopped reading. States that were read before those that were applied last are dropped now, from reads and from feeds. The test failed before.

--- a/packages/gateway/src/node/rollout-follower.ts
+++ b/packages/gateway/src/node/rollout-follower.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from '@ragwortrudder/core';
-import type { KeyedLog } from '@ragwortrudder/log';
+import type { KeyedLog, KeyedPosition } from '@ragwortrudder/log';
 import type { TopicFeed } from '../types/topic-feed.ts';
 import { decodeJson } from '../utils/decode-json.ts';
 import { encodeChange } from '../utils/encode-change.ts';
@@ -35,6 +35,8 @@
   readonly #options: RolloutFollowerOptions;
   /** Monotonic time of the next read, in milliseconds. */
   #readAt = -Infinity;
+  /** Up to where the states that were applied last had been read. */
+  #position: KeyedPosition = { offset: 0, era: 0 };
 
   constructor(options: RolloutFollowerOptions) {
     this.#options = options;
@@ -46,6 +48,7 @@
     if (!rollouts.isFollowing || clock.monotonic() < this.#readAt) return;
     this.#postpone();
     const { records, next, era } = await log.newest(DutyTermStore.topic);
+    if (!this.#advance({ offset: next, era })) return;
     const states = records.filter(({ key }) => Rollouts.isKey(key));
     for (const { value } of states) rollouts.applyState(decodeJson(value));
     const changes = states.map(encodeChange);
@@ -53,7 +56,8 @@
   }
 
   /** Applies the states that a peer of the failure domain has read. */
-  applyFeed({ changes }: TopicFeed): void {
+  applyFeed({ changes, next, era }: TopicFeed): void {
+    if (!this.#advance({ offset: next, era })) return;
     this.#postpone();
     for (const [key, value] of changes) {
       if (!Rollouts.isKey(key) || value === null) continue;
@@ -61,6 +65,14 @@
     }
   }
 
+  /** Returns false for states that are older than those that were applied last. */
+  #advance({ offset, era }: KeyedPosition): boolean {
+    const known = this.#position;
+    if (era < known.era || (era === known.era && offset < known.offset)) return false;
+    this.#position = { offset, era };
+    return true;
+  }
+
   #postpone(): void {
     const { clock, random, isReader } = this.#options;
     const slackMs = isReader() ? random.next() * READER_STAGGER_MS : FEED_SLACK_MS;
--- a/test/gateway/rollout-follower.test.ts
+++ b/test/gateway/rollout-follower.test.ts
@@ -105,3 +105,39 @@
   const { latestMs } = await runDomain({ loss: 0, rejected: new Set([0, 1]) });
   t.true(latestMs < KNOWN_MS, `${latestMs} ms`);
 });
+
+// Guards against a read that takes a node back to the roll-out before the one that a feed has told it of.
+test('a read that is older than a feed which came meanwhile changes nothing', async (t) => {
+  const log = new MemoryKeyedLog();
+  const key = Rollouts.keyOf('s');
+  const append = (sequence: number): Promise<number> =>
+    log.append({ topic: TOPIC, key, value: Buffer.from(JSON.stringify({ sequence })) });
+  await append(9);
+  const applied: unknown[] = [];
+  const options = {
+    rollouts: { isFollowing: true, applyState: (value: unknown) => applied.push(value) },
+    clock: new ManualClock(),
+    random: new SeededRandom(1),
+    isReader: () => true,
+  };
+  const peer = new RolloutFollower({
+    ...options,
+    rollouts: { isFollowing: true, applyState: () => undefined },
+    log,
+    publishFeed: (feed) => follower.applyFeed(feed),
+  });
+  const follower: RolloutFollower = new RolloutFollower({
+    ...options,
+    log: {
+      newest: async (topic) => {
+        const older = await log.newest(topic);
+        await append(1);
+        await peer.update();
+        return older;
+      },
+    },
+    publishFeed: () => undefined,
+  });
+  await follower.update();
+  t.deepEqual(applied, [{ sequence: 1 }]);
+});
