Take a call whose open connection is lost for one that may have run

EHOSTUNREACH and ENETUNREACH also end connections that were open. Calls to runners, engines and the store were told as not run by these codes alone, so that an operation or an append could be sent again after it had run. The test failed before.

--- a/packages/core/src/node/call-http.ts
+++ b/packages/core/src/node/call-http.ts
@@ -94,6 +94,8 @@
   if (error instanceof CallFailure) return error;
   const code = error instanceof Error && 'code' in error ? String(error.code) : 'unexpected';
   const message = error instanceof Error ? error.message : String(error);
-  const notRun = CONNECT_ERRORS.has(code);
+  // Errors with these codes also end connections that were open.
+  const wasOpen = error instanceof Error && 'syscall' in error && error.syscall === 'read';
+  const notRun = CONNECT_ERRORS.has(code) && !wasOpen;
   return new CallFailure({ reason: code, message, notRun, cause: error });
 }
--- a/test/core/call-http.test.ts
+++ b/test/core/call-http.test.ts
@@ -1,6 +1,6 @@
 import { Agent, createServer } from 'node:http';
 import type { RequestListener } from 'node:http';
-import { createServer as createSocketServer } from 'node:net';
+import { createServer as createSocketServer, Socket } from 'node:net';
 import type { AddressInfo, Server } from 'node:net';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
@@ -133,3 +133,26 @@
   const call = { ...LIMITS, url, signal: AbortSignal.timeout(50) };
   t.false((await failureOf(call)).notRun);
 });
+
+// Guards against sending a call again, as one that was not run, whose connection was lost after it had arrived.
+test('a call whose open connection is lost may have run, whatever the code of the error', async (t) => {
+  const sockets: Socket[] = [];
+  const agent = new Agent();
+  const createConnection = agent.createConnection.bind(agent);
+  agent.createConnection = (...args) => {
+    const socket = createConnection(...args);
+    if (socket instanceof Socket) sockets.push(socket);
+    return socket;
+  };
+  const url = await serve(t, () => {
+    const error = new Error('read EHOSTUNREACH');
+    sockets[0]?.destroy(Object.assign(error, { code: 'EHOSTUNREACH', syscall: 'read' }));
+  });
+  const error = await t.throwsAsync(
+    callHttp({ url, method: 'POST', body: 'x', agent, ...LIMITS }),
+    {
+      instanceOf: CallFailure,
+    },
+  );
+  t.false(error.notRun);
+});
--- a/test/gateway/rollout-follower.test.ts
+++ b/test/gateway/rollout-follower.test.ts
@@ -124,7 +124,9 @@
     ...options,
     rollouts: { isFollowing: true, applyState: () => undefined },
     log,
-    publishFeed: (feed) => follower.applyFeed(feed),
+    publishFeed: (feed) => {
+      follower.applyFeed(feed);
+    },
   });
   const follower: RolloutFollower = new RolloutFollower({
     ...options,
