Count ends of runners within a moment as one event again

Review showed that three runners of a rack that end 51 to 60 ms apart then blame the sound request that was sent from one to the next (ends at 0, 55 and 110 ms: one request blamed, none before). The time between two ends does not tell whether they have one cause.

--- a/packages/admission/src/utils/find-crashing-parts.ts
+++ b/packages/admission/src/utils/find-crashing-parts.ts
@@ -34,8 +34,6 @@
 
 /** Runners that end within this time may have a common cause, such as the loss of a rack. */
 const COMMON_CAUSE_MS = 100;
-/** Time between two ends from which a request that was at both runners was sent to the second one between them. */
-const SENT_ON_MS = 50;
 /** Evidence that is needed against a whole request, which may come again. */
 const REPEATED: Threshold = { events: 3, requests: 1, share: 0.1, runnerShare: 0 };
 /** Evidence that is needed from requests whose responses had begun. */
@@ -77,7 +75,7 @@
  */
 function findRepeated(history: CrashHistory, isIncluded: (key: string) => boolean): CrashingParts {
   const all = [...history.interrupted, ...history.explained];
-  const events = crashEventsOf(all, hasBeenSentOn);
+  const events = crashEventsOf(all);
   const isSuspect = (part: string): boolean => isRepeatKey(part) && isIncluded(part);
   const suspects = [...groupByPart(all, history, isSuspect)].flatMap(([part, requests]) => {
     const suspect = suspectOf(part, requests, REPEATED, events);
@@ -128,30 +126,17 @@
     .toSorted();
 }
 
-function crashEventsOf(
-  interrupted: readonly InterruptedRequest[],
-  isAnother: (event: CrashEvent, request: InterruptedRequest) => boolean = () => false,
-): readonly CrashEvent[] {
+function crashEventsOf(interrupted: readonly InterruptedRequest[]): readonly CrashEvent[] {
   const events: CrashEvent[] = [];
   for (const request of interrupted.toSorted((a, b) => a.at - b.at)) {
     const event = events.at(-1);
-    if (event && request.at - event.at < COMMON_CAUSE_MS && !isAnother(event, request)) {
+    if (event && request.at - event.at < COMMON_CAUSE_MS) {
       events[events.length - 1] = { ...event, interrupted: [...event.interrupted, request] };
     } else events.push({ at: request.at, interrupted: [request] });
   }
   return events;
 }
 
-/**
- * Whether a request was sent on to its runner after another one had ended under it: each of the two ends
- * counts, however soon the second one follows.
- */
-function hasBeenSentOn(event: CrashEvent, { request, runner, at }: InterruptedRequest): boolean {
-  return event.interrupted.some(
-    (other) => other.request === request && other.runner !== runner && at - other.at >= SENT_ON_MS,
-  );
-}
-
 /** Interrupted requests by part, without those from before the part was last served. */
 function groupByPart(
   interrupted: readonly InterruptedRequest[],
