--- a/review/1/main.ts
+++ b/review/1/main.ts
@@ -1,6 +1,7 @@
 import { Agent } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { freeAddresses } from '../../packages/standins/src/node/free-addresses.ts';
+import { conflictsOf } from '../lib/acts.ts';
 import { send } from '../lib/caller.ts';
 import { configuration } from '../lib/configuration.ts';
 import { Deployment } from '../lib/deployment.ts';
@@ -105,29 +106,6 @@
   }
 }
 
-/** Times at which holders have acted in the order A, B, A inside the lease, or with a lower token. */
-function violations(sinceMs: number): readonly string[] {
-  const found: string[] = [];
-  const acts = platform.acts.filter(({ at }) => at >= sinceMs);
-  let newest = 0;
-  for (const [index, act] of acts.entries()) {
-    if (act.token < newest) found.push(`${act.at.toFixed(0)}: ${act.holder} with a lower token`);
-    newest = Math.max(newest, act.token);
-    const earlier = acts.slice(0, index);
-    const other = earlier.findLastIndex(({ holder }) => holder !== act.holder);
-    const before = earlier
-      .slice(0, Math.max(0, other))
-      .findLast(({ holder }) => holder === act.holder);
-    if (before && act.at - before.at <= LEASE_MS) {
-      const by = earlier[other]?.holder ?? '';
-      found.push(
-        `${act.holder} at ${before.at.toFixed(0)}, ${by}, ${act.holder} at ${act.at.toFixed(0)}`,
-      );
-    }
-  }
-  return found;
-}
-
 let exitCode = 2;
 const beats = setInterval(beat, HEARTBEAT_MS);
 try {
@@ -153,10 +131,9 @@
   await sleep(Math.max(0, TRAFFIC_MS - (performance.now() - startedAt)));
   isDone = true;
   await loaded;
-  const found = violations(sinceMs);
-  const holders = new Set(
-    platform.acts.filter(({ at }) => at >= sinceMs).map(({ holder }) => holder),
-  );
+  const acts = platform.acts.filter(({ at }) => at >= sinceMs);
+  const found = conflictsOf(acts, LEASE_MS);
+  const holders = new Set(acts.map(({ holder }) => holder));
   const summary = [
     `answers: ${[...statuses].map(([key, count]) => `${key} ${count}`).join(', ')}`,
     `holders that acted after the trouble: ${[...holders].join(', ')}`,
--- a/review/lib/usage-platform.ts
+++ b/review/lib/usage-platform.ts
@@ -2,14 +2,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { receiveBody } from '../../packages/standins/src/utils/receive-body.ts';
+import type { Act } from './acts.ts';
 import type { Recorder } from './recorder.ts';
 
-interface Act {
-  readonly at: number;
-  readonly holder: string;
-  readonly token: number;
-}
-
 interface UsageReport {
   readonly window_seq: number;
   readonly counts: Readonly<Record<string, number>>;
