--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -48,6 +48,12 @@
   private constructor(store: KeyedStore) {
     this.store = store;
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
+    // The nodes must not outlive a run that ends by a fault of its own.
+    process.once('exit', () => {
+      for (const { process: child } of this.nodes) child.kill('SIGKILL');
+    });
+    for (const signal of ['SIGINT', 'SIGTERM'] as const)
+      process.once(signal, () => process.exit(2));
   }
 
   static async open(): Promise<Deployment> {
