--- /dev/null
+++ b/test/gateway/node-registration.test.ts
@@ -0,0 +1,105 @@
+import { Writable } from 'node:stream';
+import test from 'ava';
+import { SystemClock } from '@ragwortrudder/core';
+import { MemoryKeyedLog } from '@ragwortrudder/log';
+import type { KeyedAppend, KeyedLog } from '@ragwortrudder/log';
+import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
+import { NodeRegistration } from '../../packages/gateway/src/node/node-registration.ts';
+
+/** Log that loses the replies to removals, and carries them out later if their condition still holds. */
+class LateLog implements KeyedLog {
+  readonly #log: KeyedLog;
+  readonly late: KeyedAppend[] = [];
+
+  constructor(log: KeyedLog) {
+    this.#log = log;
+  }
+
+  get era(): number {
+    return this.#log.era;
+  }
+
+  newest(topic: string): ReturnType<KeyedLog['newest']> {
+    return this.#log.newest(topic);
+  }
+
+  read(range: Parameters<KeyedLog['read']>[0]): ReturnType<KeyedLog['read']> {
+    return this.#log.read(range);
+  }
+
+  append(record: KeyedAppend): Promise<number> {
+    if (record.value) return this.#log.append(record);
+    this.late.push(record);
+    return Promise.reject(new Error('the reply was lost'));
+  }
+}
+
+function createRegistration(
+  log: KeyedLog,
+  { node = 'n1', incarnation = 1 },
+): { readonly registration: NodeRegistration; readonly peers: readonly string[] } {
+  const peers: string[] = [];
+  const out = new Writable({
+    write: (_chunk, _encoding, done) => {
+      done();
+    },
+  });
+  const registration = new NodeRegistration({
+    log,
+    decisions: new DecisionLog({ node, out, clock: new SystemClock() }),
+    node,
+    address: { host: '127.0.0.1', port: 9_000 },
+    failureDomain: 'a',
+    incarnation,
+    peers: {
+      addPeer: (id) => {
+        peers.push(id);
+      },
+      publishReport: () => Promise.resolve(),
+    },
+  });
+  return { registration, peers };
+}
+
+async function listedIn(log: KeyedLog): Promise<readonly string[]> {
+  return (await log.newest('nodes')).records.map(({ key }) => key);
+}
+
+// Guards against nodes that do not know each other after a restart (ONE).
+test('pattern: removal of a node is done late; the entry of its next incarnation stays', async (t) => {
+  const log = new MemoryKeyedLog();
+  const lateLog = new LateLog(log);
+  const before = createRegistration(lateLog, { incarnation: 1 });
+  await before.registration.register();
+  await t.throwsAsync(before.registration.deregister());
+  await createRegistration(log, { incarnation: 2 }).registration.register();
+  for (const record of lateLog.late) await log.append(record).catch(() => undefined);
+  t.deepEqual(await listedIn(log), ['n1']);
+});
+
+test('a node that stops is removed, also while another node registers', async (t) => {
+  const log = new MemoryKeyedLog();
+  const first = createRegistration(log, { node: 'n1' });
+  await first.registration.register();
+  await Promise.all([
+    first.registration.deregister(),
+    createRegistration(log, { node: 'n2' }).registration.register(),
+  ]);
+  t.deepEqual(await listedIn(log), ['n2']);
+});
+
+// Guards against a removal by another build or writer that a node never notices (ONE).
+test('pattern: entry of a node was removed; the node registers again when it is told to check', async (t) => {
+  const log = new MemoryKeyedLog();
+  const { registration, peers } = createRegistration(log, { node: 'n1' });
+  await registration.register();
+  await log.append({ topic: 'nodes', key: 'n1' });
+  await createRegistration(log, { node: 'n2' }).registration.register();
+  await registration.register();
+  t.deepEqual(await listedIn(log), ['n2']);
+  registration.verify();
+  await registration.register();
+  await registration.register();
+  t.deepEqual([...(await listedIn(log))].toSorted(), ['n1', 'n2']);
+  t.true(peers.includes('n2'));
+});
