Take duties over only from a holder whose topic has not moved for a lease

Cause: a node took over because no peer told of a holder; a node that lost its term tried again at once; a resignation allowed any take-over without a wait, also from a later holder that was not heard; an idle holder recorded nothing, and an unsent report was sent without a check of the term. Fix: TermVacancy decides from reads of the topic of duties alone. A term of another node is vacant once the topic has not moved for a lease, or where the holder of just this term has resigned; a node that held the term itself waits for a lease after that. The holder renews its term within a third of the lease and checks it before each report. Only the first three by rank read the topic when no holder is heard.

--- a/packages/gateway/src/node/create-duty-holder.ts
+++ b/packages/gateway/src/node/create-duty-holder.ts
@@ -34,6 +34,8 @@
   readonly prefillMsPerToken: (service: string) => number;
   readonly services: () => readonly Service[];
   readonly isStopping: () => boolean;
+  /** Called when the topic of duties shows an active holder that no peer tells of. */
+  readonly onUnheardHolder: () => void;
 }
 
 /** Creates the holder of the duties that the settings give to nodes; undefined where there are none. */
@@ -67,13 +69,22 @@
     disciplinedClock,
     era: () => log.era,
     report: async (status) => {
+      const topic = codec.statusTopic;
       const { key, value } = codec.encodeRolloutStatus(status);
-      await log.append({ topic: codec.statusTopic, key, value });
+      // An append whose reply is lost may be done later, and must not replace a newer status.
+      const { next: at, era } = await log.newest(topic);
+      await log.append({ topic, key, value, at, era });
     },
   });
   return new DutyHolder({
     node: node.id,
-    termStore: new DutyTermStore({ log, node: node.id, decisions }),
+    termStore: new DutyTermStore({
+      log,
+      node: node.id,
+      clock,
+      leaseMs: duties.leaseMs,
+      decisions,
+    }),
     peers,
     clock,
     log: decisions,
@@ -84,5 +95,6 @@
     ],
     leaseMs: duties.leaseMs,
     isStopping: options.isStopping,
+    onUnheardHolder: options.onUnheardHolder,
   });
 }
--- a/packages/gateway/src/node/duty-holder.ts
+++ b/packages/gateway/src/node/duty-holder.ts
@@ -1,6 +1,8 @@
 import type { Clock, Closeable } from '@ragwortrudder/core';
 import { PeriodicTask } from '@ragwortrudder/core';
 import type { Duty } from '../types/duty.ts';
+import type { TermView } from '../types/term-view.ts';
+import { TermVacancy } from '../utils/term-vacancy.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { DutyTermStore } from './duty-term-store.ts';
 import type { Peers } from './peers.ts';
@@ -8,7 +10,7 @@
 interface DutyHolderOptions {
   readonly node: string;
   readonly termStore: DutyTermStore;
-  readonly peers: Pick<Peers, 'hasHolderResigned' | 'reachableIds' | 'newestDutyToken'>;
+  readonly peers: Pick<Peers, 'resignedDutyToken' | 'reachableIds' | 'newestDutyToken'>;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly duties: readonly Duty[];
@@ -16,6 +18,8 @@
   readonly leaseMs: number;
   /** The node is shutting down and must not acquire a term. */
   readonly isStopping: () => boolean;
+  /** Called when the topic of duties shows an active holder that no peer tells of. */
+  readonly onUnheardHolder: () => void;
 }
 
 const TICK_MS = 500;
@@ -24,8 +28,8 @@
  * a take-over and its report.
  */
 const RANK_DELAY_MS = 500;
-/** Time within which the nodes of a new deployment discover each other, in milliseconds. */
-const DISCOVERY_MS = 1_000;
+/** Ranks that read the topic as soon as no holder is heard; the others read it when they would take over. */
+const OBSERVING_RANKS = 3;
 /**
  * Time between taking over from another node and the first action, in milliseconds: calls of the
  * previous holder have arrived by then.
@@ -43,17 +47,18 @@
 export class DutyHolder implements Closeable {
   readonly #options: DutyHolderOptions;
   readonly #task: PeriodicTask;
-  #vacantSince: number;
+  readonly #vacancy: TermVacancy;
+  /** Before this time the node does not take over, in milliseconds of the monotonic clock. */
+  #seeksAfter = -Infinity;
+  /** Monotonic time since which no holder is known, in milliseconds. */
+  #vacantSince: number | undefined;
   #performAfter = 0;
   #failures = 0;
-  /** Holder of the newest term when this node started; cleared once the node has tried to acquire one. */
-  #termAtStart: { readonly holder: string | undefined } | undefined;
-  #hasReadTerm = false;
   #lastTick: { readonly steady: number; readonly wall: number } | undefined;
 
   constructor(options: DutyHolderOptions) {
     this.#options = options;
-    this.#vacantSince = options.clock.monotonic();
+    this.#vacancy = new TermVacancy({ node: options.node, leaseMs: options.leaseMs });
     this.#task = new PeriodicTask({
       periodMs: TICK_MS,
       run: () => this.#tick(),
@@ -84,29 +89,30 @@
   }
 
   async #tick(): Promise<void> {
-    const { termStore, peers, clock, log, duties, isStopping } = this.#options;
+    const { termStore, peers, clock, duties, isStopping, leaseMs } = this.#options;
     const now = clock.monotonic();
     if (isStopping()) return;
     const wasPaused = this.#wasPaused();
-    await this.#readTermOnce();
+    if (termStore.term) {
+      this.#vacancy.recordHeld(now);
+      this.#vacantSince = undefined;
+    }
     if (termStore.term && wasPaused) {
-      log.notable('duty-term-dropped', { token: termStore.term.fencingToken, reason: 'paused' });
-      termStore.resign();
-      this.#vacantSince = now;
+      this.#drop('duty-term-dropped', { reason: 'paused' });
+      this.#seeksAfter = now + leaseMs;
     }
     const peerToken = peers.newestDutyToken();
     if (termStore.term && peerToken > termStore.term.fencingToken) {
-      log.notable('duty-term-lost', { token: termStore.term.fencingToken, newer: peerToken });
-      termStore.resign();
+      this.#drop('duty-term-lost', { newer: peerToken });
     }
     if (!termStore.term) {
-      if (peerToken > 0) this.#vacantSince = now;
-      else if (now - this.#vacantSince >= this.#takeOverDelayMs()) await this.#takeOver(now);
+      if (peerToken > 0) this.#recordHolder();
+      else if (now >= this.#seeksAfter) await this.#seekTerm(now);
       return;
     }
     const token = termStore.term.fencingToken;
     if (!(await termStore.confirm())) {
-      log.notable('duty-term-lost', { token, newer: 'recorded' });
+      this.#options.log.notable('duty-term-lost', { token, newer: 'recorded' });
       return;
     }
     if (now < this.#performAfter) return;
@@ -114,6 +120,17 @@
     this.#failures = 0;
   }
 
+  #recordHolder(): void {
+    this.#vacancy.reset();
+    this.#vacantSince = undefined;
+  }
+
+  #drop(event: string, inputs: Readonly<Record<string, string | number>>): void {
+    const { termStore, log } = this.#options;
+    log.notable(event, { token: termStore.term?.fencingToken, ...inputs });
+    termStore.resign();
+  }
+
   /** Performs every duty, also after one has failed, and then throws the first failure. */
   async #perform(duties: readonly Duty[]): Promise<void> {
     const failures: unknown[] = [];
@@ -125,11 +142,35 @@
     if (failures.length > 0) throw failures[0];
   }
 
-  async #takeOver(now: number): Promise<void> {
+  /** Takes over once the topic has shown for long enough that no other node holds the term. */
+  async #seekTerm(now: number): Promise<void> {
+    const { termStore, peers, clock, node, leaseMs, log, onUnheardHolder } = this.#options;
+    this.#vacantSince ??= now;
+    const rank = peers.reachableIds().filter((id) => id < node).length;
+    // Delays are staggered by rank, so that nodes do not all try to take over at once.
+    const delayMs = rank * RANK_DELAY_MS;
+    const resignedToken = peers.resignedDutyToken;
+    const isFirstRead = !this.#vacancy.hasBaseline;
+    if (isFirstRead && rank >= OBSERVING_RANKS) {
+      const waitMs = delayMs + (resignedToken === undefined ? leaseMs : 0);
+      if (now - this.#vacantSince < waitMs) return;
+    }
+    const isDue = (): boolean =>
+      this.#vacancy.remainingMs(clock.monotonic() - delayMs, resignedToken) <= 0;
+    if (!isFirstRead && !isDue()) return;
+    const view = await termStore.observe();
+    const hasMoved = this.#vacancy.observe(view, clock.monotonic());
+    if (hasMoved && view.holder !== node) {
+      log.notable('duty-holder-unheard', { holder: view.holder, token: view.token });
+      onUnheardHolder();
+      return;
+    }
+    if (isDue()) await this.#takeOver(view);
+  }
+
+  async #takeOver({ position }: TermView): Promise<void> {
     const { termStore, clock, log, duties, node } = this.#options;
-    this.#vacantSince = now;
-    this.#termAtStart = undefined;
-    const { isTaken, previousHolder: before } = await termStore.takeOver();
+    const { isTaken, previousHolder: before } = await termStore.takeOver(position);
     if (!isTaken || !termStore.term) return;
     this.#failures = 0;
     this.#performAfter =
@@ -138,31 +179,6 @@
     for (const duty of duties) duty.begin(termStore);
   }
 
-  /** Delays are staggered by node id, so that nodes do not all try to take over at once. */
-  #takeOverDelayMs(): number {
-    const { peers, node } = this.#options;
-    const rank = peers.reachableIds().filter((id) => id < node).length;
-    return this.#baseDelayMs() + rank * RANK_DELAY_MS;
-  }
-
-  /**
-   * Waits for the lease of a holder that may still act. No lease has to expire after a resignation, when
-   * the holder was an earlier incarnation of this node, or when no term exists yet.
-   */
-  #baseDelayMs(): number {
-    const { peers, node, leaseMs } = this.#options;
-    if (peers.hasHolderResigned) return 0;
-    if (!this.#termAtStart) return leaseMs;
-    if (this.#termAtStart.holder === undefined) return DISCOVERY_MS;
-    return this.#termAtStart.holder === node ? 0 : leaseMs;
-  }
-
-  async #readTermOnce(): Promise<void> {
-    if (this.#hasReadTerm) return;
-    this.#termAtStart = { holder: await this.#options.termStore.latestHolder() };
-    this.#hasReadTerm = true;
-  }
-
   #wasPaused(): boolean {
     const { clock } = this.#options;
     const tick = { steady: clock.monotonic(), wall: clock.wall() };
--- a/packages/gateway/src/node/duty-term-store.ts
+++ b/packages/gateway/src/node/duty-term-store.ts
@@ -1,7 +1,9 @@
 import { AppendConflict } from '@ragwortrudder/log';
+import type { Clock } from '@ragwortrudder/core';
 import type { KeyedLog, KeyedPosition, KeyedRecord } from '@ragwortrudder/log';
 import { isDeepStrictEqual } from 'node:util';
 import type { DutyTerm } from '../types/duty-term.ts';
+import type { TermView } from '../types/term-view.ts';
 import * as z from 'zod';
 import { Ordinal } from '../types/ordinal.ts';
 import { decodeJson } from '../utils/decode-json.ts';
@@ -10,6 +12,9 @@
 interface DutyTermStoreOptions {
   readonly log: KeyedLog;
   readonly node: string;
+  readonly clock: Clock;
+  /** Minimum time between the last action of one holder and the first of the next, in milliseconds. */
+  readonly leaseMs: number;
   readonly decisions?: Pick<DecisionLog, 'rejected'>;
 }
 
@@ -24,6 +29,8 @@
 type TermRecord = z.infer<typeof TermRecord>;
 
 const TERM_KEY = 'term';
+/** Share of the lease after which a holder that has appended nothing else renews its term. */
+const RENEWAL_SHARE = 1 / 3;
 /** Fencing tokens reserved for an era, so that tokens rise although offsets are given out again. */
 const TOKENS_PER_ERA = 2 ** 24;
 
@@ -45,6 +52,8 @@
   #era = 0;
   #term: DutyTerm | undefined;
   #mayLackRecords = false;
+  /** Monotonic time at which the newest own append that took effect was sent, in milliseconds. */
+  #appendedAt = -Infinity;
 
   constructor(options: DutyTermStoreOptions) {
     this.#options = options;
@@ -68,18 +77,22 @@
     return this.#mayLackRecords;
   }
 
-  /** Holder of the newest term, if there is one. */
-  async latestHolder(): Promise<string | undefined> {
-    await this.#read();
-    return this.#termRecord()?.holder;
+  /** Reads the topic and returns the newest term. */
+  async observe(): Promise<TermView> {
+    const position = await this.#read();
+    const record = this.#termRecord();
+    return { position, holder: record?.holder, token: record?.token ?? 0 };
   }
 
-  /** Tries to acquire a new term; `isTaken` is false when another node was faster. */
-  async takeOver(): Promise<{
+  /**
+   * Tries to acquire a new term; `isTaken` is false when another node was faster. Given the position of
+   * the newest `observe`, the term is only acquired if nothing was appended since.
+   */
+  async takeOver(observed?: KeyedPosition): Promise<{
     readonly isTaken: boolean;
     readonly previousHolder: string | undefined;
   }> {
-    const position = await this.#read();
+    const position = observed ?? (await this.#read());
     const previous = this.#termRecord();
     const token = Math.max(
       position.era * TOKENS_PER_ERA + position.offset + 1,
@@ -118,10 +131,25 @@
 
   /**
    * Checks that this node still holds the newest term, where that is in doubt, and writes again what a
-   * restored log has lost. Returns false and ends the term when another node holds a newer one.
+   * restored log has lost. Returns false and ends the term when another node holds a newer one. Others
+   * take over from a holder that appends nothing for a lease, so the term is renewed in time.
    */
   async confirm(): Promise<boolean> {
-    return (await this.#confirmedPosition()) !== undefined;
+    const { clock, leaseMs } = this.#options;
+    const position = await this.#confirmedPosition();
+    if (!position || !this.#term) return false;
+    if (clock.monotonic() - this.#appendedAt < leaseMs * RENEWAL_SHARE) return true;
+    try {
+      await this.#append(
+        TERM_KEY,
+        this.#newTermRecord(this.#term.fencingToken, position),
+        position,
+      );
+      return true;
+    } catch (error) {
+      if (!(error instanceof AppendConflict)) throw error;
+      return (await this.#confirmedPosition()) !== undefined;
+    }
   }
 
   /** Gives up the term on this node. */
@@ -196,6 +224,7 @@
     { offset: at, era }: KeyedPosition,
   ): Promise<KeyedPosition> {
     this.#position = undefined;
+    const sentAt = this.#options.clock.monotonic();
     const bytes = Buffer.from(JSON.stringify(value));
     const offset = await this.#options.log.append({
       topic: DutyTermStore.topic,
@@ -204,6 +233,7 @@
       at,
       era,
     });
+    this.#appendedAt = sentAt;
     const next = { offset: offset + 1, era };
     this.#position = next;
     this.#records = new Map([...this.#records, [key, value]]);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -320,6 +320,9 @@
       prefillMsPerToken: (service) => this.#pool.prefillRate(service).msPerToken,
       services: () => this.#configuration?.services ?? [],
       isStopping: () => this.#isStopping,
+      onUnheardHolder: () => {
+        this.#registration.verify();
+      },
     });
     this.#catalog = new CatalogFollower({
       ...following,
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -130,7 +130,7 @@
   readonly #socket: PeerSocket;
   readonly #peers = new Map<string, Peer>();
   readonly #digestSequences = new Map<string, number>();
-  #hasResigned = false;
+  #resignedDutyToken: number | undefined;
   /** The peers were told that this node leaves; it sends nothing after that. */
   #isLeaving = false;
   #timing = reportTiming(undefined);
@@ -191,9 +191,9 @@
     return this.#reachableView().all;
   }
 
-  /** The latest duty holder has reported that it gave up its term. */
-  get hasHolderResigned(): boolean {
-    return this.#hasResigned;
+  /** Fencing token of the term that the last heard duty holder has reported to have given up. */
+  get resignedDutyToken(): number | undefined {
+    return this.#resignedDutyToken;
   }
 
   /** Newest fencing token that a reachable peer holds; 0 when none holds one. */
@@ -535,7 +535,9 @@
     if (known && isStale(report, known)) return;
     const isSameIncarnation = known?.incarnation === report.life;
     const isFirst = !isSameIncarnation || known.isSilent;
-    if (isSameIncarnation && known.dutyToken > 0 && report.duty === 0) this.#hasResigned = true;
+    if (isSameIncarnation && known.dutyToken > 0 && report.duty === 0) {
+      this.#resignedDutyToken = known.dutyToken;
+    }
     this.#recordContact(report.node, {
       address: { host: report.host, port: report.port },
       failureDomain: report.failureDomain,
@@ -596,7 +598,7 @@
 
   #recordContact(id: string, contact: Omit<Peer, 'addedAt' | 'isSilent'>): void {
     const known = this.#peers.get(id);
-    if (contact.dutyToken > 0) this.#hasResigned = false;
+    if (contact.dutyToken > 0) this.#resignedDutyToken = undefined;
     const now = this.#options.clock.monotonic();
     const hasMoved =
       known?.address.host !== contact.address.host || known.address.port !== contact.address.port;
--- a/packages/gateway/src/node/usage-duty.ts
+++ b/packages/gateway/src/node/usage-duty.ts
@@ -129,7 +129,7 @@
   async #send(termStore: DutyTermStore): Promise<void> {
     const { cloud, log, windowMs, lateMs, disciplinedClock } = this.#options;
     for (const [window, report] of this.#unsent) {
-      if (!termStore.term) return;
+      if (!(await termStore.confirm()) || !termStore.term) return;
       if (disciplinedClock.now() > (window + 1) * windowMs + lateMs) {
         log.notable('usage-report-late', { window });
         this.#unsent.delete(window);
--- /dev/null
+++ b/packages/gateway/src/types/term-view.ts
@@ -0,0 +1,11 @@
+import type { KeyedPosition } from '@ragwortrudder/log';
+
+/** What a node has read about the newest duty term. */
+export interface TermView {
+  /** End of the topic of duties at the time of the read. */
+  readonly position: KeyedPosition;
+  /** Holder of the newest term; undefined when there is none. */
+  readonly holder: string | undefined;
+  /** Fencing token of the newest term; 0 when there is none. */
+  readonly token: number;
+}
--- a/test/gateway/duty-term-store.test.ts
+++ b/test/gateway/duty-term-store.test.ts
@@ -1,13 +1,13 @@
 import test from 'ava';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
-import { DutyTermStore } from '../../packages/gateway/src/node/duty-term-store.ts';
+import { createTermStore } from './create-term-store.ts';
 
 const REPORT = { window: 7, counts: { a: 3 } };
 
 test('each take-over gets a higher fencing token and ends the previous term', async (t) => {
   const log = new MemoryKeyedLog();
-  const first = new DutyTermStore({ log, node: 'n1' });
-  const second = new DutyTermStore({ log, node: 'n2' });
+  const first = createTermStore({ log, node: 'n1' });
+  const second = createTermStore({ log, node: 'n2' });
   t.deepEqual(await first.takeOver(), { isTaken: true, previousHolder: undefined });
   t.true(await first.record('usage-7', REPORT));
   t.deepEqual(await second.takeOver(), { isTaken: true, previousHolder: 'n1' });
@@ -19,14 +19,14 @@
 
 test('when several nodes take over concurrently, only one acquires the term', async (t) => {
   const log = new MemoryKeyedLog();
-  const stores = ['n1', 'n2', 'n3'].map((node) => new DutyTermStore({ log, node }));
+  const stores = ['n1', 'n2', 'n3'].map((node) => createTermStore({ log, node }));
   const results = await Promise.all(stores.map((store) => store.takeOver()));
   t.is(results.filter(({ isTaken }) => isTaken).length, 1);
 });
 
 test('a lost append reply does not end the term, and the record that was written is read back', async (t) => {
   const log = new MemoryKeyedLog();
-  const store = new DutyTermStore({ log, node: 'n1' });
+  const store = createTermStore({ log, node: 'n1' });
   await store.takeOver();
   log.loseReplies(1);
   await t.throwsAsync(store.record('usage-7', REPORT));
@@ -36,8 +36,8 @@
 
 test('after a lost reply, a newer term is detected before the next action', async (t) => {
   const log = new MemoryKeyedLog();
-  const first = new DutyTermStore({ log, node: 'n1' });
-  const second = new DutyTermStore({ log, node: 'n2' });
+  const first = createTermStore({ log, node: 'n1' });
+  const second = createTermStore({ log, node: 'n2' });
   await first.takeOver();
   log.loseReplies(1);
   await t.throwsAsync(first.record('usage-7', REPORT));
@@ -47,7 +47,7 @@
 
 test('while the log is unavailable nothing is recorded, so no action is performed', async (t) => {
   const log = new MemoryKeyedLog();
-  const store = new DutyTermStore({ log, node: 'n1' });
+  const store = createTermStore({ log, node: 'n1' });
   await store.takeOver();
   log.setDown(true);
   await t.throwsAsync(store.record('usage-7', REPORT));
@@ -57,10 +57,10 @@
 
 test('a restarted node reads who held the newest term', async (t) => {
   const log = new MemoryKeyedLog();
-  await new DutyTermStore({ log, node: 'n1' }).takeOver();
-  t.is(await new DutyTermStore({ log, node: 'n2' }).latestHolder(), 'n1');
+  await createTermStore({ log, node: 'n1' }).takeOver();
+  t.is((await createTermStore({ log, node: 'n2' }).observe()).holder, 'n1');
   t.is(
-    await new DutyTermStore({ log: new MemoryKeyedLog(), node: 'n2' }).latestHolder(),
+    (await createTermStore({ log: new MemoryKeyedLog(), node: 'n2' }).observe()).holder,
     undefined,
   );
 });
@@ -69,13 +69,13 @@
 test('pattern: store restored; the holder writes its records again and keeps its term', async (t) => {
   const log = new MemoryKeyedLog();
   const copy = log.copy();
-  const store = new DutyTermStore({ log, node: 'n1' });
+  const store = createTermStore({ log, node: 'n1' });
   await store.takeOver();
   await store.record('usage-7', REPORT);
   log.restore(copy);
   t.true(await store.confirm());
-  const reader = new DutyTermStore({ log, node: 'n2' });
-  t.is(await reader.latestHolder(), 'n1');
+  const reader = createTermStore({ log, node: 'n2' });
+  t.is((await reader.observe()).holder, 'n1');
   t.deepEqual(reader.records.get('usage-7'), REPORT);
 });
 
@@ -83,12 +83,12 @@
 test('pattern: store restored; a term that another node took since then is the newest', async (t) => {
   const log = new MemoryKeyedLog();
   const copy = log.copy();
-  const first = new DutyTermStore({ log, node: 'n1' });
+  const first = createTermStore({ log, node: 'n1' });
   await first.takeOver();
   for (let index = 0; index < 5; index += 1) await first.record('usage-7', REPORT);
   const token = first.term?.fencingToken ?? 0;
   log.restore(copy);
-  const second = new DutyTermStore({ log, node: 'n2' });
+  const second = createTermStore({ log, node: 'n2' });
   await second.takeOver();
   t.true((second.term?.fencingToken ?? 0) > token);
   t.false(await first.record('usage-8', REPORT));
@@ -98,12 +98,12 @@
 // Guards against duties that go back with the log (CONFIG).
 test('pattern: store restored; an append at an offset of the earlier era is not taken for a record', async (t) => {
   const log = new MemoryKeyedLog();
-  const first = new DutyTermStore({ log, node: 'n1' });
+  const first = createTermStore({ log, node: 'n1' });
   await first.takeOver();
   const copy = log.copy();
   await first.record('usage-7', REPORT);
   log.restore(copy);
-  const second = new DutyTermStore({ log, node: 'n2' });
+  const second = createTermStore({ log, node: 'n2' });
   await second.takeOver();
   t.false(await first.record('usage-8', REPORT));
   t.is(second.records.get('usage-8'), undefined);
@@ -112,8 +112,8 @@
 // Guards against reporting usage again that a restored log shows as not reported (CONFIG).
 test('pattern: store restored; a successor knows whether the records of its predecessor may be missing', async (t) => {
   const log = new MemoryKeyedLog();
-  const first = new DutyTermStore({ log, node: 'n1' });
-  const successor = new DutyTermStore({ log, node: 'n2' });
+  const first = createTermStore({ log, node: 'n1' });
+  const successor = createTermStore({ log, node: 'n2' });
   await first.takeOver();
   t.false(first.mayLackRecords);
   const copy = log.copy();
--- a/test/gateway/poisoned-duties.test.ts
+++ b/test/gateway/poisoned-duties.test.ts
@@ -5,6 +5,7 @@
 import { MemoryKeyedLog } from '@ragwortrudder/log';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import { DutyTermStore } from '../../packages/gateway/src/node/duty-term-store.ts';
+import { createTermStore } from './create-term-store.ts';
 import { GatewayMetrics } from '../../packages/gateway/src/node/gateway-metrics.ts';
 import { QuarantineSync } from '../../packages/gateway/src/node/quarantine-sync.ts';
 import { Rollouts } from '../../packages/gateway/src/node/rollouts.ts';
@@ -68,7 +69,7 @@
       windowMs: WINDOW_MS,
       lateMs: 10_000,
     });
-    const termStore = new DutyTermStore({ log, node: 'n1', decisions });
+    const termStore = createTermStore({ log, node: 'n1', decisions });
     t.true((await termStore.takeOver()).isTaken);
     t.true(Number.isSafeInteger(termStore.term?.fencingToken));
     duty.begin(termStore);
--- a/test/gateway/rollouts.test.ts
+++ b/test/gateway/rollouts.test.ts
@@ -5,7 +5,8 @@
 import { ManualClock, SeededRandom } from '@ragwortrudder/core';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
-import { DutyTermStore } from '../../packages/gateway/src/node/duty-term-store.ts';
+import type { DutyTermStore } from '../../packages/gateway/src/node/duty-term-store.ts';
+import { createTermStore } from './create-term-store.ts';
 import { RolloutDuty } from '../../packages/gateway/src/node/rollout-duty.ts';
 import { Rollouts } from '../../packages/gateway/src/node/rollouts.ts';
 import type { RolloutStatus } from '../../packages/gateway/src/types/rollout-status.ts';
@@ -96,7 +97,7 @@
   if (!holder) throw new Error('no node');
   const statuses: RolloutStatus['state'][] = [];
   const duty = createDuty(holder, clock, statuses);
-  const termStore = new DutyTermStore({ log: new MemoryKeyedLog(), node: 'n1' });
+  const termStore = createTermStore({ log: new MemoryKeyedLog(), node: 'n1' });
   await termStore.takeOver();
   duty.begin();
   return { clock, nodes, holder, statuses, duty, termStore };
@@ -267,7 +268,7 @@
   const node = createNode(clock, 1);
   const statuses: RolloutStatus['state'][] = [];
   const duty = createDuty(node, clock, statuses, ['v2']);
-  const termStore = new DutyTermStore({ log: new MemoryKeyedLog(), node: 'n1' });
+  const termStore = createTermStore({ log: new MemoryKeyedLog(), node: 'n1' });
   await termStore.takeOver();
   node.applyOrder(ORDER);
   await duty.perform(termStore);
--- a/test/gateway/supply-duty.test.ts
+++ b/test/gateway/supply-duty.test.ts
@@ -5,7 +5,8 @@
 import { ManualClock } from '@ragwortrudder/core';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
-import { DutyTermStore } from '../../packages/gateway/src/node/duty-term-store.ts';
+import type { DutyTermStore } from '../../packages/gateway/src/node/duty-term-store.ts';
+import { createTermStore } from './create-term-store.ts';
 import { SupplyDuty } from '../../packages/gateway/src/node/supply-duty.ts';
 import { DemandMeter } from '../../packages/gateway/src/utils/demand-meter.ts';
 import { InMemoryCloudApi } from './in-memory-cloud-api.ts';
@@ -63,7 +64,7 @@
     prefillMsPerToken: () => 0.01,
     services: () => [SERVICE],
   });
-  const termStore = new DutyTermStore({ log: new MemoryKeyedLog(), node: 'n1' });
+  const termStore = createTermStore({ log: new MemoryKeyedLog(), node: 'n1' });
   await termStore.takeOver();
   duty.begin(termStore);
   return { clock, cloud, directory, demand, termStore, duty };
--- a/test/gateway/usage-duty.test.ts
+++ b/test/gateway/usage-duty.test.ts
@@ -3,7 +3,8 @@
 import { ManualClock } from '@ragwortrudder/core';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
-import { DutyTermStore } from '../../packages/gateway/src/node/duty-term-store.ts';
+import type { DutyTermStore } from '../../packages/gateway/src/node/duty-term-store.ts';
+import { createTermStore } from './create-term-store.ts';
 import { UsageDuty } from '../../packages/gateway/src/node/usage-duty.ts';
 import { UsageCounter } from '../../packages/gateway/src/utils/usage-counter.ts';
 import { InMemoryCloudApi } from './in-memory-cloud-api.ts';
@@ -45,7 +46,7 @@
     windowMs: WINDOW_MS,
     lateMs: 10_000,
   });
-  return { termStore: new DutyTermStore({ log, node }), duty, usage };
+  return { termStore: createTermStore({ log, node }), duty, usage };
 }
 
 test('a window is reported in a single call once its counts are final', async (t) => {
--- a/test/upgrade/other-build.test.ts
+++ b/test/upgrade/other-build.test.ts
@@ -3,7 +3,7 @@
 import { MemoryKeyedLog } from '@ragwortrudder/log';
 import { PlatformDialect } from '@ragwortrudder/platform-adapter';
 import type * as z from 'zod';
-import { DutyTermStore } from '../../packages/gateway/src/node/duty-term-store.ts';
+import { createTermStore } from '../gateway/create-term-store.ts';
 import { ConfigurationPart } from '../../packages/gateway/src/types/configuration-part.ts';
 import { DomainDigest } from '../../packages/gateway/src/types/domain-digest.ts';
 import { NodeReport } from '../../packages/gateway/src/types/node-report.ts';
@@ -126,8 +126,8 @@
     }
   }
   const { holder = '', token = NaN } = valueOf('term') as Partial<TermRecord>;
-  const store = new DutyTermStore({ log, node: 'new' });
-  t.is(await store.latestHolder(), holder);
+  const store = createTermStore({ log, node: 'new' });
+  t.is((await store.observe()).holder, holder);
   t.deepEqual(await store.takeOver(), { isTaken: true, previousHolder: holder });
   t.true((store.term?.fencingToken ?? 0) > token);
   t.deepEqual(store.records.get('draft-of-usage'), valueOf('draft-of-usage'));
