Let nodes that hear each other introduce others, and find an unlisted holder by its term

Cause: a node learned of others only from the list of nodes when it started, and from their own reports. Fix: a report carries a fingerprint of the nodes that its sender hears. A term carries the address of its holder, which a node adds that finds it at work unheard.

--- a/packages/gateway/src/node/create-duty-holder.ts
+++ b/packages/gateway/src/node/create-duty-holder.ts
@@ -4,6 +4,8 @@
 import type { CatalogCodec } from '../types/catalog-codec.ts';
 import type { CloudApi } from '../types/cloud-api.ts';
 import type { GatewaySettings } from '../types/gateway-settings.ts';
+import type { PeerEntry } from '../types/peer-entry.ts';
+import type { TermView } from '../types/term-view.ts';
 import type { DemandMeter } from '../utils/demand-meter.ts';
 import type { DisciplinedClock } from '../utils/disciplined-clock.ts';
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
@@ -19,6 +21,8 @@
 
 interface CreateDutyHolderOptions {
   readonly settings: GatewaySettings;
+  /** Where peers reach this node. */
+  readonly entry: PeerEntry;
   readonly log: KeyedLog;
   readonly cloud: CloudApi | undefined;
   readonly clock: Clock;
@@ -35,7 +39,7 @@
   readonly services: () => readonly Service[];
   readonly isStopping: () => boolean;
   /** Called when the topic of duties shows an active holder that no peer tells of. */
-  readonly onUnheardHolder: () => void;
+  readonly onUnheardHolder: (term: TermView) => void;
 }
 
 /** Creates the holder of the duties that the settings give to nodes; undefined where there are none. */
@@ -81,6 +85,7 @@
     termStore: new DutyTermStore({
       log,
       node: node.id,
+      entry: options.entry,
       clock,
       leaseMs: duties.leaseMs,
       decisions,
--- a/packages/gateway/src/node/duty-holder.ts
+++ b/packages/gateway/src/node/duty-holder.ts
@@ -19,7 +19,7 @@
   /** The node is shutting down and must not acquire a term. */
   readonly isStopping: () => boolean;
   /** Called when the topic of duties shows an active holder that no peer tells of. */
-  readonly onUnheardHolder: () => void;
+  readonly onUnheardHolder: (term: TermView) => void;
 }
 
 const TICK_MS = 500;
@@ -162,7 +162,7 @@
     const hasMoved = this.#vacancy.observe(view, clock.monotonic());
     if (hasMoved && view.holder !== node) {
       log.notable('duty-holder-unheard', { holder: view.holder, token: view.token });
-      onUnheardHolder();
+      onUnheardHolder(view);
       return;
     }
     if (isDue()) await this.#takeOver(view);
--- a/packages/gateway/src/node/duty-term-store.ts
+++ b/packages/gateway/src/node/duty-term-store.ts
@@ -5,6 +5,7 @@
 import type { DutyTerm } from '../types/duty-term.ts';
 import type { TermView } from '../types/term-view.ts';
 import * as z from 'zod';
+import { PeerEntry } from '../types/peer-entry.ts';
 import { Ordinal } from '../types/ordinal.ts';
 import { decodeJson } from '../utils/decode-json.ts';
 import type { DecisionLog } from './decision-log.ts';
@@ -12,6 +13,8 @@
 interface DutyTermStoreOptions {
   readonly log: KeyedLog;
   readonly node: string;
+  /** Where peers reach this node. */
+  readonly entry?: PeerEntry;
   readonly clock: Clock;
   /** Minimum time between the last action of one holder and the first of the next, in milliseconds. */
   readonly leaseMs: number;
@@ -24,6 +27,8 @@
     token: Ordinal,
     /** Era of the log in which the holder last wrote all of its records. */
     era: Ordinal.default(0),
+    /** Where peers reach the holder; absent in a term of an older build. */
+    entry: PeerEntry.optional(),
   })
   .readonly();
 type TermRecord = z.infer<typeof TermRecord>;
@@ -81,7 +86,8 @@
   async observe(): Promise<TermView> {
     const position = await this.#read();
     const record = this.#termRecord();
-    return { position, holder: record?.holder, token: record?.token ?? 0 };
+    const { holder, token = 0, entry } = record ?? {};
+    return { position, holder, token, entry };
   }
 
   /**
@@ -241,7 +247,8 @@
   }
 
   #newTermRecord(token: number, { era }: KeyedPosition): TermRecord {
-    return { holder: this.#options.node, token, era };
+    const { node: holder, entry } = this.#options;
+    return { holder, token, era, ...(entry ? { entry } : {}) };
   }
 
   #termRecord(): TermRecord | undefined {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -123,6 +123,7 @@
     this.#settings = options.settings;
     const { settings, clock, random, dialect, codec, out } = options;
     const { node, listen, retries, duties } = settings;
+    const address = { host: node.host, port: listen.peerPort };
     this.#incarnation = clock.wall();
     this.#startedAt = clock.monotonic();
     this.#decisions = new DecisionLog({ node: node.id, out, clock });
@@ -151,7 +152,7 @@
     this.#rolloutFollower = new RolloutFollower({ ...following, rollouts: this.#rollouts });
     this.#peerState = new PeerStateSync({
       node: node.id,
-      address: { host: node.host, port: listen.peerPort },
+      address,
       failureDomain: node.failureDomain,
       incarnation: this.#incarnation,
       clock,
@@ -177,7 +178,7 @@
     });
     this.#peers = new Peers({
       node: node.id,
-      address: { host: node.host, port: listen.peerPort },
+      address,
       clock,
       log: this.#decisions,
       dutyToken: () => this.#dutyHolder?.reportedToken ?? 0,
@@ -219,7 +220,8 @@
       isOwnFault: (entry) => this.#pool.links.isOwnFault(entry),
     });
     const intake = new Intake();
-    const address = { host: node.host, port: listen.peerPort };
+    const { failureDomain } = node;
+    const entry = { ...address, failureDomain, life: this.#incarnation };
     this.#passing = new PeerPassing({
       node: node.id,
       failureDomain: node.failureDomain,
@@ -242,9 +244,7 @@
       log: options.log,
       decisions: this.#decisions,
       node: node.id,
-      address,
-      failureDomain: node.failureDomain,
-      incarnation: this.#incarnation,
+      entry,
       peers: this.#peers,
     });
     this.#forwarder = new Forwarder({
@@ -305,6 +305,7 @@
     this.#metricsServer = new StatusServer({ address: listen.metrics, ...status });
     this.#dutyHolder = createDutyHolder({
       settings,
+      entry,
       log: options.log,
       cloud: options.cloud,
       clock,
@@ -320,8 +321,8 @@
       prefillMsPerToken: (service) => this.#pool.prefillRate(service).msPerToken,
       services: () => this.#configuration?.services ?? [],
       isStopping: () => this.#isStopping,
-      onUnheardHolder: () => {
-        this.#registration.verify();
+      onUnheardHolder: (term) => {
+        this.#registration.recordUnheard(term);
       },
     });
     this.#catalog = new CatalogFollower({
@@ -339,7 +340,7 @@
     });
     this.#configurationSync = new ConfigurationSync({
       node: node.id,
-      address: { host: node.host, port: listen.peerPort },
+      address,
       clock,
       catalog: this.#catalog,
       peers: this.#peers,
--- a/packages/gateway/src/node/node-registration.ts
+++ b/packages/gateway/src/node/node-registration.ts
@@ -1,7 +1,7 @@
-import type { Address } from '@ragwortrudder/catalog';
 import { AppendConflict } from '@ragwortrudder/log';
 import type { KeyedLog, KeyedPage } from '@ragwortrudder/log';
 import { PeerEntry } from '../types/peer-entry.ts';
+import type { TermView } from '../types/term-view.ts';
 import { decodeJson } from '../utils/decode-json.ts';
 import { schemaProblem } from '../utils/schema-problem.ts';
 import type { DecisionLog } from './decision-log.ts';
@@ -11,9 +11,7 @@
   readonly log: KeyedLog;
   readonly decisions: DecisionLog;
   readonly node: string;
-  readonly address: Address;
-  readonly failureDomain: string;
-  readonly incarnation: number;
+  readonly entry: PeerEntry;
   readonly peers: Pick<Peers, 'addPeer' | 'publishReport'>;
 }
 
@@ -43,12 +41,20 @@
     this.#mustVerify = true;
   }
 
+  /** Records a duty holder that no peer tells of: one of both may not be listed. */
+  recordUnheard({ holder, entry }: TermView): void {
+    this.verify();
+    if (holder === undefined || !entry) return;
+    const { host, port, failureDomain } = entry;
+    this.#options.peers.addPeer(holder, { host, port }, failureDomain);
+  }
+
   /** Registers this node, again after a restore or a removal, and reads the entries of the others. */
   async register(): Promise<void> {
     const { log, decisions, node } = this.#options;
     const isRegistered = this.#registeredEra === log.era;
     if (isRegistered && !this.#mustVerify) return;
-    if (!isRegistered) await log.append({ topic: NODE_TOPIC, key: node, value: this.#entry });
+    if (!isRegistered) await log.append({ topic: NODE_TOPIC, key: node, value: this.#entryBytes });
     const page = await log.newest(NODE_TOPIC);
     for (const { key, value } of page.records) if (key !== node) this.#addPeer(key, value);
     this.#mustVerify = false;
@@ -82,15 +88,13 @@
     }
   }
 
-  get #entry(): Buffer {
-    const { address, failureDomain, incarnation } = this.#options;
-    const entry: PeerEntry = { ...address, failureDomain, life: incarnation };
-    return Buffer.from(JSON.stringify(entry));
+  get #entryBytes(): Buffer {
+    return Buffer.from(JSON.stringify(this.#options.entry));
   }
 
   #isListedIn({ records }: KeyedPage): boolean {
     const own = records.find(({ key }) => key === this.#options.node);
-    return own?.value !== undefined && this.#entry.equals(own.value);
+    return own?.value !== undefined && this.#entryBytes.equals(own.value);
   }
 
   #addPeer(id: string, bytes: Uint8Array | undefined): void {
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -1,21 +1,20 @@
 import type { Address } from '@ragwortrudder/catalog';
 import type { Clock, Closeable } from '@ragwortrudder/core';
-import type * as z from 'zod';
-import { ConfigurationPart } from '../types/configuration-part.ts';
-import { ConfigurationRequest } from '../types/configuration-request.ts';
+import type { ConfigurationPart } from '../types/configuration-part.ts';
+import type { ConfigurationRequest } from '../types/configuration-request.ts';
 import type { DomainDigest } from '../types/domain-digest.ts';
+import type { Introduction } from '../types/introduction.ts';
 import type { NodeReport } from '../types/node-report.ts';
-import { PromptAnnouncement } from '../types/prompt-announcement.ts';
+import type { PromptAnnouncement } from '../types/prompt-announcement.ts';
 import type { ReportExtent } from '../types/report-extent.ts';
 import type { ReportTiming } from '../types/report-timing.ts';
-import { TopicFeed } from '../types/topic-feed.ts';
-import { parseDomainDigest } from '../utils/parse-domain-digest.ts';
-import { parseNodeReport } from '../utils/parse-node-report.ts';
-import { reasonOf } from '../utils/reason-of.ts';
+import type { TopicFeed } from '../types/topic-feed.ts';
+import { fingerprintOfIds } from '../utils/fingerprint-of-ids.ts';
+import { PeerIntroductions } from '../utils/peer-introductions.ts';
 import { reportPace } from '../utils/report-pace.ts';
 import { reportTiming } from '../utils/report-timing.ts';
-import { schemaProblem } from '../utils/schema-problem.ts';
 import type { DecisionLog } from './decision-log.ts';
+import { PeerMessages } from './peer-messages.ts';
 import { PeerSocket } from './peer-socket.ts';
 
 interface PeersOptions {
@@ -75,16 +74,13 @@
   readonly all: readonly ReachablePeer[];
   readonly ids: readonly string[];
   readonly inDomain: readonly (readonly [string, Peer])[];
+  /** Those that report to this node, and it to them. */
+  readonly reporting: readonly (readonly [string, Peer])[];
+  /** Of the ids of these and of this node. */
+  readonly fingerprint: number;
 }
 
-/** Under which rejected messages are logged. */
-const MESSAGE_TOPIC = 'peer-message';
-const REPORT_METHOD = 'report';
-const DIGEST_METHOD = 'digest';
-const FEED_METHOD = 'feed';
-const PROMPT_METHOD = 'prompt';
-const CONFIGURATION_REQUEST_METHOD = 'configuration-request';
-const CONFIGURATION_METHOD = 'configuration';
+const METHODS = PeerMessages.methods;
 /** Nodes of each failure domain that read topics on its behalf and send its digests to the other domains. */
 const RELAYS_PER_DOMAIN = 2;
 /** Relays and their successor, which get the reports of the nodes of a large failure domain. */
@@ -130,6 +126,7 @@
   readonly #socket: PeerSocket;
   readonly #peers = new Map<string, Peer>();
   readonly #digestSequences = new Map<string, number>();
+  readonly #introductions = new PeerIntroductions();
   #resignedDutyToken: number | undefined;
   /** The peers were told that this node leaves; it sends nothing after that. */
   #isLeaving = false;
@@ -145,11 +142,25 @@
 
   constructor(options: PeersOptions) {
     this.#options = options;
+    const messages = new PeerMessages({
+      ...options,
+      onReport: (report) => {
+        this.#applyReport(report);
+      },
+      onDigest: (digest) => {
+        this.#applyDigest(digest);
+      },
+      onIntroduction: ({ nodes }) => {
+        for (const [id, [host, port, failureDomain]] of Object.entries(nodes)) {
+          this.addPeer(id, { host, port }, failureDomain);
+        }
+      },
+    });
     this.#socket = new PeerSocket({
       address: options.address,
       log: options.log,
       onMessage: (method, params) => {
-        this.#receive(method, params);
+        messages.receive(method, params);
       },
     });
   }
@@ -210,18 +221,18 @@
   /** Sends the result of a topic read to the other nodes of the failure domain; never rejects. */
   publishFeed(feed: TopicFeed): Promise<void> {
     return this.#attempt('feed', () =>
-      this.#socket.send(FEED_METHOD, feed, addressesOf(this.#reachableInDomain())),
+      this.#socket.send(METHODS.feed, feed, addressesOf(this.#reachableInDomain())),
     );
   }
 
   /** Asks a peer for its configuration. */
   async requestConfiguration(request: ConfigurationRequest, peer: Address): Promise<void> {
-    await this.#socket.send(CONFIGURATION_REQUEST_METHOD, request, [peer]);
+    await this.#socket.send(METHODS.configurationRequest, request, [peer]);
   }
 
   /** Sends a part of this node's configuration to a peer. */
   async sendConfiguration(part: ConfigurationPart, peer: Address): Promise<void> {
-    await this.#socket.send(CONFIGURATION_METHOD, part, [peer]);
+    await this.#socket.send(METHODS.configuration, part, [peer]);
   }
 
   /** Announces a long prompt that this node has sent, ahead of the next report; never rejects. */
@@ -239,7 +250,7 @@
       runner,
       tokens: Math.round(tokens),
     };
-    await this.#socket.send(PROMPT_METHOD, announcement, addressesOf(reachable));
+    await this.#socket.send(METHODS.prompt, announcement, addressesOf(reachable));
   }
 
   async start(): Promise<void> {
@@ -273,9 +284,9 @@
   async publishReport(isLeaving = false): Promise<void> {
     if (this.#isLeaving) return;
     this.#isLeaving = isLeaving;
-    const report = this.#options.createReport({ isLeaving, includesTotals: true });
+    const report = this.#createReport({ isLeaving, includesTotals: true });
     const receivers = this.#usesRelays && !isLeaving ? this.#localPeers() : [...this.#peers];
-    await this.#socket.send(REPORT_METHOD, report, addressesOf(receivers));
+    await this.#socket.send(METHODS.report, report, addressesOf(receivers));
   }
 
   /**
@@ -312,21 +323,26 @@
       await this.publishReport();
       return;
     }
-    const report = this.#options.createReport({ isLeaving: false, includesTotals: false });
+    const report = this.#createReport({ isLeaving: false, includesTotals: false });
     const usesLocalDigests = this.#usesLocalDigests;
     const isForRelays = usesLocalDigests && !this.#concernsWholeDomain(report);
     const receivers =
       isForRelays && this.#hearsRelays ? this.#reportReceivers() : this.#localPeers();
-    await this.#socket.send(REPORT_METHOD, report, addressesOf(receivers));
+    await this.#socket.send(METHODS.report, report, addressesOf(receivers));
     await this.#sendTotals();
     if (!this.isRelay) return;
     const { failureDomain } = this.#options;
     const remotePeers = [...this.#peers].filter(([, peer]) => peer.failureDomain !== failureDomain);
     const digest = this.#options.createDigest(this.#members());
-    await this.#socket.send(DIGEST_METHOD, digest, addressesOf(remotePeers));
+    await this.#socket.send(METHODS.digest, digest, addressesOf(remotePeers));
     if (!usesLocalDigests) return;
     const localDigest: DomainDigest = { ...digest, heard: this.#heard() };
-    await this.#socket.send(DIGEST_METHOD, localDigest, addressesOf(this.#localPeers()));
+    await this.#socket.send(METHODS.digest, localDigest, addressesOf(this.#localPeers()));
+  }
+
+  #createReport(extent: ReportExtent): NodeReport {
+    const { fingerprint } = this.#reachableView();
+    return { ...this.#options.createReport(extent), fingerprint };
   }
 
   #localPeers(): readonly (readonly [string, Peer])[] {
@@ -377,8 +393,8 @@
     const holder = this.#dutyHolder();
     if (!holder || now - this.#totalsSentAt < TOTALS_PERIOD_MS) return;
     this.#totalsSentAt = now;
-    const report = this.#options.createReport({ isLeaving: false, includesTotals: true });
-    await this.#socket.send(REPORT_METHOD, report, [holder.address]);
+    const report = this.#createReport({ isLeaving: false, includesTotals: true });
+    await this.#socket.send(METHODS.report, report, [holder.address]);
   }
 
   #dutyHolder(): Peer | undefined {
@@ -424,17 +440,21 @@
   }
 
   #reachableView(): ReachableView {
-    const { clock, failureDomain } = this.#options;
+    const { clock, failureDomain, node } = this.#options;
     const at = clock.monotonic();
     if (this.#view && at - this.#view.at < VIEW_TTL_MS) return this.#view;
     const reachable = [...this.#peers].filter(([, peer]) => this.#isReachable(peer, at));
+    const inDomain = reachable.filter(([, peer]) => peer.failureDomain === failureDomain);
+    const reporting = this.#usesRelays ? inDomain : reachable;
     this.#view = {
       at,
       all: reachable.map(([id, peer]) => {
         return { id, address: peer.address, failureDomain: peer.failureDomain };
       }),
       ids: reachable.map(([id]) => id),
-      inDomain: reachable.filter(([, peer]) => peer.failureDomain === failureDomain),
+      inDomain,
+      reporting,
+      fingerprint: fingerprintOfIds([node, ...reporting.map(([id]) => id)]),
     };
     return this.#view;
   }
@@ -443,6 +463,7 @@
   #forgetViews(): void {
     this.#view = undefined;
     this.#knownPace = undefined;
+    this.#introductions.retain(new Set(this.#peers.keys()));
   }
 
   #pace(): ReturnType<typeof reportPace> {
@@ -480,54 +501,6 @@
     }
   }
 
-  #receive(method: string, params: unknown): void {
-    const { onPromptAnnouncement, onConfigurationRequest, onConfigurationPart, onFeed } =
-      this.#options;
-    switch (method) {
-      case REPORT_METHOD:
-        this.#apply(method, parseNodeReport(params), (report) => {
-          this.#applyReport(report);
-        });
-        return;
-      case DIGEST_METHOD:
-        this.#apply(method, parseDomainDigest(params), (digest) => {
-          this.#applyDigest(digest);
-        });
-        return;
-      case PROMPT_METHOD:
-        this.#apply(method, PromptAnnouncement.safeParse(params), onPromptAnnouncement);
-        return;
-      case CONFIGURATION_REQUEST_METHOD:
-        this.#apply(method, ConfigurationRequest.safeParse(params), onConfigurationRequest);
-        return;
-      case CONFIGURATION_METHOD:
-        this.#apply(method, ConfigurationPart.safeParse(params), onConfigurationPart);
-        return;
-      case FEED_METHOD:
-        this.#apply(method, TopicFeed.safeParse(params), onFeed);
-        return;
-      default:
-        this.#reject(method, 'unknown method');
-    }
-  }
-
-  /** Applies a message; one that cannot be applied must not end the node. */
-  #apply<T>(method: string, parsed: z.ZodSafeParseResult<T>, apply: (message: T) => void): void {
-    if (!parsed.success) {
-      this.#reject(method, schemaProblem(parsed.error));
-      return;
-    }
-    try {
-      apply(parsed.data);
-    } catch (error) {
-      this.#reject(method, reasonOf(error));
-    }
-  }
-
-  #reject(method: string, cause: string): void {
-    this.#options.log.rejected({ topic: MESSAGE_TOPIC, key: method, cause });
-  }
-
   #applyReport(report: NodeReport): void {
     if (report.node === this.#options.node) return;
     const now = this.#options.clock.monotonic();
@@ -550,12 +523,35 @@
     });
     if (!known || known.isSilent) this.#logHeard([report.node], report.failureDomain);
     this.#options.onReport(report, isFirst);
-    if (!report.isLeaving) return;
+    if (!report.isLeaving) {
+      this.#introduceTo(report);
+      return;
+    }
     this.#peers.delete(report.node);
     this.#forgetViews();
     this.#options.log.notable('peer-left', { peer: report.node });
   }
 
+  /** Tells a peer that hears other nodes which ones this node hears. */
+  #introduceTo({ node: peer, host, port, fingerprint }: NodeReport): void {
+    if (fingerprint === undefined || this.#usesLocalDigests) return;
+    const { clock, log } = this.#options;
+    const now = clock.monotonic();
+    const fingerprints = { peer: fingerprint, own: this.#reachableView().fingerprint };
+    if (!this.#introductions.isDue(peer, fingerprints, now)) return;
+    const { reporting } = this.#reachableView();
+    const nodes: Introduction['nodes'] = Object.fromEntries(
+      reporting.map(([id, { address, failureDomain = '' }]) => [
+        id,
+        [address.host, address.port, failureDomain],
+      ]),
+    );
+    log.notable('peers-introduced', { peer, nodes: Object.keys(nodes).join(',') });
+    void this.#attempt('introduction', () =>
+      this.#socket.send(METHODS.introduction, { nodes }, [{ host, port }]),
+    );
+  }
+
   #applyDigest(digest: DomainDigest): void {
     const { relay, failureDomain, life, sequence, heard } = digest;
     const isLocal = failureDomain === this.#options.failureDomain;
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -44,6 +44,8 @@
   reached: z.array(RunnerBoot).readonly().optional(),
   /** What the node knows about prompt parts that may crash runners. */
   prompts: PromptEvidence.optional(),
+  /** Of the ids of the nodes that the node hears, among those that report to each other, and its own. */
+  fingerprint: Ordinal.optional(),
   /** The node reads digests of its own failure domain; absent in reports of older builds. */
   readsLocalDigests: z.boolean().optional(),
   /** Fencing token of the duty term that the node holds and can act on; otherwise 0. */
--- a/test/gateway/create-term-store.ts
+++ b/test/gateway/create-term-store.ts
@@ -2,11 +2,13 @@
 import type { Clock } from '@ragwortrudder/core';
 import type { KeyedLog } from '@ragwortrudder/log';
 import type { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
+import type { PeerEntry } from '../../packages/gateway/src/types/peer-entry.ts';
 import { DutyTermStore } from '../../packages/gateway/src/node/duty-term-store.ts';
 
 interface CreateTermStoreOptions {
   readonly log: KeyedLog;
   readonly node: string;
+  readonly entry?: PeerEntry;
   /** @default the clock of the system */
   readonly clock?: Clock;
   /**
--- a/test/gateway/node-registration.test.ts
+++ b/test/gateway/node-registration.test.ts
@@ -5,6 +5,7 @@
 import type { KeyedAppend, KeyedLog } from '@ragwortrudder/log';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import { NodeRegistration } from '../../packages/gateway/src/node/node-registration.ts';
+import { createTermStore } from './create-term-store.ts';
 
 /** Log that loses the replies to removals, and carries them out later if their condition still holds. */
 class LateLog implements KeyedLog {
@@ -48,9 +49,7 @@
     log,
     decisions: new DecisionLog({ node, out, clock: new SystemClock() }),
     node,
-    address: { host: '127.0.0.1', port: 9_000 },
-    failureDomain: 'a',
-    incarnation,
+    entry: { host: '127.0.0.1', port: 9_000, failureDomain: 'a', life: incarnation },
     peers: {
       addPeer: (id) => {
         peers.push(id);
@@ -103,3 +102,15 @@
   t.deepEqual([...(await listedIn(log))].toSorted(), ['n1', 'n2']);
   t.true(peers.includes('n2'));
 });
+
+// Guards against a duty holder that is not listed and knows no node that started after it (ONE).
+test('pattern: duty holder that no peer tells of; the node adds it by the entry in its term', async (t) => {
+  const log = new MemoryKeyedLog();
+  const { registration, peers } = createRegistration(log, { node: 'n1' });
+  await registration.register();
+  const entry = { host: '127.0.0.1', port: 9_001, failureDomain: 'b', life: 3 };
+  const holder = createTermStore({ log, node: 'n2', entry });
+  await holder.takeOver();
+  registration.recordUnheard(await createTermStore({ log, node: 'n1' }).observe());
+  t.deepEqual(peers, ['n2']);
+});
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -217,3 +217,18 @@
   t.is(counts.get('b9'), 0);
   t.true(reachableCounts(nodes).every((count) => count === nodes.length));
 });
+
+// Guards against nodes that stay unknown to each other after a lost entry (ONE).
+test('pattern: two nodes that do not know each other; a node that hears both introduces them', async (t) => {
+  const [first, middle, last] = await Promise.all([
+    startNode(t, 'a0', 'a'),
+    startNode(t, 'a1', 'a'),
+    startNode(t, 'b0', 'b'),
+  ]);
+  for (const { peers } of [first, middle, last]) await peers.start();
+  for (const { id, host, port, failureDomain } of [first, last])
+    middle.peers.addPeer(id, { host, port }, failureDomain);
+  await waitUntil(() => middle.peers.reachableCount === 3);
+  await waitUntil(() => first.peers.reachableCount === 3 && last.peers.reachableCount === 3);
+  t.deepEqual(first.peers.reachableIds().toSorted(), ['a1', 'b0']);
+});
--- a/test/gateway/term-vacancy.test.ts
+++ b/test/gateway/term-vacancy.test.ts
@@ -1,10 +1,11 @@
 import test from 'ava';
+import type { TermView } from '../../packages/gateway/src/types/term-view.ts';
 import { TermVacancy } from '../../packages/gateway/src/utils/term-vacancy.ts';
 
 const LEASE_MS = 3_000;
 
-function viewAt(offset: number, holder: string | undefined, token = 7, era = 0) {
-  return { position: { offset, era }, holder, token };
+function viewAt(offset: number, holder: string | undefined, token = 7, era = 0): TermView {
+  return { position: { offset, era }, holder, token, entry: undefined };
 }
 
 function createVacancy(): TermVacancy {
