Write the state of a roll-out only where nothing was written since it was read

What operators could see: `running` again after `rolled_back`, until the next state. The same cause as the late removal of a node's entry: an append without a condition whose reply is lost is done seconds later. Fix: the status topic is read, and the append names its end.

--- a/packages/gateway/src/node/create-duty-holder.ts
+++ b/packages/gateway/src/node/create-duty-holder.ts
@@ -15,6 +15,7 @@
 import { DutyTermStore } from './duty-term-store.ts';
 import type { Peers } from './peers.ts';
 import { RolloutDuty } from './rollout-duty.ts';
+import { RolloutStatusWriter } from './rollout-status-writer.ts';
 import type { Rollouts } from './rollouts.ts';
 import { SupplyDuty } from './supply-duty.ts';
 import { UsageDuty } from './usage-duty.ts';
@@ -66,19 +67,14 @@
     prefillMsPerToken: options.prefillMsPerToken,
     services: options.services,
   });
+  const statusWriter = new RolloutStatusWriter({ log, codec });
   const rollout = new RolloutDuty({
     rollouts,
     directory,
     loadTracker,
     disciplinedClock,
     era: () => log.era,
-    report: async (status) => {
-      const topic = codec.statusTopic;
-      const { key, value } = codec.encodeRolloutStatus(status);
-      // An append whose reply is lost may be done later, and must not replace a newer status.
-      const { next: at, era } = await log.newest(topic);
-      await log.append({ topic, key, value, at, era });
-    },
+    report: (status) => statusWriter.write(status),
   });
   return new DutyHolder({
     node: node.id,
--- a/test/gateway/node-registration.test.ts
+++ b/test/gateway/node-registration.test.ts
@@ -2,38 +2,11 @@
 import test from 'ava';
 import { SystemClock } from '@ragwortrudder/core';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
-import type { KeyedAppend, KeyedLog } from '@ragwortrudder/log';
+import type { KeyedLog } from '@ragwortrudder/log';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import { NodeRegistration } from '../../packages/gateway/src/node/node-registration.ts';
 import { createTermStore } from './create-term-store.ts';
-
-/** Log that loses the replies to removals, and carries them out later if their condition still holds. */
-class LateLog implements KeyedLog {
-  readonly #log: KeyedLog;
-  readonly late: KeyedAppend[] = [];
-
-  constructor(log: KeyedLog) {
-    this.#log = log;
-  }
-
-  get era(): number {
-    return this.#log.era;
-  }
-
-  newest(topic: string): ReturnType<KeyedLog['newest']> {
-    return this.#log.newest(topic);
-  }
-
-  read(range: Parameters<KeyedLog['read']>[0]): ReturnType<KeyedLog['read']> {
-    return this.#log.read(range);
-  }
-
-  append(record: KeyedAppend): Promise<number> {
-    if (record.value) return this.#log.append(record);
-    this.late.push(record);
-    return Promise.reject(new Error('the reply was lost'));
-  }
-}
+import { LateLog } from './late-log.ts';
 
 function createRegistration(
   log: KeyedLog,
@@ -67,12 +40,12 @@
 // Guards against nodes that do not know each other after a restart (ONE).
 test('pattern: removal of a node is done late; the entry of its next incarnation stays', async (t) => {
   const log = new MemoryKeyedLog();
-  const lateLog = new LateLog(log);
+  const lateLog = new LateLog(log, ({ value }) => value === undefined);
   const before = createRegistration(lateLog, { incarnation: 1 });
   await before.registration.register();
   await t.throwsAsync(before.registration.deregister());
   await createRegistration(log, { incarnation: 2 }).registration.register();
-  for (const record of lateLog.late) await log.append(record).catch(() => undefined);
+  await lateLog.finish();
   t.deepEqual(await listedIn(log), ['n1']);
 });
 
