Record the end of a roll-out again where a restored log lacks it

What callers could see: after a drill of the store a version that had been rolled back gets requests again (EXPOSURE). Cause: a holder that had followed the end of a roll-out applied and reported it, but recorded nothing; a successor that started after the restore knew it only from there. Fix: the holder records the newest state that it knows.

--- a/packages/gateway/src/node/rollout-duty.ts
+++ b/packages/gateway/src/node/rollout-duty.ts
@@ -73,6 +73,8 @@
       await this.#report(next);
       return;
     }
+    // A restored log may lack the end of the roll-out, which a successor that starts anew has only from there.
+    if (recorded?.sequence !== known.sequence && !(await termStore.record(key, known))) return;
     this.#options.rollouts.applyState(known);
     await this.#report(known);
   }
--- a/test/gateway/rollouts.test.ts
+++ b/test/gateway/rollouts.test.ts
@@ -9,6 +9,7 @@
 import { createTermStore } from './create-term-store.ts';
 import { RolloutDuty } from '../../packages/gateway/src/node/rollout-duty.ts';
 import { Rollouts } from '../../packages/gateway/src/node/rollouts.ts';
+import { RolloutState } from '../../packages/gateway/src/types/rollout-state.ts';
 import type { RolloutStatus } from '../../packages/gateway/src/types/rollout-status.ts';
 import { planRollout } from '../../packages/gateway/src/utils/plan-rollout.ts';
 
@@ -304,3 +305,18 @@
   t.is(holder.stateOf(ORDER.service)?.phase, 'rolled-back');
   t.is(statuses.at(-1), 'rolled-back');
 });
+
+// Guards against a successor that starts anew and moves requests to a version that was rolled back (EXPOSURE).
+test('pattern: store restored; a holder records the end of a roll-out that only it has followed', async (t) => {
+  const { holder, duty, termStore } = await createDeployment();
+  holder.applyOrder(ORDER);
+  await duty.perform(termStore);
+  const state = holder.stateOf(ORDER.service);
+  if (!state) throw new Error('the roll-out has no state');
+  holder.applyState({ ...state, phase: 'rolled-back', sequence: state.sequence + 1 });
+  await duty.perform(termStore);
+  const { data: recorded } = RolloutState.safeParse(
+    termStore.records.get(Rollouts.keyOf(ORDER.service)),
+  );
+  t.is(recorded?.phase, 'rolled-back');
+});
