Keep in the log which records of the duties may be lost, and which windows were skipped

Cause: only the first holder after a restore knew that records may be lacking, and kept it and the windows that it skipped in memory. The new era in its term told the next one that the records are complete. Fix: the term names the era in which its records are complete, written after all else; windows that are skipped are a record.

--- a/packages/gateway/src/node/duty-holder.ts
+++ b/packages/gateway/src/node/duty-holder.ts
@@ -40,7 +40,7 @@
  * in milliseconds.
  */
 const PAUSE_THRESHOLD_MS = 1_000;
-/** Consecutive failures after which the node stops reporting its token, so that a peer takes over. */
+/** Consecutive failures after which the node gives up its term, so that a peer takes over. */
 const MAX_CONSECUTIVE_FAILURES = 5;
 
 /** Decides when this node acquires the duty term, and performs the duties while it holds the term. */
@@ -72,7 +72,7 @@
     });
   }
 
-  /** Fencing token that the node reports to its peers: 0 when it holds no term or cannot act on it. */
+  /** Fencing token that the node reports to its peers: 0 when it holds no term or is shutting down. */
   get reportedToken(): number {
     const { termStore, isStopping } = this.#options;
     const canAct = this.#failures < MAX_CONSECUTIVE_FAILURES && !isStopping();
@@ -117,6 +117,7 @@
     }
     if (now < this.#performAfter) return;
     await this.#perform(duties);
+    await termStore.settle();
     this.#failures = 0;
   }
 
--- a/packages/gateway/src/node/duty-term-store.ts
+++ b/packages/gateway/src/node/duty-term-store.ts
@@ -25,7 +25,7 @@
   .object({
     holder: z.string(),
     token: Ordinal,
-    /** Era of the log in which the holder last wrote all of its records. */
+    /** Newest era of the log in which the records beside the term are known to be complete. */
     era: Ordinal.default(0),
     /** Where peers reach the holder; absent in a term of an older build. */
     entry: PeerEntry.optional(),
@@ -56,7 +56,10 @@
   /** Era in which `#records` were read. */
   #era = 0;
   #term: DutyTerm | undefined;
-  #mayLackRecords = false;
+  /** Newest era in which the records of the own term are complete. */
+  #completeEra = 0;
+  /** This node has recorded what its predecessor may have done without a record that is left. */
+  #isSettled = true;
   /** Monotonic time at which the newest own append that took effect was sent, in milliseconds. */
   #appendedAt = -Infinity;
 
@@ -75,11 +78,19 @@
   }
 
   /**
-   * The log was restored from an older copy and the previous holder has not written its records again:
-   * the newest of its actions are not known.
+   * The log was restored from an older copy, and no holder since has written all records again: the
+   * newest actions of earlier holders are not known. This holds for the next holder as well, until this
+   * one has recorded what it did about it and calls `settle`.
    */
   get mayLackRecords(): boolean {
-    return this.#mayLackRecords;
+    return !this.#isSettled;
+  }
+
+  /** Declares the records complete; returns false and ends the term when another node holds a newer one. */
+  async settle(): Promise<boolean> {
+    if (this.#isSettled) return true;
+    this.#isSettled = true;
+    return (await this.#confirmedPosition()) !== undefined;
   }
 
   /** Reads the topic and returns the newest term. */
@@ -104,14 +115,16 @@
       position.era * TOKENS_PER_ERA + position.offset + 1,
       (previous?.token ?? 0) + 1,
     );
+    this.#completeEra = previous?.era ?? 0;
     try {
-      await this.#append(TERM_KEY, this.#newTermRecord(token, position), position);
+      await this.#append(TERM_KEY, this.#newTermRecord(token), position);
     } catch (error) {
       if (!(error instanceof AppendConflict)) throw error;
       return { isTaken: false, previousHolder: previous?.holder };
     }
     this.#term = { holder: this.#options.node, fencingToken: token };
-    this.#mayLackRecords = (previous?.era ?? 0) < position.era;
+    this.#isSettled = this.#completeEra >= position.era;
+    this.#lostKeys = new Set();
     return { isTaken: true, previousHolder: previous?.holder };
   }
 
@@ -146,11 +159,7 @@
     if (!position || !this.#term) return false;
     if (clock.monotonic() - this.#appendedAt < leaseMs * RENEWAL_SHARE) return true;
     try {
-      await this.#append(
-        TERM_KEY,
-        this.#newTermRecord(this.#term.fencingToken, position),
-        position,
-      );
+      await this.#append(TERM_KEY, this.#newTermRecord(this.#term.fencingToken), position);
       return true;
     } catch (error) {
       if (!(error instanceof AppendConflict)) throw error;
@@ -170,7 +179,8 @@
     if (position?.era !== this.#options.log.era || this.#lostKeys.size > 0) {
       position = await this.#reread();
     }
-    if (this.#termRecord()?.token !== this.#term.fencingToken) {
+    const { term } = this;
+    if (!term || this.#termRecord()?.token !== term.fencingToken) {
       this.#term = undefined;
       return undefined;
     }
@@ -178,6 +188,13 @@
       position = await this.#append(key, this.#records.get(key), position);
       this.#lostKeys = new Set([...this.#lostKeys].filter((lost) => lost !== key));
     }
+    if (this.#isSettled && this.#completeEra < position.era) {
+      // Last, since a successor takes the records for complete by the era in the term.
+      const { era } = position;
+      const record = this.#newTermRecord(term.fencingToken, era);
+      position = await this.#append(TERM_KEY, record, position);
+      this.#completeEra = era;
+    }
     return position;
   }
 
@@ -187,6 +204,7 @@
     const era = this.#era;
     const position = await this.#read();
     this.#position = position;
+    if (era !== position.era && this.#mayBeReplaced) this.#term = undefined;
     const isReplaced = (this.#termRecord()?.token ?? 0) > (this.#term?.fencingToken ?? 0);
     if (isReplaced || (era === position.era && this.#lostKeys.size === 0)) {
       this.#lostKeys = new Set();
@@ -194,7 +212,7 @@
     }
     const stored = this.#records;
     // The log may have lost a term that is newer than the one that it has.
-    const term = this.#term && this.#newTermRecord(this.#term.fencingToken, position);
+    const term = this.#term && this.#newTermRecord(this.#term.fencingToken);
     this.#records = new Map([...stored, ...own, [TERM_KEY, term]]);
     // The term comes first: its append fails when another node takes over at the same time.
     this.#lostKeys = new Set(
@@ -205,6 +223,12 @@
     return position;
   }
 
+  /** Another node may have taken the term, which a restored log does not show. */
+  get #mayBeReplaced(): boolean {
+    const { clock, leaseMs } = this.#options;
+    return clock.monotonic() - this.#appendedAt >= leaseMs;
+  }
+
   async #read(): Promise<KeyedPosition> {
     const { records, next, era } = await this.#options.log.newest(DutyTermStore.topic);
     this.#records = new Map(records.flatMap((record) => this.#decode(record)));
@@ -246,7 +270,7 @@
     return next;
   }
 
-  #newTermRecord(token: number, { era }: KeyedPosition): TermRecord {
+  #newTermRecord(token: number, era = this.#completeEra): TermRecord {
     const { node: holder, entry } = this.#options;
     return { holder, token, era, ...(entry ? { entry } : {}) };
   }
--- a/packages/gateway/src/node/usage-duty.ts
+++ b/packages/gateway/src/node/usage-duty.ts
@@ -27,6 +27,7 @@
 const DUTY_TOPIC = 'duties';
 const KEY_PREFIX = 'usage-';
 const CHECKPOINT_KEY = 'draft-of-usage';
+const SKIPPED_KEY = 'skipped-usage';
 /**
  * Minimum time between two checkpoints, in milliseconds; bounds the usage that is lost when all
  * nodes are killed.
@@ -39,6 +40,7 @@
 /** Fraction of the reporting time for which counts of silent peers are awaited. */
 const SILENT_PEER_WAIT_SHARE = 0.6;
 
+const RecordedSkip = z.object({ before: Ordinal });
 const RecordedReport = z.object({ window: Ordinal, counts: z.record(BoundedText, Amount) });
 
 /**
@@ -50,6 +52,8 @@
   readonly #options: UsageDutyOptions;
   readonly #unsent = new Map<number, UsageReport>();
   #nextWindow = 0;
+  /** Windows before it are reported by no later holder; undefined once that is recorded. */
+  #unrecordedSkip: number | undefined;
   #checkpointedAt = -Infinity;
   #lastCheckpoint = '';
 
@@ -63,11 +67,14 @@
     const reports = this.#recordedReports(termStore, current);
     const oldestDue = current - Math.ceil(this.#options.lateMs / this.#options.windowMs);
     const newest = Math.max(0, ...reports.map(({ window }) => window));
-    this.#nextWindow = Math.max(oldestDue, newest + 1);
+    const skippedBefore = this.#recordedSkip(termStore, current);
+    this.#nextWindow = Math.max(oldestDue, newest + 1, skippedBefore);
+    this.#unrecordedSkip = undefined;
     if (termStore.mayLackRecords) {
       // A window that has ended may have been reported with counts that are lost.
       this.#options.log.notable('usage-windows-skipped', { from: this.#nextWindow, to: current });
       this.#nextWindow = Math.max(this.#nextWindow, current);
+      this.#unrecordedSkip = this.#nextWindow;
     }
     this.#unsent.clear();
     for (const report of reports)
@@ -75,6 +82,7 @@
   }
 
   async perform(termStore: DutyTermStore): Promise<void> {
+    if (!(await this.#recordSkip(termStore))) return;
     while (this.#isComplete(this.#nextWindow)) {
       const report = this.#options.usage.reportOf(this.#nextWindow);
       if (Object.keys(report.counts).length > 0) {
@@ -91,6 +99,25 @@
     await this.#writeCheckpoint(termStore);
   }
 
+  /** Records which windows later holders must not report; returns false when the term is lost. */
+  async #recordSkip(termStore: DutyTermStore): Promise<boolean> {
+    if (this.#unrecordedSkip === undefined) return true;
+    const skip = { before: this.#unrecordedSkip };
+    if (!(await termStore.record(SKIPPED_KEY, skip))) return false;
+    this.#unrecordedSkip = undefined;
+    return true;
+  }
+
+  /** First window that earlier holders have left to be reported; 0 when they have skipped none. */
+  #recordedSkip({ records }: DutyTermStore, current: number): number {
+    const value = records.get(SKIPPED_KEY);
+    if (value === undefined) return 0;
+    const { data: skip, error } = RecordedSkip.safeParse(value);
+    if (skip && skip.before <= current + KEPT_REPORTS) return skip.before;
+    this.#reject(SKIPPED_KEY, error ? schemaProblem(error) : 'window: far ahead');
+    return 0;
+  }
+
   #applyCheckpoint(value: unknown): void {
     if (value === undefined) return;
     const { data: checkpoint, error } = UsageCheckpoint.safeParse(value);
--- a/test/gateway/duty-term-store.test.ts
+++ b/test/gateway/duty-term-store.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { ManualClock } from '@ragwortrudder/core';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
 import { createTermStore } from './create-term-store.ts';
 
@@ -127,3 +128,34 @@
   t.false(successor.mayLackRecords);
   t.deepEqual(successor.records.get('usage-7'), REPORT);
 });
+
+// Guards against a holder that goes on although its successor's term was lost (ONE).
+test('pattern: store restored; a holder that has proved nothing for a lease gives up its term', async (t) => {
+  const clock = new ManualClock();
+  const log = new MemoryKeyedLog();
+  const store = createTermStore({ log, node: 'n1', clock, leaseMs: 3_000 });
+  await store.takeOver();
+  const copy = log.copy();
+  clock.advance(2_900);
+  log.restore(copy);
+  t.true(await store.confirm());
+  clock.advance(3_000);
+  log.restore(copy);
+  t.false(await store.confirm());
+  t.is(store.term, undefined);
+});
+
+// Guards against records that are taken for complete while a holder still writes them again (ONE).
+test('pattern: store restored; a holder that dies while it writes its records again leaves them in doubt', async (t) => {
+  const log = new MemoryKeyedLog();
+  const first = createTermStore({ log, node: 'n1' });
+  await first.takeOver();
+  const copy = log.copy();
+  await first.record('usage-7', REPORT);
+  log.restore(copy);
+  log.loseReplies(1);
+  await t.throwsAsync(first.confirm());
+  const successor = createTermStore({ log, node: 'n2' });
+  await successor.takeOver();
+  t.true(successor.mayLackRecords);
+});
