Let a holder whose duties go on failing give up its term

What callers could see: two holders that act at the same time (ONE). Cause: after five failures a holder reported that it has no term, so that a peer took over without a wait, but kept the term and went on. Fix: it gives the term up, and waits for a lease.

--- a/packages/gateway/src/node/duty-holder.ts
+++ b/packages/gateway/src/node/duty-holder.ts
@@ -75,8 +75,7 @@
   /** Fencing token that the node reports to its peers: 0 when it holds no term or is shutting down. */
   get reportedToken(): number {
     const { termStore, isStopping } = this.#options;
-    const canAct = this.#failures < MAX_CONSECUTIVE_FAILURES && !isStopping();
-    return termStore.term && canAct ? termStore.term.fencingToken : 0;
+    return termStore.term && !isStopping() ? termStore.term.fencingToken : 0;
   }
 
   start(): void {
@@ -97,8 +96,10 @@
       this.#vacancy.recordHeld(now);
       this.#vacantSince = undefined;
     }
-    if (termStore.term && wasPaused) {
-      this.#drop('duty-term-dropped', { reason: 'paused' });
+    const isFailing = this.#failures >= MAX_CONSECUTIVE_FAILURES;
+    if (termStore.term && (wasPaused || isFailing)) {
+      this.#drop('duty-term-dropped', { reason: wasPaused ? 'paused' : 'failing' });
+      this.#failures = 0;
       this.#seeksAfter = now + leaseMs;
     }
     const peerToken = peers.newestDutyToken();
--- a/test/gateway/duty-holder.test.ts
+++ b/test/gateway/duty-holder.test.ts
@@ -39,6 +39,8 @@
   readonly isStopping?: () => boolean;
   /** @default 'n1' */
   readonly node?: string;
+  /** The duties fail. */
+  readonly isFailing?: () => boolean;
   /** @default 60000 */
   readonly leaseMs?: number;
 }
@@ -46,8 +48,10 @@
 function startHolder(
   t: ExecutionContext,
   log: MemoryKeyedLog,
-  { isStopping = (): boolean => false, node = 'n1', leaseMs = LEASE_MS }: StartOptions = {},
+  options: StartOptions = {},
 ): TestEnvironment {
+  const { isStopping = (): boolean => false, isFailing = (): boolean => false } = options;
+  const { node = 'n1', leaseMs = LEASE_MS } = options;
   const clock = new SystemClock();
   const unheard: number[] = [];
   const termStore = createTermStore({ log, node, leaseMs });
@@ -72,7 +76,7 @@
         },
         perform: () => {
           performedAt.push(clock.monotonic());
-          return Promise.resolve();
+          return isFailing() ? Promise.reject(new Error('call failed')) : Promise.resolve();
         },
       },
     ],
@@ -217,3 +221,16 @@
   await new Promise((resolve) => setTimeout(resolve, leaseMs));
   t.true((await log.newest('duties')).next > next);
 });
+
+// Guards against a holder that peers take for resigned and that still acts (ONE).
+test('a holder whose duties go on failing gives up its term', async (t) => {
+  const { termStore, performedAt, holder } = startHolder(t, new MemoryKeyedLog(), {
+    isFailing: () => true,
+  });
+  await waitUntil(() => performedAt.length >= 5);
+  await waitUntil(() => termStore.term === undefined);
+  t.is(holder.reportedToken, 0);
+  const count = performedAt.length;
+  await new Promise((resolve) => setTimeout(resolve, 1_500));
+  t.is(performedAt.length, count);
+});
