Listen for errors of a caller's connection from its start to its end

What callers saw: a node ended, with all its requests, when clients sent CONNECT and reset their connections. Cause: on `connect` Node.js takes its listeners off the socket, and the node wrote a refusal to a socket without a listener for errors. The servers had none for errors of accepting either. Fix: a listener from `connection` on; CONNECT ends its connection as other refused requests do; errors of accepting are logged.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -91,8 +91,10 @@
       void this.#receive(message, response);
     });
     this.#server.on('connect', (_message, socket) => {
-      this.#logEnd('method-not-supported', {});
-      socket.end(refusalText(HTTP_BAD_REQUEST));
+      const cause = 'method-not-supported';
+      this.#logEnd(cause, {});
+      const connection = socket instanceof Socket ? this.#connections.get(socket) : undefined;
+      connection?.end({ cause, response: refusalText(HTTP_BAD_REQUEST) });
     });
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.#refuseUnparsed(error, socket);
@@ -103,6 +105,8 @@
     this.#server.on('connection', (socket) => {
       const connection = new CallerConnection(socket, options.intake.turns);
       this.#connections.set(socket, connection);
+      // After a hand-over the server listens for no errors any more; `endCause` tells of them.
+      socket.on('error', () => undefined);
       socket.on('close', () => {
         this.#connections.delete(socket);
         if (connection.endCause !== 'idle') return;
@@ -137,6 +141,8 @@
       this.#server.once('error', reject);
       this.#server.listen({ host, port, backlog: BACKLOG }, resolve);
     });
+    // For example, a connection that could not be accepted for want of descriptors.
+    this.#server.on('error', this.#options.log.onTaskFailure('accept'));
     this.#framingCheck = setInterval(() => {
       this.#checkFraming();
     }, FRAMING_CHECK_PERIOD_MS);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -75,8 +75,6 @@
 const USED_RETRY_RATIO = 0.5;
 /** Time in which a node finds out that it has lost a link, in milliseconds. */
 const LOST_LINK_DETECTION_MS = 2_000;
-/** Time in which a node that has started knows the others, and they it, in milliseconds. */
-const SETTLED_MS = 2_000;
 const HTTP_UNAVAILABLE = 503;
 /** Retry-After of a node that is shutting down, in milliseconds. */
 const STOPPING_RETRY_MS = 50;
@@ -226,8 +224,7 @@
       isOwnFault: (entry) => this.#pool.links.isOwnFault(entry),
     });
     const intake = new Intake();
-    const { failureDomain } = node;
-    const entry = { ...address, failureDomain, life: this.#incarnation };
+    const entry = { ...address, failureDomain: node.failureDomain, life: this.#incarnation };
     this.#passing = new PeerPassing({
       node: node.id,
       failureDomain: node.failureDomain,
@@ -306,7 +303,11 @@
       metrics: this.#metrics,
       onRequest: (request, channel) => this.#serve(request, channel),
     });
-    const status = { isReady: () => this.#isReady, metricsText: () => this.#metrics.text() };
+    const status = {
+      isReady: () => this.#isReady,
+      metricsText: () => this.#metrics.text(),
+      onFailure: this.#decisions.onTaskFailure('accept'),
+    };
     this.#status = new StatusServer({ address: listen.readiness, ...status });
     this.#metricsServer = new StatusServer({ address: listen.metrics, ...status });
     this.#dutyHolder = createDutyHolder({
@@ -498,11 +499,10 @@
   }
 
   #updateBounds(): void {
-    const upMs = this.#options.clock.monotonic() - this.#startedAt;
     this.#bounds.update({
       reachable: [this.#options.settings.node.id, ...this.#peers.reachableIds()],
       knownCount: this.#peers.knownCount,
-      isSettled: this.#registration.isRegistered && upMs >= SETTLED_MS,
+      isRegistered: this.#registration.isRegistered,
     });
   }
 
--- a/packages/gateway/src/node/runner-bounds.ts
+++ b/packages/gateway/src/node/runner-bounds.ts
@@ -15,19 +15,26 @@
   /** Nodes that are heard, including this one. */
   readonly reachable: readonly string[];
   readonly knownCount: number;
-  /** This node has been up for long enough to know the others, and they it. */
-  readonly isSettled: boolean;
+  /** This node has read which nodes there are, and they can know of it. */
+  readonly isRegistered: boolean;
 }
 
+/** Time in which a node that has started knows the others, and they it, in milliseconds. */
+const SETTLED_MS = 2_000;
+
 /** Bounds that runners state in their responses, and that hold for all nodes together. */
 export class RunnerBounds {
   readonly limits: StatedLimits;
   readonly brittle: BrittleRunners;
+  readonly #clock: Clock;
+  readonly #startedAt: number;
   readonly #log: RunnerBoundsOptions['log'];
 
   constructor({ clock, node, log, onChange }: RunnerBoundsOptions) {
     const rank = (runner: string, nodes: readonly string[]): readonly string[] =>
       rendezvousOrder(runner, nodes, (item) => item);
+    this.#clock = clock;
+    this.#startedAt = clock.monotonic();
     this.#log = log;
     this.limits = new StatedLimits({ clock, node, rank });
     this.brittle = new BrittleRunners({ clock, node, rank, onChange });
@@ -36,7 +43,8 @@
   /** Sets the nodes that share the bounds, and logs what runners have stated since the last call. */
   update(nodes: KnownNodes): void {
     this.limits.setNodes(nodes.reachable, nodes.knownCount);
-    this.brittle.setNodes(nodes);
+    const upMs = this.#clock.monotonic() - this.#startedAt;
+    this.brittle.setNodes({ ...nodes, isSettled: nodes.isRegistered && upMs >= SETTLED_MS });
     for (const { runner, perSecond, before } of this.limits.takeChanges()) {
       this.#log.notable('runner-limit-stated', {
         runner,
--- a/packages/gateway/src/node/status-server.ts
+++ b/packages/gateway/src/node/status-server.ts
@@ -8,6 +8,8 @@
   readonly address: Address;
   readonly isReady: () => boolean;
   readonly metricsText: () => string;
+  /** Called when a connection could not be accepted. */
+  readonly onFailure: (error: unknown) => void;
 }
 
 const HTTP_OK = 200;
@@ -51,6 +53,7 @@
       this.#server.once('error', reject);
       this.#server.listen(port, host, resolve);
     });
+    this.#server.on('error', this.#options.onFailure);
   }
 
   close(): Promise<void> {
--- a/test/gateway/status-program.ts
+++ b/test/gateway/status-program.ts
@@ -7,6 +7,7 @@
 const server = new StatusServer({
   address: { host: '127.0.0.1', port: 0 },
   isReady: () => true,
+  onFailure: () => undefined,
   metricsText: () => 'x'.repeat(METRICS_BYTES),
 });
 await server.listen();
