Refuse requests with any key while the list of teams is empty

What callers could do: send requests with any key after the last team had been removed. Cause: a configuration with an empty list of teams was the same as one without. Fix: the configuration says whether requests carry keys.

--- a/packages/catalog/src/types/configuration.ts
+++ b/packages/catalog/src/types/configuration.ts
@@ -9,5 +9,7 @@
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly teams: readonly Team[];
+  /** Requests on routes that are not public carry the key of a team, also while there is no team. */
+  readonly requiresKey: boolean;
   readonly limits: CallerLimits;
 }
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -325,7 +325,7 @@
     route: Route,
     activeConfiguration: ActiveConfiguration,
   ): Team | undefined {
-    if (route.isPublic || activeConfiguration.configuration.teams.length === 0) return undefined;
+    if (route.isPublic || !activeConfiguration.configuration.requiresKey) return undefined;
     const team =
       request.apiKey === undefined ? undefined : activeConfiguration.keys.find(request.apiKey);
     if (!team) {
--- a/test/catalog/catalog.test.ts
+++ b/test/catalog/catalog.test.ts
@@ -33,6 +33,7 @@
     routes,
     services: [],
     teams: [{ name: 'buyers', apiKeys: ['k1', 'k2'] }],
+    requiresKey: true,
     limits: LIMITS,
   };
 }
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -450,3 +450,17 @@
   for (let index = 0; index < 10; index += 1) t.is((await harness.call()).status, 200);
   t.is(target.received.length, 10);
 });
+
+// Guards against an empty list of teams that lets any key pass.
+test('pattern: the last team is removed; requests with any key are refused, and public routes are served', async (t) => {
+  const runner = await new ScriptedRunner((socket, request) => {
+    socket.write(responseTo(request, 'ok'));
+  }).listen();
+  const harness = await GatewayHarness.start(t, { runners: [runner] });
+  t.is((await harness.call()).status, 200);
+  await harness.configure({ tenants: [] });
+  await harness.waitUntil(async () => (await harness.call()).status === 401);
+  t.is((await harness.call({ headers: { 'X-Api-Key': 'other' } })).status, 401);
+  await harness.configure({ tenants: undefined });
+  await harness.waitUntil(async () => (await harness.call()).status === 200);
+});
