Let an entry change only what is known of the boot that it names

Cause: an entry without `born`, or of an earlier boot, replaced that of a later one, and what was known of its leaving. Fix: one rule in RunnerDirectory: entries of earlier boots change nothing.

--- a/packages/catalog/src/utils/runner-directory.ts
+++ b/packages/catalog/src/utils/runner-directory.ts
@@ -80,8 +80,12 @@
     this.#dropRetained();
   }
 
-  /** Adds or replaces a runner. */
-  put(entry: RunnerEntry): void {
+  /**
+   * Adds or replaces a runner. An entry says something only about the boot that it names, so one of an
+   * earlier boot, or that names none, changes nothing. Returns false for such an entry.
+   */
+  put(entry: RunnerEntry): boolean {
+    if (entry.bornMs < this.#newestBornMs(entry.id)) return false;
     const isDraining = entry.isDraining || this.#departureOf(entry)?.isDraining === true;
     this.#entries.set(entry.id, { ...entry, isDraining });
     this.#retained.delete(entry.id);
@@ -89,6 +93,7 @@
     this.#byService.clear();
     if (isDraining) this.#recordDeparture(entry, { isDraining, isRemoved: false });
     else this.#departures.delete(entry.id);
+    return true;
   }
 
   /**
@@ -99,7 +104,8 @@
     if (this.#newestBornMs(boot.id) > boot.bornMs || this.#departureOf(boot)?.isDraining)
       return false;
     const known = this.find(boot.id);
-    if (known?.bornMs === boot.bornMs) this.put({ ...known, isDraining: true });
+    // An entry of an earlier boot is not one of the runner that leaves.
+    if (known) this.put({ ...known, bornMs: boot.bornMs, isDraining: true });
     else this.#recordDeparture(boot, { isDraining: true, isRemoved: true });
     return true;
   }
--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -278,9 +278,13 @@
   }
 
   #putRunner(entry: RunnerEntry): void {
-    const { directory, decisions } = this.#options;
+    const { codec, directory, decisions } = this.#options;
     const known = directory.find(entry.id);
-    directory.put(entry);
+    if (!directory.put(entry)) {
+      const cause = `born: ${entry.bornMs} is before the newest boot`;
+      decisions.rejected({ topic: codec.runnerTopic, key: entry.id, cause });
+      return;
+    }
     this.#hasRunners = true;
     if (known?.isDraining === entry.isDraining && known.bornMs === entry.bornMs) return;
     decisions.notable('runner-entered', {
