--- a/packages/admission/src/utils/brittle-runners.ts
+++ b/packages/admission/src/utils/brittle-runners.ts
@@ -75,6 +75,8 @@
   readonly #rejectedAt = new Map<string, readonly number[]>();
   readonly #ownRejections = new Map<string, { readonly count: number; readonly at: number }>();
   readonly #peerCounts = new Map<string, number>();
+  /** Rank of this node for each runner among the reachable ones. */
+  readonly #ranks = new Map<string, number>();
   #view: NodeView;
   #changes: readonly BrittleChange[] = [];
 
@@ -113,6 +115,11 @@
   }
 
   setNodes(view: NodeView): void {
+    const before = this.#view.reachable;
+    const isSame =
+      before.length === view.reachable.length &&
+      before.every((node, index) => node === view.reachable[index]);
+    if (!isSame) this.#ranks.clear();
     this.#view = view;
   }
 
@@ -172,7 +179,8 @@
       if (until < now) this.#services.delete(service);
     }
     this.#statements.retain(listed);
-    for (const map of [this.#seenAt, this.#rooms, this.#rejectedAt, this.#ownRejections]) {
+    const maps = [this.#seenAt, this.#rooms, this.#rejectedAt, this.#ownRejections, this.#ranks];
+    for (const map of maps) {
       for (const runner of map.keys()) if (!listed.has(runner)) map.delete(runner);
     }
     for (const runner of this.#sound) if (!listed.has(runner)) this.#sound.delete(runner);
@@ -219,10 +227,17 @@
     const { reachable, knownCount, isSettled } = this.#view;
     if (!isSettled) return 0;
     const count = Math.max(knownCount, reachable.length);
-    const rank = this.#options.rank(runner, reachable).indexOf(this.#options.node);
+    const rank = this.#ranks.get(runner) ?? this.#rankFor(runner);
     return Math.floor(room / count) + (rank < room % count ? 1 : 0);
   }
 
+  #rankFor(runner: string): number {
+    const { rank, node } = this.#options;
+    const place = rank(runner, this.#view.reachable).indexOf(node);
+    this.#ranks.set(runner, place);
+    return place;
+  }
+
   #learnRoom(runner: string, occupied: number): void {
     this.#rooms.set(runner, Math.min(occupied, this.#rooms.get(runner) ?? Infinity));
   }
