Try an entry in doubt once when its time has come

What it cost: after a drill of the store an entry in doubt of a boot that is older than one told to leave was tried again with each request, for ever. Cause: since entries of earlier boots change nothing, `put` may refuse an entry, and only an accepted one left the list of doubtful ones. Evidence: the new test fails before (3 tries in place of 1). Fix: an entry leaves the list before it is tried.

--- a/packages/catalog/src/utils/runner-directory.ts
+++ b/packages/catalog/src/utils/runner-directory.ts
@@ -209,7 +209,11 @@
   #admitDoubtful(): void {
     if (this.#doubtful.size === 0) return;
     const now = this.#clock.monotonic();
-    for (const { entry, until } of this.#doubtful.values()) if (now >= until) this.put(entry);
+    for (const [id, { entry, until }] of this.#doubtful) {
+      if (now < until) continue;
+      this.#doubtful.delete(id);
+      this.put(entry);
+    }
   }
 
   #dropRetained(): void {
--- a/test/catalog/earlier-boots.test.ts
+++ b/test/catalog/earlier-boots.test.ts
@@ -55,3 +55,22 @@
   t.true(directory.put(entryOf({ bornMs: BORN_MS + 1 })));
   t.false(directory.find('r')?.isDraining);
 });
+
+// Guards against an entry in doubt that is tried again with each request for ever.
+test('pattern: store restored; a later boot is told to leave before an entry in doubt may be used', (t) => {
+  const clock = new ManualClock();
+  const directory = new RunnerDirectory({ clock });
+  directory.put(entryOf());
+  directory.remove('r');
+  directory.restoreAll([entryOf()]);
+  t.true(directory.markLeaving({ id: 'r', bornMs: BORN_MS + 1 }));
+  clock.advance(10_000);
+  let puts = 0;
+  const put = directory.put.bind(directory);
+  directory.put = (entry) => {
+    puts += 1;
+    return put(entry);
+  };
+  for (let request = 0; request < 3; request += 1) t.deepEqual(directory.ofService('s'), []);
+  t.is(puts, 1);
+});
