--- a/packages/admission/src/utils/brittle-runners.ts
+++ b/packages/admission/src/utils/brittle-runners.ts
@@ -193,7 +193,7 @@
     const most = this.#mostOf(use);
     if (most === undefined) return true;
     const now = this.#options.clock.monotonic();
-    const recent = (this.#rejectedAt.get(runner) ?? []).filter((at) => now - at < WINDOW_MS);
+    const recent = this.#recentRejections(runner, now);
     const newest = recent.at(-1);
     if (newest !== undefined && now - newest < HOLD_MS) return false;
     if (recent.length >= Math.max(1, most)) return false;
@@ -242,9 +242,12 @@
     this.#rooms.set(runner, Math.min(occupied, this.#rooms.get(runner) ?? Infinity));
   }
 
+  #recentRejections(runner: string, now: number): readonly number[] {
+    return (this.#rejectedAt.get(runner) ?? []).filter((at) => now - at < WINDOW_MS);
+  }
+
   #addRejections(runner: string, count: number, at: number): void {
-    const now = this.#options.clock.monotonic();
-    const recent = (this.#rejectedAt.get(runner) ?? []).filter((time) => now - time < WINDOW_MS);
+    const recent = this.#recentRejections(runner, this.#options.clock.monotonic());
     const added = Array.from({ length: count }, () => at);
     this.#rejectedAt.set(
       runner,
--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -281,7 +281,7 @@
     const { codec, directory, decisions } = this.#options;
     const known = directory.find(entry.id);
     if (!directory.put(entry)) {
-      const cause = `born: ${entry.bornMs} is before the newest boot`;
+      const cause = `boot: started at ${entry.bornMs}, before the newest known one`;
       decisions.rejected({ topic: codec.runnerTopic, key: entry.id, cause });
       return;
     }
--- a/packages/gateway/src/node/node-registration.ts
+++ b/packages/gateway/src/node/node-registration.ts
@@ -24,7 +24,6 @@
   readonly #options: NodeRegistrationOptions;
   /** Era of the log in which this node is in the topic of nodes. */
   #registeredEra: number | undefined;
-
   #mustVerify = false;
 
   constructor(options: NodeRegistrationOptions) {
