Take a missing runner for expired only after an outage in which entries expire

What callers saw: requests went on to a runner whose removal had been read (DRAIN), for as long as single reads of the list failed: 19 s with a failed read of 400 ms every two seconds. Cause: each failed read counted as an outage of the list, started a grace period of two seconds, and removals that were read in it were not believed. Evidence: the first two tests of list-outages fail before (r0 is still used); the third one states what must go on to hold after two outages in a row. Fix: ListOutages compares the time for which the list was not read, by this node or by one that feeds it, with the time in which entries expire: two heartbeats. Single failures neither start nor prolong a grace period, beyond their own end. runner-removed says whether the removal was believed. Ruled out: to forget removed runners at once; live runners that could not renew their entries would be lost after each outage of the store.

--- a/packages/catalog/src/utils/runner-directory.ts
+++ b/packages/catalog/src/utils/runner-directory.ts
@@ -1,9 +1,15 @@
 import type { Clock } from '@ragwortrudder/core';
 import type { RunnerBoot } from '../types/runner-boot.ts';
 import type { RunnerEntry } from '../types/runner-entry.ts';
+import { ListOutages } from './list-outages.ts';
 
 interface RunnerDirectoryOptions {
   readonly clock: Clock;
+  /**
+   * Interval at which runners renew their entries, in milliseconds.
+   * @default 1200
+   */
+  readonly heartbeatMs?: number;
   /**
    * Time after an outage of the list during which entries that expired meanwhile are retained, in
    * milliseconds.
@@ -38,6 +44,7 @@
 /** Time for which a departure is reported although the runner is no longer listed, in milliseconds. */
 const DEPARTURE_REPORTED_MS = 10_000;
 const MAX_REPORTED_DEPARTURES = 128;
+const DEFAULT_HEARTBEAT_MS = 1_200;
 /** The platform documents that a live runner is listed again about two seconds after an outage. */
 const DEFAULT_GRACE_PERIOD_MS = 2_000;
 
@@ -49,18 +56,20 @@
  */
 export class RunnerDirectory {
   readonly #clock: Clock;
-  readonly #gracePeriodMs: number;
+  readonly #outages: ListOutages;
   readonly #entries = new Map<string, RunnerEntry>();
   readonly #retained = new Map<string, RunnerEntry>();
   readonly #departures = new Map<string, Departure>();
   readonly #doubtful = new Map<string, DoubtfulEntry>();
   #byService = new Map<string, readonly RunnerEntry[]>();
-  #isUnavailable = false;
-  #graceEndsAt = 0;
 
-  constructor({ clock, gracePeriodMs = DEFAULT_GRACE_PERIOD_MS }: RunnerDirectoryOptions) {
+  constructor({
+    clock,
+    heartbeatMs = DEFAULT_HEARTBEAT_MS,
+    gracePeriodMs = DEFAULT_GRACE_PERIOD_MS,
+  }: RunnerDirectoryOptions) {
     this.#clock = clock;
-    this.#gracePeriodMs = gracePeriodMs;
+    this.#outages = new ListOutages({ clock, heartbeatMs, gracePeriodMs });
   }
 
   /** Number of usable runners, including retained ones. */
@@ -70,13 +79,12 @@
 
   /** Records that the list cannot be read. */
   markUnavailable(): void {
-    this.#isUnavailable = true;
+    this.#outages.recordFailure();
   }
 
-  /** Records that the list was read. */
+  /** Records that the list was read, by this node or by one that tells of its changes. */
   markAvailable(): void {
-    if (this.#isUnavailable) this.#graceEndsAt = this.#clock.monotonic() + this.#gracePeriodMs;
-    this.#isUnavailable = false;
+    this.#outages.recordRead();
     this.#dropRetained();
   }
 
@@ -121,19 +129,25 @@
       .map(([id, { bornMs }]) => ({ id, bornMs }));
   }
 
-  /** Removes a runner whose entry is no longer listed, or retains it during an outage. */
-  remove(id: string): void {
+  /**
+   * Removes a runner whose entry is no longer listed, or retains it after an outage. Returns whether it
+   * is retained.
+   */
+  remove(id: string): boolean {
     this.#doubtful.delete(id);
     const entry = this.#entries.get(id);
-    if (!entry) return;
+    if (!entry) return false;
     this.#entries.delete(id);
     this.#byService.clear();
-    if (this.#isInGracePeriod() && !entry.isDraining) this.#retained.set(id, entry);
+    const isRetained = this.#outages.isInGracePeriod && !entry.isDraining;
+    if (isRetained) this.#retained.set(id, entry);
     else this.#recordDeparture(entry, { isDraining: entry.isDraining, isRemoved: true });
+    return isRetained;
   }
 
   /** Replaces the whole list. */
   replaceAll(entries: readonly RunnerEntry[]): void {
+    this.markAvailable();
     const ids = new Set(entries.map(({ id }) => id));
     for (const id of [...this.#entries.keys(), ...this.#doubtful.keys()])
       if (!ids.has(id)) this.remove(id);
@@ -148,7 +162,7 @@
    */
   restoreAll(entries: readonly RunnerEntry[]): void {
     const now = this.#clock.monotonic();
-    this.#graceEndsAt = now + this.#gracePeriodMs;
+    this.#outages.recordRestore();
     const current = entries.filter(({ id, bornMs }) => bornMs >= this.#newestBornMs(id));
     const doubtful = current.filter((entry) => this.#departureOf(entry)?.isRemoved);
     this.replaceAll(current.filter((entry) => !doubtful.includes(entry)));
@@ -181,10 +195,6 @@
     return [...this.#entries.values(), ...this.#retained.values()];
   }
 
-  #isInGracePeriod(): boolean {
-    return this.#isUnavailable || this.#clock.monotonic() < this.#graceEndsAt;
-  }
-
   /** Start of the newest known boot of a runner; 0 when none is known. */
   #newestBornMs(id: string): number {
     return Math.max(this.find(id)?.bornMs ?? 0, this.#departures.get(id)?.bornMs ?? 0);
@@ -217,7 +227,7 @@
   }
 
   #dropRetained(): void {
-    if (this.#retained.size === 0 || this.#isInGracePeriod()) return;
+    if (this.#retained.size === 0 || this.#outages.isInGracePeriod) return;
     for (const entry of this.#retained.values()) {
       this.#recordDeparture(entry, { isDraining: false, isRemoved: true });
     }
--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -158,10 +158,10 @@
           metrics.count('log_restores', { topic });
           decisions.notable('log-restored', { topic, ...restore });
         }
-        handlers.onAvailable();
         handlers.onSnapshot(records, restore !== undefined);
       },
       onRecords: handlers.onRecords,
+      onAvailable: handlers.onAvailable,
       onRange: (range, records) => {
         if (!isReader()) return;
         const changes = handlers.selectChanges(records);
@@ -181,7 +181,6 @@
         });
       },
       onRecovered: (outageMs) => {
-        handlers.onAvailable();
         decisions.notable('log-back', { topic, awayMs: Math.round(outageMs) });
       },
     });
@@ -299,8 +298,8 @@
   #removeRunner(id: string, isUnreadable: boolean): void {
     const { directory, decisions } = this.#options;
     if (!directory.find(id)) return;
-    directory.remove(id);
-    decisions.notable('runner-removed', { runner: id, isUnreadable });
+    const isRetained = directory.remove(id);
+    decisions.notable('runner-removed', { runner: id, isUnreadable, isRetained });
   }
 }
 
--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -23,6 +23,8 @@
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
   /** Called after each read of a range, before its records are applied. */
   readonly onRange: (range: OffsetRange, records: readonly KeyedRecord[]) => void;
+  /** Called whenever this node is known to be up to date, by its own read or a feed. */
+  readonly onAvailable?: () => void;
   /** Called when reads start to fail. */
   readonly onUnavailable: (error: unknown) => void;
   /** Called when the topic is available again, with the length of the outage in milliseconds. */
@@ -233,6 +235,7 @@
   }
 
   #markAvailable(): void {
+    this.#options.onAvailable?.();
     if (this.#unavailableSince === undefined) return;
     const outageMs = this.#options.clock.monotonic() - this.#unavailableSince;
     this.#unavailableSince = undefined;
--- /dev/null
+++ b/test/catalog/list-outages.test.ts
@@ -0,0 +1,85 @@
+import test from 'ava';
+import { RunnerDirectory } from '@ragwortrudder/catalog';
+import type { RunnerEntry } from '@ragwortrudder/catalog';
+import { ManualClock } from '@ragwortrudder/core';
+
+const READ_PERIOD_MS = 700;
+const FAILED_READ_MS = 400;
+
+function entryOf(id: string): RunnerEntry {
+  return {
+    id,
+    service: 's',
+    address: { host: '127.0.0.1', port: 1 },
+    failureDomain: 'a',
+    version: 'v1',
+    slots: 4,
+    isDraining: false,
+    coldMs: 0,
+    bornMs: 1,
+    isSpot: false,
+  };
+}
+
+/** Lets the list be read for a time, with a failed read every other second. */
+function readWithFailures(directory: RunnerDirectory, clock: ManualClock, ms: number): void {
+  const endsAt = clock.monotonic() + ms;
+  while (clock.monotonic() < endsAt) {
+    for (let read = 0; read < 2; read += 1) {
+      directory.markAvailable();
+      clock.advance(READ_PERIOD_MS);
+    }
+    directory.markUnavailable();
+    clock.advance(FAILED_READ_MS);
+  }
+  directory.markAvailable();
+}
+
+// Guards against requests to a runner that was removed, for as long as single reads of the list fail (DRAIN).
+test('pattern: removed runner, while a read of the list fails now and then; it is not used any more', (t) => {
+  const clock = new ManualClock();
+  const directory = new RunnerDirectory({ clock });
+  directory.replaceAll([entryOf('r0'), entryOf('r1')]);
+  readWithFailures(directory, clock, 4_000);
+  directory.remove('r0');
+  t.deepEqual(
+    directory.ofService('s').map(({ id }) => id),
+    ['r1'],
+  );
+});
+
+// Guards against requests to a runner that was removed, for as long as single reads of the list fail (DRAIN).
+test('pattern: removed runner after an outage, then single failed reads; it is used for the grace period only', (t) => {
+  const clock = new ManualClock();
+  const directory = new RunnerDirectory({ clock });
+  directory.replaceAll([entryOf('r0'), entryOf('r1')]);
+  directory.markUnavailable();
+  clock.advance(5_000);
+  directory.markAvailable();
+  directory.remove('r0');
+  readWithFailures(directory, clock, 2_000);
+  t.deepEqual(
+    directory.ofService('s').map(({ id }) => id),
+    ['r1'],
+  );
+});
+
+// Guards against the loss of live runners that could not renew their entries in two outages, one shortly after the other.
+test('pattern: two outages in a row; a runner that expired in the first one is kept until it may be listed again', (t) => {
+  const clock = new ManualClock();
+  const directory = new RunnerDirectory({ clock });
+  directory.replaceAll([entryOf('r0')]);
+  clock.advance(5_000);
+  directory.markAvailable();
+  directory.remove('r0');
+  clock.advance(500);
+  directory.markUnavailable();
+  clock.advance(5_000);
+  t.is(directory.ofService('s').length, 1);
+  directory.markAvailable();
+  clock.advance(1_500);
+  directory.markAvailable();
+  t.is(directory.ofService('s').length, 1);
+  clock.advance(1_000);
+  t.is(directory.ofService('s').length, 0);
+});
