--- /dev/null
+++ b/packages/gateway/src/utils/peer-table.ts
@@ -0,0 +1,275 @@
+import type { Address } from '@ragwortrudder/catalog';
+import type { Clock } from '@ragwortrudder/core';
+import type { DomainDigest } from '../types/domain-digest.ts';
+import type { Peer } from '../types/peer.ts';
+import type { ReachablePeer } from '../types/reachable-peer.ts';
+import type { ReportTiming } from '../types/report-timing.ts';
+import { fingerprintOfIds } from './fingerprint-of-ids.ts';
+import { reportPace } from './report-pace.ts';
+import { reportTiming } from './report-timing.ts';
+
+interface PeerTableOptions {
+  readonly node: string;
+  readonly failureDomain: string;
+  readonly clock: Clock;
+  /** Called when a peer was added, removed, or heard after a silence, with the ids of all. */
+  readonly onChange: (ids: ReadonlySet<string>) => void;
+}
+
+/** The peers that were reachable at a time. */
+interface ReachableView {
+  readonly at: number;
+  readonly all: readonly ReachablePeer[];
+  readonly ids: readonly string[];
+  readonly inDomain: readonly (readonly [string, Peer])[];
+  /** Those that report to this node, and it to them. */
+  readonly reporting: readonly (readonly [string, Peer])[];
+  /** Of the ids of these and of this node. */
+  readonly fingerprint: number;
+}
+
+/** What became of a peer that has been silent. */
+interface SilentPeer {
+  readonly id: string;
+  readonly silentMs: number;
+  readonly isForgotten: boolean;
+}
+
+/** Relays and their successor, which get the reports of the nodes of a large failure domain. */
+const REPORT_RECEIVERS = 3;
+/** Peers in the failure domain above which its nodes report to the relays only. */
+const MAX_MESHED_PEERS = 8;
+/** Silence after which a peer is removed, in milliseconds: longer than partitions that heal on their own. */
+const PEER_EXPIRY_MS = 15_000;
+/**
+ * Silence after which a peer is presumed dead rather than partitioned, in milliseconds: most
+ * partitions of a failure domain are shorter.
+ */
+const PRESUMED_DEAD_MS = 7_000;
+/** Time within which the first report of a live and reachable peer arrives, in milliseconds. */
+const FIRST_REPORT_TIMEOUT_MS = 2_500;
+/**
+ * Time for which the list of reachable peers is kept, in milliseconds: far below the silence after which
+ * a peer is no longer one of them.
+ */
+const VIEW_TTL_MS = 100;
+
+/** The other nodes as this one has heard them, and which of them report to whom. */
+export class PeerTable {
+  readonly #options: PeerTableOptions;
+  readonly #peers = new Map<string, Peer>();
+  #timing = reportTiming(undefined);
+  #view: ReachableView | undefined;
+  /** Pace for the known peers; absent until it is needed after they have changed. */
+  #knownPace: { readonly pace: ReturnType<typeof reportPace> } | undefined;
+
+  constructor(options: PeerTableOptions) {
+    this.#options = options;
+  }
+
+  get size(): number {
+    return this.#peers.size;
+  }
+
+  get entries(): readonly (readonly [string, Peer])[] {
+    return [...this.#peers];
+  }
+
+  find(id: string): Peer | undefined {
+    return this.#peers.get(id);
+  }
+
+  /** Times that follow from the pace of reports. */
+  get timing(): ReportTiming {
+    return this.#timing;
+  }
+
+  /** Applies the pace that follows from the peers that are known now. */
+  updateTiming(): void {
+    this.#timing = reportTiming(this.#pace());
+  }
+
+  /** Only relays send state to the other failure domains. */
+  get usesRelays(): boolean {
+    return this.#pace() !== undefined;
+  }
+
+  /** The failure domain is large, and none of its nodes is of a build that reads no digests of it. */
+  get usesLocalDigests(): boolean {
+    const peers = this.view.inDomain;
+    return (
+      this.usesRelays &&
+      peers.length > MAX_MESHED_PEERS &&
+      peers.every(([, { readsLocalDigests }]) => readsLocalDigests)
+    );
+  }
+
+  /** Adds a peer that has not been heard. */
+  add(id: string, address: Address, failureDomain: string): void {
+    if (id === this.#options.node || this.#peers.has(id)) return;
+    this.#peers.set(id, {
+      address,
+      failureDomain,
+      incarnation: 0,
+      sequence: 0,
+      lastReceivedAt: undefined,
+      lastReportAt: undefined,
+      readsLocalDigests: false,
+      addedAt: this.#options.clock.monotonic(),
+      dutyToken: 0,
+      isSilent: true,
+    });
+    this.#forgetViews();
+  }
+
+  /** Records that a peer was heard. */
+  record(id: string, contact: Omit<Peer, 'addedAt' | 'isSilent'>): void {
+    const known = this.#peers.get(id);
+    const now = this.#options.clock.monotonic();
+    const hasMoved =
+      known?.address.host !== contact.address.host || known.address.port !== contact.address.port;
+    if (hasMoved || known.isSilent || !this.#isReachable(known, now)) this.#forgetViews();
+    this.#peers.set(id, { ...contact, addedAt: known?.addedAt ?? now, isSilent: false });
+  }
+
+  delete(id: string): void {
+    this.#peers.delete(id);
+    this.#forgetViews();
+  }
+
+  /** Finds peers that have newly fallen silent, and removes those that have been silent for long. */
+  expireSilent(): readonly SilentPeer[] {
+    const now = this.#options.clock.monotonic();
+    const silent: SilentPeer[] = [];
+    for (const [id, peer] of this.#peers) {
+      const silentMs = Math.round(now - (peer.lastReceivedAt ?? peer.addedAt));
+      if (silentMs > PEER_EXPIRY_MS) {
+        this.delete(id);
+        silent.push({ id, silentMs, isForgotten: true });
+      } else if (!peer.isSilent && !this.#isReachable(peer, now)) {
+        this.#peers.set(id, { ...peer, isSilent: true });
+        silent.push({ id, silentMs, isForgotten: false });
+      }
+    }
+    return silent;
+  }
+
+  /**
+   * Whether a peer that is presumed alive has sent nothing for `ms`, so that its latest state is
+   * still missing.
+   */
+  hasSilent(ms: number): boolean {
+    const now = this.#options.clock.monotonic();
+    return [...this.#peers.values()].some(({ lastReceivedAt, addedAt }) => {
+      if (lastReceivedAt === undefined) return now - addedAt < FIRST_REPORT_TIMEOUT_MS;
+      return now - lastReceivedAt > ms && now - lastReceivedAt < PRESUMED_DEAD_MS;
+    });
+  }
+
+  /** Peers of the failure domain of this node. */
+  get local(): readonly (readonly [string, Peer])[] {
+    const { failureDomain } = this.#options;
+    return [...this.#peers].filter(([, peer]) => peer.failureDomain === failureDomain);
+  }
+
+  /** Peers of the other failure domains. */
+  get remote(): readonly (readonly [string, Peer])[] {
+    const { failureDomain } = this.#options;
+    return [...this.#peers].filter(([, peer]) => peer.failureDomain !== failureDomain);
+  }
+
+  /** The first nodes of the failure domain, among them enough that are reachable. */
+  get reportReceivers(): readonly (readonly [string, Peer])[] {
+    const now = this.#options.clock.monotonic();
+    const receivers: (readonly [string, Peer])[] = [];
+    let reachable = 0;
+    for (const entry of this.local.toSorted(byId)) {
+      if (reachable >= REPORT_RECEIVERS) break;
+      receivers.push(entry);
+      if (this.#isReachable(entry[1], now)) reachable += 1;
+    }
+    return receivers;
+  }
+
+  /** The reachable peer with the newest duty term. */
+  get dutyHolder(): Peer | undefined {
+    const now = this.#options.clock.monotonic();
+    let holder: Peer | undefined;
+    for (const peer of this.#peers.values()) {
+      if (peer.dutyToken > (holder?.dutyToken ?? 0) && this.#isReachable(peer, now)) holder = peer;
+    }
+    return holder;
+  }
+
+  /** Nodes of the failure domain that report to this one, as digests name them. */
+  get members(): DomainDigest['members'] {
+    return Object.fromEntries(
+      this.#reporting.map(([id, { address, dutyToken }]) => [
+        id,
+        [address.host, address.port, dutyToken],
+      ]),
+    );
+  }
+
+  /** What this node has last heard of the members. */
+  get heard(): NonNullable<DomainDigest['heard']> {
+    const now = this.#options.clock.monotonic();
+    return Object.fromEntries(
+      this.#reporting.map(([id, { incarnation, sequence, lastReportAt = now }]) => [
+        id,
+        [incarnation, sequence, Math.round(now - lastReportAt)],
+      ]),
+    );
+  }
+
+  /** The peers that are reachable now. */
+  get view(): ReachableView {
+    const { clock, failureDomain, node } = this.#options;
+    const at = clock.monotonic();
+    if (this.#view && at - this.#view.at < VIEW_TTL_MS) return this.#view;
+    const reachable = [...this.#peers].filter(([, peer]) => this.#isReachable(peer, at));
+    const inDomain = reachable.filter(([, peer]) => peer.failureDomain === failureDomain);
+    const reporting = this.usesRelays ? inDomain : reachable;
+    this.#view = {
+      at,
+      all: reachable.map(([id, peer]) => {
+        return { id, address: peer.address, failureDomain: peer.failureDomain };
+      }),
+      ids: reachable.map(([id]) => id),
+      inDomain,
+      reporting,
+      fingerprint: fingerprintOfIds([node, ...reporting.map(([id]) => id)]),
+    };
+    return this.#view;
+  }
+
+  /** Peers that are only known through another relay could outlive their nodes by being told back and forth. */
+  get #reporting(): readonly (readonly [string, Peer])[] {
+    const since = this.#options.clock.monotonic() - this.#timing.peerTimeoutMs;
+    return this.view.inDomain.filter(
+      ([, { lastReportAt }]) => lastReportAt !== undefined && lastReportAt > since,
+    );
+  }
+
+  #pace(): ReturnType<typeof reportPace> {
+    this.#knownPace ??= {
+      pace: reportPace([...this.#peers.values()], this.#options.failureDomain),
+    };
+    return this.#knownPace.pace;
+  }
+
+  #isReachable({ lastReceivedAt }: Peer, now: number): boolean {
+    return lastReceivedAt !== undefined && now - lastReceivedAt < this.#timing.peerTimeoutMs;
+  }
+
+  /** Called when a peer was added, removed, or heard after a silence. */
+  #forgetViews(): void {
+    this.#view = undefined;
+    this.#knownPace = undefined;
+    this.#options.onChange(new Set(this.#peers.keys()));
+  }
+}
+
+function byId([a]: readonly [string, Peer], [b]: readonly [string, Peer]): number {
+  return a < b ? -1 : 1;
+}
