Believe what the list goes on to show of a runner whose clock was set back

What callers saw: a runner that started again while its clock was behind was never used again, its requests went to the address of the boot before, which may belong to another service by then, and its leaving was not believed (DRAIN). The other way round, an entry that was written late, after the removal of its runner, made the runner usable until it expired. Cause: the start of a boot alone decided which entry is newer, and an entry of the same boot always was. Fix: an entry that may be older than what is known is kept in doubt; it is used once the list shows it again, with nothing else of its runner in between. A boot that was followed by one with an earlier start is remembered as ended. Cost: a runner that was removed and comes back in the same boot is used one heartbeat later than before, unless it was retained after an outage.

--- a/packages/catalog/src/utils/runner-directory.ts
+++ b/packages/catalog/src/utils/runner-directory.ts
@@ -28,10 +28,13 @@
   readonly at: number;
 }
 
-/** Entry of a restored list that had been removed before. */
+/** Entry that may have been written before what is known of its runner. */
 interface DoubtfulEntry {
   readonly entry: RunnerEntry;
-  readonly until: number;
+  /** When the list first showed it; monotonic, in milliseconds. */
+  readonly since: number;
+  /** When an entry of a restored list is used although it was not written again. */
+  readonly until?: number;
 }
 
 /**
@@ -45,6 +48,8 @@
 const DEPARTURE_REPORTED_MS = 10_000;
 const MAX_REPORTED_DEPARTURES = 128;
 const DEFAULT_HEARTBEAT_MS = 1_200;
+/** Part of a heartbeat between two writes of an entry: reads see them with a delay. */
+const RENEWAL_SHARE = 0.5;
 /** The platform documents that a live runner is listed again about two seconds after an outage. */
 const DEFAULT_GRACE_PERIOD_MS = 2_000;
 
@@ -53,14 +58,20 @@
  * expire during an outage are retained until the list has been available again for `gracePeriodMs`:
  * a live runner has registered itself again by then. A runner that is leaving never comes back in the
  * same boot, whatever the list says later.
+ *
+ * The start of a boot orders the boots of a runner, unless its clock was set back: what the list goes on
+ * to show counts then.
  */
 export class RunnerDirectory {
   readonly #clock: Clock;
   readonly #outages: ListOutages;
+  readonly #renewalMs: number;
   readonly #entries = new Map<string, RunnerEntry>();
   readonly #retained = new Map<string, RunnerEntry>();
   readonly #departures = new Map<string, Departure>();
   readonly #doubtful = new Map<string, DoubtfulEntry>();
+  /** By runner: the start of a boot that was followed by one with an earlier start. */
+  readonly #endedBoots = new Map<string, number>();
   #byService = new Map<string, readonly RunnerEntry[]>();
 
   constructor({
@@ -69,6 +80,7 @@
     gracePeriodMs = DEFAULT_GRACE_PERIOD_MS,
   }: RunnerDirectoryOptions) {
     this.#clock = clock;
+    this.#renewalMs = RENEWAL_SHARE * heartbeatMs;
     this.#outages = new ListOutages({ clock, heartbeatMs, gracePeriodMs });
   }
 
@@ -89,11 +101,15 @@
   }
 
   /**
-   * Adds or replaces a runner. An entry says something only about the boot that it names, so one of an
-   * earlier boot, or that names none, changes nothing. Returns false for such an entry.
+   * Adds or replaces a runner. An entry that may have been written before what is known, because it is of
+   * an earlier boot or of a runner that was removed, is used once the list shows that it is renewed. One
+   * that names no boot, where others did, is never used. Returns whether the entry is used.
    */
   put(entry: RunnerEntry): boolean {
-    if (entry.bornMs < this.#newestBornMs(entry.id)) return false;
+    if (this.#mayBeLate(entry) && !this.#isRenewed(entry)) return false;
+    const newestBornMs = this.#newestBornMs(entry.id);
+    if (entry.bornMs < newestBornMs) this.#endedBoots.set(entry.id, newestBornMs);
+    else if (entry.bornMs > newestBornMs) this.#endedBoots.delete(entry.id);
     const isDraining = entry.isDraining || this.#departureOf(entry)?.isDraining === true;
     this.#entries.set(entry.id, { ...entry, isDraining });
     this.#retained.delete(entry.id);
@@ -109,9 +125,9 @@
    * known already or a newer boot of the runner is.
    */
   markLeaving(boot: RunnerBoot): boolean {
-    if (this.#newestBornMs(boot.id) > boot.bornMs || this.#departureOf(boot)?.isDraining)
-      return false;
-    const known = this.find(boot.id);
+    if (this.#hasEnded(boot) || this.#departureOf(boot)?.isDraining) return false;
+    const known = this.#entries.get(boot.id);
+    if (this.#retained.delete(boot.id)) this.#byService.clear();
     // An entry of an earlier boot is not one of the runner that leaves.
     if (known) this.put({ ...known, bornMs: boot.bornMs, isDraining: true });
     else this.#recordDeparture(boot, { isDraining: true, isRemoved: true });
@@ -135,6 +151,7 @@
    */
   remove(id: string): boolean {
     this.#doubtful.delete(id);
+    this.#endedBoots.delete(id);
     const entry = this.#entries.get(id);
     if (!entry) return false;
     this.#entries.delete(id);
@@ -167,7 +184,11 @@
     const doubtful = current.filter((entry) => this.#departureOf(entry)?.isRemoved);
     this.replaceAll(current.filter((entry) => !doubtful.includes(entry)));
     for (const entry of doubtful) {
-      this.#doubtful.set(entry.id, { entry, until: now + RESTORED_ENTRY_DOUBT_MS });
+      this.#doubtful.set(entry.id, {
+        entry,
+        since: -Infinity,
+        until: now + RESTORED_ENTRY_DOUBT_MS,
+      });
     }
   }
 
@@ -195,6 +216,31 @@
     return [...this.#entries.values(), ...this.#retained.values()];
   }
 
+  /** The entry may have been written before what is known of its runner. */
+  #mayBeLate(entry: RunnerEntry): boolean {
+    if (this.#hasEnded(entry)) return true;
+    const departure = this.#departureOf(entry);
+    // Where runners name no boots, the entry may as well be the first one of the next boot.
+    return entry.bornMs > 0 && departure?.isRemoved === true && !departure.isDraining;
+  }
+
+  /** A later boot of the runner is known, or one that followed with an earlier start. */
+  #hasEnded({ id, bornMs }: RunnerBoot): boolean {
+    return bornMs < this.#newestBornMs(id) || this.#endedBoots.get(id) === bornMs;
+  }
+
+  /** The list has shown a doubtful entry before, and nothing else of its runner since. */
+  #isRenewed(entry: RunnerEntry): boolean {
+    if (entry.bornMs === 0) return false;
+    const now = this.#clock.monotonic();
+    const known = this.#doubtful.get(entry.id);
+    const isSameBoot = known?.entry.bornMs === entry.bornMs;
+    const since = isSameBoot ? known.since : now;
+    if (now - since >= this.#renewalMs) return true;
+    this.#doubtful.set(entry.id, { ...(isSameBoot ? known : {}), entry, since });
+    return false;
+  }
+
   /** Start of the newest known boot of a runner; 0 when none is known. */
   #newestBornMs(id: string): number {
     return Math.max(this.find(id)?.bornMs ?? 0, this.#departures.get(id)?.bornMs ?? 0);
@@ -219,9 +265,11 @@
   #admitDoubtful(): void {
     if (this.#doubtful.size === 0) return;
     const now = this.#clock.monotonic();
-    for (const [id, { entry, until }] of this.#doubtful) {
+    for (const [id, { entry, until = Infinity }] of this.#doubtful) {
       if (now < until) continue;
       this.#doubtful.delete(id);
+      // A list removes what nobody renews for so long.
+      if (this.#departureOf(entry)?.isRemoved) this.#departures.delete(id);
       this.put(entry);
     }
   }
--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -280,7 +280,7 @@
     const { codec, directory, decisions } = this.#options;
     const known = directory.find(entry.id);
     if (!directory.put(entry)) {
-      const cause = `boot: started at ${entry.bornMs}, before the newest known one`;
+      const cause = `boot: the entry of ${entry.bornMs} may be older than what is known of the runner`;
       decisions.rejected({ topic: codec.runnerTopic, key: entry.id, cause });
       return;
     }
