Tell in a feed what changes the list, whatever the reader knows otherwise

What callers saw: requests to a runner that had been removed, or had said that it leaves, at nodes that follow another one's reads (DRAIN); nothing told them later, as the list says a removal only once.

Of several records of a runner in one read only the newest was told, so that a runner that drained and was removed could be taken for one that expired. Fix: ListedRunners keeps the list as its records tell it; a record is left out only if it renews what a node at the start of the range has.

--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -1,4 +1,3 @@
-import { isDeepStrictEqual } from 'node:util';
 import type {
   Configuration,
   RolloutOrder,
@@ -10,6 +9,7 @@
 import type { CatalogCodec } from '../types/catalog-codec.ts';
 import type { TopicFeed } from '../types/topic-feed.ts';
 import { encodeChange } from '../utils/encode-change.ts';
+import { ListedRunners } from '../utils/listed-runners.ts';
 import { reasonOf } from '../utils/reason-of.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { GatewayMetrics } from './gateway-metrics.ts';
@@ -36,8 +36,14 @@
 interface TopicHandlers {
   readonly onSnapshot: (records: readonly KeyedRecord[], isRestored: boolean) => void;
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
-  /** Selects the records that other nodes need; undefined when there are too many for a feed. */
-  readonly selectChanges: (records: readonly KeyedRecord[]) => readonly KeyedRecord[] | undefined;
+  /**
+   * Selects the records that a node needs which has followed the topic up to `from`; undefined when there
+   * are too many for a feed.
+   */
+  readonly selectChanges: (
+    records: readonly KeyedRecord[],
+    from: number,
+  ) => readonly KeyedRecord[] | undefined;
   readonly onUnavailable: () => void;
   readonly onAvailable: () => void;
 }
@@ -64,6 +70,9 @@
 export class CatalogFollower implements Closeable {
   readonly #options: CatalogFollowerOptions;
   readonly #followers: readonly KeyedFollower[];
+  readonly #listed: ListedRunners;
+  /** Entries by their records, each of which is looked at several times. */
+  readonly #decoded = new WeakMap<KeyedRecord, RunnerEntry | undefined>();
   #version = 0;
   #record: Uint8Array | undefined;
   #hasRunners = false;
@@ -71,6 +80,7 @@
   constructor(options: CatalogFollowerOptions) {
     this.#options = options;
     const { codec, directory } = options;
+    this.#listed = new ListedRunners({ decode: (record) => this.#runnerIn(record) });
     this.#followers = [
       this.#createFollower(codec.configurationTopic, CONFIGURATION_WAIT_MS, 0, {
         onSnapshot: (records, isRestored) => {
@@ -90,7 +100,7 @@
         onRecords: (records) => {
           this.#applyRunnerRecords(records);
         },
-        selectChanges: (records) => this.#runnerChanges(records),
+        selectChanges: (records, from) => this.#runnerChanges(records, from),
         onUnavailable: () => {
           directory.markUnavailable();
         },
@@ -164,7 +174,7 @@
       onAvailable: handlers.onAvailable,
       onRange: (range, records) => {
         if (!isReader()) return;
-        const changes = handlers.selectChanges(records);
+        const changes = handlers.selectChanges(records, range.from);
         publishFeed({
           topic,
           ...range,
@@ -223,6 +233,7 @@
 
   #replaceRunners(records: readonly KeyedRecord[], isRestored: boolean): void {
     const { directory, decisions } = this.#options;
+    this.#listed.replaceAll(records);
     const entries = records.flatMap((record) => this.#decodeRunner(record) ?? []);
     if (isRestored) directory.restoreAll(entries);
     else directory.replaceAll(entries);
@@ -230,19 +241,17 @@
     decisions.notable('runners-read', { runners: entries.length, isRestored });
   }
 
-  /** Newest record of each runner whose entry changed; undefined when there are too many. */
-  #runnerChanges(records: readonly KeyedRecord[]): readonly KeyedRecord[] | undefined {
-    const { codec, directory } = this.#options;
-    const newest = new Map(records.map((record) => [record.key, record]));
-    const changed = [...newest.values()].filter(({ key, value }) => {
-      const entry = value && codec.decodeRunner(key, value);
-      return !isDeepStrictEqual(entry, directory.find(key));
-    });
-    return changed.length <= MAX_FEED_CHANGES ? changed : undefined;
+  #runnerChanges(
+    records: readonly KeyedRecord[],
+    from: number,
+  ): readonly KeyedRecord[] | undefined {
+    const changes = this.#listed.changesIn(records, from);
+    return changes.length <= MAX_FEED_CHANGES ? changes : undefined;
   }
 
   #applyRunnerRecords(records: readonly KeyedRecord[]): void {
     const { codec } = this.#options;
+    this.#listed.apply(records);
     for (const record of records) {
       this.#attempt(codec.runnerTopic, record.key, () => {
         const entry = this.#decodeRunner(record);
@@ -252,9 +261,18 @@
     }
   }
 
-  #decodeRunner({ key, value }: KeyedRecord): RunnerEntry | undefined {
+  #runnerIn(record: KeyedRecord): RunnerEntry | undefined {
+    if (this.#decoded.has(record)) return this.#decoded.get(record);
+    const { key, value } = record;
+    const entry = value && this.#options.codec.decodeRunner(key, value);
+    this.#decoded.set(record, entry);
+    return entry;
+  }
+
+  #decodeRunner(record: KeyedRecord): RunnerEntry | undefined {
     const { codec, decisions } = this.#options;
-    const entry = value && codec.decodeRunner(key, value);
+    const { key, value } = record;
+    const entry = this.#runnerIn(record);
     if (entry || !value) decisions.accepted(codec.runnerTopic, key);
     else this.#reject(codec.runnerTopic, key, value);
     return entry;
