Stop using a runner at once whose entry cannot be read

What callers saw: after an outage of the list requests went on to a runner whose entry another writer had replaced by one that names no runner. Cause: such an entry was handled as a removal, which is not believed in the grace period. Evidence: the new test of list-outages fails with the removal of before (run with remove in place of reject). Fix: RunnerDirectory.reject; the next sound entry of the same boot is used at once, as nobody said that the runner was gone.

--- a/packages/catalog/src/utils/runner-directory.ts
+++ b/packages/catalog/src/utils/runner-directory.ts
@@ -162,6 +162,17 @@
     return isRetained;
   }
 
+  /** Stops using a runner whose entry cannot be read, until it is renewed. */
+  reject(id: string): void {
+    this.#doubtful.delete(id);
+    const entry = this.find(id);
+    if (!entry) return;
+    this.#entries.delete(id);
+    this.#retained.delete(id);
+    this.#byService.clear();
+    this.#recordDeparture(entry, { isDraining: entry.isDraining, isRemoved: false });
+  }
+
   /** Replaces the whole list. */
   replaceAll(entries: readonly RunnerEntry[]): void {
     this.markAvailable();
--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -235,6 +235,7 @@
     const { directory, decisions } = this.#options;
     this.#listed.replaceAll(records);
     const entries = records.flatMap((record) => this.#decodeRunner(record) ?? []);
+    for (const record of records) if (!this.#runnerIn(record)) directory.reject(record.key);
     if (isRestored) directory.restoreAll(entries);
     else directory.replaceAll(entries);
     this.#hasRunners ||= entries.length > 0;
@@ -316,7 +317,8 @@
   #removeRunner(id: string, isUnreadable: boolean): void {
     const { directory, decisions } = this.#options;
     if (!directory.find(id)) return;
-    const isRetained = directory.remove(id);
+    if (isUnreadable) directory.reject(id);
+    const isRetained = !isUnreadable && directory.remove(id);
     decisions.notable('runner-removed', { runner: id, isUnreadable, isRetained });
   }
 }
--- a/test/catalog/list-outages.test.ts
+++ b/test/catalog/list-outages.test.ts
@@ -83,3 +83,16 @@
   clock.advance(1_000);
   t.is(directory.ofService('s').length, 0);
 });
+
+// Guards against requests to a runner whose entry cannot be read any more, for as long as entries are retained after an outage.
+test('pattern: entry that another writer replaced by an unreadable one, after an outage; it is used again only when it is renewed', (t) => {
+  const clock = new ManualClock();
+  const directory = new RunnerDirectory({ clock });
+  directory.replaceAll([entryOf('r0')]);
+  clock.advance(5_000);
+  directory.markAvailable();
+  directory.reject('r0');
+  t.deepEqual(directory.ofService('s'), []);
+  t.true(directory.put(entryOf('r0')));
+  t.is(directory.ofService('s').length, 1);
+});
