Bound what a node sends to many peers by the capacity of its link

What callers saw: 404 for a route that had been confirmed 12 to 17 seconds before (CONFIG), requests held past their time-outs and sent on after their callers had left (CONFIG, GONE), at one node after another. Each packet of the node then waits for seconds: it reaches neither the store, nor runners, nor peers, and keeps the configuration it has. Its successor as relay takes over and falls in turn. Class: a cost that grows with the deployment, and was bounded for the processor and not for the link. Answers to requests for a configuration had the same fault, which were repeated each 300 ms while they waited. Fix: what goes to many peers leaves at half of the link's capacity (a setting of the platform) in groups of 20 ms, is compressed where it is long and all of its receivers read that, and a digest leaves out its oldest interrupted requests where it would not reach everybody within a period. Ruled out: relays that send to relays only, as each node then forwards as much; longer periods, from which the time-outs of all nodes derive.

The test of the settings template drops the marks of any section, not only of cloud_api, and asserts the new setting besides.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -188,6 +188,7 @@
       createReport: (extent) => this.#peerState.createReport(extent),
       createDigest: (members) => this.#peerState.createDigest(members),
       failureDomain: node.failureDomain,
+      linkMbps: node.linkMbps,
       onReport: (report, isFirst) => {
         this.#peerState.applyReport(report, isFirst);
       },
@@ -423,9 +424,7 @@
   /** Records that new settings were rejected; the previous ones stay active. */
   recordReloadFailure(error: unknown): void {
     this.#metrics.count('reload_failures');
-    this.#decisions.notable('settings-rejected', {
-      reason: reasonOf(error),
-    });
+    this.#decisions.notable('settings-rejected', { reason: reasonOf(error) });
   }
 
   /** Fails the readiness check, finishes the requests in progress within the grace period, and closes. */
--- a/packages/gateway/src/node/peer-socket.ts
+++ b/packages/gateway/src/node/peer-socket.ts
@@ -1,9 +1,8 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 import type { Address } from '@ragwortrudder/catalog';
-import { parseBoundedJson } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
-import { createJSONRPCNotification } from 'json-rpc-2.0';
+import { decodeMessage } from '../utils/decode-message.ts';
 import { reasonOf } from '../utils/reason-of.ts';
 import type { DecisionLog } from './decision-log.ts';
 
@@ -55,20 +54,8 @@
     });
   }
 
-  /** Sends a notification to each address; settles once all have been sent or have failed. */
-  async send(method: string, params: object, addresses: readonly Address[]): Promise<void> {
-    if (addresses.length === 0) return;
-    const bytes = Buffer.from(JSON.stringify(createJSONRPCNotification(method, params)));
-    await Promise.all(addresses.map((address) => this.#sendBytes(bytes, address)));
-  }
-
-  close(): Promise<void> {
-    this.#socket?.close();
-    this.#socket = undefined;
-    return Promise.resolve();
-  }
-
-  #sendBytes(bytes: Buffer, { host, port }: Address): Promise<void> {
+  /** Sends an encoded message to an address; settles once it has been sent or has failed. */
+  send(bytes: Buffer, { host, port }: Address): Promise<void> {
     return new Promise((resolve) => {
       if (!this.#socket) {
         resolve();
@@ -87,8 +74,14 @@
     });
   }
 
+  close(): Promise<void> {
+    this.#socket?.close();
+    this.#socket = undefined;
+    return Promise.resolve();
+  }
+
   #receive(bytes: Buffer, sender: string): void {
-    const message = parseBoundedJson(bytes);
+    const message = decodeMessage(bytes);
     if (isNotification(message)) this.#options.onMessage(message.method, message.params);
     else this.#options.log.rejected({ topic: 'peer-message', key: sender, cause: 'not readable' });
   }
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -129,6 +129,7 @@
       work,
       taken: Object.fromEntries(taken),
       readsLocalDigests: true,
+      readsCompressed: true,
       ...(includesTotals ? this.#totals(now) : { usage: {}, demand: {} }),
       ...(limits.length > 0 ? { limits } : {}),
       ...(brittle ? { brittle } : {}),
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -11,9 +11,12 @@
 import type { ReportExtent } from '../types/report-extent.ts';
 import type { ReportTiming } from '../types/report-timing.ts';
 import type { TopicFeed } from '../types/topic-feed.ts';
+import { encodeMessage } from '../utils/encode-message.ts';
+import { fitDigest } from '../utils/fit-digest.ts';
 import { PeerIntroductions } from '../utils/peer-introductions.ts';
 import { PeerTable } from '../utils/peer-table.ts';
 import type { DecisionLog } from './decision-log.ts';
+import { PacedDatagrams } from './paced-datagrams.ts';
 import { PeerMessages } from './peer-messages.ts';
 import { PeerSocket } from './peer-socket.ts';
 
@@ -23,6 +26,11 @@
   readonly failureDomain: string;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  /**
+   * Capacity of this node's network link, in Mbit/s.
+   * @default 1000
+   */
+  readonly linkMbps?: number | undefined;
   /** Fencing token of the duty term that this node holds; 0 when it holds none. */
   readonly dutyToken: () => number;
   /** Creates this node's report. */
@@ -58,6 +66,11 @@
  * milliseconds.
  */
 const TOTALS_PERIOD_MS = 700;
+const DEFAULT_LINK_MBPS = 1_000;
+const BYTES_PER_MBIT = 125_000;
+/** Fraction of the link for messages to many peers; the rest is left to requests. */
+const LINK_SHARE = 0.5;
+const MS_PER_S = 1_000;
 
 /**
  * Tracks the other nodes and exchanges periodic reports with them. In a small deployment every node
@@ -69,6 +82,8 @@
 export class Peers implements Closeable {
   readonly #options: PeersOptions;
   readonly #socket: PeerSocket;
+  readonly #paced: PacedDatagrams;
+  readonly #bytesPerSecond: number;
   readonly #table: PeerTable;
   readonly #digestSequences = new Map<string, number>();
   readonly #introductions = new PeerIntroductions();
@@ -110,6 +125,13 @@
         messages.receive(method, params);
       },
     });
+    const { clock, linkMbps = DEFAULT_LINK_MBPS } = options;
+    this.#bytesPerSecond = linkMbps * BYTES_PER_MBIT * LINK_SHARE;
+    this.#paced = new PacedDatagrams({
+      clock,
+      bytesPerSecond: this.#bytesPerSecond,
+      send: (bytes, address) => void this.#socket.send(bytes, address),
+    });
   }
 
   /** Times that follow from the pace of reports. */
@@ -163,19 +185,25 @@
 
   /** Sends the result of a topic read to the other nodes of the failure domain; never rejects. */
   publishFeed(feed: TopicFeed): Promise<void> {
-    return this.#attempt('feed', () =>
-      this.#socket.send(METHODS.feed, feed, addressesOf(this.#table.view.inDomain)),
-    );
+    return this.#attempt('feed', () => this.#send(METHODS.feed, feed, this.#table.view.inDomain));
   }
 
   /** Asks a peer for its configuration. */
   async requestConfiguration(request: ConfigurationRequest, peer: Address): Promise<void> {
-    await this.#socket.send(METHODS.configurationRequest, request, [peer]);
+    await this.#sendTo(METHODS.configurationRequest, request, [peer]);
   }
 
-  /** Sends a part of this node's configuration to a peer. */
-  async sendConfiguration(part: ConfigurationPart, peer: Address): Promise<void> {
-    await this.#socket.send(METHODS.configuration, part, [peer]);
+  /** Sends a part of this node's configuration to a peer, in turn. */
+  sendConfiguration(part: ConfigurationPart, peer: Address): Promise<void> {
+    const key = `${METHODS.configuration} ${peer.host}:${peer.port} ${part.version}/${part.part}`;
+    // Its text is compressed already.
+    const bytes = encodeMessage({
+      method: METHODS.configuration,
+      params: part,
+      mayCompress: false,
+    });
+    this.#paced.add({ key, bytes, addresses: [peer] });
+    return Promise.resolve();
   }
 
   /** Announces a long prompt that this node has sent, ahead of the next report; never rejects. */
@@ -193,7 +221,7 @@
       runner,
       tokens: Math.round(tokens),
     };
-    await this.#socket.send(METHODS.prompt, announcement, receivers);
+    await this.#sendTo(METHODS.prompt, announcement, receivers);
   }
 
   async start(): Promise<void> {
@@ -216,7 +244,7 @@
     const report = this.#createReport({ isLeaving, includesTotals: true });
     const receivers =
       this.#table.usesRelays && !isLeaving ? this.#table.local : this.#table.entries;
-    await this.#socket.send(METHODS.report, report, addressesOf(receivers));
+    await this.#send(METHODS.report, report, receivers);
   }
 
   /**
@@ -229,9 +257,36 @@
     });
   }
 
-  close(): Promise<void> {
+  async close(): Promise<void> {
     clearTimeout(this.#timer);
-    return this.#socket.close();
+    await this.#paced.close();
+    await this.#socket.close();
+  }
+
+  /** Sends a message to peers at once; settles once it has been sent or has failed. */
+  async #send(
+    method: string,
+    params: object,
+    peers: readonly (readonly [string, Peer])[],
+  ): Promise<void> {
+    for (const { bytes, addresses } of encodeFor(peers, { method, params })) {
+      await Promise.all(addresses.map((address) => this.#socket.send(bytes, address)));
+    }
+  }
+
+  /** Sends a short message, for whoever reads it. */
+  async #sendTo(method: string, params: object, addresses: readonly Address[]): Promise<void> {
+    const bytes = encodeMessage({ method, params, mayCompress: false });
+    await Promise.all(addresses.map((address) => this.#socket.send(bytes, address)));
+  }
+
+  /** Sends a digest to peers in turn; one that is still being sent is not overtaken by the next one. */
+  #sendDigest(digest: DomainDigest, peers: readonly (readonly [string, Peer])[]): void {
+    const { digest: method } = METHODS;
+    const scope = digest.heard ? 'local' : 'remote';
+    encodeFor(peers, { method, params: digest }).forEach(({ bytes, addresses }, index) => {
+      this.#paced.add({ key: `${method} ${scope} ${index}`, bytes, addresses, isUrgent: true });
+    });
   }
 
   /** Runs what nobody waits for: a failure is logged and ends nothing else. */
@@ -254,18 +309,32 @@
     const isForRelays = usesLocalDigests && !this.#concernsWholeDomain(report);
     const receivers =
       isForRelays && this.#hearsRelays ? this.#table.reportReceivers : this.#table.local;
-    await this.#socket.send(METHODS.report, report, addressesOf(receivers));
+    await this.#send(METHODS.report, report, receivers);
     await this.#sendTotals();
     if (!this.isRelay) return;
+    const digest = this.#createDigest();
+    if (usesLocalDigests) {
+      this.#sendDigest({ ...digest, heard: this.#table.heard }, this.#table.local);
+    }
+    this.#sendDigest(digest, this.#table.remote);
+  }
+
+  /** Creates a digest that can be sent to all of its receivers within a period. */
+  #createDigest(): DomainDigest {
     const { node, address, dutyToken, createDigest } = this.#options;
-    const digest = createDigest({
-      ...this.#table.members,
-      [node]: [address.host, address.port, dutyToken()],
+    const digest = {
+      ...createDigest({
+        ...this.#table.members,
+        [node]: [address.host, address.port, dutyToken()],
+      }),
+      readsCompressed: this.#table.areCompressedRead,
+    };
+    const bytesPerPeriod = (this.#bytesPerSecond * this.#table.timing.periodMs) / MS_PER_S;
+    const maxBytes = bytesPerPeriod / this.#table.size;
+    return fitDigest(digest, (params) => {
+      const message = { method: METHODS.digest, params, mayCompress: true };
+      return encodeMessage(message).length <= maxBytes;
     });
-    await this.#socket.send(METHODS.digest, digest, addressesOf(this.#table.remote));
-    if (!usesLocalDigests) return;
-    const localDigest: DomainDigest = { ...digest, heard: this.#table.heard };
-    await this.#socket.send(METHODS.digest, localDigest, addressesOf(this.#table.local));
   }
 
   #createReport(extent: ReportExtent): NodeReport {
@@ -294,7 +363,7 @@
     if (!holder || now - this.#totalsSentAt < TOTALS_PERIOD_MS) return;
     this.#totalsSentAt = now;
     const report = this.#createReport({ isLeaving: false, includesTotals: true });
-    await this.#socket.send(METHODS.report, report, [holder.address]);
+    await this.#sendTo(METHODS.report, report, [holder.address]);
   }
 
   #schedule(): void {
@@ -332,6 +401,7 @@
       lastReceivedAt: now,
       lastReportAt: now,
       readsLocalDigests: report.readsLocalDigests === true,
+      readsCompressed: report.readsCompressed === true,
     });
     if (!known || known.isSilent) this.#logHeard([report.node], report.failureDomain);
     this.#options.onReport(report, isFirst);
@@ -359,7 +429,7 @@
     );
     log.notable('peers-introduced', { peer, nodes: Object.keys(nodes).join(',') });
     void this.#attempt('introduction', () =>
-      this.#socket.send(METHODS.introduction, { nodes }, [{ host, port }]),
+      this.#sendTo(METHODS.introduction, { nodes }, [{ host, port }]),
     );
   }
 
@@ -376,7 +446,7 @@
     if (!isLocal || !this.isRelay) this.#options.onDigest(digest);
   }
 
-  #recordMembers({ failureDomain, members, heard }: DomainDigest): void {
+  #recordMembers({ failureDomain, members, heard, readsCompressed }: DomainDigest): void {
     const now = this.#options.clock.monotonic();
     const newlyHeard: string[] = [];
     for (const [id, [host, port, dutyToken]] of Object.entries(members)) {
@@ -394,6 +464,7 @@
         lastReportAt: known?.lastReportAt,
         // Digests of a domain are sent where all of its nodes read them.
         readsLocalDigests: heard !== undefined || known?.readsLocalDigests === true,
+        readsCompressed: readsCompressed ?? known?.readsCompressed ?? false,
       });
     }
     if (newlyHeard.length > 0) this.#logHeard(newlyHeard, failureDomain);
@@ -409,6 +480,24 @@
   }
 }
 
+interface EncodedMessage {
+  readonly bytes: Buffer;
+  readonly addresses: readonly Address[];
+}
+
+/** Encodes a message for peers, some of which may be of a build that reads no compressed ones. */
+function encodeFor(
+  peers: readonly (readonly [string, Peer])[],
+  message: { readonly method: string; readonly params: object },
+): readonly EncodedMessage[] {
+  return [true, false].flatMap((mayCompress) => {
+    const receivers = peers.filter(([, { readsCompressed }]) => readsCompressed === mayCompress);
+    if (receivers.length === 0) return [];
+    const bytes = encodeMessage({ ...message, mayCompress });
+    return [{ bytes, addresses: addressesOf(receivers) }];
+  });
+}
+
 function addressesOf(peers: readonly (readonly [string, Peer])[]): readonly Address[] {
   return peers.map(([, { address }]) => address);
 }
--- a/packages/gateway/src/types/domain-digest.ts
+++ b/packages/gateway/src/types/domain-digest.ts
@@ -37,6 +37,8 @@
   limits: z.array(StatedLimit).readonly().optional(),
   /** Brittle runners, as the members know them. */
   brittle: BrittleReport.optional(),
+  /** All members read compressed messages; absent in digests of older builds. */
+  readsCompressed: z.boolean().optional(),
   /** Version of the configuration that the relay follows. */
   configuration: Ordinal.optional(),
   /** Runners that are leaving, as the members know. */
--- a/packages/gateway/src/types/gateway-settings.ts
+++ b/packages/gateway/src/types/gateway-settings.ts
@@ -6,6 +6,11 @@
     readonly id: string;
     readonly host: string;
     readonly failureDomain: string;
+    /**
+     * Capacity of the node's network link, in Mbit/s.
+     * @default 1000
+     */
+    readonly linkMbps?: number | undefined;
   };
   readonly listen: {
     /** Address that callers connect to. */
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -50,6 +50,8 @@
   fingerprint: Ordinal.optional(),
   /** The node reads digests of its own failure domain; absent in reports of older builds. */
   readsLocalDigests: z.boolean().optional(),
+  /** The node reads compressed messages; absent in reports of older builds. */
+  readsCompressed: z.boolean().optional(),
   /** Fencing token of the duty term that the node holds and can act on; otherwise 0. */
   duty: Ordinal,
   /** The node is shutting down. */
--- a/packages/gateway/src/types/peer.ts
+++ b/packages/gateway/src/types/peer.ts
@@ -15,6 +15,8 @@
   readonly lastReportAt: number | undefined;
   /** It reads digests of its own failure domain. */
   readonly readsLocalDigests: boolean;
+  /** It reads compressed messages. */
+  readonly readsCompressed: boolean;
   readonly addedAt: number;
   readonly dutyToken: number;
   readonly isSilent: boolean;
--- a/packages/gateway/src/utils/parse-domain-digest.ts
+++ b/packages/gateway/src/utils/parse-domain-digest.ts
@@ -2,7 +2,8 @@
 import { DomainDigest } from '../types/domain-digest.ts';
 import { VALUE_CHECKS } from './value-checks.ts';
 
-const { isAmount, isOrdinal, isPort, isText, listOf, objectOf, recordOf, tupleOf } = VALUE_CHECKS;
+const { isAmount, isBoolean, isOrdinal, isPort, isText } = VALUE_CHECKS;
+const { listOf, objectOf, recordOf, tupleOf } = VALUE_CHECKS;
 
 /** The fields that most digests have. */
 const isCommonDigest = objectOf({
@@ -19,6 +20,7 @@
     configuration: isOrdinal,
     now: isOrdinal,
     heard: recordOf(tupleOf(isOrdinal, isOrdinal, isOrdinal)),
+    readsCompressed: isBoolean,
     leaving: listOf(tupleOf(isText, isOrdinal)),
   },
 });
--- a/packages/gateway/src/utils/parse-node-report.ts
+++ b/packages/gateway/src/utils/parse-node-report.ts
@@ -27,6 +27,7 @@
   optional: {
     configuration: isOrdinal,
     readsLocalDigests: isBoolean,
+    readsCompressed: isBoolean,
     fingerprint: isOrdinal,
     leaving: isRunnerBoots,
     outOfReach: isRunnerBoots,
--- a/packages/gateway/src/utils/peer-table.ts
+++ b/packages/gateway/src/utils/peer-table.ts
@@ -115,6 +115,7 @@
       lastReceivedAt: undefined,
       lastReportAt: undefined,
       readsLocalDigests: false,
+      readsCompressed: false,
       addedAt: this.#options.clock.monotonic(),
       dutyToken: 0,
       isSilent: true,
@@ -211,6 +212,11 @@
     );
   }
 
+  /** All nodes of the failure domain that report to this one read compressed messages. */
+  get areCompressedRead(): boolean {
+    return this.#reporting.every(([, { readsCompressed }]) => readsCompressed);
+  }
+
   /** What this node has last heard of the members. */
   get heard(): NonNullable<DomainDigest['heard']> {
     const now = this.#options.clock.monotonic();
--- a/test/platform-adapter/translation.test.ts
+++ b/test/platform-adapter/translation.test.ts
@@ -201,7 +201,7 @@
 test('the settings template contains every setting', (t) => {
   const template = readFileSync('deploy/settings.template', 'utf8');
   const filled = template
-    .replace(/\{\{[#/]cloud_api\.address\}\}/g, '')
+    .replace(/\{\{[#/][\w.]+\}\}/g, '')
     .replaceAll('{{cloud_api.duties|json}}', '["usage_report"]')
     .replace(/\{\{[\w.]*(address|front|readiness)\|json\}\}/g, '"127.0.0.1:80"')
     .replace(/\{\{[\w.]+\|json\}\}/g, '"x"')
@@ -212,6 +212,7 @@
     graceMs: 7_000,
     duties: { reportsUsage: true, ordersRunners: false, usageWindowMs: 7_000 },
     listen: { callers: { host: '127.0.0.1', port: 80 } },
+    node: { linkMbps: 7 },
   });
 });
 
