Deny a route or a key only by a configuration that is known to be current

What callers saw: 404 for a route, and 401 for a key, that a confirmed configuration had (CONFIG), from a node that had reached neither the store nor its peers for ten seconds and more. Cause: a node denied by whatever configuration it had last. Evidence: the new test of refused-node fails before (401 and 404). Fix: where neither a read nor a feed has confirmed the configuration for three seconds, or a peer follows a newer one, the answer is 503 with Retry-After (configuration-unconfirmed); another node may know the route by then.

--- a/packages/gateway/src/errors/refusal.ts
+++ b/packages/gateway/src/errors/refusal.ts
@@ -10,6 +10,8 @@
 
 const HINTS: Readonly<Record<RefusalCause, string>> = {
   'no-configuration': 'the node has not read a configuration yet; see the state of the store',
+  'configuration-unconfirmed':
+    'the configuration in force lacks it, and a newer one may have it; see the state of the store',
   'route-unknown': 'no route of the configuration in force matches host and path',
   'key-unknown': 'no team of the configuration in force holds the key',
   'quota-exceeded': 'the team has used what its limit allows',
--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -65,6 +65,11 @@
 const CONFIGURATION_WAIT_MS = 1_000;
 /** Pause between reads of the runner topic, in milliseconds; a change must take effect within two seconds. */
 const RUNNER_PAUSE_MS = 700;
+/**
+ * Time without a read or a feed after which a newer configuration may be in force, in milliseconds: feeds
+ * come once in a long poll, and one of them may be lost.
+ */
+const CONFIRMED_MS = 3 * CONFIGURATION_WAIT_MS;
 
 /** Follows the configuration and the list of runners, through own reads of the log and feeds from peers. */
 export class CatalogFollower implements Closeable {
@@ -76,6 +81,7 @@
   #version = 0;
   #record: Uint8Array | undefined;
   #hasRunners = false;
+  #confirmedAt = -Infinity;
 
   constructor(options: CatalogFollowerOptions) {
     this.#options = options;
@@ -91,7 +97,9 @@
         },
         selectChanges: (records) => (bytesOf(records) <= MAX_FEED_BYTES ? records : undefined),
         onUnavailable: () => undefined,
-        onAvailable: () => undefined,
+        onAvailable: () => {
+          this.#confirmedAt = options.clock.monotonic();
+        },
       }),
       this.#createFollower(codec.runnerTopic, 0, RUNNER_PAUSE_MS, {
         onSnapshot: (records, isRestored) => {
@@ -116,6 +124,11 @@
     return this.#version;
   }
 
+  /** The log, or a node that reads it, has recently shown that no configuration is newer. */
+  get isConfirmed(): boolean {
+    return this.#options.clock.monotonic() - this.#confirmedAt < CONFIRMED_MS;
+  }
+
   /** Record of the active configuration. */
   get record(): Uint8Array | undefined {
     return this.#record;
--- a/packages/gateway/src/node/configuration-sync.ts
+++ b/packages/gateway/src/node/configuration-sync.ts
@@ -42,6 +42,11 @@
     this.#options = options;
   }
 
+  /** A peer follows a newer configuration. */
+  get isBehind(): boolean {
+    return (this.#newerPeer?.version ?? 0) > this.#options.catalog.version;
+  }
+
   /** Records the version that a peer follows. */
   recordPeerVersion(version: number, address: Address): void {
     const { catalog, clock } = this.#options;
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -43,6 +43,8 @@
 
 interface AdmittingOptions extends ForwarderOptions {
   readonly peerForwarder: PeerForwarder;
+  /** No configuration is known to be newer than the active one, nor may there be one for long. */
+  readonly isCurrent: () => boolean;
 }
 
 type AdmittedRequest = Pick<
@@ -152,10 +154,8 @@
     }
     const route = activeConfiguration.routes.find(request.host, request.path);
     if (!route) {
-      throw new Refusal('route-unknown', {
-        status: HTTP_NOT_FOUND,
-        inputs: { host: request.host, path: request.path },
-      });
+      const { host, path } = request;
+      throw this.#denial('route-unknown', { status: HTTP_NOT_FOUND, inputs: { host, path } });
     }
     const team = this.#teamOf(request, route, activeConfiguration);
     const service = this.#serviceOf(route, activeConfiguration);
@@ -329,14 +329,25 @@
     const team =
       request.apiKey === undefined ? undefined : activeConfiguration.keys.find(request.apiKey);
     if (!team) {
-      throw new Refusal('key-unknown', {
-        status: HTTP_UNAUTHORIZED,
-        inputs: { route: route.name },
-      });
+      const inputs = { route: route.name };
+      throw this.#denial('key-unknown', { status: HTTP_UNAUTHORIZED, inputs });
     }
     return team;
   }
 
+  /** Denies what the active configuration lacks; where a newer one may have it, the caller may come back. */
+  #denial(
+    cause: 'route-unknown' | 'key-unknown',
+    denial: Pick<Refusal, 'status' | 'inputs'>,
+  ): Refusal {
+    if (this.#options.isCurrent()) return new Refusal(cause, denial);
+    return new Refusal('configuration-unconfirmed', {
+      status: HTTP_UNAVAILABLE,
+      retryAfterMs: NO_CONFIGURATION_RETRY_MS,
+      inputs: { ...denial.inputs, cause },
+    });
+  }
+
   #serviceOf(route: Route, activeConfiguration: ActiveConfiguration): Service {
     const name = selectService(route.targets, this.#options.random.next());
     const service = name === undefined ? undefined : activeConfiguration.services.get(name);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -274,6 +274,7 @@
       metrics: this.#metrics,
       responseTimes: new ResponseTimes(),
       grace: () => this.#grace,
+      isCurrent: () => this.#catalog.isConfirmed && !this.#configurationSync.isBehind,
       onLongPrompt: (runnerId, tokens) => void this.#peers.announcePrompt(runnerId, tokens),
       onAdmitted: (service, request) => {
         this.#demand.add(service.name, {
--- a/packages/gateway/src/types/refusal-cause.ts
+++ b/packages/gateway/src/types/refusal-cause.ts
@@ -1,6 +1,7 @@
 /** Why the node itself answered a request instead of a runner. */
 export type RefusalCause =
   | 'no-configuration'
+  | 'configuration-unconfirmed'
   | 'route-unknown'
   | 'key-unknown'
   | 'quota-exceeded'
--- a/test/gateway/refused-node.test.ts
+++ b/test/gateway/refused-node.test.ts
@@ -91,3 +91,30 @@
   await sleep(APPLY_MS);
   t.is((await node.call({ headers: { 'X-Api-Key': keys.at(-1) ?? '' } })).status, OK);
 });
+
+const HTTP_UNAUTHORIZED = 401;
+const HTTP_NOT_FOUND = 404;
+const HTTP_UNAVAILABLE = 503;
+
+// Guards against the refusal of routes and keys that were added while a node reached neither the store nor peers (CONFIG).
+test('pattern: node that reaches neither the store nor peers; it does not deny what a newer configuration may have', async (t) => {
+  const { writer, refused, start } = await startFleet(t);
+  await writer.configure({ tenants: [{ name: 'team', api_keys: ['old'] }] });
+  const node = await start('n1', refused);
+  const keys = (key: string): object => ({ headers: { 'X-Api-Key': key } });
+  t.is((await node.call(keys('new'))).status, HTTP_UNAUTHORIZED);
+  t.is((await node.call({ path: '/none/' })).status, HTTP_NOT_FOUND);
+  refused.isRefusing = true;
+  await writer.configure({ tenants: [{ name: 'team', api_keys: ['old', 'new'] }] });
+  await sleep(2 * APPLY_MS);
+  for (const call of [keys('new'), { path: '/none/' }]) {
+    const { status, headers } = await node.call(call);
+    t.is(status, HTTP_UNAVAILABLE);
+    t.truthy(headers['retry-after']);
+  }
+  t.is((await node.call(keys('old'))).status, OK);
+  refused.isRefusing = false;
+  await sleep(APPLY_MS);
+  t.is((await node.call(keys('new'))).status, OK);
+  t.is((await node.call({ path: '/none/' })).status, HTTP_NOT_FOUND);
+});
