Take an outage that other nodes did not have for this node's own

What callers saw: requests to a runner that had left while a node was cut off from the store, for up to 3.7 s after the cut had healed (DRAIN): the node noticed up to 1.7 s later that it read again, and then did not believe removals for two seconds. Cause: a node took each of its own outages for one of the list, in which live runners cannot renew their entries. Evidence: the first of two new tests of list-outages; it calls what is new, so it was not run on the code before. On that code the same steps are those of 'an entry that expires during an outage of the list is retained' of catalog.test. Fix: nodes tell each other for how long they have read the list without an outage. Where a peer read it, entries did not expire for want of a store, and a removal is believed at once.

--- a/packages/catalog/src/utils/runner-directory.ts
+++ b/packages/catalog/src/utils/runner-directory.ts
@@ -100,6 +100,17 @@
     this.#dropRetained();
   }
 
+  /** Time for which this node has read the list without an outage, in milliseconds; 0 when it cannot read it. */
+  get readableMs(): number {
+    return this.#outages.readableMs;
+  }
+
+  /** Records that another node has read the list without an outage for a time, up to now. */
+  recordReadElsewhere(forMs: number): void {
+    this.#outages.recordReadElsewhere(forMs);
+    this.#dropRetained();
+  }
+
   /**
    * Adds or replaces a runner. An entry that may have been written before what is known, because it is of
    * an earlier boot or of a runner that was removed, is used once the list shows that it is renewed. One
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -37,7 +37,10 @@
     BrittleRunners,
     'report' | 'domainReport' | 'setPeerReport' | 'setDomainReport'
   >;
-  readonly directory: Pick<RunnerDirectory, 'leaving' | 'markLeaving'>;
+  readonly directory: Pick<
+    RunnerDirectory,
+    'leaving' | 'markLeaving' | 'readableMs' | 'recordReadElsewhere'
+  >;
   readonly log: Pick<DecisionLog, 'notable'>;
   /** Version of the active configuration. */
   readonly configurationVersion: () => number;
@@ -133,6 +136,7 @@
       ...(includesTotals ? this.#totals(now) : { usage: {}, demand: {} }),
       ...(limits.length > 0 ? { limits } : {}),
       ...(brittle ? { brittle } : {}),
+      listReadMs: Math.round(this.#options.directory.readableMs),
       ...(leaving.length > 0 ? { leaving } : {}),
       ...reach,
       ...(prompts ? { prompts } : {}),
@@ -165,6 +169,7 @@
       taken: Object.fromEntries(taken),
       ...(limits.length > 0 ? { limits } : {}),
       ...(brittle ? { brittle } : {}),
+      listReadMs: Math.round(this.#options.directory.readableMs),
       ...(leaving.length > 0 ? { leaving } : {}),
       ...(prompts ? { prompts } : {}),
     };
@@ -182,6 +187,7 @@
     this.#options.rollouts.setPeerEvidence(incarnation, report.outcomes);
     this.#options.limits.setPeerLimits(report.limits ?? []);
     this.#options.brittle.setPeerReport(incarnation, report.brittle);
+    this.#options.directory.recordReadElsewhere(report.listReadMs ?? 0);
     this.#applyLeaving(report.leaving ?? [], report.node);
     this.#applyReach(report);
     const { host, port } = report;
@@ -213,6 +219,7 @@
     if (digest.now !== undefined) disciplinedClock.addPeerTime(relay, digest.now);
     this.#options.limits.setDomainLimits(digest.limits ?? []);
     this.#options.brittle.setDomainReport(digest.brittle);
+    this.#options.directory.recordReadElsewhere(digest.listReadMs ?? 0);
     this.#applyLeaving(digest.leaving ?? [], digest.relay);
     const [host, port] = digest.members[relay] ?? [];
     if (host !== undefined && port !== undefined) {
--- a/packages/gateway/src/types/domain-digest.ts
+++ b/packages/gateway/src/types/domain-digest.ts
@@ -41,6 +41,8 @@
   readsCompressed: z.boolean().optional(),
   /** Version of the configuration that the relay follows. */
   configuration: Ordinal.optional(),
+  /** Time for which the relay has read the list of runners without an outage, in milliseconds. */
+  listReadMs: Ordinal.optional(),
   /** Runners that are leaving, as the members know. */
   leaving: z.array(RunnerBoot).readonly().optional(),
   /** What the members know about prompt parts that may crash runners. */
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -38,6 +38,8 @@
   brittle: BrittleReport.optional(),
   /** Version of the configuration that the node follows. */
   configuration: Ordinal.optional(),
+  /** Time for which the node has read the list of runners without an outage, in milliseconds. */
+  listReadMs: Ordinal.optional(),
   /** Runners that are leaving, by id and start of the boot. */
   leaving: z.array(RunnerBoot).readonly().optional(),
   /** Runners that the node cannot reach, by id and start of the boot. */
--- a/packages/gateway/src/utils/parse-domain-digest.ts
+++ b/packages/gateway/src/utils/parse-domain-digest.ts
@@ -19,6 +19,7 @@
   optional: {
     configuration: isOrdinal,
     now: isOrdinal,
+    listReadMs: isOrdinal,
     heard: recordOf(tupleOf(isOrdinal, isOrdinal, isOrdinal)),
     readsCompressed: isBoolean,
     leaving: listOf(tupleOf(isText, isOrdinal)),
--- a/packages/gateway/src/utils/parse-node-report.ts
+++ b/packages/gateway/src/utils/parse-node-report.ts
@@ -29,6 +29,7 @@
     readsLocalDigests: isBoolean,
     readsCompressed: isBoolean,
     fingerprint: isOrdinal,
+    listReadMs: isOrdinal,
     leaving: isRunnerBoots,
     outOfReach: isRunnerBoots,
     reached: isRunnerBoots,
--- a/test/catalog/list-outages.test.ts
+++ b/test/catalog/list-outages.test.ts
@@ -96,3 +96,39 @@
   t.true(directory.put(entryOf('r0')));
   t.is(directory.ofService('s').length, 1);
 });
+
+/** Two nodes, of which one cannot read the list for a time; the other one reports to it again afterwards. */
+function readAfterOutage({
+  isReadElsewhere,
+}: {
+  readonly isReadElsewhere: boolean;
+}): RunnerDirectory {
+  const clock = new ManualClock();
+  const directory = new RunnerDirectory({ clock });
+  const other = new RunnerDirectory({ clock });
+  directory.replaceAll([entryOf('r0'), entryOf('r1')]);
+  other.replaceAll([]);
+  for (let read = 0; read < 7; read += 1) {
+    clock.advance(READ_PERIOD_MS);
+    if (isReadElsewhere) other.markAvailable();
+  }
+  other.markAvailable();
+  directory.markAvailable();
+  directory.remove('r0');
+  directory.recordReadElsewhere(other.readableMs);
+  return directory;
+}
+
+// Guards against requests to a runner that left while a node alone did not reach the list (DRAIN).
+test('pattern: node that is cut off from the list while a peer reads it; a removed runner is not retained', (t) => {
+  const directory = readAfterOutage({ isReadElsewhere: true });
+  t.deepEqual(
+    directory.ofService('s').map(({ id }) => id),
+    ['r1'],
+  );
+});
+
+test('pattern: list that no node can read; a removed runner is retained', (t) => {
+  const directory = readAfterOutage({ isReadElsewhere: false });
+  t.is(directory.ofService('s').length, 2);
+});
