Send no digest after the report that a node leaves

Digests leave in groups since they are paced, so that one which names the node could follow its last report and bring it back for a second or two at others. Found by reading; the new test of paced-datagrams states it.

--- a/packages/gateway/src/node/paced-datagrams.ts
+++ b/packages/gateway/src/node/paced-datagrams.ts
@@ -39,6 +39,7 @@
   #credit: number;
   #creditAt: number;
   #timer: NodeJS.Timeout | undefined;
+  #isClosed = false;
 
   constructor(options: PacedDatagramsOptions) {
     this.#options = options;
@@ -50,7 +51,7 @@
   /** Sends a job in turn; returns false for one that is dropped, because one of its key still waits. */
   add(job: Job): boolean {
     const isWaiting = this.#jobs.some(({ key }) => key === job.key);
-    if (isWaiting || this.#jobs.length >= MAX_JOBS) return false;
+    if (this.#isClosed || isWaiting || this.#jobs.length >= MAX_JOBS) return false;
     const queued = { ...job, sent: 0 };
     const urgent = this.#jobs.filter(({ isUrgent = false }) => isUrgent);
     const others = this.#jobs.filter(({ isUrgent = false }) => !isUrgent);
@@ -59,7 +60,9 @@
     return true;
   }
 
+  /** Drops what waits; nothing is sent afterwards. */
   close(): Promise<void> {
+    this.#isClosed = true;
     clearTimeout(this.#timer);
     this.#timer = undefined;
     this.#jobs = [];
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -241,6 +241,8 @@
   async publishReport(isLeaving = false): Promise<void> {
     if (this.#isLeaving) return;
     this.#isLeaving = isLeaving;
+    // A digest that names this node must not follow the report that it leaves.
+    if (isLeaving) await this.#paced.close();
     const report = this.#createReport({ isLeaving, includesTotals: true });
     const receivers =
       this.#table.usesRelays && !isLeaving ? this.#table.local : this.#table.entries;
--- a/test/gateway/paced-datagrams.test.ts
+++ b/test/gateway/paced-datagrams.test.ts
@@ -57,3 +57,21 @@
   t.true(sent.lastIndexOf('first') < sent.indexOf('next'));
   t.true(job('first', 1));
 });
+
+// Guards against digests that name a node after it has told its peers that it leaves.
+test('once closed, nothing more is sent, neither what waits nor what comes later', async (t) => {
+  let sent = 0;
+  const paced = new PacedDatagrams({
+    clock: new SystemClock(),
+    bytesPerSecond: BYTES_PER_SECOND,
+    send: () => {
+      sent += 1;
+    },
+  });
+  paced.add({ key: 'a', bytes: DATAGRAM, addresses: addressesFor(65) });
+  const sentBefore = sent;
+  await paced.close();
+  t.false(paced.add({ key: 'b', bytes: DATAGRAM, addresses: addressesFor(1) }));
+  await new Promise((resolve) => setTimeout(resolve, 60));
+  t.is(sent, sentBefore);
+});
