--- a/packages/catalog/src/utils/runner-directory.ts
+++ b/packages/catalog/src/utils/runner-directory.ts
@@ -9,7 +9,7 @@
    * Interval at which runners renew their entries, in milliseconds.
    * @default 1200
    */
-  readonly heartbeatMs?: number;
+  readonly heartbeatMs?: number | undefined;
   /**
    * Time after an outage of the list during which entries that expired meanwhile are retained, in
    * milliseconds.
--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -248,13 +248,16 @@
     const { directory, decisions } = this.#options;
     this.#listed.replaceAll(records);
     const entries = records.flatMap((record) => this.#decodeRunner(record) ?? []);
-    for (const record of records) if (!this.#runnerIn(record)) directory.reject(record.key);
+    for (const record of records) {
+      if (record.value && !this.#runnerIn(record)) directory.reject(record.key);
+    }
     if (isRestored) directory.restoreAll(entries);
     else directory.replaceAll(entries);
     this.#hasRunners ||= entries.length > 0;
     decisions.notable('runners-read', { runners: entries.length, isRestored });
   }
 
+  /** The changes in a range that begins at `from`; undefined when there are too many. */
   #runnerChanges(
     records: readonly KeyedRecord[],
     from: number,
@@ -283,6 +286,7 @@
     return entry;
   }
 
+  /** The runner that a record names; logs a record that names none. */
   #decodeRunner(record: KeyedRecord): RunnerEntry | undefined {
     const { codec, decisions } = this.#options;
     const { key, value } = record;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -128,7 +128,7 @@
     this.#incarnation = clock.wall();
     this.#startedAt = clock.monotonic();
     this.#decisions = new DecisionLog({ node: node.id, out, clock });
-    this.#directory = new RunnerDirectory({ clock });
+    this.#directory = new RunnerDirectory({ clock, heartbeatMs: settings.runnerHeartbeatMs });
     this.#loadTracker = new RunnerLoadTracker(clock);
     this.#quota = new SharedQuota(clock);
     this.#usage = new UsageCounter(duties.usageWindowMs, `${node.id} ${this.#incarnation}`);
--- a/packages/gateway/src/types/gateway-settings.ts
+++ b/packages/gateway/src/types/gateway-settings.ts
@@ -22,6 +22,11 @@
     /** Port for messages (UDP) and passed-on requests (TCP) between nodes. */
     readonly peerPort: number;
   };
+  /**
+   * Interval at which runners renew their entries in the list, in milliseconds.
+   * @default 1200
+   */
+  readonly runnerHeartbeatMs?: number | undefined;
   /** Time from SIGTERM to SIGKILL, in milliseconds. */
   readonly graceMs: number;
   readonly retries: {
--- a/test/catalog/doubtful-entries.test.ts
+++ b/test/catalog/doubtful-entries.test.ts
@@ -2,6 +2,7 @@
 import { RunnerDirectory } from '@ragwortrudder/catalog';
 import type { RunnerEntry } from '@ragwortrudder/catalog';
 import { ManualClock } from '@ragwortrudder/core';
+import { entryOf } from './entry-of.ts';
 
 const HEARTBEAT_MS = 1_200;
 const BORN_MS = 1_000_000;
@@ -17,22 +18,6 @@
   readonly renew: (entry: RunnerEntry, times: number) => void;
 }
 
-function entryOf(change: Partial<RunnerEntry> = {}): RunnerEntry {
-  return {
-    id: 'r',
-    service: 's',
-    address: { host: '127.0.0.1', port: 1 },
-    failureDomain: 'a',
-    version: 'v1',
-    slots: 4,
-    isDraining: false,
-    coldMs: 0,
-    bornMs: BORN_MS,
-    isSpot: false,
-    ...change,
-  };
-}
-
 const NEXT_BOOT = entryOf({ bornMs: BORN_EARLIER_MS, address: { host: '127.0.0.1', port: 2 } });
 
 function createDirectory(): TestEnvironment {
--- a/test/catalog/list-outages.test.ts
+++ b/test/catalog/list-outages.test.ts
@@ -1,26 +1,11 @@
 import test from 'ava';
 import { RunnerDirectory } from '@ragwortrudder/catalog';
-import type { RunnerEntry } from '@ragwortrudder/catalog';
 import { ManualClock } from '@ragwortrudder/core';
+import { entryOf } from './entry-of.ts';
 
 const READ_PERIOD_MS = 700;
 const FAILED_READ_MS = 400;
 
-function entryOf(id: string): RunnerEntry {
-  return {
-    id,
-    service: 's',
-    address: { host: '127.0.0.1', port: 1 },
-    failureDomain: 'a',
-    version: 'v1',
-    slots: 4,
-    isDraining: false,
-    coldMs: 0,
-    bornMs: 1,
-    isSpot: false,
-  };
-}
-
 /** Lets the list be read for a time, with a failed read every other second. */
 function readWithFailures(directory: RunnerDirectory, clock: ManualClock, ms: number): void {
   const endsAt = clock.monotonic() + ms;
@@ -39,7 +24,7 @@
 test('pattern: removed runner, while a read of the list fails now and then; it is not used any more', (t) => {
   const clock = new ManualClock();
   const directory = new RunnerDirectory({ clock });
-  directory.replaceAll([entryOf('r0'), entryOf('r1')]);
+  directory.replaceAll([entryOf({ id: 'r0' }), entryOf({ id: 'r1' })]);
   readWithFailures(directory, clock, 4_000);
   directory.remove('r0');
   t.deepEqual(
@@ -52,7 +37,7 @@
 test('pattern: removed runner after an outage, then single failed reads; it is used for the grace period only', (t) => {
   const clock = new ManualClock();
   const directory = new RunnerDirectory({ clock });
-  directory.replaceAll([entryOf('r0'), entryOf('r1')]);
+  directory.replaceAll([entryOf({ id: 'r0' }), entryOf({ id: 'r1' })]);
   directory.markUnavailable();
   clock.advance(5_000);
   directory.markAvailable();
@@ -68,7 +53,7 @@
 test('pattern: two outages in a row; a runner that expired in the first one is kept until it may be listed again', (t) => {
   const clock = new ManualClock();
   const directory = new RunnerDirectory({ clock });
-  directory.replaceAll([entryOf('r0')]);
+  directory.replaceAll([entryOf({ id: 'r0' })]);
   clock.advance(5_000);
   directory.markAvailable();
   directory.remove('r0');
@@ -88,12 +73,12 @@
 test('pattern: entry that another writer replaced by an unreadable one, after an outage; it is used again only when it is renewed', (t) => {
   const clock = new ManualClock();
   const directory = new RunnerDirectory({ clock });
-  directory.replaceAll([entryOf('r0')]);
+  directory.replaceAll([entryOf({ id: 'r0' })]);
   clock.advance(5_000);
   directory.markAvailable();
   directory.reject('r0');
   t.deepEqual(directory.ofService('s'), []);
-  t.true(directory.put(entryOf('r0')));
+  t.true(directory.put(entryOf({ id: 'r0' })));
   t.is(directory.ofService('s').length, 1);
 });
 
@@ -106,7 +91,7 @@
   const clock = new ManualClock();
   const directory = new RunnerDirectory({ clock });
   const other = new RunnerDirectory({ clock });
-  directory.replaceAll([entryOf('r0'), entryOf('r1')]);
+  directory.replaceAll([entryOf({ id: 'r0' }), entryOf({ id: 'r1' })]);
   other.replaceAll([]);
   for (let read = 0; read < 7; read += 1) {
     clock.advance(READ_PERIOD_MS);
--- a/test/platform-adapter/translation.test.ts
+++ b/test/platform-adapter/translation.test.ts
@@ -213,6 +213,7 @@
     duties: { reportsUsage: true, ordersRunners: false, usageWindowMs: 7_000 },
     listen: { callers: { host: '127.0.0.1', port: 80 } },
     node: { linkMbps: 7 },
+    runnerHeartbeatMs: 7,
   });
 });
 
