Compute the rate of paced datagrams in one place, and share the entry of the directory's tests

No change of behaviour: PacedDatagrams says what it sends in a time, so that Peers no longer keeps the rate beside it; two tests of the directory used copies of one entry. Their assertions are unchanged.

--- a/packages/gateway/src/node/paced-datagrams.ts
+++ b/packages/gateway/src/node/paced-datagrams.ts
@@ -43,11 +43,16 @@
 
   constructor(options: PacedDatagramsOptions) {
     this.#options = options;
-    this.#groupBytes = (options.bytesPerSecond * GROUP_PERIOD_MS) / MS_PER_S;
+    this.#groupBytes = this.bytesIn(GROUP_PERIOD_MS);
     this.#credit = this.#groupBytes;
     this.#creditAt = options.clock.monotonic();
   }
 
+  /** Bytes that are sent within a time, in milliseconds. */
+  bytesIn(ms: number): number {
+    return (ms * this.#options.bytesPerSecond) / MS_PER_S;
+  }
+
   /** Sends a job in turn; returns false for one that is dropped, because one of its key still waits. */
   add(job: Job): boolean {
     const isWaiting = this.#jobs.some(({ key }) => key === job.key);
@@ -92,7 +97,7 @@
 
   #earnCredit(): void {
     const now = this.#options.clock.monotonic();
-    const earned = ((now - this.#creditAt) * this.#options.bytesPerSecond) / MS_PER_S;
+    const earned = this.bytesIn(now - this.#creditAt);
     this.#creditAt = now;
     this.#credit = Math.min(this.#groupBytes, this.#credit + earned);
   }
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -70,7 +70,6 @@
 const BYTES_PER_MBIT = 125_000;
 /** Fraction of the link for messages to many peers; the rest is left to requests. */
 const LINK_SHARE = 0.5;
-const MS_PER_S = 1_000;
 
 /**
  * Tracks the other nodes and exchanges periodic reports with them. In a small deployment every node
@@ -83,7 +82,6 @@
   readonly #options: PeersOptions;
   readonly #socket: PeerSocket;
   readonly #paced: PacedDatagrams;
-  readonly #bytesPerSecond: number;
   readonly #table: PeerTable;
   readonly #digestSequences = new Map<string, number>();
   readonly #introductions = new PeerIntroductions();
@@ -126,10 +124,9 @@
       },
     });
     const { clock, linkMbps = DEFAULT_LINK_MBPS } = options;
-    this.#bytesPerSecond = linkMbps * BYTES_PER_MBIT * LINK_SHARE;
     this.#paced = new PacedDatagrams({
       clock,
-      bytesPerSecond: this.#bytesPerSecond,
+      bytesPerSecond: linkMbps * BYTES_PER_MBIT * LINK_SHARE,
       send: (bytes, address) => void this.#socket.send(bytes, address),
     });
   }
@@ -331,8 +328,7 @@
       }),
       readsCompressed: this.#table.areCompressedRead,
     };
-    const bytesPerPeriod = (this.#bytesPerSecond * this.#table.timing.periodMs) / MS_PER_S;
-    const maxBytes = bytesPerPeriod / this.#table.size;
+    const maxBytes = this.#paced.bytesIn(this.#table.timing.periodMs) / this.#table.size;
     return fitDigest(digest, (params) => {
       const message = { method: METHODS.digest, params, mayCompress: true };
       return encodeMessage(message).length <= maxBytes;
--- a/test/catalog/doubtful-entries.test.ts
+++ b/test/catalog/doubtful-entries.test.ts
@@ -5,7 +5,7 @@
 import { entryOf } from './entry-of.ts';
 
 const HEARTBEAT_MS = 1_200;
-const BORN_MS = 1_000_000;
+const BORN_MS = entryOf().bornMs;
 /** Start of the next boot, by a clock that was set back. */
 const BORN_EARLIER_MS = BORN_MS - 2_000;
 
--- a/test/catalog/earlier-boots.test.ts
+++ b/test/catalog/earlier-boots.test.ts
@@ -1,25 +1,10 @@
 import test from 'ava';
 import { RunnerDirectory } from '@ragwortrudder/catalog';
-import type { RunnerEntry } from '@ragwortrudder/catalog';
 import { ManualClock } from '@ragwortrudder/core';
+import { entryOf } from './entry-of.ts';
 
-const BORN_MS = 1_000_000;
-
-function entryOf(change: Partial<RunnerEntry> = {}): RunnerEntry {
-  return {
-    id: 'r',
-    service: 's',
-    address: { host: '127.0.0.1', port: 1 },
-    failureDomain: 'a',
-    version: 'v1',
-    slots: 4,
-    isDraining: false,
-    coldMs: 0,
-    bornMs: BORN_MS,
-    isSpot: false,
-    ...change,
-  };
-}
+/** Start of the boot of an entry by default. */
+const BORN_MS = entryOf().bornMs;
 
 // Guards against orders that reach a leaving runner and are lost at its exit (DRAIN).
 test('pattern: entry without a boot, or of an earlier one, for a runner that is leaving; it stays leaving', (t) => {
