Take only a probe made after a peer's loss as proof that a runner lives

Cause: a node that had probed a runner within the last second told the peer that lost the runner that it reaches it, although the probe was from before the crash. Busy runners are silent for longer than the 400 ms after which a link is probed, so there nearly always was such a probe. The peer took the loss for a fault of its own link and dropped its evidence against the request.

A probe counts now only if it was asked for after the peer's report, which makes one even within a second of the last, and a failed probe ends the proof.

--- a/packages/gateway/src/node/runner-links.ts
+++ b/packages/gateway/src/node/runner-links.ts
@@ -41,8 +41,10 @@
   /** When the first request that has had no bytes since was sent to a runner. */
   readonly #waitingSince = new Map<string, number>();
   readonly #probing = new Set<string>();
-  /** When a probe last reached a runner. */
+  /** When a probe last reached a runner that has not been found out of reach since. */
   readonly #reachedAt = new Map<string, number>();
+  /** When a probe was last made for a peer. */
+  readonly #askedAt = new Map<string, number>();
   #isClosed = false;
 
   constructor(options: RunnerLinksOptions) {
@@ -82,17 +84,24 @@
 
   /** Finds out for a peer that has lost its links to runners whether this node reaches them. */
   probeFor(runners: readonly string[]): void {
-    for (const runner of runners) this.#monitor.suspect(runner);
+    const now = this.#options.clock.monotonic();
+    for (const runner of runners) {
+      if (this.#monitor.suspect(runner, true)) this.#askedAt.set(runner, now);
+    }
     this.#probe();
   }
 
-  /** Runners that peers cannot reach and that this node has just reached. */
+  /**
+   * Runners that peers cannot reach and that this node has reached since they told. An earlier probe says
+   * nothing: the runner may have ended between the two.
+   */
   reachedFor(lostByPeers: ReadonlySet<string>): readonly RunnerEntry[] {
     if (this.#reachedAt.size === 0) return [];
     const since = this.#options.clock.monotonic() - RECENT_MS;
     return this.#options.directory.all().filter((entry) => {
       const key = incarnationOf(entry);
-      return lostByPeers.has(key) && (this.#reachedAt.get(key) ?? -Infinity) > since;
+      if (!lostByPeers.has(key)) return false;
+      return (this.#reachedAt.get(key) ?? -Infinity) > Math.max(since, this.#askedAt.get(key) ?? 0);
     });
   }
 
@@ -138,6 +147,7 @@
   /** Records that no connection to a runner could be opened. */
   recordFailure(entry: RunnerEntry, failure: LinkFailure): void {
     const { log, closeIdle, onChange } = this.#options;
+    this.#reachedAt.delete(incarnationOf(entry));
     const isNew = this.#monitor.recordFailure(incarnationOf(entry), failure);
     if (failure === 'silent') closeIdle(entry);
     if (!isNew) return;
@@ -163,7 +173,9 @@
     const listed = directory.all();
     const keys = new Set(listed.map(incarnationOf));
     this.#monitor.retain(keys);
-    for (const key of this.#reachedAt.keys()) if (!keys.has(key)) this.#reachedAt.delete(key);
+    for (const times of [this.#reachedAt, this.#askedAt]) {
+      for (const key of times.keys()) if (!keys.has(key)) times.delete(key);
+    }
     for (const entry of listed) {
       const key = incarnationOf(entry);
       if (!isInUse(entry)) {
--- a/packages/routing/src/utils/link-monitor.ts
+++ b/packages/routing/src/utils/link-monitor.ts
@@ -17,6 +17,8 @@
 const PROBE_GAP_FACTOR = 1.5;
 /** Minimum time between two probes of a link that is not down, in milliseconds. */
 const SUSPICION_GAP_MS = 1_000;
+/** The same for a peer that has just lost its link, in milliseconds; many peers may ask at a time. */
+const PEER_PROBE_GAP_MS = 150;
 /** Time after the loss of a link in which others tell that they reach its runner, in milliseconds. */
 const PROOF_MS = 1_500;
 
@@ -63,13 +65,18 @@
     for (const [runner, link] of this.#down) this.#down.set(runner, { ...link, cutAt });
   }
 
-  /** Asks for a probe of a link that is not known to be down. */
-  suspect(runner: string): void {
+  /**
+   * Asks for a probe of a link that is not known to be down, which a peer may ask for more often; returns
+   * whether there will be one.
+   */
+  suspect(runner: string, isForPeer = false): boolean {
     const now = this.#clock.monotonic();
+    const gapMs = isForPeer ? PEER_PROBE_GAP_MS : SUSPICION_GAP_MS;
     const suspectedAt = this.#suspectedAt.get(runner) ?? -Infinity;
-    if (this.#down.has(runner) || now - suspectedAt < SUSPICION_GAP_MS) return;
+    if (this.#down.has(runner) || now - suspectedAt < gapMs) return false;
     this.#suspectedAt.set(runner, now);
     this.#suspected.add(runner);
+    return true;
   }
 
   /** No link is down. */
