Keep evidence of crashes by the crash, and find several causes in one search

Causes: each crash of a busy runner adds some 15 interrupted requests, most of them by chance, and the newest 64 pushed out the rare ones that matter. Responses of the next boot of a runner, while the list still named the crashed one, cleared it for good. Only the causes with the most crashes were reported in a search, and a request whose key was found set apart the crashes that its prompt part had to be found by.

Interruptions are now reported by how many crashes their unserved parts were present at, without the parts that were served since; a node keeps 512 itself. RunnerBoots decides which boots ended, and counts a crash once the list names the next boot. The search goes on without the crashes that it has explained until it finds nothing more, groups interruptions by boot, and tells a rack from a request that was sent on by the time over which runners end. Reports keep their form and their bound of 64, for nodes of older builds.

--- a/packages/admission/src/types/crash-history.ts
+++ b/packages/admission/src/types/crash-history.ts
@@ -7,6 +7,8 @@
   readonly interrupted: readonly InterruptedRequest[];
   /** Interrupted requests at such runners, without the known ones themselves. */
   readonly explained: readonly InterruptedRequest[];
+  /** Interrupted requests at runners that known whole requests, but no known part, have ended. */
+  readonly explainedByRequests: readonly InterruptedRequest[];
   /** When a request with a part was last served, by any node. */
   readonly servedAt: (part: string) => number;
   /** Requests that this node has served recently, whatever their parts. */
--- a/packages/admission/src/utils/prompt-quarantine.ts
+++ b/packages/admission/src/utils/prompt-quarantine.ts
@@ -8,7 +8,10 @@
 import { EVIDENCE_LIMITS } from './evidence-limits.ts';
 import { isRepeatKey } from './is-repeat-key.ts';
 import { findCrashingParts } from './find-crashing-parts.ts';
+import { RunnerBoots } from './runner-boots.ts';
+import { selectInterruptions } from './select-interruptions.ts';
 
+type Settled = Pick<CrashHistory, 'interrupted' | 'explained' | 'explainedByRequests'>;
 type PromptRequest = Omit<InterruptedRequest, 'at'>;
 
 interface InterruptedAttempt extends PromptRequest {
@@ -66,11 +69,8 @@
 const CRASH_WINDOW_MS = 250;
 /** Age from which an interruption is taken into account, in milliseconds: peers have reported theirs. */
 const SETTLE_MS = 400;
-/**
- * Time after an interruption from which a request counts that its runner responds to, in milliseconds:
- * peers report theirs with a delay.
- */
-const LIFE_MARGIN_MS = 100;
+/** Time after a crash before which no connection can be to the next boot of the runner, in milliseconds. */
+const MIN_DOWN_MS = 1_000;
 /** How long evidence is kept, in milliseconds; rare requests must add up. */
 const RETENTION_MS = 120_000;
 /** Bound of the prompt parts, and of the whole requests, whose last response is remembered. */
@@ -113,10 +113,7 @@
   readonly #servedAt = new Map<string, number>();
   /** The same for whole requests, most of which never come again. */
   readonly #requestServedAt = new Map<string, number>();
-  /** By runner: when the newest request was sent to which it has begun to respond. */
-  readonly #aliveAt = new Map<string, number>();
-  /** By runner: when it was last found to have ended. */
-  readonly #endedAt = new Map<string, number>();
+  readonly #boots = new RunnerBoots();
   readonly #peers = new Map<string, PeerEvidence>();
   #interrupted: readonly InterruptedRequest[] = [];
   #ended: readonly InterruptedRequest[] = [];
@@ -165,16 +162,17 @@
 
   /**
    * Records that a runner closed the connection before a response had lasted for `PROOF_MS`. A request
-   * that was sent after its runner had ended tells nothing.
+   * that was sent after its runner had ended tells nothing, unless the runner may have started again.
    */
   recordInterrupted({ sentAt, aliveAt, ...request }: InterruptedAttempt): void {
     if (request.parts.length === 0) return;
     const hadEnded = this.#allInterrupted().some(({ runner, at }) => {
-      return runner === request.runner && at < sentAt && at > aliveAt;
+      const isSame = runner === request.runner && at > aliveAt;
+      return isSame && at < sentAt && sentAt - at < MIN_DOWN_MS;
     });
     const at = this.#options.clock.monotonic();
     if (hadEnded) {
-      this.#endedAt.set(request.runner, at);
+      this.#boots.recordEnded(request.runner, at);
       return;
     }
     const parts = request.parts.slice(0, EVIDENCE_LIMITS.parts);
@@ -200,12 +198,18 @@
     this.#ended = [...this.#ended, { ...request, parts, hasResponded: true, at }];
   }
 
-  /** Drops what this node has seen of requests that were interrupted at a runner since a monotonic time. */
+  /**
+   * Sets aside what this node has seen of requests that were interrupted at a runner since a monotonic
+   * time, unless the runner turns out to have started again.
+   */
   retract(runner: string, since: number): void {
-    const isKept = (request: InterruptedRequest): boolean =>
-      request.runner !== runner || request.at < since;
-    this.#interrupted = this.#interrupted.filter(isKept);
-    this.#ended = this.#ended.filter(isKept);
+    this.#boots.recordOwnFault(runner, since);
+    this.#ended = this.#ended.filter((request) => request.runner !== runner || request.at < since);
+  }
+
+  /** Sets the runners, by incarnation, that are in the list. */
+  setListed(runners: ReadonlySet<string>): void {
+    this.#boots.setListed(runners, this.#options.clock.monotonic());
   }
 
   /**
@@ -213,13 +217,13 @@
    * request was sent did not end the runner.
    */
   recordAlive(runner: string, sentAt: number): void {
-    this.#aliveAt.set(runner, Math.max(sentAt, this.#aliveAt.get(runner) ?? 0));
+    this.#boots.recordAlive(runner, sentAt);
   }
 
   /** Records that a runner no longer accepts connections. */
   recordUnreachable(runner: string): void {
     const at = this.#options.clock.monotonic();
-    this.#endedAt.set(runner, at);
+    this.#boots.recordEnded(runner, at);
     const ended = this.#ended.filter((request) => request.runner === runner);
     if (ended.length === 0) return;
     this.#ended = this.#ended.filter((request) => request.runner !== runner);
@@ -244,19 +248,15 @@
     this.#settleEnded(now);
     this.#prune(now);
     this.#release();
-    const { interrupted, explained } = this.#settledEvidence(now);
-    if (
-      interrupted.length + explained.length > 0 &&
-      this.#mustSearch(interrupted, explained, now)
-    ) {
-      const { parts, isAmbiguous } = findCrashingParts({
-        interrupted,
-        explained,
+    const settled = this.#settledEvidence(now);
+    if (this.#mustSearch(settled, now)) {
+      const found = findCrashingParts({
+        ...settled,
         servedAt: (part) => this.#lastServedAt(part),
         served: this.#served,
         servedCount: this.#servedCountOver([...this.#peers.values()]),
       });
-      for (const [index, part] of parts.entries()) {
+      for (const [index, { part, isAmbiguous }] of found.entries()) {
         const isSoonTried = isAmbiguous || isRepeatKey(part);
         this.#quarantine(part, isSoonTried ? 0 : 1, index * TRIAL_GAP_MS);
       }
@@ -267,11 +267,8 @@
   }
 
   /** The interruptions have changed, or requests that were served since may tell them apart. */
-  #mustSearch(
-    interrupted: readonly InterruptedRequest[],
-    explained: readonly InterruptedRequest[],
-    now: number,
-  ): boolean {
+  #mustSearch({ interrupted, explained }: Settled, now: number): boolean {
+    if (interrupted.length + explained.length === 0) return false;
     const newestAt = interrupted.reduce((newest, { at }) => Math.max(newest, at), -Infinity);
     const searched = this.#searched;
     if (
@@ -372,14 +369,8 @@
     }
   }
 
-  /** A runner that was found to have ended may have started again at the same address. */
-  #hasLivedOn({ runner, at }: InterruptedRequest): boolean {
-    const aliveAt = this.#aliveAt.get(runner) ?? -Infinity;
-    return aliveAt > at + LIFE_MARGIN_MS && (this.#endedAt.get(runner) ?? -Infinity) < at;
-  }
-
   #addInterrupted(request: InterruptedRequest): void {
-    this.#interrupted = [...this.#interrupted, request].slice(-EVIDENCE_LIMITS.interrupted);
+    this.#interrupted = [...this.#interrupted, request].slice(-EVIDENCE_LIMITS.keptInterrupted);
   }
 
   #addServed(parts: readonly string[], at: number): void {
@@ -411,12 +402,9 @@
   #prune(now: number): void {
     const isKept = (request: InterruptedRequest): boolean =>
       now - request.at < RETENTION_MS &&
-      !this.#hasLivedOn(request) &&
       request.parts.some((part) => this.#lastServedAt(part) < request.at);
     this.#interrupted = this.#interrupted.filter(isKept);
-    for (const times of [this.#aliveAt, this.#endedAt]) {
-      for (const [runner, at] of times) if (now - at >= RETENTION_MS) times.delete(runner);
-    }
+    this.#boots.prune(now - RETENTION_MS);
     for (const [name, { receivedAt }] of this.#peers) {
       if (now - receivedAt >= RETENTION_MS) this.#peers.delete(name);
     }
@@ -429,20 +417,26 @@
     return [
       ...this.#interrupted,
       ...[...this.#peers.values()].flatMap(({ interrupted }) => interrupted),
-    ].filter((request) => !this.#hasLivedOn(request));
+    ].filter((request) => this.#boots.mayHaveEnded(request));
   }
 
   /** Settled evidence, divided by whether a quarantined part or request explains the crash. */
-  #settledEvidence(now: number): Pick<CrashHistory, 'interrupted' | 'explained'> {
-    const isQuarantined = ({ parts }: InterruptedRequest): boolean =>
-      parts.some((part) => this.#quarantines.has(part));
+  #settledEvidence(now: number): Settled {
     const all = this.#allInterrupted();
-    const explainedRunners = new Set(all.filter(isQuarantined).map(({ runner }) => runner));
+    const isCause = (request: InterruptedRequest, isIncluded: (part: string) => boolean): boolean =>
+      request.parts.some((part) => this.#quarantines.has(part) && isIncluded(part));
+    const runnersWith = (isIncluded: (part: string) => boolean): ReadonlySet<string> =>
+      new Set(all.filter((item) => isCause(item, isIncluded)).map(({ runner }) => runner));
+    const byParts = runnersWith((part) => !isRepeatKey(part));
+    const byRequests = runnersWith(isRepeatKey);
+    const isExplained = ({ runner }: InterruptedRequest): boolean =>
+      byParts.has(runner) || byRequests.has(runner);
     const settled = all.filter(({ at }) => now - at >= SETTLE_MS && now - at < RETENTION_MS);
     return {
-      interrupted: settled.filter(({ runner }) => !explainedRunners.has(runner)),
-      explained: settled.filter(
-        (request) => explainedRunners.has(request.runner) && !isQuarantined(request),
+      interrupted: settled.filter((item) => !isExplained(item)),
+      explained: settled.filter((item) => isExplained(item) && !isCause(item, () => true)),
+      explainedByRequests: settled.filter(
+        ({ runner }) => byRequests.has(runner) && !byParts.has(runner),
       ),
     };
   }
@@ -466,15 +460,19 @@
   ): PromptEvidence | undefined {
     const now = this.#options.clock.monotonic();
     const questioned = new Set(this.#quarantines.keys());
-    for (const { parts } of this.#allInterrupted()) for (const part of parts) questioned.add(part);
+    const known = this.#allInterrupted();
+    for (const { parts } of known) for (const part of parts) questioned.add(part);
     for (const { quarantined } of this.#peers.values()) {
       for (const part of quarantined) questioned.add(part);
     }
     if (questioned.size === 0) return undefined;
     return {
-      interrupted: interrupted
-        .slice(-EVIDENCE_LIMITS.interrupted)
-        .map(({ at, ...request }) => ({ ...request, ageMs: Math.round(now - at) })),
+      interrupted: selectInterruptions({
+        candidates: interrupted.filter((request) => this.#boots.mayHaveEnded(request)),
+        known,
+        servedAt: (part) => this.#lastServedAt(part),
+        limit: EVIDENCE_LIMITS.interrupted,
+      }).map(({ at, ...request }) => ({ ...request, ageMs: Math.round(now - at) })),
       served: Object.fromEntries(
         [...questioned].flatMap((part) => {
           const at = this.#lastServedAt(part, peers);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -17,6 +17,7 @@
 import type { TopicFeed } from '../types/topic-feed.ts';
 import { DeferredEvidence } from '../utils/deferred-evidence.ts';
 import { DemandMeter } from '../utils/demand-meter.ts';
+import { incarnationOf } from '../utils/incarnation-of.ts';
 import { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import { reasonOf } from '../utils/reason-of.ts';
 import { ResponseTimes } from '../utils/response-times.ts';
@@ -546,6 +547,7 @@
 
   /** Holds nothing against runners, versions and prompts that this node's own lost links explain. */
   #settleEvidence(): void {
+    this.#quarantine.setListed(new Set(this.#directory.all().map(incarnationOf)));
     for (const { runner, since } of this.#pool.links.ownFaults()) {
       this.#quarantine.retract(runner, since - LOST_LINK_DETECTION_MS);
     }
