--- a/packages/admission/src/utils/runner-statements.ts
+++ b/packages/admission/src/utils/runner-statements.ts
@@ -56,6 +56,11 @@
     return this.#statementOf(runner)?.perSecond;
   }
 
+  /** Newest statement of a runner, and when it was made; monotonic, in milliseconds. */
+  find(runner: string): Statement | undefined {
+    return this.#statementOf(runner);
+  }
+
   /** The runner has stated something, perhaps that there is nothing any more. */
   isKnown(runner: string): boolean {
     return this.#statementOf(runner) !== undefined;
@@ -86,6 +91,16 @@
     }
   }
 
+  /** Drops statements by their values and ages. */
+  drop(isOver: (value: number, ageMs: number) => boolean): void {
+    const now = this.#options.clock.monotonic();
+    for (const map of [this.#own, this.#fromPeers, this.#fromDomains]) {
+      for (const [runner, { perSecond, at }] of map) {
+        if (isOver(perSecond ?? 0, now - at)) map.delete(runner);
+      }
+    }
+  }
+
   #merge(map: Map<string, Statement>, statements: readonly StatedLimit[]): void {
     const now = this.#options.clock.monotonic();
     for (const { runner, perSecond, ageMs } of statements) {
