Keep to cold_per_s at runners that are cold

Cause: the configuration states the requests per second that a cold runner tolerates, and the entry and the responses of a runner its remaining cold time; the nodes did not use them. Change: the entries, Cold-Ms and the reports of peers feed ColdRunners; settings coldOverage and coldSlack; invalid values of the configuration are logged and ignored; a service with only cold runners rejects with a randomized Retry-After. Nothing changes for services without cold_per_s.

--- a/packages/catalog/src/types/runner-entry.ts
+++ b/packages/catalog/src/types/runner-entry.ts
@@ -11,7 +11,7 @@
   readonly slots: number;
   /** True when the runner finishes its current requests and accepts no new ones. */
   readonly isDraining: boolean;
-  /** Remaining warm-up time during which the runner is slower, in milliseconds. */
+  /** Remaining time for which the runner is cold, in milliseconds, from the moment the entry is read. */
   readonly coldMs: number;
   /** Start of this incarnation of the runner, in milliseconds since the Unix epoch. */
   readonly bornMs: number;
--- a/packages/catalog/src/types/service.ts
+++ b/packages/catalog/src/types/service.ts
@@ -7,6 +7,10 @@
   readonly healthPath: string;
   /** Maximum number of connections that one runner accepts from all nodes together. */
   readonly maxConnections: number;
+  /** Requests per second that a cold runner tolerates from all nodes together; absent without a limit. */
+  readonly coldPerS?: number;
+  /** Usual time for which a runner is cold, in milliseconds; absent when it is not known. */
+  readonly warmupMs?: number;
   /** Present when the runners are model engines. */
   readonly engine?: ModelEngine;
   /** Present when the number of runners can be ordered. */
--- a/packages/catalog/src/utils/runner-directory.ts
+++ b/packages/catalog/src/utils/runner-directory.ts
@@ -16,6 +16,8 @@
    * @default 2000
    */
   readonly gracePeriodMs?: number;
+  /** Called with each entry that is used, also with one that was renewed. */
+  readonly onEntry?: (entry: RunnerEntry) => void;
 }
 
 /** End of a boot of a runner, which a restored list may show as if it had not come yet. */
@@ -64,6 +66,7 @@
  */
 export class RunnerDirectory {
   readonly #clock: Clock;
+  readonly #onEntry: (entry: RunnerEntry) => void;
   readonly #outages: ListOutages;
   readonly #renewalMs: number;
   readonly #entries = new Map<string, RunnerEntry>();
@@ -78,8 +81,10 @@
     clock,
     heartbeatMs = DEFAULT_HEARTBEAT_MS,
     gracePeriodMs = DEFAULT_GRACE_PERIOD_MS,
+    onEntry = () => undefined,
   }: RunnerDirectoryOptions) {
     this.#clock = clock;
+    this.#onEntry = onEntry;
     this.#renewalMs = RENEWAL_SHARE * heartbeatMs;
     this.#outages = new ListOutages({ clock, heartbeatMs, gracePeriodMs });
   }
@@ -128,6 +133,7 @@
     this.#byService.clear();
     if (isDraining) this.#recordDeparture(entry, { isDraining, isRemoved: false });
     else this.#departures.delete(entry.id);
+    this.#onEntry(entry);
     return true;
   }
 
--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -231,6 +231,9 @@
       return;
     }
     if (configuration.version <= this.#version) return;
+    for (const path of codec.ignoredIn(value)) {
+      decisions.notable('configuration-value-ignored', { version: configuration.version, path });
+    }
     const before = this.#version;
     this.#version = configuration.version;
     this.#record = value;
--- a/packages/gateway/src/node/count-runners.ts
+++ b/packages/gateway/src/node/count-runners.ts
@@ -14,10 +14,12 @@
   service,
 }: CountRunnersOptions): Readonly<Record<string, string | number>> {
   const listed = directory.ofService(service.name);
+  const runnersCold = pool.countCold(listed);
   return {
     service: service.name,
     runnersListed: listed.length,
     runnersLimited: pool.countLimited(listed),
+    ...(runnersCold > 0 ? { runnersCold } : {}),
     runnersResting: pool.countResting(listed),
     runnersWithoutRoom: pool.countWithoutRoom(listed, service),
     runnersDraining: listed.filter(({ isDraining }) => isDraining).length,
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -13,6 +13,7 @@
 import { MAX_UNSENT } from '../utils/max-unsent.ts';
 import { nextStep } from '../utils/next-step.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
+import { refusalDelayMs } from '../utils/refusal-delay-ms.ts';
 import { TriedRunners } from '../utils/tried-runners.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
@@ -54,8 +55,6 @@
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_GATEWAY_TIMEOUT = 504;
-/** Retry-After of a saturated service, in milliseconds: the time of a few responses. */
-const SATURATED_RETRY_MS = 400;
 /** Minimum remaining time for a retry, in milliseconds: a round trip and a short response. */
 const MIN_RETRY_MS = 50;
 
@@ -362,13 +361,14 @@
 
   /** Rejects the request, which no runner has run. */
   #refuse(cause: 'runner-full' | 'runner-unreachable' | 'no-runner'): never {
-    const { pool, service, route, responseTimes } = this.#options;
-    const restMs = pool.restMs(service.name);
-    // By then one of the requests that take the room of brittle runners has ended.
-    const roomMs = pool.hasBrittle ? responseTimes.expectedMs(route.name) : undefined;
+    const { service, route } = this.#options;
     throw new Refusal(cause, {
       status: HTTP_UNAVAILABLE,
-      retryAfterMs: restMs ?? Math.min(SATURATED_RETRY_MS, roomMs ?? SATURATED_RETRY_MS),
+      retryAfterMs: refusalDelayMs({
+        ...this.#options,
+        service: service.name,
+        route: route.name,
+      }),
       inputs: this.#refusalInputs(),
     });
   }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -128,7 +128,13 @@
     this.#incarnation = clock.wall();
     this.#startedAt = clock.monotonic();
     this.#decisions = new DecisionLog({ node: node.id, out, clock });
-    this.#directory = new RunnerDirectory({ clock, heartbeatMs: settings.runnerHeartbeatMs });
+    this.#directory = new RunnerDirectory({
+      clock,
+      heartbeatMs: settings.runnerHeartbeatMs,
+      onEntry: (entry) => {
+        this.#bounds.recordEntry(entry);
+      },
+    });
     this.#loadTracker = new RunnerLoadTracker(clock);
     this.#quota = new SharedQuota(clock);
     this.#usage = new UsageCounter(duties.usageWindowMs, `${node.id} ${this.#incarnation}`);
@@ -139,6 +145,8 @@
       clock,
       node: node.id,
       log: this.#decisions,
+      metrics: this.#metrics,
+      settings: () => this.#settings,
       onChange: () => void this.#peers.publishChange(),
     });
     this.#quarantine = new PromptQuarantine({
@@ -359,11 +367,10 @@
       new PeriodicTask({
         periodMs: MAINTENANCE_PERIOD_MS,
         run: () => {
-          this.#quota.setShare(this.#peers.reachableCount / this.#peers.knownCount);
-          this.#retryBudget.setAllowance(
-            retryAllowance(this.#settings.retries, this.#peers.knownCount),
-          );
-          this.#updateBounds();
+          const { reachableCount, knownCount } = this.#peers;
+          this.#quota.setShare(reachableCount / knownCount);
+          this.#retryBudget.setAllowance(retryAllowance(this.#settings.retries, knownCount));
+          this.#bounds.update(this.#peers, this.#registration.isRegistered);
           this.#pool.prune();
           this.#passing.update();
           this.#settleEvidence();
@@ -498,14 +505,6 @@
     return new PeriodicTask({ periodMs, run, onFailure: this.#decisions.onTaskFailure(name) });
   }
 
-  #updateBounds(): void {
-    this.#bounds.update({
-      reachable: [this.#options.settings.node.id, ...this.#peers.reachableIds()],
-      knownCount: this.#peers.knownCount,
-      isRegistered: this.#registration.isRegistered,
-    });
-  }
-
   #trialRank(part: string): number | undefined {
     return trialRank(part, {
       id: this.#options.settings.node.id,
@@ -539,6 +538,7 @@
 
   #apply(configuration: Configuration): void {
     this.#configuration = configuration;
+    this.#bounds.limits.cold.setServices(configuration.services);
     this.#forwarder.apply(configuration);
     this.#callers.setLimits(configuration.limits);
     this.#passing.setLimits(configuration.limits);
--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -181,7 +181,7 @@
 
   #recordHead(head: ResponseHead): void {
     const { pool, loadTracker } = this.#options;
-    const { status, load, requestsPerSecond, rejectionsPerSecond } = head;
+    const { status, load, requestsPerSecond, rejectionsPerSecond, coldMs } = head;
     const { isLeaving, isNotExecuted, retryAfterMs = 0 } = head;
     if (status === HTTP_MISDIRECTED) return;
     this.#evidence.recordAlive(this.entry, this.#sentAt);
@@ -189,6 +189,7 @@
     else pool.recordTaken(this.entry);
     if (isLeaving) pool.recordLeaving(this.entry);
     pool.recordStatedLimit(this.entry, requestsPerSecond);
+    pool.recordCold(this.entry, coldMs);
     pool.recordBrittle(this.entry, rejectionsPerSecond);
     if (status === HTTP_UNAVAILABLE && isNotExecuted) pool.recordRejection(this.entry, load);
     if (load) loadTracker.setReportedLoad(this.entry.id, load);
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -32,7 +32,10 @@
   readonly quota: SharedQuota;
   readonly usage: UsageCounter;
   readonly demand: DemandMeter;
-  readonly limits: Pick<StatedLimits, 'own' | 'ofDomain' | 'setPeerLimits' | 'setDomainLimits'>;
+  readonly limits: Pick<
+    StatedLimits,
+    'own' | 'ofDomain' | 'setPeerLimits' | 'setDomainLimits' | 'cold'
+  >;
   readonly brittle: Pick<
     BrittleRunners,
     'report' | 'domainReport' | 'setPeerReport' | 'setDomainReport'
@@ -111,6 +114,7 @@
     const now = disciplinedClock.now();
     const prompts = this.#options.quarantine.evidence;
     const limits = this.#options.limits.own;
+    const cold = this.#options.limits.cold.own;
     const brittle = this.#options.brittle.report;
     const leaving = this.#leaving();
     const reach = this.#reach();
@@ -135,6 +139,7 @@
       readsCompressed: true,
       ...(includesTotals ? this.#totals(now) : { usage: {}, demand: {} }),
       ...(limits.length > 0 ? { limits } : {}),
+      ...(cold.length > 0 ? { cold } : {}),
       ...(brittle ? { brittle } : {}),
       listReadMs: Math.round(this.#options.directory.readableMs),
       ...(leaving.length > 0 ? { leaving } : {}),
@@ -154,6 +159,7 @@
     for (const [team, total] of this.#takenInDomain)
       taken.set(team, (taken.get(team) ?? 0) + total);
     const limits = this.#options.limits.ofDomain;
+    const cold = this.#options.limits.cold.ofDomain;
     const brittle = this.#options.brittle.domainReport;
     const leaving = this.#leaving();
     const prompts = this.#options.quarantine.evidenceOver(new Set(Object.keys(members)));
@@ -168,6 +174,7 @@
       work: encodeWork(loadTracker.totalOver(new Set(Object.keys(members)))),
       taken: Object.fromEntries(taken),
       ...(limits.length > 0 ? { limits } : {}),
+      ...(cold.length > 0 ? { cold } : {}),
       ...(brittle ? { brittle } : {}),
       listReadMs: Math.round(this.#options.directory.readableMs),
       ...(leaving.length > 0 ? { leaving } : {}),
@@ -186,6 +193,7 @@
     }
     this.#options.rollouts.setPeerEvidence(incarnation, report.outcomes);
     this.#options.limits.setPeerLimits(report.limits ?? []);
+    this.#options.limits.cold.setPeerStatements(report.cold ?? []);
     this.#options.brittle.setPeerReport(incarnation, report.brittle);
     this.#options.directory.recordReadElsewhere(report.listReadMs ?? 0);
     this.#applyLeaving(report.leaving ?? [], report.node);
@@ -218,6 +226,7 @@
     loadTracker.setPeerWork(domainKey(failureDomain), others, workTtlMs);
     if (digest.now !== undefined) disciplinedClock.addPeerTime(relay, digest.now);
     this.#options.limits.setDomainLimits(digest.limits ?? []);
+    this.#options.limits.cold.setDomainStatements(digest.cold ?? []);
     this.#options.brittle.setDomainReport(digest.brittle);
     this.#options.directory.recordReadElsewhere(digest.listReadMs ?? 0);
     this.#applyLeaving(digest.leaving ?? [], digest.relay);
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -146,14 +146,16 @@
     return this.#table.view.ids.length + 1;
   }
 
-  /**
-   * Whether a peer that is presumed alive has sent nothing for `ms`, so that its latest state is
-   * still missing.
-   */
+  /** A peer that is presumed alive has sent nothing for `ms`: its latest state is missing. */
   hasSilentPeer(ms: number): boolean {
     return this.#table.hasSilent(ms);
   }
 
+  /** Ids of the known peers. */
+  knownIds(): readonly string[] {
+    return this.#table.entries.map(([id]) => id);
+  }
+
   /** Ids of the reachable peers. */
   reachableIds(): readonly string[] {
     return this.#table.view.ids;
@@ -246,10 +248,7 @@
     await this.#send(METHODS.report, report, receivers);
   }
 
-  /**
-   * Sends a change at once where every node reports to every other one; elsewhere it waits for the next
-   * report. Never rejects.
-   */
+  /** Sends a change at once, or in a large deployment with the next report. Never rejects. */
   publishChange(): Promise<void> {
     return this.#attempt('report', async () => {
       if (!this.#table.usesRelays) await this.publishReport();
--- a/packages/gateway/src/node/runner-bounds.ts
+++ b/packages/gateway/src/node/runner-bounds.ts
@@ -1,64 +1,101 @@
-import { BrittleRunners, StatedLimits } from '@ragwortrudder/admission';
+import { BrittleRunners, SharingNodes, StatedLimits } from '@ragwortrudder/admission';
+import type { RunnerEntry } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
 import { rendezvousOrder } from '@ragwortrudder/routing';
+import type { GatewaySettings } from '../types/gateway-settings.ts';
+import { incarnationOf } from '../utils/incarnation-of.ts';
 import type { DecisionLog } from './decision-log.ts';
+import type { GatewayMetrics } from './gateway-metrics.ts';
+import type { Peers } from './peers.ts';
 
 interface RunnerBoundsOptions {
   readonly clock: Clock;
   readonly node: string;
   readonly log: Pick<DecisionLog, 'notable'>;
+  readonly metrics: Pick<GatewayMetrics, 'count'>;
+  readonly settings: () => Pick<GatewaySettings, 'coldRunners'>;
   /** Called when peers should know of a change at once. */
   readonly onChange: () => void;
 }
 
-interface KnownNodes {
-  /** Nodes that are heard, including this one. */
-  readonly reachable: readonly string[];
-  readonly knownCount: number;
-  /** This node has read which nodes there are, and they can know of it. */
-  readonly isRegistered: boolean;
-}
-
 /** Time in which a node that has started knows the others, and they it, in milliseconds. */
 const SETTLED_MS = 2_000;
 
-/** Bounds that runners state in their responses, and that hold for all nodes together. */
+/** Without these settings, a cold runner gets no more than its service's limit. */
+const DEFAULT_COLD_BOUND = { overage: 1, slack: 0 } as const;
+
+/** Bounds that runners state, and that hold for all nodes together. */
 export class RunnerBounds {
   readonly limits: StatedLimits;
   readonly brittle: BrittleRunners;
-  readonly #clock: Clock;
+  readonly #options: RunnerBoundsOptions;
   readonly #startedAt: number;
-  readonly #log: RunnerBoundsOptions['log'];
+  readonly #sharing: SharingNodes;
 
-  constructor({ clock, node, log, onChange }: RunnerBoundsOptions) {
+  constructor(options: RunnerBoundsOptions) {
+    const { clock, node, onChange } = options;
     const rank = (runner: string, nodes: readonly string[]): readonly string[] =>
       rendezvousOrder(runner, nodes, (item) => item);
-    this.#clock = clock;
+    this.#options = options;
     this.#startedAt = clock.monotonic();
-    this.#log = log;
+    this.#sharing = new SharingNodes(clock);
     this.limits = new StatedLimits({ clock, node, rank });
     this.brittle = new BrittleRunners({ clock, node, rank, onChange });
   }
 
-  /** Sets the nodes that share the bounds, and logs what runners have stated since the last call. */
-  update(nodes: KnownNodes): void {
-    this.limits.setNodes(nodes.reachable, nodes.knownCount);
-    const upMs = this.#clock.monotonic() - this.#startedAt;
-    this.brittle.setNodes({ ...nodes, isSettled: nodes.isRegistered && upMs >= SETTLED_MS });
+  /** Records an entry of the list that was read now. */
+  recordEntry(entry: RunnerEntry): void {
+    this.limits.cold.recordEntry(incarnationOf(entry), entry.service, entry.coldMs);
+  }
+
+  /**
+   * Sets the nodes that share the bounds, and logs what runners have stated since the last call. The node
+   * is registered when it has read which nodes there are, and they can know of it.
+   */
+  update(peers: Pick<Peers, 'reachableIds' | 'knownIds'>, isRegistered: boolean): void {
+    const { clock, node, settings } = this.#options;
+    const reachable = [node, ...peers.reachableIds()];
+    const known = [node, ...peers.knownIds()];
+    this.limits.setNodes(reachable, known.length);
+    const isSettled = isRegistered && clock.monotonic() - this.#startedAt >= SETTLED_MS;
+    this.brittle.setNodes({ reachable, knownCount: known.length, isSettled });
+    this.#sharing.update({ reachable, known, isRegistered });
+    const bound = { ...DEFAULT_COLD_BOUND, ...settings().coldRunners };
+    this.limits.setColdSharing({
+      nodes: this.#sharing.ids,
+      isSettled: isSettled && this.#sharing.hasHeardMost,
+      bound,
+    });
+    this.#logChanges(reachable.length);
+  }
+
+  #logChanges(nodes: number): void {
+    const { log, metrics } = this.#options;
     for (const { runner, perSecond, before } of this.limits.takeChanges()) {
-      this.#log.notable('runner-limit-stated', {
+      log.notable('runner-limit-stated', {
         runner,
         requestsPerSecond: perSecond ?? 'none',
         before: before ?? 'none',
-        nodes: nodes.reachable.length,
+        nodes,
       });
     }
     for (const { runner, most, before } of this.brittle.takeChanges()) {
-      this.#log.notable('runner-brittle-stated', {
+      log.notable('runner-brittle-stated', {
         runner,
         rejectionsPerSecond: most ?? 'none',
         before: before ?? 'none',
-        nodes: nodes.reachable.length,
+        nodes,
+      });
+    }
+    for (const { runner, service, remainingMs, perSecond } of this.limits.cold.takeChanges()) {
+      const isCold = remainingMs > 0;
+      metrics.count(isCold ? 'cold_periods_begun' : 'cold_periods_ended', { service });
+      log.notable(isCold ? 'runner-cold' : 'runner-warm', {
+        runner,
+        service,
+        requestsPerSecond: isCold ? perSecond : 'none',
+        remainingMs: Math.round(remainingMs),
+        nodes: this.#sharing.ids.length,
       });
     }
   }
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -6,6 +6,7 @@
 import type { PlacementCandidate } from '@ragwortrudder/routing';
 import { ABORT_REASONS } from '../utils/abort-reasons.ts';
 import type { RunnerLoad } from '../types/runner-load.ts';
+import { coldWaitMs } from '../utils/cold-wait-ms.ts';
 import { incarnationOf } from '../utils/incarnation-of.ts';
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import type { DecisionLog } from './decision-log.ts';
@@ -192,6 +193,11 @@
     this.#options.limits.record(incarnationOf(entry), perSecond);
   }
 
+  /** Records the remaining cold time that a runner states in a response. */
+  recordCold(entry: RunnerEntry, coldMs: number | undefined): void {
+    this.#options.limits.cold.record(incarnationOf(entry), coldMs);
+  }
+
   /** Records how many rejections in a second a runner says in a response that it bears. */
   recordBrittle(entry: RunnerEntry, perSecond: number | undefined): void {
     this.#options.brittle.record(incarnationOf(entry), perSecond);
@@ -227,6 +233,17 @@
     return Number.isFinite(firstMs) && firstMs > 0 ? firstMs : undefined;
   }
 
+  /**
+   * Time until a cold runner of a service may get a request, in milliseconds; undefined unless all its
+   * runners are cold.
+   */
+  coldWaitMs(service: string): number | undefined {
+    const { directory, limits } = this.#options;
+    if (limits.cold.isEmpty) return undefined;
+    const runners = directory.ofService(service).filter(({ isDraining }) => !isDraining);
+    return coldWaitMs(runners.map(incarnationOf), limits);
+  }
+
   /** Number of runners that have asked this node for rest. */
   countResting(entries: readonly RunnerEntry[]): number {
     return entries.filter((entry) => this.#rests.remainingMs(incarnationOf(entry)) > 0).length;
@@ -255,6 +272,13 @@
     return entries.filter((entry) => !this.#isWithinLimit(entry)).length;
   }
 
+  /** Number of runners that are cold and have a limit while they are. */
+  countCold(entries: readonly RunnerEntry[]): number {
+    const { cold } = this.#options.limits;
+    if (cold.isEmpty) return 0;
+    return entries.filter((entry) => cold.limitOf(incarnationOf(entry)) !== undefined).length;
+  }
+
   /** Records that bytes have arrived from a runner; one that was only silent may be used again. */
   recordProgress(entry: RunnerEntry): void {
     this.#progressAt.set(incarnationOf(entry), this.#options.clock.monotonic());
--- a/packages/gateway/src/types/catalog-codec.ts
+++ b/packages/gateway/src/types/catalog-codec.ts
@@ -10,6 +10,8 @@
   readonly runnerTopic: string;
   /** Returns undefined when the record is not a valid configuration. */
   decodeConfiguration(value: Uint8Array): Configuration | undefined;
+  /** Which values of a valid configuration have no effect because they are invalid, with their paths. */
+  ignoredIn(configuration: Uint8Array): readonly string[];
   /** Topic of what the operator is told of roll-outs. */
   readonly statusTopic: string;
   /** Returns undefined when the record is not a valid order of a roll-out. */
--- a/packages/gateway/src/types/domain-digest.ts
+++ b/packages/gateway/src/types/domain-digest.ts
@@ -1,5 +1,11 @@
-import { BrittleReport, PromptEvidence, StatedLimit } from '@ragwortrudder/admission';
+import {
+  BrittleReport,
+  ColdStatement,
+  PromptEvidence,
+  StatedLimit,
+} from '@ragwortrudder/admission';
 import * as z from 'zod';
+import { MAX_COLD_STATEMENTS } from '../utils/max-cold-statements.ts';
 import { RunnerBoot } from './runner-boot.ts';
 import { Amount } from './amount.ts';
 import { BoundedText } from './bounded-text.ts';
@@ -35,6 +41,8 @@
   heard: z.record(BoundedText, z.tuple([Ordinal, Ordinal, Ordinal])).optional(),
   /** Limits that runners stated in responses to the members. */
   limits: z.array(StatedLimit).readonly().optional(),
+  /** Remaining cold times that runners stated in responses to the members. */
+  cold: z.array(ColdStatement).max(MAX_COLD_STATEMENTS).readonly().optional(),
   /** Brittle runners, as the members know them. */
   brittle: BrittleReport.optional(),
   /** All members read compressed messages; absent in digests of older builds. */
--- a/packages/gateway/src/types/gateway-settings.ts
+++ b/packages/gateway/src/types/gateway-settings.ts
@@ -42,6 +42,21 @@
     /** Additional amount by which a team's limit may be exceeded, over all nodes, in the limit's unit. */
     readonly slack: number;
   };
+  /** Bound on the requests that a cold runner receives in a second, over all nodes. */
+  readonly coldRunners?:
+    | {
+        /**
+         * Factor of the limit that its service has for cold runners.
+         * @default 1
+         */
+        readonly overage?: number;
+        /**
+         * Requests beyond that.
+         * @default 0
+         */
+        readonly slack?: number;
+      }
+    | undefined;
   readonly duties: {
     readonly reportsUsage: boolean;
     readonly ordersRunners: boolean;
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -1,6 +1,12 @@
-import { BrittleReport, PromptEvidence, StatedLimit } from '@ragwortrudder/admission';
+import {
+  BrittleReport,
+  ColdStatement,
+  PromptEvidence,
+  StatedLimit,
+} from '@ragwortrudder/admission';
 import { Evidence } from '@ragwortrudder/moves';
 import * as z from 'zod';
+import { MAX_COLD_STATEMENTS } from '../utils/max-cold-statements.ts';
 import { RunnerBoot } from './runner-boot.ts';
 import { Amount } from './amount.ts';
 import { BoundedText } from './bounded-text.ts';
@@ -34,6 +40,8 @@
   outcomes: Evidence.optional(),
   /** Limits that runners stated in responses to the node. */
   limits: z.array(StatedLimit).readonly().optional(),
+  /** Remaining cold times that runners stated in responses to the node. */
+  cold: z.array(ColdStatement).max(MAX_COLD_STATEMENTS).readonly().optional(),
   /** Brittle runners, as the node knows them. */
   brittle: BrittleReport.optional(),
   /** Version of the configuration that the node follows. */
--- a/packages/gateway/src/types/response-head.ts
+++ b/packages/gateway/src/types/response-head.ts
@@ -14,6 +14,8 @@
   /** The runner declared that it is leaving; it ends soon and must get no new requests. */
   readonly isLeaving: boolean;
   readonly load: RunnerLoad | undefined;
+  /** Time until the runner is warm, in milliseconds; undefined when it does not say. */
+  readonly coldMs?: number | undefined;
   /** Requests per second that the runner accepts from all nodes together; undefined without a limit. */
   readonly requestsPerSecond: number | undefined;
   /**
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -38,6 +38,7 @@
    * @default 2000
    */
   readonly headerTimeoutMs?: number;
+  readonly coldRunners?: GatewaySettings['coldRunners'];
   /** @default the clock of the system */
   readonly clock?: Clock;
 }
@@ -100,6 +101,7 @@
       graceMs: options.graceMs ?? 8_000,
       retries: { ratio: 0.2, slack: 600, windowMs: 10_000 },
       quotas: { overage: 0, slack: 0 },
+      coldRunners: options.coldRunners,
       duties: {
         reportsUsage: false,
         ordersRunners: false,
--- a/test/platform-adapter/translation.test.ts
+++ b/test/platform-adapter/translation.test.ts
@@ -125,6 +125,43 @@
   t.is(codec.decodeConfiguration(bytes({ version: 7 })), undefined);
 });
 
+test('the cold limit and the usual cold time of a service are decoded, and invalid values ignored', (t) => {
+  const record = (service: object): Buffer =>
+    bytes({
+      version: 1,
+      routes: [],
+      services: [{ name: 's', ...service }],
+      limits: {
+        max_header_bytes: 1,
+        max_body_bytes: 1,
+        header_timeout_ms: 1,
+        idle_timeout_ms: 1,
+      },
+    });
+  const serviceOf = (service: object): object | undefined =>
+    codec.decodeConfiguration(record(service))?.services[0];
+  const plain = serviceOf({});
+  t.deepEqual(serviceOf({ warmup_s: 4, cold_per_s: 2.5 }), {
+    ...plain,
+    warmupMs: 4_000,
+    coldPerS: 2.5,
+  });
+  for (const value of [0, -1, 1e300, 'many', null, [], {}]) {
+    t.deepEqual(serviceOf({ warmup_s: value, cold_per_s: value }), plain);
+    const paths = value === 0 ? [] : ['services.0.warmup_s', 'services.0.cold_per_s'];
+    t.deepEqual(codec.ignoredIn(record({ warmup_s: value, cold_per_s: value })), paths);
+  }
+});
+
+test('the remaining cold time in a response is parsed, and invalid values say nothing', (t) => {
+  const coldMsOf = (text: string): number | undefined =>
+    dialect.parseResponseHead(200, ['Cold-Ms', text]).coldMs;
+  t.is(coldMsOf('2500'), 2_500);
+  t.is(coldMsOf('0'), 0);
+  for (const text of ['', '-1', '1e3', 'soon', '9999999999']) t.is(coldMsOf(text), undefined);
+  t.is(dialect.parseResponseHead(200, []).coldMs, undefined);
+});
+
 test('a request must have exactly one id', (t) => {
   const head = { method: 'GET', target: '/a?b', rawHeaders: ['Host', 'h:80', 'Request-Id', 'q'] };
   t.like(dialect.parseRequest(head, undefined), { id: 'q', host: 'h', path: '/a', target: '/a?b' });
@@ -214,6 +251,7 @@
     listen: { callers: { host: '127.0.0.1', port: 80 } },
     node: { linkMbps: 7 },
     runnerHeartbeatMs: 7,
+    coldRunners: { overage: 7, slack: 7 },
   });
 });
 
