--- a/packages/catalog/src/types/route.ts
+++ b/packages/catalog/src/types/route.ts
@@ -23,4 +23,6 @@
   readonly isResumable: boolean;
   /** Target maximum gap between two events of a stream, in milliseconds; 0 when not a stream. */
   readonly maxGapMs: number;
+  /** Home regions: requests reach no runner elsewhere; absent when they may be served anywhere. */
+  readonly allowedRegions?: readonly string[];
 }
--- a/packages/catalog/src/types/team.ts
+++ b/packages/catalog/src/types/team.ts
@@ -8,4 +8,6 @@
   readonly priority?: number;
   /** Absent when the team has no rate limit. */
   readonly limit?: TeamLimit;
+  /** Home regions: requests reach no runner elsewhere; absent when they may be served anywhere. */
+  readonly allowedRegions?: readonly string[];
 }
