Keep requests within the home regions of their route and their team

Cause: allowed_regions of the configuration had no effect. Change: the choice of a runner and of a peer asks HomeRegions; a request that is passed on carries its lists, and goes only to peers that report that they keep to them; settings region and zones. Nothing changes for routes and teams without allowed_regions. Test change: the settings template's test fills the table of zones; lost-peers names the new field. Their assertions are unchanged otherwise.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -1,5 +1,5 @@
 import type { Route, RunnerEntry, Service, Team } from '@ragwortrudder/catalog';
-import type { PlacementRequest } from '@ragwortrudder/routing';
+import type { HomeRegions, PlacementRequest } from '@ragwortrudder/routing';
 import { Refusal } from '../errors/refusal.ts';
 import type { AttemptOutcome } from '../types/attempt-outcome.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
@@ -27,6 +27,8 @@
   readonly route: Route;
   readonly service: Service;
   readonly team: Team | undefined;
+  /** Regions in which the request may be served. */
+  readonly home: HomeRegions;
   /** Shared only by repeats of the request. */
   readonly fingerprint: string;
   /** Keys under which the request may be found to crash runners. */
@@ -342,7 +344,8 @@
   }
 
   #causeWithoutRunner(): 'runner-full' | 'runner-unreachable' | 'no-runner' {
-    const { runners, lost } = this.#options.pool.reachOf(this.#options.service.name);
+    const { pool, service, home } = this.#options;
+    const { runners, lost } = pool.reachOf(service.name, home);
     if (lost.size > 0 && lost.size === runners.length) return 'runner-unreachable';
     return this.#sends > 0 ? 'runner-full' : 'no-runner';
   }
@@ -361,14 +364,9 @@
 
   /** Rejects the request, which no runner has run. */
   #refuse(cause: 'runner-full' | 'runner-unreachable' | 'no-runner'): never {
-    const { service, route } = this.#options;
     throw new Refusal(cause, {
       status: HTTP_UNAVAILABLE,
-      retryAfterMs: refusalDelayMs({
-        ...this.#options,
-        service: service.name,
-        route: route.name,
-      }),
+      retryAfterMs: refusalDelayMs(this.#options),
       inputs: this.#refusalInputs(),
     });
   }
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -2,6 +2,7 @@
 import { isRepeatKey } from '@ragwortrudder/admission';
 import { selectService, ApiKeyIndex, RouteTable } from '@ragwortrudder/catalog';
 import type { Configuration, Route, Service, Team } from '@ragwortrudder/catalog';
+import { HomeRegions } from '@ragwortrudder/routing';
 import { Refusal } from '../errors/refusal.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { ReceivedRequest } from '../types/received-request.ts';
@@ -49,7 +50,7 @@
 
 type AdmittedRequest = Pick<
   Parameters<PeerForwarder['passOn']>[0],
-  'request' | 'channel' | 'route' | 'service' | 'team'
+  'request' | 'channel' | 'route' | 'service' | 'team' | 'home'
 >;
 
 /** The node's own answer that says that the request has not run. */
@@ -101,7 +102,7 @@
       services: new Map(configuration.services.map((service) => [service.name, service])),
     };
     const limits = configuration.teams.flatMap(({ name, limit }) =>
-      limit ? [[name, toleratedLimit(limit, this.#options.quotas())] as const] : [],
+      limit ? [[name, toleratedLimit(limit, this.#options.settings().quotas)] as const] : [],
     );
     this.#options.quota.setLimits(new Map(limits));
   }
@@ -120,6 +121,8 @@
   refuse(refusal: Refusal, request: CallerRequest, channel: CallerChannel): void {
     const { log, metrics } = this.#options;
     metrics.count('refusals', { cause: refusal.code });
+    const { runnersElsewhere = 0 } = refusal.inputs;
+    if (Number(runnersElsewhere) > 0) metrics.count('home_region_refusals');
     log.notable('request-refused', {
       request: request.id,
       cause: refusal.code,
@@ -159,6 +162,7 @@
     }
     const team = this.#teamOf(request, route, activeConfiguration);
     const service = this.#serviceOf(route, activeConfiguration);
+    const home = this.#homeOf(route, team);
     this.#checkGrace(request, route);
     const keys = this.#checkQuarantine(request, route, team?.name);
     const cost = this.#takeQuota(request, team);
@@ -175,13 +179,17 @@
       route,
       service,
       team,
+      home,
       ...keys,
-      mayPassOn: () => peerForwarder.mayPassOn(service.name),
+      mayPassOn: () => peerForwarder.mayPassOn(service.name, home),
       hasLostLinks: () => this.#hasLostLinks(service),
     });
     let mayHaveRun = true;
     try {
-      mayHaveRun = await this.#runOrPassOn(forwarded, { request, channel, route, service, team });
+      mayHaveRun = await this.#runOrPassOn(forwarded, {
+        ...{ request, channel, route, service, team },
+        home,
+      });
     } catch (error) {
       mayHaveRun = forwarded.mayHaveRun || !isRejection(error);
       throw error;
@@ -197,7 +205,7 @@
   async #runOrPassOn(forwarded: ForwardedRequest, request: AdmittedRequest): Promise<boolean> {
     this.#active.add(forwarded);
     try {
-      if (this.#isForPeer(forwarded, request.service) && (await this.#offer(forwarded, request))) {
+      if (this.#isForPeer(forwarded, request) && (await this.#offer(forwarded, request))) {
         return true;
       }
       const refusal = await this.#run(forwarded);
@@ -235,11 +243,12 @@
    * The runners that this node still reaches get their usual share of its requests, and peers send the
    * others to the runners that it has lost.
    */
-  #isForPeer(forwarded: ForwardedRequest, { name }: Service): boolean {
+  #isForPeer(forwarded: ForwardedRequest, { service, home }: AdmittedRequest): boolean {
+    const { name } = service;
     const { pool, random } = this.#options;
     if (!pool.hasOwnFault(name)) return false;
     const { lastRunner } = forwarded.progress;
-    const { runners, lost, lostIds } = pool.reachOf(name);
+    const { runners, lost, lostIds } = pool.reachOf(name, home);
     const isForLost =
       lastRunner === undefined
         ? random.next() * runners.length < lost.size
@@ -305,6 +314,7 @@
       route,
       service,
       team: team && { ...team, apiKeys: [] },
+      home: this.#homeOf(route, team),
       ...keys,
       passed: request.passed,
       mayPassOn: () => false,
@@ -320,6 +330,16 @@
     }
   }
 
+  #homeOf(
+    { allowedRegions: ofRoute = [] }: Pick<Route, 'allowedRegions'>,
+    team: Pick<Team, 'allowedRegions'> | undefined,
+  ): HomeRegions {
+    const { settings, failureDomain } = this.#options;
+    const { region, zones = {} } = settings();
+    const lists = [ofRoute, team?.allowedRegions ?? []];
+    return new HomeRegions({ lists, zones, callerRegion: region ?? zones[failureDomain] });
+  }
+
   #teamOf(
     request: CallerRequest,
     route: Route,
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -270,7 +270,7 @@
       loadTracker: this.#loadTracker,
       sessions: new SessionAffinity(),
       quota: this.#quota,
-      quotas: () => this.#settings.quotas,
+      settings: () => this.#settings,
       retryBudget: this.#retryBudget,
       quarantine: this.#quarantine,
       intake,
--- a/packages/gateway/src/node/peer-forwarder.ts
+++ b/packages/gateway/src/node/peer-forwarder.ts
@@ -1,6 +1,7 @@
 import type { Address, Route, RunnerEntry, Service, Team } from '@ragwortrudder/catalog';
 import { PeriodicTask } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
+import type { HomeRegions } from '@ragwortrudder/routing';
 import { Refusal } from '../errors/refusal.ts';
 import type { AttemptOutcome } from '../types/attempt-outcome.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
@@ -27,7 +28,10 @@
   readonly peers: Pick<Peers, 'reachable'>;
   readonly reach: PeerReach;
   /** Runners of a service, and those among them that this node cannot reach. */
-  readonly reachOf: (service: string) => {
+  readonly reachOf: (
+    service: string,
+    home: HomeRegions,
+  ) => {
     readonly runners: readonly string[];
     readonly lost: ReadonlySet<string>;
     readonly lostIds: ReadonlySet<string>;
@@ -43,6 +47,8 @@
   readonly route: Route;
   readonly service: Service;
   readonly team: Team | undefined;
+  /** Regions in which the request may be served, and to whose nodes it may be sent. */
+  readonly home: HomeRegions;
   readonly progress: Pick<PassedRequest, 'sends' | 'isUsageCounted' | 'lastRunner'>;
   readonly remainingMs: number;
   readonly isRepeatable: boolean;
@@ -51,6 +57,11 @@
   readonly refusal: Refusal;
 }
 
+interface PeerQuery {
+  readonly service: string;
+  readonly home: HomeRegions;
+}
+
 interface Offer {
   readonly peer: Peer;
   /** Monotonic time, in milliseconds. */
@@ -90,8 +101,8 @@
   }
 
   /** A peer reaches a runner of the service that this node does not reach. */
-  mayPassOn(service: string): boolean {
-    return this.#choose(service, new Set()) !== undefined;
+  mayPassOn(service: string, home: HomeRegions): boolean {
+    return this.#choose({ service, home }, new Set()) !== undefined;
   }
 
   /**
@@ -103,7 +114,7 @@
     let { mayHaveRun } = passed;
     const deadlineAt = this.#options.clock.monotonic() + passed.remainingMs;
     while (tried.size < MAX_PEERS) {
-      const peer = this.#choose(passed.service.name, tried);
+      const peer = this.#choose({ service: passed.service.name, home: passed.home }, tried);
       if (!peer) break;
       tried.add(peer.id);
       const outcome = await this.#send(passed, { peer, deadlineAt });
@@ -139,21 +150,25 @@
     return Promise.resolve();
   }
 
-  #choose(service: string, tried: ReadonlySet<string>): Peer | undefined {
+  #choose({ service, home }: PeerQuery, tried: ReadonlySet<string>): Peer | undefined {
     const { reachOf, peers, reach, failureDomain, random } = this.#options;
-    const { runners, lost } = reachOf(service);
+    const { runners, lost } = reachOf(service, home);
     if (lost.size === 0) return undefined;
     const candidates = peers
       .reachable()
       .map((peer) => ({ ...peer, ...reach.of(peer.id) }))
-      .filter(({ id, isAvoided }) => !tried.has(id) && !isAvoided);
+      .filter(({ id, isAvoided }) => !tried.has(id) && !isAvoided)
+      .filter((peer) => {
+        // Older builds do not keep to home regions.
+        return home.isAnywhere || (peer.keepsHomeRegions && home.allowsNode(peer.failureDomain));
+      });
     return choosePeer({ peers: candidates, runners, lost, failureDomain, random });
   }
 
   async #send(passed: PassedOnRequest, { peer, deadlineAt }: Offer): Promise<AttemptOutcome> {
     const { clock, reach, log, metrics, intake, node, dialectFor, peers, reachOf, random } =
       this.#options;
-    const { request, channel, route, service, team, progress } = passed;
+    const { request, channel, route, service, team, home, progress } = passed;
     const sentAt = clock.monotonic();
     if (deadlineAt <= sentAt) return { kind: 'ended' };
     const silence = new PeerSilence(clock);
@@ -164,7 +179,10 @@
         service,
         ...(team ? { team: teamOf(team) } : {}),
         ...progress,
-        lost: fittingIds([...reachOf(service.name).lostIds], { maxBytes: MAX_LOST_BYTES, random }),
+        lost: fittingIds([...reachOf(service.name, home).lostIds], {
+          maxBytes: MAX_LOST_BYTES,
+          random,
+        }),
       }),
       agent: this.#agentOf(peer.id),
       intake,
@@ -232,8 +250,12 @@
   }
 }
 
-function teamOf({ name, priority }: Team): NonNullable<PassedRequest['team']> {
-  return priority === undefined ? { name } : { name, priority };
+function teamOf({ name, priority, allowedRegions }: Team): NonNullable<PassedRequest['team']> {
+  return {
+    name,
+    ...(priority === undefined ? {} : { priority }),
+    ...(allowedRegions === undefined ? {} : { allowedRegions }),
+  };
 }
 
 /** A stream that has begun cannot end with another response. */
--- a/packages/gateway/src/node/peer-passing.ts
+++ b/packages/gateway/src/node/peer-passing.ts
@@ -60,7 +60,7 @@
       ...options,
       reach: this.reach,
       dialectFor: (passed) => new PassingDialect(dialect, passed),
-      reachOf: (service) => pool().reachOf(service),
+      reachOf: (service, home) => pool().reachOf(service, home),
     });
     this.#server = new CallerServer({
       address,
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -137,6 +137,7 @@
       taken: Object.fromEntries(taken),
       readsLocalDigests: true,
       readsCompressed: true,
+      keepsHomeRegions: true,
       ...(includesTotals ? this.#totals(now) : { usage: {}, demand: {} }),
       ...(limits.length > 0 ? { limits } : {}),
       ...(cold.length > 0 ? { cold } : {}),
@@ -285,7 +286,8 @@
     };
   }
 
-  #applyReach({ node, work, outOfReach = [], reached = [] }: NodeReport): void {
+  #applyReach(report: NodeReport): void {
+    const { node, work, outOfReach = [], reached = [], keepsHomeRegions = false } = report;
     const reach = this.#options.reach();
     const links = this.#options.links();
     const lost = outOfReach.map(([id, bornMs]) => incarnationOf({ id, bornMs }));
@@ -293,6 +295,7 @@
     reach.setPeer(node, {
       requests: Object.values(work).reduce((sum, [requests]) => sum + requests, 0),
       outOfReach: new Set(lost),
+      keepsHomeRegions,
     });
     const lostNow = lost.filter((runner) => !known.has(runner));
     if (lostNow.length > 0) links.probeFor(lostNow);
--- a/packages/gateway/src/node/runner-bounds.ts
+++ b/packages/gateway/src/node/runner-bounds.ts
@@ -11,9 +11,9 @@
 interface RunnerBoundsOptions {
   readonly clock: Clock;
   readonly node: string;
-  readonly log: Pick<DecisionLog, 'notable'>;
+  readonly log: Pick<DecisionLog, 'notable' | 'rejected'>;
   readonly metrics: Pick<GatewayMetrics, 'count'>;
-  readonly settings: () => Pick<GatewaySettings, 'coldRunners'>;
+  readonly settings: () => Pick<GatewaySettings, 'coldRunners' | 'zones'>;
   /** Called when peers should know of a change at once. */
   readonly onChange: () => void;
 }
@@ -45,6 +45,11 @@
 
   /** Records an entry of the list that was read now. */
   recordEntry(entry: RunnerEntry): void {
+    const { settings, log } = this.#options;
+    const { zones } = settings();
+    if (zones && !Object.hasOwn(zones, entry.failureDomain)) {
+      log.rejected({ topic: 'zones', key: entry.failureDomain, cause: 'the region is not known' });
+    }
     this.limits.cold.recordEntry(incarnationOf(entry), entry.service, entry.coldMs);
   }
 
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -3,7 +3,7 @@
 import { RunnerRests } from '@ragwortrudder/admission';
 import type { BrittleRunners, StatedLimits } from '@ragwortrudder/admission';
 import { OutlierDetector, PrefillRate, excludeUnreachableDomains } from '@ragwortrudder/routing';
-import type { PlacementCandidate } from '@ragwortrudder/routing';
+import type { HomeRegions, PlacementCandidate } from '@ragwortrudder/routing';
 import { ABORT_REASONS } from '../utils/abort-reasons.ts';
 import type { RunnerLoad } from '../types/runner-load.ts';
 import { coldWaitMs } from '../utils/cold-wait-ms.ts';
@@ -320,15 +320,20 @@
   }
 
   /**
-   * Listed runners of a service that could serve requests, and those among them that this node cannot
-   * reach.
+   * Listed runners of a service that could serve requests with these home regions, and those among them
+   * that this node cannot reach.
    */
-  reachOf(service: string): {
+  reachOf(
+    service: string,
+    home?: HomeRegions,
+  ): {
     readonly runners: readonly string[];
     readonly lost: ReadonlySet<string>;
     readonly lostIds: ReadonlySet<string>;
   } {
-    const entries = this.#options.directory.ofService(service).filter((entry) => !entry.isDraining);
+    const entries = this.#options.directory
+      .ofService(service)
+      .filter((entry) => !entry.isDraining && home?.allowsRunner(entry.failureDomain) !== false);
     const lost = entries.filter((entry) => this.links.isLost(entry));
     return {
       runners: entries.map(incarnationOf),
--- a/packages/gateway/src/node/runner-selection.ts
+++ b/packages/gateway/src/node/runner-selection.ts
@@ -1,6 +1,6 @@
 import type { RunnerEntry, Service } from '@ragwortrudder/catalog';
 import { placeApplicationRequest, placeModelRequest } from '@ragwortrudder/routing';
-import type { PlacementCandidate, PlacementRequest } from '@ragwortrudder/routing';
+import type { HomeRegions, PlacementCandidate, PlacementRequest } from '@ragwortrudder/routing';
 import type { ChosenRunner } from '../types/chosen-runner.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
 import type { PassedRequest } from '../types/passed-request.ts';
@@ -14,6 +14,8 @@
   readonly service: Service;
   readonly placement: PlacementRequest;
   readonly tried: TriedRunners;
+  /** Regions in which the request may be served. */
+  readonly home: HomeRegions;
   /** The request may run more than once. */
   readonly isRepeatable: boolean;
   /** What the node that passed the request on has done about it; undefined for a caller's request. */
@@ -66,18 +68,21 @@
 
   /** A request that a roll-out gives to the target version is not sent there again after a failure. */
   #candidates({ isAllowed, usesOpen }: RunnerQuery): readonly PlacementCandidate[] {
-    const { pool, service, rollouts, directory, tried, isRepeatable } = this.#options;
+    const { pool, service, rollouts, directory, tried, isRepeatable, home } = this.#options;
     const candidatesOf = (isTarget: boolean): readonly PlacementCandidate[] =>
       this.#preferLost(
         pool.candidates(service, {
-          isAllowed: (entry) => rollouts.accepts(entry, isTarget) && isAllowed(entry),
+          isAllowed: (entry) =>
+            home.allowsRunner(entry.failureDomain) &&
+            rollouts.accepts(entry, isTarget) &&
+            isAllowed(entry),
           isRepeatable,
           usesOpen,
         }),
       );
     const hasOther = directory
       .ofService(service.name)
-      .some((entry) => rollouts.accepts(entry, false));
+      .some((entry) => home.allowsRunner(entry.failureDomain) && rollouts.accepts(entry, false));
     if (!hasOther) return candidatesOf(true);
     const target = this.#goesToTarget && tried.size === 0 ? candidatesOf(true) : [];
     return target.length > 0 ? target : candidatesOf(false);
--- a/packages/gateway/src/types/forwarder-options.ts
+++ b/packages/gateway/src/types/forwarder-options.ts
@@ -32,7 +32,7 @@
   readonly deferredEvidence: DeferredEvidence;
   readonly intake: Intake;
   readonly usage: UsageCounter;
-  readonly quotas: () => GatewaySettings['quotas'];
+  readonly settings: () => Pick<GatewaySettings, 'quotas' | 'region' | 'zones'>;
   readonly disciplinedClock: { now(): number };
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -62,6 +62,8 @@
   readsLocalDigests: z.boolean().optional(),
   /** The node reads compressed messages; absent in reports of older builds. */
   readsCompressed: z.boolean().optional(),
+  /** The node keeps to home regions of requests; absent in reports of older builds. */
+  keepsHomeRegions: z.boolean().optional(),
   /** Fencing token of the duty term that the node holds and can act on; otherwise 0. */
   duty: Ordinal,
   /** The node is shutting down. */
--- a/packages/gateway/src/types/passed-request.ts
+++ b/packages/gateway/src/types/passed-request.ts
@@ -3,6 +3,7 @@
 import { BoundedText } from './bounded-text.ts';
 import { DurationMs } from './duration-ms.ts';
 
+const allowedRegions = z.array(z.string()).readonly().exactOptional();
 const route = z.object({
   name: z.string(),
   host: z.string(),
@@ -16,6 +17,7 @@
   isPublic: z.boolean(),
   isResumable: z.boolean(),
   maxGapMs: DurationMs,
+  allowedRegions,
 });
 const service = z.object({
   name: z.string(),
@@ -33,7 +35,9 @@
   from: BoundedText,
   route,
   service,
-  team: z.object({ name: z.string(), priority: Amount.exactOptional() }).exactOptional(),
+  team: z
+    .object({ name: z.string(), priority: Amount.exactOptional(), allowedRegions })
+    .exactOptional(),
   /** Attempts in which the request was sent to a runner. */
   sends: Amount,
   /** A runner may have begun to execute the request; its usage is counted. */
--- a/packages/gateway/src/utils/peer-reach.ts
+++ b/packages/gateway/src/utils/peer-reach.ts
@@ -3,6 +3,8 @@
 interface KnownReach {
   readonly requests: number;
   readonly outOfReach: ReadonlySet<string>;
+  /** The peer keeps to the home regions of requests that are passed on to it. */
+  readonly keepsHomeRegions?: boolean;
 }
 
 interface PeerLoad extends KnownReach {
@@ -53,6 +55,7 @@
     return {
       requests: Math.max(known.requests, this.#passed.get(peer) ?? 0),
       outOfReach: known.outOfReach,
+      keepsHomeRegions: known.keepsHomeRegions === true,
       isAvoided: (this.#avoidedUntil.get(peer) ?? -Infinity) > this.#clock.monotonic(),
     };
   }
--- a/test/gateway/cut-fleet.ts
+++ b/test/gateway/cut-fleet.ts
@@ -11,6 +11,8 @@
   readonly runners: readonly Pick<ScriptedRunner, 'port'>[];
   readonly gateways: number;
   readonly route?: object;
+  /** Further options of a gateway, by its index. */
+  readonly optionsOf?: (index: number) => Parameters<typeof GatewayHarness.start>[1];
 }
 
 interface NodeView {
@@ -106,6 +108,7 @@
       this.#options.runners.map(({ port }, index) => [port, linkPorts[index] ?? 0]),
     );
     const gateway = await GatewayHarness.start(t, {
+      ...this.#options.optionsOf?.(this.gateways.length),
       log: new LinkedLog(this.log, { ports, ...(configuration ? { configuration } : {}) }),
       node: `n${this.gateways.length + 1}`,
       peerPort: await freePort(),
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -38,6 +38,8 @@
    * @default 2000
    */
   readonly headerTimeoutMs?: number;
+  readonly failureDomain?: string;
+  readonly regions?: Pick<GatewaySettings, 'region' | 'zones'>;
   readonly coldRunners?: GatewaySettings['coldRunners'];
   /** @default the clock of the system */
   readonly clock?: Clock;
@@ -91,7 +93,12 @@
       },
     });
     this.settings = {
-      node: { id: options.node ?? 'n1', host: processHost(), failureDomain: 'a' },
+      node: {
+        id: options.node ?? 'n1',
+        host: processHost(),
+        failureDomain: options.failureDomain ?? 'a',
+      },
+      ...options.regions,
       listen: {
         callers: { host: '127.0.0.1', port: 0 },
         readiness: { host: '127.0.0.1', port: 0 },
--- a/test/gateway/lost-peers.test.ts
+++ b/test/gateway/lost-peers.test.ts
@@ -5,6 +5,7 @@
 import type { Route } from '@ragwortrudder/catalog';
 import { SeededRandom, SystemClock } from '@ragwortrudder/core';
 import { PlatformDialect } from '@ragwortrudder/platform-adapter';
+import { HomeRegions } from '@ragwortrudder/routing';
 import { Refusal } from '../../packages/gateway/src/errors/refusal.ts';
 import { CallerServer } from '../../packages/gateway/src/node/caller-server.ts';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
@@ -89,6 +90,7 @@
           route: { ...ROUTE, kind },
           service: { name: 's', healthPath: '/', maxConnections: 100 },
           team: undefined,
+          home: new HomeRegions({ lists: [], zones: {} }),
           progress: { sends: 0, isUsageCounted: false },
           remainingMs: 5_000,
           isRepeatable: true,
--- a/test/platform-adapter/translation.test.ts
+++ b/test/platform-adapter/translation.test.ts
@@ -153,6 +153,40 @@
   }
 });
 
+test('the home regions of routes and teams are decoded, and an invalid name allows no region', (t) => {
+  const decode = (value: unknown): readonly unknown[] => {
+    const record = bytes({
+      version: 1,
+      routes: [
+        {
+          name: 'r',
+          host: 'h',
+          path_prefix: '/',
+          kind: 'x',
+          timeout_ms: 1,
+          allowed_regions: value,
+        },
+      ],
+      services: [],
+      tenants: [{ name: 't', allowed_regions: value }],
+      limits: {
+        max_header_bytes: 1,
+        max_body_bytes: 1,
+        header_timeout_ms: 1,
+        idle_timeout_ms: 1,
+      },
+    });
+    const { routes = [], teams = [] } = codec.decodeConfiguration(record) ?? {};
+    const regions = [...routes, ...teams].map(({ allowedRegions }) => allowedRegions);
+    return [...regions, codec.ignoredIn(record).length];
+  };
+  t.deepEqual(decode(['north', 'south']), [['north', 'south'], ['north', 'south'], 0]);
+  for (const value of [undefined, []]) t.deepEqual(decode(value), [undefined, undefined, 0]);
+  for (const value of ['north', 7, null, {}]) t.deepEqual(decode(value), [undefined, undefined, 2]);
+  t.deepEqual(decode(['north', 7]), [['north', ''], ['north', ''], 2]);
+  t.deepEqual(decode(['x'.repeat(257)]), [[''], [''], 2]);
+});
+
 test('the remaining cold time in a response is parsed, and invalid values say nothing', (t) => {
   const coldMsOf = (text: string): number | undefined =>
     dialect.parseResponseHead(200, ['Cold-Ms', text]).coldMs;
@@ -239,6 +273,7 @@
   const template = readFileSync('deploy/settings.template', 'utf8');
   const filled = template
     .replace(/\{\{[#/][\w.]+\}\}/g, '')
+    .replaceAll('{{zones|json}}', '{"a":"north"}')
     .replaceAll('{{cloud_api.duties|json}}', '["usage_report"]')
     .replace(/\{\{[\w.]*(address|front|readiness)\|json\}\}/g, '"127.0.0.1:80"')
     .replace(/\{\{[\w.]+\|json\}\}/g, '"x"')
@@ -252,6 +287,8 @@
     node: { linkMbps: 7 },
     runnerHeartbeatMs: 7,
     coldRunners: { overage: 7, slack: 7 },
+    region: 'x',
+    zones: { a: 'north' },
   });
 });
 
