Keep a cold period that a response states from being ended by an older entry

Cause: nodes read an entry up to about a second after it was written; one with 0 that was written before the runner became cold again ended the period, and the node sent it the usual requests. Change: an entry that is read within 1.5 s after a response does not shorten the period that the response states. Run: ava test/admission/cold-limits, test/gateway/cold-runner, test/docs: 29 passed; tsc; eslint.

--- a/packages/admission/src/utils/cold-runners.ts
+++ b/packages/admission/src/utils/cold-runners.ts
@@ -5,13 +5,17 @@
 import { MAX_COLD_MS } from './max-cold-ms.ts';
 import { RunnerStatements } from './runner-statements.ts';
 
-interface ListedEntry {
-  readonly service: string;
+interface ColdTime {
+  /** Remaining cold time when it was stated, in milliseconds. */
   readonly coldMs: number;
-  /** When the entry was read; monotonic, in milliseconds. */
+  /** When the entry was read, or the response received; monotonic, in milliseconds. */
   readonly at: number;
 }
 
+interface ListedEntry extends ColdTime {
+  readonly service: string;
+}
+
 interface ColdChange {
   readonly runner: string;
   readonly service: string;
@@ -24,6 +28,8 @@
 const DEFAULT_MAX_COLD_MS = 60_000;
 /** Longest cold period that is believed, as a factor of the usual one. */
 const MAX_WARMUPS = 2;
+/** Longest time from the writing of an entry until nodes have read it, in milliseconds: the list is read every 700 ms. */
+const ENTRY_DELAY_MS = 1_500;
 /** Time for which the end of a cold period is reported, in milliseconds. */
 const END_REPORTED_MS = 10_000;
 
@@ -98,8 +104,9 @@
     const service = entry && this.#services.get(entry.service);
     if (!service) return 0;
     const stated = this.#statements.find(runner);
-    const newest =
-      stated && stated.at > entry.at ? { coldMs: stated.perSecond ?? 0, at: stated.at } : entry;
+    const newest = stated
+      ? newestOf(entry, { coldMs: stated.perSecond ?? 0, at: stated.at })
+      : entry;
     const { warmupMs = 0 } = service;
     const longestMs = warmupMs > 0 ? MAX_WARMUPS * warmupMs : DEFAULT_MAX_COLD_MS;
     const passedMs = Math.max(0, this.#clock.monotonic() - newest.at);
@@ -140,6 +147,17 @@
   }
 }
 
+/**
+ * The one that holds of an entry and a statement in a response. An entry that was read shortly after the
+ * response may have been written before it, and does not shorten the cold period.
+ */
+function newestOf(entry: ColdTime, stated: ColdTime): ColdTime {
+  if (stated.at > entry.at) return stated;
+  const mayBeOlder = entry.at - stated.at < ENTRY_DELAY_MS;
+  const isLonger = stated.at + stated.coldMs > entry.at + entry.coldMs;
+  return mayBeOlder && isLonger ? stated : entry;
+}
+
 function limitOfStatement({ runner, coldMs, ageMs }: ColdStatement): StatedLimit {
   return { runner, perSecond: coldMs, ageMs };
 }
--- a/test/admission/cold-limits.test.ts
+++ b/test/admission/cold-limits.test.ts
@@ -279,6 +279,26 @@
   t.is(cold.remainingMs('r 2'), 0, 'another boot');
 });
 
+// Guards against an entry that was written before a runner became cold again and is read afterwards.
+test('an entry that is read shortly after a response does not end the period that the response states', (t) => {
+  const clock = new ManualClock();
+  const { cold } = createLimits(clock);
+  cold.recordEntry(RUNNER, SERVICE, 0);
+  clock.advance(10);
+  cold.record(RUNNER, 5_000);
+  clock.advance(700);
+  cold.recordEntry(RUNNER, SERVICE, 0);
+  t.is(cold.remainingMs(RUNNER), 4_300);
+  clock.advance(1_200);
+  cold.recordEntry(RUNNER, SERVICE, 0);
+  t.is(cold.remainingMs(RUNNER), 0, 'a later renewal ends it');
+  cold.recordEntry(RUNNER, SERVICE, 6_000);
+  t.is(cold.remainingMs(RUNNER), 6_000, 'a larger value restarts it');
+  clock.advance(10);
+  cold.record(RUNNER, 0);
+  t.is(cold.remainingMs(RUNNER), 0, 'a response ends it');
+});
+
 test('peers hear what a runner stated, for as long as it matters', (t) => {
   const clock = new ManualClock();
   const [sender, receiver] = [createLimits(clock).cold, createLimits(clock).cold];
