--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -8,6 +8,8 @@
 import { RunnerDirectory } from '@ragwortrudder/catalog';
 import { ManualClock } from '@ragwortrudder/core';
 import { PeerStateSync } from '../../packages/gateway/src/node/peer-state-sync.ts';
+import { DomainDigest } from '../../packages/gateway/src/types/domain-digest.ts';
+import { NodeReport } from '../../packages/gateway/src/types/node-report.ts';
 import { DemandMeter } from '../../packages/gateway/src/utils/demand-meter.ts';
 import { PeerReach } from '../../packages/gateway/src/utils/peer-reach.ts';
 import { RunnerLoadTracker } from '../../packages/gateway/src/utils/runner-load-tracker.ts';
@@ -26,6 +28,7 @@
   readonly loadTracker: RunnerLoadTracker;
   readonly quota: SharedQuota;
   readonly directory: RunnerDirectory;
+  readonly limits: StatedLimits;
   readonly sync: PeerStateSync;
 }
 
@@ -38,6 +41,7 @@
   const loadTracker = new RunnerLoadTracker(clock);
   const quota = new SharedQuota(clock);
   const directory = new RunnerDirectory({ clock });
+  const limits = new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes });
   const sync = new PeerStateSync({
     node: name,
     address: { host: '127.0.0.1', port: 1 },
@@ -58,7 +62,7 @@
       rank: (_runner, nodes) => nodes,
       onChange: () => undefined,
     }),
-    limits: new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes }),
+    limits,
     quarantine: new PromptQuarantine({ clock, trialRank: () => 0 }),
     links: () => NO_LINKS,
     reach: () => new PeerReach(clock),
@@ -68,7 +72,7 @@
     timing: () => reportTiming(undefined),
     isRelay: () => isRelay,
   });
-  return { loadTracker, quota, directory, sync };
+  return { loadTracker, quota, directory, limits, sync };
 }
 
 const WITH_TOTALS = { isLeaving: false, includesTotals: true };
@@ -218,3 +222,29 @@
   node.quota.tryTake('team', 2);
   t.false(node.quota.tryTake('team', 1));
 });
+
+// Guards against nodes that send a runner the usual requests because only others heard that it is cold.
+test('pattern: large deployment; what a runner states of its cold time reaches all nodes, and its end too', (t) => {
+  const clock = new ManualClock();
+  const [member, relay] = [createNode('n1', clock), createNode('n2', clock)];
+  const remote = createNode('m1', clock, 'b');
+  const all = [member, relay, remote].map(({ limits }) => limits.cold);
+  for (const cold of all) {
+    cold.setServices([{ name: 's', coldPerS: 4 }]);
+    cold.recordEntry('r1 1', 's', 0);
+  }
+  const exchange = (): void => {
+    clock.advance(200);
+    relay.sync.applyReport(NodeReport.parse(member.sync.createReport(WITH_TOTALS)), false);
+    clock.advance(200);
+    remote.sync.applyDigest(DomainDigest.parse(relay.sync.createDigest({})));
+  };
+  t.is(member.sync.createReport(WITH_TOTALS).cold, undefined);
+  clock.advance(10);
+  member.limits.cold.record('r1 1', 5_000);
+  exchange();
+  for (const cold of all) t.is(cold.remainingMs('r1 1'), 4_600);
+  member.limits.cold.record('r1 1', 0);
+  exchange();
+  for (const cold of all) t.is(cold.remainingMs('r1 1'), 0);
+});
