--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -1,5 +1,5 @@
 import type { Route, RunnerEntry, Service, Team } from '@ragwortrudder/catalog';
-import type { PlacementRequest } from '@ragwortrudder/routing';
+import type { HomeRegions, PlacementRequest } from '@ragwortrudder/routing';
 import { Refusal } from '../errors/refusal.ts';
 import type { AttemptOutcome } from '../types/attempt-outcome.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
@@ -13,6 +13,7 @@
 import { MAX_UNSENT } from '../utils/max-unsent.ts';
 import { nextStep } from '../utils/next-step.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
+import { refusalDelayMs } from '../utils/refusal-delay-ms.ts';
 import { TriedRunners } from '../utils/tried-runners.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
@@ -26,6 +27,8 @@
   readonly route: Route;
   readonly service: Service;
   readonly team: Team | undefined;
+  /** Regions in which the request may be served. */
+  readonly home: HomeRegions;
   /** Shared only by repeats of the request. */
   readonly fingerprint: string;
   /** Keys under which the request may be found to crash runners. */
@@ -54,8 +57,6 @@
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_GATEWAY_TIMEOUT = 504;
-/** Retry-After of a saturated service, in milliseconds: the time of a few responses. */
-const SATURATED_RETRY_MS = 400;
 /** Minimum remaining time for a retry, in milliseconds: a round trip and a short response. */
 const MIN_RETRY_MS = 50;
 
@@ -343,7 +344,8 @@
   }
 
   #causeWithoutRunner(): 'runner-full' | 'runner-unreachable' | 'no-runner' {
-    const { runners, lost } = this.#options.pool.reachOf(this.#options.service.name);
+    const { pool, service, home } = this.#options;
+    const { runners, lost } = pool.reachOf(service.name, home);
     if (lost.size > 0 && lost.size === runners.length) return 'runner-unreachable';
     return this.#sends > 0 ? 'runner-full' : 'no-runner';
   }
@@ -362,13 +364,9 @@
 
   /** Rejects the request, which no runner has run. */
   #refuse(cause: 'runner-full' | 'runner-unreachable' | 'no-runner'): never {
-    const { pool, service, route, responseTimes } = this.#options;
-    const restMs = pool.restMs(service.name);
-    // By then one of the requests that take the room of brittle runners has ended.
-    const roomMs = pool.hasBrittle ? responseTimes.expectedMs(route.name) : undefined;
     throw new Refusal(cause, {
       status: HTTP_UNAVAILABLE,
-      retryAfterMs: restMs ?? Math.min(SATURATED_RETRY_MS, roomMs ?? SATURATED_RETRY_MS),
+      retryAfterMs: refusalDelayMs(this.#options),
       inputs: this.#refusalInputs(),
     });
   }
--- a/packages/gateway/src/types/gateway-settings.ts
+++ b/packages/gateway/src/types/gateway-settings.ts
@@ -12,6 +12,10 @@
      */
     readonly linkMbps?: number | undefined;
   };
+  /** Region of the node; absent when it is the one of its failure domain, or is not known. */
+  readonly region?: string | undefined;
+  /** Region of each failure domain; one that is not listed belongs to no region. */
+  readonly zones?: Readonly<Record<string, string>> | undefined;
   readonly listen: {
     /** Address that callers connect to. */
     readonly callers: Address;
@@ -42,6 +46,21 @@
     /** Additional amount by which a team's limit may be exceeded, over all nodes, in the limit's unit. */
     readonly slack: number;
   };
+  /** Bound on the requests that a cold runner receives in a second, over all nodes. */
+  readonly coldRunners?:
+    | {
+        /**
+         * Factor of the limit that its service has for cold runners.
+         * @default 1
+         */
+        readonly overage?: number;
+        /**
+         * Requests beyond that.
+         * @default 0
+         */
+        readonly slack?: number;
+      }
+    | undefined;
   readonly duties: {
     readonly reportsUsage: boolean;
     readonly ordersRunners: boolean;
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -38,6 +38,9 @@
    * @default 2000
    */
   readonly headerTimeoutMs?: number;
+  readonly failureDomain?: string;
+  readonly regions?: Pick<GatewaySettings, 'region' | 'zones'>;
+  readonly coldRunners?: GatewaySettings['coldRunners'];
   /** @default the clock of the system */
   readonly clock?: Clock;
 }
@@ -90,7 +93,12 @@
       },
     });
     this.settings = {
-      node: { id: options.node ?? 'n1', host: processHost(), failureDomain: 'a' },
+      node: {
+        id: options.node ?? 'n1',
+        host: processHost(),
+        failureDomain: options.failureDomain ?? 'a',
+      },
+      ...options.regions,
       listen: {
         callers: { host: '127.0.0.1', port: 0 },
         readiness: { host: '127.0.0.1', port: 0 },
@@ -100,6 +108,7 @@
       graceMs: options.graceMs ?? 8_000,
       retries: { ratio: 0.2, slack: 600, windowMs: 10_000 },
       quotas: { overage: 0, slack: 0 },
+      coldRunners: options.coldRunners,
       duties: {
         reportsUsage: false,
         ordersRunners: false,
