--- a/packages/catalog/src/index.ts
+++ b/packages/catalog/src/index.ts
@@ -1,6 +1,7 @@
 export type { Address } from './types/address.ts';
 export type { CallerLimits } from './types/caller-limits.ts';
 export type { Configuration } from './types/configuration.ts';
+export type { EvacuationOrder } from './types/evacuation-order.ts';
 export type { ModelEngine } from './types/model-engine.ts';
 export type { RequestKind } from './types/request-kind.ts';
 export type { Route } from './types/route.ts';
