Read the operator's orders to evacuate failure domains in the platform's codec

CatalogCodec.decodeEvacuation tells whether a record orders an evacuation, withdraws it or is unreadable; problemOf names why a key or value is not used.

--- a/packages/gateway/src/types/catalog-codec.ts
+++ b/packages/gateway/src/types/catalog-codec.ts
@@ -1,9 +1,14 @@
-import type { Configuration, RolloutOrder, RunnerEntry } from '@ragwortrudder/catalog';
+import type {
+  Configuration,
+  EvacuationOrder,
+  RolloutOrder,
+  RunnerEntry,
+} from '@ragwortrudder/catalog';
 import type { RolloutStatus } from './rollout-status.ts';
 
-/** Translates the records of a deployment: configuration, roll-outs and runners. */
+/** Translates the records of a deployment: configuration, roll-outs, evacuations and runners. */
 export interface CatalogCodec {
-  /** Topic of the configuration and the orders of roll-outs, and key of the configuration. */
+  /** Topic of the configuration and the orders of roll-outs and evacuations, and key of the configuration. */
   readonly configurationTopic: string;
   readonly configurationKey: string;
   /** Topic with one entry for each runner, keyed by runner id. */
@@ -14,6 +19,11 @@
   readonly statusTopic: string;
   /** Returns undefined when the record is not a valid order of a roll-out. */
   decodeRollout(key: string, value: Uint8Array): RolloutOrder | undefined;
+  /**
+   * Returns undefined when the key is not that of an order to evacuate a failure domain; a removed record
+   * has no value.
+   */
+  decodeEvacuation(key: string, value: Uint8Array | undefined): EvacuationOrder | undefined;
   encodeRolloutStatus(status: RolloutStatus): { readonly key: string; readonly value: Uint8Array };
   /**
    * Why a record of the topics of the configuration and of the runners is not used; undefined when it is
