Send nothing new to the runners of evacuated failure domains

RunnerPool.candidates, the links' own-fault rule, roll-outs and the supply leave evacuated runners out; requests in progress there go on. KeyedFollower tells when a read or feed has shown the end of the topic, which confirms a record that a restored log lacks.

--- a/packages/gateway/src/node/catalog-follower.ts
+++ b/packages/gateway/src/node/catalog-follower.ts
@@ -12,6 +12,7 @@
 import { ListedRunners } from '../utils/listed-runners.ts';
 import { reasonOf } from '../utils/reason-of.ts';
 import type { DecisionLog } from './decision-log.ts';
+import type { Evacuations } from './evacuations.ts';
 import type { GatewayMetrics } from './gateway-metrics.ts';
 import { KeyedFollower } from './keyed-follower.ts';
 
@@ -21,6 +22,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly directory: RunnerDirectory;
+  readonly evacuations: Pick<Evacuations, 'apply' | 'replaceAll' | 'confirm'>;
   readonly decisions: DecisionLog;
   readonly metrics: GatewayMetrics;
   /** This node reads topics on behalf of its failure domain. */
@@ -46,6 +48,7 @@
   ) => readonly KeyedRecord[] | undefined;
   readonly onUnavailable: () => void;
   readonly onAvailable: () => void;
+  readonly onEnd?: () => void;
 }
 
 /** Where a configuration was read: at an offset of the log, or from a peer. */
@@ -85,14 +88,17 @@
 
   constructor(options: CatalogFollowerOptions) {
     this.#options = options;
-    const { codec, directory } = options;
+    const { codec, directory, evacuations } = options;
     this.#listed = new ListedRunners({ decode: (record) => this.#runnerIn(record) });
     this.#followers = [
       this.#createFollower(codec.configurationTopic, CONFIGURATION_WAIT_MS, 0, {
         onSnapshot: (records, isRestored) => {
+          // First, so that no request is sent to an evacuated domain with the first configuration.
+          evacuations.replaceAll(records, isRestored);
           this.#applyOperatorRecords(records, isRestored);
         },
         onRecords: (records) => {
+          evacuations.apply(records);
           this.#applyOperatorRecords(records, false);
         },
         selectChanges: (records) => (bytesOf(records) <= MAX_FEED_BYTES ? records : undefined),
@@ -100,6 +106,9 @@
         onAvailable: () => {
           this.#confirmedAt = options.clock.monotonic();
         },
+        onEnd: () => {
+          evacuations.confirm();
+        },
       }),
       this.#createFollower(codec.runnerTopic, 0, RUNNER_PAUSE_MS, {
         onSnapshot: (records, isRestored) => {
@@ -185,6 +194,7 @@
       },
       onRecords: handlers.onRecords,
       onAvailable: handlers.onAvailable,
+      onEnd: () => handlers.onEnd?.(),
       onRange: (range, records) => {
         if (!isReader()) return;
         const changes = handlers.selectChanges(records, range.from);
@@ -341,5 +351,8 @@
 }
 
 function bytesOf(records: readonly KeyedRecord[]): number {
-  return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+  return records.reduce(
+    (sum, { key, value }) => sum + Buffer.byteLength(key) + (value?.length ?? 0),
+    0,
+  );
 }
--- a/packages/gateway/src/node/count-runners.ts
+++ b/packages/gateway/src/node/count-runners.ts
@@ -14,6 +14,7 @@
   service,
 }: CountRunnersOptions): Readonly<Record<string, string | number>> {
   const listed = directory.ofService(service.name);
+  const runnersEvacuated = listed.filter((entry) => pool.isEvacuated(entry)).length;
   return {
     service: service.name,
     runnersListed: listed.length,
@@ -21,6 +22,7 @@
     runnersResting: pool.countResting(listed),
     runnersWithoutRoom: pool.countWithoutRoom(listed, service),
     runnersDraining: listed.filter(({ isDraining }) => isDraining).length,
+    ...(runnersEvacuated > 0 ? { runnersEvacuated } : {}),
     runnersUsable: pool.candidates(service).length,
     runnersLost: pool.reachOf(service.name).lost.size,
   };
--- a/packages/gateway/src/node/create-duty-holder.ts
+++ b/packages/gateway/src/node/create-duty-holder.ts
@@ -1,5 +1,6 @@
 import type { RunnerDirectory, Service } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
+import type { EvacuatedDomains } from '@ragwortrudder/routing';
 import type { KeyedLog } from '@ragwortrudder/log';
 import type { CatalogCodec } from '../types/catalog-codec.ts';
 import type { CloudApi } from '../types/cloud-api.ts';
@@ -32,6 +33,7 @@
   readonly usage: UsageCounter;
   readonly demand: DemandMeter;
   readonly directory: RunnerDirectory;
+  readonly evacuated: EvacuatedDomains;
   readonly loadTracker: RunnerLoadTracker;
   readonly rollouts: Rollouts;
   readonly disciplinedClock: DisciplinedClock;
@@ -61,6 +63,7 @@
   const supply = new SupplyDuty({
     cloud,
     directory,
+    evacuated: options.evacuated,
     demand: options.demand,
     clock,
     log: decisions,
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -8,7 +8,6 @@
 import type { Writable } from 'node:stream';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
-import { Refusal } from '../errors/refusal.ts';
 import type { CallerRequest } from '../types/caller-request.ts';
 import type { CatalogCodec } from '../types/catalog-codec.ts';
 import type { CloudApi } from '../types/cloud-api.ts';
@@ -21,6 +20,7 @@
 import { reasonOf } from '../utils/reason-of.ts';
 import { ResponseTimes } from '../utils/response-times.ts';
 import { retryAllowance } from '../utils/retry-allowance.ts';
+import { stoppingRefusal } from '../utils/stopping-refusal.ts';
 import { trialRank } from '../utils/trial-rank.ts';
 import { DisciplinedClock } from '../utils/disciplined-clock.ts';
 import { UsageCounter } from '../utils/usage-counter.ts';
@@ -32,6 +32,7 @@
 import { DecisionLog } from './decision-log.ts';
 import { DutyTermStore } from './duty-term-store.ts';
 import type { DutyHolder } from './duty-holder.ts';
+import { Evacuations } from './evacuations.ts';
 import { Forwarder } from './forwarder.ts';
 import { Intake } from './intake.ts';
 import { GatewayMetrics } from './gateway-metrics.ts';
@@ -75,9 +76,6 @@
 const USED_RETRY_RATIO = 0.5;
 /** Time in which a node finds out that it has lost a link, in milliseconds. */
 const LOST_LINK_DETECTION_MS = 2_000;
-const HTTP_UNAVAILABLE = 503;
-/** Retry-After of a node that is shutting down, in milliseconds. */
-const STOPPING_RETRY_MS = 50;
 
 /**
  * Gateway node: forwards requests to runners, according to the configuration and the list of
@@ -209,8 +207,14 @@
         else this.#catalog.applyFeed(feed);
       },
     });
+    const evacuations = new Evacuations({
+      ...{ codec, clock, directory: this.#directory },
+      decisions: this.#decisions,
+      metrics: this.#metrics,
+    });
     this.#pool = new RunnerPool({
       directory: this.#directory,
+      evacuated: evacuations.domains,
       loadTracker: this.#loadTracker,
       limits: this.#bounds.limits,
       brittle: this.#bounds.brittle,
@@ -323,6 +327,7 @@
       usage: this.#usage,
       demand: this.#demand,
       directory: this.#directory,
+      evacuated: evacuations.domains,
       loadTracker: this.#loadTracker,
       rollouts: this.#rollouts,
       disciplinedClock,
@@ -337,6 +342,7 @@
     this.#catalog = new CatalogFollower({
       ...following,
       codec,
+      evacuations,
       directory: this.#directory,
       decisions: this.#decisions,
       metrics: this.#metrics,
@@ -526,15 +532,8 @@
   }
 
   async #serve(request: CallerRequest, channel: CallerChannel): Promise<void> {
-    if (this.#isRefusingRequests()) {
-      const refusal = new Refusal('node-stopping', {
-        status: HTTP_UNAVAILABLE,
-        retryAfterMs: STOPPING_RETRY_MS,
-      });
-      this.#forwarder.refuse(refusal, request, channel);
-      return;
-    }
-    await this.#forwarder.forward(request, channel);
+    if (this.#isRefusingRequests()) this.#forwarder.refuse(stoppingRefusal(), request, channel);
+    else await this.#forwarder.forward(request, channel);
   }
 
   #apply(configuration: Configuration): void {
--- a/packages/gateway/src/node/keyed-follower.ts
+++ b/packages/gateway/src/node/keyed-follower.ts
@@ -25,6 +25,8 @@
   readonly onRange: (range: OffsetRange, records: readonly KeyedRecord[]) => void;
   /** Called whenever this node is known to be up to date, by its own read or a feed. */
   readonly onAvailable?: () => void;
+  /** Called when a read, by this node or a peer, has shown that no record is missing here. */
+  readonly onEnd?: () => void;
   /** Called when reads start to fail. */
   readonly onUnavailable: (error: unknown) => void;
   /** Called when the topic is available again, with the length of the outage in milliseconds. */
@@ -124,6 +126,7 @@
     this.#lastFeedAt = this.#options.clock.monotonic();
     if (next === position.offset) {
       this.#markAvailable();
+      if (from === next) this.#options.onEnd?.();
       return;
     }
     if (!isWhole || from > position.offset) {
@@ -213,6 +216,7 @@
     this.#options.onRange({ from: appliedUpTo, next: page.next, era: page.era }, newRecords);
     if (newRecords.length > 0) onRecords(newRecords);
     this.#position = { offset: page.next, era: page.era };
+    if (page.next === from) this.#options.onEnd?.();
     this.#applyMs = clock.monotonic() - applyingSince;
     return newRecords.length > 0;
   }
--- a/packages/gateway/src/node/runner-links.ts
+++ b/packages/gateway/src/node/runner-links.ts
@@ -13,6 +13,8 @@
   readonly log: DecisionLog;
   /** Monotonic time at which bytes last arrived from a runner. */
   readonly lastProgressAt: (entry: RunnerEntry) => number;
+  /** Nothing new is sent to a runner, so that it tells nothing of this node's links. */
+  readonly isEvacuated: (entry: RunnerEntry) => boolean;
   /** This node has requests in progress at a runner. */
   readonly isInUse: (entry: RunnerEntry) => boolean;
   /** Closes the idle connections to a runner. */
@@ -69,10 +71,7 @@
   /** What this node sees of a runner is the fault of its link, or of all its links, and not of the runner. */
   isOwnFault(entry: RunnerEntry): boolean {
     if (!this.isLost(entry)) return false;
-    return this.#monitor.isOwnFault(
-      incarnationOf(entry),
-      this.#options.directory.all().map(incarnationOf),
-    );
+    return this.#monitor.isOwnFault(incarnationOf(entry), this.#usedRunners().map(incarnationOf));
   }
 
   /** Records that a peer has just reached a runner that this node may not reach. */
@@ -189,15 +188,23 @@
 
   /** When links are lost and the others have told nothing since, the cause may be on this side. */
   #suspectOthers(): void {
-    const { down } = this.#monitor;
+    if (this.#monitor.isEmpty) return;
+    const { lastProgressAt } = this.#options;
+    const used = this.#usedRunners();
+    const down = used.filter((entry) => this.isLost(entry)).map(incarnationOf);
     if (down.length === 0) return;
-    const { directory, lastProgressAt } = this.#options;
     const since = Math.min(...down.map((key) => this.#monitor.downSince(key) ?? Infinity));
-    const others = directory.all().filter((entry) => !this.isLost(entry));
+    const others = used.filter((entry) => !this.isLost(entry));
     if (others.some((entry) => lastProgressAt(entry) > since)) return;
     for (const entry of others.slice(0, MAX_SUSPECTED)) this.#monitor.suspect(incarnationOf(entry));
   }
 
+  /** Listed runners that requests may be sent to. */
+  #usedRunners(): readonly RunnerEntry[] {
+    const { directory, isEvacuated } = this.#options;
+    return directory.all().filter((entry) => !isEvacuated(entry));
+  }
+
   #probe(): void {
     const due = new Set(this.#monitor.takeProbes());
     if (due.size === 0 || this.#isClosed) return;
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -3,7 +3,7 @@
 import { RunnerRests } from '@ragwortrudder/admission';
 import type { BrittleRunners, StatedLimits } from '@ragwortrudder/admission';
 import { OutlierDetector, PrefillRate, excludeUnreachableDomains } from '@ragwortrudder/routing';
-import type { PlacementCandidate } from '@ragwortrudder/routing';
+import type { EvacuatedDomains, PlacementCandidate } from '@ragwortrudder/routing';
 import { ABORT_REASONS } from '../utils/abort-reasons.ts';
 import type { RunnerLoad } from '../types/runner-load.ts';
 import { incarnationOf } from '../utils/incarnation-of.ts';
@@ -14,6 +14,7 @@
 
 interface RunnerPoolOptions {
   readonly directory: RunnerDirectory;
+  readonly evacuated: Pick<EvacuatedDomains, 'isEmpty' | 'has'>;
   readonly loadTracker: RunnerLoadTracker;
   readonly limits: StatedLimits;
   readonly brittle: BrittleRunners;
@@ -106,6 +107,7 @@
       clock: options.clock,
       log: options.log,
       lastProgressAt: (entry) => this.lastProgressAt(entry),
+      isEvacuated: (entry) => this.isEvacuated(entry),
       isInUse: ({ id }) => (options.loadTracker.own.get(id)?.requests ?? 0) > 0,
       closeIdle: (entry) => {
         this.#knownRunner(entry)?.agent.closeIdle();
@@ -120,9 +122,7 @@
     { isAllowed = () => true, isRepeatable = false, usesOpen = false }: CandidateQuery = {},
   ): readonly PlacementCandidate[] {
     const now = this.#options.clock.monotonic();
-    const entries = this.#options.directory
-      .ofService(service.name)
-      .filter((entry) => !entry.isDraining && isAllowed(entry));
+    const entries = this.#servingOf(service.name).filter(isAllowed);
     const detector = this.#detectorOf(service.name);
     const reachable = excludeUnreachableDomains(
       entries,
@@ -219,10 +219,9 @@
   /** Time until the first rest of a service's runners ends, in milliseconds; undefined unless all rest. */
   restMs(service: string): number | undefined {
     if (this.#rests.isEmpty) return undefined;
-    const remaining = this.#options.directory
-      .ofService(service)
-      .filter((entry) => !entry.isDraining)
-      .map((entry) => this.#rests.remainingMs(incarnationOf(entry)));
+    const remaining = this.#servingOf(service).map((entry) =>
+      this.#rests.remainingMs(incarnationOf(entry)),
+    );
     const firstMs = Math.min(...remaining);
     return Number.isFinite(firstMs) && firstMs > 0 ? firstMs : undefined;
   }
@@ -240,6 +239,15 @@
     onLeaving();
   }
 
+  /**
+   * The operator has evacuated the failure domain of a runner. Called for each runner and request, so that
+   * it costs nothing while no domain is evacuated.
+   */
+  isEvacuated({ failureDomain }: RunnerEntry): boolean {
+    const { evacuated } = this.#options;
+    return !evacuated.isEmpty && evacuated.has(failureDomain);
+  }
+
   /** A runner is brittle or was until recently. */
   get hasBrittle(): boolean {
     return !this.#options.brittle.isEmpty;
@@ -304,7 +312,7 @@
     readonly lost: ReadonlySet<string>;
     readonly lostIds: ReadonlySet<string>;
   } {
-    const entries = this.#options.directory.ofService(service).filter((entry) => !entry.isDraining);
+    const entries = this.#servingOf(service);
     const lost = entries.filter((entry) => this.links.isLost(entry));
     return {
       runners: entries.map(incarnationOf),
@@ -315,7 +323,9 @@
 
   /** Peers reach a runner of the service that this node has lost its link to. */
   hasOwnFault(service: string): boolean {
-    return this.#options.directory.ofService(service).some((entry) => this.links.isOwnFault(entry));
+    return this.#options.directory
+      .ofService(service)
+      .some((entry) => !this.isEvacuated(entry) && this.links.isOwnFault(entry));
   }
 
   /** Removes runners that are no longer listed, and probes links. */
@@ -347,6 +357,13 @@
     this.#runners.clear();
   }
 
+  /** Listed runners of a service that new requests may be sent to. */
+  #servingOf(service: string): readonly RunnerEntry[] {
+    return this.#options.directory
+      .ofService(service)
+      .filter((entry) => !entry.isDraining && !this.isEvacuated(entry));
+  }
+
   #incarnationsByService(entries: Iterable<RunnerEntry>): ReadonlyMap<string, readonly string[]> {
     const byService = new Map<string, string[]>();
     for (const entry of entries) {
--- a/packages/gateway/src/node/runner-selection.ts
+++ b/packages/gateway/src/node/runner-selection.ts
@@ -77,7 +77,7 @@
       );
     const hasOther = directory
       .ofService(service.name)
-      .some((entry) => rollouts.accepts(entry, false));
+      .some((entry) => !pool.isEvacuated(entry) && rollouts.accepts(entry, false));
     if (!hasOther) return candidatesOf(true);
     const target = this.#goesToTarget && tried.size === 0 ? candidatesOf(true) : [];
     return target.length > 0 ? target : candidatesOf(false);
--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -1,5 +1,6 @@
 import type { RunnerDirectory, RunnerEntry, ScaleBounds, Service } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
+import type { EvacuatedDomains } from '@ragwortrudder/routing';
 import { planRunners } from '@ragwortrudder/supply';
 import type { DomainRunners, RunnerPlan } from '@ragwortrudder/supply';
 import type { CloudApi } from '../types/cloud-api.ts';
@@ -13,6 +14,8 @@
 interface SupplyDutyOptions {
   readonly cloud: CloudApi;
   readonly directory: RunnerDirectory;
+  /** Failure domains for which nothing is ordered; their runners are not counted on. */
+  readonly evacuated: Pick<EvacuatedDomains, 'has'>;
   readonly demand: DemandMeter;
   readonly clock: Clock;
   readonly log: DecisionLog;
@@ -98,9 +101,8 @@
     for (const service of this.#options.services()) {
       const { scaling } = service;
       if (!scaling || Object.keys(scaling.prices).length === 0) continue;
-      const domains = Object.entries(scaling.prices).map(([failureDomain, price]) =>
-        this.#domainOf(service, failureDomain, price),
-      );
+      const domains = this.#usedDomainsOf(service, scaling);
+      if (domains.length === 0) continue;
       const inputs: OrderInputs = {
         busyRunners: this.#busyFor(service.name),
         isWave: this.#options.clock.monotonic() < this.#waveUntil,
@@ -111,6 +113,24 @@
     }
   }
 
+  /** Failure domains that are planned; the numbers of runners in evacuated ones stay as they are. */
+  #usedDomainsOf(service: Service, { prices }: ScaleBounds): readonly DomainRunners[] {
+    const { evacuated } = this.#options;
+    const domains: DomainRunners[] = [];
+    for (const [failureDomain, price] of Object.entries(prices)) {
+      if (evacuated.has(failureDomain)) this.#resetScaleDown(service.name, failureDomain);
+      else domains.push(this.#domainOf(service, failureDomain, price));
+    }
+    return domains;
+  }
+
+  /** A lower count has to be sufficient anew after the evacuation of a domain. */
+  #resetScaleDown(service: string, failureDomain: string): void {
+    for (const isSpot of [true, false]) {
+      this.#scaleDownSince.delete(orderKey({ service, failureDomain, isSpot, count: 0 }));
+    }
+  }
+
   /** Work that the current demand causes; while demand falls, the result follows with a delay. */
   #busyFor(service: string): number {
     const demand = this.#options.demand.perSecond(service);
--- a/test/gateway/catalog-feeds.test.ts
+++ b/test/gateway/catalog-feeds.test.ts
@@ -7,6 +7,7 @@
 import { PlatformCatalogCodec } from '@ragwortrudder/platform-adapter';
 import { CatalogFollower } from '../../packages/gateway/src/node/catalog-follower.ts';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
+import { Evacuations } from '../../packages/gateway/src/node/evacuations.ts';
 import { GatewayMetrics } from '../../packages/gateway/src/node/gateway-metrics.ts';
 import type { TopicFeed } from '../../packages/gateway/src/types/topic-feed.ts';
 
@@ -62,14 +63,17 @@
     },
     append: () => Promise.resolve(0),
   };
+  const decisions = new DecisionLog({ node: 'n', out: new PassThrough().resume(), clock });
+  const metrics = new GatewayMetrics();
   const follower = new CatalogFollower({
     log,
     codec,
     clock,
     random: new SeededRandom(1),
     directory,
-    decisions: new DecisionLog({ node: 'n', out: new PassThrough().resume(), clock }),
-    metrics: new GatewayMetrics(),
+    evacuations: new Evacuations({ codec, clock, directory, decisions, metrics }),
+    decisions,
+    metrics,
     isReader: () => true,
     publishFeed: (feed) => {
       if (feed.topic === codec.runnerTopic) feeds.push(feed);
--- a/test/gateway/supply-duty.test.ts
+++ b/test/gateway/supply-duty.test.ts
@@ -4,6 +4,7 @@
 import type { RunnerEntry, Service } from '@ragwortrudder/catalog';
 import { ManualClock } from '@ragwortrudder/core';
 import { MemoryKeyedLog } from '@ragwortrudder/log';
+import { EvacuatedDomains } from '@ragwortrudder/routing';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import type { DutyTermStore } from '../../packages/gateway/src/node/duty-term-store.ts';
 import { createTermStore } from './create-term-store.ts';
@@ -24,6 +25,7 @@
   readonly clock: ManualClock;
   readonly cloud: InMemoryCloudApi;
   readonly directory: RunnerDirectory;
+  readonly evacuated: EvacuatedDomains;
   readonly demand: DemandMeter;
   readonly termStore: DutyTermStore;
   readonly duty: SupplyDuty;
@@ -49,6 +51,7 @@
   const clock = new ManualClock();
   const cloud = new InMemoryCloudApi();
   const directory = new RunnerDirectory({ clock });
+  const evacuated = new EvacuatedDomains(clock);
   const demand = new DemandMeter(clock);
   const out = new Writable({
     write: (_chunk, _encoding, done) => {
@@ -58,6 +61,7 @@
   const duty = new SupplyDuty({
     cloud,
     directory,
+    evacuated,
     demand,
     clock,
     log: new DecisionLog({ node: 'n1', out, clock }),
@@ -67,7 +71,7 @@
   const termStore = createTermStore({ log: new MemoryKeyedLog(), node: 'n1' });
   await termStore.takeOver();
   duty.begin(termStore);
-  return { clock, cloud, directory, demand, termStore, duty };
+  return { clock, cloud, directory, evacuated, demand, termStore, duty };
 }
 
 async function perform({ clock, duty, termStore }: TestEnvironment, ticks: number): Promise<void> {
@@ -143,3 +147,49 @@
   await perform(environment, 4);
   t.is(environment.cloud.calls.length, 0);
 });
+
+function ordersFor({ cloud }: TestEnvironment, failureDomain: string): number {
+  return cloud.calls.filter(({ order }) => order?.failureDomain === failureDomain).length;
+}
+
+async function performUnderLoad(environment: TestEnvironment, ticks: number): Promise<void> {
+  for (let tick = 0; tick < ticks; tick += 1) {
+    environment.demand.add('model', { requests: 50, promptTokens: 600_000, outputTokens: 10_000 });
+    await perform(environment, 1);
+  }
+}
+
+// Guards against orders for an evacuated domain, and against counting on runners that get no requests (EVACUATION).
+test('pattern: evacuated domain; its runners are planned in the others and its own numbers stay', async (t) => {
+  const environment = await createEnvironment();
+  for (const failureDomain of ['a', 'b', 'c']) {
+    environment.directory.put(runnerEntry(`${failureDomain}1`, { failureDomain, isSpot: true }));
+  }
+  await performUnderLoad(environment, 10);
+  const countsOf = (domain: string): readonly number[] =>
+    environment.cloud.calls.flatMap(({ order }) =>
+      order?.failureDomain === domain && order.isSpot ? [order.count] : [],
+    );
+  const before = countsOf('b').at(-1) ?? 0;
+  const orders = ordersFor(environment, 'a');
+  environment.evacuated.begin('a');
+  await performUnderLoad(environment, 10);
+  t.is(ordersFor(environment, 'a'), orders);
+  t.true((countsOf('b').at(-1) ?? 0) > before, `${before} before, ${countsOf('b').at(-1)} after`);
+  await perform(environment, 60);
+  t.is(ordersFor(environment, 'a'), orders, 'not scaled down while evacuated');
+  environment.evacuated.end('a');
+  await perform(environment, 60);
+  t.true(ordersFor(environment, 'a') > orders);
+});
+
+test('nothing is ordered while all domains of a service are evacuated', async (t) => {
+  const environment = await createEnvironment();
+  environment.directory.put(runnerEntry('r1'));
+  for (const failureDomain of ['a', 'b', 'c']) environment.evacuated.begin(failureDomain);
+  await performUnderLoad(environment, 10);
+  t.deepEqual(
+    environment.cloud.calls.filter(({ order }) => order !== undefined),
+    [],
+  );
+});
