--- a/test/docs/operations.test.ts
+++ b/test/docs/operations.test.ts
@@ -27,6 +27,7 @@
     'decision-log',
     'caller-server',
     'duty-holder',
+    'evacuations',
     'forwarded-request',
     'forwarder',
     'gateway',
