Evacuate a failure domain in the soak on request

--evacuate adds one evacuation of 8 to 14 s to the faults of a seed, which stay as they are; runs there more than 5 s after the order are violations, unless the store had a fault or a node was paused.

--- a/packages/soak/src/cli/soak.ts
+++ b/packages/soak/src/cli/soak.ts
@@ -41,6 +41,11 @@
     default: false,
     describe: 'draw bytes without end, slow bodies and series of changes, too',
   })
+  .option('evacuate', {
+    type: 'boolean',
+    default: false,
+    describe: 'evacuate a failure domain for a part of each run',
+  })
   .option('plan', { type: 'boolean', default: false, describe: 'print the faults of each run' })
   .strict()
   .parseAsync();
@@ -65,6 +70,7 @@
     callers: args.callers,
     production: args.production,
     endless: args.endless,
+    evacuates: args.evacuate,
     folder,
   }).run();
   runs += 1;
--- a/packages/soak/src/node/fault-injector.ts
+++ b/packages/soak/src/node/fault-injector.ts
@@ -130,6 +130,8 @@
       case 'caller-endless':
       case 'caller-slow-body':
         return this.#options.endless.inject(fault);
+      case 'domain-evacuated':
+        return this.#evacuate(target, forMs);
       case 'odd-entry':
         return storeWriter.leaveOddEntry(target, forMs);
       case 'runner-silent':
@@ -201,6 +203,16 @@
     for (const { name } of links) await nodeLinks.setFault({ name, mode: 'open', delayMs: 0 });
   }
 
+  /** Evacuates the failure domain of a runner for a time. */
+  async #evacuate(target: number, forMs: number): Promise<void> {
+    const { storeWriter, tracker } = this.#options;
+    const runners = storeWriter.beginEvacuation(target);
+    const from = performance.now();
+    await sleep(forMs);
+    tracker.recordEvacuation({ runners, from, until: performance.now() });
+    storeWriter.endEvacuation(target);
+  }
+
   /** Lets runners turn requests away and ask for rest. */
   async #rest(targets: readonly number[], forMs: number): Promise<void> {
     const { storeWriter, tracker } = this.#options;
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -97,9 +97,10 @@
   }
 
   async run(): Promise<SoakResult> {
-    const { seed, lengthMs, nodes, production, endless } = this.#options;
+    const { seed, lengthMs, nodes, production, endless, evacuates } = this.#options;
     const planned = planFaults({
-      ...{ lengthMs, nodes, runners: SERVICES.length, busyRunners: BUSY_RUNNERS, endless },
+      ...{ lengthMs, nodes, runners: SERVICES.length, busyRunners: BUSY_RUNNERS },
+      ...{ endless, evacuates },
       random: this.#random,
     });
     const upgrade = {
--- a/packages/soak/src/node/store-writer.ts
+++ b/packages/soak/src/node/store-writer.ts
@@ -30,6 +30,7 @@
 const ENTRY_EXPIRY_MS = 3_600;
 const OPERATOR_TOPIC = 'keyed.op';
 const RUNNER_TOPIC = 'keyed.servers';
+const EVACUATION_PREFIX = 'evacuate/';
 /** Maximum time after which a writer repeats its record in a restored store, in milliseconds: a heartbeat. */
 const REPEAT_MS = 1_200;
 /** Changes of a series, which all begin within 50 ms, and the pause between two in milliseconds. */
@@ -107,6 +108,23 @@
     await Promise.all(changes);
   }
 
+  /** Orders the evacuation of a runner's failure domain; returns the ids of all runners there. */
+  beginEvacuation(target: number): readonly string[] {
+    const { runners } = this.#options;
+    const failureDomain = runners[target]?.failureDomain;
+    if (failureDomain === undefined) return [];
+    this.#put(OPERATOR_TOPIC, `${EVACUATION_PREFIX}${failureDomain}`, '{}');
+    return runners
+      .filter((registered) => registered.failureDomain === failureDomain)
+      .map(({ runner }) => runner.id);
+  }
+
+  endEvacuation(target: number): void {
+    const failureDomain = this.#options.runners[target]?.failureDomain;
+    if (failureDomain === undefined) return;
+    this.#put(OPERATOR_TOPIC, `${EVACUATION_PREFIX}${failureDomain}`, undefined);
+  }
+
   /** Leaves an odd entry among those of the runners for a time. */
   async leaveOddEntry(target: number, forMs: number): Promise<void> {
     this.#oddEntries += 1;
--- a/packages/soak/src/types/fault-kind.ts
+++ b/packages/soak/src/types/fault-kind.ts
@@ -59,4 +59,5 @@
   | 'caller-endless'
   | 'store-endless'
   | 'caller-slow-body'
-  | 'configure-series';
+  | 'configure-series'
+  | 'domain-evacuated';
--- a/packages/soak/src/types/soak-options.ts
+++ b/packages/soak/src/types/soak-options.ts
@@ -11,6 +11,11 @@
    * @default false
    */
   readonly endless?: boolean | undefined;
+  /**
+   * Evacuates a failure domain for a part of the run, beside the other faults.
+   * @default false
+   */
+  readonly evacuates?: boolean | undefined;
   /**
    * Checkout of the version that runs at first; its nodes are upgraded to this one in turn.
    * @default no upgrade
--- a/packages/soak/src/utils/find-losses.ts
+++ b/packages/soak/src/utils/find-losses.ts
@@ -21,10 +21,10 @@
 const GIVEN_UP: ReadonlySet<number | undefined> = new Set([500, 502, 504]);
 /**
  * Faults that take no request from a sound runner: planned work, an impaired store or API, silences,
- * entries of runners that do not exist, and requests of other callers.
+ * entries of runners that do not exist, evacuations, and requests of other callers.
  */
 const HARMLESS =
-  /^(configure|node-stop$|node-reload$|roll-stop$|upgrade$|runner-silent$|runner-drain$|store-(busy|silent|reset|lost|forgets|endless)$|cloud-down$|odd-entry$|caller-)/;
+  /^(configure|node-stop$|node-reload$|roll-stop$|upgrade$|runner-silent$|runner-drain$|store-(busy|silent|reset|lost|forgets|endless)$|cloud-down$|odd-entry$|domain-evacuated$|caller-)/;
 /** Faults that take runners from a node, but no answer from its callers. */
 const LOST_LINKS = 'links-';
 /** Faults after which processes start again. */
--- a/packages/soak/src/utils/plan-faults.ts
+++ b/packages/soak/src/utils/plan-faults.ts
@@ -18,6 +18,8 @@
   readonly random: Random;
   /** Draws from the kinds of `ENDLESS_KINDS`, too. */
   readonly endless?: boolean | undefined;
+  /** Adds an evacuation of a failure domain; the other faults of the seed stay as they are. */
+  readonly evacuates?: boolean | undefined;
 }
 
 /** Faults that are injected while runners are silent. */
@@ -191,6 +193,12 @@
 const MAX_COMPANIONS = 3;
 /** Time in which a silence, a loss of links and changes of the configuration begin, in milliseconds. */
 const CHANGE_SERIES_MS = 50;
+/**
+ * Duration of an evacuation, in milliseconds: longer than the time within which it must have taken
+ * effect.
+ */
+const MIN_EVACUATION_MS = 8_000;
+const MAX_EVACUATION_MS = 14_000;
 const LOST_LINKS: readonly FaultKind[] = ['links-cut', 'links-dark', 'links-refuse-new'];
 
 /**
@@ -204,6 +212,7 @@
   busyRunners = runners,
   random,
   endless = false,
+  evacuates = false,
 }: PlanOptions): readonly PlannedFault[] {
   const endMs = lengthMs - RECOVERY_TIME_MS;
   const kinds = endless
@@ -257,6 +266,16 @@
       add(kind, startMs + random.next() * SERIES_MS);
     }
   }
+  if (evacuates && endMs - INITIAL_DELAY_MS >= MIN_EVACUATION_MS) {
+    const forMs = drawBetween(
+      random,
+      MIN_EVACUATION_MS,
+      Math.min(MAX_EVACUATION_MS, endMs - INITIAL_DELAY_MS),
+    );
+    const startMs = drawBetween(random, INITIAL_DELAY_MS, endMs - forMs);
+    const target = drawIndex(random, runners);
+    faults.push({ kind: 'domain-evacuated', atMs: startMs, forMs, target });
+  }
   return faults;
 }
 
--- a/packages/soak/src/utils/request-tracker.ts
+++ b/packages/soak/src/utils/request-tracker.ts
@@ -34,6 +34,8 @@
 const CUT_OFF_SHARE = 2 / 3;
 const CUT_OFF_SLACK = 10;
 const CUT_OFF_RATIO = 1 / 50;
+/** Time from the order of an evacuation after which no request may reach its runners, in milliseconds. */
+const EVACUATION_MS = 5_000;
 /** Time for which requests may still arrive after a runner has asked for rest, in milliseconds. */
 const REST_GRACE_MS = 500;
 /** Requests of each node that may reach a resting runner later. */
@@ -59,6 +61,13 @@
   readonly until: number;
 }
 
+/** Span in which the failure domain of these runners was to be evacuated. */
+interface Evacuation {
+  readonly runners: readonly string[];
+  readonly from: number;
+  readonly until: number;
+}
+
 interface Rest {
   readonly runner: string;
   readonly at: number;
@@ -94,6 +103,7 @@
   readonly #left: { readonly runner: string; readonly at: number }[] = [];
   readonly #crashes = new Map<string, readonly number[]>();
   readonly #cutOffs: CutOff[] = [];
+  readonly #evacuations: Evacuation[] = [];
   readonly #rests: Rest[] = [];
   readonly #disturbed: { readonly runner: string; readonly at: number }[] = [];
   readonly #nodeCount: number;
@@ -161,6 +171,11 @@
     this.#cutOffs.push(cutOff);
   }
 
+  /** Records that the store had an order to evacuate the failure domain of some runners. */
+  recordEvacuation(evacuation: Evacuation): void {
+    this.#evacuations.push(evacuation);
+  }
+
   /** Records that a runner asks for rest from now on. */
   recordRest(runner: string, forMs: number): void {
     this.#rests.push({ runner, at: performance.now(), forMs });
@@ -230,6 +245,7 @@
     this.#checkLimits();
     this.#checkLeaving();
     for (const cutOff of this.#cutOffs) this.#checkCutOff(cutOff);
+    for (const evacuation of this.#evacuations) this.#checkEvacuation(evacuation);
     for (const rest of this.#rests) this.#checkRest(rest);
     return this.#violations;
   }
@@ -291,6 +307,22 @@
     );
   }
 
+  /** Nothing reaches an evacuated runner after the time in which the order takes effect. */
+  #checkEvacuation({ runners, from, until }: Evacuation): void {
+    const late = [...this.#runs.values()]
+      .flat()
+      .filter(
+        ({ runner, at }) => runners.includes(runner) && at > from + EVACUATION_MS && at < until,
+      );
+    const [first] = late;
+    if (!first || this.#isExcused(from, first.at, /^(store-|node-pause)/)) return;
+    const afterMs = Math.round(first.at - from);
+    this.recordViolation(
+      'evacuation',
+      `${late.length} late runs at ${runners.join(', ')}, ${first.id} after ${afterMs} ms`,
+    );
+  }
+
   /** Each node may have to be told once, and sends little more. */
   #checkRest({ runner, at, forMs }: Rest): void {
     if (this.#isExcused(at, at + forMs, STOPPING)) return;
--- a/test/soak/plan-faults.test.ts
+++ b/test/soak/plan-faults.test.ts
@@ -139,3 +139,19 @@
   t.true(count > 50);
   t.is(links.size, 3);
 });
+
+test('an evacuation comes on request only, and leaves the other faults of a seed as they are', (t) => {
+  for (let seed = 1; seed <= 50; seed += 1) {
+    const options = { lengthMs: 60_000, nodes: 3, runners: 4 };
+    const without = planFaults({ ...options, random: new SeededRandom(seed) });
+    t.false(without.some(({ kind }) => kind === 'domain-evacuated'));
+    const random = new SeededRandom(seed);
+    const faults = planFaults({ ...options, evacuates: true, random });
+    t.deepEqual(faults.slice(0, -1), without);
+    const { kind, atMs, forMs, target } = faults.at(-1) ?? {};
+    t.is(kind, 'domain-evacuated');
+    t.true((forMs ?? 0) >= 8_000 && (atMs ?? 0) >= 2_000);
+    t.true((atMs ?? 0) + (forMs ?? 0) <= 46_000);
+    t.true((target ?? 4) < 4);
+  }
+});
--- a/test/soak/request-tracker.test.ts
+++ b/test/soak/request-tracker.test.ts
@@ -246,3 +246,19 @@
     t.deepEqual(violatedPromises(tracker), count === 12 ? ['rest'] : []);
   }
 });
+
+test('runs in an evacuated domain are violations 5 s after the order, unless the store had a fault', (t) => {
+  const violationsOf = (at: number, runner = 'r1', isExcused = false): readonly string[] => {
+    const tracker = new RequestTracker();
+    recordSent(tracker, 'a', 'read');
+    tracker.recordRun(run('a', { runner, at }));
+    if (isExcused) tracker.recordFault('store-silent')();
+    tracker.recordEvacuation({ runners: ['r1'], from: 1_000, until: 10_000 });
+    return violatedPromises(tracker);
+  };
+  t.deepEqual(violationsOf(5_900), []);
+  t.deepEqual(violationsOf(6_100), ['evacuation']);
+  t.deepEqual(violationsOf(6_100, 'r2'), []);
+  t.deepEqual(violationsOf(10_100), []);
+  t.deepEqual(violationsOf(6_100, 'r1', true), []);
+});
