--- a/packages/gateway/src/node/count-runners.ts
+++ b/packages/gateway/src/node/count-runners.ts
@@ -19,6 +19,7 @@
   const listed = directory.ofService(service.name);
   const runnersElsewhere = listed.filter((entry) => !home.allowsRunner(entry.failureDomain)).length;
   const runnersCold = pool.countCold(listed);
+  const runnersEvacuated = listed.filter((entry) => pool.isEvacuated(entry)).length;
   return {
     service: service.name,
     runnersListed: listed.length,
@@ -28,6 +29,7 @@
     runnersResting: pool.countResting(listed),
     runnersWithoutRoom: pool.countWithoutRoom(listed, service),
     runnersDraining: listed.filter(({ isDraining }) => isDraining).length,
+    ...(runnersEvacuated > 0 ? { runnersEvacuated } : {}),
     runnersUsable: pool.candidates(service).length,
     runnersLost: pool.reachOf(service.name).lost.size,
   };
--- a/packages/gateway/src/node/runner-selection.ts
+++ b/packages/gateway/src/node/runner-selection.ts
@@ -82,7 +82,8 @@
       );
     const hasOther = directory
       .ofService(service.name)
-      .some((entry) => home.allowsRunner(entry.failureDomain) && rollouts.accepts(entry, false));
+      .filter((entry) => !pool.isEvacuated(entry) && home.allowsRunner(entry.failureDomain))
+      .some((entry) => rollouts.accepts(entry, false));
     if (!hasOther) return candidatesOf(true);
     const target = this.#goesToTarget && tried.size === 0 ? candidatesOf(true) : [];
     return target.length > 0 ? target : candidatesOf(false);
