--- a/packages/routing/src/types/placement-candidate.ts
+++ b/packages/routing/src/types/placement-candidate.ts
@@ -14,4 +14,9 @@
   readonly kvCapacityTokens: number;
   /** Ratio of the runner's measured latency to the expected latency; 1 is as expected. */
   readonly slowness: number;
+  /**
+   * The runner is the home of the request's session among all runners. Stated by all candidates of a
+   * request or by none, when the home is to be chosen among the candidates.
+   */
+  readonly isHome?: boolean;
 }
--- a/packages/routing/src/utils/place-model-request.ts
+++ b/packages/routing/src/utils/place-model-request.ts
@@ -29,6 +29,7 @@
 const CACHED_TOKEN_WEIGHT = 0.8;
 
 function homeRunnerOf(session: string, candidates: readonly PlacementCandidate[]): string {
+  if (candidates[0]?.isHome !== undefined) return candidates.find(({ isHome }) => isHome)?.id ?? '';
   let homeRunner = '';
   let bestScore = -1;
   for (const { id } of candidates) {
@@ -74,7 +75,7 @@
       random.next() * TIE_MS;
     if (cost >= lowestCost) continue;
     lowestCost = cost;
-    chosen = { id: candidate.id, firstTokenMs, prefillTokens };
+    chosen = { id: candidate.id, firstTokenMs, slowness: candidate.slowness, prefillTokens };
   }
   return chosen;
 }
