Choose runners by the speeds that nodes exchange where runners state them

The fourth value of Server-Load was discarded, and each node estimated latency ratios alone. For services of which a runner states it, placement uses the lasting speed times the momentary one, examines four drawn runners besides the home and last runner of the session, and counts requests sent since the last response. Other services keep latencyRatio.

--- a/packages/gateway/src/node/attempt-evidence.ts
+++ b/packages/gateway/src/node/attempt-evidence.ts
@@ -81,7 +81,7 @@
   }
 
   #recordForRunner(outcome: AttemptOutcome, attempt: Attempt): void {
-    const { pool, service } = this.#options;
+    const { pool, service, route } = this.#options;
     const { entry, expectedMs, tookMs } = attempt;
     switch (outcome.kind) {
       case 'unsent':
@@ -98,6 +98,7 @@
           pool.recordSuccess(
             entry,
             (tookMs + FIXED_OVERHEAD_MS) / (expectedMs + FIXED_OVERHEAD_MS),
+            { route: route.name, tookMs, usualMs: expectedMs },
           );
         }
         return;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -139,6 +139,7 @@
       clock,
       node: node.id,
       log: this.#decisions,
+      metrics: this.#metrics,
       onChange: () => void this.#peers.publishChange(),
     });
     this.#quarantine = new PromptQuarantine({
@@ -162,8 +163,7 @@
       quota: this.#quota,
       usage: this.#usage,
       demand: this.#demand,
-      limits: this.#bounds.limits,
-      brittle: this.#bounds.brittle,
+      ...this.#bounds.all,
       directory: this.#directory,
       log: this.#decisions,
       configurationVersion: () => this.#catalog.version,
@@ -212,8 +212,7 @@
     this.#pool = new RunnerPool({
       directory: this.#directory,
       loadTracker: this.#loadTracker,
-      limits: this.#bounds.limits,
-      brittle: this.#bounds.brittle,
+      ...this.#bounds.all,
       clock,
       log: this.#decisions,
       nodeCount: () => this.#peers.knownCount,
--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -180,7 +180,7 @@
   }
 
   #recordHead(head: ResponseHead): void {
-    const { pool, loadTracker } = this.#options;
+    const { pool } = this.#options;
     const { status, load, requestsPerSecond, rejectionsPerSecond } = head;
     const { isLeaving, isNotExecuted, retryAfterMs = 0 } = head;
     if (status === HTTP_MISDIRECTED) return;
@@ -191,7 +191,7 @@
     pool.recordStatedLimit(this.entry, requestsPerSecond);
     pool.recordBrittle(this.entry, rejectionsPerSecond);
     if (status === HTTP_UNAVAILABLE && isNotExecuted) pool.recordRejection(this.entry, load);
-    if (load) loadTracker.setReportedLoad(this.entry.id, load);
+    if (load) pool.recordLoad(this.entry, load);
   }
 
   #recordFirstEvent(): void {
@@ -207,7 +207,11 @@
       pool.prefillRate(this.entry.service).add(chosen.prefillTokens, firstEventMs);
     }
     const ratio = (firstEventMs + FIXED_OVERHEAD_MS) / (chosen.expectedMs + FIXED_OVERHEAD_MS);
-    pool.recordSuccess(this.entry, ratio);
+    pool.recordSuccess(this.entry, ratio, {
+      route: this.#options.route.name,
+      tookMs: firstEventMs,
+      usualMs: chosen.expectedMs / chosen.slowness,
+    });
     this.#evidence.recordForRollout(chosen, 'success', firstEventMs);
   }
 
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -6,6 +6,7 @@
 } from '@ragwortrudder/admission';
 import type { Address, RunnerDirectory } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
+import type { RunnerSpeeds } from '@ragwortrudder/routing';
 import type { DomainDigest } from '../types/domain-digest.ts';
 import type { RunnerBoot } from '../types/runner-boot.ts';
 import type { NodeReport } from '../types/node-report.ts';
@@ -37,6 +38,10 @@
     BrittleRunners,
     'report' | 'domainReport' | 'setPeerReport' | 'setDomainReport'
   >;
+  readonly speeds: Pick<
+    RunnerSpeeds,
+    'takeReport' | 'takeDigest' | 'setPeer' | 'setDomain' | 'forgetPeer' | 'forgetDomain'
+  >;
   readonly directory: Pick<
     RunnerDirectory,
     'leaving' | 'markLeaving' | 'readableMs' | 'recordReadElsewhere'
@@ -112,6 +117,7 @@
     const prompts = this.#options.quarantine.evidence;
     const limits = this.#options.limits.own;
     const brittle = this.#options.brittle.report;
+    const speeds = this.#options.speeds.takeReport();
     const leaving = this.#leaving();
     const reach = this.#reach();
     const work = encodeWork(loadTracker.own);
@@ -136,6 +142,7 @@
       ...(includesTotals ? this.#totals(now) : { usage: {}, demand: {} }),
       ...(limits.length > 0 ? { limits } : {}),
       ...(brittle ? { brittle } : {}),
+      ...(speeds ? { speeds } : {}),
       listReadMs: Math.round(this.#options.directory.readableMs),
       ...(leaving.length > 0 ? { leaving } : {}),
       ...reach,
@@ -155,6 +162,7 @@
       taken.set(team, (taken.get(team) ?? 0) + total);
     const limits = this.#options.limits.ofDomain;
     const brittle = this.#options.brittle.domainReport;
+    const speeds = this.#options.speeds.takeDigest(Object.keys(members));
     const leaving = this.#leaving();
     const prompts = this.#options.quarantine.evidenceOver(new Set(Object.keys(members)));
     return {
@@ -169,6 +177,7 @@
       taken: Object.fromEntries(taken),
       ...(limits.length > 0 ? { limits } : {}),
       ...(brittle ? { brittle } : {}),
+      ...(speeds ? { speeds } : {}),
       listReadMs: Math.round(this.#options.directory.readableMs),
       ...(leaving.length > 0 ? { leaving } : {}),
       ...(prompts ? { prompts } : {}),
@@ -198,8 +207,11 @@
     );
     if (this.#isCoveredByDigest(report.failureDomain)) {
       this.#takenByPeer.delete(report.node);
+      this.#options.speeds.forgetPeer(report.node);
       return;
     }
+    this.#options.speeds.forgetDomain(report.failureDomain);
+    if (report.speeds) this.#options.speeds.setPeer(report.node, report.speeds);
     loadTracker.setPeerWork(report.node, decodeWork(report), this.#options.timing().workTtlMs);
     const previousTotals = isFirst ? undefined : this.#takenByPeer.get(report.node);
     const taken = new Map(Object.entries(report.taken));
@@ -225,6 +237,7 @@
     if (host !== undefined && port !== undefined) {
       this.#options.onPeerConfiguration(digest.configuration ?? 0, { host, port });
     }
+    this.#applySpeeds(digest, own);
     // Within a domain each node sends what it knows of prompts itself.
     if (!digest.heard) {
       this.#options.quarantine.setPeerEvidence(
@@ -243,6 +256,15 @@
     else if (!own && !known.own) this.#applyQuotaUse(known.taken, taken, undefined);
   }
 
+  /** A relay has the reports of its own failure domain themselves. */
+  #applySpeeds({ failureDomain, members, speeds }: DomainDigest, own: OwnReport | undefined): void {
+    if (failureDomain === this.#options.failureDomain && this.#options.isRelay()) return;
+    for (const node of Object.keys(members)) this.#options.speeds.forgetPeer(node);
+    if (!speeds) return;
+    const includesOwn = own !== undefined && own !== NOTHING_REPORTED;
+    this.#options.speeds.setDomain({ failureDomain, speeds, includesOwn });
+  }
+
   /** The report of this node that a digest is based on. */
   #ownReportIn(heard: NonNullable<DomainDigest['heard']>): OwnReport {
     const { node, incarnation } = this.#options;
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -1,9 +1,15 @@
 import type { RunnerDirectory, RunnerEntry, Service } from '@ragwortrudder/catalog';
-import type { Clock, Closeable } from '@ragwortrudder/core';
+import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import { RunnerRests } from '@ragwortrudder/admission';
 import type { BrittleRunners, StatedLimits } from '@ragwortrudder/admission';
-import { OutlierDetector, PrefillRate, excludeUnreachableDomains } from '@ragwortrudder/routing';
-import type { PlacementCandidate } from '@ragwortrudder/routing';
+import {
+  drawCandidates,
+  excludeUnreachableDomains,
+  OutlierDetector,
+  PrefillRate,
+  rendezvousScore,
+} from '@ragwortrudder/routing';
+import type { PlacementCandidate, RunnerSpeeds } from '@ragwortrudder/routing';
 import { ABORT_REASONS } from '../utils/abort-reasons.ts';
 import type { RunnerLoad } from '../types/runner-load.ts';
 import { incarnationOf } from '../utils/incarnation-of.ts';
@@ -17,6 +23,7 @@
   readonly loadTracker: RunnerLoadTracker;
   readonly limits: StatedLimits;
   readonly brittle: BrittleRunners;
+  readonly speeds: RunnerSpeeds;
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Called when a runner said for the first time that it is leaving. */
@@ -40,6 +47,24 @@
    * @default false
    */
   readonly usesOpen?: boolean;
+  /** Of many runners with known speeds only a few are examined; undefined: all are. */
+  readonly sampling?: Sampling;
+}
+
+interface Sampling {
+  readonly random: Random;
+  /** Session whose home runner is examined in any case; empty when there is none. */
+  readonly session: string;
+  /** Runner that is examined in any case. */
+  readonly lastRunner: string | undefined;
+}
+
+/** Duration of a response. */
+interface ResponseTime {
+  readonly route: string;
+  readonly tookMs: number;
+  /** Expected time at a runner of usual speed, in milliseconds. */
+  readonly usualMs: number;
 }
 
 interface PooledRunner {
@@ -73,6 +98,14 @@
 const RATIO_GAIN = 0.1;
 const MIN_RATIO = 0.2;
 const MAX_RATIO = 8;
+/** Number of runners of a service up to which all are examined for a request. */
+const MAX_EXAMINED = 8;
+/** Number of runners drawn for a request where not all are examined. */
+const DRAWN = 4;
+/** Slowness up to which a runner that was drawn is always taken. */
+const DRAWN_SLOWNESS = 0.5;
+/** Overhead in a response time that is not due to the runner's speed, in milliseconds. */
+const SPEED_OVERHEAD_MS = 10;
 const MIN_CONNECTIONS = 4;
 /** Fraction of a runner's connections that is divided among the nodes; the rest absorbs uneven use. */
 const CONNECTION_SHARE = 0.9;
@@ -87,6 +120,18 @@
   return sorted[Math.floor(sorted.length / 2)] ?? 1;
 }
 
+function homeOf(session: string, entries: readonly RunnerEntry[]): RunnerEntry | undefined {
+  let home: RunnerEntry | undefined;
+  let bestScore = -1;
+  for (const entry of entries) {
+    const score = rendezvousScore(session, entry.id);
+    if (score <= bestScore) continue;
+    bestScore = score;
+    home = entry;
+  }
+  return home;
+}
+
 /** Runners as observed by this node: connections, reachability, failures and latency. */
 export class RunnerPool implements Closeable {
   readonly links: RunnerLinks;
@@ -117,7 +162,12 @@
   /** Runners of a service that can accept a request now, among those that `isAllowed` lets pass. */
   candidates(
     service: Service,
-    { isAllowed = () => true, isRepeatable = false, usesOpen = false }: CandidateQuery = {},
+    {
+      isAllowed = () => true,
+      isRepeatable = false,
+      usesOpen = false,
+      sampling,
+    }: CandidateQuery = {},
   ): readonly PlacementCandidate[] {
     const now = this.#options.clock.monotonic();
     const entries = this.#options.directory
@@ -134,14 +184,25 @@
         : reachable;
     const healthy = hopeful.filter(({ id }) => !detector.isEjected(id, now));
     const usable = healthy.length > 0 ? healthy : hopeful;
+    const mayTake = (entry: RunnerEntry): boolean =>
+      this.#isWithinLimit(entry) &&
+      !this.#isResting(entry) &&
+      this.#hasRoom(entry, service) &&
+      this.#hasConnectionLeft(entry.id, service);
+    if (this.#options.speeds.appliesTo(service.name)) {
+      if (sampling && usable.length > MAX_EXAMINED) {
+        return this.#drawn(usable, service, { sampling, mayTake });
+      }
+      return usable
+        .filter(mayTake)
+        .map((entry) => this.#candidateOf(entry, service, this.#slownessOf(entry)));
+    }
     const median = medianOf(usable.map((entry) => this.#runnerOf(entry).latencyRatio));
     return usable
-      .filter(
-        (entry) =>
-          this.#isWithinLimit(entry) && !this.#isResting(entry) && this.#hasRoom(entry, service),
-      )
-      .map((entry) => this.#candidateOf(entry, service, median))
-      .filter(({ id }) => this.#hasConnectionLeft(id, service));
+      .filter(mayTake)
+      .map((entry) =>
+        this.#candidateOf(entry, service, this.#runnerOf(entry).latencyRatio / median),
+      );
   }
 
   /** Measured prefill rate of the engines of a service. */
@@ -171,8 +232,21 @@
     this.#detectorOf(entry.service).recordSent(entry.id, this.#options.clock.monotonic());
   }
 
+  /** Records the load that a runner reported in a response. */
+  recordLoad(entry: RunnerEntry, load: RunnerLoad): void {
+    const { loadTracker, speeds, log } = this.#options;
+    loadTracker.setReportedLoad(entry.id, load);
+    if (load.slowness !== undefined) {
+      speeds.recordMomentary(entry.service, incarnationOf(entry), load.slowness);
+    }
+    if (load.hasInvalidSlowness) {
+      log.rejected({ topic: 'runner-load', key: entry.id, cause: 'invalid momentary speed' });
+    }
+  }
+
   /** Records a successful response, with the ratio of measured to expected latency. */
-  recordSuccess(entry: RunnerEntry, ratio: number): void {
+  recordSuccess(entry: RunnerEntry, ratio: number, time: ResponseTime): void {
+    this.#recordSpeed(entry, time);
     const runner = this.#knownRunner(entry);
     const bounded = Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio));
     if (runner) {
@@ -321,7 +395,7 @@
   /** Removes runners that are no longer listed, and probes links. */
   prune(): void {
     this.links.update();
-    const { directory, loadTracker, limits, brittle } = this.#options;
+    const { directory, loadTracker, limits, brittle, speeds } = this.#options;
     const listed = new Map(directory.all().map((entry) => [entry.id, entry]));
     for (const [id, { agent }] of this.#runners) {
       if (listed.has(id)) continue;
@@ -335,6 +409,9 @@
     loadTracker.retain(new Set(listed.keys()));
     if (!this.#rests.isEmpty) this.#rests.prune(incarnations);
     if (!limits.isEmpty) limits.retain(incarnations);
+    if (!speeds.isEmpty) {
+      speeds.retain(incarnations, new Set([...listed.values()].map(({ service }) => service)));
+    }
     if (!brittle.isEmpty) brittle.setListed(this.#incarnationsByService(listed.values()));
     for (const [service, detector] of this.#detectors) {
       detector.setRunners(directory.ofService(service).map(({ id }) => id));
@@ -400,7 +477,43 @@
     return !this.#rests.mayTake(incarnationOf(entry), inProgress);
   }
 
-  #candidateOf(entry: RunnerEntry, service: Service, median: number): PlacementCandidate {
+  /** A few runners by their speed, and those that may hold the prefix of the session. */
+  #drawn(
+    entries: readonly RunnerEntry[],
+    service: Service,
+    {
+      sampling,
+      mayTake,
+    }: { readonly sampling: Sampling; readonly mayTake: (entry: RunnerEntry) => boolean },
+  ): readonly PlacementCandidate[] {
+    const { random, session, lastRunner } = sampling;
+    const home = session === '' ? undefined : homeOf(session, entries);
+    const last = lastRunner === undefined ? undefined : entries.find(({ id }) => id === lastRunner);
+    return drawCandidates({
+      items: entries,
+      kept: [home, last].filter((entry) => entry !== undefined),
+      count: DRAWN,
+      weightOf: (entry) => Math.min(1, DRAWN_SLOWNESS / this.#slownessOf(entry)),
+      isUsable: mayTake,
+      random,
+    }).map((entry) => ({
+      ...this.#candidateOf(entry, service, this.#slownessOf(entry)),
+      isHome: entry === home,
+    }));
+  }
+
+  #slownessOf(entry: RunnerEntry): number {
+    return this.#options.speeds.slownessOf(incarnationOf(entry));
+  }
+
+  #recordSpeed(entry: RunnerEntry, { route, tookMs, usualMs }: ResponseTime): void {
+    const { speeds } = this.#options;
+    if (!speeds.appliesTo(entry.service)) return;
+    const ratio = (tookMs + SPEED_OVERHEAD_MS) / (usualMs + SPEED_OVERHEAD_MS);
+    speeds.record({ service: entry.service, runner: incarnationOf(entry), kind: route, ratio });
+  }
+
+  #candidateOf(entry: RunnerEntry, service: Service, slowness: number): PlacementCandidate {
     const work = this.#options.loadTracker.workAt(entry.id);
     return {
       id: entry.id,
@@ -410,7 +523,7 @@
       prefillTokens: work.prefillTokens,
       kvTokens: work.kvTokens,
       kvCapacityTokens: service.engine?.kvCapacityTokens ?? 0,
-      slowness: this.#runnerOf(entry).latencyRatio / median,
+      slowness,
     };
   }
 
--- a/packages/gateway/src/node/runner-selection.ts
+++ b/packages/gateway/src/node/runner-selection.ts
@@ -61,18 +61,20 @@
     if (service.engine) return this.#chooseEngine(candidates);
     const id = placeApplicationRequest(failureDomain, candidates, random);
     const entry = id === undefined ? undefined : directory.find(id);
-    return entry && { entry, expectedMs: FIXED_OVERHEAD_MS, prefillTokens: 0 };
+    return entry && { entry, expectedMs: FIXED_OVERHEAD_MS, prefillTokens: 0, slowness: 1 };
   }
 
   /** A request that a roll-out gives to the target version is not sent there again after a failure. */
   #candidates({ isAllowed, usesOpen }: RunnerQuery): readonly PlacementCandidate[] {
-    const { pool, service, rollouts, directory, tried, isRepeatable } = this.#options;
+    const { pool, service, rollouts, directory, tried, isRepeatable, random } = this.#options;
+    const session = service.engine ? this.#options.placement.session : '';
     const candidatesOf = (isTarget: boolean): readonly PlacementCandidate[] =>
       this.#preferLost(
         pool.candidates(service, {
           isAllowed: (entry) => rollouts.accepts(entry, isTarget) && isAllowed(entry),
           isRepeatable,
           usesOpen,
+          sampling: { random, session, lastRunner: this.#lastRunner },
         }),
       );
     const hasOther = directory
@@ -91,13 +93,20 @@
     return preferred.length > 0 ? preferred : candidates;
   }
 
+  /** Runner that this node last sent the request's session to. */
+  get #lastRunner(): string | undefined {
+    const { service, sessions, clock, placement } = this.#options;
+    return service.engine ? sessions.find(placement.session, clock.monotonic()) : undefined;
+  }
+
   #chooseEngine(candidates: readonly PlacementCandidate[]): ChosenRunner | undefined {
-    const { directory, random, sessions, clock, placement } = this.#options;
-    const lastRunner = sessions.find(placement.session, clock.monotonic());
+    const { directory, random, placement } = this.#options;
+    const lastRunner = this.#lastRunner;
     const request = lastRunner === undefined ? placement : { ...placement, lastRunner };
     const placed = placeModelRequest(request, candidates, random);
     const entry = placed && directory.find(placed.id);
     if (!entry) return undefined;
-    return { entry, expectedMs: placed.firstTokenMs, prefillTokens: placed.prefillTokens };
+    const { firstTokenMs, prefillTokens, slowness } = placed;
+    return { entry, expectedMs: firstTokenMs, prefillTokens, slowness };
   }
 }
--- a/packages/gateway/src/types/chosen-runner.ts
+++ b/packages/gateway/src/types/chosen-runner.ts
@@ -6,6 +6,8 @@
   /** Expected time to the first token, in milliseconds, or 0 without an estimate. */
   readonly expectedMs: number;
   readonly prefillTokens: number;
+  /** Slowness of the runner that the expected time includes. */
+  readonly slowness: number;
   /**
    * The request goes over a connection that is open.
    * @default false
--- a/packages/gateway/src/types/domain-digest.ts
+++ b/packages/gateway/src/types/domain-digest.ts
@@ -1,4 +1,5 @@
 import { BrittleReport, PromptEvidence, StatedLimit } from '@ragwortrudder/admission';
+import { SpeedSums } from './speed-sums.ts';
 import * as z from 'zod';
 import { RunnerBoot } from './runner-boot.ts';
 import { Amount } from './amount.ts';
@@ -37,6 +38,8 @@
   limits: z.array(StatedLimit).readonly().optional(),
   /** Brittle runners, as the members know them. */
   brittle: BrittleReport.optional(),
+  /** By boot of a runner with new samples: what the members have measured of its speed. */
+  speeds: z.record(BoundedText, SpeedSums).optional(),
   /** All members read compressed messages; absent in digests of older builds. */
   readsCompressed: z.boolean().optional(),
   /** Version of the configuration that the relay follows. */
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -1,5 +1,6 @@
 import { BrittleReport, PromptEvidence, StatedLimit } from '@ragwortrudder/admission';
 import { Evidence } from '@ragwortrudder/moves';
+import { SpeedSums } from './speed-sums.ts';
 import * as z from 'zod';
 import { RunnerBoot } from './runner-boot.ts';
 import { Amount } from './amount.ts';
@@ -36,6 +37,8 @@
   limits: z.array(StatedLimit).readonly().optional(),
   /** Brittle runners, as the node knows them. */
   brittle: BrittleReport.optional(),
+  /** By boot of a runner with new samples: what the node has measured of its speed. */
+  speeds: z.record(BoundedText, SpeedSums).optional(),
   /** Version of the configuration that the node follows. */
   configuration: Ordinal.optional(),
   /** Time for which the node has read the list of runners without an outage, in milliseconds. */
--- a/packages/gateway/src/utils/fit-digest.ts
+++ b/packages/gateway/src/utils/fit-digest.ts
@@ -15,8 +15,15 @@
   return { ...evidence, interrupted, served: Object.fromEntries(served) };
 }
 
+/** Leaves out half of the runners; they are reported again with their next samples. */
+function withHalf(speeds: NonNullable<DomainDigest['speeds']>): DomainDigest['speeds'] {
+  const entries = Object.entries(speeds);
+  const kept = entries.slice(0, Math.floor(entries.length / 2));
+  return kept.length === 0 ? undefined : Object.fromEntries(kept);
+}
+
 /**
- * Leaves out interrupted requests of a digest, the oldest first, until it fits. The rest of a digest has a
+ * Leaves out speeds of runners, and then interrupted requests of a digest, the oldest first, until it fits. The rest of a digest has a
  * size that follows from the deployment.
  */
 export function fitDigest(
@@ -25,9 +32,14 @@
 ): DomainDigest {
   let { prompts } = digest;
   let fitting = digest;
+  while (fitting.speeds && !fits(fitting)) {
+    const { speeds, ...others } = fitting;
+    const kept = withHalf(speeds);
+    fitting = kept ? { ...others, speeds: kept } : others;
+  }
   while (prompts && prompts.interrupted.length > 0 && !fits(fitting)) {
     prompts = withNewerHalf(prompts);
-    fitting = { ...digest, prompts };
+    fitting = { ...fitting, prompts };
   }
   return fitting;
 }
--- a/packages/gateway/src/utils/parse-domain-digest.ts
+++ b/packages/gateway/src/utils/parse-domain-digest.ts
@@ -23,6 +23,7 @@
     heard: recordOf(tupleOf(isOrdinal, isOrdinal, isOrdinal)),
     readsCompressed: isBoolean,
     leaving: listOf(tupleOf(isText, isOrdinal)),
+    speeds: recordOf(tupleOf(isAmount, isAmount)),
   },
 });
 
--- a/packages/gateway/src/utils/parse-node-report.ts
+++ b/packages/gateway/src/utils/parse-node-report.ts
@@ -33,6 +33,7 @@
     leaving: isRunnerBoots,
     outOfReach: isRunnerBoots,
     reached: isRunnerBoots,
+    speeds: recordOf(tupleOf(isAmount, isAmount)),
   },
 });
 
--- a/packages/gateway/src/utils/runner-load-tracker.ts
+++ b/packages/gateway/src/utils/runner-load-tracker.ts
@@ -4,6 +4,8 @@
 
 interface ReportedLoad extends RunnerLoad {
   readonly at: number;
+  /** Requests that this node has sent there since. */
+  readonly sentSince: number;
 }
 
 interface PeerWork {
@@ -62,6 +64,7 @@
   /** Adds to this node's work at a runner; negative values subtract. */
   add(runnerId: string, change: RunnerWork): void {
     const work = addWork(this.#own.get(runnerId) ?? NO_WORK, change);
+    if (change.requests > 0) this.#countSent(runnerId, change.requests);
     if (work.requests <= 0) this.#own.delete(runnerId);
     else this.#own.set(runnerId, work);
   }
@@ -92,7 +95,7 @@
 
   /** Records the load that a runner reported. */
   setReportedLoad(runnerId: string, load: RunnerLoad): void {
-    this.#reportedLoads.set(runnerId, { ...load, at: this.#clock.monotonic() });
+    this.#reportedLoads.set(runnerId, { ...load, at: this.#clock.monotonic(), sentSince: 0 });
   }
 
   /** Drops the reported loads of all runners that are not in `runnerIds`. */
@@ -114,6 +117,13 @@
     return total;
   }
 
+  /** Counted only at runners that state their momentary speed; elsewhere the reported load is used as it is. */
+  #countSent(runnerId: string, requests: number): void {
+    const load = this.#reportedLoads.get(runnerId);
+    if (load?.slowness === undefined) return;
+    this.#reportedLoads.set(runnerId, { ...load, sentSince: load.sentSince + requests });
+  }
+
   /** Kept for a moment, since a request asks for each runner of its service. */
   #peerTotalAt(now: number): ReadonlyMap<string, RunnerWork> {
     if (this.#peerTotal && now < this.#peerTotal.until) {
@@ -147,7 +157,10 @@
     if (!reportedLoad || now - reportedLoad.at > REPORTED_LOAD_TTL_MS) return work;
     return {
       ...work,
-      requests: Math.max(work.requests, reportedLoad.running + reportedLoad.waiting),
+      requests: Math.max(
+        work.requests,
+        reportedLoad.running + reportedLoad.waiting + reportedLoad.sentSince,
+      ),
     };
   }
 }
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -7,6 +7,7 @@
 } from '@ragwortrudder/admission';
 import { RunnerDirectory } from '@ragwortrudder/catalog';
 import { ManualClock } from '@ragwortrudder/core';
+import { RunnerSpeeds } from '@ragwortrudder/routing';
 import { PeerStateSync } from '../../packages/gateway/src/node/peer-state-sync.ts';
 import { DemandMeter } from '../../packages/gateway/src/utils/demand-meter.ts';
 import { PeerReach } from '../../packages/gateway/src/utils/peer-reach.ts';
@@ -26,6 +27,7 @@
   readonly loadTracker: RunnerLoadTracker;
   readonly quota: SharedQuota;
   readonly directory: RunnerDirectory;
+  readonly speeds: RunnerSpeeds;
   readonly sync: PeerStateSync;
 }
 
@@ -38,6 +40,7 @@
   const loadTracker = new RunnerLoadTracker(clock);
   const quota = new SharedQuota(clock);
   const directory = new RunnerDirectory({ clock });
+  const speeds = new RunnerSpeeds({ clock });
   const sync = new PeerStateSync({
     node: name,
     address: { host: '127.0.0.1', port: 1 },
@@ -52,6 +55,7 @@
     log: { notable: () => undefined },
     configurationVersion: () => 0,
     onPeerConfiguration: () => undefined,
+    speeds,
     brittle: new BrittleRunners({
       clock,
       node: 'n',
@@ -68,7 +72,7 @@
     timing: () => reportTiming(undefined),
     isRelay: () => isRelay,
   });
-  return { loadTracker, quota, directory, sync };
+  return { loadTracker, quota, directory, speeds, sync };
 }
 
 const WITH_TOTALS = { isLeaving: false, includesTotals: true };
@@ -218,3 +222,53 @@
   node.quota.tryTake('team', 2);
   t.false(node.quota.tryTake('team', 1));
 });
+
+const SLOW = { service: 's', runner: 'slow 1', kind: 'k', ratio: 4 };
+const USUAL = { ...SLOW, runner: 'usual 1', ratio: 1 };
+
+function learnSlow({ speeds }: TestNode, times: number): void {
+  speeds.recordMomentary('s', 'slow 1', 1);
+  for (let count = 0; count < times; count += 1) {
+    speeds.record(USUAL);
+    speeds.record(SLOW);
+  }
+}
+
+function samplesAt({ speeds }: TestNode): number {
+  return Math.round(speeds.estimateOf('slow 1')?.samples ?? 0);
+}
+
+test('speeds are absent from reports and digests while no runner states a momentary speed', (t) => {
+  const node = createNode('n', new ManualClock());
+  node.speeds.record(SLOW);
+  t.false('speeds' in node.sync.createReport(WITH_TOTALS));
+  t.false('speeds' in node.sync.createDigest({ n: ['127.0.0.1', 1, 0] }));
+});
+
+// Guards against samples that count twice: in the report of a node and in the digest of its domain.
+test('speeds reach another domain by its digest, and each sample counts once', (t) => {
+  const clock = new ManualClock();
+  const member = createNode('m', clock, 'a', false);
+  const relay = createNode('r', clock, 'a', true);
+  const remote = createNode('x', clock, 'b', true);
+  learnSlow(member, 6);
+  learnSlow(relay, 4);
+  const report = member.sync.createReport(WITH_TOTALS);
+  relay.sync.applyReport(report, true);
+  t.is(samplesAt(relay), 10);
+  remote.sync.applyReport(report, true);
+  t.is(samplesAt(remote), 6);
+  const members = { r: ['127.0.0.1', 1, 0], m: ['127.0.0.1', 2, 0] } satisfies Parameters<
+    PeerStateSync['createDigest']
+  >[0];
+  const digest = relay.sync.createDigest(members);
+  remote.sync.applyDigest(digest);
+  remote.sync.applyReport(report, false);
+  t.is(samplesAt(remote), 10);
+  const heard = { m: [1, report.sequence, 0] } satisfies typeof digest.heard;
+  member.sync.applyDigest({ ...digest, heard });
+  t.is(samplesAt(member), 10);
+  clock.advance(3_000);
+  remote.sync.applyReport(report, false);
+  t.is(samplesAt(remote), 6, 'without the digest the reports count again');
+});
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -1,6 +1,7 @@
 import { Writable } from 'node:stream';
 import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
+import { RunnerSpeeds } from '@ragwortrudder/routing';
 import type { ExecutionContext } from 'ava';
 import {
   BrittleRunners,
@@ -67,6 +68,7 @@
     log: { notable: () => undefined },
     configurationVersion: () => 0,
     onPeerConfiguration: () => undefined,
+    speeds: new RunnerSpeeds({ clock }),
     brittle: new BrittleRunners({
       clock,
       node: 'n',
