Check only the drawn runners while all runners of a node are reachable

The choice among few runners still checked each runner of the service. While no runner is marked as unreachable and no link is lost, only those drawn are checked; else the choice draws from the runners that pass the full check. The home runner of a session is still found by a hash of each runner.

Run: npx ava test/gateway/uneven-runner-pool.test.ts: 8 passed. Trial of RunnerPool.candidates with a session: 60 runners 42 to 10 us, 600 runners 506 to 45 us, without and with speeds.

--- a/packages/gateway/src/node/runner-links.ts
+++ b/packages/gateway/src/node/runner-links.ts
@@ -96,6 +96,11 @@
     });
   }
 
+  /** Some link is lost. */
+  get hasLost(): boolean {
+    return !this.#monitor.isEmpty;
+  }
+
   /** Called for each runner and request, so that it costs nothing while no link is lost. */
   isLost(entry: RunnerEntry): boolean {
     return !this.#monitor.isEmpty && this.#monitor.isDown(incarnationOf(entry));
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -59,6 +59,14 @@
   readonly lastRunner: string | undefined;
 }
 
+interface CandidateDraw {
+  readonly sampling: Sampling;
+  /** Decides which runner is the home of a session. */
+  readonly isUsable: (entry: RunnerEntry) => boolean;
+  /** The runner has room for a request at the moment. */
+  readonly mayTake: (entry: RunnerEntry) => boolean;
+}
+
 /** Duration of a response. */
 interface ResponseTime {
   readonly route: string;
@@ -120,12 +128,16 @@
   return sorted[Math.floor(sorted.length / 2)] ?? 1;
 }
 
-function homeOf(session: string, entries: readonly RunnerEntry[]): RunnerEntry | undefined {
+function homeOf(
+  session: string,
+  entries: readonly RunnerEntry[],
+  isUsable: (entry: RunnerEntry) => boolean,
+): RunnerEntry | undefined {
   let home: RunnerEntry | undefined;
   let bestScore = -1;
   for (const entry of entries) {
     const score = rendezvousScore(session, entry.id);
-    if (score <= bestScore) continue;
+    if (score <= bestScore || !isUsable(entry)) continue;
     bestScore = score;
     home = entry;
   }
@@ -142,6 +154,8 @@
   readonly #progressAt = new Map<string, number>();
   readonly #detectors = new Map<string, OutlierDetector>();
   readonly #rests: RunnerRests;
+  /** Monotonic time until which some runner may be marked as unreachable, in milliseconds. */
+  #unreachableUntil = 0;
 
   constructor(options: RunnerPoolOptions) {
     this.#options = options;
@@ -170,10 +184,21 @@
     }: CandidateQuery = {},
   ): readonly PlacementCandidate[] {
     const now = this.#options.clock.monotonic();
-    const entries = this.#options.directory
-      .ofService(service.name)
-      .filter((entry) => !entry.isDraining && isAllowed(entry));
     const detector = this.#detectorOf(service.name);
+    const listed = this.#options.directory.ofService(service.name);
+    const mayTake = (entry: RunnerEntry): boolean =>
+      this.#isWithinLimit(entry) &&
+      !this.#isResting(entry) &&
+      this.#hasRoom(entry, service) &&
+      this.#hasConnectionLeft(entry.id, service);
+    const knowsSpeeds = this.#options.speeds.appliesTo(service.name);
+    if (knowsSpeeds && sampling && !usesOpen && this.#areAllReachable(now)) {
+      const isUsable = (entry: RunnerEntry): boolean =>
+        !entry.isDraining && isAllowed(entry) && !detector.isEjected(entry.id, now);
+      const drawn = this.#drawn(listed, service, { sampling, isUsable, mayTake });
+      if (drawn.length > 0) return drawn;
+    }
+    const entries = listed.filter((entry) => !entry.isDraining && isAllowed(entry));
     const reachable = excludeUnreachableDomains(
       entries,
       (entry) => !this.#isReachable(entry, { isRepeatable, usesOpen }, now),
@@ -184,15 +209,10 @@
         : reachable;
     const healthy = hopeful.filter(({ id }) => !detector.isEjected(id, now));
     const usable = healthy.length > 0 ? healthy : hopeful;
-    const mayTake = (entry: RunnerEntry): boolean =>
-      this.#isWithinLimit(entry) &&
-      !this.#isResting(entry) &&
-      this.#hasRoom(entry, service) &&
-      this.#hasConnectionLeft(entry.id, service);
-    if (this.#options.speeds.appliesTo(service.name)) {
-      if (sampling && usable.length > MAX_EXAMINED) {
-        return this.#drawn(usable, service, { sampling, mayTake });
-      }
+    if (knowsSpeeds && sampling) {
+      return this.#drawn(usable, service, { sampling, isUsable: () => true, mayTake });
+    }
+    if (knowsSpeeds) {
       return usable
         .filter(mayTake)
         .map((entry) => this.#candidateOf(entry, service, this.#slownessOf(entry)));
@@ -360,6 +380,7 @@
     if (!runner || runner.unreachableUntil > now) return;
     const times = runner.unreachableTimes + 1;
     const forMs = Math.min(MAX_UNREACHABLE_MS, UNREACHABLE_MS * 2 ** (times - 1));
+    this.#unreachableUntil = Math.max(this.#unreachableUntil, now + forMs);
     this.#runners.set(entry.id, {
       ...runner,
       unreachableTimes: times,
@@ -477,24 +498,31 @@
     return !this.#rests.mayTake(incarnationOf(entry), inProgress);
   }
 
+  /** Spares requests the check of each runner while nothing is wrong with any. */
+  #areAllReachable(now: number): boolean {
+    return now >= this.#unreachableUntil && !this.links.hasLost;
+  }
+
   /** A few runners by their speed, and those that may hold the prefix of the session. */
   #drawn(
     entries: readonly RunnerEntry[],
     service: Service,
-    {
-      sampling,
-      mayTake,
-    }: { readonly sampling: Sampling; readonly mayTake: (entry: RunnerEntry) => boolean },
+    { sampling, isUsable, mayTake }: CandidateDraw,
   ): readonly PlacementCandidate[] {
+    if (entries.length <= MAX_EXAMINED) {
+      return entries
+        .filter((entry) => isUsable(entry) && mayTake(entry))
+        .map((entry) => this.#candidateOf(entry, service, this.#slownessOf(entry)));
+    }
     const { random, session, lastRunner } = sampling;
-    const home = session === '' ? undefined : homeOf(session, entries);
+    const home = session === '' ? undefined : homeOf(session, entries, isUsable);
     const last = lastRunner === undefined ? undefined : entries.find(({ id }) => id === lastRunner);
     return drawCandidates({
       items: entries,
       kept: [home, last].filter((entry) => entry !== undefined),
       count: DRAWN,
       weightOf: (entry) => Math.min(1, DRAWN_SLOWNESS / this.#slownessOf(entry)),
-      isUsable: mayTake,
+      isUsable: (entry) => isUsable(entry) && mayTake(entry),
       random,
     }).map((entry) => ({
       ...this.#candidateOf(entry, service, this.#slownessOf(entry)),
--- a/test/gateway/uneven-runner-pool.test.ts
+++ b/test/gateway/uneven-runner-pool.test.ts
@@ -140,3 +140,43 @@
   t.is(tracker.workAt('a').requests, 5);
   t.is(tracker.workAt('b').requests, 3, 'as before where no momentary speed is stated');
 });
+
+// Guards against a choice by draw that passes over what the choice among all runners respects.
+test('runners that are draining, not allowed or unreachable are not drawn', async (t) => {
+  const { pool, clock } = createPool();
+  pool.recordLoad(first, { ...LOAD, slowness: 1 });
+  const sampling = { random: new SeededRandom(2), session: 'x', lastRunner: 'r7' };
+  const drawnIds = (): ReadonlySet<string> => {
+    const isAllowed = ({ id }: { readonly id: string }): boolean => id !== 'r7';
+    const draws = Array.from({ length: 200 }, () =>
+      pool.candidates(SERVICE, { sampling, isAllowed }).map(({ id }) => id),
+    );
+    return new Set(draws.flat());
+  };
+  pool.recordLeaving(first);
+  pool.agentOf(entries[1] ?? first);
+  pool.markUnreachable(entries[1] ?? first, 'refused');
+  const whileUnreachable = drawnIds();
+  t.is(whileUnreachable.size, COUNT - 3);
+  for (const id of ['r0', 'r1', 'r7']) t.false(whileUnreachable.has(id), id);
+  clock.advance(400);
+  t.true(drawnIds().has('r1'), 'it is drawn again after its time');
+  await pool.close();
+});
+
+// Guards against a rejection while runners are left, because the ones drawn have no room.
+test('runners that are set aside are used when no other is left', async (t) => {
+  const { pool, clock } = createPool();
+  pool.recordLoad(first, { ...LOAD, slowness: 1 });
+  clock.advance(10);
+  const sampling = { random: new SeededRandom(2), session: '', lastRunner: undefined };
+  const isAllowed = ({ id }: { readonly id: string }): boolean => id === 'r3';
+  const third = entries[3] ?? first;
+  for (let times = 0; times < 5; times += 1) pool.recordFailure(third);
+  const candidates = pool.candidates(SERVICE, { sampling, isAllowed });
+  t.deepEqual(
+    candidates.map(({ id }) => id),
+    ['r3'],
+  );
+  await pool.close();
+});
