--- a/test/routing/uneven-runners.test.ts
+++ b/test/routing/uneven-runners.test.ts
@@ -6,8 +6,21 @@
 interface FleetOptions {
   readonly seed: number;
   readonly forMs: number;
-  /** Whether two nodes hear each other. */
-  readonly mayHear: (receiver: number, sender: number) => boolean;
+  readonly exchange: Exchange;
+  /**
+   * Time that a request takes at a runner of speed 1, in milliseconds; 400 use about four fifths of the slots.
+   * @default 400
+   */
+  readonly usualMs?: number;
+}
+
+/** Passes on what nodes report. */
+type Exchange = (nodes: readonly RunnerSpeeds[]) => void;
+
+interface PlayedFleet {
+  readonly nodes: readonly RunnerSpeeds[];
+  /** Part of the requests of the last second that went to slow runners. */
+  readonly slowShare: number;
 }
 
 interface PendingResponse {
@@ -58,10 +71,9 @@
 
 /**
  * Nodes that send 7 requests a second each, and report to each other. The runners share their machines:
- * for 600 ms at a time, 15 in 100 of the time, work takes 2.5 times as long. About four fifths of their slots
- * are in use.
+ * for 600 ms at a time, 15 in 100 of the time, work takes 2.5 times as long.
  */
-function playFleet({ seed, forMs, mayHear }: FleetOptions): readonly RunnerSpeeds[] {
+function playFleet({ seed, forMs, exchange, usualMs = USUAL_MS }: FleetOptions): PlayedFleet {
   const clock = new ManualClock();
   const random = new SeededRandom(seed);
   const nodes = Array.from({ length: NODES }, () => new RunnerSpeeds({ clock }));
@@ -70,6 +82,8 @@
   const known = nodes.map(() => new Map<string, number>());
   let pending: readonly PendingResponse[] = [];
   let busy: readonly boolean[] = [];
+  let sentLate = 0;
+  let slowLate = 0;
   for (let now = 0; now < forMs; now += TICK_MS) {
     if (now % 600 === 0) busy = indexes.map(() => random.next() < 0.15);
     const sent = nodes.flatMap((speeds, node): PendingResponse[] => {
@@ -79,13 +93,17 @@
       inFlight.set(runner, (inFlight.get(runner) ?? 0) + 1);
       const index = runners.indexOf(runner);
       const tookMs =
-        USUAL_MS * speedOf(index) * (busy[index] ? 2.5 : 1) * (0.7 + 0.6 * random.next());
+        usualMs * speedOf(index) * (busy[index] ? 2.5 : 1) * (0.7 + 0.6 * random.next());
       return [{ node, runner, at: now + tookMs, tookMs }];
     });
     pending = [...pending, ...sent];
+    if (now >= forMs - 1_000) {
+      sentLate += sent.length;
+      slowLate += sent.filter(({ runner }) => speedOf(runners.indexOf(runner)) > 1).length;
+    }
     for (const { node, runner, at, tookMs } of pending) {
       if (at > now) continue;
-      nodes[node]?.record({ service: SERVICE, runner, kind: 'route', ratio: tookMs / USUAL_MS });
+      nodes[node]?.record({ service: SERVICE, runner, kind: 'route', ratio: tookMs / usualMs });
     }
     pending = pending.filter(({ at }) => at > now);
     if (now % REPORT_MS === 0) {
@@ -93,17 +111,46 @@
         inFlight.clear();
         for (const { runner } of pending) inFlight.set(runner, (inFlight.get(runner) ?? 0) + 1);
       }
-      const reports = nodes.map((node) => node.takeReport());
-      for (const [sender, report] of reports.entries()) {
-        if (!report) continue;
-        for (const [receiver, node] of nodes.entries()) {
-          if (receiver !== sender && mayHear(receiver, sender)) node.setPeer(`n${sender}`, report);
-        }
-      }
+      exchange(nodes);
     }
     clock.advance(TICK_MS);
   }
-  return nodes;
+  return { nodes, slowShare: slowLate / sentLate };
+}
+
+/** All nodes report to all others that may hear them. */
+function reportToAll(mayHear: (receiver: number, sender: number) => boolean): Exchange {
+  return (nodes) => {
+    const reports = nodes.map((node) => node.takeReport());
+    for (const [sender, report] of reports.entries()) {
+      if (!report) continue;
+      for (const [receiver, node] of nodes.entries()) {
+        if (receiver !== sender && mayHear(receiver, sender)) node.setPeer(`n${sender}`, report);
+      }
+    }
+  };
+}
+
+/** Nodes of six failure domains report to the first of their domain, which sends digests to all nodes. */
+function reportToRelays(isLost: () => boolean): Exchange {
+  const domainOf = (node: number): number => node % 6;
+  return (nodes) => {
+    for (const [index, node] of nodes.entries()) {
+      const report = node.takeReport();
+      const relay = domainOf(index);
+      if (report && relay !== index && !isLost()) nodes[relay]?.setPeer(`n${index}`, report);
+    }
+    for (const [relay, node] of nodes.slice(0, 6).entries()) {
+      const members = nodes.flatMap((_, index) => (domainOf(index) === relay ? [`n${index}`] : []));
+      const speeds = node.takeDigest(members);
+      if (!speeds) continue;
+      for (const [receiver, other] of nodes.entries()) {
+        if (receiver === relay || isLost()) continue;
+        const includesOwn = domainOf(receiver) === relay;
+        other.setDomain({ failureDomain: `d${relay}`, speeds, includesOwn });
+      }
+    }
+  };
 }
 
 /** Part of the pairs of a slow and a fast runner that a node orders rightly, by a margin. */
@@ -123,8 +170,8 @@
 
 // Guards against estimates that take minutes, because a node sees each runner once in 9 s.
 test('60 nodes learn the speeds of 60 runners together within 5 s, but not alone', (t) => {
-  const together = playFleet({ seed: 1, forMs: 5_000, mayHear: () => true });
-  const alone = playFleet({ seed: 1, forMs: 5_000, mayHear: () => false });
+  const together = playFleet({ seed: 1, forMs: 5_000, exchange: reportToAll(() => true) }).nodes;
+  const alone = playFleet({ seed: 1, forMs: 5_000, exchange: reportToAll(() => false) }).nodes;
   const togetherParts = together.map(orderedPart);
   const aloneParts = alone.map(orderedPart);
   t.log('together', meanOf(togetherParts), Math.min(...togetherParts), 'alone', meanOf(aloneParts));
@@ -132,10 +179,28 @@
   t.true(meanOf(aloneParts) < 0.3);
 });
 
+// Guards against digests of few runners that tell too little, and against messages whose loss loses samples.
+test('60 nodes of six failure domains learn the speeds by digests, a fifth of which are lost', (t) => {
+  const random = new SeededRandom(6);
+  const exchange = reportToRelays(() => random.next() < 0.2);
+  const { nodes } = playFleet({ seed: 6, forMs: 5_000, exchange });
+  const parts = nodes.map(orderedPart);
+  t.log('by digests', meanOf(parts), Math.min(...parts));
+  t.true(Math.min(...parts) > 0.9);
+});
+
+// Guards against a choice that needs a loaded fleet to prefer fast runners.
+test('few requests go to slow runners while the fleet is nearly idle', (t) => {
+  const exchange = reportToAll(() => true);
+  const { slowShare } = playFleet({ seed: 7, forMs: 5_000, exchange, usualMs: 40 });
+  t.log('part of the requests at the slow third', slowShare);
+  t.true(slowShare < 0.1);
+});
+
 // Guards against a side that loses its estimates with the other side's reports.
 test('each side of a partition keeps an estimate of its own', (t) => {
   const isSameSide = (a: number, b: number): boolean => a < 20 === b < 20;
-  const nodes = playFleet({ seed: 2, forMs: 12_000, mayHear: isSameSide });
+  const nodes = playFleet({ seed: 2, forMs: 12_000, exchange: reportToAll(isSameSide) }).nodes;
   const parts = nodes.map(orderedPart);
   t.log('smaller side', meanOf(parts.slice(0, 20)), 'larger side', meanOf(parts.slice(20)));
   t.true(meanOf(parts.slice(0, 20)) > 0.8);
