--- a/test/routing/placement.test.ts
+++ b/test/routing/placement.test.ts
@@ -130,3 +130,13 @@
   t.is(places.find('s0', 0), undefined);
   t.is(places.find('s9999', 0), 'r1');
 });
+
+// Guards against speeds that are estimated from times which already include the estimate.
+test('a placement states the slowness that its expected time includes', (t) => {
+  const place = (slowness: number): ReturnType<typeof placeModelRequest> =>
+    placeModelRequest(request(), [candidate('r1', { slowness })], new SeededRandom(1));
+  const usual = place(1);
+  const slow = place(1.7);
+  t.is(slow?.slowness, 1.7);
+  t.is((slow?.firstTokenMs ?? 0) / 1.7, usual?.firstTokenMs ?? NaN);
+});
