--- a/test/gateway/uneven-runners.test.ts
+++ b/test/gateway/uneven-runners.test.ts
@@ -6,7 +6,8 @@
 import { DelayedRunner } from './delayed-runner.ts';
 import { freePort } from './free-port.ts';
 import { GatewayHarness } from './gateway-harness.ts';
-import { headFor } from './scripted-response.ts';
+import { ROUTE_KINDS } from './route-kinds.ts';
+import { chunk, event, headFor, streamHeadFor } from './scripted-response.ts';
 import type { ReceivedRequest } from './scripted-runner.ts';
 import { sendFor } from './send-for.ts';
 
@@ -20,7 +21,17 @@
 class StatingRunner extends DelayedRunner {
   load = '0,0,4,100';
 
+  isStreaming = false;
+
   protected respond(socket: Socket, request: ReceivedRequest): void {
+    if (this.isStreaming) {
+      const head = streamHeadFor(request, [
+        'Transfer-Encoding: chunked',
+        `Server-Load: ${this.load}`,
+      ]);
+      socket.write(head + chunk(event(1)) + chunk(''));
+      return;
+    }
     const framing = ['Content-Length: 2', `Server-Load: ${this.load}`];
     socket.write(`${headFor(request, { framing })}ok`);
   }
@@ -54,10 +65,10 @@
   return { runners, gateways };
 }
 
-function linesOf({ lines }: GatewayHarness, event: string): readonly Record<string, unknown>[] {
+function linesOf({ lines }: GatewayHarness, name: string): readonly Record<string, unknown>[] {
   return lines
     .map((line) => JSON.parse(line) as Record<string, unknown>)
-    .filter((fields) => fields.event === event);
+    .filter((fields) => fields.event === name);
 }
 
 function slowShare(runners: readonly StatingRunner[], since: number): number {
@@ -115,3 +126,28 @@
   t.true(rejected.length > 0 && rejected.length <= RUNNERS, String(rejected.length));
   t.deepEqual(gateway && linesOf(gateway, 'runner-speed'), []);
 });
+
+// Guards against times to the first event that are compared with an estimate which includes the slowness.
+test('the speeds of engines are learned from the first events of streams', async (t) => {
+  const runners = await Promise.all(
+    Array.from({ length: RUNNERS }, (_, index) =>
+      new StatingRunner(index < SLOW ? SLOW_MS : FAST_MS).listen(),
+    ),
+  );
+  t.teardown(() => Promise.all(runners.map((runner) => runner.close())));
+  for (const runner of runners) runner.isStreaming = true;
+  const log = new MemoryKeyedLog();
+  const operator = GatewayHarness.writerFor(log, ROUTE_KINDS.stream);
+  const engine = { slots: 4, kv_capacity_tokens: 0 };
+  await operator.configure({
+    services: [{ name: 's', health_path: '/health', max_connections: 100, engine }],
+  });
+  for (const [index, { port }] of runners.entries())
+    await operator.registerRunner(`r${index}`, port);
+  const gateway = await GatewayHarness.start(t, { log, node: 'n1', peerPort: await freePort() });
+  const sent = await Promise.all([sendFor([gateway], 6_000), sendFor([gateway], 6_000)]);
+  t.true(sent.flat().every(({ status }) => status === OK));
+  const share = slowShare(runners, performance.now() - 3_000);
+  t.log('share of the slow quarter', share, linesOf(gateway, 'runner-speed').length);
+  t.true(share < 0.15, String(share));
+});
