--- a/packages/gateway/src/node/runner-bounds.ts
+++ b/packages/gateway/src/node/runner-bounds.ts
@@ -1,7 +1,7 @@
 import { BrittleRunners, SharingNodes, StatedLimits } from '@ragwortrudder/admission';
 import type { RunnerEntry } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
-import { rendezvousOrder } from '@ragwortrudder/routing';
+import { rendezvousOrder, RunnerSpeeds } from '@ragwortrudder/routing';
 import type { GatewaySettings } from '../types/gateway-settings.ts';
 import { incarnationOf } from '../utils/incarnation-of.ts';
 import type { DecisionLog } from './decision-log.ts';
@@ -24,10 +24,11 @@
 /** Without these settings, a cold runner gets no more than its service's limit. */
 const DEFAULT_COLD_BOUND = { overage: 1, slack: 0 } as const;
 
-/** Bounds that runners state, and that hold for all nodes together. */
+/** What runners state of themselves or show in their responses, and all nodes together use. */
 export class RunnerBounds {
   readonly limits: StatedLimits;
   readonly brittle: BrittleRunners;
+  readonly speeds: RunnerSpeeds;
   readonly #options: RunnerBoundsOptions;
   readonly #startedAt: number;
   readonly #sharing: SharingNodes;
@@ -39,10 +40,17 @@
     this.#options = options;
     this.#startedAt = clock.monotonic();
     this.#sharing = new SharingNodes(clock);
+    this.speeds = new RunnerSpeeds({ clock });
     this.limits = new StatedLimits({ clock, node, rank });
     this.brittle = new BrittleRunners({ clock, node, rank, onChange });
   }
 
+  /** What the choice of runners and the reports use. */
+  get all(): Pick<RunnerBounds, 'limits' | 'brittle' | 'speeds'> {
+    const { limits, brittle, speeds } = this;
+    return { limits, brittle, speeds };
+  }
+
   /** Records an entry of the list that was read now. */
   recordEntry(entry: RunnerEntry): void {
     const { settings, log } = this.#options;
@@ -61,6 +69,7 @@
     const { clock, node, settings } = this.#options;
     const reachable = [node, ...peers.reachableIds()];
     const known = [node, ...peers.knownIds()];
+    this.#noteSpeeds();
     this.limits.setNodes(reachable, known.length);
     const isSettled = isRegistered && clock.monotonic() - this.#startedAt >= SETTLED_MS;
     this.brittle.setNodes({ reachable, knownCount: known.length, isSettled });
@@ -104,4 +113,20 @@
       });
     }
   }
+
+  #noteSpeeds(): void {
+    for (const { runner, slowness, before, samples } of this.speeds.takeChanges()) {
+      this.#options.metrics.count('runner_speed_changes');
+      this.#options.log.notable('runner-speed', {
+        runner,
+        slowness: Number(slowness.toFixed(2)),
+        before: Number(before.toFixed(2)),
+        samples: Math.round(samples),
+      });
+    }
+    for (const source of this.speeds.takeRejected()) {
+      this.#options.metrics.count('runner_speeds_rejected');
+      this.#options.log.notable('runner-speeds-rejected', { source });
+    }
+  }
 }
--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -1,9 +1,20 @@
 import type { RunnerDirectory, RunnerEntry, Service } from '@ragwortrudder/catalog';
-import type { Clock, Closeable } from '@ragwortrudder/core';
+import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import { RunnerRests } from '@ragwortrudder/admission';
 import type { BrittleRunners, StatedLimits } from '@ragwortrudder/admission';
-import { OutlierDetector, PrefillRate, excludeUnreachableDomains } from '@ragwortrudder/routing';
-import type { EvacuatedDomains, HomeRegions, PlacementCandidate } from '@ragwortrudder/routing';
+import {
+  drawCandidates,
+  excludeUnreachableDomains,
+  OutlierDetector,
+  PrefillRate,
+  rendezvousScore,
+} from '@ragwortrudder/routing';
+import type {
+  EvacuatedDomains,
+  HomeRegions,
+  PlacementCandidate,
+  RunnerSpeeds,
+} from '@ragwortrudder/routing';
 import { ABORT_REASONS } from '../utils/abort-reasons.ts';
 import type { RunnerLoad } from '../types/runner-load.ts';
 import { coldWaitMs } from '../utils/cold-wait-ms.ts';
@@ -19,6 +30,7 @@
   readonly loadTracker: RunnerLoadTracker;
   readonly limits: StatedLimits;
   readonly brittle: BrittleRunners;
+  readonly speeds: RunnerSpeeds;
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Called when a runner said for the first time that it is leaving. */
@@ -42,6 +54,32 @@
    * @default false
    */
   readonly usesOpen?: boolean;
+  /** Of many runners with known speeds only a few are examined; undefined: all are. */
+  readonly sampling?: Sampling;
+}
+
+interface Sampling {
+  readonly random: Random;
+  /** Session whose home runner is examined in any case; empty when there is none. */
+  readonly session: string;
+  /** Runner that is examined in any case. */
+  readonly lastRunner: string | undefined;
+}
+
+interface CandidateDraw {
+  readonly sampling: Sampling;
+  /** Decides which runner is the home of a session. */
+  readonly isUsable: (entry: RunnerEntry) => boolean;
+  /** The runner has room for a request at the moment. */
+  readonly mayTake: (entry: RunnerEntry) => boolean;
+}
+
+/** Duration of a response. */
+interface ResponseTime {
+  readonly route: string;
+  readonly tookMs: number;
+  /** Expected time at a runner of usual speed, in milliseconds. */
+  readonly usualMs: number;
 }
 
 interface PooledRunner {
@@ -75,6 +113,14 @@
 const RATIO_GAIN = 0.1;
 const MIN_RATIO = 0.2;
 const MAX_RATIO = 8;
+/** Number of runners of a service up to which all are examined for a request. */
+const MAX_EXAMINED = 8;
+/** Number of runners drawn for a request where not all are examined. */
+const DRAWN = 4;
+/** Slowness up to which a runner that was drawn is always taken. */
+const DRAWN_SLOWNESS = 0.5;
+/** Overhead in a response time that is not due to the runner's speed, in milliseconds. */
+const SPEED_OVERHEAD_MS = 10;
 const MIN_CONNECTIONS = 4;
 /** Fraction of a runner's connections that is divided among the nodes; the rest absorbs uneven use. */
 const CONNECTION_SHARE = 0.9;
@@ -89,6 +135,22 @@
   return sorted[Math.floor(sorted.length / 2)] ?? 1;
 }
 
+function homeOf(
+  session: string,
+  entries: readonly RunnerEntry[],
+  isUsable: (entry: RunnerEntry) => boolean,
+): RunnerEntry | undefined {
+  let home: RunnerEntry | undefined;
+  let bestScore = -1;
+  for (const entry of entries) {
+    const score = rendezvousScore(session, entry.id);
+    if (score <= bestScore || !isUsable(entry)) continue;
+    bestScore = score;
+    home = entry;
+  }
+  return home;
+}
+
 /** Runners as observed by this node: connections, reachability, failures and latency. */
 export class RunnerPool implements Closeable {
   readonly links: RunnerLinks;
@@ -99,6 +161,8 @@
   readonly #progressAt = new Map<string, number>();
   readonly #detectors = new Map<string, OutlierDetector>();
   readonly #rests: RunnerRests;
+  /** Monotonic time until which some runner may be marked as unreachable, in milliseconds. */
+  #unreachableUntil = 0;
 
   constructor(options: RunnerPoolOptions) {
     this.#options = options;
@@ -120,11 +184,29 @@
   /** Runners of a service that can accept a request now, among those that `isAllowed` lets pass. */
   candidates(
     service: Service,
-    { isAllowed = () => true, isRepeatable = false, usesOpen = false }: CandidateQuery = {},
+    {
+      isAllowed = () => true,
+      isRepeatable = false,
+      usesOpen = false,
+      sampling,
+    }: CandidateQuery = {},
   ): readonly PlacementCandidate[] {
     const now = this.#options.clock.monotonic();
-    const entries = this.#servingOf(service.name).filter(isAllowed);
     const detector = this.#detectorOf(service.name);
+    const listed = this.#servingOf(service.name);
+    const mayTake = (entry: RunnerEntry): boolean =>
+      this.#isWithinLimit(entry) &&
+      !this.#isResting(entry) &&
+      this.#hasRoom(entry, service) &&
+      this.#hasConnectionLeft(entry.id, service);
+    const knowsSpeeds = this.#options.speeds.appliesTo(service.name);
+    if (knowsSpeeds && sampling && !usesOpen && this.#areAllReachable(now)) {
+      const isUsable = (entry: RunnerEntry): boolean =>
+        isAllowed(entry) && !detector.isEjected(entry.id, now);
+      const drawn = this.#drawn(listed, service, { sampling, isUsable, mayTake });
+      if (drawn.length > 0) return drawn;
+    }
+    const entries = listed.filter(isAllowed);
     const reachable = excludeUnreachableDomains(
       entries,
       (entry) => !this.#isReachable(entry, { isRepeatable, usesOpen }, now),
@@ -135,14 +217,20 @@
         : reachable;
     const healthy = hopeful.filter(({ id }) => !detector.isEjected(id, now));
     const usable = healthy.length > 0 ? healthy : hopeful;
+    if (knowsSpeeds && sampling) {
+      return this.#drawn(usable, service, { sampling, isUsable: () => true, mayTake });
+    }
+    if (knowsSpeeds) {
+      return usable
+        .filter(mayTake)
+        .map((entry) => this.#candidateOf(entry, service, this.#slownessOf(entry)));
+    }
     const median = medianOf(usable.map((entry) => this.#runnerOf(entry).latencyRatio));
     return usable
-      .filter(
-        (entry) =>
-          this.#isWithinLimit(entry) && !this.#isResting(entry) && this.#hasRoom(entry, service),
-      )
-      .map((entry) => this.#candidateOf(entry, service, median))
-      .filter(({ id }) => this.#hasConnectionLeft(id, service));
+      .filter(mayTake)
+      .map((entry) =>
+        this.#candidateOf(entry, service, this.#runnerOf(entry).latencyRatio / median),
+      );
   }
 
   /** Measured prefill rate of the engines of a service. */
@@ -172,8 +260,21 @@
     this.#detectorOf(entry.service).recordSent(entry.id, this.#options.clock.monotonic());
   }
 
+  /** Records the load that a runner reported in a response. */
+  recordLoad(entry: RunnerEntry, load: RunnerLoad): void {
+    const { loadTracker, speeds, log } = this.#options;
+    loadTracker.setReportedLoad(entry.id, load);
+    if (load.slowness !== undefined) {
+      speeds.recordMomentary(entry.service, incarnationOf(entry), load.slowness);
+    }
+    if (load.hasInvalidSlowness) {
+      log.rejected({ topic: 'runner-load', key: entry.id, cause: 'invalid momentary speed' });
+    }
+  }
+
   /** Records a successful response, with the ratio of measured to expected latency. */
-  recordSuccess(entry: RunnerEntry, ratio: number): void {
+  recordSuccess(entry: RunnerEntry, ratio: number, time: ResponseTime): void {
+    this.#recordSpeed(entry, time);
     const runner = this.#knownRunner(entry);
     const bounded = Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio));
     if (runner) {
@@ -318,6 +419,7 @@
     if (!runner || runner.unreachableUntil > now) return;
     const times = runner.unreachableTimes + 1;
     const forMs = Math.min(MAX_UNREACHABLE_MS, UNREACHABLE_MS * 2 ** (times - 1));
+    this.#unreachableUntil = Math.max(this.#unreachableUntil, now + forMs);
     this.#runners.set(entry.id, {
       ...runner,
       unreachableTimes: times,
@@ -360,7 +462,7 @@
   /** Removes runners that are no longer listed, and probes links. */
   prune(): void {
     this.links.update();
-    const { directory, loadTracker, limits, brittle } = this.#options;
+    const { directory, loadTracker, limits, brittle, speeds } = this.#options;
     const listed = new Map(directory.all().map((entry) => [entry.id, entry]));
     for (const [id, { agent }] of this.#runners) {
       if (listed.has(id)) continue;
@@ -374,6 +476,9 @@
     loadTracker.retain(new Set(listed.keys()));
     if (!this.#rests.isEmpty) this.#rests.prune(incarnations);
     if (!limits.isEmpty) limits.retain(incarnations);
+    if (!speeds.isEmpty) {
+      speeds.retain(incarnations, new Set([...listed.values()].map(({ service }) => service)));
+    }
     if (!brittle.isEmpty) brittle.setListed(this.#incarnationsByService(listed.values()));
     for (const [service, detector] of this.#detectors) {
       detector.setRunners(directory.ofService(service).map(({ id }) => id));
@@ -446,7 +551,50 @@
     return !this.#rests.mayTake(incarnationOf(entry), inProgress);
   }
 
-  #candidateOf(entry: RunnerEntry, service: Service, median: number): PlacementCandidate {
+  /** Spares requests the check of each runner while nothing is wrong with any. */
+  #areAllReachable(now: number): boolean {
+    return now >= this.#unreachableUntil && !this.links.hasLost;
+  }
+
+  /** A few runners by their speed, and those that may hold the prefix of the session. */
+  #drawn(
+    entries: readonly RunnerEntry[],
+    service: Service,
+    { sampling, isUsable, mayTake }: CandidateDraw,
+  ): readonly PlacementCandidate[] {
+    if (entries.length <= MAX_EXAMINED) {
+      return entries
+        .filter((entry) => isUsable(entry) && mayTake(entry))
+        .map((entry) => this.#candidateOf(entry, service, this.#slownessOf(entry)));
+    }
+    const { random, session, lastRunner } = sampling;
+    const home = session === '' ? undefined : homeOf(session, entries, isUsable);
+    const last = lastRunner === undefined ? undefined : entries.find(({ id }) => id === lastRunner);
+    return drawCandidates({
+      items: entries,
+      kept: [home, last].filter((entry) => entry !== undefined),
+      count: DRAWN,
+      weightOf: (entry) => Math.min(1, DRAWN_SLOWNESS / this.#slownessOf(entry)),
+      isUsable: (entry) => isUsable(entry) && mayTake(entry),
+      random,
+    }).map((entry) => ({
+      ...this.#candidateOf(entry, service, this.#slownessOf(entry)),
+      isHome: entry === home,
+    }));
+  }
+
+  #slownessOf(entry: RunnerEntry): number {
+    return this.#options.speeds.slownessOf(incarnationOf(entry));
+  }
+
+  #recordSpeed(entry: RunnerEntry, { route, tookMs, usualMs }: ResponseTime): void {
+    const { speeds } = this.#options;
+    if (!speeds.appliesTo(entry.service)) return;
+    const ratio = (tookMs + SPEED_OVERHEAD_MS) / (usualMs + SPEED_OVERHEAD_MS);
+    speeds.record({ service: entry.service, runner: incarnationOf(entry), kind: route, ratio });
+  }
+
+  #candidateOf(entry: RunnerEntry, service: Service, slowness: number): PlacementCandidate {
     const work = this.#options.loadTracker.workAt(entry.id);
     return {
       id: entry.id,
@@ -456,7 +604,7 @@
       prefillTokens: work.prefillTokens,
       kvTokens: work.kvTokens,
       kvCapacityTokens: service.engine?.kvCapacityTokens ?? 0,
-      slowness: this.#runnerOf(entry).latencyRatio / median,
+      slowness,
     };
   }
 
--- a/packages/gateway/src/types/domain-digest.ts
+++ b/packages/gateway/src/types/domain-digest.ts
@@ -4,6 +4,7 @@
   PromptEvidence,
   StatedLimit,
 } from '@ragwortrudder/admission';
+import { SpeedSums } from './speed-sums.ts';
 import * as z from 'zod';
 import { MAX_COLD_STATEMENTS } from '../utils/max-cold-statements.ts';
 import { RunnerBoot } from './runner-boot.ts';
@@ -45,6 +46,8 @@
   cold: z.array(ColdStatement).max(MAX_COLD_STATEMENTS).readonly().optional(),
   /** Brittle runners, as the members know them. */
   brittle: BrittleReport.optional(),
+  /** By boot of a runner with new samples: what the members have measured of its speed. */
+  speeds: z.record(BoundedText, SpeedSums).optional(),
   /** All members read compressed messages; absent in digests of older builds. */
   readsCompressed: z.boolean().optional(),
   /** Version of the configuration that the relay follows. */
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -5,6 +5,7 @@
   StatedLimit,
 } from '@ragwortrudder/admission';
 import { Evidence } from '@ragwortrudder/moves';
+import { SpeedSums } from './speed-sums.ts';
 import * as z from 'zod';
 import { MAX_COLD_STATEMENTS } from '../utils/max-cold-statements.ts';
 import { RunnerBoot } from './runner-boot.ts';
@@ -44,6 +45,8 @@
   cold: z.array(ColdStatement).max(MAX_COLD_STATEMENTS).readonly().optional(),
   /** Brittle runners, as the node knows them. */
   brittle: BrittleReport.optional(),
+  /** By boot of a runner with new samples: what the node has measured of its speed. */
+  speeds: z.record(BoundedText, SpeedSums).optional(),
   /** Version of the configuration that the node follows. */
   configuration: Ordinal.optional(),
   /** Time for which the node has read the list of runners without an outage, in milliseconds. */
--- a/test/gateway/proof-of-reach.test.ts
+++ b/test/gateway/proof-of-reach.test.ts
@@ -31,6 +31,7 @@
     log: new DecisionLog({ node: 'n1', out: new PassThrough().resume(), clock }),
     lastProgressAt: () => 0,
     isInUse: () => false,
+    isEvacuated: () => false,
     closeIdle: () => undefined,
     onChange: () => undefined,
   });
