Add an order of the requests of a service

Under overload the requests of a service were ordered by the engine alone, by a priority that did not tell whether a request could still meet its target. RequestOrder compares two requests by priority, target, team share, time and work, and states the cost of a delay and the engine priority. TeamShares counts requests in progress by team; spreadRetryMs randomizes a Retry-After.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -8,6 +8,7 @@
 export type { DroppedRequest } from './types/dropped-request.ts';
 export type { HedgeOptions } from './types/hedge-options.ts';
 export type { InterruptedRequest } from './types/interrupted-request.ts';
+export type { OrderedRequest } from './types/ordered-request.ts';
 export { PromptEvidence } from './types/prompt-evidence.ts';
 export type { QuarantineChange } from './types/quarantine-change.ts';
 export type { QuarantinedPart } from './types/quarantined-part.ts';
@@ -36,7 +37,10 @@
 export { repeatKey } from './utils/repeat-key.ts';
 export { PromptQuarantine } from './utils/prompt-quarantine.ts';
 export { RETRIES_LEFT_HEADER } from './utils/retries-left-header.ts';
+export { RequestOrder } from './utils/request-order.ts';
 export { RetryBudget } from './utils/retry-budget.ts';
 export { RunnerRests } from './utils/runner-rests.ts';
 export { StatedLimits } from './utils/stated-limits.ts';
 export { SharedQuota } from './utils/shared-quota.ts';
+export { spreadRetryMs } from './utils/spread-retry-ms.ts';
+export { TeamShares } from './utils/team-shares.ts';
