Take Request-Priority from the request order and spread Retry-After

A late request had the same engine priority as one of its priority that could still meet its target, and callers rejected by a saturated service were all told to return after 400 ms.

--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -16,11 +16,14 @@
 import { TriedRunners } from '../utils/tried-runners.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
-import { countRunners } from './count-runners.ts';
+import { GateEntry } from './gate-entry.ts';
 import { MonitoredAttempt } from './monitored-attempt.ts';
+import type { RequestGates } from './request-gates.ts';
+import { RunnerRefusals } from './runner-refusals.ts';
 import { RunnerSelection } from './runner-selection.ts';
 
 interface ForwardedRequestOptions extends ForwarderOptions {
+  readonly gates: RequestGates;
   readonly request: CallerRequest;
   readonly channel: CallerChannel;
   readonly route: Route;
@@ -54,8 +57,6 @@
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_GATEWAY_TIMEOUT = 504;
-/** Retry-After of a saturated service, in milliseconds: the time of a few responses. */
-const SATURATED_RETRY_MS = 400;
 /** Minimum remaining time for a retry, in milliseconds: a round trip and a short response. */
 const MIN_RETRY_MS = 50;
 
@@ -67,6 +68,8 @@
   readonly #deadlineAt: number;
   readonly #tried = new TriedRunners();
   readonly #selection: RunnerSelection;
+  readonly #gateEntry: GateEntry;
+  readonly #refusals: RunnerRefusals;
   /** Attempts in progress; more than one while a runner is silent, the newest last. */
   readonly #attempts = new Set<MonitoredAttempt>();
   /** Attempt at whose runner the session of the request is recorded. */
@@ -102,6 +105,9 @@
     });
     this.#arrivedAt = clock.monotonic();
     this.#deadlineAt = this.#arrivedAt + Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
+    const timed = { ...options, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt };
+    this.#gateEntry = new GateEntry({ ...timed, placement: this.#placement });
+    this.#refusals = new RunnerRefusals({ ...timed, tried: this.#tried });
   }
 
   /**
@@ -116,10 +122,12 @@
     channel.onDisconnect(() => {
       this.#cancel('caller-left');
     });
+    this.#gateEntry.open();
     try {
       await this.#attemptUntilDone();
     } finally {
       clearTimeout(timer);
+      this.#gateEntry.close();
       // After an unexpected error nothing else would end those that are left.
       this.#abortAttempts({ kind: 'ended' });
     }
@@ -256,7 +264,7 @@
   #checkChosen(chosen: ChosenRunner | undefined): ChosenRunner {
     if (chosen && !this.#isHeld()) return chosen;
     if (this.#mayHaveRun) this.#fail('runner-broken', HTTP_BAD_GATEWAY);
-    return this.#refuse(this.#causeWithoutRunner());
+    return this.#refuse(this.#refusals.causeWithoutRunner(this.#sends));
   }
 
   #handleOutcome(outcome: AttemptOutcome, attempt: MonitoredAttempt): boolean {
@@ -342,40 +350,14 @@
     };
   }
 
-  #causeWithoutRunner(): 'runner-full' | 'runner-unreachable' | 'no-runner' {
-    const { runners, lost } = this.#options.pool.reachOf(this.#options.service.name);
-    if (lost.size > 0 && lost.size === runners.length) return 'runner-unreachable';
-    return this.#sends > 0 ? 'runner-full' : 'no-runner';
-  }
-
-  /** Values that a refusal is based on, for the log. */
-  #refusalInputs(): Readonly<Record<string, string | number | undefined>> {
-    const { route, team, clock } = this.#options;
-    return {
-      route: route.name,
-      team: team?.name,
-      ...countRunners(this.#options),
-      runnersTried: this.#tried.size,
-      afterMs: Math.round(clock.monotonic() - this.#arrivedAt),
-    };
-  }
-
   /** Rejects the request, which no runner has run. */
   #refuse(cause: 'runner-full' | 'runner-unreachable' | 'no-runner'): never {
-    const { pool, service, route, responseTimes } = this.#options;
-    const restMs = pool.restMs(service.name);
-    // By then one of the requests that take the room of brittle runners has ended.
-    const roomMs = pool.hasBrittle ? responseTimes.expectedMs(route.name) : undefined;
-    throw new Refusal(cause, {
-      status: HTTP_UNAVAILABLE,
-      retryAfterMs: restMs ?? Math.min(SATURATED_RETRY_MS, roomMs ?? SATURATED_RETRY_MS),
-      inputs: this.#refusalInputs(),
-    });
+    throw this.#refusals.of(cause);
   }
 
   #fail(cause: 'runner-broken' | 'time-out', status: number): never {
     this.#isFinished = true;
-    throw new Refusal(cause, { status, inputs: this.#refusalInputs() });
+    throw new Refusal(cause, { status, inputs: this.#refusals.inputs });
   }
 
   /** Starts an attempt; returns false if the deadline has passed. */
@@ -392,6 +374,7 @@
       placement: this.#placement,
       chosen,
       remainingMs,
+      enginePriority: this.#gateEntry.enginePriority(this.#options.channel.hasBegun),
       needsNewConnection: this.#tried.recordStart(chosen),
       hasOther: () => this.#attempts.size > 1,
       onBytes: (responding) => {
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -15,6 +15,7 @@
 import type { CallerChannel } from './caller-channel.ts';
 import { ForwardedRequest } from './forwarded-request.ts';
 import type { PeerForwarder } from './peer-forwarder.ts';
+import { RequestGates } from './request-gates.ts';
 
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
@@ -61,12 +62,14 @@
 export class Forwarder {
   readonly #options: AdmittingOptions;
   readonly #active = new Set<ForwardedRequest>();
+  readonly #gates: RequestGates;
   #activeConfiguration: ActiveConfiguration | undefined;
   /** Requests of peers in progress. */
   #passedCount = 0;
 
   constructor(options: AdmittingOptions) {
     this.#options = options;
+    this.#gates = new RequestGates(options);
   }
 
   /** Requests in progress. */
@@ -104,6 +107,7 @@
       limit ? [[name, toleratedLimit(limit, this.#options.quotas())] as const] : [],
     );
     this.#options.quota.setLimits(new Map(limits));
+    this.#gates.retain(new Set(configuration.services.map(({ name }) => name)));
   }
 
   /** Serves one request; settles once the response has been handed to the channel. */
@@ -170,6 +174,7 @@
     );
     const forwarded = new ForwardedRequest({
       ...this.#options,
+      gates: this.#gates,
       request,
       channel,
       route,
@@ -300,6 +305,7 @@
     }
     const forwarded = new ForwardedRequest({
       ...this.#options,
+      gates: this.#gates,
       request,
       channel,
       route,
--- a/packages/gateway/src/node/monitored-attempt.ts
+++ b/packages/gateway/src/node/monitored-attempt.ts
@@ -8,7 +8,6 @@
 import type { RunnerWork } from '../types/runner-work.ts';
 import type { Silence } from '../types/silence.ts';
 import { ABORT_REASONS } from '../utils/abort-reasons.ts';
-import { enginePriority } from '../utils/engine-priority.ts';
 import { FIXED_OVERHEAD_MS } from '../utils/fixed-overhead-ms.ts';
 import { isFaultySilence } from '../utils/is-faulty-silence.ts';
 import { silenceOf } from '../utils/silence-of.ts';
@@ -28,6 +27,8 @@
   readonly placement: PlacementRequest;
   readonly chosen: ChosenRunner;
   readonly remainingMs: number;
+  /** Undefined for a runner that is not a model engine. */
+  readonly enginePriority: number | undefined;
   /** Idle connections may be lost. */
   readonly needsNewConnection: boolean;
   /** Another attempt at the request is in progress. */
@@ -149,7 +150,7 @@
   }
 
   #send(): RunnerAttempt {
-    const { dialect, intake, request, route, service, team, channel, pool, clock } = this.#options;
+    const { dialect, intake, request, route, team, channel, pool, clock } = this.#options;
     const { remainingMs, needsNewConnection } = this.#options;
     return new RunnerAttempt({
       dialect,
@@ -160,7 +161,7 @@
         runner: this.entry,
         remainingMs,
         team: team?.name,
-        priority: service.engine ? enginePriority(team?.priority ?? route.priority) : undefined,
+        priority: this.#options.enginePriority,
         lastEventId: channel.lastEventId ?? request.lastEventId,
       },
       ...(route.kind === 'stream' ? { sink: this.#sink } : {}),
