Ask the admission gate before a request is first sent to a model engine

Less urgent requests of an overloaded service took the runners that more urgent ones needed. A wait ends with its caller, with the deadline and with the stop of the node. A refusal is a 503 (service-overloaded) that is not passed on to a peer.

--- a/packages/gateway/src/errors/refusal.ts
+++ b/packages/gateway/src/errors/refusal.ts
@@ -20,6 +20,8 @@
   'request-quarantined':
     'runners crashed under this request when it came before; see prompt-part lines in the log',
   'no-runner': 'no runner of the service can take the request; see the list of runners',
+  'service-overloaded':
+    'more urgent requests of the service need its runners, or the deadline cannot be met; see the reason in the log',
   'runner-full': 'the runner refused the request without running it',
   'runner-unreachable': 'no connection to a runner could be opened, here or at a peer',
   'runner-broken': 'the runner broke off; the request may have run',
--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -106,7 +106,11 @@
     this.#arrivedAt = clock.monotonic();
     this.#deadlineAt = this.#arrivedAt + Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
     const timed = { ...options, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt };
-    this.#gateEntry = new GateEntry({ ...timed, placement: this.#placement });
+    this.#gateEntry = new GateEntry({
+      ...timed,
+      placement: this.#placement,
+      selection: this.#selection,
+    });
     this.#refusals = new RunnerRefusals({ ...timed, tried: this.#tried });
   }
 
@@ -122,9 +126,8 @@
     channel.onDisconnect(() => {
       this.#cancel('caller-left');
     });
-    this.#gateEntry.open();
     try {
-      await this.#attemptUntilDone();
+      await this.#attemptUntilDone(await this.#gateEntry.admit());
     } finally {
       clearTimeout(timer);
       this.#gateEntry.close();
@@ -232,10 +235,12 @@
     return quarantine.isHeld(quarantineKeys);
   }
 
-  async #attemptUntilDone(): Promise<void> {
+  async #attemptUntilDone(admitted: ChosenRunner | undefined): Promise<void> {
+    let first = admitted;
     for (;;) {
       if (this.#attempts.size === 0) {
-        const chosen = await this.#chooseNext();
+        const chosen = first ?? (await this.#chooseNext());
+        first = undefined;
         if (this.#isFinished || (!chosen && this.#respondFailed())) return;
         if (!this.#start(this.#checkChosen(chosen))) return;
       }
@@ -505,6 +510,7 @@
       return;
     }
     this.#isFinished = true;
+    this.#gateEntry.close();
     metrics.count('refusals', { cause: failure.code });
     log.notable(event, {
       request: request.id,
@@ -520,6 +526,7 @@
   #cancel(reason: string): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
+    this.#gateEntry.close();
     const { request, log, metrics, route } = this.#options;
     metrics.count('left', { reason });
     log.routine('request-left', { request: request.id, route: route.name, reason });
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -15,6 +15,7 @@
 import type { CallerChannel } from './caller-channel.ts';
 import { ForwardedRequest } from './forwarded-request.ts';
 import type { PeerForwarder } from './peer-forwarder.ts';
+import type { Peers } from './peers.ts';
 import { RequestGates } from './request-gates.ts';
 
 const HTTP_UNAUTHORIZED = 401;
@@ -44,6 +45,7 @@
 
 interface AdmittingOptions extends ForwarderOptions {
   readonly peerForwarder: PeerForwarder;
+  readonly peers: Peers;
   /** No configuration is known to be newer than the active one, nor may there be one for long. */
   readonly isCurrent: () => boolean;
 }
@@ -107,7 +109,7 @@
       limit ? [[name, toleratedLimit(limit, this.#options.quotas())] as const] : [],
     );
     this.#options.quota.setLimits(new Map(limits));
-    this.#gates.retain(new Set(configuration.services.map(({ name }) => name)));
+    this.#gates.apply(configuration);
   }
 
   /** Serves one request; settles once the response has been handed to the channel. */
@@ -207,6 +209,8 @@
       }
       const refusal = await this.#run(forwarded);
       if (!refusal) return forwarded.mayHaveRun;
+      // A peer would decide the same about a request that has to give way to others.
+      if (refusal.code === 'service-overloaded') throw refusal;
       if (!(await this.#mayPassOn(forwarded, request.service))) throw refusal;
       await this.#passOn(forwarded, request, refusal);
       return true;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -19,6 +19,7 @@
 import { DemandMeter } from '../utils/demand-meter.ts';
 import { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import { reasonOf } from '../utils/reason-of.ts';
+import { requestDemand } from '../utils/request-demand.ts';
 import { ResponseTimes } from '../utils/response-times.ts';
 import { retryAllowance } from '../utils/retry-allowance.ts';
 import { trialRank } from '../utils/trial-rank.ts';
@@ -277,12 +278,9 @@
       isCurrent: () => this.#catalog.isConfirmed && !this.#configurationSync.isBehind,
       onLongPrompt: (runnerId, tokens) => void this.#peers.announcePrompt(runnerId, tokens),
       onAdmitted: (service, request) => {
-        this.#demand.add(service.name, {
-          requests: 1,
-          promptTokens: request.promptTokens ?? 0,
-          outputTokens: request.outputTokens ?? 0,
-        });
+        this.#demand.add(service.name, requestDemand(request));
       },
+      peers: this.#peers,
     });
     this.#quarantineSync = new QuarantineSync({
       quarantine: this.#quarantine,
--- a/packages/gateway/src/node/runner-selection.ts
+++ b/packages/gateway/src/node/runner-selection.ts
@@ -4,6 +4,7 @@
 import type { ChosenRunner } from '../types/chosen-runner.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
 import type { PassedRequest } from '../types/passed-request.ts';
+import type { PlacementSurvey } from '../types/placement-survey.ts';
 import { FIXED_OVERHEAD_MS } from '../utils/fixed-overhead-ms.ts';
 import type { TriedRunners } from '../utils/tried-runners.ts';
 
@@ -46,6 +47,13 @@
     });
   }
 
+  /** The runner that the request would be sent to first, at a service with engines. */
+  survey(): PlacementSurvey | undefined {
+    const candidates = this.#candidates({ isAllowed: () => true, usesOpen: false });
+    const chosen = this.#chooseEngine(candidates);
+    return chosen && { chosen, candidates };
+  }
+
   /** A runner with an open connection, for a request that has lost one and may have no other way. */
   chooseOpen(): ChosenRunner | undefined {
     const { tried } = this.#options;
--- a/packages/gateway/src/types/refusal-cause.ts
+++ b/packages/gateway/src/types/refusal-cause.ts
@@ -8,6 +8,7 @@
   | 'prompt-quarantined'
   | 'request-quarantined'
   | 'no-runner'
+  | 'service-overloaded'
   | 'runner-full'
   | 'runner-unreachable'
   | 'runner-broken'
