Leave room in the admission gate for what other nodes have not reported yet

The modelled nodes place a request at the best of three sampled runners; if all nodes examine all runners, they choose the same one and urgent requests miss their targets whatever is held back.

Run: npx ava test/admission/admission-gate.test.ts test/admission/request-order.test.ts test/gateway/request-gate.test.ts (29 passed), tsc, eslint

--- a/packages/admission/src/utils/admission-gate.ts
+++ b/packages/admission/src/utils/admission-gate.ts
@@ -7,6 +7,7 @@
 import type { ServiceOutlook } from '../types/service-outlook.ts';
 import { BacklogTrend } from './backlog-trend.ts';
 import { RecentClasses } from './recent-classes.ts';
+import { RecentWork } from './recent-work.ts';
 import type { RequestOrder } from './request-order.ts';
 import { spreadRetryMs } from './spread-retry-ms.ts';
 
@@ -16,6 +17,8 @@
   readonly order: RequestOrder;
   /** Known nodes divided by those that this node has reports of, including itself; at least 1. */
   readonly unheardFactor: () => number;
+  /** Other nodes that send to the runners, and the period of their reports in milliseconds. */
+  readonly peers: () => { readonly count: number; readonly periodMs: number };
   /** This node has just started and waits for the first reports of its peers. */
   readonly isUninformed: () => boolean;
 }
@@ -37,9 +40,11 @@
 const QUIET_SHARE = 0.25;
 /**
  * Fraction of the target of a more urgent class up to which its expected time to the first token may
- * rise. The rest is for work that other nodes have sent since their last reports.
+ * rise. The rest is for what other nodes have sent since their last reports: in the modelled pool with 10
+ * nodes and 349 urgent requests per second, 96 of 100 of them are on time at 0.6, 91 at 0.7 and 79 at 0.8,
+ * and as many of the others are served, since the runners always have work.
  */
-const TARGET_SHARE = 0.8;
+const TARGET_SHARE = 0.6;
 /** Fraction of its latency target that a request waits at most. */
 const MAX_WAIT_SHARE = 1 / 8;
 /** Fraction of slots in use up to which no request is held while none is waiting. */
@@ -64,6 +69,8 @@
   readonly #options: AdmissionGateOptions;
   readonly #classes: RecentClasses;
   readonly #trend: BacklogTrend;
+  /** Work of the less urgent requests that this node has admitted. */
+  readonly #admitted: RecentWork;
   #queue: readonly QueuedRequest[] = [];
   /** Requests that gave way to others in a full queue, until the next review. */
   #displaced: readonly QueuedRequest[] = [];
@@ -72,6 +79,7 @@
     this.#options = options;
     this.#classes = new RecentClasses(options.clock);
     this.#trend = new BacklogTrend(options.clock);
+    this.#admitted = new RecentWork(options.clock);
   }
 
   /** Number of waiting requests. */
@@ -93,6 +101,7 @@
     const isBehind =
       decision.kind === 'admit' &&
       this.#queue.some((queued) => this.#options.order.compare(queued.request, request) < 0);
+    if (decision.kind === 'admit' && !isBehind) this.#recordAdmitted(request);
     if (decision.kind !== 'wait' && !isBehind) return decision;
     return this.#enqueue({ request, look });
   }
@@ -118,7 +127,9 @@
       isBlocked ||= decision.kind === 'wait';
       if (decision.kind === 'wait') continue;
       reviewed.push({ request, decision });
-      if (decision.kind === 'admit') break;
+      if (decision.kind !== 'admit') continue;
+      this.#recordAdmitted(request);
+      break;
     }
     const left = new Set(reviewed.map(({ request }) => request));
     this.#queue = this.#queue.filter(({ request }) => !left.has(request));
@@ -165,7 +176,8 @@
   }
 
   /** Time by which a more urgent class would be expected to pass its level, in milliseconds. */
-  #excessMs({ priority }: OrderedRequest, { estimateAfter }: ServiceOutlook): number {
+  #excessMs({ priority }: OrderedRequest, { estimateAfter, runners }: ServiceOutlook): number {
+    const unreportedMs = this.#unreportedMs(runners);
     const excesses = this.#classes
       .moreUrgentThan(priority)
       .flatMap(({ latencyTargetMs, prefillTokens }) => {
@@ -173,7 +185,7 @@
         const levelMs = TARGET_SHARE * latencyTargetMs;
         // A class whose prompts alone take longer misses its target whatever is held back.
         if (!estimate || estimate.prefillMs >= levelMs) return [];
-        return [this.#firstTokenMs(estimate) - levelMs];
+        return [this.#firstTokenMs(estimate) + unreportedMs - levelMs];
       });
     return Math.max(-Infinity, ...excesses);
   }
@@ -183,6 +195,20 @@
     return waitMs * this.#options.unheardFactor() + prefillMs;
   }
 
+  /**
+   * Backlog at each runner that the other nodes have not reported so far: they see the same room, and are
+   * taken to have filled it since their last reports as this node has. Without it each node would fill
+   * all of the room.
+   */
+  #unreportedMs(runners: number): number {
+    const { count, periodMs } = this.#options.peers();
+    return count === 0 ? 0 : (count * this.#admitted.within(periodMs)) / Math.max(1, runners);
+  }
+
+  #recordAdmitted(request: OrderedRequest): void {
+    this.#admitted.add(this.#options.order.prefillMs(request));
+  }
+
   #hasRoom({ occupancy, estimate }: ServiceOutlook): boolean {
     const factor = this.#options.unheardFactor();
     if (estimate.waitMs * factor > MAX_RUNNING_MS) return false;
--- a/packages/admission/src/utils/request-order.ts
+++ b/packages/admission/src/utils/request-order.ts
@@ -43,7 +43,7 @@
    */
   costOfDelay(request: OrderedRequest, delayMs: number): number {
     const firstTokenAt =
-      this.#options.clock.monotonic() + Math.max(0, delayMs) + this.#prefillMs(request);
+      this.#options.clock.monotonic() + Math.max(0, delayMs) + this.prefillMs(request);
     const targetAt = this.#targetAt(request);
     if (firstTokenAt <= targetAt) return 0;
     const lateShare =
@@ -71,7 +71,12 @@
 
   /** The request would meet its target at an idle runner. */
   canMeetTarget(request: OrderedRequest): boolean {
-    return this.#options.clock.monotonic() + this.#prefillMs(request) <= this.#targetAt(request);
+    return this.#options.clock.monotonic() + this.prefillMs(request) <= this.#targetAt(request);
+  }
+
+  /** Time for the prompt of the request, in milliseconds. */
+  prefillMs({ prefillTokens }: OrderedRequest): number {
+    return prefillTokens * this.#options.prefillMsPerToken();
   }
 
   /**
@@ -85,10 +90,6 @@
     return Math.min(LEAST_URGENT, Math.max(MOST_URGENT, value));
   }
 
-  #prefillMs({ prefillTokens }: OrderedRequest): number {
-    return prefillTokens * this.#options.prefillMsPerToken();
-  }
-
   /** Time at which the target is missed; a target of 0 is none. */
   #targetAt({ latencyTargetMs, arrivedAt, deadlineAt }: OrderedRequest): number {
     return latencyTargetMs > 0 ? Math.min(arrivedAt + latencyTargetMs, deadlineAt) : deadlineAt;
--- a/packages/gateway/src/node/request-gates.ts
+++ b/packages/gateway/src/node/request-gates.ts
@@ -51,6 +51,7 @@
       random,
       order,
       unheardFactor: () => Math.max(1, peers.knownCount / peers.reachableCount),
+      peers: () => ({ count: peers.reachableCount - 1, periodMs: peers.timing.periodMs }),
       isUninformed: () => this.#isUninformed(),
     });
     gate.configure(this.#classes.get(service) ?? []);
--- a/packages/gateway/src/utils/service-outlook-of.ts
+++ b/packages/gateway/src/utils/service-outlook-of.ts
@@ -36,6 +36,7 @@
         : candidate,
     );
   return {
+    runners: candidates.length,
     estimate: estimateOf({
       id: chosen.entry.id,
       firstTokenMs: chosen.expectedMs,
--- a/test/admission/admission-gate.test.ts
+++ b/test/admission/admission-gate.test.ts
@@ -41,7 +41,11 @@
     isOverShare: (team) => shares.isOverShare(team),
   });
   const random = new SeededRandom(2);
-  const gate = new AdmissionGate({ clock, random, order, unheardFactor, isUninformed });
+  const peers = (): ReturnType<ConstructorParameters<typeof AdmissionGate>[0]['peers']> => ({
+    count: 0,
+    periodMs: 100,
+  });
+  const gate = new AdmissionGate({ clock, random, order, unheardFactor, isUninformed, peers });
   gate.configure([
     { priority: 0, latencyTargetMs: 500 },
     { priority: 1, latencyTargetMs: 2_000 },
@@ -67,6 +71,7 @@
 
 function lookAt(waitMs: number, change: Partial<ServiceOutlook> = {}) {
   return (): ServiceOutlook => ({
+    runners: 10,
     estimate: { waitMs, prefillMs: 70 },
     estimateAfter: () => ({ waitMs: waitMs + 70, prefillMs: 25 }),
     occupancy: () => ({ slots: 100, inFlight: 90, hasWaiting: true }),
@@ -94,6 +99,26 @@
     t.true(later.longestWaitMs <= second.targetMs / 8 + 10, `${later.longestWaitMs} ms`);
   });
 
+  // Guards against nodes that all send to the runner that was idle in the last reports.
+  test(`load at 10 nodes with reports every 100 ms: ${mix}; the more urgent class keeps its target`, (t) => {
+    const options = { classes, runners: RUNNERS, seed: 12, nodes: 10 };
+    const [urgent, later] = simulateGate({ ...options, hasGate: true });
+    t.log(JSON.stringify({ urgent, later }));
+    if (!urgent || !later) throw new TypeError('a class has no result');
+    t.true(urgent.onTime >= 0.95 * urgent.offered);
+    const servedShare = later.served / later.offered;
+    t.true(servedShare > 0.25 && servedShare <= urgent.served / urgent.offered + 0.05);
+  });
+
+  // Guards against a gate that refuses what the runners could serve without harm to the urgent class.
+  test(`load at 10 nodes just below the capacity: ${mix}; nearly nothing is refused`, (t) => {
+    const options = { classes, runners: 19, seed: 4, nodes: 10 };
+    for (const { offered, served, onTime } of simulateGate({ ...options, hasGate: true })) {
+      t.true(served >= 0.99 * offered, `${served} of ${offered}`);
+      t.true(onTime >= 0.97 * offered, `${onTime} of ${offered} on time`);
+    }
+  });
+
   // Guards against a gate that delays or refuses requests of a service that is not overloaded.
   test(`load: ${mix} at enough runners; nothing waits or is refused`, (t) => {
     const options = { classes, runners: 3 * RUNNERS, seed: 11 };
