Widen the spread of Retry-After

The header has a resolution of 10 ms, and three callers rejected together got two different delays in one run of request-gate.test.ts.

--- a/packages/admission/src/utils/spread-retry-ms.ts
+++ b/packages/admission/src/utils/spread-retry-ms.ts
@@ -8,12 +8,15 @@
   readonly random: Random;
 }
 
-/** Width of the spread as a fraction of the delay, so that rejected callers do not return together. */
-const SPREAD = 0.5;
+/**
+ * Width of the spread as a fraction of the delay, so that rejected callers do not return together. The
+ * header may have a resolution of 10 ms, at which a narrow spread has few values.
+ */
+const SPREAD = 1;
 /** Fraction of its remaining time that a caller is asked to wait at most; it may be rejected again. */
 const MAX_REMAINING_SHARE = 1 / 3;
-/** Shortest delay, in milliseconds: a caller that returns sooner finds nothing changed. */
-const MIN_RETRY_MS = 20;
+/** Shortest mean delay, in milliseconds: a caller that returns sooner finds nothing changed. */
+const MIN_RETRY_MS = 100;
 
 /** Randomized Retry-After of a rejected request, in milliseconds. */
 export function spreadRetryMs({ expectedMs, remainingMs, random }: RetrySpread): number {
