Keep the admitted work of the gate in constant space

RecentWork kept a list that was only shortened while a service was busy, so that it grew with each less urgent request of a quiet one. It now forgets exponentially.

--- a/packages/admission/src/utils/recent-work.ts
+++ b/packages/admission/src/utils/recent-work.ts
@@ -1,28 +1,24 @@
 import type { Clock } from '@ragwortrudder/core';
 
-interface SentWork {
-  readonly at: number;
-  readonly ms: number;
-}
-
-/** Work that was sent within a time before now. */
+/** Work that was sent recently; it is forgotten exponentially, so that its size is constant. */
 export class RecentWork {
   readonly #clock: Clock;
-  #sent: readonly SentWork[] = [];
+  #ms = 0;
+  #updatedAt = 0;
 
   constructor(clock: Clock) {
     this.#clock = clock;
   }
 
   /** Records that work was sent, in milliseconds of a runner's time. */
-  add(ms: number): void {
-    this.#sent = [...this.#sent, { at: this.#clock.monotonic(), ms }];
+  add(ms: number, periodMs: number): void {
+    this.#ms = this.within(periodMs) + ms;
+    this.#updatedAt = this.#clock.monotonic();
   }
 
-  /** Work sent in the last `periodMs`, in milliseconds; older work is dropped. */
+  /** Work sent in about the last `periodMs`, in milliseconds. */
   within(periodMs: number): number {
-    const since = this.#clock.monotonic() - periodMs;
-    this.#sent = this.#sent.filter(({ at }) => at > since);
-    return this.#sent.reduce((sum, { ms }) => sum + ms, 0);
+    if (periodMs <= 0) return 0;
+    return this.#ms * Math.exp((this.#updatedAt - this.#clock.monotonic()) / periodMs);
   }
 }
