--- a/packages/gateway/src/node/forwarded-request.ts
+++ b/packages/gateway/src/node/forwarded-request.ts
@@ -13,15 +13,17 @@
 import { MAX_UNSENT } from '../utils/max-unsent.ts';
 import { nextStep } from '../utils/next-step.ts';
 import { placementRequestOf } from '../utils/placement-request-of.ts';
-import { refusalDelayMs } from '../utils/refusal-delay-ms.ts';
 import { TriedRunners } from '../utils/tried-runners.ts';
 import type { CallerChannel } from './caller-channel.ts';
 import type { ForwarderOptions } from '../types/forwarder-options.ts';
-import { countRunners } from './count-runners.ts';
+import { GateEntry } from './gate-entry.ts';
 import { MonitoredAttempt } from './monitored-attempt.ts';
+import type { RequestGates } from './request-gates.ts';
+import { RunnerRefusals } from './runner-refusals.ts';
 import { RunnerSelection } from './runner-selection.ts';
 
 interface ForwardedRequestOptions extends ForwarderOptions {
+  readonly gates: RequestGates;
   readonly request: CallerRequest;
   readonly channel: CallerChannel;
   readonly route: Route;
@@ -68,6 +70,8 @@
   readonly #deadlineAt: number;
   readonly #tried = new TriedRunners();
   readonly #selection: RunnerSelection;
+  readonly #gateEntry: GateEntry;
+  readonly #refusals: RunnerRefusals;
   /** Attempts in progress; more than one while a runner is silent, the newest last. */
   readonly #attempts = new Set<MonitoredAttempt>();
   /** Attempt at whose runner the session of the request is recorded. */
@@ -103,6 +107,13 @@
     });
     this.#arrivedAt = clock.monotonic();
     this.#deadlineAt = this.#arrivedAt + Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
+    const timed = { ...options, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt };
+    this.#gateEntry = new GateEntry({
+      ...timed,
+      placement: this.#placement,
+      selection: this.#selection,
+    });
+    this.#refusals = new RunnerRefusals({ ...timed, tried: this.#tried });
   }
 
   /**
@@ -118,9 +129,10 @@
       this.#cancel('caller-left');
     });
     try {
-      await this.#attemptUntilDone();
+      await this.#attemptUntilDone(await this.#gateEntry.admit());
     } finally {
       clearTimeout(timer);
+      this.#gateEntry.close();
       // After an unexpected error nothing else would end those that are left.
       this.#abortAttempts({ kind: 'ended' });
     }
@@ -225,10 +237,12 @@
     return quarantine.isHeld(quarantineKeys);
   }
 
-  async #attemptUntilDone(): Promise<void> {
+  async #attemptUntilDone(admitted: ChosenRunner | undefined): Promise<void> {
+    let first = admitted;
     for (;;) {
       if (this.#attempts.size === 0) {
-        const chosen = await this.#chooseNext();
+        const chosen = first ?? (await this.#chooseNext());
+        first = undefined;
         if (this.#isFinished || (!chosen && this.#respondFailed())) return;
         if (!this.#start(this.#checkChosen(chosen))) return;
       }
@@ -257,7 +271,7 @@
   #checkChosen(chosen: ChosenRunner | undefined): ChosenRunner {
     if (chosen && !this.#isHeld()) return chosen;
     if (this.#mayHaveRun) this.#fail('runner-broken', HTTP_BAD_GATEWAY);
-    return this.#refuse(this.#causeWithoutRunner());
+    return this.#refuse(this.#refusals.causeWithoutRunner(this.#sends));
   }
 
   #handleOutcome(outcome: AttemptOutcome, attempt: MonitoredAttempt): boolean {
@@ -343,37 +357,14 @@
     };
   }
 
-  #causeWithoutRunner(): 'runner-full' | 'runner-unreachable' | 'no-runner' {
-    const { pool, service, home } = this.#options;
-    const { runners, lost } = pool.reachOf(service.name, home);
-    if (lost.size > 0 && lost.size === runners.length) return 'runner-unreachable';
-    return this.#sends > 0 ? 'runner-full' : 'no-runner';
-  }
-
-  /** Values that a refusal is based on, for the log. */
-  #refusalInputs(): Readonly<Record<string, string | number | undefined>> {
-    const { route, team, clock } = this.#options;
-    return {
-      route: route.name,
-      team: team?.name,
-      ...countRunners(this.#options),
-      runnersTried: this.#tried.size,
-      afterMs: Math.round(clock.monotonic() - this.#arrivedAt),
-    };
-  }
-
   /** Rejects the request, which no runner has run. */
   #refuse(cause: 'runner-full' | 'runner-unreachable' | 'no-runner'): never {
-    throw new Refusal(cause, {
-      status: HTTP_UNAVAILABLE,
-      retryAfterMs: refusalDelayMs(this.#options),
-      inputs: this.#refusalInputs(),
-    });
+    throw this.#refusals.of(cause);
   }
 
   #fail(cause: 'runner-broken' | 'time-out', status: number): never {
     this.#isFinished = true;
-    throw new Refusal(cause, { status, inputs: this.#refusalInputs() });
+    throw new Refusal(cause, { status, inputs: this.#refusals.inputs });
   }
 
   /** Starts an attempt; returns false if the deadline has passed. */
@@ -390,6 +381,7 @@
       placement: this.#placement,
       chosen,
       remainingMs,
+      enginePriority: this.#gateEntry.enginePriority(this.#options.channel.hasBegun),
       needsNewConnection: this.#tried.recordStart(chosen),
       hasOther: () => this.#attempts.size > 1,
       onBytes: (responding) => {
@@ -520,6 +512,7 @@
       return;
     }
     this.#isFinished = true;
+    this.#gateEntry.close();
     metrics.count('refusals', { cause: failure.code });
     log.notable(event, {
       request: request.id,
@@ -535,6 +528,7 @@
   #cancel(reason: string): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
+    this.#gateEntry.close();
     const { request, log, metrics, route } = this.#options;
     metrics.count('left', { reason });
     log.routine('request-left', { request: request.id, route: route.name, reason });
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -16,6 +16,8 @@
 import type { CallerChannel } from './caller-channel.ts';
 import { ForwardedRequest } from './forwarded-request.ts';
 import type { PeerForwarder } from './peer-forwarder.ts';
+import type { Peers } from './peers.ts';
+import { RequestGates } from './request-gates.ts';
 
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
@@ -44,6 +46,7 @@
 
 interface AdmittingOptions extends ForwarderOptions {
   readonly peerForwarder: PeerForwarder;
+  readonly peers: Peers;
   /** No configuration is known to be newer than the active one, nor may there be one for long. */
   readonly isCurrent: () => boolean;
 }
@@ -62,12 +65,14 @@
 export class Forwarder {
   readonly #options: AdmittingOptions;
   readonly #active = new Set<ForwardedRequest>();
+  readonly #gates: RequestGates;
   #activeConfiguration: ActiveConfiguration | undefined;
   /** Requests of peers in progress. */
   #passedCount = 0;
 
   constructor(options: AdmittingOptions) {
     this.#options = options;
+    this.#gates = new RequestGates(options);
   }
 
   /** Requests in progress. */
@@ -105,6 +110,7 @@
       limit ? [[name, toleratedLimit(limit, this.#options.settings().quotas)] as const] : [],
     );
     this.#options.quota.setLimits(new Map(limits));
+    this.#gates.apply(configuration);
   }
 
   /** Serves one request; settles once the response has been handed to the channel. */
@@ -174,6 +180,7 @@
     );
     const forwarded = new ForwardedRequest({
       ...this.#options,
+      gates: this.#gates,
       request,
       channel,
       route,
@@ -210,6 +217,8 @@
       }
       const refusal = await this.#run(forwarded);
       if (!refusal) return forwarded.mayHaveRun;
+      // A peer would decide the same about a request that has to give way to others.
+      if (refusal.code === 'service-overloaded') throw refusal;
       if (!(await this.#mayPassOn(forwarded, request.service))) throw refusal;
       await this.#passOn(forwarded, request, refusal);
       return true;
@@ -309,6 +318,7 @@
     }
     const forwarded = new ForwardedRequest({
       ...this.#options,
+      gates: this.#gates,
       request,
       channel,
       route,
