Treat a response whose connection is reset as incomplete in all HTTP clients

A body that only its connection frames was taken as complete when the connection was reset: callHttp returned the part that had arrived. One definition in packages/core (incompleteBodyReason, with ConnectionMonitor, which the forwarding path had as a private method) is now checked at the end of each response that is read through readPieces, and used by RunnerAttempt. The rule of the forwarding path is unchanged.

Whole responses with an orderly close, or reset behind their length, are still returned (test).

CallerClient.submit returns after the final event: a reset behind it would now have been reported as a failure of a finished answer.

--- a/packages/client/src/node/caller-client.ts
+++ b/packages/client/src/node/caller-client.ts
@@ -47,6 +47,8 @@
             throw new ConnectionLost(node, 'an event is of another run');
           if (progress.isBehind(event)) throw new ConnectionLost(node, 'an event is missing');
           if (progress.advance(event)) yield event;
+          // What becomes of the connection after the final event says nothing about the answer.
+          if (progress.isFinished()) return;
         }
         if (!progress.isFinished()) throw new ConnectionLost(node);
       } catch (error) {
--- a/packages/client/src/node/event-source.ts
+++ b/packages/client/src/node/event-source.ts
@@ -3,6 +3,7 @@
 import { createParser } from 'eventsource-parser';
 import {
   ByteBuffer,
+  ConnectionMonitor,
   EventSizeLimit,
   limitConnectTime,
   limitFraming,
@@ -10,6 +11,7 @@
   readBody,
   readPieces,
 } from '@ragwortrudder/core';
+import type { ReceivedResponse } from '@ragwortrudder/core';
 import { ConnectionLost } from '../errors/connection-lost.ts';
 import { RequestRefused } from '../errors/request-refused.ts';
 import type { AnswerEvent } from '../types/answer-event.ts';
@@ -59,9 +61,9 @@
   });
   let readBytes = 0;
   try {
-    const response = await open(options, () => readBytes);
+    const received = await open(options, () => readBytes);
     const decoder = new TextDecoder();
-    for await (const piece of readPieces(response)) {
+    for await (const piece of readPieces(received)) {
       readBytes += piece.length;
       const text = decoder.decode(piece, { stream: true });
       sizeLimit.add(text);
@@ -82,7 +84,7 @@
 async function open(
   options: EventSourceOptions,
   readBytes: () => number,
-): Promise<IncomingMessage> {
+): Promise<ReceivedResponse> {
   const { node, path, method, headers, body, connectMs, idleTimeoutMs, signal } = options;
   const length = body === undefined ? {} : { 'content-length': String(Buffer.byteLength(body)) };
   const call = request(new URL(`http://${node}${path}`), {
@@ -95,6 +97,7 @@
     },
     ...(signal ? { signal } : {}),
   });
+  const connection = new ConnectionMonitor(call);
   limitFraming(call, readBytes);
   limitConnectTime(call, connectMs);
   call.setTimeout(idleTimeoutMs, () => {
@@ -109,14 +112,15 @@
     });
     call.end(body);
   });
-  if ((response.statusCode ?? 0) < HTTP_REDIRECT) return response;
-  throw await refusalOf(response, node);
+  const received = { request: call, response, connection };
+  if ((response.statusCode ?? 0) < HTTP_REDIRECT) return received;
+  throw await refusalOf(received, node);
 }
 
-async function refusalOf(response: IncomingMessage, node: string): Promise<Error> {
+async function refusalOf(received: ReceivedResponse, node: string): Promise<Error> {
   const buffer = new ByteBuffer();
-  await readBody(response, buffer, MAX_PROBLEM_BYTES);
+  await readBody(received, buffer, MAX_PROBLEM_BYTES);
   const problem = Problem.safeParse(parseBoundedJson(buffer.take()));
-  const status = `status ${response.statusCode ?? 0}`;
+  const status = `status ${received.response.statusCode ?? 0}`;
   return problem.success ? new RequestRefused(problem.data) : new ConnectionLost(node, status);
 }
--- a/packages/core/src/node/call-http.ts
+++ b/packages/core/src/node/call-http.ts
@@ -5,6 +5,7 @@
 import type { HttpCall } from '../types/http-call.ts';
 import type { HttpReply } from '../types/http-reply.ts';
 import { ByteBuffer } from '../utils/byte-buffer.ts';
+import { ConnectionMonitor } from './connection-monitor.ts';
 import { limitConnectTime } from './limit-connect-time.ts';
 import { limitFraming } from './limit-framing.ts';
 import { readBody } from './read-body.ts';
@@ -29,6 +30,7 @@
   const { body, timeoutMs, connectTimeoutMs = timeoutMs, maxBodyBytes } = call;
   const buffer = new ByteBuffer();
   const request = send(call);
+  const connection = new ConnectionMonitor(request);
   let failure: Error | undefined;
   request.on('error', (error) => {
     failure ??= error;
@@ -42,7 +44,7 @@
   }, timeoutMs);
   try {
     const response = await responseTo(request, body);
-    await readBody(response, buffer, maxBodyBytes);
+    await readBody({ request, response, connection }, buffer, maxBodyBytes);
     return {
       status: response.statusCode ?? 0,
       headers: response.headers,
--- a/packages/core/src/node/read-body.ts
+++ b/packages/core/src/node/read-body.ts
@@ -1,15 +1,15 @@
-import type { IncomingMessage } from 'node:http';
 import { CallFailure } from '../errors/call-failure.ts';
+import type { ReceivedResponse } from '../types/received-response.ts';
 import type { ByteBuffer } from '../utils/byte-buffer.ts';
 import { readPieces } from './read-pieces.ts';
 
-/** Reads the body of a response into `buffer`; throws when it has more than `maxBytes`. */
+/** Reads the body of a response into `buffer`; throws when it is not complete or has more than `maxBytes`. */
 export async function readBody(
-  response: IncomingMessage,
+  received: ReceivedResponse,
   buffer: ByteBuffer,
   maxBytes: number,
 ): Promise<void> {
-  for await (const piece of readPieces(response)) {
+  for await (const piece of readPieces(received)) {
     if (buffer.length + piece.length > maxBytes) {
       throw new CallFailure({
         reason: 'body-too-large',
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -1,7 +1,7 @@
 import { request as sendRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { ByteBuffer, responseFraming } from '@ragwortrudder/core';
+import { ByteBuffer, ConnectionMonitor, responseFraming } from '@ragwortrudder/core';
 import type { ResponseFraming } from '@ragwortrudder/core';
 import type { RunnerResponse } from '../types/runner-response.ts';
 import type { ResponseHead } from '../types/response-head.ts';
@@ -58,7 +58,7 @@
   #settle: (outcome: AttemptOutcome) => void = () => undefined;
   #isSettled = false;
   #wasConnected = false;
-  #connection: ResponseTransfer['connection'] = 'open';
+  #connection: ConnectionMonitor | undefined;
   #framing: ResponseFraming | undefined;
   #bytes = 0;
   #interimCount = 0;
@@ -99,8 +99,8 @@
       headers: dialect.runnerHeaders(request, metadata),
       setHost: false,
     });
+    this.#connection = new ConnectionMonitor(client);
     client.on('socket', (socket) => {
-      this.#watchConnection(client, socket);
       this.#paceReads(client, socket);
       if (!socket.connecting) this.#wasConnected = true;
       else
@@ -131,20 +131,6 @@
     return client;
   }
 
-  /**
-   * A response without a length ends when its connection closes, and a reset that arrives together with
-   * data is reported as a regular end. Only after a reset is the remote address no longer set.
-   */
-  #watchConnection(client: ClientRequest, socket: Socket): void {
-    const onEnd = (): void => {
-      this.#connection = socket.remoteAddress === undefined ? 'reset' : 'closed';
-    };
-    socket.prependListener('end', onEnd);
-    client.once('close', () => {
-      socket.off('end', onEnd);
-    });
-  }
-
   /** Bounds what the node reads, and the time that it takes, also where no body arrives. */
   #paceReads(client: ClientRequest, socket: Socket): void {
     const { intake, onRelease } = this.#options;
@@ -286,7 +272,7 @@
     return {
       framing: this.#framing ?? 'length',
       bytes: this.#bytes,
-      connection: this.#connection,
+      connection: this.#connection?.state ?? 'open',
       partialEventBytes: this.#isRelayed ? this.#options.sink?.partialEventBytes : undefined,
     };
   }
--- a/packages/gateway/src/types/response-transfer.ts
+++ b/packages/gateway/src/types/response-transfer.ts
@@ -1,4 +1,4 @@
-import type { ResponseFraming } from '@ragwortrudder/core';
+import type { ConnectionState, ResponseFraming } from '@ragwortrudder/core';
 
 /** How the body of a runner's response arrived. */
 export interface ResponseTransfer {
@@ -6,7 +6,7 @@
   /** Received bytes of the body. */
   readonly bytes: number;
   /** State of the connection when the body ended. */
-  readonly connection: 'open' | 'closed' | 'reset';
+  readonly connection: ConnectionState;
   /** Bytes received after the last complete event; undefined for a buffered body. */
   readonly partialEventBytes: number | undefined;
 }
--- a/packages/gateway/src/utils/incomplete-reason.ts
+++ b/packages/gateway/src/utils/incomplete-reason.ts
@@ -1,20 +1,19 @@
+import { incompleteBodyReason } from '@ragwortrudder/core';
 import type { ResponseTransfer } from '../types/response-transfer.ts';
 
 /**
- * Returns why the body of a response is not complete; undefined if it is. A body with a length or
- * chunks is complete once its framing is, whatever becomes of its connection afterwards. A stream of
- * events that only its connection frames has at least one: without any it cannot be told from one that
- * was cut, also where it continues another one.
+ * Returns why the body of a response is not complete; undefined if it is. In addition to what holds for
+ * each body, a stream does not end inside an event, and a stream of events that only its connection
+ * frames has at least one: without any it cannot be told from one that was cut, also where it continues
+ * another one.
  */
 export function incompleteReason(
   hasFramingEnded: boolean,
   { framing, connection, partialEventBytes = 0 }: ResponseTransfer,
   isEmptyStream = false,
 ): string | undefined {
-  if (!hasFramingEnded) return 'response ended before its framing was complete';
-  if (framing === 'connection' && connection === 'reset') {
-    return 'connection that frames the response was reset';
-  }
+  const reason = incompleteBodyReason({ framing, hasFramingEnded, connection });
+  if (reason !== undefined) return reason;
   if (partialEventBytes > 0) return 'response ended inside an event';
   const isCutBeforeEvents = isEmptyStream && framing === 'connection';
   return isCutBeforeEvents ? 'stream ended before its first event' : undefined;
--- a/packages/node/src/node/runners/model-client.ts
+++ b/packages/node/src/node/runners/model-client.ts
@@ -4,8 +4,14 @@
 import { urlToHttpOptions } from 'node:url';
 import { createParser } from 'eventsource-parser';
 import { inject, injectable } from 'inversify';
-import { EventSizeLimit, limitFraming, readPieces, responseFraming } from '@ragwortrudder/core';
-import type { Closeable } from '@ragwortrudder/core';
+import {
+  ConnectionMonitor,
+  EventSizeLimit,
+  limitFraming,
+  readPieces,
+  responseFraming,
+} from '@ragwortrudder/core';
+import type { Closeable, ReceivedResponse } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import { CallFailed } from '../../errors/call-failed.ts';
 import { EngineEvent } from '../../types/engine-event.ts';
@@ -34,7 +40,7 @@
     signal: AbortSignal,
   ): AsyncGenerator<EngineEvent> {
     let readBytes = 0;
-    const response = await this.#open(endpoint, generation, signal, () => readBytes);
+    const received = await this.#open(endpoint, generation, signal, () => readBytes);
     const decoder = new TextDecoder();
     const events: EngineEvent[] = [];
     const sizeLimit = new EventSizeLimit({
@@ -46,14 +52,14 @@
         events.push(EngineEvent.parse(JSON.parse(event.data)));
       },
     });
-    for await (const piece of readPieces(response)) {
+    for await (const piece of readPieces(received)) {
       readBytes += piece.length;
       const text = decoder.decode(piece, { stream: true });
       sizeLimit.add(text);
       parser.feed(text);
       yield* events.splice(0);
     }
-    const { statusCode: status = 0, headers } = response;
+    const { statusCode: status = 0, headers } = received.response;
     if (responseFraming({ method: 'POST', status, headers }) === 'connection') {
       throw new CallFailed(endpoint, 'the connection ended before the stream was complete');
     }
@@ -69,7 +75,7 @@
     generation: GenerationRequest,
     signal: AbortSignal,
     readBytes: () => number,
-  ): Promise<IncomingMessage> {
+  ): Promise<ReceivedResponse> {
     const body = JSON.stringify(generation);
     const clientRequest = request({
       agent: this.#agent,
@@ -81,6 +87,7 @@
         accept: 'text/event-stream',
       },
     });
+    const connection = new ConnectionMonitor(clientRequest);
     limitFraming(clientRequest, readBytes);
     setConnectTimeout(clientRequest, this.#connectTimeoutMs);
     // Once the response has begun, its reader gets the errors.
@@ -89,7 +96,7 @@
     clientRequest.end(body);
     const [response] = (await responded) as [IncomingMessage];
     const status = response.statusCode ?? 0;
-    if (status < HTTP_REDIRECT) return response;
+    if (status < HTTP_REDIRECT) return { request: clientRequest, response, connection };
     response.destroy();
     throw new CallFailed(address, `status code ${status}`);
   }
