Reject responses with an invalid status in all HTTP clients

Status lines with 000, 099, 101 (unasked), 600 and 999 were returned as responses, and "status < 300" took the first three for a success. invalidStatusReason in packages/core, which the forwarding path had in invalidHeadReason, is now checked before the first piece of each response is read; isSuccess moved from the gateway to packages/core and replaces each comparison with 300. A final response has a status from 200 to 599; those from 100 on are interim and never end a call.

Failing before, passing now, each over the five statuses: callHttp returned all 5; NodeHttpClient and readEventSource took 13 of 30 responses for a success and 4 for a refusal by the node that is not retryable; JsonClient, RunnerClient.moveKv and EngineClient.order took 000, 099 and 101 for a success, EngineClient.state and ModelClient 000 and 099; ApplicationClient reported all 15 responses as completed, not run or failed instead of unknown; PlatformHttpClient returned all 5.

--- a/packages/client/src/node/event-source.ts
+++ b/packages/client/src/node/event-source.ts
@@ -5,6 +5,7 @@
   ByteBuffer,
   ConnectionMonitor,
   EventSizeLimit,
+  isSuccess,
   limitConnectTime,
   limitFraming,
   parseBoundedJson,
@@ -17,7 +18,6 @@
 import type { AnswerEvent } from '../types/answer-event.ts';
 import { Problem } from '../types/problem.ts';
 
-const HTTP_REDIRECT = 300;
 /** Bound of the description of a problem, in bytes. */
 const MAX_PROBLEM_BYTES = 64 * 1024;
 const EVENT_TYPES: ReadonlySet<string> = new Set(['accepted', 'token', 'result', 'done', 'failed']);
@@ -113,7 +113,7 @@
     call.end(body);
   });
   const received = { request: call, response, connection };
-  if ((response.statusCode ?? 0) < HTTP_REDIRECT) return received;
+  if (isSuccess(response.statusCode ?? 0)) return received;
   throw await refusalOf(received, node);
 }
 
--- a/packages/client/src/node/node-http-client.ts
+++ b/packages/client/src/node/node-http-client.ts
@@ -1,10 +1,9 @@
-import { callHttp } from '@ragwortrudder/core';
+import { callHttp, isSuccess } from '@ragwortrudder/core';
 import { ConnectionLost } from '../errors/connection-lost.ts';
 import { RequestRefused } from '../errors/request-refused.ts';
 import { Problem } from '../types/problem.ts';
 
 const DEFAULT_TIMEOUT_MS = 5000;
-const HTTP_REDIRECT = 300;
 /** Bound of an answer, in bytes. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
@@ -88,7 +87,7 @@
       throw new ConnectionLost(node, error);
     });
     const content = parseJson(answer.body.toString(), node);
-    if (answer.status < HTTP_REDIRECT) return content;
+    if (isSuccess(answer.status)) return content;
     const problem = Problem.safeParse(content);
     throw problem.success ? new RequestRefused(problem.data) : new ConnectionLost(node, content);
   }
--- a/packages/core/src/node/call-http.ts
+++ b/packages/core/src/node/call-http.ts
@@ -23,7 +23,7 @@
  * Makes one HTTP call, without retries and redirects. The memory that the response takes is bounded
  * whatever is sent: its head by Node.js, its body by `maxBodyBytes`, and the bytes between by
  * {@link limitFraming}.
- * @throws {@link CallFailure} without a whole response in time; the call may still have taken effect
+ * @throws {@link CallFailure} without a whole response with a valid status in time; the call may still have taken effect
  * unless `notRun` is set.
  */
 export async function callHttp(call: HttpCall): Promise<HttpReply> {
--- a/packages/core/src/node/read-pieces.ts
+++ b/packages/core/src/node/read-pieces.ts
@@ -1,30 +1,32 @@
 import { CallFailure } from '../errors/call-failure.ts';
 import type { ReceivedResponse } from '../types/received-response.ts';
 import { incompleteBodyReason } from '../utils/incomplete-body-reason.ts';
+import { invalidStatusReason } from '../utils/invalid-status-reason.ts';
 import { responseFraming } from '../utils/response-framing.ts';
 import { readTurns } from './read-turns.ts';
 
 /**
  * Reads a response in pieces, each of them all that has arrived, so that small chunks are not handled one
  * by one; waits for a turn of the event loop before each.
- * @throws {@link CallFailure} after the last piece if the body is not complete.
+ * @throws {@link CallFailure} before the first piece if the status is invalid, and after the last one if
+ * the body is not complete.
  */
 export async function* readPieces({
   request,
   response,
   connection,
 }: ReceivedResponse): AsyncGenerator<Buffer> {
-  const { socket } = response;
+  const { socket, statusCode: status = 0, headers } = response;
+  const invalidReason = invalidStatusReason(status);
+  if (invalidReason !== undefined) {
+    throw new CallFailure({ reason: 'invalid-status', message: invalidReason });
+  }
   for await (const piece of response as AsyncIterable<Buffer>) {
     yield piece;
     await readTurns.wait(socket);
   }
   const message = incompleteBodyReason({
-    framing: responseFraming({
-      method: request.method,
-      status: response.statusCode ?? 0,
-      headers: response.headers,
-    }),
+    framing: responseFraming({ method: request.method, status, headers }),
     hasFramingEnded: response.complete,
     connection: connection.state,
   });
--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -1,7 +1,7 @@
 import { request as sendRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { ByteBuffer, ConnectionMonitor, responseFraming } from '@ragwortrudder/core';
+import { ByteBuffer, ConnectionMonitor, isSuccess, responseFraming } from '@ragwortrudder/core';
 import type { ResponseFraming } from '@ragwortrudder/core';
 import type { RunnerResponse } from '../types/runner-response.ts';
 import type { ResponseHead } from '../types/response-head.ts';
@@ -16,7 +16,6 @@
 import { incompleteReason } from '../utils/incomplete-reason.ts';
 import { invalidHeadReason } from '../utils/invalid-head-reason.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
-import { isSuccess } from '../utils/is-success.ts';
 import type { Intake } from './intake.ts';
 import { PacedReader } from './paced-reader.ts';
 import type { RunnerAgent } from './runner-agent.ts';
--- a/packages/gateway/src/utils/invalid-head-reason.ts
+++ b/packages/gateway/src/utils/invalid-head-reason.ts
@@ -1,6 +1,6 @@
+import { invalidStatusReason, isSuccess } from '@ragwortrudder/core';
 import type { ResponseHead } from '../types/response-head.ts';
 import { continuesStream } from './continues-stream.ts';
-import { isSuccess } from './is-success.ts';
 import { mismatchReason } from './mismatch-reason.ts';
 
 interface HeadExpectation {
@@ -9,19 +9,14 @@
   readonly hasBegun: boolean;
 }
 
-/** Statuses of final responses. */
-const FIRST_FINAL_STATUS = 200;
-const LAST_FINAL_STATUS = 599;
-
 /** Returns why a response with this head cannot be used; undefined if it can. */
 export function invalidHeadReason(
   head: ResponseHead,
   { requestId, hasBegun }: HeadExpectation,
 ): string | undefined {
   if (head.requestId !== requestId) return mismatchReason(head.requestId);
-  if (head.status < FIRST_FINAL_STATUS || head.status > LAST_FINAL_STATUS) {
-    return `status ${head.status} is not that of a final response`;
-  }
+  const invalidReason = invalidStatusReason(head.status);
+  if (invalidReason !== undefined) return invalidReason;
   if (!isSuccess(head.status)) return undefined;
   if (head.isNotExecuted) return 'successful response has Not-Executed';
   if (head.signature === undefined) return 'successful response has no Response-Signature';
--- a/packages/node/src/node/http/json-client.ts
+++ b/packages/node/src/node/http/json-client.ts
@@ -1,9 +1,8 @@
 import { Agent } from 'node:http';
-import { callHttp } from '@ragwortrudder/core';
+import { callHttp, isSuccess } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import { CallFailed } from '../../errors/call-failed.ts';
 
-const HTTP_REDIRECT = 300;
 const DEFAULT_MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
 
 interface JsonClientOptions {
@@ -55,7 +54,7 @@
     }).catch((error: unknown) => {
       throw new CallFailed(address, error);
     });
-    if (reply.status >= HTTP_REDIRECT) throw new CallFailed(address, `status ${reply.status}`);
+    if (!isSuccess(reply.status)) throw new CallFailed(address, `status ${reply.status}`);
     return reply.body.toString('utf8');
   }
 
--- a/packages/node/src/node/runners/application-client.ts
+++ b/packages/node/src/node/runners/application-client.ts
@@ -1,7 +1,7 @@
 import { Agent } from 'node:http';
 import { inject, injectable } from 'inversify';
 import * as z from 'zod';
-import { CallFailure, callHttp, responseFraming } from '@ragwortrudder/core';
+import { CallFailure, callHttp, isSuccess, responseFraming } from '@ragwortrudder/core';
 import type { Closeable, HttpReply } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import type { OperationOutcome } from '../../types/operation-outcome.ts';
@@ -76,7 +76,7 @@
 function classifyReply(reply: HttpReply): OperationOutcome {
   const body = parseBody(reply.body.toString());
   const completed = CompletedBody.safeParse(body);
-  if (reply.status < HTTP_REDIRECT && completed.success) {
+  if (isSuccess(reply.status) && completed.success) {
     return { kind: 'completed', result: completed.data.result };
   }
   if (isCut(reply, body)) {
--- a/packages/node/src/node/runners/model-client.ts
+++ b/packages/node/src/node/runners/model-client.ts
@@ -7,6 +7,7 @@
 import {
   ConnectionMonitor,
   EventSizeLimit,
+  isSuccess,
   limitFraming,
   readPieces,
   responseFraming,
@@ -19,7 +20,6 @@
 import { tokens } from '../../types/tokens.ts';
 
 const MAX_SOCKETS_PER_ENGINE = 1024;
-const HTTP_REDIRECT = 300;
 
 /** Streams generations from model engines. */
 @injectable()
@@ -96,7 +96,7 @@
     clientRequest.end(body);
     const [response] = (await responded) as [IncomingMessage];
     const status = response.statusCode ?? 0;
-    if (status < HTTP_REDIRECT) return { request: clientRequest, response, connection };
+    if (isSuccess(status)) return { request: clientRequest, response, connection };
     response.destroy();
     throw new CallFailed(address, `status code ${status}`);
   }
--- a/packages/node/src/node/runners/runner-client.ts
+++ b/packages/node/src/node/runners/runner-client.ts
@@ -1,6 +1,6 @@
 import { inject, injectable } from 'inversify';
 import type { z } from 'zod';
-import { callHttp } from '@ragwortrudder/core';
+import { callHttp, isSuccess } from '@ragwortrudder/core';
 import type { Closeable, HttpCall, HttpReply } from '@ragwortrudder/core';
 import type { Settings } from '@ragwortrudder/settings';
 import { CacheSnapshotResponse } from '../../types/cache-snapshot-response.ts';
@@ -16,7 +16,6 @@
 const MAX_REPORT_BYTES = 4 * 1024 * 1024;
 /** Bound of an exported KV cache. */
 const MAX_KV_BYTES = 16 * 1024 * 1024;
-const HTTP_REDIRECT = 300;
 
 /**
  * Calls to runners other than the requests themselves: load, cache state, cancellation and moves of
@@ -102,6 +101,6 @@
 
 async function callSuccessfully(address: string, call: HttpCall): Promise<HttpReply> {
   const reply = await callHttp(call);
-  if (reply.status < HTTP_REDIRECT) return reply;
+  if (isSuccess(reply.status)) return reply;
   throw new CallFailed(address, `status ${reply.status}`);
 }
--- a/packages/node/src/node/supply/engine-client.ts
+++ b/packages/node/src/node/supply/engine-client.ts
@@ -1,6 +1,6 @@
 import { Agent } from 'node:http';
 import { injectable } from 'inversify';
-import { callHttp } from '@ragwortrudder/core';
+import { callHttp, isSuccess } from '@ragwortrudder/core';
 import type { Closeable, HttpCall } from '@ragwortrudder/core';
 import { CallFailed } from '../../errors/call-failed.ts';
 import type { EngineOrder } from '../../types/engine-order.ts';
@@ -13,7 +13,6 @@
 const MAX_REPLY_BYTES = 64 * 1024;
 const MS_PER_SECOND = 1000;
 const DEFAULT_RETRY_AFTER_MS = 1000;
-const HTTP_REDIRECT = 300;
 const HTTP_CONFLICT = 409;
 const HTTP_TOO_MANY_REQUESTS = 429;
 
@@ -27,7 +26,7 @@
   /** Reads the state that the engine was last ordered to serve. */
   async state(endpoint: string): Promise<EngineState['state']> {
     const { status, body } = await callHttp(this.#callTo(endpoint));
-    if (status >= HTTP_REDIRECT) throw new CallFailed(endpoint, `status ${status}`);
+    if (!isSuccess(status)) throw new CallFailed(endpoint, `status ${status}`);
     return EngineState.parse(JSON.parse(body.toString())).state;
   }
 
@@ -41,8 +40,7 @@
         body: JSON.stringify(order),
       });
       if (status === HTTP_CONFLICT) return { kind: 'old-fence' };
-      if (status !== HTTP_TOO_MANY_REQUESTS)
-        return { kind: status < HTTP_REDIRECT ? 'done' : 'failed' };
+      if (status !== HTTP_TOO_MANY_REQUESTS) return { kind: isSuccess(status) ? 'done' : 'failed' };
       const seconds = Number(headers['retry-after']);
       const retryAfterMs = seconds > 0 ? seconds * MS_PER_SECOND : DEFAULT_RETRY_AFTER_MS;
       return { kind: 'throttled', retryAfterMs };
--- a/packages/platform/src/utils/check-status.ts
+++ b/packages/platform/src/utils/check-status.ts
@@ -1,3 +1,4 @@
+import { isSuccess } from '@ragwortrudder/core';
 import { NotFound } from '../errors/not-found.ts';
 import { PlatformRateExceeded } from '../errors/platform-rate-exceeded.ts';
 import { PlatformUnavailable } from '../errors/platform-unavailable.ts';
@@ -6,7 +7,7 @@
 
 /** Throws the failure that corresponds to the status of an answer, unless it is a success status. */
 export function checkStatus({ status, retryAfter }: PlatformAnswer, subject: string): void {
-  if (status >= 200 && status < 300) return;
+  if (isSuccess(status)) return;
   if (status === 404) throw new NotFound(subject);
   if (status === 429) throw new PlatformRateExceeded(retryAfterMs(retryAfter, Date.now()));
   throw new PlatformUnavailable(
--- a/test/client/incomplete-answers.test.ts
+++ b/test/client/incomplete-answers.test.ts
@@ -5,6 +5,7 @@
 import { SeededRandom } from '@ragwortrudder/core';
 import { readEventSource } from '../../packages/client/src/node/event-source.ts';
 import { NodeHttpClient } from '../../packages/client/src/node/node-http-client.ts';
+import { INVALID_STATUSES } from '../core/invalid-statuses.ts';
 import { resetResponse } from '../core/reset-response.ts';
 import { serveRaw } from '../core/serve-raw.ts';
 
@@ -63,3 +64,23 @@
   }
   t.deepEqual(types, ['accepted', 'done']);
 });
+
+// Guards against taking a status that HTTP does not define for a success, or for a refusal by the node.
+test('an answer, refusal or stream with an invalid status is lost', async (t) => {
+  const outcomes: string[] = [];
+  for (const status of INVALID_STATUSES) {
+    for (const body of ['{}', PROBLEM, ACCEPTED + DONE]) {
+      const answer = (socket: Socket): void => {
+        const length = `Content-Length: ${Buffer.byteLength(body)}`;
+        socket.end(`HTTP/1.1 ${status} X\r\n${EVENT_STREAM}${length}\r\n\r\n${body}`);
+      };
+      for (const attempt of [call, readStream]) {
+        const outcome: unknown = await attempt(t, answer).catch((error: unknown) => error);
+        if (outcome instanceof ConnectionLost) continue;
+        const kind = outcome instanceof Error ? outcome.name : 'success';
+        outcomes.push(`${attempt.name} ${status} ${kind}`);
+      }
+    }
+  }
+  t.deepEqual(outcomes, []);
+});
--- a/test/core/incomplete-responses.test.ts
+++ b/test/core/incomplete-responses.test.ts
@@ -3,6 +3,7 @@
 import type { ExecutionContext } from 'ava';
 import { CallFailure, callHttp } from '@ragwortrudder/core';
 import type { HttpReply } from '@ragwortrudder/core';
+import { INVALID_STATUSES } from './invalid-statuses.ts';
 import { serveRaw } from './serve-raw.ts';
 
 const LIMITS = { timeoutMs: 5_000, maxBodyBytes: 100_000 };
@@ -77,3 +78,27 @@
     }
   }
 });
+// Guards against taking a status that HTTP does not define for a success, or for a refusal.
+test('a response with an invalid status fails the call', async (t) => {
+  const answered: number[] = [];
+  for (const status of INVALID_STATUSES) {
+    const url = await serve(t, (socket) => {
+      socket.end(`HTTP/1.1 ${status} X\r\nContent-Length: ${PART.length}\r\n\r\n${PART}`);
+    });
+    const outcome = await outcomeOf(url);
+    if (outcome instanceof CallFailure) t.false(outcome.notRun);
+    else answered.push(outcome.status);
+  }
+  t.deepEqual(answered, []);
+});
+
+test('a response with a valid status is returned, whatever the status', async (t) => {
+  for (const status of [200, 299, 300, 404, 599]) {
+    const url = await serve(t, (socket) => {
+      socket.end(`HTTP/1.1 ${status} X\r\nContent-Length: ${PART.length}\r\n\r\n${PART}`);
+    });
+    const outcome = await outcomeOf(url);
+    t.false(outcome instanceof CallFailure);
+    t.is(outcome.status, status);
+  }
+});
--- a/test/node/incomplete-responses.test.ts
+++ b/test/node/incomplete-responses.test.ts
@@ -7,6 +7,7 @@
 import { ModelClient } from '../../packages/node/src/node/runners/model-client.ts';
 import { RunnerClient } from '../../packages/node/src/node/runners/runner-client.ts';
 import { EngineClient } from '../../packages/node/src/node/supply/engine-client.ts';
+import { INVALID_STATUSES } from '../core/invalid-statuses.ts';
 import { resetResponse } from '../core/reset-response.ts';
 import { serveRaw } from '../core/serve-raw.ts';
 
@@ -96,3 +97,37 @@
   t.is(await operateWith(t, resetResponse('{"notRun":true}', { status: '503 Busy' })), 'unknown');
   t.is(await operateWith(t, resetResponse('{}', { status: '400 Bad' })), 'unknown');
 });
+
+function answerWith(status: string, body: string): Answer {
+  return (socket) => {
+    socket.end(`HTTP/1.1 ${status} X\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+  };
+}
+
+// Guards against taking a status that HTTP does not define for a success.
+test('a response with an invalid status is a failure of each call', async (t) => {
+  const succeeded: string[] = [];
+  for (const status of INVALID_STATUSES) {
+    for (const [name, { call, body }] of Object.entries(CALLS)) {
+      await call(t, answerWith(status, body)).then(
+        () => succeeded.push(`${name} ${status}`),
+        () => undefined,
+      );
+    }
+    const order = await orderWith(t, answerWith(status, '{}'));
+    if (order !== 'failed') succeeded.push(`order ${status}`);
+  }
+  t.deepEqual(succeeded, []);
+});
+
+// Guards against telling a caller that an operation completed, failed or did not run on a status that says nothing.
+test('the outcome of an operation with an invalid status is unknown', async (t) => {
+  const outcomes: string[] = [];
+  for (const status of INVALID_STATUSES) {
+    for (const body of ['{"result":1}', '{"notRun":true}', '{}']) {
+      const kind = await operateWith(t, answerWith(status, body));
+      if (kind !== 'unknown') outcomes.push(`${status} ${body} ${kind}`);
+    }
+  }
+  t.deepEqual(outcomes, []);
+});
--- a/test/platform-adapter/incomplete-replies.test.ts
+++ b/test/platform-adapter/incomplete-replies.test.ts
@@ -2,6 +2,7 @@
 import type { ExecutionContext } from 'ava';
 import { LogUnavailable } from '@ragwortrudder/log';
 import { PlatformCloudApi, PlatformHttpClient, PlatformLog } from '@ragwortrudder/platform-adapter';
+import { INVALID_STATUSES } from '../core/invalid-statuses.ts';
 import { resetResponse } from '../core/reset-response.ts';
 import { serveRaw } from '../core/serve-raw.ts';
 
@@ -41,3 +42,22 @@
     instanceOf: LogUnavailable,
   });
 });
+
+// Guards against a client that returns a status that HTTP does not define as the reply of the platform.
+test('a reply with an invalid status is none', async (t) => {
+  const returned: number[] = [];
+  for (const status of INVALID_STATUSES) {
+    const address = await serveRaw(t, (socket) => {
+      socket.end(`HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\n{}`);
+    });
+    const http = new PlatformHttpClient(address);
+    t.teardown(() => http.close());
+    await http.call({ method: 'GET', path: 'x' }).then(
+      (reply) => returned.push(reply.status),
+      (error: unknown) => {
+        t.true(error instanceof LogUnavailable && !error.notRun);
+      },
+    );
+  }
+  t.deepEqual(returned, []);
+});
