Test that a peer passes back no part of a response and no invalid status

No fault was found: requests that are passed on take the way of RunnerAttempt, whose rules hold for the runner at the peer and for the peer.

--- /dev/null
+++ b/test/gateway/early-resets.test.ts
@@ -0,0 +1,66 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { CutFleet } from './cut-fleet.ts';
+import type { GatewayHarness } from './gateway-harness.ts';
+import { INVALID_STATUSES } from '../core/invalid-statuses.ts';
+import { headFor } from './scripted-response.ts';
+import { ScriptedRunner } from './scripted-runner.ts';
+
+type Script = ConstructorParameters<typeof ScriptedRunner>[0];
+
+const RESET_DELAYS_MS = [0, 5, 50];
+const PART = '{"result":1}';
+/** Time within which nodes hear each other, in milliseconds. */
+const HEARING_MS = 500;
+const DEADLINE = { 'Deadline-Ms': '20000' };
+
+/** Answers without a length, sends a part of the body and resets the connection. */
+function resetAfter(delayMs: number): Script {
+  return (socket, request) => {
+    socket.write(headFor(request) + PART, () => {
+      setTimeout(() => socket.resetAndDestroy(), delayMs);
+    });
+  };
+}
+
+async function startRunners(t: ExecutionContext, script: Script): Promise<ScriptedRunner[]> {
+  const runners = await Promise.all([0, 1].map(() => new ScriptedRunner(script).listen()));
+  t.teardown(() => Promise.all(runners.map((runner) => runner.close())));
+  return runners;
+}
+
+/** Sends a request to a node that has lost its links to all runners and passes it on to a peer. */
+async function passOn(t: ExecutionContext, script: Script): ReturnType<GatewayHarness['call']> {
+  const runners = await startRunners(t, script);
+  const route = { kind: 'non_idempotent', timeout_ms: 20_000 };
+  const fleet = await CutFleet.start(t, { runners, gateways: 2, route });
+  await fleet.setLinks([0], 'cut');
+  await sleep(HEARING_MS);
+  const [node] = fleet.gateways;
+  if (!node) throw new TypeError('no gateway was started');
+  const reply = await node.call({ headers: DEADLINE });
+  const isPassedOn = node.lines.some((line) => line.includes('"request-passed-on"'));
+  t.true(isPassedOn, 'the request was not passed on');
+  t.true(runners.some(({ received }) => received.length > 0));
+  return reply;
+}
+
+// Guards against passing a part of a body back as the whole one.
+for (const delayMs of RESET_DELAYS_MS) {
+  test(`a response that is reset at a peer after ${delayMs} ms is not passed back`, async (t) => {
+    const { status, body } = await passOn(t, resetAfter(delayMs));
+    t.is(status, 502);
+    t.false(body.includes(PART));
+  });
+}
+
+// Guards against passing an invalid status back.
+for (const invalid of INVALID_STATUSES) {
+  test(`a response with status ${invalid} at a peer is not passed back`, async (t) => {
+    const { status } = await passOn(t, (socket, request) => {
+      socket.write(headFor(request, { status: invalid, framing: ['Content-Length: 0'] }));
+    });
+    t.is(status, 502);
+  });
+}
