Soak runners that reset early responses, and statuses that HTTP does not define

runner-early-reset: a runner answers as soon as a head has arrived, without a length, sends a part of the body and resets the connection after 0, 5 or 50 ms, beside a caller whose bodies have 4 MB (the configuration of the soak now allows 5 MB). Its runs have no body, since it has not arrived; the tracker compares those that have one, as before. runner-invalid-status: statuses 000, 099, 600 and 999 in turn. A part that reaches a caller as a whole response is a violation of own-answer or stream-order, as before.

--- a/packages/soak/src/node/fault-injector.ts
+++ b/packages/soak/src/node/fault-injector.ts
@@ -21,6 +21,8 @@
   readonly storeWriter: StoreWriter;
   readonly tracker: RequestTracker;
   readonly endless: EndlessFaults;
+  /** Starts a caller that sends long bodies. */
+  readonly startUploadingCaller: (name: string) => Closeable;
   /** Starts a caller whose prompts, or whose repeated request, crash runners. */
   readonly startCrashingCaller: (cause: CrashCause) => Closeable;
 }
@@ -48,6 +50,7 @@
   readonly #options: FaultInjectorOptions;
 
   #crashing = 0;
+  #uploading = 0;
 
   constructor(options: FaultInjectorOptions) {
     this.#options = options;
@@ -174,6 +177,10 @@
         return this.#runnerFault([target], 'cut', forMs);
       case 'runner-reset':
         return this.#runnerFault([target], 'reset', forMs);
+      case 'runner-early-reset':
+        return this.#resetUploads(target, forMs);
+      case 'runner-invalid-status':
+        return this.#runnerFault([target], 'invalid-status', forMs);
       default:
         return this.#linkFault(fault);
     }
@@ -294,6 +301,14 @@
     await storeWriter.crash(target, RESTART_MS);
   }
 
+  /** Lets a runner answer and reset connections while requests are being sent, some of which are long. */
+  async #resetUploads(target: number, forMs: number): Promise<void> {
+    this.#uploading += 1;
+    const caller = this.#options.startUploadingCaller(`upload${this.#uploading}`);
+    await this.#runnerFault([target], 'early-reset', forMs);
+    await caller.close();
+  }
+
   async #sendCrashing(forMs: number, causeOf: (count: number) => CrashCause): Promise<void> {
     this.#crashing += 1;
     const caller = this.#options.startCrashingCaller(causeOf(this.#crashing));
--- a/packages/soak/src/node/soak-caller.ts
+++ b/packages/soak/src/node/soak-caller.ts
@@ -26,6 +26,11 @@
    * @default false
    */
   readonly isSlow?: boolean;
+  /**
+   * Sends only requests with a body, which is a long one.
+   * @default false
+   */
+  readonly isUploading?: boolean;
 }
 
 const KINDS: readonly RequestKind[] = ['order', 'read', 'draft', 'ask'];
@@ -33,6 +38,9 @@
 /** Time that a caller waits beyond the deadline before it gives up, in milliseconds. */
 const GIVE_UP_MARGIN_MS = 1_500;
 const MAX_PAUSE_MS = 120;
+/** Size of a long body, which the buffers of a connection do not hold, and the pause after its request. */
+const UPLOAD_BYTES = 4 * 1024 * 1024;
+const UPLOAD_PAUSE_MS = 500;
 /** Number of prompt parts that some of the requests share. */
 const SHARED_PARTS = 9;
 const MIN_EVENTS = 5;
@@ -66,14 +74,15 @@
   }
 
   async #sendRequests(): Promise<void> {
-    const { random, nodes, crashingPart, crashingPath, isSlow = false } = this.#options;
-    const kinds = isSlow ? KINDS_WITH_BODY : KINDS;
+    const { random, nodes, crashingPart, crashingPath } = this.#options;
+    const { isSlow = false, isUploading = false } = this.#options;
+    const kinds = isSlow || isUploading ? KINDS_WITH_BODY : KINDS;
     while (!this.#isClosing) {
       const node = nodes[Math.floor(random.next() * nodes.length)];
       const drawn = kinds[Math.floor(random.next() * kinds.length)];
       const kind = crashingPath ? 'read' : crashingPart ? 'ask' : drawn;
       if (node && kind) await this.#send(node, kind);
-      await sleep(random.next() * MAX_PAUSE_MS);
+      await sleep(isUploading ? UPLOAD_PAUSE_MS : random.next() * MAX_PAUSE_MS);
     }
   }
 
@@ -83,6 +92,12 @@
     return `c0ffee:100,${crashingPart}:50,${this.#count.toString(16)}:10`;
   }
 
+  #body(): string {
+    const { name, isUploading = false } = this.#options;
+    const text = `body of ${name}-${this.#count}`;
+    return isUploading ? text.padEnd(UPLOAD_BYTES, '.') : text;
+  }
+
   #send(node: CallerTarget, kind: RequestKind): Promise<void> {
     const { name, team, tracker, random, crashingPart, crashingPath, isSlow } = this.#options;
     const crashes = crashingPath ?? crashingPart;
@@ -93,7 +108,7 @@
       kind,
       node: node.id,
       team,
-      body: kind === 'read' ? '' : `body of ${name}-${this.#count}`,
+      body: kind === 'read' ? '' : this.#body(),
       events: isStream ? MIN_EVENTS + Math.floor(random.next() * EXTRA_EVENTS) : 0,
       ...(crashes === undefined ? {} : { crashes }),
       ...(isSlow === undefined ? {} : { isSlow }),
--- a/packages/soak/src/node/soak-runner.ts
+++ b/packages/soak/src/node/soak-runner.ts
@@ -43,6 +43,10 @@
   'fail-resumed',
   'empty-resumed',
 ]);
+/** Times between a part of an early response and the reset of its connection, in milliseconds. */
+const RESET_DELAYS_MS = [0, 5, 50];
+/** Status codes, as they stand in a status line, of which none is that of a final response. */
+const INVALID_STATUSES = ['000', '099', '600', '999'];
 /** Time after which a refusal is repeated on a connection that is idle, in milliseconds. */
 const REPEAT_MS = 20;
 
@@ -55,6 +59,7 @@
   #running = 0;
   #mode: RunnerMode = 'sound';
   #breaks = 0;
+  #invalidStatuses = 0;
   /** Requests per second that the runner states that it accepts. */
   #limit: number | undefined;
   #isLeaving = false;
@@ -137,9 +142,13 @@
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     response.on('error', () => undefined);
+    const id = String(request.headers['request-id'] ?? '');
+    if (this.#mode === 'early-reset' && request.headers['target-instance'] === this.id) {
+      this.#answerEarly(request, response, id);
+      return;
+    }
     const body = await receiveBody(request);
     if (!body) return;
-    const id = String(request.headers['request-id'] ?? '');
     response.setHeader('Request-Id', id);
     if (this.#limit !== undefined) response.setHeader('Server-Limit', String(this.#limit));
     if (this.#isLeaving) response.setHeader('Server-Leaving', '1');
@@ -162,16 +171,7 @@
       return;
     }
     if (this.#mode === 'repeats-refusal' && this.#repeatRefusal(response, id)) return;
-    const after = Number(request.headers['last-event-id'] ?? 0);
-    const team = request.headers.tenant;
-    this.#options.onRun({
-      id,
-      runner: this.id,
-      team: typeof team === 'string' ? team : undefined,
-      body: body.toString(),
-      after,
-      at: performance.now(),
-    });
+    const after = this.#recordRun(request, id, body.toString());
     if (this.#intercept) {
       this.#intercept(request);
       return;
@@ -187,6 +187,44 @@
     }
   }
 
+  /** Records that the request is executed, and returns the event after which its stream resumes. */
+  #recordRun(request: IncomingMessage, id: string, body: string | undefined): number {
+    const after = Number(request.headers['last-event-id'] ?? 0);
+    const team = request.headers.tenant;
+    this.#options.onRun({
+      id,
+      runner: this.id,
+      team: typeof team === 'string' ? team : undefined,
+      body,
+      after,
+      at: performance.now(),
+    });
+    return after;
+  }
+
+  /** Answers while the request is being sent, with a part of the response, and resets the connection. */
+  #answerEarly(request: IncomingMessage, response: ServerResponse, id: string): void {
+    const after = this.#recordRun(request, id, undefined);
+    const events = eventsOf(request);
+    response.setHeader('Request-Id', id);
+    response.setHeader('Response-Signature', `${this.id}.${id}`);
+    omitFraming(response);
+    response.writeHead(HTTP_OK, events > 0 ? { 'Content-Type': 'text/event-stream' } : {});
+    const text = events > 0 ? streamText(id, after + 1, events) : `done ${id}`;
+    this.#breakOff(response, text, 'early-reset');
+  }
+
+  /** Answers with a status that HTTP does not define; Node.js would not write some of them. */
+  #answerInvalid(request: IncomingMessage, id: string): void {
+    const status = INVALID_STATUSES[this.#invalidStatuses % INVALID_STATUSES.length] ?? '';
+    this.#invalidStatuses += 1;
+    const text = `done ${id}`;
+    const type = eventsOf(request) > 0 ? 'Content-Type: text/event-stream\r\n' : '';
+    const identity = `Request-Id: ${id}\r\nResponse-Signature: ${this.id}.${id}\r\n`;
+    const head = `HTTP/1.1 ${status} Invalid\r\n${identity}${type}`;
+    request.socket.end(`${head}Content-Length: ${text.length}\r\n\r\n${text}`);
+  }
+
   async #answer(
     request: IncomingMessage,
     response: ServerResponse,
@@ -194,7 +232,7 @@
   ): Promise<void> {
     const mode = this.#mode;
     if (mode === 'mute') return;
-    const events = Number(new URL(request.url ?? '/', 'http://runner').searchParams.get('events'));
+    const events = eventsOf(request);
     await sleep(LATENCY_MS);
     await this.#silence();
     if (response.destroyed) return;
@@ -209,6 +247,10 @@
       response.end('failed');
       return;
     }
+    if (mode === 'invalid-status') {
+      this.#answerInvalid(request, id);
+      return;
+    }
     response.setHeader('Server-Load', `${this.#running},0,${SLOTS}`);
     if (UNFRAMED_MODES.has(mode)) omitFraming(response);
     if (events === 0) {
@@ -296,8 +338,18 @@
     const part = text.slice(0, 1 + (this.#breaks % (text.length - 1)));
     response.write(part, () => {
       if (!socket) return;
-      if (mode === 'reset') resetConnection(socket);
+      if (mode === 'early-reset') {
+        const delayMs = RESET_DELAYS_MS[this.#breaks % RESET_DELAYS_MS.length];
+        setTimeout(() => {
+          resetConnection(socket);
+        }, delayMs);
+      } else if (mode === 'reset') resetConnection(socket);
       else socket.destroySoon();
     });
   }
 }
+
+/** Number of events of the stream that is asked for; 0 if it is none. */
+function eventsOf(request: IncomingMessage): number {
+  return Number(new URL(request.url ?? '/', 'http://runner').searchParams.get('events'));
+}
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -348,7 +348,7 @@
     for (const { node } of nodes) open(node).start();
     const startCaller = (
       name: string,
-      changes: CrashCause & { readonly isSlow?: boolean },
+      changes: CrashCause & { readonly isSlow?: boolean; readonly isUploading?: boolean },
     ): SoakCaller => {
       const caller = new SoakCaller({
         name: `s${this.#options.seed}-${name}`,
@@ -379,6 +379,7 @@
           nodeAddresses: nodes.map(({ callers }) => callers),
           startSlowCaller: (name) => startCaller(name, { isSlow: true }),
         }),
+        startUploadingCaller: (name) => startCaller(name, { isUploading: true }),
         startCrashingCaller: (cause) => {
           return startCaller(cause.crashingPart ?? cause.crashingPath ?? '', cause);
         },
--- a/packages/soak/src/types/fault-kind.ts
+++ b/packages/soak/src/types/fault-kind.ts
@@ -25,6 +25,8 @@
   | 'runner-unframed'
   | 'runner-cut'
   | 'runner-reset'
+  | 'runner-early-reset'
+  | 'runner-invalid-status'
   | 'runner-link-cut'
   | 'runner-link-silent'
   | 'runner-link-one-way'
--- a/packages/soak/src/types/observed-run.ts
+++ b/packages/soak/src/types/observed-run.ts
@@ -3,7 +3,8 @@
   readonly id: string;
   readonly runner: string;
   readonly team: string | undefined;
-  readonly body: string;
+  /** Undefined if the runner answered before it had received the body. */
+  readonly body: string | undefined;
   /** Last event already received, after which the stream resumes; 0 for a run from the start. */
   readonly after: number;
   readonly at: number;
--- a/packages/soak/src/utils/plan-faults.ts
+++ b/packages/soak/src/utils/plan-faults.ts
@@ -101,7 +101,15 @@
   'streams-restart',
   'streams-fail-resumed',
   'streams-empty-resumed',
+  'runner-early-reset',
+  'runner-invalid-status',
 ];
+/** Kinds of runners that requests reach without a change of the routes. */
+const BUSY_KINDS: ReadonlySet<FaultKind> = new Set([
+  'runner-endless',
+  'runner-early-reset',
+  'runner-invalid-status',
+]);
 /** Kinds in which all runners stay sound; a part of the runs has no others. */
 const SOUND_KINDS: readonly FaultKind[] = [
   ...COMPANIONS,
@@ -213,7 +221,7 @@
       : KINDS;
   const faults: PlannedFault[] = [];
   const countTargets = (kind: FaultKind): number => {
-    if (kind === 'runner-endless') return busyRunners;
+    if (BUSY_KINDS.has(kind)) return busyRunners;
     // One more target of a store means all nodes.
     if (kind === 'store-endless') return nodes + 1;
     return TARGETS[kind] ?? (kind.startsWith('runner') ? runners : nodes);
--- a/packages/soak/src/utils/request-tracker.ts
+++ b/packages/soak/src/utils/request-tracker.ts
@@ -116,7 +116,7 @@
       this.recordViolation('unasked', `${run.runner} ran ${run.id}, which nobody sent`);
       return;
     }
-    if (run.body !== request.body) {
+    if (run.body !== undefined && run.body !== request.body) {
       this.recordViolation('unasked', `${run.runner} ran ${run.id} with another body`);
     }
     if (run.team !== request.team) {
--- a/packages/soak/src/utils/soak-configuration.ts
+++ b/packages/soak/src/utils/soak-configuration.ts
@@ -9,6 +9,8 @@
 const TARGET_LATENCY_MS = 300;
 const IDLE_TIMEOUT_MS = 5_000;
 const VERSION_STEP = 3;
+/** Uploads have 4 MB, which the buffers of a connection do not hold. */
+const MAX_BODY_BYTES = 5_000_000;
 
 const ROUTES = [
   { name: 'order', kind: 'non_idempotent', max_attempts: 1 },
@@ -83,7 +85,7 @@
       })),
       limits: {
         max_header_bytes: 8_192,
-        max_body_bytes: 100_000,
+        max_body_bytes: MAX_BODY_BYTES,
         header_timeout_ms: 2_000,
         idle_timeout_ms:
           this.#valueOf('configure-idle', CHANGED_IDLE_TIMEOUTS_MS) ?? IDLE_TIMEOUT_MS,
--- a/test/soak/soak-runner.test.ts
+++ b/test/soak/soak-runner.test.ts
@@ -2,6 +2,7 @@
 import { connect } from 'node:net';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
+import { CallFailure, callHttp } from '@ragwortrudder/core';
 import { SoakRunner } from '@ragwortrudder/soak';
 import type { RunnerMode } from '@ragwortrudder/soak';
 
@@ -11,6 +12,12 @@
   readonly isWhole: boolean;
 }
 
+interface EarlyResponse {
+  readonly status: number | undefined;
+  /** The request had been sent when the response began. */
+  readonly isSent: boolean;
+}
+
 async function startRunner(t: ExecutionContext, mode: RunnerMode) {
   const runs: string[] = [];
   const runner = new SoakRunner({
@@ -97,3 +104,43 @@
   t.is(body.match(/id: /g)?.length, 5);
   t.true(performance.now() - startedAt >= 290);
 });
+
+// Guards against a fault that callers which take a part of a response for the whole one would not meet.
+test('an early reset answers a long upload with a part while it is being sent', async (t) => {
+  const { host, port, runs } = await startRunner(t, 'early-reset');
+  for (let call = 0; call < 6; call += 1) {
+    const received = await new Promise<EarlyResponse>((resolve) => {
+      const client = sendRequest({
+        ...{ host, port, agent: false, path: '/order/x', method: 'POST' },
+        headers: { 'Request-Id': `u${call}`, 'Target-Instance': 'r1' },
+      });
+      client.on('error', () => undefined);
+      client.on('response', (response) => {
+        response.on('error', () => undefined);
+        response.resume();
+        resolve({ status: response.statusCode, isSent: client.writableFinished });
+      });
+      client.end(Buffer.alloc(4 * 1024 * 1024));
+    });
+    t.deepEqual(received, { status: 200, isSent: false });
+  }
+  const error = await t.throwsAsync(
+    callHttp({
+      url: `http://${host}:${port}/order/x`,
+      method: 'POST',
+      headers: { 'Request-Id': 'v', 'Target-Instance': 'r1' },
+      body: Buffer.alloc(4 * 1024 * 1024),
+      ...{ timeoutMs: 5_000, maxBodyBytes: 1_000 },
+    }),
+    { instanceOf: CallFailure },
+  );
+  t.false(error.isTimeout);
+  t.is(runs.length, 7);
+});
+
+test('invalid statuses come in turn', async (t) => {
+  const started = await startRunner(t, 'invalid-status');
+  const statuses: (number | undefined)[] = [];
+  for (let call = 0; call < 4; call += 1) statuses.push((await stream(started)).status);
+  t.deepEqual(statuses, [0, 99, 600, 999]);
+});
