--- a/test/core/serve-raw.ts
+++ b/test/core/serve-raw.ts
@@ -2,15 +2,15 @@
 import type { AddressInfo, Socket } from 'node:net';
 import type { ExecutionContext } from 'ava';
 
-/** Answers each request at its first bytes, by a script; returns the address of the server. */
+/** Answers each request at its first bytes, by a script that gets them; returns the address of the server. */
 export async function serveRaw(
   t: ExecutionContext,
-  answer: (socket: Socket) => void,
+  answer: (socket: Socket, first: Buffer) => void,
 ): Promise<string> {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
-    socket.once('data', () => {
-      answer(socket);
+    socket.once('data', (first) => {
+      answer(socket, first);
     });
     t.teardown(() => socket.destroy());
   });
--- a/test/gateway/early-resets.test.ts
+++ b/test/gateway/early-resets.test.ts
@@ -1,9 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
+import { MemoryKeyedLog } from '@ragwortrudder/log';
 import { CutFleet } from './cut-fleet.ts';
-import type { GatewayHarness } from './gateway-harness.ts';
+import { GatewayHarness } from './gateway-harness.ts';
 import { INVALID_STATUSES } from '../core/invalid-statuses.ts';
+import { serveRaw } from '../core/serve-raw.ts';
 import { headFor } from './scripted-response.ts';
 import { ScriptedRunner } from './scripted-runner.ts';
 
@@ -64,3 +66,30 @@
     t.is(status, 502);
   });
 }
+
+const UPLOAD_BYTES = 4 * 1024 * 1024;
+const UPLOADS = 3;
+
+// Guards against a change of the shared definition that lets the forwarding path take a part for the whole body.
+for (const delayMs of RESET_DELAYS_MS) {
+  test(`a response that is reset ${delayMs} ms into an upload is no success`, async (t) => {
+    const address = await serveRaw(t, (socket, first) => {
+      socket.pause();
+      const id = /request-id: (\S+)/i.exec(first.toString('latin1'))?.[1] ?? '';
+      resetAfter(delayMs)(socket, { head: '', body: '', id }, 0);
+    });
+    const port = Number(address.split(':')[1]);
+    const log = new MemoryKeyedLog();
+    const writer = GatewayHarness.writerFor(log, { kind: 'non_idempotent' });
+    const limits = { max_header_bytes: 8_192, header_timeout_ms: 2_000, idle_timeout_ms: 5_000 };
+    await writer.configure({ limits: { ...limits, max_body_bytes: UPLOAD_BYTES } });
+    await writer.registerRunner('r0', port);
+    const harness = await GatewayHarness.start(t, { log });
+    const body = 'u'.repeat(UPLOAD_BYTES);
+    for (let upload = 0; upload < UPLOADS; upload += 1) {
+      const reply = await harness.call({ path: '/p/x', body });
+      t.is(reply.status, 502);
+      t.false(reply.body.includes(PART));
+    }
+  });
+}
