--- a/packages/gateway/src/node/runner-attempt.ts
+++ b/packages/gateway/src/node/runner-attempt.ts
@@ -1,7 +1,7 @@
 import { request as sendRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { ByteBuffer, responseFraming } from '@ragwortrudder/core';
+import { ByteBuffer, ConnectionMonitor, isSuccess, responseFraming } from '@ragwortrudder/core';
 import type { ResponseFraming } from '@ragwortrudder/core';
 import type { RunnerResponse } from '../types/runner-response.ts';
 import type { ResponseHead } from '../types/response-head.ts';
@@ -16,7 +16,6 @@
 import { incompleteReason } from '../utils/incomplete-reason.ts';
 import { invalidHeadReason } from '../utils/invalid-head-reason.ts';
 import { isEventStream } from '../utils/is-event-stream.ts';
-import { isSuccess } from '../utils/is-success.ts';
 import type { Intake } from './intake.ts';
 import { PacedReader } from './paced-reader.ts';
 import type { RunnerAgent } from './runner-agent.ts';
@@ -58,7 +57,7 @@
   #settle: (outcome: AttemptOutcome) => void = () => undefined;
   #isSettled = false;
   #wasConnected = false;
-  #connection: ResponseTransfer['connection'] = 'open';
+  #connection: ConnectionMonitor | undefined;
   #framing: ResponseFraming | undefined;
   #bytes = 0;
   #interimCount = 0;
@@ -99,8 +98,8 @@
       headers: dialect.runnerHeaders(request, metadata),
       setHost: false,
     });
+    this.#connection = new ConnectionMonitor(client);
     client.on('socket', (socket) => {
-      this.#watchConnection(client, socket);
       this.#paceReads(client, socket);
       if (!socket.connecting) this.#wasConnected = true;
       else
@@ -131,20 +130,6 @@
     return client;
   }
 
-  /**
-   * A response without a length ends when its connection closes, and a reset that arrives together with
-   * data is reported as a regular end. Only after a reset is the remote address no longer set.
-   */
-  #watchConnection(client: ClientRequest, socket: Socket): void {
-    const onEnd = (): void => {
-      this.#connection = socket.remoteAddress === undefined ? 'reset' : 'closed';
-    };
-    socket.prependListener('end', onEnd);
-    client.once('close', () => {
-      socket.off('end', onEnd);
-    });
-  }
-
   /** Bounds what the node reads, and the time that it takes, also where no body arrives. */
   #paceReads(client: ClientRequest, socket: Socket): void {
     const { intake, onRelease } = this.#options;
@@ -286,7 +271,7 @@
     return {
       framing: this.#framing ?? 'length',
       bytes: this.#bytes,
-      connection: this.#connection,
+      connection: this.#connection?.state ?? 'open',
       partialEventBytes: this.#isRelayed ? this.#options.sink?.partialEventBytes : undefined,
     };
   }
