--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -345,9 +345,13 @@
     team: Pick<Team, 'allowedRegions'> | undefined,
   ): HomeRegions {
     const { settings, failureDomain } = this.#options;
-    const { region, zones = {} } = settings();
+    const { region, domainRegions = {} } = settings();
     const lists = [ofRoute, team?.allowedRegions ?? []];
-    return new HomeRegions({ lists, zones, callerRegion: region ?? zones[failureDomain] });
+    return new HomeRegions({
+      lists,
+      domainRegions,
+      callerRegion: region ?? domainRegions[failureDomain],
+    });
   }
 
   #teamOf(
--- a/packages/gateway/src/node/runner-bounds.ts
+++ b/packages/gateway/src/node/runner-bounds.ts
@@ -13,7 +13,7 @@
   readonly node: string;
   readonly log: Pick<DecisionLog, 'notable' | 'rejected'>;
   readonly metrics: Pick<GatewayMetrics, 'count'>;
-  readonly settings: () => Pick<GatewaySettings, 'coldRunners' | 'zones'>;
+  readonly settings: () => Pick<GatewaySettings, 'coldRunners' | 'domainRegions'>;
   /** Called when peers should know of a change at once. */
   readonly onChange: () => void;
 }
@@ -54,9 +54,13 @@
   /** Records an entry of the list that was read now. */
   recordEntry(entry: RunnerEntry): void {
     const { settings, log } = this.#options;
-    const { zones } = settings();
-    if (zones && !Object.hasOwn(zones, entry.failureDomain)) {
-      log.rejected({ topic: 'zones', key: entry.failureDomain, cause: 'the region is not known' });
+    const { domainRegions } = settings();
+    if (domainRegions && !Object.hasOwn(domainRegions, entry.failureDomain)) {
+      log.rejected({
+        topic: 'domainRegions',
+        key: entry.failureDomain,
+        cause: 'the region is not known',
+      });
     }
     this.limits.cold.recordEntry(incarnationOf(entry), entry.service, entry.coldMs);
   }
--- a/packages/gateway/src/types/forwarder-options.ts
+++ b/packages/gateway/src/types/forwarder-options.ts
@@ -32,7 +32,7 @@
   readonly deferredEvidence: DeferredEvidence;
   readonly intake: Intake;
   readonly usage: UsageCounter;
-  readonly settings: () => Pick<GatewaySettings, 'quotas' | 'region' | 'zones'>;
+  readonly settings: () => Pick<GatewaySettings, 'quotas' | 'region' | 'domainRegions'>;
   readonly disciplinedClock: { now(): number };
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/src/types/gateway-settings.ts
+++ b/packages/gateway/src/types/gateway-settings.ts
@@ -15,7 +15,7 @@
   /** Region of the node; absent when it is the one of its failure domain, or is not known. */
   readonly region?: string | undefined;
   /** Region of each failure domain; one that is not listed belongs to no region. */
-  readonly zones?: Readonly<Record<string, string>> | undefined;
+  readonly domainRegions?: Readonly<Record<string, string>> | undefined;
   readonly listen: {
     /** Address that callers connect to. */
     readonly callers: Address;
--- a/packages/routing/src/utils/home-regions.ts
+++ b/packages/routing/src/utils/home-regions.ts
@@ -2,7 +2,7 @@
   /** Lists of home regions, all of which apply; an empty one allows any region. */
   readonly lists: readonly (readonly string[])[];
   /** Region of each failure domain. */
-  readonly zones: Readonly<Record<string, string>>;
+  readonly domainRegions: Readonly<Record<string, string>>;
   /** Region of the node to which the caller connected. */
   readonly callerRegion?: string | undefined;
 }
@@ -13,12 +13,12 @@
  */
 export class HomeRegions {
   readonly #lists: readonly (readonly string[])[];
-  readonly #zones: ReadonlyMap<string, string>;
+  readonly #domainRegions: ReadonlyMap<string, string>;
   readonly #callerRegion: string | undefined;
 
-  constructor({ lists, zones, callerRegion }: HomeRegionsOptions) {
+  constructor({ lists, domainRegions, callerRegion }: HomeRegionsOptions) {
     this.#lists = lists.filter((regions) => regions.length > 0);
-    this.#zones = new Map(this.#lists.length > 0 ? Object.entries(zones) : []);
+    this.#domainRegions = new Map(this.#lists.length > 0 ? Object.entries(domainRegions) : []);
     this.#callerRegion = callerRegion;
   }
 
@@ -29,13 +29,13 @@
 
   /** Whether a runner of a failure domain may serve the request. */
   allowsRunner(failureDomain: string): boolean {
-    return this.isAnywhere || this.#isHome(this.#zones.get(failureDomain));
+    return this.isAnywhere || this.#isHome(this.#domainRegions.get(failureDomain));
   }
 
   /** Whether the body of the request may be sent to a node of a failure domain. */
   allowsNode(failureDomain: string | undefined): boolean {
     if (this.isAnywhere) return true;
-    const region = failureDomain === undefined ? undefined : this.#zones.get(failureDomain);
+    const region = failureDomain === undefined ? undefined : this.#domainRegions.get(failureDomain);
     if (region === undefined) return false;
     return region === this.#callerRegion || this.#isHome(region);
   }
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -39,7 +39,7 @@
    */
   readonly headerTimeoutMs?: number;
   readonly failureDomain?: string;
-  readonly regions?: Pick<GatewaySettings, 'region' | 'zones'>;
+  readonly regions?: Pick<GatewaySettings, 'region' | 'domainRegions'>;
   readonly coldRunners?: GatewaySettings['coldRunners'];
   /** @default the clock of the system */
   readonly clock?: Clock;
--- a/test/gateway/home-regions.test.ts
+++ b/test/gateway/home-regions.test.ts
@@ -9,7 +9,7 @@
 
 const OK = 200;
 const UNAVAILABLE = 503;
-const REGIONS = { zones: { a: 'north', b: 'south', c: 'east' } };
+const REGIONS = { domainRegions: { a: 'north', b: 'south', c: 'east' } };
 /** Failure domains of the runners; the region of the last one is not known. */
 const DOMAINS = ['a', 'b', 'c', 'd'];
 const HEARING_MS = 1_000;
@@ -103,8 +103,8 @@
   t.true(refused.every((line) => line.includes('"runnersElsewhere":4')));
   const paths = lines.filter((line) => line.includes('configuration-value-ignored'));
   t.is(paths.length, 2 * fleet.gateways.length);
-  const zones = lines.filter((line) => line.includes('"topic":"zones"'));
-  t.is(zones.length, fleet.gateways.length, 'each node logs the unknown region once');
+  const unknown = lines.filter((line) => line.includes('"topic":"domainRegions"'));
+  t.is(unknown.length, fleet.gateways.length, 'each node logs the unknown region once');
 });
 
 // Guards against retries and resumed streams that go to a runner outside the home regions.
--- a/test/gateway/lost-peers.test.ts
+++ b/test/gateway/lost-peers.test.ts
@@ -90,7 +90,7 @@
           route: { ...ROUTE, kind },
           service: { name: 's', healthPath: '/', maxConnections: 100 },
           team: undefined,
-          home: new HomeRegions({ lists: [], zones: {} }),
+          home: new HomeRegions({ lists: [], domainRegions: {} }),
           progress: { sends: 0, isUsageCounted: false },
           remainingMs: 5_000,
           isRepeatable: true,
--- a/test/platform-adapter/translation.test.ts
+++ b/test/platform-adapter/translation.test.ts
@@ -272,6 +272,7 @@
 test('the settings template contains every setting', (t) => {
   const template = readFileSync('deploy/settings.template', 'utf8');
   const filled = template
+    .replace(/\{\{\^([\w.]+)\}\}.*?\{\{\/\1\}\}/g, '')
     .replace(/\{\{[#/][\w.]+\}\}/g, '')
     .replaceAll('{{zones|json}}', '{"a":"north"}')
     .replaceAll('{{cloud_api.duties|json}}', '["usage_report"]')
@@ -288,7 +289,7 @@
     runnerHeartbeatMs: 7,
     coldRunners: { overage: 7, slack: 7 },
     region: 'x',
-    zones: { a: 'north' },
+    domainRegions: { a: 'north' },
   });
 });
 
