Count crashes of a request only at different runners again

Cause: since interruptions more than 500 ms apart at one runner counted as several crashes, so that a runner that resets one request again and again, and lives on, was enough to quarantine the request. Three different boots are needed again.

--- a/packages/admission/src/utils/find-crashing-parts.ts
+++ b/packages/admission/src/utils/find-crashing-parts.ts
@@ -48,7 +48,7 @@
 /** Share of the runners of an event at which a prompt part must have been present. */
 const RUNNER_SHARE = 0.5;
 /** Evidence that is needed against a whole request, which may come again. */
-const REPEATED = { crashes: 3, events: 2, share: 0.1 };
+const REPEATED = { runners: 3, events: 2, share: 0.1 };
 /** Evidence that is needed from requests whose responses had begun. */
 const RESPONDING: Threshold = { events: 3, requests: 3, share: 0.4 };
 /** Evidence that is needed from all interrupted requests, most of which were waiting by chance. */
@@ -128,16 +128,15 @@
   const unexplained = new Set(history.interrupted);
   const isSuspect = (part: string): boolean => isRepeatKey(part) && isIncluded(part);
   const suspects = [...groupByPart(all, history, isSuspect)].flatMap(([part, requests]) => {
-    if (requests.length < REPEATED.crashes) return [];
+    // A runner that resets responses and lives on may do so again and again.
+    if (new Set(requests.map(({ runner }) => runner)).size < REPEATED.runners) return [];
     if (isKnown(part, history) && !requests.some((request) => unexplained.has(request))) return [];
     const present = new Set(requests);
     const meanwhile = eventsBetween(events, present);
     const own = meanwhile.filter((event) => presentIn(event, present).length > 0);
     const crashes = own.reduce((sum, event) => sum + presentIn(event, present).length, 0);
     const isEnough =
-      crashes >= REPEATED.crashes &&
-      own.length >= REPEATED.events &&
-      own.length >= REPEATED.share * meanwhile.length;
+      own.length >= REPEATED.events && own.length >= REPEATED.share * meanwhile.length;
     const firstAt = Math.min(...requests.map(({ at }) => at));
     return isEnough ? [{ part, firstAt, events: crashes }] : [];
   });
--- a/test/admission/living-runner.test.ts
+++ b/test/admission/living-runner.test.ts
@@ -74,3 +74,19 @@
   node.update();
   t.like(node.find([DEADLY]), { part: DEADLY });
 });
+
+// Guards against blaming a request for a runner that resets it whenever it comes, and may not respond to
+// anything else (503 request-quarantined).
+test('interruptions at one runner, seconds apart, blame no request', (t) => {
+  const { clock, node } = startNode();
+  for (let times = 0; times < 6; times += 1) {
+    node.recordInterrupted({
+      ...ATTEMPT,
+      runner: 'resetting',
+      parts: [SOUND],
+      sentAt: clock.monotonic(),
+    });
+    clock.advance(2_000);
+    t.deepEqual(node.update(), []);
+  }
+});
