--- a/packages/gateway/src/node/runner-refusals.ts
+++ b/packages/gateway/src/node/runner-refusals.ts
@@ -29,7 +29,7 @@
  * Maximum random delay after the end of a rest, in milliseconds. Callers that return together at its
  * end would make the runner ask for rest again.
  */
-const REST_SPREAD_MS = 150;
+const REST_SPREAD_MS = 100;
 /** Least delay while all runners are cold, in milliseconds; many callers share what they take by then. */
 const MIN_COLD_RETRY_MS = 100;
 
