Find the home runner of a session with rendezvousFirst

RunnerPool and placeModelRequest each had a loop of their own that does the same. rendezvousFirst takes a condition now, which is asked only of members with the best score so far, as in the loop that it replaces.

--- a/packages/gateway/src/node/runner-pool.ts
+++ b/packages/gateway/src/node/runner-pool.ts
@@ -7,7 +7,7 @@
   excludeUnreachableDomains,
   OutlierDetector,
   PrefillRate,
-  rendezvousScore,
+  rendezvousFirst,
 } from '@ragwortrudder/routing';
 import type {
   EvacuatedDomains,
@@ -135,22 +135,6 @@
   return sorted[Math.floor(sorted.length / 2)] ?? 1;
 }
 
-function homeOf(
-  session: string,
-  entries: readonly RunnerEntry[],
-  isUsable: (entry: RunnerEntry) => boolean,
-): RunnerEntry | undefined {
-  let home: RunnerEntry | undefined;
-  let bestScore = -1;
-  for (const entry of entries) {
-    const score = rendezvousScore(session, entry.id);
-    if (score <= bestScore || !isUsable(entry)) continue;
-    bestScore = score;
-    home = entry;
-  }
-  return home;
-}
-
 /** Runners as observed by this node: connections, reachability, failures and latency. */
 export class RunnerPool implements Closeable {
   readonly links: RunnerLinks;
@@ -567,7 +551,7 @@
         .map((entry) => this.#candidateOf(entry, service, this.#slownessOf(entry)));
     }
     const { random, session, lastRunner } = sampling;
-    const home = session === '' ? undefined : homeOf(session, entries, isUsable);
+    const home = session === '' ? undefined : rendezvousFirst(session, entries, isUsable);
     const last = lastRunner === undefined ? undefined : entries.find(({ id }) => id === lastRunner);
     return drawCandidates({
       items: entries,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -56,6 +56,7 @@
 export { chooseReclaimAction } from './utils/choose-reclaim-action.ts';
 export { RecomputeCounts } from './utils/recompute-counts.ts';
 export { HomeRegions } from './utils/home-regions.ts';
+export { rendezvousFirst } from './utils/rendezvous-first.ts';
 export { rendezvousOrder } from './utils/rendezvous-order.ts';
 export { RoundRobinRouting } from './utils/round-robin-routing.ts';
 export { createRoutingPolicy } from './utils/create-routing-policy.ts';
--- a/packages/routing/src/utils/place-model-request.ts
+++ b/packages/routing/src/utils/place-model-request.ts
@@ -2,7 +2,7 @@
 import type { Placement } from '../types/placement.ts';
 import type { PlacementCandidate } from '../types/placement-candidate.ts';
 import type { PlacementRequest } from '../types/placement-request.ts';
-import { rendezvousScore } from './rendezvous-score.ts';
+import { rendezvousFirst } from './rendezvous-first.ts';
 
 /**
  * Latency that each additional running request adds to the others in its batch, in milliseconds.
@@ -30,15 +30,7 @@
 
 function homeRunnerOf(session: string, candidates: readonly PlacementCandidate[]): string {
   if (candidates[0]?.isHome !== undefined) return candidates.find(({ isHome }) => isHome)?.id ?? '';
-  let homeRunner = '';
-  let bestScore = -1;
-  for (const { id } of candidates) {
-    const score = rendezvousScore(session, id);
-    if (score <= bestScore) continue;
-    bestScore = score;
-    homeRunner = id;
-  }
-  return homeRunner;
+  return rendezvousFirst(session, candidates)?.id ?? '';
 }
 
 /**
