--- a/packages/admission/src/utils/find-crashing-parts.ts
+++ b/packages/admission/src/utils/find-crashing-parts.ts
@@ -133,12 +133,13 @@
     if (isKnown(part, history) && !requests.some((request) => unexplained.has(request))) return [];
     const present = new Set(requests);
     const meanwhile = eventsBetween(events, present);
-    const own = meanwhile.filter((event) => presentIn(event, present).length > 0);
-    const crashes = own.reduce((sum, event) => sum + presentIn(event, present).length, 0);
+    const crashes = meanwhile.map((event) => presentIn(event, present).length);
+    const own = crashes.filter((count) => count > 0);
     const isEnough =
       own.length >= REPEATED.events && own.length >= REPEATED.share * meanwhile.length;
+    if (!isEnough) return [];
     const firstAt = Math.min(...requests.map(({ at }) => at));
-    return isEnough ? [{ part, firstAt, events: crashes }] : [];
+    return [{ part, firstAt, events: own.reduce((sum, count) => sum + count, 0) }];
   });
   return mostSuspicious(suspects);
 }
--- a/packages/admission/src/utils/select-interruptions.ts
+++ b/packages/admission/src/utils/select-interruptions.ts
@@ -21,6 +21,10 @@
   const { candidates, known, servedAt, limit } = options;
   const suspects = (request: InterruptedRequest): readonly string[] =>
     request.parts.filter((part) => servedAt(part) < request.at);
+  const suspected = candidates
+    .map((request) => ({ ...request, parts: suspects(request) }))
+    .filter(({ parts }) => parts.length > 0);
+  if (suspected.length <= limit) return suspected;
   const boots = new Map<string, Set<string>>();
   for (const request of known) {
     for (const part of suspects(request)) {
@@ -28,10 +32,6 @@
       boots.set(part, runners.add(request.runner));
     }
   }
-  const suspected = candidates
-    .map((request) => ({ ...request, parts: suspects(request) }))
-    .filter(({ parts }) => parts.length > 0);
-  if (suspected.length <= limit) return suspected;
   const selected = suspected
     .map((request) => {
       const crashes = Math.max(...request.parts.map((part) => boots.get(part)?.size ?? 0));
