Log with how much quota buckets start and what a node believes when it refuses

In an incident a team got more than its limit (QUOTA) while nodes were killed and started again. The lines of the nodes could not tell its hypotheses apart (docs/incidents/forgotten-quota-use.md): with how much a bucket starts, which share of it a node uses, and at which level it refuses.

--- a/packages/admission/src/utils/shared-quota.ts
+++ b/packages/admission/src/utils/shared-quota.ts
@@ -13,6 +13,16 @@
   readonly refilledAt: number;
 }
 
+/** What a node believes of a bucket. */
+interface QuotaState {
+  /** Tokens in the node's copy of the bucket; negative when overdrawn. */
+  readonly level: number;
+  /** Fraction of the bucket that the node and its reachable peers may use. */
+  readonly share: number;
+  /** Tokens that the node itself took since it started, minus refunds. */
+  readonly taken: number;
+}
+
 const MS_PER_S = 1000;
 
 /**
@@ -36,6 +46,11 @@
     return this.#taken;
   }
 
+  /** Fraction of each bucket, up to 1, that this node and its reachable peers may use. */
+  get share(): number {
+    return this.#share;
+  }
+
   /** Sets the fraction of each bucket, up to 1, that this node and its reachable peers may use. */
   setShare(share: number): void {
     if (share === this.#share) return;
@@ -47,10 +62,15 @@
     }
   }
 
-  /** Replaces the limits; a new bucket starts with the current share of its burst. */
-  setLimits(limits: ReadonlyMap<string, QuotaLimit>): void {
+  /**
+   * Replaces the limits; a new bucket starts with the current share of its burst. Returns the names of
+   * the new buckets.
+   */
+  setLimits(limits: ReadonlyMap<string, QuotaLimit>): readonly string[] {
+    const opened = [...limits.keys()].filter((name) => !this.#buckets.has(name));
     for (const name of this.#buckets.keys()) if (!limits.has(name)) this.#buckets.delete(name);
     for (const [name, limit] of limits) this.#setLimit(name, limit);
+    return opened;
   }
 
   /**
@@ -83,6 +103,14 @@
     this.#buckets.set(name, { ...refilled, level: refilled.level - cost });
   }
 
+  /** What this node believes of a bucket; undefined for names without a limit. */
+  stateOf(name: string): QuotaState | undefined {
+    const bucket = this.#buckets.get(name);
+    if (!bucket) return undefined;
+    const { level } = this.#refilled(bucket);
+    return { level, share: this.#share, taken: this.#taken.get(name) ?? 0 };
+  }
+
   /** Time in milliseconds until a bucket holds `cost`, or its full size if that is less. */
   waitMs(name: string, cost: number): number {
     const bucket = this.#buckets.get(name);
--- a/packages/gateway/src/node/forwarder.ts
+++ b/packages/gateway/src/node/forwarder.ts
@@ -109,7 +109,7 @@
     const limits = configuration.teams.flatMap(({ name, limit }) =>
       limit ? [[name, toleratedLimit(limit, this.#options.settings().quotas)] as const] : [],
     );
-    this.#options.quota.setLimits(new Map(limits));
+    this.#logOpened(this.#options.quota.setLimits(new Map(limits)));
     this.#gates.apply(configuration);
   }
 
@@ -430,14 +430,23 @@
     });
   }
 
+  /** Logs with how much the buckets of teams start that had none before. */
+  #logOpened(teams: readonly string[]): void {
+    if (teams.length === 0) return;
+    const { quota, log } = this.#options;
+    const level = teams.reduce((sum, team) => sum + (quota.stateOf(team)?.level ?? 0), 0);
+    log.notable('quota-opened', { teams: teams.length, level, share: quota.share });
+  }
+
   #takeQuota(request: CallerRequest, team: Team | undefined): number {
     if (!team?.limit) return 0;
     const cost = costOf(request, team.limit);
-    if (this.#options.quota.tryTake(team.name, cost)) return cost;
+    const { quota } = this.#options;
+    if (quota.tryTake(team.name, cost)) return cost;
     throw new Refusal('quota-exceeded', {
       status: HTTP_TOO_MANY_REQUESTS,
-      retryAfterMs: this.#options.quota.waitMs(team.name, cost),
-      inputs: { team: team.name, cost },
+      retryAfterMs: quota.waitMs(team.name, cost),
+      inputs: { team: team.name, cost, ...quota.stateOf(team.name) },
     });
   }
 }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -370,8 +370,8 @@
       new PeriodicTask({
         periodMs: MAINTENANCE_PERIOD_MS,
         run: () => {
-          const { reachableCount, knownCount } = this.#peers;
-          this.#quota.setShare(reachableCount / knownCount);
+          const { knownCount } = this.#peers;
+          this.#updateQuotaShare();
           this.#retryBudget.setAllowance(retryAllowance(this.#settings.retries, knownCount));
           this.#bounds.update(this.#peers, this.#registration.isRegistered);
           this.#pool.prune();
@@ -504,6 +504,14 @@
     return this.#configuration !== undefined && this.#catalog.hasRunners && !this.#isStopping;
   }
 
+  #updateQuotaShare(): void {
+    const { reachableCount, knownCount } = this.#peers;
+    const share = reachableCount / knownCount;
+    if (share === this.#quota.share) return;
+    this.#quota.setShare(share);
+    this.#decisions.notable('quota-share', { share, reachableCount, knownCount });
+  }
+
   #createTask(name: string, periodMs: number, run: () => Promise<void>): PeriodicTask {
     return new PeriodicTask({ periodMs, run, onFailure: this.#decisions.onTaskFailure(name) });
   }
