--- a/packages/gateway/src/types/gateway-settings.ts
+++ b/packages/gateway/src/types/gateway-settings.ts
@@ -45,6 +45,11 @@
     readonly overage: number;
     /** Additional amount by which a team's limit may be exceeded, over all nodes, in the limit's unit. */
     readonly slack: number;
+    /**
+     * Length of the windows in which the limits hold, in milliseconds.
+     * @default 0
+     */
+    readonly windowMs?: number | undefined;
   };
   /** Bound on the requests that a cold runner receives in a second, over all nodes. */
   readonly coldRunners?:
--- a/packages/soak/src/node/fault-injector.ts
+++ b/packages/soak/src/node/fault-injector.ts
@@ -82,7 +82,7 @@
       case 'node-pause':
         return this.#pause(target, forMs);
       case 'node-reload':
-        this.#node(target)?.reload({ quotas: { overage: 0.1, slack: 100 + target } });
+        this.#node(target)?.reload({ quotas: { overage: 0.1, slack: 100 + target, windowS: 8 } });
         return;
       case 'all-kill':
         for (const node of this.#options.nodes) node.signal('SIGKILL');
--- a/packages/soak/src/node/soak.ts
+++ b/packages/soak/src/node/soak.ts
@@ -404,7 +404,7 @@
     cloud: { address: cloud, duties: ['usage_report', 'autoscale'] },
     graceS: 8,
     retries: { ratio: 0.2, slack: 60, windowS: 10 },
-    quotas: { overage: 0.1, slack: 100 },
+    quotas: { overage: 0.1, slack: 100, windowS: 8 },
     duties: { leaseMs: 3_000, usageWindowS: 5, usageLateS: 10 },
   };
 }
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -41,6 +41,8 @@
   readonly failureDomain?: string;
   readonly regions?: Pick<GatewaySettings, 'region' | 'domainRegions'>;
   readonly coldRunners?: GatewaySettings['coldRunners'];
+  /** @default 0 */
+  readonly quotaWindowMs?: number;
   /** @default the clock of the system */
   readonly clock?: Clock;
 }
@@ -107,7 +109,7 @@
       },
       graceMs: options.graceMs ?? 8_000,
       retries: { ratio: 0.2, slack: 600, windowMs: 10_000 },
-      quotas: { overage: 0, slack: 0 },
+      quotas: { overage: 0, slack: 0, windowMs: options.quotaWindowMs },
       coldRunners: options.coldRunners,
       duties: {
         reportsUsage: false,
