Deduct what a node has used before its first report

Cause: the totals of the first report of a node were only a baseline, so that its peers never deducted what it had used before. That is right for a node that was cut off and kept to its own share, not for one that has just started. The report of a node that asks for quota levels says that it has: all of its totals are new. The answer leaves out what was deducted of the asking node's own use, which that node deducts itself.

--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -77,6 +77,12 @@
   readonly taken: ReadonlyMap<string, number>;
 }
 
+/** Quota that a peer has consumed since its incarnation started, by team. */
+interface PeerUse {
+  readonly incarnation: number;
+  readonly taken: ReadonlyMap<string, number>;
+}
+
 interface AppliedDigest {
   readonly relay: string;
   readonly incarnation: number;
@@ -90,12 +96,13 @@
 const REPORTED_WINDOWS = 3;
 /** Number of own reports that a digest may still be based on. */
 const KEPT_REPORTS = 16;
-const NOTHING_REPORTED: OwnReport = { sequence: 0, work: {}, taken: new Map() };
+const NOTHING_TAKEN: ReadonlyMap<string, number> = new Map();
+const NOTHING_REPORTED: OwnReport = { sequence: 0, work: {}, taken: NOTHING_TAKEN };
 
 /** Creates this node's reports and the digests of its failure domain, and applies those of other nodes. */
 export class PeerStateSync {
   readonly #options: PeerStateSyncOptions;
-  readonly #takenByPeer = new Map<string, ReadonlyMap<string, number>>();
+  readonly #takenByPeer = new Map<string, PeerUse>();
   readonly #appliedDigests = new Map<string, AppliedDigest>();
   /** Quota consumed by peers of this failure domain, by team, as received in their reports. */
   readonly #takenInDomain = new Map<string, number>();
@@ -213,7 +220,9 @@
     this.#applyReach(report);
     const { host, port } = report;
     this.#options.onPeerConfiguration(report.configuration ?? 0, { host, port });
-    if (report.asksQuotaLevels) this.#options.quotaExchange.answer({ host, port });
+    if (report.asksQuotaLevels) {
+      this.#options.quotaExchange.answer({ host, port }, this.#appliedUseOf(report));
+    }
     this.#options.quarantine.setPeerEvidence(
       { node: report.node, incarnation: String(report.life) },
       report.prompts,
@@ -226,9 +235,9 @@
     this.#options.speeds.forgetDomain(report.failureDomain);
     if (report.speeds) this.#options.speeds.setPeer(report.node, report.speeds);
     loadTracker.setPeerWork(report.node, decodeWork(report), this.#options.timing().workTtlMs);
-    const previousTotals = isFirst ? undefined : this.#takenByPeer.get(report.node);
+    const previousTotals = this.#previousTotals(report, isFirst);
     const taken = new Map(Object.entries(report.taken));
-    this.#takenByPeer.set(report.node, taken);
+    this.#takenByPeer.set(report.node, { incarnation: report.life, taken });
     const isLocal = report.failureDomain === failureDomain;
     this.#applyQuotaUse(previousTotals, taken, isLocal ? this.#takenInDomain : undefined);
   }
@@ -302,6 +311,25 @@
     }
   }
 
+  /** What of a peer's use has been deducted already. */
+  #appliedUseOf({ node, life }: NodeReport): ReadonlyMap<string, number> {
+    const known = this.#takenByPeer.get(node);
+    return known?.incarnation === life ? known.taken : NOTHING_TAKEN;
+  }
+
+  /**
+   * Totals up to which a peer's use has been deducted, or was consumed out of its own share. All that
+   * a peer has consumed that has just started is new.
+   */
+  #previousTotals(
+    { node, life, asksQuotaLevels }: NodeReport,
+    isFirst: boolean,
+  ): ReadonlyMap<string, number> | undefined {
+    const known = this.#takenByPeer.get(node);
+    if (isFirst && asksQuotaLevels && known?.incarnation !== life) return NOTHING_TAKEN;
+    return isFirst ? undefined : known?.taken;
+  }
+
   #reach(): Pick<NodeReport, 'outOfReach' | 'reached'> {
     const links = this.#options.links();
     const { lost } = links;
--- a/packages/gateway/src/node/quota-exchange.ts
+++ b/packages/gateway/src/node/quota-exchange.ts
@@ -38,12 +38,17 @@
     log.notable('quota-share', { share, reachableCount, knownCount });
   }
 
-  /** Tells a peer that asks what is left; a node that asks itself does not know it. */
-  answer(peer: Address): void {
+  /**
+   * Tells a peer that asks what is left without its own use, of which `applied` has been deducted; a
+   * node that asks itself does not know it.
+   */
+  answer(peer: Address, applied: ReadonlyMap<string, number>): void {
     const { node, quota, peers } = this.#options;
     const { levels } = quota;
     if (this.isAsking || levels.size === 0) return;
-    const left = [...levels].map(([team, level]) => [team, Math.floor(level)] as const);
+    const left = [...levels].map(
+      ([team, level]) => [team, Math.floor(level + (applied.get(team) ?? 0))] as const,
+    );
     peers().sendQuotaLevels({ node, levels: Object.fromEntries(left) }, peer);
   }
 
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -32,6 +32,8 @@
   readonly limits: StatedLimits;
   readonly speeds: RunnerSpeeds;
   readonly sync: PeerStateSync;
+  /** What of the use of peers that asked was deducted when they were answered. */
+  readonly answers: readonly ReadonlyMap<string, number>[];
 }
 
 function createNode(
@@ -39,7 +41,9 @@
   clock: ManualClock,
   failureDomain = 'a',
   isRelay = true,
+  isAsking = false,
 ): TestNode {
+  const answers: ReadonlyMap<string, number>[] = [];
   const loadTracker = new RunnerLoadTracker(clock);
   const quota = new SharedQuota(clock);
   const directory = new RunnerDirectory({ clock });
@@ -53,7 +57,12 @@
     clock,
     loadTracker,
     quota,
-    quotaExchange: { isAsking: false, answer: () => undefined },
+    quotaExchange: {
+      isAsking,
+      answer: (_peer, applied) => {
+        answers.push(applied);
+      },
+    },
     usage: new UsageCounter(5_000),
     demand: new DemandMeter(clock),
     directory,
@@ -77,7 +86,7 @@
     timing: () => reportTiming(undefined),
     isRelay: () => isRelay,
   });
-  return { loadTracker, quota, directory, limits, speeds, sync };
+  return { loadTracker, quota, directory, limits, speeds, sync, answers };
 }
 
 const WITH_TOTALS = { isLeaving: false, includesTotals: true };
@@ -93,6 +102,23 @@
   t.false(local.quota.tryTake('team', 1));
 });
 
+// Guards against use that nobody subtracts, between the start of a node and its first report (QUOTA).
+test('all that a node consumed that has just started is subtracted with its first report', (t) => {
+  const clock = new ManualClock();
+  const local = createNode('n1', clock);
+  const started = createNode('n2', clock, 'a', true, true);
+  for (const { quota } of [local, started]) quota.setLimits(LIMITS);
+  t.true(started.quota.tryTake('team', 40));
+  local.sync.applyReport(started.sync.createReport(WITH_TOTALS), true);
+  t.true(started.quota.tryTake('team', 20));
+  local.sync.applyReport(started.sync.createReport(WITH_TOTALS), false);
+  t.is(local.quota.stateOf('team')?.level, 40);
+  t.deepEqual(
+    local.answers.map((applied) => applied.get('team')),
+    [undefined, 40],
+  );
+});
+
 test('pattern: hot team during a partition; after it heals, quota consumed on the other side in the meantime is not subtracted again', (t) => {
   const clock = new ManualClock();
   const [local, peer] = [createNode('n1', clock), createNode('n2', clock)];
