Deduct what a failure domain uses while another relay takes over

Callers could get more of a team's requests served than its limit allows in a large deployment where a relay ends: its successor is followed from the first digest after the time-out of the relay before, and the totals of that digest were only a baseline. What the domain used from the last digest of the first relay on, 1.5 s and more, was never deducted elsewhere.

The other relays' digests arrive all the time and were dropped. Now the last one that came before the last digest of the followed relay is the baseline of the relay that takes over. Which relay is followed, and from which digest on it counts, is decided in FollowedDigests. The new test of PeerStateSync failed before.

--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -14,6 +14,7 @@
 import type { ReportTiming } from '../types/report-timing.ts';
 import type { RunnerWork } from '../types/runner-work.ts';
 import type { DemandMeter } from '../utils/demand-meter.ts';
+import { FollowedDigests } from '../utils/followed-digests.ts';
 import type { RunnerLoadTracker } from '../utils/runner-load-tracker.ts';
 import type { DisciplinedClock } from '../utils/disciplined-clock.ts';
 import { incarnationOf } from '../utils/incarnation-of.ts';
@@ -103,7 +104,7 @@
 export class PeerStateSync {
   readonly #options: PeerStateSyncOptions;
   readonly #takenByPeer = new Map<string, PeerUse>();
-  readonly #appliedDigests = new Map<string, AppliedDigest>();
+  readonly #digests: FollowedDigests<AppliedDigest>;
   /** Quota consumed by peers of this failure domain, by team, as received in their reports. */
   readonly #takenInDomain = new Map<string, number>();
   #ownReports: readonly OwnReport[] = [];
@@ -111,6 +112,7 @@
 
   constructor(options: PeerStateSyncOptions) {
     this.#options = options;
+    this.#digests = new FollowedDigests(options.timing);
   }
 
   createReport({ isLeaving, includesTotals }: ReportExtent): NodeReport {
@@ -246,7 +248,7 @@
   applyDigest(digest: DomainDigest): void {
     const { loadTracker, clock, disciplinedClock } = this.#options;
     const { relay, life: incarnation, failureDomain } = digest;
-    const { workTtlMs, relayTimeoutMs, baselineTtlMs } = this.#options.timing();
+    const { workTtlMs } = this.#options.timing();
     const own = digest.heard && this.#ownReportIn(digest.heard);
     const others = withoutOwn(decodeWork(digest), own);
     loadTracker.setPeerWork(domainKey(failureDomain), others, workTtlMs);
@@ -268,15 +270,12 @@
         digest.prompts,
       );
     }
-    const known = this.#appliedDigests.get(failureDomain);
-    const at = clock.monotonic();
-    const isSameRelay = known?.relay === relay && known.incarnation === incarnation;
-    if (known && !isSameRelay && at - known.at < relayTimeoutMs) return;
     const taken = new Map(Object.entries(digest.taken));
-    this.#appliedDigests.set(failureDomain, { relay, incarnation, at, taken, own });
-    if (!isSameRelay || at - known.at >= baselineTtlMs) return;
-    if (own && known.own) this.#applyUseOfOthers(known, { taken, own });
-    else if (!own && !known.own) this.#applyQuotaUse(known.taken, taken, undefined);
+    const applied = { relay, incarnation, at: clock.monotonic(), taken, own };
+    const before = this.#digests.record(failureDomain, applied);
+    if (!before) return;
+    if (own && before.own) this.#applyUseOfOthers(before, { taken, own });
+    else if (!own && !before.own) this.#applyQuotaUse(before.taken, taken, undefined);
   }
 
   /** A relay has the reports of its own failure domain themselves. */
@@ -371,14 +370,14 @@
   /** The work and the quota in reports of a failure domain are part of its digests as well. */
   #isCoveredByDigest(failureDomain: string): boolean {
     const { clock, loadTracker, timing, isRelay } = this.#options;
-    const known = this.#appliedDigests.get(failureDomain);
-    if (known === undefined) return false;
+    const lastAt = this.#digests.lastAt(failureDomain);
+    if (lastAt === undefined) return false;
     if (failureDomain === this.#options.failureDomain && isRelay()) {
-      this.#appliedDigests.delete(failureDomain);
+      this.#digests.forget(failureDomain);
       loadTracker.setPeerWork(domainKey(failureDomain), new Map(), 0);
       return false;
     }
-    return clock.monotonic() - known.at < timing().relayTimeoutMs;
+    return clock.monotonic() - lastAt < timing().relayTimeoutMs;
   }
 
   /**
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -158,6 +158,31 @@
   t.false(remote.quota.tryTake('team', 1));
 });
 
+// Guards against use that nobody subtracts while another relay takes over (QUOTA).
+test('pattern: large deployment; quota consumed while a relay ends is subtracted with the digests of the other one', (t) => {
+  const clock = new ManualClock();
+  const [member, relay, secondRelay] = ['n1', 'n2', 'n3'].map((name) => createNode(name, clock));
+  const remote = createNode('m1', clock, 'b');
+  if (!member || !relay || !secondRelay) throw new Error('expected three nodes');
+  const limits = new Map([['team', { perSecond: 1, burst: 100 }]]);
+  for (const { quota } of [member, relay, secondRelay, remote]) quota.setLimits(limits);
+  const exchange = (relays: readonly TestNode[], isFirst: boolean): void => {
+    const report = member.sync.createReport(WITH_TOTALS);
+    for (const { sync } of relays) sync.applyReport(report, isFirst);
+    for (const { sync } of relays) remote.sync.applyDigest(sync.createDigest({}));
+    clock.advance(200);
+  };
+  exchange([relay, secondRelay], true);
+  t.true(member.quota.tryTake('team', 10));
+  exchange([relay, secondRelay], false);
+  for (let period = 0; period < 10; period += 1) {
+    t.true(member.quota.tryTake('team', 5));
+    exchange([secondRelay], false);
+  }
+  // 60 are consumed, and some are refilled.
+  t.true((remote.quota.stateOf('team')?.level ?? 0) <= 45);
+});
+
 test('pattern: large deployment; a digest reports work at a runner as the sum over the members of the domain', (t) => {
   const clock = new ManualClock();
   const [member, relay] = [createNode('n1', clock), createNode('n2', clock)];
