--- /dev/null
+++ b/test/gateway/hot-team-of-many-nodes.test.ts
@@ -0,0 +1,114 @@
+import test from 'ava';
+import { SharedQuota } from '@ragwortrudder/admission';
+import { ManualClock, SeededRandom } from '@ragwortrudder/core';
+import { toleratedLimit } from '../../packages/gateway/src/utils/tolerated-limit.ts';
+
+const DOMAINS = 3;
+const NODES_PER_DOMAIN = 21;
+/** Interval at which a node of a large failure domain reports, and a relay sends its digest. */
+const REPORT_MS = 520;
+const STEP_MS = 10;
+const WINDOW_MS = 8_000;
+const DURATION_MS = 3 * WINDOW_MS;
+const LIMIT = {
+  perSecond: 450_000,
+  burst: 450_000,
+  unit: 'tokens',
+  plainTokens: 200,
+} as const;
+const TOLERANCE = { overage: 0.1, slack: 140_000 };
+const MEAN_SIZE = 7_430;
+
+/** Tokens of a random request: most are short, a few are very long. */
+function sizeOf(random: SeededRandom): number {
+  const draw = random.next();
+  if (draw < 0.7) return 2_400;
+  return draw < 0.95 ? 12_000 : 55_000;
+}
+
+/** Node that learns what the others have used from the digests of the failure domains. */
+class DigestNode {
+  readonly quota: SharedQuota;
+  readonly domain: number;
+  readonly phaseMs: number;
+  /** Use that its relay has heard of. */
+  reported = 0;
+  readonly #applied: number[] = Array.from({ length: DOMAINS }, () => 0);
+  #ownApplied = 0;
+
+  constructor(index: number, clock: ManualClock, random: SeededRandom) {
+    this.domain = index % DOMAINS;
+    this.phaseMs = Math.floor((random.next() * REPORT_MS) / STEP_MS) * STEP_MS;
+    this.quota = new SharedQuota(clock);
+    this.quota.setLimits(new Map([['team', toleratedLimit(LIMIT, TOLERANCE)]]));
+  }
+
+  get taken(): number {
+    return this.quota.taken.get('team') ?? 0;
+  }
+
+  apply(domain: number, total: number): void {
+    const own = domain === this.domain ? this.reported - this.#ownApplied : 0;
+    this.quota.recordPeerUsage('team', total - (this.#applied[domain] ?? 0) - own);
+    this.#applied[domain] = total;
+    if (domain === this.domain) this.#ownApplied = this.reported;
+  }
+}
+
+/** Tokens that all nodes together admit in each step while a team asks for `demand` times its rate. */
+function admittedTokens(seed: number, demand: number): readonly number[] {
+  const clock = new ManualClock();
+  const random = new SeededRandom(seed);
+  const nodes = Array.from(
+    { length: DOMAINS * NODES_PER_DOMAIN },
+    (_, index) => new DigestNode(index, clock, random),
+  );
+  const digestPhases = [0, 170, 350];
+  const requestsPerStep = (demand * LIMIT.perSecond * STEP_MS) / 1_000 / MEAN_SIZE;
+  const admitted: number[] = [];
+  for (let at = 0; at < DURATION_MS; at += STEP_MS) {
+    let sum = 0;
+    let requests = Math.floor(requestsPerStep + random.next());
+    for (; requests > 0; requests -= 1) {
+      const size = sizeOf(random);
+      const node = nodes[Math.floor(random.next() * nodes.length)];
+      if (node?.quota.tryTake('team', size)) sum += size;
+    }
+    admitted.push(sum);
+    for (const node of nodes) if (at % REPORT_MS === node.phaseMs) node.reported = node.taken;
+    for (const [domain, phaseMs] of digestPhases.entries()) {
+      if (at % REPORT_MS !== phaseMs) continue;
+      const total = nodes
+        .filter((node) => node.domain === domain)
+        .reduce((total, { reported }) => total + reported, 0);
+      for (const node of nodes) node.apply(domain, total);
+    }
+    clock.advance(STEP_MS);
+  }
+  return admitted;
+}
+
+function maxInWindow(admitted: readonly number[]): number {
+  const steps = WINDOW_MS / STEP_MS;
+  let sum = 0;
+  let max = 0;
+  for (const [index, tokens] of admitted.entries()) {
+    sum += tokens - (admitted[index - steps] ?? 0);
+    max = Math.max(max, sum);
+  }
+  return max;
+}
+
+const ENTITLED = (LIMIT.perSecond * WINDOW_MS) / 1_000 + LIMIT.burst;
+const TOLERATED = ENTITLED * (1 + TOLERANCE.overage) + TOLERANCE.slack;
+
+// Guards against many nodes that all admit a hot team's requests until they hear of each other (QUOTA).
+for (const demand of [1.5, 3, 6]) {
+  test(`pattern: hot team on many nodes that asks for ${demand} times its limit; all nodes together stay within the tolerated limit`, (t) => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const max = maxInWindow(admittedTokens(seed, demand));
+      t.true(max <= TOLERATED, `seed ${seed}: ${max} of ${TOLERATED}`);
+      t.true(max >= ENTITLED * 0.9, `seed ${seed}: ${max} of ${ENTITLED}`);
+    }
+  });
+}
