Pace hot teams where use is heard late

Cause: in a large deployment use passes through relays and is known up to a second late. The levels of all nodes rise above zero together; until they hear of each other each of them admits all that it is asked for.

Now a node whose peers may have taken what is left since it last heard of them admits by a lane of its own: a part of the bucket's refill in proportion to its part of the use, slower while the bucket is overdrawn, faster while much is left. Where every node reports to every other one nothing changes: the tolerance covers what they take within a report period.

A team within its limit is hardly refused anything in the model.

QuotaExchange owns the buckets, so that Gateway does not grow.

--- a/packages/admission/src/utils/shared-quota.ts
+++ b/packages/admission/src/utils/shared-quota.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@ragwortrudder/core';
+import { QuotaLane } from './quota-lane.ts';
 
 interface QuotaLimit {
   /** Refill per second. */
@@ -14,6 +15,12 @@
    * @default 0
    */
   readonly windowMs?: number | undefined;
+  /**
+   * Time until this node hears of the use of its peers, in milliseconds; 0 where the tolerance of the
+   * limits covers what they take meanwhile.
+   * @default 0
+   */
+  readonly delayMs?: (() => number) | undefined;
 }
 
 interface Bucket {
@@ -33,6 +40,8 @@
   readonly share: number;
   /** Tokens that the node itself took since it started, minus refunds. */
   readonly taken: number;
+  /** Tokens that the node's own part of the refill allows; undefined where that is not in force. */
+  readonly laneCredit: number | undefined;
 }
 
 const MS_PER_S = 1000;
@@ -49,13 +58,16 @@
   readonly #clock: Clock;
   readonly #windowMs: number;
   readonly #startedAt: number;
+  readonly #delayMs: () => number;
+  readonly #lanes = new Map<string, QuotaLane>();
   readonly #buckets = new Map<string, Bucket>();
   readonly #taken = new Map<string, number>();
   #share = 1;
 
-  constructor(clock: Clock, { windowMs = 0 }: SharedQuotaOptions = {}) {
+  constructor(clock: Clock, { windowMs = 0, delayMs = () => 0 }: SharedQuotaOptions = {}) {
     this.#clock = clock;
     this.#windowMs = windowMs;
+    this.#delayMs = delayMs;
     this.#startedAt = clock.monotonic();
   }
 
@@ -97,7 +109,11 @@
    */
   setLimits(limits: ReadonlyMap<string, QuotaLimit>): readonly string[] {
     const opened = [...limits.keys()].filter((name) => !this.#buckets.has(name));
-    for (const name of this.#buckets.keys()) if (!limits.has(name)) this.#buckets.delete(name);
+    for (const name of this.#buckets.keys()) {
+      if (limits.has(name)) continue;
+      this.#buckets.delete(name);
+      this.#lanes.delete(name);
+    }
     for (const [name, limit] of limits) this.#setLimit(name, limit);
     return opened;
   }
@@ -110,9 +126,9 @@
     const bucket = this.#buckets.get(name);
     if (!bucket) return true;
     const refilled = this.#refilled(bucket);
-    const isAllowed = this.#levelOf(refilled) > 0;
+    const isAllowed = this.#isOpen(name, refilled);
     this.#buckets.set(name, isAllowed ? added(refilled, -cost) : refilled);
-    if (isAllowed) this.#taken.set(name, (this.#taken.get(name) ?? 0) + cost);
+    if (isAllowed) this.#recordTaken(name, cost);
     return isAllowed;
   }
 
@@ -121,14 +137,16 @@
     const bucket = this.#buckets.get(name);
     if (!bucket) return;
     this.#buckets.set(name, added(bucket, cost));
-    this.#taken.set(name, (this.#taken.get(name) ?? 0) - cost);
+    this.#recordTaken(name, -cost);
   }
 
   /** Deducts the usage that a peer reported; the level may fall below zero. */
   recordPeerUsage(name: string, cost: number): void {
     const bucket = this.#buckets.get(name);
     if (!bucket) return;
-    this.#buckets.set(name, added(this.#refilled(bucket), -cost));
+    const refilled = this.#refilled(bucket);
+    this.#laneOf(name, refilled).recordOthers(cost);
+    this.#buckets.set(name, added(refilled, -cost));
   }
 
   /**
@@ -153,15 +171,26 @@
   stateOf(name: string): QuotaState | undefined {
     const bucket = this.#buckets.get(name);
     if (!bucket) return undefined;
-    const level = this.#levelOf(this.#refilled(bucket));
-    return { level, share: this.#share, taken: this.#taken.get(name) ?? 0 };
+    const refilled = this.#refilled(bucket);
+    return {
+      level: this.#levelOf(refilled),
+      share: this.#share,
+      taken: this.#taken.get(name) ?? 0,
+      laneCredit: this.#laneInForce(name, refilled)?.credit,
+    };
   }
 
-  /** Time in milliseconds until a bucket holds `cost`, or its full size if that is less. */
+  /**
+   * Time in milliseconds until a bucket holds `cost`, or its full size if that is less; where a lane is
+   * in force, until that allows a request.
+   */
   waitMs(name: string, cost: number): number {
     const bucket = this.#buckets.get(name);
     if (!bucket) return 0;
-    const { level, cautiousLevel, limit } = this.#refilled(bucket);
+    const refilled = this.#refilled(bucket);
+    const lane = this.#laneInForce(name, refilled);
+    if (lane) return lane.waitMs;
+    const { level, cautiousLevel, limit } = refilled;
     const wanted = Math.min(cost, limit.burst * this.#share);
     const perSecond = Math.max(1, limit.perSecond * this.#share);
     const waitFrom = (from: number): number =>
@@ -174,6 +203,40 @@
     return Math.max(0, this.#startedAt + this.#windowMs - this.#clock.monotonic());
   }
 
+  #recordTaken(name: string, cost: number): void {
+    this.#taken.set(name, (this.#taken.get(name) ?? 0) + cost);
+    this.#lanes.get(name)?.recordOwn(cost);
+  }
+
+  #isOpen(name: string, bucket: Bucket): boolean {
+    const lane = this.#laneInForce(name, bucket);
+    return (lane ? lane.credit : this.#levelOf(bucket)) > 0;
+  }
+
+  /** This node's own part of the refill, where that bounds what it admits. */
+  #laneInForce(name: string, bucket: Bucket): QuotaLane | undefined {
+    const lane = this.#laneOf(name, bucket);
+    return lane.isInForce(this.#ownBucketOf(bucket), this.#delayMs()) ? lane : undefined;
+  }
+
+  /** The lane of a bucket, up to date. */
+  #laneOf(name: string, bucket: Bucket): QuotaLane {
+    const now = this.#clock.monotonic();
+    const lane = this.#lanes.get(name) ?? new QuotaLane(now);
+    this.#lanes.set(name, lane);
+    lane.advance(now, this.#ownBucketOf(bucket));
+    return lane;
+  }
+
+  #ownBucketOf(bucket: Bucket) {
+    const { perSecond, burst } = bucket.limit;
+    return {
+      perSecond: perSecond * this.#share,
+      burst: burst * this.#share,
+      level: this.#levelOf(bucket),
+    };
+  }
+
   #levelOf({ level, cautiousLevel }: Bucket): number {
     return this.isCautious ? Math.min(level, cautiousLevel) : level;
   }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -1,4 +1,4 @@
-import { PromptQuarantine, RetryBudget, SharedQuota } from '@ragwortrudder/admission';
+import { PromptQuarantine, RetryBudget } from '@ragwortrudder/admission';
 import { RunnerDirectory } from '@ragwortrudder/catalog';
 import type { Configuration } from '@ragwortrudder/catalog';
 import { PeriodicTask } from '@ragwortrudder/core';
@@ -91,8 +91,7 @@
   readonly #pool: RunnerPool;
   readonly #rollouts: Rollouts;
   readonly #rolloutFollower: RolloutFollower;
-  readonly #quota: SharedQuota;
-  readonly #quotaExchange: QuotaExchange;
+  readonly #quotas: QuotaExchange;
   readonly #usage: UsageCounter;
   readonly #retryBudget: RetryBudget;
   readonly #bounds: RunnerBounds;
@@ -136,12 +135,10 @@
       },
     });
     this.#loadTracker = new RunnerLoadTracker(clock);
-    this.#quota = new SharedQuota(clock, settings.quotas);
-    this.#quotaExchange = new QuotaExchange({
-      node: node.id,
-      quota: this.#quota,
+    this.#quotas = new QuotaExchange({
+      ...{ node: node.id, clock, log: this.#decisions },
+      windowMs: settings.quotas.windowMs,
       peers: () => this.#peers,
-      log: this.#decisions,
     });
     this.#usage = new UsageCounter(duties.usageWindowMs, `${node.id} ${this.#incarnation}`);
     this.#demand = new DemandMeter(clock);
@@ -173,8 +170,7 @@
       incarnation: this.#incarnation,
       clock,
       loadTracker: this.#loadTracker,
-      quota: this.#quota,
-      quotaExchange: this.#quotaExchange,
+      ...{ quota: this.#quotas.quota, quotaExchange: this.#quotas },
       usage: this.#usage,
       demand: this.#demand,
       ...this.#bounds.all,
@@ -219,7 +215,7 @@
         this.#configurationSync.receive(part);
       },
       onQuotaLevels: (levels) => {
-        this.#quotaExchange.receive(levels);
+        this.#quotas.receive(levels);
       },
       onFeed: (feed) => {
         if (feed.topic === DutyTermStore.topic) this.#rolloutFollower.applyFeed(feed);
@@ -283,7 +279,7 @@
       rollouts: this.#rollouts,
       loadTracker: this.#loadTracker,
       sessions: new SessionAffinity(),
-      quota: this.#quota,
+      quota: this.#quotas.quota,
       settings: () => this.#settings,
       retryBudget: this.#retryBudget,
       quarantine: this.#quarantine,
@@ -381,12 +377,14 @@
         periodMs: MAINTENANCE_PERIOD_MS,
         run: () => {
           const { knownCount } = this.#peers;
-          this.#quotaExchange.updateShare();
+          this.#quotas.updateShare();
           this.#retryBudget.setAllowance(retryAllowance(this.#settings.retries, knownCount));
           this.#bounds.update(this.#peers, this.#registration.isRegistered);
           this.#pool.prune();
           this.#passing.update();
-          this.#settleEvidence();
+          const { links } = this.#pool;
+          retractOwnFaults({ quarantine: this.#quarantine, directory: this.#directory, links });
+          this.#deferredEvidence.settle();
           this.#forwarder.checkSilence();
           this.#quarantineSync.update();
           this.#configurationSync.update();
@@ -549,11 +547,4 @@
     this.#callers.setLimits(configuration.limits);
     this.#passing.setLimits(configuration.limits);
   }
-
-  /** Holds nothing against runners, versions and prompts that this node's own lost links explain. */
-  #settleEvidence(): void {
-    const { links } = this.#pool;
-    retractOwnFaults({ quarantine: this.#quarantine, directory: this.#directory, links });
-    this.#deferredEvidence.settle();
-  }
 }
--- a/packages/gateway/src/node/quota-exchange.ts
+++ b/packages/gateway/src/node/quota-exchange.ts
@@ -1,35 +1,45 @@
-import type { SharedQuota } from '@ragwortrudder/admission';
+import { SharedQuota } from '@ragwortrudder/admission';
 import type { Address } from '@ragwortrudder/catalog';
+import type { Clock } from '@ragwortrudder/core';
 import type { QuotaLevels } from '../types/quota-levels.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { Peers } from './peers.ts';
 
 interface QuotaExchangeOptions {
   readonly node: string;
-  readonly quota: SharedQuota;
-  readonly peers: () => Pick<Peers, 'reachableCount' | 'knownCount' | 'sendQuotaLevels'>;
+  readonly clock: Clock;
+  /** Length of the windows in which the limits hold, in milliseconds. */
+  readonly windowMs: number | undefined;
+  readonly peers: () => Pick<Peers, 'reachableCount' | 'knownCount' | 'timing' | 'sendQuotaLevels'>;
   readonly log: Pick<DecisionLog, 'notable'>;
 }
 
-/** Lets a node that has just started learn from its peers what is left of the teams' limits. */
+/** The teams' limits as this node shares them with its peers; one that has just started learns what is left. */
 export class QuotaExchange {
+  readonly quota: SharedQuota;
   readonly #options: QuotaExchangeOptions;
   /** Share of this node that the answers were applied to, or a smaller one since: a larger one allows more. */
   #answeredShare = 0;
 
   constructor(options: QuotaExchangeOptions) {
+    const { clock, windowMs, peers } = options;
     this.#options = options;
+    this.quota = new SharedQuota(clock, {
+      windowMs,
+      delayMs: () => peers().timing.relayedUseMs,
+    });
   }
 
   /** This node needs what its peers know; its reports say so until it has been told. */
   get isAsking(): boolean {
-    const { quota } = this.#options;
+    const { quota } = this;
     return quota.isCautious && quota.levels.size > 0 && quota.share > this.#answeredShare;
   }
 
   /** Sets the share of the buckets that belongs to this node and the peers that it hears. */
   updateShare(): void {
-    const { quota, peers, log } = this.#options;
+    const { quota } = this;
+    const { peers, log } = this.#options;
     const { reachableCount, knownCount } = peers();
     const share = reachableCount / knownCount;
     if (share === quota.share) return;
@@ -43,8 +53,8 @@
    * node that asks itself does not know it.
    */
   answer(peer: Address, applied: ReadonlyMap<string, number>): void {
-    const { node, quota, peers } = this.#options;
-    const { levels } = quota;
+    const { node, peers } = this.#options;
+    const { levels } = this.quota;
     if (this.isAsking || levels.size === 0) return;
     const left = [...levels].map(
       ([team, level]) => [team, Math.floor(level + (applied.get(team) ?? 0))] as const,
@@ -54,10 +64,11 @@
 
   /** Applies an answer. */
   receive({ node: peer, levels }: QuotaLevels): void {
-    const { quota, log } = this.#options;
+    const { quota } = this;
     if (!quota.isCautious) return;
     quota.recordPeerLevels(new Map(Object.entries(levels)));
-    if (this.isAsking) log.notable('quota-levels-received', { peer, share: quota.share });
+    if (this.isAsking)
+      this.#options.log.notable('quota-levels-received', { peer, share: quota.share });
     this.#answeredShare = quota.share;
   }
 }
--- a/packages/gateway/src/utils/report-timing.ts
+++ b/packages/gateway/src/utils/report-timing.ts
@@ -14,6 +14,8 @@
 const PEER_TIMEOUT: ScaledTime = { minMs: 1_000, periods: 3.5 };
 const RELAY_TIMEOUT: ScaledTime = { minMs: 1_500, periods: 2.5 };
 const WORK_TTL: ScaledTime = { minMs: 2_000, periods: 3 };
+/** A report to a relay, and its digest. */
+const RELAYED_USE_PERIODS = 2;
 const BASELINE_TTL: ScaledTime = { minMs: 4_000, periods: 4 };
 
 /** Derives all times from the pace in force, so that none of them is passed by the period of a larger deployment. */
@@ -22,6 +24,7 @@
   const scaled = ({ minMs, periods }: ScaledTime): number => Math.max(minMs, periods * slowestMs);
   return {
     periodMs: REPORT_PERIOD_MS * (pace?.intervalFactor ?? 1),
+    relayedUseMs: pace ? RELAYED_USE_PERIODS * slowestMs : 0,
     peerTimeoutMs: scaled(PEER_TIMEOUT),
     relayTimeoutMs: scaled(RELAY_TIMEOUT),
     workTtlMs: scaled(WORK_TTL),
--- a/test/gateway/hot-team-of-many-nodes.test.ts
+++ b/test/gateway/hot-team-of-many-nodes.test.ts
@@ -39,7 +39,7 @@
   constructor(index: number, clock: ManualClock, random: SeededRandom) {
     this.domain = index % DOMAINS;
     this.phaseMs = Math.floor((random.next() * REPORT_MS) / STEP_MS) * STEP_MS;
-    this.quota = new SharedQuota(clock);
+    this.quota = new SharedQuota(clock, { delayMs: () => 2 * REPORT_MS });
     this.quota.setLimits(new Map([['team', toleratedLimit(LIMIT, TOLERANCE)]]));
   }
 
@@ -55,8 +55,15 @@
   }
 }
 
-/** Tokens that all nodes together admit in each step while a team asks for `demand` times its rate. */
-function admittedTokens(seed: number, demand: number): readonly number[] {
+/**
+ * Tokens that all nodes together admit in each step, and those that they are asked for, while a team
+ * asks some of them for `demand` times its rate.
+ */
+function admittedTokens(
+  seed: number,
+  demand: number,
+  askedNodes = DOMAINS * NODES_PER_DOMAIN,
+): { readonly admitted: readonly number[]; readonly asked: number } {
   const clock = new ManualClock();
   const random = new SeededRandom(seed);
   const nodes = Array.from(
@@ -66,12 +73,14 @@
   const digestPhases = [0, 170, 350];
   const requestsPerStep = (demand * LIMIT.perSecond * STEP_MS) / 1_000 / MEAN_SIZE;
   const admitted: number[] = [];
+  let asked = 0;
   for (let at = 0; at < DURATION_MS; at += STEP_MS) {
     let sum = 0;
     let requests = Math.floor(requestsPerStep + random.next());
     for (; requests > 0; requests -= 1) {
       const size = sizeOf(random);
-      const node = nodes[Math.floor(random.next() * nodes.length)];
+      asked += size;
+      const node = nodes[Math.floor(random.next() * askedNodes)];
       if (node?.quota.tryTake('team', size)) sum += size;
     }
     admitted.push(sum);
@@ -85,7 +94,7 @@
     }
     clock.advance(STEP_MS);
   }
-  return admitted;
+  return { admitted, asked };
 }
 
 function maxInWindow(admitted: readonly number[]): number {
@@ -106,9 +115,26 @@
 for (const demand of [1.5, 3, 6]) {
   test(`pattern: hot team on many nodes that asks for ${demand} times its limit; all nodes together stay within the tolerated limit`, (t) => {
     for (let seed = 1; seed <= 10; seed += 1) {
-      const max = maxInWindow(admittedTokens(seed, demand));
+      const max = maxInWindow(admittedTokens(seed, demand).admitted);
       t.true(max <= TOLERATED, `seed ${seed}: ${max} of ${TOLERATED}`);
       t.true(max >= ENTITLED * 0.9, `seed ${seed}: ${max} of ${ENTITLED}`);
     }
   });
 }
+
+// Guards against nodes that set limits aside for nodes which nobody asks.
+test('pattern: hot team that asks few of many nodes; it gets its limit', (t) => {
+  for (let seed = 1; seed <= 10; seed += 1) {
+    const max = maxInWindow(admittedTokens(seed, 3, 6).admitted);
+    t.true(max <= TOLERATED, `seed ${seed}: ${max} of ${TOLERATED}`);
+    t.true(max >= ENTITLED * 0.9, `seed ${seed}: ${max} of ${ENTITLED}`);
+  }
+});
+
+test('pattern: team within its limit on many nodes; it is hardly refused anything', (t) => {
+  for (let seed = 1; seed <= 10; seed += 1) {
+    const { admitted, asked } = admittedTokens(seed, 0.6);
+    const sum = admitted.reduce((total, tokens) => total + tokens, 0);
+    t.true(sum >= asked * 0.95, `seed ${seed}: ${sum} of ${asked}`);
+  }
+});
