Pace hot teams before a node that starts hears of its peers

Cause: nodes that have just started have heard of nobody's use, so that no lane is in force; each of them admits by the whole refill since its start, and they hear of each other some 1.5 s later.

A lane that begins while use before the start still counts now assumes that all nodes used the whole refill in equal parts. This fades as use is heard of.

A limit without a burst no longer leads to a lane that is never open.

--- a/packages/admission/src/utils/quota-lane.ts
+++ b/packages/admission/src/utils/quota-lane.ts
@@ -5,6 +5,8 @@
   readonly burst: number;
   /** What is left in the bucket as far as this node knows. */
   readonly level: number;
+  /** Nodes that may use the bucket, including this one. */
+  readonly nodeCount: number;
 }
 
 /** Time over which use is averaged, in milliseconds. */
@@ -31,13 +33,17 @@
   /** Use of this node and of its peers, as exponentially decaying sums. */
   #own = 0;
   #others = 0;
+  /** Use by all nodes that is assumed until it is heard of, decaying like theirs. */
+  #assumed: number;
   #credit = 0;
   /** Refill of the lane. */
   #perMs = 0;
   #isInForce = false;
 
-  constructor(now: number) {
+  /** `assumedPerSecond` is what all nodes may have used, in equal parts, before the lane began. */
+  constructor(now: number, assumedPerSecond = 0) {
     this.#at = now;
+    this.#assumed = (assumedPerSecond * AVERAGING_MS) / MS_PER_S;
   }
 
   /** What the lane has saved up; it allows a request while this is positive. */
@@ -63,17 +69,20 @@
   }
 
   /** Brings the lane up to date. */
-  advance(now: number, { perSecond, burst, level }: LaneBucket): void {
+  advance(now: number, { perSecond, burst, level, nodeCount }: LaneBucket): void {
     const passedMs = now - this.#at;
     this.#at = now;
     const kept = Math.exp(-passedMs / AVERAGING_MS);
     this.#own *= kept;
     this.#others *= kept;
-    const total = this.#own + this.#others;
-    const fraction = total > 0 ? Math.max(MIN_FRACTION, this.#own / total) : 1;
+    this.#assumed *= kept;
+    const total = this.#own + this.#others + this.#assumed;
+    const own = this.#own + this.#assumed / nodeCount;
+    const fraction = total > 0 ? Math.max(MIN_FRACTION, own / total) : 1;
     const ownPerMs = (perSecond * fraction) / MS_PER_S;
     // All lanes slow down while the bucket is overdrawn, and use up the burst while much of it is left.
-    const boost = Math.min(MAX_BOOST, Math.max(0, 1 - TARGET_FRACTION + level / burst));
+    const leftFraction = burst > 0 ? level / burst : TARGET_FRACTION;
+    const boost = Math.min(MAX_BOOST, Math.max(0, 1 - TARGET_FRACTION + leftFraction));
     this.#perMs = ownPerMs * boost;
     const credit = Math.max(this.#credit, -ownPerMs * MAX_DEBT_MS) + this.#perMs * passedMs;
     this.#credit = Math.min(ownPerMs * MAX_CREDIT_MS, credit);
@@ -83,8 +92,9 @@
    * Whether the lane bounds what this node admits: from when the peers may have taken all that is left
    * since they were last heard, `delayMs` ago, until the bucket is almost full again.
    */
-  isInForce({ burst, level }: LaneBucket, delayMs: number): boolean {
-    const unheard = (this.#others * delayMs) / AVERAGING_MS;
+  isInForce({ burst, level, nodeCount }: LaneBucket, delayMs: number): boolean {
+    const others = this.#others + this.#assumed * (1 - 1 / nodeCount);
+    const unheard = (others * delayMs) / AVERAGING_MS;
     const isShort = level <= unheard || (this.#isInForce && level < burst * RELEASE_FRACTION);
     this.#isInForce = unheard > 0 && isShort;
     return this.#isInForce;
--- a/packages/admission/src/utils/shared-quota.ts
+++ b/packages/admission/src/utils/shared-quota.ts
@@ -21,6 +21,11 @@
    * @default 0
    */
   readonly delayMs?: (() => number) | undefined;
+  /**
+   * Number of nodes that share the buckets, including this one.
+   * @default 1
+   */
+  readonly nodeCount?: (() => number) | undefined;
 }
 
 interface Bucket {
@@ -52,20 +57,24 @@
  * a node refills only the share of the bucket that belongs to itself and the peers whose reports it
  * receives, so that all sides of a partition together stay within the limit. A node that has just
  * started does not know what was used before: for a window it admits what has been refilled since
- * its start, and what its peers know to be left.
+ * its start, and what its peers know to be left. A node that hears of its peers late admits by its
+ * own part of the refill while they may have taken what is left.
  */
 export class SharedQuota {
   readonly #clock: Clock;
   readonly #windowMs: number;
   readonly #startedAt: number;
   readonly #delayMs: () => number;
+  readonly #nodeCount: () => number;
   readonly #lanes = new Map<string, QuotaLane>();
   readonly #buckets = new Map<string, Bucket>();
   readonly #taken = new Map<string, number>();
   #share = 1;
 
-  constructor(clock: Clock, { windowMs = 0, delayMs = () => 0 }: SharedQuotaOptions = {}) {
+  constructor(clock: Clock, options: SharedQuotaOptions = {}) {
+    const { windowMs = 0, delayMs = () => 0, nodeCount = () => 1 } = options;
     this.#clock = clock;
+    this.#nodeCount = nodeCount;
     this.#windowMs = windowMs;
     this.#delayMs = delayMs;
     this.#startedAt = clock.monotonic();
@@ -104,8 +113,8 @@
   }
 
   /**
-   * Replaces the limits; a new bucket starts with the current share of its burst. Returns the names of
-   * the new buckets.
+   * Replaces the limits; a new bucket starts with the current share of its burst, less what may have been
+   * used before this node started. Returns the names of the new buckets.
    */
   setLimits(limits: ReadonlyMap<string, QuotaLimit>): readonly string[] {
     const opened = [...limits.keys()].filter((name) => !this.#buckets.has(name));
@@ -222,7 +231,8 @@
   /** The lane of a bucket, up to date. */
   #laneOf(name: string, bucket: Bucket): QuotaLane {
     const now = this.#clock.monotonic();
-    const lane = this.#lanes.get(name) ?? new QuotaLane(now);
+    const assumedPerSecond = this.isCautious ? bucket.limit.perSecond : 0;
+    const lane = this.#lanes.get(name) ?? new QuotaLane(now, assumedPerSecond);
     this.#lanes.set(name, lane);
     lane.advance(now, this.#ownBucketOf(bucket));
     return lane;
@@ -234,6 +244,7 @@
       perSecond: perSecond * this.#share,
       burst: burst * this.#share,
       level: this.#levelOf(bucket),
+      nodeCount: this.#nodeCount(),
     };
   }
 
--- a/packages/gateway/src/node/quota-exchange.ts
+++ b/packages/gateway/src/node/quota-exchange.ts
@@ -27,6 +27,7 @@
     this.quota = new SharedQuota(clock, {
       windowMs,
       delayMs: () => peers().timing.relayedUseMs,
+      nodeCount: () => peers().knownCount,
     });
   }
 
--- a/test/admission/shared-quota.test.ts
+++ b/test/admission/shared-quota.test.ts
@@ -190,3 +190,43 @@
   );
   t.pass();
 });
+
+test('a node that hears of its peers late admits its part of the refill, by its part of the use', (t) => {
+  const clock = new ManualClock();
+  const quota = new SharedQuota(clock, { delayMs: () => 1_000 });
+  quota.setLimits(new Map([['team', LIMIT]]));
+  let taken = 0;
+  for (let at = 0; at < 20_000; at += 100) {
+    if (quota.tryTake('team', 2)) taken += 2;
+    quota.recordPeerUsage('team', 8);
+    clock.advance(100);
+  }
+  // A fifth of the use of a team that asks for just its limit.
+  t.true(taken >= 300 && taken <= 400 + LIMIT.burst, `${taken}`);
+  quota.recordPeerUsage('team', 200);
+  // What it has saved up of its part.
+  for (let index = 0; index < 20; index += 1) quota.tryTake('team', 2);
+  t.false(quota.tryTake('team', 2));
+  t.true(quota.waitMs('team', 2) > 0);
+});
+
+test('a node that hears of its peers late admits the whole bucket while no peer uses it', (t) => {
+  const clock = new ManualClock();
+  const quota = new SharedQuota(clock, { delayMs: () => 1_000 });
+  quota.setLimits(new Map([['team', LIMIT]]));
+  for (let index = 0; index < 10; index += 1) t.true(quota.tryTake('team', 10));
+  t.false(quota.tryTake('team', 1));
+});
+
+test('a limit without a burst is divided, too', (t) => {
+  const clock = new ManualClock();
+  const quota = new SharedQuota(clock, { delayMs: () => 1_000 });
+  quota.setLimits(new Map([['team', { perSecond: 100, burst: 0 }]]));
+  quota.recordPeerUsage('team', 10);
+  let taken = 0;
+  for (let at = 0; at < 2_000; at += 100) {
+    clock.advance(100);
+    if (quota.tryTake('team', 1)) taken += 1;
+  }
+  t.true(taken > 0);
+});
