--- a/packages/admission/src/utils/shared-quota.ts
+++ b/packages/admission/src/utils/shared-quota.ts
@@ -225,7 +225,7 @@
   /** This node's own part of the refill, where that bounds what it admits. */
   #laneInForce(name: string, bucket: Bucket): QuotaLane | undefined {
     const lane = this.#laneOf(name, bucket);
-    return lane.isInForce(this.#ownBucketOf(bucket), this.#delayMs()) ? lane : undefined;
+    return lane.isInForce(this.#laneBucketOf(bucket), this.#delayMs()) ? lane : undefined;
   }
 
   /** The lane of a bucket, up to date. */
@@ -234,11 +234,12 @@
     const assumedPerSecond = this.isCautious ? bucket.limit.perSecond : 0;
     const lane = this.#lanes.get(name) ?? new QuotaLane(now, assumedPerSecond);
     this.#lanes.set(name, lane);
-    lane.advance(now, this.#ownBucketOf(bucket));
+    lane.advance(now, this.#laneBucketOf(bucket));
     return lane;
   }
 
-  #ownBucketOf(bucket: Bucket) {
+  /** The part of a bucket that belongs to this node and the peers that it hears. */
+  #laneBucketOf(bucket: Bucket) {
     const { perSecond, burst } = bucket.limit;
     return {
       perSecond: perSecond * this.#share,
--- a/packages/gateway/src/types/gateway-settings.ts
+++ b/packages/gateway/src/types/gateway-settings.ts
@@ -46,7 +46,8 @@
     /** Additional amount by which a team's limit may be exceeded, over all nodes, in the limit's unit. */
     readonly slack: number;
     /**
-     * Length of the windows in which the limits hold, in milliseconds.
+     * Length of the windows in which the limits hold, in milliseconds; a change takes effect only after a
+     * restart.
      * @default 0
      */
     readonly windowMs?: number | undefined;
