Take what a peer that answers has used last off what is left

Cause, from a trace of one of these runs: n1 starts again, is told that 4 calls are left, and takes 5. n2 starts 70 ms later, before n1 has reported them. n1 answers that the bucket is overdrawn (-1), n3 that 4 are left. The higher answer counted, so n2 took 5 more; and the first report of n1 with these 5 was a baseline for n2, which never deducted them.

Now an answer says what is left by what nodes have reported, and beside it what the answering node has used since its last report. A node that starts deducts that from each answer, and counts the first report of that peer from there.

One test of shared-quota stated that the highest answer counts; it states now that the lowest does, and that the first one of a new round raises the level. That of peer-state-sync looks at the answers that are sent, in place of what they are computed from.

--- a/packages/admission/src/utils/shared-quota.ts
+++ b/packages/admission/src/utils/shared-quota.ts
@@ -69,6 +69,8 @@
   readonly #lanes = new Map<string, QuotaLane>();
   readonly #buckets = new Map<string, Bucket>();
   readonly #taken = new Map<string, number>();
+  /** Use of peers that was deducted since the first of the answers that are being applied. */
+  readonly #deducted = new Map<string, number>();
   #share = 1;
 
   constructor(clock: Clock, options: SharedQuotaOptions = {}) {
@@ -156,22 +158,30 @@
     const refilled = this.#refilled(bucket);
     this.#laneOf(name, refilled).recordOthers(cost);
     this.#buckets.set(name, added(refilled, -cost));
+    if (this.isCautious) this.#deducted.set(name, (this.#deducted.get(name) ?? 0) + cost);
   }
 
   /**
-   * Applies what a peer believes to be left, without what this node has taken: this node admits at
-   * least as much of it.
+   * Applies an answer of a peer: what it believes to be left, without what this node has taken and without
+   * what this node has deducted since the first answer. The lowest answer counts, as the others may have
+   * been given before a report arrived.
    */
-  recordPeerLevels(levels: ReadonlyMap<string, number>): void {
+  recordPeerLevels(
+    levels: ReadonlyMap<string, number>,
+    { isFirst }: { readonly isFirst: boolean },
+  ): void {
+    if (isFirst) this.#deducted.clear();
     for (const [name, level] of levels) {
       const bucket = this.#buckets.get(name);
       if (!bucket) continue;
       const refilled = this.#refilled(bucket);
-      const left = Math.min(level - (this.#taken.get(name) ?? 0), bucket.limit.burst * this.#share);
+      const used = (this.#taken.get(name) ?? 0) + (this.#deducted.get(name) ?? 0);
+      const left = Math.min(level - used, bucket.limit.burst * this.#share);
+      const { cautiousLevel } = refilled;
       this.#buckets.set(name, {
         ...refilled,
         level: Math.max(refilled.level, left),
-        cautiousLevel: Math.max(refilled.cautiousLevel, left),
+        cautiousLevel: isFirst ? Math.max(cautiousLevel, left) : Math.min(cautiousLevel, left),
       });
     }
   }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -136,7 +136,8 @@
     });
     this.#loadTracker = new RunnerLoadTracker(clock);
     this.#quotas = new QuotaExchange({
-      ...{ node: node.id, clock, log: this.#decisions },
+      clock,
+      log: this.#decisions,
       windowMs: settings.quotas.windowMs,
       peers: () => this.#peers,
     });
@@ -171,6 +172,7 @@
       clock,
       loadTracker: this.#loadTracker,
       ...{ quota: this.#quotas.quota, quotaExchange: this.#quotas },
+      peers: () => this.#peers,
       usage: this.#usage,
       demand: this.#demand,
       ...this.#bounds.all,
@@ -215,7 +217,7 @@
         this.#configurationSync.receive(part);
       },
       onQuotaLevels: (levels) => {
-        this.#quotas.receive(levels);
+        this.#peerState.applyQuotaLevels(levels);
       },
       onFeed: (feed) => {
         if (feed.topic === DutyTermStore.topic) this.#rolloutFollower.applyFeed(feed);
--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -10,6 +10,7 @@
 import type { DomainDigest } from '../types/domain-digest.ts';
 import type { RunnerBoot } from '../types/runner-boot.ts';
 import type { NodeReport } from '../types/node-report.ts';
+import type { QuotaLevels } from '../types/quota-levels.ts';
 import type { ReportExtent } from '../types/report-extent.ts';
 import type { ReportTiming } from '../types/report-timing.ts';
 import type { RunnerWork } from '../types/runner-work.ts';
@@ -21,6 +22,7 @@
 import type { PeerReach } from '../utils/peer-reach.ts';
 import type { UsageCounter } from '../utils/usage-counter.ts';
 import type { DecisionLog } from './decision-log.ts';
+import type { Peers } from './peers.ts';
 import type { QuotaExchange } from './quota-exchange.ts';
 import type { RunnerLinks } from './runner-links.ts';
 import type { Rollouts } from './rollouts.ts';
@@ -33,7 +35,8 @@
   readonly clock: Clock;
   readonly loadTracker: RunnerLoadTracker;
   readonly quota: SharedQuota;
-  readonly quotaExchange: Pick<QuotaExchange, 'isAsking' | 'answer'>;
+  readonly quotaExchange: Pick<QuotaExchange, 'isAsking' | 'levelsFor' | 'receive'>;
+  readonly peers: () => Pick<Peers, 'sendQuotaLevels'>;
   readonly usage: UsageCounter;
   readonly demand: DemandMeter;
   readonly limits: Pick<
@@ -82,6 +85,8 @@
 interface PeerUse {
   readonly incarnation: number;
   readonly taken: ReadonlyMap<string, number>;
+  /** When an answer of the peer stated it; undefined where a report did. */
+  readonly answeredAt?: number;
 }
 
 interface AppliedDigest {
@@ -222,9 +227,7 @@
     this.#applyReach(report);
     const { host, port } = report;
     this.#options.onPeerConfiguration(report.configuration ?? 0, { host, port });
-    if (report.asksQuotaLevels) {
-      this.#options.quotaExchange.answer({ host, port }, this.#appliedUseOf(report));
-    }
+    if (report.asksQuotaLevels) this.#answer(report);
     this.#options.quarantine.setPeerEvidence(
       { node: report.node, incarnation: String(report.life) },
       report.prompts,
@@ -244,6 +247,24 @@
     this.#applyQuotaUse(previousTotals, taken, isLocal ? this.#takenInDomain : undefined);
   }
 
+  /**
+   * Applies the answer of a peer: what was left by all reports, and what the peer has used since its own
+   * last one. The first report of the peer counts from there.
+   */
+  applyQuotaLevels(answer: QuotaLevels): void {
+    const { quotaExchange, clock, failureDomain } = this.#options;
+    if (!quotaExchange.receive(answer)) return;
+    const { node, life } = answer;
+    const known = this.#takenByPeer.get(node);
+    const taken = new Map(Object.entries(answer.taken));
+    const reported = new Map([...taken, ...Object.entries(answer.reported)]);
+    const previousTotals = known?.incarnation === life ? known.taken : reported;
+    const isLocal = answer.failureDomain === failureDomain;
+    this.#applyQuotaUse(previousTotals, taken, isLocal ? this.#takenInDomain : undefined);
+    const answeredAt = clock.monotonic();
+    this.#takenByPeer.set(node, { incarnation: life, taken, answeredAt });
+  }
+
   /** Applies the digest of a failure domain. Only one of its relays is followed at a time. */
   applyDigest(digest: DomainDigest): void {
     const { loadTracker, clock, disciplinedClock } = this.#options;
@@ -310,6 +331,28 @@
     }
   }
 
+  /** Tells a peer that has just started what is left of the teams' limits. */
+  #answer(report: NodeReport): void {
+    const { node, failureDomain, incarnation: life, quota, quotaExchange } = this.#options;
+    const reported = this.#ownReports.at(-1)?.taken ?? NOTHING_TAKEN;
+    const levels = quotaExchange.levelsFor(this.#appliedUseOf(report), reported);
+    if (!levels) return;
+    const { taken } = quota;
+    const unreported = [...taken].filter(([team, total]) => reported.get(team) !== total);
+    const { host, port } = report;
+    this.#options.peers().sendQuotaLevels(
+      {
+        node,
+        failureDomain,
+        life,
+        levels: Object.fromEntries(levels),
+        taken: Object.fromEntries(taken),
+        reported: Object.fromEntries(unreported.map(([team]) => [team, reported.get(team) ?? 0])),
+      },
+      { host, port },
+    );
+  }
+
   /** What of a peer's use has been deducted already. */
   #appliedUseOf({ node, life }: NodeReport): ReadonlyMap<string, number> {
     const known = this.#takenByPeer.get(node);
@@ -318,15 +361,21 @@
 
   /**
    * Totals up to which a peer's use has been deducted, or was consumed out of its own share. All that
-   * a peer has consumed that has just started is new.
+   * a peer has consumed that has just started is new. Of a peer whose answer came before its first
+   * report the totals of that answer count.
    */
   #previousTotals(
     { node, life, asksQuotaLevels }: NodeReport,
     isFirst: boolean,
   ): ReadonlyMap<string, number> | undefined {
     const known = this.#takenByPeer.get(node);
-    if (isFirst && asksQuotaLevels && known?.incarnation !== life) return NOTHING_TAKEN;
-    return isFirst ? undefined : known?.taken;
+    const isKnown = known?.incarnation === life;
+    if (isFirst && asksQuotaLevels && !isKnown) return NOTHING_TAKEN;
+    const { clock, timing } = this.#options;
+    const answeredAt = isKnown ? known.answeredAt : undefined;
+    const hasAnswered =
+      answeredAt !== undefined && clock.monotonic() - answeredAt < timing().peerTimeoutMs;
+    return isFirst && !hasAnswered ? undefined : known?.taken;
   }
 
   #reach(): Pick<NodeReport, 'outOfReach' | 'reached'> {
--- a/packages/gateway/src/node/quota-exchange.ts
+++ b/packages/gateway/src/node/quota-exchange.ts
@@ -1,16 +1,14 @@
 import { SharedQuota } from '@ragwortrudder/admission';
-import type { Address } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
 import type { QuotaLevels } from '../types/quota-levels.ts';
 import type { DecisionLog } from './decision-log.ts';
 import type { Peers } from './peers.ts';
 
 interface QuotaExchangeOptions {
-  readonly node: string;
   readonly clock: Clock;
   /** Length of the windows in which the limits hold, in milliseconds. */
   readonly windowMs: number | undefined;
-  readonly peers: () => Pick<Peers, 'reachableCount' | 'knownCount' | 'timing' | 'sendQuotaLevels'>;
+  readonly peers: () => Pick<Peers, 'reachableCount' | 'knownCount' | 'timing'>;
   readonly log: Pick<DecisionLog, 'notable'>;
 }
 
@@ -50,26 +48,31 @@
   }
 
   /**
-   * Tells a peer that asks what is left without its own use, of which `applied` has been deducted; a
-   * node that asks itself does not know it.
+   * What is left by what nodes have reported, for a peer that asks: without the use of that peer, of which
+   * `applied` has been deducted, and without what this node has taken since it `reported`. Undefined where
+   * this node asks itself, as it does not know.
    */
-  answer(peer: Address, applied: ReadonlyMap<string, number>): void {
-    const { node, peers } = this.#options;
-    const { levels } = this.quota;
-    if (this.isAsking || levels.size === 0) return;
-    const left = [...levels].map(
-      ([team, level]) => [team, Math.floor(level + (applied.get(team) ?? 0))] as const,
+  levelsFor(
+    applied: ReadonlyMap<string, number>,
+    reported: ReadonlyMap<string, number>,
+  ): ReadonlyMap<string, number> | undefined {
+    const { levels, taken } = this.quota;
+    if (this.isAsking || levels.size === 0) return undefined;
+    return new Map(
+      [...levels].map(([team, level]) => {
+        const unreported = (taken.get(team) ?? 0) - (reported.get(team) ?? 0);
+        return [team, Math.floor(level + (applied.get(team) ?? 0) + unreported)];
+      }),
     );
-    peers().sendQuotaLevels({ node, levels: Object.fromEntries(left) }, peer);
   }
 
-  /** Applies an answer. */
-  receive({ node: peer, levels }: QuotaLevels): void {
-    const { quota } = this;
-    if (!quota.isCautious) return;
-    quota.recordPeerLevels(new Map(Object.entries(levels)));
-    if (this.isAsking)
-      this.#options.log.notable('quota-levels-received', { peer, share: quota.share });
+  /** Applies the levels of an answer; returns false where this node no longer needs them. */
+  receive({ node: peer, levels }: Pick<QuotaLevels, 'node' | 'levels'>): boolean {
+    const { quota, isAsking } = this;
+    if (!quota.isCautious) return false;
+    quota.recordPeerLevels(new Map(Object.entries(levels)), { isFirst: isAsking });
+    if (isAsking) this.#options.log.notable('quota-levels-received', { peer, share: quota.share });
     this.#answeredShare = quota.share;
+    return true;
   }
 }
--- a/test/admission/shared-quota.test.ts
+++ b/test/admission/shared-quota.test.ts
@@ -134,19 +134,32 @@
   const quota = createCautiousQuota(clock);
   clock.advance(100);
   t.true(quota.tryTake('team', 10));
-  quota.recordPeerLevels(new Map([['team', 70]]));
+  quota.recordPeerLevels(new Map([['team', 70]]), { isFirst: true });
   t.is(quota.stateOf('team')?.level, 60);
-  quota.recordPeerLevels(new Map([['team', 20]]));
-  t.is(quota.stateOf('team')?.level, 60);
-  quota.recordPeerLevels(new Map([['team', 1_000]]));
+  quota.recordPeerLevels(new Map([['team', 20]]), { isFirst: false });
+  t.is(quota.stateOf('team')?.level, 10);
+  quota.recordPeerLevels(new Map([['team', 1_000]]), { isFirst: false });
+  t.is(quota.stateOf('team')?.level, 10);
+  quota.recordPeerLevels(new Map([['team', 1_000]]), { isFirst: true });
   t.is(quota.stateOf('team')?.level, LIMIT.burst);
 });
 
+// Guards against answers of peers that give back what others have used meanwhile (QUOTA).
+test('what other peers have used that answered is not part of what a peer knows to be left', (t) => {
+  const quota = createCautiousQuota(new ManualClock());
+  quota.recordPeerLevels(new Map([['team', 70]]), { isFirst: true });
+  quota.recordPeerUsage('team', 50);
+  quota.recordPeerLevels(new Map([['team', 70]]), { isFirst: false });
+  t.is(quota.stateOf('team')?.level, 20);
+  quota.recordPeerLevels(new Map([['team', 60]]), { isFirst: false });
+  t.is(quota.stateOf('team')?.level, 10);
+});
+
 test('what a peer knows to be left counts up to the share of this node', (t) => {
   const clock = new ManualClock();
   const quota = createCautiousQuota(clock);
   quota.setShare(0.5);
-  quota.recordPeerLevels(new Map([['team', 100]]));
+  quota.recordPeerLevels(new Map([['team', 100]]), { isFirst: true });
   t.is(quota.stateOf('team')?.level, 50);
 });
 
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -1,16 +1,13 @@
 import test from 'ava';
-import {
-  BrittleRunners,
-  PromptQuarantine,
-  SharedQuota,
-  StatedLimits,
-} from '@ragwortrudder/admission';
+import { BrittleRunners, PromptQuarantine, StatedLimits } from '@ragwortrudder/admission';
 import { RunnerDirectory } from '@ragwortrudder/catalog';
 import { ManualClock } from '@ragwortrudder/core';
 import { RunnerSpeeds } from '@ragwortrudder/routing';
 import { PeerStateSync } from '../../packages/gateway/src/node/peer-state-sync.ts';
+import { QuotaExchange } from '../../packages/gateway/src/node/quota-exchange.ts';
 import { DomainDigest } from '../../packages/gateway/src/types/domain-digest.ts';
 import { NodeReport } from '../../packages/gateway/src/types/node-report.ts';
+import { QuotaLevels } from '../../packages/gateway/src/types/quota-levels.ts';
 import { DemandMeter } from '../../packages/gateway/src/utils/demand-meter.ts';
 import { PeerReach } from '../../packages/gateway/src/utils/peer-reach.ts';
 import { RunnerLoadTracker } from '../../packages/gateway/src/utils/runner-load-tracker.ts';
@@ -27,13 +24,13 @@
 
 interface TestNode {
   readonly loadTracker: RunnerLoadTracker;
-  readonly quota: SharedQuota;
+  readonly quota: QuotaExchange['quota'];
   readonly directory: RunnerDirectory;
   readonly limits: StatedLimits;
   readonly speeds: RunnerSpeeds;
   readonly sync: PeerStateSync;
-  /** What of the use of peers that asked was deducted when they were answered. */
-  readonly answers: readonly ReadonlyMap<string, number>[];
+  /** Told to peers that asked what is left. */
+  readonly answers: readonly QuotaLevels[];
 }
 
 function createNode(
@@ -43,9 +40,15 @@
   isRelay = true,
   isAsking = false,
 ): TestNode {
-  const answers: ReadonlyMap<string, number>[] = [];
+  const answers: QuotaLevels[] = [];
   const loadTracker = new RunnerLoadTracker(clock);
-  const quota = new SharedQuota(clock);
+  const exchange = new QuotaExchange({
+    clock,
+    windowMs: undefined,
+    peers: () => ({ reachableCount: 1, knownCount: 1, timing: reportTiming(undefined) }),
+    log: { notable: () => undefined },
+  });
+  const { quota } = exchange;
   const directory = new RunnerDirectory({ clock });
   const limits = new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes });
   const speeds = new RunnerSpeeds({ clock });
@@ -59,10 +62,14 @@
     quota,
     quotaExchange: {
       isAsking,
-      answer: (_peer, applied) => {
-        answers.push(applied);
-      },
+      levelsFor: (applied, reported) => exchange.levelsFor(applied, reported),
+      receive: () => isAsking,
     },
+    peers: () => ({
+      sendQuotaLevels: (levels) => {
+        answers.push(QuotaLevels.parse(levels));
+      },
+    }),
     usage: new UsageCounter(5_000),
     demand: new DemandMeter(clock),
     directory,
@@ -114,11 +121,49 @@
   local.sync.applyReport(started.sync.createReport(WITH_TOTALS), false);
   t.is(local.quota.stateOf('team')?.level, 40);
   t.deepEqual(
-    local.answers.map((applied) => applied.get('team')),
-    [undefined, 40],
+    local.answers.map(({ levels }) => levels.team),
+    [100, 100],
   );
 });
 
+// Guards against use that nobody subtracts, between the last report of a peer and the start of a node (QUOTA).
+test('what a peer consumed since its last report is subtracted by a node that it answers, and once', (t) => {
+  const clock = new ManualClock();
+  const started = createNode('n1', clock, 'a', true, true);
+  const peer = createNode('n2', clock);
+  for (const { quota } of [started, peer]) quota.setLimits(LIMITS);
+  t.true(peer.quota.tryTake('team', 30));
+  peer.sync.createReport(WITH_TOTALS);
+  t.true(peer.quota.tryTake('team', 20));
+  peer.sync.applyReport(started.sync.createReport(WITH_TOTALS), true);
+  const [answer] = peer.answers;
+  if (!answer) throw new Error('expected an answer');
+  t.is(answer.levels.team, 70);
+  started.sync.applyQuotaLevels(answer);
+  t.is(started.quota.stateOf('team')?.level, 80);
+  for (const [cost, left, isFirst] of [
+    [5, 75, true],
+    [10, 65, false],
+  ] as const) {
+    t.true(peer.quota.tryTake('team', cost));
+    started.sync.applyReport(peer.sync.createReport(WITH_TOTALS), isFirst);
+    t.is(started.quota.stateOf('team')?.level, left);
+  }
+});
+
+test('what a peer consumed during a silence after its answer is not subtracted', (t) => {
+  const clock = new ManualClock();
+  const started = createNode('n1', clock, 'a', true, true);
+  const peer = createNode('n2', clock);
+  for (const { quota } of [started, peer]) quota.setLimits(LIMITS);
+  peer.sync.applyReport(started.sync.createReport(WITH_TOTALS), true);
+  for (const answer of peer.answers) started.sync.applyQuotaLevels(answer);
+  t.true(peer.quota.tryTake('team', 30));
+  clock.advance(reportTiming(undefined).peerTimeoutMs);
+  started.sync.applyReport(peer.sync.createReport(WITH_TOTALS), true);
+  t.is(started.quota.stateOf('team')?.level, 100);
+});
+
 test('pattern: hot team during a partition; after it heals, quota consumed on the other side in the meantime is not subtracted again', (t) => {
   const clock = new ManualClock();
   const [local, peer] = [createNode('n1', clock), createNode('n2', clock)];
