Keep endless bytes of the soak to their rate

Each tick wrote whole blocks, 11 of 16 KiB for 175,000 bytes, and forgot what was beyond its part; where timers are late this stays unseen.

--- a/packages/soak/src/node/endless-writer.ts
+++ b/packages/soak/src/node/endless-writer.ts
@@ -23,6 +23,8 @@
 export class EndlessWriter implements Closeable {
   readonly #connections = new Map<Socket, Connection>();
   #timer: NodeJS.Timeout | undefined;
+  /** What the rate allows in this tick; negative by what the last block was beyond it. */
+  #leftBytes = 0;
 
   /** Begins to write to a connection. */
   write(socket: Socket, { head, block }: EndlessBytes): void {
@@ -54,20 +56,20 @@
 
   /** Writes what the rate allows in one tick, by turns. */
   #writeBlocks(): void {
-    let leftBytes = (BYTES_PER_S * TICK_MS) / MS_PER_S;
+    this.#leftBytes = Math.min(0, this.#leftBytes) + (BYTES_PER_S * TICK_MS) / MS_PER_S;
     for (;;) {
-      const startBytes = leftBytes;
+      const startBytes = this.#leftBytes;
       for (const [socket, connection] of [...this.#connections]) {
         if (performance.now() > connection.until) resetConnection(socket);
         if (socket.destroyed || socket.writableNeedDrain) continue;
-        if (leftBytes <= 0) return;
+        if (this.#leftBytes <= 0) return;
         socket.write(connection.block);
-        leftBytes -= connection.block.length;
+        this.#leftBytes -= connection.block.length;
         // Its next turn comes after those of all others.
         this.#connections.delete(socket);
         this.#connections.set(socket, connection);
       }
-      if (leftBytes === startBytes) return;
+      if (this.#leftBytes === startBytes) return;
     }
   }
 }
