Log what an order of runners is based on

runners-ordered said how much work an order was planned for, not what the holder knew: the count that it replaces, the runners listed, the age of the list, and from how many nodes demand is known. These tell orders that follow from an incomplete list apart from those that follow from demand that the holder has not heard.

--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -30,6 +30,8 @@
   /** Work of the service, as a number of fully utilized runners. */
   readonly busyRunners: number;
   readonly isWave: boolean;
+  /** Nodes whose demand for the service is part of it; 0 where it is presumed. */
+  readonly demandNodes: number;
 }
 
 interface PlacedOrder {
@@ -106,6 +108,7 @@
       const inputs: OrderInputs = {
         busyRunners: this.#busyFor(service.name),
         isWave: this.#options.clock.monotonic() < this.#waveUntil,
+        demandNodes: this.#options.demand.nodeCount(service.name),
       };
       for (const plan of plansFor(scaling, domains, inputs)) {
         await this.#applyPlan(termStore, service, plan, inputs);
@@ -205,11 +208,13 @@
     termStore: DutyTermStore,
     service: Service,
     order: ScaleOrder,
-    { busyRunners, isWave }: OrderInputs,
+    { busyRunners, isWave, demandNodes }: OrderInputs,
   ): Promise<void> {
     const key = orderKey(order);
     if (!this.#isDue(key, service, order)) return;
-    const { cloud, clock, log } = this.#options;
+    const { cloud, clock, directory, log } = this.#options;
+    const before = this.#placedOrders.get(key)?.order.count;
+    const listed = this.#countOf(order);
     const isRecorded = await termStore.record(key, order);
     if (!isRecorded || !termStore.term) return;
     this.#scaleDownSince.delete(key);
@@ -221,6 +226,10 @@
       busyRunners: Number(busyRunners.toFixed(2)),
       isWave,
       isGranted,
+      ...(before === undefined ? {} : { before }),
+      listed,
+      listReadMs: Math.round(directory.readableMs),
+      demandNodes,
       token: termStore.term.fencingToken,
     });
   }
--- a/packages/gateway/src/utils/demand-meter.ts
+++ b/packages/gateway/src/utils/demand-meter.ts
@@ -56,15 +56,16 @@
     this.#samples.set(key, samples);
   }
 
+  /** Number of nodes whose recent demand for a service is known, including this one. */
+  nodeCount(service: string): number {
+    return [...this.#recent(service)].length;
+  }
+
   /** Demand per second for a service, over all nodes. */
   perSecond(service: string): Demand {
     const now = this.#clock.monotonic();
     let sum = NO_DEMAND;
-    for (const [key, samples] of this.#samples) {
-      if (!key.startsWith(`${service} `)) continue;
-      const first = samples[0];
-      const last = samples.at(-1);
-      if (!first || !last || now - last.at > WINDOW_MS) continue;
+    for (const { first, last } of this.#recent(service)) {
       const seconds = Math.max(WINDOW_MS / 2, Math.min(WINDOW_MS, now - first.at)) / MS_PER_S;
       sum = addDemand(sum, {
         requests: (last.total.requests - first.total.requests) / seconds,
@@ -74,4 +75,15 @@
     }
     return sum;
   }
+
+  /** The first and the last sample of each node that has told of its demand within the window. */
+  *#recent(service: string): Generator<{ readonly first: Sample; readonly last: Sample }> {
+    const now = this.#clock.monotonic();
+    for (const [key, samples] of this.#samples) {
+      if (!key.startsWith(`${service} `)) continue;
+      const first = samples[0];
+      const last = samples.at(-1);
+      if (first && last && now - last.at <= WINDOW_MS) yield { first, last };
+    }
+  }
 }
