Order no runners away that are not listed yet

Callers saw requests refused and late from the first second on: fewer runners served than stood before. An order states how many runners there shall be.

An order for a kind of runners of which none is recorded now waits until no runner has been added to the list for one renewal of entries, or, while none is listed at all, for the start-up time. An order that only adds reclaimable runners to on-demand ones that stand need not wait.

Both new tests failed before: 4 orders with nothing listed, and an order for 0 of the on-demand runners while three had just registered. The third one holds before and after: a service without runners is not kept waiting.

--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -6,6 +6,7 @@
 import type { CloudApi } from '../types/cloud-api.ts';
 import type { Duty } from '../types/duty.ts';
 import type { ScaleOrder } from '../types/scale-order.ts';
+import { Arrivals } from '../utils/arrivals.ts';
 import { busyRunners } from '../utils/busy-runners.ts';
 import type { DemandMeter } from '../utils/demand-meter.ts';
 import type { DecisionLog } from './decision-log.ts';
@@ -32,6 +33,8 @@
   readonly isWave: boolean;
   /** Nodes whose demand for the service is part of it; 0 where it is presumed. */
   readonly demandNodes: number;
+  /** No further runners are expected to register of which nothing is recorded. */
+  readonly isListComplete: boolean;
 }
 
 interface PlacedOrder {
@@ -61,6 +64,13 @@
  * orders are kept longer than that.
  */
 const PEAK_DECAY = 0.92;
+/**
+ * Time without a new runner in the list after which it is taken for complete, in milliseconds: live runners
+ * renew their entries as often.
+ */
+const COMPLETE_LIST_MS = 1_200;
+/** Longest time for which a list that goes on to grow is awaited, in milliseconds. */
+const MAX_LIST_WAIT_MS = 10_000;
 /** Assumed utilization of the existing runners before any demand has been measured. */
 const PRESUMED_UTILIZATION = 0.45;
 
@@ -85,14 +95,17 @@
   readonly #maxServing = new Map<string, number>();
   readonly #peakBusy = new Map<string, number>();
   readonly #draining = new Map<string, ReadonlySet<string>>();
+  readonly #arrivals: Arrivals;
   #waveUntil = 0;
 
   constructor(options: SupplyDutyOptions) {
     this.#options = options;
+    this.#arrivals = new Arrivals(options.clock);
   }
 
   begin(termStore: DutyTermStore): void {
     this.#placedOrders.clear();
+    this.#arrivals.clear();
     const at = this.#options.clock.monotonic();
     for (const order of termStore.records.values()) {
       if (isOrder(order)) this.#placedOrders.set(orderKey(order), { order, at });
@@ -103,12 +116,14 @@
     for (const service of this.#options.services()) {
       const { scaling } = service;
       if (!scaling || Object.keys(scaling.prices).length === 0) continue;
+      const isListComplete = this.#isListComplete(service.name, scaling);
       const domains = this.#usedDomainsOf(service, scaling);
       if (domains.length === 0) continue;
       const inputs: OrderInputs = {
         busyRunners: this.#busyFor(service.name),
         isWave: this.#options.clock.monotonic() < this.#waveUntil,
         demandNodes: this.#options.demand.nodeCount(service.name),
+        isListComplete,
       };
       for (const plan of plansFor(scaling, domains, inputs)) {
         await this.#applyPlan(termStore, service, plan, inputs);
@@ -208,9 +223,10 @@
     termStore: DutyTermStore,
     service: Service,
     order: ScaleOrder,
-    { busyRunners, isWave, demandNodes }: OrderInputs,
+    { busyRunners, isWave, demandNodes, isListComplete }: OrderInputs,
   ): Promise<void> {
     const key = orderKey(order);
+    if (!isListComplete && !this.#addsToListed(key, order)) return;
     if (!this.#isDue(key, service, order)) return;
     const { cloud, clock, directory, log } = this.#options;
     const before = this.#placedOrders.get(key)?.order.count;
@@ -253,6 +269,33 @@
     return serving < order.count && now - placedOrder.at > repeatMs;
   }
 
+  /**
+   * The list shows the runners of which no order is recorded. An order states how many there shall be:
+   * given earlier, it would take away those that have not registered yet.
+   */
+  #isListComplete(service: string, { startupMs }: ScaleBounds): boolean {
+    const unrecorded = this.#options.directory
+      .ofService(service)
+      .filter((entry) => !this.#placedOrders.has(orderKey({ ...entry, count: 0 })));
+    const { watchedMs, steadyMs } = this.#arrivals.observe(
+      service,
+      unrecorded.map(({ id }) => id),
+    );
+    const waitMs = this.#isUnlisted(service) ? startupMs : COMPLETE_LIST_MS;
+    return steadyMs >= waitMs || watchedMs >= MAX_LIST_WAIT_MS;
+  }
+
+  #isUnlisted(service: string): boolean {
+    return this.#options.directory.ofService(service).length === 0;
+  }
+
+  /** Whether an order replaces a recorded one, or is for a kind of which no runner is listed beside the other kind. */
+  #addsToListed(key: string, { service, isSpot }: ScaleOrder): boolean {
+    if (this.#placedOrders.has(key)) return true;
+    const listed = this.#options.directory.ofService(service);
+    return listed.length > 0 && listed.every((entry) => entry.isSpot !== isSpot);
+  }
+
   /** Count of the last order, or the number of serving runners when nothing was ordered. */
   #orderedCount(order: Omit<ScaleOrder, 'count'>): number {
     const key = orderKey({ ...order, count: 0 });
--- a/test/gateway/supply-duty.test.ts
+++ b/test/gateway/supply-duty.test.ts
@@ -100,6 +100,60 @@
   t.true(orderedCount(environment, true) >= 36, `${orderedCount(environment, true)}`);
 });
 
+const DOMAINS = ['a', 'b', 'c'];
+
+/** Lowest number of on-demand runners that was ordered in a domain. */
+function lowestOnDemandOrder({ cloud }: TestEnvironment): number {
+  const counts = cloud.calls.flatMap(({ order }) => (order?.isSpot === false ? [order.count] : []));
+  return Math.min(Infinity, ...counts);
+}
+
+// Guards against orders that take away runners which are not listed yet (SHORT).
+test('pattern: start of a deployment; runners that have not registered yet are not ordered away', async (t) => {
+  const environment = await createEnvironment();
+  await perform(environment, 3);
+  t.is(environment.cloud.calls.length, 0, 'nothing is listed yet');
+  for (let step = 0; step < 7; step += 1) {
+    for (const failureDomain of DOMAINS) {
+      for (let index = 0; index < 3; index += 1) {
+        const id = `${failureDomain}${step * 3 + index}`;
+        environment.directory.put(runnerEntry(id, { failureDomain }));
+      }
+    }
+    await perform(environment, 1);
+  }
+  t.is(lowestOnDemandOrder(environment), Infinity, 'no replacement serves yet');
+  t.true(orderedCount(environment, true) >= 63, `${orderedCount(environment, true)}`);
+});
+
+// Guards against a fleet that is cut by the first reclaimable runner while other runners still register (SHORT).
+test('pattern: start of a deployment; on-demand runners are replaced once all of them are listed', async (t) => {
+  const environment = await createEnvironment();
+  const register = (failureDomain: string, from: number): void => {
+    for (let index = from; index < from + 3; index += 1) {
+      environment.directory.put(runnerEntry(`${failureDomain}${index}`, { failureDomain }));
+    }
+  };
+  for (const failureDomain of DOMAINS) {
+    register(failureDomain, 0);
+    const id = `spot-${failureDomain}`;
+    environment.directory.put(runnerEntry(id, { failureDomain, isSpot: true }));
+  }
+  await perform(environment, 1);
+  for (const failureDomain of DOMAINS) register(failureDomain, 3);
+  await perform(environment, 2);
+  t.is(lowestOnDemandOrder(environment), Infinity, 'three runners have just been listed');
+  await perform(environment, 4);
+  t.true(lowestOnDemandOrder(environment) < 6, 'replaced');
+});
+
+test('a service of which no runner is ever listed gets the runners that its demand needs', async (t) => {
+  const environment = await createEnvironment();
+  await performUnderLoad(environment, 12);
+  t.true(orderedCount(environment, true) > 0);
+  t.true(orderedCount(environment, false) > 0);
+});
+
 test('pattern: burst; more runners are ordered within a few seconds of the demand', async (t) => {
   const environment = await createEnvironment();
   environment.directory.put(runnerEntry('r1'));
