Tell a new duty holder of the demand before its term

In a large deployment only the duty holder hears the demand of the other nodes, and the first totals that it heard were a baseline.

Reports with totals now also state the totals of some seconds ago, so that the first one tells of the demand as well as those after it would.

Older builds ignore the new field, and their reports count as before.

--- a/packages/gateway/src/node/peer-state-sync.ts
+++ b/packages/gateway/src/node/peer-state-sync.ts
@@ -7,6 +7,7 @@
 import type { Address, RunnerDirectory } from '@ragwortrudder/catalog';
 import type { Clock } from '@ragwortrudder/core';
 import type { RunnerSpeeds } from '@ragwortrudder/routing';
+import type { Demand } from '../types/demand.ts';
 import type { DomainDigest } from '../types/domain-digest.ts';
 import type { RunnerBoot } from '../types/runner-boot.ts';
 import type { NodeReport } from '../types/node-report.ts';
@@ -215,8 +216,10 @@
     const incarnation = `${report.node} ${report.life}`;
     usage.mergePeerCounts(incarnation, decodeUsage(report));
     disciplinedClock.addPeerTime(report.node, report.now);
+    const earlier = decodeEarlierDemand(report);
     for (const [service, [requests, promptTokens, outputTokens]] of Object.entries(report.demand)) {
-      demand.setTotal(incarnation, service, { requests, promptTokens, outputTokens });
+      const total = { requests, promptTokens, outputTokens };
+      demand.setTotal(incarnation, service, total, earlier.get(service));
     }
     this.#options.rollouts.setPeerEvidence(incarnation, report.outcomes);
     this.#options.limits.setPeerLimits(report.limits ?? []);
@@ -448,7 +451,7 @@
     }
   }
 
-  #totals(now: number): Pick<NodeReport, 'usage' | 'demand' | 'outcomes'> {
+  #totals(now: number): Pick<NodeReport, 'usage' | 'demand' | 'earlierDemand' | 'outcomes'> {
     const { usage, demand, rollouts } = this.#options;
     const outcomes = rollouts.evidence;
     const oldest = usage.windowAt(now) - REPORTED_WINDOWS;
@@ -462,6 +465,12 @@
           [total.requests, total.promptTokens, total.outputTokens],
         ]),
       ),
+      earlierDemand: Object.fromEntries(
+        [...demand.ownEarlier].map(([service, { agoMs, total }]) => [
+          service,
+          [Math.round(agoMs), total.requests, total.promptTokens, total.outputTokens],
+        ]),
+      ),
     };
   }
 }
@@ -515,3 +524,16 @@
     ]),
   );
 }
+
+function decodeEarlierDemand({
+  earlierDemand = {},
+}: NodeReport): ReadonlyMap<string, { readonly agoMs: number; readonly total: Demand }> {
+  return new Map(
+    Object.entries(earlierDemand).map(
+      ([service, [agoMs, requests, promptTokens, outputTokens]]) => [
+        service,
+        { agoMs, total: { requests, promptTokens, outputTokens } },
+      ],
+    ),
+  );
+}
--- a/packages/gateway/src/types/node-report.ts
+++ b/packages/gateway/src/types/node-report.ts
@@ -37,6 +37,8 @@
   usage: z.record(UsageWindow, countsByTeam),
   /** By service: requests, prompt tokens and output tokens since this incarnation started. */
   demand: z.record(BoundedText, z.tuple([Amount, Amount, Amount])),
+  /** By service: milliseconds back to an earlier one of these totals, and that total. */
+  earlierDemand: z.record(BoundedText, z.tuple([Amount, Amount, Amount, Amount])).optional(),
   /** How requests turned out at the versions of services that are rolled out. */
   outcomes: Evidence.optional(),
   /** Limits that runners stated in responses to the node. */
--- a/packages/gateway/src/utils/demand-meter.ts
+++ b/packages/gateway/src/utils/demand-meter.ts
@@ -2,10 +2,17 @@
 import type { Demand } from '../types/demand.ts';
 
 interface Sample {
+  /** Monotonic time, in milliseconds. */
   readonly at: number;
   readonly total: Demand;
 }
 
+/** Running total of a node at the start of the window that its newest total ends. */
+interface EarlierTotal {
+  readonly agoMs: number;
+  readonly total: Demand;
+}
+
 /**
  * Averaging window for demand, in milliseconds: long enough to smooth out single large prompts,
  * short compared with the start-up of a runner.
@@ -26,7 +33,7 @@
 export class DemandMeter {
   readonly #clock: Clock;
   readonly #own = new Map<string, Demand>();
-  readonly #samples = new Map<string, Sample[]>();
+  readonly #samples = new Map<string, readonly Sample[]>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -37,6 +44,17 @@
     return this.#own;
   }
 
+  /** By service: running total of this node at the start of the window. */
+  get ownEarlier(): ReadonlyMap<string, EarlierTotal> {
+    const now = this.#clock.monotonic();
+    return new Map(
+      [...this.#own.keys()].flatMap((service) => {
+        const first = withinWindow(this.#samples.get(keyOf(service, '')) ?? [], now)[0];
+        return first ? [[service, { agoMs: now - first.at, total: first.total }]] : [];
+      }),
+    );
+  }
+
   /** Adds demand to this node's total. */
   add(service: string, demand: Demand): void {
     const total = addDemand(this.#own.get(service) ?? NO_DEMAND, demand);
@@ -44,16 +62,20 @@
     this.setTotal('', service, total);
   }
 
-  /** Records the running total of a node incarnation; '' stands for this node. */
-  setTotal(incarnation: string, service: string, total: Demand): void {
-    const key = `${service} ${incarnation}`;
+  /**
+   * Records the running total of a node incarnation; '' stands for this node. Where totals of it have not
+   * been heard within the window, `earlier` tells what of the total is recent.
+   */
+  setTotal(incarnation: string, service: string, total: Demand, earlier?: EarlierTotal): void {
+    const key = keyOf(service, incarnation);
     const now = this.#clock.monotonic();
-    const samples = this.#samples.get(key) ?? [
-      { at: now, total: incarnation === '' ? NO_DEMAND : total },
-    ];
-    samples.push({ at: now, total });
-    while (samples.length > 1 && now - (samples[1]?.at ?? now) > WINDOW_MS) samples.shift();
-    this.#samples.set(key, samples);
+    const known = this.#samples.get(key);
+    const isRecent = now - (known?.at(-1)?.at ?? -Infinity) <= WINDOW_MS;
+    const start = earlier
+      ? { at: now - earlier.agoMs, total: earlier.total }
+      : { at: now, total: incarnation === '' ? NO_DEMAND : total };
+    const samples = known && (isRecent || !earlier) ? known : [start];
+    this.#samples.set(key, withinWindow([...samples, { at: now, total }], now));
   }
 
   /** Number of nodes whose recent demand for a service is known, including this one. */
@@ -80,10 +102,20 @@
   *#recent(service: string): Generator<{ readonly first: Sample; readonly last: Sample }> {
     const now = this.#clock.monotonic();
     for (const [key, samples] of this.#samples) {
-      if (!key.startsWith(`${service} `)) continue;
+      if (!key.startsWith(keyOf(service, ''))) continue;
       const first = samples[0];
       const last = samples.at(-1);
       if (first && last && now - last.at <= WINDOW_MS) yield { first, last };
     }
   }
 }
+
+function keyOf(service: string, incarnation: string): string {
+  return `${service} ${incarnation}`;
+}
+
+/** Samples of the window, and the last one before it. */
+function withinWindow(samples: readonly Sample[], now: number): readonly Sample[] {
+  const second = samples.findIndex(({ at }, index) => index > 0 && now - at <= WINDOW_MS);
+  return second === -1 ? samples.slice(-1) : samples.slice(second - 1);
+}
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -25,6 +25,7 @@
 interface TestNode {
   readonly loadTracker: RunnerLoadTracker;
   readonly quota: QuotaExchange['quota'];
+  readonly demand: DemandMeter;
   readonly directory: RunnerDirectory;
   readonly limits: StatedLimits;
   readonly speeds: RunnerSpeeds;
@@ -49,6 +50,7 @@
     log: { notable: () => undefined },
   });
   const { quota } = exchange;
+  const demand = new DemandMeter(clock);
   const directory = new RunnerDirectory({ clock });
   const limits = new StatedLimits({ clock, node: 'n', rank: (_runner, nodes) => nodes });
   const speeds = new RunnerSpeeds({ clock });
@@ -71,7 +73,7 @@
       },
     }),
     usage: new UsageCounter(5_000),
-    demand: new DemandMeter(clock),
+    demand,
     directory,
     log: { notable: () => undefined },
     configurationVersion: () => 0,
@@ -93,7 +95,7 @@
     timing: () => reportTiming(undefined),
     isRelay: () => isRelay,
   });
-  return { loadTracker, quota, directory, limits, speeds, sync, answers };
+  return { loadTracker, quota, demand, directory, limits, speeds, sync, answers };
 }
 
 const WITH_TOTALS = { isLeaving: false, includesTotals: true };
@@ -109,6 +111,46 @@
   t.false(local.quota.tryTake('team', 1));
 });
 
+/** A node that has served ten requests a second for ten seconds. */
+function serveTenPerSecond({ demand }: TestNode, clock: ManualClock): void {
+  for (let step = 0; step < 100; step += 1) {
+    demand.add('model', { requests: 1, promptTokens: 1_000, outputTokens: 50 });
+    clock.advance(100);
+  }
+}
+
+// Guards against a new duty holder that takes what it has not heard yet for no demand (SHORT).
+test('the first report of totals to a node tells of the demand before it', (t) => {
+  const clock = new ManualClock();
+  const [holder, peer] = [createNode('n1', clock), createNode('n2', clock)];
+  serveTenPerSecond(peer, clock);
+  holder.sync.applyReport(NodeReport.parse(peer.sync.createReport(WITH_TOTALS)), true);
+  const { requests, promptTokens } = holder.demand.perSecond('model');
+  t.true(requests >= 9 && requests <= 11, `${requests}`);
+  t.true(promptTokens >= 9_000 && promptTokens <= 11_000, `${promptTokens}`);
+});
+
+// Guards against orders for all demand since an earlier term, as if it had come within seconds.
+test('totals that a node hears again after a while count for their last seconds only', (t) => {
+  const clock = new ManualClock();
+  const [holder, peer] = [createNode('n1', clock), createNode('n2', clock)];
+  serveTenPerSecond(peer, clock);
+  holder.sync.applyReport(NodeReport.parse(peer.sync.createReport(WITH_TOTALS)), true);
+  for (let term = 0; term < 6; term += 1) serveTenPerSecond(peer, clock);
+  holder.sync.applyReport(NodeReport.parse(peer.sync.createReport(WITH_TOTALS)), false);
+  const { requests } = holder.demand.perSecond('model');
+  t.true(requests >= 9 && requests <= 11, `${requests}`);
+});
+
+test('the demand of a node that no longer serves requests ends with its window', (t) => {
+  const clock = new ManualClock();
+  const [holder, peer] = [createNode('n1', clock), createNode('n2', clock)];
+  serveTenPerSecond(peer, clock);
+  clock.advance(5_000);
+  holder.sync.applyReport(NodeReport.parse(peer.sync.createReport(WITH_TOTALS)), true);
+  t.is(holder.demand.perSecond('model').requests, 0);
+});
+
 // Guards against use that nobody subtracts, between the start of a node and its first report (QUOTA).
 test('all that a node consumed that has just started is subtracted with its first report', (t) => {
   const clock = new ManualClock();
