Let a lower count of runners be sufficient anew in each term

A node that held the duty before remembered since when a lower count had been sufficient, so that in a later term it ordered fewer runners at once, on the first look, whatever the need was in between. Now that time begins with the term. The test failed before: runners were ordered away 5 s into the second term.

--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -105,6 +105,7 @@
 
   begin(termStore: DutyTermStore): void {
     this.#placedOrders.clear();
+    this.#scaleDownSince.clear();
     this.#arrivals.clear();
     const at = this.#options.clock.monotonic();
     for (const order of termStore.records.values()) {
--- a/test/gateway/supply-duty.test.ts
+++ b/test/gateway/supply-duty.test.ts
@@ -202,6 +202,28 @@
   t.is(environment.cloud.calls.length, 0);
 });
 
+/** Demand until the orders have settled. */
+async function orderForDemand(environment: TestEnvironment): Promise<number> {
+  environment.directory.put(runnerEntry('r1'));
+  await performUnderLoad(environment, 40);
+  return orderedCount(environment, true);
+}
+
+// Guards against a lower order at the start of a term, for a need that an earlier term saw (SHORT).
+test('a lower count has to be sufficient anew in each term', async (t) => {
+  const environment = await createEnvironment();
+  const { clock, duty, termStore } = environment;
+  const ordered = await orderForDemand(environment);
+  await perform(environment, 14);
+  t.is(orderedCount(environment, true), ordered);
+  termStore.resign();
+  clock.advance(30_000);
+  await termStore.takeOver();
+  duty.begin(termStore);
+  await perform(environment, 10);
+  t.is(orderedCount(environment, true), ordered);
+});
+
 function ordersFor({ cloud }: TestEnvironment, failureDomain: string): number {
   return cloud.calls.filter(({ order }) => order?.failureDomain === failureDomain).length;
 }
