Order no fewer runners while nodes are not heard

A duty holder that reaches the platform but not all nodes, as in a partition, took the demand of those that it hears for all of it, and ordered the runners of all failure domains down to that after some 12 s. The test failed before: 3 reclaimable runners were left.

--- a/packages/gateway/src/node/create-duty-holder.ts
+++ b/packages/gateway/src/node/create-duty-holder.ts
@@ -65,6 +65,7 @@
     directory,
     evacuated: options.evacuated,
     demand: options.demand,
+    hearsAllNodes: () => peers.reachableCount >= peers.knownCount,
     clock,
     log: decisions,
     prefillMsPerToken: options.prefillMsPerToken,
