--- a/packages/gateway/src/utils/demand-meter.ts
+++ b/packages/gateway/src/utils/demand-meter.ts
@@ -71,9 +71,7 @@
     const now = this.#clock.monotonic();
     const known = this.#samples.get(key);
     const isRecent = now - (known?.at(-1)?.at ?? -Infinity) <= WINDOW_MS;
-    const start = earlier
-      ? { at: now - earlier.agoMs, total: earlier.total }
-      : { at: now, total: incarnation === '' ? NO_DEMAND : total };
+    const start = earlier ? { at: now - earlier.agoMs, total: earlier.total } : { at: now, total };
     const samples = known && (isRecent || !earlier) ? known : [start];
     this.#samples.set(key, withinWindow([...samples, { at: now, total }], now));
   }
--- a/test/gateway/peer-state-sync.test.ts
+++ b/test/gateway/peer-state-sync.test.ts
@@ -142,6 +142,21 @@
   t.true(requests >= 9 && requests <= 11, `${requests}`);
 });
 
+// Guards against orders for one more request of each node at the start of its traffic.
+test('the request that begins the window of a node is not counted in it', (t) => {
+  const clock = new ManualClock();
+  const [holder, peer] = [createNode('n1', clock), createNode('n2', clock)];
+  for (const { demand } of [holder, peer]) {
+    demand.add('model', { requests: 1, promptTokens: 1_000, outputTokens: 50 });
+  }
+  clock.advance(2_000);
+  for (const { demand } of [holder, peer]) {
+    demand.add('model', { requests: 1, promptTokens: 1_000, outputTokens: 50 });
+  }
+  holder.sync.applyReport(NodeReport.parse(peer.sync.createReport(WITH_TOTALS)), true);
+  t.is(holder.demand.perSecond('model').requests, 1);
+});
+
 test('the demand of a node that no longer serves requests ends with its window', (t) => {
   const clock = new ManualClock();
   const [holder, peer] = [createNode('n1', clock), createNode('n2', clock)];
