Replace on-demand runners only as far as reclaimable ones serve

At 46.5 to 47.6 s the duty holder had ordered the on-demand runners of three domains from 13, 42 and 42 down to 1 each, with 33 reclaimable ones in one domain, for a need of 87: the next ones served at 56 s.

The plan kept room for all reclaimable runners that it wanted, whether they were there or not, and dropped the on-demand runners that did not fit beside them; where the need is near the maximum of the domains that is all but one of each. Reclaimable runners take time to start, may not be had, and do not fit in before the others have left. Now what does not fit beside the planned ones is placed beside those that serve, and no more are ordered than there is room.

--- a/packages/supply/src/utils/plan-runners.ts
+++ b/packages/supply/src/utils/plan-runners.ts
@@ -26,18 +26,23 @@
 /** Minimum number of on-demand runners, regardless of the supply of reclaimable ones. */
 const ON_DEMAND_FLOOR = 1;
 
+type Placements = ReadonlyMap<string, number>;
+type Room = (domain: DomainRunners) => number;
+
 /** Places on-demand runners: first where they already run, then one per domain with room, cheapest first. */
 function placeOnDemand(
   count: number,
   domains: readonly DomainRunners[],
-  roomOf: (domain: DomainRunners) => number,
-): ReadonlyMap<string, number> {
+  { placed, roomOf }: { readonly placed: Placements; readonly roomOf: Room },
+): Placements {
   const byPrice = domains.toSorted((a, b) => a.price - b.price);
-  const placements = new Map<string, number>();
-  let remaining = count;
+  const placements = new Map(placed);
+  let remaining = count - sumOf(placed);
   for (const domain of byPrice) {
-    const kept = Math.min(remaining, domain.onDemand, roomOf(domain));
-    placements.set(domain.failureDomain, kept);
+    const before = placements.get(domain.failureDomain) ?? 0;
+    const kept = Math.min(remaining, Math.min(domain.onDemand, roomOf(domain)) - before);
+    if (kept <= 0) continue;
+    placements.set(domain.failureDomain, before + kept);
     remaining -= kept;
   }
   while (remaining > 0) {
@@ -53,10 +58,15 @@
   return placements;
 }
 
+function sumOf(placements: Placements): number {
+  return [...placements.values()].reduce((sum, count) => sum + count, 0);
+}
+
 /**
  * Plans the runners of a service: reclaimable ones spread over all failure domains, with enough spare capacity to
  * lose one domain, and on-demand ones for the load that they cannot currently cover. Reclaims come in waves: during
- * a wave, on-demand runners cover the entire load.
+ * a wave, on-demand runners cover the entire load. Within the maximum, on-demand runners give way as far as
+ * reclaimable ones serve in their place.
  */
 export function planRunners(options: PlanRunnersOptions): readonly RunnerPlan[] {
   const { busyRunners, min, max, spotPrice, isWave, domains } = options;
@@ -69,13 +79,28 @@
   const currentSpot = domains.reduce((sum, { spot }) => sum + Math.min(spot, spotPerDomain), 0);
   const coveredBySpot = isWave ? 0 : currentSpot;
   const onDemand = Math.max(ON_DEMAND_FLOOR, needed - coveredBySpot);
-  const roomOf = ({ spot, isSpotRefused }: DomainRunners): number =>
-    max -
-    (isWave || isSpotRefused ? Math.min(spot, spotPerDomain) : Math.min(spotPerDomain, max - 1));
-  const placements = placeOnDemand(onDemand, domains, roomOf);
-  return domains.map(({ failureDomain }) => {
+  const keptSpot = ({ spot }: DomainRunners): number => Math.min(spot, spotPerDomain);
+  const roomBesideKept: Room = (domain) => max - keptSpot(domain);
+  const roomBesidePlanned: Room = (domain) =>
+    isWave || domain.isSpotRefused
+      ? roomBesideKept(domain)
+      : max - Math.min(spotPerDomain, max - 1);
+  const besidePlanned = placeOnDemand(onDemand, domains, {
+    placed: new Map(),
+    roomOf: roomBesidePlanned,
+  });
+  // Reclaimable runners that are not there yet replace none: they may not come, and take time to start.
+  const placements = placeOnDemand(onDemand, domains, {
+    placed: besidePlanned,
+    roomOf: roomBesideKept,
+  });
+  return domains.map((domain) => {
+    const { failureDomain } = domain;
     const onDemandHere = placements.get(failureDomain) ?? 0;
-    const spot = Math.min(spotPerDomain, max - onDemandHere);
+    // Those that are ordered take up room until a lower order is in force.
+    const roomLeft = max - Math.max(onDemandHere, domain.onDemand);
+    const desired = Math.max(keptSpot(domain), Math.min(spotPerDomain, roomLeft));
+    const spot = Math.min(desired, max - onDemandHere);
     const shortfall = Math.max(0, min - spot - onDemandHere);
     return { failureDomain, spot, onDemand: onDemandHere + shortfall };
   });
--- a/test/supply/plan-runners.test.ts
+++ b/test/supply/plan-runners.test.ts
@@ -53,6 +53,47 @@
   t.is(totals(wave).onDemand, 3);
 });
 
+// Guards against on-demand runners that are ordered away for reclaimable ones which do not serve yet (SHORT).
+test('pattern: load near the maximum after a wave of reclaims; on-demand runners give way as far as others serve', (t) => {
+  const domains = [
+    domain('a', { onDemand: 9, spot: 33, price: 0.85 }),
+    domain('b', { onDemand: 42, price: 1.2 }),
+    domain('c', { onDemand: 42 }),
+  ];
+  const plans = planRunners({ ...BOUNDS, max: 42, busyRunners: 65, domains });
+  const neededRunners = 87;
+  t.is(totals(plans).onDemand, neededRunners - 33);
+  t.is(plans[0]?.spot, 33);
+});
+
+test('pattern: load near the maximum; all on-demand runners but one are replaced step by step, and the need is met throughout', (t) => {
+  const max = 42;
+  let domains = ['a', 'b', 'c'].map((name) => domain(name, { onDemand: max }));
+  for (let step = 0; step < 12; step += 1) {
+    const plans = planRunners({ ...BOUNDS, max, busyRunners: 65, domains });
+    // On-demand runners leave at once, and reclaimable ones serve with the next step.
+    const serving = domains.reduce(
+      (sum, { spot }, index) => sum + spot + Math.min(max - spot, plans[index]?.onDemand ?? 0),
+      0,
+    );
+    t.true(serving >= 87, `step ${step}: ${serving}`);
+    domains = domains.map((before, index) => {
+      const { onDemand = 0, spot = 0 } = plans[index] ?? {};
+      return { ...before, onDemand, spot: Math.max(before.spot, Math.min(spot, max - onDemand)) };
+    });
+  }
+  t.is(
+    domains.reduce((sum, { onDemand }) => sum + onDemand, 0),
+    1,
+  );
+});
+
+test('no more reclaimable runners are ordered than fit beside those on demand that are still ordered', (t) => {
+  const domains = [domain('a', { onDemand: 4 }), domain('b', { spot: 3 }), domain('c')];
+  const plans = planRunners({ ...BOUNDS, busyRunners: 3, domains });
+  t.is(plans[0]?.spot, 0);
+});
+
 test('on-demand runners stay in place when their number does not change', (t) => {
   const domains = [domain('a', { price: 0.5 }), domain('b', { onDemand: 2 }), domain('c')];
   const plans = planRunners({ min: 0, max: 4, isWave: false, busyRunners: 1.3, domains });
