--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -231,7 +231,7 @@
     { busyRunners, isWave, demandNodes, isListComplete }: OrderInputs,
   ): Promise<void> {
     const key = orderKey(order);
-    if (!isListComplete && !this.#addsToListed(key, order)) return;
+    if (!isListComplete && !this.#isKnownToAdd(key, order)) return;
     if (!this.#isDue(key, service, order)) return;
     const { cloud, clock, directory, log } = this.#options;
     const before = this.#placedOrders.get(key)?.order.count;
@@ -294,8 +294,11 @@
     return this.#options.directory.ofService(service).length === 0;
   }
 
-  /** Whether an order replaces a recorded one, or is for a kind of which no runner is listed beside the other kind. */
-  #addsToListed(key: string, { service, isSpot }: ScaleOrder): boolean {
+  /**
+   * Whether an order takes no runners away that are not listed yet: it replaces a recorded one, or all
+   * runners that stand are of the other kind.
+   */
+  #isKnownToAdd(key: string, { service, isSpot }: ScaleOrder): boolean {
     if (this.#placedOrders.has(key)) return true;
     const listed = this.#options.directory.ofService(service);
     return listed.length > 0 && listed.every((entry) => entry.isSpot !== isSpot);
