--- a/packages/gateway/src/utils/demand-meter.ts
+++ b/packages/gateway/src/utils/demand-meter.ts
@@ -33,7 +33,7 @@
 export class DemandMeter {
   readonly #clock: Clock;
   readonly #own = new Map<string, Demand>();
-  readonly #samples = new Map<string, readonly Sample[]>();
+  readonly #samples = new Map<string, Sample[]>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -49,7 +49,9 @@
     const now = this.#clock.monotonic();
     return new Map(
       [...this.#own.keys()].flatMap((service) => {
-        const first = withinWindow(this.#samples.get(keyOf(service, '')) ?? [], now)[0];
+        const samples = this.#samples.get(keyOf(service, '')) ?? [];
+        dropBeforeWindow(samples, now);
+        const [first] = samples;
         return first ? [[service, { agoMs: now - first.at, total: first.total }]] : [];
       }),
     );
@@ -73,7 +75,9 @@
     const isRecent = now - (known?.at(-1)?.at ?? -Infinity) <= WINDOW_MS;
     const start = earlier ? { at: now - earlier.agoMs, total: earlier.total } : { at: now, total };
     const samples = known && (isRecent || !earlier) ? known : [start];
-    this.#samples.set(key, withinWindow([...samples, { at: now, total }], now));
+    samples.push({ at: now, total });
+    dropBeforeWindow(samples, now);
+    this.#samples.set(key, samples);
   }
 
   /** Number of nodes whose recent demand for a service is known, including this one. */
@@ -112,8 +116,7 @@
   return `${service} ${incarnation}`;
 }
 
-/** Samples of the window, and the last one before it. */
-function withinWindow(samples: readonly Sample[], now: number): readonly Sample[] {
-  const second = samples.findIndex(({ at }, index) => index > 0 && now - at <= WINDOW_MS);
-  return second === -1 ? samples.slice(-1) : samples.slice(second - 1);
+/** Drops all samples before the window but the last one of them. */
+function dropBeforeWindow(samples: Sample[], now: number): void {
+  while (samples.length > 1 && now - (samples[1]?.at ?? now) > WINDOW_MS) samples.shift();
 }
--- a/packages/supply/src/utils/plan-runners.ts
+++ b/packages/supply/src/utils/plan-runners.ts
@@ -40,7 +40,7 @@
   let remaining = count - sumOf(placed);
   for (const domain of byPrice) {
     const before = placements.get(domain.failureDomain) ?? 0;
-    const kept = Math.min(remaining, Math.min(domain.onDemand, roomOf(domain)) - before);
+    const kept = Math.min(remaining, domain.onDemand - before, roomOf(domain) - before);
     if (kept <= 0) continue;
     placements.set(domain.failureDomain, before + kept);
     remaining -= kept;
