--- a/packages/gateway/src/node/create-duty-holder.ts
+++ b/packages/gateway/src/node/create-duty-holder.ts
@@ -45,9 +45,6 @@
   readonly onUnheardHolder: (term: TermView) => void;
 }
 
-/** Share of the nodes that restarts leave, one after the other, but not the partition of a failure domain. */
-const MIN_HEARD_SHARE = 0.75;
-
 /** Creates the holder of the duties that the settings give to nodes; undefined where there are none. */
 export function createDutyHolder(options: CreateDutyHolderOptions): DutyHolder | undefined {
   const { settings, log, cloud, clock, codec, peers, decisions, rollouts, directory } = options;
@@ -68,7 +65,7 @@
     directory,
     evacuated: options.evacuated,
     demand: options.demand,
-    hearsMostNodes: () => peers.reachableCount >= MIN_HEARD_SHARE * peers.knownCount,
+    hearsAllNodes: () => peers.reachableCount >= peers.knownCount,
     clock,
     log: decisions,
     prefillMsPerToken: options.prefillMsPerToken,
--- a/packages/gateway/src/node/supply-duty.ts
+++ b/packages/gateway/src/node/supply-duty.ts
@@ -18,8 +18,8 @@
   /** Failure domains for which nothing is ordered; their runners are not counted on. */
   readonly evacuated: Pick<EvacuatedDomains, 'has'>;
   readonly demand: DemandMeter;
-  /** The demand of most known nodes is heard. */
-  readonly hearsMostNodes: () => boolean;
+  /** The demand of all known nodes is heard. */
+  readonly hearsAllNodes: () => boolean;
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Prefill time per prompt token at the engines of a service, in milliseconds. */
@@ -117,7 +117,7 @@
 
   async perform(termStore: DutyTermStore): Promise<void> {
     // What the others need is not known, so that a lower count has to be sufficient anew.
-    if (!this.#options.hearsMostNodes()) this.#scaleDownSince.clear();
+    if (!this.#options.hearsAllNodes()) this.#scaleDownSince.clear();
     for (const service of this.#options.services()) {
       const { scaling } = service;
       if (!scaling || Object.keys(scaling.prices).length === 0) continue;
--- a/packages/supply/src/utils/plan-runners.ts
+++ b/packages/supply/src/utils/plan-runners.ts
@@ -29,34 +29,24 @@
 type Placements = ReadonlyMap<string, number>;
 type Room = (domain: DomainRunners) => number;
 
-/** Keeps on-demand runners where they already run, cheapest first. */
-function keepOnDemand(
+/** Places on-demand runners: first where they already run, then one per domain with room, cheapest first. */
+function placeOnDemand(
   count: number,
   domains: readonly DomainRunners[],
   { placed, roomOf }: { readonly placed: Placements; readonly roomOf: Room },
 ): Placements {
+  const byPrice = domains.toSorted((a, b) => a.price - b.price);
   const placements = new Map(placed);
   let remaining = count - sumOf(placed);
-  for (const domain of domains) {
+  for (const domain of byPrice) {
     const before = placements.get(domain.failureDomain) ?? 0;
     const kept = Math.min(remaining, domain.onDemand - before, roomOf(domain) - before);
     if (kept <= 0) continue;
     placements.set(domain.failureDomain, before + kept);
     remaining -= kept;
   }
-  return placements;
-}
-
-/** Adds on-demand runners, one per domain with room in turn, cheapest first. */
-function addOnDemand(
-  count: number,
-  domains: readonly DomainRunners[],
-  { placed, roomOf }: { readonly placed: Placements; readonly roomOf: Room },
-): Placements {
-  const placements = new Map(placed);
-  let remaining = count - sumOf(placed);
   while (remaining > 0) {
-    const withRoom = domains.filter(
+    const withRoom = byPrice.filter(
       (domain) => (placements.get(domain.failureDomain) ?? 0) < roomOf(domain),
     );
     if (withRoom.length === 0) break;
@@ -95,15 +85,18 @@
     isWave || domain.isSpotRefused
       ? roomBesideKept(domain)
       : max - Math.min(spotPerDomain, max - 1);
+  const besidePlanned = placeOnDemand(onDemand, domains, {
+    placed: new Map(),
+    roomOf: roomBesidePlanned,
+  });
   // Reclaimable runners that are not there yet replace none: they may not come, and take time to start.
-  const rooms: readonly Room[] = [roomBesidePlanned, roomBesideKept];
-  const byPrice = domains.toSorted((a, b) => a.price - b.price);
-  let placed: Placements = new Map();
-  for (const roomOf of rooms) placed = keepOnDemand(onDemand, byPrice, { placed, roomOf });
-  for (const roomOf of rooms) placed = addOnDemand(onDemand, byPrice, { placed, roomOf });
+  const placements = placeOnDemand(onDemand, domains, {
+    placed: besidePlanned,
+    roomOf: roomBesideKept,
+  });
   return domains.map((domain) => {
     const { failureDomain } = domain;
-    const onDemandHere = placed.get(failureDomain) ?? 0;
+    const onDemandHere = placements.get(failureDomain) ?? 0;
     // Those that are ordered take up room until a lower order is in force.
     const roomLeft = max - Math.max(onDemandHere, domain.onDemand);
     const desired = Math.max(keptSpot(domain), Math.min(spotPerDomain, roomLeft));
