Log what a node's processor time goes to

Every node now logs the time since its start, in all and by activity, every 10 s and when it closes.

--- /dev/null
+++ b/packages/core/src/node/processor-meter.ts
@@ -0,0 +1,54 @@
+import type { ProcessorUse } from '../types/processor-use.ts';
+
+const US_PER_MS = 1_000;
+
+/** Processor time of the process so far, in milliseconds. */
+function readProcess(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / US_PER_MS;
+}
+
+/**
+ * Measures which activities use the processor time of the process. Only synchronous work is measured;
+ * threads of the runtime that work beside it count, too.
+ */
+export class ProcessorMeter {
+  readonly #read: () => number;
+  readonly #byActivity = new Map<string, number>();
+  /** What activities have used that ran within the one in progress. */
+  #nestedMs = 0;
+
+  /** @param read Processor time of the process so far, in milliseconds. */
+  constructor(read: () => number = readProcess) {
+    this.#read = read;
+  }
+
+  get use(): ProcessorUse {
+    return { totalMs: this.#read(), byActivity: new Map(this.#byActivity) };
+  }
+
+  /** Runs `run` and adds what it uses to the activity, less what measured activities within it use. */
+  measure<Result>(activity: string, run: () => Result): Result {
+    const outerNestedMs = this.#nestedMs;
+    const startedMs = this.#read();
+    this.#nestedMs = 0;
+    try {
+      return run();
+    } finally {
+      const usedMs = this.#read() - startedMs;
+      this.#add(activity, usedMs - this.#nestedMs);
+      this.#nestedMs = outerNestedMs + usedMs;
+    }
+  }
+
+  /** Adds what no activity has used so far. */
+  addUnmeasured(activity: string): void {
+    const { totalMs, byActivity } = this.use;
+    const measuredMs = [...byActivity.values()].reduce((sum, ms) => sum + ms, 0);
+    this.#add(activity, totalMs - measuredMs);
+  }
+
+  #add(activity: string, ms: number): void {
+    this.#byActivity.set(activity, (this.#byActivity.get(activity) ?? 0) + ms);
+  }
+}
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -77,6 +77,7 @@
   #limits: CallerLimits = DEFAULT_LIMITS;
   #framingCheck: NodeJS.Timeout | undefined;
   #isStopping = false;
+  #receivedCount = 0;
 
   constructor(options: CallerServerOptions<Request>) {
     this.#options = options;
@@ -135,6 +136,11 @@
     return [...this.#connections.values()].reduce((sum, item) => sum + item.requestCount, 0);
   }
 
+  /** Requests received since the start. */
+  get receivedCount(): number {
+    return this.#receivedCount;
+  }
+
   async listen(): Promise<void> {
     const { host, port } = this.#options.address;
     await new Promise<void>((resolve, reject) => {
@@ -176,6 +182,7 @@
       this.#drop(received);
       return;
     }
+    this.#receivedCount += 1;
     const turn = connection.addRequest(message, response);
     if (connection.requestCount > MAX_PIPELINED_REQUESTS) {
       this.#logEnd(TOO_MANY_REQUESTS, { requests: connection.requestCount });
--- a/packages/gateway/src/node/decision-log.ts
+++ b/packages/gateway/src/node/decision-log.ts
@@ -1,4 +1,5 @@
 import type { Writable } from 'node:stream';
+import { ProcessorMeter } from '@ragwortrudder/core';
 import type { Clock } from '@ragwortrudder/core';
 import { reasonOf } from '../utils/reason-of.ts';
 import { RejectionLimiter } from '../utils/rejection-limiter.ts';
@@ -16,6 +17,11 @@
   readonly node: string;
   readonly out: Writable;
   readonly clock: Clock;
+  /**
+   * Measures what the lines cost.
+   * @default a meter that nobody reads
+   */
+  readonly processor?: Pick<ProcessorMeter, 'measure'>;
 }
 
 /** Buffered bytes above which lines about served requests are dropped. */
@@ -38,12 +44,14 @@
 export class DecisionLog {
   readonly #options: DecisionLogOptions;
   readonly #rejections: RejectionLimiter;
+  readonly #processor: Pick<ProcessorMeter, 'measure'>;
   #second = 0;
   #lines = 0;
   #dropped = 0;
 
   constructor(options: DecisionLogOptions) {
     this.#options = options;
+    this.#processor = options.processor ?? new ProcessorMeter();
     this.#rejections = new RejectionLimiter(options.clock);
   }
 
@@ -81,6 +89,12 @@
   }
 
   #write(event: string, fields: Fields, limitBytes: number, linesPerS: number): void {
+    this.#processor.measure('log', () => {
+      this.#writeLine(event, fields, limitBytes, linesPerS);
+    });
+  }
+
+  #writeLine(event: string, fields: Fields, limitBytes: number, linesPerS: number): void {
     const { out, clock, node } = this.#options;
     const second = Math.floor(clock.monotonic() / MS_PER_S);
     if (second !== this.#second) {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -1,7 +1,7 @@
 import { PromptQuarantine, RetryBudget } from '@ragwortrudder/admission';
 import { RunnerDirectory } from '@ragwortrudder/catalog';
 import type { Configuration } from '@ragwortrudder/catalog';
-import { PeriodicTask } from '@ragwortrudder/core';
+import { PeriodicTask, ProcessorMeter } from '@ragwortrudder/core';
 import type { Clock, Closeable, Random } from '@ragwortrudder/core';
 import type { KeyedLog } from '@ragwortrudder/log';
 import { SessionAffinity } from '@ragwortrudder/routing';
@@ -66,6 +66,8 @@
 const QUARANTINE_PERIOD_MS = 1_000;
 /** Interval between attempts to register this node in the topic of nodes, in milliseconds. */
 const REGISTER_PERIOD_MS = 1_000;
+/** Interval between lines on the processor time of this process, in milliseconds. */
+const PROCESSOR_PERIOD_MS = 10_000;
 /**
  * Time after SIGTERM during which new connections still arrive, in milliseconds: two readiness
  * checks and their period.
@@ -84,6 +86,7 @@
  */
 export class Gateway implements Closeable {
   readonly #options: GatewayOptions;
+  readonly #processor = new ProcessorMeter();
   readonly #decisions: DecisionLog;
   readonly #metrics = new GatewayMetrics();
   readonly #directory: RunnerDirectory;
@@ -126,7 +129,7 @@
     const address = { host: node.host, port: listen.peerPort };
     this.#incarnation = clock.wall();
     this.#startedAt = clock.monotonic();
-    this.#decisions = new DecisionLog({ node: node.id, out, clock });
+    this.#decisions = new DecisionLog({ node: node.id, out, clock, processor: this.#processor });
     this.#directory = new RunnerDirectory({
       clock,
       heartbeatMs: settings.runnerHeartbeatMs,
@@ -196,6 +199,7 @@
       address,
       clock,
       log: this.#decisions,
+      processor: this.#processor,
       dutyToken: () => this.#dutyHolder?.reportedToken ?? 0,
       createReport: (extent) => this.#peerState.createReport(extent),
       createDigest: (members) => this.#peerState.createDigest(members),
@@ -378,18 +382,9 @@
       new PeriodicTask({
         periodMs: MAINTENANCE_PERIOD_MS,
         run: () => {
-          const { knownCount } = this.#peers;
-          this.#quotas.updateShare();
-          this.#retryBudget.setAllowance(retryAllowance(this.#settings.retries, knownCount));
-          this.#bounds.update(this.#peers, this.#registration.isRegistered);
-          this.#pool.prune();
-          this.#passing.update();
-          const { links } = this.#pool;
-          retractOwnFaults({ quarantine: this.#quarantine, directory: this.#directory, links });
-          this.#deferredEvidence.settle();
-          this.#forwarder.checkSilence();
-          this.#quarantineSync.update();
-          this.#configurationSync.update();
+          this.#processor.measure('upkeep', () => {
+            this.#maintain();
+          });
         },
         onFailure: this.#decisions.onTaskFailure('upkeep'),
       }),
@@ -398,6 +393,13 @@
       this.#createTask('enter', REGISTER_PERIOD_MS, () =>
         this.#isStopping ? Promise.resolve() : this.#registration.register(),
       ),
+      new PeriodicTask({
+        periodMs: PROCESSOR_PERIOD_MS,
+        run: () => {
+          this.#logProcessorTime();
+        },
+        onFailure: this.#decisions.onTaskFailure('processor-time'),
+      }),
     ];
   }
 
@@ -428,6 +430,7 @@
     await this.#status.listen();
     await this.#metricsServer.listen();
     await this.#callers.listen();
+    this.#processor.addUnmeasured('start');
     for (const task of this.#tasks) task.start();
     this.#dutyHolder?.start();
   }
@@ -479,6 +482,7 @@
 
   async close(): Promise<void> {
     await this.#peers.publishReport(true);
+    this.#logProcessorTime();
     this.#decisions.notable('stopped', { active: this.#forwarder.active.size });
     await Promise.all([
       this.#catalog.close(),
@@ -514,6 +518,31 @@
     return this.#configuration !== undefined && this.#catalog.hasRunners && !this.#isStopping;
   }
 
+  #maintain(): void {
+    const { knownCount } = this.#peers;
+    this.#quotas.updateShare();
+    this.#retryBudget.setAllowance(retryAllowance(this.#settings.retries, knownCount));
+    this.#bounds.update(this.#peers, this.#registration.isRegistered);
+    this.#pool.prune();
+    this.#passing.update();
+    const { links } = this.#pool;
+    retractOwnFaults({ quarantine: this.#quarantine, directory: this.#directory, links });
+    this.#deferredEvidence.settle();
+    this.#forwarder.checkSilence();
+    this.#quarantineSync.update();
+    this.#configurationSync.update();
+  }
+
+  #logProcessorTime(): void {
+    const { totalMs, byActivity } = this.#processor.use;
+    const activities = [...byActivity].map(([name, ms]) => [name, Math.round(ms)] as const);
+    this.#decisions.notable('processor-time', {
+      totalMs: Math.round(totalMs),
+      ...Object.fromEntries(activities),
+      requests: this.#callers.receivedCount,
+    });
+  }
+
   #createTask(name: string, periodMs: number, run: () => Promise<void>): PeriodicTask {
     return new PeriodicTask({ periodMs, run, onFailure: this.#decisions.onTaskFailure(name) });
   }
--- a/packages/gateway/src/node/peer-socket.ts
+++ b/packages/gateway/src/node/peer-socket.ts
@@ -1,7 +1,7 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 import type { Address } from '@ragwortrudder/catalog';
-import type { Closeable } from '@ragwortrudder/core';
+import type { Closeable, ProcessorMeter } from '@ragwortrudder/core';
 import { decodeMessage } from '../utils/decode-message.ts';
 import { reasonOf } from '../utils/reason-of.ts';
 import type { DecisionLog } from './decision-log.ts';
@@ -9,6 +9,7 @@
 interface PeerSocketOptions {
   readonly address: Address;
   readonly log: DecisionLog;
+  readonly processor: Pick<ProcessorMeter, 'measure'>;
   readonly onMessage: (method: string, params: unknown) => void;
 }
 
@@ -36,11 +37,13 @@
   }
 
   async start(): Promise<void> {
-    const { address, log } = this.#options;
+    const { address, log, processor } = this.#options;
     const socket = createSocket('udp4');
     this.#socket = socket;
     socket.on('message', (bytes, { address: sender }) => {
-      this.#receive(bytes, sender);
+      processor.measure('peer-messages', () => {
+        this.#receive(bytes, sender);
+      });
     });
     socket.on('error', (error) => {
       log.notable('peer-socket-failed', { reason: error.message });
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -1,5 +1,5 @@
 import type { Address } from '@ragwortrudder/catalog';
-import type { Clock, Closeable } from '@ragwortrudder/core';
+import type { Clock, Closeable, ProcessorMeter } from '@ragwortrudder/core';
 import type { ConfigurationPart } from '../types/configuration-part.ts';
 import type { ConfigurationRequest } from '../types/configuration-request.ts';
 import type { DomainDigest } from '../types/domain-digest.ts';
@@ -28,6 +28,7 @@
   readonly failureDomain: string;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  readonly processor: Pick<ProcessorMeter, 'measure'>;
   /**
    * Capacity of this node's network link, in Mbit/s.
    * @default 1000
@@ -123,6 +124,7 @@
     this.#socket = new PeerSocket({
       address: options.address,
       log: options.log,
+      processor: options.processor,
       onMessage: (method, params) => {
         messages.receive(method, params);
       },
@@ -375,8 +377,10 @@
   #schedule(): void {
     this.#table.updateTiming();
     this.#timer = setTimeout(() => {
-      this.#expireSilentPeers();
-      void this.#attempt('report', () => this.#publish());
+      this.#options.processor.measure('peer-reports', () => {
+        this.#expireSilentPeers();
+        void this.#attempt('report', () => this.#publish());
+      });
       this.#schedule();
     }, this.#table.timing.periodMs);
   }
--- /dev/null
+++ b/test/core/processor-meter.test.ts
@@ -0,0 +1,36 @@
+import test from 'ava';
+import { ProcessorMeter } from '@ragwortrudder/core';
+
+test('time of nested activities counts once', (t) => {
+  let now = 10;
+  const use = (ms: number): void => {
+    now += ms;
+  };
+  const meter = new ProcessorMeter(() => now);
+  meter.addUnmeasured('start');
+  meter.measure('messages', () => {
+    use(3);
+    meter.measure('log', () => {
+      use(1);
+    });
+    use(2);
+  });
+  t.throws(() =>
+    meter.measure('log', () => {
+      use(4);
+      throw new RangeError('out of range');
+    }),
+  );
+  use(7);
+  t.deepEqual(Object.fromEntries(meter.use.byActivity), { start: 10, messages: 5, log: 5 });
+  t.is(meter.use.totalMs, 27);
+});
+
+test('the use of the process grows with work', (t) => {
+  const meter = new ProcessorMeter();
+  const before = meter.use.totalMs;
+  meter.measure('work', () => {
+    while (meter.use.totalMs - before < 20);
+  });
+  t.true((meter.use.byActivity.get('work') ?? 0) >= 19);
+});
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -10,7 +10,7 @@
   StatedLimits,
 } from '@ragwortrudder/admission';
 import { RunnerDirectory } from '@ragwortrudder/catalog';
-import { SystemClock } from '@ragwortrudder/core';
+import { ProcessorMeter, SystemClock } from '@ragwortrudder/core';
 import { freeAddresses, parseAddress } from '@ragwortrudder/standins';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import { PeerStateSync } from '../../packages/gateway/src/node/peer-state-sync.ts';
@@ -99,6 +99,7 @@
     failureDomain,
     clock,
     log: new DecisionLog({ node: id, out, clock }),
+    processor: new ProcessorMeter(),
     dutyToken: () => 0,
     createReport: (extent) => {
       const { readsLocalDigests, ...report } = sync.createReport(extent);
--- a/test/gateway/relay-traffic.test.ts
+++ b/test/gateway/relay-traffic.test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import { SystemClock } from '@ragwortrudder/core';
+import { ProcessorMeter, SystemClock } from '@ragwortrudder/core';
 import { freeAddresses, parseAddress } from '@ragwortrudder/standins';
 import { DecisionLog } from '../../packages/gateway/src/node/decision-log.ts';
 import { Peers } from '../../packages/gateway/src/node/peers.ts';
@@ -105,6 +105,7 @@
     clock,
     linkMbps: LINK_MBPS,
     log: new DecisionLog({ node: 'a0', out: new PassThrough().resume(), clock }),
+    processor: new ProcessorMeter(),
     dutyToken: () => 0,
     createReport: () => reportOf('a0', 'a', 1, port),
     createDigest: (members) => {
