--- a/packages/core/src/node/processor-meter.ts
+++ b/packages/core/src/node/processor-meter.ts
@@ -14,7 +14,7 @@
  */
 export class ProcessorMeter {
   readonly #read: () => number;
-  readonly #byActivity = new Map<string, number>();
+  readonly #byActivity = new Map<string, { readonly ms: number; readonly count: number }>();
   /** What activities have used that ran within the one in progress. */
   #nestedMs = 0;
 
@@ -44,11 +44,12 @@
   /** Adds what no activity has used so far. */
   addUnmeasured(activity: string): void {
     const { totalMs, byActivity } = this.use;
-    const measuredMs = [...byActivity.values()].reduce((sum, ms) => sum + ms, 0);
+    const measuredMs = [...byActivity.values()].reduce((sum, { ms }) => sum + ms, 0);
     this.#add(activity, totalMs - measuredMs);
   }
 
   #add(activity: string, ms: number): void {
-    this.#byActivity.set(activity, (this.#byActivity.get(activity) ?? 0) + ms);
+    const before = this.#byActivity.get(activity) ?? { ms: 0, count: 0 };
+    this.#byActivity.set(activity, { ms: before.ms + ms, count: before.count + 1 });
   }
 }
--- a/packages/core/src/types/processor-use.ts
+++ b/packages/core/src/types/processor-use.ts
@@ -1,7 +1,14 @@
-/** Processor time of the process, in milliseconds. */
+/** What an activity has used. */
+interface ActivityUse {
+  /** Processor time, in milliseconds. */
+  readonly ms: number;
+  readonly count: number;
+}
+
+/** Processor time of the process. */
 export interface ProcessorUse {
-  /** All that the process has used since its start, in user and kernel mode and on all threads. */
+  /** Milliseconds since its start, in user and kernel mode and on all threads. */
   readonly totalMs: number;
   /** The measured part of it, by activity; the rest belongs to none. */
-  readonly byActivity: ReadonlyMap<string, number>;
+  readonly byActivity: ReadonlyMap<string, ActivityUse>;
 }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -535,7 +535,10 @@
 
   #logProcessorTime(): void {
     const { totalMs, byActivity } = this.#processor.use;
-    const activities = [...byActivity].map(([name, ms]) => [name, Math.round(ms)] as const);
+    const activities = [...byActivity].flatMap(([name, { ms, count }]) => [
+      [`${name}Ms`, Math.round(ms)] as const,
+      [`${name}Count`, count] as const,
+    ]);
     this.#decisions.notable('processor-time', {
       totalMs: Math.round(totalMs),
       ...Object.fromEntries(activities),
--- a/packages/gateway/src/node/peer-messages.ts
+++ b/packages/gateway/src/node/peer-messages.ts
@@ -1,3 +1,4 @@
+import type { ProcessorMeter } from '@ragwortrudder/core';
 import type * as z from 'zod';
 import { ConfigurationPart } from '../types/configuration-part.ts';
 import { ConfigurationRequest } from '../types/configuration-request.ts';
@@ -15,6 +16,7 @@
 
 interface PeerMessagesOptions {
   readonly log: Pick<DecisionLog, 'rejected'>;
+  readonly processor: Pick<ProcessorMeter, 'measure'>;
   readonly onReport: (report: NodeReport) => void;
   readonly onDigest: (digest: DomainDigest) => void;
   readonly onIntroduction: (introduction: Introduction) => void;
@@ -25,22 +27,27 @@
   readonly onFeed: (feed: TopicFeed) => void;
 }
 
+const METHODS = {
+  report: 'report',
+  digest: 'digest',
+  introduction: 'introduction',
+  feed: 'feed',
+  prompt: 'prompt',
+  configurationRequest: 'configuration-request',
+  configuration: 'configuration',
+  quotaLevels: 'quota-levels',
+} as const;
+/** By method: the activity that its processor time counts to. */
+const ACTIVITIES: ReadonlyMap<string, string> = new Map(
+  Object.entries(METHODS).map(([name, method]) => [method, name]),
+);
 /** Under which rejected messages are logged. */
 const MESSAGE_TOPIC = 'peer-message';
 
 /** Checks the messages of peers and hands them to their receivers. */
 export class PeerMessages {
   /** Methods of the messages. */
-  static readonly methods = {
-    report: 'report',
-    digest: 'digest',
-    introduction: 'introduction',
-    feed: 'feed',
-    prompt: 'prompt',
-    configurationRequest: 'configuration-request',
-    configuration: 'configuration',
-    quotaLevels: 'quota-levels',
-  } as const;
+  static readonly methods = METHODS;
   readonly #options: PeerMessagesOptions;
 
   constructor(options: PeerMessagesOptions) {
@@ -48,6 +55,17 @@
   }
 
   receive(method: string, params: unknown): void {
+    const activity = ACTIVITIES.get(method);
+    if (!activity) {
+      this.#reject(method, 'unknown method');
+      return;
+    }
+    this.#options.processor.measure(activity, () => {
+      this.#receive(method, params);
+    });
+  }
+
+  #receive(method: string, params: unknown): void {
     const { methods } = PeerMessages;
     const options = this.#options;
     switch (method) {
@@ -75,8 +93,6 @@
       case methods.feed:
         this.#apply(method, TopicFeed.safeParse(params), options.onFeed);
         return;
-      default:
-        this.#reject(method, 'unknown method');
     }
   }
 
--- a/packages/gateway/src/node/peer-socket.ts
+++ b/packages/gateway/src/node/peer-socket.ts
@@ -41,7 +41,7 @@
     const socket = createSocket('udp4');
     this.#socket = socket;
     socket.on('message', (bytes, { address: sender }) => {
-      processor.measure('peer-messages', () => {
+      processor.measure('peerMessages', () => {
         this.#receive(bytes, sender);
       });
     });
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -377,7 +377,7 @@
   #schedule(): void {
     this.#table.updateTiming();
     this.#timer = setTimeout(() => {
-      this.#options.processor.measure('peer-reports', () => {
+      this.#options.processor.measure('peerReports', () => {
         this.#expireSilentPeers();
         void this.#attempt('report', () => this.#publish());
       });
--- a/test/core/processor-meter.test.ts
+++ b/test/core/processor-meter.test.ts
@@ -22,7 +22,11 @@
     }),
   );
   use(7);
-  t.deepEqual(Object.fromEntries(meter.use.byActivity), { start: 10, messages: 5, log: 5 });
+  t.deepEqual(Object.fromEntries(meter.use.byActivity), {
+    start: { ms: 10, count: 1 },
+    messages: { ms: 5, count: 1 },
+    log: { ms: 5, count: 2 },
+  });
   t.is(meter.use.totalMs, 27);
 });
 
@@ -32,5 +36,5 @@
   meter.measure('work', () => {
     while (meter.use.totalMs - before < 20);
   });
-  t.true((meter.use.byActivity.get('work') ?? 0) >= 19);
+  t.true((meter.use.byActivity.get('work')?.ms ?? 0) >= 19);
 });
