Wake a node once for all of its periodic tasks

Some 30 timers a second ran apart from each other, each with a turn of the event loop of its own, and each message to a peer waited a turn for the resolver of host names, although peers are known by address.

Periodic tasks begin at multiples of their period now, so that those whose periods divide each other share a wake-up, and the checks of callers' framing are such tasks. Addresses of peers are not resolved.

--- a/packages/core/src/utils/periodic-task.ts
+++ b/packages/core/src/utils/periodic-task.ts
@@ -1,8 +1,8 @@
-import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 import type { Closeable } from '../types/closeable.ts';
+import { pauseBeforeRun } from './pause-before-run.ts';
 
 interface PeriodicTaskOptions {
-  /** Pause between the end of one run and the start of the next, in milliseconds. */
+  /** Mean time between the starts of two runs that take little time, in milliseconds. */
   readonly periodMs: number;
   readonly run: () => Promise<void> | void;
   /** Called when a run fails; the next run follows as scheduled. */
@@ -10,13 +10,18 @@
 }
 
 /**
- * Runs a task periodically, without overlapping runs. After a stall of the process, input that arrived
- * meanwhile is read before the next run, so that a run does not mistake the stall for silence of others.
+ * Runs a task periodically, without overlapping runs. Runs begin at multiples of the period, so that
+ * tasks whose periods divide each other wake the process once for all of them. After a stall of the
+ * process, input that arrived meanwhile is read before the next run, so that a run does not mistake the
+ * stall for silence of others.
  */
 export class PeriodicTask implements Closeable {
   readonly #options: PeriodicTaskOptions;
-  readonly #closing = new AbortController();
-  #running: Promise<void> | undefined;
+  #running: Promise<void> = Promise.resolve();
+  #timer: NodeJS.Timeout | undefined;
+  #turn: NodeJS.Immediate | undefined;
+  #isStarted = false;
+  #isClosed = false;
 
   constructor(options: PeriodicTaskOptions) {
     this.#options = options;
@@ -24,24 +29,38 @@
 
   /** Starts the task; does nothing if it was already started. */
   start(): void {
-    this.#running ??= this.#loop();
+    if (this.#isStarted) return;
+    this.#isStarted = true;
+    this.#begin();
   }
 
   async close(): Promise<void> {
-    this.#closing.abort();
+    this.#isClosed = true;
+    clearTimeout(this.#timer);
+    clearImmediate(this.#turn);
     await this.#running;
   }
 
-  async #loop(): Promise<void> {
-    const { signal } = this.#closing;
-    while (!signal.aborted) {
-      try {
-        await this.#options.run();
-      } catch (error) {
-        this.#options.onFailure(error);
-      }
-      await sleep(this.#options.periodMs, undefined, { signal }).catch(() => undefined);
-      await nextTurn();
+  #begin(): void {
+    if (this.#isClosed) return;
+    this.#running = this.#runOnce();
+  }
+
+  async #runOnce(): Promise<void> {
+    try {
+      await this.#options.run();
+    } catch (error) {
+      this.#options.onFailure(error);
     }
+    if (this.#isClosed) return;
+    const { periodMs } = this.#options;
+    this.#timer = setTimeout(
+      () => {
+        this.#turn = setImmediate(() => {
+          this.#begin();
+        });
+      },
+      pauseBeforeRun({ now: performance.now(), periodMs }),
+    );
   }
 }
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { Address, CallerLimits } from '@ragwortrudder/catalog';
+import { PeriodicTask } from '@ragwortrudder/core';
 import type { Closeable } from '@ragwortrudder/core';
 import { Refusal } from '../errors/refusal.ts';
 import { RequestInvalid } from '../errors/request-invalid.ts';
@@ -75,7 +76,7 @@
   readonly #server: Server;
   readonly #connections = new Map<Socket, CallerConnection>();
   #limits: CallerLimits = DEFAULT_LIMITS;
-  #framingCheck: NodeJS.Timeout | undefined;
+  readonly #framingCheck: PeriodicTask;
   #isStopping = false;
   #receivedCount = 0;
 
@@ -88,6 +89,13 @@
       // The parser would answer such requests itself, as many as come.
       requireHostHeader: false,
     });
+    this.#framingCheck = new PeriodicTask({
+      periodMs: FRAMING_CHECK_PERIOD_MS,
+      run: () => {
+        this.#checkFraming();
+      },
+      onFailure: options.log.onTaskFailure('framing'),
+    });
     this.#server.on('request', (message, response) => {
       void this.#receive(message, response);
     });
@@ -149,9 +157,7 @@
     });
     // For example, a connection that could not be accepted for want of descriptors.
     this.#server.on('error', this.#options.log.onTaskFailure('accept'));
-    this.#framingCheck = setInterval(() => {
-      this.#checkFraming();
-    }, FRAMING_CHECK_PERIOD_MS);
+    this.#framingCheck.start();
   }
 
   /** Closes each connection after its next response. */
@@ -168,10 +174,9 @@
 
   /** Closes all connections, together with the requests in progress. */
   async close(): Promise<void> {
-    clearInterval(this.#framingCheck);
     this.#server.close();
     for (const connection of this.#connections.values()) connection.destroy('node-closed');
-    return Promise.resolve();
+    await this.#framingCheck.close();
   }
 
   async #receive(message: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/gateway/src/node/peer-socket.ts
+++ b/packages/gateway/src/node/peer-socket.ts
@@ -1,5 +1,7 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
+import { lookup } from 'node:dns';
+import { isIPv4 } from 'node:net';
 import type { Address } from '@ragwortrudder/catalog';
 import type { Closeable, ProcessorMeter } from '@ragwortrudder/core';
 import { decodeMessage } from '../utils/decode-message.ts';
@@ -14,6 +16,7 @@
 }
 
 const MAX_METHOD_LENGTH = 64;
+const IPV4 = 4;
 
 interface Notification {
   readonly jsonrpc: '2.0';
@@ -27,6 +30,16 @@
   return jsonrpc === '2.0' && typeof method === 'string' && method.length <= MAX_METHOD_LENGTH;
 }
 
+/** Resolves the host of a peer; an address at once, without a turn of the event loop. */
+function resolveHost(
+  host: string,
+  _options: unknown,
+  done: (error: NodeJS.ErrnoException | null, address: string, family: number) => void,
+): void {
+  if (isIPv4(host)) done(null, host, IPV4);
+  else lookup(host, IPV4, done);
+}
+
 /** UDP socket for messages between nodes, each a JSON-RPC notification. Lost messages are not resent. */
 export class PeerSocket implements Closeable {
   readonly #options: PeerSocketOptions;
@@ -38,7 +51,7 @@
 
   async start(): Promise<void> {
     const { address, log, processor } = this.#options;
-    const socket = createSocket('udp4');
+    const socket = createSocket({ type: 'udp4', lookup: resolveHost });
     this.#socket = socket;
     socket.on('message', (bytes, { address: sender }) => {
       processor.measure('peerMessages', () => {
