Keep the list of reachable peers until one of them can fall silent

It was made anew after 100 ms, over all peers and with a hash of their ids, and nearly every message of a peer asked for it. Nobody in it can be silent for too long before the earliest time-out; changes of peers still make it anew.

--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -185,12 +185,12 @@
   /** This node reads topics on behalf of its failure domain and sends its digests to the other domains. */
   get isRelay(): boolean {
     const { node } = this.#options;
-    return this.#table.view.inDomain.filter(([id]) => id < node).length < RELAYS_PER_DOMAIN;
+    return this.#table.view.domainIds.filter((id) => id < node).length < RELAYS_PER_DOMAIN;
   }
 
   /** Sends the result of a topic read to the other nodes of the failure domain; never rejects. */
   publishFeed(feed: TopicFeed): Promise<void> {
-    return this.#attempt('feed', () => this.#send(METHODS.feed, feed, this.#table.view.inDomain));
+    return this.#attempt('feed', () => this.#send(METHODS.feed, feed, this.#table.inDomain));
   }
 
   /** Asks a peer for its configuration. */
@@ -222,10 +222,8 @@
   }
 
   async #announcePrompt(runner: string, tokens: number): Promise<void> {
-    const { usesRelays, view } = this.#table;
-    const receivers = usesRelays
-      ? addressesOf(view.inDomain)
-      : view.all.map((peer) => peer.address);
+    const { usesRelays, view, inDomain } = this.#table;
+    const receivers = usesRelays ? addressesOf(inDomain) : view.all.map((peer) => peer.address);
     const announcement: PromptAnnouncement = {
       node: this.#options.node,
       runner,
@@ -430,7 +428,7 @@
     const now = clock.monotonic();
     const fingerprints = { peer: fingerprint, own: this.#table.view.fingerprint };
     if (!this.#introductions.isDue(peer, fingerprints, now)) return;
-    const { reporting } = this.#table.view;
+    const { reporting } = this.#table;
     const nodes: Introduction['nodes'] = Object.fromEntries(
       reporting.map(([id, { address, failureDomain = '' }]) => [
         id,
--- a/packages/gateway/src/utils/peer-table.ts
+++ b/packages/gateway/src/utils/peer-table.ts
@@ -16,15 +16,17 @@
   readonly onChange: (ids: ReadonlySet<string>) => void;
 }
 
-/** The peers that were reachable at a time. */
+/** Which peers are reachable. */
 interface ReachableView {
-  readonly at: number;
+  /** Until then none of them can have been silent for too long; monotonic, in milliseconds. */
+  readonly validUntil: number;
   readonly all: readonly ReachablePeer[];
   readonly ids: readonly string[];
-  readonly inDomain: readonly (readonly [string, Peer])[];
-  /** Those that report to this node, and it to them. */
-  readonly reporting: readonly (readonly [string, Peer])[];
-  /** Of the ids of these and of this node. */
+  /** Ids of those in the failure domain of this node. */
+  readonly domainIds: readonly string[];
+  /** Ids of those that report to this node, and it to them. */
+  readonly reportingIds: readonly string[];
+  /** Of the ids of the reporting ones and of this node. */
   readonly fingerprint: number;
 }
 
@@ -48,12 +50,6 @@
 const PRESUMED_DEAD_MS = 7_000;
 /** Time within which the first report of a live and reachable peer arrives, in milliseconds. */
 const FIRST_REPORT_TIMEOUT_MS = 2_500;
-/**
- * Time for which the list of reachable peers is kept, in milliseconds: far below the silence after which
- * a peer is no longer one of them.
- */
-const VIEW_TTL_MS = 100;
-
 /** The other nodes as this one has heard them, and which of them report to whom. */
 export class PeerTable {
   readonly #options: PeerTableOptions;
@@ -86,7 +82,9 @@
 
   /** Applies the pace that follows from the peers that are known now. */
   updateTiming(): void {
+    const { peerTimeoutMs } = this.#timing;
     this.#timing = reportTiming(this.#pace());
+    if (this.#timing.peerTimeoutMs !== peerTimeoutMs) this.#view = undefined;
   }
 
   /** Only relays send state to the other failure domains. */
@@ -96,7 +94,7 @@
 
   /** The failure domain is large, and none of its nodes is of a build that reads no digests of it. */
   get usesLocalDigests(): boolean {
-    const peers = this.view.inDomain;
+    const peers = this.inDomain;
     return (
       this.usesRelays &&
       peers.length > MAX_MESHED_PEERS &&
@@ -128,8 +126,11 @@
     const known = this.#peers.get(id);
     const now = this.#options.clock.monotonic();
     const hasMoved =
-      known?.address.host !== contact.address.host || known.address.port !== contact.address.port;
-    if (hasMoved || known.isSilent || !this.#isReachable(known, now)) this.#forgetViews();
+      known?.address.host !== contact.address.host ||
+      known.address.port !== contact.address.port ||
+      known.failureDomain !== contact.failureDomain;
+    const isListed = !hasMoved && !known.isSilent && this.#isReachable(known, now);
+    if (!isListed) this.#forgetViews();
     this.#peers.set(id, { ...contact, addedAt: known?.addedAt ?? now, isSilent: false });
   }
 
@@ -228,23 +229,37 @@
     );
   }
 
-  /** The peers that are reachable now. */
+  /** Reachable peers of the failure domain of this node. */
+  get inDomain(): readonly (readonly [string, Peer])[] {
+    return this.#entriesOf(this.view.domainIds);
+  }
+
+  /** Reachable peers that report to this node, and it to them. */
+  get reporting(): readonly (readonly [string, Peer])[] {
+    return this.#entriesOf(this.view.reportingIds);
+  }
+
+  /** Which peers are reachable now. */
   get view(): ReachableView {
     const { clock, failureDomain, node } = this.#options;
-    const at = clock.monotonic();
-    if (this.#view && at - this.#view.at < VIEW_TTL_MS) return this.#view;
-    const reachable = [...this.#peers].filter(([, peer]) => this.#isReachable(peer, at));
-    const inDomain = reachable.filter(([, peer]) => peer.failureDomain === failureDomain);
-    const reporting = this.usesRelays ? inDomain : reachable;
+    const now = clock.monotonic();
+    if (this.#view && now < this.#view.validUntil) return this.#view;
+    const reachable = [...this.#peers].filter(([, peer]) => this.#isReachable(peer, now));
+    const ids = reachable.map(([id]) => id);
+    const domainIds = reachable
+      .filter(([, peer]) => peer.failureDomain === failureDomain)
+      .map(([id]) => id);
+    const reportingIds = this.usesRelays ? domainIds : ids;
+    const heardAt = reachable.map(([, { lastReceivedAt = now }]) => lastReceivedAt);
     this.#view = {
-      at,
+      validUntil: Math.min(...heardAt, now) + this.#timing.peerTimeoutMs,
       all: reachable.map(([id, peer]) => {
         return { id, address: peer.address, failureDomain: peer.failureDomain };
       }),
-      ids: reachable.map(([id]) => id),
-      inDomain,
-      reporting,
-      fingerprint: fingerprintOfIds([node, ...reporting.map(([id]) => id)]),
+      ids,
+      domainIds,
+      reportingIds,
+      fingerprint: fingerprintOfIds([node, ...reportingIds]),
     };
     return this.#view;
   }
@@ -252,11 +267,18 @@
   /** Peers that are only known through another relay could outlive their nodes by being told back and forth. */
   get #reporting(): readonly (readonly [string, Peer])[] {
     const since = this.#options.clock.monotonic() - this.#timing.peerTimeoutMs;
-    return this.view.inDomain.filter(
+    return this.inDomain.filter(
       ([, { lastReportAt }]) => lastReportAt !== undefined && lastReportAt > since,
     );
   }
 
+  #entriesOf(ids: readonly string[]): readonly (readonly [string, Peer])[] {
+    return ids.flatMap((id) => {
+      const peer = this.#peers.get(id);
+      return peer ? [[id, peer] as const] : [];
+    });
+  }
+
   #pace(): ReturnType<typeof reportPace> {
     this.#knownPace ??= {
       pace: reportPace([...this.#peers.values()], this.#options.failureDomain),
