Record members of digests only where they have changed

A digest names all nodes of its failure domain, and each of them was recorded anew with each digest, though nearly none has changed since the one before. Those are only noted as heard now.

The test of refreshed peers is new with the method.

--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -461,6 +461,14 @@
       if (id === this.#options.node) continue;
       const known = this.#table.find(id);
       const [, , ageMs = 0] = heard?.[id] ?? [];
+      const heardAt = now - ageMs;
+      // Digests of a domain are sent where all of its nodes read them.
+      const readsLocalDigests = heard !== undefined || known?.readsLocalDigests === true;
+      const areFlagsKnown =
+        known?.readsLocalDigests === readsLocalDigests &&
+        known.readsCompressed === (readsCompressed ?? known.readsCompressed);
+      const member = { host, port, failureDomain, dutyToken, heardAt, now };
+      if (areFlagsKnown && dutyToken === 0 && this.#table.refresh(id, member)) continue;
       if (!known || known.isSilent) newlyHeard.push(id);
       this.#recordContact(id, {
         address: { host, port },
@@ -468,10 +476,9 @@
         incarnation: known?.incarnation ?? 0,
         sequence: known?.sequence ?? 0,
         dutyToken,
-        lastReceivedAt: Math.max(known?.lastReceivedAt ?? -Infinity, now - ageMs),
+        lastReceivedAt: Math.max(this.#table.lastHeardAt(id) ?? -Infinity, heardAt),
         lastReportAt: known?.lastReportAt,
-        // Digests of a domain are sent where all of its nodes read them.
-        readsLocalDigests: heard !== undefined || known?.readsLocalDigests === true,
+        readsLocalDigests,
         readsCompressed: readsCompressed ?? known?.readsCompressed ?? false,
       });
     }
--- a/packages/gateway/src/utils/peer-table.ts
+++ b/packages/gateway/src/utils/peer-table.ts
@@ -30,6 +30,18 @@
   readonly fingerprint: number;
 }
 
+/** A peer as the digest of its failure domain names it. */
+interface HeardMember {
+  readonly host: string;
+  readonly port: number;
+  readonly failureDomain: string;
+  readonly dutyToken: number;
+  /** When it was heard; monotonic, in milliseconds. */
+  readonly heardAt: number;
+  /** Monotonic time at which the digest is applied, in milliseconds. */
+  readonly now: number;
+}
+
 /** What became of a peer that has been silent. */
 interface SilentPeer {
   readonly id: string;
@@ -54,6 +66,8 @@
 export class PeerTable {
   readonly #options: PeerTableOptions;
   readonly #peers = new Map<string, Peer>();
+  /** When peers were last heard that have not changed since they were recorded. */
+  readonly #refreshedAt = new Map<string, number>();
   #timing = reportTiming(undefined);
   #view: ReachableView | undefined;
   /** Pace for the known peers; absent until it is needed after they have changed. */
@@ -129,13 +143,34 @@
       known?.address.host !== contact.address.host ||
       known.address.port !== contact.address.port ||
       known.failureDomain !== contact.failureDomain;
-    const isListed = !hasMoved && !known.isSilent && this.#isReachable(known, now);
+    const isListed = !hasMoved && !known.isSilent && this.#isReachable(id, known, now);
     if (!isListed) this.#forgetViews();
     this.#peers.set(id, { ...contact, addedAt: known?.addedAt ?? now, isSilent: false });
+    this.#refreshedAt.delete(id);
+  }
+
+  /** When a peer was last heard; monotonic, in milliseconds. */
+  lastHeardAt(id: string): number | undefined {
+    const known = this.#peers.get(id);
+    return known && this.#heardAt(id, known);
+  }
+
+  /** Records that peers which have not changed were heard; returns false for one that has to be recorded. */
+  refresh(id: string, member: HeardMember): boolean {
+    const { host, port, failureDomain, dutyToken, heardAt, now } = member;
+    const known = this.#peers.get(id);
+    if (!known || known.isSilent || known.dutyToken !== dutyToken) return false;
+    const { address } = known;
+    if (address.host !== host || address.port !== port) return false;
+    if (known.failureDomain !== failureDomain) return false;
+    if (!this.#isReachable(id, known, now)) return false;
+    this.#refreshedAt.set(id, Math.max(this.#heardAt(id, known) ?? heardAt, heardAt));
+    return true;
   }
 
   delete(id: string): void {
     this.#peers.delete(id);
+    this.#refreshedAt.delete(id);
     this.#forgetViews();
   }
 
@@ -144,11 +179,11 @@
     const now = this.#options.clock.monotonic();
     const silent: SilentPeer[] = [];
     for (const [id, peer] of this.#peers) {
-      const silentMs = Math.round(now - (peer.lastReceivedAt ?? peer.addedAt));
+      const silentMs = Math.round(now - (this.#heardAt(id, peer) ?? peer.addedAt));
       if (silentMs > PEER_EXPIRY_MS) {
         this.delete(id);
         silent.push({ id, silentMs, isForgotten: true });
-      } else if (!peer.isSilent && !this.#isReachable(peer, now)) {
+      } else if (!peer.isSilent && !this.#isReachable(id, peer, now)) {
         this.#peers.set(id, { ...peer, isSilent: true });
         silent.push({ id, silentMs, isForgotten: false });
       }
@@ -162,9 +197,10 @@
    */
   hasSilent(ms: number): boolean {
     const now = this.#options.clock.monotonic();
-    return [...this.#peers.values()].some(({ lastReceivedAt, addedAt }) => {
-      if (lastReceivedAt === undefined) return now - addedAt < FIRST_REPORT_TIMEOUT_MS;
-      return now - lastReceivedAt > ms && now - lastReceivedAt < PRESUMED_DEAD_MS;
+    return [...this.#peers].some(([id, peer]) => {
+      const heardAt = this.#heardAt(id, peer);
+      if (heardAt === undefined) return now - peer.addedAt < FIRST_REPORT_TIMEOUT_MS;
+      return now - heardAt > ms && now - heardAt < PRESUMED_DEAD_MS;
     });
   }
 
@@ -188,7 +224,7 @@
     for (const entry of this.local.toSorted(byId)) {
       if (reachable >= REPORT_RECEIVERS) break;
       receivers.push(entry);
-      if (this.#isReachable(entry[1], now)) reachable += 1;
+      if (this.#isReachable(...entry, now)) reachable += 1;
     }
     return receivers;
   }
@@ -197,8 +233,9 @@
   get dutyHolder(): Peer | undefined {
     const now = this.#options.clock.monotonic();
     let holder: Peer | undefined;
-    for (const peer of this.#peers.values()) {
-      if (peer.dutyToken > (holder?.dutyToken ?? 0) && this.#isReachable(peer, now)) holder = peer;
+    for (const [id, peer] of this.#peers) {
+      if (peer.dutyToken > (holder?.dutyToken ?? 0) && this.#isReachable(id, peer, now))
+        holder = peer;
     }
     return holder;
   }
@@ -244,13 +281,13 @@
     const { clock, failureDomain, node } = this.#options;
     const now = clock.monotonic();
     if (this.#view && now < this.#view.validUntil) return this.#view;
-    const reachable = [...this.#peers].filter(([, peer]) => this.#isReachable(peer, now));
+    const reachable = [...this.#peers].filter(([id, peer]) => this.#isReachable(id, peer, now));
     const ids = reachable.map(([id]) => id);
     const domainIds = reachable
       .filter(([, peer]) => peer.failureDomain === failureDomain)
       .map(([id]) => id);
     const reportingIds = this.usesRelays ? domainIds : ids;
-    const heardAt = reachable.map(([, { lastReceivedAt = now }]) => lastReceivedAt);
+    const heardAt = reachable.map(([id, peer]) => this.#heardAt(id, peer) ?? now);
     this.#view = {
       validUntil: Math.min(...heardAt, now) + this.#timing.peerTimeoutMs,
       all: reachable.map(([id, peer]) => {
@@ -286,8 +323,13 @@
     return this.#knownPace.pace;
   }
 
-  #isReachable({ lastReceivedAt }: Peer, now: number): boolean {
-    return lastReceivedAt !== undefined && now - lastReceivedAt < this.#timing.peerTimeoutMs;
+  #isReachable(id: string, peer: Peer, now: number): boolean {
+    const heardAt = this.#heardAt(id, peer);
+    return heardAt !== undefined && now - heardAt < this.#timing.peerTimeoutMs;
+  }
+
+  #heardAt(id: string, { lastReceivedAt }: Peer): number | undefined {
+    return this.#refreshedAt.get(id) ?? lastReceivedAt;
   }
 
   /** Called when a peer was added, removed, or heard after a silence. */
--- a/test/gateway/peer-table.test.ts
+++ b/test/gateway/peer-table.test.ts
@@ -54,3 +54,34 @@
   table.delete('n2');
   t.deepEqual(table.view.ids, []);
 });
+
+// Guards against a record for each member of each digest, most of which have not changed (SHORT).
+test('a peer that is heard again as it was stays listed; one that has changed is recorded', (t) => {
+  const clock = new ManualClock();
+  const table = new PeerTable({ node: 'n1', failureDomain: 'a', clock, onChange: () => undefined });
+  const { peerTimeoutMs } = table.timing;
+  const member = { host: '10.0.0.2', port: 7500, failureDomain: 'a', dutyToken: 0 };
+  const hear = (change: Partial<typeof member> = {}, ageMs = 0): boolean => {
+    const now = clock.monotonic();
+    return table.refresh('n2', { ...member, ...change, heardAt: now - ageMs, now });
+  };
+  t.false(hear());
+  table.record('n2', contactAt(clock.monotonic()));
+  clock.advance(peerTimeoutMs - 1);
+  t.true(hear());
+  clock.advance(peerTimeoutMs - 1);
+  t.deepEqual(table.view.ids, ['n2']);
+  t.deepEqual(table.expireSilent(), []);
+  t.true(hear({}, peerTimeoutMs));
+  t.is(table.lastHeardAt('n2'), clock.monotonic() - peerTimeoutMs + 1);
+  t.false(hear({ host: '10.0.0.9' }));
+  t.false(hear({ port: 7501 }));
+  t.false(hear({ failureDomain: 'b' }));
+  t.false(hear({ dutyToken: 7 }));
+  clock.advance(1);
+  t.deepEqual(table.view.ids, []);
+  t.false(hear());
+  table.record('n2', contactAt(clock.monotonic()));
+  t.deepEqual(table.view.ids, ['n2']);
+  t.is(table.lastHeardAt('n2'), clock.monotonic());
+});
