--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -468,6 +468,7 @@
         known?.readsLocalDigests === readsLocalDigests &&
         known.readsCompressed === (readsCompressed ?? known.readsCompressed);
       const member = { host, port, failureDomain, dutyToken, heardAt, now };
+      // A holder of the duties is recorded each time, since it ends the resignation of the one before.
       if (areFlagsKnown && dutyToken === 0 && this.#table.refresh(id, member)) continue;
       if (!known || known.isSilent) newlyHeard.push(id);
       this.#recordContact(id, {
--- a/packages/gateway/src/utils/is-common-digest.ts
+++ b/packages/gateway/src/utils/is-common-digest.ts
@@ -5,7 +5,7 @@
 const { isAmount, isBoolean, isOrdinal, isPort, isText } = VALUE_CHECKS;
 const { objectOf, recordOf, tupleOf } = VALUE_CHECKS;
 
-/** Accepts digests without the fields that few of them have. */
+/** Accepts digests as their schema does. */
 export const isCommonDigest = objectOf<DomainDigest>({
   required: {
     relay: isText,
@@ -22,7 +22,7 @@
     configuration: isOrdinal,
     readsCompressed: isBoolean,
     listReadMs: isOrdinal,
-    leaving: STATEMENT_CHECKS.leaving,
+    leaving: STATEMENT_CHECKS.boots,
     limits: STATEMENT_CHECKS.limits,
     cold: STATEMENT_CHECKS.cold,
     speeds: recordOf(tupleOf(isAmount, isAmount)),
--- a/packages/gateway/src/utils/is-common-report.ts
+++ b/packages/gateway/src/utils/is-common-report.ts
@@ -8,7 +8,7 @@
 
 const isRecordOfAmounts = recordOf(isAmount);
 
-/** Accepts reports without the fields that few of them have. */
+/** Accepts reports as their schema does, but for those with outcomes of roll-outs. */
 export const isCommonReport = objectOf<NodeReport>({
   required: {
     node: isText,
@@ -34,9 +34,9 @@
     asksQuotaLevels: isBoolean,
     fingerprint: isOrdinal,
     listReadMs: isOrdinal,
-    leaving: STATEMENT_CHECKS.leaving,
-    outOfReach: STATEMENT_CHECKS.leaving,
-    reached: STATEMENT_CHECKS.leaving,
+    leaving: STATEMENT_CHECKS.boots,
+    outOfReach: STATEMENT_CHECKS.boots,
+    reached: STATEMENT_CHECKS.boots,
     limits: STATEMENT_CHECKS.limits,
     cold: STATEMENT_CHECKS.cold,
     speeds: recordOf(tupleOf(isAmount, isAmount)),
--- a/packages/gateway/src/utils/statement-checks.ts
+++ b/packages/gateway/src/utils/statement-checks.ts
@@ -39,7 +39,7 @@
     }),
     MAX_COLD_STATEMENTS,
   ),
-  leaving: listOf(tupleOf(isText, isOrdinal)),
+  boots: listOf(tupleOf(isText, isOrdinal)),
   brittle: objectOf<BrittleReport>({
     required: {
       stated: limits,
