--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -35,6 +35,7 @@
 export { BrittleRunners } from './utils/brittle-runners.ts';
 export { ageEvidence } from './utils/age-evidence.ts';
 export { EVIDENCE_LIMITS } from './utils/evidence-limits.ts';
+export { MAX_COLD_MS } from './utils/max-cold-ms.ts';
 export { AdmissionGate } from './utils/admission-gate.ts';
 export { AdmissionQueue } from './utils/admission-queue.ts';
 export { ColdRunners } from './utils/cold-runners.ts';
--- a/packages/gateway/src/utils/statement-checks.ts
+++ b/packages/gateway/src/utils/statement-checks.ts
@@ -1,4 +1,4 @@
-import { EVIDENCE_LIMITS } from '@ragwortrudder/admission';
+import { EVIDENCE_LIMITS, MAX_COLD_MS } from '@ragwortrudder/admission';
 import type {
   BrittleReport,
   ColdStatement,
@@ -13,7 +13,6 @@
 
 /** Bounds of the schemas; with smaller ones the schemas would decide more often. */
 const MAX_RATE = 1_000_000;
-const MAX_COLD_MS = 86_400_000;
 const MAX_COUNT = 1_000_000_000;
 const MAX_REJECTION_AGE_MS = 3_600_000;
 
